--- /dev/null
+++ b/packages/pollengate-cli/pollengate_cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line for operators and callers."""
--- /dev/null
+++ b/packages/pollengate-net/pollengate_net/__init__.py
@@ -0,0 +1,1 @@
+"""Network adapters: store, VM list, workers and peers."""
--- /dev/null
+++ b/packages/pollengate-net/pollengate_net/calls.py
@@ -0,0 +1,51 @@
+"""Unary calls over grpclib with a timeout and typed failures."""
+
+import dataclasses
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+from result import Err, Ok, Result
+
+__all__ = ["CallFailure", "call", "open_channel", "split_address"]
+
+T = TypeVar("T")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallFailure:
+    """A call without an answer; `sent` tells whether the receiver may have got it."""
+
+    sent: bool
+    detail: str
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Splits `ip:port`."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+def open_channel(address: str) -> Channel:
+    """Returns a channel that connects on its first call."""
+    return Channel(*split_address(address))
+
+
+async def call(
+    send: Callable[..., Awaitable[T]], request: object, timeout_s: float
+) -> Result[T, CallFailure]:
+    """Makes one unary call.
+
+    Args:
+        send: the method of a generated stub.
+        request: its message.
+        timeout_s: seconds until the call is given up.
+    """
+    try:
+        return Ok(await send(request, timeout=timeout_s))
+    except OSError as error:
+        connected = isinstance(error, ConnectionResetError | BrokenPipeError | TimeoutError)
+        return Err(CallFailure(connected, f"{type(error).__name__}: {error}"))
+    except (TimeoutError, GRPCError, StreamTerminatedError) as error:
+        return Err(CallFailure(True, f"{type(error).__name__}: {error}"))
--- /dev/null
+++ b/packages/pollengate-net/pollengate_net/etcd_store.py
@@ -0,0 +1,186 @@
+"""The platform's store over the JSON gateway of the etcd v3 API."""
+
+import base64
+import json
+from collections.abc import AsyncIterator, Sequence
+from typing import Any
+
+import httpx
+from pollengate.store import (
+    Commit,
+    Entry,
+    FailureKind,
+    Listing,
+    Operation,
+    Put,
+    Store,
+    StoreFailure,
+    Unchanged,
+    WatchEvent,
+)
+from result import Err, Ok, Result
+
+__all__ = ["EtcdStore", "prefix_end"]
+
+CALL_TIMEOUT_S = 1.0
+WATCH_SILENCE_S = 30.0
+
+
+class EtcdStore(Store):
+    """Calls a store by the published gateway paths."""
+
+    def __init__(self, address: str) -> None:
+        self._client = httpx.AsyncClient(base_url=f"http://{address}", timeout=CALL_TIMEOUT_S)
+
+    async def get(self, key: str) -> Result[Entry | None, StoreFailure]:
+        """Reads one key."""
+        answer = await self._call("/v3/kv/range", {"key": _encode(key.encode())})
+        return answer.map(lambda body: next(iter(_entries(body)), None))
+
+    async def list(self, prefix: str) -> Result[Listing, StoreFailure]:
+        """Reads every key below a prefix."""
+        request = {"key": _encode(prefix.encode()), "range_end": _encode(prefix_end(prefix))}
+        answer = await self._call("/v3/kv/range", request)
+        return answer.map(lambda body: Listing(tuple(_entries(body)), _revision(body)))
+
+    async def commit(
+        self, conditions: Sequence[Unchanged], operations: Sequence[Operation]
+    ) -> Result[Commit, StoreFailure]:
+        """Applies all operations in one step if all conditions hold."""
+        request = {
+            "compare": [_compare(condition) for condition in conditions],
+            "success": [_operation(operation) for operation in operations],
+            "failure": [
+                {"request_range": {"key": _encode(condition.key.encode())}}
+                for condition in conditions
+            ],
+        }
+        answer = await self._call("/v3/kv/txn", request)
+        return answer.map(_commit)
+
+    async def grant_lease(self, ttl_s: int) -> Result[int, StoreFailure]:
+        """Creates a lease and returns its id."""
+        answer = await self._call("/v3/lease/grant", {"TTL": str(ttl_s)})
+        return answer.map(lambda body: int(body["ID"]))
+
+    async def keep_lease(self, lease_id: int) -> Result[float, StoreFailure]:
+        """Renews a lease; 0 seconds left means that it has lapsed."""
+        answer = await self._call("/v3/lease/keepalive", {"ID": str(lease_id)})
+        return answer.map(lambda body: float(body["result"].get("TTL", "0")))
+
+    async def revoke_lease(self, lease_id: int) -> Result[None, StoreFailure]:
+        """Ends a lease and deletes the keys bound to it."""
+        answer = await self._call("/v3/lease/revoke", {"ID": str(lease_id)})
+        return answer.map(lambda _: None)
+
+    async def watch(self, prefix: str, from_revision: int) -> AsyncIterator[WatchEvent]:
+        """Yields the changes below a prefix; ends when the connection is lost or silent."""
+        request = {
+            "create_request": {
+                "key": _encode(prefix.encode()),
+                "range_end": _encode(prefix_end(prefix)),
+                "start_revision": str(from_revision),
+                "progress_notify": True,
+            }
+        }
+        timeout = httpx.Timeout(CALL_TIMEOUT_S, read=WATCH_SILENCE_S)
+        try:
+            async with self._client.stream(
+                "POST", "/v3/watch", json=request, timeout=timeout
+            ) as response:
+                async for line in response.aiter_lines():
+                    for event in _watch_events(line):
+                        yield event
+        except httpx.HTTPError:
+            return
+
+    async def close(self) -> None:
+        """Closes the connections."""
+        await self._client.aclose()
+
+    async def _call(self, path: str, request: dict[str, Any]) -> Result[Any, StoreFailure]:
+        try:
+            response = await self._client.post(path, json=request)
+        except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
+            return Err(StoreFailure(FailureKind.NOT_SENT, _describe(error)))
+        except httpx.HTTPError as error:
+            return Err(StoreFailure(FailureKind.UNKNOWN, _describe(error)))
+        if response.status_code >= 500:
+            return Err(StoreFailure(FailureKind.UNKNOWN, f"status {response.status_code}"))
+        if response.status_code >= 400:
+            return Err(StoreFailure(FailureKind.REJECTED, response.text))
+        return Ok(response.json())
+
+
+def prefix_end(prefix: str) -> bytes:
+    """Returns the first key after every key that has `prefix`."""
+    encoded = prefix.encode()
+    return encoded[:-1] + bytes([encoded[-1] + 1])
+
+
+def _describe(error: Exception) -> str:
+    return f"{type(error).__name__}: {error}"
+
+
+def _encode(value: bytes) -> str:
+    return base64.b64encode(value).decode()
+
+
+def _decode(value: str) -> bytes:
+    return base64.b64decode(value)
+
+
+def _entry(fields: dict[str, str]) -> Entry:
+    return Entry(
+        key=_decode(fields["key"]).decode(),
+        value=_decode(fields.get("value", "")),
+        revision=int(fields["mod_revision"]),
+        created_revision=int(fields["create_revision"]),
+        lease_id=int(fields.get("lease", "0")),
+    )
+
+
+def _entries(body: dict[str, Any]) -> list[Entry]:
+    return [_entry(fields) for fields in body.get("kvs", ())]
+
+
+def _revision(body: dict[str, Any]) -> int:
+    return int(body["header"]["revision"])
+
+
+def _compare(condition: Unchanged) -> dict[str, str]:
+    return {
+        "key": _encode(condition.key.encode()),
+        "target": "MOD",
+        "result": "EQUAL",
+        "mod_revision": str(condition.revision),
+    }
+
+
+def _operation(operation: Operation) -> dict[str, Any]:
+    key = _encode(operation.key.encode())
+    if isinstance(operation, Put):
+        put = {"key": key, "value": _encode(operation.value), "lease": str(operation.lease_id)}
+        return {"request_put": put}
+    return {"request_delete_range": {"key": key}}
+
+
+def _commit(body: dict[str, Any]) -> Commit:
+    if body.get("succeeded", False):
+        return Commit(True, _revision(body))
+    current: list[Entry] = []
+    for response in body.get("responses", ()):
+        current.extend(_entries(response["response_range"]))
+    return Commit(False, _revision(body), tuple(current))
+
+
+def _watch_events(line: str) -> list[WatchEvent]:
+    result = json.loads(line).get("result", {})
+    events = []
+    for event in result.get("events", ()):
+        fields = event["kv"]
+        is_delete = event.get("type") == "DELETE"
+        key = _decode(fields["key"]).decode()
+        entry = None if is_delete else _entry(fields)
+        events.append(WatchEvent(key, int(fields["mod_revision"]), entry))
+    return events
--- /dev/null
+++ b/packages/pollengate-net/pollengate_net/grpc_worker.py
@@ -0,0 +1,78 @@
+"""Calls to one worker over grpclib."""
+
+from collections.abc import Sequence
+
+from pollengate.worker import (
+    Attachment,
+    TaskAnswer,
+    TaskOrder,
+    TaskRef,
+    WorkerClient,
+    WorkerFailure,
+)
+from result import Result
+
+from pollengate_net.calls import CallFailure, call, open_channel
+from pollengate_net.messages import worker_pb2 as pb
+from pollengate_net.messages.worker_grpc import WorkerStub
+from pollengate_net.worker_messages import (
+    answer_from_message,
+    attachment_from_message,
+    order_to_message,
+    ref_to_message,
+)
+
+__all__ = ["GrpcWorkerClient"]
+
+CALL_TIMEOUT_S = 1.0
+
+
+class GrpcWorkerClient(WorkerClient):
+    """Calls the worker at one address."""
+
+    def __init__(self, address: str) -> None:
+        self._channel = open_channel(address)
+        self._stub = WorkerStub(self._channel)
+
+    async def attach(self, epoch: int, owner_address: str) -> Result[Attachment, WorkerFailure]:
+        """Makes the worker send its heartbeats to this owner."""
+        request = pb.AttachRequest(epoch=epoch, owner_address=owner_address)
+        reply = await call(self._stub.Attach, request, CALL_TIMEOUT_S)
+        return reply.map(attachment_from_message).map_err(_failure)
+
+    async def start(
+        self, epoch: int, orders: Sequence[TaskOrder]
+    ) -> Result[tuple[TaskAnswer, ...], WorkerFailure]:
+        """Starts tasks; each is answered on its own."""
+        request = pb.StartRequest(epoch=epoch, orders=[order_to_message(o) for o in orders])
+        reply = await call(self._stub.Start, request, CALL_TIMEOUT_S)
+        return reply.map(_answers).map_err(_failure)
+
+    async def stop(
+        self, epoch: int, tasks: Sequence[TaskRef], checkpoint: bool
+    ) -> Result[tuple[TaskAnswer, ...], WorkerFailure]:
+        """Stops tasks."""
+        refs = [ref_to_message(ref) for ref in tasks]
+        request = pb.StopRequest(epoch=epoch, tasks=refs, checkpoint=checkpoint)
+        reply = await call(self._stub.Stop, request, CALL_TIMEOUT_S)
+        return reply.map(_answers).map_err(_failure)
+
+    async def throttle(
+        self, epoch: int, task: TaskRef, share: float
+    ) -> Result[tuple[TaskAnswer, ...], WorkerFailure]:
+        """Limits a task to a share of its processors."""
+        request = pb.ThrottleRequest(epoch=epoch, task=ref_to_message(task), share=share)
+        reply = await call(self._stub.Throttle, request, CALL_TIMEOUT_S)
+        return reply.map(_answers).map_err(_failure)
+
+    async def close(self) -> None:
+        """Closes the channel."""
+        self._channel.close()
+
+
+def _answers(message: pb.TaskAnswers) -> tuple[TaskAnswer, ...]:
+    return tuple(answer_from_message(answer) for answer in message.answers)
+
+
+def _failure(failure: CallFailure) -> WorkerFailure:
+    return WorkerFailure(failure.sent, failure.detail)
--- /dev/null
+++ b/packages/pollengate-net/pollengate_net/messages/__init__.py
@@ -0,0 +1,1 @@
+"""Generated message classes."""
--- /dev/null
+++ b/packages/pollengate-net/pollengate_net/serving.py
@@ -0,0 +1,24 @@
+"""Helpers for grpclib handlers."""
+
+from typing import TypeVar
+
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
+from grpclib.server import Stream
+
+__all__ = ["receive"]
+
+Request = TypeVar("Request")
+Reply = TypeVar("Reply")
+
+
+async def receive(stream: Stream[Request, Reply]) -> Request:
+    """Returns the request of a unary call.
+
+    Raises:
+        GRPCError: the caller ended the call without a request.
+    """
+    request = await stream.recv_message()
+    if request is None:
+        raise GRPCError(Status.INVALID_ARGUMENT, "the call has no request message")
+    return request
--- /dev/null
+++ b/packages/pollengate-standins/pollengate_standins/vm_list_server.py
@@ -0,0 +1,33 @@
+"""A VM list stand-in: it serves a file's list and takes changes over HTTP."""
+
+import json
+from pathlib import Path
+from typing import Any
+
+from litestar import Litestar, get, put
+from litestar.exceptions import NotFoundException
+
+__all__ = ["create_vm_list_app"]
+
+
+def create_vm_list_app(path: Path) -> Litestar:
+    """Returns the application.
+
+    Args:
+        path: a JSON file with a list of VM documents.
+    """
+    documents_by_id = {document["vm_id"]: document for document in json.loads(path.read_text())}
+
+    @get("/vms")
+    async def list_vms() -> list[dict[str, Any]]:
+        return list(documents_by_id.values())
+
+    @put("/vms/{vm_id:str}/state")
+    async def set_state(vm_id: str, data: dict[str, str]) -> dict[str, Any]:
+        document = documents_by_id.get(vm_id)
+        if document is None:
+            raise NotFoundException(f"VM {vm_id!r} is not listed")
+        document["state"] = data["state"]
+        return dict(document)
+
+    return Litestar([list_vms, set_state], logging_config=None)
--- /dev/null
+++ b/packages/pollengate/pollengate/__init__.py
@@ -0,0 +1,1 @@
+"""Coordination parts of a scheduler for latency-critical and batch work."""
--- /dev/null
+++ b/packages/pollengate/pollengate/freshness.py
@@ -0,0 +1,26 @@
+"""Freshness: how long a configuration that was confirmed current may be acted on."""
+
+__all__ = ["Freshness", "MAX_CONFIGURATION_AGE_S"]
+
+MAX_CONFIGURATION_AGE_S = 2.0
+
+
+class Freshness:
+    """Remembers when the configuration was last known to be the newest accepted one."""
+
+    def __init__(self, max_age_s: float = MAX_CONFIGURATION_AGE_S) -> None:
+        self._max_age_s = max_age_s
+        self._confirmed_at: float | None = None
+
+    def confirm(self, asked_at: float) -> None:
+        """Records a confirmation; it counts from when it was asked for, not answered.
+
+        Args:
+            asked_at: loop time, in seconds, just before the request was sent.
+        """
+        if self._confirmed_at is None or asked_at > self._confirmed_at:
+            self._confirmed_at = asked_at
+
+    def is_fresh(self, now: float) -> bool:
+        """Tells whether a start may rely on the configuration at loop time `now`."""
+        return self._confirmed_at is not None and now - self._confirmed_at < self._max_age_s
--- /dev/null
+++ b/packages/pollengate/pollengate/memory_store.py
@@ -0,0 +1,161 @@
+"""An in-memory store with the semantics of the platform's."""
+
+import asyncio
+import dataclasses
+from collections.abc import AsyncIterator, Sequence
+
+from result import Err, Ok, Result
+
+from pollengate.store import (
+    Commit,
+    Delete,
+    Entry,
+    FailureKind,
+    Listing,
+    Operation,
+    Put,
+    Store,
+    StoreFailure,
+    Unchanged,
+    WatchEvent,
+)
+
+__all__ = ["MemoryStore"]
+
+MAX_VALUE_BYTES = 1_000_000
+
+
+@dataclasses.dataclass(slots=True)
+class _Lease:
+    ttl_s: float
+    expires_at: float
+    keys: set[str]
+
+
+class MemoryStore(Store):
+    """Keeps keys, leases and watches in this process, on the event loop's clock."""
+
+    def __init__(self) -> None:
+        self._entries_by_key: dict[str, Entry] = {}
+        self._leases_by_id: dict[int, _Lease] = {}
+        self._history: list[WatchEvent] = []
+        self._changed = asyncio.Event()
+        self._revision = 1
+        self._next_lease_id = 1000
+
+    async def get(self, key: str) -> Result[Entry | None, StoreFailure]:
+        """Reads one key."""
+        self._expire_leases()
+        return Ok(self._entries_by_key.get(key))
+
+    async def list(self, prefix: str) -> Result[Listing, StoreFailure]:
+        """Reads every key below a prefix, sorted by key."""
+        self._expire_leases()
+        entries = [e for k, e in sorted(self._entries_by_key.items()) if k.startswith(prefix)]
+        return Ok(Listing(tuple(entries), self._revision))
+
+    async def commit(
+        self, conditions: Sequence[Unchanged], operations: Sequence[Operation]
+    ) -> Result[Commit, StoreFailure]:
+        """Applies all operations in one step if all conditions hold."""
+        self._expire_leases()
+        rejected = self._reject(operations)
+        if rejected is not None:
+            return Err(rejected)
+        if not all(self._holds(condition) for condition in conditions):
+            current = [self._entries_by_key.get(condition.key) for condition in conditions]
+            return Ok(Commit(False, self._revision, tuple(e for e in current if e is not None)))
+        if operations:
+            self._revision += 1
+        for operation in operations:
+            self._apply(operation)
+        return Ok(Commit(True, self._revision))
+
+    async def grant_lease(self, ttl_s: int) -> Result[int, StoreFailure]:
+        """Creates a lease and returns its id."""
+        self._next_lease_id += 1
+        now = asyncio.get_running_loop().time()
+        self._leases_by_id[self._next_lease_id] = _Lease(ttl_s, now + ttl_s, set())
+        return Ok(self._next_lease_id)
+
+    async def keep_lease(self, lease_id: int) -> Result[float, StoreFailure]:
+        """Renews a lease to its full length."""
+        self._expire_leases()
+        lease = self._leases_by_id.get(lease_id)
+        if lease is None:
+            return Ok(0.0)
+        lease.expires_at = asyncio.get_running_loop().time() + lease.ttl_s
+        return Ok(lease.ttl_s)
+
+    async def revoke_lease(self, lease_id: int) -> Result[None, StoreFailure]:
+        """Ends a lease and deletes the keys bound to it."""
+        self._end_lease(lease_id)
+        return Ok(None)
+
+    async def watch(self, prefix: str, from_revision: int) -> AsyncIterator[WatchEvent]:
+        """Yields the changes below a prefix from a revision on."""
+        position = 0
+        while True:
+            changed = self._changed
+            while position < len(self._history):
+                event = self._history[position]
+                position += 1
+                if event.revision >= from_revision and event.key.startswith(prefix):
+                    yield event
+            await self._wait_for_change(changed)
+
+    async def _wait_for_change(self, changed: asyncio.Event) -> None:
+        next_expiry_s = 1.0
+        try:
+            await asyncio.wait_for(changed.wait(), next_expiry_s)
+        except TimeoutError:
+            self._expire_leases()
+
+    def _reject(self, operations: Sequence[Operation]) -> StoreFailure | None:
+        for operation in operations:
+            if not isinstance(operation, Put):
+                continue
+            if len(operation.value) > MAX_VALUE_BYTES:
+                return StoreFailure(FailureKind.REJECTED, f"value of {operation.key} over 1 MB")
+            if operation.lease_id and operation.lease_id not in self._leases_by_id:
+                return StoreFailure(FailureKind.REJECTED, f"lease {operation.lease_id} not found")
+        return None
+
+    def _holds(self, condition: Unchanged) -> bool:
+        entry = self._entries_by_key.get(condition.key)
+        return (entry.revision if entry else 0) == condition.revision
+
+    def _apply(self, operation: Operation) -> None:
+        previous = self._entries_by_key.get(operation.key)
+        if previous is not None and previous.lease_id in self._leases_by_id:
+            self._leases_by_id[previous.lease_id].keys.discard(operation.key)
+        if isinstance(operation, Delete):
+            if self._entries_by_key.pop(operation.key, None) is not None:
+                self._record(operation.key, None)
+            return
+        created = previous.created_revision if previous else self._revision
+        entry = Entry(operation.key, operation.value, self._revision, created, operation.lease_id)
+        self._entries_by_key[operation.key] = entry
+        if operation.lease_id:
+            self._leases_by_id[operation.lease_id].keys.add(operation.key)
+        self._record(operation.key, entry)
+
+    def _record(self, key: str, entry: Entry | None) -> None:
+        self._history.append(WatchEvent(key, self._revision, entry))
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def _expire_leases(self) -> None:
+        now = asyncio.get_running_loop().time()
+        lapsed = [i for i, lease in self._leases_by_id.items() if lease.expires_at <= now]
+        for lease_id in lapsed:
+            self._end_lease(lease_id)
+
+    def _end_lease(self, lease_id: int) -> None:
+        lease = self._leases_by_id.pop(lease_id, None)
+        if lease is None or not lease.keys:
+            return
+        self._revision += 1
+        for key in sorted(lease.keys):
+            self._entries_by_key.pop(key)
+            self._record(key, None)
--- /dev/null
+++ b/packages/pollengate/pollengate/refusals.py
@@ -0,0 +1,53 @@
+"""Refusals: what a caller is told when a request was not answered."""
+
+import dataclasses
+import enum
+
+__all__ = ["Outcome", "Reason", "Refusal"]
+
+
+class Outcome(enum.StrEnum):
+    """What is known about the effect of a request that got no answer."""
+
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+    FAILED = "failed"
+
+
+class Reason(enum.StrEnum):
+    """Why a request was refused; each value is also a metric label."""
+
+    BACKEND_FAILED = "backend_failed"
+    BODY_TOO_LARGE = "body_too_large"
+    CONFIGURATION_STALE = "configuration_stale"
+    DEADLINE_TOO_SHORT = "deadline_too_short"
+    INVALID_REQUEST = "invalid_request"
+    NO_BACKEND = "no_backend"
+    NO_OWNER = "no_owner"
+    NOT_FOUND = "not_found"
+    QUEUE_FULL = "queue_full"
+    STOPPING = "stopping"
+    STORE_UNAVAILABLE = "store_unavailable"
+    TASK_CONFLICT = "task_conflict"
+    UPSTREAM_TIMEOUT = "upstream_timeout"
+    VERSION_CONFLICT = "version_conflict"
+    VERSION_REQUIRED = "version_required"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusal:
+    """A typed refusal.
+
+    Attributes:
+        outcome: whether the request ran.
+        reason: why it was refused.
+        detail: one sentence for a person.
+        retry_after_s: seconds after which a retry may help, None where it never does.
+        fields: faulty fields by their path, with what is allowed for each.
+    """
+
+    outcome: Outcome
+    reason: Reason
+    detail: str
+    retry_after_s: float | None = None
+    fields: tuple[tuple[str, str], ...] = ()
--- /dev/null
+++ b/packages/pollengate/pollengate/worker.py
@@ -0,0 +1,171 @@
+"""The platform's workers: orders, reports and the client that carries them."""
+
+import abc
+import dataclasses
+import enum
+from collections.abc import Sequence
+
+from result import Result
+
+from pollengate.jobs import Resources
+
+__all__ = [
+    "Attachment",
+    "Heartbeat",
+    "HeartbeatAnswer",
+    "ReportState",
+    "TaskAnswer",
+    "TaskOrder",
+    "TaskRef",
+    "TaskReport",
+    "TaskUsage",
+    "WorkerClient",
+    "WorkerFailure",
+]
+
+
+class ReportState(enum.StrEnum):
+    """What a worker says about a task."""
+
+    RUNNING = "running"
+    FINISHED = "finished"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    CHECKPOINTED = "checkpointed"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TaskRef:
+    """One attempt at a task."""
+
+    task_id: str
+    attempt: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TaskOrder:
+    """An order to start one attempt at a task."""
+
+    ref: TaskRef
+    resources: Resources
+    duration_ms: int
+    task_class: str
+    checkpoint: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TaskReport:
+    """What a worker says about one attempt; `checkpoint` is where a later one may resume."""
+
+    ref: TaskRef
+    state: ReportState
+    checkpoint: str = ""
+    detail: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TaskUsage:
+    """Measured use of one task; `slowdown` is 1 for none and 0 when not measured."""
+
+    task_id: str
+    cores: float
+    memory_mb: int
+    slowdown: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TaskAnswer:
+    """A worker's answer to one order; `reason` says why it was refused."""
+
+    ref: TaskRef
+    accepted: bool
+    reason: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Attachment:
+    """A worker's answer to an owner that attaches it.
+
+    Attributes:
+        accepted: False when the worker has seen a higher epoch.
+        epoch: the highest epoch that the worker has seen.
+        reports: every task that runs or has ended without acknowledgement.
+    """
+
+    accepted: bool
+    epoch: int
+    reports: tuple[TaskReport, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """A worker's request for a renewal of its lease.
+
+    Attributes:
+        worker_id: the sender.
+        epoch: the owner's epoch that the worker is attached at.
+        reports: every task that runs or has ended without acknowledgement.
+        usage: the newest measurements.
+        usage_age_s: seconds since they were taken.
+    """
+
+    worker_id: str
+    epoch: int
+    reports: tuple[TaskReport, ...]
+    usage: tuple[TaskUsage, ...] = ()
+    usage_age_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeartbeatAnswer:
+    """The owner's answer to a heartbeat.
+
+    Attributes:
+        accepted: False when the owner does not own this worker at this epoch.
+        lease_s: length of the lease, counted from when the worker sent the heartbeat.
+        acknowledged: ended attempts that the worker may forget.
+        unknown: running attempts that the worker must stop.
+    """
+
+    accepted: bool
+    lease_s: float = 0.0
+    acknowledged: tuple[TaskRef, ...] = ()
+    unknown: tuple[TaskRef, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkerFailure:
+    """A call without an answer; `sent` tells whether the worker may have got it."""
+
+    sent: bool
+    detail: str
+
+
+class WorkerClient(abc.ABC):
+    """Calls from an owner to one worker."""
+
+    @abc.abstractmethod
+    async def attach(self, epoch: int, owner_address: str) -> Result[Attachment, WorkerFailure]:
+        """Makes the worker send its heartbeats to this owner."""
+
+    @abc.abstractmethod
+    async def start(
+        self, epoch: int, orders: Sequence[TaskOrder]
+    ) -> Result[tuple[TaskAnswer, ...], WorkerFailure]:
+        """Starts tasks; each is answered on its own."""
+
+    @abc.abstractmethod
+    async def stop(
+        self, epoch: int, tasks: Sequence[TaskRef], checkpoint: bool
+    ) -> Result[tuple[TaskAnswer, ...], WorkerFailure]:
+        """Stops tasks, with a checkpoint where asked for and possible."""
+
+    @abc.abstractmethod
+    async def throttle(
+        self, epoch: int, task: TaskRef, share: float
+    ) -> Result[tuple[TaskAnswer, ...], WorkerFailure]:
+        """Limits a task to a share of its processors, above 0 and at most 1."""
+
+    async def close(self) -> None:
+        """Releases connections."""
+        return
--- /dev/null
+++ b/packages/pollengated/pollengated/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: settings, composition root, roles and the HTTP border."""
--- /dev/null
+++ b/packages/pollengated/pollengated/config_model.py
@@ -0,0 +1,109 @@
+"""The validated model of the configuration document."""
+
+import json
+from typing import Any
+
+import pydantic
+from pollengate.configuration import Configuration, Limits, Quota, Service, Zone
+from pollengate.refusals import Outcome, Reason, Refusal
+from result import Err, Ok, Result
+
+__all__ = [
+    "ConfigurationModel",
+    "decode_configuration",
+    "empty_document",
+    "encode_document",
+    "validate_document",
+]
+
+NAME_PATTERN = r"^[a-z0-9][a-z0-9-]{0,62}$"
+
+Name = pydantic.constr(pattern=NAME_PATTERN)
+
+
+class _Model(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="forbid")
+
+
+class ZoneModel(_Model):
+    """An availability zone."""
+
+    in_service: bool = True
+    drain_grace_s: float = pydantic.Field(default=60.0, ge=0, le=86_400)
+    shards: int = pydantic.Field(default=1, ge=1, le=64)
+
+
+class ServiceModel(_Model):
+    """A latency-critical service."""
+
+    slots: int = pydantic.Field(default=8, ge=1, le=1024)
+    connections: int = pydantic.Field(default=64, ge=1, le=65_536)
+    default_timeout_ms: int = pydantic.Field(default=2000, ge=1, le=600_000)
+    priority: int = pydantic.Field(default=0, ge=-100, le=100)
+
+
+class QuotaModel(_Model):
+    """What a team's batch tasks may use at a time."""
+
+    cores: int = pydantic.Field(ge=0)
+    memory_mb: int = pydantic.Field(ge=0)
+    accelerators: int = pydantic.Field(default=0, ge=0)
+
+
+class LimitsModel(_Model):
+    """Policy limits."""
+
+    max_tasks_per_job: int = pydantic.Field(default=10_000, ge=1, le=100_000)
+    max_queued_tasks: int = pydantic.Field(default=100_000, ge=1, le=1_000_000)
+
+
+class ConfigurationModel(_Model):
+    """The operators' configuration."""
+
+    zones: dict[Name, ZoneModel] = {}  # type: ignore[valid-type]
+    services: dict[Name, ServiceModel] = {}  # type: ignore[valid-type]
+    quotas: dict[Name, QuotaModel] = {}  # type: ignore[valid-type]
+    limits: LimitsModel = LimitsModel()
+
+
+def empty_document() -> dict[str, Any]:
+    """Returns the document before the first patch."""
+    return ConfigurationModel().model_dump()
+
+
+def validate_document(document: object) -> Result[dict[str, Any], Refusal]:
+    """Checks a document and fills in defaults; names every faulty field."""
+    try:
+        return Ok(ConfigurationModel.model_validate(document).model_dump())
+    except pydantic.ValidationError as error:
+        fields = tuple(
+            (".".join(str(part) for part in entry["loc"]), entry["msg"]) for entry in error.errors()
+        )
+        return Err(
+            Refusal(
+                Outcome.NOT_RUN,
+                Reason.INVALID_REQUEST,
+                "the patched configuration is invalid",
+                fields=fields,
+            )
+        )
+
+
+def encode_document(version: int, document: dict[str, Any]) -> bytes:
+    """Encodes a version for the store."""
+    stored = {"version": version, "configuration": document}
+    return json.dumps(stored, separators=(",", ":")).encode()
+
+
+def decode_configuration(stored: bytes) -> tuple[Configuration, dict[str, Any]]:
+    """Decodes a stored version into data classes and its document."""
+    outer = json.loads(stored)
+    model = ConfigurationModel.model_validate(outer["configuration"])
+    configuration = Configuration(
+        version=outer["version"],
+        zones_by_name={n: Zone(**z.model_dump()) for n, z in model.zones.items()},
+        services_by_name={n: Service(**s.model_dump()) for n, s in model.services.items()},
+        quotas_by_team={n: Quota(**q.model_dump()) for n, q in model.quotas.items()},
+        limits=Limits(**model.limits.model_dump()),
+    )
+    return configuration, model.model_dump()
--- /dev/null
+++ b/packages/pollengated/pollengated/http_configuration.py
@@ -0,0 +1,75 @@
+"""Operators' routes: the configuration and its patches."""
+
+import json
+from typing import Any
+
+from litestar import Request, Router, get, patch
+from litestar.response import Response
+from pollengate.refusals import Outcome, Reason, Refusal
+from result import Err, Ok, Result
+
+from pollengated.config_model import ConfigurationModel
+from pollengated.configuration_follower import ConfigurationFollower
+from pollengated.configuration_patches import ConfigurationPatcher
+from pollengated.metrics import Metrics
+from pollengated.problems import problem
+
+__all__ = ["configuration_router"]
+
+
+def configuration_router(
+    follower: ConfigurationFollower, patcher: ConfigurationPatcher, metrics: Metrics
+) -> Router:
+    """Returns the routes below `/config`."""
+
+    @get("/")
+    async def show() -> Response[Any]:
+        return _current(follower)
+
+    @get("/schema")
+    async def schema() -> dict[str, Any]:
+        return ConfigurationModel.model_json_schema()
+
+    @patch("/")
+    async def apply(request: Request[Any, Any, Any]) -> Response[Any]:
+        expected = _expected_version(request.headers.get("if-match"))
+        if isinstance(expected, Err):
+            return problem(expected.err_value, metrics)
+        body = _merge_patch(await request.body())
+        if isinstance(body, Err):
+            return problem(body.err_value, metrics)
+        result = await patcher.patch(expected.ok_value, body.ok_value)
+        if isinstance(result, Err):
+            return problem(result.err_value, metrics)
+        return _current(follower)
+
+    return Router("/config", route_handlers=[show, schema, apply])
+
+
+def _current(follower: ConfigurationFollower) -> Response[Any]:
+    version = follower.current.version
+    body = {"version": version, "configuration": follower.document}
+    return Response(body, headers={"ETag": f'"{version}"'})
+
+
+def _expected_version(header: str | None) -> Result[int, Refusal]:
+    if header is None:
+        detail = 'If-Match with the configuration version is required, for example If-Match: "3"'
+        return Err(Refusal(Outcome.NOT_RUN, Reason.VERSION_REQUIRED, detail))
+    try:
+        return Ok(int(header.strip().strip('"')))
+    except ValueError:
+        detail = f"If-Match {header!r} is no version number"
+        return Err(Refusal(Outcome.NOT_RUN, Reason.INVALID_REQUEST, detail))
+
+
+def _merge_patch(body: bytes) -> Result[dict[str, Any], Refusal]:
+    try:
+        patch_document = json.loads(body)
+    except ValueError as error:
+        detail = f"the body is no JSON document: {error}"
+        return Err(Refusal(Outcome.NOT_RUN, Reason.INVALID_REQUEST, detail))
+    if not isinstance(patch_document, dict):
+        detail = "the body is no JSON object"
+        return Err(Refusal(Outcome.NOT_RUN, Reason.INVALID_REQUEST, detail))
+    return Ok(patch_document)
--- /dev/null
+++ b/packages/pollengated/pollengated/http_tasks.py
@@ -0,0 +1,110 @@
+"""Callers' routes: batch tasks."""
+
+from typing import Any
+
+import pydantic
+from litestar import Request, Router, delete, get, put
+from litestar.response import Response
+from pollengate.jobs import JobSpec, Resources
+from pollengate.refusals import Outcome, Reason, Refusal
+from pollengate_net.messages import scheduler_pb2 as pb
+from result import Err
+
+from pollengated.config_model import NAME_PATTERN
+from pollengated.job_router import JobRouter
+from pollengated.metrics import Metrics
+from pollengated.problems import problem
+
+__all__ = ["TaskModel", "task_router"]
+
+
+class TaskModel(pydantic.BaseModel):
+    """The body of a submission."""
+
+    model_config = pydantic.ConfigDict(extra="forbid")
+
+    team: str = pydantic.Field(pattern=NAME_PATTERN)
+    task_class: str = pydantic.Field(default="default", pattern=NAME_PATTERN)
+    cores: int = pydantic.Field(ge=1, le=1024)
+    memory_mb: int = pydantic.Field(ge=1)
+    accelerators: int = pydantic.Field(default=0, ge=0)
+    count: int = pydantic.Field(default=1, ge=1, le=100_000)
+    duration_ms: int = pydantic.Field(default=1000, ge=1)
+    idempotent: bool = True
+    urgent: bool = False
+
+
+def task_router(jobs: JobRouter, metrics: Metrics) -> Router:
+    """Returns the routes below `/tasks`."""
+
+    @put("/{task_id:str}")
+    async def submit(request: Request[Any, Any, Any], task_id: str) -> Response[Any]:
+        try:
+            model = TaskModel.model_validate_json(await request.body())
+        except pydantic.ValidationError as error:
+            return problem(_invalid(error), metrics)
+        result = await jobs.submit(_spec(task_id, model))
+        if isinstance(result, Err):
+            return problem(result.err_value, metrics)
+        status = 201 if result.ok_value.created else 200
+        return Response(_document(result.ok_value.status), status_code=status)
+
+    @get("/{task_id:str}")
+    async def show(task_id: str) -> Response[Any]:
+        result = await jobs.show(task_id)
+        if isinstance(result, Err):
+            return problem(result.err_value, metrics)
+        return Response(_document(result.ok_value.status))
+
+    @delete("/{task_id:str}", status_code=200)
+    async def cancel(task_id: str) -> Response[Any]:
+        result = await jobs.cancel(task_id)
+        if isinstance(result, Err):
+            return problem(result.err_value, metrics)
+        return Response(_document(result.ok_value.status))
+
+    @get("/")
+    async def list_tasks() -> list[dict[str, Any]]:
+        return [_document(status) for status in await jobs.list_jobs()]
+
+    return Router("/tasks", route_handlers=[submit, show, cancel, list_tasks])
+
+
+def _spec(job_id: str, model: TaskModel) -> JobSpec:
+    return JobSpec(
+        job_id=job_id,
+        team=model.team,
+        task_class=model.task_class,
+        resources=Resources(model.cores, model.memory_mb, model.accelerators),
+        count=model.count,
+        duration_ms=model.duration_ms,
+        idempotent=model.idempotent,
+        urgent=model.urgent,
+    )
+
+
+def _invalid(error: pydantic.ValidationError) -> Refusal:
+    fields = tuple(
+        (".".join(str(part) for part in entry["loc"]), entry["msg"]) for entry in error.errors()
+    )
+    return Refusal(Outcome.NOT_RUN, Reason.INVALID_REQUEST, "the task is invalid", fields=fields)
+
+
+def _document(status: pb.JobStatus) -> dict[str, Any]:
+    return {
+        "task_id": status.job.job_id,
+        "team": status.job.team,
+        "zone": status.zone,
+        "shard": status.shard,
+        "state": status.state,
+        "count": status.job.count,
+        "tasks": [
+            {
+                "task_id": task.task_id,
+                "state": task.state,
+                "worker_id": task.worker_id,
+                "attempt": task.attempt,
+            }
+            for task in status.tasks
+        ],
+    }
--- /dev/null
+++ b/packages/pollengated/pollengated/job_router.py
@@ -0,0 +1,125 @@
+"""Finds the shard that a job belongs to and calls its owner."""
+
+import zlib
+
+from pollengate.jobs import JobSpec
+from pollengate.ledger import JOBS_PREFIX, JobHome, read_home
+from pollengate.refusals import Outcome, Reason, Refusal
+from pollengate.store import Store
+from pollengate_net.calls import CallFailure
+from pollengate_net.messages import scheduler_pb2 as pb
+from pollengate_net.scheduler_client import SchedulerClient
+from pollengate_net.scheduler_messages import refusal_from_message
+from result import Err, Ok, Result
+
+from pollengated.configuration_follower import ConfigurationFollower
+from pollengated.owner_directory import OwnerDirectory
+
+__all__ = ["JobRouter"]
+
+RETRY_AFTER_S = 1.0
+
+
+class JobRouter:
+    """Carries callers' requests about jobs to the owners of their shards."""
+
+    def __init__(
+        self,
+        store: Store,
+        follower: ConfigurationFollower,
+        directory: OwnerDirectory,
+        client: SchedulerClient,
+    ) -> None:
+        self._store = store
+        self._follower = follower
+        self._directory = directory
+        self._client = client
+
+    async def submit(self, spec: JobSpec) -> Result[pb.JobReply, Refusal]:
+        """Submits a job to the shard that holds its id, or to one chosen by its id."""
+        home = await self._find_home(spec.job_id)
+        if isinstance(home, Err):
+            return home
+        chosen = home.ok_value if home.ok_value is not None else self._choose_home(spec.job_id)
+        if chosen is None:
+            return Err(_no_owner("no availability zone in service has an owner"))
+        address = self._owner_address(chosen)
+        if isinstance(address, Err):
+            return address
+        reply = await self._client.submit(address.ok_value, spec, chosen.zone, chosen.shard)
+        return _unwrap(reply)
+
+    async def show(self, job_id: str) -> Result[pb.JobReply, Refusal]:
+        """Shows a job."""
+        located = await self._locate(job_id)
+        if isinstance(located, Err):
+            return located
+        home, address = located.ok_value
+        return _unwrap(await self._client.show(address, job_id, home.zone, home.shard))
+
+    async def cancel(self, job_id: str) -> Result[pb.JobReply, Refusal]:
+        """Cancels a job."""
+        located = await self._locate(job_id)
+        if isinstance(located, Err):
+            return located
+        home, address = located.ok_value
+        return _unwrap(await self._client.cancel(address, job_id, home.zone, home.shard))
+
+    async def list_jobs(self) -> list[pb.JobStatus]:
+        """Lists the jobs of every shard whose owner answers."""
+        jobs: list[pb.JobStatus] = []
+        for owner in self._directory.all():
+            reply = await self._client.list_jobs(owner.address, owner.zone, owner.shard)
+            if isinstance(reply, Ok):
+                jobs.extend(reply.ok_value.jobs)
+        return jobs
+
+    async def _locate(self, job_id: str) -> Result[tuple[JobHome, str], Refusal]:
+        home = await self._find_home(job_id)
+        if isinstance(home, Err):
+            return home
+        if home.ok_value is None:
+            detail = f"task {job_id!r} does not exist"
+            return Err(Refusal(Outcome.NOT_RUN, Reason.NOT_FOUND, detail))
+        address = self._owner_address(home.ok_value)
+        if isinstance(address, Err):
+            return address
+        return Ok((home.ok_value, address.ok_value))
+
+    async def _find_home(self, job_id: str) -> Result[JobHome | None, Refusal]:
+        entry = await self._store.get(JOBS_PREFIX + job_id)
+        if isinstance(entry, Err):
+            detail = "the platform's store did not answer"
+            refusal = Refusal(Outcome.NOT_RUN, Reason.STORE_UNAVAILABLE, detail, RETRY_AFTER_S)
+            return Err(refusal)
+        return Ok(read_home(entry.ok_value) if entry.ok_value is not None else None)
+
+    def _choose_home(self, job_id: str) -> JobHome | None:
+        configuration = self._follower.current
+        homes = [
+            JobHome(owner.zone, owner.shard)
+            for owner in self._directory.all()
+            if configuration.is_in_service(owner.zone)
+        ]
+        if not homes:
+            return None
+        return homes[zlib.crc32(job_id.encode()) % len(homes)]
+
+    def _owner_address(self, home: JobHome) -> Result[str, Refusal]:
+        owner = self._directory.find(home.zone, home.shard)
+        if owner is None:
+            return Err(_no_owner(f"shard {home.shard} of {home.zone} has no owner"))
+        return Ok(owner.address)
+
+
+def _no_owner(detail: str) -> Refusal:
+    return Refusal(Outcome.NOT_RUN, Reason.NO_OWNER, detail, RETRY_AFTER_S)
+
+
+def _unwrap(reply: Result[pb.JobReply, CallFailure]) -> Result[pb.JobReply, Refusal]:
+    if isinstance(reply, Err):
+        outcome = Outcome.UNKNOWN if reply.err_value.sent else Outcome.NOT_RUN
+        return Err(Refusal(outcome, Reason.NO_OWNER, reply.err_value.detail, RETRY_AFTER_S))
+    if reply.ok_value.HasField("refusal"):
+        return Err(refusal_from_message(reply.ok_value.refusal))
+    return Ok(reply.ok_value)
--- /dev/null
+++ b/packages/pollengated/pollengated/metrics.py
@@ -0,0 +1,51 @@
+"""Prometheus metrics of one process."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+__all__ = ["Metrics"]
+
+
+class Metrics:
+    """Every metric that the daemon exports."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.refusals = Counter(
+            "pollengate_refusals",
+            "Requests refused, by reason.",
+            ["reason"],
+            registry=self.registry,
+        )
+        self.retries = Counter(
+            "pollengate_retries",
+            "Requests sent again, by reason.",
+            ["reason"],
+            registry=self.registry,
+        )
+        self.requests = Histogram(
+            "pollengate_request_seconds",
+            "Time from request to answer, by service.",
+            ["service"],
+            registry=self.registry,
+        )
+        self.starts = Counter("pollengate_starts", "Tasks started.", registry=self.registry)
+        self.start_delay = Histogram(
+            "pollengate_start_delay_seconds",
+            "Time from acceptance to start of a task.",
+            registry=self.registry,
+        )
+        self.configuration_version = Gauge(
+            "pollengate_configuration_version",
+            "Version of the configuration in force.",
+            registry=self.registry,
+        )
+        self.owner_epoch = Gauge(
+            "pollengate_owner_epoch",
+            "Epoch of an owned shard, 0 when not owned.",
+            ["zone", "shard"],
+            registry=self.registry,
+        )
+
+    def export(self) -> bytes:
+        """Returns the text exposition."""
+        return generate_latest(self.registry)
--- /dev/null
+++ b/packages/pollengated/pollengated/owner_directory.py
@@ -0,0 +1,59 @@
+"""The owners of all shards, as last read from the store."""
+
+import asyncio
+import json
+
+from pollengate.ownership import OWNERS_PREFIX, Owner
+from pollengate.store import Entry, Store
+from result import Err
+
+from pollengated.logs import Log
+
+__all__ = ["OwnerDirectory", "owner_from_entry", "owner_to_value"]
+
+POLL_INTERVAL_S = 0.5
+
+
+class OwnerDirectory:
+    """Keeps the last known owners; an outage of the store changes none."""
+
+    def __init__(self, store: Store) -> None:
+        self._store = store
+        self._owners_by_shard: dict[tuple[str, int], Owner] = {}
+        self._log = Log("owners")
+
+    async def run(self) -> None:
+        """Reads the store until cancelled."""
+        while True:
+            await self.refresh()
+            await asyncio.sleep(POLL_INTERVAL_S)
+
+    async def refresh(self) -> None:
+        """Reads the store once."""
+        result = await self._store.list(OWNERS_PREFIX)
+        if isinstance(result, Err):
+            self._log.warning("store did not answer", detail=result.err_value.detail)
+            return
+        owners = [owner_from_entry(entry) for entry in result.ok_value.entries]
+        self._owners_by_shard = {(owner.zone, owner.shard): owner for owner in owners}
+
+    def find(self, zone: str, shard: int) -> Owner | None:
+        """Returns the owner of a shard, None if none is known."""
+        return self._owners_by_shard.get((zone, shard))
+
+    def all(self) -> list[Owner]:
+        """Returns every known owner, sorted by zone and shard."""
+        return [owner for _, owner in sorted(self._owners_by_shard.items())]
+
+
+def owner_from_entry(entry: Entry) -> Owner:
+    """Decodes an owner key."""
+    zone, shard = entry.key.removeprefix(OWNERS_PREFIX).split("/")
+    document = json.loads(entry.value)
+    process_id, address = document["process_id"], document["address"]
+    return Owner(zone, int(shard), process_id, address, entry.revision)
+
+
+def owner_to_value(process_id: str, address: str) -> bytes:
+    """Encodes the value of an owner key."""
+    return json.dumps({"process_id": process_id, "address": address}).encode()
--- /dev/null
+++ b/packages/pollengated/pollengated/scheduler_service.py
@@ -0,0 +1,173 @@
+"""The scheduler's calls, served over grpclib."""
+
+from typing import Any
+
+from grpclib.server import Stream
+from pollengate.refusals import Outcome, Reason, Refusal
+from pollengate.shard import JobBook
+from pollengate.worker import HeartbeatAnswer
+from pollengate_net.messages import scheduler_pb2 as pb
+from pollengate_net.messages.scheduler_grpc import SchedulerBase
+from pollengate_net.messages.worker_grpc import HeartbeatsBase
+from pollengate_net.scheduler_messages import (
+    job_from_message,
+    job_to_message,
+    refusal_to_message,
+)
+from pollengate_net.serving import receive
+from pollengate_net.worker_messages import heartbeat_answer_to_message, heartbeat_from_message
+from result import Err, Ok, Result
+
+from pollengated.configuration_follower import ConfigurationFollower
+from pollengated.shard_owner import ShardOwner
+
+__all__ = ["HeartbeatService", "SchedulerService"]
+
+
+class SchedulerService(SchedulerBase):
+    """Answers gates."""
+
+    def __init__(
+        self,
+        process_id: str,
+        zone: str,
+        owners: list[ShardOwner],
+        follower: ConfigurationFollower,
+    ) -> None:
+        self._process_id = process_id
+        self._zone = zone
+        self._owners_by_shard = {(owner.zone, owner.number): owner for owner in owners}
+        self._follower = follower
+
+    async def Submit(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
+        """Submits a job."""
+        request = await receive(stream)
+        owner = self._find(request)
+        if isinstance(owner, Err):
+            await stream.send_message(pb.JobReply(refusal=refusal_to_message(owner.err_value)))
+            return
+        spec = job_from_message(request.job)
+        result = await owner.ok_value.submit(spec)
+        if isinstance(result, Err):
+            await stream.send_message(pb.JobReply(refusal=refusal_to_message(result.err_value)))
+            return
+        home = result.ok_value.home
+        job = owner.ok_value.books.jobs_by_id.get(spec.job_id)
+        if job is None:
+            status = pb.JobStatus(zone=home.zone, shard=home.shard)
+        else:
+            status = _status(owner.ok_value, job)
+        await stream.send_message(pb.JobReply(status=status, created=result.ok_value.is_new))
+
+    async def Show(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
+        """Shows a job."""
+        request = await receive(stream)
+        await stream.send_message(self._show(request))
+
+    async def Cancel(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
+        """Cancels a job."""
+        request = await receive(stream)
+        owner = self._find(request)
+        if isinstance(owner, Err):
+            await stream.send_message(pb.JobReply(refusal=refusal_to_message(owner.err_value)))
+            return
+        result = await owner.ok_value.cancel(request.job_id)
+        if isinstance(result, Err):
+            await stream.send_message(pb.JobReply(refusal=refusal_to_message(result.err_value)))
+            return
+        await stream.send_message(pb.JobReply(status=_status(owner.ok_value, result.ok_value)))
+
+    async def List(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
+        """Lists a shard's jobs."""
+        request = await receive(stream)
+        owner = self._find(request)
+        if isinstance(owner, Err):
+            await stream.send_message(pb.ListReply(refusal=refusal_to_message(owner.err_value)))
+            return
+        jobs = owner.ok_value.books.jobs_by_id.values()
+        await stream.send_message(pb.ListReply(jobs=[_summary(owner.ok_value, j) for j in jobs]))
+
+    async def Status(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
+        """Shows this scheduler."""
+        await receive(stream)
+        reply = pb.StatusReply(
+            process_id=self._process_id,
+            zone=self._zone,
+            configuration_version=self._follower.current.version,
+            shards=[_shard_status(o) for o in self._owners_by_shard.values() if o.is_held()],
+        )
+        await stream.send_message(reply)
+
+    def _find(self, request: Any) -> Result[ShardOwner, Refusal]:
+        owner = self._owners_by_shard.get((request.zone, request.shard))
+        if owner is None or not owner.is_held():
+            detail = f"process {self._process_id} does not own shard {request.shard}"
+            return Err(Refusal(Outcome.NOT_RUN, Reason.NO_OWNER, detail, 1.0))
+        return Ok(owner)
+
+    def _show(self, request: Any) -> pb.JobReply:
+        owner = self._find(request)
+        if isinstance(owner, Err):
+            return pb.JobReply(refusal=refusal_to_message(owner.err_value))
+        job = owner.ok_value.books.jobs_by_id.get(request.job_id)
+        if job is None:
+            detail = f"task {request.job_id!r} does not exist"
+            refusal = Refusal(Outcome.NOT_RUN, Reason.NOT_FOUND, detail)
+            return pb.JobReply(refusal=refusal_to_message(refusal))
+        return pb.JobReply(status=_status(owner.ok_value, job))
+
+
+class HeartbeatService(HeartbeatsBase):
+    """Answers workers."""
+
+    def __init__(self, owners: list[ShardOwner]) -> None:
+        self._owners = owners
+
+    async def Heartbeat(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
+        """Takes in a heartbeat and renews the worker's lease."""
+        beat = heartbeat_from_message(await receive(stream))
+        answer = HeartbeatAnswer(accepted=False)
+        for owner in self._owners:
+            if beat.worker_id in owner.books.workers_by_id:
+                answer = owner.heartbeat(beat)
+        await stream.send_message(heartbeat_answer_to_message(answer))
+
+
+def _summary(owner: ShardOwner, job: JobBook) -> pb.JobStatus:
+    return pb.JobStatus(
+        job=job_to_message(job.spec), zone=owner.zone, shard=owner.number, state=job.state().value
+    )
+
+
+def _status(owner: ShardOwner, job: JobBook) -> pb.JobStatus:
+    status = _summary(owner, job)
+    for task in job.tasks_by_id.values():
+        status.tasks.add(
+            task_id=task.task_id,
+            state=task.state.value,
+            worker_id=task.worker_id,
+            attempt=task.attempt,
+        )
+    return status
+
+
+def _shard_status(owner: ShardOwner) -> pb.ShardStatus:
+    books = owner.books
+    status = pb.ShardStatus(
+        zone=owner.zone,
+        shard=owner.number,
+        epoch=owner.ownership.epoch,
+        queued=books.queued,
+        running=books.running,
+    )
+    for worker_id, book in sorted(books.workers_by_id.items()):
+        free = books.free(worker_id)
+        status.workers.add(
+            worker_id=worker_id,
+            state=book.state.value,
+            cores_free=free.cores,
+            memory_free_mb=free.memory_mb,
+            accelerators_free=free.accelerators,
+            tasks=len(book.task_ids),
+        )
+    return status
--- /dev/null
+++ b/packages/pollengated/pollengated/vm_directory.py
@@ -0,0 +1,47 @@
+"""The platform's VMs, as last read."""
+
+import asyncio
+
+from pollengate.virtual_machines import VirtualMachine, VmKind, VmList, VmState
+from result import Err
+
+from pollengated.logs import Log
+
+__all__ = ["VmDirectory"]
+
+POLL_INTERVAL_S = 0.5
+
+
+class VmDirectory:
+    """Keeps the last listing; an outage of the list changes nothing."""
+
+    def __init__(self, vm_list: VmList) -> None:
+        self._vm_list = vm_list
+        self._machines: tuple[VirtualMachine, ...] = ()
+        self._log = Log("vms")
+
+    async def run(self) -> None:
+        """Reads the list until cancelled."""
+        while True:
+            await self.refresh()
+            await asyncio.sleep(POLL_INTERVAL_S)
+
+    async def refresh(self) -> None:
+        """Reads the list once."""
+        result = await self._vm_list.read()
+        if isinstance(result, Err):
+            self._log.warning("VM list did not answer", detail=result.err_value.detail)
+            return
+        self._machines = result.ok_value
+
+    def workers(self, zone: str) -> list[VirtualMachine]:
+        """Returns the workers of a zone, leaving ones included."""
+        return [vm for vm in self._machines if vm.kind is VmKind.WORKER and vm.zone == zone]
+
+    def backends(self, service: str) -> list[VirtualMachine]:
+        """Returns the live backend servers of a service in every zone."""
+        return [
+            vm
+            for vm in self._machines
+            if vm.kind is VmKind.BACKEND and vm.service == service and vm.state is VmState.LIVE
+        ]
--- /dev/null
+++ b/tests/faults/__init__.py
@@ -0,0 +1,1 @@
+"""Fault matrix."""
--- /dev/null
+++ b/tests/test_memory_store.py
@@ -0,0 +1,56 @@
+"""Tests of the in-memory store."""
+
+import asyncio
+import unittest
+
+from pollengate.memory_store import MemoryStore
+from pollengate.store import Put, Unchanged
+
+from tests.utils import run_virtual
+
+
+class MemoryStoreTest(unittest.TestCase):
+    """Compare-and-swap, leases and watches."""
+
+    def test_commit_fails_on_changed_key(self) -> None:
+        async def main() -> None:
+            store = MemoryStore()
+            first = (await store.commit((Unchanged("k", 0),), (Put("k", b"1"),))).unwrap()
+            self.assertTrue(first.succeeded)
+            second = (await store.commit((Unchanged("k", 0),), (Put("k", b"2"),))).unwrap()
+            self.assertFalse(second.succeeded)
+            self.assertEqual(second.current[0].value, b"1")
+            self.assertEqual(second.current[0].revision, first.revision)
+
+        run_virtual(main())
+
+    def test_lapsed_lease_deletes_keys(self) -> None:
+        async def main() -> None:
+            store = MemoryStore()
+            lease_id = (await store.grant_lease(3)).unwrap()
+            await store.commit((), (Put("k", b"1", lease_id),))
+            await asyncio.sleep(2.9)
+            self.assertIsNotNone((await store.get("k")).unwrap())
+            await asyncio.sleep(0.2)
+            self.assertIsNone((await store.get("k")).unwrap())
+            self.assertEqual((await store.keep_lease(lease_id)).unwrap(), 0.0)
+
+        run_virtual(main())
+
+    def test_watch_yields_changes_in_order(self) -> None:
+        async def main() -> None:
+            store = MemoryStore()
+            seen: list[tuple[str, bool]] = []
+
+            async def follow() -> None:
+                async for event in store.watch("a/", 0):
+                    seen.append((event.key, event.entry is not None))
+
+            task = asyncio.create_task(follow())
+            lease_id = (await store.grant_lease(2)).unwrap()
+            await store.commit((), (Put("a/1", b"", lease_id), Put("b/1", b"")))
+            await asyncio.sleep(5)
+            task.cancel()
+            self.assertEqual(seen, [("a/1", True), ("a/1", False)])
+
+        run_virtual(main())
--- /dev/null
+++ b/tests/utils.py
@@ -0,0 +1,50 @@
+"""Builders and drivers that tests share."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any, TypeVar
+
+import looptime
+from pollengate.jobs import JobSpec, Resources
+from pollengate.virtual_machines import VirtualMachine, VmKind, VmState
+
+__all__ = ["build_spec", "build_worker", "run_virtual"]
+
+T = TypeVar("T")
+LOOP_END_S = 36_000.0
+
+
+def run_virtual(main: Coroutine[Any, Any, T]) -> T:
+    """Runs a coroutine on a loop whose clock jumps over idle time."""
+    loop = looptime.new_event_loop(start=0, end=LOOP_END_S)
+    try:
+        return loop.run_until_complete(main)
+    finally:
+        asyncio.set_event_loop(None)
+        loop.close()
+
+
+def build_spec(job_id: str = "job", **changes: Any) -> JobSpec:
+    """Returns a job of one small task."""
+    fields: dict[str, Any] = {
+        "job_id": job_id,
+        "team": "team",
+        "task_class": "default",
+        "resources": Resources(1, 100),
+    }
+    return JobSpec(**(fields | changes))
+
+
+def build_worker(worker_id: str = "w0", zone: str = "a", **changes: Any) -> VirtualMachine:
+    """Returns a live worker with four cores."""
+    fields: dict[str, Any] = {
+        "vm_id": worker_id,
+        "zone": zone,
+        "rack": f"{zone}-r0",
+        "kind": VmKind.WORKER,
+        "state": VmState.LIVE,
+        "address": "127.0.0.1:1",
+        "cores": 4,
+        "memory_mb": 1000,
+    }
+    return VirtualMachine(**(fields | changes))
