--- a/packages/pollengate/pollengate/shard.py
+++ b/packages/pollengate/pollengate/shard.py
@@ -5,7 +5,8 @@
 from collections.abc import Iterable
 
 from pollengate.jobs import JobSpec, Resources, Task, TaskState, task_id_of
-from pollengate.placement import Candidate, Placement
+from pollengate.placement import Placement, PlacementRequest, request_for
+from pollengate.task_queue import TaskQueue
 from pollengate.virtual_machines import VirtualMachine, VmState
 from pollengate.worker import (
     Heartbeat,
@@ -82,17 +83,17 @@
 class Shard:
     """Decides on one shard; holds no socket and reads no clock."""
 
-    def __init__(self, placement: Placement) -> None:
+    def __init__(self, placement: Placement, queue: TaskQueue) -> None:
         self.workers_by_id: dict[str, WorkerBook] = {}
         self.jobs_by_id: dict[str, JobBook] = {}
-        self._queued_ids: dict[str, None] = {}
         self._tasks_by_id: dict[str, Task] = {}
         self._placement = placement
+        self._queue = queue
 
     @property
     def queued(self) -> int:
         """Returns the number of tasks that wait for a worker."""
-        return len(self._queued_ids)
+        return len(self._queue)
 
     @property
     def running(self) -> int:
@@ -109,7 +110,7 @@
         self.jobs_by_id[spec.job_id] = job
         self._tasks_by_id.update(job.tasks_by_id)
         for task in tasks:
-            self._queued_ids[task.task_id] = None
+            self._queue.push(request_for(task.task_id, task.spec))
         return job
 
     def list_machines(self, machines: Iterable[VirtualMachine], lease_until: float) -> list[str]:
@@ -127,8 +128,11 @@
             if book is None:
                 book = WorkerBook(vm, WorkerState.DETACHED, lease_until)
                 self.workers_by_id[vm.vm_id] = book
+                self._offer(vm)
+                self._placement.remove_worker(vm.vm_id)
             if vm.state is VmState.LEAVING:
                 book.state = WorkerState.LEAVING
+                self._placement.remove_worker(vm.vm_id)
         return [i for i, b in self.workers_by_id.items() if b.state is WorkerState.DETACHED]
 
     def attach(self, worker_id: str, reports: Iterable[TaskReport], now: float) -> None:
@@ -136,6 +140,7 @@
         book = self.workers_by_id[worker_id]
         if book.state is WorkerState.DETACHED:
             book.state = WorkerState.ATTACHED
+            self._offer(book.vm)
         book.lease_until = max(book.lease_until, now + WORKER_LEASE_S + CLOCK_MARGIN_S)
         for report in reports:
             self._adopt(worker_id, report)
@@ -146,17 +151,16 @@
         The caller checks ownership and freshness of the configuration first.
         """
         orders_by_worker: dict[str, list[TaskOrder]] = {}
-        for task_id in list(self._queued_ids)[:limit]:
-            task = self._tasks_by_id[task_id]
-            worker_id = self._placement.choose(task, self._candidates())
+
+        def place(request: PlacementRequest) -> bool:
+            worker_id = self._placement.place(request)
             if worker_id is None:
-                continue
-            del self._queued_ids[task_id]
-            task.state = TaskState.STARTING
-            task.worker_id = worker_id
-            task.attempt += 1
-            self.workers_by_id[worker_id].task_ids.add(task_id)
-            orders_by_worker.setdefault(worker_id, []).append(_order_for(task))
+                return False
+            order = self._assign(request.task_id, worker_id)
+            orders_by_worker.setdefault(worker_id, []).append(order)
+            return True
+
+        self._queue.drain(place, limit)
         return [StartOrders(i, tuple(orders)) for i, orders in orders_by_worker.items()]
 
     def answer_starts(self, answers: Iterable[TaskAnswer]) -> None:
@@ -202,6 +206,7 @@
                 self._requeue(self._tasks_by_id[task_id])
             if book.state is WorkerState.ATTACHED:
                 book.state = WorkerState.DETACHED
+                self._placement.remove_worker(book.vm.vm_id)
 
     def cancel(self, job_id: str) -> list[tuple[str, TaskRef]]:
         """Cancels a job.
@@ -221,11 +226,7 @@
 
     def free(self, worker_id: str) -> Resources:
         """Returns what a worker can still be given by declared sizes."""
-        book = self.workers_by_id[worker_id]
-        free = Resources(book.vm.cores, book.vm.memory_mb, book.vm.accelerators)
-        for task_id in book.task_ids:
-            free = free - self._tasks_by_id[task_id].spec.resources
-        return free
+        return self._placement.free(worker_id)
 
     def take_changed_jobs(self) -> list[JobBook]:
         """Returns the jobs changed since the last call."""
@@ -241,10 +242,17 @@
             self._end(job.tasks_by_id[task_id], state)
         job.is_changed = False
 
-    def _candidates(self) -> Iterable[Candidate]:
-        for worker_id, book in self.workers_by_id.items():
-            if book.state is WorkerState.ATTACHED:
-                yield Candidate(worker_id, book.vm.rack, self.free(worker_id))
+    def _offer(self, vm: VirtualMachine) -> None:
+        capacity = Resources(vm.cores, vm.memory_mb, vm.accelerators)
+        self._placement.add_worker(vm.vm_id, vm.rack, capacity)
+
+    def _assign(self, task_id: str, worker_id: str) -> TaskOrder:
+        task = self._tasks_by_id[task_id]
+        task.state = TaskState.STARTING
+        task.worker_id = worker_id
+        task.attempt += 1
+        self.workers_by_id[worker_id].task_ids.add(task_id)
+        return _order_for(task)
 
     def _current(self, ref: TaskRef) -> Task | None:
         task = self._tasks_by_id.get(ref.task_id)
@@ -258,8 +266,10 @@
             return
         task.attempt = report.ref.attempt
         if report.state is ReportState.RUNNING:
-            self._queued_ids.pop(task.task_id, None)
+            self._queue.discard(task.task_id)
             task.state = TaskState.RUNNING
+            if task.worker_id != worker_id:
+                self._placement.adopt(request_for(task.task_id, task.spec), worker_id)
             task.worker_id = worker_id
             self.workers_by_id[worker_id].task_ids.add(task.task_id)
         elif report.state is ReportState.FINISHED:
@@ -273,11 +283,11 @@
     def _requeue(self, task: Task) -> None:
         self._leave_worker(task)
         task.state = TaskState.QUEUED
-        self._queued_ids[task.task_id] = None
+        self._queue.push(request_for(task.task_id, task.spec))
 
     def _end(self, task: Task, state: TaskState) -> None:
         self._leave_worker(task)
-        self._queued_ids.pop(task.task_id, None)
+        self._queue.discard(task.task_id)
         task.state = state
         self.jobs_by_id[task.spec.job_id].is_changed = True
 
@@ -285,6 +295,7 @@
         book = self.workers_by_id.get(task.worker_id)
         if book is not None:
             book.task_ids.discard(task.task_id)
+        self._placement.release(task.task_id)
         task.worker_id = ""
 
 
--- a/packages/pollengated/pollengated/shard_owner.py
+++ b/packages/pollengated/pollengated/shard_owner.py
@@ -16,6 +16,7 @@
     StartOrders,
 )
 from pollengate.store import FailureKind, Put, Store, Unchanged
+from pollengate.task_queue import FifoQueue
 from pollengate.worker import Heartbeat, HeartbeatAnswer, TaskRef, WorkerClient
 from prometheus_client import Gauge
 from result import Err, Ok, Result
@@ -52,7 +53,7 @@
         self.zone = zone
         self.number = shard
         self.ownership = Ownership(zone, shard)
-        self.books = Shard(FirstFit())
+        self.books = Shard(FirstFit(), FifoQueue())
         self._process_id = process_id
         self._address = address
         self._store = store
@@ -218,7 +219,7 @@
     def _drop(self) -> None:
         self._log.info("shard lost", zone=self.zone, shard=self.number, epoch=self._epoch())
         self.ownership.drop()
-        self.books = Shard(FirstFit())
+        self.books = Shard(FirstFit(), FifoQueue())
         self._gauge().set(0)
 
     def _client(self, worker_id: str) -> WorkerClient:
--- a/tests/test_shard.py
+++ b/tests/test_shard.py
@@ -5,6 +5,7 @@
 from pollengate.jobs import Resources, TaskState
 from pollengate.placement import FirstFit
 from pollengate.shard import WORKER_LEASE_S, Shard
+from pollengate.task_queue import FifoQueue
 from pollengate.worker import Heartbeat, ReportState, TaskAnswer, TaskRef, TaskReport
 
 from tests.utils import build_spec, build_worker
@@ -12,7 +13,7 @@
 
 def build_shard(*worker_ids: str) -> Shard:
     """Returns a shard with attached workers."""
-    shard = Shard(FirstFit())
+    shard = Shard(FirstFit(), FifoQueue())
     shard.list_machines([build_worker(worker_id) for worker_id in worker_ids], 0.0)
     for worker_id in worker_ids:
         shard.attach(worker_id, (), 0.0)
