--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements that the design notes and the capacity page quote."""
--- /dev/null
+++ b/benchmarks/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Measures the slopes behind docs/CAPACITY.md."""
--- /dev/null
+++ b/benchmarks/capacity/framing.py
@@ -0,0 +1,85 @@
+"""Bytes that a unary call costs on the wire beyond its messages."""
+
+import asyncio
+from typing import Any
+
+from grpclib.client import Channel
+from grpclib.server import Server, Stream
+from pollengate_net.messages import worker_pb2 as pb
+from pollengate_net.messages.worker_grpc import HeartbeatsBase, HeartbeatsStub
+from pollengate_net.serving import receive
+
+from benchmarks.capacity.fits import Fit, Point, fit_line
+
+__all__ = ["measure_framing"]
+
+HOST = "127.0.0.1"
+CALL_COUNTS = (50, 200, 800)
+CHUNK_BYTES = 65_536
+
+
+class _EmptyHeartbeats(HeartbeatsBase):
+    """Answers every heartbeat with an empty message."""
+
+    async def Heartbeat(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
+        """Answers with no lease."""
+        await receive(stream)
+        await stream.send_message(pb.HeartbeatReply())
+
+
+class _CountingRelay:
+    """Passes bytes between a client and a server and counts them."""
+
+    def __init__(self, port: int) -> None:
+        self._port = port
+        self.bytes = 0
+        self._connections: list[asyncio.Task[None]] = []
+
+    def accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serves one client connection in the background."""
+        self._connections.append(asyncio.create_task(self._serve(reader, writer)))
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        upstream_reader, upstream_writer = await asyncio.open_connection(HOST, self._port)
+        await asyncio.gather(
+            self._copy(reader, upstream_writer), self._copy(upstream_reader, writer)
+        )
+
+    async def _copy(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while chunk := await reader.read(CHUNK_BYTES):
+            self.bytes += len(chunk)
+            writer.write(chunk)
+        writer.close()
+
+    async def finish(self) -> None:
+        """Waits until every connection has been closed."""
+        await asyncio.gather(*self._connections)
+
+
+def measure_framing() -> Fit:
+    """Returns bytes against calls, both directions, on one kept connection."""
+    return asyncio.run(_measure())
+
+
+async def _measure() -> Fit:
+    server = Server([_EmptyHeartbeats()])
+    await server.start(HOST, 0)
+    port = server._server.sockets[0].getsockname()[1]  # type: ignore[union-attr]
+    points = [Point(calls, await _count_bytes(port, calls)) for calls in CALL_COUNTS]
+    server.close()
+    await server.wait_closed()
+    return fit_line(points)
+
+
+async def _count_bytes(port: int, calls: int) -> int:
+    relay = _CountingRelay(port)
+    listener = await asyncio.start_server(relay.accept, HOST, 0)
+    channel = Channel(HOST, listener.sockets[0].getsockname()[1])
+    stub = HeartbeatsStub(channel)
+    for _ in range(calls):
+        await stub.Heartbeat(pb.HeartbeatRequest())
+    channel.close()
+    await relay.finish()
+    listener.close()
+    await listener.wait_closed()
+    return relay.bytes
