Check settings whole, answer every HTTP error with a problem document

Settings faults named only key and message; errors that litestar or uvicorn answered by themselves (404, 405, 413, 400, 500) were no problem documents, and a client that sent half a head or body held its connection for good. The model now stands in pollengate-settings, which daemon and command line share. Weighed: check in the daemon only (the command line would have to start it), model in the library (which then reads files). Request ids follow a request through gate and scheduler as HTTP header and grpclib metadata; schedulers serve /metrics, /healthz and /readyz. Log fields are quoted, so that a value can't forge a line. run_virtual cancels what a test left running; before it, asyncio printed 'Task was destroyed but it is pending'.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 PYTHON ?= python3
 BIN := .venv/bin
-PACKAGES := packages/pollengate packages/pollengate-net packages/pollengated packages/pollengate-cli packages/pollengate-standins
+PACKAGES := packages/pollengate packages/pollengate-settings packages/pollengate-net packages/pollengated packages/pollengate-cli packages/pollengate-standins
 EDITABLE := $(foreach package,$(PACKAGES),--editable $(package))
 
 .PHONY: setup run serve test check format lock messages
--- a/packages/pollengate-net/pollengate_net/calls.py
+++ b/packages/pollengate-net/pollengate_net/calls.py
@@ -8,6 +8,8 @@
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 from result import Err, Ok, Result
 
+from pollengate_net.request_ids import trace_channel
+
 __all__ = ["CallFailure", "call", "open_channel", "split_address"]
 
 T = TypeVar("T")
@@ -29,7 +31,9 @@
 
 def open_channel(address: str) -> Channel:
     """Returns a channel that connects on its first call."""
-    return Channel(*split_address(address))
+    channel = Channel(*split_address(address))
+    trace_channel(channel)
+    return channel
 
 
 async def call(
--- /dev/null
+++ b/packages/pollengate-net/pollengate_net/request_ids.py
@@ -0,0 +1,60 @@
+"""Request ids: follow one request through the processes that work on it."""
+
+import contextvars
+import re
+import uuid
+
+from grpclib.client import Channel
+from grpclib.events import RecvRequest, SendRequest, listen
+from grpclib.server import Server
+
+__all__ = [
+    "REQUEST_ID_KEY",
+    "adopt_request_id",
+    "current_request_id",
+    "trace_channel",
+    "trace_server",
+]
+
+REQUEST_ID_KEY = "pollengate-request-id"
+
+_ID_PATTERN = re.compile(r"[A-Za-z0-9._-]{1,64}")
+_current: contextvars.ContextVar[str] = contextvars.ContextVar("request_id", default="")
+
+
+def current_request_id() -> str:
+    """Returns the id of the request that this task works on, empty if none."""
+    return _current.get()
+
+
+def adopt_request_id(offered: str | None) -> str:
+    """Makes an id the current one and returns it.
+
+    Args:
+        offered: the sender's id; a missing or malformed one is replaced by a fresh id.
+    """
+    is_valid = offered is not None and _ID_PATTERN.fullmatch(offered) is not None
+    request_id = str(offered) if is_valid else uuid.uuid4().hex
+    _current.set(request_id)
+    return request_id
+
+
+def trace_channel(channel: Channel) -> None:
+    """Sends the current request id with every call of a channel."""
+
+    async def attach(event: SendRequest) -> None:
+        if request_id := current_request_id():
+            event.metadata[REQUEST_ID_KEY] = request_id
+
+    listen(channel, SendRequest, attach)
+
+
+def trace_server(server: Server) -> None:
+    """Makes the id that a call carries the current one while it is served."""
+
+    async def adopt(event: RecvRequest) -> None:
+        offered = event.metadata.get(REQUEST_ID_KEY)
+        if isinstance(offered, str):
+            adopt_request_id(offered)
+
+    listen(server, RecvRequest, adopt)
--- /dev/null
+++ b/packages/pollengate-settings/pollengate_settings/reader.py
@@ -0,0 +1,28 @@
+"""Reads and checks a settings file."""
+
+import tomllib
+from pathlib import Path
+
+import pydantic
+from result import Err, Ok, Result
+
+from pollengate_settings.faults import SettingsFault, faults_of
+from pollengate_settings.model import Settings, SettingsModel
+
+__all__ = ["read_settings"]
+
+
+def read_settings(path: Path) -> Result[Settings, tuple[SettingsFault, ...]]:
+    """Reads and checks a settings file; names every fault at once."""
+    try:
+        document = tomllib.loads(path.read_text())
+    except OSError as error:
+        return Err((SettingsFault(path, "", "", f"the file cannot be read: {error.strerror}"),))
+    except UnicodeDecodeError as error:
+        return Err((SettingsFault(path, "", "", f"the file is not UTF-8: {error.reason}"),))
+    except tomllib.TOMLDecodeError as error:
+        return Err((SettingsFault(path, "", "", f"the file is not TOML: {error}"),))
+    try:
+        return Ok(SettingsModel.model_validate(document).settings())
+    except pydantic.ValidationError as error:
+        return Err(faults_of(path, SettingsModel, error))
--- a/packages/pollengated/pollengated/compose.py
+++ b/packages/pollengated/pollengated/compose.py
@@ -4,18 +4,20 @@
 import signal
 from typing import Any
 
-import uvicorn
 from grpclib.server import Server
-from litestar import Litestar
+from litestar.types import ASGIApp
 from pollengate_net.calls import split_address
 from pollengate_net.etcd_store import EtcdStore
 from pollengate_net.grpc_worker import GrpcWorkerClient
 from pollengate_net.http_vm_list import HttpVmList
+from pollengate_net.request_ids import trace_server
 from pollengate_net.scheduler_client import SchedulerClient
 
 from pollengated.configuration_follower import ConfigurationFollower
 from pollengated.configuration_patches import ConfigurationPatcher
 from pollengated.http_configuration import configuration_router
+from pollengated.http_health import health_router
+from pollengated.http_server import create_app, create_server, serve_until_cancelled
 from pollengated.http_services import service_router
 from pollengated.http_status import status_router
 from pollengated.http_tasks import task_router
@@ -23,6 +25,7 @@
 from pollengated.logs import Log, set_up_logs
 from pollengated.metrics import Metrics
 from pollengated.owner_directory import OwnerDirectory
+from pollengated.readiness import Readiness
 from pollengated.scheduler_service import HeartbeatService, SchedulerService
 from pollengated.service_proxy import ServiceProxy
 from pollengated.settings import Settings
@@ -43,18 +46,20 @@
     client = SchedulerClient()
     proxy = ServiceProxy(settings.zone, follower, vms)
     jobs = JobRouter(store, follower, directory, client)
-    app = Litestar(
+    readiness = Readiness(follower)
+    app = create_app(
         [
             configuration_router(follower, ConfigurationPatcher(store, follower), metrics),
             task_router(jobs, metrics),
             service_router(proxy, metrics),
-            status_router(settings.process_id, follower, directory, client, metrics),
+            status_router(settings.process_id, settings.zone, follower, directory, client, metrics),
+            health_router(readiness, metrics),
         ],
-        request_max_body_size=settings.max_body_bytes,
-        logging_config=None,
+        settings,
+        metrics,
     )
     loops = [follower.run(), directory.run(), vms.run()]
-    await _run_until_stopped(_serve_http(app, settings.http_address), loops)
+    await _run_until_stopped(_serve_http(app, settings, metrics), loops)
     client.close()
     await proxy.close()
     await store.close()
@@ -80,19 +85,20 @@
     )
     service = SchedulerService(settings.process_id, settings.zone, [owner], follower)
     server = Server([service, HeartbeatService([owner])])
+    trace_server(server)
+    app = create_app([health_router(Readiness(follower), metrics)], settings, metrics)
     await server.start(*split_address(settings.rpc_address))
     Log("scheduler").info("serving", address=settings.rpc_address)
-    await _run_until_stopped(_wait_for_stop(), [follower.run(), vms.run(), owner.run()])
+    http = serve_until_cancelled(app, settings, metrics)
+    await _run_until_stopped(_wait_for_stop(), [follower.run(), vms.run(), owner.run(), http])
     server.close()
     await server.wait_closed()
     await store.close()
 
 
-async def _serve_http(app: Litestar, address: str) -> None:
-    host, port = split_address(address)
-    config = uvicorn.Config(app, host=host, port=port, log_level="warning", lifespan="off")
-    Log("gate").info("serving", address=address)
-    await uvicorn.Server(config).serve()
+async def _serve_http(app: ASGIApp, settings: Settings, metrics: Metrics) -> None:
+    Log("gate").info("serving", address=settings.http_address)
+    await create_server(app, settings, metrics).serve()
 
 
 async def _wait_for_stop() -> None:
--- /dev/null
+++ b/packages/pollengated/pollengated/http_health.py
@@ -0,0 +1,33 @@
+"""Routes that every role serves: health, readiness and metrics."""
+
+from litestar import Router, get
+from litestar.response import Response
+
+from pollengated.metrics import Metrics
+from pollengated.readiness import Readiness
+
+__all__ = ["health_router"]
+
+READY = 200
+NOT_READY = 503
+
+
+def health_router(readiness: Readiness, metrics: Metrics) -> Router:
+    """Returns the routes `/healthz`, `/readyz` and `/metrics`."""
+
+    @get("/healthz", media_type="text/plain")
+    async def healthy() -> str:
+        return "ok\n"
+
+    @get("/readyz", media_type="text/plain")
+    async def ready() -> Response[str]:
+        obstacles = readiness.obstacles()
+        if obstacles:
+            return Response(", ".join(obstacles) + "\n", status_code=NOT_READY)
+        return Response("ok\n", status_code=READY)
+
+    @get("/metrics", media_type="text/plain")
+    async def export() -> bytes:
+        return metrics.export()
+
+    return Router("/", route_handlers=[healthy, ready, export])
--- /dev/null
+++ b/packages/pollengated/pollengated/http_protocol.py
@@ -0,0 +1,86 @@
+"""HTTP/1.1 connections that end when a request's head is late or malformed."""
+
+import asyncio
+import json
+from typing import Any
+
+from pollengate.refusals import Outcome, Reason, Refusal
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+
+from pollengated.metrics import Metrics
+from pollengated.problems import PROBLEM_MEDIA_TYPE, STATUS_BY_REASON, problem_document
+
+__all__ = ["http_protocol"]
+
+_PHRASE_BY_STATUS = {408: "Request Timeout", 422: "Unprocessable Content"}
+
+
+def http_protocol(metrics: Metrics, head_timeout_s: float) -> type[HttpToolsProtocol]:
+    """Returns the protocol class for a server.
+
+    Args:
+        metrics: counts the refusals.
+        head_timeout_s: seconds from the connection, or from a request's first byte, until its
+            headers must be complete.
+    """
+
+    class BoundedHttpProtocol(HttpToolsProtocol):
+        """Answers a late or malformed head with a problem document and closes."""
+
+        _head_timer: asyncio.TimerHandle | None = None
+
+        def connection_made(self, transport: Any) -> None:
+            super().connection_made(transport)
+            self._await_head()
+
+        def on_message_begin(self) -> None:
+            super().on_message_begin()
+            self._await_head()
+
+        def on_headers_complete(self) -> None:
+            self._stop_waiting()
+            super().on_headers_complete()
+
+        def connection_lost(self, exc: Exception | None) -> None:
+            self._stop_waiting()
+            super().connection_lost(exc)
+
+        def send_400_response(self, msg: str) -> None:
+            self._stop_waiting()
+            detail = "the request is no valid HTTP/1.1"
+            self._refuse(Refusal(Outcome.NOT_RUN, Reason.INVALID_REQUEST, detail))
+
+        def _await_head(self) -> None:
+            self._stop_waiting()
+            self._head_timer = self.loop.call_later(head_timeout_s, self._refuse_late_head)
+
+        def _stop_waiting(self) -> None:
+            if self._head_timer is not None:
+                self._head_timer.cancel()
+                self._head_timer = None
+
+        def _refuse_late_head(self) -> None:
+            detail = f"the headers did not arrive within {head_timeout_s:g} s"
+            self._refuse(Refusal(Outcome.NOT_RUN, Reason.REQUEST_INCOMPLETE, detail, 1.0))
+
+        def _refuse(self, refusal: Refusal) -> None:
+            if self.transport.is_closing():
+                return
+            if self.cycle is None or self.cycle.response_complete:
+                metrics.count_refusal(refusal.reason)
+                self.transport.write(_encode(refusal))
+            self.transport.close()
+
+    return BoundedHttpProtocol
+
+
+def _encode(refusal: Refusal) -> bytes:
+    status = STATUS_BY_REASON[refusal.reason]
+    body = json.dumps(problem_document(refusal)).encode()
+    head = (
+        f"HTTP/1.1 {status} {_PHRASE_BY_STATUS[status]}\r\n"
+        f"content-type: {PROBLEM_MEDIA_TYPE}\r\n"
+        f"content-length: {len(body)}\r\n"
+        "connection: close\r\n\r\n"
+    )
+    return head.encode() + body
--- /dev/null
+++ b/packages/pollengated/pollengated/http_server.py
@@ -0,0 +1,69 @@
+"""The HTTP server of a process: its application, its bounds and its error answers."""
+
+import asyncio
+import contextlib
+from collections.abc import Iterator, Sequence
+
+import uvicorn
+from litestar import Litestar, Router
+from litestar.types import ASGIApp
+from pollengate_net.calls import split_address
+
+from pollengated.body_deadline import BodyDeadline
+from pollengated.http_errors import exception_handlers
+from pollengated.http_protocol import http_protocol
+from pollengated.metrics import Metrics
+from pollengated.request_tracing import RequestTracing
+from pollengated.settings import Settings
+
+__all__ = ["create_app", "create_server", "serve_until_cancelled"]
+
+
+def create_app(routers: Sequence[Router], settings: Settings, metrics: Metrics) -> ASGIApp:
+    """Returns an application whose every error is a problem document."""
+    app = Litestar(
+        list(routers),
+        request_max_body_size=settings.max_body_bytes,
+        exception_handlers=exception_handlers(metrics, settings.max_body_bytes),
+        openapi_config=None,
+        logging_config=None,
+    )
+    return RequestTracing(BodyDeadline(app, settings.body_timeout_s))
+
+
+def create_server(app: ASGIApp, settings: Settings, metrics: Metrics) -> uvicorn.Server:
+    """Returns a server for the settings' HTTP address."""
+    host, port = split_address(settings.http_address)
+    config = uvicorn.Config(
+        app,
+        host=host,
+        port=port,
+        http=http_protocol(metrics, settings.head_timeout_s),
+        ws="none",
+        lifespan="off",
+        log_config=None,
+        access_log=False,
+        server_header=False,
+    )
+    return uvicorn.Server(config)
+
+
+class _QuietServer(uvicorn.Server):
+    """A server that leaves the process's signals alone."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Captures none."""
+        yield
+
+
+async def serve_until_cancelled(app: ASGIApp, settings: Settings, metrics: Metrics) -> None:
+    """Serves beside another server that handles the signals."""
+    server = _QuietServer(create_server(app, settings, metrics).config)
+    serving = asyncio.create_task(server.serve())
+    try:
+        await asyncio.shield(serving)
+    except asyncio.CancelledError:
+        server.should_exit = True
+        await serving
+        raise
--- a/packages/pollengated/pollengated/http_tasks.py
+++ b/packages/pollengated/pollengated/http_tasks.py
@@ -1,5 +1,6 @@
 """Callers' routes: batch tasks."""
 
+import re
 from typing import Any
 
 import pydantic
@@ -18,18 +19,25 @@
 __all__ = ["TaskModel", "task_router"]
 
 
+TASK_ID_RULE = "1 to 128 letters, digits, '.', '_' and '-', starting with a letter or digit"
+MAX_MEMORY_MB = 100_000_000
+MAX_DURATION_MS = 2_592_000_000  # 30 days
+
+_TASK_ID = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,127}")
+
+
 class TaskModel(pydantic.BaseModel):
     """The body of a submission."""
 
-    model_config = pydantic.ConfigDict(extra="forbid")
+    model_config = pydantic.ConfigDict(extra="forbid", strict=True)
 
     team: str = pydantic.Field(pattern=NAME_PATTERN)
     task_class: str = pydantic.Field(default="default", pattern=NAME_PATTERN)
     cores: int = pydantic.Field(ge=1, le=1024)
-    memory_mb: int = pydantic.Field(ge=1)
-    accelerators: int = pydantic.Field(default=0, ge=0)
+    memory_mb: int = pydantic.Field(ge=1, le=MAX_MEMORY_MB)
+    accelerators: int = pydantic.Field(default=0, ge=0, le=1024)
     count: int = pydantic.Field(default=1, ge=1, le=100_000)
-    duration_ms: int = pydantic.Field(default=1000, ge=1)
+    duration_ms: int = pydantic.Field(default=1000, ge=1, le=MAX_DURATION_MS)
     idempotent: bool = True
     urgent: bool = False
 
@@ -39,8 +47,11 @@
 
     @put("/{task_id:str}")
     async def submit(request: Request[Any, Any, Any], task_id: str) -> Response[Any]:
+        body = await request.body()
+        if isinstance(refusal := _check_id(task_id), Refusal):
+            return problem(refusal, metrics)
         try:
-            model = TaskModel.model_validate_json(await request.body())
+            model = TaskModel.model_validate_json(body)
         except pydantic.ValidationError as error:
             return problem(_invalid(error), metrics)
         result = await jobs.submit(_spec(task_id, model))
@@ -51,6 +62,8 @@
 
     @get("/{task_id:str}")
     async def show(task_id: str) -> Response[Any]:
+        if isinstance(refusal := _check_id(task_id), Refusal):
+            return problem(refusal, metrics)
         result = await jobs.show(task_id)
         if isinstance(result, Err):
             return problem(result.err_value, metrics)
@@ -58,6 +71,8 @@
 
     @delete("/{task_id:str}", status_code=200)
     async def cancel(task_id: str) -> Response[Any]:
+        if isinstance(refusal := _check_id(task_id), Refusal):
+            return problem(refusal, metrics)
         result = await jobs.cancel(task_id)
         if isinstance(result, Err):
             return problem(result.err_value, metrics)
@@ -70,6 +85,14 @@
     return Router("/tasks", route_handlers=[submit, show, cancel, list_tasks])
 
 
+def _check_id(task_id: str) -> Refusal | None:
+    if _TASK_ID.fullmatch(task_id):
+        return None
+    fields = (("task_id", TASK_ID_RULE),)
+    detail = "the task id is invalid"
+    return Refusal(Outcome.NOT_RUN, Reason.INVALID_REQUEST, detail, fields=fields)
+
+
 def _spec(job_id: str, model: TaskModel) -> JobSpec:
     return JobSpec(
         job_id=job_id,
--- a/packages/pollengated/pollengated/logs.py
+++ b/packages/pollengated/pollengated/logs.py
@@ -1,49 +1,95 @@
 """Structured logs: a short sentence with a prefix for each part and its fields."""
 
 import json
+import logging
+import re
 import sys
 from typing import Any
 
 import logbook
+from logbook.compat import RedirectLoggingHandler
+from pollengate_net.request_ids import current_request_id
 
 from pollengated.settings import Settings
 
-__all__ = ["Log", "set_up_logs"]
+__all__ = ["Log", "format_json", "format_text", "set_up_logs"]
+
+# Each writes a line per request at "info".
+_CHATTY_LIBRARIES = ("httpx", "httpcore", "hpack", "uvicorn.access")
+_PLAIN_VALUE = re.compile(r"[^\s\"=\x00-\x1f\x7f]+")
 
 
 class Log:
-    """Writes the sentences of one part."""
+    """Writes the sentences of one part; each carries the current request's id."""
 
     def __init__(self, part: str) -> None:
         self._logger = logbook.Logger(part)
 
+    def debug(self, sentence: str, **fields: object) -> None:
+        """Writes what helps to follow a single request."""
+        self._logger.debug(sentence, extra=_with_request_id(fields))
+
     def info(self, sentence: str, **fields: object) -> None:
         """Writes what happened."""
-        self._logger.info(sentence, extra=fields)
+        self._logger.info(sentence, extra=_with_request_id(fields))
 
     def warning(self, sentence: str, **fields: object) -> None:
         """Writes what an operator may have to look at."""
-        self._logger.warning(sentence, extra=fields)
+        self._logger.warning(sentence, extra=_with_request_id(fields))
+
+    def error(self, sentence: str, error: BaseException, **fields: object) -> None:
+        """Writes an unexpected error with its traceback."""
+        exc_info = (type(error), error, error.__traceback__)
+        self._logger.error(sentence, exc_info=exc_info, extra=_with_request_id(fields))
 
 
 def set_up_logs(settings: Settings) -> None:
-    """Sends every part's log to the standard error in the configured format."""
+    """Sends every part's log to the standard error in the configured format.
+
+    Libraries that use the standard `logging` write to the same place.
+    """
     handler = logbook.StreamHandler(sys.stderr, level=settings.log_level.upper())
-    handler.formatter = _format_json if settings.log_format == "json" else _format_text
+    handler.formatter = format_json if settings.log_format == "json" else format_text
     handler.push_application()
+    logging.basicConfig(
+        handlers=[RedirectLoggingHandler()], level=settings.log_level.upper(), force=True
+    )
+    for library in _CHATTY_LIBRARIES:
+        logging.getLogger(library).setLevel(logging.WARNING)
 
 
-def _format_text(record: Any, _handler: object) -> str:
-    fields = "".join(f" {key}={value}" for key, value in record.extra.items())
-    return f"{record.time.isoformat()} {record.channel}: {record.message}{fields}"
+def format_text(record: Any, _handler: object) -> str:
+    """Formats a record as one line of `key=value` fields, a traceback after it."""
+    fields = "".join(f" {key}={_text_value(value)}" for key, value in record.extra.items())
+    level = record.level_name.lower()
+    line = f"{record.time.isoformat()}Z {level} {record.channel}: {_one_line(record.message)}"
+    trace = record.formatted_exception
+    return line + fields + (f"\n{trace}" if trace else "")
 
 
-def _format_json(record: Any, _handler: object) -> str:
+def format_json(record: Any, _handler: object) -> str:
+    """Formats a record as one JSON object on one line."""
     document = {
-        "time": record.time.isoformat(),
+        **record.extra,
+        "time": f"{record.time.isoformat()}Z",
         "level": record.level_name.lower(),
         "part": record.channel,
         "message": record.message,
-        **record.extra,
     }
+    if record.formatted_exception:
+        document["traceback"] = record.formatted_exception
     return json.dumps(document, default=str)
+
+
+def _with_request_id(fields: dict[str, object]) -> dict[str, object]:
+    request_id = current_request_id()
+    return fields | {"request_id": request_id} if request_id else fields
+
+
+def _text_value(value: object) -> str:
+    text = str(value)
+    return text if _PLAIN_VALUE.fullmatch(text) else json.dumps(text)
+
+
+def _one_line(text: str) -> str:
+    return text.replace("\r", " ").replace("\n", " ")
--- a/packages/pollengated/pollengated/main.py
+++ b/packages/pollengated/pollengated/main.py
@@ -13,6 +13,8 @@
 
 __all__ = ["main"]
 
+EXIT_USAGE = 2
+
 _SETTINGS = click.option(
     "--settings", "path", required=True, type=click.Path(path_type=Path), help="Settings file."
 )
@@ -41,6 +43,6 @@
     result = read_settings(path)
     if isinstance(result, Err):
         for fault in result.err_value:
-            click.echo(f"{path}: {fault.key}: {fault.detail}", err=True)
-        sys.exit(2)
+            click.echo(str(fault), err=True)
+        sys.exit(EXIT_USAGE)
     asyncio.run(role(result.ok_value))  # type: ignore[arg-type]
--- a/packages/pollengated/pollengated/metrics.py
+++ b/packages/pollengated/pollengated/metrics.py
@@ -1,6 +1,14 @@
 """Prometheus metrics of one process."""
 
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+from pollengate.refusals import Reason
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    ProcessCollector,
+    generate_latest,
+)
 
 __all__ = ["Metrics"]
 
@@ -46,6 +54,29 @@
             registry=self.registry,
         )
 
+        ProcessCollector(registry=self.registry)
+        for reason in Reason:
+            self.refusals.labels(reason.value)
+            self.retries.labels(reason.value)
+
+    def count_refusal(self, reason: Reason) -> None:
+        """Counts a request that was refused."""
+        self.refusals.labels(reason.value).inc()
+
+    def count_retry(self, reason: Reason) -> None:
+        """Counts a request that was sent again, by the reason of the refusal before."""
+        self.retries.labels(reason.value).inc()
+
+    def refusals_by_reason(self) -> dict[str, int]:
+        """Returns the number of refusals so far, without the reasons never given."""
+        counts = {
+            sample.labels["reason"]: int(sample.value)
+            for metric in self.refusals.collect()
+            for sample in metric.samples
+            if sample.name.endswith("_total")
+        }
+        return {reason: count for reason, count in counts.items() if count}
+
     def export(self) -> bytes:
         """Returns the text exposition."""
         return generate_latest(self.registry)
--- a/packages/pollengated/pollengated/problems.py
+++ b/packages/pollengated/pollengated/problems.py
@@ -1,24 +1,31 @@
 """RFC 9457 problem documents."""
 
+import math
 from typing import Any
 
 from litestar.response import Response
 from pollengate.refusals import Reason, Refusal
+from pollengate_net.request_ids import current_request_id
 
 from pollengated.metrics import Metrics
 
-__all__ = ["problem"]
+__all__ = ["PROBLEM_MEDIA_TYPE", "STATUS_BY_REASON", "problem", "problem_document"]
 
-_STATUS_BY_REASON = {
+PROBLEM_MEDIA_TYPE = "application/problem+json"
+
+STATUS_BY_REASON = {
     Reason.BACKEND_FAILED: 502,
     Reason.BODY_TOO_LARGE: 413,
     Reason.CONFIGURATION_STALE: 503,
     Reason.DEADLINE_TOO_SHORT: 503,
+    Reason.INTERNAL_ERROR: 500,
     Reason.INVALID_REQUEST: 422,
+    Reason.METHOD_NOT_ALLOWED: 405,
     Reason.NO_BACKEND: 503,
     Reason.NO_OWNER: 503,
     Reason.NOT_FOUND: 404,
     Reason.QUEUE_FULL: 503,
+    Reason.REQUEST_INCOMPLETE: 408,
     Reason.STOPPING: 503,
     Reason.STORE_UNAVAILABLE: 503,
     Reason.TASK_CONFLICT: 409,
@@ -29,22 +36,31 @@
 
 
 def problem(refusal: Refusal, metrics: Metrics) -> Response[Any]:
-    """Encodes a refusal and counts it."""
-    metrics.refusals.labels(refusal.reason.value).inc()
-    status = _STATUS_BY_REASON[refusal.reason]
+    """Counts a refusal and encodes it as a response."""
+    metrics.count_refusal(refusal.reason)
+    headers = {}
+    if refusal.retry_after_s is not None:
+        headers["Retry-After"] = str(max(1, math.ceil(refusal.retry_after_s)))
+    return Response(
+        problem_document(refusal),
+        status_code=STATUS_BY_REASON[refusal.reason],
+        headers=headers,
+        media_type=PROBLEM_MEDIA_TYPE,
+    )
+
+
+def problem_document(refusal: Refusal) -> dict[str, Any]:
+    """Encodes a refusal as a problem document."""
     document: dict[str, Any] = {
         "type": f"urn:pollengate:{refusal.reason.value}",
         "title": refusal.reason.value.replace("_", " "),
-        "status": status,
+        "status": STATUS_BY_REASON[refusal.reason],
         "detail": refusal.detail,
         "outcome": refusal.outcome.value,
         "reason": refusal.reason.value,
     }
+    if request_id := current_request_id():
+        document["request_id"] = request_id
     if refusal.fields:
         document["fields"] = [{"field": f, "detail": detail} for f, detail in refusal.fields]
-    headers = {}
-    if refusal.retry_after_s is not None:
-        headers["Retry-After"] = str(max(1, round(refusal.retry_after_s)))
-    return Response(
-        document, status_code=status, headers=headers, media_type="application/problem+json"
-    )
+    return document
--- /dev/null
+++ b/packages/pollengated/pollengated/readiness.py
@@ -0,0 +1,33 @@
+"""Readiness: whether a process should get new requests."""
+
+import asyncio
+
+from pollengated.configuration_follower import ConfigurationFollower
+
+__all__ = ["Readiness"]
+
+
+class Readiness:
+    """Tells the balancer whether to send requests here."""
+
+    def __init__(self, follower: ConfigurationFollower) -> None:
+        self._follower = follower
+        self._is_stopping = False
+
+    def stop(self) -> None:
+        """Records that the process is stopping; it will not be ready again."""
+        self._is_stopping = True
+
+    def obstacles(self) -> list[str]:
+        """Returns why the process is not ready, nothing if it is."""
+        obstacles = []
+        if self._is_stopping:
+            obstacles.append("stopping")
+        if not self._has_configuration():
+            obstacles.append("no configuration known")
+        return obstacles
+
+    def _has_configuration(self) -> bool:
+        # Before the first patch there is none, and a gate must be reachable to accept it.
+        now = asyncio.get_running_loop().time()
+        return self._follower.current.version > 0 or self._follower.freshness.is_fresh(now)
--- /dev/null
+++ b/packages/pollengated/pollengated/request_tracing.py
@@ -0,0 +1,51 @@
+"""ASGI middleware: gives each request an id and writes a line about it."""
+
+import time
+
+from litestar.enums import ScopeType
+from litestar.types import ASGIApp, Message, Receive, Scope, Send
+from pollengate_net.request_ids import REQUEST_ID_KEY, adopt_request_id
+
+from pollengated.logs import Log
+
+__all__ = ["RequestTracing"]
+
+_HEADER = REQUEST_ID_KEY.encode()
+_SERVER_ERROR = 500
+
+
+class RequestTracing:
+    """Adopts or creates the request id, returns it in the answer and logs the request.
+
+    A caller's `Pollengate-Request-Id` is kept if it is 1 to 64 letters, digits, `.`, `_` or `-`.
+    """
+
+    def __init__(self, app: ASGIApp) -> None:
+        self._app = app
+        self._log = Log("http")
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Handles one connection scope."""
+        if scope["type"] != ScopeType.HTTP:
+            await self._app(scope, receive, send)
+            return
+        offered = dict(scope["headers"]).get(_HEADER, b"").decode("latin-1")
+        request_id = adopt_request_id(offered)
+        began_at = time.perf_counter()
+        status = 0
+
+        async def send_with_id(message: Message) -> None:
+            nonlocal status
+            if message["type"] == "http.response.start":
+                status = message["status"]
+                headers = [pair for pair in message["headers"] if pair[0].lower() != _HEADER]
+                message["headers"] = [*headers, (_HEADER, request_id.encode())]
+            await send(message)
+
+        await self._app(scope, receive, send_with_id)
+        self._write(scope["method"], scope["path"], status, time.perf_counter() - began_at)
+
+    def _write(self, method: str, path: str, status: int, seconds: float) -> None:
+        write = self._log.info if status >= _SERVER_ERROR else self._log.debug
+        duration_ms = round(seconds * 1000, 1)
+        write("request answered", method=method, path=path, status=status, duration_ms=duration_ms)
--- a/scripts/local_run.py
+++ b/scripts/local_run.py
@@ -161,7 +161,7 @@
     wait_until("gate is up", lambda: gate.get("/healthz").status_code == 200)
     zones = {zone: {"in_service": True} for zone in ZONES}
     configure(gate, {"zones": zones, "services": {SERVICE: {}}})
-    wait_until("owners", lambda: len(gate.get("/status").json()["schedulers"]) == len(ZONES))
+    wait_until("owners", lambda: owner_count(gate) == len(ZONES))
     wait_until("service", lambda: gate.get(f"/services/{SERVICE}/standings").status_code == 200)
     answer = gate.post(f"/services/{SERVICE}/results", json={"match": 7, "winner": "Rojas"})
     print(f"service request answered: {answer.status_code} {answer.json()}")
@@ -175,6 +175,11 @@
     run_until_started_in(gate, ZONES[0])
 
 
+def owner_count(gate: httpx.Client) -> int:
+    """Returns the number of shards whose owner answers."""
+    return sum(int(zone["owners"]) for zone in gate.get("/status").json()["zones"])
+
+
 def configure(gate: httpx.Client, patch: dict[str, object]) -> None:
     """Patches the configuration against its current version."""
     wait_until("patch", lambda: try_patch(gate, patch))
--- /dev/null
+++ b/tests/test_http_protocol.py
@@ -0,0 +1,122 @@
+"""Tests of connections whose request heads are late or malformed."""
+
+import asyncio
+import json
+import logging
+import unittest
+from typing import Any
+
+import uvicorn
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from pollengated.http_protocol import http_protocol
+from pollengated.metrics import Metrics
+from uvicorn.server import ServerState
+
+from tests.utils import run_virtual
+
+HEAD_TIMEOUT_S = 10.0
+
+
+class FakeTransport(asyncio.Transport):
+    """Keeps what was written and whether it was closed."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.written = b""
+        self.closed_at: float | None = None
+
+    def write(self, data: Any) -> None:
+        self.written += bytes(data)
+
+    def close(self) -> None:
+        if self.closed_at is None:
+            self.closed_at = asyncio.get_running_loop().time()
+
+    def is_closing(self) -> bool:
+        return self.closed_at is not None
+
+    def get_extra_info(self, name: str, default: Any = None) -> Any:
+        return default
+
+    def pause_reading(self) -> None:
+        pass
+
+    def resume_reading(self) -> None:
+        pass
+
+    def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
+        pass
+
+
+async def answer_ok(_: Any, __: Any, send: Any) -> None:
+    """An application that answers every request."""
+    headers = [(b"content-length", b"2")]
+    await send({"type": "http.response.start", "status": 200, "headers": headers})
+    await send({"type": "http.response.body", "body": b"ok"})
+
+
+async def drive(metrics: Metrics, chunks: list[bytes], pause_s: float) -> FakeTransport:
+    """Sends chunks on one connection and waits until every timer has fired."""
+    config = uvicorn.Config(answer_ok, log_config=None, lifespan="off", timeout_keep_alive=300)
+    config.load()
+    protocol = http_protocol(metrics, HEAD_TIMEOUT_S)(config, ServerState(), {})
+    transport = FakeTransport()
+    protocol.connection_made(transport)
+    for chunk in chunks:
+        if transport.is_closing():
+            break
+        protocol.data_received(chunk)
+        await asyncio.sleep(pause_s)
+    await asyncio.sleep(HEAD_TIMEOUT_S * 2)
+    return transport
+
+
+class HttpProtocolTest(unittest.TestCase):
+    """Drives the protocol on virtual time."""
+
+    def setUp(self) -> None:
+        self.metrics = Metrics()
+        logger = logging.getLogger("uvicorn.error")
+        self.addCleanup(logger.setLevel, logger.level)
+        logger.setLevel(logging.ERROR)
+
+    def drive(self, *chunks: bytes, pause_s: float = 1.0) -> FakeTransport:
+        return run_virtual(drive(self.metrics, list(chunks), pause_s))
+
+    def assert_problem(self, transport: FakeTransport, status: int, reason: str) -> None:
+        head, _, body = transport.written.partition(b"\r\n\r\n")
+        self.assertTrue(head.startswith(f"HTTP/1.1 {status} ".encode()), head)
+        self.assertEqual(reason, json.loads(body)["reason"])
+        self.assertEqual("not_run", json.loads(body)["outcome"])
+        self.assertEqual({reason: 1}, self.metrics.refusals_by_reason())
+
+    def test_whole_request_is_answered_and_the_connection_kept(self) -> None:
+        transport = self.drive(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
+        self.assertTrue(transport.written.startswith(b"HTTP/1.1 200"))
+        self.assertIsNone(transport.closed_at)
+
+    def test_silent_connection_is_closed(self) -> None:
+        transport = self.drive()
+        self.assert_problem(transport, 408, "request_incomplete")
+        self.assertEqual(HEAD_TIMEOUT_S, transport.closed_at)
+
+    def test_dripping_head_is_closed(self) -> None:
+        head = b"GET / HTTP/1.1\r\n"
+        transport = self.drive(*(bytes([octet]) for octet in head), pause_s=1.0)
+        self.assert_problem(transport, 408, "request_incomplete")
+        self.assertEqual(HEAD_TIMEOUT_S, transport.closed_at)
+
+    def test_late_second_head_is_closed(self) -> None:
+        first = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n"
+        transport = self.drive(first, b"GET / HT", pause_s=3.0)
+        self.assertEqual(3.0 + HEAD_TIMEOUT_S, transport.closed_at)
+
+    def test_malformed_head_gets_a_problem_document(self) -> None:
+        self.assert_problem(self.drive(b"\x16\x03\x01 hello\r\n\r\n"), 422, "invalid_request")
+
+    @settings(derandomize=True, max_examples=100, deadline=None)
+    @given(st.lists(st.binary(max_size=40), max_size=5))
+    def test_any_bytes_end_in_an_answer_or_a_closed_connection(self, chunks: list[bytes]) -> None:
+        transport = self.drive(*chunks)
+        self.assertTrue(transport.is_closing() or transport.written.startswith(b"HTTP/1.1 "))
--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,45 @@
+"""Tests of metrics and of what must exist for each reason of a refusal."""
+
+import unittest
+from pathlib import Path
+
+from pollengate.refusals import Reason
+from pollengated.metrics import Metrics
+from pollengated.problems import STATUS_BY_REASON
+
+REFUSALS_PAGE = Path(__file__).parent.parent / "docs" / "operators" / "refusals.md"
+
+
+class MetricsTest(unittest.TestCase):
+    """Checks the exposition of a fresh process."""
+
+    def test_every_reason_has_a_refusal_and_a_retry_counter_at_zero(self) -> None:
+        text = Metrics().export().decode()
+        for reason in Reason:
+            with self.subTest(reason=reason):
+                self.assertIn(f'pollengate_refusals_total{{reason="{reason}"}} 0.0', text)
+                self.assertIn(f'pollengate_retries_total{{reason="{reason}"}} 0.0', text)
+
+    def test_every_reason_has_an_error_status(self) -> None:
+        self.assertEqual(set(Reason), set(STATUS_BY_REASON))
+        for status in STATUS_BY_REASON.values():
+            self.assertTrue(400 <= status < 600)
+
+    def test_every_reason_has_a_line_for_operators_with_its_status(self) -> None:
+        lines = REFUSALS_PAGE.read_text().splitlines()
+        for reason in Reason:
+            with self.subTest(reason=reason):
+                prefix = f"| `{reason}` | {STATUS_BY_REASON[reason]} |"
+                self.assertEqual(1, sum(line.startswith(prefix) for line in lines))
+
+    def test_counts_refusals_by_reason(self) -> None:
+        metrics = Metrics()
+        metrics.count_refusal(Reason.NO_OWNER)
+        metrics.count_refusal(Reason.NO_OWNER)
+        self.assertEqual({"no_owner": 2}, metrics.refusals_by_reason())
+
+    def test_counts_retries_by_reason(self) -> None:
+        metrics = Metrics()
+        metrics.count_retry(Reason.NO_BACKEND)
+        text = metrics.export().decode()
+        self.assertIn('pollengate_retries_total{reason="no_backend"} 1.0', text)
--- a/tests/utils.py
+++ b/tests/utils.py
@@ -7,8 +7,9 @@
 import looptime
 from pollengate.jobs import JobSpec, Resources
 from pollengate.virtual_machines import VirtualMachine, VmKind, VmState
+from pollengate_settings import Settings
 
-__all__ = ["build_spec", "build_worker", "run_virtual"]
+__all__ = ["build_settings", "build_spec", "build_worker", "run_virtual"]
 
 T = TypeVar("T")
 LOOP_END_S = 36_000.0
@@ -20,10 +21,20 @@
     try:
         return loop.run_until_complete(main)
     finally:
+        loop.run_until_complete(_cancel_leftovers())
         asyncio.set_event_loop(None)
         loop.close()
 
 
+async def _cancel_leftovers() -> None:
+    """Ends the tasks that a test left running, so that none is destroyed while pending."""
+    leftovers = asyncio.all_tasks() - {asyncio.current_task()}
+    for task in leftovers:
+        task.cancel()
+    await asyncio.gather(*leftovers, return_exceptions=True)
+    await asyncio.get_running_loop().shutdown_asyncgens()
+
+
 def build_spec(job_id: str = "job", **changes: Any) -> JobSpec:
     """Returns a job of one small task."""
     fields: dict[str, Any] = {
@@ -48,3 +59,16 @@
         "memory_mb": 1000,
     }
     return VirtualMachine(**(fields | changes))
+
+
+def build_settings(**changes: Any) -> Settings:
+    """Returns the settings of a process on loopback."""
+    fields: dict[str, Any] = {
+        "process_id": "gate-1",
+        "zone": "a",
+        "http_address": "127.0.0.1:8080",
+        "rpc_address": "127.0.0.1:8081",
+        "store_address": "127.0.0.1:2379",
+        "vm_list_address": "127.0.0.1:8000",
+    }
+    return Settings(**(fields | changes))
