--- a/packages/pollengate-cli/pollengate_cli/client.py
+++ b/packages/pollengate-cli/pollengate_cli/client.py
@@ -1,33 +1,42 @@
-"""HTTP client of a gate."""
+"""HTTP client of a deployment's gates."""
 
+import json
+from collections.abc import Sequence
 from typing import Any
 
 import httpx
 from result import Err, Ok, Result
 
-__all__ = ["Failure", "GateClient"]
+from pollengate_cli.failures import (
+    MALFORMED_ANSWER,
+    NO_ANSWER,
+    NO_GATE,
+    NOT_RUN,
+    UNKNOWN,
+    Failure,
+    failure_from_problem,
+)
 
-CALL_TIMEOUT_S = 10.0
+__all__ = ["GateClient"]
 
-
-class Failure:
-    """A call that a gate refused or did not answer.
-
-    Attributes:
-        status: HTTP status, 0 without an answer.
-        document: the problem document.
-    """
-
-    def __init__(self, status: int, document: dict[str, Any]) -> None:
-        self.status = status
-        self.document = document
+CALL_TIMEOUT_S = 15.0
+CONNECT_TIMEOUT_S = 3.0
+REQUEST_ID_HEADER = "Pollengate-Request-Id"
 
 
 class GateClient:
-    """Calls one gate."""
+    """Calls the first of some gates that accepts a connection.
+
+    A call goes to the next gate only where the one before can't have got it, that is, where no
+    connection came about.
+    """
 
-    def __init__(self, address: str) -> None:
-        self._client = httpx.Client(base_url=f"http://{address}", timeout=CALL_TIMEOUT_S)
+    def __init__(
+        self, addresses: Sequence[str], transport: httpx.BaseTransport | None = None
+    ) -> None:
+        self._addresses = tuple(addresses)
+        timeout = httpx.Timeout(CALL_TIMEOUT_S, connect=CONNECT_TIMEOUT_S)
+        self._client = httpx.Client(timeout=timeout, transport=transport)
 
     def call(
         self,
@@ -37,12 +46,38 @@
         headers: dict[str, str] | None = None,
     ) -> Result[Any, Failure]:
         """Makes one call and decodes its JSON answer."""
-        try:
-            response = self._client.request(method, path, json=body, headers=headers)
-        except httpx.HTTPError as error:
-            detail = f"the gate did not answer: {error}"
-            return Err(Failure(0, {"detail": detail, "reason": "gate_unreachable"}))
+        for address in self._addresses:
+            try:
+                response = self._client.request(
+                    method, f"http://{address}{path}", json=body, headers=headers
+                )
+            except (httpx.ConnectError, httpx.ConnectTimeout):
+                continue
+            except httpx.HTTPError as error:
+                return Err(_no_answer(method, address, error))
+            return _decode(method, response)
+        tried = ", ".join(self._addresses)
+        return Err(Failure(NOT_RUN, NO_GATE, f"no gate accepts a connection; tried {tried}"))
+
+
+def _no_answer(method: str, address: str, error: httpx.HTTPError) -> Failure:
+    # A read changes nothing, whether the gate got it or not.
+    outcome = NOT_RUN if method == "GET" else UNKNOWN
+    reason = NO_GATE if method == "GET" else NO_ANSWER
+    detail = f"gate {address} did not answer: {type(error).__name__}"
+    return Failure(outcome, reason, detail)
+
+
+def _decode(method: str, response: httpx.Response) -> Result[Any, Failure]:
+    request_id = response.headers.get(REQUEST_ID_HEADER, "")
+    try:
         document = response.json()
-        if response.is_error:
-            return Err(Failure(response.status_code, document))
+    except (json.JSONDecodeError, UnicodeDecodeError):
+        outcome = NOT_RUN if method == "GET" else UNKNOWN
+        detail = f"the answer with status {response.status_code} is no JSON document"
+        return Err(Failure(outcome, MALFORMED_ANSWER, detail, response.status_code))
+    if response.is_success:
         return Ok(document)
+    problem = document if isinstance(document, dict) else {}
+    retry_after = response.headers.get("Retry-After")
+    return Err(failure_from_problem(response.status_code, problem, retry_after, request_id))
--- /dev/null
+++ b/packages/pollengate-cli/pollengate_cli/failures.py
@@ -0,0 +1,103 @@
+"""Calls that were refused or got no answer, and what to do next."""
+
+import dataclasses
+from typing import Any
+
+from pollengate_cli.exit_codes import ExitCode
+
+__all__ = ["FieldFault", "Failure", "failure_from_problem", "next_step"]
+
+NOT_RUN = "not_run"
+UNKNOWN = "unknown"
+
+NO_GATE = "no_gate"
+NO_ANSWER = "no_answer"
+MALFORMED_ANSWER = "malformed_answer"
+
+_NEXT_STEP_BY_REASON = {
+    "configuration_stale": "look at `pollengate status`: a zone is cut off or the store is down",
+    "internal_error": "look for the request id in the gate's log",
+    "invalid_request": "correct the fields and repeat",
+    "method_not_allowed": "the gate is of another version than this command; update one of them",
+    "no_backend": "look at the service's backend servers, then repeat",
+    "no_owner": "repeat in some seconds; if it lasts, look at `pollengate status`",
+    "not_found": "check the name with `pollengate task list`, `service list` or `zone list`",
+    "queue_full": "submit later, or raise limits.max_queued_tasks with `pollengate config patch`",
+    "stopping": "repeat with another --gate",
+    "store_unavailable": "repeat once the platform's store answers",
+    "task_conflict": "choose another task id; this one is taken by another task",
+    "version_conflict": "read `pollengate config get`, check the change, repeat with --version",
+    "version_required": "the gate is of another version than this command; update one of them",
+    NO_GATE: "check the addresses given with --gate or POLLENGATE_GATE",
+    MALFORMED_ANSWER: "check that the address is a gate's, and that both are of one version",
+}
+_NEXT_STEP_UNKNOWN = "find out with a `get`, `show` or `list` before repeating"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FieldFault:
+    """A faulty field of a request."""
+
+    field: str
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failure:
+    """A call that a gate refused or did not answer.
+
+    Attributes:
+        outcome: `not_run`, `unknown` or `failed`.
+        reason: why, as in the gate's metrics, or a reason of the command line's own.
+        detail: one sentence for a person.
+        status: HTTP status, 0 without an answer.
+        retry_after_s: seconds after which a retry may help.
+        fields: faulty fields.
+        request_id: finds the request in the logs.
+    """
+
+    outcome: str
+    reason: str
+    detail: str
+    status: int = 0
+    retry_after_s: int | None = None
+    fields: tuple[FieldFault, ...] = ()
+    request_id: str = ""
+
+    def exit_code(self) -> ExitCode:
+        """Returns the exit code of a command that ends with this failure."""
+        if self.outcome != NOT_RUN:
+            return ExitCode.UNKNOWN
+        if self.reason == NO_GATE:
+            return ExitCode.UNREACHABLE
+        if self.reason == "version_conflict":
+            return ExitCode.CONFLICT
+        return ExitCode.REFUSED
+
+
+def failure_from_problem(
+    status: int, document: dict[str, Any], retry_after: str | None, request_id: str
+) -> Failure:
+    """Decodes a problem document; one without an outcome has an unknown one."""
+    listed = document.get("fields")
+    fields = tuple(
+        FieldFault(str(entry.get("field", "")), str(entry.get("detail", "")))
+        for entry in (listed if isinstance(listed, list) else ())
+        if isinstance(entry, dict)
+    )
+    return Failure(
+        outcome=str(document.get("outcome", UNKNOWN)),
+        reason=str(document.get("reason", f"http_{status}")),
+        detail=str(document.get("detail", f"the answer has status {status}")),
+        status=status,
+        retry_after_s=int(retry_after) if retry_after and retry_after.isdecimal() else None,
+        fields=fields,
+        request_id=request_id,
+    )
+
+
+def next_step(failure: Failure) -> str:
+    """Says what to do next, empty where there is nothing to say."""
+    if failure.outcome != NOT_RUN and failure.reason != MALFORMED_ANSWER:
+        return _NEXT_STEP_UNKNOWN
+    return _NEXT_STEP_BY_REASON.get(failure.reason, "")
--- a/packages/pollengate-cli/pollengate_cli/porcelain.py
+++ b/packages/pollengate-cli/pollengate_cli/porcelain.py
@@ -1,64 +1,173 @@
-"""What the command line does, as functions."""
-
-from typing import Any
-
-from result import Err, Result
-
-from pollengate_cli.client import Failure, GateClient
+"""What the command line does, as functions with typed results."""
+
+import dataclasses
+import uuid
+from collections.abc import Callable
+from typing import Any, TypeVar
+from urllib.parse import quote
+
+from result import Err, Ok, Result
+
+from pollengate_cli.client import GateClient
+from pollengate_cli.failures import MALFORMED_ANSWER, NOT_RUN, UNKNOWN, Failure
+from pollengate_cli.views import (
+    AcceptedPatchView,
+    ConfigurationView,
+    HistoryEntryView,
+    ServiceView,
+    StatusView,
+    TaskSubmission,
+    TaskView,
+    ZoneView,
+    status_from_document,
+    task_from_document,
+    view,
+    views,
+)
 
 __all__ = [
+    "Patch",
     "cancel_task",
     "get_configuration",
+    "get_history",
+    "get_schema",
     "get_status",
+    "list_services",
     "list_tasks",
+    "list_zones",
+    "new_idempotency_key",
     "patch_configuration",
-    "set_zone",
+    "patch_zone",
     "show_task",
     "submit_task",
 ]
 
+T = TypeVar("T")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Patch:
+    """A merge patch, the version that it is against and the key that makes it idempotent."""
+
+    version: int
+    document: dict[str, Any]
+    idempotency_key: str
+
 
-def get_configuration(gate: GateClient) -> Result[Any, Failure]:
+def new_idempotency_key() -> str:
+    """Returns a key for one patch."""
+    return str(uuid.uuid4())
+
+
+def get_configuration(gate: GateClient) -> Result[ConfigurationView, Failure]:
     """Returns the configuration with its version."""
-    return gate.call("GET", "/config")
+    return _read(gate, "/config", lambda document: view(ConfigurationView, document))
+
+
+def get_schema(gate: GateClient) -> Result[dict[str, Any], Failure]:
+    """Returns the JSON schema of the configuration."""
+    return _read(gate, "/config/schema", dict)
+
+
+def get_history(gate: GateClient) -> Result[tuple[HistoryEntryView, ...], Failure]:
+    """Returns the accepted patches that are kept, the newest first."""
+    return _read(gate, "/config/history", lambda document: views(HistoryEntryView, document))
 
 
-def patch_configuration(
-    gate: GateClient, version: int, patch: dict[str, Any]
-) -> Result[Any, Failure]:
-    """Applies a merge patch to a version of the configuration."""
-    return gate.call("PATCH", "/config", patch, {"If-Match": f'"{version}"'})
+def patch_configuration(gate: GateClient, patch: Patch) -> Result[AcceptedPatchView, Failure]:
+    """Applies a merge patch; the same key may be sent again without a second effect."""
+    headers = {"If-Match": f'"{patch.version}"', "Idempotency-Key": patch.idempotency_key}
+    answer = gate.call("PATCH", "/config", patch.document, headers)
+    return _decode(
+        answer,
+        lambda document: AcceptedPatchView(document["version"], patch.idempotency_key),
+        UNKNOWN,
+    )
 
 
-def set_zone(gate: GateClient, zone: str, in_service: bool) -> Result[Any, Failure]:
-    """Takes an availability zone out of service or brings it back."""
+def patch_zone(
+    gate: GateClient, zone: str, in_service: bool, version: int | None, idempotency_key: str
+) -> Result[AcceptedPatchView, Failure]:
+    """Takes an availability zone out of service or brings it back.
+
+    Args:
+        gate: where to send the patch.
+        zone: a configured zone.
+        in_service: whether tasks may start there.
+        version: the version that the patch is against, None for the one read now.
+        idempotency_key: makes the patch idempotent.
+    """
     current = get_configuration(gate)
     if isinstance(current, Err):
         return current
-    patch = {"zones": {zone: {"in_service": in_service}}}
-    return patch_configuration(gate, current.ok_value["version"], patch)
+    zones = current.ok_value.configuration.get("zones", {})
+    if zone not in zones:
+        known = ", ".join(sorted(zones)) or "none"
+        detail = f"zone {zone!r} is not configured; configured: {known}"
+        return Err(Failure(NOT_RUN, "not_found", detail))
+    against = current.ok_value.version if version is None else version
+    document = {"zones": {zone: {"in_service": in_service}}}
+    return patch_configuration(gate, Patch(against, document, idempotency_key))
+
+
+def list_zones(gate: GateClient) -> Result[tuple[ZoneView, ...], Failure]:
+    """Returns the configured zones with what their owners report."""
+    return get_status(gate).map(lambda status: status.zones)
+
+
+def list_services(gate: GateClient) -> Result[tuple[ServiceView, ...], Failure]:
+    """Returns the configured services, by name."""
+
+    def services(document: dict[str, Any]) -> tuple[ServiceView, ...]:
+        by_name = document["configuration"]["services"]
+        return views(ServiceView, ({"name": n} | by_name[n] for n in sorted(by_name)))
+
+    return _read(gate, "/config", services)
 
 
-def submit_task(gate: GateClient, task_id: str, task: dict[str, Any]) -> Result[Any, Failure]:
-    """Submits a batch task or array."""
-    return gate.call("PUT", f"/tasks/{task_id}", task)
+def submit_task(
+    gate: GateClient, task_id: str, submission: TaskSubmission
+) -> Result[TaskView, Failure]:
+    """Submits a batch task or array; the same submission may be sent again."""
+    answer = gate.call("PUT", _task_path(task_id), dataclasses.asdict(submission))
+    return _decode(answer, task_from_document, UNKNOWN)
 
 
-def show_task(gate: GateClient, task_id: str) -> Result[Any, Failure]:
+def show_task(gate: GateClient, task_id: str) -> Result[TaskView, Failure]:
     """Shows a batch task."""
-    return gate.call("GET", f"/tasks/{task_id}")
+    return _read(gate, _task_path(task_id), task_from_document)
 
 
-def list_tasks(gate: GateClient) -> Result[Any, Failure]:
+def list_tasks(gate: GateClient) -> Result[tuple[TaskView, ...], Failure]:
     """Lists batch tasks."""
-    return gate.call("GET", "/tasks")
+    return _read(gate, "/tasks", lambda documents: tuple(map(task_from_document, documents)))
 
 
-def cancel_task(gate: GateClient, task_id: str) -> Result[Any, Failure]:
-    """Cancels a batch task."""
-    return gate.call("DELETE", f"/tasks/{task_id}")
+def cancel_task(gate: GateClient, task_id: str) -> Result[TaskView, Failure]:
+    """Cancels a batch task; it may be sent again."""
+    return _decode(gate.call("DELETE", _task_path(task_id)), task_from_document, UNKNOWN)
 
 
-def get_status(gate: GateClient) -> Result[Any, Failure]:
+def get_status(gate: GateClient) -> Result[StatusView, Failure]:
     """Returns the status of the whole system as one gate sees it."""
-    return gate.call("GET", "/status")
+    return _read(gate, "/status", status_from_document)
+
+
+def _task_path(task_id: str) -> str:
+    return f"/tasks/{quote(task_id, safe='')}"
+
+
+def _read(gate: GateClient, path: str, decode: Callable[[Any], T]) -> Result[T, Failure]:
+    return _decode(gate.call("GET", path), decode, NOT_RUN)
+
+
+def _decode(
+    answer: Result[Any, Failure], decode: Callable[[Any], T], outcome: str
+) -> Result[T, Failure]:
+    if isinstance(answer, Err):
+        return answer
+    try:
+        return Ok(decode(answer.ok_value))
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        detail = f"the answer is not of the expected form: {error}"
+        return Err(Failure(outcome, MALFORMED_ANSWER, detail))
--- /dev/null
+++ b/packages/pollengate-cli/pollengate_cli/task_commands.py
@@ -0,0 +1,61 @@
+"""`pollengate task`: batch tasks."""
+
+from typing import Any
+
+import click
+
+from pollengate_cli import porcelain
+from pollengate_cli.client import GateClient
+from pollengate_cli.output import json_option, show
+from pollengate_cli.views import TaskSubmission
+
+__all__ = ["task"]
+
+
+@click.group()
+def task() -> None:
+    """Batch tasks."""
+
+
+@task.command("submit")
+@click.argument("task_id")
+@click.option("--team", required=True, help="Whose quota it counts against.")
+@click.option("--task-class", default="default", show_default=True, help="Tasks of a kind.")
+@click.option("--cores", default=1, show_default=True, help="Of each task.")
+@click.option("--memory-mb", default=1000, show_default=True, help="Of each task.")
+@click.option("--accelerators", default=0, show_default=True, help="Of each task.")
+@click.option("--count", default=1, show_default=True, help="Number of like tasks.")
+@click.option("--duration-ms", default=1000, show_default=True, help="Declared run time.")
+@click.option("--idempotent/--non-idempotent", default=True, help="May it run again?")
+@click.option("--urgent", is_flag=True, help="Goes ahead of other work.")
+@json_option
+@click.pass_obj
+def submit(gate: GateClient, /, task_id: str, as_json: bool, **options: Any) -> None:
+    """Submits a task or an array of COUNT tasks; repeating it is harmless."""
+    show(porcelain.submit_task(gate, task_id, TaskSubmission(**options)), as_json)
+
+
+@task.command("show")
+@click.argument("task_id")
+@json_option
+@click.pass_obj
+def show_one(gate: GateClient, task_id: str, as_json: bool) -> None:
+    """Shows a task."""
+    show(porcelain.show_task(gate, task_id), as_json)
+
+
+@task.command("list")
+@json_option
+@click.pass_obj
+def list_all(gate: GateClient, as_json: bool) -> None:
+    """Lists tasks."""
+    show(porcelain.list_tasks(gate), as_json, empty="no task is known")
+
+
+@task.command("cancel")
+@click.argument("task_id")
+@json_option
+@click.pass_obj
+def cancel(gate: GateClient, task_id: str, as_json: bool) -> None:
+    """Cancels a task; repeating it is harmless."""
+    show(porcelain.cancel_task(gate, task_id), as_json)
