--- a/packages/pollengate-net/pollengate_net/request_ids.py
+++ b/packages/pollengate-net/pollengate_net/request_ids.py
@@ -3,6 +3,7 @@
 import contextvars
 import re
 import uuid
+from collections.abc import Callable
 
 from grpclib.client import Channel
 from grpclib.events import RecvRequest, SendRequest, listen
@@ -49,12 +50,18 @@
     listen(channel, SendRequest, attach)
 
 
-def trace_server(server: Server) -> None:
-    """Makes the id that a call carries the current one while it is served."""
+def trace_server(server: Server, on_call: Callable[[str], None]) -> None:
+    """Makes the id that a call carries the current one while it is served.
+
+    Args:
+        server: a server that isn't started yet.
+        on_call: is told the method of each call that carries an id.
+    """
 
     async def adopt(event: RecvRequest) -> None:
         offered = event.metadata.get(REQUEST_ID_KEY)
         if isinstance(offered, str):
             adopt_request_id(offered)
+            on_call(event.method_name)
 
     listen(server, RecvRequest, adopt)
--- /dev/null
+++ b/packages/pollengated/pollengated/call_log.py
@@ -0,0 +1,24 @@
+"""Logs the calls that a scheduler serves for a caller's request."""
+
+from pollengated.logs import Log
+
+__all__ = ["CallLog"]
+
+_READS = frozenset({"Show", "List", "Status"})
+
+
+class CallLog:
+    """Writes a line a call; calls that only read are logged at "debug"."""
+
+    def __init__(self, part: str) -> None:
+        self._log = Log(part)
+
+    def write(self, method_name: str) -> None:
+        """Logs a call.
+
+        Args:
+            method_name: as gRPC spells it, `/package.Service/Method`.
+        """
+        method = method_name.rpartition("/")[2]
+        write = self._log.debug if method in _READS else self._log.info
+        write("call received", method=method)
--- a/packages/pollengated/pollengated/compose.py
+++ b/packages/pollengated/pollengated/compose.py
@@ -13,6 +13,7 @@
 from pollengate_net.request_ids import trace_server
 from pollengate_net.scheduler_client import SchedulerClient
 
+from pollengated.call_log import CallLog
 from pollengated.configuration_follower import ConfigurationFollower
 from pollengated.configuration_patches import ConfigurationPatcher
 from pollengated.http_configuration import configuration_router
@@ -85,7 +86,7 @@
     )
     service = SchedulerService(settings.process_id, settings.zone, [owner], follower)
     server = Server([service, HeartbeatService([owner])])
-    trace_server(server)
+    trace_server(server, CallLog("scheduler").write)
     app = create_app([health_router(Readiness(follower), metrics)], settings, metrics)
     await server.start(*split_address(settings.rpc_address))
     Log("scheduler").info("serving", address=settings.rpc_address)
--- a/packages/pollengated/pollengated/http_tasks.py
+++ b/packages/pollengated/pollengated/http_tasks.py
@@ -108,7 +108,8 @@
 
 def _invalid(error: pydantic.ValidationError) -> Refusal:
     fields = tuple(
-        (".".join(str(part) for part in entry["loc"]), entry["msg"]) for entry in error.errors()
+        (".".join(str(part) for part in entry["loc"]) or "body", entry["msg"])
+        for entry in error.errors()
     )
     return Refusal(Outcome.NOT_RUN, Reason.INVALID_REQUEST, "the task is invalid", fields=fields)
 
--- a/packages/pollengated/pollengated/metrics.py
+++ b/packages/pollengated/pollengated/metrics.py
@@ -7,11 +7,14 @@
     Gauge,
     Histogram,
     ProcessCollector,
+    disable_created_metrics,
     generate_latest,
 )
 
 __all__ = ["Metrics"]
 
+disable_created_metrics()
+
 
 class Metrics:
     """Every metric that the daemon exports."""
--- a/packages/pollengated/pollengated/request_tracing.py
+++ b/packages/pollengated/pollengated/request_tracing.py
@@ -1,4 +1,7 @@
-"""ASGI middleware: gives each request an id and writes a line about it."""
+"""ASGI middleware: gives each request an id and writes a line about it.
+
+Changes of tasks and of the configuration and failures are logged at "info", all else at "debug".
+"""
 
 import time
 
@@ -12,6 +15,8 @@
 
 _HEADER = REQUEST_ID_KEY.encode()
 _SERVER_ERROR = 500
+_CHANGES = frozenset({"PUT", "PATCH", "DELETE"})
+_SERVICES_PREFIX = "/services/"
 
 
 class RequestTracing:
@@ -46,6 +51,8 @@
         self._write(scope["method"], scope["path"], status, time.perf_counter() - began_at)
 
     def _write(self, method: str, path: str, status: int, seconds: float) -> None:
-        write = self._log.info if status >= _SERVER_ERROR else self._log.debug
+        is_change = method in _CHANGES and not path.startswith(_SERVICES_PREFIX)
+        is_noteworthy = is_change or status >= _SERVER_ERROR
+        write = self._log.info if is_noteworthy else self._log.debug
         duration_ms = round(seconds * 1000, 1)
         write("request answered", method=method, path=path, status=status, duration_ms=duration_ms)
--- a/scripts/local_run.py
+++ b/scripts/local_run.py
@@ -1,10 +1,11 @@
 """Starts the whole system on loopback, drives it over HTTP and stops it.
 
-With --serve it leaves the system up until interrupted.
+With --serve it leaves the system up until interrupted. Logs and settings stand in `run/`.
 """
 
 import dataclasses
 import json
+import os
 import signal
 import socket
 import subprocess
@@ -17,25 +18,58 @@
 import httpx
 
 BIN = Path(sys.executable).parent
+RUN_DIRECTORY = Path(__file__).parent.parent / "run"
 HOST = "127.0.0.1"
 ZONES = ("lima-sur-a", "lima-sur-b", "lima-sur-c")
 SERVICE = "scoring"
+GATES_PER_ZONE = 2
+SCHEDULERS_PER_ZONE = 2
+WORKERS_PER_ZONE = 3
+BACKENDS_PER_ZONE = 2
 READY_TIMEOUT_S = 60.0
 POLL_INTERVAL_S = 0.1
 STOP_TIMEOUT_S = 20.0
-# Longer than the brief's "a few seconds" after which a zone that is out gets no start.
+# Longer than the few seconds after which a zone that is out gets no start.
 ZONE_OUT_WAIT_S = 4.0
+ARRAYS_WHILE_OUT = 6
+TASKS_PER_ARRAY = 4
+MAX_TASKS_UNTIL_BACK = 50
 
 
 @dataclasses.dataclass(slots=True)
 class Deployment:
     """Processes that this script started and the addresses that it gave them."""
 
-    directory: Path
-    processes: list[subprocess.Popen[bytes]]
-    gates: list[str]
     store: str
     vm_list: str
+    processes_by_name: dict[str, subprocess.Popen[bytes]] = dataclasses.field(default_factory=dict)
+    gates: list[str] = dataclasses.field(default_factory=list)
+
+    def start(self, name: str, *command: str) -> None:
+        """Starts one process with its log in the run directory."""
+        log = (RUN_DIRECTORY / f"{name}.log").open("wb")
+        arguments = [str(BIN / command[0]), *command[1:]]
+        self.processes_by_name[name] = subprocess.Popen(arguments, stdout=log, stderr=log)
+
+    def check(self) -> None:
+        """Ends the run if a process has ended.
+
+        Raises:
+            SystemExit: one has.
+        """
+        for name, process in self.processes_by_name.items():
+            if process.poll() is not None:
+                raise SystemExit(f"{name} ended with {process.returncode}, see run/{name}.log")
+
+    def stop(self) -> None:
+        """Stops every process that this script started."""
+        for process in reversed(self.processes_by_name.values()):
+            process.send_signal(signal.SIGTERM)
+        for process in self.processes_by_name.values():
+            try:
+                process.wait(STOP_TIMEOUT_S)
+            except subprocess.TimeoutExpired:
+                process.kill()
 
 
 def free_addresses(count: int) -> list[str]:
@@ -49,68 +83,26 @@
     return addresses
 
 
-def start(deployment: Deployment, name: str, *command: str) -> None:
-    """Starts one process with its log in the run directory."""
-    log = (deployment.directory / f"{name}.log").open("wb")
-    process = subprocess.Popen([str(BIN / command[0]), *command[1:]], stdout=log, stderr=log)
-    deployment.processes.append(process)
-
-
-def write_settings(deployment: Deployment, name: str, zone: str, http: str, rpc: str) -> str:
-    """Writes the settings file of one process and returns its path."""
-    path = deployment.directory / f"{name}.toml"
-    path.write_text(
-        f'[process]\nid = "{name}"\nzone = "{zone}"\n'
-        f'[listen]\nhttp = "{http}"\nrpc = "{rpc}"\n'
-        f'[platform]\nstore = "{deployment.store}"\nvm_list = "{deployment.vm_list}"\n'
-    )
-    return str(path)
-
-
 def start_platform(deployment: Deployment) -> None:
     """Starts the store, the VM list, workers and backend servers."""
-    start(deployment, "store", "pollengate-standins", "store", "--address", deployment.store)
+    stand_in = "pollengate-standins"
+    deployment.start("store", stand_in, "store", "--address", deployment.store)
     machines = []
     for zone in ZONES:
-        for number in range(3):
-            vm_id, address = f"worker-{zone}-{number}", free_addresses(1)[0]
+        addresses = free_addresses(WORKERS_PER_ZONE + BACKENDS_PER_ZONE)
+        for number, address in enumerate(addresses[:WORKERS_PER_ZONE]):
+            name = f"worker-{zone}-{number}"
             sizes = {"cores": 64, "memory_mb": 250_000, "accelerators": 0}
-            machines.append(machine(vm_id, zone, "worker", address) | sizes)
-            start(
-                deployment,
-                vm_id,
-                "pollengate-standins",
-                "worker",
-                "--address",
-                address,
-                "--id",
-                vm_id,
-            )
-        for number in range(2):
-            vm_id, address = f"backend-{zone}-{number}", free_addresses(1)[0]
-            machines.append(machine(vm_id, zone, "backend", address) | {"service": SERVICE})
-            start(
-                deployment,
-                vm_id,
-                "pollengate-standins",
-                "backend",
-                "--address",
-                address,
-                "--service",
-                SERVICE,
-            )
-    listing = deployment.directory / "vms.json"
+            machines.append(machine(name, zone, "worker", address) | sizes)
+            deployment.start(name, stand_in, "worker", "--address", address, "--id", name)
+        for number, address in enumerate(addresses[WORKERS_PER_ZONE:]):
+            name = f"backend-{zone}-{number}"
+            machines.append(machine(name, zone, "backend", address) | {"service": SERVICE})
+            deployment.start(name, stand_in, "backend", "--address", address, "--service", SERVICE)
+    listing = RUN_DIRECTORY / "vms.json"
     listing.write_text(json.dumps(machines))
-    start(
-        deployment,
-        "vm-list",
-        "pollengate-standins",
-        "vm-list",
-        "--address",
-        deployment.vm_list,
-        "--file",
-        str(listing),
-    )
+    options = ("--address", deployment.vm_list, "--file", str(listing))
+    deployment.start("vm-list", stand_in, "vm-list", *options)
 
 
 def machine(vm_id: str, zone: str, kind: str, address: str) -> dict[str, object]:
@@ -126,133 +118,132 @@
 
 
 def start_system(deployment: Deployment) -> None:
-    """Starts two gates and two schedulers a zone."""
+    """Starts the gates and schedulers of every zone."""
     for zone in ZONES:
-        for number in range(2):
-            for role in ("gate", "scheduler"):
-                name = f"{role}-{zone}-{number}"
-                http, rpc = free_addresses(2)
-                path = write_settings(deployment, name, zone, http, rpc)
-                start(deployment, name, "pollengated", role, "--settings", path)
-                if role == "gate":
-                    deployment.gates.append(http)
-
-
-def wait_until(what: str, is_done: Callable[[], bool]) -> None:
-    """Polls until a condition holds.
-
-    Raises:
-        SystemExit: it did not hold in time.
-    """
-    end = time.monotonic() + READY_TIMEOUT_S
-    while time.monotonic() < end:
-        try:
-            if is_done():
+        for number in range(GATES_PER_ZONE):
+            deployment.gates.append(start_role(deployment, "gate", zone, number))
+        for number in range(SCHEDULERS_PER_ZONE):
+            start_role(deployment, "scheduler", zone, number)
+
+
+def start_role(deployment: Deployment, role: str, zone: str, number: int) -> str:
+    """Starts one process of the system and returns its HTTP address."""
+    name = f"{role}-{zone}-{number}"
+    http, rpc = free_addresses(2)
+    path = RUN_DIRECTORY / f"{name}.toml"
+    path.write_text(
+        f'[process]\nid = "{name}"\nzone = "{zone}"\n'
+        f'[listen]\nhttp = "{http}"\nrpc = "{rpc}"\n'
+        f'[platform]\nstore = "{deployment.store}"\nvm_list = "{deployment.vm_list}"\n'
+    )
+    deployment.start(name, "pollengated", role, "--settings", str(path))
+    return http
+
+
+class Driver:
+    """Drives a deployment as callers and operators do."""
+
+    def __init__(self, deployment: Deployment) -> None:
+        self._deployment = deployment
+        self._gate = httpx.Client(base_url=f"http://{deployment.gates[0]}", timeout=10)
+
+    def run(self) -> None:
+        """Drives every kind of request and prints what was done."""
+        self.wait("gates are ready", self.are_ready)
+        zones = {zone: {"in_service": True} for zone in ZONES}
+        self.wait("first patch", lambda: self.patch({"zones": zones, "services": {SERVICE: {}}}))
+        self.wait("owners", lambda: self.owner_count() == len(ZONES))
+        path = f"/services/{SERVICE}/standings"
+        self.wait("service", lambda: self._gate.get(path).status_code == 200)
+        answer = self._gate.post(f"/services/{SERVICE}/results", json={"winner": "Rojas"})
+        print(f"service request answered: {answer.status_code} {answer.json()}")
+        self.run_task("standings-1")
+        self.take_out_and_bring_back(ZONES[0])
+
+    def take_out_and_bring_back(self, zone: str) -> None:
+        """Takes a zone out, checks that nothing starts there, and brings it back."""
+        self.command("zone", "out", zone)
+        time.sleep(ZONE_OUT_WAIT_S)
+        for number in range(ARRAYS_WHILE_OUT):
+            if self.run_task(f"archive-out-{number}", TASKS_PER_ARRAY) == zone:
+                raise SystemExit(f"task started in {zone}, which is out of service")
+        self.command("zone", "in", zone)
+        for number in range(MAX_TASKS_UNTIL_BACK):
+            if self.run_task(f"back-{number}") == zone:
                 return
-        except httpx.HTTPError:
-            pass
-        time.sleep(POLL_INTERVAL_S)
-    raise SystemExit(f"timed out: {what}")
-
-
-def drive(deployment: Deployment) -> None:
-    """Drives every kind of request over HTTP and prints what was done."""
-    gate = httpx.Client(base_url=f"http://{deployment.gates[0]}", timeout=10)
-    wait_until("gate is up", lambda: gate.get("/healthz").status_code == 200)
-    zones = {zone: {"in_service": True} for zone in ZONES}
-    configure(gate, {"zones": zones, "services": {SERVICE: {}}})
-    wait_until("owners", lambda: owner_count(gate) == len(ZONES))
-    wait_until("service", lambda: gate.get(f"/services/{SERVICE}/standings").status_code == 200)
-    answer = gate.post(f"/services/{SERVICE}/results", json={"match": 7, "winner": "Rojas"})
-    print(f"service request answered: {answer.status_code} {answer.json()}")
-    run_task(gate, "standings-1")
-    configure(gate, {"zones": {ZONES[0]: {"in_service": False}}})
-    print(f"zone {ZONES[0]} out of service")
-    time.sleep(ZONE_OUT_WAIT_S)
-    run_array(gate, "archive-out", absent=ZONES[0])
-    configure(gate, {"zones": {ZONES[0]: {"in_service": True}}})
-    print(f"zone {ZONES[0]} back in service")
-    run_until_started_in(gate, ZONES[0])
-
-
-def owner_count(gate: httpx.Client) -> int:
-    """Returns the number of shards whose owner answers."""
-    return sum(int(zone["owners"]) for zone in gate.get("/status").json()["zones"])
-
-
-def configure(gate: httpx.Client, patch: dict[str, object]) -> None:
-    """Patches the configuration against its current version."""
-    wait_until("patch", lambda: try_patch(gate, patch))
-
-
-def try_patch(gate: httpx.Client, patch: dict[str, object]) -> bool:
-    """Patches the configuration once."""
-    version = gate.get("/config").headers["etag"]
-    answer = gate.patch("/config", json=patch, headers={"If-Match": version})
-    return answer.status_code == 200
-
-
-def run_task(gate: httpx.Client, task_id: str, count: int = 1) -> dict[str, object]:
-    """Submits a batch task, waits until it has finished and returns its status."""
-    task = {"team": "league", "cores": 2, "memory_mb": 500, "count": count, "duration_ms": 300}
-    wait_until("submit", lambda: gate.put(f"/tasks/{task_id}", json=task).status_code < 300)
-    status: dict[str, object] = {}
-
-    def is_finished() -> bool:
-        status.update(gate.get(f"/tasks/{task_id}").json())
-        return status.get("state") == "finished"
-
-    wait_until(f"task {task_id}", is_finished)
-    print(f"task {task_id} finished in {status['zone']} with {count} tasks")
-    return status
-
-
-def run_array(gate: httpx.Client, prefix: str, absent: str) -> None:
-    """Runs arrays and checks that none ran in a zone that is out of service."""
-    for number in range(6):
-        status = run_task(gate, f"{prefix}-{number}", count=4)
-        if status["zone"] == absent:
-            raise SystemExit(f"task started in {absent}, which is out of service")
-
-
-def run_until_started_in(gate: httpx.Client, zone: str) -> None:
-    """Submits tasks until one runs in a zone."""
-    for number in range(50):
-        if run_task(gate, f"back-{number}")["zone"] == zone:
-            return
-    raise SystemExit(f"no task started in {zone}")
-
-
-def stop(deployment: Deployment) -> None:
-    """Stops the processes that this script started."""
-    for process in reversed(deployment.processes):
-        process.send_signal(signal.SIGTERM)
-    for process in deployment.processes:
-        try:
-            process.wait(STOP_TIMEOUT_S)
-        except subprocess.TimeoutExpired:
-            process.kill()
+        raise SystemExit(f"no task started in {zone}")
+
+    def are_ready(self) -> bool:
+        """Tells whether every gate is ready."""
+        addresses = self._deployment.gates
+        return all(httpx.get(f"http://{a}/readyz").status_code == 200 for a in addresses)
+
+    def patch(self, patch: dict[str, object]) -> bool:
+        """Patches the configuration once against its current version."""
+        version = self._gate.get("/config").headers["etag"]
+        headers = {"If-Match": version, "Idempotency-Key": os.urandom(8).hex()}
+        return self._gate.patch("/config", json=patch, headers=headers).status_code == 200
+
+    def owner_count(self) -> int:
+        """Returns the number of shards whose owner answers."""
+        return sum(int(zone["owners"]) for zone in self._gate.get("/status").json()["zones"])
+
+    def run_task(self, task_id: str, count: int = 1) -> str:
+        """Submits a task, waits until it has finished and returns its zone."""
+        task = {"team": "league", "cores": 2, "memory_mb": 500, "count": count, "duration_ms": 300}
+        path = f"/tasks/{task_id}"
+        self.wait(f"submit {task_id}", lambda: self._gate.put(path, json=task).is_success)
+        self.wait(
+            f"finish {task_id}", lambda: self._gate.get(path).json().get("state") == "finished"
+        )
+        zone = str(self._gate.get(path).json()["zone"])
+        print(f"task {task_id} finished in {zone} with {count} tasks")
+        return zone
+
+    def command(self, *arguments: str) -> None:
+        """Runs the command line against every gate's address."""
+        environment = os.environ | {"POLLENGATE_GATE": " ".join(self._deployment.gates)}
+        command = [str(BIN / "pollengate"), *arguments]
+        print("$ pollengate " + " ".join(arguments), flush=True)
+        subprocess.run(command, env=environment, check=True)
+
+    def wait(self, what: str, is_done: Callable[[], bool]) -> None:
+        """Polls until a condition holds.
+
+        Raises:
+            SystemExit: it did not hold in time, or a process ended.
+        """
+        end = time.monotonic() + READY_TIMEOUT_S
+        while time.monotonic() < end:
+            self._deployment.check()
+            try:
+                if is_done():
+                    return
+            except (httpx.HTTPError, ValueError):
+                pass
+            time.sleep(POLL_INTERVAL_S)
+        raise SystemExit(f"timed out: {what}")
 
 
 @click.command()
 @click.option("--serve", is_flag=True, help="Leave the system up until interrupted.")
 def main(serve: bool) -> None:
     """Runs the whole system on loopback."""
-    directory = Path("run")
-    directory.mkdir(exist_ok=True)
+    RUN_DIRECTORY.mkdir(exist_ok=True)
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     store, vm_list = free_addresses(2)
-    deployment = Deployment(directory, [], [], store, vm_list)
+    deployment = Deployment(store, vm_list)
     try:
         start_platform(deployment)
         start_system(deployment)
-        drive(deployment)
+        Driver(deployment).run()
         if serve:
-            print("gates: " + " ".join(deployment.gates))
+            print(f'export POLLENGATE_GATE="{" ".join(deployment.gates)}"', flush=True)
             signal.pause()
     except KeyboardInterrupt:
         print("stopping")
     finally:
-        stop(deployment)
+        deployment.stop()
     print("done")
 
 
--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -106,6 +106,7 @@
 
 def main(arguments: list[str], known_red: Path = KNOWN_RED) -> int:
     """Runs the tests that the arguments of nose2 choose; returns the exit code."""
+    sys.path.insert(0, str(ROOT))
     outcomes = Outcomes()
     hooks = [("startTest", outcomes), ("testOutcome", outcomes)]
     PluggableTestProgram(module=None, argv=["nose2", *arguments], exit=False, extraHooks=hooks)
