--- a/packages/pollengate-net/pollengate_net/grpc_worker.py
+++ b/packages/pollengate-net/pollengate_net/grpc_worker.py
@@ -34,17 +34,20 @@
         self._channel = open_channel(address)
         self._stub = WorkerStub(self._channel)
 
-    async def attach(self, epoch: int, owner_address: str) -> Result[Attachment, WorkerFailure]:
+    async def attach(
+        self, epoch: int, session: int, owner_address: str
+    ) -> Result[Attachment, WorkerFailure]:
         """Makes the worker send its heartbeats to this owner."""
-        request = pb.AttachRequest(epoch=epoch, owner_address=owner_address)
+        request = pb.AttachRequest(epoch=epoch, session=session, owner_address=owner_address)
         reply = await call(self._stub.Attach, request, CALL_TIMEOUT_S)
         return reply.map(attachment_from_message).map_err(_failure)
 
     async def start(
-        self, epoch: int, orders: Sequence[TaskOrder]
+        self, epoch: int, session: int, orders: Sequence[TaskOrder]
     ) -> Result[tuple[TaskAnswer, ...], WorkerFailure]:
         """Starts tasks; each is answered on its own."""
-        request = pb.StartRequest(epoch=epoch, orders=[order_to_message(o) for o in orders])
+        messages = [order_to_message(order) for order in orders]
+        request = pb.StartRequest(epoch=epoch, session=session, orders=messages)
         reply = await call(self._stub.Start, request, CALL_TIMEOUT_S)
         return reply.map(_answers).map_err(_failure)
 
--- a/packages/pollengate-net/pollengate_net/worker_messages.py
+++ b/packages/pollengate-net/pollengate_net/worker_messages.py
@@ -33,12 +33,12 @@
 
 def ref_to_message(ref: TaskRef) -> pb.TaskRef:
     """Encodes a task reference."""
-    return pb.TaskRef(task_id=ref.task_id, attempt=ref.attempt)
+    return pb.TaskRef(task_id=ref.task_id, attempt=ref.attempt, epoch=ref.epoch)
 
 
 def ref_from_message(message: pb.TaskRef) -> TaskRef:
     """Decodes a task reference."""
-    return TaskRef(message.task_id, message.attempt)
+    return TaskRef(message.task_id, message.attempt, message.epoch)
 
 
 def order_to_message(order: TaskOrder) -> pb.TaskOrder:
@@ -54,6 +54,7 @@
         duration_ms=order.duration_ms,
         checkpoint=order.checkpoint,
         task_class=order.task_class,
+        epoch=order.ref.epoch,
     )
 
 
@@ -61,7 +62,7 @@
     """Decodes a start order."""
     sizes = message.resources
     return TaskOrder(
-        ref=TaskRef(message.task_id, message.attempt),
+        ref=TaskRef(message.task_id, message.attempt, message.epoch),
         resources=Resources(sizes.cores, sizes.memory_mb, sizes.accelerators),
         duration_ms=message.duration_ms,
         task_class=message.task_class,
@@ -76,12 +77,13 @@
         attempt=answer.ref.attempt,
         accepted=answer.accepted,
         reason=answer.reason,
+        epoch=answer.ref.epoch,
     )
 
 
 def answer_from_message(message: pb.TaskAnswer) -> TaskAnswer:
     """Decodes a worker's answer to one order."""
-    ref = TaskRef(message.task_id, message.attempt)
+    ref = TaskRef(message.task_id, message.attempt, message.epoch)
     return TaskAnswer(ref, message.accepted, message.reason)
 
 
@@ -108,6 +110,8 @@
         reports=[_report_to_message(report) for report in beat.reports],
         usage=[_usage_to_message(usage) for usage in beat.usage],
         usage_age_ms=round(beat.usage_age_s * 1000),
+        session=beat.session,
+        number=beat.number,
     )
 
 
@@ -119,6 +123,8 @@
         reports=tuple(_report_from_message(report) for report in message.reports),
         usage=tuple(_usage_from_message(usage) for usage in message.usage),
         usage_age_s=message.usage_age_ms / 1000,
+        session=message.session,
+        number=message.number,
     )
 
 
@@ -149,11 +155,12 @@
         state=report.state.value,
         checkpoint=report.checkpoint,
         detail=report.detail,
+        epoch=report.ref.epoch,
     )
 
 
 def _report_from_message(message: pb.TaskReport) -> TaskReport:
-    ref = TaskRef(message.task_id, message.attempt)
+    ref = TaskRef(message.task_id, message.attempt, message.epoch)
     return TaskReport(ref, ReportState(message.state), message.checkpoint, message.detail)
 
 
--- /dev/null
+++ b/packages/pollengate-standins/pollengate_standins/memory_worker.py
@@ -0,0 +1,85 @@
+"""A client of a worker stand-in in the same process, for tests on virtual time."""
+
+import asyncio
+from collections.abc import Sequence
+from typing import TypeVar
+
+from pollengate.worker import (
+    Attachment,
+    TaskAnswer,
+    TaskOrder,
+    TaskRef,
+    WorkerClient,
+    WorkerFailure,
+)
+from result import Err, Ok, Result
+
+from pollengate_standins.worker_model import WorkerModel
+
+__all__ = ["MemoryWorkerClient"]
+
+T = TypeVar("T")
+
+
+class MemoryWorkerClient(WorkerClient):
+    """Calls a worker model directly; subclasses or attributes bring about faults.
+
+    Attributes:
+        delay_s: time from the call to its effect.
+        is_cut: whether calls fail before they are sent.
+        loses_answers: whether calls take effect and then fail.
+    """
+
+    def __init__(self, model: WorkerModel, delay_s: float = 0.001) -> None:
+        self.model = model
+        self.delay_s = delay_s
+        self.is_cut = False
+        self.loses_answers = False
+
+    async def attach(
+        self, epoch: int, session: int, owner_address: str
+    ) -> Result[Attachment, WorkerFailure]:
+        """Attaches the worker."""
+        failure = await self._travel()
+        if failure is not None:
+            return failure
+        attachment = self.model.attach(epoch, session, owner_address)
+        return self._answer(attachment)
+
+    async def start(
+        self, epoch: int, session: int, orders: Sequence[TaskOrder]
+    ) -> Result[tuple[TaskAnswer, ...], WorkerFailure]:
+        """Starts tasks."""
+        failure = await self._travel()
+        if failure is not None:
+            return failure
+        return self._answer(tuple(self.model.start(epoch, session, orders)))
+
+    async def stop(
+        self, epoch: int, tasks: Sequence[TaskRef], checkpoint: bool
+    ) -> Result[tuple[TaskAnswer, ...], WorkerFailure]:
+        """Stops tasks."""
+        failure = await self._travel()
+        if failure is not None:
+            return failure
+        return self._answer(tuple(self.model.stop(epoch, tasks, checkpoint)))
+
+    async def throttle(
+        self, epoch: int, task: TaskRef, share: float
+    ) -> Result[tuple[TaskAnswer, ...], WorkerFailure]:
+        """Throttles a task."""
+        failure = await self._travel()
+        if failure is not None:
+            return failure
+        return self._answer((self.model.throttle(epoch, task),))
+
+    async def _travel(self) -> Err[WorkerFailure] | None:
+        if self.is_cut:
+            return Err(WorkerFailure(False, "cut off"))
+        await asyncio.sleep(self.delay_s)
+        return None
+
+    def _answer(self, value: T) -> Result[T, WorkerFailure]:
+        if self.loses_answers:
+            return Err(WorkerFailure(True, "answer lost"))
+        return Ok(value)
--- a/packages/pollengate-standins/pollengate_standins/worker_server.py
+++ b/packages/pollengate-standins/pollengate_standins/worker_server.py
@@ -1,21 +1,12 @@
-"""A worker stand-in: it runs tasks as timers, under a lease that its owner renews."""
+"""A worker stand-in, served over grpclib."""
 
 import asyncio
-import dataclasses
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Any
 
+from grpclib.client import Channel
 from grpclib.server import Stream
-from pollengate.jobs import Resources
-from pollengate.worker import (
-    Attachment,
-    Heartbeat,
-    ReportState,
-    TaskAnswer,
-    TaskOrder,
-    TaskRef,
-    TaskReport,
-)
+from pollengate.worker import Heartbeat, HeartbeatAnswer, TaskAnswer
 from pollengate_net.calls import call, open_channel
 from pollengate_net.messages import worker_pb2 as pb
 from pollengate_net.messages.worker_grpc import HeartbeatsStub, WorkerBase
@@ -30,120 +21,69 @@
 )
 from result import Err
 
-__all__ = ["WorkerModel", "WorkerService"]
+from pollengate_standins.worker_model import WorkerModel
+
+__all__ = ["HeartbeatSender", "WorkerModel", "WorkerService", "beat_forever"]
 
 HEARTBEAT_INTERVAL_S = 0.5
+HEARTBEAT_MIN_INTERVAL_S = 0.05
 HEARTBEAT_TIMEOUT_S = 1.0
 
+SendHeartbeat = Callable[[str, Heartbeat], Awaitable[HeartbeatAnswer | None]]
+
+
+async def beat_forever(model: WorkerModel, send: SendHeartbeat) -> None:
+    """Sends heartbeats at an interval, and sooner when there is something to report.
+
+    Args:
+        model: the worker.
+        send: sends a heartbeat to an address; returns None if it got no answer.
+    """
+    loop = asyncio.get_running_loop()
+    while True:
+        if model.owner_address:
+            asked_at = loop.time()
+            beat = model.next_heartbeat()
+            answer = await send(model.owner_address, beat)
+            if answer is not None:
+                model.take_answer(beat, answer, asked_at)
+        try:
+            async with asyncio.timeout(HEARTBEAT_INTERVAL_S):
+                await model.changed.wait()
+            await asyncio.sleep(HEARTBEAT_MIN_INTERVAL_S)
+        except TimeoutError:
+            continue
 
-@dataclasses.dataclass(slots=True)
-class _RunningTask:
-    order: TaskOrder
-    started_at: float
-    timer: asyncio.TimerHandle
-
-
-class WorkerModel:
-    """The rules of a worker: epochs, capacity, leases and checkpoints."""
-
-    def __init__(self, worker_id: str, capacity: Resources) -> None:
-        self.worker_id = worker_id
-        self.epoch = 0
-        self.owner_address = ""
-        self.starts: list[TaskRef] = []
-        self._capacity = capacity
-        self._lease_until = 0.0
-        self._lease_timer: asyncio.TimerHandle | None = None
-        self._running_by_id: dict[str, _RunningTask] = {}
-        self._ended_by_ref: dict[TaskRef, TaskReport] = {}
-
-    def attach(self, epoch: int, owner_address: str) -> Attachment:
-        """Takes a new owner unless its epoch is lower than one seen before."""
-        if epoch < self.epoch:
-            return Attachment(False, self.epoch, ())
-        self.epoch = epoch
-        self.owner_address = owner_address
-        return Attachment(True, epoch, self.reports())
-
-    def start(self, epoch: int, orders: Sequence[TaskOrder]) -> list[TaskAnswer]:
-        """Starts what fits; refuses lower epochs and what runs already."""
-        return [self._start_one(epoch, order) for order in orders]
-
-    def stop(self, epoch: int, refs: Sequence[TaskRef], checkpoint: bool) -> list[TaskAnswer]:
-        """Stops tasks, with a checkpoint of the time that they have run."""
-        answers = []
-        for ref in refs:
-            if epoch < self.epoch:
-                answers.append(TaskAnswer(ref, False, "epoch_too_low"))
-                continue
-            running = self._running_by_id.get(ref.task_id)
-            if running is not None and running.order.ref == ref:
-                self._end(ref, ReportState.CHECKPOINTED if checkpoint else ReportState.STOPPED)
-            answers.append(TaskAnswer(ref, True))
-        return answers
-
-    def reports(self) -> tuple[TaskReport, ...]:
-        """Reports running tasks and ended ones that the owner has not acknowledged."""
-        running = [
-            TaskReport(task.order.ref, ReportState.RUNNING) for task in self._running_by_id.values()
-        ]
-        return (*running, *self._ended_by_ref.values())
-
-    def renew(self, asked_at: float, lease_s: float) -> None:
-        """Extends the lease, counted from when the renewal was asked for."""
-        if asked_at + lease_s <= self._lease_until:
-            return
-        self._lease_until = asked_at + lease_s
-        if self._lease_timer is not None:
-            self._lease_timer.cancel()
-        loop = asyncio.get_running_loop()
-        self._lease_timer = loop.call_at(self._lease_until, self._stop_all)
-
-    def acknowledge(self, refs: Sequence[TaskRef]) -> None:
-        """Forgets ended tasks."""
-        for ref in refs:
-            self._ended_by_ref.pop(ref, None)
-
-    def _stop_all(self) -> None:
-        for task in list(self._running_by_id.values()):
-            self._end(task.order.ref, ReportState.STOPPED)
-
-    def _start_one(self, epoch: int, order: TaskOrder) -> TaskAnswer:
-        loop = asyncio.get_running_loop()
-        if epoch != self.epoch:
-            return TaskAnswer(order.ref, False, "epoch_too_low")
-        if loop.time() >= self._lease_until:
-            return TaskAnswer(order.ref, False, "no_lease")
-        running = self._running_by_id.get(order.ref.task_id)
-        if running is not None:
-            return TaskAnswer(order.ref, running.order.ref == order.ref, "already_running")
-        if not order.resources.fits(self._free()):
-            return TaskAnswer(order.ref, False, "no_capacity")
-        done_ms = int(order.checkpoint or "0")
-        left_s = max(order.duration_ms - done_ms, 0) / 1000
-        timer = loop.call_later(left_s, self._end, order.ref, ReportState.FINISHED)
-        self._running_by_id[order.ref.task_id] = _RunningTask(order, loop.time(), timer)
-        self.starts.append(order.ref)
-        return TaskAnswer(order.ref, True)
-
-    def _free(self) -> Resources:
-        free = self._capacity
-        for task in self._running_by_id.values():
-            free = free - task.order.resources
-        return free
-
-    def _end(self, ref: TaskRef, state: ReportState) -> None:
-        task = self._running_by_id.pop(ref.task_id)
-        task.timer.cancel()
-        checkpoint = ""
-        if state is ReportState.CHECKPOINTED:
-            ran_ms = (asyncio.get_running_loop().time() - task.started_at) * 1000
-            checkpoint = str(int(ran_ms) + int(task.order.checkpoint or "0"))
-        self._ended_by_ref[ref] = TaskReport(ref, state, checkpoint)
+
+class HeartbeatSender:
+    """Sends heartbeats over one channel, a new one after each failure."""
+
+    def __init__(self) -> None:
+        self._address = ""
+        self._channel: Channel | None = None
+
+    async def send(self, address: str, beat: Heartbeat) -> HeartbeatAnswer | None:
+        """Sends one heartbeat; None if there was no answer."""
+        channel = self._open(address)
+        message = heartbeat_to_message(beat)
+        reply = await call(HeartbeatsStub(channel).Heartbeat, message, HEARTBEAT_TIMEOUT_S)
+        if isinstance(reply, Err):
+            channel.close()
+            self._channel = None
+            return None
+        return heartbeat_answer_from_message(reply.ok_value)
+
+    def _open(self, address: str) -> Channel:
+        if self._channel is None or self._address != address:
+            if self._channel is not None:
+                self._channel.close()
+            self._channel = open_channel(address)
+            self._address = address
+        return self._channel
 
 
 class WorkerService(WorkerBase):
-    """Serves a worker over grpclib and sends its heartbeats."""
+    """Serves a worker and sends its heartbeats."""
 
     def __init__(self, model: WorkerModel) -> None:
         self._model = model
@@ -151,14 +91,14 @@
     async def Attach(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
         """Handles an attach call."""
         request = await receive(stream)
-        attachment = self._model.attach(request.epoch, request.owner_address)
+        attachment = self._model.attach(request.epoch, request.session, request.owner_address)
         await stream.send_message(attachment_to_message(attachment))
 
     async def Start(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
         """Handles start orders."""
         request = await receive(stream)
         orders = [order_from_message(order) for order in request.orders]
-        await self._answer(stream, self._model.start(request.epoch, orders))
+        await self._answer(stream, self._model.start(request.epoch, request.session, orders))
 
     async def Stop(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
         """Handles stop orders."""
@@ -168,36 +108,14 @@
         await self._answer(stream, answers)
 
     async def Throttle(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
-        """Handles a throttle order; the stand-in's tasks run at full speed all the same."""
+        """Handles a throttle order."""
         request = await receive(stream)
-        accepted = request.epoch >= self._model.epoch
-        await self._answer(stream, [TaskAnswer(ref_from_message(request.task), accepted)])
+        answer = self._model.throttle(request.epoch, ref_from_message(request.task))
+        await self._answer(stream, [answer])
 
     async def beat(self) -> None:
         """Sends heartbeats until cancelled."""
-        while True:
-            if self._model.owner_address:
-                await self._beat_once()
-            await asyncio.sleep(HEARTBEAT_INTERVAL_S)
-
-    async def _beat_once(self) -> None:
-        asked_at = asyncio.get_running_loop().time()
-        model = self._model
-        beat = Heartbeat(model.worker_id, model.epoch, model.reports())
-        channel = open_channel(model.owner_address)
-        try:
-            stub = HeartbeatsStub(channel)
-            reply = await call(stub.Heartbeat, heartbeat_to_message(beat), HEARTBEAT_TIMEOUT_S)
-        finally:
-            channel.close()
-        if isinstance(reply, Err):
-            return
-        answer = heartbeat_answer_from_message(reply.ok_value)
-        if not answer.accepted or beat.epoch != model.epoch:
-            return
-        model.renew(asked_at, answer.lease_s)
-        model.acknowledge(answer.acknowledged)
-        model.stop(model.epoch, answer.unknown, checkpoint=False)
+        await beat_forever(self._model, HeartbeatSender().send)
 
     @staticmethod
     async def _answer(stream: Stream[Any, Any], answers: Sequence[TaskAnswer]) -> None:
--- /dev/null
+++ b/packages/pollengate/pollengate/guarded_key.py
@@ -0,0 +1,62 @@
+"""A store key that one owner rewrites; writes that take effect late change nothing."""
+
+from collections.abc import Sequence
+
+from result import Err, Ok, Result
+
+from pollengate.store import (
+    Entry,
+    FailureKind,
+    Operation,
+    Put,
+    Store,
+    StoreFailure,
+    Unchanged,
+)
+
+__all__ = ["ConditionFailed", "GuardedKey"]
+
+
+class ConditionFailed:
+    """The transaction was refused: a condition of the caller did not hold."""
+
+
+class GuardedKey:
+    """Remembers the revision of a key and makes it a condition of every write."""
+
+    def __init__(self, store: Store, key: str) -> None:
+        self.key = key
+        self._store = store
+        self._revision = 0
+        self._is_known = True
+
+    def take(self, entry: Entry | None) -> None:
+        """Takes in what was read of the key."""
+        self._revision = entry.revision if entry is not None else 0
+        self._is_known = True
+
+    async def write(
+        self, value: bytes, conditions: Sequence[Unchanged], writes: Sequence[Operation] = ()
+    ) -> Result[None, ConditionFailed | StoreFailure]:
+        """Writes the key, and other keys in the same step."""
+        if not self._is_known:
+            entry = await self._store.get(self.key)
+            if isinstance(entry, Err):
+                return entry
+            self.take(entry.ok_value)
+        guard = Unchanged(self.key, self._revision)
+        result = await self._store.commit((*conditions, guard), (*writes, Put(self.key, value)))
+        if isinstance(result, Err):
+            self._is_known = result.err_value.kind is not FailureKind.UNKNOWN
+            return result
+        commit = result.ok_value
+        if commit.succeeded:
+            self._revision = commit.revision
+            return Ok(None)
+        current = {entry.key: entry for entry in commit.current}
+        found = current.get(self.key)
+        if (found.revision if found else 0) == self._revision:
+            return Err(ConditionFailed())
+        self.take(found)
+        detail = f"an earlier write of {self.key} took effect"
+        return Err(StoreFailure(FailureKind.REJECTED, detail))
--- a/packages/pollengate/pollengate/jobs.py
+++ b/packages/pollengate/pollengate/jobs.py
@@ -2,8 +2,20 @@
 
 import dataclasses
 import enum
+import hashlib
 
-__all__ = ["JobSpec", "Resources", "Task", "TaskState", "task_id_of"]
+__all__ = [
+    "ENDED_STATES",
+    "JobSpec",
+    "ON_WORKER_STATES",
+    "Resources",
+    "Task",
+    "TaskState",
+    "digest_of",
+    "task_id_of",
+]
+
+DIGEST_BYTES = 12
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -63,17 +75,32 @@
 
 
 class TaskState(enum.StrEnum):
-    """Where a task stands in the owner's books."""
+    """Where a task stands in the owner's books; the states of `charts/task.yaml`.
+
+    A task is `lost` while an earlier owner may have started it on a worker that has not
+    reported yet. It ends as `unknown` if it is non-idempotent and may have run in part.
+    """
 
     QUEUED = "queued"
     STARTING = "starting"
     RUNNING = "running"
+    EVICTING = "evicting"
+    STOPPING = "stopping"
     LOST = "lost"
     FINISHED = "finished"
     FAILED = "failed"
+    UNKNOWN = "unknown"
     CANCELLED = "cancelled"
 
 
+ENDED_STATES = frozenset(
+    {TaskState.FINISHED, TaskState.FAILED, TaskState.UNKNOWN, TaskState.CANCELLED}
+)
+ON_WORKER_STATES = frozenset(
+    {TaskState.STARTING, TaskState.RUNNING, TaskState.EVICTING, TaskState.STOPPING}
+)
+
+
 @dataclasses.dataclass(slots=True)
 class Task:
     """One task of a job.
@@ -81,20 +108,34 @@
     Attributes:
         task_id: `<job_id>.<index>`.
         spec: the job that it belongs to.
+        index: its place in the job.
         state: where it stands.
         worker_id: the worker that runs it or may still run it, empty if none.
-        attempt: grows with each start; a worker refuses a lower one.
+        epoch: the owner that made the newest known attempt, 0 for none.
+        attempt: grows with each start of one owner.
         checkpoint: where the next start resumes, empty for the beginning.
+        has_intent: whether a start of a non-idempotent task may have been sent.
+        detail: why it failed, empty if unknown.
     """
 
     task_id: str
     spec: JobSpec
+    index: int = 0
     state: TaskState = TaskState.QUEUED
     worker_id: str = ""
+    epoch: int = 0
     attempt: int = 0
     checkpoint: str = ""
+    has_intent: bool = False
+    detail: str = ""
 
 
 def task_id_of(job_id: str, index: int) -> str:
     """Names one task of a job."""
     return f"{job_id}.{index}"
+
+
+def digest_of(spec: JobSpec) -> str:
+    """Returns a digest by which a resubmission with another body is told apart."""
+    fields = repr(dataclasses.astuple(spec)).encode()
+    return hashlib.blake2b(fields, digest_size=DIGEST_BYTES).hexdigest()
--- a/packages/pollengate/pollengate/ledger.py
+++ b/packages/pollengate/pollengate/ledger.py
@@ -1,27 +1,78 @@
-"""The durable ledger: which jobs were accepted and which of their tasks have ended."""
+"""The durable ledger: which jobs were accepted and which of their tasks have ended.
+
+Layout of one shard, below `/pollengate/ledger/<zone>/<shard>/`:
+
+    folded          the last segment that was folded into the jobs
+    workers         workers that may hold leases
+    jobs/<id>       one job, as of a segment
+    log/<sequence>  a segment: changes of several jobs, written by one group commit
+    inbox/<id>      a job that moved here from another shard
+    handover        what the last owner knew to run where, deleted by the next one
+
+`/pollengate/jobs/<id>` names the shard of a job. Every write is conditional on the owner's
+epoch, and on the absence or revision of what it writes, so that one which takes effect after
+its sender gave up changes nothing.
+"""
 
 import dataclasses
 import json
+from collections.abc import Iterable, Sequence
 
 from result import Err, Ok, Result
 
-from pollengate.jobs import JobSpec, Resources, TaskState
+from pollengate.guarded_key import ConditionFailed, GuardedKey
+from pollengate.job_books import JobBook
+from pollengate.jobs import JobSpec, digest_of
+from pollengate.ledger_records import (
+    JobChange,
+    JobRecord,
+    decode_record,
+    decode_segment,
+    encode_record,
+    encode_segment,
+)
 from pollengate.ownership import owner_key
-from pollengate.shard import JobBook
-from pollengate.store import Entry, Put, Store, StoreFailure, Unchanged
-
-__all__ = ["Accepted", "JobHome", "Ledger", "LedgerConflict", "LedgerRecord", "read_home"]
+from pollengate.recorded_workers import decode_workers, encode_workers
+from pollengate.store import (
+    Commit,
+    Delete,
+    Entry,
+    Operation,
+    Put,
+    Store,
+    StoreFailure,
+    Unchanged,
+)
+from pollengate.virtual_machines import VirtualMachine
+
+__all__ = [
+    "Accepted",
+    "JOBS_PREFIX",
+    "JobConflict",
+    "JobHome",
+    "Ledger",
+    "LedgerConflict",
+    "LedgerContents",
+    "LedgerFailure",
+    "home_to_value",
+    "ledger_prefix",
+    "read_home",
+]
 
 JOBS_PREFIX = "/pollengate/jobs/"
 LEDGER_PREFIX = "/pollengate/ledger/"
+MAX_SEGMENT_BYTES = 256_000
+MAX_JOBS_PER_FOLD = 24
+FOLD_AFTER_SEGMENTS = 32
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class JobHome:
-    """The shard whose ledger holds a job."""
+    """The shard whose ledger holds a job, and the digest of what was submitted."""
 
     zone: str
     shard: int
+    digest: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -32,6 +83,13 @@
     is_new: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobConflict:
+    """The id is taken by a job with another body."""
+
+    home: JobHome
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LedgerConflict:
     """The write was refused: this process no longer owns the shard."""
@@ -39,87 +97,245 @@
     detail: str
 
 
+LedgerFailure = LedgerConflict | StoreFailure
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
-class LedgerRecord:
-    """A job as the ledger holds it; `ended_by_state` names ended tasks."""
+class LedgerContents:
+    """All that the ledger holds of a shard.
+
+    Attributes:
+        records: its jobs.
+        workers: workers that may hold leases of an earlier owner.
+        inbox: jobs that moved here and are no records yet.
+    """
 
-    spec: JobSpec
-    ended_by_state: dict[TaskState, tuple[str, ...]]
+    records: list[JobRecord]
+    workers: list[VirtualMachine]
+    inbox: list[JobRecord]
 
 
 class Ledger:
-    """Reads and writes one shard's part of the ledger under the owner's epoch."""
+    """Reads and writes one shard's part of the ledger under the owner's epoch.
+
+    Attributes:
+        writes: transactions sent.
+        bytes_written: length of the values in them.
+    """
 
     def __init__(self, store: Store, zone: str, shard: int) -> None:
+        self.writes = 0
+        self.bytes_written = 0
         self._store = store
         self._home = JobHome(zone, shard)
-        self._prefix = f"{LEDGER_PREFIX}{zone}/{shard}/"
+        self._prefix = ledger_prefix(zone, shard)
+        self._folded = GuardedKey(store, self._prefix + "folded")
+        self._workers = GuardedKey(store, self._prefix + "workers")
+        self._sequence = 0
+        self._segments: list[int] = []
+        self._unfolded: dict[str, None] = {}
+
+    @property
+    def needs_fold(self) -> bool:
+        """Tells whether segments have to be folded into job records."""
+        return len(self._segments) >= FOLD_AFTER_SEGMENTS
+
+    def is_home(self, home: JobHome) -> bool:
+        """Tells whether a job's home is this shard."""
+        return (home.zone, home.shard) == (self._home.zone, self._home.shard)
+
+    async def read(self) -> Result[LedgerContents, StoreFailure]:
+        """Reads all of the shard."""
+        result = await self._store.list(self._prefix)
+        if isinstance(result, Err):
+            return result
+        by_name = {e.key.removeprefix(self._prefix): e for e in result.ok_value.entries}
+        folded, workers = by_name.get("folded"), by_name.get("workers")
+        self._folded.take(folded)
+        self._workers.take(workers)
+        self._sequence = int(folded.value) if folded is not None else 0
+        records: dict[str, JobRecord] = {}
+        inbox = []
+        for name, entry in by_name.items():
+            if name.startswith("jobs/"):
+                record = decode_record(entry.value)
+                records[record.spec.job_id] = record
+            elif name.startswith("inbox/"):
+                inbox.append(decode_record(entry.value))
+        self._replay(by_name, records)
+        machines = decode_workers(workers.value) if workers is not None else []
+        return Ok(LedgerContents(list(records.values()), machines, inbox))
 
     async def accept(
         self, spec: JobSpec, epoch: int
-    ) -> Result[Accepted, LedgerConflict | StoreFailure]:
+    ) -> Result[Accepted, JobConflict | LedgerFailure]:
         """Records a job unless its id is taken; harmless when repeated."""
         job_key = JOBS_PREFIX + spec.job_id
-        conditions = (Unchanged(job_key, 0), self._owner_condition(epoch))
-        record = _encode(LedgerRecord(spec, {}))
-        home = json.dumps(dataclasses.asdict(self._home)).encode()
-        writes = (Put(job_key, home), Put(self._prefix + spec.job_id, record))
-        result = await self._store.commit(conditions, writes)
+        home = dataclasses.replace(self._home, digest=digest_of(spec))
+        writes = (
+            Put(job_key, home_to_value(home)),
+            Put(self._job_key(spec.job_id), encode_record(JobRecord(spec, self._sequence))),
+        )
+        result = await self._commit(epoch, (Unchanged(job_key, 0),), writes)
         if isinstance(result, Err):
             return result
         if result.ok_value.succeeded:
-            return Ok(Accepted(self._home, True))
+            return Ok(Accepted(home, True))
         for entry in result.ok_value.current:
             if entry.key == job_key:
-                return Ok(Accepted(read_home(entry), False))
-        return Err(LedgerConflict("the shard has another owner"))
-
-    async def flush(
-        self, jobs: list[JobBook], epoch: int
-    ) -> Result[None, LedgerConflict | StoreFailure]:
-        """Records the ended tasks of changed jobs in one write."""
-        writes = [Put(self._prefix + job.spec.job_id, _encode(_record_of(job))) for job in jobs]
-        result = await self._store.commit((self._owner_condition(epoch),), writes)
-        if isinstance(result, Err):
-            return result
-        if not result.ok_value.succeeded:
-            return Err(LedgerConflict("the shard has another owner"))
+                return _resubmitted(read_home(entry), home.digest)
+        return Err(_conflict())
+
+    async def read_job(self, job_id: str) -> Result[JobRecord | None, StoreFailure]:
+        """Reads one job record; segments that are not folded into it are left out."""
+        entry = await self._store.get(self._job_key(job_id))
+        return entry.map(lambda found: decode_record(found.value) if found else None)
+
+    async def append(self, changes: Sequence[JobChange], epoch: int) -> Result[None, LedgerFailure]:
+        """Records changes; after a failure they may be recorded, and may be sent again."""
+        for chunk in _chunks(changes):
+            sequence = self._sequence + 1
+            key = self._segment_key(sequence)
+            write = Put(key, encode_segment(chunk))
+            result = await self._commit(epoch, (Unchanged(key, 0),), (write,))
+            if isinstance(result, Err):
+                return result
+            if not result.ok_value.succeeded:
+                if not any(entry.key == key for entry in result.ok_value.current):
+                    return Err(_conflict())
+                self._added(sequence, chunk)
+                return await self.append(changes, epoch)
+            self._added(sequence, chunk)
         return Ok(None)
 
-    async def read(self) -> Result[list[LedgerRecord], StoreFailure]:
-        """Reads every job of the shard."""
-        result = await self._store.list(self._prefix)
-        return result.map(lambda listing: [_decode(entry.value) for entry in listing.entries])
+    async def fold(
+        self, jobs: dict[str, JobBook], retention_lease_id: int, epoch: int
+    ) -> Result[None, LedgerFailure]:
+        """Writes the jobs that segments name and deletes the segments.
+
+        Args:
+            jobs: the owner's books; jobs missing there have moved or were dropped.
+            retention_lease_id: lease that jobs which have ended are bound to.
+            epoch: the owner's.
+        """
+        sequence, segments = self._sequence, list(self._segments)
+        names = [job_id for job_id in self._unfolded if job_id in jobs]
+        for start in range(0, max(len(names), 1), MAX_JOBS_PER_FOLD):
+            part = names[start : start + MAX_JOBS_PER_FOLD]
+            is_last = start + MAX_JOBS_PER_FOLD >= len(names)
+            writes: list[Operation] = []
+            for job_id in part:
+                writes += self._job_writes(jobs[job_id], sequence, retention_lease_id)
+            if is_last:
+                writes += [Delete(self._segment_key(number)) for number in segments]
+            value = str(sequence).encode()
+            result = await self._write_guarded(self._folded, value, epoch, writes)
+            if isinstance(result, Err):
+                return result
+        self._segments = [number for number in self._segments if number > sequence]
+        self._unfolded = {i: None for i in self._unfolded if i in jobs and i not in names}
+        return Ok(None)
 
-    def _owner_condition(self, epoch: int) -> Unchanged:
+    async def record_workers(
+        self, workers: Sequence[VirtualMachine], epoch: int
+    ) -> Result[None, LedgerFailure]:
+        """Records the workers that may hold leases, before they may start anything."""
+        return await self._write_guarded(self._workers, encode_workers(workers), epoch)
+
+    async def _write_guarded(
+        self, key: GuardedKey, value: bytes, epoch: int, writes: Sequence[Operation] = ()
+    ) -> Result[None, LedgerFailure]:
+        self._count((*writes, Put(key.key, value)))
+        result = await key.write(value, (self._owner(epoch),), writes)
+        if isinstance(result, Err) and isinstance(result.err_value, ConditionFailed):
+            return Err(_conflict())
+        return result  # type: ignore[return-value]
+
+    def _replay(self, by_name: dict[str, Entry], records: dict[str, JobRecord]) -> None:
+        self._segments = sorted(
+            int(name.removeprefix("log/")) for name in by_name if name.startswith("log/")
+        )
+        for number in self._segments:
+            entry = by_name[self._segment_key(number).removeprefix(self._prefix)]
+            changes = decode_segment(entry.value)
+            self._note_unfolded(changes)
+            for change in changes:
+                record = records.get(change.job_id)
+                if record is not None and number > record.sequence:
+                    record.apply(change)
+                    record.sequence = number
+        if self._segments:
+            self._sequence = max(self._sequence, self._segments[-1])
+
+    def _added(self, sequence: int, chunk: Iterable[JobChange]) -> None:
+        self._sequence = sequence
+        self._segments.append(sequence)
+        self._note_unfolded(chunk)
+
+    def _note_unfolded(self, changes: Iterable[JobChange]) -> None:
+        for change in changes:
+            self._unfolded[change.job_id] = None
+
+    def _job_writes(self, job: JobBook, sequence: int, retention_lease_id: int) -> list[Put]:
+        lease_id = retention_lease_id if job.has_ended else 0
+        record = encode_record(job.to_record(sequence))
+        writes = [Put(self._job_key(job.spec.job_id), record, lease_id)]
+        if lease_id:
+            home = dataclasses.replace(self._home, digest=digest_of(job.spec))
+            writes.append(Put(JOBS_PREFIX + job.spec.job_id, home_to_value(home), lease_id))
+        return writes
+
+    async def _commit(
+        self, epoch: int, conditions: Sequence[Unchanged], writes: Sequence[Operation]
+    ) -> Result[Commit, StoreFailure]:
+        self._count(writes)
+        return await self._store.commit((*conditions, self._owner(epoch)), writes)
+
+    def _count(self, writes: Sequence[Operation]) -> None:
+        self.writes += 1
+        self.bytes_written += sum(len(w.value) for w in writes if isinstance(w, Put))
+
+    def _owner(self, epoch: int) -> Unchanged:
         return Unchanged(owner_key(self._home.zone, self._home.shard), epoch)
 
+    def _job_key(self, job_id: str) -> str:
+        return f"{self._prefix}jobs/{job_id}"
+
+    def _segment_key(self, sequence: int) -> str:
+        return f"{self._prefix}log/{sequence:012}"
+
+
+def ledger_prefix(zone: str, shard: int) -> str:
+    """Returns the prefix of one shard's keys."""
+    return f"{LEDGER_PREFIX}{zone}/{shard}/"
+
+
+def home_to_value(home: JobHome) -> bytes:
+    """Encodes the index entry of a job."""
+    return json.dumps(dataclasses.asdict(home), separators=(",", ":")).encode()
+
 
 def read_home(entry: Entry) -> JobHome:
     """Decodes the index entry of a job."""
-    document = json.loads(entry.value)
-    return JobHome(document["zone"], document["shard"])
+    return JobHome(**json.loads(entry.value))
 
 
-def _record_of(job: JobBook) -> LedgerRecord:
-    ended: dict[TaskState, list[str]] = {}
-    for task in job.tasks_by_id.values():
-        if task.state in (TaskState.FINISHED, TaskState.FAILED, TaskState.CANCELLED):
-            ended.setdefault(task.state, []).append(task.task_id)
-    return LedgerRecord(job.spec, {state: tuple(ids) for state, ids in ended.items()})
+def _resubmitted(home: JobHome, digest: str) -> Result[Accepted, JobConflict | LedgerFailure]:
+    return Ok(Accepted(home, False)) if home.digest == digest else Err(JobConflict(home))
 
 
-def _encode(record: LedgerRecord) -> bytes:
-    document = {
-        "spec": dataclasses.asdict(record.spec),
-        "ended": {state.value: list(ids) for state, ids in record.ended_by_state.items()},
-    }
-    return json.dumps(document, separators=(",", ":")).encode()
+def _conflict() -> LedgerConflict:
+    return LedgerConflict("the shard has another owner")
 
 
-def _decode(value: bytes) -> LedgerRecord:
-    document = json.loads(value)
-    fields = document["spec"]
-    resources = Resources(**fields.pop("resources"))
-    ended = {TaskState(state): tuple(ids) for state, ids in document["ended"].items()}
-    return LedgerRecord(JobSpec(resources=resources, **fields), ended)
+def _chunks(changes: Sequence[JobChange]) -> list[list[JobChange]]:
+    chunks: list[list[JobChange]] = []
+    size = MAX_SEGMENT_BYTES
+    for change in changes:
+        length = len(encode_segment([change]))
+        if size + length > MAX_SEGMENT_BYTES:
+            chunks.append([])
+            size = 0
+        chunks[-1].append(change)
+        size += length
+    return chunks
--- a/packages/pollengate/pollengate/memory_store.py
+++ b/packages/pollengate/pollengate/memory_store.py
@@ -23,6 +23,7 @@
 __all__ = ["MemoryStore"]
 
 MAX_VALUE_BYTES = 1_000_000
+LEASE_CHECK_S = 1.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -105,9 +106,11 @@
             await self._wait_for_change(changed)
 
     async def _wait_for_change(self, changed: asyncio.Event) -> None:
-        next_expiry_s = 1.0
+        now = asyncio.get_running_loop().time()
+        ends = [lease.expires_at for lease in self._leases_by_id.values()]
+        next_expiry_s = min((end - now for end in ends), default=LEASE_CHECK_S)
         try:
-            await asyncio.wait_for(changed.wait(), next_expiry_s)
+            await asyncio.wait_for(changed.wait(), max(0.0, min(next_expiry_s, LEASE_CHECK_S)))
         except TimeoutError:
             self._expire_leases()
 
--- /dev/null
+++ b/packages/pollengate/pollengate/owner_lease.py
@@ -0,0 +1,124 @@
+"""The store lease by which one process owns a shard."""
+
+import asyncio
+import dataclasses
+
+from result import Err, Ok
+
+from pollengate.handover import Assignment, decode_handover, encode_handover
+from pollengate.ledger import ledger_prefix
+from pollengate.ownership import OWNER_LEASE_S, Ownership, owner_key, owner_to_value
+from pollengate.steps import Step, StepHook
+from pollengate.store import Delete, FailureKind, Operation, Put, Store, Unchanged
+
+__all__ = ["OwnerLease", "Taken"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Taken:
+    """A shard that was taken.
+
+    Attributes:
+        assignments: what the last owner handed over, None if it did not.
+    """
+
+    assignments: list[Assignment] | None
+
+
+class OwnerLease:
+    """Takes, renews and releases the owner key of one shard."""
+
+    def __init__(
+        self,
+        store: Store,
+        ownership: Ownership,
+        process_id: str,
+        address: str,
+        steps: StepHook,
+    ) -> None:
+        self._store = store
+        self._ownership = ownership
+        self._value = owner_to_value(process_id, address)
+        self._steps = steps
+        self._key = owner_key(ownership.zone, ownership.shard)
+        self._handover_key = ledger_prefix(ownership.zone, ownership.shard) + "handover"
+        self._lease_id = 0
+
+    @property
+    def key(self) -> str:
+        """Returns the store key that names the owner."""
+        return self._key
+
+    async def take(self) -> Taken | None:
+        """Takes the shard if it is free; None if it is not or the store did not answer."""
+        present = await self._store.get(self._key)
+        if isinstance(present, Err) or present.ok_value is not None:
+            return None
+        handover = await self._store.get(self._handover_key)
+        if isinstance(handover, Err):
+            return None
+        await self._steps.reach(Step.TAKE_STARTED)
+        asked_at = asyncio.get_running_loop().time()
+        lease = await self._store.grant_lease(OWNER_LEASE_S)
+        if isinstance(lease, Err):
+            return None
+        self._lease_id = lease.ok_value
+        await self._steps.reach(Step.LEASE_GRANTED)
+        entry = handover.ok_value
+        conditions = [
+            Unchanged(self._key, 0),
+            Unchanged(self._handover_key, entry.revision if entry else 0),
+        ]
+        writes: list[Operation] = [Put(self._key, self._value, self._lease_id)]
+        if entry is not None:
+            writes.append(Delete(self._handover_key))
+        epoch = await self._write_owner(conditions, writes)
+        if epoch is None:
+            await self._store.revoke_lease(self._lease_id)
+            return None
+        self._ownership.take(epoch, asked_at, OWNER_LEASE_S)
+        await self._steps.reach(Step.OWNER_TAKEN)
+        return Taken(decode_handover(entry.value) if entry is not None else None)
+
+    async def renew(self) -> bool:
+        """Renews the lease once; returns whether the store confirmed it."""
+        asked_at = asyncio.get_running_loop().time()
+        epoch = self._ownership.epoch
+        await self._steps.reach(Step.OWNER_RENEWING)
+        result = await self._store.keep_lease(self._lease_id)
+        await self._steps.reach(Step.OWNER_RENEWED)
+        if isinstance(result, Err) or result.ok_value <= 0 or self._ownership.epoch != epoch:
+            return False
+        self._ownership.renew(asked_at, result.ok_value)
+        return True
+
+    async def hand_over(self, assignments: list[Assignment]) -> bool:
+        """Gives the shard up and leaves its assignments to the next owner.
+
+        The caller has stopped every effect; the ownership is dropped before the write.
+
+        Returns:
+            Whether the store confirmed it; if not, the next owner may have to wait.
+        """
+        condition = Unchanged(self._key, self._ownership.epoch)
+        writes = (Delete(self._key), Put(self._handover_key, encode_handover(assignments)))
+        self._ownership.drop()
+        await self._steps.reach(Step.HANDOVER_WRITING)
+        result = await self._store.commit((condition,), writes)
+        await self._steps.reach(Step.HANDOVER_WRITTEN)
+        await self._store.revoke_lease(self._lease_id)
+        await self._steps.reach(Step.LEASE_RELEASED)
+        return isinstance(result, Ok) and result.ok_value.succeeded
+
+    async def _write_owner(
+        self, conditions: list[Unchanged], writes: list[Operation]
+    ) -> int | None:
+        result = await self._store.commit(conditions, writes)
+        if isinstance(result, Ok):
+            return result.ok_value.revision if result.ok_value.succeeded else None
+        if result.err_value.kind is not FailureKind.UNKNOWN:
+            return None
+        entry = await self._store.get(self._key)
+        if isinstance(entry, Err) or entry.ok_value is None:
+            return None
+        return entry.ok_value.revision if entry.ok_value.lease_id == self._lease_id else None
--- a/packages/pollengate/pollengate/ownership.py
+++ b/packages/pollengate/pollengate/ownership.py
@@ -1,12 +1,33 @@
 """Ownership of a shard: who may start tasks and renew leases there."""
 
 import dataclasses
-
-__all__ = ["Owner", "Ownership", "owner_key", "OWNERS_PREFIX", "OWNER_LEASE_S"]
+import enum
+import json
+
+from pollengate.charts import load_chart
+from pollengate.store import Entry
+
+__all__ = [
+    "CLOCK_MARGIN_S",
+    "MAX_CLOCK_DRIFT",
+    "OWNERS_PREFIX",
+    "OWNER_LEASE_S",
+    "Owner",
+    "Ownership",
+    "OwnershipState",
+    "owner_from_entry",
+    "owner_key",
+    "owner_to_value",
+]
 
 OWNERS_PREFIX = "/pollengate/owners/"
 OWNER_LEASE_S = 3
+# Added to the drift, for the time between a decision and its effect.
 CLOCK_MARGIN_S = 0.3
+# Largest difference between the rates of two clocks, as a fraction.
+MAX_CLOCK_DRIFT = 0.02
+
+_CHART = load_chart("ownership")
 
 
 def owner_key(zone: str, shard: int) -> str:
@@ -33,13 +54,43 @@
     epoch: int
 
 
+def owner_from_entry(entry: Entry) -> Owner:
+    """Decodes an owner key."""
+    zone, shard = entry.key.removeprefix(OWNERS_PREFIX).split("/")
+    document = json.loads(entry.value)
+    process_id, address = document["process_id"], document["address"]
+    return Owner(zone, int(shard), process_id, address, entry.revision)
+
+
+def owner_to_value(process_id: str, address: str) -> bytes:
+    """Encodes the value of an owner key."""
+    return json.dumps({"process_id": process_id, "address": address}).encode()
+
+
+class OwnershipState(enum.StrEnum):
+    """How far this process is with one shard; the states of `charts/ownership.yaml`."""
+
+    STANDBY = "standby"
+    RECOVERING = "recovering"
+    SERVING = "serving"
+    HANDING_OVER = "handing_over"
+
+
 class Ownership:
-    """What this process may believe about its ownership of one shard."""
+    """What this process may believe about its ownership of one shard.
+
+    Attributes:
+        zone: the zone of the shard.
+        shard: its number within the zone.
+        epoch: store revision at which this process took the shard, 0 when it does not own it.
+        state: how far this process is with the shard.
+    """
 
     def __init__(self, zone: str, shard: int) -> None:
         self.zone = zone
         self.shard = shard
         self.epoch = 0
+        self.state = OwnershipState.STANDBY
         self._held_until = 0.0
 
     def take(self, epoch: int, asked_at: float, ttl_s: float) -> None:
@@ -50,18 +101,44 @@
             asked_at: loop time just before the lease was asked for.
             ttl_s: length of the lease.
         """
+        self._move("taken")
         self.epoch = epoch
-        self._held_until = asked_at + ttl_s - CLOCK_MARGIN_S
+        self._held_until = _belief_end(asked_at, ttl_s)
 
     def renew(self, asked_at: float, ttl_s: float) -> None:
         """Records a renewal, counted from when it was asked for."""
-        self._held_until = max(self._held_until, asked_at + ttl_s - CLOCK_MARGIN_S)
+        self.extend(_belief_end(asked_at, ttl_s))
+
+    def extend(self, until: float) -> None:
+        """Lengthens the belief; one that has ended stays ended until the shard is taken."""
+        if self.epoch > 0:
+            self._held_until = max(self._held_until, until)
+
+    def recovered(self) -> None:
+        """Records that the books are rebuilt and calls may be answered from them."""
+        self._move("recovered")
+
+    def stop(self) -> None:
+        """Records that the shard is being handed over; nothing new may start."""
+        self._move("stop_requested")
 
     def drop(self) -> None:
         """Forgets the shard."""
+        self._move("dropped")
         self.epoch = 0
         self._held_until = 0.0
 
     def is_held(self, now: float) -> bool:
         """Tells whether an effect may follow at loop time `now`."""
         return self.epoch > 0 and now < self._held_until
+
+    def is_serving(self, now: float) -> bool:
+        """Tells whether calls may be answered and tasks started at loop time `now`."""
+        return self.state is OwnershipState.SERVING and self.is_held(now)
+
+    def _move(self, event: str) -> None:
+        self.state = OwnershipState(_CHART.next(self.state, event))
+
+
+def _belief_end(asked_at: float, ttl_s: float) -> float:
+    return asked_at + ttl_s * (1 - MAX_CLOCK_DRIFT) - CLOCK_MARGIN_S
--- /dev/null
+++ b/packages/pollengate/pollengate/recorded_workers.py
@@ -0,0 +1,35 @@
+"""The workers of a shard that may hold leases, as the ledger records them."""
+
+import json
+from collections.abc import Iterable
+
+from pollengate.virtual_machines import VirtualMachine, VmKind, VmState
+
+__all__ = ["decode_workers", "encode_workers"]
+
+
+def encode_workers(workers: Iterable[VirtualMachine]) -> bytes:
+    """Encodes what an owner needs to attach workers without the VM list."""
+    entries = [
+        [vm.vm_id, vm.zone, vm.rack, vm.address, vm.cores, vm.memory_mb, vm.accelerators]
+        for vm in workers
+    ]
+    return json.dumps(entries, separators=(",", ":")).encode()
+
+
+def decode_workers(value: bytes) -> list[VirtualMachine]:
+    """Decodes workers; the VM list says later which of them are leaving."""
+    return [
+        VirtualMachine(
+            vm_id=vm_id,
+            zone=zone,
+            rack=rack,
+            kind=VmKind.WORKER,
+            state=VmState.LIVE,
+            address=address,
+            cores=cores,
+            memory_mb=memory_mb,
+            accelerators=accelerators,
+        )
+        for vm_id, zone, rack, address, cores, memory_mb, accelerators in json.loads(value)
+    ]
--- a/packages/pollengate/pollengate/shard.py
+++ b/packages/pollengate/pollengate/shard.py
@@ -1,94 +1,67 @@
 """A shard's books: its workers, its tasks and what may start where."""
 
 import dataclasses
-import enum
 from collections.abc import Iterable
 
-from pollengate.jobs import JobSpec, Resources, Task, TaskState, task_id_of
-from pollengate.placement import Placement, PlacementRequest, request_for
+from pollengate.handover import Assignment
+from pollengate.job_books import ChangeLog, JobBook
+from pollengate.jobs import ON_WORKER_STATES, JobSpec, Resources, Task, TaskState
+from pollengate.ledger_records import JobRecord
+from pollengate.placement import Placement, PlacementRequest
+from pollengate.recovery import Recovery
+from pollengate.task_books import TaskBooks, ref_of, tasks_of
 from pollengate.task_queue import TaskQueue
-from pollengate.virtual_machines import VirtualMachine, VmState
-from pollengate.worker import (
-    Heartbeat,
-    HeartbeatAnswer,
-    ReportState,
-    TaskAnswer,
-    TaskOrder,
-    TaskRef,
-    TaskReport,
-)
+from pollengate.virtual_machines import VirtualMachine
+from pollengate.worker import Heartbeat, HeartbeatAnswer, TaskAnswer, TaskOrder, TaskRef, TaskReport
+from pollengate.worker_books import WORKER_LEASE_S, StopOrder, WorkerBook, WorkerState
+from pollengate.worker_table import WorkerTable
 
-__all__ = ["JobBook", "Shard", "StartOrders", "WorkerBook", "WorkerState", "WORKER_LEASE_S"]
+__all__ = ["Shard", "StartOrders", "WORKER_LEASE_S", "WorkerBook", "WorkerState"]
 
-WORKER_LEASE_S = 3.0
-CLOCK_MARGIN_S = 0.3
 
-_ENDED = frozenset({TaskState.FINISHED, TaskState.FAILED, TaskState.CANCELLED})
-_ON_WORKER = frozenset({TaskState.STARTING, TaskState.RUNNING})
-
-
-class WorkerState(enum.StrEnum):
-    """Whether a worker may be given tasks."""
-
-    DETACHED = "detached"
-    ATTACHED = "attached"
-    LEAVING = "leaving"
-
-
-@dataclasses.dataclass(slots=True)
-class WorkerBook:
-    """What the owner knows of one worker.
+@dataclasses.dataclass(frozen=True, slots=True)
+class StartOrders:
+    """Orders for one worker, already counted against its capacity.
 
     Attributes:
-        vm: the machine as listed.
-        state: whether it may be given tasks.
-        lease_until: loop time by which its lease has lapsed on every clock.
-        task_ids: tasks that run there or may run there.
+        worker_id: the worker.
+        orders: one a task.
+        has_intents: whether the ledger has to record intents before they are sent.
     """
 
-    vm: VirtualMachine
-    state: WorkerState
-    lease_until: float
-    task_ids: set[str] = dataclasses.field(default_factory=set)
-
-
-@dataclasses.dataclass(slots=True)
-class JobBook:
-    """A job and its tasks."""
-
-    spec: JobSpec
-    tasks_by_id: dict[str, Task]
-    is_changed: bool = False
-
-    def state(self) -> TaskState:
-        """Summarizes the tasks' states in one."""
-        states = {task.state for task in self.tasks_by_id.values()}
-        for state in (TaskState.RUNNING, TaskState.STARTING, TaskState.LOST, TaskState.QUEUED):
-            if state in states:
-                return state
-        for state in (TaskState.FAILED, TaskState.CANCELLED):
-            if state in states:
-                return state
-        return TaskState.FINISHED
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class StartOrders:
-    """Orders for one worker, already counted against its capacity."""
-
     worker_id: str
     orders: tuple[TaskOrder, ...]
+    has_intents: bool = False
 
 
 class Shard:
-    """Decides on one shard; holds no socket and reads no clock."""
+    """Decides on one shard; holds no socket and reads no clock.
 
-    def __init__(self, placement: Placement, queue: TaskQueue) -> None:
-        self.workers_by_id: dict[str, WorkerBook] = {}
-        self.jobs_by_id: dict[str, JobBook] = {}
-        self._tasks_by_id: dict[str, Task] = {}
+    Attributes:
+        workers: its workers.
+    """
+
+    def __init__(self, placement: Placement, queue: TaskQueue, epoch: int = 0) -> None:
+        self.workers = WorkerTable(placement)
+        self._tasks = TaskBooks(epoch, placement, queue, self.workers)
         self._placement = placement
         self._queue = queue
+        self._recovery = Recovery()
+
+    @property
+    def workers_by_id(self) -> dict[str, WorkerBook]:
+        """Returns the books of its workers."""
+        return self.workers.by_id
+
+    @property
+    def jobs_by_id(self) -> dict[str, JobBook]:
+        """Returns the jobs that the ledger holds."""
+        return self._tasks.jobs_by_id
+
+    @property
+    def changes(self) -> ChangeLog:
+        """Returns what the ledger has still to record."""
+        return self._tasks.changes
 
     @property
     def queued(self) -> int:
@@ -100,50 +73,113 @@
         """Returns the number of tasks that are on a worker or may be."""
         return sum(len(worker.task_ids) for worker in self.workers_by_id.values())
 
+    @property
+    def is_recovered(self) -> bool:
+        """Tells whether every worker that may hold a lease has reported or lapsed."""
+        return self._recovery.is_finished
+
     def accept(self, spec: JobSpec) -> JobBook:
         """Adds a job that the ledger already holds; an accepted one stays as it is."""
         known = self.jobs_by_id.get(spec.job_id)
         if known is not None:
             return known
-        tasks = [Task(task_id_of(spec.job_id, index), spec) for index in range(spec.count)]
-        job = JobBook(spec, {task.task_id: task for task in tasks})
-        self.jobs_by_id[spec.job_id] = job
-        self._tasks_by_id.update(job.tasks_by_id)
-        for task in tasks:
-            self._queue.push(request_for(task.task_id, task.spec))
+        job = self._tasks.add(spec)
+        for task in job.tasks_by_id.values():
+            self._tasks.enqueue(task)
+        return job
+
+    def admit(self, record: JobRecord) -> JobBook:
+        """Adds a job that moved here from another shard and runs nowhere."""
+        known = self.jobs_by_id.get(record.spec.job_id)
+        if known is not None:
+            return known
+        job = self.restore(record)
+        for task in job.tasks_by_id.values():
+            self._settle(job, task)
+        return job
+
+    def restore(self, record: JobRecord) -> JobBook:
+        """Adds a job of the ledger; the start of recovery decides what may start."""
+        job = self._tasks.add(record.spec)
+        job.is_cancelled = record.is_cancelled
+        tasks = list(job.tasks_by_id.values())
+        for state, indices in record.ended_by_state.items():
+            for index in indices:
+                if tasks[index].state is TaskState.QUEUED:
+                    job.restore(tasks[index], state)
+        for index, checkpoint in record.checkpoints_by_index.items():
+            tasks[index].checkpoint = checkpoint.value
+            tasks[index].epoch = checkpoint.epoch
+            tasks[index].attempt = checkpoint.attempt
+        for index in record.intents:
+            tasks[index].has_intent = True
+        self._tasks.note_end(job)
         return job
 
-    def list_machines(self, machines: Iterable[VirtualMachine], lease_until: float) -> list[str]:
-        """Takes in the workers of a VM listing.
+    def begin_recovery(self, workers: Iterable[VirtualMachine], lapses_at: float) -> None:
+        """Holds back restored tasks that may run on a worker which has not reported yet.
 
         Args:
-            machines: the workers of this shard.
-            lease_until: loop time by which leases of an earlier owner have lapsed.
+            workers: those that the ledger names as possible holders of leases.
+            lapses_at: loop time by which leases of an earlier owner have lapsed.
+        """
+        self._add_recorded(workers, lapses_at)
+        self._recovery.begin(self.workers_by_id)
+        for job, task in tasks_of(self.jobs_by_id.values()):
+            if task.state is TaskState.QUEUED and (task.spec.idempotent or task.has_intent):
+                job.move(task, "recovered")
+                self._recovery.hold(task)
+            self._settle(job, task)
+        self._finish_recovery()
+
+    def take_handover(
+        self,
+        assignments: Iterable[Assignment],
+        workers: Iterable[VirtualMachine],
+        lapses_at: float,
+    ) -> None:
+        """Takes in what the last owner knew to run where; no other task runs anywhere.
+
+        Args:
+            assignments: tasks that run or may run, with their workers.
+            workers: those that the ledger names as possible holders of leases.
+            lapses_at: loop time by which leases of the last owner have lapsed.
+        """
+        self._add_recorded(workers, lapses_at)
+        for assignment in assignments:
+            found = self._tasks.find(assignment.task_id)
+            if found is not None and found[1].state is TaskState.QUEUED:
+                self._tasks.assume(
+                    found[1], assignment.worker_id, assignment.epoch, assignment.attempt
+                )
+        for job, task in tasks_of(self.jobs_by_id.values()):
+            self._settle(job, task)
+
+    def attach(
+        self, worker_id: str, session: int, reports: Iterable[TaskReport], now: float
+    ) -> list[TaskRef]:
+        """Takes in a worker's full report.
 
         Returns:
-            Ids of the workers that have to be attached.
+            Running attempts that the worker must stop.
         """
-        for vm in machines:
-            book = self.workers_by_id.get(vm.vm_id)
-            if book is None:
-                book = WorkerBook(vm, WorkerState.DETACHED, lease_until)
-                self.workers_by_id[vm.vm_id] = book
-                self._offer(vm)
-                self._placement.remove_worker(vm.vm_id)
-            if vm.state is VmState.LEAVING:
-                book.state = WorkerState.LEAVING
-                self._placement.remove_worker(vm.vm_id)
-        return [i for i, b in self.workers_by_id.items() if b.state is WorkerState.DETACHED]
-
-    def attach(self, worker_id: str, reports: Iterable[TaskReport], now: float) -> None:
-        """Takes in a worker's full report."""
-        book = self.workers_by_id[worker_id]
-        if book.state is WorkerState.DETACHED:
-            book.state = WorkerState.ATTACHED
-            self._offer(book.vm)
-        book.lease_until = max(book.lease_until, now + WORKER_LEASE_S + CLOCK_MARGIN_S)
-        for report in reports:
-            self._adopt(worker_id, report)
+        book = self.workers_by_id.get(worker_id)
+        if book is None or session != book.session:
+            return []
+        self.workers.attach(book, now)
+        listed = list(reports)
+        for task_id in sorted(book.task_ids - {report.ref.task_id for report in listed}):
+            self._tasks.lose(*self._tasks.get(task_id))
+        unknown = self._take_reports(worker_id, listed)
+        self._recovery.settle(worker_id)
+        self._finish_recovery()
+        return unknown
+
+    def doubt(self, worker_id: str) -> None:
+        """Takes note that a start may still reach a worker; it has to be attached again."""
+        book = self.workers_by_id.get(worker_id)
+        if book is not None:
+            self.workers.detach(book, "doubted")
 
     def plan_starts(self, limit: int) -> list[StartOrders]:
         """Chooses workers for queued tasks and counts them against capacity.
@@ -151,159 +187,133 @@
         The caller checks ownership and freshness of the configuration first.
         """
         orders_by_worker: dict[str, list[TaskOrder]] = {}
+        with_intents: set[str] = set()
 
         def place(request: PlacementRequest) -> bool:
             worker_id = self._placement.place(request)
             if worker_id is None:
                 return False
-            order = self._assign(request.task_id, worker_id)
+            order = self._tasks.assign(request.task_id, worker_id)
             orders_by_worker.setdefault(worker_id, []).append(order)
+            if self._tasks.get(request.task_id)[1].has_intent:
+                with_intents.add(worker_id)
             return True
 
         self._queue.drain(place, limit)
-        return [StartOrders(i, tuple(orders)) for i, orders in orders_by_worker.items()]
+        return [
+            StartOrders(worker_id, tuple(orders), worker_id in with_intents)
+            for worker_id, orders in orders_by_worker.items()
+        ]
 
     def answer_starts(self, answers: Iterable[TaskAnswer]) -> None:
         """Takes in a worker's answers to start orders."""
         for answer in answers:
-            task = self._current(answer.ref)
-            if task is None or task.state is not TaskState.STARTING:
-                continue
-            if answer.accepted:
-                task.state = TaskState.RUNNING
-            else:
-                self._requeue(task)
+            self._tasks.answer_start(answer)
 
     def withdraw_starts(self, orders: Iterable[TaskOrder]) -> None:
         """Queues tasks again whose start order surely never left this process."""
         for order in orders:
-            task = self._current(order.ref)
-            if task is not None and task.state is TaskState.STARTING:
-                self._requeue(task)
+            self._tasks.answer_start(TaskAnswer(order.ref, False))
 
     def heartbeat(self, beat: Heartbeat, now: float) -> HeartbeatAnswer:
         """Takes in a heartbeat and renews the worker's lease."""
-        book = self.workers_by_id.get(beat.worker_id)
-        if book is None or book.state is WorkerState.DETACHED:
+        if not self.workers.renew(beat, now):
             return HeartbeatAnswer(accepted=False)
-        book.lease_until = max(book.lease_until, now + WORKER_LEASE_S + CLOCK_MARGIN_S)
-        acknowledged = []
-        unknown = []
-        for report in beat.reports:
-            if report.state is not ReportState.RUNNING:
-                acknowledged.append(report.ref)
-            elif self._tasks_by_id.get(report.ref.task_id) is None:
-                unknown.append(report.ref)
-            self._adopt(beat.worker_id, report)
-        return HeartbeatAnswer(True, WORKER_LEASE_S, tuple(acknowledged), tuple(unknown))
+        unknown = self._take_reports(beat.worker_id, beat.reports)
+        settled = [report.ref for report in beat.reports if self._tasks.is_settled(report)]
+        return HeartbeatAnswer(True, WORKER_LEASE_S, tuple(settled), tuple(unknown))
 
     def expire_workers(self, now: float) -> None:
         """Queues the tasks of workers whose leases have lapsed on every clock."""
-        for book in self.workers_by_id.values():
-            if now < book.lease_until or not book.task_ids:
-                continue
-            for task_id in sorted(book.task_ids):
-                self._requeue(self._tasks_by_id[task_id])
+        lapsed = self.workers.take_lapsed(now)
+        for book in lapsed:
+            self._recovery.settle(book.vm.vm_id)
             if book.state is WorkerState.ATTACHED:
-                book.state = WorkerState.DETACHED
-                self._placement.remove_worker(book.vm.vm_id)
+                self.workers.detach(book, "lapsed")
+            for task_id in sorted(book.task_ids):
+                self._tasks.lose(*self._tasks.get(task_id))
+            self.workers.forget_unlisted(book)
+        if lapsed:
+            self._finish_recovery()
 
-    def cancel(self, job_id: str) -> list[tuple[str, TaskRef]]:
-        """Cancels a job.
+    def list_machines(self, machines: Iterable[VirtualMachine], lapses_at: float) -> None:
+        """Takes in the workers of a VM listing and evicts tasks from leaving ones.
 
-        Returns:
-            Workers with the attempts that they have to stop.
+        Args:
+            machines: the workers of this shard.
+            lapses_at: loop time by which leases of an earlier owner have lapsed.
+        """
+        for book in self.workers.take_listing(machines, lapses_at):
+            for task_id in sorted(book.task_ids):
+                if task_id not in book.stops_by_task:
+                    self.evict(task_id)
+
+    def evict(self, task_id: str, checkpoint: bool = True) -> bool:
+        """Asks for a stop of a task that waits again; returns whether it is on a worker."""
+        return self._tasks.evict(task_id, checkpoint)
+
+    def cancel(self, job_id: str) -> JobBook:
+        """Cancels a job whose cancellation the ledger holds.
+
+        Tasks that may run stay counted until their workers have confirmed that they stopped.
         """
         job = self.jobs_by_id[job_id]
-        stops = []
-        for task in job.tasks_by_id.values():
-            if task.state in _ENDED:
-                continue
-            if task.state in _ON_WORKER:
-                stops.append((task.worker_id, TaskRef(task.task_id, task.attempt)))
-            self._end(task, TaskState.CANCELLED)
-        return stops
+        job.is_cancelled = True
+        self._tasks.cancel(job)
+        return job
+
+    def stop_orders(self, worker_id: str) -> list[StopOrder]:
+        """Returns the attempts that a worker still has to stop."""
+        book = self.workers_by_id.get(worker_id)
+        return list(book.stops_by_task.values()) if book is not None else []
+
+    def find_on_worker(self, task_id: str) -> tuple[str, TaskRef] | None:
+        """Returns the worker and the attempt of a task that is on a worker."""
+        found = self._tasks.find(task_id)
+        if found is None or found[1].state not in ON_WORKER_STATES:
+            return None
+        return found[1].worker_id, ref_of(found[1])
 
     def free(self, worker_id: str) -> Resources:
         """Returns what a worker can still be given by declared sizes."""
         return self._placement.free(worker_id)
 
-    def take_changed_jobs(self) -> list[JobBook]:
-        """Returns the jobs changed since the last call."""
-        changed = [job for job in self.jobs_by_id.values() if job.is_changed]
-        for job in changed:
-            job.is_changed = False
-        return changed
+    def take_left(self) -> list[str]:
+        """Returns the tasks that left their workers since the last call."""
+        return self._tasks.take_left()
 
-    def restore(self, job_id: str, finished: Iterable[str], state: TaskState) -> None:
-        """Marks tasks of an accepted job as ended, as the ledger recorded them."""
-        job = self.jobs_by_id[job_id]
-        for task_id in finished:
-            self._end(job.tasks_by_id[task_id], state)
-        job.is_changed = False
-
-    def _offer(self, vm: VirtualMachine) -> None:
-        capacity = Resources(vm.cores, vm.memory_mb, vm.accelerators)
-        self._placement.add_worker(vm.vm_id, vm.rack, capacity)
-
-    def _assign(self, task_id: str, worker_id: str) -> TaskOrder:
-        task = self._tasks_by_id[task_id]
-        task.state = TaskState.STARTING
-        task.worker_id = worker_id
-        task.attempt += 1
-        self.workers_by_id[worker_id].task_ids.add(task_id)
-        return _order_for(task)
-
-    def _current(self, ref: TaskRef) -> Task | None:
-        task = self._tasks_by_id.get(ref.task_id)
-        if task is None or task.attempt != ref.attempt:
-            return None
-        return task
-
-    def _adopt(self, worker_id: str, report: TaskReport) -> None:
-        task = self._tasks_by_id.get(report.ref.task_id)
-        if task is None or task.state in _ENDED or report.ref.attempt < task.attempt:
-            return
-        task.attempt = report.ref.attempt
-        if report.state is ReportState.RUNNING:
-            self._queue.discard(task.task_id)
-            task.state = TaskState.RUNNING
-            if task.worker_id != worker_id:
-                self._placement.adopt(request_for(task.task_id, task.spec), worker_id)
-            task.worker_id = worker_id
-            self.workers_by_id[worker_id].task_ids.add(task.task_id)
-        elif report.state is ReportState.FINISHED:
-            self._end(task, TaskState.FINISHED)
-        elif report.state is ReportState.FAILED:
-            self._end(task, TaskState.FAILED)
-        else:
-            task.checkpoint = report.checkpoint
-            self._requeue(task)
-
-    def _requeue(self, task: Task) -> None:
-        self._leave_worker(task)
-        task.state = TaskState.QUEUED
-        self._queue.push(request_for(task.task_id, task.spec))
-
-    def _end(self, task: Task, state: TaskState) -> None:
-        self._leave_worker(task)
-        self._queue.discard(task.task_id)
-        task.state = state
-        self.jobs_by_id[task.spec.job_id].is_changed = True
-
-    def _leave_worker(self, task: Task) -> None:
-        book = self.workers_by_id.get(task.worker_id)
-        if book is not None:
-            book.task_ids.discard(task.task_id)
-        self._placement.release(task.task_id)
-        task.worker_id = ""
-
-
-def _order_for(task: Task) -> TaskOrder:
-    return TaskOrder(
-        TaskRef(task.task_id, task.attempt),
-        task.spec.resources,
-        task.spec.duration_ms,
-        task.spec.task_class,
-        task.checkpoint,
-    )
+    def take_ended(self) -> list[JobBook]:
+        """Returns the jobs that ended since the last call."""
+        return self._tasks.take_ended()
+
+    def forget(self, job_id: str) -> None:
+        """Drops a job that has ended or has moved to another shard."""
+        self._tasks.forget(job_id)
+
+    def assignments(self) -> list[Assignment]:
+        """Returns where each task runs or may run, for a successor."""
+        found = []
+        for worker_id, book in self.workers_by_id.items():
+            for task_id in sorted(book.task_ids):
+                _, task = self._tasks.get(task_id)
+                found.append(Assignment(task_id, worker_id, task.epoch, task.attempt))
+        return found
+
+    def _add_recorded(self, workers: Iterable[VirtualMachine], lapses_at: float) -> None:
+        for vm in workers:
+            self.workers.add(vm, lapses_at).is_recorded = True
+
+    def _settle(self, job: JobBook, task: Task) -> None:
+        if task.state is TaskState.QUEUED and task.has_intent:
+            self._tasks.lose(job, task)
+        elif job.is_cancelled:
+            self._tasks.cancel_task(job, task)
+        elif task.state is TaskState.QUEUED:
+            self._tasks.enqueue(task)
+
+    def _take_reports(self, worker_id: str, reports: Iterable[TaskReport]) -> list[TaskRef]:
+        return [report.ref for report in reports if self._tasks.take_report(worker_id, report)]
+
+    def _finish_recovery(self) -> None:
+        for task in self._recovery.take_absent():
+            self._tasks.lose(self.jobs_by_id[task.spec.job_id], task)
--- /dev/null
+++ b/packages/pollengate/pollengate/task_books.py
@@ -0,0 +1,271 @@
+"""The jobs of one shard and every move of their tasks along the chart."""
+
+from collections.abc import Iterable
+
+from pollengate.job_books import ChangeLog, JobBook
+from pollengate.jobs import ENDED_STATES, ON_WORKER_STATES, JobSpec, Task, TaskState
+from pollengate.placement import Placement, request_for
+from pollengate.task_queue import TaskQueue
+from pollengate.worker import ReportState, TaskAnswer, TaskOrder, TaskRef, TaskReport
+from pollengate.worker_books import StopOrder
+from pollengate.worker_table import WorkerTable
+
+__all__ = ["TaskBooks"]
+
+OUTCOME_UNKNOWN = "its worker was lost after the start may have been sent"
+
+_EVENT_BY_REPORT = {
+    ReportState.RUNNING: "reported_running",
+    ReportState.FINISHED: "reported_finished",
+    ReportState.FAILED: "reported_failed",
+    ReportState.STOPPED: "reported_stopped",
+    ReportState.CHECKPOINTED: "reported_checkpointed",
+}
+
+
+class TaskBooks:
+    """Moves tasks and keeps queue, placement, workers and unrecorded changes in step.
+
+    Attributes:
+        jobs_by_id: jobs that the ledger holds.
+        changes: what the ledger has still to record.
+    """
+
+    def __init__(
+        self, epoch: int, placement: Placement, queue: TaskQueue, workers: WorkerTable
+    ) -> None:
+        self.jobs_by_id: dict[str, JobBook] = {}
+        self.changes = ChangeLog()
+        self._epoch = epoch
+        self._placement = placement
+        self._queue = queue
+        self._workers = workers
+        self._left: list[str] = []
+        self._ended: list[JobBook] = []
+
+    def add(self, spec: JobSpec) -> JobBook:
+        """Adds a job whose tasks wait for a decision of the caller."""
+        job = JobBook(spec)
+        self.jobs_by_id[spec.job_id] = job
+        return job
+
+    def find(self, task_id: str) -> tuple[JobBook, Task] | None:
+        """Returns a task of a job that has not ended."""
+        job = self.jobs_by_id.get(task_id.rpartition(".")[0])
+        task = job.tasks_by_id.get(task_id) if job is not None else None
+        return (job, task) if job is not None and task is not None else None
+
+    def get(self, task_id: str) -> tuple[JobBook, Task]:
+        """Returns a task that is known to be in the books."""
+        job = self.jobs_by_id[task_id.rpartition(".")[0]]
+        return job, job.tasks_by_id[task_id]
+
+    def enqueue(self, task: Task) -> None:
+        """Makes a task wait for a worker."""
+        self._queue.push(request_for(task.task_id, task.spec))
+
+    def assign(self, task_id: str, worker_id: str) -> TaskOrder:
+        """Gives a task that placement has counted to its worker."""
+        job, task = self.get(task_id)
+        job.move(task, "assigned")
+        task.attempt = task.attempt + 1 if task.epoch == self._epoch else 1
+        task.epoch = self._epoch
+        task.worker_id = worker_id
+        self._workers.place(task_id, worker_id)
+        if not task.spec.idempotent:
+            task.has_intent = True
+            self.changes.note(task)
+        return _order_for(task)
+
+    def assume(self, task: Task, worker_id: str, epoch: int, attempt: int) -> None:
+        """Takes in from the last owner that a task may run on a worker."""
+        self.jobs_by_id[task.spec.job_id].move(task, "handed_over")
+        task.epoch, task.attempt = epoch, attempt
+        self._count_on(task, worker_id)
+
+    def answer_start(self, answer: TaskAnswer) -> None:
+        """Takes in a worker's answer to one start order."""
+        found = self._current(answer.ref)
+        if found is None or found[1].state not in ON_WORKER_STATES:
+            return
+        job, task = found
+        if not answer.accepted:
+            if task.state is not TaskState.RUNNING:
+                self._leave(job, task, "start_refused")
+        elif task.state is TaskState.STARTING:
+            job.move(task, "start_accepted")
+
+    def take_report(self, worker_id: str, report: TaskReport) -> bool:
+        """Takes in what a worker says of one attempt.
+
+        Returns:
+            Whether the worker must stop the attempt.
+        """
+        is_running = report.state is ReportState.RUNNING
+        found = self.find(report.ref.task_id)
+        if found is None or found[1].state in ENDED_STATES:
+            return is_running
+        job, task = found
+        if report.ref.order < (task.epoch, task.attempt):
+            return is_running
+        if is_running and task.worker_id not in ("", worker_id):
+            return True
+        task.epoch, task.attempt = report.ref.order
+        if is_running:
+            self._take_running(job, task, worker_id)
+        else:
+            self._take_end(job, task, report)
+        return False
+
+    def lose(self, job: JobBook, task: Task) -> None:
+        """Moves a task that surely no longer runs and whose end nobody reported."""
+        if task.state in ENDED_STATES:
+            return
+        if not task.spec.idempotent and task.has_intent:
+            task.detail = OUTCOME_UNKNOWN
+            self._leave(job, task, "outcome_unknown")
+        else:
+            self._leave(job, task, "absent")
+
+    def cancel(self, job: JobBook) -> None:
+        """Cancels every task; those that may run stay counted until they have stopped."""
+        for task in list(job.tasks_by_id.values()):
+            self.cancel_task(job, task)
+
+    def cancel_task(self, job: JobBook, task: Task) -> None:
+        """Cancels one task."""
+        if task.state in ENDED_STATES or task.state is TaskState.STOPPING:
+            return
+        if task.state is TaskState.QUEUED:
+            self._leave(job, task, "cancel_requested")
+            return
+        job.move(task, "cancel_requested")
+        self.order_stop(task, checkpoint=False)
+
+    def evict(self, task_id: str, checkpoint: bool) -> bool:
+        """Asks for a stop of a task that waits again; returns whether it is on a worker."""
+        found = self.find(task_id)
+        if found is None or found[1].state not in ON_WORKER_STATES:
+            return False
+        job, task = found
+        if task.state is TaskState.STOPPING:
+            return False
+        job.move(task, "evict_requested")
+        self.order_stop(task, checkpoint)
+        return True
+
+    def order_stop(self, task: Task, checkpoint: bool) -> None:
+        """Remembers that the worker of a task has to stop it."""
+        if task.worker_id:
+            order = StopOrder(ref_of(task), checkpoint)
+            self._workers.order_stop(task.task_id, task.worker_id, order)
+
+    def is_settled(self, report: TaskReport) -> bool:
+        """Tells whether a worker may forget an attempt that it reported."""
+        if report.state is ReportState.RUNNING:
+            return False
+        return self.changes.is_recorded(report.ref.task_id)
+
+    def take_left(self) -> list[str]:
+        """Returns the tasks that left their workers since the last call."""
+        left, self._left = self._left, []
+        return left
+
+    def note_end(self, job: JobBook) -> None:
+        """Remembers a job for `take_ended` if every task has ended."""
+        if job.has_ended:
+            self._ended.append(job)
+
+    def take_ended(self) -> list[JobBook]:
+        """Returns the jobs that ended since the last call."""
+        ended, self._ended = self._ended, []
+        return ended
+
+    def forget(self, job_id: str) -> None:
+        """Drops a job that has ended or has moved to another shard."""
+        job = self.jobs_by_id.pop(job_id)
+        for task_id in job.tasks_by_id:
+            self._queue.discard(task_id)
+
+    def _current(self, ref: TaskRef) -> tuple[JobBook, Task] | None:
+        found = self.find(ref.task_id)
+        if found is None or (found[1].epoch, found[1].attempt) != ref.order:
+            return None
+        return found
+
+    def _take_running(self, job: JobBook, task: Task, worker_id: str) -> None:
+        self._queue.discard(task.task_id)
+        job.move(task, "reported_running")
+        if not task.worker_id:
+            self._count_on(task, worker_id)
+            if task.state is TaskState.STOPPING:
+                self.order_stop(task, checkpoint=False)
+
+    def _take_end(self, job: JobBook, task: Task, report: TaskReport) -> None:
+        if report.state is ReportState.STOPPED and task.state is not TaskState.STOPPING:
+            if task.state is not TaskState.LOST:
+                self.lose_stopped(job, task)
+            return
+        if report.state is ReportState.CHECKPOINTED:
+            task.checkpoint = report.checkpoint
+            task.has_intent = False
+        task.detail = report.detail
+        self._leave(job, task, _EVENT_BY_REPORT[report.state])
+        if report.state is ReportState.CHECKPOINTED and task.state not in ENDED_STATES:
+            self.changes.note(task)
+
+    def lose_stopped(self, job: JobBook, task: Task) -> None:
+        """Moves a task that its worker stopped without a checkpoint."""
+        if not task.spec.idempotent and task.has_intent:
+            self.lose(job, task)
+        else:
+            self._leave(job, task, "reported_stopped")
+
+    def _count_on(self, task: Task, worker_id: str) -> None:
+        self._placement.adopt(request_for(task.task_id, task.spec), worker_id)
+        task.worker_id = worker_id
+        self._workers.place(task.task_id, worker_id)
+
+    def _leave(self, job: JobBook, task: Task, event: str) -> None:
+        was_on_worker = bool(task.worker_id)
+        self._workers.leave(task.task_id, task.worker_id)
+        self._placement.release(task.task_id)
+        task.worker_id = ""
+        state = job.move(task, event)
+        if was_on_worker:
+            self._left.append(task.task_id)
+        if state is TaskState.QUEUED:
+            self._clear_intent(task, event)
+            self.enqueue(task)
+        elif state in ENDED_STATES:
+            self._end(job, task)
+
+    def _clear_intent(self, task: Task, event: str) -> None:
+        if event == "start_refused" and task.has_intent:
+            task.has_intent = False
+            self.changes.note(task)
+
+    def _end(self, job: JobBook, task: Task) -> None:
+        self._queue.discard(task.task_id)
+        self.changes.note(task)
+        self.note_end(job)
+
+
+def ref_of(task: Task) -> TaskRef:
+    """Returns the newest attempt at a task."""
+    return TaskRef(task.task_id, task.attempt, task.epoch)
+
+
+def _order_for(task: Task) -> TaskOrder:
+    return TaskOrder(
+        ref_of(task),
+        task.spec.resources,
+        task.spec.duration_ms,
+        task.spec.task_class,
+        task.checkpoint,
+    )
+
+
+def tasks_of(jobs: Iterable[JobBook]) -> list[tuple[JobBook, Task]]:
+    """Returns every task of jobs that have not been compacted."""
+    return [(job, task) for job in jobs for task in job.tasks_by_id.values()]
--- a/packages/pollengate/pollengate/worker.py
+++ b/packages/pollengate/pollengate/worker.py
@@ -36,10 +36,22 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TaskRef:
-    """One attempt at a task."""
+    """One attempt at a task.
+
+    Attributes:
+        task_id: the task.
+        attempt: grows with each start by one owner.
+        epoch: the owner that sent the start.
+    """
 
     task_id: str
     attempt: int
+    epoch: int = 0
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Returns what orders the attempts at one task, across owners."""
+        return (self.epoch, self.attempt)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -87,9 +99,10 @@
     """A worker's answer to an owner that attaches it.
 
     Attributes:
-        accepted: False when the worker has seen a higher epoch.
+        accepted: False when the worker has seen a higher epoch, or a higher session of it.
         epoch: the highest epoch that the worker has seen.
-        reports: every task that runs or has ended without acknowledgement.
+        reports: every task that runs or has ended without acknowledgement; a start order
+            of a lower session that is not among them will never run.
     """
 
     accepted: bool
@@ -107,6 +120,8 @@
         reports: every task that runs or has ended without acknowledgement.
         usage: the newest measurements.
         usage_age_s: seconds since they were taken.
+        session: the session of that epoch that the worker is attached at.
+        number: grows with each heartbeat of one session.
     """
 
     worker_id: str
@@ -114,6 +129,8 @@
     reports: tuple[TaskReport, ...]
     usage: tuple[TaskUsage, ...] = ()
     usage_age_s: float = 0.0
+    session: int = 0
+    number: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -145,14 +162,22 @@
     """Calls from an owner to one worker."""
 
     @abc.abstractmethod
-    async def attach(self, epoch: int, owner_address: str) -> Result[Attachment, WorkerFailure]:
-        """Makes the worker send its heartbeats to this owner."""
+    async def attach(
+        self, epoch: int, session: int, owner_address: str
+    ) -> Result[Attachment, WorkerFailure]:
+        """Makes the worker send its heartbeats to this owner.
+
+        Args:
+            epoch: the owner's; a worker refuses a lower one than it has seen.
+            session: fences start orders of lower sessions of the epoch.
+            owner_address: `ip:port` that takes heartbeats.
+        """
 
     @abc.abstractmethod
     async def start(
-        self, epoch: int, orders: Sequence[TaskOrder]
+        self, epoch: int, session: int, orders: Sequence[TaskOrder]
     ) -> Result[tuple[TaskAnswer, ...], WorkerFailure]:
-        """Starts tasks; each is answered on its own."""
+        """Starts tasks; each is answered on its own, and refused at another session."""
 
     @abc.abstractmethod
     async def stop(
--- /dev/null
+++ b/packages/pollengate/pollengate/worker_books.py
@@ -0,0 +1,93 @@
+"""An owner's books on one worker: its session, its lease and what may run there."""
+
+import dataclasses
+import enum
+import zlib
+
+from pollengate.charts import load_chart
+from pollengate.ownership import CLOCK_MARGIN_S, MAX_CLOCK_DRIFT
+from pollengate.virtual_machines import VirtualMachine, VmState
+from pollengate.worker import TaskRef
+
+__all__ = ["StopOrder", "WORKER_LEASE_S", "WorkerBook", "WorkerState", "lapse_time", "shard_of"]
+
+# Longer than a takeover, so that tasks outlive the death of their shard's owner.
+WORKER_LEASE_S = 10.0
+
+_CHART = load_chart("worker")
+
+
+class WorkerState(enum.StrEnum):
+    """Whether a worker has reported to this owner; the states of `charts/worker.yaml`."""
+
+    DETACHED = "detached"
+    ATTACHED = "attached"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopOrder:
+    """An attempt that its worker has to stop, with a checkpoint or without."""
+
+    ref: TaskRef
+    checkpoint: bool
+
+
+@dataclasses.dataclass(slots=True)
+class WorkerBook:
+    """What the owner knows of one worker.
+
+    Attributes:
+        vm: the machine as listed or as an earlier owner recorded it.
+        state: whether it has reported to this owner.
+        lease_until: loop time by which its lease has lapsed on every clock.
+        session: the attach call that its starts and heartbeats belong to.
+        beat_number: the last heartbeat taken in of that session.
+        has_lease: whether it asked for a lease in that session.
+        is_recorded: whether the ledger names it as one that may hold leases.
+        is_offered: whether placement may choose it.
+        task_ids: tasks that run there or may run there.
+        stops_by_task: attempts that have to stop and are not known to have.
+    """
+
+    vm: VirtualMachine
+    lease_until: float
+    state: WorkerState = WorkerState.DETACHED
+    session: int = 0
+    beat_number: int = -1
+    has_lease: bool = False
+    is_recorded: bool = False
+    is_offered: bool = False
+    task_ids: set[str] = dataclasses.field(default_factory=set)
+    stops_by_task: dict[str, StopOrder] = dataclasses.field(default_factory=dict)
+
+    def move(self, event: str) -> None:
+        """Moves the worker along the chart.
+
+        Raises:
+            InvariantViolation: the chart does not allow the event.
+        """
+        self.state = WorkerState(_CHART.next(self.state, event))
+
+    @property
+    def may_start(self) -> bool:
+        """Tells whether tasks may be placed there."""
+        return (
+            self.state is WorkerState.ATTACHED
+            and self.vm.state is VmState.LIVE
+            and self.has_lease
+            and self.is_recorded
+        )
+
+    def extend(self, now: float) -> None:
+        """Counts a lease that the worker may get by an answer sent at loop time `now`."""
+        self.lease_until = max(self.lease_until, lapse_time(now))
+
+
+def lapse_time(granted_at: float) -> float:
+    """Returns the loop time by which a worker's lease has lapsed on every clock."""
+    return granted_at + WORKER_LEASE_S * (1 + MAX_CLOCK_DRIFT) + CLOCK_MARGIN_S
+
+
+def shard_of(worker_id: str, shards: int) -> int:
+    """Returns the shard that a worker belongs to, by a stable hash of its id."""
+    return zlib.crc32(worker_id.encode()) % shards
--- /dev/null
+++ b/packages/pollengate/pollengate/worker_table.py
@@ -0,0 +1,173 @@
+"""The workers of one shard: who is attached, recorded, offered and lapsed."""
+
+from collections.abc import Iterable
+
+from pollengate.jobs import Resources
+from pollengate.placement import Placement
+from pollengate.virtual_machines import VirtualMachine, VmState
+from pollengate.worker import Heartbeat
+from pollengate.worker_books import WORKER_LEASE_S, StopOrder, WorkerBook, WorkerState
+
+__all__ = ["WorkerTable"]
+
+
+class WorkerTable:
+    """Keeps one book per worker and offers those to placement that may start tasks.
+
+    Attributes:
+        by_id: the books.
+        detached: workers that have to be attached.
+        unrecorded: attached workers that the ledger does not name yet.
+        with_stops: workers that still have attempts to stop.
+    """
+
+    def __init__(self, placement: Placement) -> None:
+        self.by_id: dict[str, WorkerBook] = {}
+        self.detached: dict[str, None] = {}
+        self.unrecorded: dict[str, None] = {}
+        self.with_stops: dict[str, None] = {}
+        self._placement = placement
+        self._unlisted: set[str] = set()
+        self._next_scan = 0.0
+
+    def add(self, vm: VirtualMachine, lapses_at: float) -> WorkerBook:
+        """Returns the book of a worker, a new one if it has none."""
+        book = self.by_id.get(vm.vm_id)
+        if book is None:
+            book = WorkerBook(vm, lapses_at)
+            self.by_id[vm.vm_id] = book
+            self.detached[vm.vm_id] = None
+            self._placement.add_worker(vm.vm_id, vm.rack, _capacity(vm))
+            self._placement.remove_worker(vm.vm_id)
+        return book
+
+    def take_listing(
+        self, machines: Iterable[VirtualMachine], lapses_at: float
+    ) -> list[WorkerBook]:
+        """Takes in a VM listing; an empty one changes nothing.
+
+        Returns:
+            Books of the workers that are leaving.
+        """
+        listed = {vm.vm_id: vm for vm in machines}
+        for vm in listed.values():
+            book = self.add(vm, lapses_at)
+            book.vm = vm
+            self.update_offer(book)
+        if listed:
+            self._unlisted = self.by_id.keys() - listed.keys()
+            for worker_id in self._unlisted:
+                self.update_offer(self.by_id[worker_id])
+        return [book for book in self.by_id.values() if book.vm.state is VmState.LEAVING]
+
+    def next_session(self, worker_id: str) -> int:
+        """Returns the session of the next attach call to a worker; none is used twice."""
+        book = self.by_id[worker_id]
+        book.session += 1
+        return book.session
+
+    def attach(self, book: WorkerBook, now: float) -> None:
+        """Takes note that a worker reported all that runs on it."""
+        book.move("attached")
+        self.detached.pop(book.vm.vm_id, None)
+        book.beat_number = -1
+        book.has_lease = False
+        self._extend(book, now)
+        if not book.is_recorded:
+            self.unrecorded[book.vm.vm_id] = None
+
+    def detach(self, book: WorkerBook, event: str) -> None:
+        """Takes note that a worker has to be attached again before it starts anything."""
+        book.move(event)
+        book.has_lease = False
+        self.detached[book.vm.vm_id] = None
+        self.unrecorded.pop(book.vm.vm_id, None)
+        self.update_offer(book)
+
+    def renew(self, beat: Heartbeat, now: float) -> bool:
+        """Renews a lease; False for a heartbeat of another session, or an older one."""
+        book = self.by_id.get(beat.worker_id)
+        if book is None or book.state is not WorkerState.ATTACHED:
+            return False
+        if beat.session != book.session or beat.number <= book.beat_number:
+            return False
+        book.move("renewed")
+        book.beat_number = beat.number
+        book.has_lease = True
+        self._extend(book, now)
+        self.update_offer(book)
+        return True
+
+    def record(self, worker_ids: Iterable[str]) -> None:
+        """Takes note that the ledger names workers as possible holders of leases."""
+        for worker_id in worker_ids:
+            self.unrecorded.pop(worker_id, None)
+            book = self.by_id.get(worker_id)
+            if book is not None:
+                book.is_recorded = True
+                self.update_offer(book)
+
+    def machines_to_record(self) -> list[VirtualMachine]:
+        """Returns every worker that may hold a lease."""
+        return [book.vm for book in self.by_id.values()]
+
+    def take_lapsed(self, now: float) -> list[WorkerBook]:
+        """Returns the workers whose leases have lapsed on every clock."""
+        if now < self._next_scan:
+            return []
+        self._next_scan = now + WORKER_LEASE_S
+        lapsed = []
+        for book in self.by_id.values():
+            if now < book.lease_until:
+                self._next_scan = min(self._next_scan, book.lease_until)
+            else:
+                lapsed.append(book)
+        return lapsed
+
+    def forget_unlisted(self, book: WorkerBook) -> None:
+        """Drops the book of a lapsed worker that the VM list no longer names."""
+        worker_id = book.vm.vm_id
+        if worker_id not in self._unlisted or book.task_ids:
+            return
+        self._unlisted.discard(worker_id)
+        del self.by_id[worker_id]
+        for names in (self.detached, self.unrecorded, self.with_stops):
+            names.pop(worker_id, None)
+
+    def order_stop(self, task_id: str, worker_id: str, order: StopOrder) -> None:
+        """Remembers an attempt that a worker has to stop."""
+        self.by_id[worker_id].stops_by_task[task_id] = order
+        self.with_stops[worker_id] = None
+
+    def place(self, task_id: str, worker_id: str) -> None:
+        """Takes note that a task runs on a worker or may run there."""
+        self.by_id[worker_id].task_ids.add(task_id)
+
+    def leave(self, task_id: str, worker_id: str) -> None:
+        """Takes note that a task has surely left a worker."""
+        book = self.by_id.get(worker_id)
+        if book is None:
+            return
+        book.task_ids.discard(task_id)
+        if book.stops_by_task.pop(task_id, None) is not None and not book.stops_by_task:
+            self.with_stops.pop(worker_id, None)
+
+    def update_offer(self, book: WorkerBook) -> None:
+        """Offers a worker to placement or withdraws it."""
+        worker_id = book.vm.vm_id
+        should_offer = book.may_start and worker_id not in self._unlisted
+        if should_offer == book.is_offered:
+            return
+        book.is_offered = should_offer
+        if should_offer:
+            self._placement.add_worker(worker_id, book.vm.rack, _capacity(book.vm))
+        else:
+            self._placement.remove_worker(worker_id)
+
+    def _extend(self, book: WorkerBook, now: float) -> None:
+        book.extend(now)
+        self._next_scan = min(self._next_scan, book.lease_until)
+
+
+def _capacity(vm: VirtualMachine) -> Resources:
+    return Resources(vm.cores, vm.memory_mb, vm.accelerators)
--- a/packages/pollengated/pollengated/compose.py
+++ b/packages/pollengated/pollengated/compose.py
@@ -27,10 +27,13 @@
 from pollengated.service_proxy import ServiceProxy
 from pollengated.settings import Settings
 from pollengated.shard_owner import ShardOwner
+from pollengated.shard_set import ShardSet
 from pollengated.vm_directory import VmDirectory
 
 __all__ = ["run_gate", "run_scheduler"]
 
+HANDOVER_TIMEOUT_S = 8.0
+
 
 async def run_gate(settings: Settings) -> None:
     """Runs a gate until SIGTERM."""
@@ -67,22 +70,27 @@
     store = EtcdStore(settings.store_address)
     follower = ConfigurationFollower(store, metrics)
     vms = VmDirectory(HttpVmList(settings.vm_list_address))
-    owner = ShardOwner(
-        settings.zone,
-        0,
-        settings.process_id,
-        settings.rpc_address,
-        store,
-        follower,
-        vms,
-        GrpcWorkerClient,
-        metrics,
-    )
-    service = SchedulerService(settings.process_id, settings.zone, [owner], follower)
-    server = Server([service, HeartbeatService([owner])])
+
+    def make_owner(number: int, shards: int) -> ShardOwner:
+        return ShardOwner(
+            settings.zone,
+            number,
+            settings.process_id,
+            settings.rpc_address,
+            store,
+            follower,
+            vms,
+            GrpcWorkerClient,
+            metrics,
+            shards=shards,
+        )
+
+    shards = ShardSet(store, settings.zone, follower, make_owner)
+    service = SchedulerService(settings.process_id, settings.zone, shards, follower)
+    server = Server([service, HeartbeatService(shards)])
     await server.start(*split_address(settings.rpc_address))
     Log("scheduler").info("serving", address=settings.rpc_address)
-    await _run_until_stopped(_wait_for_stop(), [follower.run(), vms.run(), owner.run()])
+    await _run_until_stopped(_run_shards(shards), [follower.run(), vms.run()])
     server.close()
     await server.wait_closed()
     await store.close()
@@ -95,6 +103,16 @@
     await uvicorn.Server(config).serve()
 
 
+async def _run_shards(shards: ShardSet) -> None:
+    serving = asyncio.create_task(shards.run())
+    stopping = asyncio.create_task(_wait_for_stop())
+    await asyncio.wait((serving, stopping), return_when=asyncio.FIRST_COMPLETED)
+    shards.stop()
+    async with asyncio.timeout(HANDOVER_TIMEOUT_S):
+        await serving
+    stopping.cancel()
+
+
 async def _wait_for_stop() -> None:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
--- /dev/null
+++ b/packages/pollengated/pollengated/ledger_writer.py
@@ -0,0 +1,130 @@
+"""Group commit: records the changes of a shard's books in few store writes."""
+
+import asyncio
+from collections import deque
+
+from pollengate.job_books import JobBook
+from pollengate.ledger import LedgerConflict, LedgerFailure
+from pollengate.ledger_records import JobChange
+from pollengate.steps import Step
+from pollengate.store import Store
+from result import Err, Ok, Result
+
+from pollengated.logs import Log
+from pollengated.tenure import Tenure
+
+__all__ = ["LedgerWriter"]
+
+FLUSH_INTERVAL_S = 0.5
+RETRY_INTERVAL_S = 0.5
+ENDED_RETENTION_S = 86_400
+RETENTION_BUCKET_S = 3_600
+
+
+class LedgerWriter:
+    """Writes one shard's changes; callers that wait share one write."""
+
+    def __init__(self, tenure: Tenure, store: Store) -> None:
+        self._tenure = tenure
+        self._books = tenure.books
+        self._store = store
+        self._wanted = asyncio.Event()
+        self._waiter: asyncio.Future[Result[None, LedgerFailure]] | None = None
+        self._ended: list[JobBook] = []
+        self._dropped_at: deque[tuple[float, str]] = deque()
+        self._retention_lease_id = 0
+        self._retention_until = 0.0
+        self._log = Log("ledger")
+
+    async def run(self) -> None:
+        """Writes at an interval, and at once when a caller waits, until cancelled."""
+        while True:
+            try:
+                async with asyncio.timeout(FLUSH_INTERVAL_S):
+                    await self._wanted.wait()
+            except TimeoutError:
+                pass
+            result = await self.flush()
+            if isinstance(result, Err):
+                if isinstance(result.err_value, LedgerConflict):
+                    self._tenure.drop()
+                    return
+                await asyncio.sleep(RETRY_INTERVAL_S)
+
+    async def record(self) -> Result[None, LedgerFailure]:
+        """Waits until all that the books hold now is durable, or a write of it failed."""
+        if self._waiter is None:
+            self._waiter = asyncio.get_running_loop().create_future()
+        self._wanted.set()
+        return await asyncio.shield(self._waiter)
+
+    async def flush(self) -> Result[None, LedgerFailure]:
+        """Records every change in as few writes as possible."""
+        waiter, self._waiter = self._waiter, None
+        self._wanted.clear()
+        changes = self._books.changes.take()
+        result = await self._append(changes)
+        if isinstance(result, Ok):
+            self._books.changes.recorded(changes)
+            self._apply_cancellations(changes)
+        else:
+            self._books.changes.give_back(changes)
+        if waiter is not None and not waiter.done():
+            waiter.set_result(result)
+        if isinstance(result, Ok):
+            self._drop_ended()
+            return await self._fold()
+        return result
+
+    async def _append(self, changes: list[JobChange]) -> Result[None, LedgerFailure]:
+        if not changes:
+            return Ok(None)
+        await self._tenure.steps.reach(Step.LEDGER_WRITING)
+        if not self._tenure.is_held():
+            return Err(LedgerConflict("the lease of the shard has lapsed"))
+        result = await self._tenure.ledger.append(changes, self._tenure.epoch)
+        await self._tenure.steps.reach(Step.LEDGER_WRITTEN)
+        return result
+
+    def _apply_cancellations(self, changes: list[JobChange]) -> None:
+        for change in changes:
+            if change.is_cancelled and change.job_id in self._books.jobs_by_id:
+                self._books.cancel(change.job_id)
+
+    async def _fold(self) -> Result[None, LedgerFailure]:
+        if not self._tenure.ledger.needs_fold or not self._tenure.is_held():
+            return Ok(None)
+        await self._tenure.steps.reach(Step.LEDGER_FOLDING)
+        lease_id = await self._retention_lease()
+        if isinstance(lease_id, Err):
+            return lease_id
+        result = await self._tenure.ledger.fold(
+            self._books.jobs_by_id, lease_id.ok_value, self._tenure.epoch
+        )
+        await self._tenure.steps.reach(Step.LEDGER_FOLDED)
+        return result
+
+    async def _retention_lease(self) -> Result[int, LedgerFailure]:
+        now = asyncio.get_running_loop().time()
+        if now < self._retention_until:
+            return Ok(self._retention_lease_id)
+        lease = await self._store.grant_lease(ENDED_RETENTION_S)
+        if isinstance(lease, Ok):
+            self._retention_lease_id = lease.ok_value
+            self._retention_until = now + RETENTION_BUCKET_S
+        return lease
+
+    def _drop_ended(self) -> None:
+        now = asyncio.get_running_loop().time()
+        waiting: list[JobBook] = []
+        for job in (*self._ended, *self._books.take_ended()):
+            if self._books.changes.has(job.spec.job_id):
+                waiting.append(job)
+            elif job.spec.job_id in self._books.jobs_by_id:
+                job.compact()
+                self._dropped_at.append((now + ENDED_RETENTION_S, job.spec.job_id))
+        self._ended = waiting
+        while self._dropped_at and self._dropped_at[0][0] <= now:
+            _, job_id = self._dropped_at.popleft()
+            if job_id in self._books.jobs_by_id:
+                self._books.forget(job_id)
--- a/packages/pollengated/pollengated/owner_directory.py
+++ b/packages/pollengated/pollengated/owner_directory.py
@@ -1,15 +1,14 @@
 """The owners of all shards, as last read from the store."""
 
 import asyncio
-import json
 
-from pollengate.ownership import OWNERS_PREFIX, Owner
-from pollengate.store import Entry, Store
+from pollengate.ownership import OWNERS_PREFIX, Owner, owner_from_entry
+from pollengate.store import Store
 from result import Err
 
 from pollengated.logs import Log
 
-__all__ = ["OwnerDirectory", "owner_from_entry", "owner_to_value"]
+__all__ = ["OwnerDirectory"]
 
 POLL_INTERVAL_S = 0.5
 
@@ -44,16 +43,3 @@
     def all(self) -> list[Owner]:
         """Returns every known owner, sorted by zone and shard."""
         return [owner for _, owner in sorted(self._owners_by_shard.items())]
-
-
-def owner_from_entry(entry: Entry) -> Owner:
-    """Decodes an owner key."""
-    zone, shard = entry.key.removeprefix(OWNERS_PREFIX).split("/")
-    document = json.loads(entry.value)
-    process_id, address = document["process_id"], document["address"]
-    return Owner(zone, int(shard), process_id, address, entry.revision)
-
-
-def owner_to_value(process_id: str, address: str) -> bytes:
-    """Encodes the value of an owner key."""
-    return json.dumps({"process_id": process_id, "address": address}).encode()
--- a/packages/pollengated/pollengated/scheduler_service.py
+++ b/packages/pollengated/pollengated/scheduler_service.py
@@ -3,8 +3,8 @@
 from typing import Any
 
 from grpclib.server import Stream
+from pollengate.job_books import JobBook
 from pollengate.refusals import Outcome, Reason, Refusal
-from pollengate.shard import JobBook
 from pollengate.worker import HeartbeatAnswer
 from pollengate_net.messages import scheduler_pb2 as pb
 from pollengate_net.messages.scheduler_grpc import SchedulerBase
@@ -20,6 +20,7 @@
 
 from pollengated.configuration_follower import ConfigurationFollower
 from pollengated.shard_owner import ShardOwner
+from pollengated.shard_set import ShardSet
 
 __all__ = ["HeartbeatService", "SchedulerService"]
 
@@ -31,12 +32,12 @@
         self,
         process_id: str,
         zone: str,
-        owners: list[ShardOwner],
+        shards: ShardSet,
         follower: ConfigurationFollower,
     ) -> None:
         self._process_id = process_id
         self._zone = zone
-        self._owners_by_shard = {(owner.zone, owner.number): owner for owner in owners}
+        self._shards = shards
         self._follower = follower
 
     async def Submit(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
@@ -62,7 +63,7 @@
     async def Show(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
         """Shows a job."""
         request = await receive(stream)
-        await stream.send_message(self._show(request))
+        await stream.send_message(await self._show(request))
 
     async def Cancel(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
         """Cancels a job."""
@@ -94,22 +95,22 @@
             process_id=self._process_id,
             zone=self._zone,
             configuration_version=self._follower.current.version,
-            shards=[_shard_status(o) for o in self._owners_by_shard.values() if o.is_held()],
+            shards=[_shard_status(o) for o in self._shards.owners if o.is_serving()],
         )
         await stream.send_message(reply)
 
     def _find(self, request: Any) -> Result[ShardOwner, Refusal]:
-        owner = self._owners_by_shard.get((request.zone, request.shard))
-        if owner is None or not owner.is_held():
+        owner = self._shards.find(request.zone, request.shard)
+        if owner is None or not owner.is_serving():
             detail = f"process {self._process_id} does not own shard {request.shard}"
             return Err(Refusal(Outcome.NOT_RUN, Reason.NO_OWNER, detail, 1.0))
         return Ok(owner)
 
-    def _show(self, request: Any) -> pb.JobReply:
+    async def _show(self, request: Any) -> pb.JobReply:
         owner = self._find(request)
         if isinstance(owner, Err):
             return pb.JobReply(refusal=refusal_to_message(owner.err_value))
-        job = owner.ok_value.books.jobs_by_id.get(request.job_id)
+        job = await owner.ok_value.find_job(request.job_id)
         if job is None:
             detail = f"task {request.job_id!r} does not exist"
             refusal = Refusal(Outcome.NOT_RUN, Reason.NOT_FOUND, detail)
@@ -120,16 +121,16 @@
 class HeartbeatService(HeartbeatsBase):
     """Answers workers."""
 
-    def __init__(self, owners: list[ShardOwner]) -> None:
-        self._owners = owners
+    def __init__(self, shards: ShardSet) -> None:
+        self._shards = shards
 
     async def Heartbeat(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
         """Takes in a heartbeat and renews the worker's lease."""
         beat = heartbeat_from_message(await receive(stream))
         answer = HeartbeatAnswer(accepted=False)
-        for owner in self._owners:
-            if beat.worker_id in owner.books.workers_by_id:
-                answer = owner.heartbeat(beat)
+        for owner in self._shards.owners:
+            if owner.is_serving() and beat.worker_id in owner.books.workers_by_id:
+                answer = await owner.heartbeat(beat)
         await stream.send_message(heartbeat_answer_to_message(answer))
 
 
@@ -141,12 +142,12 @@
 
 def _status(owner: ShardOwner, job: JobBook) -> pb.JobStatus:
     status = _summary(owner, job)
-    for task in job.tasks_by_id.values():
+    for row in job.rows():
         status.tasks.add(
-            task_id=task.task_id,
-            state=task.state.value,
-            worker_id=task.worker_id,
-            attempt=task.attempt,
+            task_id=row.task_id,
+            state=row.state.value,
+            worker_id=row.worker_id,
+            attempt=row.attempt,
         )
     return status
 
--- a/packages/pollengated/pollengated/shard_owner.py
+++ b/packages/pollengated/pollengated/shard_owner.py
@@ -1,42 +1,47 @@
-"""Owns one shard: takes it, recovers it, starts its tasks and records their ends."""
+"""Owns one shard: takes it, recovers it, serves it and hands it over."""
 
 import asyncio
 from collections.abc import Callable
+from typing import Any
 
+from pollengate.job_books import JobBook
 from pollengate.jobs import JobSpec
-from pollengate.ledger import Accepted, Ledger, LedgerConflict
-from pollengate.ownership import OWNER_LEASE_S, Ownership, owner_key
-from pollengate.placement import FirstFit
+from pollengate.ledger import Accepted, Ledger
+from pollengate.owner_lease import OwnerLease, Taken
+from pollengate.ownership import Ownership
+from pollengate.policies import ShardPolicies
 from pollengate.refusals import Outcome, Reason, Refusal
-from pollengate.shard import (
-    CLOCK_MARGIN_S,
-    WORKER_LEASE_S,
-    JobBook,
-    Shard,
-    StartOrders,
-)
-from pollengate.store import FailureKind, Put, Store, Unchanged
-from pollengate.task_queue import FifoQueue
-from pollengate.worker import Heartbeat, HeartbeatAnswer, TaskRef, WorkerClient
+from pollengate.shard import Shard
+from pollengate.steps import NoSteps, Step, StepHook
+from pollengate.store import Store
+from pollengate.worker import Heartbeat, HeartbeatAnswer, WorkerClient
+from pollengate.worker_books import lapse_time
 from prometheus_client import Gauge
 from result import Err, Ok, Result
 
 from pollengated.configuration_follower import ConfigurationFollower
 from pollengated.logs import Log
 from pollengated.metrics import Metrics
-from pollengated.owner_directory import owner_to_value
+from pollengated.shard_server import ShardServer
+from pollengated.tenure import Tenure
 from pollengated.vm_directory import VmDirectory
 
 __all__ = ["ShardOwner"]
 
-TICK_INTERVAL_S = 0.1
-RENEW_INTERVAL_S = 1.0
-STANDBY_INTERVAL_S = 0.5
-START_BATCH = 200
+RENEW_INTERVAL_S = 0.8
+STANDBY_POLL_S = 1.0
+WATCH_RETRY_S = 1.0
 
 
 class ShardOwner:
-    """Runs one shard for as long as this process owns it."""
+    """Runs one shard whenever this process owns it, and stands by otherwise.
+
+    Attributes:
+        zone: the zone of the shard.
+        number: its number within the zone.
+        ownership: what this process may believe about it.
+        books: the books of the present or the last period of ownership.
+    """
 
     def __init__(
         self,
@@ -49,197 +54,208 @@
         vms: VmDirectory,
         connect: Callable[[str], WorkerClient],
         metrics: Metrics,
+        policies: ShardPolicies | None = None,
+        steps: StepHook | None = None,
+        shards: int = 1,
     ) -> None:
         self.zone = zone
         self.number = shard
         self.ownership = Ownership(zone, shard)
-        self.books = Shard(FirstFit(), FifoQueue())
-        self._process_id = process_id
+        self._policies = policies if policies is not None else ShardPolicies()
+        self._steps = steps if steps is not None else NoSteps()
+        self.books = self._new_books()
         self._address = address
         self._store = store
-        self._ledger = Ledger(store, zone, shard)
         self._follower = follower
         self._vms = vms
         self._connect = connect
-        self._clients_by_worker: dict[str, WorkerClient] = {}
         self._metrics = metrics
-        self._lease_id = 0
+        self._shards = shards
+        self._lease = OwnerLease(store, self.ownership, process_id, address, self._steps)
+        self._server: ShardServer | None = None
+        self._stopping = asyncio.Event()
+        self._released = asyncio.Event()
         self._log = Log("owner")
 
     async def run(self) -> None:
-        """Takes the shard whenever it is free and runs it, until cancelled."""
-        while True:
-            if await self._take():
-                await self._run_owned()
-                self._drop()
-            await asyncio.sleep(STANDBY_INTERVAL_S)
+        """Takes the shard whenever it is free and serves it, until stopped or cancelled."""
+        watcher = asyncio.create_task(self._watch_release())
+        try:
+            while not self._stopping.is_set():
+                self._released.clear()
+                taken = await self._lease.take()
+                if taken is not None:
+                    await self._hold(taken)
+                else:
+                    await self._wait_for_release()
+        finally:
+            watcher.cancel()
+
+    def stop(self) -> None:
+        """Makes `run` hand the shard over and return."""
+        self._stopping.set()
+        self._released.set()
 
     def is_held(self) -> bool:
         """Tells whether this process may act for the shard now."""
         return self.ownership.is_held(asyncio.get_running_loop().time())
 
+    def is_serving(self) -> bool:
+        """Tells whether this process answers calls for the shard now."""
+        return self.ownership.is_serving(asyncio.get_running_loop().time())
+
     async def submit(self, spec: JobSpec) -> Result[Accepted, Refusal]:
         """Records a job and queues its tasks."""
-        if not self.is_held():
-            return Err(_no_owner())
-        result = await self._ledger.accept(spec, self.ownership.epoch)
-        if isinstance(result, Err):
-            return Err(self._ledger_refusal(result.err_value))
-        if result.ok_value.is_new:
-            self.books.accept(spec)
-        return Ok(result.ok_value)
+        if self._server is None or not self.is_serving():
+            return Err(self._no_owner())
+        return await self._server.submit(spec)
 
     async def cancel(self, job_id: str) -> Result[JobBook, Refusal]:
-        """Cancels a job and records it before the answer."""
-        if not self.is_held():
-            return Err(_no_owner())
-        job = self.books.jobs_by_id.get(job_id)
+        """Cancels a job: recorded before the answer, stopped as its state says."""
+        server = self._server
+        if server is None or not self.is_serving():
+            return Err(self._no_owner())
+        await self._steps.reach(Step.CANCEL_RECEIVED, job_id)
+        job = await server.find_job(job_id)
         if job is None:
-            return Err(_not_found(job_id))
-        stops = self.books.cancel(job_id)
-        recorded = await self._flush()
-        await self._stop_tasks(stops)
-        if isinstance(recorded, Err):
-            return recorded
-        return Ok(job)
-
-    def heartbeat(self, beat: Heartbeat) -> HeartbeatAnswer:
-        """Takes in a worker's heartbeat."""
-        if not self.is_held() or beat.epoch != self.ownership.epoch:
-            return HeartbeatAnswer(accepted=False)
-        return self.books.heartbeat(beat, asyncio.get_running_loop().time())
+            detail = f"task {job_id!r} does not exist"
+            return Err(Refusal(Outcome.NOT_RUN, Reason.NOT_FOUND, detail))
+        result = await server.cancel(job)
+        return result.map(lambda _: job)
 
-    async def _take(self) -> bool:
-        loop = asyncio.get_running_loop()
-        key = owner_key(self.zone, self.number)
-        present = await self._store.get(key)
-        if isinstance(present, Err) or present.ok_value is not None:
-            return False
-        asked_at = loop.time()
-        lease = await self._store.grant_lease(OWNER_LEASE_S)
-        if isinstance(lease, Err):
-            return False
-        value = owner_to_value(self._process_id, self._address)
-        write = Put(key, value, lease.ok_value)
-        result = await self._store.commit((Unchanged(key, 0),), (write,))
-        if isinstance(result, Err) or not result.ok_value.succeeded:
-            return False
-        self._lease_id = lease.ok_value
-        self.ownership.take(result.ok_value.revision, asked_at, OWNER_LEASE_S)
-        return await self._recover()
+    async def find_job(self, job_id: str) -> JobBook | None:
+        """Returns a job of the shard, also one that is just arriving from another."""
+        server = self._server
+        return await server.find_job(job_id) if server is not None else None
 
-    async def _recover(self) -> bool:
-        records = await self._ledger.read()
-        if isinstance(records, Err):
+    async def heartbeat(self, beat: Heartbeat) -> HeartbeatAnswer:
+        """Takes in a worker's heartbeat."""
+        await self._steps.reach(Step.HEARTBEAT_RECEIVED, beat.worker_id)
+        if self._server is None or not self.is_serving() or beat.epoch != self.ownership.epoch:
+            return HeartbeatAnswer(accepted=False)
+        answer = self._server.heartbeat(beat)
+        await self._steps.reach(Step.HEARTBEAT_ANSWERING, beat.worker_id)
+        return answer
+
+    async def _hold(self, taken: Taken) -> None:
+        tenure = Tenure(
+            self.ownership,
+            self._new_books(),
+            Ledger(self._store, self.zone, self.number),
+            self._steps,
+            self._may_start,
+        )
+        renewing = asyncio.create_task(self._renew(tenure))
+        try:
+            if await self._recover(tenure, taken):
+                await self._serve(tenure, renewing)
+        finally:
+            renewing.cancel()
+            self._server = None
+            tenure.drop()
+            self._gauge().set(0)
+            self._log.info("shard left", zone=self.zone, shard=self.number, epoch=tenure.epoch)
+
+    async def _recover(self, tenure: Tenure, taken: Taken) -> bool:
+        lapses_at = lapse_time(asyncio.get_running_loop().time())
+        contents = await tenure.ledger.read()
+        await self._steps.reach(Step.LEDGER_READ)
+        if isinstance(contents, Err) or not tenure.is_held():
             return False
-        for record in records.ok_value:
-            self.books.accept(record.spec)
-            for state, task_ids in record.ended_by_state.items():
-                self.books.restore(record.spec.job_id, task_ids, state)
-        self._gauge().set(self.ownership.epoch)
-        self._log.info("shard taken", zone=self.zone, shard=self.number, epoch=self._epoch())
+        self.books = tenure.books
+        for record in contents.ok_value.records:
+            self.books.restore(record)
+        workers = contents.ok_value.workers
+        if taken.assignments is None:
+            self.books.begin_recovery(workers, lapses_at)
+        else:
+            self.books.take_handover(taken.assignments, workers, lapses_at)
+        self._server = ShardServer(
+            tenure,
+            self._store,
+            self._follower,
+            self._vms,
+            self._connect,
+            self._address,
+            self._metrics,
+            self._policies.make_reaction(),
+            lapses_at,
+            self._shards,
+        )
+        self.ownership.recovered()
+        self._gauge().set(tenure.epoch)
+        self._log.info("shard taken", zone=self.zone, shard=self.number, epoch=tenure.epoch)
         return True
 
-    async def _run_owned(self) -> None:
+    async def _serve(self, tenure: Tenure, renewing: asyncio.Task[None]) -> None:
+        server = self._server
+        assert server is not None
+        serving = asyncio.create_task(server.run())
+        stopping = asyncio.create_task(self._stopping.wait())
+        try:
+            await asyncio.wait((renewing, serving, stopping), return_when=asyncio.FIRST_COMPLETED)
+            if stopping.done() and not serving.done():
+                await self._hand_over(tenure, server)
+            for task in (serving, renewing):
+                if task.done():
+                    task.result()
+        finally:
+            await _end(serving, stopping)
+            await server.close()
+
+    async def _hand_over(self, tenure: Tenure, server: ShardServer) -> None:
+        await self._steps.reach(Step.STOP_REQUESTED)
+        if not tenure.is_serving():
+            return
+        self.ownership.stop()
+        await server.quiesce()
+        await self._steps.reach(Step.STARTS_DRAINED)
+        if isinstance(await server.flush(), Ok) and tenure.is_held():
+            is_confirmed = await self._lease.hand_over(tenure.books.assignments())
+            self._log.info("shard handed over", shard=self.number, confirmed=is_confirmed)
+
+    async def _renew(self, tenure: Tenure) -> None:
         loop = asyncio.get_running_loop()
-        leases_lapse_at = loop.time() + WORKER_LEASE_S + CLOCK_MARGIN_S
-        renew_at = 0.0
-        while self.is_held():
-            if loop.time() >= renew_at:
-                await self._renew()
-                renew_at = loop.time() + RENEW_INTERVAL_S
-            await self._attach_workers(leases_lapse_at)
-            self.books.expire_workers(loop.time())
-            if loop.time() >= leases_lapse_at:
-                await self._start_tasks()
-            await self._flush()
-            await asyncio.sleep(TICK_INTERVAL_S)
-
-    async def _renew(self) -> None:
-        asked_at = asyncio.get_running_loop().time()
-        result = await self._store.keep_lease(self._lease_id)
-        if isinstance(result, Ok) and result.ok_value > 0:
-            self.ownership.renew(asked_at, result.ok_value)
-
-    async def _attach_workers(self, leases_lapse_at: float) -> None:
-        machines = self._vms.workers(self.zone)
-        worker_ids = self.books.list_machines(machines, leases_lapse_at)
-        await asyncio.gather(*(self._attach(worker_id) for worker_id in worker_ids))
-
-    async def _attach(self, worker_id: str) -> None:
-        result = await self._client(worker_id).attach(self._epoch(), self._address)
-        if isinstance(result, Err) or not result.ok_value.accepted or not self.is_held():
+        while tenure.is_held():
+            next_at = loop.time() + RENEW_INTERVAL_S
+            await self._lease.renew()
+            await asyncio.sleep(max(0.0, next_at - loop.time()))
+
+    async def _wait_for_release(self) -> None:
+        try:
+            async with asyncio.timeout(STANDBY_POLL_S):
+                await self._released.wait()
+        except TimeoutError:
             return
-        now = asyncio.get_running_loop().time()
-        self.books.attach(worker_id, result.ok_value.reports, now)
 
-    async def _start_tasks(self) -> None:
+    async def _watch_release(self) -> None:
+        while True:
+            async for event in self._store.watch(self._lease.key, 0):
+                if event.entry is None:
+                    self._released.set()
+            await asyncio.sleep(WATCH_RETRY_S)
+
+    def _new_books(self) -> Shard:
+        policies = self._policies
+        return Shard(policies.make_placement(), policies.make_queue(), self.ownership.epoch)
+
+    def _may_start(self) -> bool:
         now = asyncio.get_running_loop().time()
         follower = self._follower
-        if not follower.freshness.is_fresh(now) or not follower.current.is_in_service(self.zone):
-            return
-        plans = self.books.plan_starts(START_BATCH)
-        await asyncio.gather(*(self._send_starts(plan) for plan in plans))
-
-    async def _send_starts(self, plan: StartOrders) -> None:
-        result = await self._client(plan.worker_id).start(self._epoch(), plan.orders)
-        if isinstance(result, Ok):
-            self.books.answer_starts(result.ok_value)
-            self._metrics.starts.inc(sum(answer.accepted for answer in result.ok_value))
-        elif not result.err_value.sent:
-            self.books.withdraw_starts(plan.orders)
-
-    async def _stop_tasks(self, stops: list[tuple[str, TaskRef]]) -> None:
-        refs_by_worker: dict[str, list[TaskRef]] = {}
-        for worker_id, ref in stops:
-            refs_by_worker.setdefault(worker_id, []).append(ref)
-        for worker_id, refs in refs_by_worker.items():
-            await self._client(worker_id).stop(self._epoch(), refs, checkpoint=False)
-
-    async def _flush(self) -> Result[None, Refusal]:
-        changed = self.books.take_changed_jobs()
-        if not changed:
-            return Ok(None)
-        result = await self._ledger.flush(changed, self._epoch())
-        if isinstance(result, Ok):
-            return Ok(None)
-        for job in changed:
-            job.is_changed = True
-        return Err(self._ledger_refusal(result.err_value))
-
-    def _ledger_refusal(self, failure: object) -> Refusal:
-        if isinstance(failure, LedgerConflict):
-            self.ownership.drop()
-            return _no_owner()
-        kind = getattr(failure, "kind", FailureKind.UNKNOWN)
-        outcome = Outcome.UNKNOWN if kind is FailureKind.UNKNOWN else Outcome.NOT_RUN
-        detail = "the platform's store did not answer"
-        return Refusal(outcome, Reason.STORE_UNAVAILABLE, detail, 2.0)
-
-    def _drop(self) -> None:
-        self._log.info("shard lost", zone=self.zone, shard=self.number, epoch=self._epoch())
-        self.ownership.drop()
-        self.books = Shard(FirstFit(), FifoQueue())
-        self._gauge().set(0)
-
-    def _client(self, worker_id: str) -> WorkerClient:
-        client = self._clients_by_worker.get(worker_id)
-        if client is None:
-            client = self._connect(self.books.workers_by_id[worker_id].vm.address)
-            self._clients_by_worker[worker_id] = client
-        return client
-
-    def _epoch(self) -> int:
-        return self.ownership.epoch
+        return follower.freshness.is_fresh(now) and follower.current.is_in_service(self.zone)
+
+    def _no_owner(self) -> Refusal:
+        if self._stopping.is_set():
+            detail = f"shard {self.number} of {self.zone} is being handed over"
+            return Refusal(Outcome.NOT_RUN, Reason.STOPPING, detail, 1.0)
+        detail = f"this process does not own shard {self.number} of {self.zone}"
+        return Refusal(Outcome.NOT_RUN, Reason.NO_OWNER, detail, 1.0)
 
     def _gauge(self) -> Gauge:
         return self._metrics.owner_epoch.labels(self.zone, str(self.number))
 
 
-def _no_owner() -> Refusal:
-    detail = "this process does not own the shard"
-    return Refusal(Outcome.NOT_RUN, Reason.NO_OWNER, detail, 1.0)
-
-
-def _not_found(job_id: str) -> Refusal:
-    return Refusal(Outcome.NOT_RUN, Reason.NOT_FOUND, f"task {job_id!r} does not exist")
+async def _end(*tasks: asyncio.Task[Any]) -> None:
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
--- /dev/null
+++ b/packages/pollengated/pollengated/shard_server.py
@@ -0,0 +1,210 @@
+"""Serves an owned shard: starts its tasks, renews its workers and records their ends."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from pollengate.job_books import JobBook
+from pollengate.jobs import JobSpec
+from pollengate.ledger import Accepted, LedgerFailure
+from pollengate.reaction import Evict, Observation, Reaction, Throttle
+from pollengate.refusals import Refusal
+from pollengate.shard import StartOrders
+from pollengate.steps import Step
+from pollengate.store import Store
+from pollengate.worker import Heartbeat, HeartbeatAnswer, ReportState, WorkerClient
+from pollengate.worker_books import shard_of
+from result import Err, Ok, Result
+
+from pollengated.configuration_follower import ConfigurationFollower
+from pollengated.ledger_writer import LedgerWriter
+from pollengated.metrics import Metrics
+from pollengated.submissions import Submissions, ledger_refusal
+from pollengated.tenure import Tenure
+from pollengated.vm_directory import VmDirectory
+from pollengated.worker_calls import WorkerCalls
+
+__all__ = ["ShardServer"]
+
+TICK_INTERVAL_S = 0.1
+LISTING_INTERVAL_S = 0.5
+MAX_STARTS_PER_TICK = 200
+
+
+class ShardServer:
+    """Drives the books of one period of ownership."""
+
+    def __init__(
+        self,
+        tenure: Tenure,
+        store: Store,
+        follower: ConfigurationFollower,
+        vms: VmDirectory,
+        connect: Callable[[str], WorkerClient],
+        address: str,
+        metrics: Metrics,
+        reaction: Reaction,
+        lapses_at: float,
+        shards: int,
+    ) -> None:
+        self._tenure = tenure
+        self._books = tenure.books
+        self._steps = tenure.steps
+        self._follower = follower
+        self._vms = vms
+        self._reaction = reaction
+        self._lapses_at = lapses_at
+        self._shards = shards
+        self._calls = WorkerCalls(tenure, connect, address, metrics)
+        self._writer = LedgerWriter(tenure, store)
+        self._submissions = Submissions(tenure)
+        self._wake = asyncio.Event()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._recording: asyncio.Task[None] | None = None
+        self._was_recovered = False
+
+    async def run(self) -> None:
+        """Serves until the shard is lost or a part fails; then ends every part."""
+        parts = [self._tick_forever(), self._writer.run(), self._submissions.run()]
+        tasks = [asyncio.create_task(part) for part in parts]
+        try:
+            done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            for task in done:
+                task.result()
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def submit(self, spec: JobSpec) -> Result[Accepted, Refusal]:
+        """Records a job and queues its tasks."""
+        result = await self._submissions.submit(spec)
+        self._wake.set()
+        return result
+
+    async def find_job(self, job_id: str) -> JobBook | None:
+        """Returns a job of the shard."""
+        return self._books.jobs_by_id.get(job_id)
+
+    async def cancel(self, job: JobBook) -> Result[None, Refusal]:
+        """Records a cancellation; calls that come together share one write."""
+        if not job.is_cancelled and not job.has_ended:
+            self._books.changes.note_cancelled(job.spec.job_id)
+            result = await self._writer.record()
+            if isinstance(result, Err):
+                return Err(ledger_refusal(result.err_value))
+            await self._steps.reach(Step.CANCEL_RECORDED, job.spec.job_id)
+            self._wake.set()
+        return Ok(None)
+
+    def heartbeat(self, beat: Heartbeat) -> HeartbeatAnswer:
+        """Takes in a heartbeat, its measurements included."""
+        now = asyncio.get_running_loop().time()
+        answer = self._books.heartbeat(beat, now)
+        if answer.accepted and beat.usage:
+            taken_at = now - beat.usage_age_s
+            self._reaction.observe(Observation(beat.worker_id, taken_at, beat.usage))
+        if any(report.state is not ReportState.RUNNING for report in beat.reports):
+            self._wake.set()
+        return answer
+
+    async def quiesce(self) -> None:
+        """Stops starting and waits for the calls on their way."""
+        await self._calls.drain_starts()
+        if self._tasks:
+            await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def flush(self) -> Result[None, LedgerFailure]:
+        """Records every change."""
+        return await self._writer.record()
+
+    async def close(self) -> None:
+        """Ends every call."""
+        tasks = [*self._tasks, *([self._recording] if self._recording else [])]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._calls.close()
+
+    async def _tick_forever(self) -> None:
+        loop = asyncio.get_running_loop()
+        list_at = 0.0
+        while self._tenure.is_held():
+            self._wake.clear()
+            if loop.time() >= list_at:
+                self._list_workers()
+                list_at = loop.time() + LISTING_INTERVAL_S
+            await self._tick()
+            try:
+                async with asyncio.timeout(TICK_INTERVAL_S):
+                    await self._wake.wait()
+            except TimeoutError:
+                continue
+
+    async def _tick(self) -> None:
+        self._books.expire_workers(asyncio.get_running_loop().time())
+        self._react()
+        self._calls.kick_waiting()
+        self._record_workers()
+        self._start_tasks()
+        if self._books.is_recovered and not self._was_recovered:
+            self._was_recovered = True
+            await self._steps.reach(Step.RECOVERY_FINISHED)
+
+    def _list_workers(self) -> None:
+        zone, number = self._tenure.ownership.zone, self._tenure.ownership.shard
+        machines = [
+            vm for vm in self._vms.workers(zone) if shard_of(vm.vm_id, self._shards) == number
+        ]
+        self._books.list_machines(machines, self._lapses_at)
+
+    def _record_workers(self) -> None:
+        is_recording = self._recording is not None and not self._recording.done()
+        if self._books.workers.unrecorded and not is_recording:
+            self._recording = asyncio.create_task(self._record_workers_once())
+
+    async def _record_workers_once(self) -> None:
+        worker_ids = list(self._books.workers.unrecorded)
+        machines = self._books.workers.machines_to_record()
+        result = await self._tenure.ledger.record_workers(machines, self._tenure.epoch)
+        await self._steps.reach(Step.WORKER_RECORDED)
+        if isinstance(result, Ok):
+            self._books.workers.record(worker_ids)
+            self._wake.set()
+
+    def _start_tasks(self) -> None:
+        if not self._tenure.may_start():
+            return
+        for plan in self._books.plan_starts(MAX_STARTS_PER_TICK):
+            if plan.has_intents:
+                self._spawn(self._start_recorded(plan))
+            else:
+                self._calls.send_starts(plan)
+
+    async def _start_recorded(self, plan: StartOrders) -> None:
+        await self._steps.reach(Step.START_PLANNED, plan.worker_id)
+        result = await self._writer.record()
+        await self._steps.reach(Step.INTENT_RECORDED, plan.worker_id)
+        if isinstance(result, Err) or not self._tenure.may_start():
+            self._books.withdraw_starts(plan.orders)
+        else:
+            self._calls.send_starts(plan)
+
+    def _react(self) -> None:
+        for task_id in self._books.take_left():
+            self._reaction.task_left(task_id)
+        for action in self._reaction.decide(asyncio.get_running_loop().time()):
+            if isinstance(action, Evict):
+                self._books.evict(action.task_id)
+            else:
+                self._throttle(action)
+
+    def _throttle(self, action: Throttle) -> None:
+        found = self._books.find_on_worker(action.task_id)
+        if found is not None and found[0] == action.worker_id:
+            self._spawn(self._calls.throttle(action.worker_id, found[1], action.share))
+
+    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/packages/pollengated/pollengated/shard_set.py
@@ -0,0 +1,79 @@
+"""The shards of a zone: one owner object each, standing by or serving."""
+
+import asyncio
+from collections.abc import Callable
+
+from pollengate.shard_layout import fix_shards
+from pollengate.store import Store
+from result import Ok
+
+from pollengated.configuration_follower import ConfigurationFollower
+from pollengated.logs import Log
+from pollengated.shard_owner import ShardOwner
+
+__all__ = ["ShardSet"]
+
+LAYOUT_RETRY_S = 0.5
+
+MakeOwner = Callable[[int, int], ShardOwner]
+
+
+class ShardSet:
+    """Runs the owner of every shard of this process's zone.
+
+    Attributes:
+        owners: one per shard; empty until the number of shards is known.
+    """
+
+    def __init__(
+        self, store: Store, zone: str, follower: ConfigurationFollower, make_owner: MakeOwner
+    ) -> None:
+        self.owners: list[ShardOwner] = []
+        self._store = store
+        self._zone = zone
+        self._follower = follower
+        self._make_owner = make_owner
+        self._is_stopping = False
+        self._log = Log("shards")
+
+    async def run(self) -> None:
+        """Runs every shard until stopped; a broken invariant ends all of them."""
+        shards = await self._wait_for_layout()
+        self.owners.extend(self._make_owner(number, shards) for number in range(shards))
+        if self._is_stopping:
+            return
+        async with asyncio.TaskGroup() as group:
+            for owner in self.owners:
+                group.create_task(owner.run())
+
+    def stop(self) -> None:
+        """Makes every shard be handed over, and `run` return."""
+        self._is_stopping = True
+        for owner in self.owners:
+            owner.stop()
+
+    def find(self, zone: str, number: int) -> ShardOwner | None:
+        """Returns the owner object of a shard, None for one of another zone."""
+        for owner in self.owners:
+            if (owner.zone, owner.number) == (zone, number):
+                return owner
+        return None
+
+    async def _wait_for_layout(self) -> int:
+        while not self._is_stopping:
+            zone = self._follower.current.zones_by_name.get(self._zone)
+            if zone is not None:
+                result = await fix_shards(self._store, self._zone, zone.shards)
+                if isinstance(result, Ok):
+                    self._check(zone.shards, result.ok_value)
+                    return result.ok_value
+            await asyncio.sleep(LAYOUT_RETRY_S)
+        return 0
+
+    def _check(self, configured: int, recorded: int) -> None:
+        if configured != recorded:
+            self._log.warning(
+                "number of shards differs from the recorded one, which stays in force",
+                configured=configured,
+                recorded=recorded,
+            )
--- /dev/null
+++ b/packages/pollengated/pollengated/submissions.py
@@ -0,0 +1,94 @@
+"""Submissions to one shard: recorded first, then queued, and never lost or doubled."""
+
+import asyncio
+
+from pollengate.jobs import JobSpec
+from pollengate.ledger import Accepted, JobConflict, LedgerConflict, LedgerFailure
+from pollengate.refusals import Outcome, Reason, Refusal
+from pollengate.steps import Step
+from pollengate.store import FailureKind
+from result import Err, Ok, Result
+
+from pollengated.tenure import Tenure
+
+__all__ = ["Submissions", "ledger_refusal"]
+
+RESOLVE_INTERVAL_S = 0.5
+STORE_RETRY_AFTER_S = 2.0
+
+
+class Submissions:
+    """Accepts jobs; one whose write got no answer is written until its fate is known."""
+
+    def __init__(self, tenure: Tenure) -> None:
+        self._tenure = tenure
+        self._unresolved: dict[str, JobSpec] = {}
+
+    async def submit(self, spec: JobSpec) -> Result[Accepted, Refusal]:
+        """Records a job and queues its tasks."""
+        await self._tenure.steps.reach(Step.SUBMIT_RECEIVED, spec.job_id)
+        result = await self._accept(spec)
+        if isinstance(result, Err) and _is_unknown(result.err_value):
+            result = await self._accept(spec)
+        if isinstance(result, Ok):
+            return result
+        if _is_unknown(result.err_value):
+            self._unresolved[spec.job_id] = spec
+        return Err(self._refuse(spec, result.err_value))
+
+    async def run(self) -> None:
+        """Resolves submissions of unknown fate until cancelled."""
+        while True:
+            await asyncio.sleep(RESOLVE_INTERVAL_S)
+            for job_id, spec in list(self._unresolved.items()):
+                result = await self._accept(spec)
+                if isinstance(result, Ok) or isinstance(result.err_value, JobConflict):
+                    del self._unresolved[job_id]
+
+    async def _accept(self, spec: JobSpec) -> Result[Accepted, JobConflict | LedgerFailure]:
+        tenure = self._tenure
+        if not tenure.is_serving():
+            return Err(LedgerConflict("this process does not own the shard"))
+        result = await tenure.ledger.accept(spec, tenure.epoch)
+        await tenure.steps.reach(Step.SUBMIT_RECORDED, spec.job_id)
+        if isinstance(result, Err):
+            return result
+        home = result.ok_value.home
+        if result.ok_value.is_new:
+            tenure.books.accept(spec)
+        elif tenure.ledger.is_home(home) and spec.job_id not in tenure.books.jobs_by_id:
+            admitted = await self._admit(spec.job_id)
+            if isinstance(admitted, Err):
+                return admitted
+        return result
+
+    async def _admit(self, job_id: str) -> Result[None, LedgerFailure]:
+        record = await self._tenure.ledger.read_job(job_id)
+        if isinstance(record, Err):
+            return record
+        if record.ok_value is not None:
+            self._tenure.books.admit(record.ok_value)
+        return Ok(None)
+
+    def _refuse(self, spec: JobSpec, failure: JobConflict | LedgerFailure) -> Refusal:
+        if isinstance(failure, JobConflict):
+            detail = f"task {spec.job_id!r} exists with another body"
+            return Refusal(Outcome.NOT_RUN, Reason.TASK_CONFLICT, detail)
+        if isinstance(failure, LedgerConflict):
+            self._tenure.drop()
+        return ledger_refusal(failure)
+
+
+def ledger_refusal(failure: LedgerFailure) -> Refusal:
+    """Returns what a caller is told when the ledger could not record its request."""
+    if isinstance(failure, LedgerConflict):
+        detail = "this process does not own the shard"
+        return Refusal(Outcome.NOT_RUN, Reason.NO_OWNER, detail, 1.0)
+    outcome = Outcome.UNKNOWN if failure.kind is FailureKind.UNKNOWN else Outcome.NOT_RUN
+    detail = "the platform's store did not answer"
+    return Refusal(outcome, Reason.STORE_UNAVAILABLE, detail, STORE_RETRY_AFTER_S)
+
+
+def _is_unknown(failure: JobConflict | LedgerFailure) -> bool:
+    kind = getattr(failure, "kind", None)
+    return kind is FailureKind.UNKNOWN
--- /dev/null
+++ b/packages/pollengated/pollengated/worker_calls.py
@@ -0,0 +1,198 @@
+"""Calls to the workers of a shard: one at a time per worker, bounded in all."""
+
+import asyncio
+import dataclasses
+from collections.abc import Callable, Sequence
+
+from pollengate.shard import StartOrders, WorkerState
+from pollengate.steps import Step
+from pollengate.worker import TaskOrder, TaskRef, WorkerClient
+from pollengate.worker_books import StopOrder
+from result import Err, Ok
+
+from pollengated.logs import Log
+from pollengated.metrics import Metrics
+from pollengated.tenure import Tenure
+
+__all__ = ["WorkerCalls"]
+
+MAX_CALLS_AT_ONCE = 64
+MAX_ORDERS_PER_CALL = 200
+ATTACH_RETRY_S = 0.25
+STOP_RETRY_S = 1.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Link:
+    client: WorkerClient
+    orders: list[TaskOrder] = dataclasses.field(default_factory=list)
+    sent_at_by_stop: dict[StopOrder, float] = dataclasses.field(default_factory=dict)
+    retry_at: float = 0.0
+    task: asyncio.Task[None] | None = None
+
+
+class WorkerCalls:
+    """Attaches workers and carries start, stop and throttle orders to them."""
+
+    def __init__(
+        self,
+        tenure: Tenure,
+        connect: Callable[[str], WorkerClient],
+        address: str,
+        metrics: Metrics,
+    ) -> None:
+        self._tenure = tenure
+        self._books = tenure.books
+        self._steps = tenure.steps
+        self._connect = connect
+        self._address = address
+        self._metrics = metrics
+        self._links_by_worker: dict[str, _Link] = {}
+        self._slots = asyncio.Semaphore(MAX_CALLS_AT_ONCE)
+        self._log = Log("workers")
+
+    def kick_waiting(self) -> None:
+        """Calls the workers that have to be attached or have attempts to stop."""
+        workers = self._books.workers
+        for worker_id in (*workers.detached, *workers.with_stops):
+            self._kick(worker_id)
+
+    def send_starts(self, plan: StartOrders) -> None:
+        """Sends start orders that are counted against capacity already."""
+        self._link(plan.worker_id).orders.extend(plan.orders)
+        self._kick(plan.worker_id)
+
+    async def throttle(self, worker_id: str, ref: TaskRef, share: float) -> None:
+        """Limits a task to a share of its processors; a lost call is not repeated."""
+        async with self._slots:
+            if self._tenure.is_held():
+                client = self._link(worker_id).client
+                await client.throttle(self._tenure.epoch, ref, share)
+
+    async def drain_starts(self) -> None:
+        """Withdraws orders that were not sent and waits for the calls on their way."""
+        for link in self._links_by_worker.values():
+            self._withdraw(link)
+        tasks = [link.task for link in self._links_by_worker.values() if link.task is not None]
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def close(self) -> None:
+        """Ends every call and releases connections."""
+        links = list(self._links_by_worker.values())
+        tasks = [link.task for link in links if link.task is not None]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for link in links:
+            await link.client.close()
+
+    def _link(self, worker_id: str) -> _Link:
+        link = self._links_by_worker.get(worker_id)
+        if link is None:
+            link = _Link(self._connect(self._books.workers_by_id[worker_id].vm.address))
+            self._links_by_worker[worker_id] = link
+        return link
+
+    def _kick(self, worker_id: str) -> None:
+        link = self._link(worker_id)
+        if link.task is not None and not link.task.done():
+            return
+        if link.task is not None and not link.task.cancelled():
+            link.task.result()
+        link.task = None
+        if asyncio.get_running_loop().time() >= link.retry_at and self._has_work(worker_id, link):
+            link.task = asyncio.create_task(self._run(worker_id, link))
+
+    def _has_work(self, worker_id: str, link: _Link) -> bool:
+        book = self._books.workers_by_id.get(worker_id)
+        if book is None:
+            return False
+        is_detached = book.state is WorkerState.DETACHED
+        return is_detached or bool(link.orders) or bool(self._due_stops(worker_id, link))
+
+    async def _run(self, worker_id: str, link: _Link) -> None:
+        while self._tenure.is_held() and self._has_work(worker_id, link):
+            async with self._slots:
+                if self._books.workers_by_id[worker_id].state is WorkerState.DETACHED:
+                    self._withdraw(link)
+                    if not await self._attach(worker_id, link):
+                        link.retry_at = asyncio.get_running_loop().time() + ATTACH_RETRY_S
+                        return
+                elif link.orders:
+                    await self._start(worker_id, link)
+                else:
+                    await self._stop(worker_id, link)
+        self._withdraw(link)
+
+    async def _attach(self, worker_id: str, link: _Link) -> bool:
+        await self._steps.reach(Step.ATTACH_SENDING, worker_id)
+        if not self._tenure.is_serving():
+            return False
+        session = self._books.workers.next_session(worker_id)
+        result = await link.client.attach(self._tenure.epoch, session, self._address)
+        await self._steps.reach(Step.WORKER_ATTACHED, worker_id)
+        if isinstance(result, Err):
+            return False
+        if not result.ok_value.accepted:
+            self._log.warning("worker has seen another owner", worker_id=worker_id)
+            return False
+        if not self._tenure.is_held():
+            return False
+        now = asyncio.get_running_loop().time()
+        unknown = self._books.attach(worker_id, session, result.ok_value.reports, now)
+        if unknown:
+            await link.client.stop(self._tenure.epoch, unknown, checkpoint=False)
+        return True
+
+    async def _start(self, worker_id: str, link: _Link) -> None:
+        orders = link.orders[:MAX_ORDERS_PER_CALL]
+        await self._reach_all(Step.START_SENDING, orders)
+        session = self._books.workers_by_id[worker_id].session
+        if not self._tenure.may_start():
+            self._withdraw(link)
+            return
+        del link.orders[: len(orders)]
+        result = await link.client.start(self._tenure.epoch, session, orders)
+        await self._reach_all(Step.START_ANSWERED, orders)
+        if isinstance(result, Ok):
+            self._books.answer_starts(result.ok_value)
+            self._metrics.starts.inc(sum(answer.accepted for answer in result.ok_value))
+            return
+        if not result.err_value.sent:
+            self._books.withdraw_starts(orders)
+        self._books.doubt(worker_id)
+
+    async def _stop(self, worker_id: str, link: _Link) -> None:
+        stops = self._due_stops(worker_id, link)
+        await self._steps.reach(Step.STOP_SENDING, worker_id)
+        if not self._tenure.is_held():
+            return
+        now = asyncio.get_running_loop().time()
+        for checkpoint in (True, False):
+            refs = [stop.ref for stop in stops if stop.checkpoint is checkpoint]
+            if refs:
+                await link.client.stop(self._tenure.epoch, refs, checkpoint)
+        link.sent_at_by_stop = dict.fromkeys(stops, now) | {
+            stop: link.sent_at_by_stop[stop]
+            for stop in self._books.stop_orders(worker_id)
+            if stop in link.sent_at_by_stop and stop not in stops
+        }
+        await self._steps.reach(Step.STOP_ANSWERED, worker_id)
+
+    def _due_stops(self, worker_id: str, link: _Link) -> list[StopOrder]:
+        due_before = asyncio.get_running_loop().time() - STOP_RETRY_S
+        return [
+            stop
+            for stop in self._books.stop_orders(worker_id)
+            if link.sent_at_by_stop.get(stop, due_before) <= due_before
+        ]
+
+    def _withdraw(self, link: _Link) -> None:
+        orders, link.orders = link.orders, []
+        self._books.withdraw_starts(orders)
+
+    async def _reach_all(self, step: Step, orders: Sequence[TaskOrder]) -> None:
+        for order in orders:
+            await self._steps.reach(step, order.ref.task_id)
+            if order.checkpoint and step is Step.START_SENDING:
+                await self._steps.reach(Step.RESUME_SENDING, order.ref.task_id)
--- /dev/null
+++ b/tests/cluster.py
@@ -0,0 +1,198 @@
+"""A zone on virtual time: an in-memory store, worker models and shard owners."""
+
+import asyncio
+import dataclasses
+from collections.abc import Callable
+from typing import Any
+
+from pollengate.configuration import Configuration, Limits, Zone
+from pollengate.freshness import Freshness
+from pollengate.jobs import JobSpec, Resources, TaskState
+from pollengate.memory_store import MemoryStore
+from pollengate.policies import ShardPolicies
+from pollengate.refusals import Refusal
+from pollengate.steps import NoSteps, Step, StepHook
+from pollengate.store import Store
+from pollengate.virtual_machines import VirtualMachine
+from pollengate.worker import Heartbeat, HeartbeatAnswer, TaskRef
+from pollengate_standins.memory_worker import MemoryWorkerClient
+from pollengate_standins.worker_model import WorkerModel
+from pollengate_standins.worker_server import beat_forever
+from pollengated.metrics import Metrics
+from pollengated.shard_owner import ShardOwner
+from result import Err
+
+from tests.utils import build_spec, build_worker
+
+__all__ = ["BlockAt", "StubFollower", "ZoneFake", "run_until"]
+
+CORES = 4
+
+
+class StubFollower:
+    """A configuration that a test sets; it is always fresh unless told otherwise."""
+
+    def __init__(self, *zones: str) -> None:
+        self.is_fresh = True
+        self.current = Configuration(1, {name: Zone() for name in zones}, {}, {}, Limits())
+
+    @property
+    def freshness(self) -> Freshness:
+        """Returns a freshness that was confirmed now, or never."""
+        freshness = Freshness()
+        if self.is_fresh:
+            freshness.confirm(asyncio.get_running_loop().time())
+        return freshness
+
+    def set_zone(self, name: str, **fields: Any) -> None:
+        """Changes one zone."""
+        zones = self.current.zones_by_name | {name: Zone(**fields)}
+        self.current = dataclasses.replace(
+            self.current, version=self.current.version + 1, zones_by_name=zones
+        )
+
+
+class BlockAt(StepHook):
+    """Holds whoever reaches one step until it is released."""
+
+    def __init__(self, step: Step) -> None:
+        self.step = step
+        self.reached = asyncio.Event()
+        self.released = asyncio.Event()
+
+    async def reach(self, step: Step, subject: str = "") -> None:
+        """Waits at the step."""
+        if step is self.step:
+            self.reached.set()
+            await self.released.wait()
+
+
+class ZoneFake:
+    """A zone with workers and any number of processes that may own its shard."""
+
+    def __init__(
+        self, store: Store | None = None, workers: int = 2, zone: str = "a", **worker: Any
+    ) -> None:
+        self.zone = zone
+        self.store = store if store is not None else MemoryStore()
+        self.follower = StubFollower("a", "b")
+        self.machines: list[VirtualMachine] = []
+        self.models_by_id: dict[str, WorkerModel] = {}
+        self.clients_by_id: dict[str, MemoryWorkerClient] = {}
+        self.owners: list[ShardOwner] = []
+        self.cut_beats: set[str] = set()
+        self._tasks: dict[int, asyncio.Task[None]] = {}
+        self._beats: list[asyncio.Task[None]] = []
+        for number in range(workers):
+            self.add_worker(f"{zone}-w{number}", **worker)
+
+    def add_worker(self, worker_id: str, cores: int = CORES, memory_mb: int = 1000) -> None:
+        """Adds a worker to the zone and to its listing."""
+        vm = build_worker(worker_id, self.zone, address=worker_id, cores=cores, memory_mb=memory_mb)
+        self.machines.append(vm)
+        model = WorkerModel(worker_id, Resources(cores, memory_mb))
+        self.models_by_id[worker_id] = model
+        self.clients_by_id[worker_id] = MemoryWorkerClient(model)
+        self._beats.append(asyncio.create_task(beat_forever(model, self._send_beat)))
+
+    def workers(self, zone: str) -> list[VirtualMachine]:
+        """Returns the listing, as the VM directory does."""
+        return [vm for vm in self.machines if vm.zone == zone]
+
+    def start_owner(
+        self,
+        steps: StepHook | None = None,
+        policies: ShardPolicies | None = None,
+        store: Store | None = None,
+        connect: Callable[[str], Any] | None = None,
+    ) -> ShardOwner:
+        """Starts one more process that takes the shard or stands by."""
+        number = len(self.owners)
+        owner = ShardOwner(
+            self.zone,
+            0,
+            f"{self.zone}-s{number}",
+            f"{self.zone}-s{number}",
+            store if store is not None else self.store,
+            self.follower,  # type: ignore[arg-type]
+            self,  # type: ignore[arg-type]
+            connect if connect is not None else self.clients_by_id.__getitem__,
+            Metrics(),
+            policies,
+            steps if steps is not None else NoSteps(),
+        )
+        self.owners.append(owner)
+        self._tasks[number] = asyncio.create_task(owner.run())
+        return owner
+
+    def kill(self, owner: ShardOwner) -> None:
+        """Ends a process at once."""
+        number = self.owners.index(owner)
+        self._tasks[number].cancel()
+        owner.ownership.drop()
+
+    async def stop(self, owner: ShardOwner) -> None:
+        """Stops a process as SIGTERM does."""
+        owner.stop()
+        await self._tasks[self.owners.index(owner)]
+
+    async def serving(self, timeout_s: float = 30.0) -> ShardOwner:
+        """Waits for an owner that serves and returns it."""
+        await run_until(lambda: any(owner.is_serving() for owner in self.owners), timeout_s)
+        return next(owner for owner in self.owners if owner.is_serving())
+
+    async def submit(self, **fields: Any) -> JobSpec:
+        """Submits a job to the serving owner.
+
+        Raises:
+            AssertionError: it was refused.
+        """
+        spec = build_spec(**fields)
+        result = await (await self.serving()).submit(spec)
+        if isinstance(result, Err):
+            refusal: Refusal = result.err_value
+            raise AssertionError(f"refused: {refusal}")
+        return spec
+
+    async def state_of(self, job_id: str) -> TaskState:
+        """Returns a job's state in the serving owner's books."""
+        return (await self.serving()).books.jobs_by_id[job_id].state()
+
+    async def wait_for(self, job_id: str, state: TaskState, timeout_s: float = 60.0) -> None:
+        """Waits until a job is in a state."""
+
+        def is_there() -> bool:
+            for owner in self.owners:
+                if owner.is_serving() and job_id in owner.books.jobs_by_id:
+                    return owner.books.jobs_by_id[job_id].state() is state
+            return False
+
+        await run_until(is_there, timeout_s)
+
+    def running(self) -> list[TaskRef]:
+        """Returns the attempts that run on any worker."""
+        return [ref for model in self.models_by_id.values() for ref in model.running()]
+
+    def starts(self) -> list[TaskRef]:
+        """Returns the attempts that any worker started."""
+        return [ref for model in self.models_by_id.values() for ref in model.starts]
+
+    async def _send_beat(self, address: str, beat: Heartbeat) -> HeartbeatAnswer | None:
+        await asyncio.sleep(0.001)
+        if beat.worker_id in self.cut_beats:
+            return None
+        for owner, task in zip(self.owners, self._tasks.values(), strict=True):
+            if address == f"{self.zone}-s{self.owners.index(owner)}" and not task.done():
+                return await owner.heartbeat(beat)
+        return None
+
+
+async def run_until(is_done: Callable[[], bool], timeout_s: float = 60.0) -> None:
+    """Lets time pass until a condition holds.
+
+    Raises:
+        TimeoutError: it did not hold in time.
+    """
+    async with asyncio.timeout(timeout_s):
+        while not is_done():  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
--- a/tests/utils.py
+++ b/tests/utils.py
@@ -20,6 +20,7 @@
     try:
         return loop.run_until_complete(main)
     finally:
+        loop.run_until_complete(_cancel_all(loop))
         asyncio.set_event_loop(None)
         loop.close()
 
@@ -48,3 +49,10 @@
         "memory_mb": 1000,
     }
     return VirtualMachine(**(fields | changes))
+
+
+async def _cancel_all(loop: asyncio.AbstractEventLoop) -> None:
+    tasks = asyncio.all_tasks(loop) - {asyncio.current_task()}
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
