Move jobs between zones; resolve lost answers; follow a job's home

A job that runs nowhere moves in one transaction: the source's epoch and the record's revision guard it, so a write that takes effect late changes nothing, and one without an answer is repeated until it is known to have happened. Folding is guarded by the same revisions: without that a late fold brought a moved job's record back (test_fold_that_races_a_move).

--- a/packages/pollengate/pollengate/guarded_key.py
+++ b/packages/pollengate/pollengate/guarded_key.py
@@ -1,5 +1,6 @@
 """A store key that one owner rewrites; writes that take effect late change nothing."""
 
+import dataclasses
 from collections.abc import Sequence
 
 from result import Err, Ok, Result
@@ -17,8 +18,15 @@
 __all__ = ["ConditionFailed", "GuardedKey"]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
 class ConditionFailed:
-    """The transaction was refused: a condition of the caller did not hold."""
+    """The transaction was refused: a condition of the caller did not hold.
+
+    Attributes:
+        current: the entries of the compared keys.
+    """
+
+    current: tuple[Entry, ...]
 
 
 class GuardedKey:
@@ -37,8 +45,8 @@
 
     async def write(
         self, value: bytes, conditions: Sequence[Unchanged], writes: Sequence[Operation] = ()
-    ) -> Result[None, ConditionFailed | StoreFailure]:
-        """Writes the key, and other keys in the same step."""
+    ) -> Result[int, ConditionFailed | StoreFailure]:
+        """Writes the key, and other keys in the same step; returns their revision."""
         if not self._is_known:
             entry = await self._store.get(self.key)
             if isinstance(entry, Err):
@@ -52,11 +60,11 @@
         commit = result.ok_value
         if commit.succeeded:
             self._revision = commit.revision
-            return Ok(None)
+            return Ok(commit.revision)
         current = {entry.key: entry for entry in commit.current}
         found = current.get(self.key)
         if (found.revision if found else 0) == self._revision:
-            return Err(ConditionFailed())
+            return Err(ConditionFailed(commit.current))
         self.take(found)
         detail = f"an earlier write of {self.key} took effect"
         return Err(StoreFailure(FailureKind.REJECTED, detail))
--- a/packages/pollengate/pollengate/job_books.py
+++ b/packages/pollengate/pollengate/job_books.py
@@ -44,11 +44,13 @@
         spec: what was submitted.
         tasks_by_id: its tasks; empty once the job has ended and was compacted.
         is_cancelled: whether its cancellation is in the ledger.
+        is_moving: whether a write that moves it to another shard may have been sent.
     """
 
     def __init__(self, spec: JobSpec) -> None:
         self.spec = spec
         self.is_cancelled = False
+        self.is_moving = False
         self.tasks_by_id: dict[str, Task] = {}
         for index in range(spec.count):
             task = Task(task_id_of(spec.job_id, index), spec, index)
@@ -91,6 +93,13 @@
         """Tells whether every task has ended."""
         return sum(self._counts[state] for state in ENDED_STATES) == self.spec.count
 
+    @property
+    def runs_nowhere(self) -> bool:
+        """Tells whether some task waits and none is on a worker or may be."""
+        waiting = self._counts[TaskState.QUEUED]
+        ended = sum(self._counts[state] for state in ENDED_STATES)
+        return waiting > 0 and waiting + ended == self.spec.count
+
     def compact(self) -> None:
         """Keeps one byte a task of a job that has ended; harmless when repeated."""
         if not self.tasks_by_id:
@@ -128,14 +137,15 @@
     def __init__(self) -> None:
         self._changes_by_job: dict[str, JobChange] = {}
         self._unrecorded: set[str] = set()
+        self._taken: set[str] = set()
 
     def __len__(self) -> int:
         """Returns the number of jobs with changes that are not being recorded."""
         return len(self._changes_by_job)
 
     def has(self, job_id: str) -> bool:
-        """Tells whether a job has changes that are not being recorded."""
-        return job_id in self._changes_by_job
+        """Tells whether a job has changes that are not known to be durable."""
+        return job_id in self._changes_by_job or job_id in self._taken
 
     def note(self, task: Task) -> None:
         """Takes in the end, the checkpoint or the intent of a task."""
@@ -154,10 +164,12 @@
         """Returns the changes since the last call; the caller records or returns them."""
         changes = list(self._changes_by_job.values())
         self._changes_by_job = {}
+        self._taken = {change.job_id for change in changes}
         return changes
 
     def recorded(self, changes: list[JobChange]) -> None:
         """Takes note that changes are durable."""
+        self._taken = set()
         for change in changes:
             newer = self._changes_by_job.get(change.job_id)
             for index in change.indices():
@@ -166,6 +178,7 @@
 
     def give_back(self, changes: list[JobChange]) -> None:
         """Takes changes back that may not be durable."""
+        self._taken = set()
         for change in changes:
             newer = self._changes_by_job.get(change.job_id)
             if newer is not None:
--- a/packages/pollengate/pollengate/ledger.py
+++ b/packages/pollengate/pollengate/ledger.py
@@ -6,7 +6,7 @@
     workers         workers that may hold leases
     jobs/<id>       one job, as of a segment
     log/<sequence>  a segment: changes of several jobs, written by one group commit
-    inbox/<id>      a job that moved here from another shard
+    inbox/<id>      a job that moved here from another shard and is not taken in yet
     handover        what the last owner knew to run where, deleted by the next one
 
 `/pollengate/jobs/<id>` names the shard of a job. Every write is conditional on the owner's
@@ -37,6 +37,7 @@
     Commit,
     Delete,
     Entry,
+    FailureKind,
     Operation,
     Put,
     Store,
@@ -107,12 +108,10 @@
     Attributes:
         records: its jobs.
         workers: workers that may hold leases of an earlier owner.
-        inbox: jobs that moved here and are no records yet.
     """
 
     records: list[JobRecord]
     workers: list[VirtualMachine]
-    inbox: list[JobRecord]
 
 
 class Ledger:
@@ -134,6 +133,7 @@
         self._sequence = 0
         self._segments: list[int] = []
         self._unfolded: dict[str, None] = {}
+        self._revision_by_job: dict[str, int] = {}
 
     @property
     def needs_fold(self) -> bool:
@@ -155,16 +155,14 @@
         self._workers.take(workers)
         self._sequence = int(folded.value) if folded is not None else 0
         records: dict[str, JobRecord] = {}
-        inbox = []
         for name, entry in by_name.items():
             if name.startswith("jobs/"):
                 record = decode_record(entry.value)
                 records[record.spec.job_id] = record
-            elif name.startswith("inbox/"):
-                inbox.append(decode_record(entry.value))
+                self._revision_by_job[record.spec.job_id] = entry.revision
         self._replay(by_name, records)
         machines = decode_workers(workers.value) if workers is not None else []
-        return Ok(LedgerContents(list(records.values()), machines, inbox))
+        return Ok(LedgerContents(list(records.values()), machines))
 
     async def accept(
         self, spec: JobSpec, epoch: int
@@ -180,6 +178,7 @@
         if isinstance(result, Err):
             return result
         if result.ok_value.succeeded:
+            self._revision_by_job[spec.job_id] = result.ok_value.revision
             return Ok(Accepted(home, True))
         for entry in result.ok_value.current:
             if entry.key == job_key:
@@ -220,18 +219,28 @@
         """
         sequence, segments = self._sequence, list(self._segments)
         names = [job_id for job_id in self._unfolded if job_id in jobs]
+        if any(jobs[job_id].is_moving for job_id in names):
+            return Ok(None)
         for start in range(0, max(len(names), 1), MAX_JOBS_PER_FOLD):
             part = names[start : start + MAX_JOBS_PER_FOLD]
             is_last = start + MAX_JOBS_PER_FOLD >= len(names)
+            conditions = await self._record_conditions(part)
+            if isinstance(conditions, Err):
+                return conditions
             writes: list[Operation] = []
             for job_id in part:
                 writes += self._job_writes(jobs[job_id], sequence, retention_lease_id)
             if is_last:
                 writes += [Delete(self._segment_key(number)) for number in segments]
             value = str(sequence).encode()
-            result = await self._write_guarded(self._folded, value, epoch, writes)
+            result = await self._write_guarded(
+                self._folded, value, epoch, conditions.ok_value, writes
+            )
+            for job_id in part:
+                self._revision_by_job.pop(job_id, None)
             if isinstance(result, Err):
                 return result
+            self._revision_by_job.update(dict.fromkeys(part, result.ok_value))
         self._segments = [number for number in self._segments if number > sequence]
         self._unfolded = {i: None for i in self._unfolded if i in jobs and i not in names}
         return Ok(None)
@@ -240,16 +249,107 @@
         self, workers: Sequence[VirtualMachine], epoch: int
     ) -> Result[None, LedgerFailure]:
         """Records the workers that may hold leases, before they may start anything."""
-        return await self._write_guarded(self._workers, encode_workers(workers), epoch)
+        result = await self._write_guarded(self._workers, encode_workers(workers), epoch, (), ())
+        return result.map(lambda _: None)
 
     async def _write_guarded(
-        self, key: GuardedKey, value: bytes, epoch: int, writes: Sequence[Operation] = ()
-    ) -> Result[None, LedgerFailure]:
+        self,
+        key: GuardedKey,
+        value: bytes,
+        epoch: int,
+        conditions: Sequence[Unchanged],
+        writes: Sequence[Operation],
+    ) -> Result[int, LedgerFailure]:
         self._count((*writes, Put(key.key, value)))
-        result = await key.write(value, (self._owner(epoch),), writes)
-        if isinstance(result, Err) and isinstance(result.err_value, ConditionFailed):
+        result = await key.write(value, (*conditions, self._owner(epoch)), writes)
+        if isinstance(result, Ok):
+            return Ok(result.ok_value)
+        failure = result.err_value
+        if not isinstance(failure, ConditionFailed):
+            return Err(failure)
+        owner = self._owner(epoch)
+        if any((e.key, e.revision) == (owner.key, owner.revision) for e in failure.current):
+            return Err(StoreFailure(FailureKind.REJECTED, "a job's record has changed"))
+        return Err(_conflict())
+
+    async def move_out(
+        self, jobs: Sequence[JobBook], target: JobHome, epoch: int
+    ) -> Result[None, LedgerFailure]:
+        """Moves jobs that run nowhere to another shard, in one transaction.
+
+        After a failure they may have moved; `is_moved` tells once the store answers.
+        """
+        conditions = await self._record_conditions([job.spec.job_id for job in jobs])
+        if isinstance(conditions, Err):
+            return conditions
+        writes: list[Operation] = []
+        for job in jobs:
+            job_id = job.spec.job_id
+            home = dataclasses.replace(target, digest=digest_of(job.spec))
+            inbox_key = f"{ledger_prefix(target.zone, target.shard)}inbox/{job_id}"
+            writes += (
+                Delete(self._job_key(job_id)),
+                Put(inbox_key, encode_record(job.to_record(0))),
+                Put(JOBS_PREFIX + job_id, home_to_value(home)),
+            )
+        result = await self._commit(epoch, conditions.ok_value, writes)
+        if isinstance(result, Err):
+            return result
+        for job in jobs:
+            self._revision_by_job.pop(job.spec.job_id, None)
+        if result.ok_value.succeeded:
+            return Ok(None)
+        return Err(StoreFailure(FailureKind.REJECTED, "a job's record has changed"))
+
+    async def is_moved(self, job_id: str) -> Result[bool, StoreFailure]:
+        """Tells whether a job's home is another shard."""
+        entry = await self._store.get(JOBS_PREFIX + job_id)
+        return entry.map(lambda found: found is None or not self.is_home(read_home(found)))
+
+    async def list_inbox(self) -> Result[tuple[Entry, ...], StoreFailure]:
+        """Returns the jobs that moved here and have to be taken in."""
+        listing = await self._store.list(self._prefix + "inbox/")
+        return listing.map(lambda found: found.entries)
+
+    async def take_in(self, entry: Entry, epoch: int) -> Result[JobRecord, LedgerFailure]:
+        """Makes a job of the inbox one of this shard's; harmless when repeated."""
+        record = decode_record(entry.value)
+        record.sequence = self._sequence
+        job_id = record.spec.job_id
+        writes = (Delete(entry.key), Put(self._job_key(job_id), encode_record(record)))
+        result = await self._commit(epoch, (Unchanged(entry.key, entry.revision),), writes)
+        if isinstance(result, Err):
+            return result
+        if not result.ok_value.succeeded:
             return Err(_conflict())
-        return result  # type: ignore[return-value]
+        self._revision_by_job[job_id] = result.ok_value.revision
+        return Ok(record)
+
+    async def resolve_taken(self, entry: Entry) -> Result[JobRecord, StoreFailure]:
+        """Returns a job that an earlier `take_in` without an answer has made this shard's."""
+        job_id = decode_record(entry.value).spec.job_id
+        found = await self._store.get(self._job_key(job_id))
+        if isinstance(found, Err):
+            return found
+        if found.ok_value is None:
+            return Err(StoreFailure(FailureKind.REJECTED, f"job {job_id!r} is not taken in"))
+        self._revision_by_job[job_id] = found.ok_value.revision
+        return Ok(decode_record(found.ok_value.value))
+
+    async def _record_conditions(
+        self, job_ids: Sequence[str]
+    ) -> Result[list[Unchanged], StoreFailure]:
+        conditions = []
+        for job_id in job_ids:
+            key = self._job_key(job_id)
+            if job_id not in self._revision_by_job:
+                entry = await self._store.get(key)
+                if isinstance(entry, Err):
+                    return entry
+                found = entry.ok_value
+                self._revision_by_job[job_id] = found.revision if found is not None else 0
+            conditions.append(Unchanged(key, self._revision_by_job[job_id]))
+        return Ok(conditions)
 
     def _replay(self, by_name: dict[str, Entry], records: dict[str, JobRecord]) -> None:
         self._segments = sorted(
--- a/packages/pollengate/pollengate/shard.py
+++ b/packages/pollengate/pollengate/shard.py
@@ -286,6 +286,14 @@
         """Returns the jobs that ended since the last call."""
         return self._tasks.take_ended()
 
+    def withhold(self, job: JobBook) -> None:
+        """Keeps a job that runs nowhere from starting while it moves."""
+        self._tasks.withhold(job)
+
+    def release(self, job: JobBook) -> None:
+        """Lets a job start again that was withheld and has surely not moved."""
+        self._tasks.release(job)
+
     def forget(self, job_id: str) -> None:
         """Drops a job that has ended or has moved to another shard."""
         self._tasks.forget(job_id)
--- a/packages/pollengate/pollengate/task_books.py
+++ b/packages/pollengate/pollengate/task_books.py
@@ -181,6 +181,19 @@
         ended, self._ended = self._ended, []
         return ended
 
+    def withhold(self, job: JobBook) -> None:
+        """Takes the waiting tasks of a job out of the queue while it moves."""
+        job.is_moving = True
+        for task_id in job.tasks_by_id:
+            self._queue.discard(task_id)
+
+    def release(self, job: JobBook) -> None:
+        """Queues the waiting tasks of a job again that stays after all."""
+        job.is_moving = False
+        for task in job.tasks_by_id.values():
+            if task.state is TaskState.QUEUED:
+                self.enqueue(task)
+
     def forget(self, job_id: str) -> None:
         """Drops a job that has ended or has moved to another shard."""
         job = self.jobs_by_id.pop(job_id)
--- /dev/null
+++ b/packages/pollengated/pollengated/inbox.py
@@ -0,0 +1,62 @@
+"""Takes in the jobs that move to a shard from another one."""
+
+import asyncio
+
+from pollengate.ledger_records import JobRecord
+from pollengate.steps import Step
+from result import Err
+
+from pollengated.logs import Log
+from pollengated.tenure import Tenure
+
+__all__ = ["Inbox"]
+
+POLL_INTERVAL_S = 2.0
+POLL_MIN_INTERVAL_S = 0.2
+
+
+class Inbox:
+    """Polls the ledger for jobs that moved here."""
+
+    def __init__(self, tenure: Tenure) -> None:
+        self._tenure = tenure
+        self._polled_at = -POLL_INTERVAL_S
+        self._lock = asyncio.Lock()
+        self._log = Log("inbox")
+
+    async def run(self) -> None:
+        """Polls until cancelled."""
+        while True:
+            await self.poll()
+            await asyncio.sleep(POLL_INTERVAL_S)
+
+    async def poll(self) -> None:
+        """Takes in every job that waits, unless that was done a moment ago."""
+        async with self._lock:
+            now = asyncio.get_running_loop().time()
+            if now - self._polled_at >= POLL_MIN_INTERVAL_S:
+                self._polled_at = now
+                await self._take_all()
+
+    async def _take_all(self) -> None:
+        tenure = self._tenure
+        listing = await tenure.ledger.list_inbox()
+        if isinstance(listing, Err):
+            return
+        for entry in listing.ok_value:
+            if not tenure.is_serving():
+                return
+            result = await tenure.ledger.take_in(entry, tenure.epoch)
+            if isinstance(result, Err):
+                result = await tenure.ledger.resolve_taken(entry)
+            await tenure.steps.reach(Step.TRANSFER_RECEIVED)
+            if not isinstance(result, Err) and tenure.is_held():
+                self._admit(result.ok_value)
+
+    def _admit(self, record: JobRecord) -> None:
+        books, job_id = self._tenure.books, record.spec.job_id
+        known = books.jobs_by_id.get(job_id)
+        if known is not None and known.is_moving:
+            books.forget(job_id)
+        books.admit(record)
+        self._log.info("job taken in", job_id=job_id)
--- a/packages/pollengated/pollengated/job_router.py
+++ b/packages/pollengated/pollengated/job_router.py
@@ -1,6 +1,8 @@
 """Finds the shard that a job belongs to and calls its owner."""
 
+import dataclasses
 import zlib
+from collections.abc import Awaitable, Callable
 
 from pollengate.jobs import JobSpec
 from pollengate.ledger import JOBS_PREFIX, JobHome, read_home
@@ -19,6 +21,11 @@
 
 RETRY_AFTER_S = 1.0
 
+_CALLS_PER_REQUEST = 2
+_OWNER_CHANGES = frozenset({Reason.NO_OWNER, Reason.STOPPING})
+
+CallOwner = Callable[[str], Awaitable[Result[pb.JobReply, CallFailure]]]
+
 
 class JobRouter:
     """Carries callers' requests about jobs to the owners of their shards."""
@@ -43,27 +50,30 @@
         chosen = home.ok_value if home.ok_value is not None else self._choose_home(spec.job_id)
         if chosen is None:
             return Err(_no_owner("no availability zone in service has an owner"))
-        address = self._owner_address(chosen)
-        if isinstance(address, Err):
-            return address
-        reply = await self._client.submit(address.ok_value, spec, chosen.zone, chosen.shard)
-        return _unwrap(reply)
+        reply = await self._call_owner(
+            chosen, lambda address: self._client.submit(address, spec, chosen.zone, chosen.shard)
+        )
+        if isinstance(reply, Ok) and not reply.ok_value.status.HasField("job"):
+            status = reply.ok_value.status
+            return await self._show_at(spec.job_id, JobHome(status.zone, status.shard))
+        return reply
 
     async def show(self, job_id: str) -> Result[pb.JobReply, Refusal]:
         """Shows a job."""
-        located = await self._locate(job_id)
-        if isinstance(located, Err):
-            return located
-        home, address = located.ok_value
-        return _unwrap(await self._client.show(address, job_id, home.zone, home.shard))
+        home = await self._locate(job_id)
+        if isinstance(home, Err):
+            return home
+        return await self._show_at(job_id, home.ok_value)
 
     async def cancel(self, job_id: str) -> Result[pb.JobReply, Refusal]:
         """Cancels a job."""
         located = await self._locate(job_id)
         if isinstance(located, Err):
             return located
-        home, address = located.ok_value
-        return _unwrap(await self._client.cancel(address, job_id, home.zone, home.shard))
+        home = located.ok_value
+        return await self._call_owner(
+            home, lambda address: self._client.cancel(address, job_id, home.zone, home.shard)
+        )
 
     async def list_jobs(self) -> list[pb.JobStatus]:
         """Lists the jobs of every shard whose owner answers."""
@@ -74,17 +84,42 @@
                 jobs.extend(reply.ok_value.jobs)
         return jobs
 
-    async def _locate(self, job_id: str) -> Result[tuple[JobHome, str], Refusal]:
+    async def _show_at(self, job_id: str, home: JobHome) -> Result[pb.JobReply, Refusal]:
+        return await self._call_owner(
+            home, lambda address: self._client.show(address, job_id, home.zone, home.shard)
+        )
+
+    async def _call_owner(self, home: JobHome, call: CallOwner) -> Result[pb.JobReply, Refusal]:
+        """Calls the owner of a shard; once more if the store names another owner by then."""
+        may_have_run = False
+        refusal = _no_owner(f"shard {home.shard} of {home.zone} has no owner")
+        called = ""
+        for _ in range(_CALLS_PER_REQUEST):
+            owner = self._directory.find(home.zone, home.shard)
+            if owner is None or owner.address == called:
+                await self._directory.refresh()
+                owner = self._directory.find(home.zone, home.shard)
+            if owner is None or owner.address == called:
+                break
+            called = owner.address
+            reply = _unwrap(await call(called))
+            if isinstance(reply, Ok):
+                return reply
+            refusal = reply.err_value
+            may_have_run |= refusal.outcome is Outcome.UNKNOWN
+            if refusal.reason not in _OWNER_CHANGES:
+                break
+        outcome = Outcome.UNKNOWN if may_have_run else refusal.outcome
+        return Err(dataclasses.replace(refusal, outcome=outcome))
+
+    async def _locate(self, job_id: str) -> Result[JobHome, Refusal]:
         home = await self._find_home(job_id)
         if isinstance(home, Err):
             return home
         if home.ok_value is None:
             detail = f"task {job_id!r} does not exist"
             return Err(Refusal(Outcome.NOT_RUN, Reason.NOT_FOUND, detail))
-        address = self._owner_address(home.ok_value)
-        if isinstance(address, Err):
-            return address
-        return Ok((home.ok_value, address.ok_value))
+        return Ok(home.ok_value)
 
     async def _find_home(self, job_id: str) -> Result[JobHome | None, Refusal]:
         entry = await self._store.get(JOBS_PREFIX + job_id)
@@ -105,12 +140,6 @@
             return None
         return homes[zlib.crc32(job_id.encode()) % len(homes)]
 
-    def _owner_address(self, home: JobHome) -> Result[str, Refusal]:
-        owner = self._directory.find(home.zone, home.shard)
-        if owner is None:
-            return Err(_no_owner(f"shard {home.shard} of {home.zone} has no owner"))
-        return Ok(owner.address)
-
 
 def _no_owner(detail: str) -> Refusal:
     return Refusal(Outcome.NOT_RUN, Reason.NO_OWNER, detail, RETRY_AFTER_S)
--- a/packages/pollengated/pollengated/owner_directory.py
+++ b/packages/pollengated/pollengated/owner_directory.py
@@ -20,6 +20,7 @@
         self._store = store
         self._owners_by_shard: dict[tuple[str, int], Owner] = {}
         self._log = Log("owners")
+        self._reading: asyncio.Task[None] | None = None
 
     async def run(self) -> None:
         """Reads the store until cancelled."""
@@ -28,7 +29,12 @@
             await asyncio.sleep(POLL_INTERVAL_S)
 
     async def refresh(self) -> None:
-        """Reads the store once."""
+        """Reads the store once; calls that come together share one read."""
+        if self._reading is None or self._reading.done():
+            self._reading = asyncio.create_task(self._read())
+        await asyncio.shield(self._reading)
+
+    async def _read(self) -> None:
         result = await self._store.list(OWNERS_PREFIX)
         if isinstance(result, Err):
             self._log.warning("store did not answer", detail=result.err_value.detail)
--- a/packages/pollengated/pollengated/shard_server.py
+++ b/packages/pollengated/pollengated/shard_server.py
@@ -8,7 +8,7 @@
 from pollengate.jobs import JobSpec
 from pollengate.ledger import Accepted, LedgerFailure
 from pollengate.reaction import Evict, Observation, Reaction, Throttle
-from pollengate.refusals import Refusal
+from pollengate.refusals import Outcome, Reason, Refusal
 from pollengate.shard import StartOrders
 from pollengate.steps import Step
 from pollengate.store import Store
@@ -17,18 +17,21 @@
 from result import Err, Ok, Result
 
 from pollengated.configuration_follower import ConfigurationFollower
+from pollengated.inbox import Inbox
 from pollengated.ledger_writer import LedgerWriter
 from pollengated.metrics import Metrics
 from pollengated.submissions import Submissions, ledger_refusal
 from pollengated.tenure import Tenure
 from pollengated.vm_directory import VmDirectory
 from pollengated.worker_calls import WorkerCalls
+from pollengated.zone_drain import ZoneDrain
 
 __all__ = ["ShardServer"]
 
 TICK_INTERVAL_S = 0.1
 LISTING_INTERVAL_S = 0.5
 MAX_STARTS_PER_TICK = 200
+MOVE_RETRY_AFTER_S = 1.0
 
 
 class ShardServer:
@@ -58,6 +61,8 @@
         self._calls = WorkerCalls(tenure, connect, address, metrics)
         self._writer = LedgerWriter(tenure, store)
         self._submissions = Submissions(tenure)
+        self._inbox = Inbox(tenure)
+        self._drain = ZoneDrain(tenure, store, follower)
         self._wake = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
         self._recording: asyncio.Task[None] | None = None
@@ -65,7 +70,13 @@
 
     async def run(self) -> None:
         """Serves until the shard is lost or a part fails; then ends every part."""
-        parts = [self._tick_forever(), self._writer.run(), self._submissions.run()]
+        parts = [
+            self._tick_forever(),
+            self._writer.run(),
+            self._submissions.run(),
+            self._inbox.run(),
+            self._drain.run(),
+        ]
         tasks = [asyncio.create_task(part) for part in parts]
         try:
             done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
@@ -83,11 +94,16 @@
         return result
 
     async def find_job(self, job_id: str) -> JobBook | None:
-        """Returns a job of the shard."""
+        """Returns a job of the shard, also one that has just moved here."""
+        if job_id not in self._books.jobs_by_id:
+            await self._inbox.poll()
         return self._books.jobs_by_id.get(job_id)
 
     async def cancel(self, job: JobBook) -> Result[None, Refusal]:
         """Records a cancellation; calls that come together share one write."""
+        if job.is_moving:
+            detail = f"task {job.spec.job_id!r} is moving to another availability zone"
+            return Err(Refusal(Outcome.NOT_RUN, Reason.NO_OWNER, detail, MOVE_RETRY_AFTER_S))
         if not job.is_cancelled and not job.has_ended:
             self._books.changes.note_cancelled(job.spec.job_id)
             result = await self._writer.record()
--- /dev/null
+++ b/packages/pollengated/pollengated/zone_drain.py
@@ -0,0 +1,139 @@
+"""Drains a zone that is out of service and moves its jobs to zones in service."""
+
+import asyncio
+import itertools
+
+from pollengate.configuration import Zone
+from pollengate.job_books import JobBook
+from pollengate.ledger import JobHome
+from pollengate.ownership import OWNERS_PREFIX, owner_from_entry
+from pollengate.steps import Step
+from pollengate.store import FailureKind, Store
+from result import Err, Ok
+
+from pollengated.configuration_follower import ConfigurationFollower
+from pollengated.logs import Log
+from pollengated.tenure import Tenure
+
+__all__ = ["ZoneDrain"]
+
+POLL_INTERVAL_S = 0.5
+MAX_JOBS_PER_MOVE = 24
+# Share of the grace after which tasks that were left to finish are checkpointed.
+CHECKPOINT_SHARE = 0.5
+
+
+class ZoneDrain:
+    """Checkpoints running tasks within the grace and moves jobs that run nowhere."""
+
+    def __init__(self, tenure: Tenure, store: Store, follower: ConfigurationFollower) -> None:
+        self._tenure = tenure
+        self._books = tenure.books
+        self._store = store
+        self._follower = follower
+        self._since: float | None = None
+        self._moving_by_id: dict[str, JobHome] = {}
+        self._log = Log("drain")
+
+    async def run(self) -> None:
+        """Watches the configuration until cancelled."""
+        while True:
+            zone = self._follower.current.zones_by_name.get(self._tenure.ownership.zone)
+            await self._settle_moves()
+            if zone is None or zone.in_service:
+                self._since = None
+            elif self._tenure.is_serving():
+                await self._drain(zone)
+            await asyncio.sleep(POLL_INTERVAL_S)
+
+    async def _drain(self, zone: Zone) -> None:
+        now = asyncio.get_running_loop().time()
+        if self._since is None:
+            self._since = now
+            await self._tenure.steps.reach(Step.DRAIN_STARTED)
+        self._evict(zone.drain_grace_s, now - self._since)
+        ready = [job for job in self._books.jobs_by_id.values() if self._may_move(job)]
+        if ready:
+            await self._move_jobs(ready, await self._targets())
+
+    def _evict(self, grace_s: float, elapsed_s: float) -> None:
+        """Evicts long tasks at once, others at a share of the grace, all at its end."""
+        for worker_id, book in list(self._books.workers_by_id.items()):
+            stopping = {stop.ref.task_id for stop in self._books.stop_orders(worker_id)}
+            for task_id in sorted(book.task_ids):
+                job = self._books.jobs_by_id[task_id.rpartition(".")[0]]
+                is_long = job.spec.duration_ms / 1000 > grace_s * CHECKPOINT_SHARE
+                if elapsed_s >= grace_s and job.spec.idempotent:
+                    self._books.evict(task_id, checkpoint=False)
+                elif task_id not in stopping and (
+                    is_long or elapsed_s >= grace_s * CHECKPOINT_SHARE
+                ):
+                    self._books.evict(task_id)
+
+    async def _targets(self) -> list[JobHome]:
+        listing = await self._store.list(OWNERS_PREFIX)
+        if isinstance(listing, Err):
+            return []
+        owners = [owner_from_entry(entry) for entry in listing.ok_value.entries]
+        configuration = self._follower.current
+        return [
+            JobHome(owner.zone, owner.shard)
+            for owner in owners
+            if configuration.is_in_service(owner.zone)
+        ]
+
+    async def _move_jobs(self, ready: list[JobBook], targets: list[JobHome]) -> None:
+        for target in itertools.cycle(targets):
+            jobs = [job for job in ready[:MAX_JOBS_PER_MOVE] if self._may_move(job)]
+            ready = ready[MAX_JOBS_PER_MOVE:]
+            if not jobs or not await self._move(jobs, target):
+                return
+
+    def _may_move(self, job: JobBook) -> bool:
+        is_changing = self._books.changes.has(job.spec.job_id)
+        return job.runs_nowhere and not job.is_moving and not is_changing
+
+    async def _move(self, jobs: list[JobBook], target: JobHome) -> bool:
+        for job in jobs:
+            self._books.withhold(job)
+        await self._tenure.steps.reach(Step.TRANSFER_WRITING)
+        if not self._tenure.is_serving():
+            return False
+        for job in jobs:
+            self._moving_by_id[job.spec.job_id] = target
+        result = await self._tenure.ledger.move_out(jobs, target, self._tenure.epoch)
+        await self._tenure.steps.reach(Step.TRANSFER_WRITTEN)
+        if isinstance(result, Err):
+            if getattr(result.err_value, "kind", None) is not FailureKind.UNKNOWN:
+                self._keep(jobs)
+            return False
+        self._left(jobs)
+        self._log.info("jobs moved", jobs=len(jobs), zone=target.zone, shard=target.shard)
+        return True
+
+    def _keep(self, jobs: list[JobBook]) -> None:
+        for job in jobs:
+            del self._moving_by_id[job.spec.job_id]
+            self._books.release(job)
+
+    def _left(self, jobs: list[JobBook]) -> None:
+        for job in jobs:
+            del self._moving_by_id[job.spec.job_id]
+            self._books.forget(job.spec.job_id)
+
+    async def _settle_moves(self) -> None:
+        """Repeats moves without an answer until each is known to have happened."""
+        for job_id, target in list(self._moving_by_id.items()):
+            job = self._books.jobs_by_id.get(job_id)
+            if job is None or not job.is_moving:
+                del self._moving_by_id[job_id]
+            elif self._tenure.is_serving() and await self._has_moved(job, target):
+                self._left([job])
+
+    async def _has_moved(self, job: JobBook, target: JobHome) -> bool:
+        ledger = self._tenure.ledger
+        result = await ledger.move_out([job], target, self._tenure.epoch)
+        if isinstance(result, Ok):
+            return True
+        is_moved = await ledger.is_moved(job.spec.job_id)
+        return isinstance(is_moved, Ok) and is_moved.ok_value
--- /dev/null
+++ b/tests/test_ledger.py
@@ -0,0 +1,243 @@
+"""Tests of the ledger: lost answers, late writes, folding and moves."""
+
+import unittest
+
+from pollengate.job_books import JobBook
+from pollengate.jobs import JobSpec, TaskState
+from pollengate.ledger import JobConflict, JobHome, Ledger, LedgerConflict
+from pollengate.ledger_records import (
+    Checkpoint,
+    JobChange,
+    JobRecord,
+    decode_indices,
+    decode_record,
+    decode_segment,
+    encode_indices,
+    encode_record,
+    encode_segment,
+)
+from pollengate.memory_store import MemoryStore
+from pollengate.ownership import owner_key
+from pollengate.shard_layout import fix_shards
+from pollengate.store import Put
+
+from tests.faulty_store import Fault, FaultyStore
+from tests.utils import build_spec, run_virtual
+
+
+class LedgerTestCase(unittest.IsolatedAsyncioTestCase):
+    """One shard of zone a, owned at `epoch`."""
+
+    async def asyncSetUp(self) -> None:
+        self.shared = MemoryStore()
+        self.store = FaultyStore(self.shared, timeout_s=0.0)
+        self.ledger = Ledger(self.store, "a", 0)
+        self.epoch = await self.take("a")
+
+    async def take(self, zone: str) -> int:
+        """Makes a new owner of a zone's shard and returns its epoch."""
+        result = await self.shared.commit((), (Put(owner_key(zone, 0), b"{}"),))
+        return result.unwrap().revision
+
+    async def read(self, zone: str = "a") -> dict[str, JobRecord]:
+        """Returns the records that a successor would find."""
+        contents = (await Ledger(self.shared, zone, 0).read()).unwrap()
+        return {record.spec.job_id: record for record in contents.records}
+
+    async def accept(self, spec: JobSpec) -> JobBook:
+        """Records a job and returns its book."""
+        (await self.ledger.accept(spec, self.epoch)).unwrap()
+        return JobBook(spec)
+
+
+def finished(*indices: int) -> JobChange:
+    """Returns a change of job `job`."""
+    return JobChange("job", {TaskState.FINISHED: set(indices)})
+
+
+class AcceptTest(LedgerTestCase):
+    """Submissions."""
+
+    async def test_resubmission_is_told_from_a_conflict(self) -> None:
+        await self.accept(build_spec())
+        again = (await self.ledger.accept(build_spec(), self.epoch)).unwrap()
+        self.assertFalse(again.is_new)
+        other = await self.ledger.accept(build_spec(count=2), self.epoch)
+        self.assertIsInstance(other.unwrap_err(), JobConflict)
+
+    async def test_resubmission_at_another_shard_names_the_home(self) -> None:
+        await self.accept(build_spec())
+        other = Ledger(self.store, "b", 0)
+        result = (await other.accept(build_spec(), await self.take("b"))).unwrap()
+        self.assertEqual((result.home.zone, result.is_new), ("a", False))
+
+    async def test_former_owner_records_nothing(self) -> None:
+        await self.take("a")
+        result = await self.ledger.accept(build_spec(), self.epoch)
+        self.assertIsInstance(result.unwrap_err(), LedgerConflict)
+        result = await self.ledger.append([finished(0)], self.epoch)
+        self.assertIsInstance(result.unwrap_err(), LedgerConflict)
+        self.assertEqual(await self.read(), {})
+
+
+class SegmentTest(LedgerTestCase):
+    """Group commit and folding."""
+
+    async def test_answer_lost_after_the_effect(self) -> None:
+        await self.accept(build_spec(count=9))
+        self.store.fail_once(Fault.ANSWER_LOST, "/log/")
+        self.assertTrue((await self.ledger.append([finished(0)], self.epoch)).is_err())
+        (await self.ledger.append([finished(0, 1)], self.epoch)).unwrap()
+        self.assertEqual((await self.read())["job"].ended_by_state, {TaskState.FINISHED: {0, 1}})
+
+    async def test_write_that_takes_effect_late_changes_nothing(self) -> None:
+        await self.accept(build_spec(count=9))
+        self.store.fail_once(Fault.LATE, "/log/")
+        self.assertTrue((await self.ledger.append([finished(0)], self.epoch)).is_err())
+        (await self.ledger.append([finished(0, 1)], self.epoch)).unwrap()
+        (late,) = await self.store.release_held()
+        self.assertFalse(late.unwrap().succeeded)
+        self.assertEqual((await self.read())["job"].ended_by_state, {TaskState.FINISHED: {0, 1}})
+
+    async def test_fold_keeps_content_and_deletes_segments(self) -> None:
+        spec = build_spec(count=40)
+        job = await self.accept(spec)
+        for task in list(job.tasks_by_id.values())[:32]:
+            job.restore(task, TaskState.FINISHED)
+            (await self.ledger.append([finished(task.index)], self.epoch)).unwrap()
+        self.assertTrue(self.ledger.needs_fold)
+        (await self.ledger.fold({"job": job}, 0, self.epoch)).unwrap()
+        self.assertFalse(self.ledger.needs_fold)
+        listing = (await self.shared.list("/pollengate/ledger/a/0/log/")).unwrap()
+        self.assertEqual(listing.entries, ())
+        (await self.ledger.append([finished(32)], self.epoch)).unwrap()
+        ended = (await self.read())["job"].ended_by_state
+        self.assertEqual(ended, {TaskState.FINISHED: set(range(33))})
+
+    async def test_late_fold_does_not_overwrite_a_newer_one(self) -> None:
+        job = await self.accept(build_spec(count=3))
+        tasks = list(job.tasks_by_id.values())
+        job.restore(tasks[0], TaskState.FINISHED)
+        (await self.ledger.append([finished(0)], self.epoch)).unwrap()
+        self.store.fail_once(Fault.LATE, "/folded")
+        self.assertTrue((await self.ledger.fold({"job": job}, 0, self.epoch)).is_err())
+        job.restore(tasks[1], TaskState.FINISHED)
+        (await self.ledger.append([finished(1)], self.epoch)).unwrap()
+        (await self.ledger.fold({"job": job}, 0, self.epoch)).unwrap()
+        (late,) = await self.store.release_held()
+        self.assertFalse(late.unwrap().succeeded)
+        self.assertEqual((await self.read())["job"].ended_by_state, {TaskState.FINISHED: {0, 1}})
+
+    async def test_ended_jobs_vanish_with_their_lease(self) -> None:
+        job = await self.accept(build_spec())
+        job.restore(job.tasks_by_id["job.0"], TaskState.FINISHED)
+        (await self.ledger.append([finished(0)], self.epoch)).unwrap()
+        lease_id = (await self.shared.grant_lease(60)).unwrap()
+        (await self.ledger.fold({"job": job}, lease_id, self.epoch)).unwrap()
+        self.assertIn("job", await self.read())
+        await self.shared.revoke_lease(lease_id)
+        self.assertEqual(await self.read(), {})
+        self.assertTrue((await self.ledger.accept(build_spec(), self.epoch)).unwrap().is_new)
+
+    async def test_segments_stay_below_the_limit(self) -> None:
+        changes = [
+            JobChange(f"job-{n}", {}, {0: Checkpoint(1, 1, "x" * 60_000)}) for n in range(20)
+        ]
+        (await self.ledger.append(changes, self.epoch)).unwrap()
+        listing = (await self.shared.list("/pollengate/ledger/a/0/log/")).unwrap()
+        self.assertLess(max(len(entry.value) for entry in listing.entries), 1_000_000)
+        self.assertEqual(sum(len(decode_segment(e.value)) for e in listing.entries), 20)
+
+
+class MoveTest(LedgerTestCase):
+    """Jobs that move to another shard."""
+
+    async def move(self, job: JobBook) -> bool:
+        """Moves a job to zone b and returns whether that was confirmed."""
+        result = await self.ledger.move_out([job], JobHome("b", 0), self.epoch)
+        return result.is_ok()
+
+    async def take_in(self) -> list[JobRecord]:
+        """Takes in what waits at zone b."""
+        other, epoch = Ledger(self.shared, "b", 0), await self.take("b")
+        entries = (await other.list_inbox()).unwrap()
+        return [(await other.take_in(entry, epoch)).unwrap() for entry in entries]
+
+    async def test_job_moves_with_its_ends_and_checkpoints(self) -> None:
+        job = await self.accept(build_spec(count=3))
+        tasks = list(job.tasks_by_id.values())
+        job.restore(tasks[0], TaskState.FINISHED)
+        tasks[1].checkpoint = "700"
+        self.assertTrue(await self.move(job))
+        self.assertEqual(await self.read(), {})
+        (record,) = await self.take_in()
+        self.assertEqual(record.ended_by_state, {TaskState.FINISHED: {0}})
+        self.assertEqual(record.checkpoints_by_index[1].value, "700")
+        self.assertEqual((await self.read("b")).keys(), {"job"})
+
+    async def test_answer_lost_after_the_move(self) -> None:
+        job = await self.accept(build_spec())
+        self.store.fail_once(Fault.ANSWER_LOST, "/inbox/")
+        self.assertFalse(await self.move(job))
+        self.assertFalse(await self.move(job))
+        self.assertTrue((await self.ledger.is_moved("job")).unwrap())
+        self.assertEqual(len(await self.take_in()), 1)
+
+    async def test_late_move_of_a_job_that_has_moved_changes_nothing(self) -> None:
+        job = await self.accept(build_spec())
+        self.store.fail_once(Fault.LATE, "/inbox/")
+        self.assertFalse(await self.move(job))
+        self.assertTrue(await self.move(job))
+        self.assertEqual(len(await self.take_in()), 1)
+        (late,) = await self.store.release_held()
+        self.assertFalse(late.unwrap().succeeded)
+        self.assertEqual(await self.take_in(), [])
+
+    async def test_fold_that_races_a_move_leaves_no_record_behind(self) -> None:
+        job = await self.accept(build_spec(count=2))
+        job.restore(job.tasks_by_id["job.0"], TaskState.FINISHED)
+        (await self.ledger.append([finished(0)], self.epoch)).unwrap()
+        self.store.fail_once(Fault.LATE, "/folded")
+        await self.ledger.fold({"job": job}, 0, self.epoch)
+        self.assertTrue(await self.move(job))
+        await self.store.release_held()
+        self.assertEqual(await self.read(), {})
+
+
+class EncodingTest(unittest.TestCase):
+    """Compact records."""
+
+    def test_indices_survive_the_encoding(self) -> None:
+        for indices in (set(), {0}, {3}, {0, 1, 2, 9}, set(range(10_000)), set(range(0, 9_999, 2))):
+            with self.subTest(count=len(indices)):
+                self.assertEqual(decode_indices(encode_indices(indices)), indices)
+
+    def test_sparse_ends_of_a_long_array_stay_small(self) -> None:
+        self.assertLess(len(encode_indices(range(0, 10_000, 2))), 2_000)
+        self.assertEqual(encode_indices(range(10_000)), "0-9999")
+
+    def test_record_and_segment_survive_the_encoding(self) -> None:
+        record = JobRecord(
+            build_spec(count=5),
+            7,
+            {TaskState.FINISHED: {0, 1}, TaskState.UNKNOWN: {4}},
+            {2: Checkpoint(5, 1, "900")},
+            {3},
+            True,
+        )
+        self.assertEqual(decode_record(encode_record(record)), record)
+        change = JobChange("job", {TaskState.FAILED: {1}}, {2: Checkpoint(5, 1, "9")}, {3: True})
+        change.intents_by_index[4] = False
+        self.assertEqual(decode_segment(encode_segment([change])), [change])
+
+
+class LayoutTest(unittest.TestCase):
+    """The number of shards of a zone."""
+
+    def test_first_number_stands(self) -> None:
+        async def main() -> None:
+            store = MemoryStore()
+            self.assertEqual((await fix_shards(store, "a", 2)).unwrap(), 2)
+            self.assertEqual((await fix_shards(store, "a", 3)).unwrap(), 2)
+
+        run_virtual(main())
--- a/tests/test_shard_owner.py
+++ b/tests/test_shard_owner.py
@@ -3,11 +3,16 @@
 import asyncio
 import unittest
 
-from pollengate.jobs import TaskState
+from pollengate.jobs import Resources, TaskState
+from pollengate.memory_store import MemoryStore
+from pollengate.refusals import Outcome, Reason
 from pollengate.steps import Step
+from pollengate.worker import TaskOrder, TaskRef
+from result import Ok
 
 from tests.cluster import BlockAt, ZoneFake, run_until
-from tests.utils import run_virtual
+from tests.faulty_store import Fault, FaultyStore
+from tests.utils import build_spec, run_virtual
 
 
 class TakeOverTest(unittest.TestCase):
@@ -102,3 +107,235 @@
             self.assertLessEqual(asyncio.get_running_loop().time() - begun, 4.0 + 6.5)
 
         run_virtual(main())
+
+    def test_submission_whose_answer_was_lost_runs_once(self) -> None:
+        async def main() -> None:
+            store = FaultyStore(MemoryStore())
+            zone = ZoneFake(store)
+            zone.start_owner()
+            owner = await zone.serving()
+            store.fail_once(Fault.ANSWER_LOST, "/jobs/job")
+            result = await owner.submit(build_spec(duration_ms=200))
+            self.assertIsInstance(result, Ok)
+            await zone.wait_for("job", TaskState.FINISHED)
+            again = (await owner.submit(build_spec(duration_ms=200))).unwrap()
+            self.assertFalse(again.is_new)
+            conflict = (await owner.submit(build_spec(count=2))).unwrap_err()
+            self.assertEqual(conflict.reason, Reason.TASK_CONFLICT)
+            self.assertEqual(conflict.outcome, Outcome.NOT_RUN)
+            self.assertEqual(len(zone.starts()), 1)
+
+        run_virtual(main())
+
+    def test_submission_of_unknown_fate_is_resolved(self) -> None:
+        async def main() -> None:
+            store = FaultyStore(MemoryStore())
+            zone = ZoneFake(store)
+            zone.start_owner()
+            owner = await zone.serving()
+            store.plan = lambda keys: Fault.ANSWER_LOST if "/pollengate/jobs/job" in keys else None
+            refusal = (await owner.submit(build_spec())).unwrap_err()
+            self.assertEqual(refusal.outcome, Outcome.UNKNOWN)
+            store.plan = lambda keys: None
+            await zone.wait_for("job", TaskState.FINISHED)
+
+        run_virtual(main())
+
+
+class StartTest(unittest.TestCase):
+    """Starts that are lost, late or of a non-idempotent task."""
+
+    def test_start_without_an_answer_does_not_run_twice(self) -> None:
+        async def main() -> None:
+            zone = ZoneFake(workers=2)
+            zone.start_owner()
+            await zone.serving()
+            await asyncio.sleep(1.0)
+            for client in zone.clients_by_id.values():
+                client.loses_answers = True
+            await zone.submit(count=8, duration_ms=30_000)
+            await asyncio.sleep(2.0)
+            for client in zone.clients_by_id.values():
+                client.loses_answers = False
+            await run_until(lambda: len(zone.running()) == 8)
+            await asyncio.sleep(20.0)
+            self.assertEqual(len(zone.starts()), 8)
+
+        run_virtual(main())
+
+    def test_late_start_order_is_refused(self) -> None:
+        async def main() -> None:
+            zone = ZoneFake(workers=1)
+            zone.start_owner()
+            owner = await zone.serving()
+            await asyncio.sleep(1.0)
+            model = zone.models_by_id["a-w0"]
+            late = TaskOrder(TaskRef("job.0", 1, model.epoch), Resources(1, 100), 1000, "default")
+            epoch, session = model.epoch, model.session
+            owner.books.doubt("a-w0")
+            await run_until(lambda: model.session > session)
+            (answer,) = model.start(epoch, session, [late])
+            self.assertFalse(answer.accepted)
+            self.assertEqual(model.starts, [])
+
+        run_virtual(main())
+
+    def test_non_idempotent_task_is_not_started_again(self) -> None:
+        async def main() -> None:
+            zone = ZoneFake(workers=2)
+            first = zone.start_owner()
+            await zone.submit(idempotent=False, duration_ms=60_000)
+            await run_until(lambda: len(zone.running()) == 1)
+            (ref,) = zone.starts()
+            zone.kill(first)
+            for worker_id, model in zone.models_by_id.items():
+                if ref in model.starts:
+                    zone.clients_by_id[worker_id].is_cut = True
+                    zone.cut_beats.add(worker_id)
+            zone.start_owner()
+            await zone.wait_for("job", TaskState.UNKNOWN)
+            self.assertEqual(zone.starts(), [ref])
+
+        run_virtual(main())
+
+    def test_intent_is_durable_before_the_start(self) -> None:
+        async def main() -> None:
+            zone = ZoneFake()
+            steps = BlockAt(Step.INTENT_RECORDED)
+            zone.start_owner(steps)
+            await zone.submit(idempotent=False)
+            await steps.reached.wait()
+            self.assertEqual(zone.starts(), [])
+            zone.kill(zone.owners[0])
+            zone.start_owner()
+            await zone.wait_for("job", TaskState.UNKNOWN)
+            self.assertEqual(zone.starts(), [])
+
+        run_virtual(main())
+
+    def test_slow_worker_does_not_delay_renewal_or_other_workers(self) -> None:
+        async def main() -> None:
+            zone = ZoneFake(workers=2)
+            zone.clients_by_id["a-w0"].delay_s = 20.0
+            owner = zone.start_owner()
+            await zone.submit(count=4, duration_ms=100)
+            await run_until(lambda: len(zone.starts()) == 4, 5.0)
+            await asyncio.sleep(10.0)
+            self.assertTrue(owner.is_serving())
+
+        run_virtual(main())
+
+    def test_owner_frozen_before_a_start_sends_nothing_when_it_wakes(self) -> None:
+        async def main() -> None:
+            zone = ZoneFake()
+            steps = BlockAt(Step.START_SENDING)
+            store = FaultyStore(zone.store)  # type: ignore[arg-type]
+            first = zone.start_owner(steps, store=store)
+            await zone.submit(duration_ms=60_000)
+            await steps.reached.wait()
+            store.is_down = True
+            second = zone.start_owner()
+            await run_until(second.is_serving)
+            await run_until(lambda: len(zone.running()) == 1)
+            steps.released.set()
+            await asyncio.sleep(5.0)
+            self.assertEqual(len(zone.starts()), 1)
+            self.assertFalse(first.is_serving())
+
+        run_virtual(main())
+
+    def test_nothing_starts_in_a_zone_that_is_out(self) -> None:
+        async def main() -> None:
+            zone = ZoneFake()
+            zone.start_owner()
+            zone.follower.set_zone("a", in_service=False)
+            await zone.submit(count=4)
+            await asyncio.sleep(5.0)
+            self.assertEqual(zone.starts(), [])
+
+        run_virtual(main())
+
+
+class CancelTest(unittest.TestCase):
+    """Cancellations."""
+
+    def test_wave_of_cancellations_takes_few_writes(self) -> None:
+        async def main() -> None:
+            store = FaultyStore(MemoryStore())
+            zone = ZoneFake(store, workers=4)
+            zone.start_owner()
+            owner = await zone.serving()
+            for number in range(2_000):
+                (await owner.submit(build_spec(f"job-{number}", duration_ms=60_000))).unwrap()
+            await run_until(lambda: len(zone.running()) == 16)
+            before = store.commits
+            jobs = [owner.cancel(f"job-{number}") for number in range(2_000)]
+            results = await asyncio.gather(*jobs)
+            self.assertTrue(all(isinstance(result, Ok) for result in results))
+            await run_until(lambda: not zone.running(), 2.0)
+            await asyncio.sleep(2.0)
+            self.assertEqual(owner.books.running, 0)
+            self.assertLess(store.commits - before, 20)
+
+        run_virtual(main())
+
+    def test_cancellation_survives_the_owner(self) -> None:
+        async def main() -> None:
+            zone = ZoneFake()
+            steps = BlockAt(Step.STOP_SENDING)
+            first = zone.start_owner(steps)
+            await zone.submit(duration_ms=60_000)
+            await run_until(lambda: len(zone.running()) == 1)
+            (await first.cancel("job")).unwrap()
+            await steps.reached.wait()
+            self.assertEqual(first.books.jobs_by_id["job"].state(), TaskState.STOPPING)
+            zone.kill(first)
+            zone.start_owner()
+            await zone.wait_for("job", TaskState.CANCELLED)
+            self.assertEqual(zone.running(), [])
+            self.assertEqual(len(zone.starts()), 1)
+
+        run_virtual(main())
+
+
+class ZoneOutTest(unittest.TestCase):
+    """Jobs of a zone that is taken out of service."""
+
+    def test_jobs_are_checkpointed_moved_and_resumed_once(self) -> None:
+        async def main() -> None:
+            first, second = ZoneFake(), ZoneFake(zone="b")
+            second.store, second.follower = first.store, first.follower
+            first.start_owner()
+            second.start_owner()
+            await second.serving()
+            await first.submit(count=12, duration_ms=20_000)
+            await run_until(lambda: len(first.running()) == 8)
+            await asyncio.sleep(10.0)
+            first.follower.set_zone("a", in_service=False, drain_grace_s=10.0)
+            out_at = asyncio.get_running_loop().time()
+            await run_until(lambda: not first.running(), 10.0)
+            await run_until(lambda: len(second.running()) > 0, 10.0)
+            await second.wait_for("job", TaskState.FINISHED)
+            taken_s = asyncio.get_running_loop().time() - out_at
+            self.assertLess(taken_s, 5.0 + 10.0 + 20.0)
+            self.assertEqual((len(first.starts()), len(second.starts())), (8, 12))
+
+        run_virtual(main())
+
+    def test_move_whose_answer_was_lost_happens_once(self) -> None:
+        async def main() -> None:
+            store = FaultyStore(MemoryStore())
+            first, second = ZoneFake(store), ZoneFake(store.shared, zone="b")
+            second.follower = first.follower
+            first.start_owner()
+            second.start_owner()
+            await second.serving()
+            first.follower.set_zone("a", in_service=False)
+            store.fail_once(Fault.ANSWER_LOST, "/inbox/")
+            await first.submit(count=3, duration_ms=200)
+            await second.wait_for("job", TaskState.FINISHED)
+            await asyncio.sleep(5.0)
+            self.assertEqual(len(second.starts()), 3)
+            self.assertEqual(first.owners[0].books.jobs_by_id, {})
+
+        run_virtual(main())
