--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 PYTHON ?= python3
 BIN := .venv/bin
-PACKAGES := packages/pollengate packages/pollengate-net packages/pollengated packages/pollengate-cli packages/pollengate-standins
+PACKAGES := packages/pollengate packages/pollengate-settings packages/pollengate-net packages/pollengated packages/pollengate-cli packages/pollengate-standins
 EDITABLE := $(foreach package,$(PACKAGES),--editable $(package))
 
 .PHONY: setup run serve test check format lock messages
@@ -21,7 +21,7 @@
 	$(BIN)/python scripts/local_run.py --serve
 
 test: setup  ## Runs every test.
-	$(BIN)/nose2
+	$(BIN)/python scripts/run_tests.py
 
 format: setup
 	$(BIN)/black --quiet .
