--- a/packages/pollengated/pollengated/inbox.py
+++ b/packages/pollengated/pollengated/inbox.py
@@ -2,9 +2,11 @@
 
 import asyncio
 
+from pollengate.ledger import LedgerFailure
 from pollengate.ledger_records import JobRecord
 from pollengate.steps import Step
-from result import Err
+from pollengate.store import Entry
+from result import Err, Ok, Result
 
 from pollengated.logs import Log
 from pollengated.tenure import Tenure
@@ -22,6 +24,8 @@
         self._tenure = tenure
         self._polled_at = -POLL_INTERVAL_S
         self._lock = asyncio.Lock()
+        # Entries whose taking in got no answer; the write may still take effect.
+        self._unresolved_by_key: dict[str, Entry] = {}
         self._log = Log("inbox")
 
     async def run(self) -> None:
@@ -43,16 +47,26 @@
         listing = await tenure.ledger.list_inbox()
         if isinstance(listing, Err):
             return
-        for entry in listing.ok_value:
+        waiting = {entry.key for entry in listing.ok_value}
+        missing = [e for key, e in self._unresolved_by_key.items() if key not in waiting]
+        for entry in (*listing.ok_value, *missing):
             if not tenure.is_serving():
                 return
-            result = await tenure.ledger.take_in(entry, tenure.epoch)
-            if isinstance(result, Err):
-                result = await tenure.ledger.resolve_taken(entry)
+            result = await self._take(entry, entry.key in waiting)
             await tenure.steps.reach(Step.TRANSFER_RECEIVED)
-            if not isinstance(result, Err) and tenure.is_held():
+            if isinstance(result, Ok) and tenure.is_held():
+                self._unresolved_by_key.pop(entry.key, None)
                 self._admit(result.ok_value)
 
+    async def _take(self, entry: Entry, is_waiting: bool) -> Result[JobRecord, LedgerFailure]:
+        tenure = self._tenure
+        if is_waiting:
+            result = await tenure.ledger.take_in(entry, tenure.epoch)
+            if isinstance(result, Ok):
+                return result
+            self._unresolved_by_key[entry.key] = entry
+        return await tenure.ledger.resolve_taken(entry)
+
     def _admit(self, record: JobRecord) -> None:
         books, job_id = self._tenure.books, record.spec.job_id
         known = books.jobs_by_id.get(job_id)
--- a/packages/pollengated/pollengated/ledger_writer.py
+++ b/packages/pollengated/pollengated/ledger_writer.py
@@ -66,6 +66,7 @@
         result = await self._append(changes)
         if isinstance(result, Ok):
             self._books.changes.recorded(changes)
+            await self._reach_checkpoints(changes)
             self._apply_cancellations(changes)
         else:
             self._books.changes.give_back(changes)
@@ -86,6 +87,11 @@
         await self._tenure.steps.reach(Step.LEDGER_WRITTEN)
         return result
 
+    async def _reach_checkpoints(self, changes: list[JobChange]) -> None:
+        for change in changes:
+            if change.checkpoints_by_index:
+                await self._tenure.steps.reach(Step.CHECKPOINT_RECORDED, change.job_id)
+
     def _apply_cancellations(self, changes: list[JobChange]) -> None:
         for change in changes:
             if change.is_cancelled and change.job_id in self._books.jobs_by_id:
--- a/packages/pollengated/pollengated/shard_owner.py
+++ b/packages/pollengated/pollengated/shard_owner.py
@@ -14,7 +14,7 @@
 from pollengate.shard import Shard
 from pollengate.steps import NoSteps, Step, StepHook
 from pollengate.store import Store
-from pollengate.worker import Heartbeat, HeartbeatAnswer, WorkerClient
+from pollengate.worker import Heartbeat, HeartbeatAnswer, ReportState, WorkerClient
 from pollengate.worker_books import lapse_time
 from prometheus_client import Gauge
 from result import Err, Ok, Result
@@ -32,6 +32,11 @@
 STANDBY_POLL_S = 1.0
 WATCH_RETRY_S = 1.0
 
+_STEP_BY_REPORT = {
+    ReportState.FINISHED: Step.FINISH_REPORTED,
+    ReportState.CHECKPOINTED: Step.CHECKPOINT_REPORTED,
+}
+
 
 class ShardOwner:
     """Runs one shard whenever this process owns it, and stands by otherwise.
@@ -134,6 +139,9 @@
         if self._server is None or not self.is_serving() or beat.epoch != self.ownership.epoch:
             return HeartbeatAnswer(accepted=False)
         answer = self._server.heartbeat(beat)
+        for report in beat.reports:
+            if report.state in _STEP_BY_REPORT:
+                await self._steps.reach(_STEP_BY_REPORT[report.state], report.ref.task_id)
         await self._steps.reach(Step.HEARTBEAT_ANSWERING, beat.worker_id)
         return answer
 
--- a/packages/pollengated/pollengated/shard_server.py
+++ b/packages/pollengated/pollengated/shard_server.py
@@ -159,7 +159,7 @@
 
     async def _tick(self) -> None:
         self._books.expire_workers(asyncio.get_running_loop().time())
-        self._react()
+        await self._react()
         self._calls.kick_waiting()
         self._record_workers()
         self._start_tasks()
@@ -206,11 +206,12 @@
         else:
             self._calls.send_starts(plan)
 
-    def _react(self) -> None:
+    async def _react(self) -> None:
         for task_id in self._books.take_left():
             self._reaction.task_left(task_id)
         for action in self._reaction.decide(asyncio.get_running_loop().time()):
             if isinstance(action, Evict):
+                await self._steps.reach(Step.EVICT_REQUESTED, action.task_id)
                 self._books.evict(action.task_id)
             else:
                 self._throttle(action)
--- /dev/null
+++ b/tests/faults/deployment.py
@@ -0,0 +1,400 @@
+"""Two zones on virtual time whose processes can be killed, frozen and cut off."""
+
+import asyncio
+import dataclasses
+import enum
+import math
+from collections.abc import Callable
+
+from pollengate.configuration import Configuration, Limits, Zone
+from pollengate.freshness import Freshness
+from pollengate.jobs import JobSpec, Resources, TaskState
+from pollengate.memory_store import MemoryStore
+from pollengate.policies import ShardPolicies
+from pollengate.reaction import Action, Evict, Observation, Reaction
+from pollengate.refusals import Outcome
+from pollengate.steps import Step, StepHook
+from pollengate.virtual_machines import VirtualMachine, VmState
+from pollengate.worker import Heartbeat, HeartbeatAnswer, WorkerClient, WorkerFailure
+from pollengate_standins.memory_worker import MemoryWorkerClient
+from pollengate_standins.worker_server import beat_forever
+from pollengated.metrics import Metrics
+from pollengated.shard_owner import ShardOwner
+from result import Err
+
+from tests.faults.records import CallerRecord, Recorder, RecordingWorker
+from tests.faults.seams import FaultyStore, FaultyWorkerClient, Platform, ProcessControl
+from tests.utils import build_worker
+
+__all__ = ["Deployment", "Process", "Weakness", "ZONES"]
+
+ZONES = ("a", "b")
+CORES = 4
+MEMORY_MB = 1000
+FOLLOW_INTERVAL_S = 0.5
+CALL_TIMEOUT_S = 2.0
+LISTING_LAG_S = 3.0
+RESTART_AFTER_S = 2.0
+
+
+@dataclasses.dataclass(slots=True)
+class Process:
+    """One scheduler process."""
+
+    zone: str
+    control: ProcessControl
+    owner: ShardOwner
+    tasks: list[asyncio.Task[None]]
+
+
+class Weakness(enum.StrEnum):
+    """A rule of the protocol that is left out, to show that the matrix finds it."""
+
+    WORKER_IGNORES_EPOCH = "worker ignores epoch and session"
+    WORKER_IGNORES_LEASE = "worker runs on after its lease"
+    ANY_CONFIGURATION = "starts need no fresh configuration"
+    ANY_BELIEF = "owner acts on a lapsed lease"
+
+
+class _Follower:
+    """Follows the deployment's configuration as a process that reads the store does."""
+
+    def __init__(self, deployment: "Deployment", control: ProcessControl) -> None:
+        self.current = deployment.configuration
+        self.freshness = Freshness()
+        self._deployment = deployment
+        self._control = control
+
+    async def run(self) -> None:
+        """Reads the configuration until cancelled."""
+        store = FaultyStore(self._deployment.store, self._control, self._deployment.platform)
+        while True:
+            asked_at = asyncio.get_running_loop().time()
+            if self._control.is_configuration_silent:
+                await asyncio.sleep(FOLLOW_INTERVAL_S)
+                continue
+            if not isinstance(await store.get("/configuration"), Err):
+                self.current = self._deployment.configuration
+                self.freshness.confirm(asked_at)
+            if self._deployment.weakness is Weakness.ANY_CONFIGURATION:
+                self.freshness.confirm(math.inf)
+            await asyncio.sleep(FOLLOW_INTERVAL_S)
+
+
+class _Hook(StepHook):
+    def __init__(self, deployment: "Deployment", control: ProcessControl) -> None:
+        self._deployment = deployment
+        self._control = control
+
+    async def reach(self, step: Step, subject: str = "") -> None:
+        await self._control.awake()
+        self._deployment.note(step, self._control)
+        await self._control.awake()
+
+
+class _ScriptedReaction(Reaction):
+    """Evicts the tasks that the scenario names for a zone, once each."""
+
+    def __init__(self, deployment: "Deployment", zone: str) -> None:
+        self._deployment = deployment
+        self._zone = zone
+
+    def observe(self, observation: Observation) -> None:
+        """Ignores measurements."""
+
+    def decide(self, now: float) -> list[Action]:
+        """Evicts what was asked for."""
+        wanted = self._deployment.evictions_by_zone.pop(self._zone, [])
+        return [Evict("", task_id) for task_id in wanted]
+
+    def task_left(self, task_id: str) -> None:
+        """Keeps no state."""
+
+
+class Deployment:
+    """Workers, scheduler processes, store, VM list and callers of two zones.
+
+    Attributes:
+        recorder: what workers and callers saw.
+        platform: faults of the store.
+        configuration: the newest accepted configuration.
+        evictions_by_zone: tasks that a zone's owner shall evict.
+        seen: every step that any process reached.
+        is_listing_stale: whether the VM list stands still.
+        processes: every scheduler process, dead ones included.
+        workers_by_id: every worker, failed ones included.
+        weakness: a rule that is left out, None for the protocol as it is.
+    """
+
+    def __init__(
+        self,
+        on_step: Callable[[Step, ProcessControl], None] | None = None,
+        weakness: Weakness | None = None,
+    ) -> None:
+        self.store = MemoryStore()
+        self.platform = Platform()
+        self.platform.watches_open.set()
+        self.recorder = Recorder()
+        self.configuration = Configuration(1, {z: Zone() for z in ZONES}, {}, {}, Limits())
+        self.evictions_by_zone: dict[str, list[str]] = {}
+        self.seen: set[Step] = set()
+        self.is_listing_stale = False
+        self.processes: list[Process] = []
+        self.workers_by_id: dict[str, RecordingWorker] = {}
+        self.weakness = weakness
+        self._on_step = on_step
+        self._machines_by_id: dict[str, VirtualMachine] = {}
+        self._listed: list[VirtualMachine] = []
+        self._tasks: list[asyncio.Task[None]] = []
+        self._names = 0
+
+    def note(self, step: Step, control: ProcessControl) -> None:
+        """Takes note of a step and lets the cell inject its fault."""
+        self.seen.add(step)
+        if self._on_step is not None:
+            self._on_step(step, control)
+
+    def add_worker(self, zone: str) -> str:
+        """Adds a worker, which is listed after the list's lag."""
+        self._names += 1
+        worker_id = f"{zone}-w{self._names}"
+        capacity = Resources(CORES, MEMORY_MB)
+        model = RecordingWorker(
+            zone,
+            worker_id,
+            capacity,
+            self.recorder,
+            ignores_epoch=self.weakness is Weakness.WORKER_IGNORES_EPOCH,
+            ignores_lease=self.weakness is Weakness.WORKER_IGNORES_LEASE,
+        )
+        self.workers_by_id[worker_id] = model
+        self._machines_by_id[worker_id] = build_worker(
+            worker_id, zone, address=worker_id, cores=CORES, memory_mb=MEMORY_MB
+        )
+        self._tasks.append(asyncio.create_task(beat_forever(model, self._send_heartbeat)))
+        return worker_id
+
+    def remove_worker(self, worker_id: str) -> None:
+        """Fails a worker's VM; it leaves the list after the list's lag."""
+        self.workers_by_id[worker_id].vanish()
+        asyncio.get_running_loop().call_later(
+            LISTING_LAG_S, self._machines_by_id.pop, worker_id, None
+        )
+
+    def busiest_worker(self, zone: str) -> RecordingWorker:
+        """Returns the worker of a zone that runs most tasks now."""
+        workers = [
+            worker
+            for worker in self.workers_by_id.values()
+            if worker.zone == zone and not worker.has_vanished
+        ]
+        return max(workers, key=lambda worker: len(worker.running()))
+
+    def set_leaving(self, worker_id: str) -> None:
+        """Lists a worker as leaving."""
+        vm = self._machines_by_id[worker_id]
+        self._machines_by_id[worker_id] = dataclasses.replace(vm, state=VmState.LEAVING)
+        self.recorder.leaving_at_by_worker[worker_id] = asyncio.get_running_loop().time()
+
+    def workers(self, zone: str) -> list[VirtualMachine]:
+        """Returns the listing, as the VM directory does."""
+        if not self.is_listing_stale:
+            self._listed = list(self._machines_by_id.values())
+        return [vm for vm in self._listed if vm.zone == zone]
+
+    def set_zone(self, name: str, in_service: bool) -> None:
+        """Accepts a configuration that takes a zone out or brings it back."""
+        now = asyncio.get_running_loop().time()
+        periods = self.recorder.out_since_by_zone.setdefault(name, [])
+        is_out = bool(periods) and periods[-1][1] == float("inf")
+        if in_service and is_out:
+            periods[-1] = (periods[-1][0], now)
+        elif not in_service and not is_out:
+            periods.append((now, float("inf")))
+        zones = self.configuration.zones_by_name | {
+            name: Zone(in_service=in_service, drain_grace_s=2.0)
+        }
+        self.configuration = dataclasses.replace(
+            self.configuration, version=self.configuration.version + 1, zones_by_name=zones
+        )
+
+    def start_process(self, zone: str) -> Process:
+        """Starts one more scheduler process in a zone."""
+        self._names += 1
+        name = f"{zone}-s{self._names}"
+        control = ProcessControl(name)
+        follower = _Follower(self, control)
+        store = FaultyStore(self.store, control, self.platform)
+
+        def connect(address: str) -> WorkerClient:
+            return FaultyWorkerClient(self._worker_client(address), control)
+
+        owner = ShardOwner(
+            zone,
+            0,
+            name,
+            name,
+            store,
+            follower,  # type: ignore[arg-type]
+            self,  # type: ignore[arg-type]
+            connect,
+            Metrics(),
+            ShardPolicies(make_reaction=lambda: _ScriptedReaction(self, zone)),
+            _Hook(self, control),
+        )
+        if self.weakness is Weakness.ANY_BELIEF:
+            _believe_forever(owner)
+        tasks = [asyncio.create_task(owner.run()), asyncio.create_task(follower.run())]
+        process = Process(zone, control, owner, tasks)
+        self.processes.append(process)
+        return process
+
+    def kill(self, control: ProcessControl) -> None:
+        """Kills a process and starts another one in its place a little later."""
+        if control.is_dead:
+            return
+        control.kill()
+        process = self.find_process(control)
+        loop = asyncio.get_running_loop()
+        # Not at once: a step is reached from within one of these tasks.
+        for task in process.tasks:
+            loop.call_soon(task.cancel)
+        loop.call_later(RESTART_AFTER_S, self.start_process, process.zone)
+
+    async def stop(self, process: Process) -> None:
+        """Stops a process as SIGTERM does and starts another one in its place."""
+        process.owner.stop()
+        await asyncio.wait(process.tasks[:1], timeout=CALL_TIMEOUT_S * 5)
+        for task in process.tasks:
+            task.cancel()
+        process.control.kill()
+        self.start_process(process.zone)
+
+    def find_process(self, control: ProcessControl) -> Process:
+        """Returns the process of a control."""
+        return next(process for process in self.processes if process.control is control)
+
+    def serving(self, zone: str) -> Process | None:
+        """Returns the process that believes to serve a zone, None without one."""
+        for process in self.processes:
+            control = process.control
+            if process.zone == zone and not control.is_dead and process.owner.is_serving():
+                return process
+        return None
+
+    async def submit(self, spec: JobSpec, zone: str, retry: bool = True) -> None:
+        """Submits a job as a caller does: again and again until it is accepted.
+
+        Args:
+            spec: the job.
+            zone: where it is submitted.
+            retry: whether a refusal is followed by another try.
+        """
+        record = CallerRecord(spec)
+        self.recorder.jobs_by_id[spec.job_id] = record
+        while record.accepted_at is None:
+            outcome = await self._submit_once(spec, zone)
+            if outcome is None:
+                record.accepted_at = asyncio.get_running_loop().time()
+            elif not retry:
+                record.refused_as_not_run = outcome is Outcome.NOT_RUN
+                return
+            else:
+                await asyncio.sleep(0.5)
+
+    async def cancel(self, job_id: str) -> None:
+        """Cancels a job as a caller does, until it is confirmed."""
+        record = self.recorder.jobs_by_id[job_id]
+        while record.cancelled_at is None:
+            for zone in ZONES:
+                if await self._cancel_once(job_id, zone):
+                    record.cancelled_at = asyncio.get_running_loop().time()
+                    return
+            await asyncio.sleep(0.5)
+
+    def states_seen_by_callers(self, job_id: str) -> set[TaskState]:
+        """Returns the states of a job's tasks as the owners that serve would show them."""
+        states: set[TaskState] = set()
+        for zone in ZONES:
+            process = self.serving(zone)
+            job = process.owner.books.jobs_by_id.get(job_id) if process is not None else None
+            if job is not None:
+                states.add(job.state())
+        return states
+
+    async def close(self) -> None:
+        """Ends every task of the cell."""
+        tasks = [*self._tasks, *(task for process in self.processes for task in process.tasks)]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def broken(self) -> list[BaseException]:
+        """Returns the exceptions that ended a process."""
+        ended = [t for p in self.processes for t in p.tasks if t.done() and not t.cancelled()]
+        return [error for t in ended if (error := t.exception()) is not None]
+
+    async def _submit_once(self, spec: JobSpec, zone: str) -> Outcome | None:
+        process = self.serving(zone)
+        if process is None:
+            return Outcome.NOT_RUN
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT_S):
+                await process.control.awake()
+                result = await process.owner.submit(spec)
+                await process.control.awake()
+        except TimeoutError:
+            return Outcome.UNKNOWN
+        return result.err_value.outcome if isinstance(result, Err) else None
+
+    async def _cancel_once(self, job_id: str, zone: str) -> bool:
+        process = self.serving(zone)
+        if process is None:
+            return False
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT_S):
+                await process.control.awake()
+                result = await process.owner.cancel(job_id)
+                await process.control.awake()
+        except TimeoutError:
+            return False
+        return not isinstance(result, Err)
+
+    def _worker_client(self, worker_id: str) -> WorkerClient:
+        model = self.workers_by_id[worker_id]
+        return _WorkerLink(model)
+
+    async def _send_heartbeat(self, address: str, beat: Heartbeat) -> HeartbeatAnswer | None:
+        await asyncio.sleep(0.001)
+        worker = self.workers_by_id[beat.worker_id]
+        process = next(p for p in self.processes if p.control.name == address)
+        control = process.control
+        if worker.has_vanished or worker.is_cut_off or control.is_dead or control.loses_heartbeats:
+            return None
+        try:
+            async with asyncio.timeout(1.0):
+                await control.awake()
+                answer = await process.owner.heartbeat(beat)
+                await control.awake()
+        except TimeoutError:
+            return None
+        return None if control.loses_heartbeat_answers else answer
+
+
+def _believe_forever(owner: ShardOwner) -> None:
+    renew = owner.ownership.renew
+    owner.ownership.renew = lambda asked_at, ttl_s: renew(  # type: ignore[method-assign]
+        asked_at, ttl_s + 1_000
+    )
+
+
+class _WorkerLink(MemoryWorkerClient):
+    """Calls a worker unless its VM has failed or is cut off."""
+
+    def __init__(self, model: RecordingWorker) -> None:
+        super().__init__(model)
+        self._recording = model
+
+    async def _travel(self) -> Err[WorkerFailure] | None:
+        self.is_cut = self._recording.has_vanished or self._recording.is_cut_off
+        return await super()._travel()
--- /dev/null
+++ b/tests/faults/faults.py
@@ -0,0 +1,191 @@
+"""The faults of the matrix: each is injected at a step and healed a while later."""
+
+import asyncio
+import enum
+from collections.abc import Callable
+
+from pollengate.jobs import Resources
+from pollengate.ownership import owner_key
+from pollengate.worker_books import WORKER_LEASE_S
+
+from tests.faults.deployment import Deployment
+from tests.faults.seams import STORE_LATENCY_S, ProcessControl
+from tests.utils import build_spec
+
+__all__ = ["HEAL_AFTER_S", "Fault", "inject"]
+
+HEAL_AFTER_S = 8.0
+# Longer than a worker's lease, so that it lapses.
+WORKER_HEALS_AFTER_S = WORKER_LEASE_S + 4.0
+SLOW_CALL_S = 0.7
+LOST_WRITES = 3
+WAVE_JOBS = 40
+
+
+class Fault(enum.StrEnum):
+    """What happens to a process or to the platform."""
+
+    KILLED = "killed"
+    FROZEN = "frozen"
+    CUT_FROM_STORE = "cut from store"
+    CUT_FROM_WORKERS = "cut from workers"
+    ONE_WORKER_CUT_OFF = "one worker cut off"
+    WORKER_ANSWERS_LOST = "one-way cut: worker answers lost"
+    WORKER_CALL_LATE = "worker call delivered late"
+    CONFIGURATION_SILENT = "configuration reads hang"
+    HEARTBEATS_LOST = "one-way cut: heartbeats lost"
+    HEARTBEAT_ANSWERS_LOST = "one-way cut: heartbeat answers lost"
+    STORE_DOWN = "store down"
+    STORE_SLOW = "store slow"
+    ANSWER_LOST = "store answer lost after the effect"
+    LATE_WRITE = "store write takes effect late"
+    LEASE_LAPSED = "lease lapsed"
+    WATCH_SILENT = "watch silent"
+    WORKER_REPLACED = "worker VM replaced"
+    WORKER_LEAVES = "worker VM leaves"
+    VM_LIST_STALE = "VM list stale"
+    CONFIGURATION_RACE = "zone out and in within a second"
+    CANCELLATION_WAVE = "cancellation wave"
+
+
+def inject(fault: Fault, deployment: Deployment, control: ProcessControl) -> None:
+    """Brings a fault about now; it heals by itself."""
+    _INJECT[fault](deployment, control)
+
+
+def _later(delay_s: float, heal: Callable[[], None]) -> None:
+    asyncio.get_running_loop().call_later(delay_s, heal)
+
+
+def _add_worker(deployment: Deployment, zone: str) -> None:
+    deployment.add_worker(zone)
+
+
+def _kill(deployment: Deployment, control: ProcessControl) -> None:
+    deployment.kill(control)
+
+
+def _freeze(deployment: Deployment, control: ProcessControl) -> None:
+    control.freeze()
+    _later(HEAL_AFTER_S, control.wake)
+
+
+def _set_on_control(
+    name: str, heal_after_s: float = HEAL_AFTER_S
+) -> Callable[[Deployment, ProcessControl], None]:
+    def act(deployment: Deployment, control: ProcessControl) -> None:
+        setattr(control, name, True)
+        _later(heal_after_s, lambda: setattr(control, name, False))
+
+    return act
+
+
+def _cut_from_workers(deployment: Deployment, control: ProcessControl) -> None:
+    _set_on_control("is_cut_from_workers", WORKER_HEALS_AFTER_S)(deployment, control)
+    _set_on_control("loses_heartbeats", WORKER_HEALS_AFTER_S)(deployment, control)
+
+
+def _worker_call_late(deployment: Deployment, control: ProcessControl) -> None:
+    control.late_worker_calls = 1
+
+
+def _cut_off_worker(deployment: Deployment, control: ProcessControl) -> None:
+    worker = deployment.busiest_worker(deployment.find_process(control).zone)
+    worker.is_cut_off = True
+    _later(WORKER_HEALS_AFTER_S, lambda: setattr(worker, "is_cut_off", False))
+
+
+def _worker_leaves(deployment: Deployment, control: ProcessControl) -> None:
+    zone = deployment.find_process(control).zone
+    deployment.set_leaving(deployment.busiest_worker(zone).worker_id)
+    _later(HEAL_AFTER_S, lambda: _add_worker(deployment, zone))
+
+
+def _store_down(deployment: Deployment, control: ProcessControl) -> None:
+    deployment.platform.is_down = True
+    _later(HEAL_AFTER_S, lambda: setattr(deployment.platform, "is_down", False))
+
+
+def _store_slow(deployment: Deployment, control: ProcessControl) -> None:
+    deployment.platform.delay_s = SLOW_CALL_S
+    _later(HEAL_AFTER_S, lambda: setattr(deployment.platform, "delay_s", STORE_LATENCY_S))
+
+
+def _answer_lost(deployment: Deployment, control: ProcessControl) -> None:
+    deployment.platform.lost_answers = LOST_WRITES
+
+
+def _late_write(deployment: Deployment, control: ProcessControl) -> None:
+    deployment.platform.late_writes = 1
+
+
+def _lease_lapsed(deployment: Deployment, control: ProcessControl) -> None:
+    zone = deployment.find_process(control).zone
+    asyncio.ensure_future(_revoke_owner_lease(deployment, zone))
+
+
+async def _revoke_owner_lease(deployment: Deployment, zone: str) -> None:
+    entry = (await deployment.store.get(owner_key(zone, 0))).unwrap()
+    if entry is not None and entry.lease_id:
+        await deployment.store.revoke_lease(entry.lease_id)
+
+
+def _watch_silent(deployment: Deployment, control: ProcessControl) -> None:
+    deployment.platform.watches_open.clear()
+    _later(HEAL_AFTER_S, deployment.platform.watches_open.set)
+
+
+def _worker_replaced(deployment: Deployment, control: ProcessControl) -> None:
+    zone = deployment.find_process(control).zone
+    deployment.remove_worker(deployment.busiest_worker(zone).worker_id)
+    _later(HEAL_AFTER_S, lambda: _add_worker(deployment, zone))
+
+
+def _vm_list_stale(deployment: Deployment, control: ProcessControl) -> None:
+    deployment.is_listing_stale = True
+    _later(HEAL_AFTER_S, lambda: setattr(deployment, "is_listing_stale", False))
+
+
+def _configuration_race(deployment: Deployment, control: ProcessControl) -> None:
+    zone = deployment.find_process(control).zone
+    was_in_service = deployment.configuration.is_in_service(zone)
+    deployment.set_zone(zone, not was_in_service)
+    _later(1.0, lambda: deployment.set_zone(zone, was_in_service))
+
+
+def _cancellation_wave(deployment: Deployment, control: ProcessControl) -> None:
+    asyncio.ensure_future(_run_wave(deployment, deployment.find_process(control).zone))
+
+
+async def _run_wave(deployment: Deployment, zone: str) -> None:
+    specs = [
+        build_spec(f"wave-{number}", count=5, duration_ms=5_000, resources=Resources(2, 10))
+        for number in range(WAVE_JOBS)
+    ]
+    await asyncio.gather(*(deployment.submit(spec, zone) for spec in specs))
+    await asyncio.gather(*(deployment.cancel(spec.job_id) for spec in specs))
+
+
+_INJECT = {
+    Fault.KILLED: _kill,
+    Fault.FROZEN: _freeze,
+    Fault.CUT_FROM_STORE: _set_on_control("is_cut_from_store"),
+    Fault.CUT_FROM_WORKERS: _cut_from_workers,
+    Fault.ONE_WORKER_CUT_OFF: _cut_off_worker,
+    Fault.WORKER_ANSWERS_LOST: _set_on_control("loses_worker_answers", WORKER_HEALS_AFTER_S),
+    Fault.WORKER_CALL_LATE: _worker_call_late,
+    Fault.CONFIGURATION_SILENT: _set_on_control("is_configuration_silent"),
+    Fault.HEARTBEATS_LOST: _set_on_control("loses_heartbeats", WORKER_HEALS_AFTER_S),
+    Fault.HEARTBEAT_ANSWERS_LOST: _set_on_control("loses_heartbeat_answers", WORKER_HEALS_AFTER_S),
+    Fault.STORE_DOWN: _store_down,
+    Fault.STORE_SLOW: _store_slow,
+    Fault.ANSWER_LOST: _answer_lost,
+    Fault.LATE_WRITE: _late_write,
+    Fault.LEASE_LAPSED: _lease_lapsed,
+    Fault.WATCH_SILENT: _watch_silent,
+    Fault.WORKER_REPLACED: _worker_replaced,
+    Fault.WORKER_LEAVES: _worker_leaves,
+    Fault.VM_LIST_STALE: _vm_list_stale,
+    Fault.CONFIGURATION_RACE: _configuration_race,
+    Fault.CANCELLATION_WAVE: _cancellation_wave,
+}
--- /dev/null
+++ b/tests/faults/matrix.py
@@ -0,0 +1,113 @@
+"""The fault matrix: every fault at every step, pairs by seed, and its table."""
+
+import concurrent.futures
+import dataclasses
+import multiprocessing
+import random
+from collections.abc import Sequence
+
+from pollengate.steps import Step
+
+from tests.faults.faults import Fault
+from tests.faults.scenario import Cell, CellResult, run_cell
+
+__all__ = ["CellFailure", "pairs", "render_table", "row", "run_cells"]
+
+PROCESSES = 6
+CELLS_PER_CHUNK = 4
+MAX_OCCURRENCE = 4
+
+FLOWS = {
+    "submit": ("submit_received", "submit_recorded"),
+    "start": ("start_planned", "intent_recorded", "start_sending", "start_answered"),
+    "renew": ("owner_renewing", "owner_renewed", "heartbeat_received", "heartbeat_answering"),
+    "checkpoint, evict": (
+        "evict_requested",
+        "stop_sending",
+        "stop_answered",
+        "checkpoint_reported",
+        "checkpoint_recorded",
+    ),
+    "resume": ("resume_sending",),
+    "finish": (
+        "finish_reported",
+        "ledger_writing",
+        "ledger_written",
+        "ledger_folding",
+        "ledger_folded",
+    ),
+    "cancel": ("cancel_received", "cancel_recorded"),
+    "take over": (
+        "take_started",
+        "lease_granted",
+        "owner_taken",
+        "ledger_read",
+        "attach_sending",
+        "worker_attached",
+        "worker_recorded",
+        "recovery_finished",
+    ),
+    "hand over, stop": (
+        "stop_requested",
+        "starts_drained",
+        "handover_writing",
+        "handover_written",
+        "lease_released",
+    ),
+    "zone out, zone in": (
+        "drain_started",
+        "transfer_writing",
+        "transfer_written",
+        "transfer_received",
+    ),
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CellFailure:
+    """A cell that broke a rule."""
+
+    cell: Cell
+    result: CellResult
+
+    def __str__(self) -> str:
+        where = " and ".join(f"{f.value} at {s.value} #{n}" for s, f, n in self.cell.faults)
+        return f"{where}: {self.result.violations[0]}"
+
+
+def row(fault: Fault) -> list[Cell]:
+    """Returns the cells of one fault: at the first time that each step is reached."""
+    return [Cell(((step, fault, 1),)) for step in Step]
+
+
+def pairs(seed: int, count: int) -> list[Cell]:
+    """Returns cells of two faults each, at sampled occurrences of sampled steps."""
+    generator = random.Random(seed)
+    steps, faults = list(Step), list(Fault)
+
+    def sample() -> tuple[Step, Fault, int]:
+        occurrence = generator.randint(1, MAX_OCCURRENCE)
+        return generator.choice(steps), generator.choice(faults), occurrence
+
+    return [Cell((sample(), sample())) for _ in range(count)]
+
+
+def run_cells(cells: Sequence[Cell]) -> list[CellResult]:
+    """Runs cells side by side; each is deterministic by itself."""
+    context = multiprocessing.get_context("spawn")
+    with concurrent.futures.ProcessPoolExecutor(PROCESSES, mp_context=context) as pool:
+        return list(pool.map(run_cell, cells, chunksize=CELLS_PER_CHUNK))
+
+
+def render_table(injected_by_fault: dict[Fault, set[Step]]) -> str:
+    """Returns the table of cells run: for each fault and flow, steps hit of steps."""
+    lines = [
+        "| fault | " + " | ".join(FLOWS) + " | cells |",
+        "|---|" + "---|" * (len(FLOWS) + 1),
+    ]
+    for fault, hit in injected_by_fault.items():
+        counts = [f"{sum(Step(n) in hit for n in names)}/{len(names)}" for names in FLOWS.values()]
+        lines.append(f"| {fault.value} | " + " | ".join(counts) + f" | {len(hit)} |")
+    total = sum(len(hit) for hit in injected_by_fault.values())
+    lines.append(f"\n{total} cells of one fault.")
+    return "\n".join(lines) + "\n"
--- /dev/null
+++ b/tests/faults/rules.py
@@ -0,0 +1,178 @@
+"""The rules that every cell must keep, checked from what workers and callers saw."""
+
+import dataclasses
+from collections.abc import Iterator
+
+from pollengate.jobs import Resources, TaskState, task_id_of
+from pollengate.worker import ReportState
+from pollengate.worker_books import WORKER_LEASE_S
+
+from tests.faults.deployment import Deployment
+from tests.faults.records import Recorder, Run
+
+__all__ = ["FEW_SECONDS_S", "Violation", "check", "is_complete"]
+
+# The brief's "a few seconds" after which a zone or a worker gets nothing new.
+FEW_SECONDS_S = 4.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Violation:
+    """A rule that did not hold."""
+
+    rule: str
+    detail: str
+
+
+def check(deployment: Deployment) -> list[Violation]:
+    """Returns every violation of every rule."""
+    recorder = deployment.recorder
+    checks = (
+        _one_place(recorder),
+        _finished_once(deployment),
+        _at_most_once(recorder),
+        _resumes(deployment),
+        _zones(recorder),
+        _leaving(recorder),
+        _not_run(recorder),
+        _cancelled(recorder),
+        _capacity(recorder),
+        _complete(deployment),
+    )
+    violations = [violation for one in checks for violation in one]
+    broken = [Violation("process ended by an exception", repr(e)) for e in deployment.broken()]
+    return violations + broken
+
+
+def is_complete(deployment: Deployment) -> bool:
+    """Tells whether every accepted job has ended as far as workers and callers can see."""
+    recorder = deployment.recorder
+    if any(run.ended_at is None for run in recorder.runs):
+        return False
+    return not any(True for _ in _complete(deployment))
+
+
+def _runs_by_task(recorder: Recorder) -> dict[str, list[Run]]:
+    runs_by_task: dict[str, list[Run]] = {}
+    for run in recorder.runs:
+        runs_by_task.setdefault(run.task_id, []).append(run)
+    return runs_by_task
+
+
+def _pairs(recorder: Recorder) -> Iterator[tuple[Run, Run]]:
+    for runs in _runs_by_task(recorder).values():
+        yield from zip(runs, runs[1:], strict=False)
+
+
+def _one_place(recorder: Recorder) -> Iterator[Violation]:
+    for earlier, later in _pairs(recorder):
+        if earlier.ended_at is None or later.started_at < earlier.ended_at:
+            yield Violation("a task runs in one place", f"{earlier} and {later}")
+
+
+def _finished_once(deployment: Deployment) -> Iterator[Violation]:
+    for earlier, later in _pairs(deployment.recorder):
+        if earlier.end_state is ReportState.FINISHED and not _is_lost(deployment, earlier, later):
+            yield Violation("a finished task does not run again", f"{earlier} and {later}")
+
+
+def _is_lost(deployment: Deployment, earlier: Run, later: Run) -> bool:
+    """Tells whether a run's worker, with its report, was lost before a later run.
+
+    A worker that reached no owner for a whole lease after the run's end counts as lost.
+    """
+    if earlier.has_vanished:
+        return True
+    worker = deployment.workers_by_id[earlier.worker_id]
+    heard = [time for time in worker.renewals if time <= later.started_at]
+    ended_at = earlier.ended_at if earlier.ended_at is not None else later.started_at
+    return max(heard) < ended_at and later.started_at >= max(heard) + WORKER_LEASE_S
+
+
+def _at_most_once(recorder: Recorder) -> Iterator[Violation]:
+    for earlier, later in _pairs(recorder):
+        record = recorder.jobs_by_id[later.job_id]
+        # A resumption from its own checkpoint goes on with the one execution.
+        resumes = earlier.end_state is ReportState.CHECKPOINTED and later.order.checkpoint
+        if not record.spec.idempotent and not resumes:
+            yield Violation("a non-idempotent task runs at most once", f"{earlier} and {later}")
+
+
+def _resumes(deployment: Deployment) -> Iterator[Violation]:
+    for earlier, later in _pairs(deployment.recorder):
+        if earlier.end_state is ReportState.CHECKPOINTED:
+            expected = earlier.end_checkpoint
+        else:
+            expected = earlier.order.checkpoint
+        if later.order.checkpoint != expected and not _is_lost(deployment, earlier, later):
+            yield Violation("evicted work resumes where it stopped", f"{earlier} and {later}")
+
+
+def _zones(recorder: Recorder) -> Iterator[Violation]:
+    for zone, periods in recorder.out_since_by_zone.items():
+        for out_at, in_at in periods:
+            for run in recorder.runs:
+                if run.zone == zone and out_at + FEW_SECONDS_S < run.started_at < in_at:
+                    yield Violation("no start in a zone that is out", f"{run}, out at {out_at}")
+
+
+def _leaving(recorder: Recorder) -> Iterator[Violation]:
+    for run in recorder.runs:
+        leaving_at = recorder.leaving_at_by_worker.get(run.worker_id)
+        if leaving_at is not None and run.started_at > leaving_at + FEW_SECONDS_S:
+            yield Violation("no start on a leaving worker", f"{run}, leaving at {leaving_at}")
+
+
+def _not_run(recorder: Recorder) -> Iterator[Violation]:
+    for record in recorder.jobs_by_id.values():
+        if not record.refused_as_not_run:
+            continue
+        for index in range(record.spec.count):
+            if recorder.runs_of(task_id_of(record.spec.job_id, index)):
+                yield Violation("what was not run was not run", record.spec.job_id)
+
+
+def _cancelled(recorder: Recorder) -> Iterator[Violation]:
+    for record in recorder.jobs_by_id.values():
+        if record.cancelled_at is None:
+            continue
+        for index in range(record.spec.count):
+            for run in recorder.runs_of(task_id_of(record.spec.job_id, index)):
+                if run.started_at > record.cancelled_at + FEW_SECONDS_S:
+                    yield Violation("a cancelled task does not start", str(run))
+
+
+def _capacity(recorder: Recorder) -> Iterator[Violation]:
+    for worker_id, answer in recorder.refusals:
+        if answer.reason == "no_capacity":
+            yield Violation("no worker is given more than it holds", f"{worker_id}: {answer}")
+    for worker_id, capacity in recorder.capacity_by_worker.items():
+        runs = [run for run in recorder.runs if run.worker_id == worker_id]
+        for run in runs:
+            if not _use_at(runs, run.started_at).fits(capacity):
+                yield Violation("no worker holds more than it can", f"{worker_id}: {run}")
+
+
+def _use_at(runs: list[Run], time: float) -> Resources:
+    use = Resources(0, 0)
+    for run in runs:
+        if run.started_at <= time and (run.ended_at is None or time < run.ended_at):
+            use = use + run.order.resources
+    return use
+
+
+def _complete(deployment: Deployment) -> Iterator[Violation]:
+    recorder = deployment.recorder
+    for record in recorder.jobs_by_id.values():
+        if record.accepted_at is None or record.cancelled_at is not None:
+            continue
+        # What may have run must not run again: its caller is told that its fate is unknown.
+        if TaskState.UNKNOWN in deployment.states_seen_by_callers(record.spec.job_id):
+            if record.spec.idempotent:
+                yield Violation("idempotent work has no unknown end", record.spec.job_id)
+            continue
+        for index in range(record.spec.count):
+            task_id = task_id_of(record.spec.job_id, index)
+            runs = recorder.runs_of(task_id)
+            if not any(run.end_state is ReportState.FINISHED for run in runs):
+                yield Violation("accepted work ends", f"{task_id}: {runs}")
--- /dev/null
+++ b/tests/faults/scenario.py
@@ -0,0 +1,153 @@
+"""One run through every flow of the scheduler, with faults at named steps."""
+
+import asyncio
+import dataclasses
+from collections import Counter
+from collections.abc import Sequence
+from unittest import mock
+
+from pollengate.jobs import JobSpec, Resources
+from pollengate.steps import Step
+
+from tests.faults.deployment import Deployment, Weakness
+from tests.faults.faults import Fault, inject
+from tests.faults.rules import FEW_SECONDS_S, Violation, check, is_complete
+from tests.faults.seams import ProcessControl
+from tests.utils import build_spec, run_virtual
+
+__all__ = ["Cell", "CellResult", "run_cell"]
+
+COMPLETION_TIMEOUT_S = 150.0
+PROCESSES_PER_ZONE = 2
+WORKERS_PER_ZONE = 2
+# Low enough for the scenario to fold the ledger.
+FOLD_AFTER_SEGMENTS = 6
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cell:
+    """Faults, each when a step is reached for the given time, by any process.
+
+    Attributes:
+        faults: what happens where and at which occurrence of the step, counted from 1.
+        weakness: a rule that is left out, None for the protocol as it is.
+    """
+
+    faults: tuple[tuple[Step, Fault, int], ...] = ()
+    weakness: Weakness | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CellResult:
+    """What one cell showed.
+
+    Attributes:
+        violations: rules that did not hold.
+        injected: number of faults that were brought about.
+        seen: steps that were reached.
+        lasted_s: virtual time until everything was complete.
+    """
+
+    violations: tuple[Violation, ...]
+    injected: int
+    seen: frozenset[Step]
+    lasted_s: float
+
+
+def run_cell(cell: Cell) -> CellResult:
+    """Runs the scenario once on virtual time."""
+    with mock.patch("pollengate.ledger.FOLD_AFTER_SEGMENTS", FOLD_AFTER_SEGMENTS):
+        return run_virtual(_run(cell))
+
+
+async def _run(cell: Cell) -> CellResult:
+    reached: Counter[Step] = Counter()
+    injected = 0
+
+    def on_step(step: Step, control: ProcessControl) -> None:
+        nonlocal injected
+        reached[step] += 1
+        for at, fault, occurrence in cell.faults:
+            if at is step and occurrence == reached[step]:
+                injected += 1
+                inject(fault, deployment, control)
+
+    deployment = Deployment(on_step, cell.weakness)
+    try:
+        await _drive(deployment)
+        await _wait_until_complete(deployment)
+        lasted_s = asyncio.get_running_loop().time()
+        violations = check(deployment)
+    finally:
+        await deployment.close()
+    return CellResult(tuple(violations), injected, frozenset(deployment.seen), lasted_s)
+
+
+async def _drive(deployment: Deployment) -> None:
+    for zone in ("a", "b"):
+        for _ in range(WORKERS_PER_ZONE):
+            deployment.add_worker(zone)
+        for _ in range(PROCESSES_PER_ZONE):
+            deployment.start_process(zone)
+    await _submit_all(deployment, _first_jobs(), "a")
+    await asyncio.sleep(4.0)
+    deployment.evictions_by_zone["a"] = ["long.0"]
+    await asyncio.sleep(1.0)
+    cancelling = asyncio.create_task(deployment.cancel("doomed"))
+    await asyncio.sleep(2.0)
+    deployment.set_zone("a", in_service=False)
+    probing = asyncio.create_task(deployment.submit(_job("probe", 100), "a", retry=False))
+    await asyncio.sleep(FEW_SECONDS_S + 0.5)
+    submitting = asyncio.create_task(_submit_all(deployment, [_job("late", 200, count=3)], "a"))
+    await asyncio.sleep(4.5)
+    deployment.set_zone("a", in_service=True)
+    await _submit_all(deployment, [_job("back", 3_000, count=4)], "a")
+    await _stop_owner(deployment, "a")
+    await asyncio.sleep(2.0)
+    _kill_owner(deployment, "a")
+    await _submit_all(deployment, [_job("last", 500, count=3)], "a")
+    await asyncio.gather(cancelling, probing, submitting)
+
+
+async def _submit_all(deployment: Deployment, specs: Sequence[JobSpec], zone: str) -> None:
+    async with asyncio.timeout(COMPLETION_TIMEOUT_S):
+        await asyncio.gather(*(deployment.submit(spec, zone) for spec in specs))
+
+
+def _first_jobs() -> list[JobSpec]:
+    return [
+        _job("array", 1_500, count=8),
+        _job("once", 6_000, count=2, idempotent=False),
+        _job("long", 20_000),
+        _job("doomed", 60_000),
+    ]
+
+
+def _job(job_id: str, duration_ms: int, count: int = 1, idempotent: bool = True) -> JobSpec:
+    return build_spec(
+        job_id,
+        count=count,
+        duration_ms=duration_ms,
+        idempotent=idempotent,
+        resources=Resources(1, 100),
+    )
+
+
+async def _stop_owner(deployment: Deployment, zone: str) -> None:
+    process = deployment.serving(zone)
+    if process is not None and not process.control.is_frozen:
+        await deployment.stop(process)
+
+
+def _kill_owner(deployment: Deployment, zone: str) -> None:
+    process = deployment.serving(zone)
+    if process is not None:
+        deployment.kill(process.control)
+
+
+async def _wait_until_complete(deployment: Deployment) -> None:
+    end = asyncio.get_running_loop().time() + COMPLETION_TIMEOUT_S
+    while asyncio.get_running_loop().time() < end:
+        if is_complete(deployment):
+            return
+        await asyncio.sleep(0.5)
--- /dev/null
+++ b/tests/faults/seams.py
@@ -0,0 +1,237 @@
+"""The borders of one process, at which faults act."""
+
+import asyncio
+import dataclasses
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
+from typing import TypeVar
+
+from pollengate.store import (
+    Commit,
+    Entry,
+    FailureKind,
+    Listing,
+    Operation,
+    Store,
+    StoreFailure,
+    Unchanged,
+    WatchEvent,
+)
+from pollengate.worker import (
+    Attachment,
+    TaskAnswer,
+    TaskOrder,
+    TaskRef,
+    WorkerClient,
+    WorkerFailure,
+)
+from result import Err, Ok, Result
+
+__all__ = ["FaultyStore", "FaultyWorkerClient", "Platform", "ProcessControl"]
+
+T = TypeVar("T")
+
+STORE_LATENCY_S = 0.002
+NETWORK_LATENCY_S = 0.001
+CALL_TIMEOUT_S = 1.0
+REFUSED_AFTER_S = 0.2
+LATE_WRITE_S = 3.0
+LATE_CALL_S = 2.5
+
+
+@dataclasses.dataclass(slots=True)
+class Platform:
+    """Faults of the platform's store that every process sees.
+
+    Attributes:
+        is_down: whether every call fails before it has an effect.
+        delay_s: time that each call takes.
+        lost_answers: number of writes to come that take effect without an answer.
+        late_writes: number of writes to come that time out and take effect later.
+        watches_open: cleared while watches are silent.
+    """
+
+    is_down: bool = False
+    delay_s: float = STORE_LATENCY_S
+    lost_answers: int = 0
+    late_writes: int = 0
+    watches_open: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+
+
+class ProcessControl:
+    """Freezes, kills and cuts off one process.
+
+    Attributes:
+        name: the process.
+        is_dead: whether it was killed.
+        is_cut_from_store: whether its store calls fail before they are sent.
+        is_cut_from_workers: whether its worker calls fail before they are sent.
+        loses_worker_answers: whether worker calls take effect without an answer.
+        loses_heartbeats: whether heartbeats don't reach it.
+        late_worker_calls: number of worker calls to come that are delivered late.
+        is_configuration_silent: whether its reads of the configuration hang.
+        loses_heartbeat_answers: whether its answers to heartbeats are lost.
+    """
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.is_dead = False
+        self.is_cut_from_store = False
+        self.is_cut_from_workers = False
+        self.loses_worker_answers = False
+        self.loses_heartbeats = False
+        self.late_worker_calls = 0
+        self.is_configuration_silent = False
+        self.loses_heartbeat_answers = False
+        self._awake = asyncio.Event()
+        self._awake.set()
+
+    @property
+    def is_frozen(self) -> bool:
+        """Tells whether the process stands still."""
+        return not self._awake.is_set()
+
+    def freeze(self) -> None:
+        """Stops the process at its next border."""
+        self._awake.clear()
+
+    def wake(self) -> None:
+        """Lets a frozen process go on."""
+        if not self.is_dead:
+            self._awake.set()
+
+    def kill(self) -> None:
+        """Stops the process at its next border for good."""
+        self.is_dead = True
+        self._awake.clear()
+
+    async def awake(self) -> None:
+        """Waits while the process is frozen; never returns once it is dead."""
+        while not self._awake.is_set():
+            await self._awake.wait()
+
+
+class FaultyStore(Store):
+    """One process's client of the platform's store."""
+
+    def __init__(self, store: Store, control: ProcessControl, platform: Platform) -> None:
+        self._store = store
+        self._control = control
+        self._platform = platform
+
+    async def get(self, key: str) -> Result[Entry | None, StoreFailure]:
+        """Reads one key."""
+        return await self._call(lambda: self._store.get(key))
+
+    async def list(self, prefix: str) -> Result[Listing, StoreFailure]:
+        """Reads every key below a prefix."""
+        return await self._call(lambda: self._store.list(prefix))
+
+    async def commit(
+        self, conditions: Sequence[Unchanged], operations: Sequence[Operation]
+    ) -> Result[Commit, StoreFailure]:
+        """Applies all operations in one step if all conditions hold."""
+
+        def write() -> Awaitable[Result[Commit, StoreFailure]]:
+            return self._store.commit(conditions, operations)
+
+        return await self._call(write, is_write=True)
+
+    async def grant_lease(self, ttl_s: int) -> Result[int, StoreFailure]:
+        """Creates a lease."""
+        return await self._call(lambda: self._store.grant_lease(ttl_s), is_write=True)
+
+    async def keep_lease(self, lease_id: int) -> Result[float, StoreFailure]:
+        """Renews a lease."""
+        return await self._call(lambda: self._store.keep_lease(lease_id))
+
+    async def revoke_lease(self, lease_id: int) -> Result[None, StoreFailure]:
+        """Ends a lease."""
+        return await self._call(lambda: self._store.revoke_lease(lease_id), is_write=True)
+
+    async def watch(self, prefix: str, from_revision: int) -> AsyncIterator[WatchEvent]:
+        """Yields changes, silently holding them back while watches are silent."""
+        async for event in self._store.watch(prefix, from_revision):
+            await self._control.awake()
+            await self._platform.watches_open.wait()
+            yield event
+
+    async def _call(
+        self, send: Callable[[], Awaitable[Result[T, StoreFailure]]], is_write: bool = False
+    ) -> Result[T, StoreFailure]:
+        await self._control.awake()
+        if self._control.is_cut_from_store or self._platform.is_down:
+            await asyncio.sleep(REFUSED_AFTER_S)
+            return Err(StoreFailure(FailureKind.NOT_SENT, "connection refused"))
+        if is_write and self._platform.late_writes > 0:
+            self._platform.late_writes -= 1
+            asyncio.get_running_loop().call_later(LATE_WRITE_S, _send_late, send)
+            return await self._time_out()
+        await asyncio.sleep(self._platform.delay_s)
+        result = await send()
+        if is_write and self._platform.lost_answers > 0:
+            self._platform.lost_answers -= 1
+            return await self._time_out()
+        await self._control.awake()
+        return result
+
+    async def _time_out(self) -> Err[StoreFailure]:
+        await asyncio.sleep(CALL_TIMEOUT_S)
+        await self._control.awake()
+        return Err(StoreFailure(FailureKind.UNKNOWN, "no answer"))
+
+
+def _send_late(send: Callable[[], Awaitable[object]]) -> None:
+    asyncio.ensure_future(send())
+
+
+class FaultyWorkerClient(WorkerClient):
+    """One process's client of one worker."""
+
+    def __init__(self, client: WorkerClient, control: ProcessControl) -> None:
+        self._client = client
+        self._control = control
+
+    async def attach(
+        self, epoch: int, session: int, owner_address: str
+    ) -> Result[Attachment, WorkerFailure]:
+        """Attaches the worker."""
+        return await self._call(lambda: self._client.attach(epoch, session, owner_address))
+
+    async def start(
+        self, epoch: int, session: int, orders: Sequence[TaskOrder]
+    ) -> Result[tuple[TaskAnswer, ...], WorkerFailure]:
+        """Starts tasks."""
+        return await self._call(lambda: self._client.start(epoch, session, orders))
+
+    async def stop(
+        self, epoch: int, tasks: Sequence[TaskRef], checkpoint: bool
+    ) -> Result[tuple[TaskAnswer, ...], WorkerFailure]:
+        """Stops tasks."""
+        return await self._call(lambda: self._client.stop(epoch, tasks, checkpoint))
+
+    async def throttle(
+        self, epoch: int, task: TaskRef, share: float
+    ) -> Result[tuple[TaskAnswer, ...], WorkerFailure]:
+        """Throttles a task."""
+        return await self._call(lambda: self._client.throttle(epoch, task, share))
+
+    async def _call(
+        self, send: Callable[[], Awaitable[Result[T, WorkerFailure]]]
+    ) -> Result[T, WorkerFailure]:
+        await self._control.awake()
+        if self._control.is_cut_from_workers:
+            await asyncio.sleep(REFUSED_AFTER_S)
+            return Err(WorkerFailure(False, "connection refused"))
+        if self._control.late_worker_calls > 0:
+            self._control.late_worker_calls -= 1
+            asyncio.get_running_loop().call_later(LATE_CALL_S, _send_late, send)
+            await asyncio.sleep(CALL_TIMEOUT_S)
+            await self._control.awake()
+            return Err(WorkerFailure(True, "no answer"))
+        await asyncio.sleep(NETWORK_LATENCY_S)
+        result = await send()
+        if self._control.loses_worker_answers and isinstance(result, Ok):
+            await asyncio.sleep(CALL_TIMEOUT_S)
+            result = Err(WorkerFailure(True, "no answer"))
+        await self._control.awake()
+        return result
--- /dev/null
+++ b/tests/faults/test_matrix.py
@@ -0,0 +1,90 @@
+"""Every fault at every step of every flow, pairs of faults, and weakened protocols."""
+
+import unittest
+from pathlib import Path
+
+from pollengate.steps import Step
+
+from tests.faults.deployment import Weakness
+from tests.faults.faults import Fault
+from tests.faults.matrix import FLOWS, CellFailure, pairs, render_table, row, run_cells
+from tests.faults.scenario import Cell, run_cell
+
+PAGE = Path(__file__).parents[2] / "docs/design/fault-matrix.md"
+SEEDS = (1, 2, 3, 4)
+PAIRS_PER_SEED = 40
+
+
+class FaultMatrixTest(unittest.TestCase):
+    """Rules that hold in every cell."""
+
+    injected_by_fault: dict[Fault, set[Step]] = {}
+
+    def check(self, cells: list[Cell]) -> list[Cell]:
+        """Runs cells, fails on each violation and returns those whose faults happened."""
+        results = run_cells(cells)
+        failures = [
+            CellFailure(cell, result)
+            for cell, result in zip(cells, results, strict=True)
+            if result.violations
+        ]
+        self.assertEqual([str(failure) for failure in failures], [])
+        return [c for c, result in zip(cells, results, strict=True) if result.injected]
+
+    def test_scenario_without_a_fault_reaches_every_step(self) -> None:
+        result = run_cell(Cell())
+        self.assertEqual(result.violations, ())
+        self.assertEqual(set(Step) - result.seen, set())
+        self.assertEqual({name for names in FLOWS.values() for name in names}, set(Step))
+
+    def test_zz_page_shows_the_cells_that_were_run(self) -> None:
+        self.assertIn(render_table(self.injected_by_fault), PAGE.read_text())
+
+
+class WeakenedProtocolTest(unittest.TestCase):
+    """Each rule left out is found by the matrix; otherwise its checks would prove nothing."""
+
+    def assert_found(self, weakness: Weakness, rule: str, *faults: Fault) -> None:
+        """Fails unless one of the cells of these faults breaks a rule."""
+        cells = [Cell(cell.faults, weakness) for fault in faults for cell in row(fault)]
+        broken = {v.rule for result in run_cells(cells) for v in result.violations}
+        self.assertIn(rule, broken)
+
+    def test_worker_that_ignores_epochs_is_found(self) -> None:
+        self.assert_found(
+            Weakness.WORKER_IGNORES_EPOCH,
+            "no worker is given more than it holds",
+            Fault.WORKER_CALL_LATE,
+        )
+
+    def test_worker_that_ignores_its_lease_is_found(self) -> None:
+        self.assert_found(
+            Weakness.WORKER_IGNORES_LEASE, "a task runs in one place", Fault.ONE_WORKER_CUT_OFF
+        )
+
+    def test_start_on_an_old_configuration_is_found(self) -> None:
+        self.assert_found(
+            Weakness.ANY_CONFIGURATION,
+            "no start in a zone that is out",
+            Fault.CONFIGURATION_SILENT,
+        )
+
+
+def _add_rows() -> None:
+    for fault in Fault:
+        name = "test_" + fault.name.lower()
+
+        def run(self: FaultMatrixTest, fault: Fault = fault) -> None:
+            hit = self.check(row(fault))
+            self.injected_by_fault[fault] = {cell.faults[0][0] for cell in hit}
+
+        setattr(FaultMatrixTest, name, run)
+    for seed in SEEDS:
+
+        def run_pairs(self: FaultMatrixTest, seed: int = seed) -> None:
+            self.check(pairs(seed, PAIRS_PER_SEED))
+
+        setattr(FaultMatrixTest, f"test_pairs_of_seed_{seed}", run_pairs)
+
+
+_add_rows()
--- a/tests/utils.py
+++ b/tests/utils.py
@@ -13,7 +13,7 @@
 
 T = TypeVar("T")
 LOOP_END_S = 36_000.0
-# Enough for handles that a poll of the selector makes ready; the default of 42 costs most of the time.
+# Idle turns of the loop before its clock moves.
 NOOP_CYCLES = 1
 
 
