Model ownership and starts; mend three faults that the model found

The lease model (drift, late answers, two processes) and the start model (fences, checkpoint, resume, handover, lost and late orders) hold at the printed bounds; each weakened variant gives its counterexample. 300 random traces are replayed on Shard and WorkerModel.

--- /dev/null
+++ b/models/__init__.py
@@ -0,0 +1,1 @@
+"""Models of the core protocols, checked exhaustively by minicheck."""
--- a/packages/pollengate-standins/pollengate_standins/worker_model.py
+++ b/packages/pollengate-standins/pollengate_standins/worker_model.py
@@ -72,7 +72,7 @@
         for ref in refs:
             running = self._running_by_id.get(ref.task_id)
             if running is not None and running.order.ref == ref:
-                self._end(ref, ReportState.CHECKPOINTED if checkpoint else ReportState.STOPPED)
+                self.end(ref, ReportState.CHECKPOINTED if checkpoint else ReportState.STOPPED)
         return [TaskAnswer(ref, True) for ref in refs]
 
     def throttle(self, epoch: int, ref: TaskRef) -> TaskAnswer:
@@ -85,7 +85,8 @@
     def reports(self) -> tuple[TaskReport, ...]:
         """Reports running tasks and ended ones that the owner has not acknowledged."""
         running = [
-            TaskReport(task.order.ref, ReportState.RUNNING) for task in self._running_by_id.values()
+            TaskReport(task.order.ref, ReportState.RUNNING, task.order.checkpoint)
+            for task in self._running_by_id.values()
         ]
         return (*running, *self._ended_by_ref.values())
 
@@ -121,11 +122,13 @@
         if self._lease_timer is not None:
             self._lease_timer.cancel()
         loop = asyncio.get_running_loop()
-        self._lease_timer = loop.call_at(self._lease_until, self._stop_all)
+        self._lease_timer = loop.call_at(self._lease_until, self.lapse)
 
-    def _stop_all(self) -> None:
+    def lapse(self) -> None:
+        """Stops every task, as at the end of the lease."""
+        self._lease_until = 0.0
         for task in list(self._running_by_id.values()):
-            self._end(task.order.ref, ReportState.STOPPED)
+            self.end(task.order.ref, ReportState.STOPPED)
 
     def _start_one(self, epoch: int, session: int, order: TaskOrder) -> TaskAnswer:
         loop = asyncio.get_running_loop()
@@ -142,7 +145,7 @@
             return TaskAnswer(order.ref, False, "no_capacity")
         done_ms = int(order.checkpoint or "0")
         left_s = max(order.duration_ms - done_ms, 0) / 1000
-        timer = loop.call_later(left_s, self._end, order.ref, ReportState.FINISHED)
+        timer = loop.call_later(left_s, self.end, order.ref, ReportState.FINISHED)
         self._running_by_id[order.ref.task_id] = _RunningTask(order, loop.time(), timer)
         self.starts.append(order.ref)
         return TaskAnswer(order.ref, True)
@@ -153,7 +156,8 @@
             free = free - task.order.resources
         return free
 
-    def _end(self, ref: TaskRef, state: ReportState) -> None:
+    def end(self, ref: TaskRef, state: ReportState) -> None:
+        """Ends a running attempt and keeps its report until that is acknowledged."""
         task = self._running_by_id.pop(ref.task_id)
         task.timer.cancel()
         checkpoint = ""
--- a/packages/pollengate/pollengate/owner_lease.py
+++ b/packages/pollengate/pollengate/owner_lease.py
@@ -92,16 +92,20 @@
         self._ownership.renew(asked_at, result.ok_value)
         return True
 
-    async def hand_over(self, assignments: list[Assignment]) -> bool:
-        """Gives the shard up and leaves its assignments to the next owner.
+    async def hand_over(self, assignments: list[Assignment] | None) -> bool:
+        """Gives the shard up; the caller has stopped every effect.
 
-        The caller has stopped every effect; the ownership is dropped before the write.
+        Args:
+            assignments: all that runs or may run, for the next owner; None while that is not
+                known, so that the next owner has to find out.
 
         Returns:
             Whether the store confirmed it; if not, the next owner may have to wait.
         """
         condition = Unchanged(self._key, self._ownership.epoch)
-        writes = (Delete(self._key), Put(self._handover_key, encode_handover(assignments)))
+        writes: list[Operation] = [Delete(self._key)]
+        if assignments is not None:
+            writes.append(Put(self._handover_key, encode_handover(assignments)))
         self._ownership.drop()
         await self._steps.reach(Step.HANDOVER_WRITING)
         result = await self._store.commit((condition,), writes)
--- a/packages/pollengate/pollengate/shard.py
+++ b/packages/pollengate/pollengate/shard.py
@@ -168,7 +168,8 @@
             return []
         self.workers.attach(book, now)
         listed = list(reports)
-        for task_id in sorted(book.task_ids - {report.ref.task_id for report in listed}):
+        reported = {report.ref.task_id for report in listed if self._tasks.is_newest(report.ref)}
+        for task_id in sorted(book.task_ids - reported):
             self._tasks.lose(*self._tasks.get(task_id))
         unknown = self._take_reports(worker_id, listed)
         self._recovery.settle(worker_id)
@@ -225,16 +226,18 @@
 
     def expire_workers(self, now: float) -> None:
         """Queues the tasks of workers whose leases have lapsed on every clock."""
-        lapsed = self.workers.take_lapsed(now)
-        for book in lapsed:
-            self._recovery.settle(book.vm.vm_id)
-            if book.state is WorkerState.ATTACHED:
-                self.workers.detach(book, "lapsed")
-            for task_id in sorted(book.task_ids):
-                self._tasks.lose(*self._tasks.get(task_id))
-            self.workers.forget_unlisted(book)
-        if lapsed:
-            self._finish_recovery()
+        for book in self.workers.take_lapsed(now):
+            self.lapse(book)
+
+    def lapse(self, book: WorkerBook) -> None:
+        """Queues the tasks of a worker whose lease has lapsed on every clock."""
+        self._recovery.settle(book.vm.vm_id)
+        if book.state is WorkerState.ATTACHED:
+            self.workers.detach(book, "lapsed")
+        for task_id in sorted(book.task_ids):
+            self._tasks.lose(*self._tasks.get(task_id))
+        self.workers.forget_unlisted(book)
+        self._finish_recovery()
 
     def list_machines(self, machines: Iterable[VirtualMachine], lapses_at: float) -> None:
         """Takes in the workers of a VM listing and evicts tasks from leaving ones.
@@ -299,7 +302,7 @@
         self._tasks.forget(job_id)
 
     def assignments(self) -> list[Assignment]:
-        """Returns where each task runs or may run, for a successor."""
+        """Returns where each task runs or may run; complete once `is_recovered`."""
         found = []
         for worker_id, book in self.workers_by_id.items():
             for task_id in sorted(book.task_ids):
--- a/packages/pollengate/pollengate/task_books.py
+++ b/packages/pollengate/pollengate/task_books.py
@@ -95,6 +95,11 @@
         elif task.state is TaskState.STARTING:
             job.move(task, "start_accepted")
 
+    def is_newest(self, ref: TaskRef) -> bool:
+        """Tells whether no later attempt at the task is known."""
+        found = self.find(ref.task_id)
+        return found is not None and ref.order >= (found[1].epoch, found[1].attempt)
+
     def take_report(self, worker_id: str, report: TaskReport) -> bool:
         """Takes in what a worker says of one attempt.
 
@@ -112,7 +117,7 @@
             return True
         task.epoch, task.attempt = report.ref.order
         if is_running:
-            self._take_running(job, task, worker_id)
+            self._take_running(job, task, worker_id, report.checkpoint)
         else:
             self._take_end(job, task, report)
         return False
@@ -206,9 +211,12 @@
             return None
         return found
 
-    def _take_running(self, job: JobBook, task: Task, worker_id: str) -> None:
+    def _take_running(self, job: JobBook, task: Task, worker_id: str, resumed_from: str) -> None:
         self._queue.discard(task.task_id)
         job.move(task, "reported_running")
+        if resumed_from and not task.checkpoint:
+            task.checkpoint = resumed_from
+            self.changes.note(task)
         if not task.worker_id:
             self._count_on(task, worker_id)
             if task.state is TaskState.STOPPING:
--- a/packages/pollengate/pollengate/worker.py
+++ b/packages/pollengate/pollengate/worker.py
@@ -67,7 +67,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TaskReport:
-    """What a worker says about one attempt; `checkpoint` is where a later one may resume."""
+    """What a worker says about one attempt.
+
+    Attributes:
+        ref: the attempt.
+        state: what has become of it.
+        checkpoint: where a later attempt may resume; of a running one, where it resumed.
+        detail: why it failed.
+    """
 
     ref: TaskRef
     state: ReportState
--- a/packages/pollengated/pollengated/shard_owner.py
+++ b/packages/pollengated/pollengated/shard_owner.py
@@ -211,7 +211,9 @@
         await server.quiesce()
         await self._steps.reach(Step.STARTS_DRAINED)
         if isinstance(await server.flush(), Ok) and tenure.is_held():
-            is_confirmed = await self._lease.hand_over(tenure.books.assignments())
+            books = tenure.books
+            assignments = books.assignments() if books.is_recovered else None
+            is_confirmed = await self._lease.hand_over(assignments)
             self._log.info("shard handed over", shard=self.number, confirmed=is_confirmed)
 
     async def _renew(self, tenure: Tenure) -> None:
--- /dev/null
+++ b/tests/test_ownership_models.py
@@ -0,0 +1,259 @@
+"""Tests of the ownership models, and of the code against their traces."""
+
+import asyncio
+import random
+import unittest
+
+from pollengate.handover import Assignment
+from pollengate.jobs import Resources, Task, TaskState
+from pollengate.ledger_records import JobRecord
+from pollengate.placement import FirstFit, PlacementRequest
+from pollengate.shard import Shard
+from pollengate.task_queue import FifoQueue
+from pollengate.worker import HeartbeatAnswer, ReportState, TaskOrder
+from pollengate_standins.worker_model import WorkerModel
+
+from models import ownership
+from models.ownership_starts import (
+    CHECKPOINTED,
+    ENDED,
+    FINISHED,
+    IDLE,
+    LOST,
+    QUEUED,
+    RUNNING,
+    STOPPED,
+    StartRules,
+    StartState,
+    initial_state,
+    steps_from,
+)
+from tests.utils import build_spec, build_worker, run_virtual
+
+WORKERS = ("w0", "w1")
+FAR_S = 1e6
+TRACES = 300
+STEPS_PER_TRACE = 60
+RULES = StartRules(epochs=4, sessions=3, hands_over=True)
+
+_STATUS_BY_REPORT = {
+    ReportState.RUNNING: RUNNING,
+    ReportState.FINISHED: FINISHED,
+    ReportState.CHECKPOINTED: CHECKPOINTED,
+}
+# What the model says of a worker that holds an old report beside a newer attempt's.
+_BY_WEIGHT = (RUNNING, FINISHED, CHECKPOINTED)
+
+
+class ModelTest(unittest.TestCase):
+    """The rules hold, and each weakened variant breaks what it must."""
+
+    def test_every_check_is_as_expected(self) -> None:
+        for check in ownership.CHECKS:
+            with self.subTest(check=check.name):
+                outcome = ownership.run_check(check)
+                self.assertTrue(ownership.is_as_expected(check, outcome), outcome)
+
+    def test_every_invariant_is_broken_by_some_variant(self) -> None:
+        broken = {name for check in ownership.CHECKS for name in check.broken}
+        for check in ownership.CHECKS:
+            self.assertLessEqual(set(check.build().invariants), broken)
+
+
+class _Chosen(FirstFit):
+    """Places every task on the worker that the trace names."""
+
+    worker_id = ""
+
+    def place(self, request: PlacementRequest) -> str | None:
+        if self.worker_id not in self._offered:
+            return None
+        self.adopt(request, self.worker_id)
+        return self.worker_id
+
+
+class _Replay:
+    """Takes the steps of the model on the books and on worker stand-ins."""
+
+    def __init__(self) -> None:
+        self.epoch = 0
+        self.spec = build_spec(duration_ms=10**9)
+        self.record = JobRecord(self.spec)
+        self.handover: list[Assignment] | None = None
+        self.shard: Shard | None = None
+        self.placement = _Chosen()
+        self.models = [WorkerModel(worker_id, Resources(4, 1000)) for worker_id in WORKERS]
+        self.late: list[tuple[int, int, TaskOrder] | None] = [None, None]
+
+    def take(self, label: str) -> bool:
+        """Takes one step; False if the code can't take it where the model could."""
+        if label == "owner takes the shard":
+            return self._take()
+        if label == "owner dies":
+            self.shard = None
+        elif label == "owner hands over":
+            self._record()
+            assert self.shard is not None
+            self.handover = self.shard.assignments() if self.shard.is_recovered else None
+            self.shard = None
+        elif label == "owner records":
+            self._record()
+        else:
+            return self._take_at_worker(label)
+        return True
+
+    def _take(self) -> bool:
+        self.epoch += 1
+        self.placement = _Chosen()
+        shard = Shard(self.placement, FifoQueue(), self.epoch)
+        machines = [build_worker(worker_id) for worker_id in WORKERS]
+        shard.restore(self.record)
+        if self.handover is not None:
+            shard.take_handover(self.handover, machines, FAR_S)
+        elif self.epoch == 1:
+            shard.begin_recovery([], FAR_S)
+            shard.list_machines(machines, FAR_S)
+            shard.workers.record(WORKERS)
+        else:
+            shard.begin_recovery(machines, FAR_S)
+        self.shard, self.handover = shard, None
+        return True
+
+    def _record(self) -> None:
+        assert self.shard is not None
+        changes = self.shard.changes.take()
+        for change in changes:
+            self.record.apply(change)
+        self.shard.changes.recorded(changes)
+
+    def _take_at_worker(self, label: str) -> bool:
+        w = int(label.partition(" w")[2][0]) if " w" in label else int(label[1])
+        model = self.models[w]
+        if label.startswith("order arrives"):
+            late, self.late[w] = self.late[w], None
+            assert late is not None
+            if not self._holds_end(model):
+                model.start(late[0], late[1], [late[2]])
+        elif label == f"w{w} lapses":
+            model.lapse()
+        elif label == f"w{w} finishes":
+            model.end(model.running()[0], ReportState.FINISHED)
+        elif label == f"w{w} checkpoints":
+            model.end(model.running()[0], ReportState.CHECKPOINTED)
+        elif label.startswith(f"w{w} beats"):
+            self._beat(model, label.endswith("lost"))
+        elif label == f"owner sees w{w} lapse":
+            assert self.shard is not None
+            self.shard.lapse(self.shard.workers_by_id[WORKERS[w]])
+        elif label.startswith("owner attaches"):
+            self._attach(w, label.endswith("lost"))
+        else:
+            return self._start(w, label)
+        return True
+
+    def _beat(self, model: WorkerModel, is_lost: bool) -> None:
+        assert self.shard is not None
+        now = asyncio.get_running_loop().time()
+        beat = model.next_heartbeat()
+        answer: HeartbeatAnswer = self.shard.heartbeat(beat, now)
+        if not is_lost:
+            model.take_answer(beat, answer, now)
+
+    def _attach(self, w: int, is_lost: bool) -> None:
+        assert self.shard is not None
+        session = self.shard.workers.next_session(WORKERS[w])
+        attachment = self.models[w].attach(self.epoch, session, "owner")
+        if not is_lost:
+            self.shard.attach(WORKERS[w], session, attachment.reports, 0.0)
+
+    def _start(self, w: int, label: str) -> bool:
+        shard, model = self.shard, self.models[w]
+        assert shard is not None
+        if not shard.workers_by_id[WORKERS[w]].is_offered or self._holds_end(model):
+            return False
+        self.placement.worker_id = WORKERS[w]
+        (plan,) = shard.plan_starts(1)
+        session = shard.workers_by_id[WORKERS[w]].session
+        if label.endswith("delayed"):
+            self.late[w] = (self.epoch, session, plan.orders[0])
+            shard.doubt(WORKERS[w])
+            return True
+        answers = model.start(self.epoch, session, plan.orders)
+        if label.endswith("lost"):
+            shard.doubt(WORKERS[w])
+        else:
+            shard.answer_starts(answers)
+        return True
+
+    @staticmethod
+    def _holds_end(model: WorkerModel) -> bool:
+        """The model has no worker that holds an unrecorded end beside a new attempt."""
+        held = (ReportState.FINISHED, ReportState.CHECKPOINTED)
+        return any(report.state in held for report in model.reports())
+
+    def check(self, test: unittest.TestCase, state: StartState) -> None:
+        """Compares the code with the model's state."""
+        for model, worker in zip(self.models, state.workers, strict=True):
+            statuses = {_STATUS_BY_REPORT.get(r.state, IDLE) for r in model.reports()}
+            status = IDLE if worker.status == STOPPED else worker.status
+            test.assertEqual(next((s for s in _BY_WEIGHT if s in statuses), IDLE), status)
+        test.assertEqual(bool(self.record.ended_by_state), state.durable.ended)
+        if self.shard is not None:
+            job = self.shard.jobs_by_id["job"]
+            test.assertEqual(self._place(job.tasks_by_id.get("job.0")), state.owner.task)
+
+    @staticmethod
+    def _place(task: Task | None) -> int:
+        if task is None or task.state is TaskState.FINISHED:
+            return ENDED
+        if task.state is TaskState.LOST:
+            return LOST
+        return WORKERS.index(task.worker_id) if task.worker_id else QUEUED
+
+
+class ReplayTest(unittest.TestCase):
+    """Random traces of the start model, replayed on Shard and WorkerModel."""
+
+    def test_code_follows_the_model(self) -> None:
+        async def main() -> None:
+            taken = set()
+            for seed in range(TRACES):
+                taken |= self.replay(random.Random(seed))
+            self.assertEqual({label.replace("w1", "w0") for label in taken}, EXPECTED_LABELS)
+
+        run_virtual(main())
+
+    def replay(self, generator: random.Random) -> set[str]:
+        """Replays one trace and returns the steps that it took."""
+        state, replay, taken = initial_state(), _Replay(), set()
+        for _ in range(STEPS_PER_TRACE):
+            steps = steps_from(RULES, state)
+            if not steps:
+                break
+            label, after = generator.choice(steps)
+            if replay.take(label):
+                state = after
+                taken.add(label)
+                with self.subTest(label=label):
+                    replay.check(self, state)
+        return taken
+
+
+EXPECTED_LABELS = {
+    "owner attaches w0",
+    "owner attaches w0, answer lost",
+    "owner dies",
+    "owner hands over",
+    "owner records",
+    "owner sees w0 lapse",
+    "owner starts at w0",
+    "owner starts at w0, answer lost",
+    "owner starts at w0, order delayed",
+    "owner takes the shard",
+    "order arrives at w0",
+    "w0 beats",
+    "w0 beats, answer lost",
+    "w0 checkpoints",
+    "w0 finishes",
+    "w0 lapses",
+}
--- a/tests/test_shard.py
+++ b/tests/test_shard.py
@@ -93,6 +93,17 @@
         self.assertEqual(shard.attach("w0", session, (running,), 1.0), [])
         self.assertEqual((shard.queued, shard.running), (1, 1))
 
+    def test_report_of_an_older_attempt_does_not_stand_for_the_newest(self) -> None:
+        shard = build_shard("w0")
+        shard.accept(build_spec())
+        old = shard.plan_starts(1)[0].orders[0].ref
+        stopped = TaskReport(old, ReportState.STOPPED)
+        shard.heartbeat(beat_of("w0", 1, stopped), 1.0)
+        shard.plan_starts(1)
+        shard.doubt("w0")
+        shard.attach("w0", shard.workers.next_session("w0"), (stopped,), 1.0)
+        self.assertEqual((shard.queued, shard.running), (1, 0))
+
     def test_attach_answer_of_an_earlier_session_is_ignored(self) -> None:
         shard = build_shard("w0")
         shard.accept(build_spec())
@@ -166,6 +177,15 @@
         self.attach("w1", TaskReport(TaskRef("old.0", 2, 5), ReportState.RUNNING))
         self.assertEqual(self.shard.jobs_by_id["old"].count(TaskState.RUNNING), 1)
 
+    def test_resumed_task_keeps_the_checkpoint_that_only_its_worker_knows(self) -> None:
+        running = TaskReport(TaskRef("old.0", 2, 5), ReportState.RUNNING, "500")
+        self.attach("w0", running)
+        self.shard.doubt("w0")
+        self.attach("w0")
+        (plan,) = self.shard.plan_starts(9)
+        checkpoints = {order.ref.task_id: order.checkpoint for order in plan.orders}
+        self.assertEqual(checkpoints["old.0"], "500")
+
     def test_lapse_of_every_lease_ends_the_wait(self) -> None:
         self.attach("w0")
         self.shard.expire_workers(2 * WORKER_LEASE_S)
--- a/tests/test_shard_owner.py
+++ b/tests/test_shard_owner.py
@@ -71,6 +71,26 @@
 
         run_virtual(main())
 
+    def test_stop_during_recovery_hands_no_lost_task_over(self) -> None:
+        async def main() -> None:
+            zone = ZoneFake(workers=3)
+            first = zone.start_owner()
+            await zone.submit(count=8, duration_ms=9_000)
+            await run_until(lambda: len(zone.running()) == 8)
+            zone.kill(first)
+            zone.clients_by_id["a-w1"].is_cut = True
+            second = zone.start_owner()
+            await run_until(second.is_serving)
+            await asyncio.sleep(0.5)
+            zone.start_owner()
+            await zone.stop(second)
+            await asyncio.sleep(2.0)
+            running = [ref.task_id for ref in zone.running()]
+            self.assertEqual(len(running), len(set(running)))
+            self.assertEqual(len(zone.starts()), 8)
+
+        run_virtual(main())
+
 
 class DurabilityTest(unittest.TestCase):
     """Nothing is acknowledged before it is durable."""
