Give up an answer that its caller does not take

A caller that stopped reading held its connection, and a graceful stop, for good. The protocol now aborts a connection whose unsent bytes do not get fewer within requests.answer_timeout_s; ruled out: a bound on the whole answer, which would cut off a long one on a slow line. run_virtual fails when a task ignores its cancellation; a first test of this hung for ten minutes in its clean-up.

--- a/packages/pollengate-settings/pollengate_settings/model.py
+++ b/packages/pollengate-settings/pollengate_settings/model.py
@@ -29,6 +29,7 @@
         max_body_bytes: largest request body.
         head_timeout_s: seconds within which a request's line and headers must arrive.
         body_timeout_s: seconds within which a request's body must arrive.
+        answer_timeout_s: seconds without progress after which an answer is given up.
         log_format: `text` or `json`.
         log_level: lowest level that is written.
     """
@@ -42,6 +43,7 @@
     max_body_bytes: int = 10_000_000
     head_timeout_s: float = 10.0
     body_timeout_s: float = 30.0
+    answer_timeout_s: float = 30.0
     log_format: str = "text"
     log_level: str = "info"
 
@@ -97,6 +99,9 @@
     body_timeout_s: float = pydantic.Field(
         default=30.0, gt=0, le=3600, description="a number of seconds above 0 and up to 3600"
     )
+    answer_timeout_s: float = pydantic.Field(
+        default=30.0, gt=0, le=3600, description="a number of seconds above 0 and up to 3600"
+    )
 
 
 class LoggingSection(_Section):
@@ -135,6 +140,7 @@
             max_body_bytes=self.requests.max_body_bytes,
             head_timeout_s=self.requests.head_timeout_s,
             body_timeout_s=self.requests.body_timeout_s,
+            answer_timeout_s=self.requests.answer_timeout_s,
             log_format=self.logging.format,
             log_level=self.logging.level,
         )
--- a/packages/pollengated/pollengated/http_protocol.py
+++ b/packages/pollengated/pollengated/http_protocol.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 connections that end when a request's head is late or malformed."""
+"""HTTP/1.1 connections that end when a caller sends a late head or takes no answer."""
 
 import asyncio
 import json
@@ -15,19 +15,26 @@
 _PHRASE_BY_STATUS = {408: "Request Timeout", 422: "Unprocessable Content"}
 
 
-def http_protocol(metrics: Metrics, head_timeout_s: float) -> type[HttpToolsProtocol]:
+def http_protocol(
+    metrics: Metrics, head_timeout_s: float, answer_timeout_s: float
+) -> type[HttpToolsProtocol]:
     """Returns the protocol class for a server.
 
     Args:
         metrics: counts the refusals.
         head_timeout_s: seconds from the connection, or from a request's first byte, until its
             headers must be complete.
+        answer_timeout_s: seconds without progress after which an answer is given up.
     """
 
     class BoundedHttpProtocol(HttpToolsProtocol):
-        """Answers a late or malformed head with a problem document and closes."""
+        """Answers a late or malformed head with a problem document and closes.
+
+        A connection whose caller takes nothing of an answer is aborted.
+        """
 
         _head_timer: asyncio.TimerHandle | None = None
+        _answer_timer: asyncio.TimerHandle | None = None
 
         def connection_made(self, transport: Any) -> None:
             super().connection_made(transport)
@@ -43,8 +50,17 @@
 
         def connection_lost(self, exc: Exception | None) -> None:
             self._stop_waiting()
+            self._stop_watching()
             super().connection_lost(exc)
 
+        def pause_writing(self) -> None:
+            super().pause_writing()
+            self._watch_answer()
+
+        def resume_writing(self) -> None:
+            self._stop_watching()
+            super().resume_writing()
+
         def send_400_response(self, msg: str) -> None:
             self._stop_waiting()
             detail = "the request is no valid HTTP/1.1"
@@ -59,6 +75,23 @@
                 self._head_timer.cancel()
                 self._head_timer = None
 
+        def _watch_answer(self) -> None:
+            unsent = self.transport.get_write_buffer_size()
+            self._answer_timer = self.loop.call_later(
+                answer_timeout_s, self._abort_without_progress, unsent
+            )
+
+        def _stop_watching(self) -> None:
+            if self._answer_timer is not None:
+                self._answer_timer.cancel()
+                self._answer_timer = None
+
+        def _abort_without_progress(self, unsent_before: int) -> None:
+            if self.transport.get_write_buffer_size() < unsent_before:
+                self._watch_answer()
+            else:
+                self.transport.abort()
+
         def _refuse_late_head(self) -> None:
             detail = f"the headers did not arrive within {head_timeout_s:g} s"
             self._refuse(Refusal(Outcome.NOT_RUN, Reason.REQUEST_INCOMPLETE, detail, 1.0))
--- a/packages/pollengated/pollengated/http_server.py
+++ b/packages/pollengated/pollengated/http_server.py
@@ -38,7 +38,7 @@
         app,
         host=host,
         port=port,
-        http=http_protocol(metrics, settings.head_timeout_s),
+        http=http_protocol(metrics, settings.head_timeout_s, settings.answer_timeout_s),
         ws="none",
         lifespan="off",
         log_config=None,
--- a/packages/pollengated/pollengated/logs.py
+++ b/packages/pollengated/pollengated/logs.py
@@ -14,8 +14,6 @@
 
 __all__ = ["Log", "format_json", "format_text", "set_up_logs"]
 
-# Each writes a line per request at "info".
-_CHATTY_LIBRARIES = ("httpx", "httpcore", "hpack", "uvicorn.access")
 _PLAIN_VALUE = re.compile(r"[^\s\"=\x00-\x1f\x7f]+")
 
 
@@ -46,16 +44,12 @@
 def set_up_logs(settings: Settings) -> None:
     """Sends every part's log to the standard error in the configured format.
 
-    Libraries that use the standard `logging` write to the same place.
+    Warnings of libraries, which use the standard `logging`, are written to the same place.
     """
     handler = logbook.StreamHandler(sys.stderr, level=settings.log_level.upper())
     handler.formatter = format_json if settings.log_format == "json" else format_text
     handler.push_application()
-    logging.basicConfig(
-        handlers=[RedirectLoggingHandler()], level=settings.log_level.upper(), force=True
-    )
-    for library in _CHATTY_LIBRARIES:
-        logging.getLogger(library).setLevel(logging.WARNING)
+    logging.basicConfig(handlers=[RedirectLoggingHandler()], level=logging.WARNING, force=True)
 
 
 def format_text(record: Any, _handler: object) -> str:
--- a/tests/test_http_protocol.py
+++ b/tests/test_http_protocol.py
@@ -16,6 +16,7 @@
 from tests.utils import run_virtual
 
 HEAD_TIMEOUT_S = 10.0
+ANSWER_TIMEOUT_S = 5.0
 
 
 class FakeTransport(asyncio.Transport):
@@ -25,6 +26,9 @@
         super().__init__()
         self.written = b""
         self.closed_at: float | None = None
+        self.aborted_at: float | None = None
+        self.unsent = 0
+        self.protocol: Any = None
 
     def write(self, data: Any) -> None:
         self.written += bytes(data)
@@ -33,6 +37,14 @@
         if self.closed_at is None:
             self.closed_at = asyncio.get_running_loop().time()
 
+    def abort(self) -> None:
+        self.aborted_at = asyncio.get_running_loop().time()
+        self.closed_at = self.aborted_at
+        self.protocol.connection_lost(None)
+
+    def get_write_buffer_size(self) -> int:
+        return self.unsent
+
     def is_closing(self) -> bool:
         return self.closed_at is not None
 
@@ -56,13 +68,20 @@
     await send({"type": "http.response.body", "body": b"ok"})
 
 
-async def drive(metrics: Metrics, chunks: list[bytes], pause_s: float) -> FakeTransport:
-    """Sends chunks on one connection and waits until every timer has fired."""
+def connect(metrics: Metrics) -> tuple[Any, FakeTransport]:
+    """Returns a connected protocol and its transport."""
     config = uvicorn.Config(answer_ok, log_config=None, lifespan="off", timeout_keep_alive=300)
     config.load()
-    protocol = http_protocol(metrics, HEAD_TIMEOUT_S)(config, ServerState(), {})
+    protocol = http_protocol(metrics, HEAD_TIMEOUT_S, ANSWER_TIMEOUT_S)(config, ServerState(), {})
     transport = FakeTransport()
+    transport.protocol = protocol
     protocol.connection_made(transport)
+    return protocol, transport
+
+
+async def drive(metrics: Metrics, chunks: list[bytes], pause_s: float) -> FakeTransport:
+    """Sends chunks on one connection and waits until every timer has fired."""
+    protocol, transport = connect(metrics)
     for chunk in chunks:
         if transport.is_closing():
             break
@@ -112,6 +131,43 @@
         transport = self.drive(first, b"GET / HT", pause_s=3.0)
         self.assertEqual(3.0 + HEAD_TIMEOUT_S, transport.closed_at)
 
+    def take_answer(self, *unsent: int) -> tuple[float | None, float]:
+        """Holds an answer of which so many bytes are unsent, a second apart.
+
+        Returns:
+            When the connection was aborted, and when the last byte count was set.
+        """
+
+        async def main() -> tuple[float | None, float]:
+            protocol, transport = connect(self.metrics)
+            protocol.data_received(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
+            transport.unsent = unsent[0]
+            protocol.pause_writing()
+            for count in unsent[1:]:
+                await asyncio.sleep(1.0)
+                transport.unsent = count
+                if count == 0:
+                    protocol.resume_writing()
+            last_at = asyncio.get_running_loop().time()
+            await asyncio.sleep(ANSWER_TIMEOUT_S * 3)
+            if not transport.is_closing():
+                protocol.resume_writing()
+            return transport.aborted_at, last_at
+
+        return run_virtual(main())
+
+    def test_answer_that_is_not_taken_is_given_up(self) -> None:
+        self.assertEqual((ANSWER_TIMEOUT_S, 0.0), self.take_answer(100_000))
+
+    def test_answer_that_is_taken_slowly_is_not_given_up(self) -> None:
+        aborted_at, _ = self.take_answer(*range(100_000, -1, -5_000))
+        self.assertIsNone(aborted_at)
+
+    def test_answer_that_is_taken_in_part_is_given_up_once_it_stalls(self) -> None:
+        aborted_at, last_at = self.take_answer(100_000, 90_000, 80_000)
+        self.assertIsNotNone(aborted_at)
+        self.assertLessEqual(aborted_at, last_at + 2 * ANSWER_TIMEOUT_S)
+
     def test_malformed_head_gets_a_problem_document(self) -> None:
         self.assert_problem(self.drive(b"\x16\x03\x01 hello\r\n\r\n"), 422, "invalid_request")
 
--- a/tests/utils.py
+++ b/tests/utils.py
@@ -13,6 +13,7 @@
 
 T = TypeVar("T")
 LOOP_END_S = 36_000.0
+CANCEL_TIMEOUT_S = 60.0
 
 
 def run_virtual(main: Coroutine[Any, Any, T]) -> T:
@@ -31,7 +32,9 @@
     leftovers = asyncio.all_tasks() - {asyncio.current_task()}
     for task in leftovers:
         task.cancel()
-    await asyncio.gather(*leftovers, return_exceptions=True)
+    if leftovers:
+        _, deaf = await asyncio.wait(leftovers, timeout=CANCEL_TIMEOUT_S)
+        assert not deaf, f"tasks ignore their cancellation: {deaf}"
     await asyncio.get_running_loop().shutdown_asyncgens()
 
 
