Measure the start delay of each task

pollengate_start_delay_seconds existed but nothing observed it. The owner that accepted a job now observes the first start of each of its tasks; starts under a later owner are left out, since the acceptance is not timed in the ledger. 153 passed, 0 failed.

--- a/packages/pollengate/pollengate/job_books.py
+++ b/packages/pollengate/pollengate/job_books.py
@@ -45,12 +45,14 @@
         tasks_by_id: its tasks; empty once the job has ended and was compacted.
         is_cancelled: whether its cancellation is in the ledger.
         is_moving: whether a write that moves it to another shard may have been sent.
+        accepted_at: loop time when this owner accepted it, None if another owner did.
     """
 
     def __init__(self, spec: JobSpec) -> None:
         self.spec = spec
         self.is_cancelled = False
         self.is_moving = False
+        self.accepted_at: float | None = None
         self.tasks_by_id: dict[str, Task] = {}
         for index in range(spec.count):
             task = Task(task_id_of(spec.job_id, index), spec, index)
--- a/packages/pollengated/pollengated/metrics.py
+++ b/packages/pollengated/pollengated/metrics.py
@@ -42,7 +42,7 @@
         self.starts = Counter("pollengate_starts", "Tasks started.", registry=self.registry)
         self.start_delay = Histogram(
             "pollengate_start_delay_seconds",
-            "Time from acceptance to start of a task.",
+            "Time from acceptance of a task to its first start.",
             registry=self.registry,
         )
         self.configuration_version = Gauge(
--- a/packages/pollengated/pollengated/submissions.py
+++ b/packages/pollengated/pollengated/submissions.py
@@ -55,7 +55,7 @@
             return result
         home = result.ok_value.home
         if result.ok_value.is_new:
-            tenure.books.accept(spec)
+            tenure.books.accept(spec).accepted_at = asyncio.get_running_loop().time()
         elif tenure.ledger.is_home(home) and spec.job_id not in tenure.books.jobs_by_id:
             admitted = await self._admit(spec.job_id)
             if isinstance(admitted, Err):
--- a/packages/pollengated/pollengated/worker_calls.py
+++ b/packages/pollengated/pollengated/worker_calls.py
@@ -20,6 +20,7 @@
 MAX_ORDERS_PER_CALL = 200
 ATTACH_RETRY_S = 0.25
 STOP_RETRY_S = 1.0
+FIRST_ATTEMPT = 1
 
 
 @dataclasses.dataclass(slots=True)
@@ -156,12 +157,20 @@
         await self._reach_all(Step.START_ANSWERED, orders)
         if isinstance(result, Ok):
             self._books.answer_starts(result.ok_value)
-            self._metrics.starts.inc(sum(answer.accepted for answer in result.ok_value))
+            self._count_starts([answer.ref for answer in result.ok_value if answer.accepted])
             return
         if not result.err_value.sent:
             self._books.withdraw_starts(orders)
         self._books.doubt(worker_id)
 
+    def _count_starts(self, refs: Sequence[TaskRef]) -> None:
+        self._metrics.starts.inc(len(refs))
+        now = asyncio.get_running_loop().time()
+        for ref in refs:
+            job = self._books.jobs_by_id.get(ref.task_id.rpartition(".")[0])
+            if job is not None and job.accepted_at is not None and ref.attempt == FIRST_ATTEMPT:
+                self._metrics.start_delay.observe(now - job.accepted_at)
+
     async def _stop(self, worker_id: str, link: _Link) -> None:
         stops = self._due_stops(worker_id, link)
         await self._steps.reach(Step.STOP_SENDING, worker_id)
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -105,6 +105,7 @@
         policies: ShardPolicies | None = None,
         store: Store | None = None,
         connect: Callable[[str], Any] | None = None,
+        metrics: Metrics | None = None,
     ) -> ShardOwner:
         """Starts one more process that takes the shard or stands by."""
         number = len(self.owners)
@@ -117,7 +118,7 @@
             self.follower,  # type: ignore[arg-type]
             self,  # type: ignore[arg-type]
             connect if connect is not None else self.clients_by_id.__getitem__,
-            Metrics(),
+            metrics if metrics is not None else Metrics(),
             policies,
             steps if steps is not None else NoSteps(),
         )
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -7,6 +7,9 @@
 from pollengated.metrics import Metrics
 from pollengated.problems import STATUS_BY_REASON
 
+from tests.cluster import ZoneFake, run_until
+from tests.utils import run_virtual
+
 REFUSALS_PAGE = Path(__file__).parent.parent / "docs" / "operators" / "refusals.md"
 
 
@@ -43,3 +46,25 @@
         metrics.count_retry(Reason.NO_BACKEND)
         text = metrics.export().decode()
         self.assertIn('pollengate_retries_total{reason="no_backend"} 1.0', text)
+
+
+class StartDelayTest(unittest.TestCase):
+    """Measures starts of an owner on virtual time."""
+
+    def test_first_start_of_each_task_is_observed_from_its_acceptance(self) -> None:
+        async def main() -> str:
+            zone = ZoneFake()
+            owner = zone.start_owner(metrics=metrics)
+            await zone.serving()
+            await zone.submit(count=20, duration_ms=3_000)
+            await run_until(lambda: len(zone.starts()) == 20)
+            await zone.stop(owner)
+            return metrics.export().decode()
+
+        metrics = Metrics()
+        text = run_virtual(main())
+        self.assertIn("pollengate_start_delay_seconds_count 20.0", text)
+        self.assertIn("pollengate_starts_total 20.0", text)
+        # Eight cores start at once, the next eight after 3 s, the last four after 6 s.
+        self.assertIn('pollengate_start_delay_seconds_bucket{le="2.5"} 8.0', text)
+        self.assertIn('pollengate_start_delay_seconds_bucket{le="5.0"} 16.0', text)
