Ask for the fate of a patch by its idempotency key

A patch of unknown outcome ended with 'find out before repeating', with no way to do so. The error now names the key; config find asks for it.

--- a/packages/pollengate-cli/pollengate_cli/config_commands.py
+++ b/packages/pollengate-cli/pollengate_cli/config_commands.py
@@ -49,6 +49,15 @@
     show(porcelain.patch_configuration(gate, request), as_json)
 
 
+@config.command("find")
+@click.argument("idempotency_key")
+@json_option
+@click.pass_obj
+def find(gate: GateClient, idempotency_key: str, as_json: bool) -> None:
+    """Shows the patch that was accepted with IDEMPOTENCY_KEY."""
+    show(porcelain.find_patch(gate, idempotency_key), as_json)
+
+
 @config.command("history")
 @json_option
 @click.pass_obj
--- a/packages/pollengate-cli/pollengate_cli/failures.py
+++ b/packages/pollengate-cli/pollengate_cli/failures.py
@@ -16,10 +16,12 @@
 
 _NEXT_STEP_BY_REASON = {
     "configuration_stale": "look at `pollengate status`: a zone is cut off or the store is down",
+    "idempotency_conflict": "this key was used for another patch; leave out --idempotency-key",
     "internal_error": "look for the request id in the gate's log",
     "invalid_request": "correct the fields and repeat",
     "method_not_allowed": "the gate is of another version than this command; update one of them",
     "no_backend": "look at the service's backend servers, then repeat",
+    "not_admitted": "repeat in some seconds, or with another --gate",
     "no_owner": "repeat in some seconds; if it lasts, look at `pollengate status`",
     "not_found": "check the name with `pollengate task list`, `service list` or `zone list`",
     "queue_full": "submit later, or raise limits.max_queued_tasks with `pollengate config patch`",
@@ -54,6 +56,7 @@
         retry_after_s: seconds after which a retry may help.
         fields: faulty fields.
         request_id: finds the request in the logs.
+        idempotency_key: asks for the fate of a patch, or repeats it; empty for other calls.
     """
 
     outcome: str
@@ -63,6 +66,7 @@
     retry_after_s: int | None = None
     fields: tuple[FieldFault, ...] = ()
     request_id: str = ""
+    idempotency_key: str = ""
 
     def exit_code(self) -> ExitCode:
         """Returns the exit code of a command that ends with this failure."""
@@ -98,6 +102,9 @@
 
 def next_step(failure: Failure) -> str:
     """Says what to do next, empty where there is nothing to say."""
+    if failure.outcome != NOT_RUN and failure.idempotency_key:
+        key = failure.idempotency_key
+        return f"ask with `pollengate config find {key}`, or repeat with --idempotency-key {key}"
     if failure.outcome != NOT_RUN and failure.reason != MALFORMED_ANSWER:
         return _NEXT_STEP_UNKNOWN
     return _NEXT_STEP_BY_REASON.get(failure.reason, "")
--- a/packages/pollengate-cli/pollengate_cli/output.py
+++ b/packages/pollengate-cli/pollengate_cli/output.py
@@ -93,6 +93,11 @@
     return f"version {value.version} accepted (idempotency key {value.idempotency_key})"
 
 
+@_format.register
+def _(value: HistoryEntryView) -> str:
+    return _format_list((value,))
+
+
 @_format.register
 def _(value: TaskView) -> str:
     head = f"{value.task_id}: {value.state}, team {value.team}, zone {value.zone}"
--- a/packages/pollengate-cli/pollengate_cli/porcelain.py
+++ b/packages/pollengate-cli/pollengate_cli/porcelain.py
@@ -28,6 +28,7 @@
 __all__ = [
     "Patch",
     "cancel_task",
+    "find_patch",
     "get_configuration",
     "get_history",
     "get_schema",
@@ -78,11 +79,19 @@
     """Applies a merge patch; the same key may be sent again without a second effect."""
     headers = {"If-Match": f'"{patch.version}"', "Idempotency-Key": patch.idempotency_key}
     answer = gate.call("PATCH", "/config", patch.document, headers)
-    return _decode(
+    accepted = _decode(
         answer,
         lambda document: AcceptedPatchView(document["version"], patch.idempotency_key),
         UNKNOWN,
     )
+    key = patch.idempotency_key
+    return accepted.map_err(lambda failure: dataclasses.replace(failure, idempotency_key=key))
+
+
+def find_patch(gate: GateClient, idempotency_key: str) -> Result[HistoryEntryView, Failure]:
+    """Returns the patch that was accepted with a key."""
+    path = f"/config/patches/{quote(idempotency_key, safe='')}"
+    return _read(gate, path, lambda document: view(HistoryEntryView, document))
 
 
 def patch_zone(
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -126,6 +126,11 @@
         result = run(answering(200, [entry]), "config", "history")
         self.assert_lines(result, '4 gate-1 k {"zones": {}}')
 
+    def test_config_find(self) -> None:
+        gate = answering(200, {"version": 4, "key": "k", "process_id": "gate-1", "patch": {}})
+        self.assert_lines(run(gate, "config", "find", "k"), "4 gate-1 k {}")
+        self.assertEqual("/config/patches/k", gate.requests[0].url.path)
+
     def test_config_schema(self) -> None:
         result = run(answering(200, {"type": "object"}), "config", "schema")
         self.assertEqual({"type": "object"}, json.loads(result.stdout))
@@ -178,6 +183,13 @@
         self.assertEqual(ExitCode.UNKNOWN, result.exit_code)
         self.assertIn("before repeating", result.stderr)
 
+    def test_patch_of_unknown_outcome_names_the_key_to_ask_with(self) -> None:
+        problem = {"reason": "store_unavailable", "outcome": "unknown", "detail": "lost"}
+        arguments = ("config", "patch", "-", "--version", "3", "--idempotency-key", "k-1")
+        result = run(answering(503, problem), *arguments, stdin="{}")
+        self.assertEqual(ExitCode.UNKNOWN, result.exit_code)
+        self.assertIn("pollengate config find k-1", result.stderr)
+
     def test_unreachable(self) -> None:
         result = run(raising(httpx.ConnectError), "status")
         self.assertEqual(ExitCode.UNREACHABLE, result.exit_code)
