Let uv trust the system's certificates, as pip does

From a fresh clone with an empty environment, pip installed uv and uv then refused the same index (UnknownIssuer); trial in a scratch clone.

--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,9 @@
 PACKAGES := packages/pollengate packages/pollengate-settings packages/pollengate-net packages/pollengated packages/pollengate-cli packages/pollengate-standins
 EDITABLE := $(foreach package,$(PACKAGES),--editable $(package))
 
+# uv trusts the certificates that pip trusts.
+export UV_SYSTEM_CERTS := 1
+
 .PHONY: setup run serve test check format lock messages
 
 setup: .venv/.ready
