--- a/tests/test_http_errors.py
+++ b/tests/test_http_errors.py
@@ -14,7 +14,7 @@
 from pollengated.metrics import Metrics
 from pollengated.settings import Settings
 
-from tests.utils import build_settings, run_virtual
+from tests.utils import build_settings, request_app, run_virtual
 
 SETTINGS = build_settings(max_body_bytes=100, body_timeout_s=5.0)
 
@@ -43,12 +43,7 @@
         self.app = build_app(self.metrics, self.seen)
 
     def request(self, method: str, path: str, **options: Any) -> httpx.Response:
-        async def main() -> httpx.Response:
-            transport = httpx.ASGITransport(self.app)  # type: ignore[arg-type]
-            async with httpx.AsyncClient(transport=transport, base_url="http://gate") as client:
-                return await client.request(method, path, **options)
-
-        return run_virtual(main())
+        return request_app(self.app, method, path, **options)
 
     def assert_problem(
         self, answer: httpx.Response, status: int, reason: str, outcome: str
--- a/tests/utils.py
+++ b/tests/utils.py
@@ -4,12 +4,14 @@
 from collections.abc import Coroutine
 from typing import Any, TypeVar
 
+import httpx
 import looptime
+from litestar.types import ASGIApp
 from pollengate.jobs import JobSpec, Resources
 from pollengate.virtual_machines import VirtualMachine, VmKind, VmState
 from pollengate_settings import Settings
 
-__all__ = ["build_settings", "build_spec", "build_worker", "run_virtual"]
+__all__ = ["build_settings", "build_spec", "build_worker", "request_app", "run_virtual"]
 
 T = TypeVar("T")
 LOOP_END_S = 36_000.0
@@ -78,3 +80,14 @@
         "vm_list_address": "127.0.0.1:8000",
     }
     return Settings(**(fields | changes))
+
+
+def request_app(app: ASGIApp, method: str, path: str, **options: Any) -> httpx.Response:
+    """Sends one request to an application without sockets, on virtual time."""
+
+    async def main() -> httpx.Response:
+        transport = httpx.ASGITransport(app)  # type: ignore[arg-type]
+        async with httpx.AsyncClient(transport=transport, base_url="http://gate") as client:
+            return await client.request(method, path, **options)
+
+    return run_virtual(main())
