--- a/packages/pollengate-net/pollengate_net/messages/peer_grpc.py
+++ b/packages/pollengate-net/pollengate_net/messages/peer_grpc.py
@@ -19,7 +19,27 @@
         pass
 
     @abc.abstractmethod
-    async def PutConfiguration(self, stream: 'grpclib.server.Stream[pollengate_net.messages.peer_pb2.Configuration, pollengate_net.messages.peer_pb2.ConfigurationAck]') -> None:
+    async def AskFreshness(self, stream: 'grpclib.server.Stream[pollengate_net.messages.peer_pb2.FreshnessRequest, pollengate_net.messages.peer_pb2.FreshnessReply]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def GetMembers(self, stream: 'grpclib.server.Stream[pollengate_net.messages.peer_pb2.MembersRequest, pollengate_net.messages.peer_pb2.Members]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def Admit(self, stream: 'grpclib.server.Stream[pollengate_net.messages.peer_pb2.AdmissionRequest, pollengate_net.messages.peer_pb2.AdmissionReply]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def AskPromise(self, stream: 'grpclib.server.Stream[pollengate_net.messages.peer_pb2.PromiseRequest, pollengate_net.messages.peer_pb2.PromiseReply]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def Withhold(self, stream: 'grpclib.server.Stream[pollengate_net.messages.peer_pb2.WithholdRequest, pollengate_net.messages.peer_pb2.WithholdReply]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def KeepLease(self, stream: 'grpclib.server.Stream[pollengate_net.messages.peer_pb2.KeepLeaseRequest, pollengate_net.messages.peer_pb2.KeepLeaseReply]') -> None:
         pass
 
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
@@ -30,11 +50,41 @@
                 pollengate_net.messages.peer_pb2.ConfigurationRequest,
                 pollengate_net.messages.peer_pb2.Configuration,
             ),
-            '/pollengate.peer.v1.Peer/PutConfiguration': grpclib.const.Handler(
-                self.PutConfiguration,
+            '/pollengate.peer.v1.Peer/AskFreshness': grpclib.const.Handler(
+                self.AskFreshness,
                 grpclib.const.Cardinality.UNARY_UNARY,
-                pollengate_net.messages.peer_pb2.Configuration,
-                pollengate_net.messages.peer_pb2.ConfigurationAck,
+                pollengate_net.messages.peer_pb2.FreshnessRequest,
+                pollengate_net.messages.peer_pb2.FreshnessReply,
+            ),
+            '/pollengate.peer.v1.Peer/GetMembers': grpclib.const.Handler(
+                self.GetMembers,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                pollengate_net.messages.peer_pb2.MembersRequest,
+                pollengate_net.messages.peer_pb2.Members,
+            ),
+            '/pollengate.peer.v1.Peer/Admit': grpclib.const.Handler(
+                self.Admit,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                pollengate_net.messages.peer_pb2.AdmissionRequest,
+                pollengate_net.messages.peer_pb2.AdmissionReply,
+            ),
+            '/pollengate.peer.v1.Peer/AskPromise': grpclib.const.Handler(
+                self.AskPromise,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                pollengate_net.messages.peer_pb2.PromiseRequest,
+                pollengate_net.messages.peer_pb2.PromiseReply,
+            ),
+            '/pollengate.peer.v1.Peer/Withhold': grpclib.const.Handler(
+                self.Withhold,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                pollengate_net.messages.peer_pb2.WithholdRequest,
+                pollengate_net.messages.peer_pb2.WithholdReply,
+            ),
+            '/pollengate.peer.v1.Peer/KeepLease': grpclib.const.Handler(
+                self.KeepLease,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                pollengate_net.messages.peer_pb2.KeepLeaseRequest,
+                pollengate_net.messages.peer_pb2.KeepLeaseReply,
             ),
         }
 
@@ -48,9 +98,39 @@
             pollengate_net.messages.peer_pb2.ConfigurationRequest,
             pollengate_net.messages.peer_pb2.Configuration,
         )
-        self.PutConfiguration = grpclib.client.UnaryUnaryMethod(
+        self.AskFreshness = grpclib.client.UnaryUnaryMethod(
             channel,
-            '/pollengate.peer.v1.Peer/PutConfiguration',
-            pollengate_net.messages.peer_pb2.Configuration,
-            pollengate_net.messages.peer_pb2.ConfigurationAck,
+            '/pollengate.peer.v1.Peer/AskFreshness',
+            pollengate_net.messages.peer_pb2.FreshnessRequest,
+            pollengate_net.messages.peer_pb2.FreshnessReply,
+        )
+        self.GetMembers = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/pollengate.peer.v1.Peer/GetMembers',
+            pollengate_net.messages.peer_pb2.MembersRequest,
+            pollengate_net.messages.peer_pb2.Members,
+        )
+        self.Admit = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/pollengate.peer.v1.Peer/Admit',
+            pollengate_net.messages.peer_pb2.AdmissionRequest,
+            pollengate_net.messages.peer_pb2.AdmissionReply,
+        )
+        self.AskPromise = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/pollengate.peer.v1.Peer/AskPromise',
+            pollengate_net.messages.peer_pb2.PromiseRequest,
+            pollengate_net.messages.peer_pb2.PromiseReply,
+        )
+        self.Withhold = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/pollengate.peer.v1.Peer/Withhold',
+            pollengate_net.messages.peer_pb2.WithholdRequest,
+            pollengate_net.messages.peer_pb2.WithholdReply,
+        )
+        self.KeepLease = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/pollengate.peer.v1.Peer/KeepLease',
+            pollengate_net.messages.peer_pb2.KeepLeaseRequest,
+            pollengate_net.messages.peer_pb2.KeepLeaseReply,
         )
--- /dev/null
+++ b/packages/pollengate-net/pollengate_net/peer_client.py
@@ -0,0 +1,164 @@
+"""Peer calls over grpclib."""
+
+import zlib
+from typing import Any
+
+from grpclib.client import Channel
+from pollengate.membership import Member, MemberList, Role
+from pollengate.peer import (
+    FreshnessAnswer,
+    FreshnessQuestion,
+    LeaseAnswer,
+    PeerClient,
+    PeerFailure,
+    ShardQuestion,
+    StoredConfiguration,
+    WithholdAnswer,
+)
+from result import Err, Result
+
+from pollengate_net.calls import call, open_channel
+from pollengate_net.messages import peer_pb2 as pb
+from pollengate_net.messages.peer_grpc import PeerStub
+
+__all__ = [
+    "GrpcPeerClient",
+    "configuration_from_message",
+    "configuration_to_message",
+    "members_from_message",
+    "members_to_message",
+]
+
+CALL_TIMEOUT_S = 0.5
+MS_PER_S = 1000.0
+
+
+class GrpcPeerClient(PeerClient):
+    """Keeps one channel per address; a channel whose call got no answer is opened again."""
+
+    def __init__(self) -> None:
+        self._channels_by_address: dict[str, Channel] = {}
+
+    async def get_configuration(self, address: str) -> Result[StoredConfiguration, PeerFailure]:
+        """Reads the configuration in force at a process."""
+        answer = await self._call(address, "GetConfiguration", pb.ConfigurationRequest())
+        return answer.map(configuration_from_message)
+
+    async def ask_freshness(
+        self, address: str, question: FreshnessQuestion
+    ) -> Result[FreshnessAnswer, PeerFailure]:
+        """Asks how current a process's configuration is."""
+        request = pb.FreshnessRequest(zone=question.zone, basis=question.basis)
+        answer = await self._call(address, "AskFreshness", request)
+        return answer.map(_freshness)
+
+    async def get_members(self, address: str) -> Result[MemberList, PeerFailure]:
+        """Reads a process's member list."""
+        answer = await self._call(address, "GetMembers", pb.MembersRequest())
+        return answer.map(members_from_message)
+
+    async def admit(
+        self, address: str, gate_id: str, created_revision: int
+    ) -> Result[str, PeerFailure]:
+        """Makes a gate withhold promises from those who can't know a new gate."""
+        request = pb.AdmissionRequest(process_id=gate_id, created_revision=created_revision)
+        answer = await self._call(address, "Admit", request)
+        return answer.map(lambda reply: str(reply.process_id))
+
+    async def ask_promise(
+        self, address: str, question: ShardQuestion
+    ) -> Result[str | None, PeerFailure]:
+        """Asks a scheduler not to help a successor."""
+        request = pb.PromiseRequest(
+            process_id=question.process_id,
+            zone=question.zone,
+            shard=question.shard,
+            epoch=question.epoch,
+        )
+        answer = await self._call(address, "AskPromise", request)
+        return answer.map(lambda reply: str(reply.process_id) if reply.promised else None)
+
+    async def withhold(
+        self, address: str, question: ShardQuestion
+    ) -> Result[WithholdAnswer, PeerFailure]:
+        """Makes a scheduler withhold promises about a shard."""
+        request = pb.WithholdRequest(
+            process_id=question.process_id,
+            zone=question.zone,
+            shard=question.shard,
+            epoch=question.epoch,
+        )
+        answer = await self._call(address, "Withhold", request)
+        return answer.map(lambda r: WithholdAnswer(r.process_id, r.lapse_ms / MS_PER_S))
+
+    async def keep_lease(self, address: str, lease_id: int) -> Result[LeaseAnswer, PeerFailure]:
+        """Renews a store lease through a process that reaches the store."""
+        answer = await self._call(address, "KeepLease", pb.KeepLeaseRequest(lease_id=lease_id))
+        return answer.map(lambda r: LeaseAnswer(r.answered, r.left_ms / MS_PER_S))
+
+    async def close(self) -> None:
+        """Closes every channel."""
+        for channel in self._channels_by_address.values():
+            channel.close()
+        self._channels_by_address.clear()
+
+    async def _call(self, address: str, method: str, request: Any) -> Result[Any, PeerFailure]:
+        channel = self._channels_by_address.get(address)
+        if channel is None:
+            channel = open_channel(address)
+            self._channels_by_address[address] = channel
+        answer = await call(getattr(PeerStub(channel), method), request, CALL_TIMEOUT_S)
+        if isinstance(answer, Err):
+            self._drop(address, channel)
+            return Err(PeerFailure(answer.err_value.detail))
+        return answer
+
+    def _drop(self, address: str, channel: Channel) -> None:
+        if self._channels_by_address.get(address) is channel:
+            del self._channels_by_address[address]
+            channel.close()
+
+
+def configuration_to_message(configuration: StoredConfiguration) -> pb.Configuration:
+    """Encodes a configuration."""
+    document = zlib.compress(configuration.document)
+    return pb.Configuration(revision=configuration.revision, document=document)
+
+
+def configuration_from_message(message: pb.Configuration) -> StoredConfiguration:
+    """Decodes a configuration."""
+    return StoredConfiguration(message.revision, zlib.decompress(message.document))
+
+
+def members_to_message(members: MemberList) -> pb.Members:
+    """Encodes a member list."""
+    message = pb.Members(revision=members.revision)
+    for member in members.members:
+        message.members.add(
+            process_id=member.process_id,
+            role=member.role.value,
+            zone=member.zone,
+            address=member.address,
+            created_revision=member.created_revision,
+            known_revision=member.known_revision,
+        )
+    return message
+
+
+def members_from_message(message: pb.Members) -> MemberList:
+    """Decodes a member list."""
+    members = tuple(
+        Member(m.process_id, Role(m.role), m.zone, m.address, m.created_revision, m.known_revision)
+        for m in message.members
+    )
+    return MemberList(message.revision, members)
+
+
+def _freshness(reply: pb.FreshnessReply) -> FreshnessAnswer:
+    return FreshnessAnswer(
+        process_id=reply.process_id,
+        revision=reply.revision,
+        age_s=reply.age_ms / MS_PER_S if reply.HasField("age_ms") else None,
+        members_revision=reply.members_revision,
+        promised=reply.promised,
+    )
--- /dev/null
+++ b/packages/pollengate/pollengate/peer.py
@@ -0,0 +1,161 @@
+"""Calls between the system's own processes."""
+
+import abc
+import dataclasses
+
+from result import Result
+
+from pollengate.membership import MemberList
+
+__all__ = [
+    "FreshnessAnswer",
+    "FreshnessQuestion",
+    "LeaseAnswer",
+    "PeerClient",
+    "PeerFailure",
+    "ShardQuestion",
+    "StoredConfiguration",
+    "WithholdAnswer",
+]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerFailure:
+    """A call without a usable answer."""
+
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredConfiguration:
+    """One version of the configuration as the store holds it.
+
+    Attributes:
+        revision: store revision at which it was written, 0 for none.
+        document: the stored JSON document, empty for none.
+    """
+
+    revision: int = 0
+    document: bytes = b""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FreshnessQuestion:
+    """Asks how current the receiver's configuration is.
+
+    Attributes:
+        zone: the zone that the asker starts tasks in.
+        basis: store revision of the member list that the asker relies on.
+    """
+
+    zone: str
+    basis: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FreshnessAnswer:
+    """How current the sender's configuration is.
+
+    Attributes:
+        process_id: the sender.
+        revision: store revision of its configuration, 0 for none.
+        age_s: seconds since that was confirmed current, None if it is not.
+        members_revision: store revision of its member list, 0 for none.
+        promised: it has accepted no later version that concerns the asker.
+    """
+
+    process_id: str
+    revision: int
+    age_s: float | None
+    members_revision: int
+    promised: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ShardQuestion:
+    """Asks for a promise about a shard, or to withhold such promises.
+
+    Attributes:
+        process_id: the sender.
+        zone: the zone of the shard.
+        shard: its number.
+        epoch: the owner's epoch; to withhold, the lowest epoch that may still be promised.
+    """
+
+    process_id: str
+    zone: str
+    shard: int
+    epoch: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WithholdAnswer:
+    """Promises are withheld; those given lapse within `lapse_s` seconds."""
+
+    process_id: str
+    lapse_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaseAnswer:
+    """A lease kept through a peer.
+
+    Attributes:
+        answered: whether the store answered the peer.
+        left_s: seconds that the lease has left, 0 if it has lapsed.
+    """
+
+    answered: bool
+    left_s: float
+
+
+class PeerClient(abc.ABC):
+    """Calls other processes by their addresses; no method raises for a lost call."""
+
+    @abc.abstractmethod
+    async def get_configuration(self, address: str) -> Result[StoredConfiguration, PeerFailure]:
+        """Reads the configuration in force at a process."""
+
+    @abc.abstractmethod
+    async def ask_freshness(
+        self, address: str, question: FreshnessQuestion
+    ) -> Result[FreshnessAnswer, PeerFailure]:
+        """Asks how current a process's configuration is."""
+
+    @abc.abstractmethod
+    async def get_members(self, address: str) -> Result[MemberList, PeerFailure]:
+        """Reads a process's member list."""
+
+    @abc.abstractmethod
+    async def admit(
+        self, address: str, gate_id: str, created_revision: int
+    ) -> Result[str, PeerFailure]:
+        """Makes a gate withhold promises from those who can't know a new gate.
+
+        Returns:
+            The id of the process that answered.
+        """
+
+    @abc.abstractmethod
+    async def ask_promise(
+        self, address: str, question: ShardQuestion
+    ) -> Result[str | None, PeerFailure]:
+        """Asks a scheduler not to help a successor.
+
+        Returns:
+            The id of the process that promised, None if it did not.
+        """
+
+    @abc.abstractmethod
+    async def withhold(
+        self, address: str, question: ShardQuestion
+    ) -> Result[WithholdAnswer, PeerFailure]:
+        """Makes a scheduler withhold promises about a shard."""
+
+    @abc.abstractmethod
+    async def keep_lease(self, address: str, lease_id: int) -> Result[LeaseAnswer, PeerFailure]:
+        """Renews a store lease through a process that reaches the store."""
+
+    async def close(self) -> None:
+        """Releases connections."""
+        return
--- a/packages/pollengated/pollengated/compose.py
+++ b/packages/pollengated/pollengated/compose.py
@@ -7,22 +7,30 @@
 import uvicorn
 from grpclib.server import Server
 from litestar import Litestar
+from pollengate.membership import Member, Role
+from pollengate.patches import OutstandingPatches
 from pollengate_net.calls import split_address
 from pollengate_net.etcd_store import EtcdStore
 from pollengate_net.grpc_worker import GrpcWorkerClient
 from pollengate_net.http_vm_list import HttpVmList
+from pollengate_net.peer_client import GrpcPeerClient
 from pollengate_net.scheduler_client import SchedulerClient
 
+from pollengated.configuration_exchange import ConfigurationExchange
 from pollengated.configuration_follower import ConfigurationFollower
 from pollengated.configuration_patches import ConfigurationPatcher
+from pollengated.gate_admission import GateAdmission
 from pollengated.http_configuration import configuration_router
 from pollengated.http_services import service_router
 from pollengated.http_status import status_router
 from pollengated.http_tasks import task_router
 from pollengated.job_router import JobRouter
 from pollengated.logs import Log, set_up_logs
+from pollengated.member_registry import MemberRegistry
 from pollengated.metrics import Metrics
 from pollengated.owner_directory import OwnerDirectory
+from pollengated.peer_answers import PeerAnswers
+from pollengated.peer_service import PeerService
 from pollengated.scheduler_service import HeartbeatService, SchedulerService
 from pollengated.service_proxy import ServiceProxy
 from pollengated.settings import Settings
@@ -38,6 +46,14 @@
     metrics = Metrics()
     store = EtcdStore(settings.store_address)
     follower = ConfigurationFollower(store, metrics)
+    registry = _registry(settings, Role.GATE, store)
+    peers = GrpcPeerClient()
+    exchange = ConfigurationExchange(follower, registry, peers, metrics)
+    admission = GateAdmission(registry, peers)
+    outstanding = OutstandingPatches()
+    patcher = ConfigurationPatcher(store, follower, registry, admission, outstanding)
+    server = Server([PeerService(PeerAnswers(store, follower, registry, outstanding))])
+    await server.start(*split_address(settings.rpc_address))
     directory = OwnerDirectory(store)
     vms = VmDirectory(HttpVmList(settings.vm_list_address))
     client = SchedulerClient()
@@ -45,7 +61,7 @@
     jobs = JobRouter(store, follower, directory, client)
     app = Litestar(
         [
-            configuration_router(follower, ConfigurationPatcher(store, follower), metrics),
+            configuration_router(follower, patcher, metrics),
             task_router(jobs, metrics),
             service_router(proxy, metrics),
             status_router(settings.process_id, follower, directory, client, metrics),
@@ -53,8 +69,12 @@
         request_max_body_size=settings.max_body_bytes,
         logging_config=None,
     )
-    loops = [follower.run(), directory.run(), vms.run()]
+    loops = [registry.run(), exchange.run(), admission.run(), directory.run(), vms.run()]
     await _run_until_stopped(_serve_http(app, settings.http_address), loops)
+    await registry.leave()
+    server.close()
+    await server.wait_closed()
+    await peers.close()
     client.close()
     await proxy.close()
     await store.close()
@@ -66,6 +86,9 @@
     metrics = Metrics()
     store = EtcdStore(settings.store_address)
     follower = ConfigurationFollower(store, metrics)
+    registry = _registry(settings, Role.SCHEDULER, store)
+    peers = GrpcPeerClient()
+    exchange = ConfigurationExchange(follower, registry, peers, metrics)
     vms = VmDirectory(HttpVmList(settings.vm_list_address))
     owner = ShardOwner(
         settings.zone,
@@ -79,15 +102,24 @@
         metrics,
     )
     service = SchedulerService(settings.process_id, settings.zone, [owner], follower)
-    server = Server([service, HeartbeatService([owner])])
+    peer_service = PeerService(PeerAnswers(store, follower, registry))
+    server = Server([service, HeartbeatService([owner]), peer_service])
     await server.start(*split_address(settings.rpc_address))
     Log("scheduler").info("serving", address=settings.rpc_address)
-    await _run_until_stopped(_wait_for_stop(), [follower.run(), vms.run(), owner.run()])
+    loops = [registry.run(), exchange.run(), vms.run(), owner.run()]
+    await _run_until_stopped(_wait_for_stop(), loops)
+    await registry.leave()
     server.close()
     await server.wait_closed()
+    await peers.close()
     await store.close()
 
 
+def _registry(settings: Settings, role: Role, store: EtcdStore) -> MemberRegistry:
+    member = Member(settings.process_id, role, settings.zone, settings.rpc_address)
+    return MemberRegistry(store, member)
+
+
 async def _serve_http(app: Litestar, address: str) -> None:
     host, port = split_address(address)
     config = uvicorn.Config(app, host=host, port=port, log_level="warning", lifespan="off")
--- /dev/null
+++ b/packages/pollengated/pollengated/configuration_exchange.py
@@ -0,0 +1,179 @@
+"""Keeps the configuration current: one reader a zone, its peers, and promises of all gates."""
+
+import asyncio
+from collections.abc import Sequence
+
+from pollengate.membership import Member, MemberList, Role
+from pollengate.peer import FreshnessAnswer, FreshnessQuestion, PeerClient
+from pollengate.promises import PromiseAsker
+from result import Err
+
+from pollengated.configuration_follower import ConfigurationFollower
+from pollengated.logs import Log
+from pollengated.member_registry import MemberRegistry
+from pollengated.metrics import Metrics
+
+__all__ = ["ConfigurationExchange"]
+
+ROUND_INTERVAL_S = 0.5
+# During an outage, every gate is asked in each round.
+OUTAGE_ROUND_INTERVAL_S = 1.0
+MIN_PAUSE_S = 0.05
+MEMBERS_INTERVAL_S = 2.0
+SUSPECT_S = 5.0
+MAX_READERS_ASKED = 2
+# A reader confirms each round; one that is older can't confirm its peers.
+MAX_READER_AGE_S = 1.4
+
+
+class ConfigurationExchange:
+    """Confirms the configuration of one process, round by round.
+
+    The process of a zone that comes first, schedulers before gates and each by age, reads the
+    store. The others ask the processes before them, and do as the first when none helps.
+    """
+
+    def __init__(
+        self,
+        follower: ConfigurationFollower,
+        registry: MemberRegistry,
+        peers: PeerClient,
+        metrics: Metrics,
+    ) -> None:
+        self._follower = follower
+        self._registry = registry
+        self._peers = peers
+        self._metrics = metrics
+        self._asker = PromiseAsker()
+        self._read_members: MemberList | None = None
+        self._read_members_at = float("-inf")
+        self._suspect_until_by_id: dict[str, float] = {}
+        self._is_store_down = False
+        self._log = Log("exchange")
+
+    async def run(self) -> None:
+        """Confirms the configuration until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            started_at = loop.time()
+            await self.round()
+            if self._registry.member.role is Role.SCHEDULER and not self._is_store_down:
+                await self._registry.record()
+            interval_s = OUTAGE_ROUND_INTERVAL_S if self._is_store_down else ROUND_INTERVAL_S
+            await asyncio.sleep(max(MIN_PAUSE_S, started_at + interval_s - loop.time()))
+
+    async def round(self) -> None:
+        """Confirms the configuration once, by the cheapest way that works."""
+        if await self._ask_readers():
+            self._is_store_down = False
+            return
+        if self._is_store_down:
+            is_read, _ = await asyncio.gather(self._read_store(), self.collect_promises())
+        else:
+            is_read = await self._read_store()
+        if is_read == self._is_store_down:
+            self._log.info("store reachable" if is_read else "store not reachable")
+        self._is_store_down = not is_read
+
+    async def take_highest(self, addresses: Sequence[str]) -> None:
+        """Takes the highest version that any of some processes holds."""
+        answers = await asyncio.gather(*(self._peers.get_configuration(a) for a in addresses))
+        for answer in answers:
+            if not isinstance(answer, Err):
+                self._follower.take_stored(answer.ok_value)
+
+    async def collect_promises(self) -> None:
+        """Asks every gate that this process relies on, and confirms if all promised."""
+        now = asyncio.get_running_loop().time()
+        members = self._registry.members
+        gates = [m for m in map(members.find, self._asker.granter_ids) if m is not None]
+        await asyncio.gather(*(self._ask_promise(gate) for gate in gates))
+        since = self._asker.held_since()
+        is_recorded = self._registry.recorded_revision > 0
+        if since is None or not is_recorded or not self._registry.is_registered(now):
+            return
+        self._follower.freshness.confirm(since)
+
+    def _predecessors(self) -> list[Member]:
+        own = self._registry.member
+        ranked = sorted(
+            self._registry.members.in_zone(own.zone),
+            key=lambda m: (m.role is not Role.SCHEDULER, m.created_revision),
+        )
+        ids = [member.process_id for member in ranked]
+        if own.process_id not in ids:
+            return ranked
+        return ranked[: ids.index(own.process_id)]
+
+    async def _ask_readers(self) -> bool:
+        now = asyncio.get_running_loop().time()
+        asked = 0
+        for reader in self._predecessors():
+            if self._suspect_until_by_id.get(reader.process_id, now) > now:
+                continue
+            if asked == MAX_READERS_ASKED:
+                break
+            asked += 1
+            if await self._ask_reader(reader):
+                return True
+            self._suspect_until_by_id[reader.process_id] = now + SUSPECT_S
+        return False
+
+    async def _ask_reader(self, reader: Member) -> bool:
+        asked_at = asyncio.get_running_loop().time()
+        answer = await self._ask(reader)
+        if answer is None or answer.age_s is None or answer.age_s > MAX_READER_AGE_S:
+            return False
+        await self._fetch_members(reader, answer)
+        self._confirm(asked_at - answer.age_s)
+        return True
+
+    async def _fetch_members(self, reader: Member, answer: FreshnessAnswer) -> None:
+        if answer.members_revision <= self._registry.members.revision:
+            return
+        fetched = await self._peers.get_members(reader.address)
+        if not isinstance(fetched, Err) and fetched.ok_value.revision == answer.members_revision:
+            self._read_members = fetched.ok_value
+
+    async def _ask(self, member: Member) -> FreshnessAnswer | None:
+        """Asks a process and takes over its configuration; None without a usable answer."""
+        question = FreshnessQuestion(self._registry.member.zone, self._asker.basis)
+        result = await self._peers.ask_freshness(member.address, question)
+        if isinstance(result, Err) or result.ok_value.process_id != member.process_id:
+            return None
+        answer = result.ok_value
+        if answer.revision > self._follower.revision:
+            await self.take_highest([member.address])
+        return answer if answer.revision <= self._follower.revision else None
+
+    async def _ask_promise(self, gate: Member) -> None:
+        asked_at = asyncio.get_running_loop().time()
+        answer = await self._ask(gate)
+        if answer is None:
+            self._metrics.retries.labels("promise_unanswered").inc()
+        elif answer.promised:
+            self._asker.promised(gate.process_id, asked_at)
+        else:
+            self._metrics.refusals.labels("promise_withheld").inc()
+
+    async def _read_store(self) -> bool:
+        asked_at = asyncio.get_running_loop().time()
+        if not self._is_store_down and asked_at >= self._read_members_at + MEMBERS_INTERVAL_S:
+            members = await self._registry.read()
+            if isinstance(members, Err):
+                return False
+            self._read_members = members.ok_value
+            self._read_members_at = asked_at
+            asked_at = asyncio.get_running_loop().time()
+        if not await self._follower.refresh():
+            return False
+        self._confirm(asked_at)
+        return True
+
+    def _confirm(self, asked_at: float) -> None:
+        """Records a confirmation; members read before it may now be relied on."""
+        self._follower.freshness.confirm(asked_at)
+        if self._read_members is not None:
+            members, self._read_members = self._read_members, None
+            if self._registry.rely_on(members):
+                self._asker.rely_on(members.revision, [g.process_id for g in members.gates()])
--- a/packages/pollengated/pollengated/configuration_follower.py
+++ b/packages/pollengated/pollengated/configuration_follower.py
@@ -1,11 +1,12 @@
-"""Follows the configuration in the store; never goes back to a lower version."""
+"""Holds the configuration in force; it never goes back to a lower version."""
 
 import asyncio
 from typing import Any
 
 from pollengate.configuration import CONFIGURATION_KEY, Configuration, Limits
 from pollengate.freshness import Freshness
-from pollengate.store import Entry, Store
+from pollengate.peer import StoredConfiguration
+from pollengate.store import Entry, Store, Unchanged
 from result import Err
 
 from pollengated.config_model import decode_configuration, empty_document
@@ -14,8 +15,6 @@
 
 __all__ = ["ConfigurationFollower"]
 
-POLL_INTERVAL_S = 0.5
-
 
 class ConfigurationFollower:
     """Holds the newest known configuration and when it was confirmed current.
@@ -24,6 +23,7 @@
         current: the configuration in force.
         document: its document, as operators see it.
         revision: store revision of the version in force, 0 before the first.
+        stored: the version in force as the store holds it.
         freshness: when it was last confirmed current.
     """
 
@@ -31,34 +31,38 @@
         self.current = Configuration(0, {}, {}, {}, Limits())
         self.document: dict[str, Any] = empty_document()
         self.revision = 0
+        self.stored = StoredConfiguration()
         self.freshness = Freshness()
         self._store = store
         self._metrics = metrics
         self._log = Log("configuration")
 
-    async def run(self) -> None:
-        """Reads the store until cancelled."""
-        while True:
-            await self.refresh()
-            await asyncio.sleep(POLL_INTERVAL_S)
-
     async def refresh(self) -> bool:
-        """Reads the store once; returns whether it answered."""
+        """Asks the store for a later version; returns whether it answered.
+
+        A transaction without operations reads the document only if it has changed.
+        """
         asked_at = asyncio.get_running_loop().time()
-        result = await self._store.get(CONFIGURATION_KEY)
+        result = await self._store.commit((Unchanged(CONFIGURATION_KEY, self.revision),), ())
         if isinstance(result, Err):
             self._log.warning("store did not answer", detail=result.err_value.detail)
             return False
-        if result.ok_value is not None:
-            self.take(result.ok_value)
+        for entry in result.ok_value.current:
+            self.take(entry)
         self.freshness.confirm(asked_at)
         return True
 
     def take(self, entry: Entry) -> None:
         """Puts a stored version in force unless a newer one is."""
-        if entry.revision <= self.revision:
+        if entry.key == CONFIGURATION_KEY:
+            self.take_stored(StoredConfiguration(entry.revision, entry.value))
+
+    def take_stored(self, stored: StoredConfiguration) -> None:
+        """Puts a version in force, as the store holds it, unless a newer one is."""
+        if stored.revision <= self.revision:
             return
-        self.current, self.document = decode_configuration(entry.value)
-        self.revision = entry.revision
+        self.current, self.document = decode_configuration(stored.document)
+        self.revision = stored.revision
+        self.stored = stored
         self._metrics.configuration_version.set(self.current.version)
         self._log.info("version in force", version=self.current.version)
--- a/packages/pollengated/pollengated/configuration_patches.py
+++ b/packages/pollengated/pollengated/configuration_patches.py
@@ -1,61 +1,276 @@
 """Patches of the configuration, accepted by a conditional write to the store."""
 
 import asyncio
+import dataclasses
+import re
 from typing import Any
 
 from pollengate.configuration import CONFIGURATION_KEY
-from pollengate.patches import merge_patch
+from pollengate.patches import (
+    HISTORY_PREFIX,
+    HISTORY_VERSIONS,
+    AcceptedPatch,
+    OutstandingPatches,
+    accepted_patch_key,
+    decode_accepted,
+    encode_accepted,
+    fingerprint,
+    history_key,
+    merge_patch,
+)
 from pollengate.refusals import Outcome, Reason, Refusal
-from pollengate.store import Entry, FailureKind, Put, Store, StoreFailure, Unchanged
+from pollengate.store import (
+    Commit,
+    Delete,
+    Entry,
+    FailureKind,
+    Operation,
+    Put,
+    Store,
+    Unchanged,
+)
 from result import Err, Ok, Result
 
 from pollengated.config_model import encode_document, validate_document
 from pollengated.configuration_follower import ConfigurationFollower
+from pollengated.gate_admission import GateAdmission
+from pollengated.logs import Log
+from pollengated.member_registry import MemberRegistry
+from pollengated.retention import RetentionLease
 
-__all__ = ["ConfigurationPatcher"]
+__all__ = ["ConfigurationPatcher", "PatchRequest"]
 
 STORE_RETRY_AFTER_S = 2.0
+ADMISSION_RETRY_AFTER_S = 1.0
+RESOLVE_ATTEMPTS = 3
+RESOLVE_INTERVAL_S = 0.5
+BACKGROUND_RESOLVE_INTERVAL_S = 2.0
+MAX_DOCUMENT_BYTES = 900_000
+KEY_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.:-]{0,127}")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PatchRequest:
+    """A patch as an operator sends it.
+
+    Attributes:
+        key: its idempotency key, empty to have one made.
+        expected_version: the version that it is made against.
+        patch: the merge patch.
+    """
+
+    key: str
+    expected_version: int
+    patch: dict[str, Any]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Candidate:
+    accepted: AcceptedPatch
+    document: bytes
+    zones_in_service: frozenset[str]
+    conditions: tuple[Unchanged, ...]
+    operations: tuple[Operation, ...]
 
 
 class ConfigurationPatcher:
-    """Accepts patches against a numbered version."""
+    """Accepts patches against a numbered version, each idempotency key at most once."""
 
-    def __init__(self, store: Store, follower: ConfigurationFollower) -> None:
+    def __init__(
+        self,
+        store: Store,
+        follower: ConfigurationFollower,
+        registry: MemberRegistry,
+        admission: GateAdmission,
+        outstanding: OutstandingPatches,
+    ) -> None:
         self._store = store
         self._follower = follower
+        self._registry = registry
+        self._admission = admission
+        self._outstanding = outstanding
+        self._retention = RetentionLease(store)
         self._lock = asyncio.Lock()
+        self._made_keys = 0
+        self._resolving: set[asyncio.Task[None]] = set()
+        self._log = Log("patches")
 
-    async def patch(self, expected_version: int, patch: dict[str, Any]) -> Result[int, Refusal]:
-        """Applies a merge patch to version `expected_version`.
+    async def patch(self, request: PatchRequest) -> Result[AcceptedPatch, Refusal]:
+        """Applies a merge patch to the version that it is made against.
 
         Returns:
-            The new version, or a refusal whose outcome says whether it took effect.
+            The acceptance, the first one for a repeated key; or a refusal whose outcome says
+            whether the patch took effect.
         """
+        if request.key and not KEY_PATTERN.fullmatch(request.key):
+            return Err(_invalid("Idempotency-Key has up to 128 letters, digits or any of _.:-"))
+        if not request.key:
+            self._made_keys += 1
+            made = f"{self._registry.member.process_id}.{self._made_keys}"
+            request = dataclasses.replace(request, key=made)
         async with self._lock:
-            if not await self._follower.refresh():
-                return Err(_store_refusal(Outcome.NOT_RUN))
-            return await self._commit(expected_version, patch)
+            return await self._patch(request)
+
+    async def find(self, key: str) -> Result[AcceptedPatch | None, Refusal]:
+        """Looks up the acceptance of a patch by its idempotency key.
+
+        Returns:
+            The acceptance, None if there is none and this gate has none outstanding.
+        """
+        if not KEY_PATTERN.fullmatch(key):
+            return Ok(None)
+        result = await self._store.get(accepted_patch_key(key))
+        if isinstance(result, Err):
+            return Err(_store_refusal(Outcome.UNKNOWN))
+        if result.ok_value is not None:
+            return Ok(decode_accepted(result.ok_value.value))
+        if self._outstanding.is_outstanding(key):
+            return Err(_unknown(key))
+        return Ok(None)
+
+    async def history(self) -> Result[list[AcceptedPatch], Refusal]:
+        """Reads the last accepted patches, the newest first."""
+        result = await self._store.list(HISTORY_PREFIX)
+        if isinstance(result, Err):
+            return Err(_store_refusal(Outcome.NOT_RUN))
+        return Ok([decode_accepted(entry.value) for entry in reversed(result.ok_value.entries)])
+
+    async def _patch(self, request: PatchRequest) -> Result[AcceptedPatch, Refusal]:
+        if not self._admission.is_admitted(asyncio.get_running_loop().time()):
+            return Err(_not_admitted())
+        if not await self._follower.refresh():
+            return Err(_store_refusal(Outcome.NOT_RUN))
+        known = await self.find(request.key)
+        if isinstance(known, Err):
+            return known
+        if known.ok_value is not None:
+            return _repeated(request, known.ok_value)
+        candidate = await self._prepare(request)
+        if isinstance(candidate, Err):
+            return candidate
+        return await self._write(request, candidate.ok_value)
 
-    async def _commit(self, expected_version: int, patch: dict[str, Any]) -> Result[int, Refusal]:
+    async def _prepare(self, request: PatchRequest) -> Result[_Candidate, Refusal]:
+        lease_id = await self._retention.get()
+        if lease_id == 0:
+            return Err(_store_refusal(Outcome.NOT_RUN))
         follower = self._follower
         current = follower.current.version
-        if expected_version != current:
-            return Err(_version_refusal(expected_version, current))
-        validated = validate_document(merge_patch(follower.document, patch))
+        if request.expected_version != current:
+            return Err(_version_refusal(request.expected_version, current))
+        validated = validate_document(merge_patch(follower.document, request.patch))
         if isinstance(validated, Err):
             return validated
-        value = encode_document(current + 1, validated.ok_value)
-        condition = Unchanged(CONFIGURATION_KEY, follower.revision)
-        result = await self._store.commit((condition,), (Put(CONFIGURATION_KEY, value),))
+        document = encode_document(current + 1, validated.ok_value)
+        if len(document) > MAX_DOCUMENT_BYTES:
+            return Err(_invalid(f"the configuration would exceed {MAX_DOCUMENT_BYTES} bytes"))
+        accepted = AcceptedPatch(
+            version=current + 1,
+            key=request.key,
+            process_id=self._registry.member.process_id,
+            fingerprint=fingerprint(request.expected_version, request.patch),
+            patch=request.patch,
+        )
+        record = encode_accepted(accepted)
+        conditions = (
+            Unchanged(CONFIGURATION_KEY, follower.revision),
+            Unchanged(accepted_patch_key(request.key), 0),
+            self._registry.condition,
+        )
+        operations = (
+            Put(CONFIGURATION_KEY, document),
+            Put(accepted_patch_key(request.key), record, lease_id),
+            Put(history_key(accepted.version), record),
+            Delete(history_key(accepted.version - HISTORY_VERSIONS)),
+        )
+        zones = validated.ok_value["zones"].items()
+        in_service = frozenset(name for name, zone in zones if zone["in_service"])
+        return Ok(_Candidate(accepted, document, in_service, conditions, operations))
+
+    async def _write(
+        self, request: PatchRequest, candidate: _Candidate
+    ) -> Result[AcceptedPatch, Refusal]:
+        self._outstanding.begin(request.key, candidate.zones_in_service)
+        result = await self._store.commit(candidate.conditions, candidate.operations)
+        if isinstance(result, Err) and result.err_value.kind is FailureKind.UNKNOWN:
+            return await self._resolve(request, candidate)
         if isinstance(result, Err):
-            return Err(_failure_refusal(result.err_value))
-        commit = result.ok_value
-        if not commit.succeeded:
-            for entry in commit.current:
-                follower.take(entry)
-            return Err(_version_refusal(expected_version, follower.current.version))
-        follower.take(Entry(CONFIGURATION_KEY, value, commit.revision, commit.revision))
-        return Ok(current + 1)
+            self._retention.forget()
+            self._outstanding.settle(request.key)
+            return Err(_store_refusal(Outcome.NOT_RUN))
+        if result.ok_value.succeeded:
+            revision = result.ok_value.revision
+            self._follower.take(Entry(CONFIGURATION_KEY, candidate.document, revision, revision))
+            self._outstanding.settle(request.key)
+            return Ok(candidate.accepted)
+        self._outstanding.settle(request.key)
+        return await self._conflict(request, candidate, result.ok_value)
+
+    async def _conflict(
+        self, request: PatchRequest, candidate: _Candidate, commit: Commit
+    ) -> Result[AcceptedPatch, Refusal]:
+        for entry in commit.current:
+            if entry.key == accepted_patch_key(request.key):
+                return _repeated(request, decode_accepted(entry.value))
+            self._follower.take(entry)
+        if self._follower.revision != candidate.conditions[0].revision:
+            return Err(_version_refusal(request.expected_version, self._follower.current.version))
+        await self._registry.keep()
+        return Err(_not_admitted())
+
+    async def _resolve(
+        self, request: PatchRequest, candidate: _Candidate
+    ) -> Result[AcceptedPatch, Refusal]:
+        for _ in range(RESOLVE_ATTEMPTS):
+            resolved = await self._settle(request, candidate)
+            if resolved is not None:
+                return resolved
+            await asyncio.sleep(RESOLVE_INTERVAL_S)
+        task = asyncio.create_task(self._resolve_later(request, candidate))
+        self._resolving.add(task)
+        task.add_done_callback(self._resolving.discard)
+        return Err(_unknown(request.key))
+
+    async def _resolve_later(self, request: PatchRequest, candidate: _Candidate) -> None:
+        resolved = None
+        while resolved is None:
+            await asyncio.sleep(BACKGROUND_RESOLVE_INTERVAL_S)
+            resolved = await self._settle(request, candidate)
+
+    async def _settle(
+        self, request: PatchRequest, candidate: _Candidate
+    ) -> Result[AcceptedPatch, Refusal] | None:
+        """Makes a write without an answer final and reads whether it took effect.
+
+        Returns:
+            The outcome, None if the store does not tell.
+        """
+        await self._registry.rewrite()
+        if self._registry.condition in candidate.conditions:
+            return None
+        result = await self._store.get(accepted_patch_key(request.key))
+        if isinstance(result, Err) or not await self._follower.refresh():
+            return None
+        self._outstanding.settle(request.key)
+        if result.ok_value is None:
+            return Err(_store_refusal(Outcome.NOT_RUN))
+        return _repeated(request, decode_accepted(result.ok_value.value))
+
+
+def _repeated(request: PatchRequest, accepted: AcceptedPatch) -> Result[AcceptedPatch, Refusal]:
+    if accepted.fingerprint == fingerprint(request.expected_version, request.patch):
+        return Ok(accepted)
+    detail = f"Idempotency-Key {request.key!r} was used for another patch"
+    return Err(Refusal(Outcome.NOT_RUN, Reason.IDEMPOTENCY_CONFLICT, detail))
+
+
+def _invalid(detail: str) -> Refusal:
+    return Refusal(Outcome.NOT_RUN, Reason.INVALID_REQUEST, detail)
+
+
+def _not_admitted() -> Refusal:
+    detail = "this gate is not registered yet; another gate may accept the patch"
+    return Refusal(Outcome.NOT_RUN, Reason.NOT_ADMITTED, detail, ADMISSION_RETRY_AFTER_S)
 
 
 def _store_refusal(outcome: Outcome) -> Refusal:
@@ -63,9 +278,9 @@
     return Refusal(outcome, Reason.STORE_UNAVAILABLE, detail, STORE_RETRY_AFTER_S)
 
 
-def _failure_refusal(failure: StoreFailure) -> Refusal:
-    is_unknown = failure.kind is FailureKind.UNKNOWN
-    return _store_refusal(Outcome.UNKNOWN if is_unknown else Outcome.NOT_RUN)
+def _unknown(key: str) -> Refusal:
+    detail = f"the store did not say whether the patch was accepted; ask /config/patches/{key}"
+    return Refusal(Outcome.UNKNOWN, Reason.STORE_UNAVAILABLE, detail, STORE_RETRY_AFTER_S)
 
 
 def _version_refusal(expected: int, current: int) -> Refusal:
--- /dev/null
+++ b/packages/pollengated/pollengated/gate_admission.py
@@ -0,0 +1,67 @@
+"""Admits a new gate: it accepts no patch before schedulers can know of it."""
+
+import asyncio
+
+from pollengate.membership import MEMBER_LEASE_S, Member, admitters
+from pollengate.peer import PeerClient
+from result import Err
+
+from pollengated.logs import Log
+from pollengated.member_registry import MemberRegistry
+
+__all__ = ["GateAdmission"]
+
+RETRY_INTERVAL_S = 0.5
+
+
+class GateAdmission:
+    """Has one gate that every scheduler knows withhold promises from those who don't know us."""
+
+    def __init__(self, registry: MemberRegistry, peers: PeerClient) -> None:
+        self._registry = registry
+        self._peers = peers
+        self._admitted_revision = 0
+        self._registered_at = 0.0
+        self._asked_revision = 0
+        self._log = Log("admission")
+
+    def is_admitted(self, now: float) -> bool:
+        """Tells whether this gate may accept patches at loop time `now`."""
+        created = self._registry.member.created_revision
+        return self._registry.is_registered(now) and created == self._admitted_revision
+
+    async def run(self) -> None:
+        """Asks for admission after each registration, until cancelled."""
+        while True:
+            if not self.is_admitted(asyncio.get_running_loop().time()):
+                await self.ask()
+            await asyncio.sleep(RETRY_INTERVAL_S)
+
+    async def ask(self) -> None:
+        """Asks once for the admission of the present registration."""
+        now = asyncio.get_running_loop().time()
+        own = self._registry.member
+        if own.created_revision == 0:
+            return
+        if own.created_revision != self._asked_revision:
+            self._asked_revision = own.created_revision
+            self._registered_at = now
+        listing = await self._registry.read()
+        if isinstance(listing, Err) or listing.ok_value.find(own.process_id) is None:
+            return
+        gates = admitters(listing.ok_value, own.process_id)
+        # A scheduler that can't know this gate relies on a list older than its own lease by now.
+        is_waited_out = now - self._registered_at > MEMBER_LEASE_S
+        if gates and not is_waited_out and not await self._ask_any(own.created_revision, gates):
+            return
+        self._admitted_revision = own.created_revision
+        self._log.info("admitted", revision=own.created_revision)
+
+    async def _ask_any(self, created_revision: int, gates: tuple[Member, ...]) -> bool:
+        for gate in gates:
+            answer = await self._peers.admit(
+                gate.address, self._registry.member.process_id, created_revision
+            )
+            if not isinstance(answer, Err) and answer.ok_value == gate.process_id:
+                return True
+        return False
--- a/packages/pollengated/pollengated/http_configuration.py
+++ b/packages/pollengated/pollengated/http_configuration.py
@@ -5,12 +5,13 @@
 
 from litestar import Request, Router, get, patch
 from litestar.response import Response
+from pollengate.patches import AcceptedPatch
 from pollengate.refusals import Outcome, Reason, Refusal
 from result import Err, Ok, Result
 
 from pollengated.config_model import ConfigurationModel
 from pollengated.configuration_follower import ConfigurationFollower
-from pollengated.configuration_patches import ConfigurationPatcher
+from pollengated.configuration_patches import ConfigurationPatcher, PatchRequest
 from pollengated.metrics import Metrics
 from pollengated.problems import problem
 
@@ -38,12 +39,44 @@
         body = _merge_patch(await request.body())
         if isinstance(body, Err):
             return problem(body.err_value, metrics)
-        result = await patcher.patch(expected.ok_value, body.ok_value)
+        key = request.headers.get("idempotency-key", "")
+        result = await patcher.patch(PatchRequest(key, expected.ok_value, body.ok_value))
         if isinstance(result, Err):
             return problem(result.err_value, metrics)
-        return _current(follower)
+        return _accepted(result.ok_value)
+
+    @get("/patches/{key:str}")
+    async def find(key: str) -> Response[Any]:
+        result = await patcher.find(key)
+        if isinstance(result, Err):
+            return problem(result.err_value, metrics)
+        if result.ok_value is None:
+            detail = f"no patch with Idempotency-Key {key!r} was accepted"
+            return problem(Refusal(Outcome.NOT_RUN, Reason.NOT_FOUND, detail), metrics)
+        return _accepted(result.ok_value)
+
+    @get("/history")
+    async def history() -> Response[Any]:
+        result = await patcher.history()
+        if isinstance(result, Err):
+            return problem(result.err_value, metrics)
+        return Response({"patches": [_patch_document(entry) for entry in result.ok_value]})
+
+    return Router("/config", route_handlers=[show, schema, apply, find, history])
+
+
+def _accepted(accepted: AcceptedPatch) -> Response[Any]:
+    headers = {"ETag": f'"{accepted.version}"'}
+    return Response(_patch_document(accepted), headers=headers)
+
 
-    return Router("/config", route_handlers=[show, schema, apply])
+def _patch_document(accepted: AcceptedPatch) -> dict[str, Any]:
+    return {
+        "version": accepted.version,
+        "key": accepted.key,
+        "process_id": accepted.process_id,
+        "patch": accepted.patch,
+    }
 
 
 def _current(follower: ConfigurationFollower) -> Response[Any]:
--- /dev/null
+++ b/packages/pollengated/pollengated/member_registry.py
@@ -0,0 +1,167 @@
+"""Registers this process in the store and keeps the list of members."""
+
+import asyncio
+import dataclasses
+
+from pollengate.membership import (
+    MEMBER_LEASE_MARGIN_S,
+    MEMBER_LEASE_S,
+    MEMBERS_PREFIX,
+    Member,
+    MemberList,
+    decode_members,
+    encode_member,
+    member_key,
+)
+from pollengate.store import Put, Store, StoreFailure, Unchanged
+from result import Err, Ok, Result
+
+from pollengated.logs import Log
+
+__all__ = ["MemberRegistry"]
+
+KEEP_INTERVAL_S = 30.0
+RETRY_INTERVAL_S = 1.0
+
+
+class MemberRegistry:
+    """Holds this process's registration and the members as last confirmed.
+
+    Attributes:
+        member: this process; `created_revision` is 0 until it is registered.
+        members: the list that this process relies on.
+        recorded_revision: the list that the store names as relied on, 0 before the first.
+    """
+
+    def __init__(self, store: Store, member: Member) -> None:
+        self.member = member
+        self.members = MemberList()
+        self.recorded_revision = 0
+        self._store = store
+        self._key = member_key(member.process_id)
+        self._lease_id = 0
+        self._revision = 0
+        self._held_until = 0.0
+        self._log = Log("members")
+
+    @property
+    def condition(self) -> Unchanged:
+        """Returns the condition of a write that must not outlive this registration."""
+        return Unchanged(self._key, self._revision)
+
+    async def run(self) -> None:
+        """Registers and keeps the registration until cancelled."""
+        while True:
+            is_kept = await self.keep()
+            await asyncio.sleep(KEEP_INTERVAL_S if is_kept else RETRY_INTERVAL_S)
+
+    def is_registered(self, now: float) -> bool:
+        """Tells whether the registration surely holds at loop time `now`."""
+        return self.member.created_revision > 0 and now < self._held_until
+
+    async def keep(self) -> bool:
+        """Renews the registration, or registers anew if it was lost; returns whether it holds."""
+        if self._lease_id == 0:
+            return await self._register()
+        asked_at = asyncio.get_running_loop().time()
+        result = await self._store.keep_lease(self._lease_id)
+        if isinstance(result, Err):
+            return False
+        if result.ok_value <= 0:
+            self._forget()
+            return await self._register()
+        if not await self._read_back():
+            return False
+        self._hold(asked_at)
+        return self.member.created_revision > 0
+
+    async def read(self) -> Result[MemberList, StoreFailure]:
+        """Reads the member list from the store."""
+        listing = await self._store.list(MEMBERS_PREFIX)
+        return listing.map(decode_members)
+
+    def rely_on(self, members: MemberList) -> bool:
+        """Takes over a later member list; returns whether other members are registered in it."""
+        if members.revision <= self.members.revision or members.has_same_members(self.members):
+            return False
+        self.members = members
+        return True
+
+    async def record(self) -> None:
+        """Records in the store which list this process relies on, unless it has already.
+
+        What is recorded is never later than what is relied on, also after a lost answer.
+        """
+        revision = self.members.revision
+        if revision == self.recorded_revision or self.member.created_revision == 0:
+            return
+        self.member = dataclasses.replace(self.member, known_revision=revision)
+        if await self.rewrite():
+            self.recorded_revision = revision
+
+    async def rewrite(self) -> bool:
+        """Writes the registration again, so that writes conditional on the old one fail.
+
+        Returns:
+            Whether the store has confirmed it.
+        """
+        if self.member.created_revision == 0:
+            return False
+        write = Put(self._key, encode_member(self.member), self._lease_id)
+        result = await self._store.commit((self.condition,), (write,))
+        if isinstance(result, Ok) and result.ok_value.succeeded:
+            self._revision = result.ok_value.revision
+            return True
+        await self._read_back()
+        return False
+
+    async def leave(self) -> None:
+        """Ends the registration."""
+        if self._lease_id:
+            await self._store.revoke_lease(self._lease_id)
+            self._forget()
+
+    async def _register(self) -> bool:
+        asked_at = asyncio.get_running_loop().time()
+        lease = await self._store.grant_lease(MEMBER_LEASE_S)
+        if isinstance(lease, Err):
+            return False
+        write = Put(self._key, encode_member(self.member), lease.ok_value)
+        result = await self._store.commit((Unchanged(self._key, 0),), (write,))
+        if isinstance(result, Ok) and result.ok_value.succeeded:
+            self._lease_id = lease.ok_value
+            self._set_revisions(result.ok_value.revision, result.ok_value.revision)
+        else:
+            await self._read_back()
+        if self._lease_id != lease.ok_value:
+            return False
+        self._hold(asked_at)
+        self._log.info("registered", revision=self.member.created_revision)
+        return True
+
+    async def _read_back(self) -> bool:
+        """Reads the registration; returns whether the store answered."""
+        result = await self._store.get(self._key)
+        if isinstance(result, Err):
+            return False
+        entry = result.ok_value
+        if entry is None:
+            self._forget()
+            return True
+        self._lease_id = entry.lease_id
+        self._set_revisions(entry.revision, entry.created_revision)
+        return True
+
+    def _set_revisions(self, revision: int, created_revision: int) -> None:
+        self._revision = revision
+        self.member = dataclasses.replace(self.member, created_revision=created_revision)
+
+    def _hold(self, asked_at: float) -> None:
+        self._held_until = asked_at + MEMBER_LEASE_S - MEMBER_LEASE_MARGIN_S
+
+    def _forget(self) -> None:
+        self._lease_id = 0
+        self._revision = 0
+        self._held_until = 0.0
+        self.recorded_revision = 0
+        self.member = dataclasses.replace(self.member, created_revision=0, known_revision=0)
--- /dev/null
+++ b/packages/pollengated/pollengated/peer_answers.py
@@ -0,0 +1,106 @@
+"""Answers the calls of the system's other processes."""
+
+import asyncio
+
+from pollengate.membership import MemberList
+from pollengate.patches import OutstandingPatches
+from pollengate.peer import (
+    FreshnessAnswer,
+    FreshnessQuestion,
+    LeaseAnswer,
+    ShardQuestion,
+    StoredConfiguration,
+    WithholdAnswer,
+)
+from pollengate.promises import PromiseGranter
+from pollengate.store import Store
+from result import Err
+
+from pollengated.configuration_follower import ConfigurationFollower
+from pollengated.member_registry import MemberRegistry
+
+__all__ = ["OWNER_PROMISE_S", "PeerAnswers"]
+
+OWNER_PROMISE_S = 3.0
+# Clocks drift by less than a tenth over the length of a promise.
+DRIFT_MARGIN_S = 0.3
+
+
+class PeerAnswers:
+    """Answers for one process; a scheduler promises no freshness."""
+
+    def __init__(
+        self,
+        store: Store,
+        follower: ConfigurationFollower,
+        registry: MemberRegistry,
+        outstanding: OutstandingPatches | None = None,
+    ) -> None:
+        self._store = store
+        self._follower = follower
+        self._registry = registry
+        self._outstanding = outstanding
+        self._granters_by_shard: dict[tuple[str, int], PromiseGranter] = {}
+
+    @property
+    def process_id(self) -> str:
+        """Returns the id that answers carry."""
+        return self._registry.member.process_id
+
+    def configuration(self) -> StoredConfiguration:
+        """Returns the configuration in force."""
+        return self._follower.stored
+
+    def members(self) -> MemberList:
+        """Returns the members that this process relies on."""
+        return self._registry.members
+
+    def freshness(self, question: FreshnessQuestion) -> FreshnessAnswer:
+        """Tells how current the configuration is, and promises if nothing may be out."""
+        now = asyncio.get_running_loop().time()
+        return FreshnessAnswer(
+            process_id=self.process_id,
+            revision=self._follower.revision,
+            age_s=self._follower.freshness.age(now),
+            members_revision=self._registry.members.revision,
+            promised=self._promises_freshness(question, now),
+        )
+
+    def admit(self, created_revision: int) -> None:
+        """Withholds freshness promises from those who can't know a new gate."""
+        if self._outstanding is not None:
+            now = asyncio.get_running_loop().time()
+            self._outstanding.admit(created_revision, now)
+
+    def promise(self, question: ShardQuestion) -> bool:
+        """Promises an owner, if it may, not to help a successor."""
+        now = asyncio.get_running_loop().time()
+        if not self._registry.is_registered(now):
+            return False
+        return self._granter(question).promise(question.epoch, now)
+
+    def withhold(self, question: ShardQuestion) -> WithholdAnswer:
+        """Withholds promises from the owners before a successor."""
+        now = asyncio.get_running_loop().time()
+        lapse_s = self._granter(question).withhold(question.epoch, now)
+        return WithholdAnswer(self.process_id, lapse_s)
+
+    async def keep_lease(self, lease_id: int) -> LeaseAnswer:
+        """Renews a store lease for another process."""
+        result = await self._store.keep_lease(lease_id)
+        if isinstance(result, Err):
+            return LeaseAnswer(False, 0.0)
+        return LeaseAnswer(True, result.ok_value)
+
+    def _promises_freshness(self, question: FreshnessQuestion, now: float) -> bool:
+        if self._outstanding is None or not self._registry.is_registered(now):
+            return False
+        return self._outstanding.promise(question.zone, question.basis, now)
+
+    def _granter(self, question: ShardQuestion) -> PromiseGranter:
+        key = (question.zone, question.shard)
+        granter = self._granters_by_shard.get(key)
+        if granter is None:
+            granter = PromiseGranter(OWNER_PROMISE_S + DRIFT_MARGIN_S)
+            self._granters_by_shard[key] = granter
+        return granter
--- /dev/null
+++ b/packages/pollengated/pollengated/peer_service.py
@@ -0,0 +1,79 @@
+"""The peer calls, served over grpclib."""
+
+import math
+from typing import Any
+
+from grpclib.server import Stream
+from pollengate.peer import FreshnessQuestion, ShardQuestion
+from pollengate_net.messages import peer_pb2 as pb
+from pollengate_net.messages.peer_grpc import PeerBase
+from pollengate_net.peer_client import configuration_to_message, members_to_message
+from pollengate_net.serving import receive
+
+from pollengated.peer_answers import PeerAnswers
+
+__all__ = ["PeerService"]
+
+MS_PER_S = 1000.0
+
+
+class PeerService(PeerBase):
+    """Decodes peer calls and encodes their answers."""
+
+    def __init__(self, answers: PeerAnswers) -> None:
+        self._answers = answers
+
+    async def GetConfiguration(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
+        """Returns the configuration in force."""
+        await receive(stream)
+        await stream.send_message(configuration_to_message(self._answers.configuration()))
+
+    async def AskFreshness(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
+        """Tells how current the configuration is."""
+        request = await receive(stream)
+        answer = self._answers.freshness(FreshnessQuestion(request.zone, request.basis))
+        reply = pb.FreshnessReply(
+            process_id=answer.process_id,
+            revision=answer.revision,
+            members_revision=answer.members_revision,
+            promised=answer.promised,
+        )
+        if answer.age_s is not None:
+            reply.age_ms = math.ceil(answer.age_s * MS_PER_S)
+        await stream.send_message(reply)
+
+    async def GetMembers(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
+        """Returns the member list."""
+        await receive(stream)
+        await stream.send_message(members_to_message(self._answers.members()))
+
+    async def Admit(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
+        """Admits a new gate."""
+        request = await receive(stream)
+        self._answers.admit(request.created_revision)
+        reply = pb.AdmissionReply(process_id=self._answers.process_id, admitted=True)
+        await stream.send_message(reply)
+
+    async def AskPromise(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
+        """Promises an owner not to help a successor."""
+        promised = self._answers.promise(_shard_question(await receive(stream)))
+        reply = pb.PromiseReply(process_id=self._answers.process_id, promised=promised)
+        await stream.send_message(reply)
+
+    async def Withhold(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
+        """Withholds promises about a shard."""
+        answer = self._answers.withhold(_shard_question(await receive(stream)))
+        lapse_ms = math.ceil(answer.lapse_s * MS_PER_S)
+        reply = pb.WithholdReply(process_id=answer.process_id, lapse_ms=lapse_ms)
+        await stream.send_message(reply)
+
+    async def KeepLease(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
+        """Renews a store lease for another process."""
+        request = await receive(stream)
+        answer = await self._answers.keep_lease(request.lease_id)
+        left_ms = math.floor(answer.left_s * MS_PER_S)
+        await stream.send_message(pb.KeepLeaseReply(answered=answer.answered, left_ms=left_ms))
+
+
+def _shard_question(request: Any) -> ShardQuestion:
+    return ShardQuestion(request.process_id, request.zone, request.shard, request.epoch)
--- /dev/null
+++ b/packages/pollengated/pollengated/retention.py
@@ -0,0 +1,36 @@
+"""A store lease that bounds how long records of accepted patches are kept."""
+
+import asyncio
+
+from pollengate.patches import PATCH_RETENTION_S
+from pollengate.store import Store
+from result import Err
+
+__all__ = ["RetentionLease"]
+
+REUSE_S = 3_600
+
+
+class RetentionLease:
+    """Grants one lease an hour, so that a patch costs no lease of its own."""
+
+    def __init__(self, store: Store) -> None:
+        self._store = store
+        self._lease_id = 0
+        self._reuse_until = 0.0
+
+    async def get(self) -> int:
+        """Returns a lease that lasts the retention at least, 0 if none could be granted."""
+        now = asyncio.get_running_loop().time()
+        if self._lease_id and now < self._reuse_until:
+            return self._lease_id
+        result = await self._store.grant_lease(PATCH_RETENTION_S + REUSE_S)
+        if isinstance(result, Err):
+            return 0
+        self._lease_id = result.ok_value
+        self._reuse_until = now + REUSE_S
+        return self._lease_id
+
+    def forget(self) -> None:
+        """Grants another lease next time; the store no longer has this one."""
+        self._lease_id = 0
