Renew ownership through a peer or by promises, and clear successions

Cause: an owner cut from the store lost its shard after one lease although nobody could take it over. Now it renews through a peer that reaches the store, or holds promises of every scheduler registered when it last read the store; a candidate makes them withhold promises first and waits until those given lapse.

--- a/packages/pollengate/pollengate/ownership.py
+++ b/packages/pollengate/pollengate/ownership.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-__all__ = ["Owner", "Ownership", "owner_key", "OWNERS_PREFIX", "OWNER_LEASE_S"]
+__all__ = ["Owner", "Ownership", "epoch_key", "owner_key", "OWNERS_PREFIX", "OWNER_LEASE_S"]
 
 OWNERS_PREFIX = "/pollengate/owners/"
 OWNER_LEASE_S = 3
@@ -14,6 +14,11 @@
     return f"{OWNERS_PREFIX}{zone}/{shard}"
 
 
+def epoch_key(zone: str, shard: int) -> str:
+    """Returns the store key that each owner of a shard writes when it takes it."""
+    return f"/pollengate/epochs/{zone}/{shard}"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Owner:
     """The owner of a shard as the store names it.
--- a/packages/pollengated/pollengated/compose.py
+++ b/packages/pollengated/pollengated/compose.py
@@ -29,12 +29,14 @@
 from pollengated.member_registry import MemberRegistry
 from pollengated.metrics import Metrics
 from pollengated.owner_directory import OwnerDirectory
+from pollengated.ownership_keeper import OwnershipKeeper
 from pollengated.peer_answers import PeerAnswers
 from pollengated.peer_service import PeerService
 from pollengated.scheduler_service import HeartbeatService, SchedulerService
 from pollengated.service_proxy import ServiceProxy
 from pollengated.settings import Settings
 from pollengated.shard_owner import ShardOwner
+from pollengated.succession import Succession
 from pollengated.vm_directory import VmDirectory
 
 __all__ = ["run_gate", "run_scheduler"]
@@ -89,6 +91,7 @@
     registry = _registry(settings, Role.SCHEDULER, store)
     peers = GrpcPeerClient()
     exchange = ConfigurationExchange(follower, registry, peers, metrics)
+    answers = PeerAnswers(store, follower, registry)
     vms = VmDirectory(HttpVmList(settings.vm_list_address))
     owner = ShardOwner(
         settings.zone,
@@ -100,10 +103,11 @@
         vms,
         GrpcWorkerClient,
         metrics,
+        OwnershipKeeper(store, registry, peers, answers, metrics),
+        Succession(store, registry, peers, answers, metrics),
     )
     service = SchedulerService(settings.process_id, settings.zone, [owner], follower)
-    peer_service = PeerService(PeerAnswers(store, follower, registry))
-    server = Server([service, HeartbeatService([owner]), peer_service])
+    server = Server([service, HeartbeatService([owner]), PeerService(answers)])
     await server.start(*split_address(settings.rpc_address))
     Log("scheduler").info("serving", address=settings.rpc_address)
     loops = [registry.run(), exchange.run(), vms.run(), owner.run()]
--- /dev/null
+++ b/packages/pollengated/pollengated/ownership_keeper.py
@@ -0,0 +1,144 @@
+"""Renews the ownership of a shard: by the store, through a peer, or by promises."""
+
+import asyncio
+
+from pollengate.membership import Member, MemberList
+from pollengate.ownership import Ownership
+from pollengate.peer import PeerClient, ShardQuestion
+from pollengate.promises import PromiseAsker
+from pollengate.store import Store
+from result import Err, Ok
+
+from pollengated.member_registry import MemberRegistry
+from pollengated.metrics import Metrics
+from pollengated.peer_answers import OWNER_PROMISE_S, PeerAnswers
+
+__all__ = ["OwnershipKeeper"]
+
+MAX_RELAYS = 3
+
+
+class OwnershipKeeper:
+    """Lengthens the belief in one ownership while that is safe.
+
+    Promises count only for the member list after whose reading the store lease was found alive.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        registry: MemberRegistry,
+        peers: PeerClient,
+        answers: PeerAnswers,
+        metrics: Metrics,
+    ) -> None:
+        self._store = store
+        self._registry = registry
+        self._peers = peers
+        self._answers = answers
+        self._metrics = metrics
+        self._asker = PromiseAsker()
+        self._verified = MemberList()
+        self._verified_epoch = 0
+        self._is_store_down = False
+
+    async def renew(self, ownership: Ownership, lease_id: int) -> None:
+        """Renews once, by every way in turn; when the store was silent before, by all at once."""
+        if not self._is_store_down:
+            self._is_store_down = not await self._renew_at_store(ownership, lease_id)
+            return
+        reached, _, _ = await asyncio.gather(
+            self._renew_at_store(ownership, lease_id),
+            self._renew_by_relay(ownership, lease_id),
+            self._renew_by_promises(ownership),
+        )
+        self._is_store_down = not reached
+
+    async def _renew_at_store(self, ownership: Ownership, lease_id: int) -> bool:
+        """Renews the lease; returns whether the store answered."""
+        members, epoch = self._registry.members, ownership.epoch
+        asked_at = asyncio.get_running_loop().time()
+        result = await self._store.keep_lease(lease_id)
+        if isinstance(result, Err):
+            return False
+        self._renewed(ownership, epoch, asked_at, result.ok_value, members)
+        return True
+
+    async def _renew_by_relay(self, ownership: Ownership, lease_id: int) -> None:
+        members, epoch = self._registry.members, ownership.epoch
+        asked_at = asyncio.get_running_loop().time()
+        relays = _relays(members, self._registry.member)
+        answers = await asyncio.gather(
+            *(self._peers.keep_lease(relay.address, lease_id) for relay in relays)
+        )
+        for answer in answers:
+            if isinstance(answer, Ok) and answer.ok_value.answered:
+                self._renewed(ownership, epoch, asked_at, answer.ok_value.left_s, members)
+
+    def _renewed(
+        self,
+        ownership: Ownership,
+        epoch: int,
+        asked_at: float,
+        left_s: float,
+        members: MemberList,
+    ) -> None:
+        if epoch == 0 or epoch != ownership.epoch:
+            return
+        if left_s <= 0:
+            self._verified_epoch = 0
+            return
+        ownership.renew(asked_at, left_s)
+        self._verified, self._verified_epoch = members, epoch
+
+    async def _renew_by_promises(self, ownership: Ownership) -> None:
+        members = self._registry.members
+        if not self._may_rely_on(members, ownership):
+            self._metrics.refusals.labels("promise_without_basis").inc()
+            return
+        own = self._registry.member
+        question = ShardQuestion(own.process_id, ownership.zone, ownership.shard, ownership.epoch)
+        others = [m for m in members.schedulers(own.zone) if m.process_id != own.process_id]
+        self._asker.rely_on(members.revision, [own.process_id, *(m.process_id for m in others)])
+        self._promise_to_self(question)
+        await asyncio.gather(*(self._ask(other, question) for other in others))
+        since = self._asker.held_since()
+        is_same = question.epoch == ownership.epoch and self._may_rely_on(members, ownership)
+        if since is not None and is_same:
+            ownership.renew(since, OWNER_PROMISE_S)
+
+    def _may_rely_on(self, members: MemberList, ownership: Ownership) -> bool:
+        now = asyncio.get_running_loop().time()
+        return (
+            ownership.epoch > 0
+            and members is self._registry.members
+            and members is self._verified
+            and ownership.epoch == self._verified_epoch
+            and self._registry.recorded_revision > 0
+            and self._registry.is_registered(now)
+        )
+
+    def _promise_to_self(self, question: ShardQuestion) -> None:
+        asked_at = asyncio.get_running_loop().time()
+        if self._answers.promise(question):
+            self._asker.promised(question.process_id, asked_at)
+
+    async def _ask(self, other: Member, question: ShardQuestion) -> None:
+        asked_at = asyncio.get_running_loop().time()
+        result = await self._peers.ask_promise(other.address, question)
+        if isinstance(result, Err):
+            self._metrics.retries.labels("promise_unanswered").inc()
+        elif result.ok_value == other.process_id:
+            self._asker.promised(other.process_id, asked_at)
+        else:
+            self._metrics.refusals.labels("promise_withheld").inc()
+
+
+def _relays(members: MemberList, own: Member) -> list[Member]:
+    """Returns one process of each other zone, then of the own one, up to the limit."""
+    relays: dict[str, Member] = {}
+    for member in members.members:
+        if member.process_id != own.process_id:
+            relays.setdefault(member.zone, member)
+    ordered = sorted(relays.values(), key=lambda member: member.zone == own.zone)
+    return ordered[:MAX_RELAYS]
--- a/packages/pollengated/pollengated/shard_owner.py
+++ b/packages/pollengated/pollengated/shard_owner.py
@@ -25,6 +25,8 @@
 from pollengated.logs import Log
 from pollengated.metrics import Metrics
 from pollengated.owner_directory import owner_to_value
+from pollengated.ownership_keeper import OwnershipKeeper
+from pollengated.succession import Succession
 from pollengated.vm_directory import VmDirectory
 
 __all__ = ["ShardOwner"]
@@ -49,6 +51,8 @@
         vms: VmDirectory,
         connect: Callable[[str], WorkerClient],
         metrics: Metrics,
+        keeper: OwnershipKeeper,
+        succession: Succession,
     ) -> None:
         self.zone = zone
         self.number = shard
@@ -63,6 +67,8 @@
         self._connect = connect
         self._clients_by_worker: dict[str, WorkerClient] = {}
         self._metrics = metrics
+        self._keeper = keeper
+        self._succession = succession
         self._lease_id = 0
         self._log = Log("owner")
 
@@ -115,13 +121,18 @@
         present = await self._store.get(key)
         if isinstance(present, Err) or present.ok_value is not None:
             return False
+        clearance = await self._succession.clear(self.zone, self.number)
+        if clearance is None:
+            return False
+        await asyncio.sleep(clearance.wait_s)
         asked_at = loop.time()
         lease = await self._store.grant_lease(OWNER_LEASE_S)
         if isinstance(lease, Err):
             return False
         value = owner_to_value(self._process_id, self._address)
         write = Put(key, value, lease.ok_value)
-        result = await self._store.commit((Unchanged(key, 0),), (write,))
+        conditions = (Unchanged(key, 0), clearance.condition)
+        result = await self._store.commit(conditions, (write, clearance.write))
         if isinstance(result, Err) or not result.ok_value.succeeded:
             return False
         self._lease_id = lease.ok_value
@@ -156,10 +167,7 @@
             await asyncio.sleep(TICK_INTERVAL_S)
 
     async def _renew(self) -> None:
-        asked_at = asyncio.get_running_loop().time()
-        result = await self._store.keep_lease(self._lease_id)
-        if isinstance(result, Ok) and result.ok_value > 0:
-            self.ownership.renew(asked_at, result.ok_value)
+        await self._keeper.renew(self.ownership, self._lease_id)
 
     async def _attach_workers(self, leases_lapse_at: float) -> None:
         machines = self._vms.workers(self.zone)
--- /dev/null
+++ b/packages/pollengated/pollengated/succession.py
@@ -0,0 +1,89 @@
+"""Clears the way for a successor: no earlier owner can go on by promises."""
+
+import asyncio
+import dataclasses
+
+from pollengate.membership import Member, MemberList, uncovered_schedulers
+from pollengate.ownership import epoch_key
+from pollengate.peer import PeerClient, ShardQuestion, WithholdAnswer
+from pollengate.store import Put, Store, Unchanged
+from result import Err
+
+from pollengated.member_registry import MemberRegistry
+from pollengated.metrics import Metrics
+from pollengated.peer_answers import PeerAnswers
+
+__all__ = ["Clearance", "Succession"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Clearance:
+    """What a candidate may do once no earlier owner goes on by promises.
+
+    Attributes:
+        wait_s: seconds until promises given before have lapsed; the shard is taken after them.
+        condition: of the write that takes the shard; it fails if another took it meanwhile.
+        write: an operation of that same write.
+    """
+
+    wait_s: float
+    condition: Unchanged
+    write: Put
+
+
+class Succession:
+    """Makes the schedulers of a zone withhold promises from the owners before a candidate."""
+
+    def __init__(
+        self,
+        store: Store,
+        registry: MemberRegistry,
+        peers: PeerClient,
+        answers: PeerAnswers,
+        metrics: Metrics,
+    ) -> None:
+        self._store = store
+        self._registry = registry
+        self._peers = peers
+        self._answers = answers
+        self._metrics = metrics
+
+    async def clear(self, zone: str, shard: int) -> Clearance | None:
+        """Asks every scheduler of the zone to withhold promises.
+
+        Returns:
+            The clearance, None while an earlier owner may go on.
+        """
+        if not self._registry.is_registered(asyncio.get_running_loop().time()):
+            return None
+        key = epoch_key(zone, shard)
+        # Read before the members: an owner that is not yet known there changes this key.
+        last = await self._store.get(key)
+        listing = await self._registry.read()
+        if isinstance(last, Err) or isinstance(listing, Err):
+            return None
+        own = listing.ok_value.find(self._registry.member.process_id)
+        if own is None:
+            return None
+        question = ShardQuestion(own.process_id, zone, shard, listing.ok_value.revision)
+        answers = await self._withhold(listing.ok_value, own, question)
+        withheld_ids = [answer.process_id for answer in answers]
+        if uncovered_schedulers(listing.ok_value, zone, own.process_id, withheld_ids):
+            self._metrics.refusals.labels("owner_may_go_on").inc()
+            return None
+        revision = last.ok_value.revision if last.ok_value else 0
+        wait_s = max(answer.lapse_s for answer in answers)
+        return Clearance(wait_s, Unchanged(key, revision), Put(key, own.process_id.encode()))
+
+    async def _withhold(
+        self, listing: MemberList, own: Member, question: ShardQuestion
+    ) -> list[WithholdAnswer]:
+        answers = [self._answers.withhold(question)]
+        others = [m for m in listing.schedulers(question.zone) if m.process_id != own.process_id]
+        results = await asyncio.gather(
+            *(self._peers.withhold(other.address, question) for other in others)
+        )
+        for other, result in zip(others, results, strict=True):
+            if not isinstance(result, Err) and result.ok_value.process_id == other.process_id:
+                answers.append(result.ok_value)
+        return answers
