--- /dev/null
+++ b/benchmarks/outage.py
@@ -0,0 +1,91 @@
+"""Starts made in a ten-minute store outage, by each way to keep the configuration fresh.
+
+Run by `python -m benchmarks.outage`. Each zone's scheduler could start a task every 0.1 s.
+"""
+
+import asyncio
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).parent.parent))
+
+from tests.configuration_nodes import Cluster, Node  # noqa: E402
+from tests.utils import NO_SOCKET_NOOP_CYCLES, run_virtual  # noqa: E402
+
+__all__ = ["main"]
+
+OUTAGE_S = 600
+ZONES = 3
+POSSIBLE_STARTS = OUTAGE_S * 10
+# Way (c): starts that an owner may still make on an intent granted before the outage.
+INTENT_S = 4.0
+
+
+def _without_promises(cluster: Cluster) -> None:
+    async def nothing() -> None:
+        return
+
+    for node in cluster.nodes_by_name.values():
+        node.exchange.collect_promises = nothing  # type: ignore[method-assign]
+
+
+def _with_intents(cluster: Cluster) -> None:
+    _without_promises(cluster)
+    for node in cluster.nodes_by_name.values():
+        node.follower.freshness._max_age_s = INTENT_S  # noqa: SLF001
+
+
+def _with_promises(_: Cluster) -> None:
+    return
+
+
+WAYS = {
+    "(a) store reads only": _without_promises,
+    "(b) promises of all gates": _with_promises,
+    "(c) intents of 4 s": _with_intents,
+}
+
+
+async def _measure(way: str, cut_zone: bool) -> tuple[list[int], dict[str, int]]:
+    cluster = Cluster(zones=ZONES, gates=2, schedulers=2)
+    await cluster.start()
+    WAYS[way](cluster)
+    cluster.network.calls.clear()
+    cluster.network.is_store_down = True
+    if cut_zone:
+        _cut_zone(cluster, "z2")
+    begin = asyncio.get_running_loop().time()
+    await asyncio.sleep(OUTAGE_S)
+    end = asyncio.get_running_loop().time()
+    starts = [
+        len({round(s.at, 1) for s in cluster.starts if s.zone == f"z{zone}" and s.at >= begin})
+        for zone in range(ZONES)
+    ]
+    cluster.stop()
+    del end
+    return starts, dict(cluster.network.calls)
+
+
+def _cut_zone(cluster: Cluster, zone: str) -> None:
+    def in_zone(node: Node) -> bool:
+        return node.zone == zone
+
+    nodes = cluster.nodes_by_name.values()
+    for inside in filter(in_zone, nodes):
+        for outside in nodes:
+            if not in_zone(outside):
+                cluster.network.cut(inside.name, outside.name)
+
+
+def main() -> None:
+    """Prints a table of starts by way and cut."""
+    print(f"starts possible in each zone: {POSSIBLE_STARTS}")
+    for cut_zone in (False, True):
+        for way in WAYS:
+            starts, calls = run_virtual(_measure(way, cut_zone), NO_SOCKET_NOOP_CYCLES)
+            cut = "z2 cut off" if cut_zone else "all connected"
+            print(f"{way:28} {cut:14} starts by zone {starts} calls {calls}")
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/pollengated/pollengated/compose.py
+++ b/packages/pollengated/pollengated/compose.py
@@ -50,14 +50,14 @@
     follower = ConfigurationFollower(store, metrics)
     registry = _registry(settings, Role.GATE, store)
     peers = GrpcPeerClient()
-    exchange = ConfigurationExchange(follower, registry, peers, metrics)
+    vms = VmDirectory(HttpVmList(settings.vm_list_address))
+    exchange = ConfigurationExchange(follower, registry, peers, metrics, vms.entry_addresses)
     admission = GateAdmission(registry, peers)
     outstanding = OutstandingPatches()
     patcher = ConfigurationPatcher(store, follower, registry, admission, outstanding)
     server = Server([PeerService(PeerAnswers(store, follower, registry, outstanding))])
     await server.start(*split_address(settings.rpc_address))
     directory = OwnerDirectory(store)
-    vms = VmDirectory(HttpVmList(settings.vm_list_address))
     client = SchedulerClient()
     proxy = ServiceProxy(settings.zone, follower, vms)
     jobs = JobRouter(store, follower, directory, client)
@@ -90,9 +90,9 @@
     follower = ConfigurationFollower(store, metrics)
     registry = _registry(settings, Role.SCHEDULER, store)
     peers = GrpcPeerClient()
-    exchange = ConfigurationExchange(follower, registry, peers, metrics)
-    answers = PeerAnswers(store, follower, registry)
     vms = VmDirectory(HttpVmList(settings.vm_list_address))
+    exchange = ConfigurationExchange(follower, registry, peers, metrics, vms.entry_addresses)
+    answers = PeerAnswers(store, follower, registry)
     owner = ShardOwner(
         settings.zone,
         0,
--- a/packages/pollengated/pollengated/configuration_exchange.py
+++ b/packages/pollengated/pollengated/configuration_exchange.py
@@ -1,7 +1,7 @@
 """Keeps the configuration current: one reader a zone, its peers, and promises of all gates."""
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from pollengate.membership import Member, MemberList, Role
 from pollengate.peer import FreshnessAnswer, FreshnessQuestion, PeerClient
@@ -30,7 +30,8 @@
     """Confirms the configuration of one process, round by round.
 
     The process of a zone that comes first, schedulers before gates and each by age, reads the
-    store. The others ask the processes before them, and do as the first when none helps.
+    store. The others ask the processes before them, and do as the first when none helps. A
+    process that has never been confirmed takes the highest version that entry VMs hold.
     """
 
     def __init__(
@@ -39,11 +40,13 @@
         registry: MemberRegistry,
         peers: PeerClient,
         metrics: Metrics,
+        entry_addresses: Callable[[], Sequence[str]] = tuple,
     ) -> None:
         self._follower = follower
         self._registry = registry
         self._peers = peers
         self._metrics = metrics
+        self._entry_addresses = entry_addresses
         self._asker = PromiseAsker()
         self._read_members: MemberList | None = None
         self._read_members_at = float("-inf")
@@ -74,6 +77,8 @@
         if is_read == self._is_store_down:
             self._log.info("store reachable" if is_read else "store not reachable")
         self._is_store_down = not is_read
+        if self._follower.freshness.age(asyncio.get_running_loop().time()) is None:
+            await self.take_highest(self._entry_addresses())
 
     async def take_highest(self, addresses: Sequence[str]) -> None:
         """Takes the highest version that any of some processes holds."""
--- a/packages/pollengated/pollengated/member_registry.py
+++ b/packages/pollengated/pollengated/member_registry.py
@@ -22,6 +22,7 @@
 
 KEEP_INTERVAL_S = 30.0
 RETRY_INTERVAL_S = 1.0
+RENEW_RETRY_INTERVAL_S = 5.0
 
 
 class MemberRegistry:
@@ -53,7 +54,9 @@
         """Registers and keeps the registration until cancelled."""
         while True:
             is_kept = await self.keep()
-            await asyncio.sleep(KEEP_INTERVAL_S if is_kept else RETRY_INTERVAL_S)
+            is_registered = self.is_registered(asyncio.get_running_loop().time())
+            retry_s = RENEW_RETRY_INTERVAL_S if is_registered else RETRY_INTERVAL_S
+            await asyncio.sleep(KEEP_INTERVAL_S if is_kept else retry_s)
 
     def is_registered(self, now: float) -> bool:
         """Tells whether the registration surely holds at loop time `now`."""
--- a/packages/pollengated/pollengated/vm_directory.py
+++ b/packages/pollengated/pollengated/vm_directory.py
@@ -38,6 +38,10 @@
         """Returns the workers of a zone, leaving ones included."""
         return [vm for vm in self._machines if vm.kind is VmKind.WORKER and vm.zone == zone]
 
+    def entry_addresses(self) -> list[str]:
+        """Returns the addresses at which the system's processes answer each other."""
+        return [vm.address for vm in self._machines if vm.kind is VmKind.ENTRY]
+
     def backends(self, service: str) -> list[VirtualMachine]:
         """Returns the live backend servers of a service in every zone."""
         return [
--- /dev/null
+++ b/tests/configuration_nodes.py
@@ -0,0 +1,156 @@
+"""Gates and schedulers without sockets, and what is seen of their starts and patches."""
+
+import asyncio
+import dataclasses
+import json
+
+from pollengate.configuration import CONFIGURATION_KEY
+from pollengate.membership import Member, Role
+from pollengate.patches import OutstandingPatches
+from pollengated.configuration_exchange import ConfigurationExchange
+from pollengated.configuration_follower import ConfigurationFollower
+from pollengated.configuration_patches import ConfigurationPatcher, PatchRequest
+from pollengated.gate_admission import GateAdmission
+from pollengated.member_registry import MemberRegistry
+from pollengated.metrics import Metrics
+from pollengated.peer_answers import PeerAnswers
+
+from tests.network import Network, NetworkPeers, NetworkStore
+
+__all__ = ["Cluster", "Node", "Start"]
+
+START_INTERVAL_S = 0.1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Start:
+    """A start that a worker saw."""
+
+    zone: str
+    at: float
+
+
+class Node:
+    """One process with the parts that configuration needs."""
+
+    def __init__(self, network: Network, name: str, role: Role, zone: str) -> None:
+        self.name = name
+        self.zone = zone
+        self.role = role
+        self.metrics = Metrics()
+        self.store = NetworkStore(network, name)
+        self.peers = NetworkPeers(network, name)
+        self.follower = ConfigurationFollower(self.store, self.metrics)
+        self.registry = MemberRegistry(self.store, Member(name, role, zone, name))
+        self.exchange = ConfigurationExchange(
+            self.follower,
+            self.registry,
+            self.peers,
+            self.metrics,
+            lambda: list(network.answers_by_address),
+        )
+        self.admission = GateAdmission(self.registry, self.peers)
+        self.outstanding = OutstandingPatches() if role is Role.GATE else None
+        self.answers = PeerAnswers(self.store, self.follower, self.registry, self.outstanding)
+        self.tasks: list[asyncio.Task[None]] = []
+        if self.outstanding is not None:
+            self.patcher = ConfigurationPatcher(
+                self.store, self.follower, self.registry, self.admission, self.outstanding
+            )
+
+
+class Cluster:
+    """Nodes on one network; records starts, versions in force and accepted versions.
+
+    Attributes:
+        starts: every start, as workers saw it.
+        versions_by_node: (time, version) whenever the version in force changed.
+        accepted_services: services of any accepted version.
+        accepted: (time, version, zones in service), as the store saw it.
+    """
+
+    def __init__(self, zones: int = 2, gates: int = 2, schedulers: int = 1, seed: int = 1) -> None:
+        self.network = Network(seed)
+        self.nodes_by_name: dict[str, Node] = {}
+        self.starts: list[Start] = []
+        self.versions_by_node: dict[str, list[tuple[float, int]]] = {}
+        self.accepted: list[tuple[float, int, frozenset[str]]] = []
+        self.accepted_services: set[str] = set()
+        self._watch: asyncio.Task[None] | None = None
+        self._shape = (zones, gates, schedulers)
+
+    async def start(self) -> None:
+        """Starts every node, accepts a first patch that brings all zones into service."""
+        zones, gates, schedulers = self._shape
+        self._watch = asyncio.create_task(self._record_accepted())
+        for zone in range(zones):
+            for number in range(gates):
+                self.add(f"g{zone}{number}", Role.GATE, f"z{zone}")
+            for number in range(schedulers):
+                self.add(f"s{zone}{number}", Role.SCHEDULER, f"z{zone}")
+        await asyncio.sleep(5)
+        patch = {"zones": {f"z{zone}": {"in_service": True} for zone in range(zones)}}
+        (await self.patch("g00", 0, patch)).unwrap()
+        await asyncio.sleep(5)
+
+    def add(self, name: str, role: Role, zone: str) -> Node:
+        """Starts one node."""
+        node = Node(self.network, name, role, zone)
+        self.nodes_by_name[name] = node
+        self.versions_by_node[name] = []
+        self.network.answers_by_address[name] = node.answers
+        loops = [node.registry.run(), node.exchange.run(), self._observe(node)]
+        if role is Role.GATE:
+            loops.append(node.admission.run())
+        node.tasks = [asyncio.create_task(loop) for loop in loops]
+        return node
+
+    def kill(self, name: str) -> None:
+        """Ends a node at once."""
+        node = self.nodes_by_name.pop(name)
+        del self.network.answers_by_address[name]
+        for task in node.tasks:
+            task.cancel()
+
+    def stop(self) -> None:
+        """Ends every node."""
+        for name in list(self.nodes_by_name):
+            self.kill(name)
+        if self._watch is not None:
+            self._watch.cancel()
+
+    async def patch(self, gate: str, version: int, patch: dict, key: str = ""):  # type: ignore
+        """Sends a patch to a gate."""
+        return await self.nodes_by_name[gate].patcher.patch(PatchRequest(key, version, patch))
+
+    def starts_between(self, zone: str, begin: float, end: float) -> int:
+        """Counts the starts of a zone within a period."""
+        return sum(s.zone == zone and begin <= s.at < end for s in self.starts)
+
+    async def _observe(self, node: Node) -> None:
+        loop = asyncio.get_running_loop()
+        seen = self.versions_by_node[node.name]
+        while True:
+            version = node.follower.current.version
+            if not seen or seen[-1][1] != version:
+                seen.append((loop.time(), version))
+            is_frozen = node.name in self.network.frozen
+            if node.role is Role.SCHEDULER and not is_frozen and self._may_start(node):
+                self.starts.append(Start(node.zone, loop.time()))
+            await asyncio.sleep(START_INTERVAL_S)
+
+    def _may_start(self, node: Node) -> bool:
+        now = asyncio.get_running_loop().time()
+        follower = node.follower
+        return follower.freshness.is_fresh(now) and follower.current.is_in_service(node.zone)
+
+    async def _record_accepted(self) -> None:
+        async for event in self.network.store.watch(CONFIGURATION_KEY, 0):
+            if event.entry is None:
+                continue
+            stored = json.loads(event.entry.value)
+            zones = stored["configuration"]["zones"].items()
+            in_service = frozenset(name for name, zone in zones if zone["in_service"])
+            now = asyncio.get_running_loop().time()
+            self.accepted_services |= set(stored["configuration"]["services"])
+            self.accepted.append((now, stored["version"], in_service))
--- /dev/null
+++ b/tests/network.py
@@ -0,0 +1,249 @@
+"""A network of processes in virtual time, whose links, stores and processes fail on demand."""
+
+import asyncio
+import random
+from collections import Counter
+from collections.abc import AsyncIterator, Sequence
+from typing import Any
+
+from pollengate.membership import MemberList
+from pollengate.memory_store import MemoryStore
+from pollengate.peer import (
+    FreshnessAnswer,
+    FreshnessQuestion,
+    LeaseAnswer,
+    PeerClient,
+    PeerFailure,
+    ShardQuestion,
+    StoredConfiguration,
+    WithholdAnswer,
+)
+from pollengate.store import (
+    Commit,
+    Entry,
+    FailureKind,
+    Listing,
+    Operation,
+    Store,
+    StoreFailure,
+    Unchanged,
+    WatchEvent,
+)
+from pollengated.peer_answers import PeerAnswers
+from result import Err, Ok, Result
+
+__all__ = ["STORE", "Network", "NetworkPeers", "NetworkStore"]
+
+STORE = "store"
+CALL_TIMEOUT_S = 0.5
+STORE_TIMEOUT_S = 1.0
+
+
+class Network:
+    """Directed links that are cut or slow, and processes that are frozen or gone.
+
+    Attributes:
+        cuts: (sender, receiver) pairs whose messages are lost; one direction each.
+        frozen: processes that neither send, receive nor see an answer until they wake.
+        lost_answers: senders whose next store write takes effect without an answer.
+        late_writes_s: delay of the next store write of a sender, after it gave up.
+        calls: number of calls by kind.
+    """
+
+    def __init__(self, seed: int = 1, latency_s: float = 0.001) -> None:
+        self.store = MemoryStore()
+        self.cuts: set[tuple[str, str]] = set()
+        self.frozen: dict[str, asyncio.Event] = {}
+        self.lost_answers: set[str] = set()
+        self.late_writes_s: dict[str, float] = {}
+        self.store_delay_s = 0.0
+        self.is_store_down = False
+        self.calls: Counter[str] = Counter()
+        self.answers_by_address: dict[str, PeerAnswers] = {}
+        self._latency_s = latency_s
+        self._random = random.Random(seed)
+        self._late: set[asyncio.Task[Any]] = set()
+
+    def cut(self, one: str, other: str) -> None:
+        """Cuts both directions between two processes."""
+        self.cuts |= {(one, other), (other, one)}
+
+    def heal(self) -> None:
+        """Mends every link and the store; frozen processes stay frozen."""
+        self.cuts.clear()
+        self.is_store_down = False
+        self.store_delay_s = 0.0
+
+    def freeze(self, name: str) -> None:
+        """Freezes a process."""
+        self.frozen[name] = asyncio.Event()
+
+    def wake(self, name: str) -> None:
+        """Wakes a frozen process."""
+        self.frozen.pop(name).set()
+
+    async def awake(self, name: str) -> None:
+        """Waits until a process is not frozen."""
+        event = self.frozen.get(name)
+        if event is not None:
+            await event.wait()
+
+    async def carry(self, sender: str, receiver: str) -> bool:
+        """Carries one message; returns whether it arrives."""
+        await self.awake(sender)
+        await asyncio.sleep(self._latency_s * (1 + self._random.random()))
+        if (sender, receiver) in self.cuts:
+            return False
+        return receiver not in self.frozen
+
+    async def write_later(self, delay_s: float, write: Any) -> None:
+        """Applies a write after its sender has given up."""
+
+        async def apply() -> None:
+            await asyncio.sleep(delay_s)
+            await write()
+
+        task = asyncio.create_task(apply())
+        self._late.add(task)
+        task.add_done_callback(self._late.discard)
+
+
+class NetworkStore(Store):
+    """The store as one process reaches it."""
+
+    def __init__(self, network: Network, name: str) -> None:
+        self._network = network
+        self._name = name
+
+    async def get(self, key: str) -> Result[Entry | None, StoreFailure]:
+        """Reads one key."""
+        return await self._call("read", lambda: self._network.store.get(key))
+
+    async def list(self, prefix: str) -> Result[Listing, StoreFailure]:
+        """Reads a prefix."""
+        return await self._call("read", lambda: self._network.store.list(prefix))
+
+    async def commit(
+        self, conditions: Sequence[Unchanged], operations: Sequence[Operation]
+    ) -> Result[Commit, StoreFailure]:
+        """Writes conditionally."""
+        kind = "write" if operations else "read"
+        return await self._call(kind, lambda: self._network.store.commit(conditions, operations))
+
+    async def grant_lease(self, ttl_s: int) -> Result[int, StoreFailure]:
+        """Grants a lease."""
+        return await self._call("lease", lambda: self._network.store.grant_lease(ttl_s))
+
+    async def keep_lease(self, lease_id: int) -> Result[float, StoreFailure]:
+        """Keeps a lease."""
+        return await self._call("lease", lambda: self._network.store.keep_lease(lease_id))
+
+    async def revoke_lease(self, lease_id: int) -> Result[None, StoreFailure]:
+        """Ends a lease."""
+        return await self._call("lease", lambda: self._network.store.revoke_lease(lease_id))
+
+    async def watch(self, prefix: str, from_revision: int) -> AsyncIterator[WatchEvent]:
+        """Watches a prefix."""
+        async for event in self._network.store.watch(prefix, from_revision):
+            yield event
+
+    async def _call(self, kind: str, operation: Any) -> Any:
+        network, name = self._network, self._name
+        sent_at = asyncio.get_running_loop().time()
+        network.calls[f"store {kind}"] += 1
+        arrives = await network.carry(name, STORE)
+        if not arrives or network.is_store_down:
+            return await self._give_up(sent_at, FailureKind.NOT_SENT)
+        if kind == "write" and name in network.late_writes_s:
+            await network.write_later(network.late_writes_s.pop(name), operation)
+            return await self._give_up(sent_at, FailureKind.UNKNOWN)
+        await asyncio.sleep(network.store_delay_s)
+        result = await operation()
+        is_lost = kind == "write" and name in network.lost_answers
+        network.lost_answers.discard(name) if is_lost else None
+        answered = await network.carry(STORE, name)
+        elapsed_s = asyncio.get_running_loop().time() - sent_at
+        if is_lost or not answered or elapsed_s > STORE_TIMEOUT_S:
+            return await self._give_up(sent_at, FailureKind.UNKNOWN)
+        return result
+
+    async def _give_up(self, sent_at: float, kind: FailureKind) -> Result[Any, StoreFailure]:
+        left_s = sent_at + STORE_TIMEOUT_S - asyncio.get_running_loop().time()
+        await asyncio.sleep(max(0.0, left_s))
+        await self._network.awake(self._name)
+        return Err(StoreFailure(kind, "lost"))
+
+
+class NetworkPeers(PeerClient):
+    """The other processes as one process reaches them; addresses are process ids."""
+
+    def __init__(self, network: Network, name: str) -> None:
+        self._network = network
+        self._name = name
+
+    async def get_configuration(self, address: str) -> Result[StoredConfiguration, PeerFailure]:
+        """Reads a process's configuration."""
+        return await self._call(address, lambda a: a.configuration())
+
+    async def ask_freshness(
+        self, address: str, question: FreshnessQuestion
+    ) -> Result[FreshnessAnswer, PeerFailure]:
+        """Asks how current a process's configuration is."""
+        return await self._call(address, lambda a: a.freshness(question))
+
+    async def get_members(self, address: str) -> Result[MemberList, PeerFailure]:
+        """Reads a process's members."""
+        return await self._call(address, lambda a: a.members())
+
+    async def admit(
+        self, address: str, gate_id: str, created_revision: int
+    ) -> Result[str, PeerFailure]:
+        """Asks for admission."""
+
+        def admit(answers: PeerAnswers) -> str:
+            answers.admit(created_revision)
+            return answers.process_id
+
+        return await self._call(address, admit)
+
+    async def ask_promise(
+        self, address: str, question: ShardQuestion
+    ) -> Result[str | None, PeerFailure]:
+        """Asks for a promise."""
+        return await self._call(address, lambda a: a.process_id if a.promise(question) else None)
+
+    async def withhold(
+        self, address: str, question: ShardQuestion
+    ) -> Result[WithholdAnswer, PeerFailure]:
+        """Asks to withhold promises."""
+        return await self._call(address, lambda a: a.withhold(question))
+
+    async def keep_lease(self, address: str, lease_id: int) -> Result[LeaseAnswer, PeerFailure]:
+        """Renews a lease through a process."""
+        network = self._network
+        network.calls["peer"] += 1
+        answers = network.answers_by_address.get(address)
+        if answers is None or not await network.carry(self._name, address):
+            return Err(PeerFailure("lost"))
+        try:
+            answer = await asyncio.wait_for(answers.keep_lease(lease_id), CALL_TIMEOUT_S)
+        except TimeoutError:
+            return Err(PeerFailure("lost"))
+        if not await network.carry(address, self._name):
+            return Err(PeerFailure("lost"))
+        return Ok(answer)
+
+    async def _call(self, address: str, answer: Any) -> Result[Any, PeerFailure]:
+        network = self._network
+        network.calls["peer"] += 1
+        sent_at = asyncio.get_running_loop().time()
+        answers = network.answers_by_address.get(address)
+        if answers is not None and await network.carry(self._name, address):
+            value = answer(answers)
+            if await network.carry(address, self._name):
+                await network.awake(self._name)
+                return Ok(value)
+        left_s = sent_at + CALL_TIMEOUT_S - asyncio.get_running_loop().time()
+        await asyncio.sleep(max(0.0, left_s))
+        await network.awake(self._name)
+        return Err(PeerFailure("lost"))
--- a/tests/utils.py
+++ b/tests/utils.py
@@ -8,15 +8,23 @@
 from pollengate.jobs import JobSpec, Resources
 from pollengate.virtual_machines import VirtualMachine, VmKind, VmState
 
-__all__ = ["build_spec", "build_worker", "run_virtual"]
+__all__ = ["NO_SOCKET_NOOP_CYCLES", "build_spec", "build_worker", "run_virtual"]
 
 T = TypeVar("T")
 LOOP_END_S = 36_000.0
+SOCKET_NOOP_CYCLES = 42
+NO_SOCKET_NOOP_CYCLES = 1
 
 
-def run_virtual(main: Coroutine[Any, Any, T]) -> T:
-    """Runs a coroutine on a loop whose clock jumps over idle time."""
-    loop = looptime.new_event_loop(start=0, end=LOOP_END_S)
+def run_virtual(main: Coroutine[Any, Any, T], noop_cycles: int = SOCKET_NOOP_CYCLES) -> T:
+    """Runs a coroutine on a loop whose clock jumps over idle time.
+
+    Args:
+        main: the coroutine.
+        noop_cycles: idle turns of the loop before the clock jumps; `NO_SOCKET_NOOP_CYCLES` is
+            several times as fast and does for code without sockets.
+    """
+    loop = looptime.new_event_loop(start=0, end=LOOP_END_S, noop_cycles=noop_cycles)
     try:
         return loop.run_until_complete(main)
     finally:
