--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks."""
--- a/benchmarks/outage.py
+++ b/benchmarks/outage.py
@@ -56,13 +56,11 @@
         _cut_zone(cluster, "z2")
     begin = asyncio.get_running_loop().time()
     await asyncio.sleep(OUTAGE_S)
-    end = asyncio.get_running_loop().time()
     starts = [
         len({round(s.at, 1) for s in cluster.starts if s.zone == f"z{zone}" and s.at >= begin})
         for zone in range(ZONES)
     ]
     cluster.stop()
-    del end
     return starts, dict(cluster.network.calls)
 
 
--- a/models/__init__.py
+++ b/models/__init__.py
@@ -0,0 +1,1 @@
+"""Models of the protocols."""
