--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Benchmarks."""
+"""Measurements that the design notes and the capacity page quote."""
--- a/packages/pollengated/pollengated/compose.py
+++ b/packages/pollengated/pollengated/compose.py
@@ -4,9 +4,8 @@
 import signal
 from typing import Any
 
-import uvicorn
 from grpclib.server import Server
-from litestar import Litestar
+from litestar.types import ASGIApp
 from pollengate.membership import Member, Role
 from pollengate.patches import OutstandingPatches
 from pollengate_net.calls import split_address
@@ -14,13 +13,17 @@
 from pollengate_net.grpc_worker import GrpcWorkerClient
 from pollengate_net.http_vm_list import HttpVmList
 from pollengate_net.peer_client import GrpcPeerClient
+from pollengate_net.request_ids import trace_server
 from pollengate_net.scheduler_client import SchedulerClient
 
+from pollengated.call_log import CallLog
 from pollengated.configuration_exchange import ConfigurationExchange
 from pollengated.configuration_follower import ConfigurationFollower
 from pollengated.configuration_patches import ConfigurationPatcher
 from pollengated.gate_admission import GateAdmission
 from pollengated.http_configuration import configuration_router
+from pollengated.http_health import health_router
+from pollengated.http_server import create_app, create_server, serve_until_cancelled
 from pollengated.http_services import service_router
 from pollengated.http_status import status_router
 from pollengated.http_tasks import task_router
@@ -29,18 +32,21 @@
 from pollengated.member_registry import MemberRegistry
 from pollengated.metrics import Metrics
 from pollengated.owner_directory import OwnerDirectory
-from pollengated.ownership_keeper import OwnershipKeeper
 from pollengated.peer_answers import PeerAnswers
+from pollengated.peer_guard import PeerGuard
 from pollengated.peer_service import PeerService
+from pollengated.readiness import Readiness
 from pollengated.scheduler_service import HeartbeatService, SchedulerService
 from pollengated.service_proxy import ServiceProxy
 from pollengated.settings import Settings
 from pollengated.shard_owner import ShardOwner
-from pollengated.succession import Succession
+from pollengated.shard_set import ShardSet
 from pollengated.vm_directory import VmDirectory
 
 __all__ = ["run_gate", "run_scheduler"]
 
+HANDOVER_TIMEOUT_S = 8.0
+
 
 async def run_gate(settings: Settings) -> None:
     """Runs a gate until SIGTERM."""
@@ -61,18 +67,20 @@
     client = SchedulerClient()
     proxy = ServiceProxy(settings.zone, follower, vms)
     jobs = JobRouter(store, follower, directory, client)
-    app = Litestar(
+    readiness = Readiness(follower)
+    app = create_app(
         [
             configuration_router(follower, patcher, metrics),
             task_router(jobs, metrics),
             service_router(proxy, metrics),
-            status_router(settings.process_id, follower, directory, client, metrics),
+            status_router(settings.process_id, settings.zone, follower, directory, client, metrics),
+            health_router(readiness, metrics),
         ],
-        request_max_body_size=settings.max_body_bytes,
-        logging_config=None,
+        settings,
+        metrics,
     )
     loops = [registry.run(), exchange.run(), admission.run(), directory.run(), vms.run()]
-    await _run_until_stopped(_serve_http(app, settings.http_address), loops)
+    await _run_until_stopped(_serve_http(app, settings, metrics), loops)
     await registry.leave()
     server.close()
     await server.wait_closed()
@@ -93,25 +101,32 @@
     vms = VmDirectory(HttpVmList(settings.vm_list_address))
     exchange = ConfigurationExchange(follower, registry, peers, metrics, vms.entry_addresses)
     answers = PeerAnswers(store, follower, registry)
-    owner = ShardOwner(
-        settings.zone,
-        0,
-        settings.process_id,
-        settings.rpc_address,
-        store,
-        follower,
-        vms,
-        GrpcWorkerClient,
-        metrics,
-        OwnershipKeeper(store, registry, peers, answers, metrics),
-        Succession(store, registry, peers, answers, metrics),
-    )
-    service = SchedulerService(settings.process_id, settings.zone, [owner], follower)
-    server = Server([service, HeartbeatService([owner]), PeerService(answers)])
+
+    def make_owner(number: int, shards: int) -> ShardOwner:
+        return ShardOwner(
+            settings.zone,
+            number,
+            settings.process_id,
+            settings.rpc_address,
+            store,
+            follower,
+            vms,
+            GrpcWorkerClient,
+            metrics,
+            shards=shards,
+            guard=PeerGuard(store, registry, peers, answers, metrics),
+        )
+
+    shards = ShardSet(store, settings.zone, follower, make_owner)
+    service = SchedulerService(settings.process_id, settings.zone, shards, follower)
+    server = Server([service, HeartbeatService(shards), PeerService(answers)])
+    trace_server(server, CallLog("scheduler").write)
+    app = create_app([health_router(Readiness(follower), metrics)], settings, metrics)
     await server.start(*split_address(settings.rpc_address))
     Log("scheduler").info("serving", address=settings.rpc_address)
-    loops = [registry.run(), exchange.run(), vms.run(), owner.run()]
-    await _run_until_stopped(_wait_for_stop(), loops)
+    http = serve_until_cancelled(app, settings, metrics)
+    loops = [registry.run(), exchange.run(), vms.run(), http]
+    await _run_until_stopped(_run_shards(shards), loops)
     await registry.leave()
     server.close()
     await server.wait_closed()
@@ -124,11 +139,19 @@
     return MemberRegistry(store, member)
 
 
-async def _serve_http(app: Litestar, address: str) -> None:
-    host, port = split_address(address)
-    config = uvicorn.Config(app, host=host, port=port, log_level="warning", lifespan="off")
-    Log("gate").info("serving", address=address)
-    await uvicorn.Server(config).serve()
+async def _serve_http(app: ASGIApp, settings: Settings, metrics: Metrics) -> None:
+    Log("gate").info("serving", address=settings.http_address)
+    await create_server(app, settings, metrics).serve()
+
+
+async def _run_shards(shards: ShardSet) -> None:
+    serving = asyncio.create_task(shards.run())
+    stopping = asyncio.create_task(_wait_for_stop())
+    await asyncio.wait((serving, stopping), return_when=asyncio.FIRST_COMPLETED)
+    shards.stop()
+    async with asyncio.timeout(HANDOVER_TIMEOUT_S):
+        await serving
+    stopping.cancel()
 
 
 async def _wait_for_stop() -> None:
--- a/packages/pollengated/pollengated/configuration_exchange.py
+++ b/packages/pollengated/pollengated/configuration_exchange.py
@@ -6,6 +6,7 @@
 from pollengate.membership import Member, MemberList, Role
 from pollengate.peer import FreshnessAnswer, FreshnessQuestion, PeerClient
 from pollengate.promises import PromiseAsker
+from pollengate.refusals import Reason
 from result import Err
 
 from pollengated.configuration_follower import ConfigurationFollower
@@ -155,11 +156,11 @@
         asked_at = asyncio.get_running_loop().time()
         answer = await self._ask(gate)
         if answer is None:
-            self._metrics.retries.labels("promise_unanswered").inc()
+            self._metrics.count_refusal(Reason.PROMISE_UNANSWERED)
         elif answer.promised:
             self._asker.promised(gate.process_id, asked_at)
         else:
-            self._metrics.refusals.labels("promise_withheld").inc()
+            self._metrics.count_refusal(Reason.PROMISE_WITHHELD)
 
     async def _read_store(self) -> bool:
         asked_at = asyncio.get_running_loop().time()
--- a/packages/pollengated/pollengated/ownership_keeper.py
+++ b/packages/pollengated/pollengated/ownership_keeper.py
@@ -6,6 +6,7 @@
 from pollengate.ownership import Ownership
 from pollengate.peer import PeerClient, ShardQuestion
 from pollengate.promises import PromiseAsker
+from pollengate.refusals import Reason
 from pollengate.store import Store
 from result import Err, Ok
 
@@ -94,7 +95,7 @@
     async def _renew_by_promises(self, ownership: Ownership) -> None:
         members = self._registry.members
         if not self._may_rely_on(members, ownership):
-            self._metrics.refusals.labels("promise_without_basis").inc()
+            self._metrics.count_refusal(Reason.PROMISE_WITHHELD)
             return
         own = self._registry.member
         question = ShardQuestion(own.process_id, ownership.zone, ownership.shard, ownership.epoch)
@@ -127,11 +128,11 @@
         asked_at = asyncio.get_running_loop().time()
         result = await self._peers.ask_promise(other.address, question)
         if isinstance(result, Err):
-            self._metrics.retries.labels("promise_unanswered").inc()
+            self._metrics.count_refusal(Reason.PROMISE_UNANSWERED)
         elif result.ok_value == other.process_id:
             self._asker.promised(other.process_id, asked_at)
         else:
-            self._metrics.refusals.labels("promise_withheld").inc()
+            self._metrics.count_refusal(Reason.PROMISE_WITHHELD)
 
 
 def _relays(members: MemberList, own: Member) -> list[Member]:
--- /dev/null
+++ b/packages/pollengated/pollengated/peer_guard.py
@@ -0,0 +1,37 @@
+"""Guards an ownership with the help of the zone's other schedulers."""
+
+from pollengate.ownership import Ownership
+from pollengate.ownership_guard import Clearance, OwnershipGuard
+from pollengate.peer import PeerClient
+from pollengate.store import Store
+
+from pollengated.member_registry import MemberRegistry
+from pollengated.metrics import Metrics
+from pollengated.ownership_keeper import OwnershipKeeper
+from pollengated.peer_answers import PeerAnswers
+from pollengated.succession import Succession
+
+__all__ = ["PeerGuard"]
+
+
+class PeerGuard(OwnershipGuard):
+    """Renews one shard by store, relay or promises; makes others withhold them to take it."""
+
+    def __init__(
+        self,
+        store: Store,
+        registry: MemberRegistry,
+        peers: PeerClient,
+        answers: PeerAnswers,
+        metrics: Metrics,
+    ) -> None:
+        self._keeper = OwnershipKeeper(store, registry, peers, answers, metrics)
+        self._succession = Succession(store, registry, peers, answers, metrics)
+
+    async def renew(self, ownership: Ownership, lease_id: int) -> None:
+        """Lengthens the belief in an ownership by any way that is safe."""
+        await self._keeper.renew(ownership, lease_id)
+
+    async def clear(self, zone: str, shard: int) -> Clearance | None:
+        """Makes the zone's schedulers withhold promises from earlier owners."""
+        return await self._succession.clear(zone, shard)
--- a/packages/pollengated/pollengated/succession.py
+++ b/packages/pollengated/pollengated/succession.py
@@ -1,11 +1,12 @@
 """Clears the way for a successor: no earlier owner can go on by promises."""
 
 import asyncio
-import dataclasses
 
 from pollengate.membership import Member, MemberList, uncovered_schedulers
 from pollengate.ownership import epoch_key
+from pollengate.ownership_guard import Clearance
 from pollengate.peer import PeerClient, ShardQuestion, WithholdAnswer
+from pollengate.refusals import Reason
 from pollengate.store import Put, Store, Unchanged
 from result import Err
 
@@ -13,22 +14,7 @@
 from pollengated.metrics import Metrics
 from pollengated.peer_answers import PeerAnswers
 
-__all__ = ["Clearance", "Succession"]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Clearance:
-    """What a candidate may do once no earlier owner goes on by promises.
-
-    Attributes:
-        wait_s: seconds until promises given before have lapsed; the shard is taken after them.
-        condition: of the write that takes the shard; it fails if another took it meanwhile.
-        write: an operation of that same write.
-    """
-
-    wait_s: float
-    condition: Unchanged
-    write: Put
+__all__ = ["Succession"]
 
 
 class Succession:
@@ -69,11 +55,12 @@
         answers = await self._withhold(listing.ok_value, own, question)
         withheld_ids = [answer.process_id for answer in answers]
         if uncovered_schedulers(listing.ok_value, zone, own.process_id, withheld_ids):
-            self._metrics.refusals.labels("owner_may_go_on").inc()
+            self._metrics.count_refusal(Reason.OWNER_MAY_REMAIN)
             return None
         revision = last.ok_value.revision if last.ok_value else 0
         wait_s = max(answer.lapse_s for answer in answers)
-        return Clearance(wait_s, Unchanged(key, revision), Put(key, own.process_id.encode()))
+        write = Put(key, own.process_id.encode())
+        return Clearance(wait_s, (Unchanged(key, revision),), (write,))
 
     async def _withhold(
         self, listing: MemberList, own: Member, question: ShardQuestion
