Record a member list only once nothing is relied on by an earlier one

Cause, found by models/promises.py in 10 steps: an owner that renewed by promises of an earlier list recorded a newer one, a newcomer of that list counted itself as known, withheld nothing that was out and took the shard at once. After: two scenarios hold (6,808 and 11,895 states); recording at once is kept as a weakened variant that the checker breaks in 9 steps. Not exhausted yet: scenarios with three processes.

--- /dev/null
+++ b/models/promises.py
@@ -0,0 +1,407 @@
+"""Model of ownership by promises: an owner cut from the store, and candidates for its shard.
+
+Process 0 is the owner, the others are schedulers of its zone. Lengths are in ticks. Run by
+`python -m models.promises`; `owner`, `candidates` and `tick` mirror `OwnershipKeeper`,
+`Succession` and the passing of time.
+"""
+
+import dataclasses
+import functools
+import time
+from typing import NamedTuple
+
+from minicheck import Protocol, check_safety
+from pollengate.membership import Member, MemberList, Role, uncovered_schedulers
+
+__all__ = ["SCENARIOS", "Rules", "Scenario", "State", "build", "main"]
+
+KEY_TICKS = 3
+BELIEF_TICKS = 2
+MARGIN_TICKS = 1
+MAX_STATES = 400_000
+MAX_EPOCH = 2
+UNSEEN = -1
+
+UNBORN, ALIVE, DEAD = 0, 1, 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rules:
+    """The protocol's rules; a weakened variant switches one of them off."""
+
+    candidate_needs_cover: bool = True
+    cover_is_known_to_owner: bool = True
+    candidate_waits: bool = True
+    candidate_guards_epoch: bool = True
+    granter_keeps_margin: bool = True
+    counts_from_asking: bool = True
+    list_is_verified: bool = True
+    records_after_reading: bool = True
+    records_when_relied_on_ended: bool = True
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Scenario:
+    """Who takes part.
+
+    Attributes:
+        created: store revision of each initial registration, 0 for a process that starts later.
+        drift: ticks that the owner's clock may miss in all.
+        may_crash: processes that may crash.
+    """
+
+    name: str
+    created: tuple[int, ...]
+    drift: int
+    may_crash: frozenset[int]
+
+
+class Candidate(NamedTuple):
+    """A candidate's progress; `covers` names the processes one of which has to withhold."""
+
+    seen_epoch: int = UNSEEN
+    covers: frozenset[int] | None = None
+    is_covered: bool = False
+    wait: int = 0
+
+
+class State(NamedTuple):
+    """One state; tuples are indexed by process.
+
+    Attributes:
+        belief: ticks for which each process believes that it owns the shard.
+        read: the list that the owner has read but not verified, as (revision, others).
+        basis: the list that the owner relies on.
+        relied: ticks that the owner's belief by promises lasts.
+        recorded: revision that the owner's registration names.
+        holder: process that holds the owner key, UNSEEN for none.
+        promised: ticks for which a granter's promises last.
+        held: ticks for which the owner counts on each promise.
+        asked: age of the owner's question at each process, UNSEEN for none.
+        answered: age of the question that each promise on its way answers.
+    """
+
+    belief: tuple[int, ...]
+    drift: int
+    read: tuple[int, frozenset[int]]
+    basis: tuple[int, frozenset[int]]
+    relied: int
+    recorded: int
+    holder: int
+    key_left: int
+    epoch: int
+    revision: int
+    created: tuple[int, ...]
+    life: tuple[int, ...]
+    withheld: frozenset[int]
+    promised: tuple[int, ...]
+    held: tuple[int, ...]
+    asked: tuple[int, ...]
+    answered: tuple[int, ...]
+    candidates: tuple[Candidate, ...]
+
+
+Moves = list[tuple[str, State]]
+
+
+def build(scenario: Scenario, rules: Rules) -> Protocol:
+    """Builds the checked protocol."""
+    processes = range(len(scenario.created))
+
+    def transitions(wrapped: tuple[State]) -> list[tuple[str, tuple[State]]]:
+        state = wrapped[0]
+        moves = _owner(state, rules) + _granters(state, rules) + _lives(state, scenario)
+        for number in processes[1:]:
+            moves += _candidate(state, number, rules)
+        moves += _ticks(state)
+        return [(label, (after,)) for label, after in moves]
+
+    return Protocol(
+        name=scenario.name,
+        candidate=False,
+        fields=("state",),
+        initial=(_initial(scenario),),
+        transitions=transitions,
+        invariants={"one owner": lambda d: sum(b > 0 for b in d["state"].belief) <= 1},
+    )
+
+
+def _initial(scenario: Scenario) -> State:
+    count = len(scenario.created)
+    others = frozenset(i for i in range(1, count) if scenario.created[i])
+    revision = max(scenario.created)
+    return State(
+        belief=(BELIEF_TICKS,) + (0,) * (count - 1),
+        drift=scenario.drift,
+        read=(revision, others),
+        basis=(revision, others),
+        relied=0,
+        recorded=revision,
+        holder=0,
+        key_left=KEY_TICKS,
+        epoch=0,
+        revision=revision,
+        created=scenario.created,
+        life=tuple(ALIVE if created else UNBORN for created in scenario.created),
+        withheld=frozenset(),
+        promised=(0,) * count,
+        held=(0,) * count,
+        asked=(UNSEEN,) * count,
+        answered=(UNSEEN,) * count,
+        candidates=(Candidate(),) * count,
+    )
+
+
+def _set(values: tuple, index: int, value: object) -> tuple:  # type: ignore[type-arg]
+    return values[:index] + (value,) + values[index + 1 :]
+
+
+def _owner(state: State, rules: Rules) -> Moves:
+    """Mirrors `OwnershipKeeper` and `MemberRegistry`."""
+    if state.life[0] != ALIVE:
+        return []
+    moves: Moves = []
+    others = frozenset(i for i in range(1, len(state.created)) if state.created[i])
+    if state.read != (state.revision, others) and state.read[1] != others:
+        read = (state.revision, others)
+        after = state._replace(read=read)
+        if not rules.list_is_verified:
+            after = after._replace(basis=read)
+        if not rules.records_after_reading:
+            after = state._replace(recorded=state.revision)
+        moves.append(("owner reads members", after))
+    if state.holder == 0 and (state.belief[0] < BELIEF_TICKS or state.basis != state.read):
+        kept = state._replace(
+            belief=_set(state.belief, 0, BELIEF_TICKS),
+            key_left=KEY_TICKS,
+            basis=state.read,
+        )
+        moves.append(("owner keeps lease", kept))
+    is_free = state.relied == 0 or not rules.records_when_relied_on_ended
+    if state.created[0] and state.recorded < state.read[0] and is_free:
+        moves.append(("owner records", state._replace(recorded=state.read[0])))
+    return moves + _owner_by_promises(state, rules)
+
+
+def _owner_by_promises(state: State, rules: Rules) -> Moves:
+    """Mirrors `OwnershipKeeper._renew_by_promises` and `PromiseAsker`."""
+    if not state.created[0] or state.basis != state.read:
+        return []
+    moves: Moves = []
+    for other in state.basis[1]:
+        if state.asked[other] == UNSEEN and state.answered[other] == UNSEEN:
+            asked = state._replace(asked=_set(state.asked, other, 0))
+            moves.append((f"owner asks {other}", asked))
+        age = state.answered[other]
+        if age != UNSEEN:
+            left = BELIEF_TICKS - (age if rules.counts_from_asking else 0)
+            heard = state._replace(
+                answered=_set(state.answered, other, UNSEEN),
+                held=_set(state.held, other, max(state.held[other], left)),
+            )
+            moves.append((f"owner hears {other}", heard))
+    left = min((state.held[i] for i in state.basis[1]), default=BELIEF_TICKS)
+    if left > state.belief[0] and 0 not in state.withheld:
+        renewed = state._replace(
+            belief=_set(state.belief, 0, left),
+            relied=max(state.relied, left),
+            promised=_set(state.promised, 0, _promise_ticks(rules)),
+        )
+        moves.append(("owner renews by promises", renewed))
+    return moves
+
+
+def _promise_ticks(rules: Rules) -> int:
+    return BELIEF_TICKS + (MARGIN_TICKS if rules.granter_keeps_margin else 0)
+
+
+def _granters(state: State, rules: Rules) -> Moves:
+    """Mirrors `PeerAnswers.promise`."""
+    moves: Moves = []
+    for number in range(1, len(state.created)):
+        age = state.asked[number]
+        if age == UNSEEN:
+            continue
+        if state.life[number] == ALIVE and number not in state.withheld:
+            promised = state._replace(
+                asked=_set(state.asked, number, UNSEEN),
+                answered=_set(state.answered, number, age),
+                promised=_set(state.promised, number, _promise_ticks(rules)),
+            )
+            moves.append((f"{number} promises", promised))
+    return moves
+
+
+def _lives(state: State, scenario: Scenario) -> Moves:
+    """Starts, crashes and lapsed registrations."""
+    moves: Moves = []
+    for number, life in enumerate(state.life):
+        if life == UNBORN:
+            revision = state.revision + 1
+            born = state._replace(
+                revision=revision,
+                created=_set(state.created, number, revision),
+                life=_set(state.life, number, ALIVE),
+            )
+            moves.append((f"{number} registers", born))
+        if life == ALIVE and number in scenario.may_crash:
+            belief = _set(state.belief, number, 0)
+            dead = state._replace(life=_set(state.life, number, DEAD), belief=belief)
+            moves.append((f"{number} crashes", dead))
+        if life == DEAD and state.created[number]:
+            gone = state._replace(created=_set(state.created, number, 0))
+            moves.append((f"registration of {number} lapses", gone))
+    return moves
+
+
+@functools.cache
+def _covers(
+    created: tuple[int, ...], recorded: int, candidate: int, is_known: bool
+) -> frozenset[int] | None:
+    """Returns the processes one of which has to withhold, None if none has to.
+
+    Calls `uncovered_schedulers` as `Succession` does.
+    """
+    members = tuple(
+        Member(str(i), Role.SCHEDULER, "z", "", revision, recorded if i == 0 else 0)
+        for i, revision in enumerate(created)
+        if revision
+    )
+    listing = MemberList(max(created), members)
+    if not uncovered_schedulers(listing, "z", str(candidate), []):
+        return None
+    ids = [int(member.process_id) for member in members]
+    if not is_known:
+        return frozenset(ids)
+    return frozenset(
+        i for i in ids if not uncovered_schedulers(listing, "z", str(candidate), [str(i)])
+    )
+
+
+def _candidate(state: State, number: int, rules: Rules) -> Moves:
+    """Mirrors `Succession.clear` and `OwnerLease.take`."""
+    if state.life[number] != ALIVE or not state.created[number]:
+        return []
+    own = state.candidates[number]
+    if own.seen_epoch == UNSEEN:
+        if state.holder != UNSEEN or state.belief[number] or state.epoch == MAX_EPOCH:
+            return []
+        return [(f"{number} reads members", _begin(state, number, rules))]
+    moves: Moves = []
+    for other in range(len(state.created)):
+        if other != number and state.life[other] == ALIVE:
+            covered = own.is_covered or (own.covers is not None and other in own.covers)
+            wait = max(own.wait, state.promised[other])
+            heard = own._replace(is_covered=covered, wait=wait)
+            if other not in state.withheld or heard != own:
+                withheld = state._replace(withheld=state.withheld | {other})
+                moves.append((f"{other} withholds", _with(withheld, number, heard)))
+    is_clear = own.covers is None or own.is_covered or not rules.candidate_needs_cover
+    is_waited = own.wait == 0 or not rules.candidate_waits
+    is_same = own.seen_epoch == state.epoch or not rules.candidate_guards_epoch
+    if is_clear and is_waited and state.holder == UNSEEN and is_same:
+        moves.append((f"{number} takes", _take(state, number)))
+    return moves
+
+
+def _begin(state: State, number: int, rules: Rules) -> State:
+    covers = _covers(state.created, state.recorded, number, rules.cover_is_known_to_owner)
+    own = Candidate(
+        seen_epoch=state.epoch,
+        covers=covers,
+        is_covered=covers is not None and number in covers,
+        wait=state.promised[number],
+    )
+    withheld = state.withheld | {number} if rules.candidate_needs_cover else state.withheld
+    return _with(state._replace(withheld=withheld), number, own)
+
+
+def _with(state: State, number: int, candidate: Candidate) -> State:
+    return state._replace(candidates=_set(state.candidates, number, candidate))
+
+
+def _take(state: State, number: int) -> State:
+    return _with(state, number, Candidate())._replace(
+        holder=number,
+        key_left=KEY_TICKS,
+        epoch=state.epoch + 1,
+        belief=_set(state.belief, number, BELIEF_TICKS),
+    )
+
+
+def _ticks(state: State) -> Moves:
+    moves = [("tick", _tick(state, owner_ticks=True))]
+    if state.drift:
+        slow = state._replace(drift=state.drift - 1)
+        moves.append(("tick, the owner's clock is slow", _tick(slow, owner_ticks=False)))
+    return moves
+
+
+def _tick(state: State, owner_ticks: bool) -> State:
+    step = 1 if owner_ticks else 0
+    key_left = max(0, state.key_left - 1)
+    return state._replace(
+        belief=tuple(max(0, b - (step if i == 0 else 1)) for i, b in enumerate(state.belief)),
+        key_left=key_left,
+        relied=max(0, state.relied - step),
+        holder=state.holder if key_left else UNSEEN,
+        promised=tuple(
+            max(0, left - (step if i == 0 else 1)) for i, left in enumerate(state.promised)
+        ),
+        held=tuple(max(0, left - step) for left in state.held),
+        asked=tuple(_older(age, step) for age in state.asked),
+        answered=tuple(_older(age, step) for age in state.answered),
+        candidates=tuple(c._replace(wait=max(0, c.wait - 1)) for c in state.candidates),
+    )
+
+
+def _older(age: int, step: int) -> int:
+    if age == UNSEEN or age + step >= BELIEF_TICKS:
+        return UNSEEN
+    return age + step
+
+
+SCENARIOS = (
+    Scenario("owner and one standby", (1, 2), 1, frozenset({1})),
+    Scenario("single scheduler, one starts", (1, 0), 1, frozenset({0})),
+    Scenario("single scheduler, two start", (1, 0, 0), 0, frozenset()),
+    Scenario("standby replaced", (1, 2, 0), 0, frozenset({1})),
+)
+WEAKENED = {
+    "no scheduler withholds": Rules(candidate_needs_cover=False),
+    "any scheduler withholds": Rules(cover_is_known_to_owner=False),
+    "promises are not waited for": Rules(candidate_waits=False),
+    "promises have no margin": Rules(granter_keeps_margin=False),
+    "promises count from the answer": Rules(counts_from_asking=False),
+    "a list is relied on unverified": Rules(list_is_verified=False),
+    "a list is recorded before it is read": Rules(records_after_reading=False),
+    "a list is recorded at once": Rules(records_when_relied_on_ended=False),
+}
+
+
+def main() -> None:
+    """Checks every scenario, and finds a counterexample for each weakened variant."""
+    for scenario in SCENARIOS:
+        _report(scenario, "protocol", Rules())
+    for name, rules in WEAKENED.items():
+        for scenario in SCENARIOS:
+            if not _report(scenario, name, rules):
+                break
+
+
+def _report(scenario: Scenario, variant: str, rules: Rules) -> bool:
+    begin = time.perf_counter()
+    result = check_safety(build(scenario, rules), MAX_STATES)
+    found = result["properties"]["one owner"]
+    seconds = time.perf_counter() - begin
+    steps = len(found.get("counterexample") or []) - 1
+    verdict = {True: "holds", False: f"broken in {steps} steps", None: "undetermined"}
+    print(
+        f"{scenario.name:30} {variant:38} {verdict[found['holds']]:20} "
+        f"{result['reachable_states']:8} states {seconds:6.1f} s"
+    )
+    return bool(found["holds"])
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/pollengated/pollengated/http_configuration.py
+++ b/packages/pollengated/pollengated/http_configuration.py
@@ -60,7 +60,7 @@
         result = await patcher.history()
         if isinstance(result, Err):
             return problem(result.err_value, metrics)
-        return Response({"patches": [_patch_document(entry) for entry in result.ok_value]})
+        return Response([_patch_document(entry) for entry in result.ok_value])
 
     return Router("/config", route_handlers=[show, schema, apply, find, history])
 
--- a/packages/pollengated/pollengated/member_registry.py
+++ b/packages/pollengated/pollengated/member_registry.py
@@ -43,6 +43,7 @@
         self._lease_id = 0
         self._revision = 0
         self._held_until = 0.0
+        self._relied_until = 0.0
         self._log = Log("members")
 
     @property
@@ -90,12 +91,19 @@
         self.members = members
         return True
 
+    def relies_until(self, until: float) -> None:
+        """Notes until which loop time something is relied on by the present list."""
+        self._relied_until = max(self._relied_until, until)
+
     async def record(self) -> None:
         """Records in the store which list this process relies on, unless it has already.
 
-        What is recorded is never later than what is relied on, also after a lost answer.
+        What is recorded is never later than what is relied on, also after a lost answer; while
+        something is still relied on by an earlier list, nothing is recorded.
         """
         revision = self.members.revision
+        if asyncio.get_running_loop().time() < self._relied_until:
+            return
         if revision == self.recorded_revision or self.member.created_revision == 0:
             return
         self.member = dataclasses.replace(self.member, known_revision=revision)
--- a/packages/pollengated/pollengated/ownership_keeper.py
+++ b/packages/pollengated/pollengated/ownership_keeper.py
@@ -107,6 +107,7 @@
         is_same = question.epoch == ownership.epoch and self._may_rely_on(members, ownership)
         if since is not None and is_same:
             ownership.renew(since, OWNER_PROMISE_S)
+            self._registry.relies_until(since + OWNER_PROMISE_S)
 
     def _may_rely_on(self, members: MemberList, ownership: Ownership) -> bool:
         now = asyncio.get_running_loop().time()
