--- a/packages/pollengate/pollengate/ownership.py
+++ b/packages/pollengate/pollengate/ownership.py
@@ -15,6 +15,7 @@
     "Owner",
     "Ownership",
     "OwnershipState",
+    "epoch_key",
     "owner_from_entry",
     "owner_key",
     "owner_to_value",
@@ -35,6 +36,11 @@
     return f"{OWNERS_PREFIX}{zone}/{shard}"
 
 
+def epoch_key(zone: str, shard: int) -> str:
+    """Returns the store key that each owner of a shard writes when it takes it."""
+    return f"/pollengate/epochs/{zone}/{shard}"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Owner:
     """The owner of a shard as the store names it.
--- a/packages/pollengated/pollengated/shard_owner.py
+++ b/packages/pollengated/pollengated/shard_owner.py
@@ -9,6 +9,7 @@
 from pollengate.ledger import Accepted, Ledger
 from pollengate.owner_lease import OwnerLease, Taken
 from pollengate.ownership import Ownership
+from pollengate.ownership_guard import OwnershipGuard, StoreGuard
 from pollengate.policies import ShardPolicies
 from pollengate.refusals import Outcome, Reason, Refusal
 from pollengate.shard import Shard
@@ -62,6 +63,7 @@
         policies: ShardPolicies | None = None,
         steps: StepHook | None = None,
         shards: int = 1,
+        guard: OwnershipGuard | None = None,
     ) -> None:
         self.zone = zone
         self.number = shard
@@ -76,7 +78,8 @@
         self._connect = connect
         self._metrics = metrics
         self._shards = shards
-        self._lease = OwnerLease(store, self.ownership, process_id, address, self._steps)
+        guard = guard if guard is not None else StoreGuard(store)
+        self._lease = OwnerLease(store, self.ownership, process_id, address, self._steps, guard)
         self._server: ShardServer | None = None
         self._stopping = asyncio.Event()
         self._released = asyncio.Event()
