--- a/packages/pollengate/pollengate/configuration.py
+++ b/packages/pollengate/pollengate/configuration.py
@@ -6,6 +6,7 @@
     "CONFIGURATION_KEY",
     "Configuration",
     "Limits",
+    "Policy",
     "Quota",
     "Service",
     "Zone",
@@ -68,6 +69,38 @@
     max_queued_tasks: int = 100_000
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Policy:
+    """Weights and limits of placement, throttling and eviction.
+
+    Attributes:
+        service_classes: task classes of latency-critical services.
+        service_harm_weight: weight of slowing down services in the choice of a worker.
+        batch_harm_weight: weight of slowing down batch tasks.
+        load_weight: weight of a worker's load.
+        max_service_harm: slowdown of a service, beyond 1, that one batch task may be expected to
+            cause where it is placed; None for no limit.
+        throttle_above: measured slowdown of a service at which batch tasks are throttled.
+        release_below: measured slowdown of services at which a throttle is lifted.
+        evict_on_harm: whether a throttled task that still does harm is moved.
+        eviction_interval_s: seconds between evictions of one task.
+        worker_eviction_interval_s: seconds between evictions on one worker.
+        evictions_per_minute: evictions a minute in one shard.
+    """
+
+    service_classes: tuple[str, ...] = ()
+    service_harm_weight: float = 8.0
+    batch_harm_weight: float = 1.0
+    load_weight: float = 0.5
+    max_service_harm: float | None = None
+    throttle_above: float = 1.4
+    release_below: float = 1.15
+    evict_on_harm: bool = True
+    eviction_interval_s: float = 600.0
+    worker_eviction_interval_s: float = 60.0
+    evictions_per_minute: float = 6.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Configuration:
     """One version of the configuration.
@@ -78,6 +111,7 @@
         services_by_name: services that gates answer for.
         quotas_by_team: batch quotas; a team without one has no limit of its own.
         limits: policy limits.
+        policy: weights of placement, throttling and eviction.
     """
 
     version: int
@@ -85,6 +119,7 @@
     services_by_name: dict[str, Service]
     quotas_by_team: dict[str, Quota]
     limits: Limits
+    policy: Policy = Policy()
 
     def is_in_service(self, zone: str) -> bool:
         """Tells whether tasks may start in a zone; an unknown zone is out of service."""
--- /dev/null
+++ b/packages/pollengate/pollengate/eviction_budget.py
@@ -0,0 +1,64 @@
+"""A budget for evictions by task, worker and zone."""
+
+import dataclasses
+
+from pollengate.bounded import BoundedDict
+
+__all__ = ["EvictionBudget", "EvictionLimits"]
+
+MAX_TASKS_REMEMBERED = 8192
+MAX_WORKERS_REMEMBERED = 8192
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EvictionLimits:
+    """How often tasks may be evicted.
+
+    Attributes:
+        task_interval_s: seconds between evictions of one task.
+        worker_interval_s: seconds between evictions on one worker.
+        zone_per_minute: evictions a minute in one shard.
+    """
+
+    task_interval_s: float = 600.0
+    worker_interval_s: float = 60.0
+    zone_per_minute: float = 6.0
+
+
+class EvictionBudget:
+    """Grants evictions; what it remembers is bounded."""
+
+    def __init__(self, limits: EvictionLimits | None = None) -> None:
+        self.limits = limits or EvictionLimits()
+        self._evicted_at_by_task: BoundedDict[str, float] = BoundedDict(MAX_TASKS_REMEMBERED)
+        self._evicted_at_by_worker: BoundedDict[str, float] = BoundedDict(MAX_WORKERS_REMEMBERED)
+        self._tokens = 0.0
+        self._filled_at: float | None = None
+
+    def allows_task(self, task_id: str, now: float) -> bool:
+        """Tells whether a task's own part of the budget allows an eviction."""
+        evicted_at = self._evicted_at_by_task.get(task_id)
+        return evicted_at is None or now - evicted_at >= self.limits.task_interval_s
+
+    def allows_worker(self, worker_id: str, now: float) -> bool:
+        """Tells whether the worker's and the zone's parts allow an eviction."""
+        self._fill(now)
+        evicted_at = self._evicted_at_by_worker.get(worker_id)
+        is_due = evicted_at is None or now - evicted_at >= self.limits.worker_interval_s
+        return is_due and self._tokens >= 1.0
+
+    def spend(self, task_id: str, worker_id: str, now: float) -> None:
+        """Counts an eviction; urgent ones may take the zone's part below zero."""
+        self._fill(now)
+        self._tokens -= 1.0
+        self._evicted_at_by_task.put(task_id, now)
+        self._evicted_at_by_worker.put(worker_id, now)
+
+    def _fill(self, now: float) -> None:
+        burst = max(self.limits.zone_per_minute / 2.0, 1.0)
+        if self._filled_at is None:
+            self._tokens = burst
+        else:
+            gained = (now - self._filled_at) * self.limits.zone_per_minute / 60.0
+            self._tokens = min(self._tokens + gained, burst)
+        self._filled_at = now
--- /dev/null
+++ b/packages/pollengate/pollengate/fair_queue.py
@@ -0,0 +1,297 @@
+"""A queue that shares workers fairly among teams and lets urgent work go first."""
+
+import collections
+import dataclasses
+import enum
+import heapq
+import itertools
+from collections.abc import Callable, Mapping
+
+from pollengate.capacity import CapacityBooks
+from pollengate.class_profiles import ClassProfiles
+from pollengate.configuration import Quota
+from pollengate.jobs import Resources
+from pollengate.parking import Parking
+from pollengate.placement_request import PlacementRequest
+from pollengate.refusals import Reason
+from pollengate.reservations import Reservations
+from pollengate.task_queue import TaskQueue
+
+__all__ = ["FairQueue", "Lane"]
+
+MAX_RUN_TIME_HANDICAP_S = 300.0
+RUN_TIME_WEIGHT = 0.2
+RESUMED_ADVANCE_S = 60.0
+RESERVE_AFTER_S = 30.0
+RESERVE_URGENT_AFTER_S = 0.3
+RECHECK_INTERVAL_S = 5.0
+MAX_KINDS_OFFERED = 64
+
+
+class Lane(enum.IntEnum):
+    """Order in which groups of tasks are offered."""
+
+    SERVICE = 0
+    URGENT = 1
+    BATCH = 2
+
+
+@dataclasses.dataclass(slots=True)
+class _Waiting:
+    request: PlacementRequest
+    queued_at: float
+    lane: Lane
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Kind:
+    """Tasks of one kind are alike to the queue; the oldest is offered first."""
+
+    task_class: str
+    resources: Resources
+
+
+Place = Callable[[PlacementRequest], bool]
+
+
+class _Team:
+    """A team's waiting tasks of one lane, by kind and arrival."""
+
+    def __init__(self) -> None:
+        self.waiting_by_kind: dict[_Kind, collections.OrderedDict[str, _Waiting]] = {}
+
+    def add(self, waiting: _Waiting) -> None:
+        queue = self.waiting_by_kind.setdefault(
+            _kind_of(waiting.request), collections.OrderedDict()
+        )
+        queue[waiting.request.task_id] = waiting
+        if waiting.request.resumed:
+            queue.move_to_end(waiting.request.task_id, last=False)
+
+    def remove(self, request: PlacementRequest) -> None:
+        kind = _kind_of(request)
+        queue = self.waiting_by_kind[kind]
+        del queue[request.task_id]
+        if not queue:
+            del self.waiting_by_kind[kind]
+
+    def heads(self) -> list[_Waiting]:
+        queues = itertools.islice(self.waiting_by_kind.values(), MAX_KINDS_OFFERED)
+        return [next(iter(queue.values())) for queue in queues]
+
+
+class _Round:
+    """What found no room while the queue is offered once."""
+
+    def __init__(self, blocked: list[_Waiting]) -> None:
+        self._blocked = blocked
+        self._skipped: set[tuple[str, _Kind]] = set()
+        self._refused_by_class: dict[str, list[Resources]] = {}
+
+    def skip(self, waiting: _Waiting) -> None:
+        """Leaves the team's tasks of one kind out."""
+        self._skipped.add((waiting.request.team, _kind_of(waiting.request)))
+
+    def refuse(self, waiting: _Waiting, alone: bool) -> None:
+        """Notes a task without room; `alone` where that says nothing about like tasks."""
+        self.skip(waiting)
+        self._blocked.append(waiting)
+        request = waiting.request
+        if not alone:
+            self._refused_by_class.setdefault(request.task_class, []).append(request.resources)
+
+    def skips(self, waiting: _Waiting) -> bool:
+        """Tells whether a task need not be offered; one larger than a refused one need not."""
+        request = waiting.request
+        if (request.team, _kind_of(request)) in self._skipped:
+            return True
+        refused = self._refused_by_class.get(request.task_class, ())
+        if any(size.fits(request.resources) for size in refused):
+            self.refuse(waiting, alone=True)
+            return True
+        return False
+
+
+class FairQueue(TaskQueue):
+    """Offers services' tasks, then urgent ones, then batch tasks by the teams' fair shares.
+
+    The team with the smallest dominant share of the shard goes first. Within a team tasks go by
+    arrival, set back by a part of their expected run time. A size that found no room is not
+    offered again in the same round, nor is a larger one. A task that waited long has a worker
+    held for it.
+    """
+
+    def __init__(
+        self,
+        books: CapacityBooks,
+        profiles: ClassProfiles,
+        reservations: Reservations,
+        parking: Parking,
+        clock: Callable[[], float],
+    ) -> None:
+        self._books = books
+        self._profiles = profiles
+        self._reservations = reservations
+        self._parking = parking
+        self._clock = clock
+        self._recheck_at = 0.0
+        self._quotas_by_team: Mapping[str, Quota] = {}
+        self._shard_count = 1
+        self._waiting_by_task: dict[str, _Waiting] = {}
+        self._teams_by_lane: dict[Lane, dict[str, _Team]] = {lane: {} for lane in Lane}
+
+    def configure(self, quotas: Mapping[str, Quota], shard_count: int) -> None:
+        """Takes in the teams' quotas, of which this shard gives out its part.
+
+        Args:
+            quotas: quotas by team; a team without one has no limit.
+            shard_count: shards that share the quotas.
+        """
+        self._quotas_by_team = quotas
+        self._shard_count = max(shard_count, 1)
+
+    def push(self, request: PlacementRequest) -> None:
+        """Adds a task, or parks it if it can't run."""
+        if request.task_id in self._waiting_by_task:
+            return
+        if self._parking.park(request, self._exceeds_quota(request)):
+            return
+        waiting = _Waiting(request, self._clock(), self._lane_of(request))
+        self._waiting_by_task[request.task_id] = waiting
+        self._teams_by_lane[waiting.lane].setdefault(request.team, _Team()).add(waiting)
+
+    def discard(self, task_id: str) -> None:
+        """Takes a task out."""
+        self._parking.discard(task_id)
+        waiting = self._waiting_by_task.get(task_id)
+        if waiting is not None:
+            self._forget(waiting)
+
+    def drain(self, place: Place, limit: int) -> None:
+        """Offers tasks lane by lane."""
+        now = self._clock()
+        self._recheck_parked(now)
+        for lane in Lane:
+            blocked: list[_Waiting] = []
+            limit = self._drain_lane(lane, place, limit, blocked)
+            self._reserve_for(lane, blocked, now)
+
+    def __len__(self) -> int:
+        """Returns the number of waiting tasks."""
+        return len(self._waiting_by_task) + len(self._parking)
+
+    def parked_reason(self, task_id: str) -> Reason | None:
+        """Returns why a task is parked."""
+        return self._parking.reason(task_id)
+
+    def _recheck_parked(self, now: float) -> None:
+        if now < self._recheck_at or not len(self._parking):
+            return
+        self._recheck_at = now + RECHECK_INTERVAL_S
+        for request in self._parking.take_runnable(self._exceeds_quota):
+            self.push(request)
+
+    def _exceeds_quota(self, request: PlacementRequest) -> bool:
+        """Tells whether the task could not start even if its team had nothing on a worker."""
+        quota = self._quotas_by_team.get(request.team)
+        return (
+            quota is not None
+            and self._lane_of(request) is not Lane.SERVICE
+            and not request.resources.fits(_size_of(quota))
+        )
+
+    def _forget(self, waiting: _Waiting) -> None:
+        request = waiting.request
+        del self._waiting_by_task[request.task_id]
+        self._reservations.cancel(request.task_id)
+        teams = self._teams_by_lane[waiting.lane]
+        team = teams[request.team]
+        team.remove(request)
+        if not team.waiting_by_kind:
+            del teams[request.team]
+
+    def _drain_lane(self, lane: Lane, place: Place, limit: int, blocked: list[_Waiting]) -> int:
+        teams = self._teams_by_lane[lane]
+        heap = [(self._share(name), name) for name in teams]
+        heapq.heapify(heap)
+        round_ = _Round(blocked)
+        while heap and limit > 0:
+            _, name = heapq.heappop(heap)
+            team = teams.get(name)
+            waiting = None if team is None else self._next(team, round_)
+            if waiting is None:
+                continue
+            if self._is_offered(waiting, lane, round_):
+                limit -= 1
+                if place(waiting.request):
+                    self._forget(waiting)
+                else:
+                    round_.refuse(waiting, self._parking.has_failed(waiting.request.task_id))
+            heapq.heappush(heap, (self._share(name), name))
+        return limit
+
+    def _next(self, team: _Team, round_: _Round) -> _Waiting | None:
+        """Returns the task that the team offers next in this round."""
+        heads = [head for head in team.heads() if not round_.skips(head)]
+        return min(heads, key=self._order, default=None)
+
+    def _is_offered(self, waiting: _Waiting, lane: Lane, round_: _Round) -> bool:
+        request = waiting.request
+        if self._parking.park(request, self._exceeds_quota(request)):
+            self._forget(waiting)
+            return False
+        if not self._is_within_quota(request, lane):
+            round_.skip(waiting)
+            return False
+        return True
+
+    def _order(self, waiting: _Waiting) -> float:
+        handicap_s = min(self._profiles.run_time_s(waiting.request), MAX_RUN_TIME_HANDICAP_S)
+        order = waiting.queued_at + RUN_TIME_WEIGHT * handicap_s
+        return order - RESUMED_ADVANCE_S if waiting.request.resumed else order
+
+    def _reserve_for(self, lane: Lane, blocked: list[_Waiting], now: float) -> None:
+        is_ahead = lane is not Lane.BATCH
+        after_s = RESERVE_URGENT_AFTER_S if is_ahead else RESERVE_AFTER_S
+        for waiting in sorted(blocked, key=lambda w: w.queued_at):
+            is_due = now - waiting.queued_at >= after_s
+            if not is_due or not self._reservations.reserve(waiting.request, is_ahead):
+                return
+
+    def _lane_of(self, request: PlacementRequest) -> Lane:
+        if request.task_class in self._books.service_classes:
+            return Lane.SERVICE
+        return Lane.URGENT if request.urgent else Lane.BATCH
+
+    def _share(self, team: str) -> float:
+        """Returns a team's dominant share of the offered capacity."""
+        used = self._books.usage(team)
+        capacity = self._books.offered_capacity
+        return max(
+            used.cores / max(capacity.cores, 1),
+            used.memory_mb / max(capacity.memory_mb, 1),
+            used.accelerators / max(capacity.accelerators, 1),
+        )
+
+    def _is_within_quota(self, request: PlacementRequest, lane: Lane) -> bool:
+        """Checks this shard's part of a quota; a team may always have one task on a worker."""
+        quota = self._quotas_by_team.get(request.team)
+        if quota is None or lane is Lane.SERVICE:
+            return True
+        used = self._books.usage(request.team)
+        if used.cores == 0:
+            return request.resources.fits(_size_of(quota))
+        part = Resources(
+            quota.cores // self._shard_count,
+            quota.memory_mb // self._shard_count,
+            quota.accelerators // self._shard_count,
+        )
+        return (used + request.resources).fits(part)
+
+
+def _kind_of(request: PlacementRequest) -> _Kind:
+    return _Kind(request.task_class, request.resources)
+
+
+def _size_of(quota: Quota) -> Resources:
+    return Resources(quota.cores, quota.memory_mb, quota.accelerators)
--- /dev/null
+++ b/packages/pollengate/pollengate/free_index.py
@@ -0,0 +1,124 @@
+"""An index of workers by free resources, sampled without a scan of all workers."""
+
+import random
+from collections.abc import Callable, Iterator
+
+from pollengate.jobs import Resources
+
+__all__ = ["FreeIndex"]
+
+MAX_PROBES = 64
+PROBES_PER_SAMPLE = 4
+
+
+class _IndexedSet:
+    """A set of ids with constant-time choice by position."""
+
+    def __init__(self) -> None:
+        self.ids: list[str] = []
+        self._position_by_id: dict[str, int] = {}
+
+    def add(self, item: str) -> None:
+        self._position_by_id[item] = len(self.ids)
+        self.ids.append(item)
+
+    def remove(self, item: str) -> None:
+        position = self._position_by_id.pop(item)
+        last = self.ids.pop()
+        if last != item:
+            self.ids[position] = last
+            self._position_by_id[last] = position
+
+
+class _Dimension:
+    """Workers in buckets by the bit length of one free quantity."""
+
+    def __init__(self, quantity: Callable[[Resources], int]) -> None:
+        self._quantity = quantity
+        self._buckets: list[_IndexedSet] = []
+        self._bucket_by_id: dict[str, int] = {}
+
+    def update(self, worker_id: str, free: Resources | None) -> None:
+        new = -1 if free is None else _bucket_of(self._quantity(free))
+        old = self._bucket_by_id.get(worker_id, -1)
+        if new == old:
+            return
+        if old >= 0:
+            self._buckets[old].remove(worker_id)
+            del self._bucket_by_id[worker_id]
+        if new >= 0:
+            while len(self._buckets) <= new:
+                self._buckets.append(_IndexedSet())
+            self._buckets[new].add(worker_id)
+            self._bucket_by_id[worker_id] = new
+
+    def needs(self, size: Resources) -> bool:
+        return self._quantity(size) > 0
+
+    def count(self, size: Resources) -> int:
+        """Returns how many workers may hold the size; those in its own bucket may not."""
+        return sum(len(b.ids) for b in self._buckets[_bucket_of(self._quantity(size)) :])
+
+    def at(self, size: Resources, position: int) -> str:
+        """Returns the candidate at a position below `count`."""
+        for bucket in self._buckets[_bucket_of(self._quantity(size)) :]:
+            if position < len(bucket.ids):
+                return bucket.ids[position]
+            position -= len(bucket.ids)
+        raise IndexError(position)
+
+
+class FreeIndex:
+    """Finds workers with room for a size in a bounded number of probes."""
+
+    def __init__(self, generator: random.Random) -> None:
+        self._generator = generator
+        self._free_by_worker: dict[str, Resources] = {}
+        self._cursor = 0
+        self._dimensions = (
+            _Dimension(lambda r: r.cores),
+            _Dimension(lambda r: r.memory_mb),
+            _Dimension(lambda r: r.accelerators),
+        )
+
+    def update(self, worker_id: str, free: Resources | None) -> None:
+        """Records what a worker has free; None takes it out."""
+        if free is None:
+            self._free_by_worker.pop(worker_id, None)
+        else:
+            self._free_by_worker[worker_id] = free
+        for dimension in self._dimensions:
+            dimension.update(worker_id, free)
+
+    def sample(self, size: Resources, count: int) -> list[str]:
+        """Returns up to `count` distinct workers with room, or none if none was found."""
+        dimension, total = self._scarcest(size)
+        found: dict[str, None] = {}
+        for position in self._positions(total, count):
+            worker_id = dimension.at(size, position)
+            if size.fits(self._free_by_worker[worker_id]):
+                found[worker_id] = None
+                if len(found) == count:
+                    break
+        return list(found)
+
+    def _scarcest(self, size: Resources) -> tuple[_Dimension, int]:
+        needed = [d for d in self._dimensions if d.needs(size)] or [self._dimensions[0]]
+        counted = [(d, d.count(size)) for d in needed]
+        return min(counted, key=lambda pair: pair[1])
+
+    def _positions(self, total: int, count: int) -> Iterator[int]:
+        """Yields random positions, then a stretch that moves on with each call."""
+        if total <= MAX_PROBES:
+            yield from self._generator.sample(range(total), total)
+            return
+        for _ in range(count * PROBES_PER_SAMPLE):
+            yield self._generator.randrange(total)
+        start = self._cursor
+        self._cursor += MAX_PROBES
+        for offset in range(MAX_PROBES):
+            yield (start + offset) % total
+
+
+def _bucket_of(quantity: int) -> int:
+    return max(quantity, 0).bit_length()
--- /dev/null
+++ b/packages/pollengate/pollengate/harm_placement.py
@@ -0,0 +1,145 @@
+"""Placement by capacity, expected harm between tasks, load and racks."""
+
+import dataclasses
+import random
+
+from pollengate.capacity import CapacityBooks, WorkerLoad
+from pollengate.class_profiles import ClassProfiles
+from pollengate.failure_evidence import FailureEvidence
+from pollengate.free_index import FreeIndex
+from pollengate.interference import InterferenceModel, load_level
+from pollengate.placement import BookedPlacement
+from pollengate.placement_request import PlacementRequest
+from pollengate.reservations import Reservations
+
+__all__ = ["HarmPlacement", "PlacementWeights"]
+
+SAMPLED_WORKERS = 8
+RACK_SPREAD_COST = 1.0
+ACCELERATOR_COST = 10.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlacementWeights:
+    """What the choice of a worker weighs.
+
+    Attributes:
+        service_harm: weight of slowing down latency-critical tasks.
+        batch_harm: weight of slowing down batch tasks.
+        load: weight of the share of processors in use.
+        max_service_harm: expected slowdown, beyond 1, of services' tasks on a worker that is not
+            offered to batch tasks; None to use any worker with room.
+    """
+
+    service_harm: float = 8.0
+    batch_harm: float = 1.0
+    load: float = 0.5
+    max_service_harm: float | None = None
+
+
+class HarmPlacement(BookedPlacement):
+    """Compares a few workers with room, drawn at random, and takes the cheapest."""
+
+    def __init__(
+        self,
+        books: CapacityBooks,
+        reservations: Reservations,
+        model: InterferenceModel,
+        profiles: ClassProfiles,
+        failures: FailureEvidence,
+        generator: random.Random,
+        weights: PlacementWeights | None = None,
+    ) -> None:
+        super().__init__(books)
+        self.weights = weights or PlacementWeights()
+        self._reservations = reservations
+        self._model = model
+        self._profiles = profiles
+        self._failures = failures
+        self._index = FreeIndex(generator)
+        self._racks_by_job: dict[str, dict[str, int]] = {}
+
+    def adopt(self, request: PlacementRequest, worker_id: str) -> None:
+        """Counts a task on a worker."""
+        super().adopt(request, worker_id)
+        self._failures.placed(request.task_id, request.job_id, worker_id)
+        self._count_rack(request, worker_id, 1)
+
+    def release(self, task_id: str) -> None:
+        """Ends the counting of a task."""
+        worker_id = self.books.worker_of(task_id)
+        request = self.books.request_of(task_id)
+        if worker_id is not None and request is not None:
+            self._count_rack(request, worker_id, -1)
+        super().release(task_id)
+
+    def _choose(self, request: PlacementRequest) -> str | None:
+        held = self._reservations.worker_for(request.task_id)
+        if held is not None and request.resources.fits(self.books.free(held)):
+            return held
+        is_service = request.task_class in self.books.service_classes
+        is_ahead = is_service or request.urgent
+        best: str | None = None
+        best_cost = float("inf")
+        for worker_id in self._index.sample(request.resources, SAMPLED_WORKERS):
+            if not self._reservations.admits(worker_id, is_ahead):
+                continue
+            if not self._failures.admits(worker_id, request.task_id):
+                continue
+            cost = self._cost(request, self.books.loads_by_worker[worker_id], is_service)
+            if cost < best_cost:
+                best, best_cost = worker_id, cost
+        return best
+
+    def _cost(self, request: PlacementRequest, load: WorkerLoad, is_service: bool) -> float:
+        """Returns the cost of a worker, infinite where the task must not go."""
+        capacity = max(load.capacity.cores, 1)
+        added = self._expected_cores(request.task_class, request.resources.cores) / capacity
+        shares = {
+            task_class: self._expected_cores(task_class, cores) / capacity
+            for task_class, cores in load.cores_by_class.items()
+        }
+        used = sum(shares.values()) + added
+        level = load_level(used)
+        weights = self.weights
+        own_weight = weights.service_harm if is_service else weights.batch_harm
+        cost = weights.load * used * used
+        for task_class, share in shares.items():
+            harm = self._model.harm(task_class, request.task_class, level) * added
+            if task_class in self.books.service_classes:
+                cost += weights.service_harm * share * harm
+                limit = weights.max_service_harm
+                if limit is not None and not is_service and harm > limit:
+                    return float("inf")
+            else:
+                cost += weights.batch_harm * share * harm
+            own_harm = self._model.harm(request.task_class, task_class, level) * share
+            cost += own_weight * added * own_harm
+        if load.capacity.accelerators and not request.resources.accelerators:
+            cost += ACCELERATOR_COST
+        return cost + self._rack_cost(request, load) if is_service else cost
+
+    def _expected_cores(self, task_class: str, declared: int) -> float:
+        return declared * self._profiles.cores_ratio(task_class)
+
+    def _rack_cost(self, request: PlacementRequest, load: WorkerLoad) -> float:
+        counts = self._racks_by_job.get(request.job_id)
+        if not counts:
+            return 0.0
+        return RACK_SPREAD_COST * counts.get(load.rack, 0) / sum(counts.values())
+
+    def _count_rack(self, request: PlacementRequest, worker_id: str, change: int) -> None:
+        if request.task_class not in self.books.service_classes:
+            return
+        rack = self.books.loads_by_worker[worker_id].rack
+        counts = self._racks_by_job.setdefault(request.job_id, {})
+        counts[rack] = counts.get(rack, 0) + change
+        if counts[rack] <= 0:
+            del counts[rack]
+        if not counts:
+            del self._racks_by_job[request.job_id]
+
+    def _load_changed(self, load: WorkerLoad) -> None:
+        self._index.update(load.worker_id, load.free if load.is_offered else None)
+        if not load.is_offered:
+            self._reservations.drop_worker(load.worker_id)
--- /dev/null
+++ b/packages/pollengate/pollengate/harm_reaction.py
@@ -0,0 +1,207 @@
+"""Reaction to measured harm: throttle the likeliest cause, then checkpoint and move it."""
+
+import dataclasses
+
+from pollengate.bounded import BoundedDict
+from pollengate.capacity import CapacityBooks, WorkerLoad
+from pollengate.class_profiles import ClassProfiles
+from pollengate.eviction_budget import EvictionBudget
+from pollengate.interference import InterferenceModel, load_level
+from pollengate.placement_request import PlacementRequest
+from pollengate.reaction import Action, Evict, Observation, Reaction, Throttle
+
+__all__ = ["HarmReaction", "ReactionThresholds"]
+
+FULL_SHARE = 1.0
+MAX_WORKERS = 8192
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReactionThresholds:
+    """When to act and when to take an action back.
+
+    Attributes:
+        high: mean slowdown of a worker's services that calls for an action.
+        low: mean slowdown below which a throttle is lifted by one stage.
+        reports: reports in a row that have to agree.
+        throttle_shares: shares of processors, one for each stage.
+        evict: whether a task that was throttled to the last stage is moved.
+    """
+
+    high: float = 1.4
+    low: float = 1.15
+    reports: int = 2
+    throttle_shares: tuple[float, ...] = (0.5, 0.25)
+    evict: bool = True
+
+
+@dataclasses.dataclass(slots=True)
+class _WorkerEvidence:
+    """Agreeing reports since the last action; older ones don't count."""
+
+    taken_at: float = -1.0
+    acted_at: float = -1.0
+    high_reports: int = 0
+    low_reports: int = 0
+    is_due: bool = False
+    victims: dict[str, float] = dataclasses.field(default_factory=dict)
+    in_step: frozenset[str] = frozenset()
+
+
+class HarmReaction(Reaction):
+    """Learns from every report and acts on reports taken after its last action on a worker."""
+
+    def __init__(
+        self,
+        books: CapacityBooks,
+        model: InterferenceModel,
+        profiles: ClassProfiles,
+        budget: EvictionBudget,
+        thresholds: ReactionThresholds | None = None,
+    ) -> None:
+        self.thresholds = thresholds or ReactionThresholds()
+        self._books = books
+        self._model = model
+        self._profiles = profiles
+        self._budget = budget
+        self._evidence_by_worker: BoundedDict[str, _WorkerEvidence] = BoundedDict(MAX_WORKERS)
+        self._due: dict[str, None] = {}
+        self._stage_by_task: dict[str, int] = {}
+
+    def observe(self, observation: Observation) -> None:
+        """Takes in measurements; reports that overtook each other are learned from once."""
+        load = self._books.loads_by_worker.get(observation.worker_id)
+        if load is None or load.capacity.cores <= 0:
+            self._evidence_by_worker.pop(observation.worker_id)
+            return
+        victims = self._learn(observation, load)
+        evidence = self._evidence_by_worker.get(observation.worker_id) or _WorkerEvidence()
+        self._evidence_by_worker.put(observation.worker_id, evidence)
+        if observation.taken_at <= max(evidence.taken_at, evidence.acted_at):
+            return
+        evidence.taken_at = observation.taken_at
+        evidence.in_step = frozenset(u.task_id for u in observation.usage if u.in_step)
+        self._weigh(evidence, victims)
+        if evidence.is_due:
+            self._due[observation.worker_id] = None
+
+    def decide(self, now: float) -> list[Action]:
+        """Returns one action for each worker whose reports call for it."""
+        actions = []
+        due = list(self._due)
+        self._due.clear()
+        for worker_id in due:
+            evidence = self._evidence_by_worker.get(worker_id)
+            load = self._books.loads_by_worker.get(worker_id)
+            if evidence is None or load is None:
+                continue
+            action = self._choose(load, evidence, now)
+            evidence.is_due = False
+            if action is not None:
+                evidence.acted_at = now
+                evidence.high_reports = evidence.low_reports = 0
+                actions.append(action)
+        return actions
+
+    def task_left(self, task_id: str) -> None:
+        """Forgets a task's throttle."""
+        self._stage_by_task.pop(task_id, None)
+
+    def _learn(self, observation: Observation, load: WorkerLoad) -> dict[str, float]:
+        """Updates the model and returns the mean slowdown of each service class."""
+        cores_by_class: dict[str, float] = {}
+        slowdowns_by_class: dict[str, list[float]] = {}
+        cores_by_victim: dict[str, float] = {}
+        for usage in observation.usage:
+            request = self._books.request_of(usage.task_id)
+            if request is None:
+                continue
+            task_class = request.task_class
+            cores_by_class[task_class] = cores_by_class.get(task_class, 0.0) + usage.cores
+            if usage.task_id not in self._stage_by_task:
+                self._profiles.observe_cores(request, usage.cores)
+            if usage.slowdown > 0:
+                slowdowns_by_class.setdefault(task_class, []).append(usage.slowdown)
+                cores_by_victim[task_class] = usage.cores
+        capacity = load.capacity.cores
+        used = sum(cores_by_class.values()) / capacity
+        shares = {c: cores / capacity for c, cores in cores_by_class.items()}
+        victims = {}
+        for task_class, slowdowns in slowdowns_by_class.items():
+            mean = sum(slowdowns) / len(slowdowns)
+            others = dict(shares)
+            others[task_class] -= cores_by_victim[task_class] / capacity
+            self._model.observe(task_class, others, used, mean)
+            if task_class in self._books.service_classes:
+                victims[task_class] = mean
+        return victims
+
+    def _weigh(self, evidence: _WorkerEvidence, victims: dict[str, float]) -> None:
+        worst = max(victims.values(), default=1.0)
+        limits = self.thresholds
+        evidence.victims = victims
+        evidence.high_reports = evidence.high_reports + 1 if worst >= limits.high else 0
+        evidence.low_reports = evidence.low_reports + 1 if worst <= limits.low else 0
+        evidence.is_due = max(evidence.high_reports, evidence.low_reports) >= limits.reports
+
+    def _choose(self, load: WorkerLoad, evidence: _WorkerEvidence, now: float) -> Action | None:
+        if evidence.low_reports >= self.thresholds.reports:
+            return self._lift(load)
+        causes = sorted(
+            (
+                (self._blame(request, load, evidence), task_id)
+                for task_id, request in load.requests_by_task.items()
+                if not self._books.is_service(task_id)
+            ),
+            reverse=True,
+        )
+        for blame, task_id in causes:
+            if blame <= 0.0:
+                break
+            action = self._step(task_id, load.worker_id, evidence, now)
+            if action is not None:
+                return action
+        return None
+
+    def _step(
+        self, task_id: str, worker_id: str, evidence: _WorkerEvidence, now: float
+    ) -> Action | None:
+        """Returns the next stage for a task: a tighter throttle, or the move at the end."""
+        stage = self._stage_by_task.get(task_id, 0)
+        if stage < len(self.thresholds.throttle_shares):
+            self._stage_by_task[task_id] = stage + 1
+            return Throttle(worker_id, task_id, self.thresholds.throttle_shares[stage])
+        if not self.thresholds.evict or task_id in evidence.in_step:
+            return None
+        if not self._budget.allows_task(task_id, now):
+            return None
+        if not self._budget.allows_worker(worker_id, now):
+            return None
+        self._budget.spend(task_id, worker_id, now)
+        return Evict(worker_id, task_id)
+
+    def _lift(self, load: WorkerLoad) -> Action | None:
+        """Takes back one stage of the tightest throttle on a worker."""
+        staged = [(self._stage_by_task.get(t, 0), t) for t in load.requests_by_task]
+        stage, task_id = max(staged, default=(0, ""))
+        if stage == 0:
+            return None
+        if stage == 1:
+            del self._stage_by_task[task_id]
+            return Throttle(load.worker_id, task_id, FULL_SHARE)
+        self._stage_by_task[task_id] = stage - 1
+        return Throttle(load.worker_id, task_id, self.thresholds.throttle_shares[stage - 2])
+
+    def _blame(
+        self, request: PlacementRequest, load: WorkerLoad, evidence: _WorkerEvidence
+    ) -> float:
+        """Returns the expected part of the services' slowdown that a task causes."""
+        stage = self._stage_by_task.get(request.task_id, 0)
+        limit = self.thresholds.throttle_shares[stage - 1] if stage else FULL_SHARE
+        cores = request.resources.cores * self._profiles.cores_ratio(request.task_class) * limit
+        level = load_level(1.0 - load.free.cores / load.capacity.cores)
+        harm = sum(
+            self._model.harm(victim, request.task_class, level) * max(slowdown - 1.0, 0.0)
+            for victim, slowdown in evidence.victims.items()
+        )
+        return cores * harm
--- /dev/null
+++ b/packages/pollengate/pollengate/interference.py
@@ -0,0 +1,113 @@
+"""Learns how much tasks of one class slow down tasks of another.
+
+The slowdown that a task sees beyond 1 is taken as a sum over its neighbours' classes: the class's
+share of the worker's processors times a coefficient of the pair and the load level. Each
+coefficient is estimated by a Kalman filter with a diagonal covariance, so that a pair with few
+samples stays near its prior and one with many moves slowly. The state is bounded and may be lost
+at any time; without it every pair has its prior.
+"""
+
+import dataclasses
+from collections.abc import Mapping
+
+from pollengate.bounded import BoundedDict
+
+__all__ = ["InterferenceModel", "load_level"]
+
+LOAD_LEVEL_BOUNDS = (0.4, 0.6, 0.8)
+MAX_PAIRS = 16_384
+MAX_CLASSES = 4096
+PRIOR_HARM = 0.1
+PRIOR_VARIANCE = 1.0
+DRIFT_VARIANCE = 0.0005
+NOISE_SHARE = 0.2
+MIN_NOISE = 0.1
+MAX_EXCESS = 4.0
+MAX_DEVIATIONS = 3.0
+MEAN_GAIN = 0.05
+MIN_SHARE = 0.005
+
+
+@dataclasses.dataclass(slots=True)
+class _Estimate:
+    harm: float
+    variance: float
+
+
+_Key = tuple[str, str, int]
+
+
+def load_level(load: float) -> int:
+    """Returns the level of a worker's used share of processors."""
+    return sum(load >= bound for bound in LOAD_LEVEL_BOUNDS)
+
+
+class InterferenceModel:
+    """Coefficients by (victim class, aggressor class, load level)."""
+
+    def __init__(self, max_pairs: int = MAX_PAIRS) -> None:
+        self._by_pair: BoundedDict[_Key, _Estimate] = BoundedDict(max_pairs)
+        self._mean_by_aggressor: BoundedDict[str, float] = BoundedDict(MAX_CLASSES)
+
+    def __len__(self) -> int:
+        return len(self._by_pair)
+
+    def observe(
+        self, victim: str, shares: Mapping[str, float], load: float, slowdown: float
+    ) -> None:
+        """Takes in one measurement.
+
+        Args:
+            victim: class of the task that was measured.
+            shares: its neighbours' used shares of the worker's processors, by class.
+            load: used share of the worker's processors.
+            slowdown: measured slowdown, 1 for none.
+        """
+        level = load_level(load)
+        neighbours = [
+            (self._estimate((victim, aggressor, level)), aggressor, share)
+            for aggressor, share in shares.items()
+            if share >= MIN_SHARE
+        ]
+        noise = (MIN_NOISE + NOISE_SHARE * slowdown) ** 2
+        spread = noise + sum(e.variance * share * share for e, _, share in neighbours)
+        error = min(slowdown - 1.0, MAX_EXCESS) - sum(e.harm * x for e, _, x in neighbours)
+        bound = MAX_DEVIATIONS * spread**0.5
+        error = min(max(error, -bound), bound)
+        for estimate, aggressor, share in neighbours:
+            gain = estimate.variance * share / spread
+            estimate.harm = max(estimate.harm + gain * error, 0.0)
+            estimate.variance *= 1.0 - gain * share
+            estimate.variance = min(estimate.variance + DRIFT_VARIANCE, PRIOR_VARIANCE)
+            self._move_mean(aggressor, estimate.harm)
+
+    def harm(self, victim: str, aggressor: str, level: int) -> float:
+        """Returns the slowdown beyond 1 that a worker full of the aggressor would cause."""
+        estimate = self._by_pair.get((victim, aggressor, level))
+        return self._prior(victim, aggressor, level) if estimate is None else estimate.harm
+
+    def slowdown(self, victim: str, shares: Mapping[str, float], load: float) -> float:
+        """Returns the expected slowdown of a task among its neighbours."""
+        level = load_level(load)
+        return 1.0 + sum(self.harm(victim, a, level) * share for a, share in shares.items())
+
+    def _prior(self, victim: str, aggressor: str, level: int) -> float:
+        """Returns the nearest load level's estimate, else the aggressor's mean."""
+        for near in (level - 1, level + 1):
+            estimate = self._by_pair.get((victim, aggressor, near))
+            if estimate is not None:
+                return estimate.harm
+        return self._mean(aggressor)
+
+    def _estimate(self, key: _Key) -> _Estimate:
+        estimate = self._by_pair.get(key) or _Estimate(self._prior(*key), PRIOR_VARIANCE)
+        self._by_pair.put(key, estimate)
+        return estimate
+
+    def _mean(self, aggressor: str) -> float:
+        mean = self._mean_by_aggressor.get(aggressor)
+        return PRIOR_HARM if mean is None else mean
+
+    def _move_mean(self, aggressor: str, harm: float) -> None:
+        mean = self._mean(aggressor)
+        self._mean_by_aggressor.put(aggressor, mean + MEAN_GAIN * (harm - mean))
--- /dev/null
+++ b/packages/pollengate/pollengate/parking.py
@@ -0,0 +1,76 @@
+"""Why a task can't run as things stand."""
+
+import itertools
+from collections.abc import Callable
+
+from pollengate.capacity import CapacityBooks
+from pollengate.failure_evidence import FailureEvidence
+from pollengate.placement_request import PlacementRequest
+from pollengate.refusals import Reason
+
+__all__ = ["Parking"]
+
+MAX_RECHECKED = 500
+
+
+class Parking:
+    """Decides which tasks are kept out of the queue, and until when."""
+
+    def __init__(self, books: CapacityBooks, failures: FailureEvidence) -> None:
+        self._books = books
+        self._failures = failures
+        self._requests_by_task: dict[str, PlacementRequest] = {}
+        self._reason_by_task: dict[str, Reason] = {}
+
+    def __len__(self) -> int:
+        return len(self._reason_by_task)
+
+    def reason(self, task_id: str) -> Reason | None:
+        """Returns why a task is parked, None if it is not."""
+        return self._reason_by_task.get(task_id)
+
+    def park(self, request: PlacementRequest, exceeds_quota: bool) -> bool:
+        """Parks a task that can't run.
+
+        Args:
+            request: the task.
+            exceeds_quota: whether the task alone is larger than its team's quota.
+
+        Returns:
+            Whether it was parked.
+        """
+        reason = self._reason_for(request, exceeds_quota)
+        if reason is None:
+            return False
+        self._requests_by_task[request.task_id] = request
+        self._reason_by_task[request.task_id] = reason
+        return True
+
+    def discard(self, task_id: str) -> None:
+        """Forgets a task."""
+        self._requests_by_task.pop(task_id, None)
+        self._reason_by_task.pop(task_id, None)
+
+    def take_runnable(
+        self, exceeds_quota: Callable[[PlacementRequest], bool]
+    ) -> list[PlacementRequest]:
+        """Looks at some parked tasks and returns those whose reason no longer holds."""
+        runnable = []
+        for request in list(itertools.islice(self._requests_by_task.values(), MAX_RECHECKED)):
+            self.discard(request.task_id)
+            if not self.park(request, exceeds_quota(request)):
+                runnable.append(request)
+        return runnable
+
+    def has_failed(self, task_id: str) -> bool:
+        """Tells whether a task failed on some worker, which it now avoids."""
+        return self._failures.has_failed(task_id)
+
+    def _reason_for(self, request: PlacementRequest, exceeds_quota: bool) -> Reason | None:
+        if not self._books.has_shape_for(request.resources):
+            return Reason.TASK_TOO_LARGE
+        if exceeds_quota:
+            return Reason.QUOTA_TOO_SMALL
+        if self._failures.job_fails(request.job_id):
+            return Reason.JOB_KEEPS_FAILING
+        return None
--- a/packages/pollengate/pollengate/placement.py
+++ b/packages/pollengate/pollengate/placement.py
@@ -1,33 +1,13 @@
 """Placement: which worker a task starts on."""
 
 import abc
-import dataclasses
 
-from pollengate.errors import InvariantViolation
-from pollengate.jobs import JobSpec, Resources
+from pollengate.capacity import CapacityBooks, WorkerLoad
+from pollengate.jobs import Resources
+from pollengate.placement_request import PlacementRequest, request_for
 
-__all__ = ["FirstFit", "Placement", "PlacementRequest", "request_for"]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class PlacementRequest:
-    """A task that waits for a worker.
-
-    Attributes:
-        task_id: the task.
-        task_class: tasks of one class are expected to behave alike.
-        team: whose quota it counts against.
-        resources: declared size.
-        duration_ms: declared run time.
-        urgent: whether it goes ahead of other work.
-    """
-
-    task_id: str
-    task_class: str
-    team: str
-    resources: Resources
-    duration_ms: int
-    urgent: bool = False
+__all__ = ["BookedPlacement", "FirstFit", "LeastLoaded", "Placement", "PlacementRequest"]
+__all__ += ["request_for"]
 
 
 class Placement(abc.ABC):
@@ -58,57 +38,73 @@
         """Returns what a worker can still be given by declared sizes."""
 
 
-class FirstFit(Placement):
-    """Takes the first worker with room."""
+class BookedPlacement(Placement):
+    """Keeps the books and leaves the choice of a worker to its subclasses."""
 
-    def __init__(self) -> None:
-        self._free_by_worker: dict[str, Resources] = {}
-        self._offered: dict[str, None] = {}
-        self._placed_by_task: dict[str, tuple[str, Resources]] = {}
+    def __init__(self, books: CapacityBooks | None = None) -> None:
+        self.books = books or CapacityBooks()
 
     def add_worker(self, worker_id: str, rack: str, capacity: Resources) -> None:
         """Offers a worker."""
-        self._free_by_worker.setdefault(worker_id, capacity)
-        self._offered[worker_id] = None
+        self._load_changed(self.books.add_worker(worker_id, rack, capacity))
 
     def remove_worker(self, worker_id: str) -> None:
         """Withdraws a worker."""
-        self._offered.pop(worker_id, None)
+        load = self.books.loads_by_worker.get(worker_id)
+        self.books.remove_worker(worker_id)
+        if load is not None:
+            self._load_changed(load)
 
     def place(self, request: PlacementRequest) -> str | None:
-        """Chooses the first worker with room."""
-        for worker_id in self._offered:
-            if request.resources.fits(self._free_by_worker[worker_id]):
-                self.adopt(request, worker_id)
-                return worker_id
-        return None
+        """Chooses a worker and counts the task there."""
+        worker_id = self._choose(request)
+        if worker_id is not None:
+            self.adopt(request, worker_id)
+        return worker_id
 
     def adopt(self, request: PlacementRequest, worker_id: str) -> None:
         """Counts a task on a worker."""
-        if request.task_id in self._placed_by_task:
-            raise InvariantViolation(f"task {request.task_id!r} is placed already")
-        self._free_by_worker[worker_id] = self._free_by_worker[worker_id] - request.resources
-        self._placed_by_task[request.task_id] = (worker_id, request.resources)
+        self._load_changed(self.books.add_task(request, worker_id))
 
     def release(self, task_id: str) -> None:
         """Ends the counting of a task."""
-        placed = self._placed_by_task.pop(task_id, None)
-        if placed is not None:
-            worker_id, resources = placed
-            self._free_by_worker[worker_id] = self._free_by_worker[worker_id] + resources
+        load = self.books.remove_task(task_id)
+        if load is not None:
+            self._load_changed(load)
 
     def free(self, worker_id: str) -> Resources:
         """Returns what a worker can still be given."""
-        return self._free_by_worker[worker_id]
-
-
-def request_for(task_id: str, spec: JobSpec) -> PlacementRequest:
-    """Returns the placement request of one task of a job."""
-    return PlacementRequest(
-        task_id=task_id,
-        task_class=spec.task_class,
-        team=spec.team,
-        resources=spec.resources,
-        duration_ms=spec.duration_ms,
-        urgent=spec.urgent,
-    )
+        return self.books.free(worker_id)
+
+    @abc.abstractmethod
+    def _choose(self, request: PlacementRequest) -> str | None:
+        """Returns an offered worker with room for the task."""
+
+    def _load_changed(self, load: WorkerLoad) -> None:
+        """Is called after each change of a worker's load."""
+        return
+
+
+class FirstFit(BookedPlacement):
+    """Takes the first worker with room."""
+
+    def _choose(self, request: PlacementRequest) -> str | None:
+        for worker_id, load in self.books.loads_by_worker.items():
+            if load.is_offered and request.resources.fits(load.free):
+                return worker_id
+        return None
+
+
+class LeastLoaded(BookedPlacement):
+    """Takes the worker with the largest free share of processors, by a scan of all."""
+
+    def _choose(self, request: PlacementRequest) -> str | None:
+        best: WorkerLoad | None = None
+        best_share = -1.0
+        for load in self.books.loads_by_worker.values():
+            if not load.is_offered or not request.resources.fits(load.free):
+                continue
+            share = load.free.cores / load.capacity.cores
+            if share > best_share:
+                best, best_share = load, share
+        return None if best is None else best.worker_id
--- /dev/null
+++ b/packages/pollengate/pollengate/policy.py
@@ -0,0 +1,80 @@
+"""Builds the placement, the queue and the reactions of one shard and keeps them configured."""
+
+import random
+from collections.abc import Callable
+
+from pollengate.capacity import CapacityBooks
+from pollengate.class_profiles import ClassProfiles
+from pollengate.configuration import Configuration
+from pollengate.eviction_budget import EvictionBudget, EvictionLimits
+from pollengate.failure_evidence import FailureEvidence
+from pollengate.fair_queue import FairQueue
+from pollengate.harm_placement import HarmPlacement, PlacementWeights
+from pollengate.harm_reaction import HarmReaction, ReactionThresholds
+from pollengate.interference import InterferenceModel
+from pollengate.parking import Parking
+from pollengate.preemption import Preemption
+from pollengate.reaction import ReactionChain
+from pollengate.reservations import Reservations
+from pollengate.task_outcomes import LearnedOutcomes
+
+__all__ = ["ShardPolicy"]
+
+
+class ShardPolicy:
+    """The decision classes of one shard; what they learn is lost with it, without harm.
+
+    Attributes:
+        placement: which worker a task starts on.
+        queue: which task is offered next.
+        reaction: what to do about measured harm and about urgent work without room.
+        outcomes: what is learned from the ends of tasks.
+    """
+
+    def __init__(self, seed: int, clock: Callable[[], float]) -> None:
+        generator = random.Random(seed)
+        self.books = CapacityBooks()
+        self.profiles = ClassProfiles()
+        self.model = InterferenceModel()
+        self.failures = FailureEvidence(clock)
+        self.budget = EvictionBudget()
+        self.reservations = Reservations(self.books, self.failures, generator)
+        self.placement = HarmPlacement(
+            self.books,
+            self.reservations,
+            self.model,
+            self.profiles,
+            self.failures,
+            generator,
+        )
+        parking = Parking(self.books, self.failures)
+        self.queue = FairQueue(self.books, self.profiles, self.reservations, parking, clock)
+        self.harm_reaction = HarmReaction(self.books, self.model, self.profiles, self.budget)
+        preemption = Preemption(self.books, self.reservations, self.budget)
+        self.reaction = ReactionChain((preemption, self.harm_reaction))
+        self.outcomes = LearnedOutcomes(self.books, self.profiles, self.failures, clock)
+        self._version: int | None = None
+
+    def configure(self, configuration: Configuration) -> None:
+        """Takes in a version of the configuration; one taken in before costs nothing."""
+        if configuration.version == self._version:
+            return
+        self._version = configuration.version
+        policy = configuration.policy
+        self.books.service_classes = frozenset(policy.service_classes)
+        shards = sum(z.shards for z in configuration.zones_by_name.values() if z.in_service)
+        self.queue.configure(configuration.quotas_by_team, shards)
+        self.placement.weights = PlacementWeights(
+            service_harm=policy.service_harm_weight,
+            batch_harm=policy.batch_harm_weight,
+            load=policy.load_weight,
+            max_service_harm=policy.max_service_harm,
+        )
+        self.harm_reaction.thresholds = ReactionThresholds(
+            high=policy.throttle_above, low=policy.release_below, evict=policy.evict_on_harm
+        )
+        self.budget.limits = EvictionLimits(
+            policy.eviction_interval_s,
+            policy.worker_eviction_interval_s,
+            policy.evictions_per_minute,
+        )
--- a/packages/pollengate/pollengate/reaction.py
+++ b/packages/pollengate/pollengate/reaction.py
@@ -2,10 +2,11 @@
 
 import abc
 import dataclasses
+from collections.abc import Sequence
 
 from pollengate.worker import TaskUsage
 
-__all__ = ["Action", "Evict", "NoReaction", "Observation", "Reaction", "Throttle"]
+__all__ = ["Action", "Evict", "NoReaction", "Observation", "Reaction", "ReactionChain", "Throttle"]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -71,3 +72,28 @@
 
     def task_left(self, task_id: str) -> None:
         """Keeps no state."""
+
+
+class ReactionChain(Reaction):
+    """Asks several reactions in order; the first to act on a task is followed."""
+
+    def __init__(self, reactions: Sequence[Reaction]) -> None:
+        self._reactions = tuple(reactions)
+
+    def observe(self, observation: Observation) -> None:
+        """Passes measurements on."""
+        for reaction in self._reactions:
+            reaction.observe(observation)
+
+    def decide(self, now: float) -> list[Action]:
+        """Returns at most one action a task."""
+        action_by_task: dict[str, Action] = {}
+        for reaction in self._reactions:
+            for action in reaction.decide(now):
+                action_by_task.setdefault(action.task_id, action)
+        return list(action_by_task.values())
+
+    def task_left(self, task_id: str) -> None:
+        """Passes the end of a task's stay on."""
+        for reaction in self._reactions:
+            reaction.task_left(task_id)
--- /dev/null
+++ b/packages/pollengate/pollengate/reservations.py
@@ -0,0 +1,123 @@
+"""Workers held for tasks that waited long, so that small tasks don't keep large ones out."""
+
+import dataclasses
+import random
+
+from pollengate.capacity import NO_RESOURCES, CapacityBooks, WorkerLoad
+from pollengate.failure_evidence import FailureEvidence
+from pollengate.jobs import Resources
+from pollengate.placement_request import PlacementRequest
+
+__all__ = ["Reservation", "Reservations"]
+
+CANDIDATES = 16
+WORKERS_PER_RESERVATION = 8
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reservation:
+    """A worker held for a task; `is_ahead` marks services' and urgent tasks."""
+
+    worker_id: str
+    request: PlacementRequest
+    is_ahead: bool
+
+
+class Reservations:
+    """Holds one worker a task; a held worker takes no other task of the same rank."""
+
+    def __init__(
+        self, books: CapacityBooks, failures: FailureEvidence, generator: random.Random
+    ) -> None:
+        self._books = books
+        self._failures = failures
+        self._generator = generator
+        self._by_task: dict[str, Reservation] = {}
+        self._by_worker: dict[str, Reservation] = {}
+        self._worker_ids: list[str] = []
+
+    def __len__(self) -> int:
+        return len(self._by_task)
+
+    def reserve(self, request: PlacementRequest, is_ahead: bool = False) -> bool:
+        """Holds a worker for a task.
+
+        Args:
+            request: the task.
+            is_ahead: whether it goes ahead of batch tasks, which may be evicted for it.
+
+        Returns:
+            Whether a worker is held for it.
+        """
+        if request.task_id in self._by_task:
+            return True
+        if len(self) >= self._limit(is_ahead):
+            return False
+        load = self._best(request, is_ahead)
+        if load is None:
+            return False
+        reservation = Reservation(load.worker_id, request, is_ahead)
+        self._by_task[request.task_id] = reservation
+        self._by_worker[load.worker_id] = reservation
+        return True
+
+    def cancel(self, task_id: str) -> None:
+        """Gives a worker back."""
+        reservation = self._by_task.pop(task_id, None)
+        if reservation is not None:
+            del self._by_worker[reservation.worker_id]
+
+    def drop_worker(self, worker_id: str) -> None:
+        """Gives up a worker that is no longer offered."""
+        reservation = self._by_worker.get(worker_id)
+        if reservation is not None:
+            self.cancel(reservation.request.task_id)
+
+    def worker_for(self, task_id: str) -> str | None:
+        """Returns the worker held for a task."""
+        reservation = self._by_task.get(task_id)
+        return None if reservation is None else reservation.worker_id
+
+    def admits(self, worker_id: str, is_ahead: bool) -> bool:
+        """Tells whether a worker may take a task that it is not held for."""
+        reservation = self._by_worker.get(worker_id)
+        return reservation is None or (is_ahead and not reservation.is_ahead)
+
+    def held(self) -> list[Reservation]:
+        """Returns every reservation."""
+        return list(self._by_task.values())
+
+    def _limit(self, is_ahead: bool) -> int:
+        limit = max(len(self._books.loads_by_worker) // WORKERS_PER_RESERVATION, 1)
+        return 2 * limit if is_ahead else limit
+
+    def _best(self, request: PlacementRequest, is_ahead: bool) -> WorkerLoad | None:
+        best: WorkerLoad | None = None
+        for load in self._candidates():
+            room = load.free + self._evictable(load) if is_ahead else load.capacity
+            if not request.resources.fits(room):
+                continue
+            if not self._failures.admits(load.worker_id, request.task_id):
+                continue
+            if best is None or load.free.cores > best.free.cores:
+                best = load
+        return best
+
+    def _candidates(self) -> list[WorkerLoad]:
+        loads_by_worker = self._books.loads_by_worker
+        if len(self._worker_ids) != len(loads_by_worker):
+            self._worker_ids = list(loads_by_worker)
+        count = min(CANDIDATES, len(self._worker_ids))
+        loads = [loads_by_worker.get(i) for i in self._generator.sample(self._worker_ids, count)]
+        return [
+            load
+            for load in loads
+            if load is not None and load.is_offered and load.worker_id not in self._by_worker
+        ]
+
+    def _evictable(self, load: WorkerLoad) -> Resources:
+        total = NO_RESOURCES
+        for task_id, request in load.requests_by_task.items():
+            if not request.urgent and not self._books.is_service(task_id):
+                total = total + request.resources
+        return total
--- a/packages/pollengate/pollengate/shard.py
+++ b/packages/pollengate/pollengate/shard.py
@@ -4,8 +4,11 @@
 import enum
 from collections.abc import Iterable
 
+from pollengate.failure_evidence import Verdict
 from pollengate.jobs import JobSpec, Resources, Task, TaskState, task_id_of
 from pollengate.placement import Placement, PlacementRequest, request_for
+from pollengate.reaction import Action, NoReaction, Observation, Reaction
+from pollengate.task_outcomes import NoOutcomes, TaskEnd, TaskOutcomes
 from pollengate.task_queue import TaskQueue
 from pollengate.virtual_machines import VirtualMachine, VmState
 from pollengate.worker import (
@@ -25,6 +28,7 @@
 
 _ENDED = frozenset({TaskState.FINISHED, TaskState.FAILED, TaskState.CANCELLED})
 _ON_WORKER = frozenset({TaskState.STARTING, TaskState.RUNNING})
+_PASSING_REFUSALS = frozenset({"already_running", "epoch_too_low", "no_lease"})
 
 
 class WorkerState(enum.StrEnum):
@@ -83,12 +87,20 @@
 class Shard:
     """Decides on one shard; holds no socket and reads no clock."""
 
-    def __init__(self, placement: Placement, queue: TaskQueue) -> None:
+    def __init__(
+        self,
+        placement: Placement,
+        queue: TaskQueue,
+        reaction: Reaction | None = None,
+        outcomes: TaskOutcomes | None = None,
+    ) -> None:
         self.workers_by_id: dict[str, WorkerBook] = {}
         self.jobs_by_id: dict[str, JobBook] = {}
         self._tasks_by_id: dict[str, Task] = {}
         self._placement = placement
         self._queue = queue
+        self._reaction = reaction or NoReaction()
+        self._outcomes = outcomes or NoOutcomes()
 
     @property
     def queued(self) -> int:
@@ -171,7 +183,10 @@
                 continue
             if answer.accepted:
                 task.state = TaskState.RUNNING
+                self._outcomes.started(task.task_id)
             else:
+                if answer.reason not in _PASSING_REFUSALS:
+                    self._outcomes.ended(task.task_id, TaskEnd.REFUSED)
                 self._requeue(task)
 
     def withdraw_starts(self, orders: Iterable[TaskOrder]) -> None:
@@ -187,6 +202,9 @@
         if book is None or book.state is WorkerState.DETACHED:
             return HeartbeatAnswer(accepted=False)
         book.lease_until = max(book.lease_until, now + WORKER_LEASE_S + CLOCK_MARGIN_S)
+        if beat.usage:
+            taken_at = now - beat.usage_age_s
+            self._reaction.observe(Observation(beat.worker_id, taken_at, beat.usage))
         acknowledged = []
         unknown = []
         for report in beat.reports:
@@ -197,6 +215,19 @@
             self._adopt(beat.worker_id, report)
         return HeartbeatAnswer(True, WORKER_LEASE_S, tuple(acknowledged), tuple(unknown))
 
+    def plan_actions(self, now: float) -> list[tuple[Action, TaskRef]]:
+        """Returns throttles and evictions of running tasks, each with the attempt it is for."""
+        actions = []
+        for action in self._reaction.decide(now):
+            task = self._tasks_by_id.get(action.task_id)
+            if (
+                task is not None
+                and task.state is TaskState.RUNNING
+                and task.worker_id == action.worker_id
+            ):
+                actions.append((action, TaskRef(task.task_id, task.attempt)))
+        return actions
+
     def expire_workers(self, now: float) -> None:
         """Queues the tasks of workers whose leases have lapsed on every clock."""
         for book in self.workers_by_id.values():
@@ -275,17 +306,27 @@
         elif report.state is ReportState.FINISHED:
             self._end(task, TaskState.FINISHED)
         elif report.state is ReportState.FAILED:
-            self._end(task, TaskState.FAILED)
+            self._fail(task)
         else:
             task.checkpoint = report.checkpoint
             self._requeue(task)
 
+    def _fail(self, task: Task) -> None:
+        """Tries an idempotent task on another worker unless it failed on enough of them."""
+        verdict = self._outcomes.ended(task.task_id, TaskEnd.FAILED)
+        if task.spec.idempotent and verdict is Verdict.RETRY:
+            self._requeue(task)
+        else:
+            self._end(task, TaskState.FAILED)
+
     def _requeue(self, task: Task) -> None:
         self._leave_worker(task)
         task.state = TaskState.QUEUED
-        self._queue.push(request_for(task.task_id, task.spec))
+        self._queue.push(request_for(task.task_id, task.spec, resumed=bool(task.checkpoint)))
 
     def _end(self, task: Task, state: TaskState) -> None:
+        if state is TaskState.FINISHED:
+            self._outcomes.ended(task.task_id, TaskEnd.FINISHED)
         self._leave_worker(task)
         self._queue.discard(task.task_id)
         task.state = state
@@ -295,6 +336,8 @@
         book = self.workers_by_id.get(task.worker_id)
         if book is not None:
             book.task_ids.discard(task.task_id)
+        self._outcomes.ended(task.task_id, TaskEnd.LEFT)
+        self._reaction.task_left(task.task_id)
         self._placement.release(task.task_id)
         task.worker_id = ""
 
--- /dev/null
+++ b/packages/pollengate/pollengate/task_outcomes.py
@@ -0,0 +1,86 @@
+"""Listeners to what became of the tasks that were started."""
+
+import abc
+import enum
+from collections.abc import Callable
+
+from pollengate.capacity import CapacityBooks
+from pollengate.class_profiles import ClassProfiles
+from pollengate.failure_evidence import FailureEvidence, Verdict
+
+__all__ = ["LearnedOutcomes", "NoOutcomes", "TaskEnd", "TaskOutcomes"]
+
+
+class TaskEnd(enum.StrEnum):
+    """How a task's stay on a worker ended."""
+
+    FINISHED = "finished"
+    FAILED = "failed"
+    REFUSED = "refused"
+    LEFT = "left"
+
+
+class TaskOutcomes(abc.ABC):
+    """Is told how each stay on a worker ended, before the task is released."""
+
+    @abc.abstractmethod
+    def ended(self, task_id: str, end: TaskEnd) -> Verdict:
+        """Takes in an end and tells whether a failed task should be tried again."""
+
+    @abc.abstractmethod
+    def started(self, task_id: str) -> None:
+        """Takes in a start that a worker confirmed."""
+
+
+class NoOutcomes(TaskOutcomes):
+    """Learns nothing; a failed task is not tried again."""
+
+    def ended(self, task_id: str, end: TaskEnd) -> Verdict:
+        """Gives up."""
+        return Verdict.GIVE_UP
+
+    def started(self, task_id: str) -> None:
+        """Ignores a start."""
+
+
+class LearnedOutcomes(TaskOutcomes):
+    """Passes outcomes on to the evidence of failures and to the classes' profiles."""
+
+    def __init__(
+        self,
+        books: CapacityBooks,
+        profiles: ClassProfiles,
+        failures: FailureEvidence,
+        clock: Callable[[], float],
+    ) -> None:
+        self._books = books
+        self._profiles = profiles
+        self._failures = failures
+        self._clock = clock
+        self._started_at_by_task: dict[str, float] = {}
+
+    def started(self, task_id: str) -> None:
+        """Notes the start of a task that is on a worker."""
+        request = self._books.request_of(task_id)
+        if request is not None and not request.resumed and self._books.worker_of(task_id):
+            self._started_at_by_task[task_id] = self._clock()
+
+    def ended(self, task_id: str, end: TaskEnd) -> Verdict:
+        """Learns from an end; a task that is on no worker is given up."""
+        started_at = self._started_at_by_task.pop(task_id, None)
+        request = self._books.request_of(task_id)
+        worker_id = self._books.worker_of(task_id)
+        if request is None or worker_id is None:
+            return Verdict.GIVE_UP
+        if end is TaskEnd.FINISHED:
+            self._failures.finished(task_id, request.job_id, worker_id)
+            if started_at is not None:
+                self._profiles.observe_run(request, self._clock() - started_at)
+        elif end is TaskEnd.FAILED:
+            count = self._books.offered_workers
+            return self._failures.failed(task_id, request.job_id, worker_id, count)
+        elif end is TaskEnd.REFUSED:
+            self._failures.refused(request.job_id, worker_id)
+        else:
+            self._failures.left(task_id, worker_id)
+        return Verdict.RETRY
--- a/packages/pollengate/pollengate/task_queue.py
+++ b/packages/pollengate/pollengate/task_queue.py
@@ -3,7 +3,7 @@
 import abc
 from collections.abc import Callable
 
-from pollengate.placement import PlacementRequest
+from pollengate.placement_request import PlacementRequest
 
 __all__ = ["FifoQueue", "TaskQueue"]
 
--- a/packages/pollengate/pollengate/worker.py
+++ b/packages/pollengate/pollengate/worker.py
@@ -65,12 +65,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TaskUsage:
-    """Measured use of one task; `slowdown` is 1 for none and 0 when not measured."""
+    """Measured use of one task.
+
+    Attributes:
+        task_id: the task.
+        cores: processors in use.
+        memory_mb: memory in use.
+        slowdown: 1 for none, 0 when not measured; a throttle does not count.
+        in_step: whether it is in a step that can't be checkpointed.
+    """
 
     task_id: str
     cores: float
     memory_mb: int
     slowdown: float
+    in_step: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/pollengated/pollengated/config_model.py
+++ b/packages/pollengated/pollengated/config_model.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 import pydantic
-from pollengate.configuration import Configuration, Limits, Quota, Service, Zone
+from pollengate.configuration import Configuration, Limits, Policy, Quota, Service, Zone
 from pollengate.refusals import Outcome, Reason, Refusal
 from result import Err, Ok, Result
 
@@ -57,6 +57,28 @@
     max_queued_tasks: int = pydantic.Field(default=100_000, ge=1, le=1_000_000)
 
 
+class PolicyModel(_Model):
+    """Weights and limits of placement, throttling and eviction."""
+
+    service_classes: list[Name] = []  # type: ignore[valid-type]
+    service_harm_weight: float = pydantic.Field(default=8.0, ge=0, le=1000)
+    batch_harm_weight: float = pydantic.Field(default=1.0, ge=0, le=1000)
+    load_weight: float = pydantic.Field(default=0.5, ge=0, le=1000)
+    max_service_harm: float | None = pydantic.Field(default=None, ge=0, le=100)
+    throttle_above: float = pydantic.Field(default=1.4, gt=1, le=100)
+    release_below: float = pydantic.Field(default=1.15, ge=1, le=100)
+    evict_on_harm: bool = True
+    eviction_interval_s: float = pydantic.Field(default=600.0, ge=0, le=86_400)
+    worker_eviction_interval_s: float = pydantic.Field(default=60.0, ge=0, le=86_400)
+    evictions_per_minute: float = pydantic.Field(default=6.0, ge=0, le=10_000)
+
+    @pydantic.model_validator(mode="after")
+    def _check_thresholds(self) -> "PolicyModel":
+        if self.release_below >= self.throttle_above:
+            raise ValueError("release_below must be less than throttle_above")
+        return self
+
+
 class ConfigurationModel(_Model):
     """The operators' configuration."""
 
@@ -64,6 +86,7 @@
     services: dict[Name, ServiceModel] = {}  # type: ignore[valid-type]
     quotas: dict[Name, QuotaModel] = {}  # type: ignore[valid-type]
     limits: LimitsModel = LimitsModel()
+    policy: PolicyModel = PolicyModel()
 
 
 def empty_document() -> dict[str, Any]:
@@ -105,5 +128,11 @@
         services_by_name={n: Service(**s.model_dump()) for n, s in model.services.items()},
         quotas_by_team={n: Quota(**q.model_dump()) for n, q in model.quotas.items()},
         limits=Limits(**model.limits.model_dump()),
+        policy=_policy_of(model.policy),
     )
     return configuration, model.model_dump()
+
+
+def _policy_of(model: PolicyModel) -> Policy:
+    fields = model.model_dump() | {"service_classes": tuple(model.service_classes)}
+    return Policy(**fields)
--- a/packages/pollengated/pollengated/metrics.py
+++ b/packages/pollengated/pollengated/metrics.py
@@ -29,6 +29,12 @@
             registry=self.registry,
         )
         self.starts = Counter("pollengate_starts", "Tasks started.", registry=self.registry)
+        self.evictions = Counter(
+            "pollengate_evictions", "Tasks told to checkpoint and stop.", registry=self.registry
+        )
+        self.throttles = Counter(
+            "pollengate_throttles", "Throttles set or lifted.", registry=self.registry
+        )
         self.start_delay = Histogram(
             "pollengate_start_delay_seconds",
             "Time from acceptance to start of a task.",
--- a/packages/pollengated/pollengated/shard_owner.py
+++ b/packages/pollengated/pollengated/shard_owner.py
@@ -1,12 +1,14 @@
 """Owns one shard: takes it, recovers it, starts its tasks and records their ends."""
 
 import asyncio
+import zlib
 from collections.abc import Callable
 
 from pollengate.jobs import JobSpec
 from pollengate.ledger import Accepted, Ledger, LedgerConflict
 from pollengate.ownership import OWNER_LEASE_S, Ownership, owner_key
-from pollengate.placement import FirstFit
+from pollengate.policy import ShardPolicy
+from pollengate.reaction import Action, Throttle
 from pollengate.refusals import Outcome, Reason, Refusal
 from pollengate.shard import (
     CLOCK_MARGIN_S,
@@ -16,7 +18,6 @@
     StartOrders,
 )
 from pollengate.store import FailureKind, Put, Store, Unchanged
-from pollengate.task_queue import FifoQueue
 from pollengate.worker import Heartbeat, HeartbeatAnswer, TaskRef, WorkerClient
 from prometheus_client import Gauge
 from result import Err, Ok, Result
@@ -53,7 +54,7 @@
         self.zone = zone
         self.number = shard
         self.ownership = Ownership(zone, shard)
-        self.books = Shard(FirstFit(), FifoQueue())
+        self.books = self._new_books()
         self._process_id = process_id
         self._address = address
         self._store = store
@@ -148,10 +149,12 @@
             if loop.time() >= renew_at:
                 await self._renew()
                 renew_at = loop.time() + RENEW_INTERVAL_S
+            self._policy.configure(self._follower.current)
             await self._attach_workers(leases_lapse_at)
             self.books.expire_workers(loop.time())
             if loop.time() >= leases_lapse_at:
                 await self._start_tasks()
+            await self._act()
             await self._flush()
             await asyncio.sleep(TICK_INTERVAL_S)
 
@@ -189,6 +192,20 @@
         elif not result.err_value.sent:
             self.books.withdraw_starts(plan.orders)
 
+    async def _act(self) -> None:
+        """Carries out throttles and evictions; one that fails is decided on again later."""
+        planned = self.books.plan_actions(asyncio.get_running_loop().time())
+        await asyncio.gather(*(self._act_once(action, ref) for action, ref in planned))
+
+    async def _act_once(self, action: Action, ref: TaskRef) -> None:
+        client = self._client(action.worker_id)
+        if isinstance(action, Throttle):
+            await client.throttle(self._epoch(), ref, action.share)
+            self._metrics.throttles.inc()
+        else:
+            await client.stop(self._epoch(), (ref,), checkpoint=True)
+            self._metrics.evictions.inc()
+
     async def _stop_tasks(self, stops: list[tuple[str, TaskRef]]) -> None:
         refs_by_worker: dict[str, list[TaskRef]] = {}
         for worker_id, ref in stops:
@@ -219,9 +236,16 @@
     def _drop(self) -> None:
         self._log.info("shard lost", zone=self.zone, shard=self.number, epoch=self._epoch())
         self.ownership.drop()
-        self.books = Shard(FirstFit(), FifoQueue())
+        self.books = self._new_books()
         self._gauge().set(0)
 
+    def _new_books(self) -> Shard:
+        """Builds empty books with a policy that has learned nothing."""
+        seed = zlib.crc32(f"{self.zone}/{self.number}".encode())
+        self._policy = ShardPolicy(seed, asyncio.get_running_loop().time)
+        policy = self._policy
+        return Shard(policy.placement, policy.queue, policy.reaction, policy.outcomes)
+
     def _client(self, worker_id: str) -> WorkerClient:
         client = self._clients_by_worker.get(worker_id)
         if client is None:
--- /dev/null
+++ b/tests/test_failure_evidence.py
@@ -0,0 +1,84 @@
+"""Tests of telling bad workers from bad tasks."""
+
+import unittest
+
+from pollengate.failure_evidence import FIRST_PROBE_AFTER_S, FailureEvidence, Verdict
+
+from tests.utils import ManualClock
+
+WORKERS = 10
+
+
+class FailureEvidenceTest(unittest.TestCase):
+    """Quarantine, giving up, and both at once."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.failures = FailureEvidence(self.clock)
+
+    def fail(self, job_id: str, worker_id: str, index: int = 0) -> Verdict:
+        """Fails one task of a job on a worker."""
+        return self.failures.failed(f"{job_id}.{index}", job_id, worker_id, WORKERS)
+
+    def test_worker_that_fails_several_jobs_is_quarantined_and_the_jobs_are_retried(self) -> None:
+        verdicts = {self.fail(job_id, "bad") for job_id in ("a", "b", "c")}
+        self.assertEqual(verdicts, {Verdict.RETRY})
+        self.assertTrue(self.failures.is_quarantined("bad"))
+        self.assertFalse(self.failures.admits("bad", "d.0"))
+
+    def test_task_that_fails_on_several_workers_is_given_up_and_they_are_not_blamed(self) -> None:
+        verdicts = [self.fail("a", worker) for worker in ("w0", "w1", "w2")]
+        self.assertEqual(verdicts, [Verdict.RETRY, Verdict.RETRY, Verdict.GIVE_UP])
+        self.assertFalse(any(self.failures.is_quarantined(w) for w in ("w0", "w1", "w2")))
+
+    def test_job_that_fails_everywhere_does_not_quarantine_workers(self) -> None:
+        for index in range(12):
+            for worker in range(4):
+                self.fail("a", f"w{worker}", index)
+        self.assertFalse(any(self.failures.is_quarantined(f"w{n}") for n in range(4)))
+        self.assertTrue(self.failures.job_fails("a"))
+
+    def test_bad_job_and_bad_worker_together_are_both_found(self) -> None:
+        for job_id in ("a", "b", "c"):
+            self.fail(job_id, "bad")
+        for job_id in ("a", "b", "c"):
+            self.failures.finished(f"{job_id}.0", job_id, "w5")
+        verdicts = [self.fail("x", worker) for worker in ("bad", "w1", "w2", "w3")]
+        self.assertEqual(verdicts[:3], [Verdict.RETRY] * 3)
+        self.assertIs(verdicts[3], Verdict.GIVE_UP)
+        self.assertTrue(self.failures.is_quarantined("bad"))
+        self.assertFalse(self.failures.is_quarantined("w1"))
+
+    def test_many_bad_jobs_on_good_workers_do_not_quarantine_them_all(self) -> None:
+        for job in range(6):
+            for worker in range(3):
+                self.fail(f"j{job}", f"w{(job + worker) % 6}")
+            self.failures.finished("ok.0", "ok", f"w{job}")
+        quarantined = [n for n in range(6) if self.failures.is_quarantined(f"w{n}")]
+        self.assertEqual(quarantined, [])
+
+    def test_probe_releases_a_mended_worker_and_doubles_the_wait_for_another(self) -> None:
+        for job_id in ("a", "b", "c"):
+            self.fail(job_id, "bad")
+        self.clock.now = FIRST_PROBE_AFTER_S
+        self.assertTrue(self.failures.admits("bad", "d.0"))
+        self.failures.placed("d.0", "d", "bad")
+        self.assertFalse(self.failures.admits("bad", "e.0"))
+        self.fail("d", "bad")
+        self.clock.now += FIRST_PROBE_AFTER_S
+        self.assertFalse(self.failures.admits("bad", "e.0"))
+        self.clock.now += FIRST_PROBE_AFTER_S
+        self.failures.placed("e.0", "e", "bad")
+        self.failures.finished("e.0", "e", "bad")
+        self.assertFalse(self.failures.is_quarantined("bad"))
+
+    def test_failing_job_is_probed_by_one_task_at_a_time(self) -> None:
+        for index in range(3):
+            self.fail("a", f"w{index}", index)
+        self.assertTrue(self.failures.job_fails("a"))
+        self.clock.now = FIRST_PROBE_AFTER_S
+        self.assertFalse(self.failures.job_fails("a"))
+        self.failures.placed("a.7", "a", "w7")
+        self.assertTrue(self.failures.job_fails("a"))
+        self.failures.finished("a.7", "a", "w7")
+        self.assertFalse(self.failures.job_fails("a"))
--- /dev/null
+++ b/tests/test_fair_queue.py
@@ -0,0 +1,146 @@
+"""Tests of the order in which waiting tasks are offered."""
+
+import unittest
+from collections.abc import Callable
+
+from pollengate.configuration import Quota
+from pollengate.fair_queue import RESERVE_AFTER_S, RESERVE_URGENT_AFTER_S
+from pollengate.jobs import Resources
+from pollengate.placement_request import PlacementRequest
+from pollengate.policy import ShardPolicy
+from pollengate.refusals import Reason
+
+from tests.utils import ManualClock, build_policy, build_request
+
+
+def drain(policy: ShardPolicy, limit: int = 100) -> list[str]:
+    """Drains the queue into the placement and returns the tasks placed, in order."""
+    placed: list[str] = []
+
+    def place(request: PlacementRequest) -> bool:
+        if policy.placement.place(request) is None:
+            return False
+        placed.append(request.task_id)
+        return True
+
+    policy.queue.drain(place, limit)
+    return placed
+
+
+def counting(refusals: list[str]) -> Callable[[PlacementRequest], bool]:
+    """Returns a place function that refuses everything and notes what it was offered."""
+
+    def place(request: PlacementRequest) -> bool:
+        refusals.append(request.task_id)
+        return False
+
+    return place
+
+
+class FairQueueTest(unittest.TestCase):
+    """Lanes, shares, quotas, blocked sizes, reservations and parking."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+
+    def test_services_go_before_urgent_tasks_and_those_before_batch(self) -> None:
+        policy = build_policy(self.clock, 1, service_classes=("api",))
+        policy.queue.push(build_request("batch.0"))
+        policy.queue.push(build_request("urgent.0", urgent=True))
+        policy.queue.push(build_request("service.0", task_class="api"))
+        self.assertEqual(drain(policy), ["service.0", "urgent.0", "batch.0"])
+
+    def test_team_with_the_smaller_share_goes_first(self) -> None:
+        policy = build_policy(self.clock, 1, cores=6)
+        for number in range(6):
+            policy.queue.push(build_request(f"large.{number}", team="large"))
+        for number in range(2):
+            policy.queue.push(build_request(f"small.{number}", team="small"))
+        self.assertEqual(sorted(drain(policy)[:4]), ["large.0", "large.1", "small.0", "small.1"])
+
+    def test_quota_bounds_a_team_and_leaves_the_others_alone(self) -> None:
+        quotas = {"a": Quota(cores=2, memory_mb=1000)}
+        policy = build_policy(self.clock, 2, quotas=quotas)
+        for number in range(4):
+            policy.queue.push(build_request(f"a.{number}", team="a"))
+            policy.queue.push(build_request(f"b.{number}", team="b"))
+        placed = drain(policy)
+        self.assertEqual(sum(task_id.startswith("a") for task_id in placed), 2)
+        self.assertEqual(sum(task_id.startswith("b") for task_id in placed), 4)
+
+    def test_size_that_found_no_room_is_offered_once_a_round(self) -> None:
+        policy = build_policy(self.clock, 1)
+        for number in range(500):
+            policy.queue.push(build_request(f"a.{number}", team=f"team{number % 50}", cores=2))
+            policy.queue.push(build_request(f"b.{number}", team=f"team{number % 50}", cores=3))
+        offered: list[str] = []
+        policy.queue.drain(counting(offered), 200)
+        self.assertLessEqual(len(offered), 2)
+
+    def test_blocked_large_task_does_not_block_a_small_one(self) -> None:
+        policy = build_policy(self.clock, 1)
+        policy.placement.adopt(build_request("running.0", cores=2), "w0")
+        policy.queue.push(build_request("large.0", cores=3))
+        policy.queue.push(build_request("small.0", cores=1))
+        self.assertEqual(drain(policy), ["small.0"])
+
+    def test_large_task_gets_its_turn_among_small_ones(self) -> None:
+        policy = build_policy(self.clock, 2)
+        policy.queue.push(build_request("large.0", cores=4))
+        running = []
+        for number in range(8):
+            running.append(f"old.{number}")
+            policy.placement.adopt(build_request(running[-1]), f"w{number % 2}")
+        for step in range(400):
+            self.clock.now += 0.5
+            policy.queue.push(build_request(f"small.{step}", team="other"))
+            policy.placement.release(running.pop(0))
+            placed = drain(policy)
+            running += placed
+            if "large.0" in placed:
+                break
+        self.assertIn("large.0", placed)
+        self.assertLessEqual(self.clock.now, RESERVE_AFTER_S + 10.0)
+
+    def test_resumed_task_goes_before_new_ones(self) -> None:
+        policy = build_policy(self.clock, 1)
+        policy.queue.push(build_request("new.0"))
+        policy.queue.push(build_request("moved.0", resumed=True))
+        self.assertEqual(drain(policy), ["moved.0", "new.0"])
+
+    def test_learned_run_time_puts_long_tasks_back(self) -> None:
+        policy = build_policy(self.clock, 1)
+        long = build_request("long.0", task_class="long")
+        for _ in range(20):
+            policy.profiles.observe_run(long, 100.0)
+        policy.queue.push(long)
+        policy.queue.push(build_request("short.0", task_class="short"))
+        self.assertEqual(drain(policy), ["short.0", "long.0"])
+
+    def test_unrunnable_task_is_parked_until_a_worker_can_hold_it(self) -> None:
+        policy = build_policy(self.clock, 1)
+        policy.queue.push(build_request("huge.0", cores=8))
+        self.assertEqual(drain(policy), [])
+        self.assertIs(policy.queue.parked_reason("huge.0"), Reason.TASK_TOO_LARGE)
+        policy.placement.add_worker("w9", "r0", Resources(8, 1000))
+        self.clock.now += 10.0
+        self.assertEqual(drain(policy), ["huge.0"])
+        self.assertIsNone(policy.queue.parked_reason("huge.0"))
+
+    def test_task_above_its_quota_is_parked_with_the_reason(self) -> None:
+        policy = build_policy(self.clock, 1, quotas={"team": Quota(1, 1000)})
+        policy.queue.push(build_request("wide.0", cores=2))
+        self.assertIs(policy.queue.parked_reason("wide.0"), Reason.QUOTA_TOO_SMALL)
+        policy.queue.discard("wide.0")
+        self.assertEqual(len(policy.queue), 0)
+
+    def test_cancelled_task_gives_its_reservation_back(self) -> None:
+        policy = build_policy(self.clock, 1)
+        policy.placement.adopt(build_request("running.0", cores=4), "w0")
+        policy.queue.push(build_request("urgent.0", urgent=True))
+        drain(policy)
+        self.clock.now += RESERVE_URGENT_AFTER_S
+        drain(policy)
+        self.assertEqual(policy.reservations.worker_for("urgent.0"), "w0")
+        policy.queue.discard("urgent.0")
+        self.assertEqual(len(policy.reservations), 0)
--- a/tests/utils.py
+++ b/tests/utils.py
@@ -5,10 +5,20 @@
 from typing import Any, TypeVar
 
 import looptime
+from pollengate.configuration import Configuration, Limits, Policy, Zone
 from pollengate.jobs import JobSpec, Resources
+from pollengate.placement_request import PlacementRequest
+from pollengate.policy import ShardPolicy
 from pollengate.virtual_machines import VirtualMachine, VmKind, VmState
 
-__all__ = ["build_spec", "build_worker", "run_virtual"]
+__all__ = [
+    "ManualClock",
+    "build_policy",
+    "build_request",
+    "build_spec",
+    "build_worker",
+    "run_virtual",
+]
 
 T = TypeVar("T")
 LOOP_END_S = 36_000.0
@@ -35,6 +45,43 @@
     return JobSpec(**(fields | changes))
 
 
+class ManualClock:
+    """A clock that tests set."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+def build_policy(
+    clock: ManualClock, workers: int = 0, cores: int = 4, **settings: Any
+) -> ShardPolicy:
+    """Returns a shard's policy with workers w0, w1, ... in two racks."""
+    policy = ShardPolicy(0, clock)
+    zones = {"a": Zone()}
+    policy.configure(
+        Configuration(1, zones, {}, settings.pop("quotas", {}), Limits(), Policy(**settings))
+    )
+    for number in range(workers):
+        policy.placement.add_worker(f"w{number}", f"r{number % 2}", Resources(cores, 1000))
+    return policy
+
+
+def build_request(task_id: str = "job.0", cores: int = 1, **changes: Any) -> PlacementRequest:
+    """Returns a request for a small task."""
+    fields: dict[str, Any] = {
+        "task_id": task_id,
+        "task_class": "default",
+        "team": "team",
+        "resources": Resources(cores, 100),
+        "duration_ms": 1000,
+        "job_id": task_id.rpartition(".")[0],
+    }
+    return PlacementRequest(**(fields | changes))
+
+
 def build_worker(worker_id: str = "w0", zone: str = "a", **changes: Any) -> VirtualMachine:
     """Returns a live worker with four cores."""
     fields: dict[str, Any] = {
