--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; each module says how it is run."""
--- /dev/null
+++ b/benchmarks/placement_policies.py
@@ -0,0 +1,179 @@
+"""Policies under comparison: baselines, the policy, and the policy without each of its parts."""
+
+import dataclasses
+from collections.abc import Callable
+
+from pollengate.capacity import CapacityBooks
+from pollengate.configuration import Configuration, Limits, Policy, Zone
+from pollengate.failure_evidence import Verdict
+from pollengate.placement import BookedPlacement, FirstFit, LeastLoaded
+from pollengate.policy import ShardPolicy
+from pollengate.reaction import Action, Evict, NoReaction, Observation, Reaction
+from pollengate.task_outcomes import NoOutcomes, TaskEnd, TaskOutcomes
+from pollengate.task_queue import FifoQueue, TaskQueue
+
+__all__ = ["ABLATIONS", "BASELINES", "LEAGUE", "REGISTRY", "Decider", "build_decider"]
+
+SERVICE_CLASSES = ("service-0", "service-1")
+BASELINES = ("first-fit", "least-loaded", "reactive")
+LEAGUE = Policy(service_classes=SERVICE_CLASSES, max_service_slowdown=1.3)
+REGISTRY = Policy(service_classes=SERVICE_CLASSES, max_service_slowdown=1.2, throttle_above=1.3)
+REACTIVE_THRESHOLD = 1.4
+
+
+class RetryOutcomes(NoOutcomes):
+    """Tries a failed task five times, wherever it lands; a baseline without evidence."""
+
+    def __init__(self) -> None:
+        self._failures_by_task: dict[str, int] = {}
+
+    def ended(self, task_id: str, end: TaskEnd) -> Verdict:
+        """Counts failures."""
+        if end is not TaskEnd.FAILED:
+            return Verdict.RETRY
+        failures = self._failures_by_task.get(task_id, 0) + 1
+        self._failures_by_task[task_id] = failures
+        return Verdict.RETRY if failures < 5 else Verdict.GIVE_UP
+
+
+class EvictOnSlowdown(Reaction):
+    """Evicts the largest batch task of a worker whose services report a slowdown."""
+
+    def __init__(self, books: CapacityBooks) -> None:
+        self._books = books
+        self._due: dict[str, None] = {}
+
+    def observe(self, observation: Observation) -> None:
+        """Compares the services' mean slowdown with the threshold that the policy has too."""
+        slowdowns = []
+        for usage in observation.usage:
+            request = self._books.request_of(usage.task_id)
+            if request is not None and request.task_class in SERVICE_CLASSES:
+                slowdowns.append(usage.slowdown)
+        if slowdowns and sum(slowdowns) / len(slowdowns) >= REACTIVE_THRESHOLD:
+            self._due[observation.worker_id] = None
+
+    def decide(self, now: float) -> list[Action]:
+        """Evicts one task for each worker that reported."""
+        actions: list[Action] = []
+        for worker_id in self._due:
+            load = self._books.loads_by_worker.get(worker_id)
+            requests = [] if load is None else load.requests_by_task.values()
+            batch = [r for r in requests if r.task_class not in SERVICE_CLASSES]
+            if batch:
+                largest = max(batch, key=lambda r: r.resources.cores)
+                actions.append(Evict(worker_id, largest.task_id))
+        self._due.clear()
+        return actions
+
+    def task_left(self, task_id: str) -> None:
+        """Keeps no state by task."""
+
+
+@dataclasses.dataclass(slots=True)
+class Decider:
+    """The decision classes of one zone."""
+
+    placement: BookedPlacement
+    queue: TaskQueue
+    reaction: Reaction
+    outcomes: TaskOutcomes
+    policy: ShardPolicy | None = None
+
+
+def build_decider(
+    name: str, zone: str, settings: Policy, seed: int, clock: Callable[[], float]
+) -> Decider:
+    """Builds a baseline, the policy (`policy`), or an ablation of it (`no-...`)."""
+    if name in BASELINES:
+        placement = FirstFit() if name == "first-fit" else LeastLoaded()
+        reaction = EvictOnSlowdown(placement.books) if name == "reactive" else NoReaction()
+        return Decider(placement, FifoQueue(), reaction, RetryOutcomes())
+    policy = ShardPolicy(zone, seed, clock)
+    configure(policy, (zone,), settings, 1)
+    decider = Decider(policy.placement, policy.queue, policy.reaction, policy.outcomes, policy)
+    if name != "policy":
+        ABLATIONS[name](decider)
+    return decider
+
+
+def configure(
+    policy: ShardPolicy, zones_in: tuple[str, ...], settings: Policy, version: int
+) -> None:
+    """Gives a shard's policy a configuration with some zones in service."""
+    names = ("a", "b", "c")
+    zones = {name: Zone(in_service=name in zones_in) for name in names}
+    policy.configure(Configuration(version, zones, {}, {}, Limits(), settings))
+
+
+def _policy_of(decider: Decider) -> ShardPolicy:
+    if decider.policy is None:
+        raise AssertionError("ablations are of the policy")
+    return decider.policy
+
+
+def _no_model(decider: Decider) -> None:
+    placement = _policy_of(decider).placement
+    placement.weights = dataclasses.replace(placement.weights, service_harm=0.0, batch_harm=0.0)
+
+
+def _no_reaction(decider: Decider) -> None:
+    reaction = _policy_of(decider).harm_reaction
+    reaction.decide = lambda now: []  # type: ignore[method-assign]
+
+
+def _no_throttle(decider: Decider) -> None:
+    reaction = _policy_of(decider).harm_reaction
+    reaction.thresholds = dataclasses.replace(reaction.thresholds, throttle_shares=())
+
+
+def _no_move(decider: Decider) -> None:
+    reaction = _policy_of(decider).harm_reaction
+    reaction.thresholds = dataclasses.replace(reaction.thresholds, evict=False)
+
+
+def _no_hysteresis(decider: Decider) -> None:
+    reaction = _policy_of(decider).harm_reaction
+    limits = reaction.thresholds
+    reaction.thresholds = dataclasses.replace(limits, reports=1, low=limits.high - 0.01)
+
+
+def _no_budget(decider: Decider) -> None:
+    budget = _policy_of(decider).budget
+    budget.limits = dataclasses.replace(
+        budget.limits, task_interval_s=0.0, worker_interval_s=0.0, zone_per_minute=10_000.0
+    )
+
+
+def _no_profiles(decider: Decider) -> None:
+    profiles = _policy_of(decider).profiles
+    profiles.cores_ratio = lambda task_class: 1.0  # type: ignore[method-assign]
+    profiles.run_time_s = lambda r: r.duration_ms / 1000.0  # type: ignore[method-assign]
+
+
+def _no_levels(decider: Decider) -> None:
+    model = _policy_of(decider).model
+    model.level_of = lambda load: 0  # type: ignore[method-assign]
+
+
+def _no_evidence(decider: Decider) -> None:
+    decider.outcomes = RetryOutcomes()
+
+
+def _no_reservations(decider: Decider) -> None:
+    reservations = _policy_of(decider).reservations
+    reservations.reserve = lambda request, is_ahead=False: False  # type: ignore[method-assign]
+
+
+ABLATIONS: dict[str, Callable[[Decider], None]] = {
+    "no-model": _no_model,
+    "no-reaction": _no_reaction,
+    "no-throttle": _no_throttle,
+    "no-move": _no_move,
+    "no-hysteresis": _no_hysteresis,
+    "no-budget": _no_budget,
+    "no-profiles": _no_profiles,
+    "no-levels": _no_levels,
+    "no-evidence": _no_evidence,
+    "no-reservations": _no_reservations,
+}
--- /dev/null
+++ b/benchmarks/placement_run.py
@@ -0,0 +1,377 @@
+"""One run of one scenario under one policy, in virtual time."""
+
+import dataclasses
+import random
+import zlib
+
+from pollengate.configuration import Policy
+from pollengate.failure_evidence import Verdict
+from pollengate.jobs import Resources
+from pollengate.placement_request import PlacementRequest
+from pollengate.reaction import Throttle
+from pollengate.task_outcomes import TaskEnd
+from pollengate.zone_choice import ZoneLoad, choose_zone
+
+from benchmarks.placement_policies import BASELINES, Decider, build_decider, configure
+from benchmarks.placement_world import (
+    CHECKPOINT_S,
+    RESUME_S,
+    WORKER_SIZE,
+    FakeTask,
+    FakeWorker,
+    Harms,
+    LaggingReports,
+    LatencyHistogram,
+    make_classes,
+)
+
+__all__ = ["DEPLOYMENTS", "Deployment", "Result", "Run"]
+
+ZONES = ("a", "b", "c")
+REPORT_INTERVAL_S = 5
+LOADS_INTERVAL_S = 10
+START_BATCH = 200
+SERVICE_CORES = 8
+WARM_UP_S = 120
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Deployment:
+    """Sizes of one user; `batch_load` is the declared batch load over what services leave."""
+
+    name: str
+    workers: int
+    services: int
+    batch_load: float
+
+
+DEPLOYMENTS = {
+    "league": Deployment("league", 30, 30, 0.85),
+    "registry": Deployment("registry", 25, 25, 0.7),
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Result:
+    """Measures of one run.
+
+    Attributes:
+        p99: latency of services, relative to an idle worker.
+        work: core-seconds of batch work done, less what was lost.
+        evictions: tasks stopped on a worker that stays in service.
+        urgent_s: the longest wait of an urgent task, in seconds.
+        failures: starts that ended in a failure.
+        given_up: tasks given up that could have run.
+    """
+
+    p99: float
+    work: float
+    evictions: int
+    urgent_s: float
+    failures: int
+    given_up: int
+
+
+class Run:
+    """The workers, the load and the deciders of three zones."""
+
+    def __init__(
+        self, deployment: Deployment, policy_name: str, settings: Policy, seed: int
+    ) -> None:
+        self.now = 0.0
+        self.deployment = deployment
+        self.generator = random.Random(seed)
+        self.classes = make_classes(self.generator)
+        self.harms = Harms(self.classes, self.generator)
+        self.zones_in: tuple[str, ...] = ZONES
+        self.workers_by_id: dict[str, FakeWorker] = {}
+        self.unrunnable_jobs: set[str] = set()
+        self._settings = settings
+        self._histogram = LatencyHistogram()
+        self._load_generator = random.Random(seed + 1)
+        self._reports = LaggingReports(random.Random(seed + 2))
+        self._route_generator = random.Random(seed + 3)
+        self._routes_by_load = policy_name not in (*BASELINES, "no-zone-choice")
+        self._version = 1
+        self._deciders = {
+            zone: build_decider(policy_name, zone, settings, seed, lambda: self.now)
+            for zone in ZONES
+        }
+        self._tasks_by_id: dict[str, FakeTask] = {}
+        self._zone_by_task: dict[str, str] = {}
+        self._queued_at_by_task: dict[str, float] = {}
+        self._in_service_at = dict.fromkeys(ZONES, -1000.0)
+        self._loads: list[ZoneLoad] = []
+        self._jobs = 0
+        self._evictions = self._failures = self._given_up = 0
+        self._lost = self._urgent_s = 0.0
+        self._add_workers()
+        self._services_at = self._plan_services()
+
+    def run(self, seconds: int, script: dict[int, object]) -> Result:
+        """Runs the load; `script` holds calls by second."""
+        for second in range(seconds):
+            self.now = float(second)
+            if second in script:
+                script[second](self)  # type: ignore[operator]
+            self._step(second)
+        for worker in self.workers_by_id.values():
+            worker.advance(self.now)
+        work = sum(worker.work_done for worker in self.workers_by_id.values()) - self._lost
+        return Result(
+            self._histogram.quantile(0.99),
+            work,
+            self._evictions,
+            self._urgent_s,
+            self._failures,
+            self._given_up,
+        )
+
+    def submit(
+        self, class_name: str, count: int, cores: int, run_s: float, urgent: bool = False
+    ) -> str:
+        """Adds a job; all its tasks go to one zone."""
+        self._jobs += 1
+        job_id = f"job-{self._jobs}"
+        zone = self._route()
+        kind = self.classes[class_name]
+        for index in range(count):
+            request = PlacementRequest(
+                task_id=f"{job_id}.{index}",
+                task_class=class_name,
+                team=f"team-{self._jobs % 20}",
+                resources=Resources(cores, 1000 * cores),
+                duration_ms=int(run_s * 1000),
+                urgent=urgent,
+                job_id=job_id,
+            )
+            self._tasks_by_id[request.task_id] = FakeTask(request, kind, run_s * kind.run_ratio)
+            self._queue(request, zone)
+        return job_id
+
+    def cancel(self, part: float) -> None:
+        """Cancels a part of the batch jobs at once."""
+        for task_id, task in list(self._tasks_by_id.items()):
+            job = task.request.job_id
+            if task.kind.is_service or zlib.crc32(job.encode()) % 100 >= part * 100:
+                continue
+            zone = self._zone_by_task[task_id]
+            self._deciders[zone].queue.discard(task_id)
+            self._take_off(task_id, TaskEnd.LEFT)
+            del self._tasks_by_id[task_id]
+
+    def take_zone_out(self, zone: str) -> None:
+        """Takes a zone out of service; a baseline moves everything at once."""
+        self.zones_in = tuple(z for z in self.zones_in if z != zone)
+        self._configure()
+        if self._deciders[zone].policy is None:
+            for worker in self.workers_by_id.values():
+                if worker.zone == zone:
+                    for task_id in list(worker.tasks_by_id):
+                        self._evict(task_id)
+        for task_id, home in self._zone_by_task.items():
+            if home == zone and task_id in self._queued_at_by_task:
+                self._deciders[zone].queue.discard(task_id)
+                self._queue(self._tasks_by_id[task_id].request, self._route())
+
+    def bring_zone_back(self, zone: str) -> None:
+        """Takes a zone back into service."""
+        self.zones_in = tuple(sorted((*self.zones_in, zone)))
+        self._in_service_at[zone] = self.now
+        self._configure()
+
+    def refresh_workers(self) -> None:
+        """Works out slowdowns again after a change of the classes."""
+        for worker in self.workers_by_id.values():
+            worker.advance(self.now)
+            worker.update(self.now)
+
+    def _add_workers(self) -> None:
+        for number in range(self.deployment.workers):
+            zone = ZONES[number % len(ZONES)]
+            rack = f"{zone}-{number // len(ZONES) // 8}"
+            worker = FakeWorker(f"w{number}", rack, zone, self.harms, self._histogram)
+            self.workers_by_id[worker.worker_id] = worker
+            self._deciders[zone].placement.add_worker(worker.worker_id, rack, WORKER_SIZE)
+
+    def _plan_services(self) -> list[tuple[float, FakeTask, str]]:
+        """Services start one by one while batch tasks already run."""
+        planned = []
+        for number in range(self.deployment.services):
+            zone = ZONES[number % len(ZONES)]
+            name = f"service-{number // len(ZONES) % 2}"
+            resources = Resources(SERVICE_CORES, 8000)
+            job_id = f"{name}-{zone}"
+            request = PlacementRequest(
+                f"{job_id}.{number}", name, "services", resources, 10**9, job_id=job_id
+            )
+            starts_at = self._load_generator.uniform(0.0, WARM_UP_S / 2)
+            planned.append((starts_at, FakeTask(request, self.classes[name], 10.0**9), zone))
+        return sorted(planned, key=lambda plan: plan[0])
+
+    def _start_services(self) -> None:
+        while self._services_at and self._services_at[0][0] <= self.now:
+            _, task, zone = self._services_at.pop(0)
+            self._tasks_by_id[task.request.task_id] = task
+            self._queue(task.request, zone)
+
+    def _step(self, second: int) -> None:
+        self._start_services()
+        self._arrive()
+        if second == WARM_UP_S:
+            self._forget_warm_up()
+        self._end_tasks()
+        if second % LOADS_INTERVAL_S == 0:
+            self._loads = [self._load(zone) for zone in ZONES]
+        for number, worker in enumerate(self.workers_by_id.values()):
+            if (second + number) % REPORT_INTERVAL_S == 0 and worker.tasks_by_id:
+                self._reports.send(worker.report(self.now, self.generator), self.now)
+        for observation in self._reports.due(self.now):
+            zone = self.workers_by_id[observation.worker_id].zone
+            self._deciders[zone].reaction.observe(observation)
+        for zone, decider in self._deciders.items():
+            self._act(decider)
+            if zone in self.zones_in:
+                decider.queue.drain(lambda r, d=decider: self._place(d, r), START_BATCH)
+
+    def _forget_warm_up(self) -> None:
+        self._histogram.clear()
+        self._lost = 0.0
+        self._evictions = 0
+        for worker in self.workers_by_id.values():
+            worker.advance(self.now)
+            worker.work_done = 0.0
+
+    def _arrive(self) -> None:
+        """Adds batch jobs at the rate that gives the deployment's load."""
+        deployment = self.deployment
+        cores = deployment.workers * WORKER_SIZE.cores - deployment.services * SERVICE_CORES
+        generator = self._load_generator
+        budget = cores * deployment.batch_load
+        while budget > 0:
+            count = generator.choice((1, 1, 2, 4, 8))
+            size = generator.choice((1, 2, 2, 4, 4, 8, 16))
+            run_s = min(max(generator.lognormvariate(4.1, 0.8), 10.0), 600.0)
+            area = count * size * run_s
+            if generator.random() > budget / area:
+                break
+            name = f"batch-{generator.randrange(8)}"
+            self.submit(name, count, size, run_s, generator.random() < 0.02)
+            budget -= area
+
+    def _end_tasks(self) -> None:
+        for worker in self.workers_by_id.values():
+            while worker.next_end() <= self.now:
+                worker.advance(self.now)
+                for task_id, task in list(worker.tasks_by_id.items()):
+                    if task.ends_at <= self.now:
+                        self._end_task(task_id, task)
+
+    def _end_task(self, task_id: str, task: FakeTask) -> None:
+        if task.checkpoint_at <= self.now:
+            self._take_off(task_id, TaskEnd.LEFT)
+            self._resume(task)
+        elif task.fails:
+            verdict = self._take_off(task_id, TaskEnd.FAILED)
+            self._failures += 1
+            if verdict is Verdict.RETRY:
+                self._queue(task.request, self._zone_by_task[task_id])
+            else:
+                self._given_up += task.request.job_id not in self.unrunnable_jobs
+                del self._tasks_by_id[task_id]
+        else:
+            self._take_off(task_id, TaskEnd.FINISHED)
+            del self._tasks_by_id[task_id]
+
+    def _resume(self, task: FakeTask) -> None:
+        request = dataclasses.replace(task.request, resumed=True)
+        zone = self._zone_by_task[request.task_id]
+        if zone not in self.zones_in:
+            zone = self._route()
+        left_s = task.left_s + RESUME_S
+        self._lost += RESUME_S * request.resources.cores
+        self._tasks_by_id[request.task_id] = FakeTask(request, task.kind, left_s, task.done_s)
+        self._queue(request, zone)
+
+    def _act(self, decider: Decider) -> None:
+        for action in decider.reaction.decide(self.now):
+            task = self._tasks_by_id.get(action.task_id)
+            worker = self.workers_by_id[action.worker_id]
+            if task is None or action.task_id not in worker.tasks_by_id:
+                continue
+            if isinstance(action, Throttle):
+                worker.advance(self.now)
+                task.share = action.share
+                worker.update(self.now)
+            else:
+                self._evict(action.task_id)
+
+    def _evict(self, task_id: str) -> None:
+        """Checkpoints a task; in a step, the work since the step's start is lost."""
+        zone = self._zone_by_task[task_id]
+        worker_id = self._deciders[zone].placement.books.worker_of(task_id)
+        task = self._tasks_by_id[task_id]
+        if worker_id is None or task.checkpoint_at <= self.now + CHECKPOINT_S:
+            return
+        self._evictions += zone in self.zones_in
+        worker = self.workers_by_id[worker_id]
+        worker.advance(self.now)
+        if task.in_step():
+            lost_s = task.done_s % task.kind.step_s
+            task.done_s -= lost_s
+            task.left_s += lost_s
+            self._lost += lost_s * task.request.resources.cores
+        task.checkpoint_at = self.now + CHECKPOINT_S
+        worker.update(self.now)
+
+    def _take_off(self, task_id: str, end: TaskEnd) -> Verdict:
+        decider = self._deciders[self._zone_by_task[task_id]]
+        worker_id = decider.placement.books.worker_of(task_id)
+        if worker_id is None:
+            return Verdict.RETRY
+        self.workers_by_id[worker_id].remove(task_id, self.now)
+        verdict = decider.outcomes.ended(task_id, end)
+        decider.reaction.task_left(task_id)
+        decider.placement.release(task_id)
+        return verdict
+
+    def _place(self, decider: Decider, request: PlacementRequest) -> bool:
+        worker_id = decider.placement.place(request)
+        if worker_id is None:
+            return False
+        task = self._tasks_by_id[request.task_id]
+        worker = self.workers_by_id[worker_id]
+        is_unrunnable = request.job_id in self.unrunnable_jobs
+        task.fails = is_unrunnable or (worker.is_bad and not task.kind.is_service)
+        worker.add(task, self.now)
+        decider.outcomes.started(request.task_id)
+        waited_s = self.now - self._queued_at_by_task.pop(request.task_id)
+        if request.urgent and not request.resumed:
+            self._urgent_s = max(self._urgent_s, waited_s)
+        return True
+
+    def _queue(self, request: PlacementRequest, zone: str) -> None:
+        self._zone_by_task[request.task_id] = zone
+        self._queued_at_by_task.setdefault(request.task_id, self.now)
+        self._deciders[zone].queue.push(request)
+
+    def _route(self) -> str:
+        if not self._routes_by_load:
+            return self._route_generator.choice(self.zones_in)
+        loads = [load for load in self._loads if load.zone in self.zones_in]
+        return choose_zone(loads, self._route_generator) or self.zones_in[0]
+
+    def _load(self, zone: str) -> ZoneLoad:
+        cores = sum(w.zone == zone for w in self.workers_by_id.values()) * WORKER_SIZE.cores
+        committed = sum(
+            task.request.resources.cores
+            for task_id, task in self._tasks_by_id.items()
+            if self._zone_by_task[task_id] == zone
+        )
+        return ZoneLoad(zone, cores, committed, self.now - self._in_service_at[zone])
+
+    def _configure(self) -> None:
+        self._version += 1
+        for decider in self._deciders.values():
+            if decider.policy is not None:
+                configure(decider.policy, self.zones_in, self._settings, self._version)
--- /dev/null
+++ b/benchmarks/placement_scenarios.py
@@ -0,0 +1,89 @@
+"""Scenarios: what happens to the load and the workers, by second."""
+
+import dataclasses
+from collections.abc import Callable
+
+from benchmarks.placement_run import ZONES, Run
+
+__all__ = ["SCENARIOS", "Scenario"]
+
+Script = dict[int, Callable[[Run], object]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Scenario:
+    """A length in seconds and what happens when."""
+
+    seconds: int
+    script: Script
+
+
+def _shift(run: Run) -> None:
+    """Doubles the services' load and turns two batch classes noisy and two quiet."""
+    names = [f"batch-{number}" for number in range(8)]
+    run.generator.shuffle(names)
+    for name, intensity in zip(names, (1.4, 1.4, 0.5, 0.5), strict=False):
+        run.classes[name].intensity = intensity
+    for name in ("service-0", "service-1"):
+        run.classes[name].intensity = 1.5
+    run.refresh_workers()
+
+
+def _shift_back(run: Run) -> None:
+    for kind in run.classes.values():
+        kind.intensity = 1.0
+    run.refresh_workers()
+
+
+def _wave(run: Run) -> None:
+    """Submits many tasks of the two classes that harm services most."""
+    by_pair = run.harms.by_pair
+
+    def harm(name: str) -> float:
+        return sum(by_pair[f"service-{n}", name][0] for n in range(2))
+
+    noisy = sorted((f"batch-{n}" for n in range(8)), key=harm)[-2:]
+    for name in noisy:
+        for _ in range(run.deployment.workers // 3):
+            run.submit(name, 4, 4, 120.0)
+
+
+def _misdeclare(run: Run) -> None:
+    for number in range(8):
+        kind = run.classes[f"batch-{number}"]
+        kind.cores_ratio = run.generator.choice((0.3, 0.6, 1.0, 1.5))
+        kind.run_ratio = run.generator.choice((0.2, 0.5, 1.0, 2.0))
+
+
+def _break_workers(run: Run) -> None:
+    for zone in ZONES:
+        worker = next(w for w in run.workers_by_id.values() if w.zone == zone)
+        worker.is_bad = True
+
+
+def _mend_workers(run: Run) -> None:
+    for worker in run.workers_by_id.values():
+        worker.is_bad = False
+
+
+def _submit_unrunnable(run: Run) -> None:
+    """Submits tasks larger than any worker and a job whose tasks always fail."""
+    for _ in range(10):
+        run.unrunnable_jobs.add(run.submit("batch-0", 60, 100, 60.0))
+    for _ in range(3):
+        run.unrunnable_jobs.add(run.submit("batch-1", 100, 2, 60.0))
+
+
+SCENARIOS = {
+    "steady": Scenario(900, {}),
+    "load-shift": Scenario(900, {300: _shift, 700: _shift_back}),
+    "noise-wave": Scenario(900, {200: _wave, 420: _wave, 640: _wave}),
+    "wrong-declarations": Scenario(900, {0: _misdeclare}),
+    "bad-worker": Scenario(900, {200: _break_workers, 700: _mend_workers}),
+    "unrunnable-job": Scenario(900, {200: _submit_unrunnable}),
+    "cancellation-wave": Scenario(900, {400: lambda run: run.cancel(0.6)}),
+    "zone-out-in": Scenario(
+        4500,
+        {300: lambda run: run.take_zone_out("a"), 3900: lambda run: run.bring_zone_back("a")},
+    ),
+}
--- /dev/null
+++ b/benchmarks/placement_world.py
@@ -0,0 +1,254 @@
+"""Fake workers in virtual time whose tasks slow each other down by a hidden rule.
+
+A task's slowdown is the product over its neighbours' classes of `1 + harm * share * load ** power`,
+times the overload of the processors. `harm` and `power` are drawn for each ordered pair of
+classes, `share` is the neighbours' used share of the processors. The policy assumes a sum over
+pairs and four load levels, so its model never matches exactly. Reports are taken every few
+seconds, arrive late and out of order, and carry noise with outliers.
+"""
+
+import dataclasses
+import heapq
+import math
+import random
+from collections.abc import Iterable
+
+from pollengate.jobs import Resources
+from pollengate.placement_request import PlacementRequest
+from pollengate.reaction import Observation
+from pollengate.worker import TaskUsage
+
+__all__ = ["FakeTask", "FakeWorker", "Harms", "LatencyHistogram", "TaskClass", "make_classes"]
+
+WORKER_SIZE = Resources(64, 250_000)
+NO_HARM_SHARE = 0.6
+MAX_HARM = 5.0
+SERVICE_BUSY = 0.35
+NOISE_SIGMA = 0.15
+OUTLIER_CHANCE = 0.02
+CHECKPOINT_S = 2.0
+RESUME_S = 5.0
+FAILS_AFTER_S = 2.0
+NOISE_QUANTILES = tuple(math.exp(0.25 * z) for z in (-1.6, -0.9, -0.4, 0, 0.4, 0.9, 1.6, 2.3))
+
+
+@dataclasses.dataclass(slots=True)
+class TaskClass:
+    """What tasks of a class really do; `step_s` is the length of a step without checkpoints."""
+
+    name: str
+    is_service: bool
+    cores_ratio: float = 1.0
+    run_ratio: float = 1.0
+    step_s: float = 0.0
+    intensity: float = 1.0
+
+
+class Harms:
+    """The hidden table: (harm, power of the load) for each (victim, aggressor)."""
+
+    def __init__(self, classes: Iterable[str], generator: random.Random) -> None:
+        self.by_pair: dict[tuple[str, str], tuple[float, int]] = {}
+        names = list(classes)
+        for victim in names:
+            for aggressor in names:
+                harm = 0.0
+                if generator.random() >= NO_HARM_SHARE:
+                    harm = min(generator.lognormvariate(-0.3, 0.8), MAX_HARM)
+                self.by_pair[victim, aggressor] = (harm, generator.choice((0, 1, 2)))
+
+
+def make_classes(generator: random.Random) -> dict[str, TaskClass]:
+    """Returns two service classes and eight batch classes."""
+    classes = [TaskClass(f"service-{n}", True) for n in range(2)]
+    for number in range(8):
+        step_s = generator.choice((0.0, 0.0, 60.0, 120.0))
+        ratio = generator.uniform(0.6, 1.1)
+        classes.append(TaskClass(f"batch-{number}", False, ratio, 1.0, step_s))
+    return {one.name: one for one in classes}
+
+
+@dataclasses.dataclass(slots=True)
+class FakeTask:
+    """A task and what is left of it, in seconds at full speed."""
+
+    request: PlacementRequest
+    kind: TaskClass
+    left_s: float
+    done_s: float = 0.0
+    share: float = 1.0
+    rate: float = 1.0
+    ends_at: float = math.inf
+    checkpoint_at: float = math.inf
+    fails: bool = False
+
+    @property
+    def cores(self) -> float:
+        """Processors in use."""
+        busy = SERVICE_BUSY if self.kind.is_service else 1.0
+        ratio = self.kind.cores_ratio * self.kind.intensity * self.share * busy
+        return self.request.resources.cores * ratio
+
+    def in_step(self) -> bool:
+        """Tells whether a checkpoint is impossible now: for two thirds of each step."""
+        return self.kind.step_s > 0 and (self.done_s % self.kind.step_s) > self.kind.step_s / 3
+
+
+class LatencyHistogram:
+    """Service latencies by relative size, weighted by time."""
+
+    def __init__(self) -> None:
+        self._weight_by_bin: dict[int, float] = {}
+
+    def add(self, latency: float, weight: float) -> None:
+        """Adds requests whose latency scatters around a value."""
+        for factor in NOISE_QUANTILES:
+            index = int(math.log(latency * factor) * 50)
+            self._weight_by_bin[index] = self._weight_by_bin.get(index, 0.0) + weight
+
+    def clear(self) -> None:
+        """Forgets everything."""
+        self._weight_by_bin.clear()
+
+    def quantile(self, part: float) -> float:
+        """Returns a latency relative to one request alone on an idle worker."""
+        total = sum(self._weight_by_bin.values())
+        seen = 0.0
+        for index in sorted(self._weight_by_bin):
+            seen += self._weight_by_bin[index]
+            if seen >= part * total:
+                return math.exp(index / 50)
+        return math.nan
+
+
+class FakeWorker:
+    """Advances its tasks lazily, whenever something changes."""
+
+    def __init__(
+        self, worker_id: str, rack: str, zone: str, harms: Harms, histogram: LatencyHistogram
+    ) -> None:
+        self.worker_id = worker_id
+        self.rack = rack
+        self.zone = zone
+        self.is_bad = False
+        self.tasks_by_id: dict[str, FakeTask] = {}
+        self.work_done = 0.0
+        self._harms = harms
+        self._histogram = histogram
+        self._advanced_at = 0.0
+        self._next_end = math.inf
+        self._slowdowns: dict[str, float] = {}
+
+    def add(self, task: FakeTask, now: float) -> None:
+        """Starts a task."""
+        self.advance(now)
+        declared = sum(t.request.resources.cores for t in self.tasks_by_id.values())
+        if declared + task.request.resources.cores > WORKER_SIZE.cores:
+            raise AssertionError(f"worker {self.worker_id} was given too much")
+        self.tasks_by_id[task.request.task_id] = task
+        self.update(now)
+
+    def remove(self, task_id: str, now: float) -> FakeTask:
+        """Takes a task out."""
+        self.advance(now)
+        task = self.tasks_by_id.pop(task_id)
+        self.update(now)
+        return task
+
+    def advance(self, now: float) -> None:
+        """Counts the work since the last change."""
+        passed = now - self._advanced_at
+        self._advanced_at = now
+        for task in self.tasks_by_id.values():
+            if task.kind.is_service:
+                self._count_latency(task, passed)
+            elif task.checkpoint_at == math.inf:
+                work = min(task.rate * passed, task.left_s)
+                task.left_s -= work
+                task.done_s += work
+                self.work_done += work * task.request.resources.cores
+
+    def update(self, now: float) -> None:
+        """Works out slowdowns and ends after a change."""
+        cores_by_class: dict[str, float] = {}
+        count_by_class: dict[str, int] = {}
+        for task in self.tasks_by_id.values():
+            name = task.kind.name
+            cores_by_class[name] = cores_by_class.get(name, 0.0) + task.cores
+            count_by_class[name] = count_by_class.get(name, 0) + 1
+        self._slowdowns = self._slowdowns_of(cores_by_class, count_by_class)
+        self._next_end = math.inf
+        for task in self.tasks_by_id.values():
+            task.rate = task.share / self._slowdowns[task.kind.name]
+            if task.kind.is_service:
+                task.ends_at = task.checkpoint_at
+                self._next_end = min(self._next_end, task.ends_at)
+                continue
+            task.ends_at = min(now + task.left_s / task.rate + 0.001, task.checkpoint_at)
+            if task.fails:
+                task.ends_at = min(task.ends_at, now + FAILS_AFTER_S)
+            self._next_end = min(self._next_end, task.ends_at)
+
+    def next_end(self) -> float:
+        """Returns when the first task ends."""
+        return self._next_end
+
+    def report(self, now: float, generator: random.Random) -> Observation:
+        """Measures the tasks, with noise."""
+        usage = []
+        for task in self.tasks_by_id.values():
+            slowdown = self._slowdowns[task.kind.name]
+            slowdown *= math.exp(generator.gauss(0.0, NOISE_SIGMA))
+            if generator.random() < OUTLIER_CHANCE:
+                slowdown *= 3.0
+            cores = task.cores * math.exp(generator.gauss(0.0, 0.1))
+            usage.append(
+                TaskUsage(task.request.task_id, cores, 1, max(slowdown, 1.0), task.in_step())
+            )
+        return Observation(self.worker_id, now, tuple(usage))
+
+    def _slowdowns_of(
+        self, cores_by_class: dict[str, float], count_by_class: dict[str, int]
+    ) -> dict[str, float]:
+        load = sum(cores_by_class.values()) / WORKER_SIZE.cores
+        slowdowns = {}
+        for victim in cores_by_class:
+            slowdown = max(load, 1.0)
+            for aggressor, cores in cores_by_class.items():
+                harm, power = self._harms.by_pair[victim, aggressor]
+                if harm == 0.0:
+                    continue
+                share = cores / WORKER_SIZE.cores
+                if victim == aggressor:
+                    count = count_by_class[victim]
+                    share *= (count - 1) / count
+                slowdown *= 1.0 + harm * share * min(load, 1.0) ** power
+            slowdowns[victim] = slowdown
+        return slowdowns
+
+    def _count_latency(self, task: FakeTask, passed: float) -> None:
+        slowdown = self._slowdowns[task.kind.name]
+        busy = min(SERVICE_BUSY * task.kind.intensity * slowdown, 0.95)
+        self._histogram.add(slowdown / (1.0 - busy), passed * task.kind.intensity)
+
+
+class LaggingReports:
+    """Delivers reports 5 to 30 s after they were taken."""
+
+    def __init__(self, generator: random.Random) -> None:
+        self._generator = generator
+        self._queue: list[tuple[float, int, Observation]] = []
+        self._count = 0
+
+    def send(self, observation: Observation, now: float) -> None:
+        """Takes a report."""
+        self._count += 1
+        arrives_at = now + self._generator.uniform(5.0, 30.0)
+        heapq.heappush(self._queue, (arrives_at, self._count, observation))
+
+    def due(self, now: float) -> list[Observation]:
+        """Returns the reports that have arrived."""
+        due = []
+        while self._queue and self._queue[0][0] <= now:
+            due.append(heapq.heappop(self._queue)[2])
+        return due
--- a/packages/pollengate/pollengate/capacity.py
+++ b/packages/pollengate/pollengate/capacity.py
@@ -148,6 +148,11 @@
         shapes = self._workers_by_shape
         return not shapes or any(size.fits(shape) for shape in shapes)
 
+    @property
+    def task_count(self) -> int:
+        """Returns the number of tasks on workers."""
+        return len(self._worker_by_task)
+
     @property
     def offered_workers(self) -> int:
         """Returns the number of offered workers."""
--- a/packages/pollengate/pollengate/configuration.py
+++ b/packages/pollengate/pollengate/configuration.py
@@ -78,8 +78,8 @@
         service_harm_weight: weight of slowing down services in the choice of a worker.
         batch_harm_weight: weight of slowing down batch tasks.
         load_weight: weight of a worker's load.
-        max_service_harm: slowdown of a service, beyond 1, that one batch task may be expected to
-            cause where it is placed; None for no limit.
+        max_service_slowdown: expected slowdown of a service up to which batch tasks are placed
+            beside it; None for no limit.
         throttle_above: measured slowdown of a service at which batch tasks are throttled.
         release_below: measured slowdown of services at which a throttle is lifted.
         evict_on_harm: whether a throttled task that still does harm is moved.
@@ -92,7 +92,7 @@
     service_harm_weight: float = 8.0
     batch_harm_weight: float = 1.0
     load_weight: float = 0.5
-    max_service_harm: float | None = None
+    max_service_slowdown: float | None = None
     throttle_above: float = 1.4
     release_below: float = 1.15
     evict_on_harm: bool = True
--- /dev/null
+++ b/packages/pollengate/pollengate/drain.py
@@ -0,0 +1,96 @@
+"""Empties the workers of an availability zone that was taken out of service."""
+
+import dataclasses
+from collections.abc import Callable
+
+from pollengate.bounded import BoundedDict
+from pollengate.capacity import CapacityBooks
+from pollengate.reaction import Action, Evict, Observation, Reaction
+
+__all__ = ["Drain"]
+
+MAX_WORKERS = 8192
+RETRY_AFTER_S = 5.0
+PACED_PART = 0.5
+LAST_PART = 0.8
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Window:
+    started_at: float
+    grace_s: float
+    first_count: int
+
+
+class Drain(Reaction):
+    """Moves tasks within the grace: batch at an even pace, then services, then the rest.
+
+    A task that is expected to end in time is left alone, and one in a step that can't be
+    checkpointed waits, both until little of the grace is left.
+    """
+
+    def __init__(self, books: CapacityBooks, remaining_s: Callable[[str], float]) -> None:
+        """Starts without a drain.
+
+        Args:
+            books: the tasks on workers.
+            remaining_s: returns how much longer a task is expected to run.
+        """
+        self._books = books
+        self._remaining_s = remaining_s
+        self._window: _Window | None = None
+        self._evicted_at_by_task: dict[str, float] = {}
+        self._in_step_by_worker: BoundedDict[str, frozenset[str]] = BoundedDict(MAX_WORKERS)
+
+    def begin(self, now: float, grace_s: float) -> None:
+        """Starts a drain; one under way goes on as it is."""
+        if self._window is None:
+            self._window = _Window(now, max(grace_s, 0.1), max(self._books.task_count, 1))
+
+    def end(self) -> None:
+        """Ends a drain; tasks still there stay."""
+        self._window = None
+        self._evicted_at_by_task.clear()
+
+    def observe(self, observation: Observation) -> None:
+        """Notes which tasks can't be checkpointed."""
+        in_step = frozenset(usage.task_id for usage in observation.usage if usage.in_step)
+        self._in_step_by_worker.put(observation.worker_id, in_step)
+
+    def decide(self, now: float) -> list[Action]:
+        """Returns the evictions that are due."""
+        window = self._window
+        if window is None:
+            return []
+        part = (now - window.started_at) / window.grace_s
+        allowed = int(window.first_count * min(part / PACED_PART, 1.0)) + 1
+        allowed -= len(self._evicted_at_by_task)
+        actions: list[Action] = []
+        for load in self._books.loads_by_worker.values():
+            in_step = self._in_step_by_worker.get(load.worker_id) or frozenset()
+            for task_id in load.requests_by_task:
+                waits = task_id in in_step or self._ends_in_time(task_id, now, window)
+                if self._is_due(task_id, now, part, waits) and len(actions) < allowed:
+                    actions.append(Evict(load.worker_id, task_id))
+        for action in actions:
+            self._evicted_at_by_task[action.task_id] = now
+        return actions
+
+    def task_left(self, task_id: str) -> None:
+        """Counts a task as gone."""
+        if self._window is not None:
+            self._evicted_at_by_task[task_id] = float("inf")
+
+    def _is_due(self, task_id: str, now: float, part: float, waits: bool) -> bool:
+        evicted_at = self._evicted_at_by_task.get(task_id)
+        if evicted_at is not None and now - evicted_at < RETRY_AFTER_S:
+            return False
+        if part >= LAST_PART:
+            return True
+        if self._books.is_service(task_id):
+            return part >= PACED_PART
+        return not waits
+
+    def _ends_in_time(self, task_id: str, now: float, window: _Window) -> bool:
+        deadline = window.started_at + LAST_PART * window.grace_s
+        return now + self._remaining_s(task_id) < deadline
--- a/packages/pollengate/pollengate/harm_placement.py
+++ b/packages/pollengate/pollengate/harm_placement.py
@@ -2,12 +2,13 @@
 
 import dataclasses
 import random
+from collections.abc import Mapping
 
 from pollengate.capacity import CapacityBooks, WorkerLoad
 from pollengate.class_profiles import ClassProfiles
 from pollengate.failure_evidence import FailureEvidence
 from pollengate.free_index import FreeIndex
-from pollengate.interference import InterferenceModel, load_level
+from pollengate.interference import InterferenceModel
 from pollengate.placement import BookedPlacement
 from pollengate.placement_request import PlacementRequest
 from pollengate.reservations import Reservations
@@ -17,6 +18,7 @@
 SAMPLED_WORKERS = 8
 RACK_SPREAD_COST = 1.0
 ACCELERATOR_COST = 10.0
+NEGLIGIBLE_HARM = 0.02
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -27,14 +29,14 @@
         service_harm: weight of slowing down latency-critical tasks.
         batch_harm: weight of slowing down batch tasks.
         load: weight of the share of processors in use.
-        max_service_harm: expected slowdown, beyond 1, of services' tasks on a worker that is not
-            offered to batch tasks; None to use any worker with room.
+        max_service_slowdown: a batch task is not placed where it would raise the expected
+            slowdown of a service above this; None to use any worker with room.
     """
 
     service_harm: float = 8.0
     batch_harm: float = 1.0
     load: float = 0.5
-    max_service_harm: float | None = None
+    max_service_slowdown: float | None = None
 
 
 class HarmPlacement(BookedPlacement):
@@ -57,6 +59,7 @@
         self._profiles = profiles
         self._failures = failures
         self._index = FreeIndex(generator)
+        self._shares_by_worker: dict[str, Mapping[str, float]] = {}
         self._racks_by_job: dict[str, dict[str, int]] = {}
 
     def adopt(self, request: PlacementRequest, worker_id: str) -> None:
@@ -93,32 +96,54 @@
 
     def _cost(self, request: PlacementRequest, load: WorkerLoad, is_service: bool) -> float:
         """Returns the cost of a worker, infinite where the task must not go."""
+        shares = self._shares(load)
         capacity = max(load.capacity.cores, 1)
         added = self._expected_cores(request.task_class, request.resources.cores) / capacity
-        shares = {
-            task_class: self._expected_cores(task_class, cores) / capacity
-            for task_class, cores in load.cores_by_class.items()
-        }
         used = sum(shares.values()) + added
-        level = load_level(used)
+        level = self._model.level_of(used)
+        if not is_service and self._exceeds_limit(request.task_class, shares, added, level):
+            return float("inf")
         weights = self.weights
         own_weight = weights.service_harm if is_service else weights.batch_harm
         cost = weights.load * used * used
         for task_class, share in shares.items():
-            harm = self._model.harm(task_class, request.task_class, level) * added
-            if task_class in self.books.service_classes:
-                cost += weights.service_harm * share * harm
-                limit = weights.max_service_harm
-                if limit is not None and not is_service and harm > limit:
-                    return float("inf")
-            else:
-                cost += weights.batch_harm * share * harm
-            own_harm = self._model.harm(request.task_class, task_class, level) * share
-            cost += own_weight * added * own_harm
+            is_victim_service = task_class in self.books.service_classes
+            weight = weights.service_harm if is_victim_service else weights.batch_harm
+            done = self._model.harm(task_class, request.task_class, level)
+            suffered = self._model.harm(request.task_class, task_class, level)
+            cost += (weight * done + own_weight * suffered) * share * added
         if load.capacity.accelerators and not request.resources.accelerators:
             cost += ACCELERATOR_COST
         return cost + self._rack_cost(request, load) if is_service else cost
 
+    def _exceeds_limit(
+        self, task_class: str, shares: Mapping[str, float], added: float, level: int
+    ) -> bool:
+        """Tells whether a batch task would slow a worker's services down beyond the limit."""
+        limit = self.weights.max_service_slowdown
+        if limit is None:
+            return False
+        for victim in self.books.service_classes & shares.keys():
+            own = self._model.harm(victim, task_class, level) * added
+            if own < NEGLIGIBLE_HARM:
+                continue
+            others = sum(self._model.harm(victim, c, level) * x for c, x in shares.items())
+            if 1.0 + others + own > limit:
+                return True
+        return False
+
+    def _shares(self, load: WorkerLoad) -> Mapping[str, float]:
+        """Returns the expected used share of processors by class."""
+        shares = self._shares_by_worker.get(load.worker_id)
+        if shares is None:
+            capacity = max(load.capacity.cores, 1)
+            shares = {
+                task_class: self._expected_cores(task_class, cores) / capacity
+                for task_class, cores in load.cores_by_class.items()
+            }
+            self._shares_by_worker[load.worker_id] = shares
+        return shares
+
     def _expected_cores(self, task_class: str, declared: int) -> float:
         return declared * self._profiles.cores_ratio(task_class)
 
@@ -140,6 +165,7 @@
             del self._racks_by_job[request.job_id]
 
     def _load_changed(self, load: WorkerLoad) -> None:
+        self._shares_by_worker.pop(load.worker_id, None)
         self._index.update(load.worker_id, load.free if load.is_offered else None)
         if not load.is_offered:
             self._reservations.drop_worker(load.worker_id)
--- a/packages/pollengate/pollengate/harm_reaction.py
+++ b/packages/pollengate/pollengate/harm_reaction.py
@@ -1,12 +1,14 @@
 """Reaction to measured harm: throttle the likeliest cause, then checkpoint and move it."""
 
 import dataclasses
+import random
+from collections.abc import Collection
 
 from pollengate.bounded import BoundedDict
 from pollengate.capacity import CapacityBooks, WorkerLoad
 from pollengate.class_profiles import ClassProfiles
 from pollengate.eviction_budget import EvictionBudget
-from pollengate.interference import InterferenceModel, load_level
+from pollengate.interference import InterferenceModel
 from pollengate.placement_request import PlacementRequest
 from pollengate.reaction import Action, Evict, Observation, Reaction, Throttle
 
@@ -14,6 +16,9 @@
 
 FULL_SHARE = 1.0
 MAX_WORKERS = 8192
+LEARNED_BATCH_CLASSES = 2
+MAX_ACTIONS = 8
+RELIEF_SHARE = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -57,6 +62,7 @@
         model: InterferenceModel,
         profiles: ClassProfiles,
         budget: EvictionBudget,
+        generator: random.Random,
         thresholds: ReactionThresholds | None = None,
     ) -> None:
         self.thresholds = thresholds or ReactionThresholds()
@@ -64,6 +70,7 @@
         self._model = model
         self._profiles = profiles
         self._budget = budget
+        self._generator = generator
         self._evidence_by_worker: BoundedDict[str, _WorkerEvidence] = BoundedDict(MAX_WORKERS)
         self._due: dict[str, None] = {}
         self._stage_by_task: dict[str, int] = {}
@@ -86,8 +93,8 @@
             self._due[observation.worker_id] = None
 
     def decide(self, now: float) -> list[Action]:
-        """Returns one action for each worker whose reports call for it."""
-        actions = []
+        """Returns actions for each worker whose reports call for them."""
+        actions: list[Action] = []
         due = list(self._due)
         self._due.clear()
         for worker_id in due:
@@ -95,12 +102,12 @@
             load = self._books.loads_by_worker.get(worker_id)
             if evidence is None or load is None:
                 continue
-            action = self._choose(load, evidence, now)
+            chosen = self._choose(load, evidence, now)
             evidence.is_due = False
-            if action is not None:
+            if chosen:
                 evidence.acted_at = now
                 evidence.high_reports = evidence.low_reports = 0
-                actions.append(action)
+                actions += chosen
         return actions
 
     def task_left(self, task_id: str) -> None:
@@ -127,15 +134,24 @@
         used = sum(cores_by_class.values()) / capacity
         shares = {c: cores / capacity for c, cores in cores_by_class.items()}
         victims = {}
+        learned = self._choose_learned(slowdowns_by_class)
         for task_class, slowdowns in slowdowns_by_class.items():
             mean = sum(slowdowns) / len(slowdowns)
+            if task_class in self._books.service_classes:
+                victims[task_class] = mean
+            elif task_class not in learned:
+                continue
             others = dict(shares)
             others[task_class] -= cores_by_victim[task_class] / capacity
             self._model.observe(task_class, others, used, mean)
-            if task_class in self._books.service_classes:
-                victims[task_class] = mean
         return victims
 
+    def _choose_learned(self, classes: Collection[str]) -> frozenset[str]:
+        """Draws the batch classes of a report that are learned from, to bound its cost."""
+        batch = [c for c in classes if c not in self._books.service_classes]
+        count = min(LEARNED_BATCH_CLASSES, len(batch))
+        return frozenset(self._generator.sample(batch, count))
+
     def _weigh(self, evidence: _WorkerEvidence, victims: dict[str, float]) -> None:
         worst = max(victims.values(), default=1.0)
         limits = self.thresholds
@@ -144,9 +160,12 @@
         evidence.low_reports = evidence.low_reports + 1 if worst <= limits.low else 0
         evidence.is_due = max(evidence.high_reports, evidence.low_reports) >= limits.reports
 
-    def _choose(self, load: WorkerLoad, evidence: _WorkerEvidence, now: float) -> Action | None:
-        if evidence.low_reports >= self.thresholds.reports:
+    def _choose(self, load: WorkerLoad, evidence: _WorkerEvidence, now: float) -> list[Action]:
+        """Returns as many actions as should bring the services back below the thresholds."""
+        limits = self.thresholds
+        if evidence.low_reports >= limits.reports:
             return self._lift(load)
+        excess = max(evidence.victims.values()) - (limits.high + limits.low) / 2.0
         causes = sorted(
             (
                 (self._blame(request, load, evidence), task_id)
@@ -155,13 +174,15 @@
             ),
             reverse=True,
         )
+        actions: list[Action] = []
         for blame, task_id in causes:
-            if blame <= 0.0:
+            if blame <= 0.0 or excess <= 0.0 or len(actions) >= MAX_ACTIONS:
                 break
             action = self._step(task_id, load.worker_id, evidence, now)
             if action is not None:
-                return action
-        return None
+                actions.append(action)
+                excess -= blame * RELIEF_SHARE
+        return actions
 
     def _step(
         self, task_id: str, worker_id: str, evidence: _WorkerEvidence, now: float
@@ -180,28 +201,25 @@
         self._budget.spend(task_id, worker_id, now)
         return Evict(worker_id, task_id)
 
-    def _lift(self, load: WorkerLoad) -> Action | None:
+    def _lift(self, load: WorkerLoad) -> list[Action]:
         """Takes back one stage of the tightest throttle on a worker."""
         staged = [(self._stage_by_task.get(t, 0), t) for t in load.requests_by_task]
         stage, task_id = max(staged, default=(0, ""))
         if stage == 0:
-            return None
+            return []
         if stage == 1:
             del self._stage_by_task[task_id]
-            return Throttle(load.worker_id, task_id, FULL_SHARE)
+            return [Throttle(load.worker_id, task_id, FULL_SHARE)]
         self._stage_by_task[task_id] = stage - 1
-        return Throttle(load.worker_id, task_id, self.thresholds.throttle_shares[stage - 2])
+        return [Throttle(load.worker_id, task_id, self.thresholds.throttle_shares[stage - 2])]
 
     def _blame(
         self, request: PlacementRequest, load: WorkerLoad, evidence: _WorkerEvidence
     ) -> float:
-        """Returns the expected part of the services' slowdown that a task causes."""
+        """Returns the expected part that a task has in the worst service's slowdown."""
         stage = self._stage_by_task.get(request.task_id, 0)
         limit = self.thresholds.throttle_shares[stage - 1] if stage else FULL_SHARE
         cores = request.resources.cores * self._profiles.cores_ratio(request.task_class) * limit
-        level = load_level(1.0 - load.free.cores / load.capacity.cores)
-        harm = sum(
-            self._model.harm(victim, request.task_class, level) * max(slowdown - 1.0, 0.0)
-            for victim, slowdown in evidence.victims.items()
-        )
-        return cores * harm
+        level = self._model.level_of(1.0 - load.free.cores / load.capacity.cores)
+        victim = max(evidence.victims, key=lambda name: evidence.victims[name])
+        return self._model.harm(victim, request.task_class, level) * cores / load.capacity.cores
--- a/packages/pollengate/pollengate/interference.py
+++ b/packages/pollengate/pollengate/interference.py
@@ -12,7 +12,7 @@
 
 from pollengate.bounded import BoundedDict
 
-__all__ = ["InterferenceModel", "load_level"]
+__all__ = ["InterferenceModel"]
 
 LOAD_LEVEL_BOUNDS = (0.4, 0.6, 0.8)
 MAX_PAIRS = 16_384
@@ -37,11 +37,6 @@
 _Key = tuple[str, str, int]
 
 
-def load_level(load: float) -> int:
-    """Returns the level of a worker's used share of processors."""
-    return sum(load >= bound for bound in LOAD_LEVEL_BOUNDS)
-
-
 class InterferenceModel:
     """Coefficients by (victim class, aggressor class, load level)."""
 
@@ -63,7 +58,7 @@
             load: used share of the worker's processors.
             slowdown: measured slowdown, 1 for none.
         """
-        level = load_level(load)
+        level = self.level_of(load)
         neighbours = [
             (self._estimate((victim, aggressor, level)), aggressor, share)
             for aggressor, share in shares.items()
@@ -81,6 +76,10 @@
             estimate.variance = min(estimate.variance + DRIFT_VARIANCE, PRIOR_VARIANCE)
             self._move_mean(aggressor, estimate.harm)
 
+    def level_of(self, load: float) -> int:
+        """Returns the level of a worker's used share of processors."""
+        return sum(load >= bound for bound in LOAD_LEVEL_BOUNDS)
+
     def harm(self, victim: str, aggressor: str, level: int) -> float:
         """Returns the slowdown beyond 1 that a worker full of the aggressor would cause."""
         estimate = self._by_pair.get((victim, aggressor, level))
@@ -88,7 +87,7 @@
 
     def slowdown(self, victim: str, shares: Mapping[str, float], load: float) -> float:
         """Returns the expected slowdown of a task among its neighbours."""
-        level = load_level(load)
+        level = self.level_of(load)
         return 1.0 + sum(self.harm(victim, a, level) * share for a, share in shares.items())
 
     def _prior(self, victim: str, aggressor: str, level: int) -> float:
--- a/packages/pollengate/pollengate/policy.py
+++ b/packages/pollengate/pollengate/policy.py
@@ -6,6 +6,7 @@
 from pollengate.capacity import CapacityBooks
 from pollengate.class_profiles import ClassProfiles
 from pollengate.configuration import Configuration
+from pollengate.drain import Drain
 from pollengate.eviction_budget import EvictionBudget, EvictionLimits
 from pollengate.failure_evidence import FailureEvidence
 from pollengate.fair_queue import FairQueue
@@ -31,7 +32,9 @@
         outcomes: what is learned from the ends of tasks.
     """
 
-    def __init__(self, seed: int, clock: Callable[[], float]) -> None:
+    def __init__(self, zone: str, seed: int, clock: Callable[[], float]) -> None:
+        self._zone = zone
+        self._clock = clock
         generator = random.Random(seed)
         self.books = CapacityBooks()
         self.profiles = ClassProfiles()
@@ -49,10 +52,13 @@
         )
         parking = Parking(self.books, self.failures)
         self.queue = FairQueue(self.books, self.profiles, self.reservations, parking, clock)
-        self.harm_reaction = HarmReaction(self.books, self.model, self.profiles, self.budget)
+        self.harm_reaction = HarmReaction(
+            self.books, self.model, self.profiles, self.budget, generator
+        )
         preemption = Preemption(self.books, self.reservations, self.budget)
-        self.reaction = ReactionChain((preemption, self.harm_reaction))
         self.outcomes = LearnedOutcomes(self.books, self.profiles, self.failures, clock)
+        self.drain = Drain(self.books, self.outcomes.remaining_s)
+        self.reaction = ReactionChain((self.drain, preemption, self.harm_reaction))
         self._version: int | None = None
 
     def configure(self, configuration: Configuration) -> None:
@@ -60,6 +66,7 @@
         if configuration.version == self._version:
             return
         self._version = configuration.version
+        self._configure_drain(configuration)
         policy = configuration.policy
         self.books.service_classes = frozenset(policy.service_classes)
         shards = sum(z.shards for z in configuration.zones_by_name.values() if z.in_service)
@@ -68,7 +75,7 @@
             service_harm=policy.service_harm_weight,
             batch_harm=policy.batch_harm_weight,
             load=policy.load_weight,
-            max_service_harm=policy.max_service_harm,
+            max_service_slowdown=policy.max_service_slowdown,
         )
         self.harm_reaction.thresholds = ReactionThresholds(
             high=policy.throttle_above, low=policy.release_below, evict=policy.evict_on_harm
@@ -78,3 +85,10 @@
             policy.worker_eviction_interval_s,
             policy.evictions_per_minute,
         )
+
+    def _configure_drain(self, configuration: Configuration) -> None:
+        zone = configuration.zones_by_name.get(self._zone)
+        if zone is not None and not zone.in_service:
+            self.drain.begin(self._clock(), zone.drain_grace_s)
+        else:
+            self.drain.end()
--- a/packages/pollengate/pollengate/reservations.py
+++ b/packages/pollengate/pollengate/reservations.py
@@ -88,8 +88,8 @@
         return list(self._by_task.values())
 
     def _limit(self, is_ahead: bool) -> int:
-        limit = max(len(self._books.loads_by_worker) // WORKERS_PER_RESERVATION, 1)
-        return 2 * limit if is_ahead else limit
+        workers = len(self._books.loads_by_worker)
+        return workers if is_ahead else max(workers // WORKERS_PER_RESERVATION, 1)
 
     def _best(self, request: PlacementRequest, is_ahead: bool) -> WorkerLoad | None:
         best: WorkerLoad | None = None
--- a/packages/pollengate/pollengate/task_outcomes.py
+++ b/packages/pollengate/pollengate/task_outcomes.py
@@ -61,10 +61,17 @@
 
     def started(self, task_id: str) -> None:
         """Notes the start of a task that is on a worker."""
-        request = self._books.request_of(task_id)
-        if request is not None and not request.resumed and self._books.worker_of(task_id):
+        if self._books.worker_of(task_id) is not None:
             self._started_at_by_task[task_id] = self._clock()
 
+    def remaining_s(self, task_id: str) -> float:
+        """Returns how much longer a task is expected to run, as if it had not run before."""
+        request = self._books.request_of(task_id)
+        started_at = self._started_at_by_task.get(task_id)
+        if request is None or started_at is None:
+            return float("inf")
+        return max(self._profiles.run_time_s(request) - (self._clock() - started_at), 0.0)
+
     def ended(self, task_id: str, end: TaskEnd) -> Verdict:
         """Learns from an end; a task that is on no worker is given up."""
         started_at = self._started_at_by_task.pop(task_id, None)
@@ -74,7 +81,7 @@
             return Verdict.GIVE_UP
         if end is TaskEnd.FINISHED:
             self._failures.finished(task_id, request.job_id, worker_id)
-            if started_at is not None:
+            if started_at is not None and not request.resumed:
                 self._profiles.observe_run(request, self._clock() - started_at)
         elif end is TaskEnd.FAILED:
             count = self._books.offered_workers
--- a/packages/pollengated/pollengated/config_model.py
+++ b/packages/pollengated/pollengated/config_model.py
@@ -64,7 +64,7 @@
     service_harm_weight: float = pydantic.Field(default=8.0, ge=0, le=1000)
     batch_harm_weight: float = pydantic.Field(default=1.0, ge=0, le=1000)
     load_weight: float = pydantic.Field(default=0.5, ge=0, le=1000)
-    max_service_harm: float | None = pydantic.Field(default=None, ge=0, le=100)
+    max_service_slowdown: float | None = pydantic.Field(default=None, ge=1, le=100)
     throttle_above: float = pydantic.Field(default=1.4, gt=1, le=100)
     release_below: float = pydantic.Field(default=1.15, ge=1, le=100)
     evict_on_harm: bool = True
--- a/packages/pollengated/pollengated/shard_owner.py
+++ b/packages/pollengated/pollengated/shard_owner.py
@@ -242,7 +242,7 @@
     def _new_books(self) -> Shard:
         """Builds empty books with a policy that has learned nothing."""
         seed = zlib.crc32(f"{self.zone}/{self.number}".encode())
-        self._policy = ShardPolicy(seed, asyncio.get_running_loop().time)
+        self._policy = ShardPolicy(self.zone, seed, asyncio.get_running_loop().time)
         policy = self._policy
         return Shard(policy.placement, policy.queue, policy.reaction, policy.outcomes)
 
--- a/tests/utils.py
+++ b/tests/utils.py
@@ -59,7 +59,7 @@
     clock: ManualClock, workers: int = 0, cores: int = 4, **settings: Any
 ) -> ShardPolicy:
     """Returns a shard's policy with workers w0, w1, ... in two racks."""
-    policy = ShardPolicy(0, clock)
+    policy = ShardPolicy("a", 0, clock)
     zones = {"a": Zone()}
     policy.configure(
         Configuration(1, zones, {}, settings.pop("quotas", {}), Limits(), Policy(**settings))
