--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Benchmarks; each module says how it is run."""
+"""Measurements that the design notes and the capacity page quote."""
--- a/packages/pollengate/pollengate/fair_queue.py
+++ b/packages/pollengate/pollengate/fair_queue.py
@@ -11,9 +11,8 @@
 from pollengate.class_profiles import ClassProfiles
 from pollengate.configuration import Quota
 from pollengate.jobs import Resources
-from pollengate.parking import Parking
+from pollengate.parking import Parking, ParkReason
 from pollengate.placement_request import PlacementRequest
-from pollengate.refusals import Reason
 from pollengate.reservations import Reservations
 from pollengate.task_queue import TaskQueue
 
@@ -180,7 +179,7 @@
         """Returns the number of waiting tasks."""
         return len(self._waiting_by_task) + len(self._parking)
 
-    def parked_reason(self, task_id: str) -> Reason | None:
+    def parked_reason(self, task_id: str) -> ParkReason | None:
         """Returns why a task is parked."""
         return self._parking.reason(task_id)
 
--- a/packages/pollengate/pollengate/parking.py
+++ b/packages/pollengate/pollengate/parking.py
@@ -1,18 +1,26 @@
 """Why a task can't run as things stand."""
 
+import enum
 import itertools
 from collections.abc import Callable
 
 from pollengate.capacity import CapacityBooks
 from pollengate.failure_evidence import FailureEvidence
 from pollengate.placement_request import PlacementRequest
-from pollengate.refusals import Reason
 
-__all__ = ["Parking"]
+__all__ = ["ParkReason", "Parking"]
 
 MAX_RECHECKED = 500
 
 
+class ParkReason(enum.StrEnum):
+    """Why a task is parked."""
+
+    JOB_KEEPS_FAILING = "job_keeps_failing"
+    QUOTA_TOO_SMALL = "quota_too_small"
+    TASK_TOO_LARGE = "task_too_large"
+
+
 class Parking:
     """Decides which tasks are kept out of the queue, and until when."""
 
@@ -20,12 +28,12 @@
         self._books = books
         self._failures = failures
         self._requests_by_task: dict[str, PlacementRequest] = {}
-        self._reason_by_task: dict[str, Reason] = {}
+        self._reason_by_task: dict[str, ParkReason] = {}
 
     def __len__(self) -> int:
         return len(self._reason_by_task)
 
-    def reason(self, task_id: str) -> Reason | None:
+    def reason(self, task_id: str) -> ParkReason | None:
         """Returns why a task is parked, None if it is not."""
         return self._reason_by_task.get(task_id)
 
@@ -66,11 +74,11 @@
         """Tells whether a task failed on some worker, which it now avoids."""
         return self._failures.has_failed(task_id)
 
-    def _reason_for(self, request: PlacementRequest, exceeds_quota: bool) -> Reason | None:
+    def _reason_for(self, request: PlacementRequest, exceeds_quota: bool) -> ParkReason | None:
         if not self._books.has_shape_for(request.resources):
-            return Reason.TASK_TOO_LARGE
+            return ParkReason.TASK_TOO_LARGE
         if exceeds_quota:
-            return Reason.QUOTA_TOO_SMALL
+            return ParkReason.QUOTA_TOO_SMALL
         if self._failures.job_fails(request.job_id):
-            return Reason.JOB_KEEPS_FAILING
+            return ParkReason.JOB_KEEPS_FAILING
         return None
--- a/packages/pollengate/pollengate/policy.py
+++ b/packages/pollengate/pollengate/policy.py
@@ -14,12 +14,14 @@
 from pollengate.harm_reaction import HarmReaction, ReactionThresholds
 from pollengate.interference import InterferenceModel
 from pollengate.parking import Parking
+from pollengate.placement import Placement
+from pollengate.policies import ShardPolicies
 from pollengate.preemption import Preemption
 from pollengate.reaction import ReactionChain
 from pollengate.reservations import Reservations
 from pollengate.task_outcomes import LearnedOutcomes
 
-__all__ = ["ShardPolicy"]
+__all__ = ["ShardPolicy", "learned_policies"]
 
 
 class ShardPolicy:
@@ -92,3 +94,34 @@
             self.drain.begin(self._clock(), zone.drain_grace_s)
         else:
             self.drain.end()
+
+
+class _PolicyBuilder:
+    """Builds one policy for each period of ownership and hands out its parts."""
+
+    def __init__(self, zone: str, seed: int, clock: Callable[[], float]) -> None:
+        self._zone = zone
+        self._seed = seed
+        self._clock = clock
+        self.policy = ShardPolicy(zone, seed, clock)
+
+    def make_placement(self) -> Placement:
+        """Starts anew and returns the placement."""
+        self.policy = ShardPolicy(self._zone, self._seed, self._clock)
+        return self.policy.placement
+
+    def configure(self, configuration: Configuration) -> None:
+        """Gives the policy the configuration in force."""
+        self.policy.configure(configuration)
+
+
+def learned_policies(zone: str, seed: int, clock: Callable[[], float]) -> ShardPolicies:
+    """Returns the builders of this policy for a shard of a zone."""
+    builder = _PolicyBuilder(zone, seed, clock)
+    return ShardPolicies(
+        make_placement=builder.make_placement,
+        make_queue=lambda: builder.policy.queue,
+        make_reaction=lambda: builder.policy.reaction,
+        make_outcomes=lambda: builder.policy.outcomes,
+        configure=builder.configure,
+    )
--- a/packages/pollengate/pollengate/task_outcomes.py
+++ b/packages/pollengate/pollengate/task_outcomes.py
@@ -78,7 +78,7 @@
         request = self._books.request_of(task_id)
         worker_id = self._books.worker_of(task_id)
         if request is None or worker_id is None:
-            return Verdict.GIVE_UP
+            return Verdict.RETRY
         if end is TaskEnd.FINISHED:
             self._failures.finished(task_id, request.job_id, worker_id)
             if started_at is not None and not request.resumed:
--- a/packages/pollengated/pollengated/owner_directory.py
+++ b/packages/pollengated/pollengated/owner_directory.py
@@ -1,15 +1,14 @@
 """The owners of all shards, as last read from the store."""
 
 import asyncio
-import json
 
-from pollengate.ownership import OWNERS_PREFIX, Owner
-from pollengate.store import Entry, Store
+from pollengate.ownership import OWNERS_PREFIX, Owner, owner_from_entry
+from pollengate.store import Store
 from result import Err
 
 from pollengated.logs import Log
 
-__all__ = ["OwnerDirectory", "owner_from_entry", "owner_to_value"]
+__all__ = ["OwnerDirectory"]
 
 POLL_INTERVAL_S = 0.5
 
@@ -21,6 +20,7 @@
         self._store = store
         self._owners_by_shard: dict[tuple[str, int], Owner] = {}
         self._log = Log("owners")
+        self._reading: asyncio.Task[None] | None = None
 
     async def run(self) -> None:
         """Reads the store until cancelled."""
@@ -29,7 +29,12 @@
             await asyncio.sleep(POLL_INTERVAL_S)
 
     async def refresh(self) -> None:
-        """Reads the store once."""
+        """Reads the store once; calls that come together share one read."""
+        if self._reading is None or self._reading.done():
+            self._reading = asyncio.create_task(self._read())
+        await asyncio.shield(self._reading)
+
+    async def _read(self) -> None:
         result = await self._store.list(OWNERS_PREFIX)
         if isinstance(result, Err):
             self._log.warning("store did not answer", detail=result.err_value.detail)
@@ -44,16 +49,3 @@
     def all(self) -> list[Owner]:
         """Returns every known owner, sorted by zone and shard."""
         return [owner for _, owner in sorted(self._owners_by_shard.items())]
-
-
-def owner_from_entry(entry: Entry) -> Owner:
-    """Decodes an owner key."""
-    zone, shard = entry.key.removeprefix(OWNERS_PREFIX).split("/")
-    document = json.loads(entry.value)
-    process_id, address = document["process_id"], document["address"]
-    return Owner(zone, int(shard), process_id, address, entry.revision)
-
-
-def owner_to_value(process_id: str, address: str) -> bytes:
-    """Encodes the value of an owner key."""
-    return json.dumps({"process_id": process_id, "address": address}).encode()
