--- a/benchmarks/placement_run.py
+++ b/benchmarks/placement_run.py
@@ -230,9 +230,9 @@
             zone = self.workers_by_id[observation.worker_id].zone
             self._deciders[zone].reaction.observe(observation)
         for zone, decider in self._deciders.items():
-            self._act(decider)
             if zone in self.zones_in:
                 decider.queue.drain(lambda r, d=decider: self._place(d, r), START_BATCH)
+            self._act(decider)
 
     def _forget_warm_up(self) -> None:
         self._histogram.clear()
--- a/packages/pollengate/pollengate/configuration.py
+++ b/packages/pollengate/pollengate/configuration.py
@@ -90,8 +90,8 @@
 
     service_classes: tuple[str, ...] = ()
     service_harm_weight: float = 8.0
-    batch_harm_weight: float = 1.0
-    load_weight: float = 0.5
+    batch_harm_weight: float = 8.0
+    load_weight: float = 0.1
     max_service_slowdown: float | None = None
     throttle_above: float = 1.4
     release_below: float = 1.15
--- a/packages/pollengate/pollengate/fair_queue.py
+++ b/packages/pollengate/pollengate/fair_queue.py
@@ -22,9 +22,12 @@
 RUN_TIME_WEIGHT = 0.2
 RESUMED_ADVANCE_S = 60.0
 RESERVE_AFTER_S = 30.0
-RESERVE_URGENT_AFTER_S = 0.3
+RESERVE_URGENT_AFTER_S = 0.1
+USUAL_WAITS = 3.0
+WAIT_GAIN = 0.05
 RECHECK_INTERVAL_S = 5.0
 MAX_KINDS_OFFERED = 64
+MAX_RESERVED_PER_KIND = 64
 
 
 class Lane(enum.IntEnum):
@@ -74,6 +77,11 @@
         if not queue:
             del self.waiting_by_kind[kind]
 
+    def alike(self, request: PlacementRequest, count: int) -> list[_Waiting]:
+        """Returns the first tasks of a request's kind."""
+        queue = self.waiting_by_kind[_kind_of(request)]
+        return list(itertools.islice(queue.values(), count))
+
     def heads(self) -> list[_Waiting]:
         queues = itertools.islice(self.waiting_by_kind.values(), MAX_KINDS_OFFERED)
         return [next(iter(queue.values())) for queue in queues]
@@ -116,8 +124,8 @@
 
     The team with the smallest dominant share of the shard goes first. Within a team tasks go by
     arrival, set back by a part of their expected run time. A size that found no room is not
-    offered again in the same round, nor is a larger one. A task that waited long has a worker
-    held for it.
+    offered again in the same round, nor is a larger one. A task that waited much longer than
+    others do has a worker held for it.
     """
 
     def __init__(
@@ -134,6 +142,7 @@
         self._parking = parking
         self._clock = clock
         self._recheck_at = 0.0
+        self._usual_wait_s = 0.0
         self._quotas_by_team: Mapping[str, Quota] = {}
         self._shard_count = 1
         self._waiting_by_task: dict[str, _Waiting] = {}
@@ -223,12 +232,19 @@
             if self._is_offered(waiting, lane, round_):
                 limit -= 1
                 if place(waiting.request):
+                    self._note_wait(waiting)
                     self._forget(waiting)
                 else:
                     round_.refuse(waiting, self._parking.has_failed(waiting.request.task_id))
             heapq.heappush(heap, (self._share(name), name))
         return limit
 
+    def _note_wait(self, waiting: _Waiting) -> None:
+        """Follows how long batch tasks wait, so that only those passed over get a worker held."""
+        if waiting.lane is Lane.BATCH:
+            waited_s = self._clock() - waiting.queued_at
+            self._usual_wait_s += WAIT_GAIN * (waited_s - self._usual_wait_s)
+
     def _next(self, team: _Team, round_: _Round) -> _Waiting | None:
         """Returns the task that the team offers next in this round."""
         heads = [head for head in team.heads() if not round_.skips(head)]
@@ -251,10 +267,18 @@
 
     def _reserve_for(self, lane: Lane, blocked: list[_Waiting], now: float) -> None:
         is_ahead = lane is not Lane.BATCH
-        after_s = RESERVE_URGENT_AFTER_S if is_ahead else RESERVE_AFTER_S
-        for waiting in sorted(blocked, key=lambda w: w.queued_at):
-            is_due = now - waiting.queued_at >= after_s
-            if not is_due or not self._reservations.reserve(waiting.request, is_ahead):
+        passed_over_s = RESERVE_AFTER_S + USUAL_WAITS * self._usual_wait_s
+        after_s = RESERVE_URGENT_AFTER_S if is_ahead else passed_over_s
+        count = MAX_RESERVED_PER_KIND if is_ahead else 1
+        teams = self._teams_by_lane[lane]
+        due = [
+            alike
+            for head in blocked
+            for alike in teams[head.request.team].alike(head.request, count)
+            if now - alike.queued_at >= after_s
+        ]
+        for waiting in sorted(due, key=lambda w: w.queued_at):
+            if not self._reservations.reserve(waiting.request, is_ahead):
                 return
 
     def _lane_of(self, request: PlacementRequest) -> Lane:
--- a/packages/pollengate/pollengate/harm_placement.py
+++ b/packages/pollengate/pollengate/harm_placement.py
@@ -34,8 +34,8 @@
     """
 
     service_harm: float = 8.0
-    batch_harm: float = 1.0
-    load: float = 0.5
+    batch_harm: float = 8.0
+    load: float = 0.1
     max_service_slowdown: float | None = None
 
 
