--- a/packages/pollengated/pollengated/compose.py
+++ b/packages/pollengated/pollengated/compose.py
@@ -8,6 +8,7 @@
 from litestar.types import ASGIApp
 from pollengate.membership import Member, Role
 from pollengate.patches import OutstandingPatches
+from pollengate.policy import learned_policies
 from pollengate_net.calls import split_address
 from pollengate_net.etcd_store import EtcdStore
 from pollengate_net.grpc_worker import GrpcWorkerClient
@@ -113,6 +114,7 @@
             vms,
             GrpcWorkerClient,
             metrics,
+            learned_policies(settings.zone, number, asyncio.get_running_loop().time),
             shards=shards,
             guard=PeerGuard(store, registry, peers, answers, metrics),
         )
--- a/packages/pollengated/pollengated/shard_owner.py
+++ b/packages/pollengated/pollengated/shard_owner.py
@@ -174,6 +174,7 @@
         if isinstance(contents, Err) or not tenure.is_held():
             return False
         self.books = tenure.books
+        self._policies.configure(self._follower.current)
         for record in contents.ok_value.records:
             self.books.restore(record)
         workers = contents.ok_value.workers
@@ -189,7 +190,7 @@
             self._connect,
             self._address,
             self._metrics,
-            self._policies.make_reaction(),
+            self._policies,
             lapses_at,
             self._shards,
         )
@@ -250,7 +251,8 @@
 
     def _new_books(self) -> Shard:
         policies = self._policies
-        return Shard(policies.make_placement(), policies.make_queue(), self.ownership.epoch)
+        placement, queue = policies.make_placement(), policies.make_queue()
+        return Shard(placement, queue, self.ownership.epoch, policies.make_outcomes())
 
     def _may_start(self) -> bool:
         now = asyncio.get_running_loop().time()
