--- a/packages/pollengate/pollengate/refusals.py
+++ b/packages/pollengate/pollengate/refusals.py
@@ -19,11 +19,13 @@
 
     BACKEND_FAILED = "backend_failed"
     BODY_TOO_LARGE = "body_too_large"
+    CALLER_GONE = "caller_gone"
     CONFIGURATION_STALE = "configuration_stale"
     DEADLINE_TOO_SHORT = "deadline_too_short"
     INVALID_REQUEST = "invalid_request"
     NO_BACKEND = "no_backend"
     NO_OWNER = "no_owner"
+    NO_SLOT = "no_slot"
     NOT_FOUND = "not_found"
     QUEUE_FULL = "queue_full"
     STOPPING = "stopping"
--- /dev/null
+++ b/packages/pollengate/pollengate/slots.py
@@ -0,0 +1,310 @@
+"""Slots of backend servers, granted to gates for a limited time.
+
+The owner of a zone grants; a gate counts a grant from when it asked, the owner from when it
+answered and a margin longer, so a grant has lapsed at the gate before the owner grants it again.
+"""
+
+import dataclasses
+import math
+from collections.abc import Iterable, Mapping
+
+__all__ = [
+    "GRANT_S",
+    "BackendSlots",
+    "GateSlots",
+    "SlotAnswer",
+    "SlotAsk",
+    "SlotDemand",
+    "SlotGrant",
+    "SlotGranter",
+    "fair_shares",
+]
+
+GRANT_S = 8.0
+CLOCK_MARGIN_S = 0.4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SlotDemand:
+    """What a gate has and wants of one backend server.
+
+    Attributes:
+        backend_id: the backend server.
+        kept: slots that the gate keeps; it uses no more until it is answered.
+        wanted: slots that it could use now.
+        lasting_s: for each request that may outlast the grant, seconds until its deadline.
+    """
+
+    backend_id: str
+    kept: int
+    wanted: int
+    lasting_s: tuple[float, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SlotAsk:
+    """Renews all grants of a gate in one zone; servers that it leaves out are given back.
+
+    Attributes:
+        gate_id: the gate process.
+        sequence: grows with each ask of the gate.
+        demands: one for each backend server.
+    """
+
+    gate_id: str
+    sequence: int
+    demands: tuple[SlotDemand, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SlotGrant:
+    """A gate's slots of one backend server.
+
+    Attributes:
+        backend_id: the backend server.
+        slots: slots that the gate may use until the grant lapses.
+        target: slots that it should keep; it gives back the others as they become free.
+    """
+
+    backend_id: str
+    slots: int
+    target: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SlotAnswer:
+    """The answer to an ask; `ttl_s` counts from when it was asked."""
+
+    sequence: int
+    ttl_s: float
+    grants: tuple[SlotGrant, ...]
+
+
+def fair_shares(slots: int, wanted_by_gate: Mapping[str, int], turn: int) -> dict[str, int]:
+    """Splits slots so that no gate gets more than it wants while another lacks any.
+
+    Slots that no gate wants are split evenly.
+
+    Args:
+        slots: slots to split.
+        wanted_by_gate: demand of each gate.
+        turn: which gate comes first, so that odd slots go round.
+    """
+    gates = sorted(wanted_by_gate)
+    if not gates:
+        return {}
+    first = turn % len(gates)
+    gates = gates[first:] + gates[:first]
+    shares = dict.fromkeys(gates, 0)
+    left = slots
+    for is_wanted in (True, False):
+        while left > 0:
+            takers = [g for g in gates if not is_wanted or shares[g] < wanted_by_gate[g]]
+            if not takers:
+                break
+            for gate in takers[:left]:
+                shares[gate] += 1
+            left -= min(left, len(takers))
+    return shares
+
+
+@dataclasses.dataclass(slots=True)
+class _Record:
+    slots: int
+    wanted: int
+    lapses_at: float
+    lasting_until: tuple[float, ...]
+
+    def held(self, now: float) -> int:
+        if now < self.lapses_at:
+            return self.slots
+        return sum(until > now for until in self.lasting_until)
+
+
+class SlotGranter:
+    """The books of the process that grants a zone's slots.
+
+    A successor does not know what its predecessor granted. Until that has lapsed it renews what
+    gates report and grants nothing more.
+    """
+
+    def __init__(self, now: float, is_first: bool) -> None:
+        """Opens the books.
+
+        Args:
+            now: loop time at which this process began to grant.
+            is_first: whether no process granted before it.
+        """
+        self._recovers_until = now if is_first else now + GRANT_S + CLOCK_MARGIN_S
+        self._records_by_backend: dict[str, dict[str, _Record]] = {}
+        self._sequences_by_gate: dict[str, int] = {}
+
+    def answer(self, ask: SlotAsk, slots_by_backend: Mapping[str, int], now: float) -> SlotAnswer:
+        """Renews, grants and recalls slots.
+
+        Args:
+            ask: what a gate has and wants.
+            slots_by_backend: slots of each live backend server of the zone.
+            now: loop time.
+        """
+        if ask.sequence <= self._sequences_by_gate.get(ask.gate_id, 0):
+            return SlotAnswer(ask.sequence, 0.0, ())
+        self._sequences_by_gate[ask.gate_id] = ask.sequence
+        self._drop_absent(ask, now)
+        grants = []
+        for demand in ask.demands:
+            slots = slots_by_backend.get(demand.backend_id, 0)
+            grants.append(self._grant(ask.gate_id, demand, slots, now))
+        return SlotAnswer(ask.sequence, GRANT_S, tuple(grants))
+
+    def held(self, backend_id: str, now: float) -> int:
+        """Returns the slots of a backend server that gates may be using."""
+        records = self._records_by_backend.get(backend_id, {})
+        return sum(record.held(now) for record in records.values())
+
+    def _drop_absent(self, ask: SlotAsk, now: float) -> None:
+        named = {demand.backend_id for demand in ask.demands}
+        for backend_id, records in list(self._records_by_backend.items()):
+            if backend_id not in named:
+                records.pop(ask.gate_id, None)
+            for gate_id in [g for g, record in records.items() if record.held(now) == 0]:
+                if gate_id != ask.gate_id and now >= records[gate_id].lapses_at:
+                    del records[gate_id]
+            if not records:
+                del self._records_by_backend[backend_id]
+
+    def _grant(self, gate_id: str, demand: SlotDemand, slots: int, now: float) -> SlotGrant:
+        records = self._records_by_backend.setdefault(demand.backend_id, {})
+        others = sum(r.held(now) for g, r in records.items() if g != gate_id)
+        kept = self._confirmed(records.get(gate_id), demand.kept, slots - others, now)
+        wanted_by_gate = {g: r.wanted for g, r in records.items() if now < r.lapses_at}
+        wanted_by_gate[gate_id] = demand.wanted
+        target = fair_shares(slots, wanted_by_gate, _turn(demand.backend_id))[gate_id]
+        granted = kept
+        if now >= self._recovers_until:
+            granted = max(kept, min(target, slots - others))
+        records[gate_id] = _Record(
+            granted,
+            demand.wanted,
+            now + GRANT_S + CLOCK_MARGIN_S,
+            tuple(now + left_s + CLOCK_MARGIN_S for left_s in demand.lasting_s),
+        )
+        return SlotGrant(demand.backend_id, granted, target)
+
+    def _confirmed(self, record: _Record | None, kept: int, free: int, now: float) -> int:
+        if record is not None and now < record.lapses_at:
+            return min(kept, record.slots)
+        if now < self._recovers_until:
+            return max(0, min(kept, free))
+        return 0
+
+
+def _turn(backend_id: str) -> int:
+    return sum(backend_id.encode())
+
+
+@dataclasses.dataclass(slots=True)
+class BackendSlots:
+    """A gate's slots of one backend server.
+
+    Attributes:
+        held: slots that it may use.
+        target: slots that it should keep.
+        in_use: slots that requests occupy.
+        lapses_at: loop time at which the grant ends.
+    """
+
+    held: int = 0
+    target: int = 0
+    in_use: int = 0
+    lapses_at: float = 0.0
+
+    def free(self, now: float) -> int:
+        """Returns the slots that a request may take now."""
+        if now >= self.lapses_at:
+            return 0
+        return max(0, min(self.held, self.target) - self.in_use)
+
+    def shrink(self) -> None:
+        """Gives up free slots above the target."""
+        self.held = min(self.held, max(self.in_use, self.target))
+
+
+class GateSlots:
+    """The slots that a gate holds in one zone."""
+
+    def __init__(self, gate_id: str) -> None:
+        self._gate_id = gate_id
+        self._sequence = 0
+        self._asked_at = 0.0
+        self.slots_by_backend: dict[str, BackendSlots] = {}
+        self._lasting_by_backend: dict[str, dict[int, float]] = {}
+
+    def find(self, backend_id: str) -> BackendSlots:
+        """Returns the slots of a backend server, none held if it is new."""
+        return self.slots_by_backend.setdefault(backend_id, BackendSlots())
+
+    def take(self, backend_id: str) -> None:
+        """Occupies a free slot."""
+        self.find(backend_id).in_use += 1
+
+    def release(self, backend_id: str) -> None:
+        """Frees an occupied slot."""
+        slots = self.find(backend_id)
+        slots.in_use -= 1
+        slots.shrink()
+
+    def hold_until(self, backend_id: str, request: int, deadline: float) -> None:
+        """Names a request in the next asks that may outlast the grant."""
+        self._lasting_by_backend.setdefault(backend_id, {})[request] = deadline
+
+    def forget(self, backend_id: str, request: int) -> None:
+        """Ends what `hold_until` began."""
+        requests = self._lasting_by_backend.get(backend_id, {})
+        requests.pop(request, None)
+        if not requests:
+            self._lasting_by_backend.pop(backend_id, None)
+
+    def ask(self, backend_ids: Iterable[str], spare: int, now: float) -> SlotAsk:
+        """Returns the next ask; answers to earlier ones no longer count.
+
+        Args:
+            backend_ids: backend servers that the gate may send to.
+            spare: slots that it wants of each beyond those in use.
+            now: loop time.
+        """
+        self._sequence += 1
+        self._asked_at = now
+        wanted = set(backend_ids)
+        self._forget_unused(wanted, now)
+        for backend_id in wanted:
+            self.find(backend_id)
+        demands = tuple(
+            self._demand(backend_id, slots, spare if backend_id in wanted else 0, now)
+            for backend_id, slots in sorted(self.slots_by_backend.items())
+        )
+        return SlotAsk(self._gate_id, self._sequence, demands)
+
+    def take_answer(self, answer: SlotAnswer) -> bool:
+        """Takes an answer in; returns whether slots were given up, to be told by a new ask."""
+        if answer.sequence != self._sequence or answer.ttl_s <= 0:
+            return False
+        has_shrunk = False
+        for grant in answer.grants:
+            slots = self.find(grant.backend_id)
+            slots.held, slots.target = grant.slots, grant.target
+            slots.lapses_at = self._asked_at + answer.ttl_s
+            slots.shrink()
+            has_shrunk = has_shrunk or slots.held < grant.slots
+        return has_shrunk
+
+    def _demand(self, backend_id: str, slots: BackendSlots, spare: int, now: float) -> SlotDemand:
+        kept = slots.held if now < slots.lapses_at else 0
+        lasting = self._lasting_by_backend.get(backend_id, {}).values()
+        lasting_s = tuple(math.ceil(end - now) for end in lasting if end > now)
+        return SlotDemand(backend_id, kept, slots.in_use + spare, lasting_s)
+
+    def _forget_unused(self, wanted: set[str], now: float) -> None:
+        for backend_id, slots in list(self.slots_by_backend.items()):
+            if backend_id not in wanted and slots.in_use == 0:
+                del self.slots_by_backend[backend_id]
--- a/packages/pollengated/pollengated/problems.py
+++ b/packages/pollengated/pollengated/problems.py
@@ -12,11 +12,13 @@
 _STATUS_BY_REASON = {
     Reason.BACKEND_FAILED: 502,
     Reason.BODY_TOO_LARGE: 413,
+    Reason.CALLER_GONE: 499,
     Reason.CONFIGURATION_STALE: 503,
     Reason.DEADLINE_TOO_SHORT: 503,
     Reason.INVALID_REQUEST: 422,
     Reason.NO_BACKEND: 503,
     Reason.NO_OWNER: 503,
+    Reason.NO_SLOT: 503,
     Reason.NOT_FOUND: 404,
     Reason.QUEUE_FULL: 503,
     Reason.STOPPING: 503,
