--- /dev/null
+++ b/packages/pollengate-net/pollengate_net/http_backend.py
@@ -0,0 +1,240 @@
+"""Exchanges with backend servers over HTTP/1.1, by the transport of httpx.
+
+The transport passes raw bytes: it decodes no body, follows no redirect and merges no headers.
+"""
+
+import asyncio
+import socket
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any, cast
+
+import httpx
+from pollengate.backend_client import (
+    AnswerCutError,
+    BackendAnswer,
+    BackendClient,
+    BackendRequest,
+    ExchangeFailure,
+    Headers,
+    Progress,
+)
+from pollengate.request_outcomes import FailurePoint, Sent
+from result import Err, Ok, Result
+
+__all__ = [
+    "DRAINING_HEADER",
+    "EXCHANGE_ID_HEADER",
+    "NOT_RUN_HEADER",
+    "TIMEOUT_HEADER",
+    "HttpBackendClient",
+]
+
+EXCHANGE_ID_HEADER = b"pollengate-request-id"
+TIMEOUT_HEADER = b"pollengate-timeout-ms"
+NOT_RUN_HEADER = b"pollengate-not-run"
+DRAINING_HEADER = b"pollengate-draining"
+BODY_BUFFER_BYTES = 1_000_000
+CONNECT_TIMEOUT_S = 1.0
+WRITE_TIMEOUT_S = 2.0
+STREAM_SILENCE_S = 10.0
+# How long an exchange goes on after its caller has left, so that its slot stays occupied.
+LINGER_S = 5.0
+# Shorter than the grants of slots, so that a gate without slots has no connections.
+IDLE_S = 3.0
+UNACKNOWLEDGED_MS = 3000
+KEEPALIVE_IDLE_S = 2
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 3
+MAX_CONNECTIONS = 64
+SERVICE_UNAVAILABLE = 503
+MS_PER_S = 1000
+
+_SOCKET_OPTIONS = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+)
+_OWN_HEADERS = frozenset({EXCHANGE_ID_HEADER, TIMEOUT_HEADER, NOT_RUN_HEADER, DRAINING_HEADER})
+_FAILURES = (httpx.HTTPError, httpx.StreamError, OSError)
+
+
+class HttpBackendClient(BackendClient):
+    """Keeps one connection pool per backend server."""
+
+    def __init__(self) -> None:
+        self._pools_by_address: dict[str, httpx.AsyncHTTPTransport] = {}
+        self._closing: set[asyncio.Task[None]] = set()
+
+    async def exchange(
+        self, address: str, request: BackendRequest
+    ) -> Result[BackendAnswer, ExchangeFailure]:
+        """Sends a request and waits for its answer, however late it is."""
+        pool = self._pool(address)
+        try:
+            response = await pool.handle_async_request(_encode(address, request))
+        except _FAILURES as error:
+            failure = _failure(error, request.progress)
+            if failure.point is FailurePoint.SILENT:
+                self._retire(address, pool)
+            return Err(failure)
+        headers = tuple((name.lower(), value) for name, value in response.headers.raw)
+        fault = _check_head(response.status_code, headers, request.exchange_id)
+        if fault is not None:
+            await _close(response)
+            return Err(fault)
+        return await self._read(address, pool, response, headers)
+
+    async def close(self) -> None:
+        """Closes every connection."""
+        pools = list(self._pools_by_address.values())
+        self._pools_by_address.clear()
+        await asyncio.gather(*(pool.aclose() for pool in pools), *self._closing)
+
+    async def _read(
+        self,
+        address: str,
+        pool: httpx.AsyncHTTPTransport,
+        response: httpx.Response,
+        headers: Headers,
+    ) -> Result[BackendAnswer, ExchangeFailure]:
+        stream = cast(httpx.AsyncByteStream, response.stream).__aiter__()
+        chunks: list[bytes] = []
+        size = 0
+        answer = BackendAnswer(
+            response.status_code,
+            tuple(pair for pair in headers if pair[0] not in _OWN_HEADERS),
+            b"",
+            is_draining=_is_set(headers, DRAINING_HEADER),
+        )
+        try:
+            async for chunk in stream:
+                chunks.append(chunk)
+                size += len(chunk)
+                if size > BODY_BUFFER_BYTES:
+                    answer.rest = _rest(stream)
+                    answer.close = response.aclose
+                    break
+            else:
+                await response.aclose()
+        except _FAILURES as error:
+            await _close(response)
+            if isinstance(error, httpx.ReadTimeout):
+                self._retire(address, pool)
+            detail = f"the answer was cut off: {_describe(error)}"
+            return Err(ExchangeFailure(FailurePoint.ANSWER_CUT_SHORT, Sent.WHOLE, detail))
+        answer.body = b"".join(chunks)
+        return Ok(answer)
+
+    def _pool(self, address: str) -> httpx.AsyncHTTPTransport:
+        pool = self._pools_by_address.get(address)
+        if pool is None:
+            limits = httpx.Limits(
+                max_connections=MAX_CONNECTIONS,
+                max_keepalive_connections=MAX_CONNECTIONS,
+                keepalive_expiry=IDLE_S,
+            )
+            pool = httpx.AsyncHTTPTransport(limits=limits, socket_options=_SOCKET_OPTIONS)
+            self._pools_by_address[address] = pool
+        return pool
+
+    def _retire(self, address: str, pool: httpx.AsyncHTTPTransport) -> None:
+        """Gives new requests new connections; the old ones close once they are idle."""
+        if self._pools_by_address.get(address) is not pool:
+            return
+        del self._pools_by_address[address]
+        task = asyncio.create_task(_close_later(pool))
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
+
+
+async def _close_later(pool: httpx.AsyncHTTPTransport) -> None:
+    # Requests on other connections of the pool may still be answered.
+    await asyncio.sleep(STREAM_SILENCE_S)
+    await pool.aclose()
+
+
+def _encode(address: str, request: BackendRequest) -> httpx.Request:
+    host, _, port = address.rpartition(":")
+    left_s = max(0.0, request.deadline - asyncio.get_running_loop().time())
+    read_s = left_s + LINGER_S if request.silence_s is None else request.silence_s
+    headers = [
+        (b"host", address.encode()),
+        *request.headers,
+        (EXCHANGE_ID_HEADER, request.exchange_id.encode()),
+        (TIMEOUT_HEADER, str(int(left_s * MS_PER_S)).encode()),
+    ]
+    has_body = request.body or request.method in (b"POST", b"PUT", b"PATCH")
+    if has_body:
+        headers.append((b"content-length", str(len(request.body)).encode()))
+    timeouts = {
+        "connect": min(CONNECT_TIMEOUT_S, left_s),
+        "pool": min(CONNECT_TIMEOUT_S, left_s),
+        "write": WRITE_TIMEOUT_S,
+        "read": read_s,
+    }
+    return httpx.Request(
+        request.method.decode(),
+        httpx.URL(scheme="http", host=host, port=int(port), raw_path=request.target),
+        headers=headers,
+        stream=httpx.ByteStream(request.body),
+        extensions={"trace": _tracer(request.progress), "timeout": timeouts},
+    )
+
+
+def _tracer(progress: Progress) -> Callable[[str, Any], Awaitable[None]]:
+    async def record(event: str, _: Any) -> None:
+        if event == "http11.send_request_headers.started":
+            progress.sent = max(progress.sent, Sent.PART)
+        elif event == "http11.send_request_body.complete":
+            progress.sent = Sent.WHOLE
+
+    return record
+
+
+def _failure(error: Exception, progress: Progress) -> ExchangeFailure:
+    point = FailurePoint.CONNECTION_LOST
+    if progress.sent is Sent.NOTHING:
+        point = FailurePoint.CONNECT_FAILED
+    elif isinstance(error, httpx.TimeoutException):
+        point = FailurePoint.SILENT
+    elif isinstance(error, httpx.RemoteProtocolError) and "disconnected" not in str(error):
+        point = FailurePoint.ANSWER_MALFORMED
+    return ExchangeFailure(point, progress.sent, _describe(error))
+
+
+def _check_head(status: int, headers: Headers, exchange_id: str) -> ExchangeFailure | None:
+    offered = [value for name, value in headers if name == EXCHANGE_ID_HEADER]
+    if offered != [exchange_id.encode()]:
+        detail = "the answer carries the id of another request, or none"
+        return ExchangeFailure(FailurePoint.ANSWER_TO_ANOTHER_REQUEST, Sent.WHOLE, detail)
+    if status == SERVICE_UNAVAILABLE and _is_set(headers, NOT_RUN_HEADER):
+        detail = "the backend server refused the request before running it"
+        is_draining = _is_set(headers, DRAINING_HEADER)
+        return ExchangeFailure(FailurePoint.REFUSED_BY_BACKEND, Sent.WHOLE, detail, is_draining)
+    return None
+
+
+def _is_set(headers: Headers, wanted: bytes) -> bool:
+    return any(name == wanted and value.lower() == b"true" for name, value in headers)
+
+
+async def _rest(stream: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
+    try:
+        async for chunk in stream:
+            yield chunk
+    except _FAILURES as error:
+        raise AnswerCutError(_describe(error)) from error
+
+
+async def _close(response: httpx.Response) -> None:
+    try:
+        await response.aclose()
+    except _FAILURES:
+        return
+
+
+def _describe(error: Exception) -> str:
+    return f"{type(error).__name__}: {error}"
--- /dev/null
+++ b/packages/pollengate-net/pollengate_net/slot_client.py
@@ -0,0 +1,54 @@
+"""Calls from a gate to the owners that grant slots."""
+
+from grpclib.client import Channel
+from pollengate.slots import SlotAnswer, SlotAsk
+from result import Err, Ok, Result
+
+from pollengate_net.calls import CallFailure, call, open_channel
+from pollengate_net.messages.slots_grpc import SlotsStub
+from pollengate_net.slot_messages import slot_answer_from_message, slot_ask_to_message
+
+__all__ = ["SlotClient"]
+
+CALL_TIMEOUT_S = 0.5
+
+
+class SlotClient:
+    """Keeps one channel per owner; one that gave no answer is replaced."""
+
+    def __init__(self) -> None:
+        self._channels_by_address: dict[str, Channel] = {}
+
+    async def ask(
+        self, address: str, ask: SlotAsk, zone: str, epoch: int
+    ) -> Result[SlotAnswer, CallFailure]:
+        """Renews a gate's grants.
+
+        Args:
+            address: `ip:port` of the zone's owner.
+            ask: what the gate has and wants.
+            zone: the zone.
+            epoch: the owner's epoch.
+        """
+        channel = self._channels_by_address.get(address)
+        if channel is None:
+            channel = self._channels_by_address[address] = open_channel(address)
+        message = slot_ask_to_message(ask, zone, epoch)
+        result = await call(SlotsStub(channel).Ask, message, CALL_TIMEOUT_S)
+        if isinstance(result, Err):
+            self._replace(address, channel)
+            return result
+        if not result.ok_value.accepted:
+            return Err(CallFailure(True, f"process at {address} does not grant slots of {zone}"))
+        return Ok(slot_answer_from_message(result.ok_value))
+
+    def close(self) -> None:
+        """Closes every channel."""
+        for channel in self._channels_by_address.values():
+            channel.close()
+        self._channels_by_address.clear()
+
+    def _replace(self, address: str, channel: Channel) -> None:
+        if self._channels_by_address.get(address) is channel:
+            del self._channels_by_address[address]
+        channel.close()
--- /dev/null
+++ b/packages/pollengate-net/pollengate_net/slot_messages.py
@@ -0,0 +1,47 @@
+"""Conversion between slot messages and the library's data classes."""
+
+from pollengate.slots import SlotAnswer, SlotAsk, SlotDemand, SlotGrant
+
+from pollengate_net.messages import slots_pb2 as pb
+
+__all__ = [
+    "slot_answer_from_message",
+    "slot_answer_to_message",
+    "slot_ask_from_message",
+    "slot_ask_to_message",
+]
+
+
+def slot_ask_to_message(ask: SlotAsk, zone: str, epoch: int) -> pb.AskRequest:
+    """Encodes an ask."""
+    message = pb.AskRequest(zone=zone, epoch=epoch, gate_id=ask.gate_id, sequence=ask.sequence)
+    for demand in ask.demands:
+        message.demands.add(
+            backend_id=demand.backend_id,
+            kept=demand.kept,
+            wanted=demand.wanted,
+            lasting_s=demand.lasting_s,
+        )
+    return message
+
+
+def slot_ask_from_message(message: pb.AskRequest) -> SlotAsk:
+    """Decodes an ask."""
+    demands = tuple(
+        SlotDemand(d.backend_id, d.kept, d.wanted, tuple(d.lasting_s)) for d in message.demands
+    )
+    return SlotAsk(message.gate_id, message.sequence, demands)
+
+
+def slot_answer_to_message(answer: SlotAnswer) -> pb.AskReply:
+    """Encodes an answer."""
+    message = pb.AskReply(accepted=True, sequence=answer.sequence, ttl_s=answer.ttl_s)
+    for grant in answer.grants:
+        message.grants.add(backend_id=grant.backend_id, slots=grant.slots, target=grant.target)
+    return message
+
+
+def slot_answer_from_message(message: pb.AskReply) -> SlotAnswer:
+    """Decodes an answer."""
+    grants = tuple(SlotGrant(g.backend_id, g.slots, g.target) for g in message.grants)
+    return SlotAnswer(message.sequence, message.ttl_s, grants)
--- /dev/null
+++ b/packages/pollengate/pollengate/retries.py
@@ -0,0 +1,39 @@
+"""When and how soon a failed request is sent again."""
+
+import random
+
+__all__ = ["RetryBudget", "backoff_s"]
+
+BUDGET_RATIO = 0.1
+MAX_BUDGET = 20.0
+FIRST_BACKOFF_S = 0.005
+MAX_BACKOFF_S = 0.1
+
+
+class RetryBudget:
+    """Limits the retries of one service to a fraction of its requests."""
+
+    def __init__(self) -> None:
+        self._tokens = MAX_BUDGET
+
+    def count_request(self) -> None:
+        """Records a request, of which a fraction may be retried."""
+        self._tokens = min(MAX_BUDGET, self._tokens + BUDGET_RATIO)
+
+    def take(self) -> bool:
+        """Takes one retry from the budget; returns whether it had one."""
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+
+def backoff_s(attempt: int, jitter: random.Random) -> float:
+    """Returns the pause before a retry: full jitter over a doubling bound.
+
+    Args:
+        attempt: 1 for the first retry.
+        jitter: a seeded generator.
+    """
+    bound = min(MAX_BACKOFF_S, FIRST_BACKOFF_S * 2**attempt)
+    return jitter.uniform(0.0, bound)
--- /dev/null
+++ b/packages/pollengate/pollengate/routing.py
@@ -0,0 +1,190 @@
+"""Chooses the backend server of each request of one service."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from result import Err, Ok, Result
+
+from pollengate.admission import QueueBudget, ServiceQueue, Waiter, queue_full
+from pollengate.backend_health import ServiceHealth
+from pollengate.refusals import Outcome, Reason, Refusal
+from pollengate.slots import GateSlots
+from pollengate.virtual_machines import VirtualMachine
+
+__all__ = ["ServiceRouter"]
+
+SAMPLE_SIZE = 8
+HEAD_SIZE = 8
+RETRY_AFTER_S = 1.0
+# A request that leaves its zone waits this long for a slot elsewhere.
+SPILL_WAIT_S = 0.1
+SPILL_LIMIT = 16
+
+ListBackends = Callable[[], list[VirtualMachine]]
+FindSlots = Callable[[str], GateSlots]
+
+
+class ServiceRouter:
+    """Admits one service's requests and gives each a slot, in the gate's zone first."""
+
+    def __init__(
+        self,
+        zone: str,
+        list_backends: ListBackends,
+        find_slots: FindSlots,
+        budget: QueueBudget,
+        queues: list[ServiceQueue],
+        choices: random.Random,
+    ) -> None:
+        """Creates the router.
+
+        Args:
+            zone: the gate's zone.
+            list_backends: returns the service's live backend servers in every zone.
+            find_slots: returns the gate's slots in a zone.
+            budget: bounds all queues of the gate.
+            queues: all queues of the gate; this service's is added.
+            choices: a seeded generator.
+        """
+        self.queue = ServiceQueue()
+        self.spill = ServiceQueue()
+        self.health = ServiceHealth()
+        self._zone = zone
+        self._list_backends = list_backends
+        self._find_slots = find_slots
+        self._budget = budget
+        self._queues = queues
+        self._choices = choices
+        queues.extend((self.queue, self.spill))
+
+    def offer(self, waiter: Waiter) -> Result[VirtualMachine, Refusal] | None:
+        """Gives a request a slot, refuses it or queues it.
+
+        A slot is to be given back by `release`.
+
+        Returns:
+            None if it is queued; `wait` then tells how that ends.
+        """
+        refusal = self._admit(waiter)
+        if refusal is not None:
+            return Err(refusal)
+        self.pump()
+        return waiter.slot.result() if waiter.slot.done() else None
+
+    async def wait(self, waiter: Waiter) -> Result[VirtualMachine, Refusal]:
+        """Waits for the slot of a queued request; cancelling takes it out of the queue."""
+        end = waiter.deadline - self.queue.times.mean_s
+        if waiter.may_leave_zone:
+            end = min(end, asyncio.get_running_loop().time() + SPILL_WAIT_S)
+        timer = asyncio.get_running_loop().call_at(end, self._give_up, waiter)
+        try:
+            return await asyncio.shield(waiter.slot)
+        except asyncio.CancelledError:
+            self._abandon(waiter)
+            raise
+        finally:
+            timer.cancel()
+
+    def release(self, vm: VirtualMachine) -> None:
+        """Gives a slot back."""
+        self._find_slots(vm.zone).release(vm.vm_id)
+        self.pump()
+
+    def pump(self) -> None:
+        """Gives free slots to the requests that wait."""
+        now = asyncio.get_running_loop().time()
+        for queue in (self.queue, self.spill):
+            while self._pump_once(queue, now):
+                pass
+
+    def _pump_once(self, queue: ServiceQueue, now: float) -> bool:
+        # A request that was tried before may find no server left; those behind it still can.
+        for waiter in queue.head(HEAD_SIZE):
+            vm = self._choose(waiter, now)
+            if vm is not None:
+                queue.remove(waiter)
+                self._settle(waiter, vm, now)
+                return True
+            if not waiter.tried:
+                return False
+        return False
+
+    def slots(self, now: float) -> int:
+        """Returns the slots that serve the queue: those held in the gate's zone."""
+        total = 0
+        for vm in self._local():
+            if self.health.may_use(vm.vm_id, now, False):
+                slots = self._find_slots(vm.zone).find(vm.vm_id)
+                if now < slots.lapses_at:
+                    total += max(slots.in_use, min(slots.held, slots.target))
+        return total
+
+    def _admit(self, waiter: Waiter) -> Refusal | None:
+        now = asyncio.get_running_loop().time()
+        backends = self._list_backends()
+        if not backends:
+            detail = "the service has no live backend server"
+            return Refusal(Outcome.NOT_RUN, Reason.NO_BACKEND, detail, RETRY_AFTER_S)
+        check = self.queue.check(waiter.deadline, self.slots(now), now)
+        queue = self.queue
+        if isinstance(check, Err):
+            is_elsewhere = any(vm.zone != self._zone for vm in backends)
+            if not is_elsewhere or len(self.spill) >= SPILL_LIMIT:
+                return check.err_value
+            if not self.queue.can_begin(waiter.deadline, now):
+                return check.err_value
+            queue, waiter.may_leave_zone = self.spill, True
+        if not self._budget.make_room(queue, self._queues):
+            return queue_full()
+        queue.push(waiter)
+        return None
+
+    def _give_up(self, waiter: Waiter) -> None:
+        self.queue.remove(waiter)
+        self.spill.remove(waiter)
+        detail = "no slot became free in time"
+        waiter.settle(Err(Refusal(Outcome.NOT_RUN, Reason.NO_SLOT, detail, RETRY_AFTER_S)))
+
+    def _abandon(self, waiter: Waiter) -> None:
+        self.queue.remove(waiter)
+        self.spill.remove(waiter)
+        if waiter.slot.done() and isinstance(waiter.slot.result(), Ok):
+            self.release(waiter.slot.result().unwrap())
+
+    def _settle(self, waiter: Waiter, vm: VirtualMachine, now: float) -> None:
+        self._find_slots(vm.zone).take(vm.vm_id)
+        self.health.begin_probe(vm.vm_id, now)
+        waiter.settle(Ok(vm))
+
+    def _local(self) -> list[VirtualMachine]:
+        return [vm for vm in self._list_backends() if vm.zone == self._zone]
+
+    def _choose(self, waiter: Waiter, now: float) -> VirtualMachine | None:
+        local = self._local()
+        if len(local) > SAMPLE_SIZE:
+            sample = self._choices.sample(local, SAMPLE_SIZE)
+            found = self._best(sample, waiter, now)
+            if found is not None:
+                return found
+        found = self._best(local, waiter, now)
+        if found is None and waiter.may_leave_zone:
+            remote = [vm for vm in self._list_backends() if vm.zone != self._zone]
+            found = self._best(remote, waiter, now)
+        return found
+
+    def _best(
+        self, backends: list[VirtualMachine], waiter: Waiter, now: float
+    ) -> VirtualMachine | None:
+        best, lowest = None, (float("inf"), 0.0)
+        for vm in backends:
+            slots = self._find_slots(vm.zone).find(vm.vm_id)
+            if vm.vm_id in waiter.tried or slots.free(now) == 0:
+                continue
+            if not self.health.may_use(vm.vm_id, now, waiter.is_idempotent):
+                continue
+            load = (slots.in_use + 1) * self.health.expected_s(vm.vm_id)
+            cost = (load, self._choices.random())
+            if cost < lowest:
+                best, lowest = vm, cost
+        return best
--- a/packages/pollengated/pollengated/compose.py
+++ b/packages/pollengated/pollengated/compose.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+import uuid
 from typing import Any
 
 from grpclib.server import Server
@@ -9,9 +10,11 @@
 from pollengate_net.calls import split_address
 from pollengate_net.etcd_store import EtcdStore
 from pollengate_net.grpc_worker import GrpcWorkerClient
+from pollengate_net.http_backend import HttpBackendClient
 from pollengate_net.http_vm_list import HttpVmList
 from pollengate_net.request_ids import trace_server
 from pollengate_net.scheduler_client import SchedulerClient
+from pollengate_net.slot_client import SlotClient
 
 from pollengated.call_log import CallLog
 from pollengated.configuration_follower import ConfigurationFollower
@@ -32,6 +35,8 @@
 from pollengated.settings import Settings
 from pollengated.shard_owner import ShardOwner
 from pollengated.shard_set import ShardSet
+from pollengated.slot_keeper import SlotKeeper
+from pollengated.slot_service import SlotService
 from pollengated.vm_directory import VmDirectory
 
 __all__ = ["run_gate", "run_scheduler"]
@@ -48,24 +53,30 @@
     directory = OwnerDirectory(store)
     vms = VmDirectory(HttpVmList(settings.vm_list_address))
     client = SchedulerClient()
-    proxy = ServiceProxy(settings.zone, follower, vms)
+    slots = SlotClient()
+    # A restarted process counts its asks anew, under a name of its own.
+    gate_id = f"{settings.process_id}.{uuid.uuid4().hex}"
+    keeper = SlotKeeper(gate_id, settings.zone, directory, vms, slots)
+    proxy = ServiceProxy(settings.zone, follower, vms, keeper, HttpBackendClient(), metrics)
     jobs = JobRouter(store, follower, directory, client)
     readiness = Readiness(follower)
     app = create_app(
         [
             configuration_router(follower, ConfigurationPatcher(store, follower), metrics),
             task_router(jobs, metrics),
-            service_router(proxy, metrics),
+            service_router(proxy, metrics, settings.max_body_bytes),
             status_router(settings.process_id, settings.zone, follower, directory, client, metrics),
             health_router(readiness, metrics),
         ],
         settings,
         metrics,
     )
-    loops = [follower.run(), directory.run(), vms.run()]
+    loops = [follower.run(), directory.run(), vms.run(), keeper.run()]
     await _run_until_stopped(_serve_http(app, settings, metrics), loops)
-    client.close()
     await proxy.close()
+    await keeper.give_back()
+    slots.close()
+    client.close()
     await store.close()
 
 
@@ -93,7 +104,8 @@
 
     shards = ShardSet(store, settings.zone, follower, make_owner)
     service = SchedulerService(settings.process_id, settings.zone, shards, follower)
-    server = Server([service, HeartbeatService(shards)])
+    slots = SlotService(settings.zone, shards, store, follower, vms)
+    server = Server([service, HeartbeatService(shards), slots])
     trace_server(server, CallLog("scheduler").write)
     app = create_app([health_router(Readiness(follower), metrics)], settings, metrics)
     await server.start(*split_address(settings.rpc_address))
--- a/packages/pollengated/pollengated/http_server.py
+++ b/packages/pollengated/pollengated/http_server.py
@@ -6,6 +6,7 @@
 
 import uvicorn
 from litestar import Litestar, Router
+from litestar.handlers import ASGIRouteHandler
 from litestar.types import ASGIApp
 from pollengate_net.calls import split_address
 
@@ -19,7 +20,9 @@
 __all__ = ["create_app", "create_server", "serve_until_cancelled"]
 
 
-def create_app(routers: Sequence[Router], settings: Settings, metrics: Metrics) -> ASGIApp:
+def create_app(
+    routers: Sequence[Router | ASGIRouteHandler], settings: Settings, metrics: Metrics
+) -> ASGIApp:
     """Returns an application whose every error is a problem document."""
     app = Litestar(
         list(routers),
--- a/packages/pollengated/pollengated/http_services.py
+++ b/packages/pollengated/pollengated/http_services.py
@@ -1,11 +1,14 @@
-"""Callers' routes: requests of services."""
+"""Callers' routes: requests of services, passed on without decoding."""
 
-from typing import Any
+import json
+from typing import Any, cast
 
-from litestar import Request, Router, route
-from litestar.response import Response
-from litestar.types import Method
+from litestar import asgi
+from litestar.handlers import ASGIRouteHandler
+from litestar.types import HTTPScope, Receive, Scope, Send
+from pollengate.backend_client import BackendAnswer, Headers
 from pollengate.refusals import Outcome, Reason, Refusal
+from pollengate_net.request_ids import current_request_id
 from result import Err, Ok, Result
 
 from pollengated.metrics import Metrics
@@ -15,50 +18,170 @@
 __all__ = ["service_router"]
 
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "PUT", "DELETE"})
-METHODS: list[Method] = ["GET", "HEAD", "PUT", "POST", "PATCH", "DELETE"]
+METHODS = frozenset({"GET", "HEAD", "PUT", "POST", "PATCH", "DELETE"})
+PREFIX = b"/services/"
+MAX_TIMEOUT_MS = 600_000
+INTERNAL_ERROR = 500
+TIMEOUT_HEADER = b"pollengate-timeout-ms"
+IDEMPOTENT_HEADER = b"pollengate-idempotent"
 
+# RFC 9110, 7.6.1, and those that this hop sets itself.
+_DROPPED_HEADERS = frozenset(
+    {
+        b"connection",
+        b"content-length",
+        b"expect",
+        b"host",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"pollengate-request-id",
+        TIMEOUT_HEADER,
+    }
+)
+_BODILESS_STATUSES = frozenset({204, 304})
 
-def service_router(proxy: ServiceProxy, metrics: Metrics) -> Router:
-    """Returns the routes below `/services`."""
 
-    @route("/{service:str}/{path:path}", http_method=METHODS)
-    async def serve(request: Request[Any, Any, Any], service: str, path: str) -> Response[Any]:
-        timeout_ms = _timeout_ms(request.headers.get("pollengate-timeout-ms"))
-        if isinstance(timeout_ms, Err):
-            return problem(timeout_ms.err_value, metrics)
-        sent = ServiceRequest(
+def service_router(proxy: ServiceProxy, metrics: Metrics, max_body_bytes: int) -> ASGIRouteHandler:
+    """Returns the routes below `/services`.
+
+    Args:
+        proxy: sends the requests.
+        metrics: counts them.
+        max_body_bytes: largest request body.
+    """
+
+    @asgi("/services", is_mount=True, copy_scope=True)
+    async def serve(scope: Scope, receive: Receive, send: Send) -> None:
+        http = cast(HTTPScope, scope)
+        body = await _read_body(receive, max_body_bytes)
+        request = _decode(http, receive, body) if isinstance(body, Ok) else body
+        if isinstance(request, Err):
+            await _refuse(request.err_value, metrics, send)
+            return
+        with metrics.requests.labels(request.ok_value.service).time():
+            result = await proxy.send(request.ok_value)
+        if isinstance(result, Err):
+            await _refuse(result.err_value, metrics, send)
+        else:
+            await _answer(result.ok_value, send, is_head=http["method"] == "HEAD")
+
+    return serve
+
+
+async def _read_body(receive: Receive, max_bytes: int) -> Result[bytes, Refusal]:
+    chunks: list[bytes] = []
+    size = 0
+    while True:
+        message = await receive()
+        if message["type"] != "http.request":
+            detail = "the caller left before the request was whole"
+            return Err(Refusal(Outcome.NOT_RUN, Reason.CALLER_GONE, detail))
+        chunks.append(message["body"])
+        size += len(message["body"])
+        if size > max_bytes:
+            detail = f"the body is longer than {max_bytes} bytes"
+            return Err(Refusal(Outcome.NOT_RUN, Reason.BODY_TOO_LARGE, detail))
+        if not message["more_body"]:
+            return Ok(b"".join(chunks))
+
+
+def _decode(
+    scope: HTTPScope, receive: Receive, body: Result[bytes, Refusal]
+) -> Result[Any, Refusal]:
+    method: str = scope["method"]
+    if method not in METHODS:
+        detail = f"method {method} is not allowed for services"
+        return Err(Refusal(Outcome.NOT_RUN, Reason.METHOD_NOT_ALLOWED, detail))
+    raw: tuple[tuple[bytes, bytes], ...] = tuple((k.lower(), v) for k, v in scope["headers"])
+    value_by_name = dict(raw)
+    timeout_ms = _timeout_ms(value_by_name.get(TIMEOUT_HEADER))
+    if isinstance(timeout_ms, Err):
+        return timeout_ms
+    target: bytes = scope["raw_path"]
+    service = target.removeprefix(PREFIX).partition(b"/")[0].decode("latin-1")
+    if scope["query_string"]:
+        target += b"?" + scope["query_string"]
+
+    async def wait_until_gone() -> None:
+        while (await receive())["type"] != "http.disconnect":
+            pass
+
+    return Ok(
+        ServiceRequest(
+            request_id=current_request_id(),
             service=service,
-            method=request.method,
-            path=path,
-            headers=dict(request.headers),
-            body=await request.body(),
+            method=method.encode(),
+            target=target,
+            headers=end_to_end(raw),
+            body=body.unwrap(),
             timeout_ms=timeout_ms.ok_value,
-            is_idempotent=_is_idempotent(request),
-        )
-        with metrics.requests.labels(service).time():
-            result = await proxy.send(sent)
-        if isinstance(result, Err):
-            return problem(result.err_value, metrics)
-        answer = result.ok_value
-        media_type = answer.headers.get("content-type", "application/octet-stream")
-        return Response(
-            answer.body, status_code=answer.status, headers=answer.headers, media_type=media_type
+            is_idempotent=_is_idempotent(method, value_by_name.get(IDEMPOTENT_HEADER)),
+            wait_until_gone=wait_until_gone,
         )
+    )
+
+
+def end_to_end(headers: Headers) -> Headers:
+    """Drops the headers of one hop, those that `Connection` names among them."""
+    named = {
+        name.strip().lower()
+        for key, value in headers
+        if key == b"connection"
+        for name in value.split(b",")
+    }
+    dropped = _DROPPED_HEADERS | named
+    return tuple(pair for pair in headers if pair[0] not in dropped)
+
+
+async def _answer(answer: BackendAnswer, send: Send, is_head: bool) -> None:
+    headers = list(end_to_end(answer.headers))
+    length = next((v for k, v in answer.headers if k == b"content-length"), None)
+    if length is None and answer.rest is None and not is_head:
+        length = str(len(answer.body)).encode()
+    if length is not None and answer.status not in _BODILESS_STATUSES:
+        headers.append((b"content-length", length))
+    await send({"type": "http.response.start", "status": answer.status, "headers": headers})
+    if answer.rest is None:
+        await send({"type": "http.response.body", "body": answer.body, "more_body": False})
+        return
+    try:
+        await send({"type": "http.response.body", "body": answer.body, "more_body": True})
+        async for chunk in answer.rest:
+            await send({"type": "http.response.body", "body": chunk, "more_body": True})
+        await send({"type": "http.response.body", "body": b"", "more_body": False})
+    finally:
+        await answer.close()
+
 
-    return Router("/services", route_handlers=[serve])
+async def _refuse(refusal: Refusal, metrics: Metrics, send: Send) -> None:
+    response = problem(refusal, metrics)
+    body = json.dumps(response.content).encode()
+    headers = [
+        (b"content-type", str(response.media_type).encode()),
+        (b"content-length", str(len(body)).encode()),
+        *((name.lower().encode(), value.encode()) for name, value in response.headers.items()),
+    ]
+    status = response.status_code or INTERNAL_ERROR
+    await send({"type": "http.response.start", "status": status, "headers": headers})
+    await send({"type": "http.response.body", "body": body, "more_body": False})
 
 
-def _timeout_ms(header: str | None) -> Result[int | None, Refusal]:
+def _timeout_ms(header: bytes | None) -> Result[int | None, Refusal]:
     if header is None:
         return Ok(None)
-    if header.isdecimal() and int(header) > 0:
+    if header.isdigit() and 0 < int(header) <= MAX_TIMEOUT_MS:
         return Ok(int(header))
-    detail = f"Pollengate-Timeout-Ms {header!r} is no positive number of milliseconds"
+    detail = f"Pollengate-Timeout-Ms must be milliseconds from 1 to {MAX_TIMEOUT_MS}"
     return Err(Refusal(Outcome.NOT_RUN, Reason.INVALID_REQUEST, detail))
 
 
-def _is_idempotent(request: Request[Any, Any, Any]) -> bool:
-    marked = request.headers.get("pollengate-idempotent")
+def _is_idempotent(method: str, marked: bytes | None) -> bool:
     if marked is not None:
-        return marked.lower() == "true"
-    return request.method in IDEMPOTENT_METHODS
+        return marked.lower() == b"true"
+    return method in IDEMPOTENT_METHODS
--- a/packages/pollengated/pollengated/service_proxy.py
+++ b/packages/pollengated/pollengated/service_proxy.py
@@ -1,112 +1,344 @@
-"""Sends requests of a service to its backend servers."""
+"""Sends requests of services to backend servers and returns their whole answers."""
 
 import asyncio
 import dataclasses
-import uuid
-from collections.abc import Mapping
+import itertools
+import random
+from collections.abc import AsyncIterator, Awaitable, Callable
 
-import httpx
+from pollengate.admission import QueueBudget, ServiceQueue, Waiter
+from pollengate.backend_client import (
+    AnswerCutError,
+    BackendAnswer,
+    BackendClient,
+    BackendRequest,
+    ExchangeFailure,
+    Headers,
+    Progress,
+)
+from pollengate.configuration import Service
 from pollengate.refusals import Outcome, Reason, Refusal
+from pollengate.request_outcomes import FailurePoint, Judgement, Sent, judge, worse_outcome
+from pollengate.retries import RetryBudget, backoff_s
+from pollengate.routing import ServiceRouter
 from pollengate.virtual_machines import VirtualMachine
 from result import Err, Ok, Result
 
 from pollengated.configuration_follower import ConfigurationFollower
+from pollengated.metrics import Metrics
+from pollengated.slot_keeper import SlotKeeper
 from pollengated.vm_directory import VmDirectory
 
-__all__ = ["Answer", "ServiceProxy", "ServiceRequest"]
+__all__ = ["ServiceProxy", "ServiceRequest"]
 
-REQUEST_ID_HEADER = "Pollengate-Request-Id"
-_DROPPED_HEADERS = frozenset({"host", "content-length", "connection", "transfer-encoding"})
+MAX_ATTEMPTS = 3
+MS_PER_S = 1000
+RETRY_AFTER_S = 1.0
+MIN_SILENCE_S = 0.5
+SILENCE_FACTOR = 10.0
+SERVER_ERROR = 500
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServiceRequest:
-    """A caller's request."""
+    """A caller's request.
 
+    Attributes:
+        request_id: names it in logs and at backend servers.
+        service: the service that it is for.
+        method: the HTTP method.
+        target: path and query, percent-encoded as the caller sent them.
+        headers: end-to-end headers.
+        body: the whole body.
+        timeout_ms: milliseconds that the caller waits, None for the service's default.
+        is_idempotent: whether running it twice is harmless.
+        wait_until_gone: returns once the caller has left.
+    """
+
+    request_id: str
     service: str
-    method: str
-    path: str
-    headers: Mapping[str, str]
+    method: bytes
+    target: bytes
+    headers: Headers
     body: bytes
     timeout_ms: int | None
     is_idempotent: bool
+    wait_until_gone: Callable[[], Awaitable[None]]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Answer:
-    """A backend server's whole answer."""
+@dataclasses.dataclass(slots=True)
+class _Pending:
+    """One request on its way, over all its attempts."""
 
-    status: int
-    headers: dict[str, str]
-    body: bytes
+    request: ServiceRequest
+    router: ServiceRouter
+    deadline: float
+    tried: frozenset[str] = frozenset()
+    outcome: Outcome = Outcome.NOT_RUN
 
 
 class ServiceProxy:
-    """Chooses a backend server with a free slot and returns its whole answer."""
+    """Admits requests, sends each to a backend server and judges what fails.
+
+    Attributes:
+        in_progress: exchanges that occupy a slot.
+    """
 
     def __init__(
-        self, zone: str, follower: ConfigurationFollower, vms: VmDirectory, gates_per_zone: int = 2
+        self,
+        zone: str,
+        follower: ConfigurationFollower,
+        vms: VmDirectory,
+        keeper: SlotKeeper,
+        client: BackendClient,
+        metrics: Metrics,
+        seed: int = 0,
     ) -> None:
+        self.in_progress = 0
         self._zone = zone
         self._follower = follower
         self._vms = vms
-        self._gates_per_zone = gates_per_zone
-        self._client = httpx.AsyncClient()
-        self._in_use_by_id: dict[str, int] = {}
+        self._keeper = keeper
+        self._client = client
+        self._metrics = metrics
+        self._random = random.Random(seed)
+        self._numbers = itertools.count(1)
+        self._budget = QueueBudget()
+        self._queues: list[ServiceQueue] = []
+        self._routers_by_service: dict[str, ServiceRouter] = {}
+        self._retries_by_service: dict[str, RetryBudget] = {}
+        self._exchanges: set[asyncio.Task[None]] = set()
+        keeper.on_change = self._pump
+        keeper.spare = self._spare
 
-    async def send(self, request: ServiceRequest) -> Result[Answer, Refusal]:
-        """Sends one request."""
+    async def send(self, request: ServiceRequest) -> Result[BackendAnswer, Refusal]:
+        """Sends one request; a streamed answer is to be closed by the receiver."""
         service = self._follower.current.services_by_name.get(request.service)
         if service is None:
             detail = f"service {request.service!r} does not exist"
             return Err(Refusal(Outcome.NOT_RUN, Reason.NOT_FOUND, detail))
-        share = max(1, service.slots // self._gates_per_zone)
-        backend = self._choose(request.service, share)
-        if backend is None:
-            detail = f"service {request.service!r} has no free backend server"
-            return Err(Refusal(Outcome.NOT_RUN, Reason.NO_BACKEND, detail, 1.0))
         timeout_ms = request.timeout_ms or service.default_timeout_ms
-        self._in_use_by_id[backend.vm_id] = self._in_use_by_id.get(backend.vm_id, 0) + 1
-        try:
-            return await self._exchange(backend, request, timeout_ms / 1000)
-        finally:
-            self._in_use_by_id[backend.vm_id] -= 1
+        deadline = asyncio.get_running_loop().time() + timeout_ms / MS_PER_S
+        pending = _Pending(request, self._router(request.service, service), deadline)
+        self._retry_budget(request.service).count_request()
+        return await self._attempts(pending)
 
     async def close(self) -> None:
-        """Closes the connections."""
-        await self._client.aclose()
+        """Waits for exchanges whose caller has left and closes connections."""
+        if self._exchanges:
+            await asyncio.wait(self._exchanges)
+        await self._client.close()
+
+    async def _attempts(self, pending: _Pending) -> Result[BackendAnswer, Refusal]:
+        for attempt in itertools.count(1):
+            slot = await self._acquire(pending)
+            if isinstance(slot, Err):
+                return Err(dataclasses.replace(slot.err_value, outcome=pending.outcome))
+            result = await self._exchange(pending, slot.ok_value)
+            if isinstance(result, Ok):
+                return result
+            failure = result.err_value
+            judgement = judge(failure.point, failure.sent, pending.request.is_idempotent)
+            pending.outcome = worse_outcome(pending.outcome, judgement.outcome)
+            pending.tried |= {slot.ok_value.vm_id}
+            if not self._may_retry(pending, judgement, attempt):
+                return Err(_refusal(judgement, failure, pending.outcome))
+            self._metrics.count_retry(judgement.reason)
+            await asyncio.sleep(backoff_s(attempt, self._random))
+        raise AssertionError("the loop ends by a return")
 
-    def _choose(self, service: str, share: int) -> VirtualMachine | None:
-        free = [
-            vm
-            for vm in self._vms.backends(service)
-            if vm.zone == self._zone and self._in_use_by_id.get(vm.vm_id, 0) < share
-        ]
-        return min(free, key=lambda vm: self._in_use_by_id.get(vm.vm_id, 0), default=None)
+    def _may_retry(self, pending: _Pending, judgement: Judgement, attempt: int) -> bool:
+        now = asyncio.get_running_loop().time()
+        is_possible = judgement.may_retry and attempt < MAX_ATTEMPTS
+        if not is_possible or not pending.router.queue.can_begin(pending.deadline, now):
+            return False
+        return self._retry_budget(pending.request.service).take()
+
+    async def _acquire(self, pending: _Pending) -> Result[VirtualMachine, Refusal]:
+        waiter = Waiter(pending.deadline, pending.request.is_idempotent, pending.tried)
+        slot = pending.router.offer(waiter)
+        if slot is None:
+            if waiter.may_leave_zone:
+                self._want_elsewhere(pending.request.service)
+            slot = await self._wait(pending, waiter)
+        if isinstance(slot, Err):
+            return slot
+        return await self._cover(pending, slot.ok_value)
+
+    async def _wait(self, pending: _Pending, waiter: Waiter) -> Result[VirtualMachine, Refusal]:
+        waiting = asyncio.create_task(pending.router.wait(waiter))
+        gone = asyncio.ensure_future(pending.request.wait_until_gone())
+        try:
+            await asyncio.wait((waiting, gone), return_when=asyncio.FIRST_COMPLETED)
+            if waiting.done():
+                return waiting.result()
+            detail = "the caller left while the request waited"
+            return Err(Refusal(Outcome.NOT_RUN, Reason.CALLER_GONE, detail))
+        finally:
+            gone.cancel()
+            waiting.cancel()
+
+    async def _cover(
+        self, pending: _Pending, vm: VirtualMachine
+    ) -> Result[VirtualMachine, Refusal]:
+        """Makes sure that the slot is the gate's own until the deadline."""
+        slots = self._keeper.slots(vm.zone)
+        if pending.deadline <= slots.find(vm.vm_id).lapses_at:
+            return Ok(vm)
+        number = id(pending)
+        slots.hold_until(vm.vm_id, number, pending.deadline)
+        if await self._keeper.renew(vm.zone):
+            return Ok(vm)
+        slots.forget(vm.vm_id, number)
+        pending.router.release(vm)
+        detail = "the slot could not be held until the deadline"
+        return Err(Refusal(Outcome.NOT_RUN, Reason.NO_SLOT, detail, RETRY_AFTER_S))
 
     async def _exchange(
-        self, backend: VirtualMachine, request: ServiceRequest, timeout_s: float
-    ) -> Result[Answer, Refusal]:
-        headers = {k: v for k, v in request.headers.items() if k.lower() not in _DROPPED_HEADERS}
-        request_id = uuid.uuid4().hex
-        headers[REQUEST_ID_HEADER] = request_id
-        url = f"http://{backend.address}/services/{request.service}{request.path}"
+        self, pending: _Pending, vm: VirtualMachine
+    ) -> Result[BackendAnswer, ExchangeFailure]:
+        """Makes one attempt; it outlives the deadline until its slot is surely free."""
+        loop = asyncio.get_running_loop()
+        progress = Progress()
+        answer: asyncio.Future[Result[BackendAnswer, ExchangeFailure]] = loop.create_future()
+        task = asyncio.create_task(self._run(pending, vm, progress, answer))
+        self._exchanges.add(task)
+        task.add_done_callback(self._exchanges.discard)
+        try:
+            async with asyncio.timeout_at(pending.deadline):
+                return await answer
+        except TimeoutError:
+            if progress.sent is Sent.NOTHING:
+                task.cancel()
+            detail = "no answer before the deadline"
+            return Err(ExchangeFailure(FailurePoint.DEADLINE, progress.sent, detail))
+
+    async def _run(
+        self,
+        pending: _Pending,
+        vm: VirtualMachine,
+        progress: Progress,
+        answer: "asyncio.Future[Result[BackendAnswer, ExchangeFailure]]",
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        self.in_progress += 1
+        is_streamed = False
         try:
-            async with asyncio.timeout(timeout_s):
-                response = await self._client.request(
-                    request.method, url, headers=headers, content=request.body, timeout=timeout_s
-                )
-        except httpx.ConnectError as error:
-            return Err(Refusal(Outcome.NOT_RUN, Reason.NO_BACKEND, str(error), 1.0))
-        except (TimeoutError, httpx.TimeoutException):
-            detail = f"no answer within {timeout_s} s"
-            return Err(Refusal(Outcome.UNKNOWN, Reason.UPSTREAM_TIMEOUT, detail))
-        except httpx.HTTPError as error:
-            return Err(Refusal(Outcome.UNKNOWN, Reason.BACKEND_FAILED, str(error)))
-        if response.headers.get(REQUEST_ID_HEADER) != request_id:
-            detail = "the answer is to another request"
-            return Err(Refusal(Outcome.UNKNOWN, Reason.BACKEND_FAILED, detail))
-        answer_headers = {
-            k: v for k, v in response.headers.items() if k.lower() not in _DROPPED_HEADERS
-        }
-        return Ok(Answer(response.status_code, answer_headers, response.content))
+            result = await self._client.exchange(vm.address, self._encode(pending, progress))
+            self._record(pending.router, vm, result, loop.time() - began_at)
+            if isinstance(result, Ok) and result.ok_value.rest is not None:
+                is_streamed = not answer.done()
+                self._bind_stream(pending, vm, result.ok_value)
+                if not is_streamed:
+                    await result.ok_value.close()
+            if not answer.done():
+                answer.set_result(result)
+        finally:
+            if not is_streamed:
+                self._end(pending, vm)
+
+    def _end(self, pending: _Pending, vm: VirtualMachine) -> None:
+        self.in_progress -= 1
+        self._keeper.slots(vm.zone).forget(vm.vm_id, id(pending))
+        pending.router.release(vm)
+
+    def _bind_stream(self, pending: _Pending, vm: VirtualMachine, answer: BackendAnswer) -> None:
+        """Makes a streamed answer end at the deadline and give its slot back when closed."""
+        close_connection, rest = answer.close, answer.rest
+        if rest is None:
+            return
+
+        async def close() -> None:
+            try:
+                await close_connection()
+            finally:
+                self._end(pending, vm)
+
+        answer.rest = _until(rest, pending.deadline)
+        answer.close = close
+
+    def _encode(self, pending: _Pending, progress: Progress) -> BackendRequest:
+        request = pending.request
+        silence_s = None
+        if request.is_idempotent:
+            silence_s = max(MIN_SILENCE_S, SILENCE_FACTOR * pending.router.queue.times.expected_s())
+        return BackendRequest(
+            request.method,
+            request.target,
+            request.headers,
+            request.body,
+            f"{request.request_id}.{next(self._numbers)}",
+            pending.deadline,
+            silence_s,
+            progress,
+        )
+
+    def _record(
+        self,
+        router: ServiceRouter,
+        vm: VirtualMachine,
+        result: Result[BackendAnswer, ExchangeFailure],
+        seconds: float,
+    ) -> None:
+        now = asyncio.get_running_loop().time()
+        ended = result.ok_value if isinstance(result, Ok) else result.err_value
+        if ended.is_draining:
+            router.health.record_drain(vm.vm_id, now)
+        if isinstance(ended, BackendAnswer) and ended.status < SERVER_ERROR:
+            router.queue.times.record(seconds)
+            router.health.record_answer(vm.vm_id, seconds, now)
+        elif isinstance(ended, BackendAnswer) or ended.point is not FailurePoint.REFUSED_BY_BACKEND:
+            router.health.record_failure(vm.vm_id, now)
+
+    def _router(self, name: str, service: Service) -> ServiceRouter:
+        router = self._routers_by_service.get(name)
+        if router is None:
+            router = ServiceRouter(
+                self._zone,
+                lambda: self._vms.backends(name),
+                self._keeper.slots,
+                self._budget,
+                self._queues,
+                self._random,
+            )
+            self._routers_by_service[name] = router
+        router.queue.priority = router.spill.priority = service.priority
+        return router
+
+    def _retry_budget(self, name: str) -> RetryBudget:
+        return self._retries_by_service.setdefault(name, RetryBudget())
+
+    def _spare(self, name: str) -> int:
+        router = self._routers_by_service.get(name)
+        backends = self._vms.backends(name)
+        if router is None or not backends:
+            return 1
+        waiting = len(router.queue) + len(router.spill)
+        return 1 + -(-waiting // len(backends))
+
+    def _want_elsewhere(self, name: str) -> None:
+        for zone in {vm.zone for vm in self._vms.backends(name)} - {self._zone}:
+            self._keeper.want(zone)
+
+    def _pump(self) -> None:
+        for router in self._routers_by_service.values():
+            router.pump()
+
+
+async def _until(rest: AsyncIterator[bytes], deadline: float) -> AsyncIterator[bytes]:
+    while True:
+        try:
+            async with asyncio.timeout_at(deadline):
+                chunk = await anext(rest, None)
+        except TimeoutError as error:
+            raise AnswerCutError("the answer was not whole at the deadline") from error
+        if chunk is None:
+            return
+        yield chunk
+
+
+def _refusal(judgement: Judgement, failure: ExchangeFailure, outcome: Outcome) -> Refusal:
+    may_repeat = outcome is Outcome.NOT_RUN and judgement.reason is not Reason.CALLER_GONE
+    retry_after_s = RETRY_AFTER_S if may_repeat else None
+    return Refusal(outcome, judgement.reason, failure.detail, retry_after_s)
--- /dev/null
+++ b/packages/pollengated/pollengated/slot_keeper.py
@@ -0,0 +1,120 @@
+"""Keeps a gate's slots: renews them with the owner of each zone that it sends to."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Protocol
+
+from pollengate.slots import GateSlots, SlotAnswer, SlotAsk
+from pollengate_net.calls import CallFailure
+from result import Err, Result
+
+from pollengated.logs import Log
+from pollengated.owner_directory import OwnerDirectory
+from pollengated.vm_directory import VmDirectory
+
+__all__ = ["SlotAsker", "SlotKeeper"]
+
+RENEW_INTERVAL_S = 0.2
+GRANTING_SHARD = 0
+# Zones that no request has gone to for this long are given back.
+REMOTE_USE_S = 5.0
+
+
+class SlotAsker(Protocol):
+    """Sends asks to the process that grants a zone's slots."""
+
+    async def ask(
+        self, address: str, ask: SlotAsk, zone: str, epoch: int
+    ) -> Result[SlotAnswer, CallFailure]:
+        """Renews a gate's grants."""
+        ...
+
+
+class SlotKeeper:
+    """Holds the gate's slots of every zone.
+
+    Attributes:
+        on_change: is called when slots have been granted.
+        spare: returns the slots of each backend server wanted beyond those in use.
+    """
+
+    def __init__(
+        self,
+        gate_id: str,
+        zone: str,
+        directory: OwnerDirectory,
+        vms: VmDirectory,
+        asker: SlotAsker,
+    ) -> None:
+        self.on_change: Callable[[], None] = lambda: None
+        self.spare: Callable[[str], int] = lambda _: 1
+        self._gate_id = gate_id
+        self._zone = zone
+        self._directory = directory
+        self._vms = vms
+        self._asker = asker
+        self._slots_by_zone: dict[str, GateSlots] = {zone: GateSlots(gate_id)}
+        self._wanted_until_by_zone: dict[str, float] = {}
+        self._wake = asyncio.Event()
+        self._is_stopping = False
+        self._log = Log("slots")
+
+    def slots(self, zone: str) -> GateSlots:
+        """Returns the gate's slots in a zone."""
+        slots = self._slots_by_zone.get(zone)
+        if slots is None:
+            slots = self._slots_by_zone[zone] = GateSlots(self._gate_id)
+        return slots
+
+    def want(self, zone: str) -> None:
+        """Asks for slots in another zone soon, and for some seconds."""
+        now = asyncio.get_running_loop().time()
+        is_new = self._wanted_until_by_zone.get(zone, 0.0) < now
+        self._wanted_until_by_zone[zone] = now + REMOTE_USE_S
+        if is_new:
+            self._wake.set()
+
+    async def run(self) -> None:
+        """Renews until cancelled."""
+        while True:
+            await asyncio.gather(*(self.renew(zone) for zone in self._zones()))
+            self._wake.clear()
+            try:
+                async with asyncio.timeout(RENEW_INTERVAL_S):
+                    await self._wake.wait()
+            except TimeoutError:
+                continue
+
+    async def renew(self, zone: str) -> bool:
+        """Asks the owner of a zone once; returns whether it answered."""
+        owner = self._directory.find(zone, GRANTING_SHARD)
+        if owner is None:
+            return False
+        slots = self.slots(zone)
+        now = asyncio.get_running_loop().time()
+        backends = [] if self._is_stopping else self._vms.backends_in(zone)
+        spare = max((self.spare(vm.service) for vm in backends), default=0)
+        ask = slots.ask([vm.vm_id for vm in backends], spare, now)
+        answer = await self._asker.ask(owner.address, ask, zone, owner.epoch)
+        if isinstance(answer, Err):
+            self._log.warning("slots not renewed", zone=zone, detail=answer.err_value.detail)
+            return False
+        if slots.take_answer(answer.ok_value):
+            self._wake.set()
+        self.on_change()
+        return True
+
+    async def give_back(self) -> None:
+        """Gives every slot back that no request uses."""
+        self._is_stopping = True
+        await asyncio.gather(*(self.renew(zone) for zone in self._slots_by_zone))
+
+    def _zones(self) -> list[str]:
+        now = asyncio.get_running_loop().time()
+        return [
+            zone
+            for zone, slots in self._slots_by_zone.items()
+            if zone == self._zone
+            or self._wanted_until_by_zone.get(zone, 0.0) > now
+            or any(one.in_use for one in slots.slots_by_backend.values())
+        ]
--- /dev/null
+++ b/packages/pollengated/pollengated/slot_service.py
@@ -0,0 +1,96 @@
+"""Grants slots of backend servers while this process owns shard 0 of its zone."""
+
+import asyncio
+from typing import Any
+
+from grpclib.server import Stream
+from pollengate.configuration import Configuration
+from pollengate.slots import SlotGranter
+from pollengate.store import Put, Store, Unchanged
+from pollengate.virtual_machines import VirtualMachine
+from pollengate_net.messages import slots_pb2 as pb
+from pollengate_net.messages.slots_grpc import SlotsBase
+from pollengate_net.serving import receive
+from pollengate_net.slot_messages import slot_answer_to_message, slot_ask_from_message
+from result import Err
+
+from pollengated.configuration_follower import ConfigurationFollower
+from pollengated.shard_set import ShardSet
+from pollengated.vm_directory import VmDirectory
+
+__all__ = ["SlotService", "slots_by_backend", "slots_key"]
+
+GRANTING_SHARD = 0
+
+
+def slots_key(zone: str) -> str:
+    """Returns the store key that exists once a zone's slots have ever been granted."""
+    return f"/pollengate/slots/{zone}"
+
+
+class SlotService(SlotsBase):
+    """Answers the gates of every zone for the backend servers of this one."""
+
+    def __init__(
+        self,
+        zone: str,
+        shards: ShardSet,
+        store: Store,
+        follower: ConfigurationFollower,
+        vms: VmDirectory,
+    ) -> None:
+        self._zone = zone
+        self._shards = shards
+        self._store = store
+        self._follower = follower
+        self._vms = vms
+        self._granter: SlotGranter | None = None
+        self._epoch = 0
+        self._opening = asyncio.Lock()
+
+    async def Ask(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
+        """Renews a gate's grants."""
+        request = await receive(stream)
+        await stream.send_message(await self.answer(request))
+
+    async def answer(self, request: pb.AskRequest) -> pb.AskReply:
+        """Answers one ask; another zone or epoch is refused."""
+        granter = await self._open(request.epoch)
+        if granter is None or request.zone != self._zone or not self._is_owner(request.epoch):
+            return pb.AskReply(accepted=False)
+        slots = slots_by_backend(self._follower.current, self._vms.backends_in(self._zone))
+        now = asyncio.get_running_loop().time()
+        return slot_answer_to_message(granter.answer(slot_ask_from_message(request), slots, now))
+
+    async def _open(self, epoch: int) -> SlotGranter | None:
+        async with self._opening:
+            if not self._is_owner(epoch):
+                return None
+            if self._granter is None or epoch != self._epoch:
+                now = asyncio.get_running_loop().time()
+                is_first = await self._is_first()
+                self._granter = SlotGranter(now, is_first)
+                self._epoch = epoch
+            return self._granter
+
+    def _is_owner(self, epoch: int) -> bool:
+        owner = self._shards.find(self._zone, GRANTING_SHARD)
+        return owner is not None and owner.is_held() and owner.ownership.epoch == epoch
+
+    async def _is_first(self) -> bool:
+        """Tells whether no process has ever granted; only the one that records itself is first."""
+        key = slots_key(self._zone)
+        result = await self._store.commit((Unchanged(key, 0),), (Put(key, b""),))
+        return not isinstance(result, Err) and result.ok_value.succeeded
+
+
+def slots_by_backend(
+    configuration: Configuration, backends: list[VirtualMachine]
+) -> dict[str, int]:
+    """Returns the slots of each backend server whose service is configured."""
+    slots = {}
+    for vm in backends:
+        service = configuration.services_by_name.get(vm.service)
+        if service is not None:
+            slots[vm.vm_id] = min(service.slots, service.connections)
+    return slots
--- a/packages/pollengated/pollengated/vm_directory.py
+++ b/packages/pollengated/pollengated/vm_directory.py
@@ -18,6 +18,7 @@
     def __init__(self, vm_list: VmList) -> None:
         self._vm_list = vm_list
         self._machines: tuple[VirtualMachine, ...] = ()
+        self._backends_by_service: dict[str, list[VirtualMachine]] = {}
         self._log = Log("vms")
 
     async def run(self) -> None:
@@ -33,6 +34,7 @@
             self._log.warning("VM list did not answer", detail=result.err_value.detail)
             return
         self._machines = result.ok_value
+        self._index_backends()
 
     def workers(self, zone: str) -> list[VirtualMachine]:
         """Returns the workers of a zone, leaving ones included."""
@@ -40,8 +42,15 @@
 
     def backends(self, service: str) -> list[VirtualMachine]:
         """Returns the live backend servers of a service in every zone."""
-        return [
-            vm
-            for vm in self._machines
-            if vm.kind is VmKind.BACKEND and vm.service == service and vm.state is VmState.LIVE
-        ]
+        return self._backends_by_service.get(service, [])
+
+    def backends_in(self, zone: str) -> list[VirtualMachine]:
+        """Returns the live backend servers of every service in a zone."""
+        backends = [vm for listed in self._backends_by_service.values() for vm in listed]
+        return [vm for vm in backends if vm.zone == zone]
+
+    def _index_backends(self) -> None:
+        self._backends_by_service = {}
+        for vm in self._machines:
+            if vm.kind is VmKind.BACKEND and vm.state is VmState.LIVE:
+                self._backends_by_service.setdefault(vm.service, []).append(vm)
--- /dev/null
+++ b/tests/test_slots.py
@@ -0,0 +1,243 @@
+"""Tests of slots granted to gates."""
+
+import random
+import unittest
+from typing import Any
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from pollengate.slots import (
+    GRANT_S,
+    GateSlots,
+    SlotAnswer,
+    SlotAsk,
+    SlotDemand,
+    SlotGranter,
+    fair_shares,
+)
+
+SLOTS = 8
+BACKEND = "b0"
+LISTED = {BACKEND: SLOTS}
+DELAY_S = 0.01
+
+
+def exchange(gate: GateSlots, granter: SlotGranter, spare: int, now: float) -> bool:
+    """Asks and takes the answer in at once."""
+    return gate.take_answer(granter.answer(gate.ask([BACKEND], spare, now), LISTED, now))
+
+
+class FairSharesTest(unittest.TestCase):
+    """The split of one backend server's slots."""
+
+    def test_slots_that_no_gate_wants_are_split_evenly(self) -> None:
+        shares = fair_shares(8, {"a": 0, "b": 0, "c": 0}, 1)
+        self.assertEqual([2, 3, 3], sorted(shares.values()))
+
+    def test_busy_gate_gets_what_the_others_leave(self) -> None:
+        self.assertEqual({"a": 6, "b": 1, "c": 1}, fair_shares(8, {"a": 20, "b": 1, "c": 1}, 0))
+
+    @settings(derandomize=True, max_examples=200)
+    @given(
+        st.integers(0, 40),
+        st.dictionaries(st.sampled_from("abcdef"), st.integers(0, 30), min_size=1),
+        st.integers(0, 9),
+    )
+    def test_no_slot_is_lost_or_doubled(
+        self, slots: int, wanted: dict[str, int], turn: int
+    ) -> None:
+        shares = fair_shares(slots, wanted, turn)
+        self.assertEqual(slots, sum(shares.values()))
+        lacking = [shares[gate] for gate in wanted if shares[gate] < wanted[gate]]
+        over = [shares[gate] for gate in wanted if shares[gate] > wanted[gate]]
+        self.assertFalse(lacking and over)
+        self.assertLessEqual(max(lacking, default=0) - min(lacking, default=0), 1)
+
+
+class GranterTest(unittest.TestCase):
+    """Grants, recalls and lapses."""
+
+    def setUp(self) -> None:
+        self.granter = SlotGranter(0.0, is_first=True)
+        self.first = GateSlots("g1")
+        self.second = GateSlots("g2")
+
+    def test_lone_gate_gets_every_slot(self) -> None:
+        exchange(self.first, self.granter, 1, 0.0)
+        self.assertEqual(SLOTS, self.first.find(BACKEND).free(0.1))
+
+    def test_second_gate_gets_its_share_once_the_first_has_given_it_back(self) -> None:
+        exchange(self.first, self.granter, 1, 0.0)
+        exchange(self.second, self.granter, 1, 0.1)
+        self.assertEqual(0, self.second.find(BACKEND).held)
+        self.assertTrue(exchange(self.first, self.granter, 1, 0.2))
+        self.assertFalse(exchange(self.first, self.granter, 1, 0.2))
+        exchange(self.second, self.granter, 1, 0.3)
+        self.assertEqual(4, self.second.find(BACKEND).held)
+
+    def test_slots_in_use_are_given_back_when_they_become_free(self) -> None:
+        exchange(self.first, self.granter, 1, 0.0)
+        for _ in range(SLOTS):
+            self.first.take(BACKEND)
+        exchange(self.second, self.granter, 1, 0.1)
+        exchange(self.first, self.granter, 1, 0.2)
+        self.assertEqual(SLOTS, self.first.find(BACKEND).held)
+        self.assertEqual(0, self.first.find(BACKEND).free(0.2))
+        for _ in range(SLOTS):
+            self.first.release(BACKEND)
+        self.assertLess(self.first.find(BACKEND).held, SLOTS)
+
+    def test_slots_of_a_dead_gate_are_granted_again_after_its_grant(self) -> None:
+        exchange(self.first, self.granter, 1, 0.0)
+        exchange(self.second, self.granter, 1, GRANT_S)
+        self.assertEqual(0, self.second.find(BACKEND).held)
+        exchange(self.second, self.granter, 1, GRANT_S + 1)
+        self.assertEqual(SLOTS, self.second.find(BACKEND).held)
+
+    def test_grant_counts_from_when_it_was_asked_for(self) -> None:
+        ask = self.first.ask([BACKEND], 1, 0.0)
+        self.first.take_answer(self.granter.answer(ask, LISTED, GRANT_S - 1))
+        self.assertEqual(0, self.first.find(BACKEND).free(GRANT_S))
+
+    def test_lasting_request_keeps_its_slot_after_the_grant(self) -> None:
+        exchange(self.first, self.granter, 1, 0.0)
+        self.first.take(BACKEND)
+        self.first.hold_until(BACKEND, 1, 60.0)
+        exchange(self.first, self.granter, 1, 0.1)
+        self.assertEqual(1, self.granter.held(BACKEND, 59.0))
+        exchange(self.second, self.granter, 1, 30.0)
+        self.assertEqual(SLOTS - 1, self.second.find(BACKEND).held)
+        self.assertEqual(SLOTS, self.granter.held(BACKEND, 31.0))
+
+    def test_late_ask_changes_nothing(self) -> None:
+        late = self.first.ask([BACKEND], 1, 0.0)
+        exchange(self.first, self.granter, 1, 0.1)
+        self.assertEqual(0.0, self.granter.answer(late, LISTED, 0.2).ttl_s)
+
+    def test_answer_to_an_earlier_ask_is_ignored(self) -> None:
+        answer = self.granter.answer(self.first.ask([BACKEND], 1, 0.0), LISTED, 0.0)
+        self.first.ask([BACKEND], 1, 0.1)
+        self.first.take_answer(answer)
+        self.assertEqual(0, self.first.find(BACKEND).held)
+
+    def test_successor_renews_what_is_reported_and_grants_no_more(self) -> None:
+        exchange(self.first, self.granter, 1, 0.0)
+        successor = SlotGranter(1.0, is_first=False)
+        exchange(self.second, successor, 1, 1.1)
+        exchange(self.first, successor, 1, 1.2)
+        self.assertEqual(0, self.second.find(BACKEND).held)
+        self.assertEqual(4, self.first.find(BACKEND).held)
+        for now in range(2, 2 + int(GRANT_S)):
+            exchange(self.first, successor, 1, now)
+            exchange(self.second, successor, 1, now)
+        self.assertEqual(0, self.second.find(BACKEND).held)
+        exchange(self.second, successor, 1, 1.5 + GRANT_S)
+        self.assertEqual(4, self.second.find(BACKEND).held)
+
+    def test_fewer_slots_take_force_as_requests_end(self) -> None:
+        exchange(self.first, self.granter, 1, 0.0)
+        ask = self.first.ask([BACKEND], 1, 0.1)
+        self.first.take_answer(self.granter.answer(ask, {BACKEND: 3}, 0.1))
+        self.assertEqual(3, self.first.find(BACKEND).free(0.1))
+
+    def test_reported_slots_never_exceed_the_backend_server_after_a_takeover(self) -> None:
+        successor = SlotGranter(0.0, is_first=False)
+        for gate_id in ("g1", "g2", "g3"):
+            ask = SlotAsk(gate_id, 1, (SlotDemand(BACKEND, 5, 5),))
+            successor.answer(ask, LISTED, 0.1)
+        self.assertEqual(SLOTS, successor.held(BACKEND, 0.2))
+
+
+STEPS_BY_WEIGHT = {
+    "ask": 6,
+    "deliver": 6,
+    "answer": 6,
+    "lose": 1,
+    "work": 12,
+    "wait": 2,
+    "replace": 0.3,
+}
+WALKS = 300
+STEPS_PER_WALK = 250
+
+
+class Walk:
+    """Gates and a granter whose messages are late, lost or in another order.
+
+    A request ends at its deadline, whatever becomes of its gate. A gate that asks rarely stands
+    for one that is frozen or cut off.
+    """
+
+    def __init__(self, seed: int) -> None:
+        self.random = random.Random(seed)
+        self.now = 100.0
+        self.gates = [GateSlots(f"g{number}") for number in range(3)]
+        self.granter = SlotGranter(self.now, is_first=True)
+        self.generation = 0
+        self.asks: list[tuple[int, SlotAsk, int]] = []
+        self.answers: list[tuple[int, SlotAnswer]] = []
+        self.running: list[tuple[int, float]] = []
+        self.most_running = 0
+
+    def step(self, name: str) -> None:
+        """Takes one step and then ends the requests whose deadline has passed."""
+        self.now += self.random.random() / 100
+        index = int(self.random.triangular(0, len(self.gates), 0))
+        getattr(self, name)(min(index, 2))
+        for entry in [entry for entry in self.running if entry[1] <= self.now]:
+            self.running.remove(entry)
+            self.gates[entry[0]].release(BACKEND)
+        self.most_running = max(self.most_running, len(self.running))
+
+    def ask(self, index: int) -> None:
+        ask = self.gates[index].ask([BACKEND], self.random.randrange(SLOTS), self.now)
+        self.asks.append((index, ask, self.generation))
+
+    def deliver(self, _: int) -> None:
+        if self.asks:
+            sender, ask, asked = self.asks.pop(self._any(self.asks))
+            if asked == self.generation:
+                self.answers.append((sender, self.granter.answer(ask, LISTED, self.now)))
+
+    def answer(self, _: int) -> None:
+        if self.answers:
+            receiver, answer = self.answers.pop(self._any(self.answers))
+            self.gates[receiver].take_answer(answer)
+
+    def lose(self, _: int) -> None:
+        if self.answers:
+            self.answers.pop(self._any(self.answers))
+
+    def work(self, index: int) -> None:
+        slots = self.gates[index].find(BACKEND)
+        if slots.free(self.now):
+            self.gates[index].take(BACKEND)
+            end = self.now + self.random.random() * 4
+            self.running.append((index, min(slots.lapses_at, end)))
+
+    def wait(self, _: int) -> None:
+        self.now += self.random.random() * 4
+
+    def replace(self, _: int) -> None:
+        self.granter = SlotGranter(self.now, is_first=False)
+        self.generation += 1
+
+    def _any(self, messages: list[Any]) -> int:
+        return -1 if self.random.random() < 0.8 else self.random.randrange(len(messages))
+
+
+class SafetyTest(unittest.TestCase):
+    """Requests at a backend server never exceed its slots."""
+
+    def test_slots_hold(self) -> None:
+        most = 0
+        for seed in range(WALKS):
+            walk = Walk(seed)
+            names = walk.random.choices(
+                list(STEPS_BY_WEIGHT), list(STEPS_BY_WEIGHT.values()), k=STEPS_PER_WALK
+            )
+            for name in names:
+                walk.step(name)
+            self.assertLessEqual(walk.most_running, SLOTS, f"seed {seed}")
+            most = max(most, walk.most_running)
+        self.assertEqual(SLOTS, most)
