--- a/packages/pollengate-standins/pollengate_standins/backend_server.py
+++ b/packages/pollengate-standins/pollengate_standins/backend_server.py
@@ -1,16 +1,57 @@
-"""A backend server stand-in that counts executions by request id."""
+"""A backend server stand-in that counts executions and can be told to misbehave."""
 
 import asyncio
+import dataclasses
 from typing import Any
 
-from litestar import Litestar, Request, get, route
+from litestar import Litestar, Request, get, put, route
 from litestar.response import Response
 from litestar.types import Method
 
-__all__ = ["create_backend_app"]
+__all__ = ["Behaviour", "create_backend_app"]
 
 METHODS: list[Method] = ["GET", "HEAD", "PUT", "POST", "PATCH", "DELETE"]
 REQUEST_ID_HEADER = "pollengate-request-id"
+NOT_RUN_HEADER = "pollengate-not-run"
+DRAINING_HEADER = "pollengate-draining"
+
+
+@dataclasses.dataclass(slots=True)
+class Behaviour:
+    """How the stand-in answers from now on.
+
+    Attributes:
+        work_s: seconds that a request takes.
+        status: status of each answer.
+        is_draining: whether answers say that it is leaving, and new requests are refused.
+        wrong_id: whether answers carry the id of another request.
+    """
+
+    work_s: float
+    status: int = 200
+    is_draining: bool = False
+    wrong_id: bool = False
+
+
+class _Executions:
+    """Counts executions by request id, without the number of the attempt."""
+
+    def __init__(self, slots: int) -> None:
+        self.count_by_id: dict[str, int] = {}
+        self.running = 0
+        self.peak = 0
+        self.refused = 0
+        self._slots = slots
+
+    def begin(self, exchange_id: str) -> bool:
+        if self.running >= self._slots:
+            self.refused += 1
+            return False
+        request_id = exchange_id.rpartition(".")[0] or exchange_id
+        self.count_by_id[request_id] = self.count_by_id.get(request_id, 0) + 1
+        self.running += 1
+        self.peak = max(self.peak, self.running)
+        return True
 
 
 def create_backend_app(service: str, slots: int, work_s: float) -> Litestar:
@@ -18,34 +59,47 @@
 
     Args:
         service: its service; requests for another are answered by 404.
-        slots: requests that it runs at a time; one more is answered by 503.
-        work_s: seconds that a request takes.
+        slots: requests that it runs at a time; one more is refused before it runs.
+        work_s: seconds that a request takes until `PUT /behaviour` changes it.
     """
-    executions_by_id: dict[str, int] = {}
-    running = 0
-    peak = 0
+    executions = _Executions(slots)
+    behaviour = Behaviour(work_s)
 
     @route("/services/{path:path}", http_method=METHODS, status_code=200)
     async def serve(request: Request[Any, Any, Any], path: str) -> Response[Any]:
-        nonlocal running, peak
         if not path.startswith(f"/{service}/"):
             return Response({"error": "another service"}, status_code=404)
-        if running >= slots:
-            return Response({"error": "no free slot"}, status_code=503)
-        running += 1
-        peak = max(peak, running)
+        exchange_id = request.headers.get(REQUEST_ID_HEADER, "")
+        if behaviour.is_draining or not executions.begin(exchange_id):
+            return _refuse(exchange_id, behaviour)
         try:
-            request_id = request.headers.get(REQUEST_ID_HEADER, "")
-            executions_by_id[request_id] = executions_by_id.get(request_id, 0) + 1
             body = await request.body()
-            await asyncio.sleep(work_s)
-            answer = {"path": path, "method": request.method, "bytes": len(body)}
-            return Response(answer, headers={REQUEST_ID_HEADER: request_id})
+            await asyncio.sleep(behaviour.work_s)
         finally:
-            running -= 1
+            executions.running -= 1
+        answer = {"path": path, "method": request.method, "bytes": len(body)}
+        answered_id = "another" if behaviour.wrong_id else exchange_id
+        headers = {REQUEST_ID_HEADER: answered_id}
+        return Response(answer, headers=headers, status_code=behaviour.status)
 
     @get("/executions")
-    async def executions() -> dict[str, Any]:
-        return {"executions_by_id": executions_by_id, "peak": peak}
+    async def show_executions() -> dict[str, Any]:
+        return {
+            "executions_by_id": executions.count_by_id,
+            "peak": executions.peak,
+            "refused": executions.refused,
+        }
+
+    @put("/behaviour")
+    async def change_behaviour(data: dict[str, Any]) -> None:
+        for name, value in data.items():
+            setattr(behaviour, name, value)
+
+    return Litestar([serve, show_executions, change_behaviour], logging_config=None)
+
 
-    return Litestar([serve, executions], logging_config=None)
+def _refuse(exchange_id: str, behaviour: Behaviour) -> Response[Any]:
+    headers = {REQUEST_ID_HEADER: exchange_id, NOT_RUN_HEADER: "true"}
+    if behaviour.is_draining:
+        headers[DRAINING_HEADER] = "true"
+    return Response({"error": "no free slot"}, status_code=503, headers=headers)
--- a/packages/pollengated/pollengated/service_proxy.py
+++ b/packages/pollengated/pollengated/service_proxy.py
@@ -38,6 +38,14 @@
 SILENCE_FACTOR = 10.0
 SERVER_ERROR = 500
 
+_POINTS_BEFORE_ANSWER = frozenset(
+    {
+        FailurePoint.CONNECTION_LOST,
+        FailurePoint.SILENT,
+        FailurePoint.ANSWER_TO_ANOTHER_REQUEST,
+    }
+)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServiceRequest:
@@ -234,6 +242,8 @@
                     await result.ok_value.close()
             if not answer.done():
                 answer.set_result(result)
+            if _may_still_run(result):
+                await asyncio.sleep(max(0.0, pending.deadline - loop.time()))
         finally:
             if not is_streamed:
                 self._end(pending, vm)
@@ -326,6 +336,13 @@
             router.pump()
 
 
+def _may_still_run(result: Result[BackendAnswer, ExchangeFailure]) -> bool:
+    """Tells whether a backend server may be at work on a request that gets no answer."""
+    if isinstance(result, Ok) or result.err_value.sent is Sent.NOTHING:
+        return False
+    return result.err_value.point in _POINTS_BEFORE_ANSWER
+
+
 async def _until(rest: AsyncIterator[bytes], deadline: float) -> AsyncIterator[bytes]:
     while True:
         try:
--- /dev/null
+++ b/tests/service_fleet.py
@@ -0,0 +1,170 @@
+"""Gates, granters and backend servers of several zones in memory, on the loop's clock."""
+
+import asyncio
+import itertools
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from pollengate.backend_client import BackendAnswer
+from pollengate.configuration import Configuration, Limits, Service
+from pollengate.memory_backend import MemoryBackend, MemoryBackendClient
+from pollengate.memory_store import MemoryStore
+from pollengate.ownership import Owner
+from pollengate.refusals import Refusal
+from pollengate.slots import SlotAnswer, SlotAsk, SlotGranter
+from pollengate.virtual_machines import VirtualMachine, VmKind, VmState
+from pollengate_net.calls import CallFailure
+from pollengated.configuration_follower import ConfigurationFollower
+from pollengated.metrics import Metrics
+from pollengated.owner_directory import OwnerDirectory
+from pollengated.service_proxy import ServiceProxy, ServiceRequest
+from pollengated.slot_keeper import SlotKeeper
+from pollengated.vm_directory import VmDirectory
+from result import Err, Ok, Result
+
+__all__ = ["SERVICE", "FleetGate", "ServiceFleet", "build_request", "exponential"]
+
+SERVICE = "scoring"
+HOP_S = 0.001
+_numbers = itertools.count(1)
+
+
+def exponential(mean_s: float, seed: int) -> Callable[[], float]:
+    """Returns seeded exponential times."""
+    generator = random.Random(seed)
+    return lambda: generator.expovariate(1 / mean_s)
+
+
+async def _never() -> None:
+    await asyncio.get_running_loop().create_future()
+
+
+def build_request(
+    is_idempotent: bool = True,
+    timeout_ms: int | None = None,
+    wait_until_gone: Callable[[], Awaitable[None]] = _never,
+) -> ServiceRequest:
+    """Returns a request with an id of its own."""
+    return ServiceRequest(
+        request_id=f"r{next(_numbers)}",
+        service=SERVICE,
+        method=b"GET" if is_idempotent else b"POST",
+        target=b"/services/scoring/standings",
+        headers=(),
+        body=b"",
+        timeout_ms=timeout_ms,
+        is_idempotent=is_idempotent,
+        wait_until_gone=wait_until_gone,
+    )
+
+
+class FleetGate:
+    """One gate; `is_cut` keeps its asks from the granters."""
+
+    def __init__(self, fleet: "ServiceFleet", gate_id: str, zone: str) -> None:
+        self.fleet = fleet
+        self.is_cut = False
+        self.metrics = Metrics()
+        follower = ConfigurationFollower(MemoryStore(), self.metrics)
+        follower.current = fleet.configuration
+        self.follower = follower
+        self.keeper = SlotKeeper(gate_id, zone, fleet.directory, fleet.vms, self)
+        client = MemoryBackendClient(fleet.backends_by_address, HOP_S)
+        self.proxy = ServiceProxy(zone, follower, fleet.vms, self.keeper, client, self.metrics)
+        self.renewing = asyncio.create_task(self.keeper.run())
+
+    async def ask(
+        self, address: str, ask: SlotAsk, zone: str, epoch: int
+    ) -> Result[SlotAnswer, CallFailure]:
+        """Carries an ask to a granter and back."""
+        await asyncio.sleep(HOP_S)
+        granter = self.fleet.granters_by_zone.get(zone)
+        if granter is None or self.is_cut:
+            await asyncio.sleep(0.5)
+            return Err(CallFailure(True, "no answer"))
+        now = asyncio.get_running_loop().time()
+        slots = {vm.vm_id: self.fleet.slots for vm in self.fleet.vms.backends_in(zone)}
+        answer = granter.answer(ask, slots, now)
+        await asyncio.sleep(HOP_S)
+        return Ok(answer)
+
+    async def send(self, **fields: Any) -> Result[BackendAnswer, Refusal]:
+        """Sends one request."""
+        return await self.proxy.send(build_request(**fields))
+
+    def kill(self) -> None:
+        """Ends the gate without giving slots back."""
+        self.renewing.cancel()
+
+
+class ServiceFleet:
+    """Everything that gates need around them."""
+
+    def __init__(
+        self,
+        backends_per_zone: int = 10,
+        gates_per_zone: int = 3,
+        zones: tuple[str, ...] = ("a",),
+        slots: int = 8,
+    ) -> None:
+        self.slots = slots
+        service = Service(slots=slots)
+        self.configuration = Configuration(1, {}, {SERVICE: service}, {}, Limits())
+        self.machines_by_id: dict[str, VirtualMachine] = {}
+        self.backends_by_address: dict[str, MemoryBackend] = {}
+        self.granters_by_zone: dict[str, SlotGranter] = {}
+        self.vms = VmDirectory(None)  # type: ignore[arg-type]
+        self.directory = OwnerDirectory(MemoryStore())
+        self._gates_per_zone = gates_per_zone
+        self._zones = zones
+        for zone, number in itertools.product(zones, range(backends_per_zone)):
+            self._add_backend(zone, f"{zone}{number}")
+        self.list_machines()
+        self.gates: list[FleetGate] = []
+
+    async def start(self, settle_s: float = 2.0) -> None:
+        """Starts granters and gates and waits until slots are granted."""
+        now = asyncio.get_running_loop().time()
+        for zone in self._zones:
+            self.granters_by_zone[zone] = SlotGranter(now, is_first=True)
+            self.directory._owners_by_shard[zone, 0] = Owner(zone, 0, f"s-{zone}", zone, 1)
+        for zone, number in itertools.product(self._zones, range(self._gates_per_zone)):
+            self.gates.append(FleetGate(self, f"gate-{zone}{number}", zone))
+        await asyncio.sleep(settle_s)
+
+    async def stop(self) -> None:
+        """Ends every gate."""
+        for gate in self.gates:
+            gate.kill()
+        await asyncio.sleep(0)
+
+    def list_machines(self) -> None:
+        """Puts the machines as they are now on the VM list."""
+        self.vms._machines = tuple(self.machines_by_id.values())
+        self.vms._index_backends()
+
+    def backend(self, backend_id: str) -> MemoryBackend:
+        """Returns a backend server."""
+        return self.backends_by_address[self.machines_by_id[backend_id].address]
+
+    def executions(self) -> dict[str, int]:
+        """Returns the executions of each request over all backend servers."""
+        total: dict[str, int] = {}
+        for backend in self.backends_by_address.values():
+            for request_id, count in backend.executions_by_id.items():
+                total[request_id] = total.get(request_id, 0) + count
+        return total
+
+    def refused(self) -> int:
+        """Returns the requests that found a backend server without a free slot."""
+        return sum(backend.refused for backend in self.backends_by_address.values())
+
+    def _add_backend(self, zone: str, vm_id: str) -> None:
+        address = f"{vm_id}:80"
+        self.machines_by_id[vm_id] = VirtualMachine(
+            vm_id, zone, f"{zone}-r0", VmKind.BACKEND, VmState.LIVE, address, SERVICE
+        )
+        self.backends_by_address[address] = MemoryBackend(
+            self.slots, exponential(0.02, len(self.backends_by_address))
+        )
