--- a/packages/pollengate/pollengate/admission.py
+++ b/packages/pollengate/pollengate/admission.py
@@ -14,6 +14,8 @@
 
 MAX_QUEUED = 2000
 SMOOTHING = 0.05
+MIN_SAMPLES = 20
+OUTLIER_FACTOR = 4.0
 # A request whose predicted wait leaves less than this part of its time spare is refused.
 WAIT_FACTOR = 1.25
 RETRY_AFTER_S = 1.0
@@ -28,8 +30,13 @@
         self._samples = 0
 
     def record(self, seconds: float) -> None:
-        """Records one exchange."""
+        """Records one exchange; a much longer one than usual counts as `OUTLIER_FACTOR` times it.
+
+        A single slow backend server thus does not make every request look too late.
+        """
         self._samples += 1
+        if self._samples > MIN_SAMPLES:
+            seconds = min(seconds, OUTLIER_FACTOR * self.mean_s)
         weight = max(SMOOTHING, 1 / self._samples)
         error = seconds - self.mean_s
         self.mean_s += weight * error
--- a/packages/pollengate/pollengate/routing.py
+++ b/packages/pollengate/pollengate/routing.py
@@ -18,8 +18,10 @@
 HEAD_SIZE = 8
 RETRY_AFTER_S = 1.0
 # A request that leaves its zone waits this long for a slot elsewhere.
-SPILL_WAIT_S = 0.1
-SPILL_LIMIT = 16
+SPILL_WAIT_S = 0.5
+SPILL_LIMIT = 128
+# After a request found no slot elsewhere, no other leaves its zone for so long.
+SPILL_PAUSE_S = 1.0
 
 ListBackends = Callable[[], list[VirtualMachine]]
 FindSlots = Callable[[str], GateSlots]
@@ -56,6 +58,7 @@
         self._budget = budget
         self._queues = queues
         self._choices = choices
+        self._spill_closed_until = 0.0
         queues.extend((self.queue, self.spill))
 
     def offer(self, waiter: Waiter) -> Result[VirtualMachine, Refusal] | None:
@@ -129,10 +132,7 @@
         check = self.queue.check(waiter.deadline, self.slots(now), now)
         queue = self.queue
         if isinstance(check, Err):
-            is_elsewhere = any(vm.zone != self._zone for vm in backends)
-            if not is_elsewhere or len(self.spill) >= SPILL_LIMIT:
-                return check.err_value
-            if not self.queue.can_begin(waiter.deadline, now):
+            if not self._may_spill(waiter, backends, now):
                 return check.err_value
             queue, waiter.may_leave_zone = self.spill, True
         if not self._budget.make_room(queue, self._queues):
@@ -140,7 +140,15 @@
         queue.push(waiter)
         return None
 
+    def _may_spill(self, waiter: Waiter, backends: list[VirtualMachine], now: float) -> bool:
+        is_elsewhere = any(vm.zone != self._zone for vm in backends)
+        is_open = now >= self._spill_closed_until and len(self.spill) < SPILL_LIMIT
+        return is_elsewhere and is_open and self.queue.can_begin(waiter.deadline, now)
+
     def _give_up(self, waiter: Waiter) -> None:
+        if waiter.may_leave_zone:
+            now = asyncio.get_running_loop().time()
+            self._spill_closed_until = now + SPILL_PAUSE_S
         self.queue.remove(waiter)
         self.spill.remove(waiter)
         detail = "no slot became free in time"
--- a/packages/pollengated/pollengated/service_proxy.py
+++ b/packages/pollengated/pollengated/service_proxy.py
@@ -16,6 +16,7 @@
     Headers,
     Progress,
 )
+from pollengate.backend_health import SLOW_FACTOR
 from pollengate.configuration import Service
 from pollengate.refusals import Outcome, Reason, Refusal
 from pollengate.request_outcomes import FailurePoint, Judgement, Sent, judge, worse_outcome
@@ -160,6 +161,9 @@
         is_possible = judgement.may_retry and attempt < MAX_ATTEMPTS
         if not is_possible or not pending.router.queue.can_begin(pending.deadline, now):
             return False
+        # A retry of a request that was not run adds no load to the service.
+        if judgement.outcome is Outcome.NOT_RUN:
+            return True
         return self._retry_budget(pending.request.service).take()
 
     async def _acquire(self, pending: _Pending) -> Result[VirtualMachine, Refusal]:
@@ -207,6 +211,7 @@
     ) -> Result[BackendAnswer, ExchangeFailure]:
         """Makes one attempt; it outlives the deadline until its slot is surely free."""
         loop = asyncio.get_running_loop()
+        began_at = loop.time()
         progress = Progress()
         answer: asyncio.Future[Result[BackendAnswer, ExchangeFailure]] = loop.create_future()
         task = asyncio.create_task(self._run(pending, vm, progress, answer))
@@ -218,6 +223,7 @@
         except TimeoutError:
             if progress.sent is Sent.NOTHING:
                 task.cancel()
+            self._record_late(pending.router, vm, loop.time() - began_at)
             detail = "no answer before the deadline"
             return Err(ExchangeFailure(FailurePoint.DEADLINE, progress.sent, detail))
 
@@ -301,6 +307,10 @@
         elif isinstance(ended, BackendAnswer) or ended.point is not FailurePoint.REFUSED_BY_BACKEND:
             router.health.record_failure(vm.vm_id, now)
 
+    def _record_late(self, router: ServiceRouter, vm: VirtualMachine, seconds: float) -> None:
+        if seconds > SLOW_FACTOR * router.queue.times.mean_s:
+            router.health.record_failure(vm.vm_id, asyncio.get_running_loop().time())
+
     def _router(self, name: str, service: Service) -> ServiceRouter:
         router = self._routers_by_service.get(name)
         if router is None:
