--- a/packages/pollengate-net/pollengate_net/http_backend.py
+++ b/packages/pollengate-net/pollengate_net/http_backend.py
@@ -36,7 +36,8 @@
 BODY_BUFFER_BYTES = 1_000_000
 CONNECT_TIMEOUT_S = 1.0
 WRITE_TIMEOUT_S = 2.0
-STREAM_SILENCE_S = 10.0
+# Requests on other connections of a retired pool may still be answered for so long.
+RETIRE_S = 10.0
 # How long an exchange goes on after its caller has left, so that its slot stays occupied.
 LINGER_S = 5.0
 # Shorter than the grants of slots, so that a gate without slots has no connections.
@@ -66,6 +67,7 @@
 
     def __init__(self) -> None:
         self._pools_by_address: dict[str, httpx.AsyncHTTPTransport] = {}
+        self._retired_pools: set[httpx.AsyncHTTPTransport] = set()
         self._closing: set[asyncio.Task[None]] = set()
 
     async def exchange(
@@ -89,9 +91,10 @@
 
     async def close(self) -> None:
         """Closes every connection."""
-        pools = list(self._pools_by_address.values())
+        pools = [*self._pools_by_address.values(), *self._retired_pools]
         self._pools_by_address.clear()
-        await asyncio.gather(*(pool.aclose() for pool in pools), *self._closing)
+        self._retired_pools.clear()
+        await asyncio.gather(*(pool.aclose() for pool in pools))
 
     async def _read(
         self,
@@ -141,19 +144,19 @@
         return pool
 
     def _retire(self, address: str, pool: httpx.AsyncHTTPTransport) -> None:
-        """Gives new requests new connections; the old ones close once they are idle."""
+        """Gives new requests new connections; the old ones are closed later."""
         if self._pools_by_address.get(address) is not pool:
             return
         del self._pools_by_address[address]
-        task = asyncio.create_task(_close_later(pool))
-        self._closing.add(task)
-        task.add_done_callback(self._closing.discard)
-
-
-async def _close_later(pool: httpx.AsyncHTTPTransport) -> None:
-    # Requests on other connections of the pool may still be answered.
-    await asyncio.sleep(STREAM_SILENCE_S)
-    await pool.aclose()
+        self._retired_pools.add(pool)
+        asyncio.get_running_loop().call_later(RETIRE_S, self._begin_close, pool)
+
+    def _begin_close(self, pool: httpx.AsyncHTTPTransport) -> None:
+        if pool in self._retired_pools:
+            self._retired_pools.discard(pool)
+            task = asyncio.create_task(pool.aclose())
+            self._closing.add(task)
+            task.add_done_callback(self._closing.discard)
 
 
 def _encode(address: str, request: BackendRequest) -> httpx.Request:
--- a/packages/pollengate-settings/pollengate_settings/model.py
+++ b/packages/pollengate-settings/pollengate_settings/model.py
@@ -29,6 +29,7 @@
         max_body_bytes: largest request body.
         head_timeout_s: seconds within which a request's line and headers must arrive.
         body_timeout_s: seconds within which a request's body must arrive.
+        stop_delay_s: seconds between "not ready" and the end of new requests of a stopping gate.
         log_format: `text` or `json`.
         log_level: lowest level that is written.
     """
@@ -42,6 +43,7 @@
     max_body_bytes: int = 10_000_000
     head_timeout_s: float = 10.0
     body_timeout_s: float = 30.0
+    stop_delay_s: float = 3.0
     log_format: str = "text"
     log_level: str = "info"
 
@@ -97,6 +99,9 @@
     body_timeout_s: float = pydantic.Field(
         default=30.0, gt=0, le=3600, description="a number of seconds above 0 and up to 3600"
     )
+    stop_delay_s: float = pydantic.Field(
+        default=3.0, ge=0, le=600, description="a number of seconds from 0 to 600"
+    )
 
 
 class LoggingSection(_Section):
@@ -135,6 +140,7 @@
             max_body_bytes=self.requests.max_body_bytes,
             head_timeout_s=self.requests.head_timeout_s,
             body_timeout_s=self.requests.body_timeout_s,
+            stop_delay_s=self.requests.stop_delay_s,
             log_format=self.logging.format,
             log_level=self.logging.level,
         )
--- a/packages/pollengated/pollengated/compose.py
+++ b/packages/pollengated/pollengated/compose.py
@@ -3,10 +3,10 @@
 import asyncio
 import signal
 import uuid
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 from grpclib.server import Server
-from litestar.types import ASGIApp
 from pollengate_net.calls import split_address
 from pollengate_net.etcd_store import EtcdStore
 from pollengate_net.grpc_worker import GrpcWorkerClient
@@ -19,6 +19,7 @@
 from pollengated.call_log import CallLog
 from pollengated.configuration_follower import ConfigurationFollower
 from pollengated.configuration_patches import ConfigurationPatcher
+from pollengated.gate_stop import ClosingConnections, GateStop
 from pollengated.http_configuration import configuration_router
 from pollengated.http_health import health_router
 from pollengated.http_server import create_app, create_server, serve_until_cancelled
@@ -60,6 +61,7 @@
     proxy = ServiceProxy(settings.zone, follower, vms, keeper, HttpBackendClient(), metrics)
     jobs = JobRouter(store, follower, directory, client)
     readiness = Readiness(follower)
+    stop = GateStop(readiness, settings.stop_delay_s)
     app = create_app(
         [
             configuration_router(follower, ConfigurationPatcher(store, follower), metrics),
@@ -72,8 +74,9 @@
         metrics,
     )
     loops = [follower.run(), directory.run(), vms.run(), keeper.run()]
-    await _run_until_stopped(_serve_http(app, settings, metrics), loops)
-    await proxy.close()
+    server = create_server(ClosingConnections(app, readiness), settings, metrics)
+    Log("gate").info("serving", address=settings.http_address)
+    await _run_until_stopped(stop.serve(server), loops, after=proxy.close)
     await keeper.give_back()
     slots.close()
     client.close()
@@ -117,11 +120,6 @@
     await store.close()
 
 
-async def _serve_http(app: ASGIApp, settings: Settings, metrics: Metrics) -> None:
-    Log("gate").info("serving", address=settings.http_address)
-    await create_server(app, settings, metrics).serve()
-
-
 async def _run_shards(shards: ShardSet) -> None:
     serving = asyncio.create_task(shards.run())
     stopping = asyncio.create_task(_wait_for_stop())
@@ -140,10 +138,17 @@
     await stop.wait()
 
 
-async def _run_until_stopped(serve: Any, loops: list[Any]) -> None:
+async def _nothing() -> None:
+    return
+
+
+async def _run_until_stopped(
+    serve: Any, loops: list[Any], after: Callable[[], Awaitable[None]] = _nothing
+) -> None:
     tasks = [asyncio.create_task(loop) for loop in loops]
     try:
         await serve
+        await after()
     finally:
         for task in tasks:
             task.cancel()
--- a/packages/pollengated/pollengated/http_server.py
+++ b/packages/pollengated/pollengated/http_server.py
@@ -17,7 +17,7 @@
 from pollengated.request_tracing import RequestTracing
 from pollengated.settings import Settings
 
-__all__ = ["create_app", "create_server", "serve_until_cancelled"]
+__all__ = ["QuietServer", "create_app", "create_server", "serve_until_cancelled"]
 
 
 def create_app(
@@ -34,7 +34,16 @@
     return RequestTracing(BodyDeadline(app, settings.body_timeout_s))
 
 
-def create_server(app: ASGIApp, settings: Settings, metrics: Metrics) -> uvicorn.Server:
+class QuietServer(uvicorn.Server):
+    """A server that leaves the process's signals alone."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Captures none."""
+        yield
+
+
+def create_server(app: ASGIApp, settings: Settings, metrics: Metrics) -> QuietServer:
     """Returns a server for the settings' HTTP address."""
     host, port = split_address(settings.http_address)
     config = uvicorn.Config(
@@ -48,21 +57,12 @@
         access_log=False,
         server_header=False,
     )
-    return uvicorn.Server(config)
-
-
-class _QuietServer(uvicorn.Server):
-    """A server that leaves the process's signals alone."""
-
-    @contextlib.contextmanager
-    def capture_signals(self) -> Iterator[None]:
-        """Captures none."""
-        yield
+    return QuietServer(config)
 
 
 async def serve_until_cancelled(app: ASGIApp, settings: Settings, metrics: Metrics) -> None:
     """Serves beside another server that handles the signals."""
-    server = _QuietServer(create_server(app, settings, metrics).config)
+    server = create_server(app, settings, metrics)
     serving = asyncio.create_task(server.serve())
     try:
         await asyncio.shield(serving)
--- a/packages/pollengated/pollengated/readiness.py
+++ b/packages/pollengated/pollengated/readiness.py
@@ -14,6 +14,11 @@
         self._follower = follower
         self._is_stopping = False
 
+    @property
+    def is_stopping(self) -> bool:
+        """Whether the process is stopping."""
+        return self._is_stopping
+
     def stop(self) -> None:
         """Records that the process is stopping; it will not be ready again."""
         self._is_stopping = True
--- /dev/null
+++ b/tests/test_http_backend.py
@@ -0,0 +1,278 @@
+"""Tests of exchanges over real loopback connections to a scripted server."""
+
+import asyncio
+import gzip
+import unittest
+from collections.abc import Awaitable, Callable
+
+from pollengate.backend_client import AnswerCutError, BackendAnswer, BackendRequest, ExchangeFailure
+from pollengate.request_outcomes import FailurePoint, Sent
+from pollengate_net.http_backend import BODY_BUFFER_BYTES, HttpBackendClient
+from result import Err, Ok, Result
+
+Script = Callable[[bytes, asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+Exchange = Result[BackendAnswer, ExchangeFailure]
+
+
+class ScriptedServer:
+    """Reads request heads and lets a script answer them.
+
+    Attributes:
+        heads: the heads that came in.
+        connections: connections that were accepted.
+    """
+
+    def __init__(self, script: Script) -> None:
+        self.heads: list[bytes] = []
+        self.connections = 0
+        self.address = ""
+        self._script = script
+
+    async def start(self) -> asyncio.Server:
+        """Listens on a free port."""
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        return server
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        try:
+            while not writer.is_closing():
+                head = await reader.readuntil(b"\r\n\r\n")
+                self.heads.append(head)
+                await self._script(head, reader, writer)
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+
+def id_of(head: bytes) -> bytes:
+    """Returns the exchange id of a request head."""
+    return head.partition(b"pollengate-request-id: ")[2].partition(b"\r\n")[0]
+
+
+def encode(head: bytes, body: bytes, *lines: bytes, status: bytes = b"200 OK") -> bytes:
+    """Returns a whole answer to a request."""
+    fields = (b"pollengate-request-id: " + id_of(head), *lines)
+    return b"HTTP/1.1 " + status + b"\r\n" + b"\r\n".join(fields) + b"\r\n\r\n" + body
+
+
+def answer(*lines: bytes, body: bytes = b"whole", status: bytes = b"200 OK") -> Script:
+    """Returns a script that answers every request alike."""
+
+    async def script(head: bytes, _: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        fields = lines or (b"content-length: %d" % len(body),)
+        writer.write(encode(head, body, *fields, status=status))
+
+    return script
+
+
+async def build(
+    exchange_id: str = "x.1", silence_s: float | None = 0.3, **fields: object
+) -> BackendRequest:
+    """Returns a request whose caller waits two seconds."""
+    deadline = asyncio.get_running_loop().time() + 2.0
+    values: dict[str, object] = {
+        "method": b"GET",
+        "target": b"/services/s/a%2Fb?q=1%202",
+        "headers": ((b"x-a", b"1"), (b"x-a", b"2")),
+        "body": b"",
+    }
+    values |= fields
+    return BackendRequest(  # type: ignore[arg-type]
+        **values, exchange_id=exchange_id, deadline=deadline, silence_s=silence_s
+    )
+
+
+class HttpBackendTest(unittest.TestCase):
+    """Answers that are whole, and those that are not."""
+
+    def exchange(self, script: Script, count: int = 1, **fields: object) -> list[Exchange]:
+        """Makes exchanges one after the other."""
+
+        async def main() -> list[Exchange]:
+            client = HttpBackendClient()
+            async with await self.server.start():
+                results = []
+                for number in range(count):
+                    request = await build(f"x.{number}", **fields)  # type: ignore[arg-type]
+                    results.append(await client.exchange(self.server.address, request))
+                await client.close()
+                return results
+
+        self.server = ScriptedServer(script)
+        return asyncio.run(main())
+
+    def assert_fails(self, script: Script, point: FailurePoint, sent: Sent = Sent.WHOLE) -> None:
+        result = self.exchange(script)[0]
+        self.assertIsInstance(result, Err)
+        failure = result.unwrap_err()
+        self.assertEqual((point, sent), (failure.point, failure.sent), failure)
+
+    def test_query_and_repeated_headers_arrive_as_sent(self) -> None:
+        self.exchange(answer())
+        head = self.server.heads[0]
+        self.assertTrue(head.startswith(b"GET /services/s/a%2Fb?q=1%202 HTTP/1.1\r\n"), head)
+        self.assertIn(b"x-a: 1\r\nx-a: 2\r\n", head)
+
+    def test_encoded_body_is_passed_on_as_it_is(self) -> None:
+        body = gzip.compress(b"standings" * 50)
+        lines = (b"content-encoding: gzip", b"content-length: %d" % len(body))
+        result = self.exchange(answer(*lines, body=body))[0].unwrap()
+        self.assertEqual(body, result.body)
+        self.assertIn((b"content-encoding", b"gzip"), result.headers)
+
+    def test_repeated_answer_headers_stay_apart(self) -> None:
+        lines = (b"set-cookie: a=1", b"set-cookie: b=2", b"content-length: 5")
+        result = self.exchange(answer(*lines))[0].unwrap()
+        cookies = [value for name, value in result.headers if name == b"set-cookie"]
+        self.assertEqual([b"a=1", b"b=2"], cookies)
+
+    def test_answers_without_a_body(self) -> None:
+        for status, method in ((b"204 No Content", b"GET"), (b"304 Not Modified", b"GET")):
+            script = answer(b"etag: a", body=b"", status=status)
+            results = self.exchange(script, count=2, method=method)
+            self.assertEqual([b"", b""], [result.unwrap().body for result in results])
+            self.assertEqual(1, self.server.connections)
+
+    def test_head_keeps_the_length_of_the_body_that_it_leaves_out(self) -> None:
+        script = answer(b"content-length: 500", body=b"")
+        results = self.exchange(script, count=2, method=b"HEAD")
+        self.assertIn((b"content-length", b"500"), results[1].unwrap().headers)
+        self.assertEqual(1, self.server.connections)
+
+    def test_connections_are_used_again(self) -> None:
+        self.exchange(answer(), count=20)
+        self.assertEqual(1, self.server.connections)
+
+    def test_connect_refused(self) -> None:
+        async def main() -> Exchange:
+            server = ScriptedServer(answer())
+            (await server.start()).close()
+            return await HttpBackendClient().exchange(server.address, await build())
+
+        failure = asyncio.run(main()).unwrap_err()
+        self.assertEqual((FailurePoint.CONNECT_FAILED, Sent.NOTHING), (failure.point, failure.sent))
+
+    def test_reset_before_the_answer(self) -> None:
+        async def script(_: bytes, __: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.transport.abort()
+
+        self.assert_fails(script, FailurePoint.CONNECTION_LOST)
+
+    def test_closed_before_the_answer(self) -> None:
+        async def script(_: bytes, __: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.close()
+
+        self.assert_fails(script, FailurePoint.CONNECTION_LOST)
+
+    def test_reset_during_the_request(self) -> None:
+        async def script(_: bytes, __: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.transport.abort()
+
+        body = b"x" * 50_000_000
+        failure = self.exchange(script, method=b"POST", body=body)[0].unwrap_err()
+        self.assertEqual(FailurePoint.CONNECTION_LOST, failure.point)
+        self.assertNotEqual(Sent.NOTHING, failure.sent)
+
+    def test_answer_cut_short(self) -> None:
+        async def script(
+            head: bytes, _: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            writer.write(encode(head, b"wh", b"content-length: 5"))
+            writer.close()
+
+        self.assert_fails(script, FailurePoint.ANSWER_CUT_SHORT)
+
+    def test_chunked_answer_cut_short(self) -> None:
+        async def script(
+            head: bytes, _: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            writer.write(encode(head, b"5\r\nwhole\r\n", b"transfer-encoding: chunked"))
+            writer.close()
+
+        self.assert_fails(script, FailurePoint.ANSWER_CUT_SHORT)
+
+    def test_answer_that_stalls(self) -> None:
+        self.assert_fails(answer(b"content-length: 9"), FailurePoint.ANSWER_CUT_SHORT)
+
+    def test_malformed_answer(self) -> None:
+        async def script(_: bytes, __: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.write(b"nonsense\r\n\r\n")
+
+        self.assert_fails(script, FailurePoint.ANSWER_MALFORMED)
+
+    def test_answer_longer_than_its_length_does_not_become_the_next_answer(self) -> None:
+        extra = b"HTTP/1.1 200 OK\r\npollengate-request-id: x.0\r\ncontent-length: 3\r\n\r\nold"
+        script = answer(b"content-length: 5", body=b"whole" + extra)
+        for result in self.exchange(script, count=3):
+            if isinstance(result, Ok):
+                self.assertEqual(b"whole", result.ok_value.body)
+
+    def test_answer_to_another_request(self) -> None:
+        async def script(_: bytes, __: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.write(encode(b"pollengate-request-id: y.9\r\n", b"old", b"content-length: 3"))
+
+        self.assert_fails(script, FailurePoint.ANSWER_TO_ANOTHER_REQUEST)
+        results = self.exchange(script, count=2)
+        self.assertEqual(2, self.server.connections)
+        self.assertTrue(all(isinstance(result, Err) for result in results))
+
+    def test_refusal_by_the_backend_server_is_not_run_only_if_it_says_so(self) -> None:
+        status = b"503 Service Unavailable"
+        said = answer(b"pollengate-not-run: true", b"content-length: 5", status=status)
+        self.assert_fails(said, FailurePoint.REFUSED_BY_BACKEND)
+        unsaid = self.exchange(answer(b"content-length: 5", status=status))[0]
+        self.assertEqual(503, unsaid.unwrap().status)
+
+    def test_silent_connection_is_dropped_while_new_ones_work(self) -> None:
+        count = 0
+
+        async def script(
+            head: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            nonlocal count
+            count += 1
+            if count in (2, 3):
+                await reader.read()
+                return
+            writer.write(encode(head, b"whole", b"content-length: 5"))
+
+        results = self.exchange(script, count=4)
+        self.assertEqual([True, False, False, True], [isinstance(r, Ok) for r in results])
+        self.assertEqual(FailurePoint.SILENT, results[1].unwrap_err().point)
+        self.assertEqual(4, self.server.connections + 1)
+
+    def stream(self, script: Script) -> bytes:
+        async def main() -> bytes:
+            client = HttpBackendClient()
+            async with await self.server.start():
+                result = (await client.exchange(self.server.address, await build())).unwrap()
+                whole = result.body
+                try:
+                    assert result.rest is not None
+                    async for chunk in result.rest:
+                        whole += chunk
+                finally:
+                    await result.close()
+                    await client.close()
+                return whole
+
+        self.server = ScriptedServer(script)
+        return asyncio.run(main())
+
+    def test_long_answer_is_streamed_whole(self) -> None:
+        body = bytes(range(256)) * (BODY_BUFFER_BYTES // 100)
+        self.assertEqual(body, self.stream(answer(body=body)))
+
+    def test_streamed_answer_that_is_cut_off_is_never_taken_as_whole(self) -> None:
+        async def script(
+            head: bytes, _: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            body = b"x" * (BODY_BUFFER_BYTES * 2)
+            writer.write(encode(head, body, b"content-length: %d" % (len(body) + 1)))
+            await writer.drain()
+            writer.close()
+
+        with self.assertRaises(AnswerCutError):
+            self.stream(script)
