--- a/packages/pollengated/pollengated/compose.py
+++ b/packages/pollengated/pollengated/compose.py
@@ -60,7 +60,7 @@
     keeper = SlotKeeper(gate_id, settings.zone, directory, vms, slots)
     proxy = ServiceProxy(settings.zone, follower, vms, keeper, HttpBackendClient(), metrics)
     jobs = JobRouter(store, follower, directory, client)
-    readiness = Readiness(follower)
+    readiness = Readiness(follower, keeper.obstacle)
     stop = GateStop(readiness, settings.stop_delay_s)
     app = create_app(
         [
--- a/packages/pollengated/pollengated/readiness.py
+++ b/packages/pollengated/pollengated/readiness.py
@@ -1,6 +1,7 @@
 """Readiness: whether a process should get new requests."""
 
 import asyncio
+from collections.abc import Callable
 
 from pollengated.configuration_follower import ConfigurationFollower
 
@@ -10,8 +11,17 @@
 class Readiness:
     """Tells the balancer whether to send requests here."""
 
-    def __init__(self, follower: ConfigurationFollower) -> None:
+    def __init__(
+        self, follower: ConfigurationFollower, obstacle: Callable[[], str] = lambda: ""
+    ) -> None:
+        """Creates the readiness of a process.
+
+        Args:
+            follower: holds the configuration.
+            obstacle: returns why the role itself is not ready, empty if it is.
+        """
         self._follower = follower
+        self._obstacle = obstacle
         self._is_stopping = False
 
     @property
@@ -30,6 +40,8 @@
             obstacles.append("stopping")
         if not self._has_configuration():
             obstacles.append("no configuration known")
+        if obstacle := self._obstacle():
+            obstacles.append(obstacle)
         return obstacles
 
     def _has_configuration(self) -> bool:
--- a/packages/pollengated/pollengated/service_proxy.py
+++ b/packages/pollengated/pollengated/service_proxy.py
@@ -117,6 +117,7 @@
         self._routers_by_service: dict[str, ServiceRouter] = {}
         self._retries_by_service: dict[str, RetryBudget] = {}
         self._exchanges: set[asyncio.Task[None]] = set()
+        keeper.is_configured = lambda name: name in follower.current.services_by_name
         keeper.on_change = self._pump
         keeper.spare = self._spare
 
--- a/packages/pollengated/pollengated/slot_keeper.py
+++ b/packages/pollengated/pollengated/slot_keeper.py
@@ -16,6 +16,8 @@
 
 RENEW_INTERVAL_S = 0.2
 GRANTING_SHARD = 0
+# How long a new gate waits for its first slots before it says that it is ready.
+FIRST_SLOTS_S = 10.0
 # Zones that no request has gone to for this long are given back.
 REMOTE_USE_S = 5.0
 
@@ -34,6 +36,7 @@
     """Holds the gate's slots of every zone.
 
     Attributes:
+        is_configured: tells whether a service is configured.
         on_change: is called when slots have been granted.
         spare: returns the slots of each backend server wanted beyond those in use.
     """
@@ -48,6 +51,7 @@
     ) -> None:
         self.on_change: Callable[[], None] = lambda: None
         self.spare: Callable[[str], int] = lambda _: 1
+        self.is_configured: Callable[[str], bool] = lambda _: True
         self._gate_id = gate_id
         self._zone = zone
         self._directory = directory
@@ -57,6 +61,8 @@
         self._wanted_until_by_zone: dict[str, float] = {}
         self._wake = asyncio.Event()
         self._is_stopping = False
+        self._began_at: float | None = None
+        self._has_had_slots = False
         self._log = Log("slots")
 
     def slots(self, zone: str) -> GateSlots:
@@ -66,6 +72,22 @@
             slots = self._slots_by_zone[zone] = GateSlots(self._gate_id)
         return slots
 
+    def obstacle(self) -> str:
+        """Returns why a gate that has just started is not ready, empty if it is.
+
+        A gate without slots for long is ready all the same: other zones may have some.
+        """
+        now = asyncio.get_running_loop().time()
+        if self._began_at is None:
+            self._began_at = now
+        backends = self._vms.backends_in(self._zone)
+        slots = self.slots(self._zone)
+        self._has_had_slots |= any(slots.find(vm.vm_id).free(now) for vm in backends)
+        if self._has_had_slots or now > self._began_at + FIRST_SLOTS_S:
+            return ""
+        is_needed = any(self.is_configured(vm.service) for vm in backends)
+        return "no slots yet" if is_needed else ""
+
     def want(self, zone: str) -> None:
         """Asks for slots in another zone soon, and for some seconds."""
         now = asyncio.get_running_loop().time()
--- /dev/null
+++ b/tests/test_gate_stop.py
@@ -0,0 +1,69 @@
+"""Tests of the order in which a gate stops, on virtual time."""
+
+import asyncio
+import unittest
+from typing import Any
+
+from pollengate.memory_store import MemoryStore
+from pollengated.configuration_follower import ConfigurationFollower
+from pollengated.gate_stop import ClosingConnections, GateStop
+from pollengated.metrics import Metrics
+from pollengated.readiness import Readiness
+
+from tests.utils import run_virtual
+
+DELAY_S = 3.0
+
+
+def build_readiness() -> Readiness:
+    """Returns the readiness of a gate without a configuration."""
+    return Readiness(ConfigurationFollower(MemoryStore(), Metrics()))
+
+
+class GateStopTest(unittest.TestCase):
+    """The balancer's delay and closed connections."""
+
+    def test_gate_is_not_ready_for_the_delay_before_it_closes(self) -> None:
+        async def main() -> tuple[bool, float]:
+            readiness = build_readiness()
+            stop = GateStop(readiness, DELAY_S)
+            waiting = asyncio.create_task(stop.wait())
+            await asyncio.sleep(1.0)
+            stop.request()
+            await asyncio.sleep(0.1)
+            is_stopping = readiness.is_stopping and not waiting.done()
+            await waiting
+            return is_stopping, asyncio.get_running_loop().time()
+
+        self.assertEqual((True, 1.0 + DELAY_S), run_virtual(main()))
+
+    def test_second_request_ends_the_delay(self) -> None:
+        async def main() -> float:
+            stop = GateStop(build_readiness(), DELAY_S)
+            waiting = asyncio.create_task(stop.wait())
+            stop.request()
+            await asyncio.sleep(1.0)
+            stop.request()
+            await waiting
+            return asyncio.get_running_loop().time()
+
+        self.assertEqual(1.0, run_virtual(main()))
+
+    def test_only_a_stopping_gate_closes_connections(self) -> None:
+        async def app(_: Any, __: Any, send: Any) -> None:
+            await send({"type": "http.response.start", "status": 200, "headers": []})
+
+        async def main() -> list[Any]:
+            readiness = build_readiness()
+            messages: list[Any] = []
+
+            async def send(message: Any) -> None:
+                messages.append(message["headers"])
+
+            closing = ClosingConnections(app, readiness)
+            await closing({}, None, send)  # type: ignore[arg-type, typeddict-item]
+            readiness.stop()
+            await closing({}, None, send)  # type: ignore[arg-type, typeddict-item]
+            return messages
+
+        self.assertEqual([[], [(b"connection", b"close")]], run_virtual(main()))
--- a/tests/utils.py
+++ b/tests/utils.py
@@ -1,6 +1,7 @@
 """Builders and drivers that tests share."""
 
 import asyncio
+import socket
 from collections.abc import Coroutine
 from typing import Any, TypeVar
 
@@ -9,7 +10,7 @@
 from pollengate.virtual_machines import VirtualMachine, VmKind, VmState
 from pollengate_settings import Settings
 
-__all__ = ["build_settings", "build_spec", "build_worker", "run_virtual"]
+__all__ = ["build_settings", "build_spec", "build_worker", "free_addresses", "run_virtual"]
 
 T = TypeVar("T")
 LOOP_END_S = 36_000.0
@@ -74,3 +75,14 @@
         "vm_list_address": "127.0.0.1:8000",
     }
     return Settings(**(fields | changes))
+
+
+def free_addresses(count: int) -> list[str]:
+    """Returns unused loopback addresses."""
+    sockets = [socket.socket() for _ in range(count)]
+    for one in sockets:
+        one.bind(("127.0.0.1", 0))
+    addresses = [f"127.0.0.1:{one.getsockname()[1]}" for one in sockets]
+    for one in sockets:
+        one.close()
+    return addresses
