--- a/tests/utils.py
+++ b/tests/utils.py
@@ -14,7 +14,8 @@
 
 T = TypeVar("T")
 LOOP_END_S = 36_000.0
-# Enough for handles that a poll of the selector makes ready; the default of 42 costs most of the time.
+# Enough for handles that a poll of the selector makes ready; the default of 42 costs most of the
+# time.
 NOOP_CYCLES = 1
 
 
