--- a/scripts/fault_matrix.py
+++ b/scripts/fault_matrix.py
@@ -7,7 +7,7 @@
 sys.path.insert(0, str(ROOT))
 
 from tests.faults.faults import Fault  # noqa: E402
-from tests.faults.matrix import CellFailure, render_table, row, run_cells  # noqa: E402
+from tests.faults.matrix import CellFailure, close_pool, render_table, row, run_cells  # noqa: E402
 
 PAGE = ROOT / "docs/design/fault-matrix.md"
 BEGIN, END = "<!-- table -->\n", "<!-- end of table -->\n"
@@ -24,6 +24,7 @@
         for cell, result in pairs:
             if result.violations:
                 print(CellFailure(cell, result))
+    close_pool()
     text = PAGE.read_text()
     before, _, rest = text.partition(BEGIN)
     _, _, after = rest.partition(END)
