--- /dev/null
+++ b/benchmarks/capacity/memory.py
@@ -0,0 +1,99 @@
+"""Memory of an owner's books, counted by tracemalloc."""
+
+import dataclasses
+import gc
+import tracemalloc
+from collections.abc import Callable
+
+from pollengate.jobs import Resources
+from pollengate.policy import learned_policies
+from pollengate.shard import Shard
+from pollengate.worker import Heartbeat, ReportState, TaskAnswer, TaskReport
+
+from benchmarks.capacity.fits import Fit, Point, fit_line
+from tests.utils import build_spec, build_worker
+
+__all__ = ["MemoryUse", "measure_memory"]
+
+WORKER_COUNTS = (50, 100, 200)
+QUEUED_COUNTS = (2_000, 4_000, 8_000)
+RUNNING_COUNTS = (500, 1_000, 2_000)
+TASKS_PER_JOB = 100
+CORES = 64
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MemoryUse:
+    """Bytes, as lines.
+
+    Attributes:
+        by_worker: against workers.
+        by_queued: against tasks that wait.
+        by_running: against tasks that run.
+    """
+
+    by_worker: Fit
+    by_queued: Fit
+    by_running: Fit
+
+
+def measure_memory() -> MemoryUse:
+    """Measures bytes of one shard's books under the learned policies."""
+    return MemoryUse(
+        by_worker=_fit(WORKER_COUNTS, _with_workers),
+        by_queued=_fit(QUEUED_COUNTS, _with_queued),
+        by_running=_fit(RUNNING_COUNTS, _with_running),
+    )
+
+
+def _fit(sizes: tuple[int, ...], build: Callable[[int], Shard]) -> Fit:
+    return fit_line([Point(size, _bytes_of(build, size)) for size in sizes])
+
+
+def _bytes_of(build: Callable[[int], Shard], size: int) -> int:
+    build(1)
+    gc.collect()
+    tracemalloc.start()
+    books = build(size)
+    gc.collect()
+    used, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del books
+    return used
+
+
+def _with_workers(count: int) -> Shard:
+    policies = learned_policies("a", 0, lambda: 0.0)
+    shard = Shard(policies.make_placement(), policies.make_queue(), 1)
+    worker_ids = [f"worker-{number:04}" for number in range(count)]
+    machines = [
+        build_worker(worker_id, cores=CORES, memory_mb=CORES * 4_000) for worker_id in worker_ids
+    ]
+    shard.list_machines(machines, 0.0)
+    for worker_id in worker_ids:
+        shard.attach(worker_id, shard.workers.next_session(worker_id), (), 0.0)
+        shard.heartbeat(Heartbeat(worker_id, 1, (), session=1, number=1), 0.0)
+    shard.workers.record(worker_ids)
+    return shard
+
+
+def _with_queued(count: int) -> Shard:
+    shard = _with_workers(1)
+    for number in range(count // TASKS_PER_JOB):
+        resources = Resources(CORES + 1, 1)
+        shard.accept(build_spec(f"job-{number}", count=TASKS_PER_JOB, resources=resources))
+    return shard
+
+
+def _with_running(count: int) -> Shard:
+    shard = _with_workers(-(-count // CORES))
+    for number in range(count // TASKS_PER_JOB):
+        shard.accept(
+            build_spec(f"job-{number}", count=TASKS_PER_JOB, resources=Resources(1, 100))
+        )
+    while plans := shard.plan_starts(200):
+        for plan in plans:
+            shard.answer_starts([TaskAnswer(order.ref, True) for order in plan.orders])
+            reports = tuple(TaskReport(o.ref, ReportState.RUNNING) for o in plan.orders)
+            del reports
+    return shard
--- /dev/null
+++ b/benchmarks/capacity/store_load.py
@@ -0,0 +1,148 @@
+"""Store calls, peer calls and ledger bytes, counted on virtual time."""
+
+import asyncio
+import dataclasses
+
+from pollengate.jobs import Resources
+from pollengate.memory_store import MemoryStore
+from pollengated.owner_directory import OwnerDirectory
+
+from benchmarks.capacity.counting_store import CountingStore, StoreCounts
+from benchmarks.capacity.fits import Fit, Point, fit_line
+from tests.cluster import ZoneFake
+from tests.configuration_nodes import Cluster
+from tests.utils import run_virtual
+
+__all__ = ["StoreLoad", "measure_store_load"]
+
+ZONE_COUNTS = (2, 5, 8)
+PROCESS_COUNTS = (2, 4, 8)
+FIXED_ZONES = 5
+FIXED_PROCESSES = 4
+SPAN_S = 60.0
+SETTLE_S = 10.0
+PATCHES = 6
+PATCH_INTERVAL_S = 5.0
+START_RATES = (10, 30, 90)
+CORES = 1_000
+TASK_MS = 1_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreLoad:
+    """Calls a second, as lines.
+
+    Attributes:
+        reads_by_zone: configuration reads against zones, at 4 gates and 4 schedulers a zone.
+        reads_by_process: the same against processes of a kind a zone, at 5 zones.
+        lease_calls_by_process: member lease renewals against all processes.
+        peer_calls_by_process: calls between processes that one process makes, against
+            the processes of its zone.
+        writes_per_patch: store writes of one patch.
+        directory_reads: reads of one gate's owner directory.
+        shard_reads: reads of one owned shard without tasks.
+        shard_lease_calls: lease renewals of one owned shard.
+        standby_reads: reads of one standby of one shard.
+        shard_writes_by_start: store writes of one shard against starts a second.
+        shard_bytes_by_start: bytes written by one shard against starts a second.
+        largest_value: bytes of the largest value written.
+    """
+
+    reads_by_zone: Fit
+    reads_by_process: Fit
+    lease_calls_by_process: Fit
+    peer_calls_by_process: Fit
+    writes_per_patch: float
+    directory_reads: float
+    shard_reads: float
+    shard_lease_calls: float
+    standby_reads: float
+    shard_writes_by_start: Fit
+    shard_bytes_by_start: Fit
+    largest_value: int
+
+
+def measure_store_load() -> StoreLoad:
+    """Counts everything; the same counts at every run."""
+    by_zone = {zones: _quiet(zones, FIXED_PROCESSES) for zones in ZONE_COUNTS}
+    by_process = {count: _quiet(FIXED_ZONES, count) for count in PROCESS_COUNTS}
+    idle = run_virtual(_shard(0, standbys=0))
+    standby = run_virtual(_shard(0, standbys=1))
+    busy = {rate: run_virtual(_shard(rate, standbys=0)) for rate in START_RATES}
+    return StoreLoad(
+        reads_by_zone=_fit({z: c["store read"] for z, c in by_zone.items()}),
+        reads_by_process=_fit({n: c["store read"] for n, c in by_process.items()}),
+        lease_calls_by_process=_fit(
+            {n * 2 * FIXED_ZONES: c["store lease"] for n, c in by_process.items()}
+        ),
+        peer_calls_by_process=_fit(
+            {n * 2: c["peer"] / (n * 2 * FIXED_ZONES) for n, c in by_process.items()}
+        ),
+        writes_per_patch=run_virtual(_patched()),
+        directory_reads=run_virtual(_directory()) / SPAN_S,
+        shard_reads=idle.reads / SPAN_S,
+        shard_lease_calls=idle.lease_calls / SPAN_S,
+        standby_reads=(standby.reads - idle.reads) / SPAN_S,
+        shard_writes_by_start=_fit({r: c.writes / SPAN_S for r, c in busy.items()}),
+        shard_bytes_by_start=_fit({r: c.written_bytes / SPAN_S for r, c in busy.items()}),
+        largest_value=max(counts.largest_value for counts in busy.values()),
+    )
+
+
+def _fit(values_by_size: dict[int, float]) -> Fit:
+    return fit_line([Point(size, value) for size, value in values_by_size.items()])
+
+
+def _quiet(zones: int, processes: int) -> dict[str, float]:
+    return run_virtual(_quiet_calls(zones, processes))
+
+
+async def _quiet_calls(zones: int, processes: int) -> dict[str, float]:
+    cluster = Cluster(zones=zones, gates=processes, schedulers=processes)
+    await cluster.start()
+    cluster.network.calls.clear()
+    await asyncio.sleep(SPAN_S)
+    calls = {kind: count / SPAN_S for kind, count in cluster.network.calls.items()}
+    cluster.stop()
+    return calls
+
+
+async def _patched() -> float:
+    cluster = Cluster(zones=2, gates=2, schedulers=2)
+    await cluster.start()
+    before = cluster.network.calls["store write"]
+    for number in range(PATCHES):
+        patch = {"services": {f"service-{number}": {}}}
+        (await cluster.patch("g00", number + 1, patch)).unwrap()
+        await asyncio.sleep(PATCH_INTERVAL_S)
+    writes = cluster.network.calls["store write"] - before
+    cluster.stop()
+    return writes / PATCHES
+
+
+async def _directory() -> int:
+    store = CountingStore(MemoryStore())
+    task = asyncio.create_task(OwnerDirectory(store).run())
+    await asyncio.sleep(SPAN_S)
+    task.cancel()
+    return store.counts.reads
+
+
+async def _shard(rate: int, standbys: int) -> StoreCounts:
+    store = CountingStore(MemoryStore())
+    zone = ZoneFake(store, workers=4, cores=CORES, memory_mb=CORES * 1000)
+    for _ in range(1 + standbys):
+        zone.start_owner()
+    await zone.serving()
+    await asyncio.sleep(SETTLE_S)
+    store.counts = StoreCounts()
+    for second in range(int(SPAN_S)):
+        if rate:
+            await zone.submit(
+                job_id=f"job-{second}",
+                count=rate,
+                duration_ms=TASK_MS,
+                resources=Resources(1, 100),
+            )
+        await asyncio.sleep(1.0)
+    return store.counts
