--- a/packages/pollengate/pollengate/owner_lease.py
+++ b/packages/pollengate/pollengate/owner_lease.py
@@ -8,6 +8,7 @@
 from pollengate.handover import Assignment, decode_handover, encode_handover
 from pollengate.ledger import ledger_prefix
 from pollengate.ownership import OWNER_LEASE_S, Ownership, owner_key, owner_to_value
+from pollengate.ownership_guard import OwnershipGuard
 from pollengate.steps import Step, StepHook
 from pollengate.store import Delete, FailureKind, Operation, Put, Store, Unchanged
 
@@ -35,11 +36,13 @@
         process_id: str,
         address: str,
         steps: StepHook,
+        guard: OwnershipGuard,
     ) -> None:
         self._store = store
         self._ownership = ownership
         self._value = owner_to_value(process_id, address)
         self._steps = steps
+        self._guard = guard
         self._key = owner_key(ownership.zone, ownership.shard)
         self._handover_key = ledger_prefix(ownership.zone, ownership.shard) + "handover"
         self._lease_id = 0
@@ -54,6 +57,10 @@
         present = await self._store.get(self._key)
         if isinstance(present, Err) or present.ok_value is not None:
             return None
+        clearance = await self._guard.clear(self._ownership.zone, self._ownership.shard)
+        if clearance is None:
+            return None
+        await asyncio.sleep(clearance.wait_s)
         handover = await self._store.get(self._handover_key)
         if isinstance(handover, Err):
             return None
@@ -68,8 +75,10 @@
         conditions = [
             Unchanged(self._key, 0),
             Unchanged(self._handover_key, entry.revision if entry else 0),
+            *clearance.conditions,
         ]
-        writes: list[Operation] = [Put(self._key, self._value, self._lease_id)]
+        take = Put(self._key, self._value, self._lease_id)
+        writes: list[Operation] = [take, *clearance.operations]
         if entry is not None:
             writes.append(Delete(self._handover_key))
         epoch = await self._write_owner(conditions, writes)
@@ -80,17 +89,11 @@
         await self._steps.reach(Step.OWNER_TAKEN)
         return Taken(decode_handover(entry.value) if entry is not None else None)
 
-    async def renew(self) -> bool:
-        """Renews the lease once; returns whether the store confirmed it."""
-        asked_at = asyncio.get_running_loop().time()
-        epoch = self._ownership.epoch
+    async def renew(self) -> None:
+        """Renews the ownership once, if that is safe."""
         await self._steps.reach(Step.OWNER_RENEWING)
-        result = await self._store.keep_lease(self._lease_id)
+        await self._guard.renew(self._ownership, self._lease_id)
         await self._steps.reach(Step.OWNER_RENEWED)
-        if isinstance(result, Err) or result.ok_value <= 0 or self._ownership.epoch != epoch:
-            return False
-        self._ownership.renew(asked_at, result.ok_value)
-        return True
 
     async def hand_over(self, assignments: list[Assignment] | None) -> bool:
         """Gives the shard up; the caller has stopped every effect.
--- /dev/null
+++ b/packages/pollengate/pollengate/policy.py
@@ -0,0 +1,127 @@
+"""Builds the placement, the queue and the reactions of one shard and keeps them configured."""
+
+import random
+from collections.abc import Callable
+
+from pollengate.capacity import CapacityBooks
+from pollengate.class_profiles import ClassProfiles
+from pollengate.configuration import Configuration
+from pollengate.drain import Drain
+from pollengate.eviction_budget import EvictionBudget, EvictionLimits
+from pollengate.failure_evidence import FailureEvidence
+from pollengate.fair_queue import FairQueue
+from pollengate.harm_placement import HarmPlacement, PlacementWeights
+from pollengate.harm_reaction import HarmReaction, ReactionThresholds
+from pollengate.interference import InterferenceModel
+from pollengate.parking import Parking
+from pollengate.placement import Placement
+from pollengate.policies import ShardPolicies
+from pollengate.preemption import Preemption
+from pollengate.reaction import ReactionChain
+from pollengate.reservations import Reservations
+from pollengate.task_outcomes import LearnedOutcomes
+
+__all__ = ["ShardPolicy", "learned_policies"]
+
+
+class ShardPolicy:
+    """The decision classes of one shard; what they learn is lost with it, without harm.
+
+    Attributes:
+        placement: which worker a task starts on.
+        queue: which task is offered next.
+        reaction: what to do about measured harm and about urgent work without room.
+        outcomes: what is learned from the ends of tasks.
+    """
+
+    def __init__(self, zone: str, seed: int, clock: Callable[[], float]) -> None:
+        self._zone = zone
+        self._clock = clock
+        generator = random.Random(seed)
+        self.books = CapacityBooks()
+        self.profiles = ClassProfiles()
+        self.model = InterferenceModel()
+        self.failures = FailureEvidence(clock)
+        self.budget = EvictionBudget()
+        self.reservations = Reservations(self.books, self.failures, generator)
+        self.placement = HarmPlacement(
+            self.books,
+            self.reservations,
+            self.model,
+            self.profiles,
+            self.failures,
+            generator,
+        )
+        parking = Parking(self.books, self.failures)
+        self.queue = FairQueue(self.books, self.profiles, self.reservations, parking, clock)
+        self.harm_reaction = HarmReaction(
+            self.books, self.model, self.profiles, self.budget, generator
+        )
+        preemption = Preemption(self.books, self.reservations, self.budget)
+        self.outcomes = LearnedOutcomes(self.books, self.profiles, self.failures, clock)
+        self.drain = Drain(self.books, self.outcomes.remaining_s)
+        self.reaction = ReactionChain((self.drain, preemption, self.harm_reaction))
+        self._version: int | None = None
+
+    def configure(self, configuration: Configuration) -> None:
+        """Takes in a version of the configuration; one taken in before costs nothing."""
+        if configuration.version == self._version:
+            return
+        self._version = configuration.version
+        self._configure_drain(configuration)
+        policy = configuration.policy
+        self.books.service_classes = frozenset(policy.service_classes)
+        shards = sum(z.shards for z in configuration.zones_by_name.values() if z.in_service)
+        self.queue.configure(configuration.quotas_by_team, shards)
+        self.placement.weights = PlacementWeights(
+            service_harm=policy.service_harm_weight,
+            batch_harm=policy.batch_harm_weight,
+            load=policy.load_weight,
+            max_service_slowdown=policy.max_service_slowdown,
+        )
+        self.harm_reaction.thresholds = ReactionThresholds(
+            high=policy.throttle_above, low=policy.release_below, evict=policy.evict_on_harm
+        )
+        self.budget.limits = EvictionLimits(
+            policy.eviction_interval_s,
+            policy.worker_eviction_interval_s,
+            policy.evictions_per_minute,
+        )
+
+    def _configure_drain(self, configuration: Configuration) -> None:
+        zone = configuration.zones_by_name.get(self._zone)
+        if zone is not None and not zone.in_service:
+            self.drain.begin(self._clock(), zone.drain_grace_s)
+        else:
+            self.drain.end()
+
+
+class _PolicyBuilder:
+    """Builds one policy for each period of ownership and hands out its parts."""
+
+    def __init__(self, zone: str, seed: int, clock: Callable[[], float]) -> None:
+        self._zone = zone
+        self._seed = seed
+        self._clock = clock
+        self.policy = ShardPolicy(zone, seed, clock)
+
+    def make_placement(self) -> Placement:
+        """Starts anew and returns the placement."""
+        self.policy = ShardPolicy(self._zone, self._seed, self._clock)
+        return self.policy.placement
+
+    def configure(self, configuration: Configuration) -> None:
+        """Gives the policy the configuration in force."""
+        self.policy.configure(configuration)
+
+
+def learned_policies(zone: str, seed: int, clock: Callable[[], float]) -> ShardPolicies:
+    """Returns the builders of this policy for a shard of a zone."""
+    builder = _PolicyBuilder(zone, seed, clock)
+    return ShardPolicies(
+        make_placement=builder.make_placement,
+        make_queue=lambda: builder.policy.queue,
+        make_reaction=lambda: builder.policy.reaction,
+        make_outcomes=lambda: builder.policy.outcomes,
+        configure=builder.configure,
+    )
--- a/packages/pollengate/pollengate/shard.py
+++ b/packages/pollengate/pollengate/shard.py
@@ -10,6 +10,7 @@
 from pollengate.placement import Placement, PlacementRequest
 from pollengate.recovery import Recovery
 from pollengate.task_books import TaskBooks, ref_of, tasks_of
+from pollengate.task_outcomes import NoOutcomes, TaskOutcomes
 from pollengate.task_queue import TaskQueue
 from pollengate.virtual_machines import VirtualMachine
 from pollengate.worker import Heartbeat, HeartbeatAnswer, TaskAnswer, TaskOrder, TaskRef, TaskReport
@@ -41,9 +42,15 @@
         workers: its workers.
     """
 
-    def __init__(self, placement: Placement, queue: TaskQueue, epoch: int = 0) -> None:
+    def __init__(
+        self,
+        placement: Placement,
+        queue: TaskQueue,
+        epoch: int = 0,
+        outcomes: TaskOutcomes | None = None,
+    ) -> None:
         self.workers = WorkerTable(placement)
-        self._tasks = TaskBooks(epoch, placement, queue, self.workers)
+        self._tasks = TaskBooks(epoch, placement, queue, self.workers, outcomes or NoOutcomes())
         self._placement = placement
         self._queue = queue
         self._recovery = Recovery()
--- a/packages/pollengate/pollengate/task_books.py
+++ b/packages/pollengate/pollengate/task_books.py
@@ -2,9 +2,11 @@
 
 from collections.abc import Iterable
 
+from pollengate.failure_evidence import Verdict
 from pollengate.job_books import ChangeLog, JobBook
 from pollengate.jobs import ENDED_STATES, ON_WORKER_STATES, JobSpec, Task, TaskState
 from pollengate.placement import Placement, request_for
+from pollengate.task_outcomes import TaskEnd, TaskOutcomes
 from pollengate.task_queue import TaskQueue
 from pollengate.worker import ReportState, TaskAnswer, TaskOrder, TaskRef, TaskReport
 from pollengate.worker_books import StopOrder
@@ -14,6 +16,9 @@
 
 OUTCOME_UNKNOWN = "its worker was lost after the start may have been sent"
 
+# Refusals that say nothing about the worker; an order that was withdrawn has no reason.
+_PASSING_REFUSALS = frozenset({"", "already_running", "epoch_too_low", "no_lease"})
+
 _EVENT_BY_REPORT = {
     ReportState.RUNNING: "reported_running",
     ReportState.FINISHED: "reported_finished",
@@ -32,7 +37,12 @@
     """
 
     def __init__(
-        self, epoch: int, placement: Placement, queue: TaskQueue, workers: WorkerTable
+        self,
+        epoch: int,
+        placement: Placement,
+        queue: TaskQueue,
+        workers: WorkerTable,
+        outcomes: TaskOutcomes,
     ) -> None:
         self.jobs_by_id: dict[str, JobBook] = {}
         self.changes = ChangeLog()
@@ -40,6 +50,7 @@
         self._placement = placement
         self._queue = queue
         self._workers = workers
+        self._outcomes = outcomes
         self._left: list[str] = []
         self._ended: list[JobBook] = []
 
@@ -62,7 +73,7 @@
 
     def enqueue(self, task: Task) -> None:
         """Makes a task wait for a worker."""
-        self._queue.push(request_for(task.task_id, task.spec))
+        self._queue.push(request_for(task.task_id, task.spec, resumed=bool(task.checkpoint)))
 
     def assign(self, task_id: str, worker_id: str) -> TaskOrder:
         """Gives a task that placement has counted to its worker."""
@@ -91,9 +102,12 @@
         job, task = found
         if not answer.accepted:
             if task.state is not TaskState.RUNNING:
+                if answer.reason not in _PASSING_REFUSALS:
+                    self._outcomes.ended(task.task_id, TaskEnd.REFUSED)
                 self._leave(job, task, "start_refused")
         elif task.state is TaskState.STARTING:
             job.move(task, "start_accepted")
+            self._outcomes.started(task.task_id)
 
     def is_newest(self, ref: TaskRef) -> bool:
         """Tells whether no later attempt at the task is known."""
@@ -231,10 +245,20 @@
             task.checkpoint = report.checkpoint
             task.has_intent = False
         task.detail = report.detail
-        self._leave(job, task, _EVENT_BY_REPORT[report.state])
+        self._leave(job, task, self._event_of(task, report.state))
         if report.state is ReportState.CHECKPOINTED and task.state not in ENDED_STATES:
             self.changes.note(task)
 
+    def _event_of(self, task: Task, state: ReportState) -> str:
+        """Returns the event of an end; an idempotent task may be tried on another worker."""
+        if state is ReportState.FINISHED:
+            self._outcomes.ended(task.task_id, TaskEnd.FINISHED)
+        elif state is ReportState.FAILED:
+            verdict = self._outcomes.ended(task.task_id, TaskEnd.FAILED)
+            if task.spec.idempotent and verdict is Verdict.RETRY:
+                return "reported_failed_retry"
+        return _EVENT_BY_REPORT[state]
+
     def lose_stopped(self, job: JobBook, task: Task) -> None:
         """Moves a task that its worker stopped without a checkpoint."""
         if not task.spec.idempotent and task.has_intent:
@@ -250,6 +274,7 @@
     def _leave(self, job: JobBook, task: Task, event: str) -> None:
         was_on_worker = bool(task.worker_id)
         self._workers.leave(task.task_id, task.worker_id)
+        self._outcomes.ended(task.task_id, TaskEnd.LEFT)
         self._placement.release(task.task_id)
         task.worker_id = ""
         state = job.move(task, event)
--- a/tests/utils.py
+++ b/tests/utils.py
@@ -4,16 +4,31 @@
 from collections.abc import Coroutine
 from typing import Any, TypeVar
 
+import httpx
 import looptime
+from litestar.types import ASGIApp
+from pollengate.configuration import Configuration, Limits, Policy, Zone
 from pollengate.jobs import JobSpec, Resources
+from pollengate.placement_request import PlacementRequest
+from pollengate.policy import ShardPolicy
 from pollengate.virtual_machines import VirtualMachine, VmKind, VmState
 from pollengate_settings import Settings
 
-__all__ = ["build_settings", "build_spec", "build_worker", "run_virtual"]
+__all__ = [
+    "ManualClock",
+    "build_policy",
+    "build_request",
+    "build_settings",
+    "build_spec",
+    "build_worker",
+    "request_app",
+    "run_virtual",
+]
 
 T = TypeVar("T")
 LOOP_END_S = 36_000.0
-# Enough for handles that a poll of the selector makes ready; the default of 42 costs most of the time.
+CANCEL_TIMEOUT_S = 60.0
+# Idle turns of the loop before its clock moves.
 NOOP_CYCLES = 1
 
 
@@ -33,7 +48,9 @@
     leftovers = asyncio.all_tasks() - {asyncio.current_task()}
     for task in leftovers:
         task.cancel()
-    await asyncio.gather(*leftovers, return_exceptions=True)
+    if leftovers:
+        _, deaf = await asyncio.wait(leftovers, timeout=CANCEL_TIMEOUT_S)
+        assert not deaf, f"tasks ignore their cancellation: {deaf}"
     await asyncio.get_running_loop().shutdown_asyncgens()
 
 
@@ -48,6 +65,43 @@
     return JobSpec(**(fields | changes))
 
 
+class ManualClock:
+    """A clock that tests set."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+def build_policy(
+    clock: ManualClock, workers: int = 0, cores: int = 4, **settings: Any
+) -> ShardPolicy:
+    """Returns a shard's policy with workers w0, w1, ... in two racks."""
+    policy = ShardPolicy("a", 0, clock)
+    zones = {"a": Zone()}
+    policy.configure(
+        Configuration(1, zones, {}, settings.pop("quotas", {}), Limits(), Policy(**settings))
+    )
+    for number in range(workers):
+        policy.placement.add_worker(f"w{number}", f"r{number % 2}", Resources(cores, 1000))
+    return policy
+
+
+def build_request(task_id: str = "job.0", cores: int = 1, **changes: Any) -> PlacementRequest:
+    """Returns a request for a small task."""
+    fields: dict[str, Any] = {
+        "task_id": task_id,
+        "task_class": "default",
+        "team": "team",
+        "resources": Resources(cores, 100),
+        "duration_ms": 1000,
+        "job_id": task_id.rpartition(".")[0],
+    }
+    return PlacementRequest(**(fields | changes))
+
+
 def build_worker(worker_id: str = "w0", zone: str = "a", **changes: Any) -> VirtualMachine:
     """Returns a live worker with four cores."""
     fields: dict[str, Any] = {
@@ -74,3 +128,14 @@
         "vm_list_address": "127.0.0.1:8000",
     }
     return Settings(**(fields | changes))
+
+
+def request_app(app: ASGIApp, method: str, path: str, **options: Any) -> httpx.Response:
+    """Sends one request to an application without sockets, on virtual time."""
+
+    async def main() -> httpx.Response:
+        transport = httpx.ASGITransport(app)  # type: ignore[arg-type]
+        async with httpx.AsyncClient(transport=transport, base_url="http://gate") as client:
+            return await client.request(method, path, **options)
+
+    return run_virtual(main())
