--- a/benchmarks/starts.py
+++ b/benchmarks/starts.py
@@ -22,6 +22,13 @@
     """Runs one measurement and prints its figures."""
     zone = ZoneHost(workers, cores=64)
     await zone.start()
+    try:
+        await _run(zone, workers, rate, seconds)
+    finally:
+        await zone.stop()
+
+
+async def _run(zone: ZoneHost, workers: int, rate: int, seconds: float) -> None:
     zone.start_scheduler()
     process_id = (await zone.owner_process()).process.pid
     await asyncio.sleep(WARM_UP_S)
@@ -45,7 +52,6 @@
     print(f"store bytes written/s {written / seconds:.0f}")
     print(f"memory {memory_mb(process_id):.0f} MB")
     feeding.cancel()
-    await zone.stop()
 
 
 async def _feed(zone: ZoneHost, rate: int) -> None:
--- a/benchmarks/takeover.py
+++ b/benchmarks/takeover.py
@@ -24,6 +24,13 @@
     """Ends the owner a number of times and returns the longest gap between starts each time."""
     zone = ZoneHost(workers=8, cores=8)
     await zone.start()
+    try:
+        return await _end_owners(zone, number, times)
+    finally:
+        await zone.stop()
+
+
+async def _end_owners(zone: ZoneHost, number: signal.Signals, times: int) -> list[float]:
     zone.start_scheduler()
     zone.start_scheduler()
     await zone.owner()
@@ -40,9 +47,8 @@
         starts = [at for at in zone.starts() if at >= begun - 0.5]
         gaps.append(max(after - before for before, after in itertools.pairwise(starts)))
         zone.start_scheduler()
-    running = [ref for model in zone.models for ref in model.starts]
-    print(f"{number.name}: started {len(running)}, twice {len(running) - len(set(running))}")
-    await zone.stop()
+    started = [ref for model in zone.models for ref in model.starts]
+    print(f"{number.name}: started {len(started)}, twice {len(started) - len(set(started))}")
     return gaps
 
 
--- a/packages/pollengated/pollengated/ledger_writer.py
+++ b/packages/pollengated/pollengated/ledger_writer.py
@@ -34,10 +34,18 @@
         self._dropped_at: deque[tuple[float, str]] = deque()
         self._retention_lease_id = 0
         self._retention_until = 0.0
+        self._has_ended = False
         self._log = Log("ledger")
 
     async def run(self) -> None:
-        """Writes at an interval, and at once when a caller waits, until cancelled."""
+        """Writes at an interval, and at once when a caller waits, until the shard is lost."""
+        try:
+            await self._flush_until_lost()
+        finally:
+            self._has_ended = True
+            self._answer(self._waiter, Err(LedgerConflict("the shard is no longer served")))
+
+    async def _flush_until_lost(self) -> None:
         while True:
             try:
                 async with asyncio.timeout(FLUSH_INTERVAL_S):
@@ -53,6 +61,8 @@
 
     async def record(self) -> Result[None, LedgerFailure]:
         """Waits until all that the books hold now is durable, or a write of it failed."""
+        if self._has_ended:
+            return Err(LedgerConflict("the shard is no longer served"))
         if self._waiter is None:
             self._waiter = asyncio.get_running_loop().create_future()
         self._wanted.set()
@@ -63,20 +73,31 @@
         waiter, self._waiter = self._waiter, None
         self._wanted.clear()
         changes = self._books.changes.take()
-        result = await self._append(changes)
+        try:
+            result = await self._append(changes)
+        except asyncio.CancelledError:
+            self._answer(waiter, Err(LedgerConflict("the shard is no longer served")))
+            raise
         if isinstance(result, Ok):
             self._books.changes.recorded(changes)
             await self._reach_checkpoints(changes)
             self._apply_cancellations(changes)
         else:
             self._books.changes.give_back(changes)
-        if waiter is not None and not waiter.done():
-            waiter.set_result(result)
+        self._answer(waiter, result)
         if isinstance(result, Ok):
             self._drop_ended()
             return await self._fold()
         return result
 
+    @staticmethod
+    def _answer(
+        waiter: asyncio.Future[Result[None, LedgerFailure]] | None,
+        result: Result[None, LedgerFailure],
+    ) -> None:
+        if waiter is not None and not waiter.done():
+            waiter.set_result(result)
+
     async def _append(self, changes: list[JobChange]) -> Result[None, LedgerFailure]:
         if not changes:
             return Ok(None)
--- a/packages/pollengated/pollengated/shard_server.py
+++ b/packages/pollengated/pollengated/shard_server.py
@@ -1,6 +1,7 @@
 """Serves an owned shard: starts its tasks, renews its workers and records their ends."""
 
 import asyncio
+import dataclasses
 from collections.abc import Callable, Coroutine
 from typing import Any
 
@@ -111,7 +112,9 @@
             self._books.changes.note_cancelled(job.spec.job_id)
             result = await self._writer.record()
             if isinstance(result, Err):
-                return Err(ledger_refusal(result.err_value))
+                # The change stays noted, so that a later write may still record it.
+                refusal = ledger_refusal(result.err_value)
+                return Err(dataclasses.replace(refusal, outcome=Outcome.UNKNOWN))
             await self._steps.reach(Step.CANCEL_RECORDED, job.spec.job_id)
             self._wake.set()
         return Ok(None)
--- a/tests/faults/records.py
+++ b/tests/faults/records.py
@@ -154,12 +154,12 @@
         self.renewals.append(asked_at)
         super()._renew(asked_at, lease_s)
 
-    def _stop_all(self) -> None:
+    def lapse(self) -> None:
         if not self._ignores_lease:
-            super()._stop_all()
+            super().lapse()
 
-    def _end(self, ref: TaskRef, state: ReportState) -> None:
-        super()._end(ref, state)
+    def end(self, ref: TaskRef, state: ReportState) -> None:
+        super().end(ref, state)
         run = self._runs_by_ref[ref]
         run.ended_at = asyncio.get_running_loop().time()
         run.end_state = state
--- a/tests/test_shard_owner.py
+++ b/tests/test_shard_owner.py
@@ -299,6 +299,36 @@
 
         run_virtual(main())
 
+    def test_cancellation_that_may_still_be_recorded_is_not_called_not_run(self) -> None:
+        async def main() -> None:
+            store = FaultyStore(MemoryStore())
+            zone = ZoneFake(store)
+            zone.start_owner()
+            await zone.submit(duration_ms=60_000)
+            owner = await zone.serving()
+            store.plan = lambda keys: Fault.NOT_SENT
+            refusal = (await owner.cancel("job")).unwrap_err()
+            self.assertEqual(refusal.outcome, Outcome.UNKNOWN)
+            store.plan = lambda keys: None
+            await zone.wait_for("job", TaskState.CANCELLED)
+
+        run_virtual(main())
+
+    def test_cancellation_is_answered_when_the_shard_is_lost_meanwhile(self) -> None:
+        async def main() -> None:
+            zone = ZoneFake()
+            steps = BlockAt(Step.LEDGER_WRITING)
+            owner = zone.start_owner(steps)
+            await zone.submit(duration_ms=60_000)
+            cancelling = asyncio.create_task(owner.cancel("job"))
+            await steps.reached.wait()
+            zone.kill(owner)
+            async with asyncio.timeout(5.0):
+                refusal = (await cancelling).unwrap_err()
+            self.assertEqual(refusal.outcome, Outcome.UNKNOWN)
+
+        run_virtual(main())
+
     def test_cancellation_survives_the_owner(self) -> None:
         async def main() -> None:
             zone = ZoneFake()
