--- a/packages/pollengate-settings/pollengate_settings/model.py
+++ b/packages/pollengate-settings/pollengate_settings/model.py
@@ -30,6 +30,7 @@
         head_timeout_s: seconds within which a request's line and headers must arrive.
         body_timeout_s: seconds within which a request's body must arrive.
         answer_timeout_s: seconds without progress after which an answer is given up.
+        stop_delay_s: seconds between "not ready" and the end of new requests of a stopping gate.
         log_format: `text` or `json`.
         log_level: lowest level that is written.
     """
@@ -44,6 +45,7 @@
     head_timeout_s: float = 10.0
     body_timeout_s: float = 30.0
     answer_timeout_s: float = 30.0
+    stop_delay_s: float = 3.0
     log_format: str = "text"
     log_level: str = "info"
 
@@ -102,6 +104,9 @@
     answer_timeout_s: float = pydantic.Field(
         default=30.0, gt=0, le=3600, description="a number of seconds above 0 and up to 3600"
     )
+    stop_delay_s: float = pydantic.Field(
+        default=3.0, ge=0, le=600, description="a number of seconds from 0 to 600"
+    )
 
 
 class LoggingSection(_Section):
@@ -141,6 +146,7 @@
             head_timeout_s=self.requests.head_timeout_s,
             body_timeout_s=self.requests.body_timeout_s,
             answer_timeout_s=self.requests.answer_timeout_s,
+            stop_delay_s=self.requests.stop_delay_s,
             log_format=self.logging.format,
             log_level=self.logging.level,
         )
--- a/tests/faults/records.py
+++ b/tests/faults/records.py
@@ -155,10 +155,12 @@
         super()._renew(asked_at, lease_s)
 
     def lapse(self) -> None:
+        """Stops every task once the lease has lapsed, unless this rule is left out."""
         if not self._ignores_lease:
             super().lapse()
 
     def end(self, ref: TaskRef, state: ReportState) -> None:
+        """Ends a task and records it."""
         super().end(ref, state)
         run = self._runs_by_ref[ref]
         run.ended_at = asyncio.get_running_loop().time()
--- a/tests/utils.py
+++ b/tests/utils.py
@@ -1,6 +1,7 @@
 """Builders and drivers that tests share."""
 
 import asyncio
+import socket
 from collections.abc import Coroutine
 from typing import Any, TypeVar
 
@@ -21,6 +22,7 @@
     "build_settings",
     "build_spec",
     "build_worker",
+    "free_addresses",
     "request_app",
     "run_virtual",
 ]
@@ -139,3 +141,14 @@
             return await client.request(method, path, **options)
 
     return run_virtual(main())
+
+
+def free_addresses(count: int) -> list[str]:
+    """Returns unused loopback addresses."""
+    sockets = [socket.socket() for _ in range(count)]
+    for one in sockets:
+        one.bind(("127.0.0.1", 0))
+    addresses = [f"127.0.0.1:{one.getsockname()[1]}" for one in sockets]
+    for one in sockets:
+        one.close()
+    return addresses
