Place by the trace through the new placement base in the replay test

The merged placement keeps its books elsewhere; the stub overrode a private field of the old one (AttributeError). It now overrides _choose; the assertions are the same.

--- a/tests/test_ownership_models.py
+++ b/tests/test_ownership_models.py
@@ -7,7 +7,7 @@
 from pollengate.handover import Assignment
 from pollengate.jobs import Resources, Task, TaskState
 from pollengate.ledger_records import JobRecord
-from pollengate.placement import FirstFit, PlacementRequest
+from pollengate.placement import BookedPlacement, PlacementRequest
 from pollengate.shard import Shard
 from pollengate.task_queue import FifoQueue
 from pollengate.worker import HeartbeatAnswer, ReportState, TaskOrder
@@ -60,15 +60,12 @@
             self.assertLessEqual(set(check.build().invariants), broken)
 
 
-class _Chosen(FirstFit):
+class _Chosen(BookedPlacement):
     """Places every task on the worker that the trace names."""
 
     worker_id = ""
 
-    def place(self, request: PlacementRequest) -> str | None:
-        if self.worker_id not in self._offered:
-            return None
-        self.adopt(request, self.worker_id)
+    def _choose(self, request: PlacementRequest) -> str | None:
         return self.worker_id
 
 
