--- a/packages/pollengated/pollengated/compose.py
+++ b/packages/pollengated/pollengated/compose.py
@@ -42,6 +42,7 @@
 from pollengated.settings import Settings
 from pollengated.shard_owner import ShardOwner
 from pollengated.shard_set import ShardSet
+from pollengated.status_collector import StatusCollector
 from pollengated.vm_directory import VmDirectory
 
 __all__ = ["run_gate", "run_scheduler"]
@@ -68,13 +69,14 @@
     client = SchedulerClient()
     proxy = ServiceProxy(settings.zone, follower, vms)
     jobs = JobRouter(store, follower, directory, client)
+    status = StatusCollector(registry, follower, directory, client, peers, metrics)
     readiness = Readiness(follower)
     app = create_app(
         [
             configuration_router(follower, patcher, metrics),
             task_router(jobs, metrics),
             service_router(proxy, metrics),
-            status_router(settings.process_id, settings.zone, follower, directory, client, metrics),
+            status_router(status),
             health_router(readiness, metrics),
         ],
         settings,
--- a/packages/pollengated/pollengated/status_report.py
+++ b/packages/pollengated/pollengated/status_report.py
@@ -88,7 +88,7 @@
         process_id: the gate that reports.
         configuration_version: the version in force at that gate.
         zones: every configured zone, by name.
-        processes: the gate and each owner that it knows.
+        processes: every process that it knows.
         refusals_by_reason: requests that this gate refused.
     """
 
