--- a/packages/pollengated/pollengated/compose.py
+++ b/packages/pollengated/pollengated/compose.py
@@ -2,26 +2,30 @@
 
 import asyncio
 import signal
+import uuid
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 from grpclib.server import Server
-from litestar.types import ASGIApp
 from pollengate.membership import Member, Role
 from pollengate.patches import OutstandingPatches
 from pollengate.policy import learned_policies
 from pollengate_net.calls import split_address
 from pollengate_net.etcd_store import EtcdStore
 from pollengate_net.grpc_worker import GrpcWorkerClient
+from pollengate_net.http_backend import HttpBackendClient
 from pollengate_net.http_vm_list import HttpVmList
 from pollengate_net.peer_client import GrpcPeerClient
 from pollengate_net.request_ids import trace_server
 from pollengate_net.scheduler_client import SchedulerClient
+from pollengate_net.slot_client import SlotClient
 
 from pollengated.call_log import CallLog
 from pollengated.configuration_exchange import ConfigurationExchange
 from pollengated.configuration_follower import ConfigurationFollower
 from pollengated.configuration_patches import ConfigurationPatcher
 from pollengated.gate_admission import GateAdmission
+from pollengated.gate_stop import ClosingConnections, GateStop
 from pollengated.http_configuration import configuration_router
 from pollengated.http_health import health_router
 from pollengated.http_server import create_app, create_server, serve_until_cancelled
@@ -42,6 +46,8 @@
 from pollengated.settings import Settings
 from pollengated.shard_owner import ShardOwner
 from pollengated.shard_set import ShardSet
+from pollengated.slot_keeper import SlotKeeper
+from pollengated.slot_service import SlotService
 from pollengated.status_collector import StatusCollector
 from pollengated.vm_directory import VmDirectory
 
@@ -63,33 +69,48 @@
     admission = GateAdmission(registry, peers)
     outstanding = OutstandingPatches()
     patcher = ConfigurationPatcher(store, follower, registry, admission, outstanding)
-    server = Server([PeerService(PeerAnswers(store, follower, registry, outstanding))])
-    await server.start(*split_address(settings.rpc_address))
+    rpc_server = Server([PeerService(PeerAnswers(store, follower, registry, outstanding))])
+    await rpc_server.start(*split_address(settings.rpc_address))
     directory = OwnerDirectory(store)
     client = SchedulerClient()
-    proxy = ServiceProxy(settings.zone, follower, vms)
+    slots = SlotClient()
+    # A restarted process counts its asks anew, under a name of its own.
+    gate_id = f"{settings.process_id}.{uuid.uuid4().hex}"
+    keeper = SlotKeeper(gate_id, settings.zone, directory, vms, slots)
+    proxy = ServiceProxy(settings.zone, follower, vms, keeper, HttpBackendClient(), metrics)
     jobs = JobRouter(store, follower, directory, client)
     status = StatusCollector(registry, follower, directory, client, peers, metrics)
-    readiness = Readiness(follower)
+    readiness = Readiness(follower, keeper.obstacle)
+    stop = GateStop(readiness, settings.stop_delay_s)
     app = create_app(
         [
             configuration_router(follower, patcher, metrics),
             task_router(jobs, metrics),
-            service_router(proxy, metrics),
+            service_router(proxy, metrics, settings.max_body_bytes),
             status_router(status),
             health_router(readiness, metrics),
         ],
         settings,
         metrics,
     )
-    loops = [registry.run(), exchange.run(), admission.run(), directory.run(), vms.run()]
-    await _run_until_stopped(_serve_http(app, settings, metrics), loops)
+    loops = [
+        registry.run(),
+        exchange.run(),
+        admission.run(),
+        directory.run(),
+        vms.run(),
+        keeper.run(),
+    ]
+    server = create_server(ClosingConnections(app, readiness), settings, metrics)
+    Log("gate").info("serving", address=settings.http_address)
+    await _run_until_stopped(stop.serve(server), loops, after=proxy.close)
+    await keeper.give_back()
     await registry.leave()
-    server.close()
-    await server.wait_closed()
+    rpc_server.close()
+    await rpc_server.wait_closed()
     await peers.close()
+    slots.close()
     client.close()
-    await proxy.close()
     await store.close()
 
 
@@ -123,7 +144,8 @@
 
     shards = ShardSet(store, settings.zone, follower, make_owner)
     service = SchedulerService(settings.process_id, settings.zone, shards, follower)
-    server = Server([service, HeartbeatService(shards), PeerService(answers)])
+    slots = SlotService(settings.zone, shards, store, follower, vms)
+    server = Server([service, HeartbeatService(shards), slots, PeerService(answers)])
     trace_server(server, CallLog("scheduler").write)
     app = create_app([health_router(Readiness(follower), metrics)], settings, metrics)
     await server.start(*split_address(settings.rpc_address))
@@ -143,11 +165,6 @@
     return MemberRegistry(store, member)
 
 
-async def _serve_http(app: ASGIApp, settings: Settings, metrics: Metrics) -> None:
-    Log("gate").info("serving", address=settings.http_address)
-    await create_server(app, settings, metrics).serve()
-
-
 async def _run_shards(shards: ShardSet) -> None:
     serving = asyncio.create_task(shards.run())
     stopping = asyncio.create_task(_wait_for_stop())
@@ -166,10 +183,17 @@
     await stop.wait()
 
 
-async def _run_until_stopped(serve: Any, loops: list[Any]) -> None:
+async def _nothing() -> None:
+    return
+
+
+async def _run_until_stopped(
+    serve: Any, loops: list[Any], after: Callable[[], Awaitable[None]] = _nothing
+) -> None:
     tasks = [asyncio.create_task(loop) for loop in loops]
     try:
         await serve
+        await after()
     finally:
         for task in tasks:
             task.cancel()
--- a/packages/pollengated/pollengated/problems.py
+++ b/packages/pollengated/pollengated/problems.py
@@ -16,6 +16,7 @@
 STATUS_BY_REASON = {
     Reason.BACKEND_FAILED: 502,
     Reason.BODY_TOO_LARGE: 413,
+    Reason.CALLER_GONE: 499,
     Reason.CONFIGURATION_STALE: 503,
     Reason.DEADLINE_TOO_SHORT: 503,
     Reason.IDEMPOTENCY_CONFLICT: 409,
@@ -25,6 +26,7 @@
     Reason.NO_BACKEND: 503,
     Reason.NO_OWNER: 503,
     Reason.NOT_ADMITTED: 503,
+    Reason.NO_SLOT: 503,
     Reason.NOT_FOUND: 404,
     Reason.OWNER_MAY_REMAIN: 503,
     Reason.PROMISE_UNANSWERED: 503,
