--- a/packages/pollengated/pollengated/http_services.py
+++ b/packages/pollengated/pollengated/http_services.py
@@ -1,6 +1,7 @@
 """Callers' routes: requests of services, passed on without decoding."""
 
 import json
+import time
 from typing import Any, cast
 
 from litestar import asgi
@@ -64,8 +65,11 @@
         if isinstance(request, Err):
             await _refuse(request.err_value, metrics, send)
             return
-        with metrics.requests.labels(request.ok_value.service).time():
-            result = await proxy.send(request.ok_value)
+        began_at = time.perf_counter()
+        result = await proxy.send(request.ok_value)
+        if not _is_unknown_service(result):
+            elapsed_s = time.perf_counter() - began_at
+            metrics.requests.labels(request.ok_value.service).observe(elapsed_s)
         if isinstance(result, Err):
             await _refuse(result.err_value, metrics, send)
         else:
@@ -74,6 +78,11 @@
     return serve
 
 
+def _is_unknown_service(result: Result[Any, Refusal]) -> bool:
+    # A caller may name any service; only configured ones become labels.
+    return isinstance(result, Err) and result.err_value.reason is Reason.NOT_FOUND
+
+
 async def _read_body(receive: Receive, max_bytes: int) -> Result[bytes, Refusal]:
     chunks: list[bytes] = []
     size = 0
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -2,13 +2,17 @@
 
 import unittest
 from pathlib import Path
+from typing import Any
 
-from pollengate.refusals import Reason
+from pollengate.refusals import Outcome, Reason, Refusal
+from pollengated.http_server import create_app
+from pollengated.http_services import service_router
 from pollengated.metrics import Metrics
 from pollengated.problems import STATUS_BY_REASON
+from result import Err, Result
 
 from tests.cluster import ZoneFake, run_until
-from tests.utils import run_virtual
+from tests.utils import build_settings, request_app, run_virtual
 
 REFUSALS_PAGE = Path(__file__).parent.parent / "docs" / "operators" / "refusals.md"
 
@@ -48,6 +52,26 @@
         self.assertIn('pollengate_retries_total{reason="no_backend"} 1.0', text)
 
 
+class UnknownServicesFake:
+    """Refuses every request, as for a service that is not configured."""
+
+    async def send(self, _: Any) -> Result[Any, Refusal]:
+        return Err(Refusal(Outcome.NOT_RUN, Reason.NOT_FOUND, "no such service"))
+
+
+class RequestTimeTest(unittest.TestCase):
+    """Times requests of services."""
+
+    def test_names_that_callers_make_up_are_no_labels(self) -> None:
+        metrics = Metrics()
+        router = service_router(UnknownServicesFake(), metrics, 100)  # type: ignore[arg-type]
+        app = create_app([router], build_settings(), metrics)
+        for number in range(5):
+            answer = request_app(app, "GET", f"/services/made-up-{number}/x")
+            self.assertEqual(404, answer.status_code)
+        self.assertNotIn("made-up", metrics.export().decode())
+
+
 class StartDelayTest(unittest.TestCase):
     """Measures starts of an owner on virtual time."""
 
