--- a/tests/test_models.py
+++ b/tests/test_models.py
@@ -1,12 +1,17 @@
 """Tests of the models: the protocols hold, each weakened variant is broken."""
 
+import random
 import unittest
 
 from minicheck import check_safety
+from pollengate.promises import PromiseAsker, PromiseGranter
 
 from models import patches, promises
 
 PROMISE_SCENARIOS = promises.SCENARIOS[:2]
+WALKS = 300
+WALK_STEPS = 30
+BELOW_ALL = 1_000
 
 
 class PatchModelTest(unittest.TestCase):
@@ -48,5 +53,47 @@
                 self.assertIs(result["properties"]["one owner"]["holds"], False)
 
 
+class ReplayTest(unittest.TestCase):
+    """Walks through the model of promises and makes each step on the code."""
+
+    def test_promises_of_the_model_are_those_of_the_code(self) -> None:
+        replayed: set[str] = set()
+        for seed in range(WALKS):
+            replayed |= self._walk(random.Random(seed))
+        self.assertLessEqual({"1 promises", "owner hears 1", "1 reads members"}, replayed)
+
+    def _walk(self, choices: random.Random) -> set[str]:
+        scenario = promises.SCENARIOS[0]
+        model = promises.build(scenario, promises.Rules())
+        state = model.initial[0]
+        granter = PromiseGranter(scenario.ticks + promises.MARGIN_TICKS)
+        asker = PromiseAsker()
+        asker.rely_on(1, ["1"])
+        owner_now, granter_now, asked_at = 0.0, 0.0, 0.0
+        labels: set[str] = set()
+        for _ in range(WALK_STEPS):
+            label, (state,) = choices.choice(model.transitions((state,)))
+            labels.add(label)
+            if label.startswith("tick"):
+                owner_now += label == "tick"
+                granter_now += 1
+            elif label == "owner asks 1":
+                asked_at = owner_now
+            elif label == "1 promises":
+                self.assertTrue(granter.promise(state.epoch, granter_now))
+            elif label == "owner hears 1":
+                asker.promised("1", asked_at)
+            elif label == "1 reads members":
+                wait_s = granter.withhold(BELOW_ALL, granter_now)
+                self.assertEqual(wait_s, state.candidates[1].wait)
+                self.assertFalse(granter.promise(state.epoch, granter_now))
+            left = max(0.0, granter.promised_until - granter_now)
+            self.assertEqual(left, state.promised[1], label)
+            since = asker.held_since()
+            held = 0.0 if since is None else max(0.0, since + scenario.ticks - owner_now)
+            self.assertEqual(held, state.held[1], label)
+        return labels
+
+
 if __name__ == "__main__":
     unittest.main()
