--- a/benchmarks/outage.py
+++ b/benchmarks/outage.py
@@ -10,7 +10,7 @@
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
 from tests.configuration_nodes import Cluster, Node  # noqa: E402
-from tests.utils import NO_SOCKET_NOOP_CYCLES, run_virtual  # noqa: E402
+from tests.utils import run_virtual  # noqa: E402
 
 __all__ = ["main"]
 
@@ -80,7 +80,7 @@
     print(f"starts possible in each zone: {POSSIBLE_STARTS}")
     for cut_zone in (False, True):
         for way in WAYS:
-            starts, calls = run_virtual(_measure(way, cut_zone), NO_SOCKET_NOOP_CYCLES)
+            starts, calls = run_virtual(_measure(way, cut_zone))
             cut = "z2 cut off" if cut_zone else "all connected"
             print(f"{way:28} {cut:14} starts by zone {starts} calls {calls}")
 
--- a/models/__init__.py
+++ b/models/__init__.py
@@ -1,1 +1,1 @@
-"""Models of the protocols."""
+"""Models of the core protocols, checked exhaustively by minicheck."""
--- a/tests/faults/test_configuration_faults.py
+++ b/tests/faults/test_configuration_faults.py
@@ -11,7 +11,7 @@
 
 from tests.configuration_nodes import Cluster
 from tests.network import STORE
-from tests.utils import NO_SOCKET_NOOP_CYCLES, run_virtual
+from tests.utils import run_virtual
 
 MAX_LAG_S = 4.0
 FAULT_S = 12.0
@@ -254,7 +254,7 @@
             self.assertGreater(run.cluster.starts_between("z0", 0, healed_at), 0)
             run.check()
 
-        run_virtual(main(), NO_SOCKET_NOOP_CYCLES)
+        run_virtual(main())
         return run
 
     def run_step(self, step: str) -> None:
@@ -298,7 +298,7 @@
             await run.heal()
             run.check()
 
-        run_virtual(main(), NO_SOCKET_NOOP_CYCLES)
+        run_virtual(main())
 
     def test_one_of_racing_patches_wins(self) -> None:
         async def scenario(run: Run) -> None:
