Bound the queue's work a round; offer held workers first; faults with the policy

A task whose held worker had room, but which stood behind others of its kind, was never offered (test failed first: [] instead of urgent.1).

--- a/packages/pollengate/pollengate/fair_queue.py
+++ b/packages/pollengate/pollengate/fair_queue.py
@@ -6,7 +6,9 @@
 import heapq
 import itertools
 from collections.abc import Callable, Mapping
+from typing import NamedTuple
 
+from pollengate.bounded import BoundedDict
 from pollengate.capacity import CapacityBooks
 from pollengate.class_profiles import ClassProfiles
 from pollengate.configuration import Quota
@@ -26,7 +28,10 @@
 USUAL_WAITS = 3.0
 WAIT_GAIN = 0.05
 RECHECK_INTERVAL_S = 5.0
-MAX_KINDS_OFFERED = 64
+MAX_KINDS_OFFERED = 8
+MAX_REFUSALS = 24
+MAX_REFUSED_KINDS = 1024
+REFUSED_FOR_S = 0.5
 MAX_RESERVED_PER_KIND = 64
 
 
@@ -38,21 +43,23 @@
     BATCH = 2
 
 
+class _Kind(NamedTuple):
+    """Tasks of one kind are alike to the queue; the oldest is offered first."""
+
+    task_class: str
+    cores: int
+    memory_mb: int
+    accelerators: int
+
+
 @dataclasses.dataclass(slots=True)
 class _Waiting:
     request: PlacementRequest
+    kind: _Kind
     queued_at: float
     lane: Lane
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Kind:
-    """Tasks of one kind are alike to the queue; the oldest is offered first."""
-
-    task_class: str
-    resources: Resources
-
-
 Place = Callable[[PlacementRequest], bool]
 
 
@@ -60,64 +67,77 @@
     """A team's waiting tasks of one lane, by kind and arrival."""
 
     def __init__(self) -> None:
-        self.waiting_by_kind: dict[_Kind, collections.OrderedDict[str, _Waiting]] = {}
+        self.waiting_by_kind: collections.OrderedDict[
+            _Kind, collections.OrderedDict[str, _Waiting]
+        ] = collections.OrderedDict()
 
     def add(self, waiting: _Waiting) -> None:
-        queue = self.waiting_by_kind.setdefault(
-            _kind_of(waiting.request), collections.OrderedDict()
-        )
+        queue = self.waiting_by_kind.setdefault(waiting.kind, collections.OrderedDict())
         queue[waiting.request.task_id] = waiting
         if waiting.request.resumed:
             queue.move_to_end(waiting.request.task_id, last=False)
 
-    def remove(self, request: PlacementRequest) -> None:
-        kind = _kind_of(request)
-        queue = self.waiting_by_kind[kind]
-        del queue[request.task_id]
+    def remove(self, waiting: _Waiting) -> None:
+        queue = self.waiting_by_kind[waiting.kind]
+        del queue[waiting.request.task_id]
         if not queue:
-            del self.waiting_by_kind[kind]
+            del self.waiting_by_kind[waiting.kind]
 
-    def alike(self, request: PlacementRequest, count: int) -> list[_Waiting]:
-        """Returns the first tasks of a request's kind."""
-        queue = self.waiting_by_kind[_kind_of(request)]
-        return list(itertools.islice(queue.values(), count))
+    def alike(self, waiting: _Waiting, count: int) -> list[_Waiting]:
+        """Returns the first tasks of a kind."""
+        return list(itertools.islice(self.waiting_by_kind[waiting.kind].values(), count))
 
     def heads(self) -> list[_Waiting]:
+        """Returns the oldest task of each of the kinds whose turn it is."""
         queues = itertools.islice(self.waiting_by_kind.values(), MAX_KINDS_OFFERED)
         return [next(iter(queue.values())) for queue in queues]
 
+    def defer(self, kind: _Kind) -> None:
+        """Lets other kinds have their turn in the next round."""
+        if len(self.waiting_by_kind) > MAX_KINDS_OFFERED:
+            self.waiting_by_kind.move_to_end(kind)
+
 
 class _Round:
-    """What found no room while the queue is offered once."""
+    """What found no room while one lane is offered once."""
 
-    def __init__(self, blocked: list[_Waiting]) -> None:
-        self._blocked = blocked
+    def __init__(self, refused_until: BoundedDict[_Kind, float], now: float) -> None:
+        self.blocked: list[_Waiting] = []
+        self._refused_until = refused_until
+        self._now = now
         self._skipped: set[tuple[str, _Kind]] = set()
-        self._refused_by_class: dict[str, list[Resources]] = {}
+        self._refused_by_class: dict[str, list[_Kind]] = {}
 
     def skip(self, waiting: _Waiting) -> None:
         """Leaves the team's tasks of one kind out."""
-        self._skipped.add((waiting.request.team, _kind_of(waiting.request)))
+        self._skipped.add((waiting.request.team, waiting.kind))
 
     def refuse(self, waiting: _Waiting, alone: bool) -> None:
         """Notes a task without room; `alone` where that says nothing about like tasks."""
         self.skip(waiting)
-        self._blocked.append(waiting)
-        request = waiting.request
+        self.blocked.append(waiting)
         if not alone:
-            self._refused_by_class.setdefault(request.task_class, []).append(request.resources)
+            self._refused_by_class.setdefault(waiting.kind.task_class, []).append(waiting.kind)
+            if waiting.lane is Lane.BATCH:
+                self._refused_until.put(waiting.kind, self._now + REFUSED_FOR_S)
 
     def skips(self, waiting: _Waiting) -> bool:
         """Tells whether a task need not be offered; one larger than a refused one need not."""
-        request = waiting.request
-        if (request.team, _kind_of(request)) in self._skipped:
+        kind = waiting.kind
+        if (waiting.request.team, kind) in self._skipped:
             return True
-        refused = self._refused_by_class.get(request.task_class, ())
-        if any(size.fits(request.resources) for size in refused):
+        refused = self._refused_by_class.get(kind.task_class, ())
+        if self._was_refused(waiting) or any(_is_within(size, kind) for size in refused):
             self.refuse(waiting, alone=True)
             return True
         return False
 
+    def _was_refused(self, waiting: _Waiting) -> bool:
+        if waiting.lane is not Lane.BATCH:
+            return False
+        until = self._refused_until.get(waiting.kind)
+        return until is not None and self._now < until
+
 
 class FairQueue(TaskQueue):
     """Offers services' tasks, then urgent ones, then batch tasks by the teams' fair shares.
@@ -143,6 +163,7 @@
         self._clock = clock
         self._recheck_at = 0.0
         self._usual_wait_s = 0.0
+        self._refused_until: BoundedDict[_Kind, float] = BoundedDict(MAX_REFUSED_KINDS)
         self._quotas_by_team: Mapping[str, Quota] = {}
         self._shard_count = 1
         self._waiting_by_task: dict[str, _Waiting] = {}
@@ -164,7 +185,7 @@
             return
         if self._parking.park(request, self._exceeds_quota(request)):
             return
-        waiting = _Waiting(request, self._clock(), self._lane_of(request))
+        waiting = _Waiting(request, _kind_of(request), self._clock(), self._lane_of(request))
         self._waiting_by_task[request.task_id] = waiting
         self._teams_by_lane[waiting.lane].setdefault(request.team, _Team()).add(waiting)
 
@@ -179,10 +200,13 @@
         """Offers tasks lane by lane."""
         now = self._clock()
         self._recheck_parked(now)
+        self._offer_held(place)
         for lane in Lane:
-            blocked: list[_Waiting] = []
-            limit = self._drain_lane(lane, place, limit, blocked)
-            self._reserve_for(lane, blocked, now)
+            round_ = _Round(self._refused_until, now)
+            limit = self._drain_lane(lane, place, limit, round_)
+            self._reserve_for(lane, round_.blocked, now)
+            for waiting in round_.blocked:
+                self._teams_by_lane[lane][waiting.request.team].defer(waiting.kind)
 
     def __len__(self) -> int:
         """Returns the number of waiting tasks."""
@@ -192,6 +216,13 @@
         """Returns why a task is parked."""
         return self._parking.reason(task_id)
 
+    def _offer_held(self, place: Place) -> None:
+        """Offers tasks whose held worker has room, also those behind others of their kind."""
+        for reservation in self._reservations.ready():
+            waiting = self._waiting_by_task.get(reservation.request.task_id)
+            if waiting is not None and place(waiting.request):
+                self._forget(waiting)
+
     def _recheck_parked(self, now: float) -> None:
         if now < self._recheck_at or not len(self._parking):
             return
@@ -214,16 +245,16 @@
         self._reservations.cancel(request.task_id)
         teams = self._teams_by_lane[waiting.lane]
         team = teams[request.team]
-        team.remove(request)
+        team.remove(waiting)
         if not team.waiting_by_kind:
             del teams[request.team]
 
-    def _drain_lane(self, lane: Lane, place: Place, limit: int, blocked: list[_Waiting]) -> int:
+    def _drain_lane(self, lane: Lane, place: Place, limit: int, round_: _Round) -> int:
         teams = self._teams_by_lane[lane]
         heap = [(self._share(name), name) for name in teams]
         heapq.heapify(heap)
-        round_ = _Round(blocked)
-        while heap and limit > 0:
+        refusals = 0
+        while heap and limit > 0 and refusals < MAX_REFUSALS:
             _, name = heapq.heappop(heap)
             team = teams.get(name)
             waiting = None if team is None else self._next(team, round_)
@@ -235,6 +266,7 @@
                     self._note_wait(waiting)
                     self._forget(waiting)
                 else:
+                    refusals += 1
                     round_.refuse(waiting, self._parking.has_failed(waiting.request.task_id))
             heapq.heappush(heap, (self._share(name), name))
         return limit
@@ -274,7 +306,7 @@
         due = [
             alike
             for head in blocked
-            for alike in teams[head.request.team].alike(head.request, count)
+            for alike in teams[head.request.team].alike(head, count)
             if now - alike.queued_at >= after_s
         ]
         for waiting in sorted(due, key=lambda w: w.queued_at):
@@ -313,7 +345,16 @@
 
 
 def _kind_of(request: PlacementRequest) -> _Kind:
-    return _Kind(request.task_class, request.resources)
+    size = request.resources
+    return _Kind(request.task_class, size.cores, size.memory_mb, size.accelerators)
+
+
+def _is_within(small: _Kind, large: _Kind) -> bool:
+    return (
+        small.cores <= large.cores
+        and small.memory_mb <= large.memory_mb
+        and small.accelerators <= large.accelerators
+    )
 
 
 def _size_of(quota: Quota) -> Resources:
--- a/packages/pollengate/pollengate/reservations.py
+++ b/packages/pollengate/pollengate/reservations.py
@@ -87,6 +87,10 @@
         """Returns every reservation."""
         return list(self._by_task.values())
 
+    def ready(self) -> list[Reservation]:
+        """Returns the reservations whose worker has room for the task."""
+        return [r for r in self.held() if r.request.resources.fits(self._books.free(r.worker_id))]
+
     def _limit(self, is_ahead: bool) -> int:
         workers = len(self._books.loads_by_worker)
         return workers if is_ahead else max(workers // WORKERS_PER_RESERVATION, 1)
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -86,11 +86,17 @@
         for number in range(workers):
             self.add_worker(f"{zone}-w{number}", **worker)
 
-    def add_worker(self, worker_id: str, cores: int = CORES, memory_mb: int = 1000) -> None:
+    def add_worker(
+        self,
+        worker_id: str,
+        cores: int = CORES,
+        memory_mb: int = 1000,
+        kind: type[WorkerModel] = WorkerModel,
+    ) -> None:
         """Adds a worker to the zone and to its listing."""
         vm = build_worker(worker_id, self.zone, address=worker_id, cores=cores, memory_mb=memory_mb)
         self.machines.append(vm)
-        model = WorkerModel(worker_id, Resources(cores, memory_mb))
+        model = kind(worker_id, Resources(cores, memory_mb))
         self.models_by_id[worker_id] = model
         self.clients_by_id[worker_id] = MemoryWorkerClient(model)
         self._beats.append(asyncio.create_task(beat_forever(model, self._send_beat)))
--- /dev/null
+++ b/tests/faults/test_policy_faults.py
@@ -0,0 +1,145 @@
+"""Drives owners with the learned policy through faults, on virtual time."""
+
+import asyncio
+import unittest
+
+from pollengate.jobs import Resources, TaskState
+from pollengate.policy import learned_policies
+from pollengate.worker import ReportState, TaskRef
+from pollengate_standins.worker_model import WorkerModel
+from pollengated.shard_owner import ShardOwner
+
+from tests.cluster import CORES, ZoneFake, run_until
+from tests.utils import run_virtual
+
+URGENT_START_S = 4.5
+
+
+class FailingWorker(WorkerModel):
+    """A worker on which tasks of some jobs fail instead of finishing; all by default."""
+
+    job_prefix = ""
+
+    def _end(self, ref: TaskRef, state: ReportState) -> None:
+        if state is ReportState.FINISHED and ref.task_id.startswith(self.job_prefix):
+            state = ReportState.FAILED
+        super()._end(ref, state)
+
+
+class FailingJobWorker(FailingWorker):
+    """A worker on which only the tasks of broken jobs fail."""
+
+    job_prefix = "broken"
+
+
+def start_owner(zone: ZoneFake) -> ShardOwner:
+    """Starts a process with the learned policy."""
+    clock = asyncio.get_running_loop().time
+    return zone.start_owner(policies=learned_policies(zone.zone, 0, clock))
+
+
+class PolicyFaultTest(unittest.TestCase):
+    """Bad workers, broken jobs, full zones and lost owners."""
+
+    def test_jobs_finish_beside_a_worker_that_fails_everything(self) -> None:
+        async def main() -> None:
+            zone = ZoneFake(workers=3)
+            zone.add_worker("bad", kind=FailingWorker)
+            start_owner(zone)
+            for number in range(8):
+                await zone.submit(job_id=f"job-{number}", count=10, duration_ms=500)
+            for number in range(8):
+                await zone.wait_for(f"job-{number}", TaskState.FINISHED, 120.0)
+            failed = len(zone.models_by_id["bad"].starts)
+            self.assertGreater(failed, 0)
+            self.assertLessEqual(failed, 3 * CORES)
+
+        run_virtual(main())
+
+    def test_broken_job_ends_with_few_starts_and_others_finish(self) -> None:
+        async def main() -> None:
+            zone = ZoneFake(workers=0)
+            for number in range(4):
+                zone.add_worker(f"a-w{number}", kind=FailingJobWorker)
+            start_owner(zone)
+            await zone.submit(job_id="broken", count=1, duration_ms=500)
+            for number in range(4):
+                await zone.submit(job_id=f"good-{number}", count=10, duration_ms=500)
+            await zone.wait_for("broken", TaskState.FAILED, 120.0)
+            for number in range(4):
+                await zone.wait_for(f"good-{number}", TaskState.FINISHED, 120.0)
+            starts = [ref for ref in zone.starts() if ref.task_id.startswith("broken")]
+            self.assertEqual(len(starts), 3)
+            self.assertEqual(len(zone.starts()), 43)
+
+        run_virtual(main())
+
+    def test_task_that_is_not_idempotent_is_not_tried_again(self) -> None:
+        async def main() -> None:
+            zone = ZoneFake(workers=0)
+            zone.add_worker("a-w0", kind=FailingWorker)
+            zone.add_worker("a-w1", kind=FailingWorker)
+            start_owner(zone)
+            await zone.submit(duration_ms=500, idempotent=False)
+            await zone.wait_for("job", TaskState.FAILED)
+            self.assertEqual(len(zone.starts()), 1)
+
+        run_virtual(main())
+
+    def test_urgent_work_starts_in_time_on_a_full_zone(self) -> None:
+        async def main() -> None:
+            zone = ZoneFake(workers=3)
+            start_owner(zone)
+            await zone.submit(job_id="batch", count=12, duration_ms=600_000)
+            await run_until(lambda: len(zone.running()) == 12)
+            loop = asyncio.get_running_loop()
+            submitted_at = loop.time()
+            await zone.submit(
+                job_id="urgent", count=3, duration_ms=60_000, urgent=True, resources=Resources(2, 9)
+            )
+            await run_until(lambda: sum("urgent" in r.task_id for r in zone.running()) == 3)
+            self.assertLessEqual(loop.time() - submitted_at, URGENT_START_S)
+            self.assertEqual(sum("batch" in ref.task_id for ref in zone.running()), 6)
+
+        run_virtual(main())
+
+    def test_unrunnable_job_does_not_hold_up_others(self) -> None:
+        async def main() -> None:
+            zone = ZoneFake(workers=2)
+            start_owner(zone)
+            await zone.submit(job_id="huge", count=500, resources=Resources(CORES + 1, 9))
+            await zone.submit(job_id="small", count=20, duration_ms=500)
+            await zone.wait_for("small", TaskState.FINISHED)
+            self.assertIs(await zone.state_of("huge"), TaskState.QUEUED)
+
+        run_virtual(main())
+
+    def test_lost_owner_loses_only_what_was_learned(self) -> None:
+        async def main() -> None:
+            zone = ZoneFake(workers=3)
+            first = start_owner(zone)
+            start_owner(zone)
+            await zone.submit(count=30, duration_ms=4_000)
+            await run_until(lambda: len(zone.running()) == 12)
+            zone.kill(first)
+            await zone.wait_for("job", TaskState.FINISHED, 120.0)
+            self.assertEqual(len(zone.starts()), 30)
+            self.assertEqual(len({ref.task_id for ref in zone.starts()}), 30)
+
+        run_virtual(main())
+
+    def test_zone_that_is_taken_out_is_drained_and_its_work_resumes_once(self) -> None:
+        async def main() -> None:
+            first, second = ZoneFake(), ZoneFake(zone="b")
+            second.store, second.follower = first.store, first.follower
+            start_owner(first)
+            start_owner(second)
+            await second.serving()
+            await first.submit(count=12, duration_ms=20_000)
+            await run_until(lambda: len(first.running()) == 8)
+            first.follower.set_zone("a", in_service=False, drain_grace_s=10.0)
+            await run_until(lambda: not first.running(), 10.0)
+            await second.wait_for("job", TaskState.FINISHED, 90.0)
+            self.assertEqual((len(first.starts()), len(second.starts())), (8, 12))
+
+        run_virtual(main())
--- a/tests/test_fair_queue.py
+++ b/tests/test_fair_queue.py
@@ -144,3 +144,15 @@
         self.assertEqual(policy.reservations.worker_for("urgent.0"), "w0")
         policy.queue.discard("urgent.0")
         self.assertEqual(len(policy.reservations), 0)
+
+    def test_held_worker_with_room_starts_its_task_behind_others_of_its_kind(self) -> None:
+        policy = build_policy(self.clock, 2)
+        for number in range(2):
+            policy.placement.adopt(build_request(f"running.{number}", cores=4), f"w{number}")
+            policy.queue.push(build_request(f"urgent.{number}", cores=4, urgent=True))
+        drain(policy)
+        self.clock.now += RESERVE_URGENT_AFTER_S
+        drain(policy)
+        worker_id = policy.reservations.worker_for("urgent.1")
+        policy.placement.release(f"running.{str(worker_id)[1:]}")
+        self.assertEqual(drain(policy), ["urgent.1"])
