--- a/packages/pollengate/pollengate/fair_queue.py
+++ b/packages/pollengate/pollengate/fair_queue.py
@@ -306,6 +306,7 @@
         due = [
             alike
             for head in blocked
+            if now - head.queued_at >= after_s
             for alike in teams[head.request.team].alike(head, count)
             if now - alike.queued_at >= after_s
         ]
