--- a/packages/pollengated/pollengated/metrics.py
+++ b/packages/pollengated/pollengated/metrics.py
@@ -48,7 +48,7 @@
         )
         self.start_delay = Histogram(
             "pollengate_start_delay_seconds",
-            "Time from acceptance to start of a task.",
+            "Time from acceptance of a task to its first start.",
             registry=self.registry,
         )
         self.configuration_version = Gauge(
--- a/tests/utils.py
+++ b/tests/utils.py
@@ -4,7 +4,9 @@
 from collections.abc import Coroutine
 from typing import Any, TypeVar
 
+import httpx
 import looptime
+from litestar.types import ASGIApp
 from pollengate.configuration import Configuration, Limits, Policy, Zone
 from pollengate.jobs import JobSpec, Resources
 from pollengate.placement_request import PlacementRequest
@@ -19,12 +21,14 @@
     "build_settings",
     "build_spec",
     "build_worker",
+    "request_app",
     "run_virtual",
 ]
 
 T = TypeVar("T")
 LOOP_END_S = 36_000.0
-# Enough for handles that a poll of the selector makes ready; the default is 42.
+CANCEL_TIMEOUT_S = 60.0
+# Idle turns of the loop before its clock moves.
 NOOP_CYCLES = 1
 
 
@@ -44,7 +48,9 @@
     leftovers = asyncio.all_tasks() - {asyncio.current_task()}
     for task in leftovers:
         task.cancel()
-    await asyncio.gather(*leftovers, return_exceptions=True)
+    if leftovers:
+        _, deaf = await asyncio.wait(leftovers, timeout=CANCEL_TIMEOUT_S)
+        assert not deaf, f"tasks ignore their cancellation: {deaf}"
     await asyncio.get_running_loop().shutdown_asyncgens()
 
 
@@ -122,3 +128,14 @@
         "vm_list_address": "127.0.0.1:8000",
     }
     return Settings(**(fields | changes))
+
+
+def request_app(app: ASGIApp, method: str, path: str, **options: Any) -> httpx.Response:
+    """Sends one request to an application without sockets, on virtual time."""
+
+    async def main() -> httpx.Response:
+        transport = httpx.ASGITransport(app)  # type: ignore[arg-type]
+        async with httpx.AsyncClient(transport=transport, base_url="http://gate") as client:
+            return await client.request(method, path, **options)
+
+    return run_virtual(main())
