--- a/benchmarks/takeover.py
+++ b/benchmarks/takeover.py
@@ -16,16 +16,27 @@
 SETTLE_S = 4.0
 OBSERVE_S = 8.0
 TASK_MS = 300
+JOBS = 15
+TASKS_PER_JOB = 1_000
 
 
 async def measure(number: signal.Signals, times: int) -> list[float]:
     """Ends the owner a number of times and returns the longest gap between starts each time."""
     zone = ZoneHost(workers=8, cores=8)
     await zone.start()
+    try:
+        return await _end_owners(zone, number, times)
+    finally:
+        await zone.stop()
+
+
+async def _end_owners(zone: ZoneHost, number: signal.Signals, times: int) -> list[float]:
     zone.start_scheduler()
     zone.start_scheduler()
     await zone.owner()
-    await zone.submit(JobSpec("job", "bench", "default", Resources(1, 100), 50_000, TASK_MS))
+    for job in range(JOBS):
+        spec = JobSpec(f"job-{job}", "bench", "default", Resources(1, 100), TASKS_PER_JOB, TASK_MS)
+        await zone.submit(spec)
     gaps = []
     for _ in range(times):
         await asyncio.sleep(SETTLE_S)
@@ -36,9 +47,8 @@
         starts = [at for at in zone.starts() if at >= begun - 0.5]
         gaps.append(max(after - before for before, after in itertools.pairwise(starts)))
         zone.start_scheduler()
-    running = [ref for model in zone.models for ref in model.starts]
-    print(f"{number.name}: started {len(running)}, twice {len(running) - len(set(running))}")
-    await zone.stop()
+    started = [ref for model in zone.models for ref in model.starts]
+    print(f"{number.name}: started {len(started)}, twice {len(started) - len(set(started))}")
     return gaps
 
 
