--- a/benchmarks/patches.py
+++ b/benchmarks/patches.py
@@ -14,7 +14,7 @@
 from pollengated.config_model import encode_document, validate_document  # noqa: E402
 
 from tests.configuration_nodes import Cluster  # noqa: E402
-from tests.utils import NO_SOCKET_NOOP_CYCLES, run_virtual  # noqa: E402
+from tests.utils import run_virtual  # noqa: E402
 
 __all__ = ["main"]
 
@@ -82,9 +82,7 @@
     """Prints sizes, delays and store calls."""
     _print_size()
     for zones, gates, schedulers in ((5, 2, 2), (ZONES, 2, 2), (ZONES, 3, 3)):
-        delays, rate = run_virtual(
-            _patch_for_a_while(zones, gates, schedulers), NO_SOCKET_NOOP_CYCLES
-        )
+        delays, rate = run_virtual(_patch_for_a_while(zones, gates, schedulers))
         print(
             f"{zones} zones, {gates} gates and {schedulers} schedulers each: in force within "
             f"{_quantile(delays, 0.5):.2f} s (median), {_quantile(delays, 0.999):.2f} s (p99.9), "
--- a/tests/test_ownership_promises.py
+++ b/tests/test_ownership_promises.py
@@ -12,7 +12,7 @@
 
 from tests.configuration_nodes import Cluster, Node
 from tests.network import STORE
-from tests.utils import NO_SOCKET_NOOP_CYCLES, run_virtual
+from tests.utils import run_virtual
 
 RENEW_INTERVAL_S = 0.8
 SAMPLE_INTERVAL_S = 0.05
@@ -99,7 +99,7 @@
                 self.assertLessEqual(len(owners), 1, at)
             zone.stop()
 
-        run_virtual(main(), NO_SOCKET_NOOP_CYCLES)
+        run_virtual(main())
 
     def test_owner_stays_through_a_store_outage(self) -> None:
         async def scenario(zone: Zone) -> None:
