--- a/packages/pollengated/pollengated/compose.py
+++ b/packages/pollengated/pollengated/compose.py
@@ -48,6 +48,7 @@
 from pollengated.shard_set import ShardSet
 from pollengated.slot_keeper import SlotKeeper
 from pollengated.slot_service import SlotService
+from pollengated.status_collector import StatusCollector
 from pollengated.vm_directory import VmDirectory
 
 __all__ = ["run_gate", "run_scheduler"]
@@ -78,6 +79,7 @@
     keeper = SlotKeeper(gate_id, settings.zone, directory, vms, slots)
     proxy = ServiceProxy(settings.zone, follower, vms, keeper, HttpBackendClient(), metrics)
     jobs = JobRouter(store, follower, directory, client)
+    status = StatusCollector(registry, follower, directory, client, peers, metrics)
     readiness = Readiness(follower, keeper.obstacle)
     stop = GateStop(readiness, settings.stop_delay_s)
     app = create_app(
@@ -85,7 +87,7 @@
             configuration_router(follower, patcher, metrics),
             task_router(jobs, metrics),
             service_router(proxy, metrics, settings.max_body_bytes),
-            status_router(settings.process_id, settings.zone, follower, directory, client, metrics),
+            status_router(status),
             health_router(readiness, metrics),
         ],
         settings,
