--- /dev/null
+++ b/benchmarks/requests_policy.py
@@ -0,0 +1,234 @@
+"""Compares ways to share slots and to admit requests, on virtual time with seeded load.
+
+Run: .venv/bin/python -m benchmarks.requests_policy
+"""
+
+import asyncio
+import collections
+import dataclasses
+import random
+from collections.abc import Awaitable, Callable
+
+from pollengate.memory_backend import MemoryBackendClient
+from pollengate.slots import SlotAnswer, SlotAsk, SlotGrant, SlotGranter
+from pollengate_net.calls import CallFailure
+from pollengated import slot_keeper
+from result import Err, Ok, Result
+
+from benchmarks.fixed_split import FixedSplitProxy
+from tests.service_fleet import HOP_S, FleetGate, ServiceFleet, build_request, exponential
+from tests.utils import run_virtual
+
+SEED = 11
+BACKENDS = 10
+GATES = 3
+SLOTS = 8
+WORK_S = 0.02
+CAPACITY = BACKENDS * SLOTS / WORK_S
+TIMEOUT_MS = 500
+LOAD_S = 2.0
+SKEW = (0.8, 0.1, 0.1)
+EVEN = (1 / 3, 1 / 3, 1 / 3)
+BURST_S = 0.3
+SAMPLE_S = 0.05
+
+Pick = Callable[[random.Random, float], int]
+Disturb = Callable[[ServiceFleet], Awaitable[None]]
+
+
+def even(generator: random.Random, _: float) -> int:
+    """Sends to every gate alike."""
+    return generator.choices(range(GATES), EVEN)[0]
+
+
+def skewed(generator: random.Random, _: float) -> int:
+    """Sends most requests to one gate."""
+    return generator.choices(range(GATES), SKEW)[0]
+
+
+def burst(generator: random.Random, now: float) -> int:
+    """Sends most requests to a gate that changes every `BURST_S`."""
+    first = generator.choices(range(GATES), SKEW)[0]
+    return (first + int(now / BURST_S)) % GATES
+
+
+async def nothing(_: ServiceFleet) -> None:
+    """Brings about no fault."""
+
+
+async def one_slow(fleet: ServiceFleet) -> None:
+    """Makes one backend server ten times slower."""
+    fleet.backend("a0").work_s = exponential(WORK_S * 10, SEED)
+
+
+async def gate_killed(fleet: ServiceFleet) -> None:
+    """Kills a gate; the balancer notices at once."""
+    await asyncio.sleep(LOAD_S / 4)
+    fleet.gates[0].kill()
+
+
+async def zone_cut(fleet: ServiceFleet) -> None:
+    """Cuts zone a off from zone b."""
+    await asyncio.sleep(LOAD_S / 2)
+    for vm in fleet.vms.backends_in("b"):
+        del fleet.backends_by_address[vm.address]
+
+
+async def owner_lost(fleet: ServiceFleet) -> None:
+    """Takes the granter away for longer than an owner's lease, then starts a successor."""
+    del fleet.granters_by_zone["a"]
+    await asyncio.sleep(4.5)
+    fleet.granters_by_zone["a"] = SlotGranter(asyncio.get_running_loop().time(), is_first=False)
+
+
+class FixedGate(FleetGate):
+    """A gate with the same queue whose slots are a fixed share."""
+
+    async def ask(
+        self, address: str, ask: SlotAsk, zone: str, epoch: int
+    ) -> Result[SlotAnswer, CallFailure]:
+        """Grants the share."""
+        share = SLOTS // GATES
+        grants = tuple(SlotGrant(d.backend_id, share, share) for d in ask.demands)
+        return Ok(SlotAnswer(ask.sequence, 60.0, grants))
+
+
+@dataclasses.dataclass
+class Cell:
+    """What one run gave."""
+
+    latencies: list[float]
+    refusals: collections.Counter[str]
+    offered: int
+    span_s: float
+    over_slots: int
+    stranded_s: float = 0.0
+
+    def row(self, name: str) -> str:
+        """Returns a line of the table: ms, counts and answers a second."""
+        ordered = sorted(self.latencies)
+        p50, p99, p999 = (
+            1000 * ordered[int(len(ordered) * part)] if ordered else float("nan")
+            for part in (0.5, 0.99, 0.999)
+        )
+        refused = sum(self.refusals.values()) / self.offered * 100
+        reasons = ", ".join(f"{k} {v}" for k, v in self.refusals.most_common(3)) or "-"
+        return (
+            f"| {name} | {p50:.0f} | {p99:.0f} | {p999:.0f} | {refused:.1f} | "
+            f"{len(ordered) / self.span_s:.0f} | {self.over_slots} | {self.stranded_s:.1f} | "
+            f"{reasons} |"
+        )
+
+
+HEADER = (
+    "| cell | p50 ms | p99 ms | p99.9 ms | not answered % | answers/s | over slots "
+    "| stranded slot-s | reasons |\n|---|---|---|---|---|---|---|---|---|"
+)
+
+
+async def measure(
+    way: str, load: float, pick: Pick, disturb: Disturb, zones: tuple[str, ...], load_s: float
+) -> Cell:
+    """Runs one cell."""
+    fleet = ServiceFleet(BACKENDS, GATES, zones, SLOTS)
+    if way == "pooled":
+        fleet = ServiceFleet(BACKENDS, 1, zones, SLOTS)
+    slot_keeper.RENEW_INTERVAL_S = 2.0 if way == "store shares" else 0.2
+    await fleet.start(settle_s=0.0)
+    if way == "fixed split, queued":
+        await fleet.stop()
+        fleet.gates = [FixedGate(fleet, f"gate-a{number}", "a") for number in range(GATES)]
+    await asyncio.sleep(6.0 if way == "store shares" else 2.0)
+    client = MemoryBackendClient(fleet.backends_by_address, HOP_S)
+    plain = [FixedSplitProxy("a", fleet.vms, client, SLOTS, GATES) for _ in range(GATES)]
+    cell = Cell([], collections.Counter(), 0, load_s, 0)
+    loop = asyncio.get_running_loop()
+    generator = random.Random(SEED)
+    lead_hop_s = HOP_S if way == "pooled" else 0.0
+
+    async def send(index: int) -> None:
+        request = build_request(True, TIMEOUT_MS)
+        began_at = loop.time()
+        await asyncio.sleep(lead_hop_s)
+        if way == "baseline":
+            result = await plain[index].send(request)
+        else:
+            gate = fleet.gates[0 if way == "pooled" else index]
+            result = await gate.proxy.send(request)
+        await asyncio.sleep(lead_hop_s)
+        if isinstance(result, Err):
+            cell.refusals[result.err_value.reason.value] += 1
+        else:
+            cell.latencies.append(loop.time() - began_at)
+
+    async def sample() -> None:
+        while True:
+            await asyncio.sleep(SAMPLE_S)
+            cell.stranded_s += SAMPLE_S * stranded(fleet)
+
+    tasks = [asyncio.create_task(disturb(fleet))]
+    sampling = asyncio.create_task(sample())
+    end = loop.time() + load_s
+    while loop.time() < end:
+        await asyncio.sleep(generator.expovariate(CAPACITY * load))
+        index = pick(generator, loop.time())
+        if way != "pooled" and fleet.gates[index].renewing.done():
+            index = 1 + index % (GATES - 1)
+        cell.offered += 1
+        tasks.append(asyncio.create_task(send(index)))
+    sampling.cancel()
+    await asyncio.gather(*tasks)
+    cell.over_slots = fleet.refused()
+    if way == "baseline":
+        cell.stranded_s = 0.0
+    await fleet.stop()
+    return cell
+
+
+def stranded(fleet: ServiceFleet) -> int:
+    """Returns the slots of zone a that no running gate may use."""
+    now = asyncio.get_running_loop().time()
+    held = 0
+    for gate in fleet.gates:
+        if not gate.renewing.done():
+            for slots in gate.keeper.slots("a").slots_by_backend.values():
+                held += slots.held if now < slots.lapses_at else slots.in_use
+    return max(0, len(fleet.vms.backends_in("a")) * SLOTS - held)
+
+
+def run(
+    way: str,
+    name: str,
+    load: float,
+    pick: Pick = even,
+    disturb: Disturb = nothing,
+    zones: tuple[str, ...] = ("a",),
+    load_s: float = LOAD_S,
+) -> None:
+    """Runs and prints one cell."""
+    cell = run_virtual(measure(way, load, pick, disturb, zones, load_s))
+    print(cell.row(f"{name}, {way}"), flush=True)
+
+
+def main() -> None:
+    """Prints both tables."""
+    print("## Ways to share slots, 0.8 of the capacity\n\n" + HEADER)
+    for name, pick in (("even", even), ("skewed", skewed), ("burst", burst)):
+        for way in ("fixed split, queued", "store shares", "pooled", "grants"):
+            run(way, name, 0.8, pick)
+    run("fixed split, queued", "gate killed", 0.6, even, gate_killed, load_s=12.0)
+    run("grants", "gate killed", 0.6, even, gate_killed, load_s=12.0)
+    run("grants", "owner lost 4.5 s", 0.6, skewed, owner_lost, load_s=8.0)
+    print("\n## The request path against the baseline\n\n" + HEADER)
+    for load in (0.5, 0.9, 1.0, 1.5, 3.0):
+        for name, pick in (("even", even), ("skewed", skewed)):
+            for way in ("baseline", "grants"):
+                run(way, f"{name} {load}", load, pick)
+    for way in ("baseline", "grants"):
+        run(way, "one slow backend server 0.7", 0.7, even, one_slow)
+        run(way, "gate killed 0.6", 0.6, even, gate_killed)
+        run(way, "zone a at 1.3, zone b idle then cut", 1.3, even, zone_cut, ("a", "b"))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_http_services.py
@@ -0,0 +1,173 @@
+"""Tests of the border of service requests, at the ASGI interface and over a real connection."""
+
+import asyncio
+import contextlib
+import gzip
+import json
+import unittest
+from collections.abc import AsyncIterator
+from typing import Any
+
+import httpx
+import uvicorn
+from litestar import Litestar
+from pollengate.backend_client import AnswerCutError, BackendAnswer
+from pollengate.refusals import Outcome, Reason, Refusal
+from pollengated.gate_stop import ClosingConnections
+from pollengated.http_server import QuietServer
+from pollengated.http_services import end_to_end, service_router
+from pollengated.metrics import Metrics
+from pollengated.readiness import Readiness
+from pollengated.service_proxy import ServiceRequest
+from result import Err, Ok, Result
+
+from tests.test_gate_stop import build_readiness
+
+MAX_BODY = 1000
+Given = Result[BackendAnswer, Refusal]
+
+
+class FakeProxy:
+    """Keeps the requests and gives one result."""
+
+    def __init__(self, result: Given) -> None:
+        self.requests: list[ServiceRequest] = []
+        self._result = result
+
+    async def send(self, request: ServiceRequest) -> Given:
+        self.requests.append(request)
+        return self._result
+
+
+async def chunks(*parts: bytes, is_cut: bool = False) -> AsyncIterator[bytes]:
+    """Yields a streamed body, whole or cut off."""
+    for part in parts:
+        yield part
+    if is_cut:
+        raise AnswerCutError("cut off")
+
+
+def build_app(proxy: FakeProxy) -> Litestar:
+    """Returns the application of the routes alone."""
+    router = service_router(proxy, Metrics(), MAX_BODY)  # type: ignore[arg-type]
+    return Litestar([router], openapi_config=None, logging_config=None)
+
+
+@contextlib.asynccontextmanager
+async def serve(proxy: FakeProxy, readiness: Readiness) -> AsyncIterator[str]:
+    """Serves the routes on a free port."""
+    app: Any = ClosingConnections(build_app(proxy), readiness)
+    config = uvicorn.Config(app, port=0, log_config=None, log_level="critical", lifespan="off")
+    server = QuietServer(config)
+    serving = asyncio.create_task(server.serve())
+    while not server.started:  # noqa: ASYNC110
+        await asyncio.sleep(0.01)
+    port = server.servers[0].sockets[0].getsockname()[1]
+    try:
+        yield f"http://127.0.0.1:{port}"
+    finally:
+        server.should_exit = True
+        await serving
+
+
+class BorderTest(unittest.TestCase):
+    """What reaches the proxy and what reaches the caller."""
+
+    def call(
+        self, result: Given, method: str = "GET", path: str = "/services/s/a", **fields: Any
+    ) -> httpx.Response:
+        self.proxy = FakeProxy(result)
+
+        async def main() -> httpx.Response:
+            transport = httpx.ASGITransport(build_app(self.proxy))  # type: ignore[arg-type]
+            async with httpx.AsyncClient(transport=transport, base_url="http://gate") as client:
+                return await client.request(method, path, **fields)
+
+        return asyncio.run(main())
+
+    def test_path_and_query_stay_as_sent(self) -> None:
+        self.call(Ok(BackendAnswer(200, (), b"")), path="/services/s/a%2Fb?q=1%202&q=3")
+        self.assertEqual(b"/services/s/a%2Fb?q=1%202&q=3", self.proxy.requests[0].target)
+        self.assertEqual("s", self.proxy.requests[0].service)
+
+    def test_headers_of_one_hop_are_dropped(self) -> None:
+        headers = ((b"connection", b"close, X-Hop"), (b"x-hop", b"1"), (b"te", b"x"), (b"a", b"b"))
+        self.assertEqual(((b"a", b"b"),), end_to_end(headers))
+
+    def test_idempotent_methods_and_the_mark(self) -> None:
+        cases = (
+            ("GET", None, True),
+            ("POST", None, False),
+            ("PATCH", None, False),
+            ("POST", "true", True),
+            ("GET", "false", False),
+        )
+        for method, mark, expected in cases:
+            headers = {} if mark is None else {"Pollengate-Idempotent": mark}
+            self.call(Ok(BackendAnswer(200, (), b"")), method=method, headers=headers)
+            self.assertEqual(expected, self.proxy.requests[0].is_idempotent, (method, mark))
+
+    def test_malformed_deadline_and_long_body_are_refused(self) -> None:
+        answer = Ok(BackendAnswer(200, (), b""))
+        for value in ("0", "-1", "abc", "99999999"):
+            response = self.call(answer, headers={"Pollengate-Timeout-Ms": value})
+            self.assertEqual(422, response.status_code)
+        response = self.call(answer, method="POST", content=b"x" * (MAX_BODY + 1))
+        self.assertEqual((413, "not_run"), (response.status_code, response.json()["outcome"]))
+        self.assertEqual([], self.proxy.requests)
+
+    def test_unknown_method_is_refused(self) -> None:
+        response = self.call(Ok(BackendAnswer(200, (), b"")), method="OPTIONS")
+        self.assertEqual((405, []), (response.status_code, self.proxy.requests))
+
+    def test_refusal_is_a_problem_document(self) -> None:
+        refusal = Refusal(Outcome.UNKNOWN, Reason.UPSTREAM_TIMEOUT, "no answer", 1.5)
+        response = self.call(Err(refusal))
+        self.assertEqual(504, response.status_code)
+        self.assertEqual("2", response.headers["retry-after"])
+        self.assertEqual("application/problem+json", response.headers["content-type"])
+        self.assertEqual("unknown", json.loads(response.content)["outcome"])
+
+    def test_repeated_headers_reach_the_caller(self) -> None:
+        headers = ((b"set-cookie", b"a=1"), (b"set-cookie", b"b=2"))
+        response = self.call(Ok(BackendAnswer(200, headers, b"x")))
+        self.assertEqual(["a=1", "b=2"], response.headers.get_list("set-cookie"))
+
+
+class ConnectionTest(unittest.TestCase):
+    """What a caller sees on a real connection."""
+
+    def get(self, answer: BackendAnswer, method: str = "GET") -> httpx.Response:
+        async def main() -> httpx.Response:
+            async with serve(FakeProxy(Ok(answer)), build_readiness()) as url:
+                async with httpx.AsyncClient() as client:
+                    return await client.request(method, f"{url}/services/s/a")
+
+        return asyncio.run(main())
+
+    def test_streamed_answer_arrives_whole(self) -> None:
+        answer = BackendAnswer(200, (), b"a" * 5000, rest=chunks(b"b" * 5000, b"c"))
+        self.assertEqual(b"a" * 5000 + b"b" * 5000 + b"c", self.get(answer).content)
+
+    def test_cut_answer_without_a_length_is_seen(self) -> None:
+        answer = BackendAnswer(200, (), b"a" * 5000, rest=chunks(b"b", is_cut=True))
+        with self.assertRaises(httpx.RemoteProtocolError):
+            self.get(answer)
+
+    def test_cut_answer_with_a_length_is_seen(self) -> None:
+        headers = ((b"content-length", b"9000"),)
+        answer = BackendAnswer(200, headers, b"a" * 5000, rest=chunks(b"b", is_cut=True))
+        with self.assertRaises(httpx.RemoteProtocolError):
+            self.get(answer)
+
+    def test_answers_without_a_body(self) -> None:
+        headers = ((b"content-length", b"500"),)
+        response = self.get(BackendAnswer(200, headers, b""), method="HEAD")
+        self.assertEqual("500", response.headers["content-length"])
+        for status in (204, 304):
+            self.assertEqual(status, self.get(BackendAnswer(status, headers, b"")).status_code)
+
+    def test_encoded_body_reaches_the_caller_as_sent(self) -> None:
+        body = gzip.compress(b"standings" * 100)
+        headers = ((b"content-encoding", b"gzip"), (b"content-length", str(len(body)).encode()))
+        self.assertEqual(b"standings" * 100, self.get(BackendAnswer(200, headers, body)).content)
