--- a/packages/pollengate/pollengate/slots.py
+++ b/packages/pollengate/pollengate/slots.py
@@ -6,7 +6,7 @@
 
 import dataclasses
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping, Sequence
 
 __all__ = [
     "GRANT_S",
@@ -18,10 +18,14 @@
     "SlotGrant",
     "SlotGranter",
     "fair_shares",
+    "slot_reserve",
+    "spread",
 ]
 
 GRANT_S = 8.0
 CLOCK_MARGIN_S = 0.4
+RESERVE_DEVIATIONS = 0.5
+MIN_RESERVE = 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -108,6 +112,17 @@
     return shares
 
 
+def slot_reserve(busy: int) -> int:
+    """Returns the free slots that absorb the usual variation of `busy` requests."""
+    return math.ceil(RESERVE_DEVIATIONS * math.sqrt(busy)) + MIN_RESERVE
+
+
+def spread(needed: int, backend_ids: Sequence[str]) -> dict[str, int]:
+    """Spreads slots over backend servers as evenly as they go."""
+    share, odd = divmod(needed, len(backend_ids))
+    return {backend_id: share + (number < odd) for number, backend_id in enumerate(backend_ids)}
+
+
 @dataclasses.dataclass(slots=True)
 class _Record:
     slots: int
@@ -265,22 +280,20 @@
         if not requests:
             self._lasting_by_backend.pop(backend_id, None)
 
-    def ask(self, backend_ids: Iterable[str], spare: int, now: float) -> SlotAsk:
+    def ask(self, wanted_by_backend: Mapping[str, int], now: float) -> SlotAsk:
         """Returns the next ask; answers to earlier ones no longer count.
 
         Args:
-            backend_ids: backend servers that the gate may send to.
-            spare: slots that it wants of each beyond those in use.
+            wanted_by_backend: slots that it wants of each backend server that it may send to.
             now: loop time.
         """
         self._sequence += 1
         self._asked_at = now
-        wanted = set(backend_ids)
-        self._forget_unused(wanted, now)
-        for backend_id in wanted:
+        self._forget_unused(wanted_by_backend)
+        for backend_id in wanted_by_backend:
             self.find(backend_id)
         demands = tuple(
-            self._demand(backend_id, slots, spare if backend_id in wanted else 0, now)
+            self._demand(backend_id, slots, wanted_by_backend.get(backend_id, 0), now)
             for backend_id, slots in sorted(self.slots_by_backend.items())
         )
         return SlotAsk(self._gate_id, self._sequence, demands)
@@ -298,13 +311,13 @@
             has_shrunk = has_shrunk or slots.held < grant.slots
         return has_shrunk
 
-    def _demand(self, backend_id: str, slots: BackendSlots, spare: int, now: float) -> SlotDemand:
+    def _demand(self, backend_id: str, slots: BackendSlots, wanted: int, now: float) -> SlotDemand:
         kept = slots.held if now < slots.lapses_at else 0
         lasting = self._lasting_by_backend.get(backend_id, {}).values()
         lasting_s = tuple(math.ceil(end - now) for end in lasting if end > now)
-        return SlotDemand(backend_id, kept, slots.in_use + spare, lasting_s)
+        return SlotDemand(backend_id, kept, wanted, lasting_s)
 
-    def _forget_unused(self, wanted: set[str], now: float) -> None:
+    def _forget_unused(self, wanted: Mapping[str, int]) -> None:
         for backend_id, slots in list(self.slots_by_backend.items()):
             if backend_id not in wanted and slots.in_use == 0:
                 del self.slots_by_backend[backend_id]
--- a/packages/pollengated/pollengated/service_proxy.py
+++ b/packages/pollengated/pollengated/service_proxy.py
@@ -119,7 +119,7 @@
         self._exchanges: set[asyncio.Task[None]] = set()
         keeper.is_configured = lambda name: name in follower.current.services_by_name
         keeper.on_change = self._pump
-        keeper.spare = self._spare
+        keeper.waiting = self._waiting
 
     async def send(self, request: ServiceRequest) -> Result[BackendAnswer, Refusal]:
         """Sends one request; a streamed answer is to be closed by the receiver."""
@@ -330,13 +330,9 @@
     def _retry_budget(self, name: str) -> RetryBudget:
         return self._retries_by_service.setdefault(name, RetryBudget())
 
-    def _spare(self, name: str) -> int:
+    def _waiting(self, name: str) -> int:
         router = self._routers_by_service.get(name)
-        backends = self._vms.backends(name)
-        if router is None or not backends:
-            return 1
-        waiting = len(router.queue) + len(router.spill)
-        return 1 + -(-waiting // len(backends))
+        return 0 if router is None else len(router.queue) + len(router.spill)
 
     def _want_elsewhere(self, name: str) -> None:
         for zone in {vm.zone for vm in self._vms.backends(name)} - {self._zone}:
--- a/packages/pollengated/pollengated/slot_keeper.py
+++ b/packages/pollengated/pollengated/slot_keeper.py
@@ -1,10 +1,11 @@
 """Keeps a gate's slots: renews them with the owner of each zone that it sends to."""
 
 import asyncio
+import math
 from collections.abc import Callable
 from typing import Protocol
 
-from pollengate.slots import GateSlots, SlotAnswer, SlotAsk
+from pollengate.slots import GateSlots, SlotAnswer, SlotAsk, slot_reserve, spread
 from pollengate_net.calls import CallFailure
 from result import Err, Result
 
@@ -16,6 +17,7 @@
 
 RENEW_INTERVAL_S = 0.2
 GRANTING_SHARD = 0
+DEMAND_DECAY = 0.9
 # How long a new gate waits for its first slots before it says that it is ready.
 FIRST_SLOTS_S = 10.0
 # Zones that no request has gone to for this long are given back.
@@ -38,7 +40,7 @@
     Attributes:
         is_configured: tells whether a service is configured.
         on_change: is called when slots have been granted.
-        spare: returns the slots of each backend server wanted beyond those in use.
+        waiting: returns the requests of a service that wait for a slot.
     """
 
     def __init__(
@@ -50,7 +52,7 @@
         asker: SlotAsker,
     ) -> None:
         self.on_change: Callable[[], None] = lambda: None
-        self.spare: Callable[[str], int] = lambda _: 1
+        self.waiting: Callable[[str], int] = lambda _: 0
         self.is_configured: Callable[[str], bool] = lambda _: True
         self._gate_id = gate_id
         self._zone = zone
@@ -59,6 +61,7 @@
         self._asker = asker
         self._slots_by_zone: dict[str, GateSlots] = {zone: GateSlots(gate_id)}
         self._wanted_until_by_zone: dict[str, float] = {}
+        self._needed_by_service: dict[tuple[str, str], float] = {}
         self._wake = asyncio.Event()
         self._is_stopping = False
         self._began_at: float | None = None
@@ -114,9 +117,7 @@
             return False
         slots = self.slots(zone)
         now = asyncio.get_running_loop().time()
-        backends = [] if self._is_stopping else self._vms.backends_in(zone)
-        spare = max((self.spare(vm.service) for vm in backends), default=0)
-        ask = slots.ask([vm.vm_id for vm in backends], spare, now)
+        ask = slots.ask({} if self._is_stopping else self._wanted(zone), now)
         answer = await self._asker.ask(owner.address, ask, zone, owner.epoch)
         if isinstance(answer, Err):
             self._log.warning("slots not renewed", zone=zone, detail=answer.err_value.detail)
@@ -131,6 +132,22 @@
         self._is_stopping = True
         await asyncio.gather(*(self.renew(zone) for zone in self._slots_by_zone))
 
+    def _wanted(self, zone: str) -> dict[str, int]:
+        slots = self.slots(zone)
+        ids_by_service: dict[str, list[str]] = {}
+        for vm in self._vms.backends_in(zone):
+            ids_by_service.setdefault(vm.service, []).append(vm.vm_id)
+        wanted: dict[str, int] = {}
+        for service, backend_ids in ids_by_service.items():
+            busy = sum(slots.find(backend_id).in_use for backend_id in backend_ids)
+            needed = busy + self.waiting(service) + slot_reserve(busy)
+            key = (zone, service)
+            # Demand falls slowly, so that slots don't move to and fro.
+            lowest = DEMAND_DECAY * self._needed_by_service.get(key, 0.0)
+            self._needed_by_service[key] = max(float(needed), lowest)
+            wanted |= spread(math.ceil(self._needed_by_service[key]), backend_ids)
+        return wanted
+
     def _zones(self) -> list[str]:
         now = asyncio.get_running_loop().time()
         return [
--- a/tests/faults/test_request_faults.py
+++ b/tests/faults/test_request_faults.py
@@ -247,7 +247,7 @@
         async def disturb(fleet: ServiceFleet) -> None:
             fleet.gates.append(FleetGate(fleet, "gate-new", "a"))
             await asyncio.sleep(2.0)
-            self.held = self.slots_held(fleet, fleet.gates[-1:])
+            self.held = await self.most_held(fleet, fleet.gates[-1:])
 
         self.run_cell(disturb)
         self.assertGreaterEqual(self.held, 3 * 2)
--- a/tests/test_http_services.py
+++ b/tests/test_http_services.py
@@ -139,9 +139,9 @@
 
     def get(self, answer: BackendAnswer, method: str = "GET") -> httpx.Response:
         async def main() -> httpx.Response:
-            async with serve(FakeProxy(Ok(answer)), build_readiness()) as url:
-                async with httpx.AsyncClient() as client:
-                    return await client.request(method, f"{url}/services/s/a")
+            proxy = FakeProxy(Ok(answer))
+            async with serve(proxy, build_readiness()) as url, httpx.AsyncClient() as client:
+                return await client.request(method, f"{url}/services/s/a")
 
         return asyncio.run(main())
 
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -24,7 +24,7 @@
 
 def exchange(gate: GateSlots, granter: SlotGranter, spare: int, now: float) -> bool:
     """Asks and takes the answer in at once."""
-    return gate.take_answer(granter.answer(gate.ask([BACKEND], spare, now), LISTED, now))
+    return gate.take_answer(granter.answer(gate.ask({BACKEND: spare}, now), LISTED, now))
 
 
 class FairSharesTest(unittest.TestCase):
@@ -95,7 +95,7 @@
         self.assertEqual(SLOTS, self.second.find(BACKEND).held)
 
     def test_grant_counts_from_when_it_was_asked_for(self) -> None:
-        ask = self.first.ask([BACKEND], 1, 0.0)
+        ask = self.first.ask({BACKEND: 1}, 0.0)
         self.first.take_answer(self.granter.answer(ask, LISTED, GRANT_S - 1))
         self.assertEqual(0, self.first.find(BACKEND).free(GRANT_S))
 
@@ -110,13 +110,13 @@
         self.assertEqual(SLOTS, self.granter.held(BACKEND, 31.0))
 
     def test_late_ask_changes_nothing(self) -> None:
-        late = self.first.ask([BACKEND], 1, 0.0)
+        late = self.first.ask({BACKEND: 1}, 0.0)
         exchange(self.first, self.granter, 1, 0.1)
         self.assertEqual(0.0, self.granter.answer(late, LISTED, 0.2).ttl_s)
 
     def test_answer_to_an_earlier_ask_is_ignored(self) -> None:
-        answer = self.granter.answer(self.first.ask([BACKEND], 1, 0.0), LISTED, 0.0)
-        self.first.ask([BACKEND], 1, 0.1)
+        answer = self.granter.answer(self.first.ask({BACKEND: 1}, 0.0), LISTED, 0.0)
+        self.first.ask({BACKEND: 1}, 0.1)
         self.first.take_answer(answer)
         self.assertEqual(0, self.first.find(BACKEND).held)
 
@@ -136,7 +136,7 @@
 
     def test_fewer_slots_take_force_as_requests_end(self) -> None:
         exchange(self.first, self.granter, 1, 0.0)
-        ask = self.first.ask([BACKEND], 1, 0.1)
+        ask = self.first.ask({BACKEND: 1}, 0.1)
         self.first.take_answer(self.granter.answer(ask, {BACKEND: 3}, 0.1))
         self.assertEqual(3, self.first.find(BACKEND).free(0.1))
 
@@ -190,7 +190,7 @@
         self.most_running = max(self.most_running, len(self.running))
 
     def ask(self, index: int) -> None:
-        ask = self.gates[index].ask([BACKEND], self.random.randrange(SLOTS), self.now)
+        ask = self.gates[index].ask({BACKEND: self.random.randrange(SLOTS)}, self.now)
         self.asks.append((index, ask, self.generation))
 
     def deliver(self, _: int) -> None:
