--- a/packages/pollengate/pollengate/shard.py
+++ b/packages/pollengate/pollengate/shard.py
@@ -10,6 +10,7 @@
 from pollengate.placement import Placement, PlacementRequest
 from pollengate.recovery import Recovery
 from pollengate.task_books import TaskBooks, ref_of, tasks_of
+from pollengate.task_outcomes import NoOutcomes, TaskOutcomes
 from pollengate.task_queue import TaskQueue
 from pollengate.virtual_machines import VirtualMachine
 from pollengate.worker import Heartbeat, HeartbeatAnswer, TaskAnswer, TaskOrder, TaskRef, TaskReport
@@ -41,9 +42,15 @@
         workers: its workers.
     """
 
-    def __init__(self, placement: Placement, queue: TaskQueue, epoch: int = 0) -> None:
+    def __init__(
+        self,
+        placement: Placement,
+        queue: TaskQueue,
+        epoch: int = 0,
+        outcomes: TaskOutcomes | None = None,
+    ) -> None:
         self.workers = WorkerTable(placement)
-        self._tasks = TaskBooks(epoch, placement, queue, self.workers)
+        self._tasks = TaskBooks(epoch, placement, queue, self.workers, outcomes or NoOutcomes())
         self._placement = placement
         self._queue = queue
         self._recovery = Recovery()
@@ -168,7 +175,8 @@
             return []
         self.workers.attach(book, now)
         listed = list(reports)
-        for task_id in sorted(book.task_ids - {report.ref.task_id for report in listed}):
+        reported = {report.ref.task_id for report in listed if self._tasks.is_newest(report.ref)}
+        for task_id in sorted(book.task_ids - reported):
             self._tasks.lose(*self._tasks.get(task_id))
         unknown = self._take_reports(worker_id, listed)
         self._recovery.settle(worker_id)
@@ -225,16 +233,18 @@
 
     def expire_workers(self, now: float) -> None:
         """Queues the tasks of workers whose leases have lapsed on every clock."""
-        lapsed = self.workers.take_lapsed(now)
-        for book in lapsed:
-            self._recovery.settle(book.vm.vm_id)
-            if book.state is WorkerState.ATTACHED:
-                self.workers.detach(book, "lapsed")
-            for task_id in sorted(book.task_ids):
-                self._tasks.lose(*self._tasks.get(task_id))
-            self.workers.forget_unlisted(book)
-        if lapsed:
-            self._finish_recovery()
+        for book in self.workers.take_lapsed(now):
+            self.lapse(book)
+
+    def lapse(self, book: WorkerBook) -> None:
+        """Queues the tasks of a worker whose lease has lapsed on every clock."""
+        self._recovery.settle(book.vm.vm_id)
+        if book.state is WorkerState.ATTACHED:
+            self.workers.detach(book, "lapsed")
+        for task_id in sorted(book.task_ids):
+            self._tasks.lose(*self._tasks.get(task_id))
+        self.workers.forget_unlisted(book)
+        self._finish_recovery()
 
     def list_machines(self, machines: Iterable[VirtualMachine], lapses_at: float) -> None:
         """Takes in the workers of a VM listing and evicts tasks from leaving ones.
@@ -299,7 +309,7 @@
         self._tasks.forget(job_id)
 
     def assignments(self) -> list[Assignment]:
-        """Returns where each task runs or may run, for a successor."""
+        """Returns where each task runs or may run; complete once `is_recovered`."""
         found = []
         for worker_id, book in self.workers_by_id.items():
             for task_id in sorted(book.task_ids):
--- a/packages/pollengated/pollengated/compose.py
+++ b/packages/pollengated/pollengated/compose.py
@@ -7,18 +7,24 @@
 from typing import Any
 
 from grpclib.server import Server
+from pollengate.membership import Member, Role
+from pollengate.patches import OutstandingPatches
+from pollengate.policy import learned_policies
 from pollengate_net.calls import split_address
 from pollengate_net.etcd_store import EtcdStore
 from pollengate_net.grpc_worker import GrpcWorkerClient
 from pollengate_net.http_backend import HttpBackendClient
 from pollengate_net.http_vm_list import HttpVmList
+from pollengate_net.peer_client import GrpcPeerClient
 from pollengate_net.request_ids import trace_server
 from pollengate_net.scheduler_client import SchedulerClient
 from pollengate_net.slot_client import SlotClient
 
 from pollengated.call_log import CallLog
+from pollengated.configuration_exchange import ConfigurationExchange
 from pollengated.configuration_follower import ConfigurationFollower
 from pollengated.configuration_patches import ConfigurationPatcher
+from pollengated.gate_admission import GateAdmission
 from pollengated.gate_stop import ClosingConnections, GateStop
 from pollengated.http_configuration import configuration_router
 from pollengated.http_health import health_router
@@ -28,8 +34,12 @@
 from pollengated.http_tasks import task_router
 from pollengated.job_router import JobRouter
 from pollengated.logs import Log, set_up_logs
+from pollengated.member_registry import MemberRegistry
 from pollengated.metrics import Metrics
 from pollengated.owner_directory import OwnerDirectory
+from pollengated.peer_answers import PeerAnswers
+from pollengated.peer_guard import PeerGuard
+from pollengated.peer_service import PeerService
 from pollengated.readiness import Readiness
 from pollengated.scheduler_service import HeartbeatService, SchedulerService
 from pollengated.service_proxy import ServiceProxy
@@ -51,8 +61,16 @@
     metrics = Metrics()
     store = EtcdStore(settings.store_address)
     follower = ConfigurationFollower(store, metrics)
-    directory = OwnerDirectory(store)
+    registry = _registry(settings, Role.GATE, store)
+    peers = GrpcPeerClient()
     vms = VmDirectory(HttpVmList(settings.vm_list_address))
+    exchange = ConfigurationExchange(follower, registry, peers, metrics, vms.entry_addresses)
+    admission = GateAdmission(registry, peers)
+    outstanding = OutstandingPatches()
+    patcher = ConfigurationPatcher(store, follower, registry, admission, outstanding)
+    server = Server([PeerService(PeerAnswers(store, follower, registry, outstanding))])
+    await server.start(*split_address(settings.rpc_address))
+    directory = OwnerDirectory(store)
     client = SchedulerClient()
     slots = SlotClient()
     # A restarted process counts its asks anew, under a name of its own.
@@ -64,7 +82,7 @@
     stop = GateStop(readiness, settings.stop_delay_s)
     app = create_app(
         [
-            configuration_router(follower, ConfigurationPatcher(store, follower), metrics),
+            configuration_router(follower, patcher, metrics),
             task_router(jobs, metrics),
             service_router(proxy, metrics, settings.max_body_bytes),
             status_router(settings.process_id, settings.zone, follower, directory, client, metrics),
@@ -73,12 +91,23 @@
         settings,
         metrics,
     )
-    loops = [follower.run(), directory.run(), vms.run(), keeper.run()]
-    server = create_server(ClosingConnections(app, readiness), settings, metrics)
+    loops = [
+        registry.run(),
+        exchange.run(),
+        admission.run(),
+        directory.run(),
+        vms.run(),
+        keeper.run(),
+    ]
+    http = create_server(ClosingConnections(app, readiness), settings, metrics)
     Log("gate").info("serving", address=settings.http_address)
-    await _run_until_stopped(stop.serve(server), loops, after=proxy.close)
+    await _run_until_stopped(stop.serve(http), loops, after=proxy.close)
     await keeper.give_back()
     slots.close()
+    await registry.leave()
+    server.close()
+    await server.wait_closed()
+    await peers.close()
     client.close()
     await store.close()
 
@@ -89,7 +118,11 @@
     metrics = Metrics()
     store = EtcdStore(settings.store_address)
     follower = ConfigurationFollower(store, metrics)
+    registry = _registry(settings, Role.SCHEDULER, store)
+    peers = GrpcPeerClient()
     vms = VmDirectory(HttpVmList(settings.vm_list_address))
+    exchange = ConfigurationExchange(follower, registry, peers, metrics, vms.entry_addresses)
+    answers = PeerAnswers(store, follower, registry)
 
     def make_owner(number: int, shards: int) -> ShardOwner:
         return ShardOwner(
@@ -102,24 +135,34 @@
             vms,
             GrpcWorkerClient,
             metrics,
+            learned_policies(settings.zone, number, asyncio.get_running_loop().time),
             shards=shards,
+            guard=PeerGuard(store, registry, peers, answers, metrics),
         )
 
     shards = ShardSet(store, settings.zone, follower, make_owner)
     service = SchedulerService(settings.process_id, settings.zone, shards, follower)
     slots = SlotService(settings.zone, shards, store, follower, vms)
-    server = Server([service, HeartbeatService(shards), slots])
+    server = Server([service, HeartbeatService(shards), PeerService(answers), slots])
     trace_server(server, CallLog("scheduler").write)
     app = create_app([health_router(Readiness(follower), metrics)], settings, metrics)
     await server.start(*split_address(settings.rpc_address))
     Log("scheduler").info("serving", address=settings.rpc_address)
     http = serve_until_cancelled(app, settings, metrics)
-    await _run_until_stopped(_run_shards(shards), [follower.run(), vms.run(), http])
+    loops = [registry.run(), exchange.run(), vms.run(), http]
+    await _run_until_stopped(_run_shards(shards), loops)
+    await registry.leave()
     server.close()
     await server.wait_closed()
+    await peers.close()
     await store.close()
 
 
+def _registry(settings: Settings, role: Role, store: EtcdStore) -> MemberRegistry:
+    member = Member(settings.process_id, role, settings.zone, settings.rpc_address)
+    return MemberRegistry(store, member)
+
+
 async def _run_shards(shards: ShardSet) -> None:
     serving = asyncio.create_task(shards.run())
     stopping = asyncio.create_task(_wait_for_stop())
--- a/packages/pollengated/pollengated/shard_owner.py
+++ b/packages/pollengated/pollengated/shard_owner.py
@@ -9,12 +9,13 @@
 from pollengate.ledger import Accepted, Ledger
 from pollengate.owner_lease import OwnerLease, Taken
 from pollengate.ownership import Ownership
+from pollengate.ownership_guard import OwnershipGuard, StoreGuard
 from pollengate.policies import ShardPolicies
 from pollengate.refusals import Outcome, Reason, Refusal
 from pollengate.shard import Shard
 from pollengate.steps import NoSteps, Step, StepHook
 from pollengate.store import Store
-from pollengate.worker import Heartbeat, HeartbeatAnswer, WorkerClient
+from pollengate.worker import Heartbeat, HeartbeatAnswer, ReportState, WorkerClient
 from pollengate.worker_books import lapse_time
 from prometheus_client import Gauge
 from result import Err, Ok, Result
@@ -32,6 +33,11 @@
 STANDBY_POLL_S = 1.0
 WATCH_RETRY_S = 1.0
 
+_STEP_BY_REPORT = {
+    ReportState.FINISHED: Step.FINISH_REPORTED,
+    ReportState.CHECKPOINTED: Step.CHECKPOINT_REPORTED,
+}
+
 
 class ShardOwner:
     """Runs one shard whenever this process owns it, and stands by otherwise.
@@ -57,6 +63,7 @@
         policies: ShardPolicies | None = None,
         steps: StepHook | None = None,
         shards: int = 1,
+        guard: OwnershipGuard | None = None,
     ) -> None:
         self.zone = zone
         self.number = shard
@@ -71,7 +78,8 @@
         self._connect = connect
         self._metrics = metrics
         self._shards = shards
-        self._lease = OwnerLease(store, self.ownership, process_id, address, self._steps)
+        guard = guard if guard is not None else StoreGuard(store)
+        self._lease = OwnerLease(store, self.ownership, process_id, address, self._steps, guard)
         self._server: ShardServer | None = None
         self._stopping = asyncio.Event()
         self._released = asyncio.Event()
@@ -134,6 +142,9 @@
         if self._server is None or not self.is_serving() or beat.epoch != self.ownership.epoch:
             return HeartbeatAnswer(accepted=False)
         answer = self._server.heartbeat(beat)
+        for report in beat.reports:
+            if report.state in _STEP_BY_REPORT:
+                await self._steps.reach(_STEP_BY_REPORT[report.state], report.ref.task_id)
         await self._steps.reach(Step.HEARTBEAT_ANSWERING, beat.worker_id)
         return answer
 
@@ -163,6 +174,7 @@
         if isinstance(contents, Err) or not tenure.is_held():
             return False
         self.books = tenure.books
+        self._policies.configure(self._follower.current)
         for record in contents.ok_value.records:
             self.books.restore(record)
         workers = contents.ok_value.workers
@@ -178,7 +190,7 @@
             self._connect,
             self._address,
             self._metrics,
-            self._policies.make_reaction(),
+            self._policies,
             lapses_at,
             self._shards,
         )
@@ -211,7 +223,9 @@
         await server.quiesce()
         await self._steps.reach(Step.STARTS_DRAINED)
         if isinstance(await server.flush(), Ok) and tenure.is_held():
-            is_confirmed = await self._lease.hand_over(tenure.books.assignments())
+            books = tenure.books
+            assignments = books.assignments() if books.is_recovered else None
+            is_confirmed = await self._lease.hand_over(assignments)
             self._log.info("shard handed over", shard=self.number, confirmed=is_confirmed)
 
     async def _renew(self, tenure: Tenure) -> None:
@@ -237,7 +251,8 @@
 
     def _new_books(self) -> Shard:
         policies = self._policies
-        return Shard(policies.make_placement(), policies.make_queue(), self.ownership.epoch)
+        placement, queue = policies.make_placement(), policies.make_queue()
+        return Shard(placement, queue, self.ownership.epoch, policies.make_outcomes())
 
     def _may_start(self) -> bool:
         now = asyncio.get_running_loop().time()
--- a/packages/pollengated/pollengated/shard_server.py
+++ b/packages/pollengated/pollengated/shard_server.py
@@ -7,7 +7,8 @@
 from pollengate.job_books import JobBook
 from pollengate.jobs import JobSpec
 from pollengate.ledger import Accepted, LedgerFailure
-from pollengate.reaction import Evict, Observation, Reaction, Throttle
+from pollengate.policies import ShardPolicies
+from pollengate.reaction import Evict, Observation, Throttle
 from pollengate.refusals import Outcome, Reason, Refusal
 from pollengate.shard import StartOrders
 from pollengate.steps import Step
@@ -46,7 +47,7 @@
         connect: Callable[[str], WorkerClient],
         address: str,
         metrics: Metrics,
-        reaction: Reaction,
+        policies: ShardPolicies,
         lapses_at: float,
         shards: int,
     ) -> None:
@@ -55,7 +56,9 @@
         self._steps = tenure.steps
         self._follower = follower
         self._vms = vms
-        self._reaction = reaction
+        self._configure = policies.configure
+        self._metrics = metrics
+        self._reaction = policies.make_reaction()
         self._lapses_at = lapses_at
         self._shards = shards
         self._calls = WorkerCalls(tenure, connect, address, metrics)
@@ -158,8 +161,9 @@
                 continue
 
     async def _tick(self) -> None:
+        self._configure(self._follower.current)
         self._books.expire_workers(asyncio.get_running_loop().time())
-        self._react()
+        await self._react()
         self._calls.kick_waiting()
         self._record_workers()
         self._start_tasks()
@@ -206,18 +210,21 @@
         else:
             self._calls.send_starts(plan)
 
-    def _react(self) -> None:
+    async def _react(self) -> None:
         for task_id in self._books.take_left():
             self._reaction.task_left(task_id)
         for action in self._reaction.decide(asyncio.get_running_loop().time()):
             if isinstance(action, Evict):
+                await self._steps.reach(Step.EVICT_REQUESTED, action.task_id)
                 self._books.evict(action.task_id)
+                self._metrics.evictions.inc()
             else:
                 self._throttle(action)
 
     def _throttle(self, action: Throttle) -> None:
         found = self._books.find_on_worker(action.task_id)
         if found is not None and found[0] == action.worker_id:
+            self._metrics.throttles.inc()
             self._spawn(self._calls.throttle(action.worker_id, found[1], action.share))
 
     def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
--- a/tests/faults/test_gate_stop.py
+++ b/tests/faults/test_gate_stop.py
@@ -30,10 +30,11 @@
 class Deployment:
     """One zone: a store, a VM list, two backend servers, a scheduler and gates."""
 
-    def __init__(self, directory: Path) -> None:
+    def __init__(self, directory: Path, gates: int = GATES, backends: int = 2) -> None:
         self._directory = directory
+        self._gate_count = gates
         self._processes: list[subprocess.Popen[bytes]] = []
-        self._store, self._vm_list, *self.backends = free_addresses(4)
+        self._store, self._vm_list, *self.backends = free_addresses(2 + backends)
         self.gates: dict[str, subprocess.Popen[bytes]] = {}
 
     def start(self) -> None:
@@ -47,7 +48,7 @@
         options = ("--address", self._vm_list, "--file", str(listing))
         self._start("pollengate-standins", "vm-list", *options)
         self._start_role("scheduler", *free_addresses(2))
-        for _ in range(GATES):
+        for _ in range(self._gate_count):
             self.start_gate()
         wait_until(lambda: _configure(self.any_gate()))
         for gate in self.gates:
