--- a/tests/faults/test_gate_stop.py
+++ b/tests/faults/test_gate_stop.py
@@ -173,7 +173,8 @@
         """Stops the oldest gate once another one is ready."""
         gates = self.deployment.gates
         old = next(iter(gates))
-        while not set(balancer.ready) - {old}:  # noqa: ASYNC110
+        # Two signals to a gate that was not yet in use could arrive as one.
+        while old not in balancer.ready or len(balancer.ready) == 1:  # noqa: ASYNC110
             await asyncio.sleep(POLL_S)
         gates[old].send_signal(signal.SIGTERM)
         while old in balancer.ready or balancer.in_progress_by_gate[old]:  # noqa: ASYNC110
