--- a/tests/faults/test_gate_stop.py
+++ b/tests/faults/test_gate_stop.py
@@ -30,10 +30,11 @@
 class Deployment:
     """One zone: a store, a VM list, two backend servers, a scheduler and gates."""
 
-    def __init__(self, directory: Path) -> None:
+    def __init__(self, directory: Path, gates: int = GATES, backends: int = 2) -> None:
         self._directory = directory
+        self._gate_count = gates
         self._processes: list[subprocess.Popen[bytes]] = []
-        self._store, self._vm_list, *self.backends = free_addresses(4)
+        self._store, self._vm_list, *self.backends = free_addresses(2 + backends)
         self.gates: dict[str, subprocess.Popen[bytes]] = {}
 
     def start(self) -> None:
@@ -47,7 +48,7 @@
         options = ("--address", self._vm_list, "--file", str(listing))
         self._start("pollengate-standins", "vm-list", *options)
         self._start_role("scheduler", *free_addresses(2))
-        for _ in range(GATES):
+        for _ in range(self._gate_count):
             self.start_gate()
         wait_until(lambda: _configure(self.any_gate()))
         for gate in self.gates:
@@ -172,7 +173,8 @@
         """Stops the oldest gate once another one is ready."""
         gates = self.deployment.gates
         old = next(iter(gates))
-        while not set(balancer.ready) - {old}:  # noqa: ASYNC110
+        # Two signals to a gate that was not yet in use could arrive as one.
+        while old not in balancer.ready or len(balancer.ready) == 1:  # noqa: ASYNC110
             await asyncio.sleep(POLL_S)
         gates[old].send_signal(signal.SIGTERM)
         while old in balancer.ready or balancer.in_progress_by_gate[old]:  # noqa: ASYNC110
