--- a/packages/pollengate-net/pollengate_net/worker_messages.py
+++ b/packages/pollengate-net/pollengate_net/worker_messages.py
@@ -170,8 +170,11 @@
         cores=usage.cores,
         memory_mb=usage.memory_mb,
         slowdown=usage.slowdown,
+        in_step=usage.in_step,
     )
 
 
 def _usage_from_message(message: pb.TaskUsage) -> TaskUsage:
-    return TaskUsage(message.task_id, message.cores, message.memory_mb, message.slowdown)
+    return TaskUsage(
+        message.task_id, message.cores, message.memory_mb, message.slowdown, message.in_step
+    )
