--- a/packages/pollengate/pollengate/refusals.py
+++ b/packages/pollengate/pollengate/refusals.py
@@ -19,6 +19,7 @@
 
     BACKEND_FAILED = "backend_failed"
     BODY_TOO_LARGE = "body_too_large"
+    CALLER_GONE = "caller_gone"
     CONFIGURATION_STALE = "configuration_stale"
     DEADLINE_TOO_SHORT = "deadline_too_short"
     IDEMPOTENCY_CONFLICT = "idempotency_conflict"
@@ -28,6 +29,7 @@
     NO_BACKEND = "no_backend"
     NO_OWNER = "no_owner"
     NOT_ADMITTED = "not_admitted"
+    NO_SLOT = "no_slot"
     NOT_FOUND = "not_found"
     OWNER_MAY_REMAIN = "owner_may_remain"
     PROMISE_UNANSWERED = "promise_unanswered"
--- a/packages/pollengated/pollengated/http_server.py
+++ b/packages/pollengated/pollengated/http_server.py
@@ -6,6 +6,7 @@
 
 import uvicorn
 from litestar import Litestar, Router
+from litestar.handlers import ASGIRouteHandler
 from litestar.types import ASGIApp
 from pollengate_net.calls import split_address
 
@@ -16,10 +17,12 @@
 from pollengated.request_tracing import RequestTracing
 from pollengated.settings import Settings
 
-__all__ = ["create_app", "create_server", "serve_until_cancelled"]
+__all__ = ["QuietServer", "create_app", "create_server", "serve_until_cancelled"]
 
 
-def create_app(routers: Sequence[Router], settings: Settings, metrics: Metrics) -> ASGIApp:
+def create_app(
+    routers: Sequence[Router | ASGIRouteHandler], settings: Settings, metrics: Metrics
+) -> ASGIApp:
     """Returns an application whose every error is a problem document."""
     app = Litestar(
         list(routers),
@@ -31,7 +34,16 @@
     return RequestTracing(BodyDeadline(app, settings.body_timeout_s))
 
 
-def create_server(app: ASGIApp, settings: Settings, metrics: Metrics) -> uvicorn.Server:
+class QuietServer(uvicorn.Server):
+    """A server that leaves the process's signals alone."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Captures none."""
+        yield
+
+
+def create_server(app: ASGIApp, settings: Settings, metrics: Metrics) -> QuietServer:
     """Returns a server for the settings' HTTP address."""
     host, port = split_address(settings.http_address)
     config = uvicorn.Config(
@@ -45,21 +57,12 @@
         access_log=False,
         server_header=False,
     )
-    return uvicorn.Server(config)
-
-
-class _QuietServer(uvicorn.Server):
-    """A server that leaves the process's signals alone."""
-
-    @contextlib.contextmanager
-    def capture_signals(self) -> Iterator[None]:
-        """Captures none."""
-        yield
+    return QuietServer(config)
 
 
 async def serve_until_cancelled(app: ASGIApp, settings: Settings, metrics: Metrics) -> None:
     """Serves beside another server that handles the signals."""
-    server = _QuietServer(create_server(app, settings, metrics).config)
+    server = create_server(app, settings, metrics)
     serving = asyncio.create_task(server.serve())
     try:
         await asyncio.shield(serving)
