--- a/tests/faults/test_policy_faults.py
+++ b/tests/faults/test_policy_faults.py
@@ -20,10 +20,10 @@
 
     job_prefix = ""
 
-    def _end(self, ref: TaskRef, state: ReportState) -> None:
+    def end(self, ref: TaskRef, state: ReportState) -> None:
         if state is ReportState.FINISHED and ref.task_id.startswith(self.job_prefix):
             state = ReportState.FAILED
-        super()._end(ref, state)
+        super().end(ref, state)
 
 
 class FailingJobWorker(FailingWorker):
