--- a/tests/faults/test_policy_faults.py
+++ b/tests/faults/test_policy_faults.py
@@ -21,7 +21,6 @@
     job_prefix = ""
 
     def end(self, ref: TaskRef, state: ReportState) -> None:
-        """Ends a task, as failed where it would have finished."""
         if state is ReportState.FINISHED and ref.task_id.startswith(self.job_prefix):
             state = ReportState.FAILED
         super().end(ref, state)
