--- a/benchmarks/zone_host.py
+++ b/benchmarks/zone_host.py
@@ -30,7 +30,14 @@
 from pollengate_standins.worker_server import WorkerModel, WorkerService
 from result import Err, Result
 
-__all__ = ["CountingStore", "SchedulerProcess", "ZoneHost", "cpu_seconds"]
+__all__ = [
+    "CountingStore",
+    "SchedulerProcess",
+    "ZoneHost",
+    "cpu_seconds",
+    "free_address",
+    "memory_mb",
+]
 
 HOST = "127.0.0.1"
 ZONE = "bench"
@@ -111,7 +118,7 @@
         self._cores = cores
         self._client = SchedulerClient()
         self._directory = Path(tempfile.mkdtemp())
-        self._store_address, self._list_address = _free_address(), _free_address()
+        self._store_address, self._list_address = free_address(), free_address()
         self._tasks: list[asyncio.Task[Any]] = []
         self._servers: list[Server] = []
 
@@ -128,19 +135,24 @@
 
     def start_scheduler(self) -> SchedulerProcess:
         """Starts one more scheduler process."""
-        name, address = f"s{len(self.schedulers)}", _free_address()
-        path = self._directory / f"{name}.toml"
-        path.write_text(
-            f'[process]\nid = "{name}"\nzone = "{ZONE}"\n'
-            f'[listen]\nhttp = "{_free_address()}"\nrpc = "{address}"\n'
-            f'[platform]\nstore = "{self._store_address}"\nvm_list = "{self._list_address}"\n'
-        )
+        name, address = f"s{len(self.schedulers)}", free_address()
+        path = self.write_settings(name, address)
         log = (self._directory / f"{name}.log").open("wb")
         command = [str(BIN / "pollengated"), "scheduler", "--settings", str(path)]
         process = subprocess.Popen(command, stdout=log, stderr=log)
         self.schedulers.append(SchedulerProcess(process, address))
         return self.schedulers[-1]
 
+    def write_settings(self, name: str, rpc_address: str) -> Path:
+        """Writes the settings file of one process and returns its path."""
+        path = self._directory / f"{name}.toml"
+        path.write_text(
+            f'[process]\nid = "{name}"\nzone = "{ZONE}"\n'
+            f'[listen]\nhttp = "{free_address()}"\nrpc = "{rpc_address}"\n'
+            f'[platform]\nstore = "{self._store_address}"\nvm_list = "{self._list_address}"\n'
+        )
+        return path
+
     async def owner(self) -> Owner:
         """Waits for the owner of the zone's shard."""
         while True:
@@ -180,7 +192,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
     async def _serve_worker(self, model: WorkerModel) -> dict[str, object]:
-        address = _free_address()
+        address = free_address()
         service = WorkerService(model)
         server = Server([service])
         await server.start(HOST, int(address.rpartition(":")[2]))
@@ -217,7 +229,8 @@
     return pages * os.sysconf("SC_PAGE_SIZE") / 1e6
 
 
-def _free_address() -> str:
+def free_address() -> str:
+    """Returns an unused loopback address."""
     with socket.socket() as probe:
         probe.bind((HOST, 0))
         return f"{HOST}:{probe.getsockname()[1]}"
--- a/packages/pollengate-net/pollengate_net/worker_messages.py
+++ b/packages/pollengate-net/pollengate_net/worker_messages.py
@@ -133,6 +133,7 @@
     return pb.HeartbeatReply(
         accepted=answer.accepted,
         lease_ms=round(answer.lease_s * 1000),
+        start_window_ms=round(answer.start_window_s * 1000),
         acknowledged=[ref_to_message(ref) for ref in answer.acknowledged],
         unknown=[ref_to_message(ref) for ref in answer.unknown],
     )
@@ -143,6 +144,7 @@
     return HeartbeatAnswer(
         accepted=message.accepted,
         lease_s=message.lease_ms / 1000,
+        start_window_s=message.start_window_ms / 1000,
         acknowledged=tuple(ref_from_message(ref) for ref in message.acknowledged),
         unknown=tuple(ref_from_message(ref) for ref in message.unknown),
     )
--- a/packages/pollengate-standins/pollengate_standins/worker_model.py
+++ b/packages/pollengate-standins/pollengate_standins/worker_model.py
@@ -48,6 +48,7 @@
         self._capacity = capacity
         self._beat_number = 0
         self._lease_until = 0.0
+        self._start_until = 0.0
         self._lease_timer: asyncio.TimerHandle | None = None
         self._running_by_id: dict[str, _RunningTask] = {}
         self._ended_by_ref: dict[TaskRef, TaskReport] = {}
@@ -111,6 +112,7 @@
         if not answer.accepted or (beat.epoch, beat.session) != (self.epoch, self.session):
             return
         self._renew(asked_at, answer.lease_s)
+        self._start_until = max(self._start_until, asked_at + answer.start_window_s)
         for ref in answer.acknowledged:
             self._ended_by_ref.pop(ref, None)
         self.stop(self.epoch, answer.unknown, checkpoint=False)
@@ -136,6 +138,8 @@
             return TaskAnswer(order.ref, False, "session_too_low")
         if loop.time() >= self._lease_until:
             return TaskAnswer(order.ref, False, "no_lease")
+        if loop.time() >= self._start_until:
+            return TaskAnswer(order.ref, False, "too_late")
         running = self._running_by_id.get(order.ref.task_id)
         if running is not None:
             return TaskAnswer(order.ref, running.order.ref == order.ref, "already_running")
--- a/packages/pollengate/pollengate/shard.py
+++ b/packages/pollengate/pollengate/shard.py
@@ -14,7 +14,13 @@
 from pollengate.task_queue import TaskQueue
 from pollengate.virtual_machines import VirtualMachine
 from pollengate.worker import Heartbeat, HeartbeatAnswer, TaskAnswer, TaskOrder, TaskRef, TaskReport
-from pollengate.worker_books import WORKER_LEASE_S, StopOrder, WorkerBook, WorkerState
+from pollengate.worker_books import (
+    START_WINDOW_S,
+    WORKER_LEASE_S,
+    StopOrder,
+    WorkerBook,
+    WorkerState,
+)
 from pollengate.worker_table import WorkerTable
 
 __all__ = ["Shard", "StartOrders", "WORKER_LEASE_S", "WorkerBook", "WorkerState"]
@@ -229,7 +235,7 @@
             return HeartbeatAnswer(accepted=False)
         unknown = self._take_reports(beat.worker_id, beat.reports)
         settled = [report.ref for report in beat.reports if self._tasks.is_settled(report)]
-        return HeartbeatAnswer(True, WORKER_LEASE_S, tuple(settled), tuple(unknown))
+        return HeartbeatAnswer(True, WORKER_LEASE_S, tuple(settled), tuple(unknown), START_WINDOW_S)
 
     def expire_workers(self, now: float) -> None:
         """Queues the tasks of workers whose leases have lapsed on every clock."""
--- a/packages/pollengate/pollengate/worker.py
+++ b/packages/pollengate/pollengate/worker.py
@@ -158,12 +158,15 @@
         lease_s: length of the lease, counted from when the worker sent the heartbeat.
         acknowledged: ended attempts that the worker may forget.
         unknown: running attempts that the worker must stop.
+        start_window_s: time, counted like the lease, within which the worker may start tasks;
+            an order that arrives later waited somewhere and is refused.
     """
 
     accepted: bool
     lease_s: float = 0.0
     acknowledged: tuple[TaskRef, ...] = ()
     unknown: tuple[TaskRef, ...] = ()
+    start_window_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/pollengate/pollengate/worker_books.py
+++ b/packages/pollengate/pollengate/worker_books.py
@@ -9,10 +9,20 @@
 from pollengate.virtual_machines import VirtualMachine, VmState
 from pollengate.worker import TaskRef
 
-__all__ = ["StopOrder", "WORKER_LEASE_S", "WorkerBook", "WorkerState", "lapse_time", "shard_of"]
+__all__ = [
+    "START_WINDOW_S",
+    "StopOrder",
+    "WORKER_LEASE_S",
+    "WorkerBook",
+    "WorkerState",
+    "lapse_time",
+    "shard_of",
+]
 
 # Longer than a takeover, so that tasks outlive the death of their shard's owner.
 WORKER_LEASE_S = 10.0
+# Together with the age of a configuration below the time after which a zone gets no start.
+START_WINDOW_S = 1.8
 
 _CHART = load_chart("worker")
 
