Add docs/CAPACITY.md from measured slopes; read the VM list conditionally

Cause: each process read the whole VM list twice a second: 1.45 MB/s a process at 3,300 workers; each gate read all owners twice a second: 12.6 KB/s against a limit of 10. Ruled out: a longer interval for the VM list, which delays leaving VMs. Before and after, extrapolated: 1,452,000 and 19,286 bytes/s for the VM list (conditional reads), 12,638 and 6,438 bytes/s for a gate's other traffic (owners read every second).

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 # uv trusts the certificates that pip trusts.
 export UV_SYSTEM_CERTS := 1
 
-.PHONY: setup run serve test check format lock messages
+.PHONY: capacity setup run serve test check format lock messages
 
 setup: .venv/.ready
 
@@ -44,3 +44,6 @@
 	PATH="$(CURDIR)/$(BIN):$$PATH" $(BIN)/python -m grpc_tools.protoc --proto_path=proto \
 		--python_out=packages/pollengate-net --pyi_out=packages/pollengate-net \
 		--grpclib_python_out=packages/pollengate-net proto/pollengate_net/messages/*.proto
+
+capacity: setup  ## Measures the slopes behind docs/CAPACITY.md and rewrites its tables.
+	$(BIN)/python -m benchmarks.capacity
--- /dev/null
+++ b/benchmarks/capacity/roles.py
@@ -0,0 +1,175 @@
+"""What each role costs at the target size, worked out from the measured slopes."""
+
+import dataclasses
+
+from benchmarks.capacity.measurements import Measurements
+from benchmarks.capacity.sizes import Target
+
+__all__ = ["RoleCost", "StoreTotals", "role_costs", "store_totals", "vm_list_bytes_per_s"]
+
+HEARTBEATS_PER_S = 2.0
+# Bytes of one VM in the platform's listing, as JSON.
+VM_ENTRY_BYTES = 220
+VM_LIST_READS_PER_S = 2.0
+# A conditional request and its answer without a body.
+NOT_MODIFIED_BYTES = 400
+OWNER_ENTRY_BYTES = 140
+PEER_MESSAGE_BYTES = 60
+STORE_CALL_BYTES = 600
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RoleCost:
+    """The cost of one process or one worker for control.
+
+    Attributes:
+        name: the role.
+        state: what it keeps.
+        calls_per_s: calls in and out.
+        bytes_per_s: bytes in and out, the VM list not included.
+        core_share: processor time as a share of a core.
+        memory_mb: resident memory; 0 where it is not ours.
+        carried_by: the mechanism that keeps the cost down.
+    """
+
+    name: str
+    state: str
+    calls_per_s: float
+    bytes_per_s: float
+    core_share: float
+    memory_mb: float
+    carried_by: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreTotals:
+    """The load of everything together on the store, in calls a second.
+
+    Attributes:
+        reads_by_source: reads and waiting watches.
+        writes_by_source: writes and lease renewals.
+    """
+
+    reads_by_source: dict[str, float]
+    writes_by_source: dict[str, float]
+
+    @property
+    def reads(self) -> float:
+        """Returns all reads and waiting watches."""
+        return sum(self.reads_by_source.values())
+
+    @property
+    def writes(self) -> float:
+        """Returns all writes and renewals."""
+        return sum(self.writes_by_source.values())
+
+
+def heartbeat_bytes(m: Measurements, tasks: float) -> float:
+    """Returns the bytes of one heartbeat of a worker and its answer."""
+    return m.framing.slope + m.messages["heartbeat"].at(tasks) + m.messages["start"].at(0) + 12
+
+
+def start_bytes(m: Measurements) -> float:
+    """Returns the bytes of one start order of one task and its answer."""
+    sizes = m.messages["start"].slope + m.messages["start answer"].slope
+    return m.framing.slope + sizes
+
+
+def role_costs(m: Measurements, target: Target) -> list[RoleCost]:
+    """Returns the cost of each role."""
+    return [_worker(m, target), _owner(m, target), _standby(m, target), _gate(m, target)]
+
+
+def store_totals(m: Measurements, target: Target) -> StoreTotals:
+    """Returns the load on the store."""
+    processes = 2 * target.entry_vms
+    standbys = target.shards * (target.entry_vms_per_zone - 1)
+    configuration = m.store.reads_by_process.at(target.entry_vms_per_zone) * target.zones / 5
+    return StoreTotals(
+        reads_by_source={
+            "configuration, one reader a zone": configuration,
+            "owner directories of gates": m.store.directory_reads * target.entry_vms,
+            "owned shards": m.store.shard_reads * target.shards,
+            "standbys": m.store.standby_reads * standbys,
+            "waiting watches, one a shard and scheduler": float(
+                target.shards * target.entry_vms_per_zone
+            ),
+            "submissions": target.jobs_per_day / 86_400,
+        },
+        writes_by_source={
+            "ledgers of owned shards": m.store.shard_writes_by_start.at(target.starts_per_shard_s)
+            * target.shards,
+            "owner leases": m.store.shard_lease_calls * target.shards,
+            "member leases": m.store.lease_calls_by_process.at(processes),
+            "patches": m.store.writes_per_patch * target.changes_per_s,
+            "submissions": target.jobs_per_day / 86_400,
+        },
+    )
+
+
+def vm_list_bytes_per_s(target: Target) -> float:
+    """Returns what one process reads of the platform's VM list: whole after each change."""
+    # A replacement is listed as leaving, then as gone with its successor.
+    changes_per_s = 2 * target.replacements_per_day / 86_400
+    whole = target.workers * VM_ENTRY_BYTES * changes_per_s
+    return whole + VM_LIST_READS_PER_S * NOT_MODIFIED_BYTES
+
+
+def _worker(m: Measurements, target: Target) -> RoleCost:
+    starts = target.starts_per_s / target.workers
+    sent = HEARTBEATS_PER_S * heartbeat_bytes(m, target.tasks_per_worker)
+    return RoleCost(
+        "worker (our calls)",
+        "its tasks and unacknowledged reports",
+        HEARTBEATS_PER_S + starts,
+        sent + starts * start_bytes(m),
+        m.processor.owner_by_worker.slope + starts * m.processor.owner_by_start.slope,
+        0.0,
+        "one heartbeat for all tasks; starts of one tick in one call",
+    )
+
+
+def _owner(m: Measurements, target: Target) -> RoleCost:
+    workers, starts = target.workers_per_shard, target.starts_per_shard_s
+    tasks = workers * target.tasks_per_worker
+    queued = target.queued_tasks_per_zone / target.shards_per_zone
+    beats = workers * HEARTBEATS_PER_S * heartbeat_bytes(m, target.tasks_per_worker)
+    ledger = m.store.shard_bytes_by_start.at(starts)
+    books = m.memory.by_worker.slope * workers + m.memory.by_running.slope * tasks
+    books += m.memory.by_queued.slope * queued
+    return RoleCost(
+        f"owner of a shard, 1 of {target.shards_per_zone} a zone",
+        f"books of {workers:.0f} workers, {tasks:.0f} running and {queued:.0f} queued tasks",
+        workers * HEARTBEATS_PER_S + starts + 4,
+        beats + starts * start_bytes(m) + ledger,
+        m.processor.owner_by_worker.at(workers) + starts * m.processor.owner_by_start.slope,
+        m.processor.owner_memory_mb + books / 1e6,
+        "shards by a hash of the worker; group commit; books in memory only",
+    )
+
+
+def _standby(m: Measurements, target: Target) -> RoleCost:
+    calls = target.shards_per_zone * (m.store.standby_reads + 1) + 2
+    return RoleCost(
+        "standby scheduler",
+        "the configuration and the members of its zone",
+        calls,
+        calls * (PEER_MESSAGE_BYTES + m.framing.slope),
+        m.processor.standby,
+        m.processor.owner_memory_mb,
+        "reads one key a shard; a watch for releases",
+    )
+
+
+def _gate(m: Measurements, target: Target) -> RoleCost:
+    peers = m.store.peer_calls_by_process.at(2 * target.entry_vms_per_zone)
+    owners = m.store.directory_reads * (target.shards * OWNER_ENTRY_BYTES + STORE_CALL_BYTES)
+    return RoleCost(
+        "gate, without requests",
+        "the configuration, owners, grants of slots",
+        peers + m.store.directory_reads + VM_LIST_READS_PER_S + 5,
+        owners + peers * (PEER_MESSAGE_BYTES + m.framing.slope),
+        m.processor.gate,
+        m.processor.gate_memory_mb,
+        "one reader of the configuration a zone; grants of slots for 8 s",
+    )
--- a/benchmarks/capacity/sizes.py
+++ b/benchmarks/capacity/sizes.py
@@ -21,6 +21,7 @@
         entry_vms_per_zone: VMs with one gate and one scheduler process each.
         shards_per_zone: a value of the configuration.
         queued_tasks_per_zone: tasks that wait at the peak.
+        replacements_per_day: VMs restarted or replaced.
     """
 
     zones: int = 10
@@ -34,6 +35,7 @@
     entry_vms_per_zone: int = 8
     shards_per_zone: int = 4
     queued_tasks_per_zone: int = 10_000
+    replacements_per_day: int = 1_100
 
     @property
     def shards(self) -> int:
--- a/packages/pollengate-net/pollengate_net/http_vm_list.py
+++ b/packages/pollengate-net/pollengate_net/http_vm_list.py
@@ -12,17 +12,26 @@
 
 
 class HttpVmList(VmList):
-    """Reads the list by `GET /vms`."""
+    """Reads the list by `GET /vms`, conditionally where the list has an entity tag."""
 
-    def __init__(self, address: str) -> None:
-        self._client = httpx.AsyncClient(base_url=f"http://{address}", timeout=CALL_TIMEOUT_S)
+    def __init__(self, address: str, transport: httpx.AsyncBaseTransport | None = None) -> None:
+        self._client = httpx.AsyncClient(
+            base_url=f"http://{address}", timeout=CALL_TIMEOUT_S, transport=transport
+        )
+        self._tag: str | None = None
+        self._machines: tuple[VirtualMachine, ...] = ()
 
     async def read(self) -> Result[tuple[VirtualMachine, ...], VmListFailure]:
-        """Reads the whole list."""
+        """Reads the whole list; an unchanged one is not sent again."""
+        headers = {"If-None-Match": self._tag} if self._tag is not None else {}
         try:
-            response = await self._client.get("/vms")
+            response = await self._client.get("/vms", headers=headers)
+            if response.status_code == httpx.codes.NOT_MODIFIED:
+                return Ok(self._machines)
             response.raise_for_status()
-            return Ok(tuple(vm_from_document(document) for document in response.json()))
+            self._machines = tuple(vm_from_document(document) for document in response.json())
+            self._tag = response.headers.get("ETag")
+            return Ok(self._machines)
         except (httpx.HTTPError, ValueError, KeyError, TypeError) as error:
             return Err(VmListFailure(f"{type(error).__name__}: {error}"))
 
--- a/packages/pollengate-standins/pollengate_standins/vm_list_server.py
+++ b/packages/pollengate-standins/pollengate_standins/vm_list_server.py
@@ -1,11 +1,13 @@
 """A VM list stand-in: it serves a file's list and takes changes over HTTP."""
 
+import hashlib
 import json
 from pathlib import Path
 from typing import Any
 
-from litestar import Litestar, get, put
+from litestar import Litestar, Request, get, put
 from litestar.exceptions import NotFoundException
+from litestar.response import Response
 
 __all__ = ["create_vm_list_app"]
 
@@ -19,8 +21,12 @@
     documents_by_id = {document["vm_id"]: document for document in json.loads(path.read_text())}
 
     @get("/vms")
-    async def list_vms() -> list[dict[str, Any]]:
-        return list(documents_by_id.values())
+    async def list_vms(request: Request[Any, Any, Any]) -> Response[Any]:
+        body = json.dumps(list(documents_by_id.values())).encode()
+        tag = f'"{hashlib.sha256(body).hexdigest()}"'
+        if request.headers.get("if-none-match") == tag:
+            return Response(b"", status_code=304, headers={"ETag": tag})
+        return Response(body, headers={"ETag": tag}, media_type="application/json")
 
     @put("/vms/{vm_id:str}/state")
     async def set_state(vm_id: str, data: dict[str, str]) -> dict[str, Any]:
--- a/packages/pollengated/pollengated/owner_directory.py
+++ b/packages/pollengated/pollengated/owner_directory.py
@@ -10,7 +10,7 @@
 
 __all__ = ["OwnerDirectory"]
 
-POLL_INTERVAL_S = 0.5
+POLL_INTERVAL_S = 1.0
 
 
 class OwnerDirectory:
--- /dev/null
+++ b/tests/test_capacity.py
@@ -0,0 +1,24 @@
+"""The capacity page shows what was last measured, and counts repeat."""
+
+import unittest
+
+from benchmarks.capacity.fits import Point, fit_line
+from benchmarks.capacity.measurements import read
+from benchmarks.capacity.message_sizes import measure_message_sizes
+from benchmarks.capacity.page import PAGE, render, tables_of
+
+
+class CapacityTest(unittest.TestCase):
+    """Page, file and counts agree."""
+
+    def test_page_shows_the_measurements(self) -> None:
+        self.assertEqual(tables_of(PAGE.read_text()), render(read()))
+
+    def test_message_sizes_repeat(self) -> None:
+        self.assertEqual(measure_message_sizes(), read().messages)
+
+    def test_fit_of_a_line_has_no_residual(self) -> None:
+        fit = fit_line([Point(1, 5.0), Point(2, 7.0), Point(4, 11.0)])
+        self.assertAlmostEqual(fit.base, 3.0)
+        self.assertAlmostEqual(fit.slope, 2.0)
+        self.assertAlmostEqual(fit.residual, 0.0)
--- /dev/null
+++ b/tests/test_http_vm_list.py
@@ -0,0 +1,76 @@
+"""Tests of the VM list's client against the stand-in, without sockets."""
+
+import json
+import tempfile
+import unittest
+from pathlib import Path
+from typing import Any
+
+import httpx
+from pollengate.virtual_machines import VmState
+from pollengate_net.http_vm_list import HttpVmList
+from pollengate_standins.vm_list_server import create_vm_list_app
+
+from tests.utils import run_virtual
+
+MACHINES = [
+    {
+        "vm_id": f"w{number}",
+        "zone": "a",
+        "rack": "a-r0",
+        "kind": "worker",
+        "state": "live",
+        "address": "127.0.0.1:1",
+    }
+    for number in range(100)
+]
+
+
+class CountingTransport(httpx.ASGITransport):
+    """Counts the bytes of answers."""
+
+    answer_bytes = 0
+
+    async def handle_async_request(self, request: httpx.Request) -> httpx.Response:
+        """Passes a request on."""
+        response = await super().handle_async_request(request)
+        self.answer_bytes += len(await response.aread())
+        return response
+
+
+class HttpVmListTest(unittest.TestCase):
+    """Whole and conditional reads."""
+
+    def run_against_standin(self, check: Any) -> None:
+        """Runs a coroutine with a client and its transport."""
+        with tempfile.TemporaryDirectory() as directory:
+            path = Path(directory) / "vms.json"
+            path.write_text(json.dumps(MACHINES))
+            app = create_vm_list_app(path)
+            transport = CountingTransport(app)  # type: ignore[arg-type]
+            run_virtual(check(HttpVmList("vm-list", transport), transport))
+
+    def test_unchanged_list_is_not_sent_again(self) -> None:
+        async def check(vm_list: HttpVmList, transport: CountingTransport) -> None:
+            first = (await vm_list.read()).unwrap()
+            whole = transport.answer_bytes
+            second = (await vm_list.read()).unwrap()
+            self.assertEqual(len(first), len(MACHINES))
+            self.assertEqual(second, first)
+            self.assertEqual(transport.answer_bytes, whole)
+            await vm_list.close()
+
+        self.run_against_standin(check)
+
+    def test_changed_list_is_read_whole(self) -> None:
+        async def check(vm_list: HttpVmList, transport: CountingTransport) -> None:
+            await vm_list.read()
+            client = httpx.AsyncClient(transport=transport, base_url="http://vm-list")
+            await client.put("/vms/w7/state", json={"state": "leaving"})
+            machines = (await vm_list.read()).unwrap()
+            states = {vm.vm_id: vm.state for vm in machines}
+            self.assertEqual(states["w7"], VmState.LEAVING)
+            self.assertEqual(states["w8"], VmState.LIVE)
+            await vm_list.close()
+
+        self.run_against_standin(check)
