--- a/benchmarks/capacity/memory.py
+++ b/benchmarks/capacity/memory.py
@@ -88,9 +88,7 @@
 def _with_running(count: int) -> Shard:
     shard = _with_workers(-(-count // CORES))
     for number in range(count // TASKS_PER_JOB):
-        shard.accept(
-            build_spec(f"job-{number}", count=TASKS_PER_JOB, resources=Resources(1, 100))
-        )
+        shard.accept(build_spec(f"job-{number}", count=TASKS_PER_JOB, resources=Resources(1, 100)))
     while plans := shard.plan_starts(200):
         for plan in plans:
             shard.answer_starts([TaskAnswer(order.ref, True) for order in plan.orders])
