--- a/benchmarks/capacity/store_load.py
+++ b/benchmarks/capacity/store_load.py
@@ -13,7 +13,7 @@
 from tests.configuration_nodes import Cluster
 from tests.utils import run_virtual
 
-__all__ = ["StoreLoad", "measure_store_load"]
+__all__ = ["StoreLoad", "measure_outage", "measure_store_load"]
 
 ZONE_COUNTS = (2, 5, 8)
 PROCESS_COUNTS = (2, 4, 8)
@@ -38,6 +38,8 @@
         lease_calls_by_process: member lease renewals against all processes.
         peer_calls_by_process: calls between processes that one process makes, against
             the processes of its zone.
+        outage_peer_calls_by_pair: calls between all processes a second while the store is
+            down, against pairs of zones (each zone asks every gate), at 4 processes of a kind.
         writes_per_patch: store writes of one patch.
         directory_reads: reads of one gate's owner directory.
         shard_reads: reads of one owned shard without tasks.
@@ -52,6 +54,7 @@
     reads_by_process: Fit
     lease_calls_by_process: Fit
     peer_calls_by_process: Fit
+    outage_peer_calls_by_pair: Fit
     writes_per_patch: float
     directory_reads: float
     shard_reads: float
@@ -78,6 +81,7 @@
         peer_calls_by_process=_fit(
             {n * 2: c["peer"] / (n * 2 * FIXED_ZONES) for n, c in by_process.items()}
         ),
+        outage_peer_calls_by_pair=measure_outage(),
         writes_per_patch=run_virtual(_patched()),
         directory_reads=run_virtual(_directory()) / SPAN_S,
         shard_reads=idle.reads / SPAN_S,
@@ -89,6 +93,12 @@
     )
 
 
+def measure_outage() -> Fit:
+    """Counts calls between processes while the store is down."""
+    counts = {zones**2: run_virtual(_outage_calls(zones)) for zones in ZONE_COUNTS}
+    return _fit(counts)
+
+
 def _fit(values_by_size: dict[int, float]) -> Fit:
     return fit_line([Point(size, value) for size, value in values_by_size.items()])
 
@@ -107,6 +117,18 @@
     return calls
 
 
+async def _outage_calls(zones: int) -> float:
+    cluster = Cluster(zones=zones, gates=FIXED_PROCESSES, schedulers=FIXED_PROCESSES)
+    await cluster.start()
+    cluster.network.is_store_down = True
+    await asyncio.sleep(SETTLE_S)
+    cluster.network.calls.clear()
+    await asyncio.sleep(SPAN_S)
+    calls = cluster.network.calls["peer"] / SPAN_S
+    cluster.stop()
+    return calls
+
+
 async def _patched() -> float:
     cluster = Cluster(zones=2, gates=2, schedulers=2)
     await cluster.start()
--- /dev/null
+++ b/packages/pollengate/pollengate/forwarding_store.py
@@ -0,0 +1,82 @@
+"""A store that passes every call on through one method, for those that count or alter calls."""
+
+import enum
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
+from typing import TypeVar
+
+from result import Result
+
+from pollengate.store import (
+    Commit,
+    Entry,
+    Listing,
+    Operation,
+    Store,
+    StoreFailure,
+    Unchanged,
+    WatchEvent,
+)
+
+__all__ = ["CallKind", "ForwardingStore"]
+
+T = TypeVar("T")
+
+
+class CallKind(enum.StrEnum):
+    """What a store call does; a transaction without operations is a read."""
+
+    READ = "read"
+    WRITE = "write"
+    GRANT = "grant"
+    RENEW = "renew"
+    REVOKE = "revoke"
+
+
+class ForwardingStore(Store):
+    """Passes every call on to another store; subclasses override `forward`."""
+
+    def __init__(self, store: Store) -> None:
+        self._store = store
+
+    async def forward(
+        self, kind: CallKind, send: Callable[[], Awaitable[Result[T, StoreFailure]]]
+    ) -> Result[T, StoreFailure]:
+        """Makes one call.
+
+        Args:
+            kind: what the call does.
+            send: makes the call; it may be awaited late, or not at all.
+        """
+        return await send()
+
+    async def get(self, key: str) -> Result[Entry | None, StoreFailure]:
+        """Reads one key."""
+        return await self.forward(CallKind.READ, lambda: self._store.get(key))
+
+    async def list(self, prefix: str) -> Result[Listing, StoreFailure]:
+        """Reads every key below a prefix."""
+        return await self.forward(CallKind.READ, lambda: self._store.list(prefix))
+
+    async def commit(
+        self, conditions: Sequence[Unchanged], operations: Sequence[Operation]
+    ) -> Result[Commit, StoreFailure]:
+        """Applies all operations in one step if all conditions hold."""
+        kind = CallKind.WRITE if operations else CallKind.READ
+        return await self.forward(kind, lambda: self._store.commit(conditions, operations))
+
+    async def grant_lease(self, ttl_s: int) -> Result[int, StoreFailure]:
+        """Creates a lease."""
+        return await self.forward(CallKind.GRANT, lambda: self._store.grant_lease(ttl_s))
+
+    async def keep_lease(self, lease_id: int) -> Result[float, StoreFailure]:
+        """Renews a lease."""
+        return await self.forward(CallKind.RENEW, lambda: self._store.keep_lease(lease_id))
+
+    async def revoke_lease(self, lease_id: int) -> Result[None, StoreFailure]:
+        """Ends a lease."""
+        return await self.forward(CallKind.REVOKE, lambda: self._store.revoke_lease(lease_id))
+
+    async def watch(self, prefix: str, from_revision: int) -> AsyncIterator[WatchEvent]:
+        """Yields the changes below a prefix."""
+        async for event in self._store.watch(prefix, from_revision):
+            yield event
