--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 PYTHON ?= python3
 BIN := .venv/bin
-PACKAGES := packages/pollengate packages/pollengate-settings packages/pollengate-net packages/pollengated packages/pollengate-cli packages/pollengate-standins
+PACKAGES := packages/pollengate packages/pollengate-settings packages/pollengate-net packages/pollengated packages/pollengate-cli packages/pollengate-standins platform
 EDITABLE := $(foreach package,$(PACKAGES),--editable $(package))
 
 # uv trusts the certificates that pip trusts.
@@ -39,6 +39,7 @@
 lock: setup  ## Pins every dependency; the lock names no index.
 	$(BIN)/uv lock --quiet
 	$(BIN)/uv export --quiet --frozen --no-emit-workspace --no-header --no-annotate --output-file requirements.lock
+	$(BIN)/uv export --quiet --frozen --package pollengated --no-dev --no-emit-workspace --no-header --no-annotate --output-file deploy/requirements.txt
 
 messages: setup  ## Generates the message classes from proto/.
 	PATH="$(CURDIR)/$(BIN):$$PATH" $(BIN)/python -m grpc_tools.protoc --proto_path=proto \
--- a/packages/pollengate-net/pollengate_net/etcd_store.py
+++ b/packages/pollengate-net/pollengate_net/etcd_store.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+import math
 from collections.abc import AsyncIterator, Sequence
 from typing import Any
 
@@ -58,9 +59,9 @@
         answer = await self._call("/v3/kv/txn", request)
         return answer.map(_commit)
 
-    async def grant_lease(self, ttl_s: int) -> Result[int, StoreFailure]:
-        """Creates a lease and returns its id."""
-        answer = await self._call("/v3/lease/grant", {"TTL": str(ttl_s)})
+    async def grant_lease(self, ttl_s: float) -> Result[int, StoreFailure]:
+        """Creates a lease, of whole seconds, and returns its id."""
+        answer = await self._call("/v3/lease/grant", {"TTL": str(math.ceil(ttl_s))})
         return answer.map(lambda body: int(body["ID"]))
 
     async def keep_lease(self, lease_id: int) -> Result[float, StoreFailure]:
--- a/packages/pollengate/pollengate/charts.py
+++ b/packages/pollengate/pollengate/charts.py
@@ -1,14 +1,18 @@
-"""State charts: loaded and checked by sismic, then compiled to a flat table."""
+"""Flat state charts, read from files in the format of sismic.
+
+A process reads them itself, since importing sismic takes longer than all else at its start; the
+tests have sismic check each file and compare what it reads.
+"""
 
 import functools
 from importlib import resources
+from typing import Any
 
-from sismic.io import import_from_yaml
-from sismic.model import FinalState
+import yaml
 
 from pollengate.errors import InvariantViolation
 
-__all__ = ["Chart", "load_chart"]
+__all__ = ["Chart", "chart_text", "load_chart"]
 
 
 class Chart:
@@ -52,26 +56,43 @@
         return dict(self._targets)
 
 
+def chart_text(name: str) -> str:
+    """Returns the text of `charts/<name>.yaml`."""
+    return (resources.files("pollengate") / "charts" / f"{name}.yaml").read_text()
+
+
 @functools.cache
 def load_chart(name: str) -> Chart:
-    """Reads `charts/<name>.yaml` and compiles it.
+    """Reads `charts/<name>.yaml`.
 
     Raises:
-        sismic.exceptions.StatechartError: the file is no valid state chart.
-        InvariantViolation: two transitions share a state and an event.
+        yaml.YAMLError: the file is no YAML.
+        InvariantViolation: the chart is not flat, or two transitions share a state and an event.
     """
-    text = (resources.files("pollengate") / "charts" / f"{name}.yaml").read_text()
-    statechart = import_from_yaml(text)
-    statechart.validate()
+    loader = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
+    root = yaml.load(chart_text(name), loader)["statechart"]["root state"]
+    states = {state["name"]: state for state in root["states"]}
     targets: dict[tuple[str, str], str] = {}
-    final_states = set()
-    for state in statechart.children_for(statechart.root):
-        if isinstance(statechart.state_for(state), FinalState):
-            final_states.add(state)
-            continue
-        for transition in statechart.transitions_from(state):
-            if (state, transition.event) in targets:
-                raise InvariantViolation(f"chart {name!r}: {transition.event!r} stands twice")
-            targets[state, transition.event] = transition.target or state
-    initial = statechart.state_for(statechart.root).initial
-    return Chart(name, initial, frozenset(final_states), targets)
+    for state in states.values():
+        for transition in state.get("transitions", ()):
+            _add(targets, name, state, transition, states)
+    if root["initial"] not in states:
+        raise InvariantViolation(f"chart {name!r}: initial state {root['initial']!r} is missing")
+    final_states = frozenset(n for n, state in states.items() if state.get("type") == "final")
+    return Chart(name, root["initial"], final_states, targets)
+
+
+def _add(
+    targets: dict[tuple[str, str], str],
+    chart: str,
+    state: dict[str, Any],
+    transition: dict[str, str],
+    states: dict[str, dict[str, Any]],
+) -> None:
+    source, event = state["name"], transition["event"]
+    target = transition.get("target", source)
+    if "states" in state or target not in states:
+        raise InvariantViolation(f"chart {chart!r} is not flat or {target!r} is missing")
+    if (source, event) in targets:
+        raise InvariantViolation(f"chart {chart!r}: {event!r} stands twice")
+    targets[source, event] = target
--- a/packages/pollengate/pollengate/failure_evidence.py
+++ b/packages/pollengate/pollengate/failure_evidence.py
@@ -49,10 +49,17 @@
 
     A worker's failure counts against a task only while the worker is not itself under suspicion,
     and a job's failure counts against a worker only while the job is not known to fail elsewhere.
+
+    Args:
+        clock: seconds.
+        first_probe_after_s: seconds until a worker or job under suspicion is first tried again.
     """
 
-    def __init__(self, clock: Callable[[], float]) -> None:
+    def __init__(
+        self, clock: Callable[[], float], first_probe_after_s: float = FIRST_PROBE_AFTER_S
+    ) -> None:
         self._clock = clock
+        self._first_probe_after_s = first_probe_after_s
         self._workers_by_task: BoundedDict[str, set[str]] = BoundedDict(MAX_TASKS)
         self._jobs_by_id: BoundedDict[str, _Job] = BoundedDict(MAX_JOBS)
         self._workers_by_id: BoundedDict[str, _Worker] = BoundedDict(MAX_WORKERS)
@@ -175,12 +182,14 @@
         worker.probe_at = self._clock() + worker.probe_after_s
 
     def _job(self, job_id: str) -> _Job:
-        job = self._jobs_by_id.get(job_id) or _Job()
+        job = self._jobs_by_id.get(job_id) or _Job(retry_after_s=self._first_probe_after_s)
         self._jobs_by_id.put(job_id, job)
         return job
 
     def _worker(self, worker_id: str) -> _Worker:
-        worker = self._workers_by_id.get(worker_id) or _Worker()
+        worker = self._workers_by_id.get(worker_id) or _Worker(
+            probe_after_s=self._first_probe_after_s
+        )
         self._workers_by_id.put(worker_id, worker)
         return worker
 
--- a/packages/pollengate/pollengate/forwarding_store.py
+++ b/packages/pollengate/pollengate/forwarding_store.py
@@ -64,7 +64,7 @@
         kind = CallKind.WRITE if operations else CallKind.READ
         return await self.forward(kind, lambda: self._store.commit(conditions, operations))
 
-    async def grant_lease(self, ttl_s: int) -> Result[int, StoreFailure]:
+    async def grant_lease(self, ttl_s: float) -> Result[int, StoreFailure]:
         """Creates a lease."""
         return await self.forward(CallKind.GRANT, lambda: self._store.grant_lease(ttl_s))
 
--- a/packages/pollengate/pollengate/memory_store.py
+++ b/packages/pollengate/pollengate/memory_store.py
@@ -1,20 +1,22 @@
 """An in-memory store with the semantics of the platform's."""
 
 import asyncio
+import contextlib
 import dataclasses
 from collections.abc import AsyncIterator, Sequence
 
 from result import Err, Ok, Result
 
 from pollengate.store import (
+    Changes,
     Commit,
     Delete,
     Entry,
     FailureKind,
     Listing,
     Operation,
+    PolledStore,
     Put,
-    Store,
     StoreFailure,
     Unchanged,
     WatchEvent,
@@ -33,7 +35,7 @@
     keys: set[str]
 
 
-class MemoryStore(Store):
+class MemoryStore(PolledStore):
     """Keeps keys, leases and watches in this process, on the event loop's clock."""
 
     def __init__(self) -> None:
@@ -72,7 +74,7 @@
             self._apply(operation)
         return Ok(Commit(True, self._revision))
 
-    async def grant_lease(self, ttl_s: int) -> Result[int, StoreFailure]:
+    async def grant_lease(self, ttl_s: float) -> Result[int, StoreFailure]:
         """Creates a lease and returns its id."""
         self._next_lease_id += 1
         now = asyncio.get_running_loop().time()
@@ -105,6 +107,25 @@
                     yield event
             await self._wait_for_change(changed)
 
+    async def changes(
+        self, prefix: str, after_revision: int, wait_s: float
+    ) -> Result[Changes, StoreFailure]:
+        """Returns the changes below a prefix after a revision, waiting for the first."""
+        deadline = asyncio.get_running_loop().time() + wait_s
+        while True:
+            changed = self._changed
+            self._expire_leases()
+            events = [
+                event
+                for event in self._history
+                if event.revision > after_revision and event.key.startswith(prefix)
+            ]
+            left_s = deadline - asyncio.get_running_loop().time()
+            if events or left_s <= 0:
+                return Ok(Changes(tuple(events), self._revision))
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._wait_for_change(changed), left_s)
+
     async def _wait_for_change(self, changed: asyncio.Event) -> None:
         now = asyncio.get_running_loop().time()
         ends = [lease.expires_at for lease in self._leases_by_id.values()]
--- a/packages/pollengate/pollengate/store.py
+++ b/packages/pollengate/pollengate/store.py
@@ -5,15 +5,17 @@
 import enum
 from collections.abc import AsyncIterator, Sequence
 
-from result import Result
+from result import Err, Result
 
 __all__ = [
+    "Changes",
     "Commit",
     "Delete",
     "Entry",
     "FailureKind",
     "Listing",
     "Operation",
+    "PolledStore",
     "Put",
     "Store",
     "StoreFailure",
@@ -21,13 +23,22 @@
     "WatchEvent",
 ]
 
+# One poll of a watch; a connection that has gone silent is noticed after as long.
+POLL_WAIT_S = 2.0
+
 
 class FailureKind(enum.StrEnum):
-    """What a failed store call says about its effect."""
+    """What a failed store call says about its effect.
+
+    `LEASE_GONE` and `HISTORY_GONE` are rejections that name their cause: the lease of a write has
+    ended, the changes that a watch asks for are no longer kept.
+    """
 
     NOT_SENT = "not_sent"
     UNKNOWN = "unknown"
     REJECTED = "rejected"
+    LEASE_GONE = "lease_gone"
+    HISTORY_GONE = "history_gone"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -35,7 +46,7 @@
     """A store call without an answer.
 
     Attributes:
-        kind: NOT_SENT and REJECTED had no effect; UNKNOWN may have had, or have it later.
+        kind: only UNKNOWN may have had an effect, or have it later.
         detail: the cause, for logs.
     """
 
@@ -121,6 +132,14 @@
     entry: Entry | None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Changes:
+    """The changes below a prefix up to one store revision."""
+
+    events: tuple[WatchEvent, ...]
+    revision: int
+
+
 class Store(abc.ABC):
     """Client of the platform's store; no method raises for an outage."""
 
@@ -139,7 +158,7 @@
         """Applies all operations in one step if all conditions hold."""
 
     @abc.abstractmethod
-    async def grant_lease(self, ttl_s: int) -> Result[int, StoreFailure]:
+    async def grant_lease(self, ttl_s: float) -> Result[int, StoreFailure]:
         """Creates a lease and returns its id."""
 
     @abc.abstractmethod
@@ -161,3 +180,30 @@
     async def close(self) -> None:
         """Releases connections."""
         return
+
+
+class PolledStore(Store):
+    """A store whose watches are polls, so that each answer confirms how fresh a view is."""
+
+    @abc.abstractmethod
+    async def changes(
+        self, prefix: str, after_revision: int, wait_s: float
+    ) -> Result[Changes, StoreFailure]:
+        """Returns the changes below a prefix after a revision.
+
+        Args:
+            prefix: what to watch.
+            after_revision: the revision that the caller's view is at.
+            wait_s: how long the answer may wait for a change.
+        """
+
+    async def watch(self, prefix: str, from_revision: int) -> AsyncIterator[WatchEvent]:
+        """Yields the changes below a prefix; ends when a poll fails."""
+        revision = from_revision - 1
+        while True:
+            polled = await self.changes(prefix, revision, POLL_WAIT_S)
+            if isinstance(polled, Err):
+                return
+            for event in polled.ok_value.events:
+                yield event
+            revision = polled.ok_value.revision
--- /dev/null
+++ b/packages/pollengate/pollengate/workflow/books.py
@@ -0,0 +1,271 @@
+"""An owner's books: its jobs, the runs of their tasks and what follows from each event.
+
+Plain bookkeeping without network or clock: the caller passes the time, and collects from `outbox`
+what has to be stopped and what has to be recorded.
+"""
+
+import dataclasses
+
+from pollengate.failure_evidence import FailureEvidence
+from pollengate.workflow.clients import EndKind
+from pollengate.workflow.fleet import Fleet, WorkerView
+from pollengate.workflow.model import Deployment, Queue
+from pollengate.workflow.progress import (
+    JobProgress,
+    JobState,
+    Occurrence,
+    Run,
+    RunState,
+    StepProgress,
+    TaskProgress,
+)
+
+__all__ = ["Outbox", "WorkflowBooks"]
+
+# Runs of one owner are numbered above those that earlier owners may have given without a record.
+RUNS_PER_TENURE = 64
+
+
+@dataclasses.dataclass(slots=True)
+class Outbox:
+    """What the events so far call for.
+
+    Attributes:
+        stops: runs that have to end.
+        strays: runs on workers that no task wants, as worker id, task name and run number.
+        changed: jobs whose progress has to be recorded.
+    """
+
+    stops: list[Run] = dataclasses.field(default_factory=list)
+    strays: list[tuple[str, str, int]] = dataclasses.field(default_factory=list)
+    changed: dict[str, JobProgress] = dataclasses.field(default_factory=dict)
+
+
+class WorkflowBooks:
+    """Jobs of one shard.
+
+    Args:
+        fleet: the shard's workers.
+        evidence: which workers fail what.
+        tenure: how many owners the shard had before.
+    """
+
+    def __init__(self, fleet: Fleet, evidence: FailureEvidence, tenure: int) -> None:
+        self.fleet = fleet
+        self.evidence = evidence
+        self.deployment = Deployment(0)
+        self.jobs_by_id: dict[str, JobProgress] = {}
+        self.open_steps: dict[StepProgress, None] = {}
+        self.outbox = Outbox()
+        self._first_run = tenure * RUNS_PER_TENURE
+        self._scheduled_by_id: dict[str, JobProgress] = {}
+
+    def take_outbox(self) -> Outbox:
+        """Returns what the events since the last call require."""
+        taken, self.outbox = self.outbox, Outbox()
+        return taken
+
+    def queue_of(self, step: StepProgress) -> Queue | None:
+        """Returns the queue of a step's job, None if the configuration dropped it."""
+        return self.deployment.queue(step.job.queue_name)
+
+    def add(self, job: JobProgress, now: float, now_ms: int) -> None:
+        """Adds a job that was accepted or found at a takeover."""
+        self.jobs_by_id[job.job_id] = job
+        if job.is_ended:
+            return
+        for occurrence in job.occurrences_by_number.values():
+            self._open_steps(occurrence, now)
+        self._scheduled_by_id[job.job_id] = job
+        self.open_due(now, now_ms)
+
+    def open_due(self, now: float, now_ms: int) -> None:
+        """Opens the occurrences that have become due by Unix time `now_ms`."""
+        for job in list(self._scheduled_by_id.values()):
+            while job.due_count < job.occurrence_count and job.due_ms(job.due_count) <= now_ms:
+                self._open_steps(job.open_occurrence(job.due_count), now)
+            if job.is_ended or job.due_count >= job.occurrence_count:
+                del self._scheduled_by_id[job.job_id]
+
+    def find_task(self, name: str) -> TaskProgress | None:
+        """Returns a task by its name, None if it is unknown or not due."""
+        job_id, *numbers = name.split(".")
+        job = self.jobs_by_id.get(job_id)
+        if job is None or len(numbers) != 3 or not all(part.isdecimal() for part in numbers):
+            return None
+        return job.find_task(*(int(part) for part in numbers))
+
+    def cancel(self, job: JobProgress, now_ms: int) -> None:
+        """Ends a job that its client cancelled."""
+        if not job.is_ended:
+            self._end_job(job, JobState.CANCELLED, now_ms)
+
+    def begin(self, task: TaskProgress, view: WorkerView, number: int, now: float) -> Run:
+        """Books a run that is about to be started."""
+        run = Run(task, number, view.worker_id, now, percent_at=now)
+        task.last_run = max(task.last_run, number)
+        task.runs_by_number[number] = run
+        view.add(run)
+        step = task.step
+        if task in step.waiting:
+            step.waiting.remove(task)
+        if not step.waiting:
+            self.open_steps.pop(step, None)
+        job = step.job
+        if job.state is JobState.QUEUED:
+            job.state = job.shown_state = JobState.RUNNING
+        return run
+
+    def next_number(self, task: TaskProgress) -> int:
+        """Returns the number of a task's next run."""
+        return max(task.last_run, self._first_run) + 1
+
+    def confirm(self, run: Run, now: float) -> None:
+        """Takes in that a worker started a run."""
+        if run.state is RunState.ENDED:
+            return
+        run.move("confirmed")
+        run.answered_at = now
+
+    def refuse(self, run: Run) -> None:
+        """Takes in that a worker did not and will not start a run."""
+        if run.state is not RunState.ENDED:
+            run.move("refused" if run.state is not RunState.RUNNING else "lost")
+            self._drop(run)
+
+    def doubt(self, run: Run) -> None:
+        """Takes in that nobody knows whether a run was started."""
+        if run.state is not RunState.ENDED:
+            run.move("unanswered")
+            if run.state is RunState.UNSETTLED:
+                self.stop(run)
+
+    def stop(self, run: Run) -> None:
+        """Wants a run to end."""
+        if run.state is RunState.ENDED or run.is_stop_wanted:
+            return
+        run.is_stop_wanted = True
+        run.move("stop")
+        self.outbox.stops.append(run)
+
+    def lose(self, run: Run) -> None:
+        """Takes in that a run is gone without a result."""
+        if run.state is not RunState.ENDED:
+            run.move("lost")
+            self._drop(run)
+
+    def end(self, run: Run, how: EndKind, checkpoint: str, now: float, now_ms: int) -> None:
+        """Takes in how a run ended."""
+        if run.state is RunState.ENDED:
+            return
+        run.move("ended")
+        self.result(run.task, run.number, run.worker_id, how, checkpoint, now, now_ms)
+        self._drop(run)
+
+    def result(
+        self,
+        task: TaskProgress,
+        number: int,
+        worker_id: str,
+        how: EndKind,
+        checkpoint: str,
+        now: float,
+        now_ms: int,
+    ) -> None:
+        """Takes in the result of a run, also of one that an earlier owner started."""
+        job = task.step.job
+        if checkpoint:
+            task.checkpoint = checkpoint
+        task.last_run = max(task.last_run, number)
+        self.outbox.changed[job.job_id] = job
+        if how is EndKind.DONE:
+            self.evidence.finished(task.name, job.job_id, worker_id)
+            if not task.step.spec.is_long_running:
+                self._complete_task(task, now, now_ms)
+        elif how is EndKind.FAILED:
+            self._fail_task(task, number, worker_id, now_ms)
+
+    def adopt(self, task: TaskProgress, number: int, view: WorkerView, now: float) -> Run:
+        """Books a run that a worker reports and that an earlier owner started."""
+        run = self.begin(task, view, number, now)
+        run.move("seen")
+        run.answered_at = now
+        return run
+
+    def requeue(self, task: TaskProgress) -> None:
+        """Lets a task wait for a start if it needs one."""
+        step = task.step
+        if not step.is_open or task.is_done or step.job.is_ended or task.runs_by_number:
+            return
+        if task not in step.waiting:
+            step.waiting.append(task)
+        self.open_steps[step] = None
+
+    def _complete_task(self, task: TaskProgress, now: float, now_ms: int) -> None:
+        step = task.step
+        for member in step.tasks if step.spec.is_gang else (task,):
+            if not member.is_done:
+                member.is_done = True
+                step.done += 1
+            for copy in list(member.runs_by_number.values()):
+                self.stop(copy)
+            if member in step.waiting:
+                step.waiting.remove(member)
+        if not step.waiting:
+            self.open_steps.pop(step, None)
+        if not step.is_complete:
+            return
+        self._open_steps(step.occurrence, now)
+        job = step.job
+        if job.due_count == job.occurrence_count and all(
+            occurrence.is_complete for occurrence in job.occurrences_by_number.values()
+        ):
+            self._end_job(job, JobState.COMPLETED, now_ms)
+
+    def _fail_task(self, task: TaskProgress, number: int, worker_id: str, now_ms: int) -> None:
+        step = task.step
+        job = step.job
+        self.evidence.failed(task.name, job.job_id, worker_id, len(self.fleet.workers_by_id))
+        if step.spec.is_long_running or task.is_done:
+            return
+        task.failed_runs.add(number)
+        queue = self.queue_of(step)
+        failures = (
+            len(set().union(*(member.failed_runs for member in step.tasks)))
+            if step.spec.is_gang
+            else len(task.failed_runs)
+        )
+        if queue is not None and failures >= queue.max_attempts and not job.is_ended:
+            self._end_job(job, JobState.FAILED, now_ms)
+
+    def _end_job(self, job: JobProgress, state: JobState, now_ms: int) -> None:
+        job.state = state
+        job.finished_ms = now_ms
+        self.outbox.changed[job.job_id] = job
+        for occurrence in job.occurrences_by_number.values():
+            for step in occurrence.steps:
+                step.waiting.clear()
+                self.open_steps.pop(step, None)
+        for task in job.tasks():
+            for run in list(task.runs_by_number.values()):
+                self.stop(run)
+
+    def _open_steps(self, occurrence: Occurrence, now: float) -> None:
+        for step in occurrence.steps:
+            before = [occurrence.steps[number] for number in step.spec.after]
+            if step.is_open or step.is_complete or not all(s.is_complete for s in before):
+                continue
+            step.is_open = True
+            step.opened_at = now
+            for task in step.tasks:
+                self.requeue(task)
+
+    def _drop(self, run: Run) -> None:
+        """Forgets a run that is known to be gone."""
+        task = run.task
+        task.runs_by_number.pop(run.number, None)
+        view = self.fleet.workers_by_id.get(run.worker_id)
+        if view is not None:
+            view.remove(run)
+        self.evidence.left(task.name, run.worker_id)
+        self.requeue(task)
--- /dev/null
+++ b/packages/pollengate/pollengate/workflow/desk.py
@@ -0,0 +1,101 @@
+"""What clients may ask about jobs, and the answers."""
+
+import abc
+import dataclasses
+
+from pollengate.workflow.model import Queue, Workflow
+from pollengate.workflow.progress import JobState
+
+__all__ = [
+    "Accepted",
+    "Cancelled",
+    "Found",
+    "JobAnswer",
+    "JobDesk",
+    "NoSuchJob",
+    "NotAccepted",
+    "Undecided",
+    "WaitingCount",
+]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Accepted:
+    """The job is stored and will run."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotAccepted:
+    """The job was not stored and this request will never make it run.
+
+    Attributes:
+        reason: the word that counters and logs use.
+        retry_after_s: when the client may come back.
+        is_overload: whether the fleet has too much to do; otherwise a part of us is away.
+    """
+
+    reason: str
+    retry_after_s: float
+    is_overload: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Undecided:
+    """Whether the request had an effect is not known; the client may ask again."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Found:
+    """The state of a job."""
+
+    state: JobState
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cancelled:
+    """The job is cancelled for good, or had ended before."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoSuchJob:
+    """No job of this id was accepted, or it ended long ago."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WaitingCount:
+    """Accepted jobs of a queue of which no task has started."""
+
+    count: int
+
+
+JobAnswer = Accepted | NotAccepted | Undecided | Found | Cancelled | NoSuchJob | WaitingCount
+
+
+class JobDesk(abc.ABC):
+    """Takes the requests of clients."""
+
+    @abc.abstractmethod
+    def find_queue(self, host: str, path: str) -> Queue | None:
+        """Returns the queue that a request belongs to, None if there is none."""
+
+    @abc.abstractmethod
+    def has_configuration(self) -> bool:
+        """Tells whether the queues are known."""
+
+    @abc.abstractmethod
+    async def submit(self, queue: Queue, job_id: str, workflow: Workflow) -> JobAnswer:
+        """Accepts a job or refuses it."""
+
+    @abc.abstractmethod
+    async def show(self, queue: Queue, job_id: str) -> JobAnswer:
+        """Returns the state of a job."""
+
+    @abc.abstractmethod
+    async def cancel(self, queue: Queue, job_id: str) -> JobAnswer:
+        """Cancels a job."""
+
+    @abc.abstractmethod
+    async def count_waiting(self, queue: Queue) -> JobAnswer:
+        """Returns how many jobs of a queue wait for their first start."""
--- /dev/null
+++ b/packages/pollengate/pollengate/workflow/fleet.py
@@ -0,0 +1,181 @@
+"""The workers of a shard: what they have, what runs there and whether they take more."""
+
+import dataclasses
+from collections.abc import Iterable
+
+from pollengate.workflow.leases import WorkerLease
+from pollengate.workflow.model import Demand, Worker, WorkerCondition
+from pollengate.workflow.progress import Run
+
+__all__ = ["Fleet", "WorkerView"]
+
+# Share of its declared processors that a serving task is taken to use at the peak of its load.
+SERVING_USE = 0.7
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class WorkerView:
+    """What the owner knows of one worker.
+
+    Attributes:
+        info: its newest registration.
+        lease: of everything that runs there.
+        is_listed: whether its registration stands.
+        is_attached: whether it answered this owner in its present incarnation.
+        is_recorded: whether a successor would find it in the store; it gets no start before.
+        is_replaced: whether another incarnation answers at its address, so that it is dead.
+        born_ms: the incarnation that answered, 0 before the first answer.
+        runs: runs that may exist there.
+        firm_millis: processors declared by tasks that count against its capacity.
+        busy_millis: processors that those tasks are taken to use.
+        filler_millis: processors declared by fillers.
+        memory_mb: memory declared by all tasks.
+        accelerators: devices declared by all tasks.
+        serving: runs with a latency target.
+        unavailable_until: clock time before which it gets no start.
+        fillers_blocked_until: clock time before which it gets no filler.
+        warm_at: clock time at which it is no longer slow after its start.
+    """
+
+    info: Worker
+    lease: WorkerLease
+    is_listed: bool = True
+    is_attached: bool = False
+    is_recorded: bool = False
+    is_replaced: bool = False
+    born_ms: int = 0
+    runs: dict[tuple[str, int], Run] = dataclasses.field(default_factory=dict)
+    firm_millis: int = 0
+    busy_millis: float = 0.0
+    filler_millis: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+    serving: set[Run] = dataclasses.field(default_factory=set)
+    unavailable_until: float = 0.0
+    fillers_blocked_until: float = 0.0
+    warm_at: float = 0.0
+
+    @property
+    def worker_id(self) -> str:
+        """Returns the worker's id."""
+        return self.info.worker_id
+
+    def add(self, run: Run) -> None:
+        """Counts a run that may exist there."""
+        key = (run.task.name, run.number)
+        if key not in self.runs:
+            self.runs[key] = run
+            self._count(run, 1)
+
+    def remove(self, run: Run) -> None:
+        """Stops counting a run that is known to be gone."""
+        if self.runs.pop((run.task.name, run.number), None) is not None:
+            self._count(run, -1)
+
+    def fits(self, demand: Demand, is_filler: bool) -> bool:
+        """Tells whether a task fits beside everything that may be there."""
+        capacity = self.info.capacity
+        if self.memory_mb + demand.memory_mb > capacity.memory_mb:
+            return False
+        if self.accelerators + demand.accelerators > capacity.accelerators:
+            return False
+        return is_filler or self.firm_millis + demand.cpu_millis <= capacity.cpu_millis
+
+    def unused_millis(self) -> float:
+        """Returns the processors that no task is taken to use."""
+        return self.info.capacity.cpu_millis - self.busy_millis - self.filler_millis
+
+    def _count(self, run: Run, sign: int) -> None:
+        spec = run.task.step.spec
+        demand = spec.demand
+        self.memory_mb += sign * demand.memory_mb
+        self.accelerators += sign * demand.accelerators
+        if spec.is_filler:
+            self.filler_millis += sign * demand.cpu_millis
+            return
+        self.firm_millis += sign * demand.cpu_millis
+        is_serving = spec.target_ms > 0
+        self.busy_millis += sign * demand.cpu_millis * (SERVING_USE if is_serving else 1.0)
+        if is_serving and sign > 0:
+            self.serving.add(run)
+        elif is_serving:
+            self.serving.discard(run)
+
+
+class Fleet:
+    """The workers of one shard.
+
+    Args:
+        lease_s: length of the leases that it grants.
+        inherited_until: clock time by which leases of an earlier owner have lapsed.
+    """
+
+    def __init__(self, lease_s: float, inherited_until: float) -> None:
+        self._lease_s = lease_s
+        self._inherited_until = inherited_until
+        self.workers_by_id: dict[str, WorkerView] = {}
+        self.evacuated_zones: frozenset[str] = frozenset()
+
+    def update(self, workers: Iterable[Worker], now: float) -> list[WorkerView]:
+        """Takes in the newest registrations; returns the workers that are new."""
+        listed = {worker.worker_id: worker for worker in workers}
+        for view in self.workers_by_id.values():
+            view.is_listed = view.worker_id in listed
+        added = []
+        for worker_id, worker in listed.items():
+            known = self.workers_by_id.get(worker_id)
+            if known is None:
+                added.append(self._add(worker, now))
+                continue
+            if known.info.born_ms != worker.born_ms:
+                known.warm_at = now + worker.cold_ms / 1000
+            known.info = worker
+        return added
+
+    def add_recorded(self, worker_id: str, address: str, now: float) -> None:
+        """Adds a worker that an earlier owner used; it may still run tasks, listed or not."""
+        view = self._add(_unlisted(worker_id, address), now)
+        view.is_listed = False
+        view.is_recorded = True
+
+    def forget_departed(self, now: float) -> list[WorkerView]:
+        """Drops workers that left the registry and run nothing; returns them."""
+        departed = [
+            view
+            for view in self.workers_by_id.values()
+            if not view.is_listed
+            and not view.runs
+            and (view.is_attached or view.is_replaced or now >= view.lease.lapses_at())
+        ]
+        for view in departed:
+            del self.workers_by_id[view.worker_id]
+        return departed
+
+    def takes_starts(self, view: WorkerView, now: float) -> bool:
+        """Tells whether a worker may get new tasks."""
+        return (
+            view.is_listed
+            and view.is_attached
+            and view.is_recorded
+            and view.info.condition is WorkerCondition.READY
+            and view.info.zone not in self.evacuated_zones
+            and now >= view.unavailable_until
+        )
+
+    def open_workers(self, service: str, now: float) -> list[WorkerView]:
+        """Returns the workers of a service that may get new tasks."""
+        return [
+            view
+            for view in self.workers_by_id.values()
+            if view.info.service == service and self.takes_starts(view, now)
+        ]
+
+    def _add(self, worker: Worker, now: float) -> WorkerView:
+        view = WorkerView(worker, WorkerLease(self._lease_s, self._inherited_until))
+        view.warm_at = now + worker.cold_ms / 1000
+        self.workers_by_id[worker.worker_id] = view
+        return view
+
+
+def _unlisted(worker_id: str, address: str) -> Worker:
+    return Worker(worker_id, "", address, "", WorkerCondition.DRAINING, Demand())
--- /dev/null
+++ b/packages/pollengate/pollengate/workflow/keys.py
@@ -0,0 +1,66 @@
+"""Keys of the scheduler's own records in the store."""
+
+import zlib
+
+__all__ = [
+    "LAYOUT_KEY",
+    "NODE_PREFIX",
+    "commit_key",
+    "job_key",
+    "job_prefix",
+    "member_key",
+    "owner_key",
+    "progress_key",
+    "progress_prefix",
+    "shard_of_job",
+    "shard_of_rack",
+]
+
+ROOT = "pollengate/"
+LAYOUT_KEY = f"{ROOT}layout"
+NODE_PREFIX = f"{ROOT}node/"
+
+
+def owner_key(shard: int) -> str:
+    """Names the owner of a shard; bound to its lease."""
+    return f"{NODE_PREFIX}owner/{shard}"
+
+
+def member_key(node: str) -> str:
+    """Names a running process; bound to its lease."""
+    return f"{NODE_PREFIX}member/{node}"
+
+
+def commit_key(shard: int) -> str:
+    """Holds the number of a shard's newest commit, which orders its commits."""
+    return f"{ROOT}commit/{shard}"
+
+
+def job_prefix(shard: int) -> str:
+    """Holds the jobs that a shard accepted."""
+    return f"{ROOT}job/{shard}/"
+
+
+def job_key(shard: int, job_id: str) -> str:
+    """Holds one job as it was submitted."""
+    return f"{job_prefix(shard)}{job_id}"
+
+
+def progress_prefix(shard: int) -> str:
+    """Holds what is done of a shard's jobs."""
+    return f"{ROOT}progress/{shard}/"
+
+
+def progress_key(shard: int, job_id: str) -> str:
+    """Holds what is done of one job."""
+    return f"{progress_prefix(shard)}{job_id}"
+
+
+def shard_of_job(job_id: str, shards: int) -> int:
+    """Returns the shard that a job belongs to, by a stable hash of its id."""
+    return zlib.crc32(job_id.encode()) % shards
+
+
+def shard_of_rack(rack: str, shards: int) -> int:
+    """Returns the shard that a rack's workers belong to, by a stable hash of its name."""
+    return zlib.crc32(rack.encode()) % shards
--- /dev/null
+++ b/packages/pollengate/pollengate/workflow/leases.py
@@ -0,0 +1,64 @@
+"""The lease under which everything on a worker runs, on the worker's clock and on ours."""
+
+__all__ = ["MAX_CLOCK_DRIFT", "WORKER_LEASE_S", "WorkerLease"]
+
+# A worker's steady clock may be 2 % slow.
+MAX_CLOCK_DRIFT = 0.02
+# Outlives the takeover of a shard: the owner's lease and one round of holds.
+WORKER_LEASE_S = 4.0
+
+
+class WorkerLease:
+    """Follows one worker's clock and the longest lease that it may have got.
+
+    Args:
+        length_s: how long each order extends the lease.
+        lapses_by: clock time by which leases of an earlier owner have lapsed.
+    """
+
+    def __init__(self, length_s: float, lapses_by: float) -> None:
+        self._length_ms = int(length_s * 1000)
+        self._lapses_by = lapses_by
+        self._until_ms: int | None = None
+        self._clock_ms: int | None = None
+        self._answered_at = 0.0
+
+    @property
+    def answered_at(self) -> float:
+        """Returns the clock time of the worker's newest answer."""
+        return self._answered_at
+
+    def answered(self, worker_clock_ms: int, received_at: float) -> bool:
+        """Takes in the worker's clock at an answer.
+
+        Returns:
+            Whether the lease had lapsed on the worker's clock before the answer.
+        """
+        had_lapsed = self._until_ms is not None and worker_clock_ms > self._until_ms
+        self._clock_ms = worker_clock_ms
+        self._answered_at = received_at
+        return had_lapsed
+
+    def extend(self, now: float) -> int | None:
+        """Returns the lease's end for an order that is about to be sent, on the worker's clock.
+
+        None while the worker's clock is not known.
+        """
+        if self._clock_ms is None:
+            return None
+        until_ms = self._clock_ms + int((now - self._answered_at) * 1000) + self._length_ms
+        self._until_ms = max(self._until_ms or 0, until_ms)
+        return self._until_ms
+
+    def lapses_at(self) -> float:
+        """Returns the clock time by which the lease has lapsed unless it is extended."""
+        if self._until_ms is None or self._clock_ms is None:
+            return self._lapses_by
+        left_s = max(0, self._until_ms - self._clock_ms) / 1000
+        return max(self._lapses_by, self._answered_at + left_s / (1 - MAX_CLOCK_DRIFT))
+
+    def restart(self) -> None:
+        """Forgets the clock of an earlier incarnation of the worker."""
+        self._until_ms = None
+        self._clock_ms = None
+        self._lapses_by = 0.0
--- /dev/null
+++ b/packages/pollengate/pollengate/workflow/pacing.py
@@ -0,0 +1,91 @@
+"""Slows fillers down while a serving task beside them misses its latency target.
+
+Made for pairs of images whose interference shows only in the tail latency that a worker reports
+half a second late: cuts fast, since a target may be missed for a few seconds only, and gives back
+slowly, so that the pair does not swing.
+"""
+
+import dataclasses
+
+from pollengate.workflow.fleet import WorkerView
+from pollengate.workflow.progress import Run, RunState
+
+__all__ = ["PaceChange", "Pacer"]
+
+# Share of the target above which fillers are slowed down.
+HIGH_SHARE = 0.85
+# Share of the target below which they get speed back.
+LOW_SHARE = 0.6
+# Factor on the fillers' pace at a cut.
+CUT_FACTOR = 0.4
+# Paces below this are taken for a halt, in percent.
+HALT_BELOW = 15
+# Percent of pace given back at a time.
+RAISE_STEP = 25
+# Seconds from one change to the next, so that its effect is in the figures: pace takes 100 ms,
+# figures cover half a second.
+CHANGE_INTERVAL_S = 0.6
+# Seconds without new fillers after a cut.
+BLOCK_S = 3.0
+FULL_PACE = 100
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PaceChange:
+    """A filler's new pace in percent."""
+
+    run: Run
+    percent: int
+
+
+@dataclasses.dataclass(slots=True)
+class _WorkerPace:
+    percent: int = FULL_PACE
+    changed_at: float = float("-inf")
+
+
+class Pacer:
+    """Decides the pace of each worker's fillers from the latency of its serving tasks."""
+
+    def __init__(self) -> None:
+        self._by_worker: dict[str, _WorkerPace] = {}
+
+    def adjust(self, view: WorkerView, now: float) -> list[PaceChange]:
+        """Returns the changes that a worker's newest figures call for."""
+        pace = self._by_worker.setdefault(view.worker_id, _WorkerPace())
+        pressure = _pressure(view)
+        if now - pace.changed_at >= CHANGE_INTERVAL_S:
+            percent = _next_percent(pace.percent, pressure)
+            if percent != pace.percent:
+                pace.percent = percent
+                pace.changed_at = now
+        if pressure > HIGH_SHARE:
+            view.fillers_blocked_until = now + BLOCK_S
+        return [
+            PaceChange(run, pace.percent)
+            for run in view.runs.values()
+            if run.task.step.spec.is_filler
+            and run.state is RunState.RUNNING
+            and run.pace != pace.percent
+        ]
+
+    def forget(self, worker_id: str) -> None:
+        """Drops what was decided for a worker, whose new incarnation starts at full pace."""
+        self._by_worker.pop(worker_id, None)
+
+
+def _pressure(view: WorkerView) -> float:
+    """Returns the highest ratio of latency to target of the worker's serving tasks."""
+    return max(
+        (run.reading / run.task.step.spec.target_ms for run in view.serving if run.reading > 0),
+        default=0.0,
+    )
+
+
+def _next_percent(percent: int, pressure: float) -> int:
+    if pressure > HIGH_SHARE:
+        cut = int(percent * CUT_FACTOR)
+        return cut if cut >= HALT_BELOW else 0
+    if pressure < LOW_SHARE:
+        return min(FULL_PACE, percent + RAISE_STEP)
+    return percent
--- /dev/null
+++ b/packages/pollengate/pollengate/workflow/planner.py
@@ -0,0 +1,111 @@
+"""Decides which waiting tasks start where."""
+
+import dataclasses
+from collections.abc import Callable
+
+from pollengate.workflow.books import WorkflowBooks
+from pollengate.workflow.fleet import WorkerView
+from pollengate.workflow.ordering import rank
+from pollengate.workflow.placement import Placer
+from pollengate.workflow.progress import Run, StepProgress, TaskProgress
+
+__all__ = ["Planner"]
+
+
+@dataclasses.dataclass(slots=True)
+class _Room:
+    """Largest room of any open worker; what does not fit in it needs no search."""
+
+    workers: list[WorkerView]
+    memory_mb: int
+    firm_millis: int
+    unused_millis: float
+
+    @classmethod
+    def of(cls, workers: list[WorkerView]) -> "_Room":
+        return cls(
+            workers,
+            max((v.info.capacity.memory_mb - v.memory_mb for v in workers), default=-1),
+            max((v.info.capacity.cpu_millis - v.firm_millis for v in workers), default=-1),
+            max((v.unused_millis() for v in workers), default=-1.0),
+        )
+
+    def may_hold(self, step: StepProgress) -> bool:
+        demand = step.spec.demand
+        if demand.memory_mb > self.memory_mb:
+            return False
+        if step.spec.is_filler:
+            return self.unused_millis > 0
+        return demand.cpu_millis <= self.firm_millis
+
+
+class Planner:
+    """Matches waiting tasks and workers.
+
+    Args:
+        books: the shard's books.
+        placer: chooses workers.
+        is_settled: tells whether no unseen run of an earlier owner can exist any more.
+    """
+
+    def __init__(
+        self, books: WorkflowBooks, placer: Placer, is_settled: Callable[[], bool]
+    ) -> None:
+        self._books = books
+        self._placer = placer
+        self._is_settled = is_settled
+
+    def plan(self, now: float) -> list[Run]:
+        """Books as many runs as find a place, in order of rank, and returns them."""
+        books = self._books
+        settled = self._is_settled()
+        steps = [step for step in books.open_steps if step.waiting and (settled or _is_new(step))]
+        steps.sort(key=lambda step: rank(step, books.queue_of(step), now))
+        rooms: dict[str, _Room] = {}
+        planned: list[Run] = []
+        for step in steps:
+            queue = books.queue_of(step)
+            if queue is None:
+                continue
+            room = rooms.get(queue.service)
+            if room is None:
+                room = _Room.of(books.fleet.open_workers(queue.service, now))
+            if room.may_hold(step):
+                planned += self._place_step(step, room.workers, now)
+                room = _Room.of(room.workers)
+            rooms[queue.service] = room
+        return planned
+
+    def _place_step(self, step: StepProgress, workers: list[WorkerView], now: float) -> list[Run]:
+        if step.spec.is_gang:
+            return self._place_gang(step, workers, now)
+        runs = []
+        for task in list(step.waiting):
+            view = self._placer.choose(task, workers, now)
+            if view is None:
+                break
+            runs.append(self._begin(task, view, self._books.next_number(task), now))
+        return runs
+
+    def _place_gang(self, step: StepProgress, workers: list[WorkerView], now: float) -> list[Run]:
+        """Starts all tasks of a gang under one number, or none of them."""
+        if len(step.waiting) < step.spec.count:
+            return []
+        number = max(self._books.next_number(task) for task in step.tasks)
+        runs: list[Run] = []
+        for task in list(step.waiting):
+            view = self._placer.choose(task, workers, now)
+            if view is None:
+                for run in runs:
+                    self._books.refuse(run)
+                return []
+            runs.append(self._begin(task, view, number, now))
+        return runs
+
+    def _begin(self, task: TaskProgress, view: WorkerView, number: int, now: float) -> Run:
+        self._books.evidence.placed(task.name, task.step.job.job_id, view.worker_id)
+        return self._books.begin(task, view, number, now)
+
+
+def _is_new(step: StepProgress) -> bool:
+    return not step.job.is_restored
--- /dev/null
+++ b/packages/pollengate/pollengate/workflow/records.py
@@ -0,0 +1,150 @@
+"""Records of jobs and their progress as the store keeps them."""
+
+import dataclasses
+
+import msgspec
+from result import Err, Ok, Result
+
+from pollengate.workflow.model import Workflow
+from pollengate.workflow.progress import JobProgress, JobState, Occurrence, TaskProgress
+
+__all__ = ["StoredJob", "StoredProgress", "decode_job", "decode_progress", "encode_job"]
+__all__ += ["encode_progress", "restore"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredJob:
+    """A job as it was accepted; never changes."""
+
+    job_id: str
+    queue: str
+    accepted_ms: int
+    workflow: Workflow
+
+
+@dataclasses.dataclass(slots=True)
+class StoredOccurrence:
+    """What is done of one occurrence.
+
+    Attributes:
+        done: for each step the set of done tasks, as the hexadecimal digits of a bit set.
+        failed_runs: numbers of failed runs by task, as `step.index`.
+        runs: highest run number by task, where it is not 0.
+        checkpoints: by task, where there is one.
+    """
+
+    done: list[str]
+    failed_runs: dict[str, list[int]] = dataclasses.field(default_factory=dict)
+    runs: dict[str, int] = dataclasses.field(default_factory=dict)
+    checkpoints: dict[str, str] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(slots=True)
+class StoredProgress:
+    """What is done of a job."""
+
+    state: JobState
+    finished_ms: int
+    due_count: int
+    occurrences: dict[int, StoredOccurrence]
+
+
+_JOB_DECODER = msgspec.json.Decoder(StoredJob)
+_PROGRESS_DECODER = msgspec.json.Decoder(StoredProgress)
+
+
+def encode_job(job: JobProgress) -> bytes:
+    """Encodes what never changes of a job."""
+    stored = StoredJob(job.job_id, job.queue_name, job.accepted_ms, job.workflow)
+    return msgspec.json.encode(stored)
+
+
+def decode_job(value: bytes) -> Result[StoredJob, str]:
+    """Decodes a job's record; the error says what is wrong."""
+    try:
+        return Ok(_JOB_DECODER.decode(value))
+    except msgspec.MsgspecError as error:
+        return Err(str(error))
+
+
+def encode_progress(job: JobProgress) -> bytes:
+    """Encodes what is done of a job; an ended job keeps no tasks."""
+    occurrences = (
+        {}
+        if job.is_ended
+        else {
+            number: _store_occurrence(occurrence)
+            for number, occurrence in job.occurrences_by_number.items()
+        }
+    )
+    stored = StoredProgress(job.state, job.finished_ms, job.due_count, occurrences)
+    return msgspec.json.encode(stored)
+
+
+def decode_progress(value: bytes) -> Result[StoredProgress, str]:
+    """Decodes a progress record; the error says what is wrong."""
+    try:
+        return Ok(_PROGRESS_DECODER.decode(value))
+    except msgspec.MsgspecError as error:
+        return Err(str(error))
+
+
+def restore(stored: StoredJob, progress: StoredProgress | None, now: float) -> JobProgress:
+    """Rebuilds a job from its records.
+
+    Args:
+        stored: the job.
+        progress: what was done, None if nothing was recorded.
+        now: clock time.
+    """
+    job = JobProgress(stored.job_id, stored.queue, stored.workflow, stored.accepted_ms, now)
+    job.is_restored = True
+    if progress is None:
+        return job
+    job.state = job.shown_state = progress.state
+    job.finished_ms = progress.finished_ms
+    if job.is_ended:
+        return job
+    for number, saved in sorted(progress.occurrences.items()):
+        _restore_occurrence(job.open_occurrence(number), saved)
+    job.due_count = max(job.due_count, progress.due_count)
+    return job
+
+
+def _store_occurrence(occurrence: Occurrence) -> StoredOccurrence:
+    stored = StoredOccurrence([])
+    for step in occurrence.steps:
+        bits = 0
+        for task in step.tasks:
+            if task.is_done:
+                bits |= 1 << task.index
+            else:
+                _store_task(stored, task)
+        stored.done.append(f"{bits:x}")
+    return stored
+
+
+def _store_task(stored: StoredOccurrence, task: TaskProgress) -> None:
+    key = _task_key(task)
+    if task.failed_runs:
+        stored.failed_runs[key] = sorted(task.failed_runs)
+    if task.last_run:
+        stored.runs[key] = task.last_run
+    if task.checkpoint:
+        stored.checkpoints[key] = task.checkpoint
+
+
+def _restore_occurrence(occurrence: Occurrence, saved: StoredOccurrence) -> None:
+    for step, digits in zip(occurrence.steps, saved.done, strict=True):
+        bits = int(digits, 16)
+        for task in step.tasks:
+            key = _task_key(task)
+            task.is_done = bool(bits >> task.index & 1)
+            task.failed_runs = set(saved.failed_runs.get(key, ()))
+            task.last_run = saved.runs.get(key, 0)
+            task.checkpoint = saved.checkpoints.get(key, "")
+        step.done = sum(task.is_done for task in step.tasks)
+
+
+def _task_key(task: TaskProgress) -> str:
+    return f"{task.step.number}.{task.index}"
--- /dev/null
+++ b/packages/pollengate/pollengate/workflow/reports.py
@@ -0,0 +1,110 @@
+"""Brings an owner's books in line with what a worker reports."""
+
+from pollengate.workflow.books import WorkflowBooks
+from pollengate.workflow.clients import EndedRun, EndKind, Report, RunningTask
+from pollengate.workflow.fleet import WorkerView
+from pollengate.workflow.progress import RunState, TaskProgress
+
+__all__ = ["ReportReader"]
+
+# A worker lists at most this many ends in one report.
+ENDS_PER_REPORT = 500
+
+
+class ReportReader:
+    """Applies the reports of one worker's incarnations to the books."""
+
+    def __init__(self, books: WorkflowBooks, view: WorkerView) -> None:
+        self._books = books
+        self._view = view
+        self.last_end = 0
+
+    def read(self, report: Report, sent_at: float, now: float, now_ms: int) -> None:
+        """Takes in a report.
+
+        Args:
+            report: the worker's answer.
+            sent_at: clock time at which the order that it answers was sent.
+            now: clock time.
+            now_ms: Unix time.
+        """
+        view = self._view
+        if view.born_ms != report.born_ms:
+            self.restart()
+            view.born_ms = report.born_ms
+        had_lapsed = view.lease.answered(report.worker_clock_ms, now)
+        view.is_attached = True
+        for ended in report.ended:
+            if ended.number > self.last_end:
+                self.last_end = ended.number
+                self._read_end(ended, had_lapsed, now, now_ms)
+        for row in report.running:
+            self._read_running(row, now)
+        if len(report.ended) < ENDS_PER_REPORT:
+            self._drop_absent(report, sent_at)
+
+    def restart(self) -> None:
+        """Takes in that the worker's incarnation is gone with all that ran there."""
+        self._view.is_attached = False
+        self._view.lease.restart()
+        self.last_end = 0
+        self.lose_all()
+
+    def lose_all(self) -> None:
+        """Takes in that nothing that was started there still runs."""
+        for run in list(self._view.runs.values()):
+            self._books.lose(run)
+
+    def _read_end(self, ended: EndedRun, had_lapsed: bool, now: float, now_ms: int) -> None:
+        # A result from before the lease lapsed does not count: the task may run elsewhere.
+        how = EndKind.LAPSED if had_lapsed and ended.how is EndKind.DONE else ended.how
+        run = self._view.runs.get((ended.task, ended.run))
+        if run is not None:
+            self._books.end(run, how, ended.checkpoint, now, now_ms)
+            return
+        task = self._books.find_task(ended.task)
+        if task is None or task.is_done or task.step.job.is_ended:
+            return
+        is_newest = ended.run >= task.last_run
+        if how is EndKind.FAILED or (is_newest and not task.runs_by_number):
+            self._books.result(
+                task, ended.run, self._view.worker_id, how, ended.checkpoint, now, now_ms
+            )
+
+    def _read_running(self, row: RunningTask, now: float) -> None:
+        view = self._view
+        run = view.runs.get((row.task, row.run))
+        if run is None:
+            task = self._books.find_task(row.task)
+            if task is None or not _may_adopt(task):
+                self._books.outbox.strays.append((view.worker_id, row.task, row.run))
+                return
+            run = self._books.adopt(task, row.run, view, now)
+        elif run.state is RunState.STARTING:
+            run.move("seen")
+            run.answered_at = now
+        elif run.state is RunState.UNSETTLED:
+            run.move("seen")
+            self._books.outbox.stops.append(run)
+        if row.percent > run.percent or now == run.asked_at:
+            run.percent_at = now
+        run.percent = row.percent
+        run.reading = row.reading
+        if row.checkpoint:
+            run.task.checkpoint = row.checkpoint
+
+    def _drop_absent(self, report: Report, sent_at: float) -> None:
+        present = {(row.task, row.run) for row in report.running}
+        for key, run in list(self._view.runs.items()):
+            if key not in present and run.answered_at is not None and run.answered_at < sent_at:
+                self._books.lose(run)
+
+
+def _may_adopt(task: TaskProgress) -> bool:
+    step = task.step
+    return (
+        step.is_open
+        and not task.is_done
+        and not step.job.is_ended
+        and (not task.runs_by_number or step.spec.is_speculative)
+    )
--- /dev/null
+++ b/packages/pollengate/pollengate/workflow/rights.py
@@ -0,0 +1,56 @@
+"""How long the owner of a shard may give orders."""
+
+__all__ = ["OUTAGE_GRACE_S", "OWNER_LEASE_S", "ShardRight", "inherited_lapse"]
+
+# Outlasts a few slow renewals; a dead owner is replaced after as long.
+OWNER_LEASE_S = 2.5
+# Beyond its lease an owner goes on while the store is away from it, since workers refuse orders
+# with the token of a past owner as soon as a successor has reached them.
+OUTAGE_GRACE_S = 2.0
+# Allowance for orders on their way when the right ends.
+ORDER_MARGIN_S = 0.3
+
+
+class ShardRight:
+    """The right to give orders, by the store's lease.
+
+    Attributes:
+        token: the store revision at which ownership was taken; rises from owner to owner.
+    """
+
+    def __init__(self, token: int, asked_at: float) -> None:
+        self.token = token
+        self._asked_at = asked_at
+        self._is_lost = False
+
+    @property
+    def is_lost(self) -> bool:
+        """Tells whether a successor is known or possible for certain."""
+        return self._is_lost
+
+    def renewed(self, asked_at: float) -> None:
+        """Takes in a renewal that was asked for at `asked_at`."""
+        self._asked_at = max(self._asked_at, asked_at)
+
+    def lose(self) -> None:
+        """Takes in that the store or a worker knows a successor, or no owner."""
+        self._is_lost = True
+
+    def holds(self, now: float) -> bool:
+        """Tells whether orders may be given."""
+        return not self._is_lost and now < self._asked_at + OWNER_LEASE_S + OUTAGE_GRACE_S
+
+    def is_confirmed(self, now: float) -> bool:
+        """Tells whether the store's lease certainly lasts."""
+        return not self._is_lost and now < self._asked_at + OWNER_LEASE_S
+
+
+def inherited_lapse(taken_at: float, worker_lease_s: float, drift: float) -> float:
+    """Returns when the leases that an earlier owner gave to workers have all lapsed.
+
+    Args:
+        taken_at: clock time at which the store gave ownership to the successor.
+        worker_lease_s: length of the leases given to workers.
+        drift: how much slower a worker's clock may be.
+    """
+    return taken_at + OUTAGE_GRACE_S + ORDER_MARGIN_S + worker_lease_s / (1 - drift)
--- /dev/null
+++ b/packages/pollengated/pollengated/__main__.py
@@ -0,0 +1,7 @@
+"""Runs the binary as `python -m pollengated`."""
+
+from pollengated.main import main
+
+__all__: list[str] = []
+
+main(prog_name="pollengated")
--- /dev/null
+++ b/packages/pollengated/pollengated/edge/committer.py
@@ -0,0 +1,271 @@
+"""Writes a shard's records in groups, in order, and only while the shard is owned.
+
+Each commit expects the owner's key, so that a past owner writes nothing, and the shard's commit
+key at the revision of the commit before, so that a write that the store carries out late finds its
+condition gone. A commit without an answer is sent again unchanged: if it had taken effect, the
+commit key holds its number.
+"""
+
+import abc
+import asyncio
+import dataclasses
+
+import msgspec
+from pollengate.store import Commit, Delete, FailureKind, Operation, Put, Store, Unchanged
+from pollengate.workflow.keys import commit_key, job_key, owner_key, progress_key
+from pollengate.workflow.progress import JobProgress, JobState
+from pollengate.workflow.records import encode_job, encode_progress
+from pollengate.workflow.rights import ShardRight
+from result import Err
+
+from pollengated.edge.clocks import Clocks
+from pollengated.logs import Log
+
+__all__ = [
+    "CommitNumber",
+    "Committer",
+    "JobRecord",
+    "ProgressRecord",
+    "Record",
+    "RemovedJob",
+    "decode_commit_number",
+]
+
+# A transaction holds 32 entries; owner and commit keys take two conditions and one write.
+RECORDS_PER_COMMIT = 29
+# Pause after a commit, in which results gather for the next one.
+COMMIT_INTERVAL_S = 0.03
+RETRY_S = 0.1
+# Without an answer for so long, new jobs are refused rather than left waiting.
+STALLED_AFTER_S = 0.4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CommitNumber:
+    """Names one commit of a shard.
+
+    Attributes:
+        tenure: how many owners the shard had before.
+        sequence: counted from 0 in each tenure.
+    """
+
+    tenure: int
+    sequence: int
+
+
+def decode_commit_number(value: bytes) -> CommitNumber | None:
+    """Decodes the commit key's value, None if it is unreadable."""
+    try:
+        return msgspec.json.decode(value, type=CommitNumber)
+    except msgspec.MsgspecError:
+        return None
+
+
+class Record(abc.ABC):
+    """Something to be written.
+
+    Attributes:
+        key: where it stands; a later record with the same key replaces one that still waits.
+    """
+
+    key: str
+
+    @abc.abstractmethod
+    def operation(self) -> Operation:
+        """Returns the write, with the value of this moment."""
+
+    def committed(self) -> None:
+        """Is called once the write is durable."""
+        return
+
+
+class JobRecord(Record):
+    """A job as it was accepted."""
+
+    def __init__(self, shard: int, job: JobProgress) -> None:
+        self.key = job_key(shard, job.job_id)
+        self._job = job
+
+    def operation(self) -> Operation:
+        """Returns the write."""
+        return Put(self.key, encode_job(self._job))
+
+
+class ProgressRecord(Record):
+    """What is done of a job; its end is shown to clients once that is durable."""
+
+    def __init__(self, shard: int, job: JobProgress) -> None:
+        self.key = progress_key(shard, job.job_id)
+        self._job = job
+        self._state: JobState = job.state
+
+    def operation(self) -> Operation:
+        """Returns the write."""
+        self._state = self._job.state
+        return Put(self.key, encode_progress(self._job))
+
+    def committed(self) -> None:
+        """Shows the state that was written."""
+        self._job.shown_state = self._state
+
+
+class RemovedJob(Record):
+    """The removal of one of the two records of a job that ended long ago."""
+
+    def __init__(self, key: str) -> None:
+        self.key = key
+
+    def operation(self) -> Operation:
+        """Returns the deletion."""
+        return Delete(self.key)
+
+
+class Committer:
+    """Group commit of one tenure of a shard.
+
+    Args:
+        store: the platform's store.
+        shard: the shard.
+        right: the owner's right, whose token each commit expects.
+        tenure: how many owners the shard had before.
+        commit_revision: revision of the shard's commit key, 0 if it is absent.
+        clocks: the process's clocks.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        shard: int,
+        right: ShardRight,
+        tenure: int,
+        commit_revision: int,
+        clocks: Clocks,
+    ) -> None:
+        self._store = store
+        self._shard = shard
+        self._right = right
+        self._tenure = tenure
+        self._commit_revision = commit_revision
+        self._clocks = clocks
+        self._log = Log("commits")
+        self._pending: dict[str, tuple[int, Record]] = {}
+        self._writing: dict[str, tuple[int, Record]] = {}
+        self._last_mark = 0
+        self._commits = 0
+        self._wake = asyncio.Event()
+        self._advanced = asyncio.Event()
+        self._failing_since: float | None = None
+
+    @property
+    def last_mark(self) -> int:
+        """Returns the number of the newest record."""
+        return self._last_mark
+
+    @property
+    def durable_mark(self) -> int:
+        """Returns the number up to which every record is durable."""
+        waiting = [mark for mark, _ in self._pending.values()]
+        waiting += [mark for mark, _ in self._writing.values()]
+        return min(waiting) - 1 if waiting else self._last_mark
+
+    @property
+    def is_stalled(self) -> bool:
+        """Tells whether the store has not taken a commit for a while."""
+        since = self._failing_since
+        return since is not None and self._clocks.steady() - since > STALLED_AFTER_S
+
+    @property
+    def is_idle(self) -> bool:
+        """Tells whether every record is durable."""
+        return not self._pending and not self._writing
+
+    def add(self, record: Record) -> int:
+        """Queues a record; returns its number."""
+        self._last_mark += 1
+        mark, _ = self._pending.get(record.key, (self._last_mark, record))
+        self._pending[record.key] = (mark, record)
+        self._wake.set()
+        return self._last_mark
+
+    def withdraw(self, record: Record) -> bool:
+        """Takes back a record that no commit has tried to write; returns whether it could."""
+        waiting = self._pending.get(record.key)
+        if waiting is None or waiting[1] is not record:
+            return False
+        del self._pending[record.key]
+        return True
+
+    async def wait_durable(self, mark: int, timeout_s: float) -> bool:
+        """Waits until a record is durable; returns whether it is."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                while self.durable_mark < mark:
+                    await self._advanced.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    async def run(self) -> None:
+        """Commits until the right is lost or the task is cancelled."""
+        while not self._right.is_lost:
+            await self._wake.wait()
+            self._wake.clear()
+            while self._pending and not self._right.is_lost:
+                await self._commit_group()
+                await asyncio.sleep(COMMIT_INTERVAL_S)
+
+    async def _commit_group(self) -> None:
+        keys = list(self._pending)[:RECORDS_PER_COMMIT]
+        self._writing = {key: self._pending.pop(key) for key in keys}
+        number = CommitNumber(self._tenure, self._commits)
+        self._commits += 1
+        operations = [record.operation() for _, record in self._writing.values()]
+        operations.append(Put(commit_key(self._shard), msgspec.json.encode(number)))
+        revision = await self._write(number, operations)
+        if revision is None:
+            return
+        self._commit_revision = revision
+        written, self._writing = self._writing, {}
+        for _, record in written.values():
+            record.committed()
+        advanced, self._advanced = self._advanced, asyncio.Event()
+        advanced.set()
+
+    async def _write(self, number: CommitNumber, operations: list[Operation]) -> int | None:
+        """Sends one commit until it is known to have taken effect; None if it never can."""
+        conditions = [
+            Unchanged(owner_key(self._shard), self._right.token),
+            Unchanged(commit_key(self._shard), self._commit_revision),
+        ]
+        while not self._right.is_lost:
+            result = await self._store.commit(conditions, operations)
+            if isinstance(result, Err):
+                self._note_failure(result.err_value.kind, result.err_value.detail)
+                await asyncio.sleep(RETRY_S)
+                continue
+            self._note_success()
+            if result.ok_value.succeeded:
+                return result.ok_value.revision
+            return self._find_own(number, result.ok_value)
+        return None
+
+    def _find_own(self, number: CommitNumber, conflict: Commit) -> int | None:
+        """Returns the revision of a commit that took effect without an answer."""
+        for entry in conflict.current:
+            is_own = entry.key == commit_key(self._shard)
+            if is_own and decode_commit_number(entry.value) == number:
+                return entry.revision
+        self._log.warning("ownership is gone", shard=self._shard, token=self._right.token)
+        self._right.lose()
+        return None
+
+    def _note_failure(self, kind: FailureKind, detail: str) -> None:
+        if self._failing_since is None:
+            self._failing_since = self._clocks.steady()
+            self._log.warning("commit failed", shard=self._shard, kind=kind.value, cause=detail)
+
+    def _note_success(self) -> None:
+        if self._failing_since is not None:
+            stalled_s = self._clocks.steady() - self._failing_since
+            self._failing_since = None
+            self._log.info("commits go on", shard=self._shard, stalled_s=round(stalled_s, 2))
--- /dev/null
+++ b/packages/pollengated/pollengated/edge/compose.py
@@ -0,0 +1,149 @@
+"""The composition root of the edge role."""
+
+import asyncio
+import signal
+import uuid
+
+import uvicorn
+from grpclib.server import Server
+from litestar.types import ASGIApp
+from pollengate.workflow.rights import ShardRight
+from pollengate.workflow.settings import NodeSettings
+from pollengate_net.calls import split_address
+from pollengate_platform.boot import read_boot_settings
+from pollengate_platform.front import create_front, create_probes
+from pollengate_platform.http import HttpCaller
+from pollengate_platform.kv_store import KvStore
+from pollengate_platform.workers import HttpWorkerClient
+from result import Err
+
+from pollengated.edge.clocks import Clocks
+from pollengated.edge.edge_metrics import EdgeMetrics
+from pollengated.edge.gate_desk import GateDesk
+from pollengated.edge.layout import find_layout
+from pollengated.edge.membership import Membership
+from pollengated.edge.node_directory import NodeDirectory, NodeRecord
+from pollengated.edge.operator_view import OperatorView
+from pollengated.edge.rpc import EdgeClient, EdgeService
+from pollengated.edge.shard_keeper import ShardKeeper
+from pollengated.edge.shard_tenure import ShardTenure
+from pollengated.edge.shards import OwnedShards
+from pollengated.edge.view_exchange import ViewExchange
+from pollengated.gate_stop import ClosingConnections, GateStop
+from pollengated.http_server import QuietServer
+from pollengated.logs import Log
+from pollengated.readiness import StopFlag
+from pollengated.stdout_log import set_up_stdout_logs
+
+__all__ = ["run_edge"]
+
+# Two readiness probes a second apart have to fail before the platform sends no new connections.
+STOP_DELAY_S = 2.5
+# Clients keep connections; closing idle ones sooner would cost each a new one.
+KEEP_ALIVE_S = 75
+STORE_CONNECTIONS = 16
+
+
+async def run_edge(settings: NodeSettings) -> None:
+    """Runs the role until SIGTERM."""
+    set_up_stdout_logs()
+    log = Log("edge")
+    clocks = Clocks.system()
+    metrics = EdgeMetrics()
+    store_caller = HttpCaller(STORE_CONNECTIONS)
+    worker_caller = HttpCaller()
+    store = KvStore(settings.store_address, store_caller)
+    workers = HttpWorkerClient(worker_caller)
+    record = NodeRecord(
+        settings.node, settings.rpc_address, uuid.uuid4().hex[:12], round(settings.cores, 2)
+    )
+    operators = OperatorView(store, clocks)
+    directory = NodeDirectory(store, clocks)
+    membership = Membership(store, record)
+    client = EdgeClient()
+    owned = OwnedShards()
+    exchange = ViewExchange(record.address, operators, directory, client)
+    stop_flag = StopFlag()
+    stop = GateStop(stop_flag, STOP_DELAY_S)
+    log.info("starting", node=settings.node, zone=settings.zone, incarnation=record.incarnation)
+    probes = create_probes(
+        lambda: operators.deployment is not None and not stop_flag.is_stopping, metrics.export
+    )
+    rpc_server = Server([EdgeService(owned, operators)])
+    await rpc_server.start(*split_address(settings.rpc_address))
+    servers = [
+        _server(probes, settings.readiness_address),
+        _server(probes, settings.metrics_address),
+    ]
+    loops = [
+        operators.follower.run(),
+        directory.follower.run(),
+        membership.run(),
+        exchange.run(),
+        *(server.serve() for server in servers),
+    ]
+    tasks = [asyncio.create_task(loop) for loop in loops]
+    _reload_on_hup(log)
+    layout = await find_layout(store, clocks)
+
+    def make_tenure(shard: int, right: ShardRight) -> ShardTenure:
+        return ShardTenure(
+            shard, layout.shards, settings, store, workers, right, operators, clocks, metrics
+        )
+
+    for shard in range(layout.shards):
+        keeper = ShardKeeper(shard, record, store, directory, clocks, make_tenure)
+        owned.keepers_by_shard[shard] = keeper
+        tasks.append(asyncio.create_task(keeper.run()))
+    desk = GateDesk(layout.shards, owned, operators, directory, client, store, clocks, metrics)
+    front = _server(ClosingConnections(create_front(desk), stop_flag), settings.client_address)
+    log.info("serving", address=settings.client_address, shards=layout.shards)
+    leaving = asyncio.create_task(_leave_after(stop_flag, membership, owned))
+    await stop.serve(front)
+    await leaving
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    rpc_server.close()
+    client.close()
+    await membership.end()
+    await store_caller.close()
+    await worker_caller.close()
+    log.info("stopped", node=settings.node)
+
+
+async def _leave_after(flag: StopFlag, membership: Membership, owned: OwnedShards) -> None:
+    """Hands the shards over once the process stops."""
+    await flag.stopped.wait()
+    await membership.leave()
+    await asyncio.gather(*(keeper.leave() for keeper in owned.keepers_by_shard.values()))
+
+
+def _server(app: ASGIApp, address: str) -> QuietServer:
+    host, port = split_address(address)
+    config = uvicorn.Config(
+        app,
+        host=host,
+        port=port,
+        loop="asyncio",
+        http="httptools",
+        ws="none",
+        lifespan="off",
+        log_config=None,
+        access_log=False,
+        server_header=False,
+        date_header=False,
+        timeout_keep_alive=KEEP_ALIVE_S,
+    )
+    return QuietServer(config)
+
+
+def _reload_on_hup(log: Log) -> None:
+    def reload() -> None:
+        result = read_boot_settings()
+        if isinstance(result, Err):
+            log.warning("settings are invalid, the old ones stay", cause=result.err_value)
+        else:
+            log.info("settings read again", node=result.ok_value.node)
+
+    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reload)
--- /dev/null
+++ b/packages/pollengated/pollengated/edge/edge_metrics.py
@@ -0,0 +1,70 @@
+"""Prometheus metrics of an edge process."""
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    ProcessCollector,
+    disable_created_metrics,
+    generate_latest,
+)
+
+__all__ = ["EdgeMetrics"]
+
+disable_created_metrics()
+
+
+class EdgeMetrics:
+    """Every metric that the edge role exports."""
+
+    def __init__(self) -> None:
+        self.registry = registry = CollectorRegistry()
+        self.answers = Counter(
+            "pollengate_edge_answers",
+            "Answers to clients, by request and outcome.",
+            ["request", "outcome"],
+            registry=registry,
+        )
+        self.answer_time = Histogram(
+            "pollengate_edge_answer_seconds",
+            "Time from a client's request to its answer.",
+            ["request"],
+            registry=registry,
+        )
+        self.starts = Counter("pollengate_edge_starts", "Tasks started.", registry=registry)
+        self.failed_starts = Counter(
+            "pollengate_edge_failed_starts",
+            "Start orders that were not confirmed, by reason.",
+            ["reason"],
+            registry=registry,
+        )
+        self.stops = Counter("pollengate_edge_stops", "Runs stopped.", registry=registry)
+        self.paces = Counter("pollengate_edge_paces", "Paces changed.", registry=registry)
+        self.holds = Counter("pollengate_edge_holds", "Hold orders sent.", registry=registry)
+        self.undurable_results = Counter(
+            "pollengate_edge_undurable_results",
+            "Reports whose results were not durable in time.",
+            registry=registry,
+        )
+        self.jobs_ended = Counter(
+            "pollengate_edge_jobs_ended", "Jobs ended, by state.", ["state"], registry=registry
+        )
+        self.job_time = Histogram(
+            "pollengate_edge_job_seconds",
+            "Time from a job's acceptance to its end.",
+            ["queue"],
+            buckets=(0.5, 1, 2, 3, 5, 8, 12, 20, 40, 80),
+            registry=registry,
+        )
+        self.owned_shards = Gauge(
+            "pollengate_edge_owned_shards", "Shards that this process owns.", registry=registry
+        )
+        self.waiting_tasks = Gauge(
+            "pollengate_edge_waiting_tasks", "Tasks that wait for a start.", registry=registry
+        )
+        ProcessCollector(registry=registry)
+
+    def export(self) -> bytes:
+        """Returns the text exposition."""
+        return generate_latest(self.registry)
--- /dev/null
+++ b/packages/pollengated/pollengated/edge/gate_desk.py
@@ -0,0 +1,213 @@
+"""Takes clients' requests at any process and passes them to the owner of the job's shard."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from pollengate.store import PolledStore
+from pollengate.workflow.desk import (
+    Found,
+    JobAnswer,
+    JobDesk,
+    NoSuchJob,
+    NotAccepted,
+    Undecided,
+    WaitingCount,
+)
+from pollengate.workflow.keys import job_key, progress_key, shard_of_job
+from pollengate.workflow.model import Queue, Workflow
+from pollengate.workflow.progress import JobState
+from pollengate.workflow.records import decode_progress
+from pollengate_net.calls import CallFailure
+from result import Err, Result
+
+from pollengated.edge.clocks import Clocks
+from pollengated.edge.edge_metrics import EdgeMetrics
+from pollengated.edge.node_directory import NodeDirectory
+from pollengated.edge.operator_view import OperatorView
+from pollengated.edge.rpc import EdgeClient, NotOwner
+from pollengated.edge.shard_tenure import ShardTenure
+from pollengated.edge.shards import OwnedShards
+from pollengated.logs import Log
+
+__all__ = ["GateDesk"]
+
+# A shard that changes hands is without an owner for less than that.
+OWNER_WAIT_S = 0.6
+RETRY_AFTER_S = 1.0
+_Remote = Callable[[str], Awaitable[Result[JobAnswer | NotOwner, CallFailure]]]
+_Local = Callable[[ShardTenure], Awaitable[JobAnswer]]
+
+
+class GateDesk(JobDesk):
+    """Answers clients.
+
+    Args:
+        shards: number of shards of the deployment.
+        owned: those that this process owns.
+        operators: the configuration.
+        directory: who owns what.
+        client: calls other processes.
+        store: read where a shard has no owner.
+        clocks: the process's clocks.
+        metrics: counts answers.
+    """
+
+    def __init__(
+        self,
+        shards: int,
+        owned: OwnedShards,
+        operators: OperatorView,
+        directory: NodeDirectory,
+        client: EdgeClient,
+        store: PolledStore,
+        clocks: Clocks,
+        metrics: EdgeMetrics,
+    ) -> None:
+        self._shards = shards
+        self._owned = owned
+        self._operators = operators
+        self._directory = directory
+        self._client = client
+        self._store = store
+        self._clocks = clocks
+        self._metrics = metrics
+        self._log = Log("gate")
+
+    def has_configuration(self) -> bool:
+        """Tells whether the queues are known."""
+        return self._operators.deployment is not None
+
+    def find_queue(self, host: str, path: str) -> Queue | None:
+        """Returns the queue that a request belongs to."""
+        deployment = self._operators.deployment
+        return None if deployment is None else deployment.find_queue(host, path)
+
+    async def submit(self, queue: Queue, job_id: str, workflow: Workflow) -> JobAnswer:
+        """Accepts a job or refuses it."""
+        shard = shard_of_job(job_id, self._shards)
+        return await self._observe(
+            "submit",
+            job_id,
+            self._ask_owner(
+                shard,
+                lambda tenure: tenure.submit(queue.name, job_id, workflow),
+                lambda address: self._client.submit(address, shard, queue.name, job_id, workflow),
+            ),
+        )
+
+    async def show(self, queue: Queue, job_id: str) -> JobAnswer:
+        """Returns the state of a job."""
+        return await self._observe("show", job_id, self._show(queue, job_id))
+
+    async def cancel(self, queue: Queue, job_id: str) -> JobAnswer:
+        """Cancels a job."""
+        shard = shard_of_job(job_id, self._shards)
+        return await self._observe(
+            "cancel",
+            job_id,
+            self._ask_owner(
+                shard,
+                lambda tenure: tenure.cancel(job_id),
+                lambda address: self._client.cancel(address, shard, queue.name, job_id),
+            ),
+        )
+
+    async def count_waiting(self, queue: Queue) -> JobAnswer:
+        """Adds up the waiting jobs of a queue over all shards."""
+        return await self._observe("count", queue.name, self._count_waiting(queue))
+
+    async def _show(self, queue: Queue, job_id: str) -> JobAnswer:
+        shard = shard_of_job(job_id, self._shards)
+        answer = await self._ask_owner(
+            shard,
+            lambda tenure: tenure.show(job_id),
+            lambda address: self._client.show(address, shard, queue.name, job_id),
+        )
+        if isinstance(answer, NotAccepted | Undecided):
+            return await self._show_stored(shard, job_id) or answer
+        return answer
+
+    async def _show_stored(self, shard: int, job_id: str) -> JobAnswer | None:
+        """Answers from the job's records; None if the store is out of reach as well."""
+        progress = await self._store.get(progress_key(shard, job_id))
+        if isinstance(progress, Err):
+            return None
+        if progress.ok_value is not None:
+            decoded = decode_progress(progress.ok_value.value)
+            return None if isinstance(decoded, Err) else Found(decoded.ok_value.state)
+        job = await self._store.get(job_key(shard, job_id))
+        if isinstance(job, Err):
+            return None
+        return NoSuchJob() if job.ok_value is None else Found(JobState.QUEUED)
+
+    async def _count_waiting(self, queue: Queue) -> JobAnswer:
+        async def count(tenure: ShardTenure) -> JobAnswer:
+            return tenure.count_waiting(queue.name)
+
+        total = 0
+        for shard in range(self._shards):
+            answer = await self._ask_owner(
+                shard,
+                count,
+                lambda address, shard=shard: self._client.count_waiting(  # type: ignore[misc]
+                    address, shard, queue.name
+                ),
+            )
+            if not isinstance(answer, WaitingCount):
+                return answer
+            total += answer.count
+        return WaitingCount(total)
+
+    async def _ask_owner(self, shard: int, local: _Local, remote: _Remote) -> JobAnswer:
+        """Asks the owner of a shard; a moment without one is waited out."""
+        deadline = self._clocks.steady() + OWNER_WAIT_S
+        while True:
+            answer = await self._try_owner(shard, local, remote)
+            if answer is not None:
+                return answer
+            left_s = deadline - self._clocks.steady()
+            if left_s <= 0:
+                return NotAccepted("no_owner", RETRY_AFTER_S)
+            await self._directory.wait_for_change(min(left_s, 0.1))
+
+    async def _try_owner(self, shard: int, local: _Local, remote: _Remote) -> JobAnswer | None:
+        """Asks once; None if nothing was done."""
+        tenure = self._owned.serving(shard)
+        if tenure is not None:
+            return await local(tenure)
+        owner = self._directory.owner(shard)
+        if owner is None:
+            return None
+        result = await remote(owner.record.address)
+        if isinstance(result, Err):
+            failure = result.err_value
+            self._log.warning(
+                "owner does not answer",
+                shard=shard,
+                owner=owner.record.node,
+                sent=failure.sent,
+                cause=failure.detail,
+            )
+            return Undecided("owner_silent") if failure.sent else None
+        return None if isinstance(result.ok_value, NotOwner) else result.ok_value
+
+    async def _observe(
+        self, request: str, subject: str, answering: Awaitable[JobAnswer]
+    ) -> JobAnswer:
+        began_at = asyncio.get_running_loop().time()
+        answer = await answering
+        took_s = asyncio.get_running_loop().time() - began_at
+        outcome = type(answer).__name__
+        self._metrics.answers.labels(request, outcome).inc()
+        self._metrics.answer_time.labels(request).observe(took_s)
+        fields = {"reason": answer.reason} if isinstance(answer, NotAccepted | Undecided) else {}
+        if request != "show" or fields:
+            self._log.info(
+                f"{request} answered",
+                job=subject,
+                outcome=outcome,
+                took_ms=round(took_s * 1000, 1),
+                view_age_s=round(self._operators.follower.age_s(), 2),
+                **fields,
+            )
+        return answer
--- /dev/null
+++ b/packages/pollengated/pollengated/edge/operator_view.py
@@ -0,0 +1,68 @@
+"""What operators wrote: the configuration and the zones taken out of service."""
+
+from collections.abc import Callable
+
+from pollengate.store import Entry, PolledStore
+from pollengate.workflow.model import Deployment
+from pollengate_platform.documents import (
+    CONFIGURATION_KEY,
+    OPERATOR_PREFIX,
+    decode_deployment,
+    evacuated_zone,
+)
+from result import Err
+
+from pollengated.edge.clocks import Clocks
+from pollengated.edge.prefix_follower import PrefixFollower
+from pollengated.logs import Log
+
+__all__ = ["OperatorView"]
+
+
+class OperatorView:
+    """Follows the operators' keys; a configuration never gives way to an older one.
+
+    Attributes:
+        deployment: the newest configuration, None before the first.
+        evacuated_zones: zones that get no new tasks.
+        follower: the copy of the operators' keys.
+    """
+
+    def __init__(self, store: PolledStore, clocks: Clocks) -> None:
+        self.follower = PrefixFollower(store, OPERATOR_PREFIX, clocks, self._changed)
+        self.deployment: Deployment | None = None
+        self.evacuated_zones: frozenset[str] = frozenset()
+        self._listeners: list[Callable[[], None]] = []
+        self._log = Log("configuration")
+
+    def on_change(self, listener: Callable[[], None]) -> Callable[[], None]:
+        """Calls a function after each change; returns what ends that."""
+        self._listeners.append(listener)
+        return lambda: self._listeners.remove(listener)
+
+    def _changed(self) -> None:
+        entries = self.follower.entries_by_key
+        self._take_configuration(entries.get(CONFIGURATION_KEY))
+        zones = frozenset(z for key in entries if (z := evacuated_zone(key)) is not None)
+        if zones != self.evacuated_zones:
+            self._log.info("zones out of service", zones=",".join(sorted(zones)) or "none")
+            self.evacuated_zones = zones
+        for listener in list(self._listeners):
+            listener()
+
+    def _take_configuration(self, entry: Entry | None) -> None:
+        if entry is None:
+            return
+        decoded = decode_deployment(entry.value)
+        if isinstance(decoded, Err):
+            self._log.warning("configuration is unreadable", cause=decoded.err_value)
+            return
+        newest = decoded.ok_value
+        if self.deployment is None or newest.version > self.deployment.version:
+            self.deployment = newest
+            self._log.info(
+                "configuration in force",
+                version=newest.version,
+                queues=len(newest.queues),
+                revision=entry.revision,
+            )
--- /dev/null
+++ b/packages/pollengated/pollengated/edge/prefix_follower.py
@@ -0,0 +1,118 @@
+"""Keeps a copy of a part of the store and says how fresh it is."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+
+from pollengate.store import POLL_WAIT_S, Entry, FailureKind, PolledStore, StoreFailure, WatchEvent
+from result import Err
+
+from pollengated.edge.clocks import Clocks
+from pollengated.logs import Log
+
+__all__ = ["PrefixFollower"]
+
+# Between attempts while the store fails; a store that comes back is asked soon.
+RETRY_S = 0.2
+
+
+class PrefixFollower:
+    """Follows every key below a prefix.
+
+    Attributes:
+        entries_by_key: the copy.
+        revision: the store revision that it is at, 0 before the first read.
+        confirmed_at: clock time at which it was known to be the newest; None before the first read.
+    """
+
+    def __init__(
+        self, store: PolledStore, prefix: str, clocks: Clocks, on_change: Callable[[], None]
+    ) -> None:
+        self._store = store
+        self._prefix = prefix
+        self._clocks = clocks
+        self._on_change = on_change
+        self._log = Log("views")
+        self._is_failing = False
+        self.entries_by_key: dict[str, Entry] = {}
+        self.revision = 0
+        self.confirmed_at: float | None = None
+
+    def age_s(self) -> float:
+        """Returns the seconds since the copy was last confirmed."""
+        if self.confirmed_at is None:
+            return float("inf")
+        return self._clocks.steady() - self.confirmed_at
+
+    async def run(self) -> None:
+        """Follows until cancelled."""
+        must_list = True
+        while True:
+            failure = await (self._list() if must_list else self._poll())
+            must_list = failure is not None and (
+                self.revision == 0 or failure.kind is FailureKind.HISTORY_GONE
+            )
+            if failure is not None:
+                self._note_failure(failure)
+                if failure.kind is not FailureKind.HISTORY_GONE:
+                    await asyncio.sleep(RETRY_S)
+
+    def merge(self, entries: Iterable[Entry], revision: int) -> bool:
+        """Takes in another process's copy if it is newer; returns whether it was."""
+        if revision <= self.revision:
+            return False
+        self._replace(entries, revision)
+        return True
+
+    async def _list(self) -> StoreFailure | None:
+        asked_at = self._clocks.steady()
+        listing = await self._store.list(self._prefix)
+        if isinstance(listing, Err):
+            return listing.err_value
+        self._confirm(asked_at)
+        if listing.ok_value.revision >= self.revision:
+            self._replace(listing.ok_value.entries, listing.ok_value.revision)
+        return None
+
+    async def _poll(self) -> StoreFailure | None:
+        asked_at = self._clocks.steady()
+        polled = await self._store.changes(self._prefix, self.revision, POLL_WAIT_S)
+        if isinstance(polled, Err):
+            return polled.err_value
+        self._confirm(asked_at)
+        for event in polled.ok_value.events:
+            self._apply(event)
+        self.revision = max(self.revision, polled.ok_value.revision)
+        if polled.ok_value.events:
+            self._on_change()
+        return None
+
+    def _replace(self, entries: Iterable[Entry], revision: int) -> None:
+        self.entries_by_key = {entry.key: entry for entry in entries}
+        self.revision = revision
+        self._on_change()
+
+    def _apply(self, event: WatchEvent) -> None:
+        known = self.entries_by_key.get(event.key)
+        if known is not None and known.revision >= event.revision:
+            return
+        if event.entry is None:
+            self.entries_by_key.pop(event.key, None)
+        else:
+            self.entries_by_key[event.key] = event.entry
+
+    def _confirm(self, asked_at: float) -> None:
+        if self._is_failing:
+            self._is_failing = False
+            self._log.info("store answers again", prefix=self._prefix, age_s=round(self.age_s(), 2))
+        self.confirmed_at = asked_at
+
+    def _note_failure(self, failure: StoreFailure) -> None:
+        if not self._is_failing:
+            self._is_failing = True
+            self._log.warning(
+                "store does not answer",
+                prefix=self._prefix,
+                kind=failure.kind.value,
+                cause=failure.detail,
+                age_s=round(self.age_s(), 2),
+            )
--- /dev/null
+++ b/packages/pollengated/pollengated/edge/rpc.py
@@ -0,0 +1,210 @@
+"""Calls between edge processes over grpclib."""
+
+import asyncio
+from typing import Any
+
+import msgspec
+from grpclib.client import Channel
+from grpclib.server import Stream
+from pollengate.store import Entry
+from pollengate.workflow.desk import (
+    Accepted,
+    Cancelled,
+    Found,
+    JobAnswer,
+    NoSuchJob,
+    NotAccepted,
+    Undecided,
+    WaitingCount,
+)
+from pollengate.workflow.model import Workflow
+from pollengate.workflow.progress import JobState
+from pollengate_net.calls import CallFailure, call, open_channel
+from pollengate_net.messages import edge_pb2 as pb
+from pollengate_net.messages.edge_grpc import EdgeBase, EdgeStub
+from pollengate_net.serving import receive
+from result import Err, Ok, Result
+
+from pollengated.edge.operator_view import OperatorView
+from pollengated.edge.shards import OwnedShards
+
+__all__ = ["EdgeClient", "EdgeService", "NotOwner"]
+
+CALL_TIMEOUT_S = 2.2
+VIEW_TIMEOUT_S = 0.5
+_NOT_OWNER = "not_owner"
+
+
+class NotOwner:
+    """The process asked does not own the shard, and did nothing."""
+
+
+class EdgeClient:
+    """Keeps one channel for each address, and drops it when a call on it fails."""
+
+    def __init__(self) -> None:
+        self._channels_by_address: dict[str, Channel] = {}
+
+    async def submit(
+        self, address: str, shard: int, queue: str, job_id: str, workflow: Workflow
+    ) -> Result[JobAnswer | NotOwner, CallFailure]:
+        """Submits a job to a shard's owner."""
+        request = pb.SubmitRequest(
+            shard=shard, queue=queue, job_id=job_id, workflow=msgspec.json.encode(workflow)
+        )
+        return await self._ask(address, "Submit", request)
+
+    async def show(
+        self, address: str, shard: int, queue: str, job_id: str
+    ) -> Result[JobAnswer | NotOwner, CallFailure]:
+        """Asks for a job's state."""
+        request = pb.JobRequest(shard=shard, queue=queue, job_id=job_id)
+        return await self._ask(address, "Show", request)
+
+    async def cancel(
+        self, address: str, shard: int, queue: str, job_id: str
+    ) -> Result[JobAnswer | NotOwner, CallFailure]:
+        """Cancels a job."""
+        request = pb.JobRequest(shard=shard, queue=queue, job_id=job_id)
+        return await self._ask(address, "Cancel", request)
+
+    async def count_waiting(
+        self, address: str, shard: int, queue: str
+    ) -> Result[JobAnswer | NotOwner, CallFailure]:
+        """Counts the waiting jobs of a queue in one shard."""
+        return await self._ask(address, "CountWaiting", pb.QueueRequest(shard=shard, queue=queue))
+
+    async def view(self, address: str) -> Result[tuple[tuple[Entry, ...], int], CallFailure]:
+        """Returns what another process knows of the operators' keys, and its revision."""
+        result = await self._call(address, "GetView", pb.ViewRequest(), VIEW_TIMEOUT_S)
+        if isinstance(result, Err):
+            return result
+        reply = result.ok_value
+        entries = tuple(Entry(e.key, e.value, e.revision, e.revision) for e in reply.entries)
+        return Ok((entries, reply.revision))
+
+    def close(self) -> None:
+        """Closes every channel."""
+        for channel in self._channels_by_address.values():
+            channel.close()
+        self._channels_by_address.clear()
+
+    async def _ask(
+        self, address: str, method: str, request: object
+    ) -> Result[JobAnswer | NotOwner, CallFailure]:
+        result = await self._call(address, method, request, CALL_TIMEOUT_S)
+        return result.map(_answer)
+
+    async def _call(
+        self, address: str, method: str, request: object, timeout_s: float
+    ) -> Result[Any, CallFailure]:
+        channel = self._channels_by_address.get(address)
+        if channel is None:
+            channel = self._channels_by_address[address] = open_channel(address)
+        result = await call(getattr(EdgeStub(channel), method), request, timeout_s)
+        if isinstance(result, Err) and self._channels_by_address.get(address) is channel:
+            # The connection may have gone silent; the next call opens a new one.
+            del self._channels_by_address[address]
+            asyncio.get_running_loop().call_later(CALL_TIMEOUT_S, channel.close)
+        return result
+
+
+class EdgeService(EdgeBase):
+    """Answers other edge processes."""
+
+    def __init__(self, shards: OwnedShards, operators: OperatorView) -> None:
+        self._shards = shards
+        self._operators = operators
+
+    async def Submit(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
+        """Submits a job."""
+        request = await receive(stream)
+        tenure = self._shards.serving(request.shard)
+        if tenure is None:
+            await stream.send_message(pb.JobReply(kind=_NOT_OWNER))
+            return
+        workflow = msgspec.json.decode(request.workflow, type=Workflow)
+        answer = await tenure.submit(request.queue, request.job_id, workflow)
+        await stream.send_message(_reply(answer))
+
+    async def Show(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
+        """Returns a job's state."""
+        request = await receive(stream)
+        tenure = self._shards.serving(request.shard)
+        if tenure is None:
+            await stream.send_message(pb.JobReply(kind=_NOT_OWNER))
+            return
+        await stream.send_message(_reply(await tenure.show(request.job_id)))
+
+    async def Cancel(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
+        """Cancels a job."""
+        request = await receive(stream)
+        tenure = self._shards.serving(request.shard)
+        if tenure is None:
+            await stream.send_message(pb.JobReply(kind=_NOT_OWNER))
+            return
+        await stream.send_message(_reply(await tenure.cancel(request.job_id)))
+
+    async def CountWaiting(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
+        """Counts the waiting jobs of a queue."""
+        request = await receive(stream)
+        tenure = self._shards.serving(request.shard)
+        if tenure is None:
+            await stream.send_message(pb.JobReply(kind=_NOT_OWNER))
+            return
+        await stream.send_message(_reply(tenure.count_waiting(request.queue)))
+
+    async def GetView(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
+        """Passes on what the operators wrote."""
+        await receive(stream)
+        follower = self._operators.follower
+        entries = [
+            pb.Entry(key=e.key, value=e.value, revision=e.revision)
+            for e in follower.entries_by_key.values()
+        ]
+        age_s = min(follower.age_s(), 1e9)
+        reply = pb.ViewReply(revision=follower.revision, age_s=age_s, entries=entries)
+        await stream.send_message(reply)
+
+
+def _reply(answer: JobAnswer) -> pb.JobReply:
+    match answer:
+        case NotAccepted(reason, retry_after_s, is_overload):
+            return pb.JobReply(
+                kind="not_accepted",
+                reason=reason,
+                retry_after_s=retry_after_s,
+                is_overload=is_overload,
+            )
+        case Undecided(reason):
+            return pb.JobReply(kind="undecided", reason=reason)
+        case Found(state):
+            return pb.JobReply(kind="found", state=state.value)
+        case WaitingCount(count):
+            return pb.JobReply(kind="waiting", count=count)
+        case Accepted():
+            return pb.JobReply(kind="accepted")
+        case Cancelled():
+            return pb.JobReply(kind="cancelled")
+        case NoSuchJob():
+            return pb.JobReply(kind="no_such_job")
+
+
+def _answer(reply: Any) -> JobAnswer | NotOwner:
+    match reply.kind:
+        case "accepted":
+            return Accepted()
+        case "not_accepted":
+            return NotAccepted(reply.reason, reply.retry_after_s, reply.is_overload)
+        case "found":
+            return Found(JobState(reply.state))
+        case "cancelled":
+            return Cancelled()
+        case "no_such_job":
+            return NoSuchJob()
+        case "waiting":
+            return WaitingCount(reply.count)
+        case "not_owner":
+            return NotOwner()
+        case _:
+            return Undecided(reply.reason or f"unknown answer {reply.kind!r}")
--- /dev/null
+++ b/packages/pollengated/pollengated/edge/shard_keeper.py
@@ -0,0 +1,172 @@
+"""Takes shards that have no owner, keeps their leases and gives them up."""
+
+import asyncio
+import zlib
+from collections.abc import Callable
+
+from pollengate.store import Delete, FailureKind, PolledStore, Put, Unchanged
+from pollengate.workflow.keys import owner_key
+from pollengate.workflow.rights import OWNER_LEASE_S, ShardRight
+from result import Err
+
+from pollengated.edge.clocks import Clocks
+from pollengated.edge.node_directory import NodeDirectory, NodeRecord
+from pollengated.edge.shard_tenure import ShardTenure
+from pollengated.logs import Log
+
+__all__ = ["ShardKeeper", "candidates"]
+
+# A renewal counts as a tenth of a read; several fit into the lease.
+RENEW_INTERVAL_S = 0.4
+# Head start of each better candidate for a shard without an owner.
+CANDIDATE_DELAY_S = 0.15
+# A process that starts waits for others to register before it ranks itself.
+WATCH_INTERVAL_S = 0.5
+RETRY_S = 0.2
+HANDOVER_TIMEOUT_S = 1.0
+
+
+def candidates(members: list[NodeRecord], shard: int) -> list[str]:
+    """Returns the processes that may own a shard, the best one first."""
+    staying = [member for member in members if not member.is_leaving]
+    ranked = sorted(staying, key=lambda m: (-round(m.cores, 1), _spread(m.node, shard)))
+    return [member.node for member in ranked]
+
+
+class ShardKeeper:
+    """Owns one shard whenever this process is the best candidate for it.
+
+    Attributes:
+        tenure: the present tenure, None while another process owns the shard or nobody.
+    """
+
+    def __init__(
+        self,
+        shard: int,
+        record: NodeRecord,
+        store: PolledStore,
+        directory: NodeDirectory,
+        clocks: Clocks,
+        make_tenure: Callable[[int, ShardRight], ShardTenure],
+    ) -> None:
+        self.tenure: ShardTenure | None = None
+        self._shard = shard
+        self._key = owner_key(shard)
+        self._record = record
+        self._store = store
+        self._directory = directory
+        self._clocks = clocks
+        self._make_tenure = make_tenure
+        self._is_leaving = False
+        self._lease_id = 0
+        self._log = Log("keeper")
+
+    async def run(self) -> None:
+        """Takes the shard whenever it is free, until told to leave."""
+        while not self._is_leaving:
+            await self._end_own_past()
+            if await self._wait_for_turn():
+                right = await self._take()
+                if right is not None:
+                    await self._serve(right)
+
+    async def leave(self) -> None:
+        """Hands the shard over to whoever comes next."""
+        self._is_leaving = True
+        tenure = self.tenure
+        if tenure is None:
+            return
+        await tenure.prepare_handover(HANDOVER_TIMEOUT_S)
+        condition = Unchanged(self._key, tenure.right.token)
+        tenure.right.lose()
+        released = await self._store.commit((condition,), (Delete(self._key),))
+        cause = released.err_value.detail if isinstance(released, Err) else "none"
+        self._log.info("shard handed over", shard=self._shard, failure=cause)
+
+    async def _end_own_past(self) -> None:
+        """Ends the ownership of an earlier process of this VM, which is certainly dead."""
+        owner = self._directory.owner(self._shard)
+        if owner is None or owner.record.node != self._record.node:
+            return
+        if owner.record.incarnation == self._record.incarnation and self.tenure is not None:
+            return
+        self._log.info("ends the ownership of its past", shard=self._shard, token=owner.token)
+        await self._store.revoke_lease(owner.lease_id)
+        await self._directory.wait_for_change(RETRY_S)
+
+    async def _wait_for_turn(self) -> bool:
+        """Waits for a change; returns whether the shard is free and this process's to take."""
+        if self._directory.owner(self._shard) is not None or not self._directory.follower.revision:
+            await self._directory.wait_for_change(WATCH_INTERVAL_S)
+            return False
+        ranked = candidates(self._directory.members(), self._shard)
+        if self._record.node not in ranked:
+            await self._directory.wait_for_change(RETRY_S)
+            return False
+        await asyncio.sleep(CANDIDATE_DELAY_S * ranked.index(self._record.node))
+        return not self._is_leaving and self._directory.owner(self._shard) is None
+
+    async def _take(self) -> ShardRight | None:
+        asked_at = self._clocks.steady()
+        lease = await self._store.grant_lease(OWNER_LEASE_S)
+        if isinstance(lease, Err):
+            await asyncio.sleep(RETRY_S)
+            return None
+        self._lease_id = lease.ok_value
+        token = await self._write_owner()
+        if token is None:
+            await self._store.revoke_lease(self._lease_id)
+            await self._directory.wait_for_change(RETRY_S)
+            return None
+        self._log.info("shard taken", shard=self._shard, token=token, lease=self._lease_id)
+        return ShardRight(token, asked_at)
+
+    async def _write_owner(self) -> int | None:
+        put = Put(self._key, self._record.encode(), self._lease_id)
+        result = await self._store.commit((Unchanged(self._key, 0),), (put,))
+        if not isinstance(result, Err):
+            return result.ok_value.revision if result.ok_value.succeeded else None
+        if result.err_value.kind is not FailureKind.UNKNOWN:
+            return None
+        entry = await self._store.get(self._key)
+        if isinstance(entry, Err) or entry.ok_value is None:
+            return None
+        return entry.ok_value.revision if entry.ok_value.lease_id == self._lease_id else None
+
+    async def _serve(self, right: ShardRight) -> None:
+        self.tenure = self._make_tenure(self._shard, right)
+        renewing = asyncio.create_task(self._keep(right))
+        try:
+            await self.tenure.run()
+        finally:
+            right.lose()
+            renewing.cancel()
+            self.tenure = None
+            await self._store.revoke_lease(self._lease_id)
+
+    async def _keep(self, right: ShardRight) -> None:
+        """Renews the lease; a slow answer does not hold up the next renewal."""
+        renewals: set[asyncio.Task[None]] = set()
+        while not right.is_lost:
+            renewal = asyncio.create_task(self._renew(right))
+            renewals.add(renewal)
+            renewal.add_done_callback(renewals.discard)
+            await asyncio.sleep(RENEW_INTERVAL_S)
+            if not right.holds(self._clocks.steady()):
+                self._log.warning("right has lapsed", shard=self._shard, token=right.token)
+                right.lose()
+
+    async def _renew(self, right: ShardRight) -> None:
+        asked_at = self._clocks.steady()
+        kept = await self._store.keep_lease(self._lease_id)
+        if isinstance(kept, Err):
+            return
+        if kept.ok_value <= 0:
+            self._log.warning("lease has ended", shard=self._shard, token=right.token)
+            right.lose()
+        else:
+            right.renewed(asked_at)
+
+
+def _spread(node: str, shard: int) -> int:
+    return zlib.crc32(f"{node}/{shard}".encode())
--- /dev/null
+++ b/packages/pollengated/pollengated/edge/shard_tenure.py
@@ -0,0 +1,449 @@
+"""One tenure of a shard: from taking it to losing it or handing it over."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+from pollengate.failure_evidence import FailureEvidence
+from pollengate.store import PolledStore
+from pollengate.workflow.books import WorkflowBooks
+from pollengate.workflow.clients import WorkerClient
+from pollengate.workflow.desk import (
+    Accepted,
+    Cancelled,
+    Found,
+    JobAnswer,
+    NoSuchJob,
+    NotAccepted,
+    Undecided,
+    WaitingCount,
+)
+from pollengate.workflow.fleet import Fleet, WorkerView
+from pollengate.workflow.keys import (
+    commit_key,
+    job_key,
+    job_prefix,
+    progress_key,
+    progress_prefix,
+    shard_of_rack,
+)
+from pollengate.workflow.leases import MAX_CLOCK_DRIFT, WORKER_LEASE_S
+from pollengate.workflow.model import Workflow
+from pollengate.workflow.pacing import Pacer
+from pollengate.workflow.placement import Placer
+from pollengate.workflow.planner import Planner
+from pollengate.workflow.progress import JobProgress, JobState
+from pollengate.workflow.records import decode_job, decode_progress, restore
+from pollengate.workflow.rights import ShardRight, inherited_lapse
+from pollengate.workflow.settings import NodeSettings
+from result import Err, Ok, Result
+
+from pollengated.edge.clocks import Clocks
+from pollengated.edge.committer import (
+    Committer,
+    JobRecord,
+    ProgressRecord,
+    RemovedJob,
+    decode_commit_number,
+)
+from pollengated.edge.edge_metrics import EdgeMetrics
+from pollengated.edge.operator_view import OperatorView
+from pollengated.edge.roster import Roster, decode_roster
+from pollengated.edge.worker_link import WorkerLink
+from pollengated.edge.worker_registry import WorkerRegistry
+from pollengated.logs import Log
+
+__all__ = ["ShardTenure"]
+
+# Events that come together are planned together.
+PLAN_DELAY_S = 0.005
+# Between looks at what time alone changes.
+TICK_S = 0.1
+RECOVERY_RETRY_S = 0.1
+# A client waits 3 s for an answer.
+DURABLE_TIMEOUT_S = 2.0
+RETRY_AFTER_S = 1.0
+# After a worker was found to fail everything; tasks take a second or two.
+FIRST_PROBE_AFTER_S = 4.0
+# Kept beyond the time that clients may ask for the state of an ended job.
+RETENTION_MARGIN_S = 5.0
+
+
+class ShardTenure:
+    """Owns a shard's jobs and workers.
+
+    Args:
+        shard: its number.
+        shards: number of shards of the deployment.
+        settings: of this process.
+        store: the platform's store.
+        client: sends orders to workers.
+        right: the right to give orders.
+        operators: what operators wrote.
+        clocks: the process's clocks.
+        metrics: of this process.
+    """
+
+    def __init__(
+        self,
+        shard: int,
+        shards: int,
+        settings: NodeSettings,
+        store: PolledStore,
+        client: WorkerClient,
+        right: ShardRight,
+        operators: OperatorView,
+        clocks: Clocks,
+        metrics: EdgeMetrics,
+    ) -> None:
+        self.shard = shard
+        self.right = right
+        self.is_serving = False
+        self._shards = shards
+        self._settings = settings
+        self._store = store
+        self._client = client
+        self._operators = operators
+        self._clocks = clocks
+        self._metrics = metrics
+        self._log = Log("owner")
+        self._taken_at = clocks.steady()
+        inherited = inherited_lapse(self._taken_at, self._lease_s(), MAX_CLOCK_DRIFT)
+        self._inherited_until = inherited
+        self.fleet = Fleet(self._lease_s(), inherited)
+        self._registry = WorkerRegistry(store, clocks, self._workers_changed)
+        self._links_by_id: dict[str, WorkerLink] = {}
+        self._link_tasks_by_id: dict[str, asyncio.Task[None]] = {}
+        self._pacer = Pacer()
+        self._wake = asyncio.Event()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._is_handing_over = False
+        self.books: WorkflowBooks
+        self._committer: Committer
+        self._planner: Planner
+        self._roster: Roster
+
+    async def run(self) -> None:
+        """Serves the shard until the right is lost or it is handed over."""
+        try:
+            if not await self._recover():
+                return
+            self.is_serving = True
+            unsubscribe = self._operators.on_change(self._operators_changed)
+            self._operators_changed()
+            self._link_all()
+            self._spawn(self._registry.follower.run())
+            self._spawn(self._tick())
+            self._spawn(self._committer.run())
+            try:
+                await self._plan_loop()
+            finally:
+                unsubscribe()
+        finally:
+            self.is_serving = False
+            self._log.warning("tenure ended", shard=self.shard, token=self.right.token)
+            for task in [*self._tasks, *self._link_tasks_by_id.values()]:
+                task.cancel()
+
+    async def prepare_handover(self, timeout_s: float) -> None:
+        """Starts nothing more and makes everything durable."""
+        self._is_handing_over = True
+        await asyncio.sleep(PLAN_DELAY_S)
+        if self.is_serving:
+            await self._committer.wait_durable(self._committer.last_mark, timeout_s)
+
+    # Requests of clients.
+
+    async def submit(self, queue_name: str, job_id: str, workflow: Workflow) -> JobAnswer:
+        """Accepts a job; the answer comes once its record is durable."""
+        known = self.books.jobs_by_id.get(job_id)
+        if known is not None:
+            return Accepted()
+        if self._is_handing_over:
+            return NotAccepted("handing_over", RETRY_AFTER_S)
+        if self._committer.is_stalled or not self.right.is_confirmed(self._clocks.steady()):
+            return NotAccepted("store_unavailable", RETRY_AFTER_S)
+        now, now_ms = self._clocks.steady(), self._clocks.unix_ms()
+        record = self._submitted_by_id.get(job_id)
+        if record is None:
+            job = JobProgress(job_id, queue_name, workflow, now_ms, now)
+            record = _Submission(self.shard, job, self._job_durable)
+            record.mark = self._committer.add(record)
+            self._submitted_by_id[job_id] = record
+        if await self._committer.wait_durable(record.mark, DURABLE_TIMEOUT_S):
+            return Accepted()
+        if self._committer.withdraw(record):
+            self._submitted_by_id.pop(job_id, None)
+            return NotAccepted("store_unavailable", RETRY_AFTER_S)
+        return Undecided("store_unavailable")
+
+    async def show(self, job_id: str) -> JobAnswer:
+        """Returns a job's state; that of an ended one once it is durable."""
+        job = self.books.jobs_by_id.get(job_id)
+        if job is not None:
+            return Found(job.shown_state)
+        if job_id in self._submitted_by_id:
+            return Found(JobState.QUEUED)
+        if not self.right.is_confirmed(self._clocks.steady()):
+            return NotAccepted("owner_unconfirmed", RETRY_AFTER_S)
+        return NoSuchJob()
+
+    async def cancel(self, job_id: str) -> JobAnswer:
+        """Cancels a job; the answer comes once that is durable."""
+        submitted = self._submitted_by_id.get(job_id)
+        if submitted is not None and not await self._committer.wait_durable(
+            submitted.mark, DURABLE_TIMEOUT_S
+        ):
+            return Undecided("store_unavailable")
+        job = self.books.jobs_by_id.get(job_id)
+        if job is None:
+            if not self.right.is_confirmed(self._clocks.steady()):
+                return NotAccepted("owner_unconfirmed", RETRY_AFTER_S)
+            return NoSuchJob()
+        if not job.is_ended:
+            self.books.cancel(job, self._clocks.unix_ms())
+            self._log.info("job cancelled", job=job_id)
+            self._event()
+            self._flush_outbox()
+        mark = self._committer.last_mark
+        if await self._committer.wait_durable(mark, DURABLE_TIMEOUT_S):
+            return Cancelled()
+        return Undecided("store_unavailable")
+
+    def count_waiting(self, queue_name: str) -> JobAnswer:
+        """Counts the jobs of a queue of which no task has started."""
+        count = sum(
+            job.queue_name == queue_name and job.state is JobState.QUEUED
+            for job in self.books.jobs_by_id.values()
+        )
+        return WaitingCount(count)
+
+    # Recovery.
+
+    async def _recover(self) -> bool:
+        """Reads the shard's records; returns whether the right outlasted that."""
+        while not self.right.is_lost and self.right.holds(self._clocks.steady()):
+            result = await self._read_records()
+            if isinstance(result, Ok):
+                self._log.info(
+                    "shard taken over",
+                    shard=self.shard,
+                    token=self.right.token,
+                    jobs=len(self.books.jobs_by_id),
+                    workers=len(self._roster.addresses_by_id),
+                    took_s=round(self._clocks.steady() - self._taken_at, 3),
+                )
+                return True
+            self._log.warning("records are out of reach", shard=self.shard, cause=result.err_value)
+            await asyncio.sleep(RECOVERY_RETRY_S)
+        return False
+
+    async def _read_records(self) -> Result[None, str]:
+        commit = await self._store.get(commit_key(self.shard))
+        if isinstance(commit, Err):
+            return Err(commit.err_value.detail)
+        roster = await self._store.get(Roster.key_of(self.shard))
+        if isinstance(roster, Err):
+            return Err(roster.err_value.detail)
+        jobs = await self._store.list(job_prefix(self.shard))
+        if isinstance(jobs, Err):
+            return Err(jobs.err_value.detail)
+        progress = await self._store.list(progress_prefix(self.shard))
+        if isinstance(progress, Err):
+            return Err(progress.err_value.detail)
+        before = commit.ok_value and decode_commit_number(commit.ok_value.value)
+        tenure = before.tenure + 1 if before else 0
+        self._committer = Committer(
+            self._store,
+            self.shard,
+            self.right,
+            tenure,
+            commit.ok_value.revision if commit.ok_value else 0,
+            self._clocks,
+        )
+        evidence = FailureEvidence(self._clocks.steady, FIRST_PROBE_AFTER_S)
+        self.books = WorkflowBooks(self.fleet, evidence, tenure)
+        self._planner = Planner(self.books, Placer(evidence.admits), self._is_settled)
+        recorded = decode_roster(roster.ok_value.value) if roster.ok_value else {}
+        self._roster = Roster(self.shard, self._committer, self.fleet, recorded)
+        self._submitted_by_id: dict[str, _Submission] = {}
+        saved_by_key = {entry.key: entry.value for entry in progress.ok_value.entries}
+        for entry in jobs.ok_value.entries:
+            self._restore_job(entry.value, saved_by_key)
+        for worker_id, address in recorded.items():
+            self.fleet.add_recorded(worker_id, address, self._clocks.steady())
+        return Ok(None)
+
+    def _restore_job(self, value: bytes, saved_by_key: dict[str, bytes]) -> None:
+        stored = decode_job(value)
+        if isinstance(stored, Err):
+            self._log.warning("job record is unreadable", cause=stored.err_value)
+            return
+        saved = saved_by_key.get(progress_key(self.shard, stored.ok_value.job_id))
+        progress = None
+        if saved is not None:
+            decoded = decode_progress(saved)
+            if isinstance(decoded, Err):
+                cause = decoded.err_value
+                self._log.warning("progress is unreadable", job=stored.ok_value.job_id, cause=cause)
+            else:
+                progress = decoded.ok_value
+        now = self._clocks.steady()
+        job = restore(stored.ok_value, progress, now)
+        self.books.add(job, now, self._clocks.unix_ms())
+
+    def _is_settled(self) -> bool:
+        """Tells whether no unseen run of an earlier owner can be left."""
+        if self._clocks.steady() >= self._inherited_until:
+            return True
+        views = (self.fleet.workers_by_id.get(worker_id) for worker_id in self._roster.inherited)
+        return all(view is None or view.is_attached or view.is_replaced for view in views)
+
+    # Workers.
+
+    def _workers_changed(self) -> None:
+        now = self._clocks.steady()
+        own = [
+            worker
+            for worker in self._registry.workers_by_id.values()
+            if shard_of_rack(worker.rack, self._shards) == self.shard
+        ]
+        self.fleet.update(own, now)
+        self._link_all()
+        self._roster.update()
+        self._event()
+
+    def _link_all(self) -> None:
+        for view in self.fleet.workers_by_id.values():
+            if view.worker_id not in self._links_by_id:
+                self._link(view)
+
+    def _link(self, view: WorkerView) -> None:
+        link = WorkerLink(
+            view,
+            self.books,
+            self._client,
+            self.right,
+            self._committer,
+            self._pacer,
+            self._clocks,
+            self._metrics,
+            self._event,
+        )
+        self._links_by_id[view.worker_id] = link
+        loop = asyncio.get_running_loop()
+        self._link_tasks_by_id[view.worker_id] = loop.create_task(link.run())
+
+    def _forget_departed(self) -> None:
+        for view in self.fleet.forget_departed(self._clocks.steady()):
+            self._links_by_id.pop(view.worker_id)
+            self._link_tasks_by_id.pop(view.worker_id).cancel()
+            self._pacer.forget(view.worker_id)
+
+    def _operators_changed(self) -> None:
+        if self._operators.deployment is not None:
+            self.books.deployment = self._operators.deployment
+        self.fleet.evacuated_zones = self._operators.evacuated_zones
+        self._event()
+
+    # Work.
+
+    def _event(self) -> None:
+        """Takes note that the books have changed."""
+        self._record_changes()
+        self._wake.set()
+
+    def _record_changes(self) -> None:
+        changed = self.books.outbox.changed
+        for job in changed.values():
+            self._committer.add(ProgressRecord(self.shard, job))
+            if job.is_ended:
+                self._note_end(job)
+        changed.clear()
+
+    def _note_end(self, job: JobProgress) -> None:
+        took_s = self._clocks.steady() - job.accepted_at
+        self._metrics.jobs_ended.labels(job.state.value).inc()
+        self._metrics.job_time.labels(job.queue_name).observe(took_s)
+        self._log.info("job ended", job=job.job_id, state=job.state.value, took_s=round(took_s, 3))
+
+    def _job_durable(self, job: JobProgress) -> None:
+        """Lets an accepted job run."""
+        self._submitted_by_id.pop(job.job_id, None)
+        self.books.add(job, self._clocks.steady(), self._clocks.unix_ms())
+        self._log.info("job accepted", job=job.job_id, queue=job.queue_name)
+        self._event()
+
+    async def _plan_loop(self) -> None:
+        while not self.right.is_lost:
+            await self._wake.wait()
+            await asyncio.sleep(PLAN_DELAY_S)
+            self._wake.clear()
+            now = self._clocks.steady()
+            if not self.right.holds(now):
+                continue
+            if not self._is_handing_over:
+                for run in self._planner.plan(now):
+                    self._spawn(self._links_by_id[run.worker_id].start(run))
+            self._flush_outbox()
+
+    def _flush_outbox(self) -> None:
+        self._record_changes()
+        outbox = self.books.take_outbox()
+        for run in outbox.stops:
+            if (link := self._links_by_id.get(run.worker_id)) is not None:
+                self._spawn(link.stop(run))
+        for worker_id, task, number in outbox.strays:
+            if (link := self._links_by_id.get(worker_id)) is not None:
+                self._log.info("stray run", worker=worker_id, task=task, run=number)
+                self._spawn(link.stop_stray(task, number))
+
+    async def _tick(self) -> None:
+        while not self.right.is_lost:
+            await asyncio.sleep(TICK_S)
+            self.books.open_due(self._clocks.steady(), self._clocks.unix_ms())
+            self._forget_departed()
+            self._forget_ended()
+            waiting = sum(len(step.waiting) for step in self.books.open_steps)
+            self._metrics.waiting_tasks.set(waiting)
+            self._event()
+        self._wake.set()
+
+    def _forget_ended(self) -> None:
+        """Drops jobs whose state nobody may ask for any more."""
+        keep_ms = (self._settings.bounds.status_s + RETENTION_MARGIN_S) * 1000
+        oldest_ms = self._clocks.unix_ms() - int(keep_ms)
+        for job in list(self.books.jobs_by_id.values()):
+            if job.is_ended and job.finished_ms < oldest_ms:
+                del self.books.jobs_by_id[job.job_id]
+                self._committer.add(RemovedJob(job_key(self.shard, job.job_id)))
+                self._committer.add(RemovedJob(progress_key(self.shard, job.job_id)))
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._finished)
+
+    def _finished(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and (error := task.exception()) is not None:
+            self._log.error("task failed", error, shard=self.shard)
+            self.right.lose()
+            self._wake.set()
+
+    def _lease_s(self) -> float:
+        return min(WORKER_LEASE_S, self._settings.bounds.max_worker_lease_s)
+
+
+class _Submission(JobRecord):
+    """A job that runs once its record is durable."""
+
+    def __init__(self, shard: int, job: JobProgress, on_durable: Any) -> None:
+        super().__init__(shard, job)
+        self.job = job
+        self.mark = 0
+        self._on_durable = on_durable
+
+    def committed(self) -> None:
+        """Lets the job run."""
+        self._on_durable(self.job)
--- /dev/null
+++ b/packages/pollengated/pollengated/edge/view_exchange.py
@@ -0,0 +1,55 @@
+"""Fetches the operators' keys from other processes while the store turns this VM away."""
+
+import asyncio
+import random
+
+from pollengate.store import POLL_WAIT_S
+from result import Err
+
+from pollengated.edge.node_directory import NodeDirectory
+from pollengated.edge.operator_view import OperatorView
+from pollengated.edge.rpc import EdgeClient
+from pollengated.logs import Log
+
+__all__ = ["ViewExchange"]
+
+INTERVAL_S = 0.4
+# A poll of the store confirms the view at least that often.
+STALE_AFTER_S = POLL_WAIT_S + 0.3
+
+
+class ViewExchange:
+    """Asks one neighbour at a time."""
+
+    def __init__(
+        self,
+        own_address: str,
+        operators: OperatorView,
+        directory: NodeDirectory,
+        client: EdgeClient,
+    ) -> None:
+        self._own_address = own_address
+        self._operators = operators
+        self._directory = directory
+        self._client = client
+        self._log = Log("exchange")
+
+    async def run(self) -> None:
+        """Exchanges until cancelled."""
+        while True:
+            await asyncio.sleep(INTERVAL_S)
+            if self._operators.follower.age_s() > STALE_AFTER_S:
+                await self._ask_neighbour()
+
+    async def _ask_neighbour(self) -> None:
+        addresses = [m.address for m in self._directory.members()]
+        others = [address for address in addresses if address != self._own_address]
+        if not others:
+            return
+        address = random.choice(others)
+        result = await self._client.view(address)
+        if isinstance(result, Err):
+            return
+        entries, revision = result.ok_value
+        if self._operators.follower.merge(entries, revision):
+            self._log.info("view taken from a neighbour", neighbour=address, revision=revision)
--- /dev/null
+++ b/packages/pollengated/pollengated/edge/worker_link.py
@@ -0,0 +1,312 @@
+"""Talks to one worker for the owner of its shard: holds its runs and passes orders on."""
+
+import asyncio
+from collections.abc import Callable
+
+from pollengate.workflow.books import WorkflowBooks
+from pollengate.workflow.clients import (
+    HoldOrder,
+    OrderFailure,
+    PaceOrder,
+    Refused,
+    Report,
+    StartOrder,
+    StopOrder,
+    WorkerClient,
+)
+from pollengate.workflow.fleet import WorkerView
+from pollengate.workflow.pacing import PaceChange, Pacer
+from pollengate.workflow.progress import Run, RunState
+from pollengate.workflow.reports import ReportReader
+from pollengate.workflow.rights import ShardRight
+from result import Err, Result
+
+from pollengated.edge.clocks import Clocks
+from pollengated.edge.committer import Committer
+from pollengated.edge.edge_metrics import EdgeMetrics
+from pollengated.logs import Log
+
+__all__ = ["WorkerLink"]
+
+# The worker answers a hold at once when a run ends; this bounds the age of its other figures.
+HOLD_WAIT_S = 1.0
+# Latency figures of serving tasks cover half a second.
+SERVING_HOLD_WAIT_S = 0.4
+# Between answers and the next hold, in which further ends gather.
+HOLD_PAUSE_S = 0.03
+# While results cannot be made durable, the worker lists them again and again.
+UNDURABLE_PAUSE_S = 0.5
+RETRY_S = 0.15
+# After a failed order a worker gets no starts for so long, or until it answers a hold.
+SUSPECT_S = 1.0
+# A worker that refuses a start for lack of room knows of runs that we do not.
+NO_ROOM_S = 0.3
+# A worker that fails its health check gets no starts for so long.
+UNHEALTHY_S = 2.0
+
+
+class WorkerLink:
+    """Everything that an owner says to one worker.
+
+    Args:
+        view: the worker in the books.
+        books: the shard's books.
+        client: sends orders.
+        right: the owner's right.
+        committer: makes results durable.
+        pacer: decides the pace of fillers.
+        clocks: the process's clocks.
+        metrics: counts orders.
+        on_event: is called after each change of the books.
+    """
+
+    def __init__(
+        self,
+        view: WorkerView,
+        books: WorkflowBooks,
+        client: WorkerClient,
+        right: ShardRight,
+        committer: Committer,
+        pacer: Pacer,
+        clocks: Clocks,
+        metrics: EdgeMetrics,
+        on_event: Callable[[], None],
+    ) -> None:
+        self.view = view
+        self._books = books
+        self._client = client
+        self._right = right
+        self._committer = committer
+        self._pacer = pacer
+        self._clocks = clocks
+        self._metrics = metrics
+        self._on_event = on_event
+        self._reader = ReportReader(books, view)
+        self._log = Log("worker")
+        self._forget_upto = 0
+        self._read_upto = 0
+        self._read_mark = 0
+        self._last_clock_ms = 0
+        self._is_failing = False
+        self._is_refreshing = False
+
+    async def run(self) -> None:
+        """Holds the worker's runs until cancelled or the right is lost."""
+        while not self._right.is_lost:
+            now = self._clocks.steady()
+            if not self._right.holds(now):
+                await asyncio.sleep(RETRY_S)
+                continue
+            if await self._hold(self._hold_wait_s()):
+                await self._settle_results()
+                await asyncio.sleep(HOLD_PAUSE_S)
+            else:
+                self._check_lapse()
+                await asyncio.sleep(RETRY_S)
+
+    async def refresh(self) -> None:
+        """Asks for a report at once, beside the hold that is waiting."""
+        if self._is_refreshing or not self._right.holds(self._clocks.steady()):
+            return
+        self._is_refreshing = True
+        try:
+            await self._hold(0.0)
+        finally:
+            self._is_refreshing = False
+
+    async def start(self, run: Run) -> None:
+        """Sends a start order and books its outcome."""
+        now = self._clocks.steady()
+        lease_until_ms = self.view.lease.extend(now)
+        if lease_until_ms is None or not self._right.holds(now):
+            self._books.refuse(run)
+            self._on_event()
+            return
+        step = run.task.step
+        order = StartOrder(
+            task=run.task.name,
+            run=run.number,
+            payload=step.job.workflow.payload,
+            lease_until_ms=lease_until_ms,
+            token=self._right.token,
+            checkpoint=run.task.checkpoint,
+            ticket=step.tickets_by_worker.get(self.view.worker_id, ""),
+        )
+        result = await self._client.start(self.view.info.address, self.view.worker_id, order)
+        self._book_start(run, result)
+        self._on_event()
+
+    async def stop(self, run: Run) -> None:
+        """Sends a stop order until the worker has confirmed it or the run is gone."""
+        while run.state is not RunState.ENDED and self._right.holds(self._clocks.steady()):
+            confirmed = await self._send_stop(run.task.name, run.number)
+            if confirmed:
+                run.answered_at = self._clocks.steady()
+                await self.refresh()
+                return
+            await asyncio.sleep(RETRY_S)
+
+    async def stop_stray(self, task: str, number: int) -> None:
+        """Stops a run that no task wants; it is reported again if that fails."""
+        await self._send_stop(task, number)
+
+    async def change_pace(self, change: PaceChange) -> None:
+        """Sends a new pace; a failed order is repeated after the next report."""
+        run = change.run
+        if not self._right.holds(self._clocks.steady()):
+            return
+        before, run.pace = run.pace, change.percent
+        order = PaceOrder(run.task.name, run.number, change.percent, self._right.token)
+        result = await self._client.pace(self.view.info.address, self.view.worker_id, order)
+        if isinstance(result, Err):
+            run.pace = before
+            self._note_failure(result.err_value)
+        else:
+            self._metrics.paces.inc()
+
+    def _hold_wait_s(self) -> float:
+        if self._is_failing or not self.view.is_attached:
+            return 0.0
+        return SERVING_HOLD_WAIT_S if self.view.serving else HOLD_WAIT_S
+
+    async def _hold(self, wait_s: float) -> bool:
+        """Sends one hold order; returns whether it was answered."""
+        sent_at = self._clocks.steady()
+        if self._committer.durable_mark >= self._read_mark:
+            self._forget_upto = self._read_upto
+        order = HoldOrder(
+            token=self._right.token,
+            forget_upto=self._forget_upto,
+            lease_until_ms=self.view.lease.extend(sent_at),
+            wait_ms=int(wait_s * 1000),
+        )
+        result = await self._client.hold(self.view.info.address, self.view.worker_id, order)
+        self._metrics.holds.inc()
+        if isinstance(result, Err):
+            self._note_failure(result.err_value)
+            return False
+        self._take_report(result.ok_value, sent_at)
+        return True
+
+    def _take_report(self, report: Report, sent_at: float) -> None:
+        self.view.is_replaced = False
+        is_new_life = report.born_ms != self.view.born_ms
+        if is_new_life:
+            self._note_incarnation(report)
+        elif report.worker_clock_ms < self._last_clock_ms:
+            return  # overtaken by a newer report
+        self._last_clock_ms = report.worker_clock_ms
+        now = self._clocks.steady()
+        self._reader.read(report, sent_at, now, self._clocks.unix_ms())
+        if self._is_failing:
+            self._is_failing = False
+            self._log.info("worker answers again", worker=self.view.worker_id)
+        if self._reader.last_end > self._read_upto:
+            self._read_upto = self._reader.last_end
+        for change in self._pacer.adjust(self.view, now):
+            asyncio.get_running_loop().create_task(self.change_pace(change))
+        self._on_event()
+        self._read_mark = self._committer.last_mark
+
+    def _note_incarnation(self, report: Report) -> None:
+        self._log.info(
+            "worker attached",
+            worker=self.view.worker_id,
+            born_ms=report.born_ms,
+            before_ms=self.view.born_ms,
+            running=len(report.running),
+            ended=len(report.ended),
+        )
+        self._forget_upto = self._read_upto = 0
+        self._pacer.forget(self.view.worker_id)
+
+    async def _settle_results(self) -> None:
+        """Waits until the results just read are durable, so that they need no second reading."""
+        if self._read_upto == self._forget_upto:
+            return
+        if not await self._committer.wait_durable(self._read_mark, UNDURABLE_PAUSE_S):
+            self._metrics.undurable_results.inc()
+
+    def _book_start(self, run: Run, result: Result[int, OrderFailure]) -> None:
+        now = self._clocks.steady()
+        if not isinstance(result, Err):
+            self._books.confirm(run, now)
+            self._metrics.starts.inc()
+            self._log.info(
+                "task started",
+                task=run.task.name,
+                run=run.number,
+                worker=self.view.worker_id,
+                token=self._right.token,
+            )
+            return
+        failure = result.err_value
+        self._metrics.failed_starts.labels(failure.kind.value).inc()
+        self._log.info(
+            "task not started",
+            task=run.task.name,
+            run=run.number,
+            worker=self.view.worker_id,
+            reason=failure.kind.value,
+            cause=failure.detail,
+        )
+        self._note_failure(failure)
+        if failure.kind is Refused.NO_ANSWER:
+            self._books.doubt(run)
+            return
+        if failure.kind is Refused.NO_ROOM:
+            self._avoid(now + NO_ROOM_S)
+        elif failure.kind is Refused.UNHEALTHY:
+            self._avoid(now + UNHEALTHY_S)
+            self._books.evidence.refused(run.task.step.job.job_id, self.view.worker_id)
+        elif failure.kind is Refused.NO_TICKET:
+            run.task.step.tickets_by_worker.pop(self.view.worker_id, None)
+        self._books.refuse(run)
+
+    async def _send_stop(self, task: str, number: int) -> bool:
+        if not self._right.holds(self._clocks.steady()):
+            return False
+        order = StopOrder(task, number, self._right.token)
+        result = await self._client.stop(self.view.info.address, self.view.worker_id, order)
+        if isinstance(result, Err):
+            self._note_failure(result.err_value)
+            return False
+        self._metrics.stops.inc()
+        return True
+
+    def _note_failure(self, failure: OrderFailure) -> None:
+        now = self._clocks.steady()
+        if failure.kind is Refused.FENCED:
+            self._log.warning(
+                "worker knows a newer owner", worker=self.view.worker_id, token=self._right.token
+            )
+            self._right.lose()
+        elif failure.kind is Refused.OTHER_INCARNATION:
+            self._reader.restart()
+            self.view.born_ms = 0
+            self.view.is_replaced = True
+            self._on_event()
+        elif failure.kind in (Refused.NO_ANSWER, Refused.NOT_SENT):
+            self._avoid(now + SUSPECT_S)
+            if not self._is_failing:
+                self._is_failing = True
+                self._log.warning(
+                    "worker does not answer", worker=self.view.worker_id, cause=failure.detail
+                )
+
+    def _avoid(self, until: float) -> None:
+        self.view.unavailable_until = max(self.view.unavailable_until, until)
+
+    def _check_lapse(self) -> None:
+        """Gives up the runs of a worker whose lease has lapsed."""
+        if not self.view.runs or self._clocks.steady() <= self.view.lease.lapses_at():
+            return
+        self._log.warning(
+            "lease of a silent worker lapsed",
+            worker=self.view.worker_id,
+            runs=len(self.view.runs),
+            silent_s=round(self._clocks.steady() - self.view.lease.answered_at, 2),
+        )
+        self.view.is_attached = False
+        self._reader.lose_all()
+        self._on_event()
--- a/packages/pollengated/pollengated/gate_stop.py
+++ b/packages/pollengated/pollengated/gate_stop.py
@@ -11,7 +11,7 @@
 
 from pollengated.http_server import QuietServer
 from pollengated.logs import Log
-from pollengated.readiness import Readiness
+from pollengated.readiness import StopFlag
 
 __all__ = ["ClosingConnections", "GateStop"]
 
@@ -22,7 +22,7 @@
     A caller on a kept connection then opens its next one at another gate.
     """
 
-    def __init__(self, app: ASGIApp, readiness: Readiness) -> None:
+    def __init__(self, app: ASGIApp, readiness: StopFlag) -> None:
         self._app = app
         self._readiness = readiness
 
@@ -40,7 +40,7 @@
 class GateStop:
     """Takes a gate through its stop."""
 
-    def __init__(self, readiness: Readiness, delay_s: float) -> None:
+    def __init__(self, readiness: StopFlag, delay_s: float) -> None:
         """Creates the stop of one gate.
 
         Args:
--- a/packages/pollengated/pollengated/readiness.py
+++ b/packages/pollengated/pollengated/readiness.py
@@ -5,10 +5,30 @@
 
 from pollengated.configuration_follower import ConfigurationFollower
 
-__all__ = ["Readiness"]
+__all__ = ["Readiness", "StopFlag"]
 
 
-class Readiness:
+class StopFlag:
+    """Whether a process is stopping.
+
+    Attributes:
+        stopped: set once it is.
+    """
+
+    def __init__(self) -> None:
+        self.stopped = asyncio.Event()
+
+    @property
+    def is_stopping(self) -> bool:
+        """Whether the process is stopping."""
+        return self.stopped.is_set()
+
+    def stop(self) -> None:
+        """Records that the process is stopping; it will not be ready again."""
+        self.stopped.set()
+
+
+class Readiness(StopFlag):
     """Tells the balancer whether to send requests here."""
 
     def __init__(
@@ -20,23 +40,14 @@
             follower: holds the configuration.
             obstacle: returns why the role itself is not ready, empty if it is.
         """
+        super().__init__()
         self._follower = follower
         self._obstacle = obstacle
-        self._is_stopping = False
-
-    @property
-    def is_stopping(self) -> bool:
-        """Whether the process is stopping."""
-        return self._is_stopping
-
-    def stop(self) -> None:
-        """Records that the process is stopping; it will not be ready again."""
-        self._is_stopping = True
 
     def obstacles(self) -> list[str]:
         """Returns why the process is not ready, nothing if it is."""
         obstacles = []
-        if self._is_stopping:
+        if self.is_stopping:
             obstacles.append("stopping")
         if not self._has_configuration():
             obstacles.append("no configuration known")
