--- a/packages/pollengated/pollengated/edge/worker_link.py
+++ b/packages/pollengated/pollengated/edge/worker_link.py
@@ -203,11 +203,25 @@
             self._log.info("worker answers again", worker=self.view.worker_id)
         if self._reader.last_end > self._read_upto:
             self._read_upto = self._reader.last_end
-        for change in self._pacer.adjust(self.view, now):
-            asyncio.get_running_loop().create_task(self.change_pace(change))
+        self._adjust_pace(now)
         self._on_event()
         self._read_mark = self._committer.last_mark
 
+    def _adjust_pace(self, now: float) -> None:
+        changes = self._pacer.adjust(self.view, now)
+        if changes:
+            self._log.info(
+                "fillers paced",
+                worker=self.view.worker_id,
+                percent=changes[0].percent,
+                fillers=len(changes),
+                latencies=[
+                    [round(run.reading), run.task.step.spec.target_ms] for run in self.view.serving
+                ],
+            )
+        for change in changes:
+            asyncio.get_running_loop().create_task(self.change_pace(change))
+
     def _note_incarnation(self, report: Report) -> None:
         self._log.info(
             "worker attached",
