--- a/packages/pollengate/pollengate/workflow/fleet.py
+++ b/packages/pollengate/pollengate/workflow/fleet.py
@@ -9,8 +9,8 @@
 
 __all__ = ["Fleet", "WorkerView"]
 
-# Share of its declared processors that a serving task is taken to use at the peak of its load.
-SERVING_USE = 0.7
+# Share of its declared processors that a serving task is taken to use.
+SERVING_USE = 0.5
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -32,6 +32,7 @@
         memory_mb: memory declared by all tasks.
         accelerators: devices declared by all tasks.
         serving: runs with a latency target.
+        fillers: runs on processor time that others leave unused.
         unavailable_until: clock time before which it gets no start.
         fillers_blocked_until: clock time before which it gets no filler.
         warm_at: clock time at which it is no longer slow after its start.
@@ -50,7 +51,8 @@
     filler_millis: int = 0
     memory_mb: int = 0
     accelerators: int = 0
-    serving: set[Run] = dataclasses.field(default_factory=set)
+    serving: dict[Run, None] = dataclasses.field(default_factory=dict)
+    fillers: dict[Run, None] = dataclasses.field(default_factory=dict)
     unavailable_until: float = 0.0
     fillers_blocked_until: float = 0.0
     warm_at: float = 0.0
@@ -92,14 +94,13 @@
         self.accelerators += sign * demand.accelerators
         if spec.is_filler:
             self.filler_millis += sign * demand.cpu_millis
+            _set_member(self.fillers, run, sign > 0)
             return
         self.firm_millis += sign * demand.cpu_millis
         is_serving = spec.target_ms > 0
         self.busy_millis += sign * demand.cpu_millis * (SERVING_USE if is_serving else 1.0)
-        if is_serving and sign > 0:
-            self.serving.add(run)
-        elif is_serving:
-            self.serving.discard(run)
+        if is_serving:
+            _set_member(self.serving, run, sign > 0)
 
 
 class Fleet:
@@ -177,5 +178,12 @@
         return view
 
 
+def _set_member(members: dict[Run, None], run: Run, is_member: bool) -> None:
+    if is_member:
+        members[run] = None
+    else:
+        members.pop(run, None)
+
+
 def _unlisted(worker_id: str, address: str) -> Worker:
     return Worker(worker_id, "", address, "", WorkerCondition.DRAINING, Demand())
--- a/packages/pollengate/pollengate/workflow/pacing.py
+++ b/packages/pollengate/pollengate/workflow/pacing.py
@@ -13,9 +13,9 @@
 __all__ = ["PaceChange", "Pacer"]
 
 # Share of the target above which fillers are slowed down.
-HIGH_SHARE = 0.85
+HIGH_SHARE = 1.0
 # Share of the target below which they get speed back.
-LOW_SHARE = 0.6
+LOW_SHARE = 0.75
 # Factor on the fillers' pace at a cut.
 CUT_FACTOR = 0.4
 # Paces below this are taken for a halt, in percent.
@@ -26,7 +26,7 @@
 # figures cover half a second.
 CHANGE_INTERVAL_S = 0.6
 # Seconds without new fillers after a cut.
-BLOCK_S = 3.0
+BLOCK_S = 1.0
 FULL_PACE = 100
 
 
@@ -63,10 +63,8 @@
             view.fillers_blocked_until = now + BLOCK_S
         return [
             PaceChange(run, pace.percent)
-            for run in view.runs.values()
-            if run.task.step.spec.is_filler
-            and run.state is RunState.RUNNING
-            and run.pace != pace.percent
+            for run in view.fillers
+            if run.state is RunState.RUNNING and run.pace != pace.percent
         ]
 
     def forget(self, worker_id: str) -> None:
--- a/packages/pollengate/pollengate/workflow/placement.py
+++ b/packages/pollengate/pollengate/workflow/placement.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable, Sequence
 
+from pollengate.workflow.colocation import SLOWDOWN_AT_TARGET, Colocation
 from pollengate.workflow.fleet import WorkerView
 from pollengate.workflow.progress import StepProgress, TaskProgress
 
@@ -14,8 +15,9 @@
 
 # Share of a filler's processors that must be unused, so that it runs at close to full speed.
 FILLER_MIN_SHARE = 0.9
-# A worker with a serving task counts as that much fuller for fillers, in millicores.
-SERVING_PENALTY_MILLIS = 12_000
+# A worker counts as that much fuller for a filler, in millicores, for each time that a serving
+# task's latency is expected to grow by its latency alone.
+SLOWDOWN_PENALTY_MILLIS = 60_000
 # A worker that is still warming up counts as that much fuller, in millicores.
 COLD_PENALTY_MILLIS = 32_000
 # A worker off the rack of the task's data counts as that much fuller, in millicores.
@@ -27,10 +29,12 @@
 
     Args:
         admits: tells whether a worker may be tried for a task, given their names.
+        colocation: what is known of fillers beside serving tasks.
     """
 
-    def __init__(self, admits: Callable[[str, str], bool]) -> None:
+    def __init__(self, admits: Callable[[str, str], bool], colocation: Colocation) -> None:
         self._admits = admits
+        self._colocation = colocation
 
     def choose(
         self, task: TaskProgress, workers: Sequence[WorkerView], now: float
@@ -63,7 +67,10 @@
                 return None
             if score < FILLER_MIN_SHARE * spec.demand.cpu_millis:
                 return None
-            score -= SERVING_PENALTY_MILLIS * bool(view.serving)
+            slowdown = self._colocation.slowdown_with(view, step)
+            if slowdown > SLOWDOWN_AT_TARGET:
+                return None
+            score -= SLOWDOWN_PENALTY_MILLIS * (slowdown - 1.0)
         if now < view.warm_at:
             score -= COLD_PENALTY_MILLIS
         if spec.data_rack and spec.data_rack != view.info.rack:
--- a/packages/pollengated/pollengated/edge/shard_tenure.py
+++ b/packages/pollengated/pollengated/edge/shard_tenure.py
@@ -8,6 +8,7 @@
 from pollengate.store import PolledStore
 from pollengate.workflow.books import WorkflowBooks
 from pollengate.workflow.clients import WorkerClient
+from pollengate.workflow.colocation import Colocation
 from pollengate.workflow.desk import (
     Accepted,
     Cancelled,
@@ -114,6 +115,7 @@
         self._registry = WorkerRegistry(store, clocks, self._workers_changed)
         self._links_by_id: dict[str, WorkerLink] = {}
         self._link_tasks_by_id: dict[str, asyncio.Task[None]] = {}
+        self._colocation = Colocation()
         self._pacer = Pacer()
         self._wake = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -263,7 +265,9 @@
         )
         evidence = FailureEvidence(self._clocks.steady, FIRST_PROBE_AFTER_S)
         self.books = WorkflowBooks(self.fleet, evidence, tenure)
-        self._planner = Planner(self.books, Placer(evidence.admits), self._is_settled)
+        self._planner = Planner(
+            self.books, Placer(evidence.admits, self._colocation), self._is_settled
+        )
         recorded = decode_roster(roster.ok_value.value) if roster.ok_value else {}
         self._roster = Roster(self.shard, self._committer, self.fleet, recorded)
         self._submitted_by_id: dict[str, _Submission] = {}
@@ -325,6 +329,7 @@
             self._client,
             self.right,
             self._committer,
+            self._colocation,
             self._pacer,
             self._clocks,
             self._metrics,
--- a/packages/pollengated/pollengated/edge/worker_link.py
+++ b/packages/pollengated/pollengated/edge/worker_link.py
@@ -14,6 +14,7 @@
     StopOrder,
     WorkerClient,
 )
+from pollengate.workflow.colocation import Colocation
 from pollengate.workflow.fleet import WorkerView
 from pollengate.workflow.pacing import PaceChange, Pacer
 from pollengate.workflow.progress import Run, RunState
@@ -54,6 +55,7 @@
         client: sends orders.
         right: the owner's right.
         committer: makes results durable.
+        colocation: learns from the figures of serving tasks.
         pacer: decides the pace of fillers.
         clocks: the process's clocks.
         metrics: counts orders.
@@ -67,6 +69,7 @@
         client: WorkerClient,
         right: ShardRight,
         committer: Committer,
+        colocation: Colocation,
         pacer: Pacer,
         clocks: Clocks,
         metrics: EdgeMetrics,
@@ -77,6 +80,7 @@
         self._client = client
         self._right = right
         self._committer = committer
+        self._colocation = colocation
         self._pacer = pacer
         self._clocks = clocks
         self._metrics = metrics
@@ -203,6 +207,7 @@
             self._log.info("worker answers again", worker=self.view.worker_id)
         if self._reader.last_end > self._read_upto:
             self._read_upto = self._reader.last_end
+        self._colocation.observe(self.view)
         self._adjust_pace(now)
         self._on_event()
         self._read_mark = self._committer.last_mark
