--- a/packages/pollengate/pollengate/workflow/colocation.py
+++ b/packages/pollengate/pollengate/workflow/colocation.py
@@ -19,6 +19,8 @@
 SLOWDOWN_AT_TARGET = 2.0
 # The model's unit of use: so much of a worker's processors.
 SHARE_UNIT = 0.1
+# What one filler has to add to be slowed before others.
+HARMFUL_SLOWDOWN = 1.15
 # All pairs are of one load level: the load of serving tasks is not reported.
 LOAD = 0.0
 
@@ -50,10 +52,10 @@
         shares[image] = shares.get(image, 0.0) + joining
         return self._worst(view, shares)
 
-    def harm_by(self, view: WorkerView, run: Run) -> float:
-        """Returns the worst slowdown that one filler adds on its worker at its present use."""
-        share = _use_millis(run) / view.info.capacity.cpu_millis / SHARE_UNIT
-        return self._worst(view, {run.task.step.spec.image: share}) - 1.0
+    def is_harmful(self, view: WorkerView, run: Run) -> bool:
+        """Tells whether a filler at full speed is known to slow a serving task beside it."""
+        share = run.task.step.spec.demand.cpu_millis / view.info.capacity.cpu_millis / SHARE_UNIT
+        return self._worst(view, {run.task.step.spec.image: share}) > HARMFUL_SLOWDOWN
 
     def _worst(self, view: WorkerView, shares: Mapping[str, float]) -> float:
         images = {run.task.step.spec.image for run in view.serving}
--- a/packages/pollengate/pollengate/workflow/pacing.py
+++ b/packages/pollengate/pollengate/workflow/pacing.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 
+from pollengate.workflow.colocation import Colocation
 from pollengate.workflow.fleet import WorkerView
 from pollengate.workflow.progress import Run, RunState
 
@@ -45,9 +46,14 @@
 
 
 class Pacer:
-    """Decides the pace of each worker's fillers from the latency of its serving tasks."""
+    """Decides the pace of each worker's fillers from the latency of its serving tasks.
 
-    def __init__(self) -> None:
+    Args:
+        colocation: tells which of the fillers do harm; where none is known to, all are slowed.
+    """
+
+    def __init__(self, colocation: Colocation) -> None:
+        self._colocation = colocation
         self._by_worker: dict[str, _WorkerPace] = {}
 
     def adjust(self, view: WorkerView, now: float) -> list[PaceChange]:
@@ -61,11 +67,10 @@
                 pace.changed_at = now
         if pressure > HIGH_SHARE:
             view.fillers_blocked_until = now + BLOCK_S
-        return [
-            PaceChange(run, pace.percent)
-            for run in view.fillers
-            if run.state is RunState.RUNNING and run.pace != pace.percent
-        ]
+        running = [run for run in view.fillers if run.state is RunState.RUNNING]
+        harmful = [r for r in running if self._colocation.is_harmful(view, r)] or running
+        wanted = dict.fromkeys(running, FULL_PACE) | dict.fromkeys(harmful, pace.percent)
+        return [PaceChange(run, percent) for run, percent in wanted.items() if run.pace != percent]
 
     def forget(self, worker_id: str) -> None:
         """Drops what was decided for a worker, whose new incarnation starts at full pace."""
--- a/packages/pollengate/pollengate/workflow/placement.py
+++ b/packages/pollengate/pollengate/workflow/placement.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Callable, Sequence
 
-from pollengate.workflow.colocation import SLOWDOWN_AT_TARGET, Colocation
+from pollengate.workflow.colocation import Colocation
 from pollengate.workflow.fleet import WorkerView
 from pollengate.workflow.progress import StepProgress, TaskProgress
 
@@ -15,6 +15,9 @@
 
 # Share of a filler's processors that must be unused, so that it runs at close to full speed.
 FILLER_MIN_SHARE = 0.9
+# Latency that fillers may add to a serving task's own, which alone comes close to its target at
+# the peaks of its load.
+MAX_SLOWDOWN = 1.35
 # A worker counts as that much fuller for a filler, in millicores, for each time that a serving
 # task's latency is expected to grow by its latency alone.
 SLOWDOWN_PENALTY_MILLIS = 60_000
@@ -68,7 +71,7 @@
             if score < FILLER_MIN_SHARE * spec.demand.cpu_millis:
                 return None
             slowdown = self._colocation.slowdown_with(view, step)
-            if slowdown > SLOWDOWN_AT_TARGET:
+            if slowdown > MAX_SLOWDOWN:
                 return None
             score -= SLOWDOWN_PENALTY_MILLIS * (slowdown - 1.0)
         if now < view.warm_at:
--- a/packages/pollengated/pollengated/edge/shard_tenure.py
+++ b/packages/pollengated/pollengated/edge/shard_tenure.py
@@ -116,7 +116,7 @@
         self._links_by_id: dict[str, WorkerLink] = {}
         self._link_tasks_by_id: dict[str, asyncio.Task[None]] = {}
         self._colocation = Colocation()
-        self._pacer = Pacer()
+        self._pacer = Pacer(self._colocation)
         self._wake = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
         self._is_handing_over = False
