--- a/packages/pollengate/pollengate/workflow/colocation.py
+++ b/packages/pollengate/pollengate/workflow/colocation.py
@@ -1,78 +1,95 @@
 """Learns which fillers harm which serving tasks, from the latencies that workers report.
 
-Made for fleets on which most workers hold serving tasks, some images of which suffer from some
-images of fillers: a filler goes where its image is not known to hurt anybody, and an unknown pair
-is tried.
+Made for fleets on which most workers hold serving tasks, each image of which suffers from some
+images of fillers and not at all from the others. A pair of images either harms or does not, so the
+belief in each is a probability, moved by what is seen: a latency over its target blames the
+fillers beside it in proportion to how likely and how large they are; one well below clears them.
 """
 
 import collections
-from collections.abc import Mapping
+import math
 
-from pollengate.interference import InterferenceModel
+from pollengate.bounded import BoundedDict
 from pollengate.workflow.fleet import WorkerView
 from pollengate.workflow.progress import Run, RunState, StepProgress
 
-__all__ = ["SLOWDOWN_AT_TARGET", "Colocation"]
-
-# Latency relative to that of a serving task without fillers, at its target. Alone, tasks swing
-# between a quarter of their target and nine tenths.
-SLOWDOWN_AT_TARGET = 2.0
-# The model's unit of use: so much of a worker's processors.
-SHARE_UNIT = 0.1
-# What one filler has to add to be slowed before others.
-HARMFUL_SLOWDOWN = 1.15
-# All pairs are of one load level: the load of serving tasks is not reported.
-LOAD = 0.0
+__all__ = ["HARMFUL_PROBABILITY", "Colocation"]
+
+# By themselves serving tasks swing between a quarter of their target and this share of it.
+OWN_LATENCY_SHARE = 0.85
+# Log odds that an unknown pair harms; about a third of them do.
+PRIOR = -0.6
+# Log odds beyond which nothing more is learned, so that a belief can change.
+MAX_LOG_ODDS = 4.0
+# Change of log odds for the only suspect of one late figure.
+BLAME = 1.6
+# Change of log odds for a full share beside one good figure; good phases last for seconds.
+CLEARANCE = 0.1
+# Share of a worker's processors at which a filler's presence counts in full.
+FULL_SHARE = 0.05
+# Probability from which a pair is kept apart.
+HARMFUL_PROBABILITY = 0.5
+MAX_PAIRS = 16_384
 
 
 class Colocation:
-    """Expected slowdown of serving tasks by the fillers beside them."""
+    """Which pairs of a serving image and a filler image are likely to harm."""
 
     def __init__(self) -> None:
-        self._model = InterferenceModel()
+        self._log_odds_by_pair: BoundedDict[tuple[str, str], float] = BoundedDict(MAX_PAIRS)
 
     def observe(self, view: WorkerView) -> None:
         """Takes in a worker's newest figures."""
-        shares = filler_shares(view)
-        if not shares:
+        presence = _presence(view)
+        if not presence:
             return
         for run in view.serving:
-            if run.state is RunState.RUNNING and run.reading > 0:
-                spec = run.task.step.spec
-                slowdown = SLOWDOWN_AT_TARGET * run.reading / spec.target_ms
-                self._model.observe(spec.image, shares, LOAD, max(1.0, slowdown))
-
-    def slowdown_with(self, view: WorkerView, step: StepProgress) -> float:
-        """Returns the worst expected slowdown on a worker if a filler of a step joins it."""
-        if not view.serving:
-            return 1.0
-        shares = filler_shares(view)
-        image = step.spec.image
-        joining = step.spec.demand.cpu_millis / view.info.capacity.cpu_millis / SHARE_UNIT
-        shares[image] = shares.get(image, 0.0) + joining
-        return self._worst(view, shares)
+            if run.state is not RunState.RUNNING or run.reading <= 0:
+                continue
+            spec = run.task.step.spec
+            if run.reading > spec.target_ms:
+                self._blame(spec.image, presence)
+            elif run.reading < OWN_LATENCY_SHARE * spec.target_ms:
+                self._clear(spec.image, presence)
+
+    def probability(self, serving: str, filler: str) -> float:
+        """Returns how likely a pair of images harms."""
+        log_odds = self._log_odds_by_pair.get((serving, filler))
+        return 1 / (1 + math.exp(-(PRIOR if log_odds is None else log_odds)))
+
+    def harm_with(self, view: WorkerView, step: StepProgress) -> float:
+        """Returns how likely a filler of a step harms a serving task of a worker."""
+        return self._worst(view, step.spec.image)
 
     def is_harmful(self, view: WorkerView, run: Run) -> bool:
-        """Tells whether a filler at full speed is known to slow a serving task beside it."""
-        share = run.task.step.spec.demand.cpu_millis / view.info.capacity.cpu_millis / SHARE_UNIT
-        return self._worst(view, {run.task.step.spec.image: share}) > HARMFUL_SLOWDOWN
+        """Tells whether a filler probably harms a serving task beside it."""
+        return self._worst(view, run.task.step.spec.image) >= HARMFUL_PROBABILITY
 
-    def _worst(self, view: WorkerView, shares: Mapping[str, float]) -> float:
+    def _worst(self, view: WorkerView, filler: str) -> float:
         images = {run.task.step.spec.image for run in view.serving}
-        return max((self._model.slowdown(image, shares, LOAD) for image in images), default=1.0)
+        return max((self.probability(image, filler) for image in images), default=0.0)
 
+    def _blame(self, serving: str, presence: dict[str, float]) -> None:
+        suspicion = {f: self.probability(serving, f) * share for f, share in presence.items()}
+        total = sum(suspicion.values())
+        for filler, part in suspicion.items():
+            self._move(serving, filler, BLAME * part / total)
 
-def filler_shares(view: WorkerView) -> dict[str, float]:
-    """Returns the use of processors by the fillers of a worker, by image, in `SHARE_UNIT`."""
-    use: collections.defaultdict[str, float] = collections.defaultdict(float)
-    for run in view.fillers:
-        use[run.task.step.spec.image] += _use_millis(run)
-    unit = view.info.capacity.cpu_millis * SHARE_UNIT
-    return {image: millis / unit for image, millis in use.items()}
+    def _clear(self, serving: str, presence: dict[str, float]) -> None:
+        for filler, share in presence.items():
+            self._move(serving, filler, -CLEARANCE * share)
 
+    def _move(self, serving: str, filler: str, change: float) -> None:
+        log_odds = self._log_odds_by_pair.get((serving, filler))
+        moved = (PRIOR if log_odds is None else log_odds) + change
+        clipped = min(max(moved, -MAX_LOG_ODDS), MAX_LOG_ODDS)
+        self._log_odds_by_pair.put((serving, filler), clipped)
 
-def _use_millis(run: Run) -> float:
-    """Returns what a filler uses, or will use once it is past its start."""
-    if run.reading > 0:
-        return run.reading
-    return run.task.step.spec.demand.cpu_millis * run.pace / 100
+
+def _presence(view: WorkerView) -> dict[str, float]:
+    """Returns how much each image of fillers counts on a worker, from 0 to 1."""
+    use: collections.defaultdict[str, float] = collections.defaultdict(float)
+    for run in view.fillers:
+        use[run.task.step.spec.image] += run.reading
+    full = view.info.capacity.cpu_millis * FULL_SHARE
+    return {image: min(1.0, millis / full) for image, millis in use.items() if millis > 0}
--- a/packages/pollengate/pollengate/workflow/pacing.py
+++ b/packages/pollengate/pollengate/workflow/pacing.py
@@ -29,6 +29,10 @@
 # Seconds without new fillers after a cut.
 BLOCK_S = 1.0
 FULL_PACE = 100
+# A filler slower than that, in percent, gets on faster elsewhere.
+SLOW_PACE = 50
+# A stop writes a checkpoint, and resuming takes a tenth to a quarter of a second.
+RELOCATE_AFTER_S = 0.7
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -38,6 +42,14 @@
     run: Run
     percent: int
 
+    def apply(self, now: float) -> None:
+        """Books the change once the worker has confirmed it."""
+        self.run.pace = self.percent
+        if self.percent >= SLOW_PACE:
+            self.run.slow_since = None
+        elif self.run.slow_since is None:
+            self.run.slow_since = now
+
 
 @dataclasses.dataclass(slots=True)
 class _WorkerPace:
@@ -72,6 +84,17 @@
         wanted = dict.fromkeys(running, FULL_PACE) | dict.fromkeys(harmful, pace.percent)
         return [PaceChange(run, percent) for run, percent in wanted.items() if run.pace != percent]
 
+    def relocations(self, view: WorkerView, now: float) -> list[Run]:
+        """Returns fillers that should leave: slow for a while, and able to resume elsewhere."""
+        return [
+            run
+            for run in view.fillers
+            if run.state is RunState.RUNNING
+            and run.slow_since is not None
+            and now - run.slow_since >= RELOCATE_AFTER_S
+            and run.task.step.spec.saves_progress
+        ]
+
     def forget(self, worker_id: str) -> None:
         """Drops what was decided for a worker, whose new incarnation starts at full pace."""
         self._by_worker.pop(worker_id, None)
--- a/packages/pollengate/pollengate/workflow/placement.py
+++ b/packages/pollengate/pollengate/workflow/placement.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Callable, Sequence
 
-from pollengate.workflow.colocation import Colocation
+from pollengate.workflow.colocation import HARMFUL_PROBABILITY, Colocation
 from pollengate.workflow.fleet import WorkerView
 from pollengate.workflow.progress import StepProgress, TaskProgress
 
@@ -15,12 +15,16 @@
 
 # Share of a filler's processors that must be unused, so that it runs at close to full speed.
 FILLER_MIN_SHARE = 0.9
-# Latency that fillers may add to a serving task's own, which alone comes close to its target at
-# the peaks of its load.
-MAX_SLOWDOWN = 1.35
-# A worker counts as that much fuller for a filler, in millicores, for each time that a serving
-# task's latency is expected to grow by its latency alone.
-SLOWDOWN_PENALTY_MILLIS = 60_000
+# A worker counts as that much fuller for a filler that is sure to harm a serving task there, in
+# millicores, and in proportion for one that may.
+HARM_PENALTY_MILLIS = 60_000
+# A worker counts as that much fuller for a serving task, in millicores, for each other image that
+# serves there: the fewer serve together, the more fillers harm none of them.
+OTHER_IMAGE_PENALTY_MILLIS = 200_000
+# A worker counts as that much fuller, in millicores, for each task of the same step there.
+SAME_STEP_PENALTY_MILLIS = 15_000
+# Serving tasks leave that much for others, in millicores, unless they fit nowhere else.
+SERVING_HEADROOM_MILLIS = 8_000
 # A worker that is still warming up counts as that much fuller, in millicores.
 COLD_PENALTY_MILLIS = 32_000
 # A worker off the rack of the task's data counts as that much fuller, in millicores.
@@ -70,12 +74,26 @@
                 return None
             if score < FILLER_MIN_SHARE * spec.demand.cpu_millis:
                 return None
-            slowdown = self._colocation.slowdown_with(view, step)
-            if slowdown > MAX_SLOWDOWN:
+            harm = self._colocation.harm_with(view, step)
+            if harm >= HARMFUL_PROBABILITY:
                 return None
-            score -= SLOWDOWN_PENALTY_MILLIS * (slowdown - 1.0)
+            score -= HARM_PENALTY_MILLIS * harm
+        elif spec.target_ms:
+            score = _serving_score(step, view)
         if now < view.warm_at:
             score -= COLD_PENALTY_MILLIS
         if spec.data_rack and spec.data_rack != view.info.rack:
             score -= OTHER_RACK_PENALTY_MILLIS
         return score
+
+
+def _serving_score(step: StepProgress, view: WorkerView) -> float:
+    """Prefers workers that serve the same image, the fullest first, then empty ones."""
+    spec = step.spec
+    others = {run.task.step.spec.image for run in view.serving} - {spec.image}
+    left = view.info.capacity.cpu_millis - view.firm_millis - spec.demand.cpu_millis
+    score = -float(left) - OTHER_IMAGE_PENALTY_MILLIS * len(others)
+    score -= SAME_STEP_PENALTY_MILLIS * step.runs_on(view.worker_id)
+    if left < SERVING_HEADROOM_MILLIS:
+        score -= OTHER_IMAGE_PENALTY_MILLIS / 2
+    return score
--- a/packages/pollengate/pollengate/workflow/progress.py
+++ b/packages/pollengate/pollengate/workflow/progress.py
@@ -59,6 +59,7 @@
         percent_at: clock time at which `percent` last rose.
         reading: the last figure reported beside it.
         pace: share of its speed that it may use, in percent.
+        slow_since: clock time since which its pace has been low, None if it is not.
         answered_at: clock time at which the worker confirmed an order for it, None before that;
             a later report without the run means that it is gone.
         is_stop_wanted: whether it has to end.
@@ -73,6 +74,7 @@
     percent_at: float = 0.0
     reading: float = 0.0
     pace: int = 100
+    slow_since: float | None = None
     answered_at: float | None = None
     is_stop_wanted: bool = False
 
--- a/packages/pollengated/pollengated/edge/worker_link.py
+++ b/packages/pollengated/pollengated/edge/worker_link.py
@@ -159,13 +159,12 @@
         run = change.run
         if not self._right.holds(self._clocks.steady()):
             return
-        before, run.pace = run.pace, change.percent
         order = PaceOrder(run.task.name, run.number, change.percent, self._right.token)
         result = await self._client.pace(self.view.info.address, self.view.worker_id, order)
         if isinstance(result, Err):
-            run.pace = before
             self._note_failure(result.err_value)
         else:
+            change.apply(self._clocks.steady())
             self._metrics.paces.inc()
 
     def _hold_wait_s(self) -> float:
@@ -226,6 +225,15 @@
             )
         for change in changes:
             asyncio.get_running_loop().create_task(self.change_pace(change))
+        for run in self._pacer.relocations(self.view, now):
+            self._log.info(
+                "filler leaves",
+                task=run.task.name,
+                run=run.number,
+                worker=self.view.worker_id,
+                slow_s=round(now - (run.slow_since or now), 2),
+            )
+            self._books.stop(run)
 
     def _note_incarnation(self, report: Report) -> None:
         self._log.info(
