--- a/packages/pollengate/pollengate/workflow/colocation.py
+++ b/packages/pollengate/pollengate/workflow/colocation.py
@@ -24,7 +24,7 @@
 # Change of log odds for the only suspect of one late figure.
 BLAME = 1.6
 # Change of log odds for a full share beside one good figure; good phases last for seconds.
-CLEARANCE = 0.1
+CLEARANCE = 0.2
 # Share of a worker's processors at which a filler's presence counts in full.
 FULL_SHARE = 0.05
 # Probability from which a pair is kept apart.
@@ -47,7 +47,10 @@
             if run.state is not RunState.RUNNING or run.reading <= 0:
                 continue
             spec = run.task.step.spec
-            if run.reading > spec.target_ms:
+            if run.reading_change == 0:
+                continue  # the same figure again
+            # A latency that falls says that its cause is gone.
+            if run.reading > spec.target_ms and run.reading_change > 0:
                 self._blame(spec.image, presence)
             elif run.reading < OWN_LATENCY_SHARE * spec.target_ms:
                 self._clear(spec.image, presence)
--- a/packages/pollengate/pollengate/workflow/placement.py
+++ b/packages/pollengate/pollengate/workflow/placement.py
@@ -18,6 +18,9 @@
 # A worker counts as that much fuller for a filler that is sure to harm a serving task there, in
 # millicores, and in proportion for one that may.
 HARM_PENALTY_MILLIS = 60_000
+# A step whose fillers would do harm everywhere waits that long for a better worker; then it runs,
+# paced, where harm is least likely, which also shows whether the belief still holds.
+PATIENCE_S = 8.0
 # A worker counts as that much fuller for a serving task, in millicores, for each other image that
 # serves there: the fewer serve together, the more fillers harm none of them.
 OTHER_IMAGE_PENALTY_MILLIS = 200_000
@@ -75,7 +78,7 @@
             if score < FILLER_MIN_SHARE * spec.demand.cpu_millis:
                 return None
             harm = self._colocation.harm_with(view, step)
-            if harm >= HARMFUL_PROBABILITY:
+            if harm >= HARMFUL_PROBABILITY and now - step.opened_at < PATIENCE_S:
                 return None
             score -= HARM_PENALTY_MILLIS * harm
         elif spec.target_ms:
--- a/packages/pollengate/pollengate/workflow/progress.py
+++ b/packages/pollengate/pollengate/workflow/progress.py
@@ -58,6 +58,7 @@
         percent: work done as last reported; 100 for a long-running task at work.
         percent_at: clock time at which `percent` last rose.
         reading: the last figure reported beside it.
+        reading_change: by how much that differs from the figure of the report before.
         pace: share of its speed that it may use, in percent.
         slow_since: clock time since which its pace has been low, None if it is not.
         answered_at: clock time at which the worker confirmed an order for it, None before that;
@@ -73,6 +74,7 @@
     percent: float = 0.0
     percent_at: float = 0.0
     reading: float = 0.0
+    reading_change: float = 0.0
     pace: int = 100
     slow_since: float | None = None
     answered_at: float | None = None
--- a/packages/pollengate/pollengate/workflow/reports.py
+++ b/packages/pollengate/pollengate/workflow/reports.py
@@ -89,6 +89,7 @@
         if row.percent > run.percent or now == run.asked_at:
             run.percent_at = now
         run.percent = row.percent
+        run.reading_change = row.reading - run.reading
         run.reading = row.reading
         if row.checkpoint:
             run.task.checkpoint = row.checkpoint
