End a tenure when a worker's link fails; learn nothing from unlisted workers

Cause: after a takeover the workers of the roster are held before the registry is read, and the share of a filler of a worker without a known capacity divided by zero. Ruled out: the takeover itself, 50 ms after the kill of all. Now the failure of a link is logged and ends the tenure, as that of any other part does.

--- a/packages/pollengate/pollengate/workflow/colocation.py
+++ b/packages/pollengate/pollengate/workflow/colocation.py
@@ -40,9 +40,9 @@
 
     def observe(self, view: WorkerView) -> None:
         """Takes in a worker's newest figures."""
+        if not view.is_listed:
+            return  # its capacity is not known
         presence = _presence(view)
-        if not presence:
-            return
         for run in view.serving:
             if run.state is not RunState.RUNNING or run.reading <= 0:
                 continue
--- a/packages/pollengated/pollengated/edge/prefix_follower.py
+++ b/packages/pollengated/pollengated/edge/prefix_follower.py
@@ -74,11 +74,10 @@
         return None
 
     async def _poll(self) -> StoreFailure | None:
-        asked_at = self._clocks.steady()
         polled = await self._store.changes(self._prefix, self.revision, POLL_WAIT_S)
         if isinstance(polled, Err):
             return polled.err_value
-        self._confirm(asked_at)
+        self._confirm(self._clocks.steady())
         for event in polled.ok_value.events:
             self._apply(event)
         self.revision = max(self.revision, polled.ok_value.revision)
@@ -100,11 +99,11 @@
         else:
             self.entries_by_key[event.key] = event.entry
 
-    def _confirm(self, asked_at: float) -> None:
+    def _confirm(self, at: float) -> None:
         if self._is_failing:
             self._is_failing = False
             self._log.info("store answers again", prefix=self._prefix, age_s=round(self.age_s(), 2))
-        self.confirmed_at = asked_at
+        self.confirmed_at = at
 
     def _note_failure(self, failure: StoreFailure) -> None:
         if not self._is_failing:
--- a/packages/pollengated/pollengated/edge/shard_tenure.py
+++ b/packages/pollengated/pollengated/edge/shard_tenure.py
@@ -336,8 +336,9 @@
             self._event,
         )
         self._links_by_id[view.worker_id] = link
-        loop = asyncio.get_running_loop()
-        self._link_tasks_by_id[view.worker_id] = loop.create_task(link.run())
+        task = asyncio.get_running_loop().create_task(link.run())
+        task.add_done_callback(self._finished)
+        self._link_tasks_by_id[view.worker_id] = task
 
     def _forget_departed(self) -> None:
         for view in self.fleet.forget_departed(self._clocks.steady()):
