--- a/packages/pollengate/pollengate/workflow/fleet.py
+++ b/packages/pollengate/pollengate/workflow/fleet.py
@@ -62,6 +62,14 @@
         """Returns the worker's id."""
         return self.info.worker_id
 
+    @property
+    def has_left(self) -> bool:
+        """Tells whether it took its registration back after a drain.
+
+        One that only fell silent is not draining, or still answers.
+        """
+        return not self.is_listed and self.info.condition is WorkerCondition.DRAINING
+
     def add(self, run: Run) -> None:
         """Counts a run that may exist there."""
         key = (run.task.name, run.number)
--- a/packages/pollengate/pollengate/workflow/leases.py
+++ b/packages/pollengate/pollengate/workflow/leases.py
@@ -50,6 +50,13 @@
         self._until_ms = max(self._until_ms or 0, until_ms)
         return self._until_ms
 
+    def repeat(self) -> int | None:
+        """Returns the end of the longest lease so far, for an order that must not extend it.
+
+        While a worker does not answer, its lease has to run out at some time.
+        """
+        return self._until_ms
+
     def lapses_at(self) -> float:
         """Returns the clock time by which the lease has lapsed unless it is extended."""
         if self._until_ms is None or self._clock_ms is None:
--- a/packages/pollengate/pollengate/workflow/reports.py
+++ b/packages/pollengate/pollengate/workflow/reports.py
@@ -102,10 +102,11 @@
 
 
 def _may_adopt(task: TaskProgress) -> bool:
+    # Its step may not be open yet: the results of the steps before it may stand on workers that
+    # have not reported.
     step = task.step
     return (
-        step.is_open
-        and not task.is_done
+        not task.is_done
         and not step.job.is_ended
         and (not task.runs_by_number or step.spec.is_speculative)
     )
--- a/packages/pollengated/pollengated/edge/shard_tenure.py
+++ b/packages/pollengated/pollengated/edge/shard_tenure.py
@@ -19,6 +19,7 @@
     Undecided,
     WaitingCount,
 )
+from pollengate.workflow.draining import runs_to_move
 from pollengate.workflow.fleet import Fleet, WorkerView
 from pollengate.workflow.keys import (
     commit_key,
@@ -340,6 +341,17 @@
         task.add_done_callback(self._finished)
         self._link_tasks_by_id[view.worker_id] = task
 
+    def _leave_draining(self) -> None:
+        for view in self.fleet.workers_by_id.values():
+            for run in runs_to_move(view):
+                self._log.info(
+                    "run leaves a draining worker",
+                    task=run.task.name,
+                    run=run.number,
+                    worker=view.worker_id,
+                )
+                self.books.stop(run)
+
     def _forget_departed(self) -> None:
         for view in self.fleet.forget_departed(self._clocks.steady()):
             self._links_by_id.pop(view.worker_id)
@@ -408,6 +420,7 @@
         while not self.right.is_lost:
             await asyncio.sleep(TICK_S)
             self.books.open_due(self._clocks.steady(), self._clocks.unix_ms())
+            self._leave_draining()
             self._forget_departed()
             self._forget_ended()
             waiting = sum(len(step.waiting) for step in self.books.open_steps)
--- a/packages/pollengated/pollengated/edge/worker_link.py
+++ b/packages/pollengated/pollengated/edge/worker_link.py
@@ -177,10 +177,11 @@
         sent_at = self._clocks.steady()
         if self._committer.durable_mark >= self._read_mark:
             self._forget_upto = self._read_upto
+        lease = self.view.lease
         order = HoldOrder(
             token=self._right.token,
             forget_upto=self._forget_upto,
-            lease_until_ms=self.view.lease.extend(sent_at),
+            lease_until_ms=lease.repeat() if self._is_failing else lease.extend(sent_at),
             wait_ms=int(wait_s * 1000),
         )
         result = await self._client.hold(self.view.info.address, self.view.worker_id, order)
@@ -325,11 +326,12 @@
         self.view.unavailable_until = max(self.view.unavailable_until, until)
 
     def _check_lapse(self) -> None:
-        """Gives up the runs of a worker whose lease has lapsed."""
-        if not self.view.runs or self._clocks.steady() <= self.view.lease.lapses_at():
+        """Gives up the runs of a worker that has left, or whose lease has lapsed."""
+        has_lapsed = self._clocks.steady() > self.view.lease.lapses_at()
+        if not self.view.runs or not (has_lapsed or self.view.has_left):
             return
         self._log.warning(
-            "lease of a silent worker lapsed",
+            "lease of a silent worker lapsed" if has_lapsed else "worker left with its runs",
             worker=self.view.worker_id,
             runs=len(self.view.runs),
             silent_s=round(self._clocks.steady() - self.view.lease.answered_at, 2),
