--- a/packages/pollengate/pollengate/workflow/books.py
+++ b/packages/pollengate/pollengate/workflow/books.py
@@ -87,6 +87,13 @@
             if job.is_ended or job.due_count >= job.occurrence_count:
                 del self._scheduled_by_id[job.job_id]
 
+    def has_waiting_fillers(self, since: float) -> bool:
+        """Tells whether fillers of a step that opened before `since` have no place."""
+        return any(
+            step.spec.is_filler and step.waiting and step.opened_at < since
+            for step in self.open_steps
+        )
+
     def find_task(self, name: str) -> TaskProgress | None:
         """Returns a task by its name, None if it is unknown or not due."""
         job_id, *numbers = name.split(".")
--- a/packages/pollengated/pollengated/edge/shard_tenure.py
+++ b/packages/pollengated/pollengated/edge/shard_tenure.py
@@ -68,6 +68,8 @@
 RETRY_AFTER_S = 1.0
 # After a worker was found to fail everything; tasks take a second or two.
 FIRST_PROBE_AFTER_S = 4.0
+# Serving tasks move only while fillers have found no place for that long.
+FILLER_WAIT_S = 0.5
 # Kept beyond the time that clients may ask for the state of an ended job.
 RETENTION_MARGIN_S = 5.0
 
@@ -355,7 +357,10 @@
                 self.books.stop(run)
 
     def _rebalance(self) -> None:
-        run = self._rebalancer.choose(self._clocks.steady())
+        now = self._clocks.steady()
+        if not self.books.has_waiting_fillers(now - FILLER_WAIT_S):
+            return
+        run = self._rebalancer.choose(now)
         if run is not None:
             self._log.info(
                 "serving task moves",
