--- a/packages/pollengate/pollengate/bounded.py
+++ b/packages/pollengate/pollengate/bounded.py
@@ -1,6 +1,7 @@
 """A mapping that forgets the entries that were not written for longest."""
 
 import collections
+from collections.abc import Iterator
 from typing import Generic, TypeVar
 
 __all__ = ["BoundedDict"]
@@ -33,6 +34,10 @@
         if len(self._entries) > self._limit:
             self._entries.popitem(last=False)
 
+    def items(self) -> Iterator[tuple[K, V]]:
+        """Yields every entry, the oldest first."""
+        yield from self._entries.items()
+
     def pop(self, key: K) -> V | None:
         """Takes an entry out and returns it."""
         return self._entries.pop(key, None)
--- a/packages/pollengate/pollengate/workflow/colocation.py
+++ b/packages/pollengate/pollengate/workflow/colocation.py
@@ -58,6 +58,19 @@
             elif run.reading < OWN_LATENCY_SHARE * spec.target_ms:
                 self._clear(spec.image, presence)
 
+    def export(self) -> dict[str, dict[str, float]]:
+        """Returns the log odds by serving image and filler image, for a successor."""
+        exported: dict[str, dict[str, float]] = {}
+        for (serving, filler), log_odds in self._log_odds_by_pair.items():
+            exported.setdefault(serving, {})[filler] = round(log_odds, 2)
+        return exported
+
+    def load(self, exported: dict[str, dict[str, float]]) -> None:
+        """Takes over what an earlier owner learned."""
+        for serving, log_odds_by_filler in exported.items():
+            for filler, log_odds in log_odds_by_filler.items():
+                self._set(serving, filler, log_odds)
+
     def probability(self, serving: str, filler: str) -> float:
         """Returns how likely a pair of images harms."""
         log_odds = self._log_odds_by_pair.get((serving, filler))
@@ -92,8 +105,10 @@
 
     def _move(self, serving: str, filler: str, change: float) -> None:
         log_odds = self._log_odds_by_pair.get((serving, filler))
-        moved = (PRIOR if log_odds is None else log_odds) + change
-        clipped = min(max(moved, -MAX_LOG_ODDS), MAX_LOG_ODDS)
+        self._set(serving, filler, (PRIOR if log_odds is None else log_odds) + change)
+
+    def _set(self, serving: str, filler: str, log_odds: float) -> None:
+        clipped = min(max(log_odds, -MAX_LOG_ODDS), MAX_LOG_ODDS)
         self._log_odds_by_pair.put((serving, filler), clipped)
         harmful = self._harmful_by_serving.setdefault(serving, set())
         if clipped >= HARMFUL_LOG_ODDS:
--- a/packages/pollengate/pollengate/workflow/keys.py
+++ b/packages/pollengate/pollengate/workflow/keys.py
@@ -5,6 +5,7 @@
 __all__ = [
     "LAYOUT_KEY",
     "NODE_PREFIX",
+    "beliefs_key",
     "commit_key",
     "job_key",
     "job_prefix",
@@ -36,6 +37,11 @@
     return f"{ROOT}commit/{shard}"
 
 
+def beliefs_key(shard: int) -> str:
+    """Holds what a shard's owners learned of fillers beside serving tasks."""
+    return f"{ROOT}beliefs/{shard}"
+
+
 def job_prefix(shard: int) -> str:
     """Holds the jobs that a shard accepted."""
     return f"{ROOT}job/{shard}/"
--- /dev/null
+++ b/packages/pollengated/pollengated/edge/beliefs.py
@@ -0,0 +1,52 @@
+"""Keeps what an owner learned of fillers beside serving tasks for its successor."""
+
+import msgspec
+from pollengate.store import Operation, Put
+from pollengate.workflow.colocation import Colocation
+from pollengate.workflow.keys import beliefs_key
+
+from pollengated.edge.committer import Committer, Record
+from pollengated.logs import Log
+
+__all__ = ["BeliefKeeper", "load_beliefs"]
+
+# A successor learns anew what changed since; a pair takes some seconds to show.
+INTERVAL_S = 2.0
+
+
+def load_beliefs(value: bytes, colocation: Colocation) -> None:
+    """Takes over an earlier owner's record; an unreadable one is passed over."""
+    try:
+        colocation.load(msgspec.json.decode(value, type=dict[str, dict[str, float]]))
+    except msgspec.MsgspecError as error:
+        Log("beliefs").warning("record is unreadable", cause=str(error))
+
+
+class BeliefKeeper:
+    """Records beliefs that have changed, now and then."""
+
+    def __init__(self, shard: int, colocation: Colocation, committer: Committer) -> None:
+        self._record = _BeliefRecord(shard, colocation)
+        self._colocation = colocation
+        self._committer = committer
+        self._recorded: dict[str, dict[str, float]] = {}
+        self._recorded_at = float("-inf")
+
+    def update(self, now: float) -> None:
+        """Queues the record if it is due and differs."""
+        if now - self._recorded_at < INTERVAL_S:
+            return
+        self._recorded_at = now
+        present = self._colocation.export()
+        if present != self._recorded:
+            self._recorded = present
+            self._committer.add(self._record)
+
+
+class _BeliefRecord(Record):
+    def __init__(self, shard: int, colocation: Colocation) -> None:
+        self.key = beliefs_key(shard)
+        self._colocation = colocation
+
+    def operation(self) -> Operation:
+        return Put(self.key, msgspec.json.encode(self._colocation.export()))
--- a/packages/pollengated/pollengated/edge/gate_desk.py
+++ b/packages/pollengated/pollengated/edge/gate_desk.py
@@ -33,6 +33,9 @@
 
 # A shard that changes hands is without an owner for less than that.
 OWNER_WAIT_S = 0.6
+# Clients wait 3 s for an answer.
+ANSWER_TIMEOUT_S = 2.4
+RETRY_INTERVAL_S = 0.1
 RETRY_AFTER_S = 1.0
 _Remote = Callable[[str], Awaitable[Result[JobAnswer | NotOwner, CallFailure]]]
 _Local = Callable[[ShardTenure], Awaitable[JobAnswer]]
@@ -159,16 +162,26 @@
         return WaitingCount(total)
 
     async def _ask_owner(self, shard: int, local: _Local, remote: _Remote) -> JobAnswer:
-        """Asks the owner of a shard; a moment without one is waited out."""
-        deadline = self._clocks.steady() + OWNER_WAIT_S
+        """Asks the owner of a shard; a moment without one is waited out.
+
+        All requests can be repeated: a successor knows every job that an owner made durable, and
+        nothing that an owner wrote takes effect after its successor has begun. So one that an owner
+        left without an answer is asked of the next.
+        """
+        began_at = self._clocks.steady()
+        undecided: Undecided | None = None
         while True:
             answer = await self._try_owner(shard, local, remote)
-            if answer is not None:
+            if isinstance(answer, Undecided):
+                undecided = answer
+            elif answer is not None:
                 return answer
-            left_s = deadline - self._clocks.steady()
-            if left_s <= 0:
+            waited_s = self._clocks.steady() - began_at
+            if undecided is not None and waited_s >= ANSWER_TIMEOUT_S:
+                return undecided
+            if undecided is None and waited_s >= OWNER_WAIT_S:
                 return NotAccepted("no_owner", RETRY_AFTER_S)
-            await self._directory.wait_for_change(min(left_s, 0.1))
+            await self._directory.wait_for_change(RETRY_INTERVAL_S)
 
     async def _try_owner(self, shard: int, local: _Local, remote: _Remote) -> JobAnswer | None:
         """Asks once; None if nothing was done."""
--- a/packages/pollengated/pollengated/edge/rpc.py
+++ b/packages/pollengated/pollengated/edge/rpc.py
@@ -30,7 +30,8 @@
 
 __all__ = ["EdgeClient", "EdgeService", "NotOwner"]
 
-CALL_TIMEOUT_S = 2.2
+# An owner answers once a record is durable, at most 0.3 s with the store at its slowest.
+CALL_TIMEOUT_S = 0.9
 VIEW_TIMEOUT_S = 0.5
 _NOT_OWNER = "not_owner"
 
--- a/packages/pollengated/pollengated/edge/shard_tenure.py
+++ b/packages/pollengated/pollengated/edge/shard_tenure.py
@@ -22,6 +22,7 @@
 from pollengate.workflow.draining import runs_to_move
 from pollengate.workflow.fleet import Fleet, WorkerView
 from pollengate.workflow.keys import (
+    beliefs_key,
     commit_key,
     job_key,
     job_prefix,
@@ -41,6 +42,7 @@
 from pollengate.workflow.settings import NodeSettings
 from result import Err, Ok, Result
 
+from pollengated.edge.beliefs import BeliefKeeper, load_beliefs
 from pollengated.edge.clocks import Clocks
 from pollengated.edge.committer import (
     Committer,
@@ -63,8 +65,8 @@
 # Between looks at what time alone changes.
 TICK_S = 0.1
 RECOVERY_RETRY_S = 0.1
-# A client waits 3 s for an answer.
-DURABLE_TIMEOUT_S = 2.0
+# Within the time that a gate waits for an answer; it asks again.
+DURABLE_TIMEOUT_S = 0.8
 RETRY_AFTER_S = 1.0
 # After a worker was found to fail everything; tasks take a second or two.
 FIRST_PROBE_AFTER_S = 4.0
@@ -129,6 +131,8 @@
         self._committer: Committer
         self._planner: Planner
         self._roster: Roster
+        self._beliefs: BeliefKeeper
+        self._submitted_by_id: dict[str, _Submission] = {}
 
     async def run(self) -> None:
         """Serves the shard until the right is lost or it is handed over."""
@@ -252,6 +256,9 @@
         roster = await self._store.get(Roster.key_of(self.shard))
         if isinstance(roster, Err):
             return Err(roster.err_value.detail)
+        beliefs = await self._store.get(beliefs_key(self.shard))
+        if isinstance(beliefs, Err):
+            return Err(beliefs.err_value.detail)
         jobs = await self._store.list(job_prefix(self.shard))
         if isinstance(jobs, Err):
             return Err(jobs.err_value.detail)
@@ -268,6 +275,9 @@
             commit.ok_value.revision if commit.ok_value else 0,
             self._clocks,
         )
+        if beliefs.ok_value is not None:
+            load_beliefs(beliefs.ok_value.value, self._colocation)
+        self._beliefs = BeliefKeeper(self.shard, self._colocation, self._committer)
         evidence = FailureEvidence(self._clocks.steady, FIRST_PROBE_AFTER_S)
         self.books = WorkflowBooks(self.fleet, evidence, tenure)
         self._planner = Planner(
@@ -275,7 +285,6 @@
         )
         recorded = decode_roster(roster.ok_value.value) if roster.ok_value else {}
         self._roster = Roster(self.shard, self._committer, self.fleet, recorded)
-        self._submitted_by_id: dict[str, _Submission] = {}
         saved_by_key = {entry.key: entry.value for entry in progress.ok_value.entries}
         for entry in jobs.ok_value.entries:
             self._restore_job(entry.value, saved_by_key)
@@ -441,6 +450,7 @@
             self.books.open_due(self._clocks.steady(), self._clocks.unix_ms())
             self._leave_draining()
             self._rebalance()
+            self._beliefs.update(self._clocks.steady())
             self._forget_departed()
             self._forget_ended()
             waiting = sum(len(step.waiting) for step in self.books.open_steps)
--- a/packages/pollengated/pollengated/edge/worker_link.py
+++ b/packages/pollengated/pollengated/edge/worker_link.py
@@ -327,7 +327,9 @@
 
     def _check_lapse(self) -> None:
         """Gives up the runs of a worker that has left, or whose lease has lapsed."""
-        has_lapsed = self._clocks.steady() > self.view.lease.lapses_at()
+        now = self._clocks.steady()
+        # Once a successor is possible, it may hold the worker's runs.
+        has_lapsed = self._right.is_confirmed(now) and now > self.view.lease.lapses_at()
         if not self.view.runs or not (has_lapsed or self.view.has_left):
             return
         self._log.warning(
