--- /dev/null
+++ b/packages/pollengate-standins/pollengate_standins/lease_worker.py
@@ -0,0 +1,256 @@
+"""A worker that runs tasks of workflows under a lease, for tests on virtual time."""
+
+import asyncio
+import dataclasses
+from collections.abc import Callable
+
+from pollengate.workflow.clients import (
+    EndedRun,
+    EndKind,
+    HoldOrder,
+    OrderFailure,
+    PaceOrder,
+    Refused,
+    Report,
+    RunningTask,
+    StartOrder,
+    StopOrder,
+    WorkerClient,
+)
+from result import Err, Ok, Result
+
+__all__ = ["LeaseWorker", "LeaseWorkers", "StartRecord"]
+
+ANSWER_S = 0.002
+LOST_ANSWER_S = 0.8
+STOP_S = 0.1
+
+
+@dataclasses.dataclass(slots=True)
+class StartRecord:
+    """One run that began on some worker.
+
+    Attributes:
+        task: its name.
+        run: its number.
+        worker_id: where.
+        began_at: loop time.
+        ended_at: loop time, None while it runs.
+        how: how it ended.
+        duration_s: work that it takes; infinite for a long-running task.
+        checkpoint: that it resumed from.
+    """
+
+    task: str
+    run: int
+    worker_id: str
+    began_at: float
+    ended_at: float | None = None
+    how: EndKind | None = None
+    duration_s: float = 1.0
+    checkpoint: str = ""
+
+
+class LeaseWorker:
+    """One worker; its state is brought up to date at each call.
+
+    Attributes:
+        is_dark: whether calls get no answer and have no effect.
+        loses_answers: whether calls take effect and then get no answer.
+        late_s: orders to start get no answer and take effect after so long; 0 for at once.
+    """
+
+    def __init__(self, worker_id: str, history: list[StartRecord]) -> None:
+        self.worker_id = worker_id
+        self.is_dark = False
+        self.loses_answers = False
+        self.late_s = 0.0
+        self.born_ms = 1
+        self.fails: Callable[[str], bool] = lambda task: False
+        self.duration_of: Callable[[str], float] = lambda task: 1.0
+        self._history = history
+        self._token = 0
+        self._until = 0.0
+        self._ended: list[EndedRun] = []
+        self._count = 0
+        self._highest_by_task: dict[str, int] = {}
+        self._running: dict[tuple[str, int], StartRecord] = {}
+        self._changed = asyncio.Event()
+
+    def crash(self) -> None:
+        """Ends everything; the next incarnation knows nothing."""
+        for record in self._running.values():
+            record.ended_at, record.how = self._now(), EndKind.LAPSED
+        self._running.clear()
+        self._ended.clear()
+        self._highest_by_task.clear()
+        self._count = self._token = 0
+        self._until = 0.0
+        self.born_ms += 1
+
+    def start(self, order: StartOrder) -> Result[int, OrderFailure]:
+        """Starts a run."""
+        self.settle()
+        key = (order.task, order.run)
+        if order.token < self._token:
+            return self._refuse(Refused.FENCED)
+        self._token = order.token
+        if key in self._running:
+            return Ok(self._clock_ms())
+        if order.run <= self._highest_by_task.get(order.task, 0):
+            return self._refuse(Refused.OLD_RUN)
+        if order.lease_until_ms <= self._clock_ms():
+            return self._refuse(Refused.TOO_LATE)
+        self._until = max(self._until, order.lease_until_ms / 1000)
+        record = StartRecord(
+            order.task,
+            order.run,
+            self.worker_id,
+            self._now(),
+            duration_s=self.duration_of(order.task),
+            checkpoint=order.checkpoint,
+        )
+        self._running[key] = record
+        self._history.append(record)
+        return Ok(self._clock_ms())
+
+    def stop(self, order: StopOrder) -> Result[int, OrderFailure]:
+        """Stops a run or keeps it from starting."""
+        self.settle()
+        if order.token < self._token:
+            return self._refuse(Refused.FENCED)
+        self._token = order.token
+        highest = self._highest_by_task.get(order.task, 0)
+        self._highest_by_task[order.task] = max(highest, order.run)
+        record = self._running.get((order.task, order.run))
+        if record is not None:
+            self._end(record, EndKind.STOPPED, self._now())
+        return Ok(self._clock_ms())
+
+    def hold(self, order: HoldOrder) -> Result[Report, OrderFailure]:
+        """Extends the lease and reports."""
+        self.settle()
+        if order.token < self._token:
+            return self._refuse(Refused.FENCED)
+        self._token = order.token
+        self._ended = [end for end in self._ended if end.number > order.forget_upto]
+        if order.lease_until_ms is not None:
+            self._until = max(self._until, order.lease_until_ms / 1000)
+        running = tuple(
+            RunningTask(r.task, r.run, f"c{self._now():.2f}", self._percent(r), 1.0)
+            for r in self._running.values()
+        )
+        return Ok(Report(self._clock_ms(), self.born_ms, running, tuple(self._ended)))
+
+    async def wait_for_end(self, seconds: float) -> None:
+        """Waits until an end is listed or the time is over."""
+        deadline = self._now() + seconds
+        while not self._ended and self._now() < deadline:
+            ends = [r.began_at + r.duration_s for r in self._running.values()]
+            wake_at = min([deadline, self._until, *ends])
+            await asyncio.sleep(max(0.001, wake_at - self._now()))
+            self.settle()
+
+    def settle(self) -> None:
+        """Ends what is done by now, and everything once the lease has lapsed."""
+        now = self._now()
+        for record in list(self._running.values()):
+            done_at = record.began_at + record.duration_s
+            if done_at <= min(now, self._until):
+                how = EndKind.FAILED if self.fails(record.task) else EndKind.DONE
+                self._end(record, how, done_at)
+            elif self._until <= now:
+                self._end(record, EndKind.LAPSED, self._until)
+
+    def _end(self, record: StartRecord, how: EndKind, at: float) -> None:
+        del self._running[record.task, record.run]
+        highest = self._highest_by_task.get(record.task, 0)
+        self._highest_by_task[record.task] = max(highest, record.run)
+        record.ended_at, record.how = at, how
+        self._count += 1
+        checkpoint = f"c{at:.2f}" if how is EndKind.STOPPED else ""
+        self._ended.append(EndedRun(self._count, record.task, record.run, how, checkpoint))
+
+    def _percent(self, record: StartRecord) -> float:
+        if record.duration_s == float("inf"):
+            return 100.0
+        return 100 * (self._now() - record.began_at) / record.duration_s
+
+    def _refuse(self, kind: Refused) -> Err[OrderFailure]:
+        return Err(OrderFailure(kind, kind.value, self._clock_ms()))
+
+    def _clock_ms(self) -> int:
+        return int(self._now() * 1000)
+
+    @staticmethod
+    def _now() -> float:
+        return asyncio.get_running_loop().time()
+
+
+class LeaseWorkers(WorkerClient):
+    """The way from one process to the workers.
+
+    Attributes:
+        workers_by_id: shared by all processes.
+        cut_off: workers that this process can't reach.
+    """
+
+    def __init__(self, workers_by_id: dict[str, LeaseWorker]) -> None:
+        self.workers_by_id = workers_by_id
+        self.cut_off: set[str] = set()
+
+    async def start(
+        self, address: str, worker_id: str, order: StartOrder
+    ) -> Result[int, OrderFailure]:
+        """Starts a run."""
+        worker = self.workers_by_id[worker_id]
+        if worker.late_s and not self._is_cut(worker):
+            loop = asyncio.get_running_loop()
+            loop.call_later(worker.late_s, worker.start, order)
+            return await _no_answer()
+        if self._is_cut(worker):
+            return await _no_answer()
+        await asyncio.sleep(ANSWER_S)
+        result = worker.start(order)
+        return await _no_answer() if worker.loses_answers else result
+
+    async def stop(
+        self, address: str, worker_id: str, order: StopOrder
+    ) -> Result[int, OrderFailure]:
+        """Stops a run."""
+        worker = self.workers_by_id[worker_id]
+        if self._is_cut(worker):
+            return await _no_answer()
+        await asyncio.sleep(STOP_S)
+        return worker.stop(order)
+
+    async def pace(
+        self, address: str, worker_id: str, order: PaceOrder
+    ) -> Result[int, OrderFailure]:
+        """Accepts any pace."""
+        await asyncio.sleep(ANSWER_S)
+        return Ok(0)
+
+    async def hold(
+        self, address: str, worker_id: str, order: HoldOrder
+    ) -> Result[Report, OrderFailure]:
+        """Extends the lease at once and reports after the wait."""
+        worker = self.workers_by_id[worker_id]
+        if self._is_cut(worker):
+            return await _no_answer()
+        await asyncio.sleep(ANSWER_S)
+        first = worker.hold(order)
+        if isinstance(first, Err) or not order.wait_ms:
+            return first
+        await worker.wait_for_end(order.wait_ms / 1000)
+        if self._is_cut(worker):
+            return await _no_answer()
+        return worker.hold(HoldOrder(order.token, order.forget_upto))
+
+    def _is_cut(self, worker: LeaseWorker) -> bool:
+        return worker.is_dark or worker.worker_id in self.cut_off
+
+
+async def _no_answer() -> Err[OrderFailure]:
+    await asyncio.sleep(LOST_ANSWER_S)
+    return Err(OrderFailure(Refused.NO_ANSWER, "timeout"))
--- a/packages/pollengate/pollengate/workflow/placement.py
+++ b/packages/pollengate/pollengate/workflow/placement.py
@@ -5,8 +5,9 @@
 room; fillers go where most processor time is left and away from serving tasks.
 """
 
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 
+from pollengate.failure_evidence import FailureEvidence
 from pollengate.workflow.colocation import HARMFUL_PROBABILITY, Colocation
 from pollengate.workflow.fleet import WorkerView
 from pollengate.workflow.progress import StepProgress, TaskProgress
@@ -27,7 +28,7 @@
 # The same for each image of fillers that would have to stay away from there besides.
 KEPT_OUT_PENALTY_MILLIS = 100_000
 # A worker counts as that much fuller, in millicores, for each task of the same step there.
-SAME_STEP_PENALTY_MILLIS = 15_000
+SAME_STEP_PENALTY_MILLIS = 4_000
 # Serving tasks leave that much for others, in millicores, unless they fit nowhere else.
 SERVING_HEADROOM_MILLIS = 8_000
 # A worker that is still warming up counts as that much fuller, in millicores.
@@ -40,23 +41,36 @@
     """Scores workers for tasks.
 
     Args:
-        admits: tells whether a worker may be tried for a task, given their names.
+        evidence: which workers fail what.
         colocation: what is known of fillers beside serving tasks.
     """
 
-    def __init__(self, admits: Callable[[str, str], bool], colocation: Colocation) -> None:
-        self._admits = admits
+    def __init__(self, evidence: FailureEvidence, colocation: Colocation) -> None:
+        self._evidence = evidence
         self._colocation = colocation
 
     def choose(
         self, task: TaskProgress, workers: Sequence[WorkerView], now: float
     ) -> WorkerView | None:
-        """Returns the best worker for a task, None if it fits nowhere."""
-        step = task.step
+        """Returns the best worker for a task, None if it fits nowhere.
+
+        Workers that failed the task come last: they get a task that lasts again when no other has
+        room, any other task only when no other worker is left.
+        """
+        admitted = [v for v in workers if self._evidence.admits(v.worker_id, task.name)]
+        best = self._best(task.step, admitted, now)
+        if best is None and (task.step.spec.is_long_running or not admitted):
+            sound = [v for v in workers if not self._evidence.is_quarantined(v.worker_id)]
+            best = self._best(task.step, sound, now)
+        return best
+
+    def _best(
+        self, step: StepProgress, workers: Sequence[WorkerView], now: float
+    ) -> WorkerView | None:
         best = None
         best_score = float("-inf")
         for view in workers:
-            if not self._may_run(step, view) or not self._admits(view.worker_id, task.name):
+            if not self._may_run(step, view):
                 continue
             score = self._score(step, view, now)
             if score is not None and score > best_score:
--- a/packages/pollengated/pollengated/edge/shard_tenure.py
+++ b/packages/pollengated/pollengated/edge/shard_tenure.py
@@ -280,9 +280,7 @@
         self._beliefs = BeliefKeeper(self.shard, self._colocation, self._committer)
         evidence = FailureEvidence(self._clocks.steady, FIRST_PROBE_AFTER_S)
         self.books = WorkflowBooks(self.fleet, evidence, tenure)
-        self._planner = Planner(
-            self.books, Placer(evidence.admits, self._colocation), self._is_settled
-        )
+        self._planner = Planner(self.books, Placer(evidence, self._colocation), self._is_settled)
         recorded = decode_roster(roster.ok_value.value) if roster.ok_value else {}
         self._roster = Roster(self.shard, self._committer, self.fleet, recorded)
         saved_by_key = {entry.key: entry.value for entry in progress.ok_value.entries}
--- /dev/null
+++ b/tests/edge_cluster.py
@@ -0,0 +1,264 @@
+"""A shard with several candidates, the store and workers in one process on virtual time."""
+
+import asyncio
+import dataclasses
+import json
+from collections.abc import Sequence
+from typing import Any
+
+from pollengate.memory_store import MemoryStore
+from pollengate.store import (
+    Changes,
+    Commit,
+    FailureKind,
+    Operation,
+    PolledStore,
+    Put,
+    StoreFailure,
+    Unchanged,
+)
+from pollengate.workflow.desk import JobAnswer
+from pollengate.workflow.model import Workflow
+from pollengate.workflow.rights import ShardRight
+from pollengate.workflow.settings import Bounds, NodeSettings
+from pollengate_standins.lease_worker import LeaseWorker, LeaseWorkers, StartRecord
+from pollengated.edge.clocks import Clocks
+from pollengated.edge.edge_metrics import EdgeMetrics
+from pollengated.edge.membership import Membership
+from pollengated.edge.node_directory import NodeDirectory, NodeRecord
+from pollengated.edge.operator_view import OperatorView
+from pollengated.edge.shard_keeper import ShardKeeper
+from pollengated.edge.shard_tenure import ShardTenure
+from result import Err, Result
+
+from tests.faulty_store import FaultyStore
+
+__all__ = ["EdgeCluster", "EdgeNode", "overlaps", "starts_after_done"]
+
+LOST_CALL_S = 0.8
+BOUNDS = Bounds(10.0, 0.4, 3.0, 3.0, 0.25, 120.0, 3.0, 0.25, 0.5, 6.0, 4.0, 4.5)
+
+
+class NodeStore(FaultyStore, PolledStore):
+    """One process's way to the store, watches included.
+
+    Attributes:
+        is_silent: whether calls get no answer and have no effect.
+    """
+
+    def __init__(self, shared: MemoryStore) -> None:
+        super().__init__(shared, LOST_CALL_S)
+        self.is_silent = False
+
+    async def changes(
+        self, prefix: str, after_revision: int, wait_s: float
+    ) -> Result[Changes, StoreFailure]:
+        """Polls the shared store."""
+        if self.is_down or self.is_silent:
+            await asyncio.sleep(LOST_CALL_S)
+            return Err(StoreFailure(FailureKind.UNKNOWN, "silent"))
+        return await self.shared.changes(prefix, after_revision, wait_s)
+
+    async def commit(
+        self, conditions: Sequence[Unchanged], operations: Sequence[Operation]
+    ) -> Result[Commit, StoreFailure]:
+        """Applies a transaction unless the store is silent."""
+        if self.is_silent:
+            await asyncio.sleep(LOST_CALL_S)
+            return Err(StoreFailure(FailureKind.UNKNOWN, "silent"))
+        return await super().commit(conditions, operations)
+
+    async def forward(self, kind: Any, send: Any) -> Any:
+        """Makes a call unless the store is silent."""
+        if self.is_silent:
+            await asyncio.sleep(LOST_CALL_S)
+            return Err(StoreFailure(FailureKind.UNKNOWN, "silent"))
+        return await super().forward(kind, send)
+
+
+@dataclasses.dataclass
+class EdgeNode:
+    """One process."""
+
+    name: str
+    store: NodeStore
+    workers: LeaseWorkers
+    keeper: ShardKeeper
+    tasks: list[asyncio.Task[None]]
+    membership: Membership
+
+    def kill(self) -> None:
+        """Ends the process at once; nothing that it had in memory is written any more."""
+        self.store.is_down = True
+        self.workers.cut_off = set(self.workers.workers_by_id)
+        for task in self.tasks:
+            task.cancel()
+
+
+class EdgeCluster:
+    """Candidates for shard 0.
+
+    Attributes:
+        store: shared by all.
+        workers_by_id: shared by all.
+        history: every run that began.
+        nodes_by_name: running processes.
+    """
+
+    def __init__(self, workers: int = 3) -> None:
+        self.store = MemoryStore()
+        self.history: list[StartRecord] = []
+        names = [f"w{number}" for number in range(workers)]
+        self.workers_by_id = {name: LeaseWorker(name, self.history) for name in names}
+        self.nodes_by_name: dict[str, EdgeNode] = {}
+        self._incarnations = 0
+
+    async def open(self, nodes: int = 2) -> None:
+        """Registers workers and a configuration, starts the processes and awaits an owner."""
+        await self.configure(1)
+        for name in self.workers_by_id:
+            await self.register(name)
+        for number in range(nodes):
+            self.start_node(f"n{number}")
+        await self.tenure()
+
+    async def configure(self, version: int) -> None:
+        """Writes a configuration with one queue."""
+        route = {
+            "name": "queue",
+            "host": "host",
+            "prefix": "/jobs/",
+            "service": "service",
+            "maxAttempts": 2,
+            "stretch": 2.0,
+        }
+        document = {"version": version, "routes": [route], "services": [{"name": "service"}]}
+        await self.store.commit((), (Put("op/config", json.dumps(document).encode()),))
+
+    async def register(self, worker_id: str, state: str = "ready") -> None:
+        """Writes a worker's registration."""
+        document = {
+            "service": "service",
+            "addr": f"{worker_id}:1",
+            "zone": "a",
+            "state": state,
+            "capacity": {"cpu": 4000, "memMb": 4000},
+            "labels": ["k", "r0"],
+        }
+        put = Put(f"servers/{worker_id}", json.dumps(document).encode())
+        await self.store.commit((), (put,))
+
+    def start_node(self, name: str) -> EdgeNode:
+        """Starts a process."""
+        self._incarnations += 1
+        clocks = Clocks.of_loop()
+        store = NodeStore(self.store)
+        workers = LeaseWorkers(self.workers_by_id)
+        record = NodeRecord(name, f"{name}:1", str(self._incarnations))
+        directory = NodeDirectory(store, clocks)
+        operators = OperatorView(store, clocks)
+        metrics = EdgeMetrics()
+
+        def make_tenure(shard: int, right: ShardRight) -> ShardTenure:
+            return ShardTenure(
+                shard, 1, settings_of(name), store, workers, right, operators, clocks, metrics
+            )
+
+        keeper = ShardKeeper(0, record, store, directory, clocks, make_tenure)
+        membership = Membership(store, record)
+        loops = [
+            directory.follower.run(),
+            operators.follower.run(),
+            membership.run(),
+            keeper.run(),
+        ]
+        tasks = [asyncio.create_task(loop) for loop in loops]
+        node = EdgeNode(name, store, workers, keeper, tasks, membership)
+        self.nodes_by_name[name] = node
+        return node
+
+    def owner(self, besides: str = "") -> EdgeNode | None:
+        """Returns the process that serves the shard."""
+        for node in self.nodes_by_name.values():
+            tenure = node.keeper.tenure
+            is_serving = tenure is not None and tenure.is_serving and not tenure.right.is_lost
+            if is_serving and node.name != besides:
+                return node
+        return None
+
+    async def tenure(self, besides: str = "", timeout_s: float = 30.0) -> ShardTenure:
+        """Waits for an owner."""
+        async with asyncio.timeout(timeout_s):
+            while True:
+                node = self.owner(besides)
+                if node is not None and node.keeper.tenure is not None:
+                    return node.keeper.tenure
+                await asyncio.sleep(0.01)
+
+    async def submit(self, job_id: str, workflow: Workflow, besides: str = "") -> JobAnswer:
+        """Submits a job to the owner."""
+        return await (await self.tenure(besides)).submit("queue", job_id, workflow)
+
+    async def wait_for_state(self, job_id: str, state: str, timeout_s: float = 60.0) -> float:
+        """Waits until a job is shown in a state; returns how long that took."""
+        began_at = asyncio.get_running_loop().time()
+        async with asyncio.timeout(timeout_s):
+            while True:
+                node = self.owner()
+                tenure = node.keeper.tenure if node else None
+                job = tenure.books.jobs_by_id.get(job_id) if tenure else None
+                if job is not None and job.shown_state == state:
+                    return asyncio.get_running_loop().time() - began_at
+                await asyncio.sleep(0.02)
+
+    def settle(self) -> list[StartRecord]:
+        """Returns the history, brought up to date."""
+        for worker in self.workers_by_id.values():
+            worker.settle()
+        return self.history
+
+
+def settings_of(name: str) -> NodeSettings:
+    """Returns the settings of a process."""
+    return NodeSettings(
+        node=name,
+        zone="a",
+        zones=("a",),
+        client_address="",
+        readiness_address="",
+        rpc_address=f"{name}:1",
+        metrics_address="",
+        store_address="",
+        advice_address="",
+        cores=1.0,
+        memory_mb=300,
+        is_first_start=True,
+        bounds=BOUNDS,
+    )
+
+
+def overlaps(history: Sequence[StartRecord]) -> list[tuple[StartRecord, StartRecord]]:
+    """Returns runs of one task that were under way at the same time."""
+    found = []
+    for index, first in enumerate(history):
+        for second in history[index + 1 :]:
+            if first.task != second.task:
+                continue
+            first_end = float("inf") if first.ended_at is None else first.ended_at
+            second_end = float("inf") if second.ended_at is None else second.ended_at
+            if first.began_at < second_end and second.began_at < first_end:
+                found.append((first, second))
+    return found
+
+
+def starts_after_done(history: Sequence[StartRecord]) -> list[StartRecord]:
+    """Returns runs that began after another run of the task was done."""
+    return [
+        later
+        for later in history
+        for earlier in history
+        if earlier.task == later.task
+        and earlier.how == "done"
+        and earlier.ended_at is not None
+        and earlier.ended_at < later.began_at
+    ]
--- /dev/null
+++ b/tests/test_edge_takeover.py
@@ -0,0 +1,218 @@
+"""Tests of a shard's owners under failures, on virtual time."""
+
+import asyncio
+import unittest
+
+from pollengate.workflow.desk import Accepted, Cancelled, Found, NotAccepted
+from pollengate.workflow.progress import JobState
+
+from tests.edge_cluster import EdgeCluster, overlaps, starts_after_done
+from tests.utils import run_virtual
+from tests.workflow_builders import build_workflow, step_of
+
+JOB = "00000000000000aa"
+LASTING = float("inf")
+
+
+class EdgeCase(unittest.TestCase):
+    """Checks that hold after every scenario."""
+
+    def check(self, cluster: EdgeCluster) -> None:
+        """No task ran twice."""
+        history = cluster.settle()
+        self.assertEqual(overlaps(history), [])
+        self.assertEqual(starts_after_done(history), [])
+
+
+class PathTest(EdgeCase):
+    """Without failures."""
+
+    def test_job_of_two_steps_completes(self) -> None:
+        async def main() -> None:
+            cluster = EdgeCluster()
+            await cluster.open()
+            workflow = build_workflow(step_of(5), step_of(2, after=(0,)))
+            self.assertIsInstance(await cluster.submit(JOB, workflow), Accepted)
+            self.assertIsInstance(await cluster.submit(JOB, workflow), Accepted)
+            took_s = await cluster.wait_for_state(JOB, JobState.COMPLETED)
+            self.assertLess(took_s, 2.5)
+            self.assertEqual(len(cluster.history), 7)
+            self.check(cluster)
+
+        run_virtual(main())
+
+    def test_cancelled_job_is_gone_from_the_workers(self) -> None:
+        async def main() -> None:
+            cluster = EdgeCluster()
+            for worker in cluster.workers_by_id.values():
+                worker.duration_of = lambda task: LASTING
+            await cluster.open()
+            await cluster.submit(JOB, build_workflow(step_of(4, is_long_running=True)))
+            await asyncio.sleep(1.0)
+            tenure = await cluster.tenure()
+            self.assertIsInstance(await tenure.cancel(JOB), Cancelled)
+            await asyncio.sleep(1.0)
+            self.assertTrue(all(run.ended_at is not None for run in cluster.settle()))
+
+        run_virtual(main())
+
+    def test_job_is_refused_at_once_while_the_store_takes_nothing(self) -> None:
+        async def main() -> None:
+            cluster = EdgeCluster()
+            await cluster.open(nodes=1)
+            node = cluster.owner()
+            assert node is not None
+            node.store.is_down = True
+            loop = asyncio.get_running_loop()
+            first = await cluster.submit(JOB, build_workflow())
+            self.assertNotIsInstance(first, Accepted)
+            began_at = loop.time()
+            self.assertIsInstance(await cluster.submit(f"{JOB}1", build_workflow()), NotAccepted)
+            self.assertEqual(loop.time(), began_at)
+
+        run_virtual(main())
+
+
+class TakeoverTest(EdgeCase):
+    """Owners that die, are cut off or stop."""
+
+    def test_successor_of_a_killed_owner_goes_on_with_what_runs(self) -> None:
+        async def main() -> None:
+            cluster = EdgeCluster()
+            await cluster.open()
+            workflow = build_workflow(step_of(6), step_of(6, after=(0,)), step_of(2, after=(1,)))
+            await cluster.submit(JOB, workflow)
+            await asyncio.sleep(1.3)
+            node = cluster.owner()
+            assert node is not None
+            node.kill()
+            tenure = await cluster.tenure(besides=node.name)
+            self.assertIsInstance(await tenure.show(JOB), Found)
+            await cluster.wait_for_state(JOB, JobState.COMPLETED)
+            self.assertEqual(len(cluster.history), 14)
+            self.check(cluster)
+
+        run_virtual(main())
+
+    def test_handover_loses_no_run_and_takes_no_lease_time(self) -> None:
+        async def main() -> None:
+            cluster = EdgeCluster()
+            await cluster.open()
+            await cluster.submit(JOB, build_workflow(step_of(6), step_of(6, after=(0,))))
+            await asyncio.sleep(0.5)
+            node = cluster.owner()
+            assert node is not None
+            began_at = asyncio.get_running_loop().time()
+            await node.membership.leave()
+            await node.keeper.leave()
+            await cluster.tenure(besides=node.name)
+            self.assertLess(asyncio.get_running_loop().time() - began_at, 1.0)
+            await cluster.wait_for_state(JOB, JobState.COMPLETED)
+            self.assertEqual(len(cluster.history), 12)
+            self.check(cluster)
+
+        run_virtual(main())
+
+    def test_owner_without_store_and_some_workers_starts_nothing_that_its_successor_holds(
+        self,
+    ) -> None:
+        # The owner sits in a zone that is cut off with one worker; the others are beyond the cut.
+        async def main() -> None:
+            cluster = EdgeCluster()
+            for worker in cluster.workers_by_id.values():
+                worker.duration_of = lambda task: LASTING
+            await cluster.open()
+            await cluster.submit(JOB, build_workflow(step_of(4, is_long_running=True)))
+            await asyncio.sleep(2.0)
+            node = cluster.owner()
+            assert node is not None
+            other = next(n for n in cluster.nodes_by_name.values() if n is not node)
+            node.store.is_silent = True
+            node.workers.cut_off = {"w1", "w2"}
+            other.workers.cut_off = {"w0"}
+            await asyncio.sleep(12.0)
+            self.check(cluster)
+            alive = [run for run in cluster.settle() if run.ended_at is None]
+            self.assertEqual(len(alive), 4)
+
+        run_virtual(main())
+
+    def test_power_loss_of_all_right_after_an_acknowledgement_keeps_the_job(self) -> None:
+        async def main() -> None:
+            cluster = EdgeCluster()
+            await cluster.open()
+            self.assertIsInstance(await cluster.submit(JOB, build_workflow(step_of(3))), Accepted)
+            for node in list(cluster.nodes_by_name.values()):
+                node.kill()
+            await asyncio.sleep(1.0)
+            for name in list(cluster.nodes_by_name):
+                cluster.start_node(name)
+            await cluster.wait_for_state(JOB, JobState.COMPLETED)
+            self.check(cluster)
+
+        run_virtual(main())
+
+
+class WorkerFailureTest(EdgeCase):
+    """Workers that fall silent, die, or carry orders out late."""
+
+    def test_runs_of_a_worker_that_died_are_given_up_when_their_lease_has_lapsed(self) -> None:
+        async def main() -> None:
+            cluster = EdgeCluster()
+            for worker in cluster.workers_by_id.values():
+                worker.duration_of = lambda task: LASTING
+            await cluster.open()
+            await cluster.submit(JOB, build_workflow(step_of(6, is_long_running=True)))
+            await asyncio.sleep(2.0)
+            cluster.workers_by_id["w0"].is_dark = True
+            await asyncio.sleep(7.0)
+            cluster.workers_by_id["w0"].settle()
+            alive = [run for run in cluster.settle() if run.ended_at is None]
+            self.assertEqual(len(alive), 6)
+            self.assertNotIn("w0", {run.worker_id for run in alive})
+            self.check(cluster)
+
+        run_virtual(main())
+
+    def test_order_that_is_carried_out_late_runs_no_task_twice(self) -> None:
+        async def main() -> None:
+            for late_s in (0.5, 2.0, 5.0):
+                cluster = EdgeCluster()
+                await cluster.open()
+                cluster.workers_by_id["w0"].late_s = late_s
+                await cluster.submit(JOB, build_workflow(step_of(9)))
+                await asyncio.sleep(3.0)
+                cluster.workers_by_id["w0"].late_s = 0.0
+                await cluster.wait_for_state(JOB, JobState.COMPLETED)
+                await asyncio.sleep(6.0)
+                self.check(cluster)
+                for node in cluster.nodes_by_name.values():
+                    node.kill()
+
+        run_virtual(main())
+
+    def test_lost_answer_to_a_start_loses_no_task(self) -> None:
+        async def main() -> None:
+            cluster = EdgeCluster()
+            await cluster.open()
+            cluster.workers_by_id["w0"].loses_answers = True
+            await cluster.submit(JOB, build_workflow(step_of(9)))
+            await asyncio.sleep(2.0)
+            cluster.workers_by_id["w0"].loses_answers = False
+            await cluster.wait_for_state(JOB, JobState.COMPLETED)
+            self.check(cluster)
+
+        run_virtual(main())
+
+    def test_new_incarnation_of_a_worker_gets_its_tasks_again(self) -> None:
+        async def main() -> None:
+            cluster = EdgeCluster()
+            await cluster.open()
+            await cluster.submit(JOB, build_workflow(step_of(6)))
+            await asyncio.sleep(0.5)
+            cluster.workers_by_id["w0"].crash()
+            took_s = await cluster.wait_for_state(JOB, JobState.COMPLETED)
+            self.assertLess(took_s, 4.0)
+            self.check(cluster)
+
+        run_virtual(main())
--- /dev/null
+++ b/tests/test_platform_documents.py
@@ -0,0 +1,187 @@
+"""Tests of what the platform's documents are decoded into."""
+
+import json
+import tempfile
+import unittest
+from pathlib import Path
+from typing import Any
+
+from pollengate.store import Entry
+from pollengate.workflow.model import AdviceTerms, Demand, Worker, WorkerCondition
+from pollengate_platform.boot import read_boot_settings
+from pollengate_platform.documents import decode_deployment, decode_worker, evacuated_zone
+from pollengate_platform.front import decode_workflow
+from result import Result
+
+BOOT = """
+node = "n1"
+ip = "10.1.0.13"
+zone = "a"
+internalPortRange = [7720, 7735]
+bootstrap = true
+a_field_of_tomorrow = 1
+[zones]
+a = "region"
+b = "region"
+[listen]
+front = "10.1.0.13:8161"
+ready = "10.1.0.13:8167"
+[limits]
+cpuShare = 0.5
+cores = 2
+memoryMb = 300
+[bounds]
+holdMaxMs = 6000
+stopMs = 400
+graceS = 6
+cancel_ms = 3500
+status_s = 100
+[platform]
+addr = "10.200.1.7:8169"
+"""
+
+SERVER: dict[str, Any] = {
+    "service": "s",
+    "addr": "10.128.0.9:8080",
+    "zone": "a",
+    "version": "v1",
+    "slots": 8,
+    "state": "draining",
+    "coldMs": 20,
+    "capacity": {"cpu": 16000, "memMb": 32768, "gpu": 1},
+    "labels": ["k", "r1-3"],
+    "clockMs": 1,
+    "born": 77,
+    "remainingMs": 900,
+    "sequence": 4,
+}
+
+
+def decode(document: Any) -> Result[Worker, str]:
+    """Decodes a worker's entry."""
+    value = document if isinstance(document, bytes) else json.dumps(document).encode()
+    return decode_worker(Entry("servers/i-1", value, 5, 5))
+
+
+class WorkerEntryTest(unittest.TestCase):
+    """Registrations of workers, also by other writers."""
+
+    def test_entry_becomes_a_worker(self) -> None:
+        worker = decode(SERVER).unwrap()
+        self.assertEqual(worker.worker_id, "i-1")
+        self.assertIs(worker.condition, WorkerCondition.DRAINING)
+        self.assertEqual(worker.capacity, Demand(16000, 32768, 1))
+        self.assertEqual((worker.rack, worker.born_ms, worker.leaves_in_ms), ("r1-3", 77, 900))
+
+    def test_unusable_entries_name_no_worker(self) -> None:
+        without_capacity = {k: v for k, v in SERVER.items() if k != "capacity"}
+        for document in (
+            b"\xff\xfe",
+            [],
+            without_capacity,
+            SERVER | {"capacity": 5},
+            SERVER | {"state": "odd"},
+            SERVER | {"addr": "nowhere"},
+            SERVER | {"service": None},
+            SERVER | {"labels": "k"},
+        ):
+            with self.subTest(document=document):
+                self.assertTrue(decode(document).is_err())
+
+
+class ConfigurationTest(unittest.TestCase):
+    """The operators' configuration."""
+
+    def test_routes_become_queues(self) -> None:
+        document = {
+            "version": 7,
+            "routes": [
+                {"name": "r", "host": "h", "prefix": "/a/", "service": "s", "stretch": 1.5},
+                {
+                    "name": "q",
+                    "host": "h",
+                    "prefix": "/a/b/",
+                    "service": "s",
+                    "maxAttempts": 2,
+                    "targetLatencyMs": 250,
+                    "advice": {"decideMs": 5, "eachMs": 1, "validMs": 3000},
+                },
+            ],
+            "services": [{"name": "s", "rejectsOverload": False, "spare": True}],
+            "limits": {"maxBodyBytes": 10},
+        }
+        deployment = decode_deployment(json.dumps(document).encode()).unwrap()
+        found = deployment.find_queue("h", "/a/b/0123")
+        assert found is not None
+        self.assertEqual(found.name, "q")
+        self.assertEqual(found.advice, AdviceTerms(5, 1, 3000))
+        self.assertIsNone(deployment.find_queue("other", "/a/"))
+        self.assertFalse(deployment.services_by_name["s"].checks_capacity)
+        self.assertEqual(deployment.limits.body_bytes, 10)
+
+    def test_evacuated_zone_stands_in_the_key(self) -> None:
+        self.assertEqual(evacuated_zone("op/evacuate/lima-sur-a"), "lima-sur-a")
+        self.assertIsNone(evacuated_zone("op/config"))
+
+
+class SubmissionTest(unittest.TestCase):
+    """Bodies of clients."""
+
+    def test_absent_fields_are_zero_false_or_empty(self) -> None:
+        body = {
+            "spec": "text",
+            "steps": [
+                {"count": 4, "cpu": 500, "memMb": 256, "estimateMs": 900, "dataRack": "r1"},
+                {"count": 2, "after": [0], "fills": True, "targetMs": 50, "mayMiss": 1},
+            ],
+            "firstMs": 5,
+            "intervalMs": 6,
+            "repeatCount": 7,
+        }
+        workflow = decode_workflow(json.dumps(body).encode()).unwrap()
+        first, second = workflow.steps
+        self.assertEqual(first.demand, Demand(500, 256, 0))
+        self.assertEqual((first.data_rack, first.after, first.is_gang), ("r1", (), False))
+        self.assertTrue(second.is_filler)
+        self.assertEqual((second.after, second.target_ms, second.may_miss), ((0,), 50, 1))
+        self.assertEqual((workflow.first_due_ms, workflow.repeat_count), (5, 7))
+
+    def test_invalid_bodies_are_error_values(self) -> None:
+        for body in (
+            b"{",
+            b'{"spec":"x"}',
+            b'{"steps":[]}',
+            b'{"steps":[{"count":0}]}',
+            b'{"steps":[{"count":1,"after":[0]}]}',
+            b'{"steps":[{"count":1,"after":[-1]}]}',
+        ):
+            with self.subTest(body=body):
+                self.assertTrue(decode_workflow(body).is_err())
+
+
+class BootTest(unittest.TestCase):
+    """The settings file."""
+
+    def read(self, text: str) -> Any:
+        """Reads a settings file with this text."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "boot.toml"
+            path.write_text(text)
+            return read_boot_settings(path)
+
+    def test_settings(self) -> None:
+        settings = self.read(BOOT).unwrap()
+        self.assertEqual(settings.rpc_address, "10.1.0.13:7720")
+        self.assertEqual((settings.cores, settings.memory_mb), (1.0, 300))
+        self.assertEqual(settings.zones, ("a", "b"))
+        self.assertEqual(settings.bounds.max_worker_lease_s, 6.0)
+        self.assertEqual((settings.bounds.cancel_s, settings.bounds.status_s), (3.5, 100))
+
+    def test_fault_names_the_setting(self) -> None:
+        for broken, name in (
+            (BOOT.replace('front = "10.1.0.13:8161"', ""), "front"),
+            (BOOT.replace("holdMaxMs = 6000", 'holdMaxMs = "x"'), "holdMaxMs"),
+            (BOOT.replace('node = "n1"', "node = 5"), "node"),
+        ):
+            self.assertIn(name, self.read(broken).unwrap_err())
+        self.assertIn("boot.toml", self.read("= 3").unwrap_err())
--- /dev/null
+++ b/tests/test_worker_lease.py
@@ -0,0 +1,72 @@
+"""Tests of worker leases on two clocks, and of the right to give orders."""
+
+import unittest
+
+from pollengate.workflow.leases import MAX_CLOCK_DRIFT, WorkerLease
+from pollengate.workflow.rights import (
+    OUTAGE_GRACE_S,
+    OWNER_LEASE_S,
+    ShardRight,
+    inherited_lapse,
+)
+
+LENGTH_S = 4.0
+
+
+class WorkerLeaseTest(unittest.TestCase):
+    """When a lease has lapsed for certain."""
+
+    def test_lapse_allows_for_a_slow_worker_clock(self) -> None:
+        lease = WorkerLease(LENGTH_S, 0.0)
+        lease.answered(1000, 10.0)
+        self.assertEqual(lease.extend(10.0), 5000)
+        self.assertAlmostEqual(lease.lapses_at(), 10.0 + LENGTH_S / (1 - MAX_CLOCK_DRIFT))
+
+    def test_orders_that_repeat_do_not_extend(self) -> None:
+        lease = WorkerLease(LENGTH_S, 0.0)
+        lease.answered(1000, 10.0)
+        lease.extend(10.0)
+        lapses_at = lease.lapses_at()
+        for _ in range(100):
+            lease.repeat()
+        self.assertEqual(lease.lapses_at(), lapses_at)
+
+    def test_lease_of_an_earlier_owner_counts_until_it_has_lapsed(self) -> None:
+        lease = WorkerLease(LENGTH_S, 7.0)
+        self.assertEqual(lease.lapses_at(), 7.0)
+        self.assertIsNone(lease.extend(1.0))
+
+    def test_answer_tells_whether_the_lease_had_lapsed(self) -> None:
+        lease = WorkerLease(LENGTH_S, 0.0)
+        self.assertFalse(lease.answered(1000, 10.0))
+        lease.extend(10.0)
+        self.assertFalse(lease.answered(5000, 14.0))
+        self.assertTrue(lease.answered(5001, 14.1))
+
+
+class ShardRightTest(unittest.TestCase):
+    """Confirmed, in grace, lapsed and lost."""
+
+    def test_right_outlasts_the_lease_by_the_grace(self) -> None:
+        right = ShardRight(5, 10.0)
+        self.assertTrue(right.is_confirmed(10.0 + OWNER_LEASE_S - 0.01))
+        self.assertFalse(right.is_confirmed(10.0 + OWNER_LEASE_S))
+        self.assertTrue(right.holds(10.0 + OWNER_LEASE_S))
+        self.assertFalse(right.holds(10.0 + OWNER_LEASE_S + OUTAGE_GRACE_S))
+
+    def test_renewal_counts_from_when_it_was_asked_for(self) -> None:
+        right = ShardRight(5, 10.0)
+        right.renewed(11.0)
+        right.renewed(10.5)
+        self.assertTrue(right.is_confirmed(11.0 + OWNER_LEASE_S - 0.01))
+
+    def test_lost_right_never_holds_again(self) -> None:
+        right = ShardRight(5, 10.0)
+        right.lose()
+        right.renewed(12.0)
+        self.assertFalse(right.holds(12.0))
+
+    def test_successor_waits_for_orders_given_in_the_grace(self) -> None:
+        # The last order of the grace, on the slowest worker.
+        last_lapse = OUTAGE_GRACE_S + LENGTH_S / (1 - MAX_CLOCK_DRIFT)
+        self.assertGreater(inherited_lapse(0.0, LENGTH_S, MAX_CLOCK_DRIFT), last_lapse)
--- /dev/null
+++ b/tests/test_workflow_placement.py
@@ -0,0 +1,290 @@
+"""Tests of where tasks of workflows go."""
+
+import unittest
+
+from pollengate.workflow.clients import EndKind
+from pollengate.workflow.colocation import Colocation
+from pollengate.workflow.draining import runs_to_move
+from pollengate.workflow.fleet import WorkerView
+from pollengate.workflow.model import Demand, Step, WorkerCondition
+from pollengate.workflow.pacing import Pacer
+from pollengate.workflow.placement import PATIENCE_S
+from pollengate.workflow.progress import Run
+from pollengate.workflow.rebalancing import Rebalancer
+
+from tests.workflow_builders import (
+    build_books,
+    build_job,
+    build_lease_worker,
+    build_planner,
+    start_all,
+    step_of,
+)
+
+TARGET_MS = 50
+BIG = Demand(64_000, 256_000)
+
+
+def serving(image: str, count: int = 1, cpu: int = 13_000) -> Step:
+    """Returns a long-running step with a latency target."""
+    return step_of(
+        count,
+        demand=Demand(cpu, 1000),
+        is_long_running=True,
+        image=image,
+        target_ms=TARGET_MS,
+    )
+
+
+def filler(image: str, count: int = 1) -> Step:
+    """Returns a step that runs on unused processors."""
+    demand = Demand(7000, 1000)
+    return step_of(count, demand=demand, image=image, is_filler=True, saves_progress=True)
+
+
+def show(run: Run, reading: float) -> None:
+    """Gives a run a new figure, and work in progress."""
+    run.reading_change = reading - run.reading
+    run.reading = reading
+    run.percent = 100.0
+
+
+class PlacementTest(unittest.TestCase):
+    """Capacity, spread, evidence and images."""
+
+    def test_capacity_counts_everything_that_may_run(self) -> None:
+        books = build_books(build_lease_worker())
+        books.add(build_job("aa", step_of(9)), 0.0, 0)
+        runs = build_planner(books).plan(0.0)
+        self.assertEqual(len(runs), 4)
+        books.doubt(runs[0])
+        self.assertEqual(build_planner(books).plan(0.0), [])
+
+    def test_step_keeps_its_limit_for_each_worker(self) -> None:
+        books = build_books(build_lease_worker("w0"), build_lease_worker("w1"))
+        books.add(build_job("aa", step_of(4, max_per_worker=1)), 0.0, 0)
+        self.assertEqual({run.worker_id for run in start_all(books)}, {"w0", "w1"})
+        self.assertEqual(start_all(books), [])
+
+    def test_required_label_and_data_rack(self) -> None:
+        books = build_books(
+            build_lease_worker("w0", labels=("k0", "r0")),
+            build_lease_worker("w1", labels=("k1", "r1"), rack="r1"),
+        )
+        books.add(build_job("aa", step_of(required_label="k1")), 0.0, 0)
+        books.add(build_job("bb", step_of(data_rack="r0")), 0.0, 0)
+        self.assertEqual(
+            {run.task.name: run.worker_id for run in start_all(books)},
+            {"aa.0.0.0": "w1", "bb.0.0.0": "w0"},
+        )
+
+    def test_nothing_starts_on_draining_evacuated_unlisted_or_unrecorded_workers(self) -> None:
+        workers = [build_lease_worker(f"w{n}", zone=f"z{n}") for n in range(4)]
+        books = build_books(*workers)
+        views = books.fleet.workers_by_id
+        views["w0"].info = build_lease_worker("w0", condition=WorkerCondition.DRAINING)
+        books.fleet.evacuated_zones = frozenset({"z1"})
+        views["w2"].is_listed = False
+        views["w3"].is_recorded = False
+        books.add(build_job("aa"), 0.0, 0)
+        self.assertEqual(start_all(books), [])
+        views["w3"].is_recorded = True
+        self.assertEqual([run.worker_id for run in start_all(books)], ["w3"])
+
+    def test_task_that_lasts_returns_to_a_worker_that_failed_it_rather_than_wait(self) -> None:
+        books = build_books(build_lease_worker("w0"))
+        books.add(build_job("aa", step_of(is_long_running=True)), 0.0, 0)
+        (run,) = start_all(books)
+        books.end(run, EndKind.FAILED, "", 1.0, 0)
+        self.assertEqual([run.worker_id for run in start_all(books)], ["w0"])
+
+    def test_one_image_serves_on_as_few_workers_as_hold_it(self) -> None:
+        workers = [build_lease_worker(f"w{n}", capacity=BIG) for n in range(4)]
+        books = build_books(*workers)
+        books.add(build_job("aa", serving("x", 4)), 0.0, 0)
+        books.add(build_job("bb", serving("y", 4)), 0.0, 0)
+        start_all(books)
+        images = [
+            {run.task.step.spec.image for run in view.serving}
+            for view in books.fleet.workers_by_id.values()
+        ]
+        self.assertTrue(all(len(present) <= 1 for present in images), images)
+
+    def test_unsettled_takeover_holds_back_restored_jobs_only(self) -> None:
+        books = build_books(build_lease_worker())
+        old, new = build_job("aa"), build_job("bb")
+        old.is_restored = True
+        books.add(old, 0.0, 0)
+        books.add(new, 0.0, 0)
+        runs = build_planner(books, settled=False).plan(0.0)
+        self.assertEqual([run.task.name for run in runs], ["bb.0.0.0"])
+
+
+class ColocationTest(unittest.TestCase):
+    """Beliefs about pairs and what follows from them."""
+
+    def setUp(self) -> None:
+        self.colocation = Colocation()
+        self.books = build_books(build_lease_worker("w0", capacity=BIG))
+        self.books.add(build_job("aa", serving("x")), 0.0, 0)
+        (self.serving,) = start_all(self.books)
+        self.view: WorkerView = self.books.fleet.workers_by_id["w0"]
+
+    def add_filler(self, job_id: str, image: str) -> Run:
+        """Starts a filler that works."""
+        self.books.add(build_job(job_id, filler(image)), 0.0, 0)
+        runs = build_planner(self.books, self.colocation).plan(0.0)
+        for run in runs:
+            self.books.confirm(run, 0.0)
+            show(run, 7000)
+        return runs[0]
+
+    def observe(self, *latencies: float) -> None:
+        """Shows latencies of the serving task one after the other."""
+        for latency in latencies:
+            show(self.serving, latency)
+            self.colocation.observe(self.view)
+
+    def test_rising_latency_over_the_target_blames_the_filler(self) -> None:
+        self.add_filler("bb", "f")
+        self.observe(60, 90)
+        self.assertGreater(self.colocation.probability("x", "f"), 0.5)
+        self.assertEqual(self.colocation.kept_out(["x"]), {"f"})
+
+    def test_falling_latency_blames_nobody(self) -> None:
+        show(self.serving, 400)
+        self.add_filler("bb", "f")
+        before = self.colocation.probability("x", "f")
+        self.observe(300, 200, 100, 60)
+        self.assertEqual(self.colocation.probability("x", "f"), before)
+
+    def test_good_latency_clears_the_filler(self) -> None:
+        self.add_filler("bb", "f")
+        self.observe(*(20 + n % 2 for n in range(20)))
+        self.assertLess(self.colocation.probability("x", "f"), 0.1)
+
+    def test_figure_that_is_reported_again_counts_once(self) -> None:
+        self.add_filler("bb", "f")
+        self.observe(90)
+        after_one = self.colocation.probability("x", "f")
+        self.observe(90, 90, 90)
+        self.assertEqual(self.colocation.probability("x", "f"), after_one)
+
+    def test_harmful_filler_waits_until_its_patience_ends(self) -> None:
+        self.add_filler("bb", "f")
+        self.observe(60, 90, 120)
+        self.books.add(build_job("cc", filler("f")), 1.0, 0)
+        planner = build_planner(self.books, self.colocation)
+        self.assertEqual(planner.plan(1.0), [])
+        self.assertEqual(len(planner.plan(1.0 + PATIENCE_S)), 1)
+
+    def test_worker_of_unknown_capacity_teaches_nothing(self) -> None:
+        # Right after a takeover the roster names workers that the registry has not shown yet.
+        self.add_filler("bb", "f")
+        self.view.info = build_lease_worker("w0", capacity=Demand())
+        self.view.is_listed = False
+        self.observe(90)
+        self.assertLess(self.colocation.probability("x", "f"), 0.5)
+
+    def test_successor_takes_beliefs_over(self) -> None:
+        self.add_filler("bb", "f")
+        self.observe(60, 90, 120)
+        successor = Colocation()
+        successor.load(self.colocation.export())
+        self.assertEqual(successor.kept_out(["x"]), {"f"})
+
+    def test_only_the_harmful_filler_is_paced_and_then_leaves(self) -> None:
+        harmful = self.add_filler("bb", "f")
+        self.observe(60, 90, 120)
+        harmless = self.add_filler("cc", "g")
+        pacer = Pacer(self.colocation)
+        changes = pacer.adjust(self.view, 1.0)
+        self.assertEqual([change.run for change in changes], [harmful])
+        changes[0].apply(1.0)
+        self.assertEqual(pacer.relocations(self.view, 1.1), [])
+        self.assertEqual(pacer.relocations(self.view, 2.0), [harmful])
+        self.assertEqual(harmless.pace, 100)
+
+    def test_pace_comes_back_when_the_latency_is_good(self) -> None:
+        run = self.add_filler("bb", "f")
+        self.observe(60, 90)
+        pacer = Pacer(self.colocation)
+        for change in pacer.adjust(self.view, 1.0):
+            change.apply(1.0)
+        self.assertLess(run.pace, 100)
+        show(self.serving, 20)
+        for second in range(2, 8):
+            for change in pacer.adjust(self.view, float(second)):
+                change.apply(float(second))
+        self.assertEqual(run.pace, 100)
+
+
+class RebalancingTest(unittest.TestCase):
+    """Moves of serving tasks."""
+
+    def setUp(self) -> None:
+        self.colocation = Colocation()
+        self.colocation.load({"x": {"f": 3.0, "g": 3.0}, "y": {"f": -3.0}})
+        self.books = build_books(*(build_lease_worker(f"w{n}", capacity=BIG) for n in range(2)))
+        self.books.add(build_job("aa", serving("x", 2)), 0.0, 0)
+        self.books.add(build_job("bb", serving("y", 2)), 0.0, 0)
+
+    def place(self, **worker_by_task: str) -> None:
+        """Puts each task on a worker, at work."""
+        for name, worker_id in worker_by_task.items():
+            task = self.books.find_task(f"{name[:2]}.0.0.{name[2:]}")
+            assert task is not None
+            run = self.books.begin(task, self.books.fleet.workers_by_id[worker_id], 1, 0.0)
+            self.books.confirm(run, 0.0)
+            run.percent = 100.0
+
+    def choose(self, now: float = 1.0) -> Run | None:
+        """Returns the move that a fresh rebalancer makes."""
+        return Rebalancer(self.books.fleet, self.colocation).choose(now)
+
+    def test_sensitive_task_leaves_the_others(self) -> None:
+        self.place(aa0="w0", aa1="w1", bb0="w1", bb1="w1")
+        chosen = self.choose()
+        assert chosen is not None
+        self.assertEqual(chosen.task.name, "aa.0.0.1")
+
+    def test_separate_images_stay(self) -> None:
+        self.place(aa0="w0", aa1="w0", bb0="w1", bb1="w1")
+        self.assertIsNone(self.choose())
+
+    def test_no_task_leaves_while_another_of_its_step_is_away(self) -> None:
+        self.place(aa0="w0", aa1="w1", bb0="w1", bb1="w1")
+        task = self.books.find_task("aa.0.0.0")
+        assert task is not None
+        next(iter(task.runs_by_number.values())).percent = 10.0
+        self.assertIsNone(self.choose())
+
+    def test_moves_keep_their_distance(self) -> None:
+        self.place(aa0="w0", aa1="w1", bb0="w1", bb1="w1")
+        rebalancer = Rebalancer(self.books.fleet, self.colocation)
+        self.assertIsNotNone(rebalancer.choose(1.0))
+        self.assertIsNone(rebalancer.choose(1.1))
+
+
+class DrainingTest(unittest.TestCase):
+    """What moves off a worker that is about to go."""
+
+    def test_lasting_and_resumable_runs_move_and_others_finish(self) -> None:
+        books = build_books(build_lease_worker("w0"))
+        steps = (step_of(), step_of(is_long_running=True), step_of(saves_progress=True))
+        books.add(build_job("aa", *steps), 0.0, 0)
+        start_all(books)
+        view = books.fleet.workers_by_id["w0"]
+        self.assertEqual(runs_to_move(view), [])
+        view.info = build_lease_worker("w0", condition=WorkerCondition.DRAINING)
+        moving = {run.task.name for run in runs_to_move(view)}
+        self.assertEqual(moving, {"aa.0.1.0", "aa.0.2.0"})
+
+    def test_worker_that_deregisters_after_a_drain_has_left(self) -> None:
+        books = build_books(build_lease_worker("w0"))
+        view = books.fleet.workers_by_id["w0"]
+        books.fleet.update([], 1.0)
+        self.assertFalse(view.has_left)
+        books.fleet.update([build_lease_worker("w0", condition=WorkerCondition.DRAINING)], 2.0)
+        books.fleet.update([], 3.0)
+        self.assertTrue(view.has_left)
--- /dev/null
+++ b/tests/workflow_builders.py
@@ -0,0 +1,98 @@
+"""Builders of workflows, workers and books for tests."""
+
+from typing import Any
+
+from pollengate.failure_evidence import FailureEvidence
+from pollengate.workflow.books import WorkflowBooks
+from pollengate.workflow.colocation import Colocation
+from pollengate.workflow.fleet import Fleet
+from pollengate.workflow.model import (
+    Demand,
+    Deployment,
+    Queue,
+    Step,
+    Worker,
+    WorkerCondition,
+    Workflow,
+)
+from pollengate.workflow.placement import Placer
+from pollengate.workflow.planner import Planner
+from pollengate.workflow.progress import JobProgress, Run
+
+__all__ = [
+    "build_books",
+    "build_deployment",
+    "build_job",
+    "build_lease_worker",
+    "build_planner",
+    "build_workflow",
+    "start_all",
+    "step_of",
+]
+
+QUEUE = "queue"
+SERVICE = "service"
+LEASE_S = 4.0
+
+
+def step_of(count: int = 1, **changes: Any) -> Step:
+    """Returns a step of small tasks."""
+    fields: dict[str, Any] = {"demand": Demand(1000, 100), "estimate_ms": 1000}
+    return Step(count, **(fields | changes))
+
+
+def build_workflow(*steps: Step, **changes: Any) -> Workflow:
+    """Returns a workflow, of one task unless steps are given."""
+    return Workflow("payload", steps or (step_of(),), **changes)
+
+
+def build_job(job_id: str = "00000000000000aa", *steps: Step, **changes: Any) -> JobProgress:
+    """Returns a job accepted at time 0."""
+    return JobProgress(job_id, QUEUE, build_workflow(*steps, **changes), 0, 0.0)
+
+
+def build_deployment(version: int = 1, **changes: Any) -> Deployment:
+    """Returns a configuration with one queue."""
+    fields: dict[str, Any] = {"max_attempts": 2, "stretch": 2.0, "target_ms": 500}
+    return Deployment(version, (Queue(QUEUE, "host", "/jobs/", SERVICE, **(fields | changes)),))
+
+
+def build_lease_worker(worker_id: str = "w0", **changes: Any) -> Worker:
+    """Returns a ready worker with four cores."""
+    fields: dict[str, Any] = {
+        "service": SERVICE,
+        "address": f"{worker_id}:1",
+        "zone": "a",
+        "condition": WorkerCondition.READY,
+        "capacity": Demand(4000, 1000),
+        "labels": ("kind", "r0"),
+        "rack": "r0",
+    }
+    return Worker(worker_id, **(fields | changes))
+
+
+def build_books(*workers: Worker, tenure: int = 0, **queue: Any) -> WorkflowBooks:
+    """Returns books over workers that are attached and recorded."""
+    fleet = Fleet(LEASE_S, 0.0)
+    fleet.update(workers, 0.0)
+    for view in fleet.workers_by_id.values():
+        view.is_attached = view.is_recorded = True
+    books = WorkflowBooks(fleet, FailureEvidence(lambda: 0.0), tenure)
+    books.deployment = build_deployment(**queue)
+    return books
+
+
+def build_planner(
+    books: WorkflowBooks, colocation: Colocation | None = None, settled: bool = True
+) -> Planner:
+    """Returns a planner over books."""
+    placer = Placer(books.evidence, colocation or Colocation())
+    return Planner(books, placer, lambda: settled)
+
+
+def start_all(books: WorkflowBooks, now: float = 0.0) -> list[Run]:
+    """Plans and confirms every start that finds a place."""
+    runs = build_planner(books).plan(now)
+    for run in runs:
+        books.confirm(run, now)
+    return runs
