Refuse at once where the owner is out of reach; hold runs until the shard is handed over

Now each gate pings the owner every 0.4 s, refuses before sending anything and is not ready while the pings fail; a leaving owner holds its runs until the store has taken the handover.

--- a/packages/pollengate-net/pollengate_net/messages/edge_grpc.py
+++ b/packages/pollengate-net/pollengate_net/messages/edge_grpc.py
@@ -30,6 +30,10 @@
     async def CountWaiting(self, stream: 'grpclib.server.Stream[pollengate_net.messages.edge_pb2.QueueRequest, pollengate_net.messages.edge_pb2.JobReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Ping(self, stream: 'grpclib.server.Stream[pollengate_net.messages.edge_pb2.QueueRequest, pollengate_net.messages.edge_pb2.JobReply]') -> None:
+        pass
+
     @abc.abstractmethod
     async def GetView(self, stream: 'grpclib.server.Stream[pollengate_net.messages.edge_pb2.ViewRequest, pollengate_net.messages.edge_pb2.ViewReply]') -> None:
         pass
@@ -60,6 +64,12 @@
                 pollengate_net.messages.edge_pb2.QueueRequest,
                 pollengate_net.messages.edge_pb2.JobReply,
             ),
+            '/pollengate.edge.v1.Edge/Ping': grpclib.const.Handler(
+                self.Ping,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                pollengate_net.messages.edge_pb2.QueueRequest,
+                pollengate_net.messages.edge_pb2.JobReply,
+            ),
             '/pollengate.edge.v1.Edge/GetView': grpclib.const.Handler(
                 self.GetView,
                 grpclib.const.Cardinality.UNARY_UNARY,
@@ -96,6 +106,12 @@
             pollengate_net.messages.edge_pb2.QueueRequest,
             pollengate_net.messages.edge_pb2.JobReply,
         )
+        self.Ping = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/pollengate.edge.v1.Edge/Ping',
+            pollengate_net.messages.edge_pb2.QueueRequest,
+            pollengate_net.messages.edge_pb2.JobReply,
+        )
         self.GetView = grpclib.client.UnaryUnaryMethod(
             channel,
             '/pollengate.edge.v1.Edge/GetView',
--- a/packages/pollengated/pollengated/edge/compose.py
+++ b/packages/pollengated/pollengated/edge/compose.py
@@ -19,11 +19,13 @@
 
 from pollengated.edge.clocks import Clocks
 from pollengated.edge.edge_metrics import EdgeMetrics
+from pollengated.edge.edge_readiness import EdgeReadiness
 from pollengated.edge.gate_desk import GateDesk
 from pollengated.edge.layout import find_layout
 from pollengated.edge.membership import Membership
 from pollengated.edge.node_directory import NodeDirectory, NodeRecord
 from pollengated.edge.operator_view import OperatorView
+from pollengated.edge.owner_probe import OwnerProbe
 from pollengated.edge.rpc import EdgeClient, EdgeService
 from pollengated.edge.shard_keeper import ShardKeeper
 from pollengated.edge.shard_tenure import ShardTenure
@@ -66,9 +68,8 @@
     stop_flag = StopFlag()
     stop = GateStop(stop_flag, STOP_DELAY_S)
     log.info("starting", node=settings.node, zone=settings.zone, incarnation=record.incarnation)
-    probes = create_probes(
-        lambda: operators.deployment is not None and not stop_flag.is_stopping, metrics.export
-    )
+    readiness = EdgeReadiness(operators, stop_flag)
+    probes = create_probes(readiness.is_ready, metrics.export)
     rpc_server = Server([EdgeService(owned, operators)])
     await rpc_server.start(*split_address(settings.rpc_address))
     servers = [
@@ -95,12 +96,17 @@
         keeper = ShardKeeper(shard, record, store, directory, clocks, make_tenure)
         owned.keepers_by_shard[shard] = keeper
         tasks.append(asyncio.create_task(keeper.run()))
-    desk = GateDesk(layout.shards, owned, operators, directory, client, store, clocks, metrics)
+    probe = OwnerProbe(layout.shards, owned, directory, client, clocks)
+    tasks.append(asyncio.create_task(probe.run()))
+    desk = GateDesk(
+        layout.shards, owned, operators, directory, client, probe, store, clocks, metrics
+    )
+    readiness.probe = probe
     front = _server(ClosingConnections(create_front(desk), stop_flag), settings.client_address)
     log.info("serving", address=settings.client_address, shards=layout.shards)
     leaving = asyncio.create_task(_leave_after(stop_flag, membership, owned))
     await stop.serve(front)
-    await leaving
+    leaving.cancel()
     for task in tasks:
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
--- /dev/null
+++ b/packages/pollengated/pollengated/edge/edge_readiness.py
@@ -0,0 +1,29 @@
+"""Whether the platform should send new clients to this process."""
+
+from pollengated.edge.operator_view import OperatorView
+from pollengated.edge.owner_probe import OwnerProbe
+from pollengated.readiness import StopFlag
+
+__all__ = ["EdgeReadiness"]
+
+
+class EdgeReadiness:
+    """Ready with a configuration and an answering owner, until the process stops.
+
+    Attributes:
+        probe: set once the number of shards is known; before that the process is not ready.
+    """
+
+    def __init__(self, operators: OperatorView, stop_flag: StopFlag) -> None:
+        self.probe: OwnerProbe | None = None
+        self._operators = operators
+        self._stop_flag = stop_flag
+
+    def is_ready(self) -> bool:
+        """Tells whether requests are likely to be served here."""
+        return (
+            self._operators.deployment is not None
+            and not self._stop_flag.is_stopping
+            and self.probe is not None
+            and self.probe.are_all_reachable()
+        )
--- a/packages/pollengated/pollengated/edge/gate_desk.py
+++ b/packages/pollengated/pollengated/edge/gate_desk.py
@@ -24,6 +24,7 @@
 from pollengated.edge.edge_metrics import EdgeMetrics
 from pollengated.edge.node_directory import NodeDirectory
 from pollengated.edge.operator_view import OperatorView
+from pollengated.edge.owner_probe import OwnerProbe
 from pollengated.edge.rpc import EdgeClient, NotOwner
 from pollengated.edge.shard_tenure import ShardTenure
 from pollengated.edge.shards import OwnedShards
@@ -50,6 +51,7 @@
         operators: the configuration.
         directory: who owns what.
         client: calls other processes.
+        probe: tells which owners answer.
         store: read where a shard has no owner.
         clocks: the process's clocks.
         metrics: counts answers.
@@ -62,6 +64,7 @@
         operators: OperatorView,
         directory: NodeDirectory,
         client: EdgeClient,
+        probe: OwnerProbe,
         store: PolledStore,
         clocks: Clocks,
         metrics: EdgeMetrics,
@@ -71,6 +74,7 @@
         self._operators = operators
         self._directory = directory
         self._client = client
+        self._probe = probe
         self._store = store
         self._clocks = clocks
         self._metrics = metrics
@@ -176,6 +180,8 @@
                 undecided = answer
             elif answer is not None:
                 return answer
+            if undecided is None and not self._probe.is_reachable(shard):
+                return NotAccepted("owner_unreachable", RETRY_AFTER_S)
             waited_s = self._clocks.steady() - began_at
             if undecided is not None and waited_s >= ANSWER_TIMEOUT_S:
                 return undecided
@@ -189,7 +195,7 @@
         if tenure is not None:
             return await local(tenure)
         owner = self._directory.owner(shard)
-        if owner is None:
+        if owner is None or not self._probe.is_reachable(shard):
             return None
         result = await remote(owner.record.address)
         if isinstance(result, Err):
--- /dev/null
+++ b/packages/pollengated/pollengated/edge/owner_probe.py
@@ -0,0 +1,82 @@
+"""Tells whether the owners of shards answer this process.
+
+Made for a zone that is cut off from the owner: requests that come there meanwhile are refused at
+once, before anything is sent, and the platform is told to send clients elsewhere.
+"""
+
+import asyncio
+
+from pollengated.edge.clocks import Clocks
+from pollengated.edge.node_directory import NodeDirectory
+from pollengated.edge.rpc import EdgeClient
+from pollengated.edge.shards import OwnedShards
+from pollengated.logs import Log
+
+__all__ = ["OwnerProbe"]
+
+PROBE_INTERVAL_S = 0.4
+# A ping takes a few milliseconds; this leaves room for a burst at the owner.
+PROBE_TIMEOUT_S = 0.4
+# A takeover takes tens of milliseconds once the directory shows it.
+UNREACHABLE_AFTER_S = 0.7
+
+
+class OwnerProbe:
+    """Pings the owner of each shard.
+
+    Args:
+        shards: number of shards.
+        owned: those that this process owns.
+        directory: who owns the others.
+        client: sends the pings.
+        clocks: the process's clocks.
+    """
+
+    def __init__(
+        self,
+        shards: int,
+        owned: OwnedShards,
+        directory: NodeDirectory,
+        client: EdgeClient,
+        clocks: Clocks,
+    ) -> None:
+        self._shards = shards
+        self._owned = owned
+        self._directory = directory
+        self._client = client
+        self._clocks = clocks
+        self._failing_since_by_shard: dict[int, float] = {}
+        self._log = Log("probe")
+
+    async def run(self) -> None:
+        """Probes until cancelled."""
+        while True:
+            await asyncio.gather(*(self._probe(shard) for shard in range(self._shards)))
+            await asyncio.sleep(PROBE_INTERVAL_S)
+
+    def is_reachable(self, shard: int) -> bool:
+        """Tells whether a request may be sent to a shard's owner."""
+        since = self._failing_since_by_shard.get(shard)
+        return since is None or self._clocks.steady() - since < UNREACHABLE_AFTER_S
+
+    def are_all_reachable(self) -> bool:
+        """Tells whether every shard's owner is; a shard without one counts as reachable."""
+        return all(self.is_reachable(shard) for shard in range(self._shards))
+
+    async def _probe(self, shard: int) -> None:
+        owner = self._directory.owner(shard)
+        if owner is None or self._owned.serving(shard) is not None:
+            self._note(shard, True)
+            return
+        address = owner.record.address
+        self._note(shard, await self._client.ping(address, shard, PROBE_TIMEOUT_S))
+
+    def _note(self, shard: int, has_answered: bool) -> None:
+        since = self._failing_since_by_shard.get(shard)
+        if has_answered and since is not None:
+            del self._failing_since_by_shard[shard]
+            failing_s = round(self._clocks.steady() - since, 2)
+            self._log.info("owner answers again", shard=shard, failing_s=failing_s)
+        elif not has_answered and since is None:
+            self._failing_since_by_shard[shard] = self._clocks.steady()
+            self._log.warning("owner does not answer a ping", shard=shard)
--- a/packages/pollengated/pollengated/edge/rpc.py
+++ b/packages/pollengated/pollengated/edge/rpc.py
@@ -75,6 +75,11 @@
         """Counts the waiting jobs of a queue in one shard."""
         return await self._ask(address, "CountWaiting", pb.QueueRequest(shard=shard, queue=queue))
 
+    async def ping(self, address: str, shard: int, timeout_s: float) -> bool:
+        """Tells whether a process answers at once and serves a shard."""
+        result = await self._call(address, "Ping", pb.QueueRequest(shard=shard), timeout_s)
+        return not isinstance(result, Err) and result.ok_value.kind == "accepted"
+
     async def view(self, address: str) -> Result[tuple[tuple[Entry, ...], int], CallFailure]:
         """Returns what another process knows of the operators' keys, and its revision."""
         result = await self._call(address, "GetView", pb.ViewRequest(), VIEW_TIMEOUT_S)
@@ -155,6 +160,12 @@
             return
         await stream.send_message(_reply(tenure.count_waiting(request.queue)))
 
+    async def Ping(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
+        """Says whether this process serves a shard."""
+        request = await receive(stream)
+        is_serving = self._shards.serving(request.shard) is not None
+        await stream.send_message(pb.JobReply(kind="accepted" if is_serving else _NOT_OWNER))
+
     async def GetView(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
         """Passes on what the operators wrote."""
         await receive(stream)
--- a/packages/pollengated/pollengated/edge/shard_keeper.py
+++ b/packages/pollengated/pollengated/edge/shard_keeper.py
@@ -78,10 +78,16 @@
             return
         await tenure.prepare_handover(HANDOVER_TIMEOUT_S)
         condition = Unchanged(self._key, tenure.right.token)
-        tenure.right.lose()
-        released = await self._store.commit((condition,), (Delete(self._key),))
-        cause = released.err_value.detail if isinstance(released, Err) else "none"
-        self._log.info("shard handed over", shard=self._shard, failure=cause)
+        # Without the store nobody can take over: what runs is held as long as this process lives.
+        while not tenure.right.is_lost:
+            released = await self._store.commit((condition,), (Delete(self._key),))
+            if not isinstance(released, Err):
+                self._log.info("shard handed over", shard=self._shard)
+                tenure.right.lose()
+                return
+            cause = released.err_value.detail
+            self._log.warning("shard is not handed over", shard=self._shard, cause=cause)
+            await asyncio.sleep(RETRY_S)
 
     async def _end_own_past(self) -> None:
         """Ends the ownership of an earlier process of this VM, which is certainly dead."""
--- /dev/null
+++ b/tests/test_gate_desk.py
@@ -0,0 +1,159 @@
+"""Tests of a gate between clients and the owners of shards."""
+
+import asyncio
+import unittest
+from typing import Any
+
+from pollengate.memory_store import MemoryStore
+from pollengate.store import Entry, Put
+from pollengate.workflow.desk import Accepted, Found, JobAnswer, NoSuchJob, NotAccepted, Undecided
+from pollengate.workflow.keys import job_key, owner_key, progress_key
+from pollengate.workflow.progress import JobState
+from pollengate.workflow.records import encode_job, encode_progress
+from pollengate_net.calls import CallFailure
+from pollengated.edge.clocks import Clocks
+from pollengated.edge.edge_metrics import EdgeMetrics
+from pollengated.edge.gate_desk import ANSWER_TIMEOUT_S, OWNER_WAIT_S, GateDesk
+from pollengated.edge.node_directory import NodeDirectory, NodeRecord
+from pollengated.edge.operator_view import OperatorView
+from pollengated.edge.owner_probe import UNREACHABLE_AFTER_S, OwnerProbe
+from pollengated.edge.rpc import EdgeClient, NotOwner
+from pollengated.edge.shards import OwnedShards
+from result import Err, Ok, Result
+
+from tests.utils import run_virtual
+from tests.workflow_builders import build_deployment, build_job, build_workflow
+
+JOB = "00000000000000aa"
+QUEUE = build_deployment().queues[0]
+LOST = CallFailure(True, "timeout")
+REFUSED = CallFailure(False, "refused")
+Answer = JobAnswer | NotOwner | CallFailure
+
+
+class ScriptedClient(EdgeClient):
+    """Answers submissions and questions from a script, the last answer for ever."""
+
+    def __init__(self, *answers: Answer) -> None:
+        super().__init__()
+        self._answers = list(answers)
+        self.asked: list[str] = []
+        self.answers_pings = True
+
+    async def submit(self, address: str, *_: Any) -> Result[JobAnswer | NotOwner, CallFailure]:
+        """Answers."""
+        return await self._next(address)
+
+    async def show(self, address: str, *_: Any) -> Result[JobAnswer | NotOwner, CallFailure]:
+        """Answers."""
+        return await self._next(address)
+
+    async def ping(self, address: str, shard: int, timeout_s: float) -> bool:
+        """Answers at once or not at all."""
+        if not self.answers_pings:
+            await asyncio.sleep(timeout_s)
+        return self.answers_pings
+
+    async def _next(self, address: str) -> Result[JobAnswer | NotOwner, CallFailure]:
+        self.asked.append(address)
+        answer = self._answers.pop(0) if len(self._answers) > 1 else self._answers[0]
+        await asyncio.sleep(0.9 if answer is LOST else 0.002)
+        return Err(answer) if isinstance(answer, CallFailure) else Ok(answer)
+
+
+class Gate:
+    """A desk with an owner on another VM."""
+
+    def __init__(self, *answers: Answer, has_owner: bool = True) -> None:
+        clocks = Clocks.of_loop()
+        self.store = MemoryStore()
+        self.client = ScriptedClient(*answers)
+        self.directory = NodeDirectory(self.store, clocks)
+        if has_owner:
+            value = NodeRecord("n1", "n1:1", "x").encode()
+            entry = Entry(owner_key(0), value, 5, 5, 6)
+            self.directory.follower.entries_by_key[owner_key(0)] = entry
+        owned = OwnedShards()
+        self.probe = OwnerProbe(1, owned, self.directory, self.client, clocks)
+        self.desk = GateDesk(
+            1,
+            owned,
+            OperatorView(self.store, clocks),
+            self.directory,
+            self.client,
+            self.probe,
+            self.store,
+            clocks,
+            EdgeMetrics(),
+        )
+
+    async def submit(self) -> tuple[JobAnswer, float]:
+        """Submits a job; returns the answer and how long it took."""
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        answer = await self.desk.submit(QUEUE, JOB, build_workflow())
+        return answer, loop.time() - began_at
+
+
+class SubmitTest(unittest.TestCase):
+    """What a client is told when owners fail."""
+
+    def submit(self, *answers: Answer, has_owner: bool = True) -> tuple[JobAnswer, float]:
+        """Submits at a gate whose owner answers as told."""
+
+        async def main() -> tuple[JobAnswer, float]:
+            return await Gate(*answers, has_owner=has_owner).submit()
+
+        return run_virtual(main())
+
+    def test_request_that_an_owner_left_open_is_asked_of_the_next(self) -> None:
+        answer, took_s = self.submit(LOST, NotOwner(), Accepted())
+        self.assertIsInstance(answer, Accepted)
+        self.assertLess(took_s, ANSWER_TIMEOUT_S)
+
+    def test_refusal_is_never_given_once_an_owner_may_have_the_job(self) -> None:
+        answer, _ = self.submit(LOST, REFUSED)
+        self.assertIsInstance(answer, Undecided)
+
+    def test_without_an_owner_the_job_is_refused_soon(self) -> None:
+        for answers in ((REFUSED,), (NotOwner(),)):
+            answer, took_s = self.submit(*answers)
+            self.assertIsInstance(answer, NotAccepted)
+            self.assertLess(took_s, OWNER_WAIT_S + 0.2)
+        answer, _ = self.submit(Accepted(), has_owner=False)
+        self.assertIsInstance(answer, NotAccepted)
+
+    def test_unreachable_owner_is_not_asked(self) -> None:
+        async def main() -> None:
+            gate = Gate(Accepted())
+            gate.client.answers_pings = False
+            probing = asyncio.create_task(gate.probe.run())
+            await asyncio.sleep(UNREACHABLE_AFTER_S + 1.0)
+            self.assertFalse(gate.probe.are_all_reachable())
+            answer, took_s = await gate.submit()
+            self.assertEqual(answer, NotAccepted("owner_unreachable", 1.0))
+            self.assertEqual(took_s, 0.0)
+            self.assertEqual(gate.client.asked, [])
+            gate.client.answers_pings = True
+            await asyncio.sleep(1.0)
+            self.assertIsInstance((await gate.submit())[0], Accepted)
+            probing.cancel()
+
+        run_virtual(main())
+
+
+class ShowTest(unittest.TestCase):
+    """States of jobs while the owner is away."""
+
+    def test_records_answer_in_the_owners_place(self) -> None:
+        async def main() -> None:
+            gate = Gate(REFUSED)
+            self.assertIsInstance(await gate.desk.show(QUEUE, JOB), NoSuchJob)
+            job = build_job(JOB)
+            await gate.store.commit((), (Put(job_key(0, JOB), encode_job(job)),))
+            self.assertEqual(await gate.desk.show(QUEUE, JOB), Found(JobState.QUEUED))
+            job.state = JobState.COMPLETED
+            await gate.store.commit((), (Put(progress_key(0, JOB), encode_progress(job)),))
+            self.assertEqual(await gate.desk.show(QUEUE, JOB), Found(JobState.COMPLETED))
+
+        run_virtual(main())
