--- a/packages/pollengate/pollengate/workflow/books.py
+++ b/packages/pollengate/pollengate/workflow/books.py
@@ -166,6 +166,8 @@
         if run.state is RunState.ENDED:
             return
         run.move("ended")
+        if how is EndKind.DONE and run.is_undisturbed:
+            run.task.step.durations.append(now - run.asked_at)
         self.result(run.task, run.number, run.worker_id, how, checkpoint, now, now_ms)
         self._drop(run)
 
@@ -199,6 +201,13 @@
         run.answered_at = now
         return run
 
+    def needs_copy(self, task: TaskProgress) -> None:
+        """Lets a task that runs wait for a second start; its step allows copies."""
+        step = task.step
+        if not task.is_done and not step.job.is_ended and task not in step.waiting:
+            step.waiting.append(task)
+            self.open_steps[step] = None
+
     def requeue(self, task: TaskProgress) -> None:
         """Lets a task wait for a start if it needs one."""
         step = task.step
--- a/packages/pollengate/pollengate/workflow/placement.py
+++ b/packages/pollengate/pollengate/workflow/placement.py
@@ -11,6 +11,7 @@
 from pollengate.workflow.colocation import HARMFUL_PROBABILITY, Colocation
 from pollengate.workflow.fleet import WorkerView
 from pollengate.workflow.progress import StepProgress, TaskProgress
+from pollengate.workflow.tickets import TicketBook
 
 __all__ = ["Placer"]
 
@@ -43,44 +44,58 @@
     Args:
         evidence: which workers fail what.
         colocation: what is known of fillers beside serving tasks.
+        tickets: where steps of queues with advice may run.
     """
 
-    def __init__(self, evidence: FailureEvidence, colocation: Colocation) -> None:
+    def __init__(
+        self, evidence: FailureEvidence, colocation: Colocation, tickets: TicketBook
+    ) -> None:
         self._evidence = evidence
+        self._tickets = tickets
         self._colocation = colocation
 
     def choose(
-        self, task: TaskProgress, workers: Sequence[WorkerView], now: float
+        self,
+        task: TaskProgress,
+        workers: Sequence[WorkerView],
+        now: float,
+        needs_ticket: bool = False,
     ) -> WorkerView | None:
         """Returns the best worker for a task, None if it fits nowhere.
 
         Workers that failed the task come last: they get a task that lasts again when no other has
         room, any other task only when no other worker is left.
         """
+        if needs_ticket:
+            workers = [v for v in workers if self._tickets.ticket(task.step, v, now)]
         admitted = [v for v in workers if self._evidence.admits(v.worker_id, task.name)]
-        best = self._best(task.step, admitted, now)
+        best = self._best(task, admitted, now)
         if best is None and (task.step.spec.is_long_running or not admitted):
             sound = [v for v in workers if not self._evidence.is_quarantined(v.worker_id)]
-            best = self._best(task.step, sound, now)
+            best = self._best(task, sound, now)
         return best
 
     def _best(
-        self, step: StepProgress, workers: Sequence[WorkerView], now: float
+        self, task: TaskProgress, workers: Sequence[WorkerView], now: float
     ) -> WorkerView | None:
+        step = task.step
         best = None
         best_score = float("-inf")
         for view in workers:
-            if not self._may_run(step, view):
+            if not self._may_run(task, view):
                 continue
             score = self._score(step, view, now)
             if score is not None and score > best_score:
                 best, best_score = view, score
         return best
 
-    def _may_run(self, step: StepProgress, view: WorkerView) -> bool:
+    def _may_run(self, task: TaskProgress, view: WorkerView) -> bool:
+        step = task.step
         spec = step.spec
         if not view.fits(spec.demand, spec.is_filler):
             return False
+        if task.runs_by_number and view.worker_id in task.worker_ids:
+            return False
         if spec.required_label and spec.required_label not in view.info.labels:
             return False
         return not spec.max_per_worker or step.runs_on(view.worker_id) < spec.max_per_worker
--- a/packages/pollengate/pollengate/workflow/planner.py
+++ b/packages/pollengate/pollengate/workflow/planner.py
@@ -5,6 +5,7 @@
 
 from pollengate.workflow.books import WorkflowBooks
 from pollengate.workflow.fleet import WorkerView
+from pollengate.workflow.model import Queue
 from pollengate.workflow.ordering import rank
 from pollengate.workflow.placement import Placer
 from pollengate.workflow.progress import Run, StepProgress, TaskProgress
@@ -71,30 +72,34 @@
             if room is None:
                 room = _Room.of(books.fleet.open_workers(queue.service, now))
             if room.may_hold(step):
-                planned += self._place_step(step, room.workers, now)
+                planned += self._place_step(step, queue, room.workers, now)
                 room = _Room.of(room.workers)
             rooms[queue.service] = room
         return planned
 
-    def _place_step(self, step: StepProgress, workers: list[WorkerView], now: float) -> list[Run]:
+    def _place_step(
+        self, step: StepProgress, queue: Queue, workers: list[WorkerView], now: float
+    ) -> list[Run]:
         if step.spec.is_gang:
-            return self._place_gang(step, workers, now)
+            return self._place_gang(step, queue, workers, now)
         runs = []
         for task in list(step.waiting):
-            view = self._placer.choose(task, workers, now)
+            view = self._placer.choose(task, workers, now, queue.advice is not None)
             if view is None:
                 break
             runs.append(self._begin(task, view, self._books.next_number(task), now))
         return runs
 
-    def _place_gang(self, step: StepProgress, workers: list[WorkerView], now: float) -> list[Run]:
+    def _place_gang(
+        self, step: StepProgress, queue: Queue, workers: list[WorkerView], now: float
+    ) -> list[Run]:
         """Starts all tasks of a gang under one number, or none of them."""
         if len(step.waiting) < step.spec.count:
             return []
         number = max(self._books.next_number(task) for task in step.tasks)
         runs: list[Run] = []
         for task in list(step.waiting):
-            view = self._placer.choose(task, workers, now)
+            view = self._placer.choose(task, workers, now, queue.advice is not None)
             if view is None:
                 for run in runs:
                     self._books.refuse(run)
--- a/packages/pollengate/pollengate/workflow/progress.py
+++ b/packages/pollengate/pollengate/workflow/progress.py
@@ -57,6 +57,7 @@
         state: where it stands.
         percent: work done as last reported; 100 for a long-running task at work.
         percent_at: clock time at which `percent` last rose.
+        first_percent: what was done before it, by its first report; -1 before that.
         reading: the last figure reported beside it.
         reading_change: by how much that differs from the figure of the report before.
         pace: share of its speed that it may use, in percent.
@@ -73,6 +74,7 @@
     state: RunState = RunState.STARTING
     percent: float = 0.0
     percent_at: float = 0.0
+    first_percent: float = -1.0
     reading: float = 0.0
     reading_change: float = 0.0
     pace: int = 100
@@ -80,6 +82,11 @@
     answered_at: float | None = None
     is_stop_wanted: bool = False
 
+    @property
+    def is_undisturbed(self) -> bool:
+        """Tells whether it ran from the beginning at full pace, as far as is known."""
+        return self.pace == 100 and self.first_percent < 10 and not self.task.checkpoint
+
     def move(self, event: str) -> None:
         """Moves the run along its chart.
 
@@ -113,6 +120,11 @@
     checkpoint: str = ""
     runs_by_number: dict[int, Run] = dataclasses.field(default_factory=dict)
 
+    @property
+    def worker_ids(self) -> set[str]:
+        """Returns the workers on which a run may exist."""
+        return {run.worker_id for run in self.runs_by_number.values()}
+
     @property
     def is_at_work(self) -> bool:
         """Tells whether a run of a long-running task is past its startup."""
@@ -135,7 +147,7 @@
         done: number of tasks that are done.
         is_open: whether the steps before it are complete.
         opened_at: clock time at which that happened.
-        tickets_by_worker: permissions by worker, where the queue needs them.
+        durations: seconds that its tasks took from start to end, undisturbed.
     """
 
     occurrence: "Occurrence"
@@ -146,7 +158,7 @@
     done: int = 0
     is_open: bool = False
     opened_at: float = 0.0
-    tickets_by_worker: dict[str, str] = dataclasses.field(default_factory=dict)
+    durations: list[float] = dataclasses.field(default_factory=list)
 
     @property
     def job(self) -> "JobProgress":
--- a/packages/pollengate/pollengate/workflow/reports.py
+++ b/packages/pollengate/pollengate/workflow/reports.py
@@ -86,7 +86,10 @@
         elif run.state is RunState.UNSETTLED:
             run.move("seen")
             self._books.outbox.stops.append(run)
-        if row.percent > run.percent or now == run.asked_at:
+        if row.percent > run.percent:
+            run.percent_at = now
+        if run.first_percent < 0:
+            run.first_percent = row.percent
             run.percent_at = now
         run.percent = row.percent
         run.reading_change = row.reading - run.reading
--- /dev/null
+++ b/packages/pollengate/pollengate/workflow/stragglers.py
@@ -0,0 +1,109 @@
+"""Finds runs that stand still, are slow, or are out of reach.
+
+Made for workers that hang or turn slow while their health is good: a run that makes no progress
+is stopped and starts elsewhere; one that would take far longer than its siblings moves if it can
+resume, or gets a copy where copies are allowed. Fillers that others starve are neither.
+"""
+
+import dataclasses
+import enum
+import statistics
+
+from pollengate.workflow.fleet import WorkerView
+from pollengate.workflow.pacing import SLOW_PACE
+from pollengate.workflow.progress import Run, RunState
+
+__all__ = ["Remedy", "Straggler", "find_stragglers"]
+
+# Workers report every second or sooner, and work shows in whole percents; the longest tasks of the
+# sites take 4.3 s.
+STUCK_AFTER_S = 2.0
+# A long-running task starts up within 0.8 s.
+STARTUP_S = 3.0
+# A worker that reports every second has been silent for so long.
+SILENT_AFTER_S = 1.7
+# Declared sizes are off by up to 0.3 within a step; slow workers take four times as long or more.
+SLOW_FACTOR = 2.5
+MIN_SIBLINGS = 2
+MIN_ELAPSED_S = 0.8
+# A filler that gets less of its processors than that is slow because of its neighbours.
+STARVED_SHARE = 0.6
+
+
+class Remedy(enum.StrEnum):
+    """What helps a straggler."""
+
+    MOVE = "move"
+    COPY = "copy"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Straggler:
+    """A run that needs help.
+
+    Attributes:
+        run: the run.
+        remedy: what to do.
+        cause: for logs.
+        is_workers_fault: whether it speaks against the worker.
+    """
+
+    run: Run
+    remedy: Remedy
+    cause: str
+    is_workers_fault: bool
+
+
+def find_stragglers(view: WorkerView, now: float) -> list[Straggler]:
+    """Returns the runs of a worker that need help now."""
+    found = (_judge(view, run, now) for run in view.runs.values() if _is_judged(run))
+    return [straggler for straggler in found if straggler is not None]
+
+
+def _is_judged(run: Run) -> bool:
+    """Tells whether a run is the only one of its task, gets its share and waits for no other."""
+    task = run.task
+    return (
+        run.state is RunState.RUNNING
+        and run.pace >= SLOW_PACE
+        and len(task.runs_by_number) == 1
+        and task not in task.step.waiting
+        and not task.step.spec.is_gang
+    )
+
+
+def _judge(view: WorkerView, run: Run, now: float) -> Straggler | None:
+    spec = run.task.step.spec
+    silent_s = now - view.lease.answered_at
+    if silent_s > SILENT_AFTER_S:
+        if spec.is_speculative:
+            return Straggler(run, Remedy.COPY, "worker is silent", False)
+        return None
+    if spec.is_long_running:
+        if run.percent < 100 and now - run.percent_at > STARTUP_S:
+            return Straggler(run, Remedy.MOVE, "startup does not end", True)
+        return None
+    if now - run.percent_at > STUCK_AFTER_S and not _is_starved(run):
+        return Straggler(run, Remedy.MOVE, "no progress", True)
+    if _is_slow(run, now):
+        if spec.is_speculative:
+            return Straggler(run, Remedy.COPY, "slower than its siblings", True)
+        if spec.saves_progress:
+            return Straggler(run, Remedy.MOVE, "slower than its siblings", True)
+    return None
+
+
+def _is_slow(run: Run, now: float) -> bool:
+    durations = run.task.step.durations
+    elapsed_s = now - run.asked_at
+    if len(durations) < MIN_SIBLINGS or elapsed_s < MIN_ELAPSED_S or _is_starved(run):
+        return False
+    work_done = run.percent - run.first_percent
+    if work_done <= 0:
+        return elapsed_s > SLOW_FACTOR * statistics.median(durations)
+    return elapsed_s * 100 / work_done > SLOW_FACTOR * statistics.median(durations)
+
+
+def _is_starved(run: Run) -> bool:
+    spec = run.task.step.spec
+    return spec.is_filler and run.reading < STARVED_SHARE * spec.demand.cpu_millis
--- a/packages/pollengated/pollengated/edge/compose.py
+++ b/packages/pollengated/pollengated/edge/compose.py
@@ -10,6 +10,7 @@
 from pollengate.workflow.rights import ShardRight
 from pollengate.workflow.settings import NodeSettings
 from pollengate_net.calls import split_address
+from pollengate_platform.advice import HttpAdviceClient
 from pollengate_platform.boot import read_boot_settings
 from pollengate_platform.front import create_front, create_probes
 from pollengate_platform.http import HttpCaller
@@ -56,6 +57,9 @@
     worker_caller = HttpCaller()
     store = KvStore(settings.store_address, store_caller)
     workers = HttpWorkerClient(worker_caller)
+    advice = None
+    if settings.advice_address:
+        advice = HttpAdviceClient(settings.advice_address, worker_caller)
     record = NodeRecord(
         settings.node, settings.rpc_address, uuid.uuid4().hex[:12], round(settings.cores, 2)
     )
@@ -89,7 +93,16 @@
 
     def make_tenure(shard: int, right: ShardRight) -> ShardTenure:
         return ShardTenure(
-            shard, layout.shards, settings, store, workers, right, operators, clocks, metrics
+            shard,
+            layout.shards,
+            settings,
+            store,
+            workers,
+            advice,
+            right,
+            operators,
+            clocks,
+            metrics,
         )
 
     for shard in range(layout.shards):
--- a/packages/pollengated/pollengated/edge/shard_tenure.py
+++ b/packages/pollengated/pollengated/edge/shard_tenure.py
@@ -7,7 +7,7 @@
 from pollengate.failure_evidence import FailureEvidence
 from pollengate.store import PolledStore
 from pollengate.workflow.books import WorkflowBooks
-from pollengate.workflow.clients import WorkerClient
+from pollengate.workflow.clients import AdviceClient, WorkerClient
 from pollengate.workflow.colocation import Colocation
 from pollengate.workflow.desk import (
     Accepted,
@@ -40,8 +40,11 @@
 from pollengate.workflow.records import decode_job, decode_progress, restore
 from pollengate.workflow.rights import ShardRight, inherited_lapse
 from pollengate.workflow.settings import NodeSettings
+from pollengate.workflow.stragglers import Remedy, find_stragglers
+from pollengate.workflow.tickets import TicketBook
 from result import Err, Ok, Result
 
+from pollengated.edge.advice_seeker import AdviceSeeker
 from pollengated.edge.beliefs import BeliefKeeper, load_beliefs
 from pollengated.edge.clocks import Clocks
 from pollengated.edge.committer import (
@@ -85,6 +88,7 @@
         settings: of this process.
         store: the platform's store.
         client: sends orders to workers.
+        advice: asks which workers may run a step; None without such a service.
         right: the right to give orders.
         operators: what operators wrote.
         clocks: the process's clocks.
@@ -98,6 +102,7 @@
         settings: NodeSettings,
         store: PolledStore,
         client: WorkerClient,
+        advice: AdviceClient | None,
         right: ShardRight,
         operators: OperatorView,
         clocks: Clocks,
@@ -110,6 +115,7 @@
         self._settings = settings
         self._store = store
         self._client = client
+        self._advice = advice
         self._operators = operators
         self._clocks = clocks
         self._metrics = metrics
@@ -123,6 +129,7 @@
         self._link_tasks_by_id: dict[str, asyncio.Task[None]] = {}
         self._colocation = Colocation()
         self._pacer = Pacer(self._colocation)
+        self._tickets = TicketBook()
         self._rebalancer = Rebalancer(self.fleet, self._colocation)
         self._wake = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -146,6 +153,10 @@
             self._spawn(self._registry.follower.run())
             self._spawn(self._tick())
             self._spawn(self._committer.run())
+            if self._advice is not None:
+                self._spawn(
+                    AdviceSeeker(self.books, self._tickets, self._advice, self._clocks).run()
+                )
             try:
                 await self._plan_loop()
             finally:
@@ -280,7 +291,9 @@
         self._beliefs = BeliefKeeper(self.shard, self._colocation, self._committer)
         evidence = FailureEvidence(self._clocks.steady, FIRST_PROBE_AFTER_S)
         self.books = WorkflowBooks(self.fleet, evidence, tenure)
-        self._planner = Planner(self.books, Placer(evidence, self._colocation), self._is_settled)
+        self._planner = Planner(
+            self.books, Placer(evidence, self._colocation, self._tickets), self._is_settled
+        )
         recorded = decode_roster(roster.ok_value.value) if roster.ok_value else {}
         self._roster = Roster(self.shard, self._committer, self.fleet, recorded)
         saved_by_key = {entry.key: entry.value for entry in progress.ok_value.entries}
@@ -343,6 +356,7 @@
             self._committer,
             self._colocation,
             self._pacer,
+            self._tickets,
             self._clocks,
             self._metrics,
             self._event,
@@ -363,6 +377,28 @@
                 )
                 self.books.stop(run)
 
+    def _help_stragglers(self) -> None:
+        now = self._clocks.steady()
+        for view in self.fleet.workers_by_id.values():
+            for straggler in find_stragglers(view, now):
+                run = straggler.run
+                self._log.info(
+                    "run straggles",
+                    task=run.task.name,
+                    run=run.number,
+                    worker=view.worker_id,
+                    cause=straggler.cause,
+                    remedy=straggler.remedy.value,
+                    percent=run.percent,
+                    ran_s=round(now - run.asked_at, 2),
+                )
+                if straggler.is_workers_fault:
+                    self.books.evidence.refused(run.task.step.job.job_id, view.worker_id)
+                if straggler.remedy is Remedy.COPY:
+                    self.books.needs_copy(run.task)
+                else:
+                    self.books.stop(run)
+
     def _rebalance(self) -> None:
         now = self._clocks.steady()
         if not self.books.has_waiting_fillers(now - FILLER_WAIT_S):
@@ -447,6 +483,7 @@
             await asyncio.sleep(TICK_S)
             self.books.open_due(self._clocks.steady(), self._clocks.unix_ms())
             self._leave_draining()
+            self._help_stragglers()
             self._rebalance()
             self._beliefs.update(self._clocks.steady())
             self._forget_departed()
--- a/packages/pollengated/pollengated/edge/worker_link.py
+++ b/packages/pollengated/pollengated/edge/worker_link.py
@@ -20,6 +20,7 @@
 from pollengate.workflow.progress import Run, RunState
 from pollengate.workflow.reports import ReportReader
 from pollengate.workflow.rights import ShardRight
+from pollengate.workflow.tickets import TicketBook
 from result import Err, Result
 
 from pollengated.edge.clocks import Clocks
@@ -57,6 +58,7 @@
         committer: makes results durable.
         colocation: learns from the figures of serving tasks.
         pacer: decides the pace of fillers.
+        tickets: permissions to run steps of queues with advice.
         clocks: the process's clocks.
         metrics: counts orders.
         on_event: is called after each change of the books.
@@ -71,6 +73,7 @@
         committer: Committer,
         colocation: Colocation,
         pacer: Pacer,
+        tickets: TicketBook,
         clocks: Clocks,
         metrics: EdgeMetrics,
         on_event: Callable[[], None],
@@ -82,6 +85,7 @@
         self._committer = committer
         self._colocation = colocation
         self._pacer = pacer
+        self._tickets = tickets
         self._clocks = clocks
         self._metrics = metrics
         self._on_event = on_event
@@ -134,7 +138,7 @@
             lease_until_ms=lease_until_ms,
             token=self._right.token,
             checkpoint=run.task.checkpoint,
-            ticket=step.tickets_by_worker.get(self.view.worker_id, ""),
+            ticket=self._tickets.ticket(step, self.view, now),
         )
         result = await self._client.start(self.view.info.address, self.view.worker_id, order)
         self._book_start(run, result)
@@ -288,7 +292,7 @@
             self._avoid(now + UNHEALTHY_S)
             self._books.evidence.refused(run.task.step.job.job_id, self.view.worker_id)
         elif failure.kind is Refused.NO_TICKET:
-            run.task.step.tickets_by_worker.pop(self.view.worker_id, None)
+            self._tickets.revoke(run.task.step, self.view.worker_id)
         self._books.refuse(run)
 
     async def _send_stop(self, task: str, number: int) -> bool:
--- a/tests/edge_cluster.py
+++ b/tests/edge_cluster.py
@@ -161,7 +161,7 @@
 
         def make_tenure(shard: int, right: ShardRight) -> ShardTenure:
             return ShardTenure(
-                shard, 1, settings_of(name), store, workers, right, operators, clocks, metrics
+                shard, 1, settings_of(name), store, workers, None, right, operators, clocks, metrics
             )
 
         keeper = ShardKeeper(0, record, store, directory, clocks, make_tenure)
--- /dev/null
+++ b/tests/test_stragglers.py
@@ -0,0 +1,101 @@
+"""Tests of runs that stand still, are slow or are out of reach."""
+
+import unittest
+from typing import Any
+
+from pollengate.workflow.clients import EndKind
+from pollengate.workflow.model import Demand
+from pollengate.workflow.progress import Run
+from pollengate.workflow.stragglers import (
+    SILENT_AFTER_S,
+    STARTUP_S,
+    STUCK_AFTER_S,
+    Remedy,
+    Straggler,
+    find_stragglers,
+)
+
+from tests.workflow_builders import build_books, build_job, build_lease_worker, start_all, step_of
+
+
+class StragglerTest(unittest.TestCase):
+    """One worker with the tasks of one step."""
+
+    def start(self, count: int = 1, **step: Any) -> list[Run]:
+        """Starts tasks and shows their first progress."""
+        worker = build_lease_worker(capacity=Demand(64_000, 64_000))
+        self.books = build_books(worker, build_lease_worker("w1", capacity=Demand(64_000, 64_000)))
+        self.books.fleet.workers_by_id["w1"].is_attached = False
+        self.books.add(build_job("aa", step_of(count, **step)), 0.0, 0)
+        runs = start_all(self.books)
+        for run in runs:
+            self.show(run, 0.0, 0.0)
+        return runs
+
+    def show(self, run: Run, percent: float, now: float) -> None:
+        """Shows a run's progress."""
+        if run.first_percent < 0 or percent > run.percent:
+            run.percent_at = now
+        if run.first_percent < 0:
+            run.first_percent = percent
+        run.percent = percent
+
+    def find(self, now: float, answered_at: float | None = None) -> list[Straggler]:
+        """Judges the worker's runs."""
+        view = self.books.fleet.workers_by_id["w0"]
+        view.lease.answered(0, now if answered_at is None else answered_at)
+        return find_stragglers(view, now)
+
+    def test_run_without_progress_moves(self) -> None:
+        (run,) = self.start()
+        self.show(run, 30.0, 1.0)
+        self.assertEqual(self.find(1.0 + STUCK_AFTER_S), [])
+        (found,) = self.find(1.1 + STUCK_AFTER_S)
+        self.assertIs(found.remedy, Remedy.MOVE)
+        self.assertTrue(found.is_workers_fault)
+
+    def test_slowed_and_starved_fillers_are_left_alone(self) -> None:
+        (run,) = self.start(is_filler=True)
+        self.assertEqual(self.find(9.0), [])  # it gets no processor time
+        run.reading = 1000.0
+        self.assertEqual(len(self.find(9.0)), 1)
+        run.pace = 0
+        self.assertEqual(self.find(9.0), [])
+
+    def test_startup_that_does_not_end_moves(self) -> None:
+        (run,) = self.start(is_long_running=True)
+        self.assertEqual(self.find(STARTUP_S), [])
+        self.assertEqual(len(self.find(STARTUP_S + 0.1)), 1)
+        self.show(run, 100.0, STARTUP_S)
+        self.assertEqual(self.find(99.0), [])
+
+    def test_run_far_slower_than_its_siblings_moves_or_gets_a_copy(self) -> None:
+        for fields, remedies in (
+            ({"saves_progress": True}, [Remedy.MOVE]),
+            ({"is_speculative": True}, [Remedy.COPY]),
+            ({}, []),
+        ):
+            first, second, slow = self.start(3, **fields)
+            for run in (first, second):
+                self.books.end(run, EndKind.DONE, "", 1.0, 0)
+            self.show(slow, 20.0, 1.0)
+            self.assertEqual([s.remedy for s in self.find(1.0)], remedies)
+            self.show(slow, 80.0, 1.2)
+            self.assertEqual(self.find(1.2), [])
+
+    def test_silent_worker_gets_copies_where_they_are_allowed(self) -> None:
+        (run,) = self.start(is_speculative=True)
+        (found,) = self.find(SILENT_AFTER_S + 0.1, answered_at=0.0)
+        self.assertIs(found.remedy, Remedy.COPY)
+        self.books.needs_copy(run.task)
+        self.assertEqual(self.find(SILENT_AFTER_S + 0.1, answered_at=0.0), [])
+        self.assertEqual(start_all(self.books), [])  # not beside the first
+        self.books.fleet.workers_by_id["w1"].is_attached = True
+        (copy,) = start_all(self.books)
+        self.assertEqual(copy.worker_id, "w1")
+        self.books.end(copy, EndKind.DONE, "", 2.0, 0)
+        self.assertTrue(run.is_stop_wanted)
+
+    def test_silent_worker_keeps_what_may_not_run_twice(self) -> None:
+        self.start()
+        self.assertEqual(self.find(9.0, answered_at=0.0), [])
--- /dev/null
+++ b/tests/test_tickets.py
@@ -0,0 +1,90 @@
+"""Tests of steps that need permission to run on a worker."""
+
+import asyncio
+import unittest
+from collections.abc import Sequence
+
+from pollengate.workflow.clients import AdviceClient, OrderFailure, Refused, Ticket
+from pollengate.workflow.model import AdviceTerms
+from pollengate.workflow.tickets import TicketBook
+from pollengated.edge.advice_seeker import AdviceSeeker
+from pollengated.edge.clocks import Clocks
+from result import Err, Ok, Result
+
+from tests.utils import run_virtual
+from tests.workflow_builders import (
+    build_books,
+    build_job,
+    build_lease_worker,
+    build_planner,
+    step_of,
+)
+
+ADVICE = AdviceTerms(5, 1, 3000)
+
+
+class FixedAdvice(AdviceClient):
+    """Allows one worker, after a first failure."""
+
+    def __init__(self, good: str) -> None:
+        self._good = good
+        self.calls: list[tuple[str, list[str]]] = []
+
+    async def advise(
+        self, step: str, worker_ids: Sequence[str]
+    ) -> Result[tuple[Ticket, ...], OrderFailure]:
+        """Answers after some milliseconds."""
+        self.calls.append((step, list(worker_ids)))
+        await asyncio.sleep(0.01)
+        if len(self.calls) == 1:
+            return Err(OrderFailure(Refused.UNHEALTHY, "status 429"))
+        return Ok(tuple(Ticket(w, f"t-{w}") for w in worker_ids if w == self._good))
+
+
+class TicketTest(unittest.TestCase):
+    """Tickets in the planner's way."""
+
+    def setUp(self) -> None:
+        workers = [build_lease_worker(f"w{number}") for number in range(3)]
+        self.books = build_books(*workers, advice=ADVICE)
+        self.books.add(build_job("aa", step_of(2)), 0.0, 0)
+        (self.step,) = self.books.open_steps
+        self.tickets = TicketBook()
+        self.views = self.books.fleet.workers_by_id
+
+    def plan(self, now: float) -> list[str]:
+        """Returns where tasks start."""
+        planner = build_planner(self.books, tickets=self.tickets)
+        return [run.worker_id for run in planner.plan(now)]
+
+    def test_nothing_starts_without_a_ticket(self) -> None:
+        self.assertEqual(self.plan(0.0), [])
+        self.tickets.answered(self.step, self.views.values(), [Ticket("w1", "t")], 3.0)
+        self.assertEqual(self.plan(0.0), ["w1", "w1"])
+
+    def test_ticket_ends_with_its_time_and_the_workers_life(self) -> None:
+        view = self.views["w1"]
+        self.tickets.answered(self.step, [view], [Ticket("w1", "t")], 3.0)
+        self.assertEqual(self.tickets.ticket(self.step, view, 1.0), "t")
+        self.assertEqual(self.tickets.ticket(self.step, view, 2.9), "")
+        view.born_ms = 5
+        self.assertEqual(self.tickets.ticket(self.step, view, 1.0), "")
+
+    def test_refused_workers_are_not_asked_again(self) -> None:
+        views = list(self.views.values())
+        self.assertEqual(len(self.tickets.ask_for(self.step, views, 0.0)), 3)
+        self.tickets.answered(self.step, views, [Ticket("w1", "t")], 3.0)
+        asked = self.tickets.ask_for(self.step, views, 9.0)
+        self.assertEqual([view.worker_id for view in asked], ["w1"])
+
+    def test_seeker_asks_again_after_a_failure(self) -> None:
+        async def main() -> None:
+            client = FixedAdvice("w2")
+            seeker = AdviceSeeker(self.books, self.tickets, client, Clocks.of_loop())
+            seeking = asyncio.create_task(seeker.run())
+            await asyncio.sleep(0.5)
+            self.assertEqual(self.plan(0.5), ["w2", "w2"])
+            self.assertEqual(client.calls[0][0], "aa.0.0")
+            seeking.cancel()
+
+        run_virtual(main())
--- a/tests/workflow_builders.py
+++ b/tests/workflow_builders.py
@@ -18,6 +18,7 @@
 from pollengate.workflow.placement import Placer
 from pollengate.workflow.planner import Planner
 from pollengate.workflow.progress import JobProgress, Run
+from pollengate.workflow.tickets import TicketBook
 
 __all__ = [
     "build_books",
@@ -83,10 +84,13 @@
 
 
 def build_planner(
-    books: WorkflowBooks, colocation: Colocation | None = None, settled: bool = True
+    books: WorkflowBooks,
+    colocation: Colocation | None = None,
+    settled: bool = True,
+    tickets: TicketBook | None = None,
 ) -> Planner:
     """Returns a planner over books."""
-    placer = Placer(books.evidence, colocation or Colocation())
+    placer = Placer(books.evidence, colocation or Colocation(), tickets or TicketBook())
     return Planner(books, placer, lambda: settled)
 
 
