Give no refusal while an earlier submission of the job may be on its way

Cause: while the store is down a submission is left open after 0.8 s with its record in the committer; the client, or the gate itself, asked again and got 'store_unavailable', and the record was written when the store came back. Ruled out: a wrong 'not sent' of the RPC client, the first suspect, as the refused answer took 4 ms and came from the owner. The test fails with the old owner.

--- a/packages/pollengated/pollengated/edge/gate_desk.py
+++ b/packages/pollengated/pollengated/edge/gate_desk.py
@@ -178,6 +178,8 @@
             answer = await self._try_owner(shard, local, remote)
             if isinstance(answer, Undecided):
                 undecided = answer
+            elif isinstance(answer, NotAccepted) and undecided is not None:
+                pass  # says nothing of the request that was left open
             elif answer is not None:
                 return answer
             if undecided is None and not self._probe.is_reachable(shard):
--- a/packages/pollengated/pollengated/edge/shard_tenure.py
+++ b/packages/pollengated/pollengated/edge/shard_tenure.py
@@ -181,13 +181,13 @@
         known = self.books.jobs_by_id.get(job_id)
         if known is not None:
             return Accepted()
-        if self._is_handing_over:
-            return NotAccepted("handing_over", RETRY_AFTER_S)
-        if self._committer.is_stalled or not self.right.is_confirmed(self._clocks.steady()):
-            return NotAccepted("store_unavailable", RETRY_AFTER_S)
-        now, now_ms = self._clocks.steady(), self._clocks.unix_ms()
+        # A record that was handed in before may be on its way to the store: no refusal then.
         record = self._submitted_by_id.get(job_id)
         if record is None:
+            refusal = self._refuse_new()
+            if refusal is not None:
+                return refusal
+            now, now_ms = self._clocks.steady(), self._clocks.unix_ms()
             job = JobProgress(job_id, queue_name, workflow, now_ms, now)
             record = _Submission(self.shard, job, self._job_durable)
             record.mark = self._committer.add(record)
@@ -199,6 +199,14 @@
             return NotAccepted("store_unavailable", RETRY_AFTER_S)
         return Undecided("store_unavailable")
 
+    def _refuse_new(self) -> NotAccepted | None:
+        """Tells why a new job can't be accepted at the moment, None if it can."""
+        if self._is_handing_over:
+            return NotAccepted("handing_over", RETRY_AFTER_S)
+        if self._committer.is_stalled or not self.right.is_confirmed(self._clocks.steady()):
+            return NotAccepted("store_unavailable", RETRY_AFTER_S)
+        return None
+
     async def show(self, job_id: str) -> JobAnswer:
         """Returns a job's state; that of an ended one once it is durable."""
         job = self.books.jobs_by_id.get(job_id)
--- a/tests/test_edge_takeover.py
+++ b/tests/test_edge_takeover.py
@@ -7,6 +7,7 @@
 from pollengate.workflow.progress import JobState
 
 from tests.edge_cluster import EdgeCluster, overlaps, starts_after_done
+from tests.faulty_store import Fault
 from tests.utils import run_virtual
 from tests.workflow_builders import build_workflow, step_of
 
@@ -72,6 +73,25 @@
 
         run_virtual(main())
 
+    def test_job_whose_record_may_be_on_its_way_is_not_refused(self) -> None:
+        # The store takes the record and answers nothing; the client asks again and again.
+        async def main() -> None:
+            cluster = EdgeCluster()
+            await cluster.open(nodes=1)
+            node = cluster.owner()
+            assert node is not None
+            node.store.fail_once(Fault.ANSWER_LOST, JOB)
+            answers = [await cluster.submit(JOB, build_workflow()) for _ in range(2)]
+            self.assertNotIn(NotAccepted, [type(answer) for answer in answers])
+            node.store.is_silent = True
+            asking = [cluster.submit(f"{JOB}1", build_workflow()) for _ in range(3)]
+            first = await asyncio.gather(*asking)
+            await asyncio.sleep(1.0)
+            again = await cluster.submit(f"{JOB}1", build_workflow())
+            self.assertNotIn(NotAccepted, [type(answer) for answer in (*first, again)])
+
+        run_virtual(main())
+
 
 class TakeoverTest(EdgeCase):
     """Owners that die, are cut off or stop."""
--- a/tests/test_gate_desk.py
+++ b/tests/test_gate_desk.py
@@ -115,6 +115,10 @@
         answer, _ = self.submit(LOST, REFUSED)
         self.assertIsInstance(answer, Undecided)
 
+    def test_refusal_after_an_open_request_is_no_refusal(self) -> None:
+        answer, _ = self.submit(Undecided("store"), NotAccepted("store_unavailable", 1.0))
+        self.assertIsInstance(answer, Undecided)
+
     def test_without_an_owner_the_job_is_refused_soon(self) -> None:
         for answers in ((REFUSED,), (NotOwner(),)):
             answer, took_s = self.submit(*answers)
