--- a/packages/pollengate/pollengate/workflow/colocation.py
+++ b/packages/pollengate/pollengate/workflow/colocation.py
@@ -20,12 +20,14 @@
 OWN_LATENCY_SHARE = 0.85
 # Log odds that an unknown pair harms; about a third of them do.
 PRIOR = -0.6
-# Log odds beyond which nothing more is learned, so that a belief can change.
+# Log odds beyond which nothing more is learned, so that a belief can change. Good figures of quiet
+# phases are many and prove little: two late ones outweigh them all.
 MAX_LOG_ODDS = 4.0
+MIN_LOG_ODDS = -2.3
 # Change of log odds for the only suspect of one late figure.
-BLAME = 1.6
+BLAME = 2.0
 # Change of log odds for a full share beside one good figure; good phases last for seconds.
-CLEARANCE = 0.2
+CLEARANCE = 0.1
 # Share of a worker's processors at which a filler's presence counts in full.
 FULL_SHARE = 0.05
 # Probability, and its log odds, from which a pair is kept apart.
@@ -108,7 +110,7 @@
         self._set(serving, filler, (PRIOR if log_odds is None else log_odds) + change)
 
     def _set(self, serving: str, filler: str, log_odds: float) -> None:
-        clipped = min(max(log_odds, -MAX_LOG_ODDS), MAX_LOG_ODDS)
+        clipped = min(max(log_odds, MIN_LOG_ODDS), MAX_LOG_ODDS)
         self._log_odds_by_pair.put((serving, filler), clipped)
         harmful = self._harmful_by_serving.setdefault(serving, set())
         if clipped >= HARMFUL_LOG_ODDS:
