--- /dev/null
+++ b/packages/pollengated/pollengated/edge/client_requests.py
@@ -0,0 +1,157 @@
+"""Answers clients' requests for the jobs of one shard, in one tenure of its owner."""
+
+from collections.abc import Callable
+
+from pollengate.workflow.books import WorkflowBooks
+from pollengate.workflow.desk import (
+    Accepted,
+    Cancelled,
+    Found,
+    JobAnswer,
+    NoSuchJob,
+    NotAccepted,
+    Undecided,
+    WaitingCount,
+)
+from pollengate.workflow.model import Workflow
+from pollengate.workflow.progress import JobProgress, JobState
+from pollengate.workflow.rights import ShardRight
+
+from pollengated.edge.clocks import Clocks
+from pollengated.edge.committer import Committer, JobRecord
+from pollengated.logs import Log
+
+__all__ = ["ClientRequests"]
+
+# Within the time that a gate waits for an answer; it asks again.
+DURABLE_TIMEOUT_S = 0.8
+RETRY_AFTER_S = 1.0
+
+
+class ClientRequests:
+    """Accepts, shows, cancels and counts jobs.
+
+    Args:
+        shard: its number.
+        books: its jobs.
+        committer: makes jobs durable before they are answered for.
+        right: the owner's right; what is not known for certain is not denied.
+        clocks: the process's clocks.
+        on_change: is called after each change of the books.
+
+    Attributes:
+        is_closing: whether the shard is being handed over and takes no new jobs.
+    """
+
+    def __init__(
+        self,
+        shard: int,
+        books: WorkflowBooks,
+        committer: Committer,
+        right: ShardRight,
+        clocks: Clocks,
+        on_change: Callable[[], None],
+    ) -> None:
+        self.is_closing = False
+        self._shard = shard
+        self._books = books
+        self._committer = committer
+        self._right = right
+        self._clocks = clocks
+        self._on_change = on_change
+        self._submitted_by_id: dict[str, _Submission] = {}
+        self._log = Log("owner")
+
+    async def submit(self, queue_name: str, job_id: str, workflow: Workflow) -> JobAnswer:
+        """Accepts a job; the answer comes once its record is durable."""
+        known = self._books.jobs_by_id.get(job_id)
+        if known is not None:
+            return Accepted()
+        # A record that was handed in before may be on its way to the store: no refusal then.
+        record = self._submitted_by_id.get(job_id)
+        if record is None:
+            refusal = self._refuse_new()
+            if refusal is not None:
+                return refusal
+            now, now_ms = self._clocks.steady(), self._clocks.unix_ms()
+            job = JobProgress(job_id, queue_name, workflow, now_ms, now)
+            record = _Submission(self._shard, job, self._accept)
+            record.mark = self._committer.add(record)
+            self._submitted_by_id[job_id] = record
+        if await self._committer.wait_durable(record.mark, DURABLE_TIMEOUT_S):
+            return Accepted()
+        if self._committer.withdraw(record):
+            self._submitted_by_id.pop(job_id, None)
+            return NotAccepted("store_unavailable", RETRY_AFTER_S)
+        return Undecided("store_unavailable")
+
+    def _refuse_new(self) -> NotAccepted | None:
+        """Tells why a new job can't be accepted at the moment, None if it can."""
+        if self.is_closing:
+            return NotAccepted("handing_over", RETRY_AFTER_S)
+        if self._committer.is_stalled or not self._right.is_confirmed(self._clocks.steady()):
+            return NotAccepted("store_unavailable", RETRY_AFTER_S)
+        return None
+
+    async def show(self, job_id: str) -> JobAnswer:
+        """Returns a job's state; that of an ended one once it is durable."""
+        job = self._books.jobs_by_id.get(job_id)
+        if job is not None:
+            return Found(job.shown_state)
+        if job_id in self._submitted_by_id:
+            return Found(JobState.QUEUED)
+        if not self._right.is_confirmed(self._clocks.steady()):
+            return NotAccepted("owner_unconfirmed", RETRY_AFTER_S)
+        return NoSuchJob()
+
+    async def cancel(self, job_id: str) -> JobAnswer:
+        """Cancels a job; the answer comes once that is durable."""
+        submitted = self._submitted_by_id.get(job_id)
+        if submitted is not None and not await self._committer.wait_durable(
+            submitted.mark, DURABLE_TIMEOUT_S
+        ):
+            return Undecided("store_unavailable")
+        job = self._books.jobs_by_id.get(job_id)
+        if job is None:
+            if not self._right.is_confirmed(self._clocks.steady()):
+                return NotAccepted("owner_unconfirmed", RETRY_AFTER_S)
+            return NoSuchJob()
+        if not job.is_ended:
+            self._books.cancel(job, self._clocks.unix_ms())
+            self._log.info("job cancelled", job=job_id)
+            self._on_change()
+        mark = self._committer.last_mark
+        if await self._committer.wait_durable(mark, DURABLE_TIMEOUT_S):
+            return Cancelled()
+        return Undecided("store_unavailable")
+
+    def count_waiting(self, queue_name: str) -> JobAnswer:
+        """Counts the jobs of a queue of which no task has started."""
+        count = sum(
+            job.queue_name == queue_name and job.state is JobState.QUEUED
+            for job in self._books.jobs_by_id.values()
+        )
+        return WaitingCount(count)
+
+    def _accept(self, job: JobProgress) -> None:
+        """Lets a job run whose record is durable."""
+        self._submitted_by_id.pop(job.job_id, None)
+        self._books.add(job, self._clocks.steady(), self._clocks.unix_ms())
+        self._log.info("job accepted", job=job.job_id, queue=job.queue_name)
+        self._on_change()
+
+
+class _Submission(JobRecord):
+    """A job that runs once its record is durable."""
+
+    def __init__(
+        self, shard: int, job: JobProgress, on_durable: Callable[[JobProgress], None]
+    ) -> None:
+        super().__init__(shard, job)
+        self.job = job
+        self.mark = 0
+        self._on_durable = on_durable
+
+    def committed(self) -> None:
+        """Lets the job run."""
+        self._on_durable(self.job)
--- a/packages/pollengated/pollengated/edge/gate_desk.py
+++ b/packages/pollengated/pollengated/edge/gate_desk.py
@@ -97,7 +97,7 @@
             job_id,
             self._ask_owner(
                 shard,
-                lambda tenure: tenure.submit(queue.name, job_id, workflow),
+                lambda tenure: tenure.requests.submit(queue.name, job_id, workflow),
                 lambda address: self._client.submit(address, shard, queue.name, job_id, workflow),
             ),
         )
@@ -114,7 +114,7 @@
             job_id,
             self._ask_owner(
                 shard,
-                lambda tenure: tenure.cancel(job_id),
+                lambda tenure: tenure.requests.cancel(job_id),
                 lambda address: self._client.cancel(address, shard, queue.name, job_id),
             ),
         )
@@ -127,7 +127,7 @@
         shard = shard_of_job(job_id, self._shards)
         answer = await self._ask_owner(
             shard,
-            lambda tenure: tenure.show(job_id),
+            lambda tenure: tenure.requests.show(job_id),
             lambda address: self._client.show(address, shard, queue.name, job_id),
         )
         if isinstance(answer, NotAccepted | Undecided):
@@ -149,7 +149,7 @@
 
     async def _count_waiting(self, queue: Queue) -> JobAnswer:
         async def count(tenure: ShardTenure) -> JobAnswer:
-            return tenure.count_waiting(queue.name)
+            return tenure.requests.count_waiting(queue.name)
 
         total = 0
         for shard in range(self._shards):
--- a/packages/pollengated/pollengated/edge/rpc.py
+++ b/packages/pollengated/pollengated/edge/rpc.py
@@ -130,7 +130,7 @@
             await stream.send_message(pb.JobReply(kind=_NOT_OWNER))
             return
         workflow = msgspec.json.decode(request.workflow, type=Workflow)
-        answer = await tenure.submit(request.queue, request.job_id, workflow)
+        answer = await tenure.requests.submit(request.queue, request.job_id, workflow)
         await stream.send_message(_reply(answer))
 
     async def Show(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
@@ -140,7 +140,7 @@
         if tenure is None:
             await stream.send_message(pb.JobReply(kind=_NOT_OWNER))
             return
-        await stream.send_message(_reply(await tenure.show(request.job_id)))
+        await stream.send_message(_reply(await tenure.requests.show(request.job_id)))
 
     async def Cancel(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
         """Cancels a job."""
@@ -149,7 +149,7 @@
         if tenure is None:
             await stream.send_message(pb.JobReply(kind=_NOT_OWNER))
             return
-        await stream.send_message(_reply(await tenure.cancel(request.job_id)))
+        await stream.send_message(_reply(await tenure.requests.cancel(request.job_id)))
 
     async def CountWaiting(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
         """Counts the waiting jobs of a queue."""
@@ -158,7 +158,7 @@
         if tenure is None:
             await stream.send_message(pb.JobReply(kind=_NOT_OWNER))
             return
-        await stream.send_message(_reply(tenure.count_waiting(request.queue)))
+        await stream.send_message(_reply(tenure.requests.count_waiting(request.queue)))
 
     async def Ping(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
         """Says whether this process serves a shard."""
--- a/packages/pollengated/pollengated/edge/shard_tenure.py
+++ b/packages/pollengated/pollengated/edge/shard_tenure.py
@@ -9,16 +9,6 @@
 from pollengate.workflow.books import WorkflowBooks
 from pollengate.workflow.clients import AdviceClient, WorkerClient
 from pollengate.workflow.colocation import Colocation
-from pollengate.workflow.desk import (
-    Accepted,
-    Cancelled,
-    Found,
-    JobAnswer,
-    NoSuchJob,
-    NotAccepted,
-    Undecided,
-    WaitingCount,
-)
 from pollengate.workflow.draining import runs_to_move
 from pollengate.workflow.fleet import Fleet, WorkerView
 from pollengate.workflow.keys import (
@@ -31,11 +21,10 @@
     shard_of_rack,
 )
 from pollengate.workflow.leases import MAX_CLOCK_DRIFT, WORKER_LEASE_S
-from pollengate.workflow.model import Workflow
 from pollengate.workflow.pacing import Pacer
 from pollengate.workflow.placement import Placer
 from pollengate.workflow.planner import Planner
-from pollengate.workflow.progress import JobProgress, JobState
+from pollengate.workflow.progress import JobProgress
 from pollengate.workflow.rebalancing import Rebalancer
 from pollengate.workflow.records import decode_job, decode_progress, restore
 from pollengate.workflow.rights import ShardRight, inherited_lapse
@@ -46,10 +35,10 @@
 
 from pollengated.edge.advice_seeker import AdviceSeeker
 from pollengated.edge.beliefs import BeliefKeeper, load_beliefs
+from pollengated.edge.client_requests import ClientRequests
 from pollengated.edge.clocks import Clocks
 from pollengated.edge.committer import (
     Committer,
-    JobRecord,
     ProgressRecord,
     RemovedJob,
     decode_commit_number,
@@ -68,9 +57,6 @@
 # Between looks at what time alone changes.
 TICK_S = 0.1
 RECOVERY_RETRY_S = 0.1
-# Within the time that a gate waits for an answer; it asks again.
-DURABLE_TIMEOUT_S = 0.8
-RETRY_AFTER_S = 1.0
 # After a worker was found to fail everything; tasks take a second or two.
 FIRST_PROBE_AFTER_S = 4.0
 # Serving tasks move only while fillers have found no place for that long.
@@ -139,7 +125,7 @@
         self._planner: Planner
         self._roster: Roster
         self._beliefs: BeliefKeeper
-        self._submitted_by_id: dict[str, _Submission] = {}
+        self.requests: ClientRequests
 
     async def run(self) -> None:
         """Serves the shard until the right is lost or it is handed over."""
@@ -170,84 +156,12 @@
     async def prepare_handover(self, timeout_s: float) -> None:
         """Starts nothing more and makes everything durable."""
         self._is_handing_over = True
+        if self.is_serving:
+            self.requests.is_closing = True
         await asyncio.sleep(PLAN_DELAY_S)
         if self.is_serving:
             await self._committer.wait_durable(self._committer.last_mark, timeout_s)
 
-    # Requests of clients.
-
-    async def submit(self, queue_name: str, job_id: str, workflow: Workflow) -> JobAnswer:
-        """Accepts a job; the answer comes once its record is durable."""
-        known = self.books.jobs_by_id.get(job_id)
-        if known is not None:
-            return Accepted()
-        # A record that was handed in before may be on its way to the store: no refusal then.
-        record = self._submitted_by_id.get(job_id)
-        if record is None:
-            refusal = self._refuse_new()
-            if refusal is not None:
-                return refusal
-            now, now_ms = self._clocks.steady(), self._clocks.unix_ms()
-            job = JobProgress(job_id, queue_name, workflow, now_ms, now)
-            record = _Submission(self.shard, job, self._job_durable)
-            record.mark = self._committer.add(record)
-            self._submitted_by_id[job_id] = record
-        if await self._committer.wait_durable(record.mark, DURABLE_TIMEOUT_S):
-            return Accepted()
-        if self._committer.withdraw(record):
-            self._submitted_by_id.pop(job_id, None)
-            return NotAccepted("store_unavailable", RETRY_AFTER_S)
-        return Undecided("store_unavailable")
-
-    def _refuse_new(self) -> NotAccepted | None:
-        """Tells why a new job can't be accepted at the moment, None if it can."""
-        if self._is_handing_over:
-            return NotAccepted("handing_over", RETRY_AFTER_S)
-        if self._committer.is_stalled or not self.right.is_confirmed(self._clocks.steady()):
-            return NotAccepted("store_unavailable", RETRY_AFTER_S)
-        return None
-
-    async def show(self, job_id: str) -> JobAnswer:
-        """Returns a job's state; that of an ended one once it is durable."""
-        job = self.books.jobs_by_id.get(job_id)
-        if job is not None:
-            return Found(job.shown_state)
-        if job_id in self._submitted_by_id:
-            return Found(JobState.QUEUED)
-        if not self.right.is_confirmed(self._clocks.steady()):
-            return NotAccepted("owner_unconfirmed", RETRY_AFTER_S)
-        return NoSuchJob()
-
-    async def cancel(self, job_id: str) -> JobAnswer:
-        """Cancels a job; the answer comes once that is durable."""
-        submitted = self._submitted_by_id.get(job_id)
-        if submitted is not None and not await self._committer.wait_durable(
-            submitted.mark, DURABLE_TIMEOUT_S
-        ):
-            return Undecided("store_unavailable")
-        job = self.books.jobs_by_id.get(job_id)
-        if job is None:
-            if not self.right.is_confirmed(self._clocks.steady()):
-                return NotAccepted("owner_unconfirmed", RETRY_AFTER_S)
-            return NoSuchJob()
-        if not job.is_ended:
-            self.books.cancel(job, self._clocks.unix_ms())
-            self._log.info("job cancelled", job=job_id)
-            self._event()
-            self._flush_outbox()
-        mark = self._committer.last_mark
-        if await self._committer.wait_durable(mark, DURABLE_TIMEOUT_S):
-            return Cancelled()
-        return Undecided("store_unavailable")
-
-    def count_waiting(self, queue_name: str) -> JobAnswer:
-        """Counts the jobs of a queue of which no task has started."""
-        count = sum(
-            job.queue_name == queue_name and job.state is JobState.QUEUED
-            for job in self.books.jobs_by_id.values()
-        )
-        return WaitingCount(count)
-
     # Recovery.
 
     async def _recover(self) -> bool:
@@ -304,6 +218,9 @@
         )
         recorded = decode_roster(roster.ok_value.value) if roster.ok_value else {}
         self._roster = Roster(self.shard, self._committer, self.fleet, recorded)
+        self.requests = ClientRequests(
+            self.shard, self.books, self._committer, self.right, self._clocks, self._books_changed
+        )
         saved_by_key = {entry.key: entry.value for entry in progress.ok_value.entries}
         for entry in jobs.ok_value.entries:
             self._restore_job(entry.value, saved_by_key)
@@ -441,6 +358,11 @@
         self._record_changes()
         self._wake.set()
 
+    def _books_changed(self) -> None:
+        """Carries out at once what a client's request calls for."""
+        self._event()
+        self._flush_outbox()
+
     def _record_changes(self) -> None:
         changed = self.books.outbox.changed
         for job in changed.values():
@@ -455,13 +377,6 @@
         self._metrics.job_time.labels(job.queue_name).observe(took_s)
         self._log.info("job ended", job=job.job_id, state=job.state.value, took_s=round(took_s, 3))
 
-    def _job_durable(self, job: JobProgress) -> None:
-        """Lets an accepted job run."""
-        self._submitted_by_id.pop(job.job_id, None)
-        self.books.add(job, self._clocks.steady(), self._clocks.unix_ms())
-        self._log.info("job accepted", job=job.job_id, queue=job.queue_name)
-        self._event()
-
     async def _plan_loop(self) -> None:
         while not self.right.is_lost:
             await self._wake.wait()
@@ -525,17 +440,3 @@
 
     def _lease_s(self) -> float:
         return min(WORKER_LEASE_S, self._settings.bounds.max_worker_lease_s)
-
-
-class _Submission(JobRecord):
-    """A job that runs once its record is durable."""
-
-    def __init__(self, shard: int, job: JobProgress, on_durable: Any) -> None:
-        super().__init__(shard, job)
-        self.job = job
-        self.mark = 0
-        self._on_durable = on_durable
-
-    def committed(self) -> None:
-        """Lets the job run."""
-        self._on_durable(self.job)
--- a/tests/edge_cluster.py
+++ b/tests/edge_cluster.py
@@ -197,7 +197,8 @@
 
     async def submit(self, job_id: str, workflow: Workflow, besides: str = "") -> JobAnswer:
         """Submits a job to the owner."""
-        return await (await self.tenure(besides)).submit("queue", job_id, workflow)
+        tenure = await self.tenure(besides)
+        return await tenure.requests.submit("queue", job_id, workflow)
 
     async def wait_for_state(self, job_id: str, state: str, timeout_s: float = 60.0) -> float:
         """Waits until a job is shown in a state; returns how long that took."""
--- a/tests/test_edge_takeover.py
+++ b/tests/test_edge_takeover.py
@@ -51,7 +51,7 @@
             await cluster.submit(JOB, build_workflow(step_of(4, is_long_running=True)))
             await asyncio.sleep(1.0)
             tenure = await cluster.tenure()
-            self.assertIsInstance(await tenure.cancel(JOB), Cancelled)
+            self.assertIsInstance(await tenure.requests.cancel(JOB), Cancelled)
             await asyncio.sleep(1.0)
             self.assertTrue(all(run.ended_at is not None for run in cluster.settle()))
 
@@ -107,7 +107,7 @@
             assert node is not None
             node.kill()
             tenure = await cluster.tenure(besides=node.name)
-            self.assertIsInstance(await tenure.show(JOB), Found)
+            self.assertIsInstance(await tenure.requests.show(JOB), Found)
             await cluster.wait_for_state(JOB, JobState.COMPLETED)
             self.assertEqual(len(cluster.history), 14)
             self.check(cluster)
