--- /dev/null
+++ b/tests/test_edge_views.py
@@ -0,0 +1,186 @@
+"""Tests of copies of the store: the operators' keys, workers, members and owners."""
+
+import asyncio
+import json
+import unittest
+from typing import Any
+
+from pollengate.memory_store import MemoryStore
+from pollengate.store import Changes, Delete, Entry, FailureKind, Put, StoreFailure
+from pollengate.workflow.keys import member_key, owner_key
+from pollengated.edge.clocks import Clocks
+from pollengated.edge.node_directory import NodeDirectory, NodeRecord
+from pollengated.edge.operator_view import OperatorView
+from pollengated.edge.shard_keeper import candidates
+from pollengated.edge.worker_registry import WorkerRegistry
+from result import Err, Result
+
+from tests.utils import run_virtual
+
+
+class ForgetfulStore(MemoryStore):
+    """Loses its history on demand.
+
+    Attributes:
+        lost_polls: how many of the next polls find no history.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.lost_polls = 0
+
+    async def changes(
+        self, prefix: str, after_revision: int, wait_s: float
+    ) -> Result[Changes, StoreFailure]:
+        """Polls, unless the history is lost."""
+        if self.lost_polls:
+            self.lost_polls -= 1
+            return Err(StoreFailure(FailureKind.HISTORY_GONE, "compacted"))
+        return await super().changes(prefix, after_revision, wait_s)
+
+
+def configuration(version: int) -> Put:
+    """Returns the write of a configuration."""
+    return Put("op/config", json.dumps({"version": version, "routes": []}).encode())
+
+
+class OperatorViewTest(unittest.TestCase):
+    """Configuration and evacuated zones."""
+
+    def follow(self, scenario: Any) -> None:
+        """Runs a scenario beside a view that follows a store."""
+
+        async def main() -> None:
+            store = ForgetfulStore()
+            view = OperatorView(store, Clocks.of_loop())
+            following = asyncio.create_task(view.follower.run())
+            await scenario(store, view)
+            following.cancel()
+
+        run_virtual(main())
+
+    def test_changes_come_into_force_at_once(self) -> None:
+        async def scenario(store: ForgetfulStore, view: OperatorView) -> None:
+            await store.commit((), (configuration(3), Put("op/evacuate/z", b"{}")))
+            await asyncio.sleep(0.01)
+            assert view.deployment is not None
+            self.assertEqual(view.deployment.version, 3)
+            self.assertEqual(view.evacuated_zones, {"z"})
+            await store.commit((), (Delete("op/evacuate/z"),))
+            await asyncio.sleep(0.01)
+            self.assertEqual(view.evacuated_zones, set())
+
+        self.follow(scenario)
+
+    def test_lost_history_is_read_anew(self) -> None:
+        async def scenario(store: ForgetfulStore, view: OperatorView) -> None:
+            await store.commit((), (configuration(3),))
+            await asyncio.sleep(0.01)
+            store.lost_polls = 1
+            await asyncio.sleep(2.1)  # the poll that waits ends without a change
+            await store.commit((), (configuration(9),))
+            await asyncio.sleep(2.1)
+            assert view.deployment is not None
+            self.assertEqual(view.deployment.version, 9)
+
+        self.follow(scenario)
+
+    def test_unreadable_configuration_leaves_the_last_one(self) -> None:
+        async def scenario(store: ForgetfulStore, view: OperatorView) -> None:
+            await store.commit((), (configuration(3),))
+            await asyncio.sleep(0.01)
+            await store.commit((), (Put("op/config", b"\xff"),))
+            await asyncio.sleep(0.01)
+            assert view.deployment is not None
+            self.assertEqual(view.deployment.version, 3)
+
+        self.follow(scenario)
+
+    def test_neighbours_copy_counts_only_if_it_is_newer(self) -> None:
+        async def scenario(store: ForgetfulStore, view: OperatorView) -> None:
+            for version in (3, 5):
+                await store.commit((), (configuration(version),))
+            await asyncio.sleep(0.01)
+            old = Entry("op/config", configuration(3).value, 2, 2)
+            new = Entry("op/config", configuration(8).value, 99, 2)
+            self.assertFalse(view.follower.merge([old], 2))
+            assert view.deployment is not None
+            self.assertEqual(view.deployment.version, 5)
+            self.assertTrue(view.follower.merge([new], 99))
+            self.assertEqual(view.deployment.version, 8)
+
+        self.follow(scenario)
+
+    def test_age_grows_while_nothing_confirms_the_copy(self) -> None:
+        async def scenario(store: ForgetfulStore, view: OperatorView) -> None:
+            self.assertEqual(view.follower.age_s(), float("inf"))
+            await asyncio.sleep(5.0)
+            self.assertLessEqual(view.follower.age_s(), 2.0)
+
+        self.follow(scenario)
+
+
+class WorkerRegistryTest(unittest.TestCase):
+    """Registrations."""
+
+    def test_unusable_entries_hurt_no_other(self) -> None:
+        async def main() -> None:
+            store = MemoryStore()
+            good = {
+                "service": "s",
+                "addr": "10.0.0.1:1",
+                "zone": "a",
+                "state": "ready",
+                "capacity": {"cpu": 1, "memMb": 1},
+            }
+            puts = (
+                Put("servers/good", json.dumps(good).encode()),
+                Put("servers/bytes", b"\xff\x00"),
+                Put("servers/odd", json.dumps(good | {"state": "odd"}).encode()),
+            )
+            await store.commit((), puts)
+            registry = WorkerRegistry(store, Clocks.of_loop(), lambda: None)
+            following = asyncio.create_task(registry.follower.run())
+            await asyncio.sleep(0.01)
+            self.assertEqual(set(registry.workers_by_id), {"good"})
+            await store.commit((), (Delete("servers/good"),))
+            await asyncio.sleep(0.01)
+            self.assertEqual(registry.workers_by_id, {})
+            following.cancel()
+
+        run_virtual(main())
+
+
+class NodeDirectoryTest(unittest.TestCase):
+    """Members, owners and candidates."""
+
+    def test_owner_carries_its_token_and_lease(self) -> None:
+        async def main() -> None:
+            store = MemoryStore()
+            lease_id = (await store.grant_lease(2.5)).unwrap()
+            record = NodeRecord("n1", "n1:1", "x")
+            put = Put(owner_key(0), record.encode(), lease_id)
+            token = (await store.commit((), (put,))).unwrap().revision
+            await store.commit((), (Put(member_key("n2"), b"odd"),))
+            directory = NodeDirectory(store, Clocks.of_loop())
+            following = asyncio.create_task(directory.follower.run())
+            await asyncio.sleep(0.01)
+            owner = directory.owner(0)
+            assert owner is not None
+            self.assertEqual((owner.record, owner.token), (record, token))
+            self.assertEqual(directory.members(), [])
+            await asyncio.sleep(5.0)
+            self.assertIsNone(directory.owner(0))
+            following.cancel()
+
+        run_virtual(main())
+
+    def test_candidates_are_strong_staying_and_spread_over_shards(self) -> None:
+        members = [NodeRecord(f"n{number}", "", "x", 1.0) for number in range(6)]
+        strong = NodeRecord("strong", "", "x", 2.0)
+        leaving = NodeRecord("leaving", "", "x", 4.0, is_leaving=True)
+        ranked = candidates([*members, strong, leaving], 0)
+        self.assertEqual(ranked[0], "strong")
+        self.assertNotIn("leaving", ranked)
+        firsts = {candidates(members, shard)[0] for shard in range(12)}
+        self.assertGreater(len(firsts), 2)
