--- a/packages/pollengate/pollengate/workflow/reports.py
+++ b/packages/pollengate/pollengate/workflow/reports.py
@@ -65,8 +65,10 @@
         task = self._books.find_task(ended.task)
         if task is None or task.is_done or task.step.job.is_ended:
             return
-        is_newest = ended.run >= task.last_run
-        if how is EndKind.FAILED or (is_newest and not task.runs_by_number):
+        is_newest = ended.run >= task.last_run and not task.runs_by_number
+        # Of copies any may be done; a task without copies has a later run only if this was lost.
+        is_copy_done = how is EndKind.DONE and task.step.spec.is_speculative
+        if how is EndKind.FAILED or is_newest or is_copy_done:
             self._books.result(
                 task, ended.run, self._view.worker_id, how, ended.checkpoint, now, now_ms
             )
--- a/tests/test_workflow_reports.py
+++ b/tests/test_workflow_reports.py
@@ -43,6 +43,18 @@
         reader_of(books, "w1").read(Report(10, 1, (), (ended,)), 0.0, 0.1, 0)
         self.assertEqual(start_all(books), [])
 
+    def test_result_of_one_copy_counts_though_a_later_copy_was_adopted(self) -> None:
+        # At a takeover the copy's worker reports first.
+        books = build_books(build_lease_worker("w0"), build_lease_worker("w1"), tenure=1)
+        job = build_job("aa", step_of(is_speculative=True))
+        job.is_restored = True
+        books.add(job, 0.0, 0)
+        reader_of(books).read(Report(10, 1, (running("aa.0.0.0", 2),), ()), 0.0, 0.1, 0)
+        ended = EndedRun(1, "aa.0.0.0", 1, EndKind.DONE, "")
+        reader_of(books, "w1").read(Report(10, 1, (), (ended,)), 0.0, 0.1, 0)
+        self.assertTrue(job.is_ended)
+        self.assertEqual(len(books.outbox.stops), 1)
+
     def test_run_that_no_task_wants_is_a_stray(self) -> None:
         books = build_books(build_lease_worker("w0"))
         reader_of(books).read(Report(10, 1, (running("bb.0.0.0", 1),), ()), 0.0, 0.1, 0)
