--- a/packages/pollengate/pollengate/workflow/placement.py
+++ b/packages/pollengate/pollengate/workflow/placement.py
@@ -13,7 +13,7 @@
 from pollengate.workflow.progress import StepProgress, TaskProgress
 from pollengate.workflow.tickets import TicketBook
 
-__all__ = ["Placer"]
+__all__ = ["Placer", "may_hold"]
 
 # Share of a filler's processors that must be unused, so that it runs at close to full speed.
 FILLER_MIN_SHARE = 0.9
@@ -79,27 +79,17 @@
         self, task: TaskProgress, workers: Sequence[WorkerView], now: float
     ) -> WorkerView | None:
         step = task.step
+        taken = task.worker_ids
         best = None
         best_score = float("-inf")
         for view in workers:
-            if not self._may_run(task, view):
+            if view.worker_id in taken or not may_hold(step, view):
                 continue
             score = self._score(step, view, now)
             if score is not None and score > best_score:
                 best, best_score = view, score
         return best
 
-    def _may_run(self, task: TaskProgress, view: WorkerView) -> bool:
-        step = task.step
-        spec = step.spec
-        if not view.fits(spec.demand, spec.is_filler):
-            return False
-        if task.runs_by_number and view.worker_id in task.worker_ids:
-            return False
-        if spec.required_label and spec.required_label not in view.info.labels:
-            return False
-        return not spec.max_per_worker or step.runs_on(view.worker_id) < spec.max_per_worker
-
     def _score(self, step: StepProgress, view: WorkerView, now: float) -> float | None:
         spec = step.spec
         score = view.unused_millis()
@@ -133,3 +123,13 @@
         if left < SERVING_HEADROOM_MILLIS:
             score -= OTHER_IMAGE_PENALTY_MILLIS / 2
         return score
+
+
+def may_hold(step: StepProgress, view: WorkerView) -> bool:
+    """Tells whether one more task of a step fits on a worker and is allowed there."""
+    spec = step.spec
+    if not view.fits(spec.demand, spec.is_filler):
+        return False
+    if spec.required_label and spec.required_label not in view.info.labels:
+        return False
+    return not spec.max_per_worker or step.runs_on(view.worker_id) < spec.max_per_worker
--- a/packages/pollengate/pollengate/workflow/rebalancing.py
+++ b/packages/pollengate/pollengate/workflow/rebalancing.py
@@ -9,6 +9,7 @@
 
 from pollengate.workflow.colocation import Colocation
 from pollengate.workflow.fleet import Fleet, WorkerView
+from pollengate.workflow.placement import may_hold
 from pollengate.workflow.progress import Run, RunState
 
 __all__ = ["Rebalancer"]
@@ -83,14 +84,9 @@
     def _has_place(self, source: WorkerView, run: Run, now: float) -> bool:
         """Tells whether a worker has room that keeps out no more fillers for the task."""
         step = run.task.step
-        spec = step.spec
-        wanted = self._colocation.kept_out([spec.image])
+        wanted = self._colocation.kept_out([step.spec.image])
         for view in self._fleet.open_workers(source.info.service, now):
-            if view is source or not view.fits(spec.demand, spec.is_filler):
-                continue
-            if spec.max_per_worker and step.runs_on(view.worker_id) >= spec.max_per_worker:
-                continue
-            if spec.required_label and spec.required_label not in view.info.labels:
+            if view is source or not may_hold(step, view):
                 continue
             present = {r.task.step.spec.image for r in view.serving}
             if not present or wanted <= self._colocation.kept_out(present):
