Log each end of a run and the size and objective of an accepted job

From the log of a late job it could not be told how its runs had ended: the owner logged starts, stops and the job's end only. Each end that a worker reports is now a line with task, run, worker and how; an accepted job shows its number of tasks and its objective. WorkerLink keeps one count of the ends read, the reader's, instead of a copy of its own; a new incarnation resets it at once.

--- a/packages/pollengated/pollengated/edge/client_requests.py
+++ b/packages/pollengated/pollengated/edge/client_requests.py
@@ -137,7 +137,14 @@
         """Lets a job run whose record is durable."""
         self._submitted_by_id.pop(job.job_id, None)
         self._books.add(job, self._clocks.steady(), self._clocks.unix_ms())
-        self._log.info("job accepted", job=job.job_id, queue=job.queue_name)
+        queue = self._books.deployment.queue(job.queue_name)
+        self._log.info(
+            "job accepted",
+            job=job.job_id,
+            queue=job.queue_name,
+            tasks=sum(step.count for step in job.workflow.steps),
+            objective_s=round(job.objective_s(queue), 3) if queue else None,
+        )
         self._on_change()
 
 
--- a/packages/pollengated/pollengated/edge/worker_link.py
+++ b/packages/pollengated/pollengated/edge/worker_link.py
@@ -92,7 +92,6 @@
         self._reader = ReportReader(books, view)
         self._log = Log("worker")
         self._forget_upto = 0
-        self._read_upto = 0
         self._read_mark = 0
         self._last_clock_ms = 0
         self._is_failing = False
@@ -180,7 +179,7 @@
         """Sends one hold order; returns whether it was answered."""
         sent_at = self._clocks.steady()
         if self._committer.durable_mark >= self._read_mark:
-            self._forget_upto = self._read_upto
+            self._forget_upto = self._reader.last_end
         lease = self.view.lease
         order = HoldOrder(
             token=self._right.token,
@@ -205,17 +204,27 @@
             return  # overtaken by a newer report
         self._last_clock_ms = report.worker_clock_ms
         now = self._clocks.steady()
+        self._log_ends(report)
         self._reader.read(report, sent_at, now, self._clocks.unix_ms())
         if self._is_failing:
             self._is_failing = False
             self._log.info("worker answers again", worker=self.view.worker_id)
-        if self._reader.last_end > self._read_upto:
-            self._read_upto = self._reader.last_end
         self._colocation.observe(self.view)
         self._adjust_pace(now)
         self._on_event()
         self._read_mark = self._committer.last_mark
 
+    def _log_ends(self, report: Report) -> None:
+        for ended in report.ended:
+            if ended.number > self._reader.last_end:
+                self._log.info(
+                    "run ended",
+                    task=ended.task,
+                    run=ended.run,
+                    worker=self.view.worker_id,
+                    how=ended.how.value,
+                )
+
     def _adjust_pace(self, now: float) -> None:
         changes = self._pacer.adjust(self.view, now)
         if changes:
@@ -249,12 +258,13 @@
             running=len(report.running),
             ended=len(report.ended),
         )
-        self._forget_upto = self._read_upto = 0
+        self._reader.restart()
+        self._forget_upto = 0
         self._pacer.forget(self.view.worker_id)
 
     async def _settle_results(self) -> None:
         """Waits until the results just read are durable, so that they need no second reading."""
-        if self._read_upto == self._forget_upto:
+        if self._reader.last_end == self._forget_upto:
             return
         if not await self._committer.wait_durable(self._read_mark, UNDURABLE_PAUSE_S):
             self._metrics.undurable_results.inc()
