Clear workers of serving tasks for fillers that harm them everywhere

While fillers wait that want more than harmless workers leave unused, the worker with the fewest serving tasks that fit elsewhere is cleared, one task at a time. It gets a serving task again only where no other worker has room.

--- a/packages/pollengate/pollengate/workflow/books.py
+++ b/packages/pollengate/pollengate/workflow/books.py
@@ -87,12 +87,14 @@
             if job.is_ended or job.due_count >= job.occurrence_count:
                 del self._scheduled_by_id[job.job_id]
 
-    def has_waiting_fillers(self, since: float) -> bool:
-        """Tells whether fillers of a step that opened before `since` have no place."""
-        return any(
-            step.spec.is_filler and step.waiting and step.opened_at < since
-            for step in self.open_steps
-        )
+    def waiting_fillers(self, since: float) -> dict[str, int]:
+        """Returns the millicores, by image, that fillers of steps opened before `since` wait for."""
+        waiting: dict[str, int] = {}
+        for step in self.open_steps:
+            if step.spec.is_filler and step.waiting and step.opened_at < since:
+                wanted = len(step.waiting) * step.spec.demand.cpu_millis
+                waiting[step.spec.image] = waiting.get(step.spec.image, 0) + wanted
+        return waiting
 
     def find_task(self, name: str) -> TaskProgress | None:
         """Returns a task by its name, None if it is unknown or not due."""
--- a/packages/pollengate/pollengate/workflow/fleet.py
+++ b/packages/pollengate/pollengate/workflow/fleet.py
@@ -36,6 +36,7 @@
         unavailable_until: clock time before which it gets no start.
         fillers_blocked_until: clock time before which it gets no filler.
         warm_at: clock time at which it is no longer slow after its start.
+        is_reserved: whether it is kept free of serving tasks, for the fillers that harm them.
     """
 
     info: Worker
@@ -56,6 +57,12 @@
     unavailable_until: float = 0.0
     fillers_blocked_until: float = 0.0
     warm_at: float = 0.0
+    is_reserved: bool = False
+
+    @property
+    def serving_images(self) -> set[str]:
+        """Returns the images of its serving tasks."""
+        return {run.task.step.spec.image for run in self.serving}
 
     @property
     def worker_id(self) -> str:
--- a/packages/pollengate/pollengate/workflow/placement.py
+++ b/packages/pollengate/pollengate/workflow/placement.py
@@ -28,6 +28,8 @@
 OTHER_IMAGE_PENALTY_MILLIS = 100_000
 # The same for each image of fillers that would have to stay away from there besides.
 KEPT_OUT_PENALTY_MILLIS = 100_000
+# A worker that was cleared of serving tasks takes one again only where no other has room.
+RESERVED_PENALTY_MILLIS = 1_000_000
 # A worker counts as that much fuller, in millicores, for each task of the same step there.
 SAME_STEP_PENALTY_MILLIS = 4_000
 # Serving tasks leave that much for others, in millicores, unless they fit nowhere else.
@@ -113,12 +115,14 @@
     def _serving_score(self, step: StepProgress, view: WorkerView) -> float:
         """Prefers workers that serve the same image, the fullest first, then empty ones."""
         spec = step.spec
-        present = {run.task.step.spec.image for run in view.serving}
+        present = view.serving_images
         kept_out = self._colocation.kept_out(present)
         added = self._colocation.kept_out([spec.image]) - kept_out if present else ()
         left = view.info.capacity.cpu_millis - view.firm_millis - spec.demand.cpu_millis
         score = -float(left) - KEPT_OUT_PENALTY_MILLIS * len(added)
         score -= OTHER_IMAGE_PENALTY_MILLIS * len(present - {spec.image})
+        if view.is_reserved:
+            score -= RESERVED_PENALTY_MILLIS
         score -= SAME_STEP_PENALTY_MILLIS * step.runs_on(view.worker_id)
         if left < SERVING_HEADROOM_MILLIS:
             score -= OTHER_IMAGE_PENALTY_MILLIS / 2
@@ -130,6 +134,4 @@
     spec = step.spec
     if not view.fits(spec.demand, spec.is_filler):
         return False
-    if spec.required_label and spec.required_label not in view.info.labels:
-        return False
-    return not spec.max_per_worker or step.runs_on(view.worker_id) < spec.max_per_worker
+    return step.allows(view.info.labels, step.runs_on(view.worker_id))
--- a/packages/pollengate/pollengate/workflow/rebalancing.py
+++ b/packages/pollengate/pollengate/workflow/rebalancing.py
@@ -6,7 +6,9 @@
 """
 
 import collections
+from collections.abc import Mapping
 
+from pollengate.workflow.clearing import starved_images, worker_to_clear
 from pollengate.workflow.colocation import Colocation
 from pollengate.workflow.fleet import Fleet, WorkerView
 from pollengate.workflow.placement import may_hold
@@ -33,11 +35,44 @@
         self._colocation = colocation
         self._moved_at = float("-inf")
         self._moved_at_by_task: dict[str, float] = {}
+        self._clearing: WorkerView | None = None
 
-    def choose(self, now: float) -> Run | None:
-        """Returns the run whose move frees most processors for fillers, None if none does."""
-        if now - self._moved_at < MOVE_INTERVAL_S:
+    def choose(self, waiting_millis: Mapping[str, int], now: float) -> Run | None:
+        """Returns the run whose move frees most processors for fillers, None if none does.
+
+        Args:
+            waiting_millis: millicores that fillers wait for, by image.
+            now: clock time.
+        """
+        if now - self._moved_at < MOVE_INTERVAL_S or not waiting_millis:
+            return None
+        run = self._next_to_clear(waiting_millis, now) or self._most_sensitive(now)
+        if run is not None:
+            self._moved_at = now
+            self._moved_at_by_task[run.task.name] = now
+        return run
+
+    def _next_to_clear(self, waiting_millis: Mapping[str, int], now: float) -> Run | None:
+        """Returns a run of the worker that is being cleared, or of the next one to clear."""
+        view = self._clearing
+        if view is not None and not view.serving:
+            view = None
+        if view is not None and not self._fleet.takes_starts(view, now):
+            view.is_reserved = False
+            view = None
+        if view is None:
+            starved = starved_images(self._fleet, self._colocation, waiting_millis, now)
+            if starved:
+                view = worker_to_clear(
+                    self._fleet, self._colocation, starved, lambda r: self._may_move(r, now), now
+                )
+        self._clearing = view
+        if view is None:
             return None
+        view.is_reserved = True
+        return next((run for run in view.serving if self._may_move(run, now)), None)
+
+    def _most_sensitive(self, now: float) -> Run | None:
         best: tuple[float, Run] | None = None
         for view in self._fleet.workers_by_id.values():
             if not self._fleet.takes_starts(view, now):
@@ -46,11 +81,7 @@
                 gain = self._gain(view, run, now)
                 if gain > 0 and (best is None or gain > best[0]):
                     best = (gain, run)
-        if best is None:
-            return None
-        self._moved_at = now
-        self._moved_at_by_task[best[1].task.name] = now
-        return best[1]
+        return best[1] if best is not None else None
 
     def _candidates(self, view: WorkerView, now: float) -> list[Run]:
         """Returns one run of each image that may move now."""
@@ -86,7 +117,7 @@
         step = run.task.step
         wanted = self._colocation.kept_out([step.spec.image])
         for view in self._fleet.open_workers(source.info.service, now):
-            if view is source or not may_hold(step, view):
+            if view is source or view.is_reserved or not may_hold(step, view):
                 continue
             present = {r.task.step.spec.image for r in view.serving}
             if not present or wanted <= self._colocation.kept_out(present):
--- a/packages/pollengated/pollengated/edge/shard_tenure.py
+++ b/packages/pollengated/pollengated/edge/shard_tenure.py
@@ -326,9 +326,8 @@
 
     def _rebalance(self) -> None:
         now = self._clocks.steady()
-        if not self.books.has_waiting_fillers(now - FILLER_WAIT_S):
-            return
-        run = self._rebalancer.choose(now)
+        waiting_millis = self.books.waiting_fillers(now - FILLER_WAIT_S)
+        run = self._rebalancer.choose(waiting_millis, now)
         if run is not None:
             self._log.info(
                 "serving task moves",
