Stop a slow filler only where a harmless place is free

Cause: a filler that was slowed down was stopped after 0.7 s and then often found no place: a step of six tasks took 32 s as one of them left and waited 19 s; one task was started 129 times. It now leaves only while another worker could run it at full speed.

--- a/packages/pollengate/pollengate/workflow/placement.py
+++ b/packages/pollengate/pollengate/workflow/placement.py
@@ -77,6 +77,23 @@
             best = self._best(task, sound, now)
         return best
 
+    def has_harmless_place(
+        self, task: TaskProgress, workers: Sequence[WorkerView], now: float
+    ) -> bool:
+        """Tells whether a filler could run at full speed on another worker."""
+        step = task.step
+        taken = task.worker_ids
+        wanted_millis = FILLER_MIN_SHARE * step.spec.demand.cpu_millis
+        return any(
+            view.worker_id not in taken
+            and may_hold(step, view)
+            and now >= view.fillers_blocked_until
+            and view.unused_millis() >= wanted_millis
+            and self._colocation.harm_with(view, step) < HARMFUL_PROBABILITY
+            and self._evidence.admits(view.worker_id, task.name)
+            for view in workers
+        )
+
     def _best(
         self, task: TaskProgress, workers: Sequence[WorkerView], now: float
     ) -> WorkerView | None:
--- a/packages/pollengate/pollengate/workflow/planner.py
+++ b/packages/pollengate/pollengate/workflow/planner.py
@@ -77,6 +77,14 @@
             rooms[queue.service] = room
         return planned
 
+    def has_harmless_place(self, task: TaskProgress, now: float) -> bool:
+        """Tells whether a filler could run at full speed on another worker."""
+        queue = self._books.queue_of(task.step)
+        if queue is None:
+            return False
+        workers = self._books.fleet.open_workers(queue.service, now)
+        return self._placer.has_harmless_place(task, workers, now)
+
     def _place_step(
         self, step: StepProgress, queue: Queue, workers: list[WorkerView], now: float
     ) -> list[Run]:
--- a/packages/pollengated/pollengated/edge/shard_tenure.py
+++ b/packages/pollengated/pollengated/edge/shard_tenure.py
@@ -282,6 +282,7 @@
             self._colocation,
             self._pacer,
             self._tickets,
+            self._planner,
             self._clocks,
             self._metrics,
             self._event,
--- a/packages/pollengated/pollengated/edge/worker_link.py
+++ b/packages/pollengated/pollengated/edge/worker_link.py
@@ -17,6 +17,7 @@
 from pollengate.workflow.colocation import Colocation
 from pollengate.workflow.fleet import WorkerView
 from pollengate.workflow.pacing import PaceChange, Pacer
+from pollengate.workflow.planner import Planner
 from pollengate.workflow.progress import Run, RunState
 from pollengate.workflow.reports import ReportReader
 from pollengate.workflow.rights import ShardRight
@@ -59,6 +60,7 @@
         colocation: learns from the figures of serving tasks.
         pacer: decides the pace of fillers.
         tickets: permissions to run steps of queues with advice.
+        planner: knows where else a filler could run.
         clocks: the process's clocks.
         metrics: counts orders.
         on_event: is called after each change of the books.
@@ -74,6 +76,7 @@
         colocation: Colocation,
         pacer: Pacer,
         tickets: TicketBook,
+        planner: Planner,
         clocks: Clocks,
         metrics: EdgeMetrics,
         on_event: Callable[[], None],
@@ -86,6 +89,7 @@
         self._colocation = colocation
         self._pacer = pacer
         self._tickets = tickets
+        self._planner = planner
         self._clocks = clocks
         self._metrics = metrics
         self._on_event = on_event
@@ -240,6 +244,8 @@
         for change in changes:
             asyncio.get_running_loop().create_task(self.change_pace(change))
         for run in self._pacer.relocations(self.view, now):
+            if not self._planner.has_harmless_place(run.task, now):
+                continue
             self._log.info(
                 "filler leaves",
                 task=run.task.name,
--- a/tests/test_workflow_placement.py
+++ b/tests/test_workflow_placement.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from pollengate.workflow.clearing import starved_images
 from pollengate.workflow.clients import EndKind
 from pollengate.workflow.colocation import Colocation
 from pollengate.workflow.draining import runs_to_move
@@ -240,7 +241,7 @@
 
     def choose(self, now: float = 1.0) -> Run | None:
         """Returns the move that a fresh rebalancer makes."""
-        return Rebalancer(self.books.fleet, self.colocation).choose(now)
+        return Rebalancer(self.books.fleet, self.colocation).choose({"h": 7000}, now)
 
     def test_sensitive_task_leaves_the_others(self) -> None:
         self.place(aa0="w0", aa1="w1", bb0="w1", bb1="w1")
@@ -262,8 +263,97 @@
     def test_moves_keep_their_distance(self) -> None:
         self.place(aa0="w0", aa1="w1", bb0="w1", bb1="w1")
         rebalancer = Rebalancer(self.books.fleet, self.colocation)
-        self.assertIsNotNone(rebalancer.choose(1.0))
-        self.assertIsNone(rebalancer.choose(1.1))
+        self.assertIsNotNone(rebalancer.choose({"h": 7000}, 1.0))
+        self.assertIsNone(rebalancer.choose({"h": 7000}, 1.1))
+
+    def test_no_task_moves_while_no_filler_waits(self) -> None:
+        self.place(aa0="w0", aa1="w1", bb0="w1", bb1="w1")
+        self.assertIsNone(Rebalancer(self.books.fleet, self.colocation).choose({}, 1.0))
+
+
+class ClearingTest(unittest.TestCase):
+    """Workers that lose their serving tasks to fillers that harm everywhere."""
+
+    def setUp(self) -> None:
+        self.colocation = Colocation()
+        self.colocation.load({"x": {"f": 3.0}})
+        self.books = build_books(*(build_lease_worker(f"w{n}", capacity=BIG) for n in range(3)))
+        self.fleet = self.books.fleet
+        self.books.add(build_job("aa", serving("x", 4)), 0.0, 0)
+        self.books.add(build_job("bb", filler("f", 4)), 0.0, 0)
+        self.rebalancer = Rebalancer(self.fleet, self.colocation)
+
+    def place(self, *worker_ids: str) -> None:
+        """Puts the serving tasks on workers, at work."""
+        for index, worker_id in enumerate(worker_ids):
+            task = self.books.find_task(f"aa.0.0.{index}")
+            assert task is not None
+            run = self.books.begin(task, self.fleet.workers_by_id[worker_id], 1, 0.0)
+            self.books.confirm(run, 0.0)
+            run.percent = 100.0
+
+    def waiting(self) -> dict[str, int]:
+        """Returns what fillers wait for."""
+        return self.books.waiting_fillers(1.0)
+
+    def move(self, run: Run, now: float) -> str:
+        """Ends a run that has to move and starts it anew; returns where."""
+        self.books.stop(run)
+        self.books.end(run, EndKind.STOPPED, "", now, 0)
+        started = [r for r in self.plan(now) if r.task is run.task]
+        for new in started:
+            self.books.confirm(new, now)
+            new.percent = 100.0
+        return started[0].worker_id
+
+    def plan(self, now: float) -> list[Run]:
+        """Plans with what is known of the images."""
+        return build_planner(self.books, self.colocation).plan(now)
+
+    def test_worker_with_the_fewest_serving_tasks_is_cleared_for_the_fillers(self) -> None:
+        self.place("w0", "w1", "w1", "w2")
+        self.fleet.workers_by_id["w2"].info = build_lease_worker(
+            "w2", capacity=Demand(13_000, 9000)
+        )
+        self.assertEqual(self.plan(1.0), [])
+        run = self.rebalancer.choose(self.waiting(), 1.0)
+        assert run is not None
+        self.assertEqual(run.worker_id, "w0")
+        self.assertEqual(self.move(run, 1.0), "w1")
+        self.assertEqual({r.worker_id for r in self.plan(2.0)}, set())
+        fillers = list(self.fleet.workers_by_id["w0"].fillers)
+        self.assertEqual(len(fillers), 4)
+
+    def test_cleared_worker_gets_no_serving_task_while_another_has_room(self) -> None:
+        self.place("w0", "w1", "w1", "w2")
+        run = self.rebalancer.choose(self.waiting(), 1.0)
+        assert run is not None
+        self.move(run, 1.0)
+        self.books.add(build_job("cc", serving("y")), 2.0, 0)
+        (new,) = (r for r in self.plan(2.0) if r.task.step.job.job_id == "cc")
+        self.assertNotEqual(new.worker_id, run.worker_id)
+
+    def test_nothing_is_cleared_while_a_harmless_worker_has_room(self) -> None:
+        self.place("w0", "w1", "w1", "w1")
+        self.assertTrue(self.fleet.workers_by_id["w2"].unused_millis() > 28_000)
+        self.colocation.load({"x": {"f": 3.0}})
+        self.assertEqual(starved_images(self.fleet, self.colocation, self.waiting(), 1.0), set())
+
+    def test_nothing_is_cleared_for_tasks_that_fit_nowhere_else(self) -> None:
+        self.place("w0", "w1", "w1", "w1")
+        for worker_id in ("w1", "w2"):
+            self.fleet.workers_by_id[worker_id].unavailable_until = 9.0
+        self.assertIsNone(self.rebalancer.choose(self.waiting(), 1.0))
+
+    def test_slow_filler_has_a_harmless_place_only_off_the_images_that_it_harms(self) -> None:
+        self.place("w0", "w1", "w1", "w2")
+        task = self.books.find_task("bb.0.0.0")
+        assert task is not None
+        self.books.begin(task, self.fleet.workers_by_id["w1"], 1, 0.0)
+        planner = build_planner(self.books, self.colocation)
+        self.assertFalse(planner.has_harmless_place(task, 1.0))
+        self.colocation.load({"x": {"f": -2.0}})
+        self.assertTrue(planner.has_harmless_place(task, 1.0))
 
 
 class DrainingTest(unittest.TestCase):
