Deal racks to shards by their processors

Cause: on the grown league (246 workers, 3 shards) the racks' hash gave one shard 53 workers and two 193; its serving tasks asked for 5,106 of some 3,960 cores, so that 31 of 61 of its batch jobs that count against capacity never started while the other shards had room. Ruled out: a lost job (all were accepted and open), placement (nothing fits in that shard).

The layout, written once, now names the shard of each rack that is known by then: each zone's racks are dealt evenly, the largest first. Racks that come later fall back to the hash. Jobs still belong to a shard by the hash of their id.

--- a/packages/pollengate/pollengate/workflow/books.py
+++ b/packages/pollengate/pollengate/workflow/books.py
@@ -88,7 +88,7 @@
                 del self._scheduled_by_id[job.job_id]
 
     def waiting_fillers(self, since: float) -> dict[str, int]:
-        """Returns the millicores, by image, that fillers of steps opened before `since` lack for."""
+        """Returns the millicores by image that fillers lack in steps opened before `since`."""
         waiting: dict[str, int] = {}
         for step in self.open_steps:
             if step.spec.is_filler and step.waiting and step.opened_at < since:
--- /dev/null
+++ b/packages/pollengate/pollengate/workflow/sharding.py
@@ -0,0 +1,34 @@
+"""Deals a deployment's racks to shards.
+
+Made for fleets of several shards, each of whose owners can only use its own workers: a shard with
+too few of them refuses or queues what another has room for. So each shard gets about the same
+processors of every zone, and loses the same share when a zone is out.
+"""
+
+import collections
+from collections.abc import Iterable
+
+from pollengate.workflow.model import Worker
+
+__all__ = ["deal_racks"]
+
+
+def deal_racks(workers: Iterable[Worker], shards: int) -> dict[str, int]:
+    """Returns the shard of each rack, the largest racks dealt first."""
+    millis_by_rack: collections.Counter[tuple[str, str]] = collections.Counter()
+    for worker in workers:
+        millis_by_rack[worker.zone, worker.rack] += worker.capacity.cpu_millis
+    in_zone: collections.Counter[tuple[str, int]] = collections.Counter()
+    in_all: collections.Counter[int] = collections.Counter()
+    shard_by_rack: dict[str, int] = {}
+    for (zone, rack), millis in sorted(
+        millis_by_rack.items(), key=lambda item: (-item[1], item[0])
+    ):
+        if rack in shard_by_rack:
+            shard = shard_by_rack[rack]  # a rack that two zones name stays whole
+        else:
+            shard = min(range(shards), key=lambda n: (in_zone[zone, n], in_all[n], n))
+        shard_by_rack[rack] = shard
+        in_zone[zone, shard] += millis
+        in_all[shard] += millis
+    return shard_by_rack
--- a/packages/pollengated/pollengated/edge/compose.py
+++ b/packages/pollengated/pollengated/edge/compose.py
@@ -94,7 +94,7 @@
     def make_tenure(shard: int, right: ShardRight) -> ShardTenure:
         return ShardTenure(
             shard,
-            layout.shards,
+            layout,
             settings,
             store,
             workers,
--- a/packages/pollengated/pollengated/edge/layout.py
+++ b/packages/pollengated/pollengated/edge/layout.py
@@ -1,11 +1,14 @@
-"""How many shards a deployment has: fixed once, when it starts for the first time."""
+"""Which shards a deployment has: fixed once, when it starts for the first time."""
 
 import asyncio
+from collections.abc import Iterable
 
 import msgspec
-from pollengate.store import PolledStore, Put, Unchanged
-from pollengate.workflow.keys import LAYOUT_KEY
-from pollengate_platform.documents import WORKER_PREFIX
+from pollengate.store import Entry, PolledStore, Put, Unchanged
+from pollengate.workflow.keys import LAYOUT_KEY, shard_of_new_rack
+from pollengate.workflow.model import Worker
+from pollengate.workflow.sharding import deal_racks
+from pollengate_platform.documents import WORKER_PREFIX, decode_worker
 from result import Err
 
 from pollengated.edge.clocks import Clocks
@@ -21,9 +24,20 @@
 
 
 class Layout(msgspec.Struct, frozen=True):
-    """The number of shards of a deployment."""
+    """The shards of a deployment.
+
+    Attributes:
+        shards: their number.
+        shard_by_rack: shards of the racks that were known when the layout was decided.
+    """
 
     shards: int
+    shard_by_rack: dict[str, int] = {}
+
+    def shard_of(self, rack: str) -> int:
+        """Returns the shard that a rack's workers belong to."""
+        shard = self.shard_by_rack.get(rack)
+        return shard_of_new_rack(rack, self.shards) if shard is None else shard
 
 
 async def find_layout(store: PolledStore, clocks: Clocks) -> Layout:
@@ -35,17 +49,29 @@
             return msgspec.json.decode(entry.ok_value.value, type=Layout)
         workers = await store.list(WORKER_PREFIX)
         if not isinstance(entry, Err) and not isinstance(workers, Err):
-            count = len(workers.ok_value.entries)
-            if count and first_seen is None:
+            known = _readable(workers.ok_value.entries)
+            if known and first_seen is None:
                 first_seen = clocks.steady()
             if first_seen is not None and clocks.steady() - first_seen >= REGISTRATION_S:
-                await _decide(store, count)
+                await _decide(store, known)
         await asyncio.sleep(RETRY_S)
 
 
-async def _decide(store: PolledStore, workers: int) -> None:
-    layout = Layout(max(1, -(-workers // WORKERS_PER_SHARD)))
+def _readable(entries: Iterable[Entry]) -> list[Worker]:
+    """Returns the workers; entries that are none are left to the registry's log."""
+    decoded = (decode_worker(entry) for entry in entries)
+    return [result.ok_value for result in decoded if not isinstance(result, Err)]
+
+
+async def _decide(store: PolledStore, workers: list[Worker]) -> None:
+    shards = max(1, -(-len(workers) // WORKERS_PER_SHARD))
+    layout = Layout(shards, deal_racks(workers, shards))
     put = Put(LAYOUT_KEY, msgspec.json.encode(layout))
     decided = await store.commit((Unchanged(LAYOUT_KEY, 0),), (put,))
-    failure = decided.err_value.detail if isinstance(decided, Err) else "none"
-    Log("layout").info("layout decided", shards=layout.shards, workers=workers, failure=failure)
+    Log("layout").info(
+        "layout decided",
+        shards=shards,
+        workers=len(workers),
+        racks=len(layout.shard_by_rack),
+        failure=decided.err_value.detail if isinstance(decided, Err) else "none",
+    )
--- a/packages/pollengated/pollengated/edge/shard_tenure.py
+++ b/packages/pollengated/pollengated/edge/shard_tenure.py
@@ -18,7 +18,6 @@
     job_prefix,
     progress_key,
     progress_prefix,
-    shard_of_rack,
 )
 from pollengate.workflow.leases import MAX_CLOCK_DRIFT, WORKER_LEASE_S
 from pollengate.workflow.pacing import Pacer
@@ -44,6 +43,7 @@
     decode_commit_number,
 )
 from pollengated.edge.edge_metrics import EdgeMetrics
+from pollengated.edge.layout import Layout
 from pollengated.edge.operator_view import OperatorView
 from pollengated.edge.roster import Roster, decode_roster
 from pollengated.edge.worker_link import WorkerLink
@@ -70,7 +70,7 @@
 
     Args:
         shard: its number.
-        shards: number of shards of the deployment.
+        layout: the shards of the deployment.
         settings: of this process.
         store: the platform's store.
         client: sends orders to workers.
@@ -84,7 +84,7 @@
     def __init__(
         self,
         shard: int,
-        shards: int,
+        layout: Layout,
         settings: NodeSettings,
         store: PolledStore,
         client: WorkerClient,
@@ -97,7 +97,7 @@
         self.shard = shard
         self.right = right
         self.is_serving = False
-        self._shards = shards
+        self._layout = layout
         self._settings = settings
         self._store = store
         self._client = client
@@ -260,7 +260,7 @@
         own = [
             worker
             for worker in self._registry.workers_by_id.values()
-            if shard_of_rack(worker.rack, self._shards) == self.shard
+            if self._layout.shard_of(worker.rack) == self.shard
         ]
         self.fleet.update(own, now)
         self._link_all()
--- a/tests/edge_cluster.py
+++ b/tests/edge_cluster.py
@@ -24,6 +24,7 @@
 from pollengate_standins.lease_worker import LeaseWorker, LeaseWorkers, StartRecord
 from pollengated.edge.clocks import Clocks
 from pollengated.edge.edge_metrics import EdgeMetrics
+from pollengated.edge.layout import Layout
 from pollengated.edge.membership import Membership
 from pollengated.edge.node_directory import NodeDirectory, NodeRecord
 from pollengated.edge.operator_view import OperatorView
@@ -161,7 +162,16 @@
 
         def make_tenure(shard: int, right: ShardRight) -> ShardTenure:
             return ShardTenure(
-                shard, 1, settings_of(name), store, workers, None, right, operators, clocks, metrics
+                shard,
+                Layout(1),
+                settings_of(name),
+                store,
+                workers,
+                None,
+                right,
+                operators,
+                clocks,
+                metrics,
             )
 
         keeper = ShardKeeper(0, record, store, directory, clocks, make_tenure)
--- /dev/null
+++ b/tests/test_edge_layout.py
@@ -0,0 +1,75 @@
+"""Tests of how the shards of a deployment are fixed, on virtual time."""
+
+import asyncio
+import json
+import unittest
+
+from pollengate.memory_store import MemoryStore
+from pollengate.store import Put
+from pollengate.workflow.keys import LAYOUT_KEY
+from pollengated.edge.clocks import Clocks
+from pollengated.edge.layout import WORKERS_PER_SHARD, find_layout
+
+from tests.utils import run_virtual
+
+RACK_SIZE = 8
+
+
+async def register(store: MemoryStore, number: int) -> None:
+    """Writes the registration of a worker."""
+    document = {
+        "service": "service",
+        "addr": f"10.0.0.{number}:1",
+        "zone": "abc"[number // RACK_SIZE % 3],
+        "state": "ready",
+        "capacity": {"cpu": 64_000, "memMb": 4000},
+        "labels": ["k", f"r{number // RACK_SIZE}"],
+    }
+    await store.commit((), (Put(f"servers/i-{number}", json.dumps(document).encode()),))
+
+
+class LayoutTest(unittest.TestCase):
+    """Number of shards and their racks."""
+
+    def test_layout_is_decided_once_and_read_by_all(self) -> None:
+        async def main() -> None:
+            store = MemoryStore()
+            for number in range(3 * WORKERS_PER_SHARD):
+                await register(store, number)
+            clocks = Clocks.of_loop()
+            first, second = await asyncio.gather(
+                find_layout(store, clocks), find_layout(store, clocks)
+            )
+            self.assertEqual(first, second)
+            self.assertEqual(first.shards, 3)
+            for number in range(3 * WORKERS_PER_SHARD, 6 * WORKERS_PER_SHARD):
+                await register(store, number)
+            self.assertEqual(await find_layout(store, clocks), first)
+            known = {first.shard_of(rack) for rack in first.shard_by_rack}
+            self.assertEqual(known, {0, 1, 2})
+            self.assertIn(first.shard_of("a rack that came later"), known)
+
+        run_virtual(main())
+
+    def test_layout_without_racks_is_still_read(self) -> None:
+        async def main() -> None:
+            store = MemoryStore()
+            await store.commit((), (Put(LAYOUT_KEY, b'{"shards": 2}'),))
+            layout = await find_layout(store, Clocks.of_loop())
+            self.assertEqual(layout.shards, 2)
+            self.assertIn(layout.shard_of("r0"), {0, 1})
+
+        run_virtual(main())
+
+    def test_entries_of_other_writers_name_no_worker(self) -> None:
+        async def main() -> None:
+            store = MemoryStore()
+            await store.commit((), (Put("servers/odd", b"\xff"),))
+            waiting = asyncio.ensure_future(find_layout(store, Clocks.of_loop()))
+            await asyncio.sleep(10.0)
+            self.assertFalse(waiting.done())
+            await register(store, 0)
+            layout = await waiting
+            self.assertEqual((layout.shards, layout.shard_by_rack), (1, {"r0": 0}))
+
+        run_virtual(main())
--- /dev/null
+++ b/tests/test_workflow_sharding.py
@@ -0,0 +1,55 @@
+"""Tests of how racks are dealt to shards."""
+
+import collections
+import unittest
+
+from pollengate.workflow.model import Demand, Worker
+from pollengate.workflow.sharding import deal_racks
+
+from tests.workflow_builders import build_lease_worker
+
+ZONES = ("a", "b", "c")
+
+
+def fleet(racks_by_zone: dict[str, int], workers_a_rack: int = 8) -> list[Worker]:
+    """Returns workers of equal size; every third rack has larger ones."""
+    return [
+        build_lease_worker(
+            f"w-{zone}-{rack}-{number}",
+            zone=zone,
+            rack=f"r-{zone}-{rack}",
+            capacity=Demand(96_000 if rack % 3 == 2 else 64_000, 256_000),
+        )
+        for zone, racks in racks_by_zone.items()
+        for rack in range(racks)
+        for number in range(workers_a_rack)
+    ]
+
+
+class DealRacksTest(unittest.TestCase):
+    """Shards get like shares of the processors."""
+
+    def test_shards_differ_by_no_more_than_a_rack_a_zone(self) -> None:
+        workers = fleet(dict.fromkeys(ZONES, 10))
+        shard_by_rack = deal_racks(workers, 3)
+        millis: collections.Counter[tuple[str, int]] = collections.Counter()
+        for worker in workers:
+            millis[worker.zone, shard_by_rack[worker.rack]] += worker.capacity.cpu_millis
+        for zone in ZONES:
+            shares = [millis[zone, shard] for shard in range(3)]
+            self.assertLessEqual(max(shares) - min(shares), 8 * 96_000)
+        totals = [sum(millis[zone, shard] for zone in ZONES) for shard in range(3)]
+        self.assertLessEqual(max(totals) - min(totals), 8 * 96_000)
+
+    def test_every_rack_has_a_shard(self) -> None:
+        workers = fleet({"a": 3, "b": 1, "c": 2})
+        shard_by_rack = deal_racks(workers, 4)
+        self.assertEqual(set(shard_by_rack), {worker.rack for worker in workers})
+        self.assertTrue(all(0 <= shard < 4 for shard in shard_by_rack.values()))
+
+    def test_one_shard_gets_all(self) -> None:
+        self.assertEqual(set(deal_racks(fleet({"a": 2}), 1).values()), {0})
+
+    def test_order_of_registration_does_not_matter(self) -> None:
+        workers = fleet(dict.fromkeys(ZONES, 4))
+        self.assertEqual(deal_racks(workers, 3), deal_racks(reversed(workers), 3))
