Suspend an owner beyond its grace instead of ending its tenure

The owner gave its right up 4 ms before the store answered again. The store had kept the lease through its outage, so that the key stood for 2.3 s more and nobody could take the shard over: 140 submissions of these 2.3 s were refused though the store served.

Beyond its grace an owner now gives no orders and answers nobody, as before, but keeps its books. A renewal that the store grants proves that nobody else can have taken the shard; one that it refuses, or a worker that knows a higher token, ends the tenure. Workers have to report before they get a start again, since their leases may have lapsed.

Ruled out: giving the key up at once when the right ends (the store was silent).

--- a/packages/pollengated/pollengated/edge/compose.py
+++ b/packages/pollengated/pollengated/edge/compose.py
@@ -67,7 +67,7 @@
     directory = NodeDirectory(store, clocks)
     membership = Membership(store, record)
     client = EdgeClient()
-    owned = OwnedShards()
+    owned = OwnedShards(clocks)
     exchange = ViewExchange(record.address, operators, directory, client)
     stop_flag = StopFlag()
     stop = GateStop(stop_flag, STOP_DELAY_S)
--- a/packages/pollengated/pollengated/edge/shard_keeper.py
+++ b/packages/pollengated/pollengated/edge/shard_keeper.py
@@ -59,6 +59,7 @@
         self._make_tenure = make_tenure
         self._is_leaving = False
         self._lease_id = 0
+        self._is_suspended = False
         self._log = Log("keeper")
 
     async def run(self) -> None:
@@ -158,9 +159,23 @@
             renewals.add(renewal)
             renewal.add_done_callback(renewals.discard)
             await asyncio.sleep(RENEW_INTERVAL_S)
-            if not right.holds(self._clocks.steady()):
-                self._log.warning("right has lapsed", shard=self._shard, token=right.token)
-                right.lose()
+            self._note_suspension(right)
+
+    def _note_suspension(self, right: ShardRight) -> None:
+        """Logs when the right rests for want of renewals, and when it holds again.
+
+        The store may keep the lease through an outage of its own; only its answer, or that of a
+        worker, tells that a successor is possible.
+        """
+        is_suspended = not right.is_lost and not right.holds(self._clocks.steady())
+        if is_suspended != self._is_suspended:
+            self._is_suspended = is_suspended
+            self._log.warning(
+                "right is suspended" if is_suspended else "right is no longer suspended",
+                shard=self._shard,
+                token=right.token,
+                silent_s=round(right.silent_s(self._clocks.steady()), 2),
+            )
 
     async def _renew(self, right: ShardRight) -> None:
         asked_at = self._clocks.steady()
--- a/packages/pollengated/pollengated/edge/shards.py
+++ b/packages/pollengated/pollengated/edge/shards.py
@@ -1,5 +1,6 @@
 """The shards that this process owns at the moment."""
 
+from pollengated.edge.clocks import Clocks
 from pollengated.edge.shard_keeper import ShardKeeper
 from pollengated.edge.shard_tenure import ShardTenure
 
@@ -7,13 +8,23 @@
 
 
 class OwnedShards:
-    """Finds the tenure of a shard."""
+    """Finds the tenure of a shard.
 
-    def __init__(self) -> None:
+    Args:
+        clocks: the process's clocks.
+    """
+
+    def __init__(self, clocks: Clocks) -> None:
+        self._clocks = clocks
         self.keepers_by_shard: dict[int, ShardKeeper] = {}
 
     def serving(self, shard: int) -> ShardTenure | None:
-        """Returns a shard's tenure if this process owns it and has read its records."""
+        """Returns a shard's tenure if this process owns it and has read its records.
+
+        None while the right is suspended: a successor may know better.
+        """
         keeper = self.keepers_by_shard.get(shard)
-        tenure = keeper and keeper.tenure
-        return tenure if tenure and tenure.is_serving and not tenure.right.is_lost else None
+        tenure = keeper.tenure if keeper is not None else None
+        if tenure is None or not tenure.is_serving:
+            return None
+        return tenure if tenure.right.holds(self._clocks.steady()) else None
--- a/packages/pollengated/pollengated/edge/worker_link.py
+++ b/packages/pollengated/pollengated/edge/worker_link.py
@@ -106,6 +106,8 @@
         while not self._right.is_lost:
             now = self._clocks.steady()
             if not self._right.holds(now):
+                # Leases may lapse meanwhile, so the worker has to report before it gets a start.
+                self.view.is_attached = False
                 await asyncio.sleep(RETRY_S)
                 continue
             if await self._hold(self._hold_wait_s()):
@@ -185,10 +187,11 @@
         if self._committer.durable_mark >= self._read_mark:
             self._forget_upto = self._reader.last_end
         lease = self.view.lease
+        is_unsure = self._is_failing or not self.view.is_attached
         order = HoldOrder(
             token=self._right.token,
             forget_upto=self._forget_upto,
-            lease_until_ms=lease.repeat() if self._is_failing else lease.extend(sent_at),
+            lease_until_ms=lease.repeat() if is_unsure else lease.extend(sent_at),
             wait_ms=int(wait_s * 1000),
         )
         result = await self._client.hold(self.view.info.address, self.view.worker_id, order)
--- a/tests/edge_cluster.py
+++ b/tests/edge_cluster.py
@@ -18,6 +18,7 @@
     Unchanged,
 )
 from pollengate.workflow.desk import JobAnswer
+from pollengate.workflow.keys import owner_key
 from pollengate.workflow.model import Workflow
 from pollengate.workflow.rights import ShardRight
 from pollengate.workflow.settings import Bounds, NodeSettings
@@ -37,6 +38,7 @@
 __all__ = ["EdgeCluster", "EdgeNode", "overlaps", "starts_after_done"]
 
 LOST_CALL_S = 0.8
+LEASE_PAUSE_S = 0.25
 BOUNDS = Bounds(10.0, 0.4, 3.0, 3.0, 0.25, 120.0, 3.0, 0.25, 0.5, 6.0, 4.0, 4.5)
 
 
@@ -191,7 +193,8 @@
         """Returns the process that serves the shard."""
         for node in self.nodes_by_name.values():
             tenure = node.keeper.tenure
-            is_serving = tenure is not None and tenure.is_serving and not tenure.right.is_lost
+            now = asyncio.get_running_loop().time()
+            is_serving = tenure is not None and tenure.is_serving and tenure.right.holds(now)
             if is_serving and node.name != besides:
                 return node
         return None
@@ -205,6 +208,18 @@
                     return node.keeper.tenure
                 await asyncio.sleep(0.01)
 
+    async def pause_store(self, pause_s: float) -> None:
+        """Takes the store away from all for a time, in which no lease of the shard's owner ends."""
+        entry = (await self.store.get(owner_key(0))).unwrap()
+        assert entry is not None
+        for node in self.nodes_by_name.values():
+            node.store.is_down = True
+        for _ in range(round(pause_s / LEASE_PAUSE_S)):
+            await self.store.keep_lease(entry.lease_id)
+            await asyncio.sleep(LEASE_PAUSE_S)
+        for node in self.nodes_by_name.values():
+            node.store.is_down = False
+
     async def submit(self, job_id: str, workflow: Workflow, besides: str = "") -> JobAnswer:
         """Submits a job to the owner."""
         tenure = await self.tenure(besides)
--- a/tests/test_edge_takeover.py
+++ b/tests/test_edge_takeover.py
@@ -181,6 +181,50 @@
 
         run_virtual(main())
 
+    def test_owner_whose_lease_outlasts_an_outage_goes_on_at_once(self) -> None:
+        # Beyond its grace the owner gives no orders; after 20 s the workers' leases have lapsed.
+        for pause_s, duration_s in ((3.0, 7.0), (6.0, 7.0), (20.0, 30.0)):
+            with self.subTest(pause_s=pause_s):
+                run_virtual(self.outlast(pause_s, duration_s))
+
+    async def outlast(self, pause_s: float, duration_s: float) -> None:
+        """Takes the store away for some time while a job runs."""
+        cluster = EdgeCluster()
+        for worker in cluster.workers_by_id.values():
+            worker.duration_of = lambda task: duration_s
+        await cluster.open()
+        await cluster.submit(JOB, build_workflow(step_of(6), step_of(2, after=(0,))))
+        await asyncio.sleep(1.0)
+        tenure = await cluster.tenure()
+        await cluster.pause_store(pause_s)
+        began_at = asyncio.get_running_loop().time()
+        again = await cluster.tenure()
+        self.assertIs(again, tenure)
+        self.assertLess(asyncio.get_running_loop().time() - began_at, 1.0)
+        await cluster.wait_for_state(JOB, JobState.COMPLETED, 120.0)
+        self.check(cluster)
+
+    def test_suspended_owner_whose_lease_has_ended_makes_room(self) -> None:
+        async def main() -> None:
+            cluster = EdgeCluster()
+            await cluster.open()
+            await cluster.submit(JOB, build_workflow(step_of(9)))
+            node = cluster.owner()
+            assert node is not None and node.keeper.tenure is not None
+            past = node.keeper.tenure
+            node.store.is_silent = True
+            await asyncio.sleep(6.0)
+            self.assertFalse(past.right.holds(asyncio.get_running_loop().time()))
+            successor = await cluster.tenure(besides=node.name)
+            self.assertGreater(successor.right.token, past.right.token)
+            node.store.is_silent = False
+            await asyncio.sleep(2.0)
+            self.assertTrue(past.right.is_lost)
+            await cluster.wait_for_state(JOB, JobState.COMPLETED)
+            self.check(cluster)
+
+        run_virtual(main())
+
     def test_power_loss_of_all_right_after_an_acknowledgement_keeps_the_job(self) -> None:
         async def main() -> None:
             cluster = EdgeCluster()
--- a/tests/test_gate_desk.py
+++ b/tests/test_gate_desk.py
@@ -81,7 +81,7 @@
             value = NodeRecord("n1", "n1:1", "x").encode()
             entry = Entry(owner_key(0), value, 5, 5, 6)
             self.directory.follower.entries_by_key[owner_key(0)] = entry
-        owned = OwnedShards()
+        owned = OwnedShards(clocks)
         self.probe = OwnerProbe(1, owned, self.directory, self.client, clocks)
         self.desk = GateDesk(
             1,
