--- a/packages/pollengated/pollengated/edge/shard_keeper.py
+++ b/packages/pollengated/pollengated/edge/shard_keeper.py
@@ -142,6 +142,7 @@
 
     async def _serve(self, right: ShardRight) -> None:
         self.tenure = self._make_tenure(self._shard, right)
+        self._is_suspended = False
         renewing = asyncio.create_task(self._keep(right))
         try:
             await self.tenure.run()
@@ -167,7 +168,9 @@
         The store may keep the lease through an outage of its own; only its answer, or that of a
         worker, tells that a successor is possible.
         """
-        is_suspended = not right.is_lost and not right.holds(self._clocks.steady())
+        if right.is_lost:
+            return
+        is_suspended = not right.holds(self._clocks.steady())
         if is_suspended != self._is_suspended:
             self._is_suspended = is_suspended
             self._log.warning(
