--- a/packages/pollengated/pollengated/logs.py
+++ b/packages/pollengated/pollengated/logs.py
@@ -2,6 +2,7 @@
 
 import json
 import logging
+import math
 import re
 import sys
 from typing import Any
@@ -64,7 +65,7 @@
 def format_json(record: Any, _handler: object) -> str:
     """Formats a record as one JSON object on one line."""
     document = {
-        **record.extra,
+        **{name: _json_value(value) for name, value in record.extra.items()},
         "time": f"{record.time.isoformat()}Z",
         "level": record.level_name.lower(),
         "part": record.channel,
@@ -80,6 +81,11 @@
     return fields | {"request_id": request_id} if request_id else fields
 
 
+def _json_value(value: object) -> object:
+    # JSON has no word for the age of what was never read.
+    return None if isinstance(value, float) and not math.isfinite(value) else value
+
+
 def _text_value(value: object) -> str:
     text = str(value)
     return text if _PLAIN_VALUE.fullmatch(text) else json.dumps(text)
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -39,6 +39,12 @@
             (document["level"], document["part"], document["message"], document["zone"]),
         )
 
+    def test_json_shows_an_age_that_is_not_known_as_null(self) -> None:
+        [line] = lines_of(format_json, lambda log: log.info("read", age_s=float("inf"), at_s=1.5))
+        self.assertNotIn("Infinity", line)
+        document = json.loads(line)
+        self.assertEqual((None, 1.5), (document["age_s"], document["at_s"]))
+
     def test_carries_the_current_request_id(self) -> None:
         def write(log: Log) -> None:
             adopt_request_id("req-7")
