Trust a worker again once a lasting task is at work there

A worker that had failed whatever it started was given a serving task as its probe at 28.8 s. That task went to work, but never ends, so that the probe had no outcome: the worker, the only one with room (50 cores), stayed closed, and a serving task that had lost its worker at 34.8 s waited until 49.2 s. Ruled out: too little room (three times what was wanted), a lapse that was noticed late (34.8 s), the order of steps.

A lasting task that is past its startup now clears its worker and its job, as the end of another task does.

--- a/packages/pollengate/pollengate/workflow/books.py
+++ b/packages/pollengate/pollengate/workflow/books.py
@@ -136,6 +136,11 @@
         run.move("confirmed")
         run.answered_at = now
 
+    def note_at_work(self, run: Run) -> None:
+        """Takes in that a lasting task is past its startup: its worker and its job are sound."""
+        if run.task.step.spec.is_long_running:
+            self.evidence.finished(run.task.name, run.task.step.job.job_id, run.worker_id)
+
     def refuse(self, run: Run) -> None:
         """Takes in that a worker did not and will not start a run."""
         if run.state is not RunState.ENDED:
--- a/packages/pollengate/pollengate/workflow/progress.py
+++ b/packages/pollengate/pollengate/workflow/progress.py
@@ -10,6 +10,7 @@
 
 __all__ = [
     "ENDED_JOB_STATES",
+    "FULLY_AT_WORK",
     "JobProgress",
     "JobState",
     "Occurrence",
@@ -19,6 +20,9 @@
     "TaskProgress",
 ]
 
+# Percent that workers show for a lasting task past its startup.
+FULLY_AT_WORK = 100
+
 _RUN_CHART = load_chart("run")
 
 
@@ -129,7 +133,7 @@
     def is_at_work(self) -> bool:
         """Tells whether a run of a long-running task is past its startup."""
         return any(
-            run.state is RunState.RUNNING and run.percent >= 100
+            run.state is RunState.RUNNING and run.percent >= FULLY_AT_WORK
             for run in self.runs_by_number.values()
         )
 
--- a/packages/pollengate/pollengate/workflow/reports.py
+++ b/packages/pollengate/pollengate/workflow/reports.py
@@ -3,7 +3,7 @@
 from pollengate.workflow.books import WorkflowBooks
 from pollengate.workflow.clients import EndedRun, EndKind, Report, RunningTask
 from pollengate.workflow.fleet import WorkerView
-from pollengate.workflow.progress import RunState, TaskProgress
+from pollengate.workflow.progress import FULLY_AT_WORK, RunState, TaskProgress
 
 __all__ = ["ReportReader"]
 
@@ -90,6 +90,8 @@
             self._books.outbox.stops.append(run)
         if row.percent > run.percent:
             run.percent_at = now
+            if row.percent >= FULLY_AT_WORK:
+                self._books.note_at_work(run)
         if run.first_percent < 0:
             run.first_percent = row.percent
             run.percent_at = now
--- a/tests/test_workflow_reports.py
+++ b/tests/test_workflow_reports.py
@@ -11,6 +11,7 @@
     build_books,
     build_job,
     build_lease_worker,
+    build_planner,
     start_all,
     step_of,
 )
@@ -55,6 +56,25 @@
         self.assertTrue(job.is_ended)
         self.assertEqual(len(books.outbox.stops), 1)
 
+    def test_lasting_task_at_work_clears_the_worker_that_it_probes(self) -> None:
+        # Such a probe has no end that could tell that the worker is sound again.
+        books = build_books(build_lease_worker("w0"))
+        books.add(build_job("aa", step_of(2, is_long_running=True)), 0.0, 0)
+        first, second = start_all(books)
+        books.stop(second)
+        books.end(second, EndKind.STOPPED, "", 0.0, 0)
+        for job_id in ("b0", "b1", "b2"):
+            books.evidence.refused(job_id, "w0")
+        books.evidence.placed(first.task.name, "aa", "w0")
+        self.assertEqual(build_planner(books).plan(100.0), [])
+        reader = reader_of(books)
+        reader.read(Report(10, 1, (running("aa.0.0.0", 1, 60.0),), ()), 0.1, 0.2, 0)
+        self.assertTrue(books.evidence.is_quarantined("w0"))
+        reader.read(Report(20, 1, (running("aa.0.0.0", 1, 100.0),), ()), 0.3, 0.4, 0)
+        self.assertFalse(books.evidence.is_quarantined("w0"))
+        (again,) = build_planner(books).plan(100.0)
+        self.assertIs(again.task, second.task)
+
     def test_run_that_no_task_wants_is_a_stray(self) -> None:
         books = build_books(build_lease_worker("w0"))
         reader_of(books).read(Report(10, 1, (running("bb.0.0.0", 1),), ()), 0.0, 0.1, 0)
