--- a/packages/pollengate/pollengate/memory_store.py
+++ b/packages/pollengate/pollengate/memory_store.py
@@ -26,6 +26,8 @@
 
 MAX_VALUE_BYTES = 1_000_000
 LEASE_CHECK_S = 1.0
+# An event loop may fire a timer that is due sooner without its clock moving on.
+CLOCK_RESOLUTION_S = 1e-6
 
 
 @dataclasses.dataclass(slots=True)
@@ -121,7 +123,7 @@
                 if event.revision > after_revision and event.key.startswith(prefix)
             ]
             left_s = deadline - asyncio.get_running_loop().time()
-            if events or left_s <= 0:
+            if events or left_s <= CLOCK_RESOLUTION_S:
                 return Ok(Changes(tuple(events), self._revision))
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._wait_for_change(changed), left_s)
@@ -131,7 +133,9 @@
         ends = [lease.expires_at for lease in self._leases_by_id.values()]
         next_expiry_s = min((end - now for end in ends), default=LEASE_CHECK_S)
         try:
-            await asyncio.wait_for(changed.wait(), max(0.0, min(next_expiry_s, LEASE_CHECK_S)))
+            await asyncio.wait_for(
+                changed.wait(), max(CLOCK_RESOLUTION_S, min(next_expiry_s, LEASE_CHECK_S))
+            )
         except TimeoutError:
             self._expire_leases()
 
--- a/tests/test_edge_takeover.py
+++ b/tests/test_edge_takeover.py
@@ -225,6 +225,28 @@
 
         run_virtual(main())
 
+    def test_runs_outlast_an_owner_that_is_cut_off_as_an_outage_of_the_store_ends(self) -> None:
+        # The store keeps the past owner's key through its outage and for a whole lease after it.
+        async def main() -> None:
+            cluster = EdgeCluster()
+            for worker in cluster.workers_by_id.values():
+                worker.duration_of = lambda task: LASTING
+            await cluster.open()
+            await cluster.submit(JOB, build_workflow(step_of(4, is_long_running=True)))
+            await asyncio.sleep(2.0)
+            node = cluster.owner()
+            assert node is not None
+            loop = asyncio.get_running_loop()
+            loop.call_later(1.5, setattr, node.workers, "cut_off", {"w0", "w1", "w2"})
+            await cluster.pause_store(3.7)
+            node.store.is_silent = True
+            await cluster.tenure(besides=node.name)
+            await asyncio.sleep(1.0)
+            self.assertEqual([run for run in cluster.settle() if run.ended_at is not None], [])
+            self.check(cluster)
+
+        run_virtual(main())
+
     def test_power_loss_of_all_right_after_an_acknowledgement_keeps_the_job(self) -> None:
         async def main() -> None:
             cluster = EdgeCluster()
