Give processes under test ports that outgoing connections can't take

One of the gates had ended at its start: "address already in use", 127.0.0.1:57267 (its log of 06:11:37). The test then waited for ever for this gate to become ready.

Cause: free_addresses bound port 0, closed the socket and returned the port, which lies in the range from which Linux assigns ports to outgoing connections. A connection of a process that had started before took it. scripts/local_run.py had the same.

Change: ports come from below that range, in an order of its own for each process. The waits of the shutdown test end after READY_S, and at once when a gate has ended, so that this shows as a failure.

--- a/scripts/local_run.py
+++ b/scripts/local_run.py
@@ -4,9 +4,12 @@
 settings are written to `run/`.
 """
 
+import contextlib
 import dataclasses
+import itertools
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -21,6 +24,8 @@
 BIN = Path(sys.executable).parent
 RUN_DIRECTORY = Path(__file__).parent.parent / "run"
 HOST = "127.0.0.1"
+# Below the ports that Linux assigns to outgoing connections.
+LISTEN_PORTS = range(20_000, 32_768)
 ZONES = ("lima-sur-a", "lima-sur-b", "lima-sur-c")
 SERVICE = "scoring"
 GATES_PER_ZONE = 2
@@ -35,6 +40,9 @@
 ARRAYS_WHILE_OUT = 6
 TASKS_PER_ARRAY = 4
 MAX_TASKS_UNTIL_BACK = 50
+_listen_ports = itertools.cycle(
+    random.Random(os.getpid()).sample(LISTEN_PORTS, k=len(LISTEN_PORTS))
+)
 
 
 @dataclasses.dataclass(slots=True)
@@ -81,13 +89,13 @@
 
 
 def free_addresses(count: int) -> list[str]:
-    """Returns different unused addresses of the loopback interface."""
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind((HOST, 0))
-    addresses = [f"{HOST}:{one.getsockname()[1]}" for one in sockets]
-    for one in sockets:
-        one.close()
+    """Returns different unused loopback addresses that no outgoing connection can take."""
+    addresses: list[str] = []
+    while len(addresses) < count:
+        port = next(_listen_ports)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((HOST, port))
+            addresses.append(f"{HOST}:{port}")
     return addresses
 
 
--- a/tests/faults/test_gate_shutdown.py
+++ b/tests/faults/test_gate_shutdown.py
@@ -9,6 +9,7 @@
 import tempfile
 import time
 import unittest
+from collections.abc import Callable
 from pathlib import Path
 
 import httpx
@@ -176,15 +177,23 @@
         gates = self.deployment.gates
         old = next(iter(gates))
         # Waits until the gate is in use; otherwise the two signals could arrive as one.
-        while old not in balancer.ready or len(balancer.ready) == 1:  # noqa: ASYNC110
-            await asyncio.sleep(POLL_S)
+        await self.wait_until(lambda: old in balancer.ready and len(balancer.ready) > 1)
         gates[old].send_signal(signal.SIGTERM)
-        while old in balancer.ready or balancer.in_progress_by_gate[old]:  # noqa: ASYNC110
-            await asyncio.sleep(POLL_S)
+        await self.wait_until(
+            lambda: old not in balancer.ready and not balancer.in_progress_by_gate[old]
+        )
         gates[old].send_signal(signal.SIGTERM)
         await asyncio.to_thread(gates[old].wait, READY_S)
         self.assertEqual(0, gates.pop(old).returncode)
 
+    async def wait_until(self, is_done: Callable[[], bool]) -> None:
+        """Polls until `is_done()` returns true, for `READY_S` at most, while all gates run."""
+        async with asyncio.timeout(READY_S):
+            while not is_done():
+                ended = [gate for gate, p in self.deployment.gates.items() if p.poll() is not None]
+                self.assertEqual([], ended)
+                await asyncio.sleep(POLL_S)
+
     def test_second_sigterm_ends_the_delay_and_interrupts_no_request(self) -> None:
         gate = self.deployment.any_gate()
         process = self.deployment.gates.pop(gate)
--- a/tests/utils.py
+++ b/tests/utils.py
@@ -1,6 +1,10 @@
 """Builders and helpers that several tests use."""
 
 import asyncio
+import contextlib
+import itertools
+import os
+import random
 import socket
 from collections.abc import Coroutine
 from typing import Any, TypeVar
@@ -32,6 +36,11 @@
 CANCEL_TIMEOUT_S = 60.0
 # Idle iterations of the loop before the virtual clock moves on.
 NOOP_CYCLES = 1
+# Below the ports that Linux assigns to outgoing connections.
+LISTEN_PORTS = range(20_000, 32_768)
+_listen_ports = itertools.cycle(
+    random.Random(os.getpid()).sample(LISTEN_PORTS, k=len(LISTEN_PORTS))
+)
 
 
 def run_virtual(main: Coroutine[Any, Any, T]) -> T:
@@ -144,11 +153,11 @@
 
 
 def free_addresses(count: int) -> list[str]:
-    """Returns loopback addresses with free ports."""
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind(("127.0.0.1", 0))
-    addresses = [f"127.0.0.1:{one.getsockname()[1]}" for one in sockets]
-    for one in sockets:
-        one.close()
+    """Returns loopback addresses with free ports that no outgoing connection can take."""
+    addresses: list[str] = []
+    while len(addresses) < count:
+        port = next(_listen_ports)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            addresses.append(f"127.0.0.1:{port}")
     return addresses
