Log why tasks wait for long, and the load of each shard

The logs could not tell why a task of an accepted job was not started: a full shard, a takeover that has not settled, no worker, or a start that planning withholds. "tasks wait for a start" names the step and the cause, "load of the shard" the room of each shard and how late the check came; two gauges export the latter. The stops and copies that ShardTerm requested move to a module of their own without a change, to make room.

--- a/packages/pollengated/pollengated/edge/edge_metrics.py
+++ b/packages/pollengated/pollengated/edge/edge_metrics.py
@@ -65,6 +65,18 @@
         self.waiting_tasks = Gauge(
             "pollengate_edge_waiting_tasks", "Tasks that wait for a start.", registry=registry
         )
+        self.shard_capacity = Gauge(
+            "pollengate_edge_shard_capacity_millis",
+            "Millicores of the workers of an owned shard that may get tasks.",
+            ["shard"],
+            registry=registry,
+        )
+        self.shard_committed = Gauge(
+            "pollengate_edge_shard_committed_millis",
+            "Millicores that tasks other than fillers declare on those workers.",
+            ["shard"],
+            registry=registry,
+        )
         ProcessCollector(registry=registry)
 
     def export(self) -> bytes:
--- /dev/null
+++ b/packages/pollengated/pollengated/edge/run_mover.py
@@ -0,0 +1,80 @@
+"""Stops runs that should run on another worker, and requests copies of slow ones."""
+
+from pollengate.workflow.draining import runs_to_move
+from pollengate.workflow.fleet import Fleet, WorkerView
+from pollengate.workflow.job_table import JobTable
+from pollengate.workflow.progress import Run
+from pollengate.workflow.rebalancing import Rebalancer
+from pollengate.workflow.stragglers import Remedy, Straggler, find_stragglers
+
+from pollengated.logs import Log
+
+__all__ = ["RunMover"]
+
+# Serving tasks are moved only if fillers have waited longer than this.
+FILLER_WAIT_S = 0.5
+
+
+class RunMover:
+    """Moves runs of one shard off draining workers, away from stragglers, and to make room.
+
+    Args:
+        fleet: workers of the shard.
+        job_table: jobs of the shard.
+        rebalancer: chooses serving tasks to move.
+    """
+
+    def __init__(self, fleet: Fleet, job_table: JobTable, rebalancer: Rebalancer) -> None:
+        self._fleet = fleet
+        self._job_table = job_table
+        self._rebalancer = rebalancer
+        self._log = Log("owner")
+
+    def update(self, now: float) -> None:
+        """Requests the stops and copies that are due."""
+        self._move_off_draining_workers()
+        self._remedy_stragglers(now)
+        self._rebalance(now)
+
+    def _move_off_draining_workers(self) -> None:
+        for view in self._fleet.workers_by_id.values():
+            for run in runs_to_move(view):
+                self._log.info("stopping a run on a draining worker", **_fields(run))
+                self._job_table.stop(run)
+
+    def _remedy_stragglers(self, now: float) -> None:
+        for view in self._fleet.workers_by_id.values():
+            for straggler in find_stragglers(view, now):
+                self._remedy(straggler, view, now)
+
+    def _remedy(self, straggler: Straggler, view: WorkerView, now: float) -> None:
+        run = straggler.run
+        self._log.info(
+            "run is a straggler",
+            **_fields(run),
+            cause=straggler.cause,
+            remedy=straggler.remedy.value,
+            percent=run.percent,
+            ran_s=round(now - run.ordered_at, 2),
+        )
+        if straggler.counts_against_worker:
+            self._job_table.evidence.record_rejection(run.task.step.job.job_id, view.worker_id)
+        if straggler.remedy is Remedy.COPY:
+            self._job_table.request_copy(run.task)
+        else:
+            self._job_table.stop(run)
+
+    def _rebalance(self, now: float) -> None:
+        waiting_millis = self._job_table.waiting_filler_millis(now - FILLER_WAIT_S)
+        run = self._rebalancer.choose(waiting_millis, now)
+        if run is not None:
+            self._log.info(
+                "stopping a serving task so that it runs on another worker",
+                **_fields(run),
+                image=run.task.step.spec.image,
+            )
+            self._job_table.stop(run)
+
+
+def _fields(run: Run) -> dict[str, object]:
+    return {"task": run.task.name, "run": run.number, "worker": run.worker_id}
--- /dev/null
+++ b/packages/pollengated/pollengated/edge/shard_load_log.py
@@ -0,0 +1,84 @@
+"""Logs and exports the load of an owned shard and the tasks that wait for long."""
+
+from pollengate.workflow.job_table import JobTable
+from pollengate.workflow.progress import Run
+from pollengate.workflow.waiting import WaitMonitor
+
+from pollengated.edge.edge_metrics import EdgeMetrics
+from pollengated.logs import Log
+
+__all__ = ["ShardLoadLog"]
+
+CHECK_INTERVAL_S = 1.0
+LOG_INTERVAL_S = 5.0
+
+
+class ShardLoadLog:
+    """Reports the load of one shard during an ownership term.
+
+    Args:
+        shard: number of the shard.
+        job_table: the shard's jobs, runs and workers.
+        monitor: finds tasks that wait for long.
+        metrics: metrics of this process.
+    """
+
+    def __init__(
+        self, shard: int, job_table: JobTable, monitor: WaitMonitor, metrics: EdgeMetrics
+    ) -> None:
+        self._shard = shard
+        self._job_table = job_table
+        self._monitor = monitor
+        self._metrics = metrics
+        self._checked_at = float("-inf")
+        self._logged_at = float("-inf")
+        self._log = Log("load")
+
+    def update(self, now: float) -> None:
+        """Updates the metrics and logs if the last time is long enough ago."""
+        if now - self._checked_at < CHECK_INTERVAL_S:
+            return
+        lag_s = now - self._checked_at - CHECK_INTERVAL_S
+        self._checked_at = now
+        waiting = sum(len(step.waiting) for step in self._job_table.open_steps)
+        self._metrics.waiting_tasks.set(waiting)
+        views = self._job_table.fleet.all_schedulable(now)
+        capacity = sum(view.info.capacity.cpu_millis for view in views)
+        committed = sum(view.committed_millis for view in views)
+        spare = sum(not any(_is_long_running(run) for run in v.runs.values()) for v in views)
+        label = str(self._shard)
+        self._metrics.shard_capacity.labels(label).set(capacity)
+        self._metrics.shard_committed.labels(label).set(committed)
+        if now - self._logged_at >= LOG_INTERVAL_S:
+            self._logged_at = now
+            self._log.info(
+                "load of the shard",
+                shard=self._shard,
+                workers=len(self._job_table.fleet.workers_by_id),
+                schedulable=len(views),
+                without_long_running=spare,
+                capacity_millis=capacity,
+                committed_millis=committed,
+                waiting=waiting,
+                lag_s=round(lag_s, 2) if lag_s < float("inf") else None,
+            )
+        for overdue in self._monitor.find_overdue(now):
+            step = overdue.step
+            self._log.info(
+                "tasks wait for a start",
+                shard=self._shard,
+                job=step.job.job_id,
+                step=step.number,
+                waiting=len(step.waiting),
+                waited_s=round(overdue.waited_s, 1),
+                cause=overdue.cause.value,
+                long_running=step.spec.is_long_running,
+                filler=step.spec.is_filler,
+                cpu_millis=step.spec.demand.cpu_millis,
+                schedulable=overdue.workers,
+                with_room=overdue.room,
+            )
+
+
+def _is_long_running(run: Run) -> bool:
+    return run.task.step.spec.is_long_running
--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -8,7 +8,6 @@
 from pollengate.store import PolledStore
 from pollengate.workflow.clients import AdviceClient, WorkerClient
 from pollengate.workflow.colocation import ColocationModel
-from pollengate.workflow.draining import runs_to_move
 from pollengate.workflow.fleet import Fleet, WorkerView
 from pollengate.workflow.job_table import JobTable
 from pollengate.workflow.keys import (
@@ -27,9 +26,9 @@
 from pollengate.workflow.records import decode_job, decode_progress, restore
 from pollengate.workflow.settings import NodeSettings
 from pollengate.workflow.shard_lease import ShardLease, previous_lease_expiry
-from pollengate.workflow.stragglers import Remedy, find_stragglers
 from pollengate.workflow.throttling import ThrottleController
 from pollengate.workflow.tickets import TicketCache
+from pollengate.workflow.waiting import WaitMonitor
 from result import Err, Ok, Result
 
 from pollengated.edge.advice_requester import AdviceRequester
@@ -46,6 +45,8 @@
 from pollengated.edge.layout import Layout
 from pollengated.edge.operator_view import OperatorView
 from pollengated.edge.recorded_workers import RecordedWorkers, decode_recorded_workers
+from pollengated.edge.run_mover import RunMover
+from pollengated.edge.shard_load_log import ShardLoadLog
 from pollengated.edge.worker_controller import WorkerController
 from pollengated.edge.worker_registry import WorkerRegistry
 from pollengated.logs import Log
@@ -59,8 +60,6 @@
 RECOVERY_RETRY_S = 0.1
 # Time until a worker on which all tasks fail is tried again; a task takes a second or two.
 FIRST_PROBE_AFTER_S = 4.0
-# Serving tasks are moved only if fillers have waited longer than this.
-FILLER_WAIT_S = 0.5
 # Added to the time for which clients may request the state of an ended job.
 RETENTION_MARGIN_S = 5.0
 
@@ -122,7 +121,6 @@
         self._colocation = ColocationModel()
         self._throttle_controller = ThrottleController(self._colocation)
         self._tickets = TicketCache()
-        self._rebalancer = Rebalancer(self.fleet, self._colocation)
         self._wake = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
         self._is_handing_over = False
@@ -131,6 +129,8 @@
         self._planner: Planner
         self._recorded_workers: RecordedWorkers
         self._interference_recorder: InterferenceRecorder
+        self._load_log: ShardLoadLog
+        self._run_mover: RunMover
         self.request_handler: JobRequestHandler
 
     async def run(self) -> None:
@@ -234,6 +234,14 @@
             Placer(evidence, self._colocation, self._tickets),
             self._are_previous_runs_known,
         )
+        rebalancer = Rebalancer(self.fleet, self._colocation)
+        self._run_mover = RunMover(self.fleet, self.job_table, rebalancer)
+        self._load_log = ShardLoadLog(
+            self.shard,
+            self.job_table,
+            WaitMonitor(self.job_table, self._are_previous_runs_known),
+            self._metrics,
+        )
         addresses_by_id = (
             decode_recorded_workers(recorded_workers.ok_value.value)
             if recorded_workers.ok_value
@@ -330,55 +338,6 @@
         task.add_done_callback(self._on_task_done)
         self._controller_tasks_by_id[view.worker_id] = task
 
-    def _move_off_draining_workers(self) -> None:
-        for view in self.fleet.workers_by_id.values():
-            for run in runs_to_move(view):
-                self._log.info(
-                    "stopping a run on a draining worker",
-                    task=run.task.name,
-                    run=run.number,
-                    worker=view.worker_id,
-                )
-                self.job_table.stop(run)
-
-    def _remedy_stragglers(self) -> None:
-        now = self._clocks.monotonic_s()
-        for view in self.fleet.workers_by_id.values():
-            for straggler in find_stragglers(view, now):
-                run = straggler.run
-                self._log.info(
-                    "run is a straggler",
-                    task=run.task.name,
-                    run=run.number,
-                    worker=view.worker_id,
-                    cause=straggler.cause,
-                    remedy=straggler.remedy.value,
-                    percent=run.percent,
-                    ran_s=round(now - run.ordered_at, 2),
-                )
-                if straggler.counts_against_worker:
-                    self.job_table.evidence.record_rejection(
-                        run.task.step.job.job_id, view.worker_id
-                    )
-                if straggler.remedy is Remedy.COPY:
-                    self.job_table.request_copy(run.task)
-                else:
-                    self.job_table.stop(run)
-
-    def _rebalance(self) -> None:
-        now = self._clocks.monotonic_s()
-        waiting_millis = self.job_table.waiting_filler_millis(now - FILLER_WAIT_S)
-        run = self._rebalancer.choose(waiting_millis, now)
-        if run is not None:
-            self._log.info(
-                "stopping a serving task so that it runs on another worker",
-                task=run.task.name,
-                run=run.number,
-                worker=run.worker_id,
-                image=run.task.step.spec.image,
-            )
-            self.job_table.stop(run)
-
     def _remove_departed_workers(self) -> None:
         for view in self.fleet.forget_departed(self._clocks.monotonic_s()):
             self._controllers_by_id.pop(view.worker_id)
@@ -445,14 +404,11 @@
         while not self.shard_lease.is_lost:
             await asyncio.sleep(TICK_INTERVAL_S)
             self.job_table.open_due_occurrences(self._clocks.monotonic_s(), self._clocks.unix_ms())
-            self._move_off_draining_workers()
-            self._remedy_stragglers()
-            self._rebalance()
+            self._run_mover.update(self._clocks.monotonic_s())
             self._interference_recorder.update(self._clocks.monotonic_s())
             self._remove_departed_workers()
             self._remove_ended_jobs()
-            waiting_count = sum(len(step.waiting) for step in self.job_table.open_steps)
-            self._metrics.waiting_tasks.set(waiting_count)
+            self._load_log.update(self._clocks.monotonic_s())
             self._request_planning()
         self._wake.set()
 
--- /dev/null
+++ b/tests/test_workflow_waiting.py
@@ -0,0 +1,70 @@
+"""Tests of the reasons given for tasks that wait for long."""
+
+import unittest
+
+from pollengate.workflow.job_table import JobTable
+from pollengate.workflow.model import Demand
+from pollengate.workflow.waiting import WaitCause, WaitMonitor
+
+from tests.workflow_builders import (
+    build_deployment,
+    build_job,
+    build_job_table,
+    build_lease_worker,
+    build_step,
+    start_all,
+)
+
+
+def causes(job_table: JobTable, is_settled: bool = True) -> list[WaitCause]:
+    """Returns the causes given once tasks have waited for long."""
+    monitor = WaitMonitor(job_table, lambda: is_settled)
+    assert monitor.find_overdue(0.0) == []
+    return [overdue.cause for overdue in monitor.find_overdue(2.5)]
+
+
+class WaitMonitorTest(unittest.TestCase):
+    """The cause of a wait tells a full shard from a takeover and from a withheld start."""
+
+    def test_tasks_that_fit_on_no_worker_lack_capacity(self) -> None:
+        job_table = build_job_table(build_lease_worker())
+        job_table.add(build_job("00000000000000aa", build_step(5)), 0.0, 0)
+        start_all(job_table)
+        self.assertEqual([WaitCause.NO_CAPACITY], causes(job_table))
+
+    def test_restored_job_waits_for_reports(self) -> None:
+        job_table = build_job_table(build_lease_worker())
+        job = build_job()
+        job.is_restored = True
+        job_table.add(job, 0.0, 0)
+        self.assertEqual([WaitCause.UNSETTLED], causes(job_table, is_settled=False))
+
+    def test_job_of_a_removed_queue_has_no_queue(self) -> None:
+        job_table = build_job_table(build_lease_worker())
+        job_table.add(build_job(), 0.0, 0)
+        job_table.deployment = build_deployment(name="other")
+        self.assertEqual([WaitCause.NO_QUEUE], causes(job_table))
+
+    def test_nothing_runs_without_a_schedulable_worker(self) -> None:
+        job_table = build_job_table(build_lease_worker())
+        job_table.add(build_job(), 0.0, 0)
+        job_table.fleet.workers_by_id["w0"].is_attached = False
+        self.assertEqual([WaitCause.NO_WORKER], causes(job_table))
+
+    def test_start_is_withheld_although_a_worker_has_room(self) -> None:
+        job_table = build_job_table(build_lease_worker())
+        job_table.add(build_job(), 0.0, 0)
+        self.assertEqual([WaitCause.WITHHELD], causes(job_table))
+
+    def test_step_is_reported_again_after_the_interval_and_not_once_it_has_started(self) -> None:
+        job_table = build_job_table(build_lease_worker())
+        job_table.add(build_job("00000000000000aa", build_step(demand=Demand(4000))), 0.0, 0)
+        monitor = WaitMonitor(job_table, lambda: True)
+        counts = [len(monitor.find_overdue(at)) for at in (0.0, 2.5, 3.5, 8.0)]
+        self.assertEqual([0, 1, 0, 1], counts)
+        start_all(job_table)
+        self.assertEqual([], monitor.find_overdue(14.0))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/workflow_builders.py
+++ b/tests/workflow_builders.py
@@ -54,8 +54,9 @@
 
 def build_deployment(version: int = 1, **changes: Any) -> Deployment:
     """Returns a configuration with one queue."""
-    fields: dict[str, Any] = {"max_attempts": 2, "stretch": 2.0, "target_ms": 500}
-    return Deployment(version, (Queue(QUEUE, "host", "/jobs/", SERVICE, **(fields | changes)),))
+    fields: dict[str, Any] = {"max_attempts": 2, "stretch": 2.0, "target_ms": 500, "name": QUEUE}
+    queue = Queue(host="host", prefix="/jobs/", service=SERVICE, **(fields | changes))
+    return Deployment(version, (queue,))
 
 
 def build_lease_worker(worker_id: str = "w0", **changes: Any) -> Worker:
