Transfer workers to a shard that is short of capacity

Cause: a job belongs to a shard by a hash of its id, and an owner uses only its shard's workers. Long-running tasks reserve most of the fleet, so the spread of the hash fills one shard while others have workers without any such task. The class: capacity that is split for good, while the demand on each part varies.

Change: the owner of a shard that is short requests a worker in the store; an owner with room releases one without long-running tasks once its runs have ended, by a commit that stands after the results of those runs. The revision of the assignment is the lowest token that the worker's new owner uses.

Why this works: a worker has one owner at any moment: only the owner of its present shard can assign it, under the condition that it still owns the shard, a successor reads assignments before it contacts a worker, and orders of the old owner carry a lower token. The worker moves without runs, so no run is lost or started twice.

--- a/packages/pollengate/pollengate/workflow/fleet.py
+++ b/packages/pollengate/pollengate/workflow/fleet.py
@@ -1,7 +1,7 @@
 """The workers of a shard: their capacity, their runs and whether they may get new tasks."""
 
 import dataclasses
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from pollengate.workflow.leases import WorkerLease
 from pollengate.workflow.model import Demand, Worker, WorkerCondition
@@ -38,6 +38,8 @@
         fillers_blocked_until: clock time before which no filler is placed on it.
         warm_at: clock time from which it runs at full speed after its start.
         is_reserved: whether serving tasks are kept off it, for fillers that interfere with them.
+        is_released: whether it is about to be assigned to another shard.
+        lowest_token: lowest fencing token that it accepts.
     """
 
     info: Worker
@@ -59,6 +61,8 @@
     fillers_blocked_until: float = 0.0
     warm_at: float = 0.0
     is_reserved: bool = False
+    is_released: bool = False
+    lowest_token: int = 0
 
     @property
     def serving_images(self) -> set[str]:
@@ -169,12 +173,29 @@
             del self.workers_by_id[view.worker_id]
         return departed
 
+    def forget_released(self, lowest_token: Callable[[str], int]) -> list[WorkerView]:
+        """Removes and returns the released workers whose new assignment is known.
+
+        Args:
+            lowest_token: returns the lowest fencing token that a worker accepts, which rises when
+                it is assigned to a shard.
+        """
+        released = [
+            view
+            for view in self.workers_by_id.values()
+            if view.is_released and lowest_token(view.worker_id) > view.lowest_token
+        ]
+        for view in released:
+            del self.workers_by_id[view.worker_id]
+        return released
+
     def is_schedulable(self, view: WorkerView, now: float) -> bool:
         """Returns True if a worker may get new tasks."""
         return (
             view.is_registered
             and view.is_attached
             and view.is_recorded
+            and not view.is_released
             and view.info.condition is WorkerCondition.READY
             and view.info.zone not in self.evacuated_zones
             and now >= view.unavailable_until
--- a/packages/pollengate/pollengate/workflow/keys.py
+++ b/packages/pollengate/pollengate/workflow/keys.py
@@ -5,6 +5,11 @@
 __all__ = [
     "LAYOUT_KEY",
     "NODE_PREFIX",
+    "TRANSFER_PREFIX",
+    "assignment_key",
+    "assignment_prefix",
+    "capacity_request_key",
+    "capacity_request_prefix",
     "interference_record_key",
     "commit_key",
     "job_key",
@@ -20,6 +25,7 @@
 ROOT = "pollengate/"
 LAYOUT_KEY = f"{ROOT}layout"
 NODE_PREFIX = f"{ROOT}node/"
+TRANSFER_PREFIX = f"{ROOT}transfer/"
 
 
 def owner_key(shard: int) -> str:
@@ -62,6 +68,26 @@
     return f"{progress_prefix(shard)}{job_id}"
 
 
+def assignment_prefix() -> str:
+    """Returns the prefix of the assignments of single workers to shards."""
+    return f"{TRANSFER_PREFIX}worker/"
+
+
+def assignment_key(worker_id: str) -> str:
+    """Returns the key of the shard that a worker was transferred to."""
+    return f"{assignment_prefix()}{worker_id}"
+
+
+def capacity_request_prefix() -> str:
+    """Returns the prefix of the requests of shards that are short of capacity."""
+    return f"{TRANSFER_PREFIX}request/"
+
+
+def capacity_request_key(shard: int) -> str:
+    """Returns the key of the newest request of a shard for a worker."""
+    return f"{capacity_request_prefix()}{shard}"
+
+
 def shard_of_job(job_id: str, shards: int) -> int:
     """Returns the shard of a job, by a stable hash of its id."""
     return zlib.crc32(job_id.encode()) % shards
--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -11,6 +11,7 @@
 from pollengate.workflow.fleet import Fleet, WorkerView
 from pollengate.workflow.job_table import JobTable
 from pollengate.workflow.keys import (
+    TRANSFER_PREFIX,
     commit_key,
     interference_record_key,
     job_key,
@@ -49,6 +50,7 @@
 from pollengated.edge.shard_load_log import ShardLoadLog
 from pollengated.edge.worker_controller import WorkerController
 from pollengated.edge.worker_registry import WorkerRegistry
+from pollengated.edge.worker_transfers import WorkerTransfers
 from pollengated.logs import Log
 
 __all__ = ["ShardTerm"]
@@ -102,7 +104,6 @@
         self.shard = shard
         self.shard_lease = shard_lease
         self.is_serving = False
-        self._layout = layout
         self._settings = settings
         self._store = store
         self._client = client
@@ -116,6 +117,7 @@
         self._previous_leases_expire_at = previous_leases_expire_at
         self.fleet = Fleet(self._worker_lease_s(), previous_leases_expire_at)
         self._registry = WorkerRegistry(store, clocks, self._workers_changed)
+        self._transfers = WorkerTransfers(shard, layout, store, clocks, self._workers_changed)
         self._controllers_by_id: dict[str, WorkerController] = {}
         self._controller_tasks_by_id: dict[str, asyncio.Task[None]] = {}
         self._colocation = ColocationModel()
@@ -143,6 +145,8 @@
             self._operator_view_changed()
             self._add_missing_controllers()
             self._spawn(self._registry.cache.run())
+            if self._transfers.is_possible:
+                self._spawn(self._transfers.cache.run())
             self._spawn(self._tick())
             self._spawn(self._committer.run())
             if self._advice is not None:
@@ -212,6 +216,9 @@
         progress = await self._store.list(progress_prefix(self.shard))
         if isinstance(progress, Err):
             return Err(progress.err_value.detail)
+        transfers = await self._store.list(TRANSFER_PREFIX)
+        if isinstance(transfers, Err):
+            return Err(transfers.err_value.detail)
         previous_commit = commit.ok_value and decode_commit_number(commit.ok_value.value)
         term_number = previous_commit.tenure + 1 if previous_commit else 0
         self._committer = Committer(
@@ -247,6 +254,12 @@
             if recorded_workers.ok_value
             else {}
         )
+        self._transfers.load(transfers.ok_value)
+        addresses_by_id = {
+            worker_id: address
+            for worker_id, address in addresses_by_id.items()
+            if not self._transfers.is_assigned_elsewhere(worker_id)
+        }
         self._recorded_workers = RecordedWorkers(
             self.shard, self._committer, self.fleet, addresses_by_id
         )
@@ -263,6 +276,7 @@
             self._restore_job(entry.value, encoded_progress_by_key)
         for worker_id, address in addresses_by_id.items():
             self.fleet.add_recorded(worker_id, address, self._clocks.monotonic_s())
+        self._update_lowest_tokens()
         return Ok(None)
 
     def _restore_job(self, value: bytes, encoded_progress_by_key: dict[str, bytes]) -> None:
@@ -303,16 +317,27 @@
 
     def _workers_changed(self) -> None:
         now = self._clocks.monotonic_s()
+        for view in self.fleet.forget_released(self._transfers.token):
+            self._forget_controller(view)
         own_workers = [
             worker
             for worker in self._registry.workers_by_id.values()
-            if self._layout.shard_of(worker.rack) == self.shard
+            if self._transfers.shard_of(worker) == self.shard
         ]
         self.fleet.update(own_workers, now)
+        self._update_lowest_tokens()
         self._add_missing_controllers()
         self._recorded_workers.update()
         self._request_planning()
 
+    def _update_lowest_tokens(self) -> None:
+        for view in self.fleet.workers_by_id.values():
+            view.lowest_token = self._transfers.token(view.worker_id)
+
+    def _detach_worker(self, view: WorkerView) -> None:
+        """Ends all orders to a worker that is about to be assigned to another shard."""
+        self._controller_tasks_by_id[view.worker_id].cancel()
+
     def _add_missing_controllers(self) -> None:
         for view in self.fleet.workers_by_id.values():
             if view.worker_id not in self._controllers_by_id:
@@ -340,9 +365,12 @@
 
     def _remove_departed_workers(self) -> None:
         for view in self.fleet.forget_departed(self._clocks.monotonic_s()):
-            self._controllers_by_id.pop(view.worker_id)
-            self._controller_tasks_by_id.pop(view.worker_id).cancel()
-            self._throttle_controller.forget(view.worker_id)
+            self._forget_controller(view)
+
+    def _forget_controller(self, view: WorkerView) -> None:
+        self._controllers_by_id.pop(view.worker_id)
+        self._controller_tasks_by_id.pop(view.worker_id).cancel()
+        self._throttle_controller.forget(view.worker_id)
 
     def _operator_view_changed(self) -> None:
         if self._operator_view.deployment is not None:
@@ -405,6 +433,12 @@
             await asyncio.sleep(TICK_INTERVAL_S)
             self.job_table.open_due_occurrences(self._clocks.monotonic_s(), self._clocks.unix_ms())
             self._run_mover.update(self._clocks.monotonic_s())
+            self._transfers.update(
+                self.job_table,
+                self._committer,
+                self._are_previous_runs_known,
+                self._detach_worker,
+            )
             self._interference_recorder.update(self._clocks.monotonic_s())
             self._remove_departed_workers()
             self._remove_ended_jobs()
--- a/packages/pollengated/pollengated/edge/worker_controller.py
+++ b/packages/pollengated/pollengated/edge/worker_controller.py
@@ -146,7 +146,7 @@
             run=run.number,
             payload=step.job.workflow.payload,
             lease_until_ms=lease_until_ms,
-            token=self._shard_lease.token,
+            token=self._token,
             checkpoint=run.task.checkpoint,
             ticket=self._tickets.ticket(step, self.view, now),
         )
@@ -175,7 +175,7 @@
         run = change.run
         if not self._shard_lease.is_valid(self._clocks.monotonic_s()):
             return
-        order = ThrottleOrder(run.task.name, run.number, change.percent, self._shard_lease.token)
+        order = ThrottleOrder(run.task.name, run.number, change.percent, self._token)
         result = await self._client.throttle(self.view.info.address, self.view.worker_id, order)
         if isinstance(result, Err):
             self._handle_failure(result.err_value)
@@ -183,6 +183,11 @@
             change.apply(self._clocks.monotonic_s())
             self._metrics.throttle_changes.inc()
 
+    @property
+    def _token(self) -> int:
+        """Fencing token of orders to this worker."""
+        return max(self._shard_lease.token, self.view.lowest_token)
+
     def _renew_wait_s(self) -> float:
         if self._is_failing or not self.view.is_attached:
             return 0.0
@@ -196,7 +201,7 @@
         lease = self.view.lease
         is_unconfirmed = self._is_failing or not self.view.is_attached
         order = RenewOrder(
-            token=self._shard_lease.token,
+            token=self._token,
             acked_upto=self._acked_upto,
             lease_until_ms=lease.longest_until_ms() if is_unconfirmed else lease.extend(sent_at),
             wait_ms=int(wait_s * 1000),
@@ -297,7 +302,7 @@
                 task=run.task.name,
                 run=run.number,
                 worker=self.view.worker_id,
-                token=self._shard_lease.token,
+                token=self._token,
             )
             return
         failure = result.err_value
@@ -326,7 +331,7 @@
     async def _send_stop(self, task: str, number: int) -> bool:
         if not self._shard_lease.is_valid(self._clocks.monotonic_s()):
             return False
-        order = StopOrder(task, number, self._shard_lease.token)
+        order = StopOrder(task, number, self._token)
         result = await self._client.stop(self.view.info.address, self.view.worker_id, order)
         if isinstance(result, Err):
             self._handle_failure(result.err_value)
@@ -336,11 +341,13 @@
 
     def _handle_failure(self, failure: OrderFailure) -> None:
         now = self._clocks.monotonic_s()
+        if failure.kind is OrderRejection.FENCED and self.view.is_released:
+            return  # an order sent before the worker was assigned to another shard
         if failure.kind is OrderRejection.FENCED:
             self._log.warning(
                 "worker knows a later owner and rejected an order; ending ownership",
                 worker=self.view.worker_id,
-                token=self._shard_lease.token,
+                token=self._token,
             )
             self._shard_lease.mark_lost()
         elif failure.kind is OrderRejection.OTHER_INCARNATION:
--- a/tests/edge_cluster.py
+++ b/tests/edge_cluster.py
@@ -18,7 +18,7 @@
     Unchanged,
 )
 from pollengate.workflow.job_service import JobResponse
-from pollengate.workflow.keys import owner_key
+from pollengate.workflow.keys import owner_key, shard_of_job
 from pollengate.workflow.model import Workflow
 from pollengate.workflow.settings import Bounds, NodeSettings
 from pollengate.workflow.shard_lease import ShardLease
@@ -86,10 +86,15 @@
     name: str
     store: NodeStore
     workers: LeaseWorkerClient
-    elector: ShardElector
+    electors: list[ShardElector]
     tasks: list[asyncio.Task[None]]
     membership: Membership
 
+    @property
+    def elector(self) -> ShardElector:
+        """The elector of shard 0."""
+        return self.electors[0]
+
     def kill(self) -> None:
         """Ends the process at once; it writes and sends nothing more."""
         self.store.is_down = True
@@ -99,11 +104,12 @@
 
 
 class EdgeCluster:
-    """Edge processes that are candidate owners of shard 0, with their store and workers.
+    """Edge processes that are candidate owners of all shards, with their store and workers.
 
     Args:
-        workers: number of workers.
+        workers: number of workers, which belong to the shards in turn.
         duration_s: duration of every task; if None, the workers choose it.
+        shards: number of shards.
 
     Attributes:
         store: the store that all processes share.
@@ -112,10 +118,12 @@
         nodes_by_name: all processes, including killed ones.
     """
 
-    def __init__(self, workers: int = 3, duration_s: float | None = None) -> None:
+    def __init__(self, workers: int = 3, duration_s: float | None = None, shards: int = 1) -> None:
         self.store = MemoryStore()
         self.history: list[StartRecord] = []
         names = [f"w{number}" for number in range(workers)]
+        self._rack_by_worker = {name: f"r{n % shards}" for n, name in enumerate(names)}
+        self._layout = Layout(shards, {f"r{shard}": shard for shard in range(shards)})
         self.workers_by_id = {name: LeaseWorker(name, self.history) for name in names}
         if duration_s is not None:
             for worker in self.workers_by_id.values():
@@ -130,7 +138,8 @@
             await self.register(name)
         for number in range(nodes):
             self.start_node(f"n{number}")
-        await self.wait_for_term()
+        for shard in range(self._layout.shards):
+            await self.wait_for_term(shard=shard)
 
     async def configure(self, version: int) -> None:
         """Writes a configuration with one queue."""
@@ -153,7 +162,7 @@
             "zone": "a",
             "state": state,
             "capacity": {"cpu": 4000, "memMb": 4000},
-            "labels": ["k", "r0"],
+            "labels": ["k", self._rack_by_worker[worker_id]],
         }
         put = Put(f"servers/{worker_id}", json.dumps(document).encode())
         await self.store.commit((), (put,))
@@ -172,7 +181,7 @@
         def create_term(shard: int, shard_lease: ShardLease) -> ShardTerm:
             return ShardTerm(
                 shard,
-                Layout(1),
+                self._layout,
                 build_settings(name),
                 store,
                 workers,
@@ -183,27 +192,31 @@
                 metrics,
             )
 
-        elector = ShardElector(0, record, store, directory, clocks, create_term)
+        electors = [
+            ShardElector(shard, record, store, directory, clocks, create_term)
+            for shard in range(self._layout.shards)
+        ]
         membership = Membership(store, record)
         loops = [
             directory.cache.run(),
             operator_view.cache.run(),
             membership.run(),
-            elector.run(),
+            *(elector.run() for elector in electors),
         ]
         tasks = [asyncio.create_task(loop) for loop in loops]
-        node = EdgeNode(name, store, workers, elector, tasks, membership)
+        node = EdgeNode(name, store, workers, electors, tasks, membership)
         self.nodes_by_name[name] = node
         return node
 
-    def owner(self, other_than: str = "") -> EdgeNode | None:
-        """Returns the process that serves the shard, None if there is none.
+    def owner(self, other_than: str = "", shard: int = 0) -> EdgeNode | None:
+        """Returns the process that serves a shard, None if there is none.
 
         Args:
             other_than: name of a process that does not count.
+            shard: number of the shard.
         """
         for node in self.nodes_by_name.values():
-            term = node.elector.term
+            term = node.electors[shard].term
             now = asyncio.get_running_loop().time()
             is_serving = term is not None and term.is_serving and term.shard_lease.is_valid(now)
             if is_serving and node.name != other_than:
@@ -216,13 +229,16 @@
         assert node is not None
         return node
 
-    async def wait_for_term(self, other_than: str = "", timeout_s: float = 30.0) -> ShardTerm:
-        """Waits until a process serves the shard and returns its term."""
+    async def wait_for_term(
+        self, other_than: str = "", timeout_s: float = 30.0, shard: int = 0
+    ) -> ShardTerm:
+        """Waits until a process serves a shard and returns its term."""
         async with asyncio.timeout(timeout_s):
             while True:
-                node = self.owner(other_than)
-                if node is not None and node.elector.term is not None:
-                    return node.elector.term
+                node = self.owner(other_than, shard)
+                term = node.electors[shard].term if node is not None else None
+                if term is not None:
+                    return term
                 await asyncio.sleep(0.01)
 
     async def pause_store(self, pause_s: float) -> None:
@@ -238,17 +254,19 @@
             node.store.is_down = False
 
     async def submit(self, job_id: str, workflow: Workflow, other_than: str = "") -> JobResponse:
-        """Submits a job to the owner of the shard."""
-        term = await self.wait_for_term(other_than)
+        """Submits a job to the owner of its shard."""
+        shard = shard_of_job(job_id, self._layout.shards)
+        term = await self.wait_for_term(other_than, shard=shard)
         return await term.request_handler.submit("queue", job_id, workflow)
 
     async def wait_for_state(self, job_id: str, state: str, timeout_s: float = 60.0) -> float:
         """Waits until the visible state of a job is `state`; returns the seconds waited."""
+        shard = shard_of_job(job_id, self._layout.shards)
         began_at = asyncio.get_running_loop().time()
         async with asyncio.timeout(timeout_s):
             while True:
-                node = self.owner()
-                term = node.elector.term if node else None
+                node = self.owner(shard=shard)
+                term = node.electors[shard].term if node else None
                 job = term.job_table.jobs_by_id.get(job_id) if term else None
                 if job is not None and job.visible_state == state:
                     return asyncio.get_running_loop().time() - began_at
--- /dev/null
+++ b/tests/test_worker_transfers.py
@@ -0,0 +1,124 @@
+"""Tests of the transfer of workers between two shards, on virtual time."""
+
+import asyncio
+import unittest
+
+from pollengate.workflow.keys import shard_of_job
+from pollengate.workflow.model import Demand
+from pollengate.workflow.progress import JobState
+
+from tests.edge_cluster import EdgeCluster, overlapping_runs, runs_after_completion
+from tests.utils import run_virtual
+from tests.workflow_builders import build_step, build_workflow
+
+INFINITE_DURATION_S = float("inf")
+LONG_RUNNING = build_workflow(
+    build_step(2, is_long_running=True, demand=Demand(4000, 100), may_miss=1)
+)
+ONE_MORE = build_workflow(build_step(1, is_long_running=True, demand=Demand(3000, 100)))
+# A long-running task that does not run this long after it could have counts as lost.
+MAX_ABSENCE_S = 9.0
+
+
+def job_ids(shard: int, count: int) -> list[str]:
+    """Returns ids of jobs that belong to one of two shards."""
+    found = (f"{number:016x}" for number in range(1000))
+    return [job_id for job_id in found if shard_of_job(job_id, 2) == shard][:count]
+
+
+class WorkerTransferTest(unittest.TestCase):
+    """A shard that is full gets workers of a shard that has room."""
+
+    def check_single_execution(self, cluster: EdgeCluster) -> None:
+        """Asserts that no task ran twice."""
+        history = cluster.update_history()
+        self.assertEqual([], overlapping_runs(history))
+        self.assertEqual([], runs_after_completion(history))
+
+    def running_workers(self, cluster: EdgeCluster, job_id: str) -> list[str]:
+        """Returns the workers on which tasks of a job run."""
+        history = cluster.update_history()
+        return [r.worker_id for r in history if r.task.startswith(job_id) and r.ended_at is None]
+
+    async def open_full_shard(self) -> tuple[EdgeCluster, str]:
+        """Returns a cluster whose shard 0 is full, and the id of a job that is one task too many.
+
+        Workers w0 and w2 belong to shard 0, w1 and w3 to shard 1.
+        """
+        cluster = EdgeCluster(workers=4, duration_s=INFINITE_DURATION_S, shards=2)
+        await cluster.open(nodes=3)
+        first, second = job_ids(0, 2)
+        await cluster.submit(first, LONG_RUNNING)
+        await asyncio.sleep(2.0)
+        self.assertEqual(["w0", "w2"], sorted(self.running_workers(cluster, first)))
+        await cluster.submit(second, ONE_MORE)
+        return cluster, second
+
+    def test_long_running_task_of_a_full_shard_runs_on_a_worker_of_another_shard(self) -> None:
+        async def main() -> None:
+            cluster, job_id = await self.open_full_shard()
+            await asyncio.sleep(MAX_ABSENCE_S)
+            self.assertEqual(1, len(self.running_workers(cluster, job_id)))
+            self.check_single_execution(cluster)
+
+        run_virtual(main())
+
+    def test_successor_of_the_releasing_owner_leaves_a_transferred_worker_alone(self) -> None:
+        async def main() -> None:
+            cluster, job_id = await self.open_full_shard()
+            await asyncio.sleep(MAX_ABSENCE_S)
+            before = self.running_workers(cluster, job_id)
+            self.assertEqual(1, len(before))
+            owner = cluster.owner(shard=1)
+            assert owner is not None
+            owner.kill()
+            await cluster.wait_for_term(owner.name, shard=1)
+            await asyncio.sleep(MAX_ABSENCE_S)
+            self.assertEqual(before, self.running_workers(cluster, job_id))
+            self.check_single_execution(cluster)
+
+        run_virtual(main())
+
+    def test_successor_of_the_requesting_owner_adopts_runs_on_a_transferred_worker(self) -> None:
+        async def main() -> None:
+            cluster, job_id = await self.open_full_shard()
+            await asyncio.sleep(MAX_ABSENCE_S)
+            before = self.running_workers(cluster, job_id)
+            self.assertEqual(1, len(before))
+            owner = cluster.owner(shard=0)
+            assert owner is not None
+            owner.kill()
+            await cluster.wait_for_term(owner.name, shard=0)
+            await asyncio.sleep(MAX_ABSENCE_S)
+            self.assertEqual(before, self.running_workers(cluster, job_id))
+            self.check_single_execution(cluster)
+
+        run_virtual(main())
+
+    def test_worker_is_transferred_only_after_its_tasks_have_ended(self) -> None:
+        async def main() -> None:
+            cluster = EdgeCluster(workers=4, shards=2)
+            for worker in cluster.workers_by_id.values():
+                worker.duration_of = lambda task: INFINITE_DURATION_S if task[0] == "0" else 1.5
+            await cluster.open(nodes=3)
+            first, second = job_ids(0, 2)
+            other = next(
+                job_id
+                for job_id in (f"a{number:015x}" for number in range(1000))
+                if shard_of_job(job_id, 2) == 1
+            )
+            await cluster.submit(first, LONG_RUNNING)
+            await asyncio.sleep(1.0)
+            await cluster.submit(other, build_workflow(build_step(6)))
+            await cluster.submit(second, ONE_MORE)
+            await cluster.wait_for_state(other, JobState.COMPLETED)
+            await asyncio.sleep(MAX_ABSENCE_S)
+            self.assertEqual(1, len(self.running_workers(cluster, second)))
+            self.assertEqual(9, len(cluster.history))
+            self.check_single_execution(cluster)
+
+        run_virtual(main())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_workflow_worker_transfer.py
@@ -0,0 +1,132 @@
+"""Tests of when a shard is short of capacity and which worker another shard releases."""
+
+import unittest
+
+from pollengate.workflow.job_table import JobTable
+from pollengate.workflow.model import Demand, Step
+from pollengate.workflow.worker_transfer import (
+    CapacityRequest,
+    find_shortage,
+    release_delay_s,
+    worker_to_release,
+)
+
+from tests.workflow_builders import (
+    build_job,
+    build_job_table,
+    build_lease_worker,
+    build_planner,
+    build_step,
+    start_all,
+)
+
+LONG_RUNNING = build_step(is_long_running=True, demand=Demand(3000, 100))
+
+
+def shortage(job_table: JobTable, is_settled: bool = True) -> CapacityRequest | None:
+    """Returns the shortage of shard 0."""
+    return find_shortage(0, job_table, lambda: is_settled, 1.0)
+
+
+def add_job(job_table: JobTable, job_id: str, step: Step, is_restored: bool = False) -> None:
+    """Adds a job of one step to a job table."""
+    job = build_job(job_id, step)
+    job.is_restored = is_restored
+    job_table.add(job, 0.0, 0)
+
+
+class ShortageTest(unittest.TestCase):
+    """A shard requests a worker if a task that other shards could run fits on none of its own."""
+
+    def full_job_table(self, step: Step, **changes: bool) -> JobTable:
+        """Returns a job table whose only worker has one core left, and a job that waits."""
+        job_table = build_job_table(build_lease_worker())
+        add_job(job_table, "00000000000000aa", LONG_RUNNING)
+        start_all(job_table)
+        add_job(job_table, "00000000000000bb", step, **changes)
+        return job_table
+
+    def test_task_that_fits_on_no_worker_is_short_of_its_demand_and_label(self) -> None:
+        job_table = self.full_job_table(LONG_RUNNING)
+        expected = CapacityRequest(0, "service", "", Demand(3000, 100))
+        self.assertEqual(expected, shortage(job_table))
+        labelled = self.full_job_table(build_step(required_label="other"))
+        expected = CapacityRequest(0, "service", "other", Demand(1000, 100))
+        self.assertEqual(expected, shortage(labelled))
+
+    def test_task_that_fits_is_not_short(self) -> None:
+        self.assertIsNone(shortage(self.full_job_table(build_step(demand=Demand(1000)))))
+
+    def test_filler_is_not_short(self) -> None:
+        job_table = self.full_job_table(build_step(is_filler=True, demand=Demand(4000, 2000)))
+        self.assertIsNone(shortage(job_table))
+
+    def test_room_on_a_quarantined_worker_does_not_count(self) -> None:
+        job_table = build_job_table(build_lease_worker())
+        add_job(job_table, "00000000000000aa", build_step())
+        for number in range(3):
+            job_table.evidence.record_rejection(f"job{number}", "w0")
+        self.assertIsNotNone(shortage(job_table))
+
+    def test_gang_is_short_unless_all_its_members_fit(self) -> None:
+        self.assertIsNotNone(shortage(self.full_job_table(build_step(2, is_gang=True))))
+        self.assertIsNone(shortage(self.full_job_table(build_step(1, is_gang=True))))
+
+    def test_nothing_is_requested_for_a_task_that_may_still_run(self) -> None:
+        job_table = self.full_job_table(LONG_RUNNING, is_restored=True)
+        self.assertIsNone(shortage(job_table, is_settled=False))
+
+
+class ReleaseTest(unittest.TestCase):
+    """Only a worker without long-running tasks is released."""
+
+    request = CapacityRequest(1, "service", "", Demand(3000, 100))
+
+    def test_worker_with_the_fewest_runs_is_released(self) -> None:
+        job_table = build_job_table(build_lease_worker("w0"), build_lease_worker("w1"))
+        add_job(job_table, "00000000000000aa", build_step())
+        (run,) = start_all(job_table)
+        view = worker_to_release(job_table.fleet, self.request, 1.0)
+        assert view is not None
+        self.assertNotEqual(run.worker_id, view.worker_id)
+
+    def test_worker_with_a_long_running_task_is_kept(self) -> None:
+        job_table = build_job_table(build_lease_worker())
+        add_job(job_table, "00000000000000aa", LONG_RUNNING)
+        start_all(job_table)
+        self.assertIsNone(worker_to_release(job_table.fleet, self.request, 1.0))
+
+    def test_worker_that_the_task_does_not_fit_on_is_kept(self) -> None:
+        job_table = build_job_table(build_lease_worker())
+        for request in (
+            CapacityRequest(1, "service", "", Demand(4001, 100)),
+            CapacityRequest(1, "service", "other", Demand(1000, 100)),
+            CapacityRequest(1, "other", "", Demand(1000, 100)),
+        ):
+            self.assertIsNone(worker_to_release(job_table.fleet, request, 1.0))
+
+    def test_released_worker_gets_no_start(self) -> None:
+        job_table = build_job_table(build_lease_worker())
+        job_table.fleet.workers_by_id["w0"].is_released = True
+        add_job(job_table, "00000000000000aa", build_step())
+        self.assertEqual([], build_planner(job_table).plan(0.0))
+
+    def test_shard_with_more_spare_workers_responds_sooner(self) -> None:
+        idle = build_job_table(build_lease_worker("w0"), build_lease_worker("w1"))
+        busy = build_job_table(build_lease_worker("w0"), build_lease_worker("w1"))
+        add_job(busy, "00000000000000aa", LONG_RUNNING)
+        start_all(busy)
+        delays = [release_delay_s(table.fleet, self.request, 1.0) for table in (idle, busy)]
+        self.assertEqual(sorted(delays), delays)
+        self.assertLess(delays[0], delays[1])
+
+    def test_worker_is_forgotten_once_its_new_assignment_is_known(self) -> None:
+        fleet = build_job_table(build_lease_worker()).fleet
+        fleet.workers_by_id["w0"].is_released = True
+        self.assertEqual([], fleet.forget_released(lambda worker_id: 0))
+        self.assertEqual(1, len(fleet.forget_released(lambda worker_id: 7)))
+        self.assertEqual({}, fleet.workers_by_id)
+
+
+if __name__ == "__main__":
+    unittest.main()
