Move long-running tasks together to free a worker for another shard

Cause: its shard had 5.18 of 5.47 million millicores committed and waited with cause=no_capacity; another had 5.03 of 6.59 million committed, but every one of its 87 workers had a long-running task (without_long_running=0), so that no worker could have been released.

Change: for a long-running task, an owner also releases a worker whose long-running tasks all fit on its other workers. It moves them first, one of a step at a time and only while all others of the step serve, as the rebalancer does. Owners respond in the order of the share of processors that is not committed.

test_worker_is_released_although_every_worker_has_a_long_running_task failed before.

--- a/packages/pollengate/pollengate/workflow/worker_transfer.py
+++ b/packages/pollengate/pollengate/workflow/worker_transfer.py
@@ -11,16 +11,22 @@
 
 from pollengate.workflow.fleet import Fleet, WorkerView
 from pollengate.workflow.job_table import JobTable
-from pollengate.workflow.model import Demand, Queue
+from pollengate.workflow.model import NO_DEMAND, Demand, Queue
 from pollengate.workflow.ordering import rank
 from pollengate.workflow.placement import can_place, is_allowed
-from pollengate.workflow.progress import StepProgress
+from pollengate.workflow.progress import Run, RunState, StepProgress
 
-__all__ = ["CapacityRequest", "find_shortage", "release_delay_s", "worker_to_release"]
+__all__ = [
+    "CapacityRequest",
+    "find_shortage",
+    "is_movable",
+    "release_delay_s",
+    "worker_to_release",
+]
 
-# An owner without spare workers waits this long before it releases one, an owner with only spare
-# workers not at all, so that the one with the most room responds first.
-MAX_RELEASE_DELAY_S = 0.3
+# An owner without room waits this long before it releases a worker, an owner whose workers are all
+# empty not at all, so that the one with the most room responds first.
+MAX_RELEASE_DELAY_S = 0.6
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -32,12 +38,15 @@
         service: the worker's service.
         required_label: a label that the worker must have, empty for none.
         demand: resources of the task.
+        is_long_running: whether the task is a long-running one, for which another shard moves its
+            own long-running tasks together if it has no spare worker.
     """
 
     shard: int
     service: str
     required_label: str
     demand: Demand
+    is_long_running: bool = False
 
 
 def find_shortage(
@@ -59,28 +68,36 @@
         workers = job_table.fleet.schedulable_workers(queue.service, now)
         if not _has_room(job_table, step, workers):
             spec = step.spec
-            return CapacityRequest(shard, queue.service, spec.required_label, spec.demand)
+            return CapacityRequest(
+                shard, queue.service, spec.required_label, spec.demand, spec.is_long_running
+            )
     return None
 
 
 def worker_to_release(fleet: Fleet, request: CapacityRequest, now: float) -> WorkerView | None:
-    """Returns the worker with the fewest runs that meets a request, None if there is none.
+    """Returns the worker that meets a request after the fewest moves, None if there is none.
 
-    A worker with a long-running task or a member of a gang is never released.
+    Its long-running tasks have to fit on other workers of the shard. They are moved only for a
+    long-running task; a member of a gang is never moved.
     """
-    candidates = (
-        view
-        for view in fleet.schedulable_workers(request.service, now)
-        if _is_spare(view) and _meets(view, request)
-    )
-    return min(candidates, key=lambda view: (len(view.runs), view.worker_id), default=None)
+    workers = fleet.schedulable_workers(request.service, now)
+    candidates = [view for view in workers if _meets(view, request) and _can_empty(view, request)]
+    candidates.sort(key=lambda view: (len(_long_running(view)), len(view.runs), view.worker_id))
+    return next((view for view in candidates if _fit_elsewhere(view, workers)), None)
+
+
+def is_movable(run: Run) -> bool:
+    """Returns True if a long-running task may be stopped to move: all others of its step serve."""
+    tasks = run.task.step.tasks
+    return run.state is RunState.RUNNING and all(task.is_past_startup for task in tasks)
 
 
 def release_delay_s(fleet: Fleet, request: CapacityRequest, now: float) -> float:
     """Returns how long an owner waits before it responds to a request, shorter the more it has."""
     workers = fleet.schedulable_workers(request.service, now)
-    spare = sum(_is_spare(view) for view in workers)
-    return MAX_RELEASE_DELAY_S * (1 - spare / max(1, len(workers)))
+    capacity = sum(view.info.capacity.cpu_millis for view in workers)
+    committed = sum(view.committed_millis for view in workers)
+    return MAX_RELEASE_DELAY_S * committed / max(1, capacity)
 
 
 def _has_room(job_table: JobTable, step: StepProgress, workers: list[WorkerView]) -> bool:
@@ -106,9 +123,35 @@
     return max(0, min((free // each for free, each in limits if each), default=step.spec.count))
 
 
-def _is_spare(view: WorkerView) -> bool:
-    specs = (run.task.step.spec for run in view.runs.values())
-    return not any(spec.is_long_running or spec.is_gang for spec in specs)
+def _long_running(view: WorkerView) -> list[Run]:
+    return [run for run in view.runs.values() if run.task.step.spec.is_long_running]
+
+
+def _can_empty(view: WorkerView, request: CapacityRequest) -> bool:
+    if any(run.task.step.spec.is_gang for run in view.runs.values()):
+        return False
+    to_move = _long_running(view)
+    return not to_move or (request.is_long_running and all(is_movable(run) for run in to_move))
+
+
+def _fit_elsewhere(view: WorkerView, workers: list[WorkerView]) -> bool:
+    """Returns True if all long-running tasks of a worker fit on other workers, the largest first."""
+    planned_by_worker = dict.fromkeys((other for other in workers if other is not view), NO_DEMAND)
+    to_move = sorted(_long_running(view), key=lambda run: -run.task.step.spec.demand.cpu_millis)
+    for run in to_move:
+        step = run.task.step
+        target = next(
+            (
+                other
+                for other, planned in planned_by_worker.items()
+                if other.fits(step.spec.demand + planned, False) and is_allowed(step, other)
+            ),
+            None,
+        )
+        if target is None:
+            return False
+        planned_by_worker[target] += step.spec.demand
+    return True
 
 
 def _meets(view: WorkerView, request: CapacityRequest) -> bool:
--- a/packages/pollengated/pollengated/edge/worker_transfers.py
+++ b/packages/pollengated/pollengated/edge/worker_transfers.py
@@ -21,9 +21,11 @@
     capacity_request_prefix,
 )
 from pollengate.workflow.model import Worker
+from pollengate.workflow.progress import RunState
 from pollengate.workflow.worker_transfer import (
     CapacityRequest,
     find_shortage,
+    is_movable,
     release_delay_s,
     worker_to_release,
 )
@@ -42,8 +44,8 @@
 REQUEST_INTERVAL_S = 1.0
 # A request that nobody met is repeated sooner than this; an older one is out of date.
 REQUEST_VALID_S = 2.0
-# A worker whose runs do not end within this time is kept.
-RELEASE_TIMEOUT_S = 3.0
+# A worker whose runs have not ended or moved within this time is kept.
+RELEASE_TIMEOUT_S = 6.0
 
 _T = TypeVar("_T")
 
@@ -149,7 +151,7 @@
         elif self._short_since is None:
             self._short_since = now
         if self._release is not None:
-            self._continue_release(self._release, committer, detach, now)
+            self._continue_release(self._release, job_table, committer, detach, now)
         elif shortage is None:
             self._begin_release(job_table, now)
         elif now - (self._short_since or now) >= SHORT_AFTER_S:
@@ -181,9 +183,6 @@
             if view is not None:
                 self._release = _Release(view, pending.request, now)
                 view.is_released = True
-                for run in view.runs.values():
-                    if run.task.step.spec.saves_progress:
-                        job_table.stop(run)
                 return
 
     def _has_been_met(self, pending: _OpenRequest) -> bool:
@@ -196,6 +195,7 @@
     def _continue_release(
         self,
         release: _Release,
+        job_table: JobTable,
         committer: Committer,
         detach: Callable[[WorkerView], None],
         now: float,
@@ -214,6 +214,23 @@
         elif now - release.began_at > RELEASE_TIMEOUT_S or not view.is_attached:
             view.is_released = False
             self._release = None
+        else:
+            self._stop_runs(view, job_table)
+
+    def _stop_runs(self, view: WorkerView, job_table: JobTable) -> None:
+        """Stops the runs that can go on elsewhere; those of the same step one after the other."""
+        for run in view.runs.values():
+            spec = run.task.step.spec
+            if run.is_stop_wanted or run.state is not RunState.RUNNING:
+                continue
+            if is_movable(run) if spec.is_long_running else spec.saves_progress:
+                self._log.info(
+                    "stopping a run so that its worker can be released",
+                    task=run.task.name,
+                    run=run.number,
+                    worker=view.worker_id,
+                )
+                job_table.stop(run)
 
     def _changed(self) -> None:
         self._shards_by_worker.clear()
--- a/tests/test_worker_transfers.py
+++ b/tests/test_worker_transfers.py
@@ -63,6 +63,28 @@
 
         run_virtual(main())
 
+    def test_worker_is_released_although_every_worker_has_a_long_running_task(self) -> None:
+        async def main() -> None:
+            cluster = EdgeCluster(workers=4, duration_s=INFINITE_DURATION_S, shards=2)
+            await cluster.open(nodes=3)
+            others = job_ids(1, 2)
+            for job_id in others:
+                await cluster.submit(
+                    job_id, build_workflow(build_step(1, is_long_running=True, may_miss=1))
+                )
+            first, second = job_ids(0, 2)
+            await cluster.submit(first, LONG_RUNNING)
+            await asyncio.sleep(2.0)
+            used = [self.running_workers(cluster, job_id) for job_id in others]
+            self.assertEqual([["w1"], ["w3"]], sorted(used))
+            await cluster.submit(second, ONE_MORE)
+            await asyncio.sleep(MAX_ABSENCE_S)
+            for job_id in (second, *others):
+                self.assertEqual(1, len(self.running_workers(cluster, job_id)))
+            self.check_single_execution(cluster)
+
+        run_virtual(main())
+
     def test_successor_of_the_releasing_owner_leaves_a_transferred_worker_alone(self) -> None:
         async def main() -> None:
             cluster, job_id = await self.open_full_shard()
