--- a/packages/pollengate/pollengate/workflow/worker_transfer.py
+++ b/packages/pollengate/pollengate/workflow/worker_transfer.py
@@ -135,7 +135,7 @@
 
 
 def _fit_elsewhere(view: WorkerView, workers: list[WorkerView]) -> bool:
-    """Returns True if all long-running tasks of a worker fit on other workers, the largest first."""
+    """Returns True if all long-running tasks of a worker fit on others, the largest first."""
     planned_by_worker = dict.fromkeys((other for other in workers if other is not view), NO_DEMAND)
     to_move = sorted(_long_running(view), key=lambda run: -run.task.step.spec.demand.cpu_millis)
     for run in to_move:
