Give a shard without an owner to the candidate with the fewest shards per core

One process may own several shards, each of which is sized for one process, while equal VMs own none; its orders and renewals are then late.

Cause: candidates were ranked by their cores and a hash of name and shard, whatever they owned already.

Why this works: the best candidate is the one that would own the fewest shards per core. Lower shards without an owner count as owned by their best candidates, so electors that run at the same moment on the same copy choose different processes. A process ranks again after its delay, since it may have acquired another shard meanwhile. Owners keep their shards; the delay for each better candidate, also a dead one, is as before.

--- a/packages/pollengate/pollengate/workflow/keys.py
+++ b/packages/pollengate/pollengate/workflow/keys.py
@@ -10,6 +10,7 @@
     "assignment_prefix",
     "capacity_request_key",
     "capacity_request_prefix",
+    "OWNER_PREFIX",
     "interference_record_key",
     "commit_key",
     "job_key",
@@ -26,11 +27,12 @@
 LAYOUT_KEY = f"{ROOT}layout"
 NODE_PREFIX = f"{ROOT}node/"
 TRANSFER_PREFIX = f"{ROOT}transfer/"
+OWNER_PREFIX = f"{NODE_PREFIX}owner/"
 
 
 def owner_key(shard: int) -> str:
     """Returns the key that names a shard's owner; deleted when the owner's lease expires."""
-    return f"{NODE_PREFIX}owner/{shard}"
+    return f"{OWNER_PREFIX}{shard}"
 
 
 def member_key(node: str) -> str:
--- a/packages/pollengated/pollengated/edge/node_directory.py
+++ b/packages/pollengated/pollengated/edge/node_directory.py
@@ -5,7 +5,7 @@
 
 import msgspec
 from pollengate.store import Entry, PolledStore
-from pollengate.workflow.keys import NODE_PREFIX, member_key, owner_key
+from pollengate.workflow.keys import NODE_PREFIX, OWNER_PREFIX, member_key, owner_key
 
 from pollengated.edge.clocks import Clocks
 from pollengated.edge.prefix_cache import PrefixCache
@@ -72,6 +72,18 @@
             return None
         return Owner(record, entry.revision, entry.lease_id)
 
+    def owner_names_by_shard(self) -> dict[int, str]:
+        """Returns the VM names of the owners of all shards that have one."""
+        names_by_shard = {}
+        for key, entry in self.cache.entries_by_key.items():
+            number = key.removeprefix(OWNER_PREFIX)
+            if number == key or not number.isdecimal():
+                continue
+            record = self._decode(entry)
+            if record is not None:
+                names_by_shard[int(number)] = record.node
+        return names_by_shard
+
     def members(self) -> list[NodeRecord]:
         """Returns the running processes."""
         prefix = member_key("")
--- a/packages/pollengated/pollengated/edge/shard_elector.py
+++ b/packages/pollengated/pollengated/edge/shard_elector.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import zlib
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Iterable, Mapping
 
 from pollengate.store import Delete, FailureKind, PolledStore, Put, Unchanged
 from pollengate.workflow.keys import owner_key
@@ -24,17 +25,41 @@
 DIRECTORY_WAIT_S = 0.5
 RETRY_S = 0.2
 HANDOVER_TIMEOUT_S = 1.0
+MIN_CORES = 0.01
 
 
-def rank_candidates(members: list[NodeRecord], shard: int) -> list[str]:
+def rank_candidates(
+    members: Iterable[NodeRecord], owner_names_by_shard: Mapping[int, str], shard: int
+) -> list[str]:
     """Returns the names of the candidate owners of a shard, the best one first.
 
-    Candidates with more cores come first; a hash of the name and the shard breaks ties, so that
-    equal candidates own different shards.
+    The best candidate is the one that would own the fewest shards per core. Candidates with more
+    cores come first among equal ones, and a hash of the name and the shard breaks ties.
+
+    Shards with lower numbers and no owner count as owned by their best candidates. Processes that
+    acquire several shards at the same moment therefore rank a different candidate first for each.
+
+    Args:
+        members: the running processes.
+        owner_names_by_shard: the owners of the shards that have one.
+        shard: the shard to acquire.
     """
     staying = [member for member in members if not member.is_leaving]
-    ranked = sorted(staying, key=lambda m: (-round(m.cores, 1), _tie_breaker(m.node, shard)))
-    return [member.node for member in ranked]
+    shards_by_name = Counter(owner_names_by_shard.values())
+    vacant = [number for number in range(shard) if number not in owner_names_by_shard]
+    for number in vacant if staying else ():
+        shards_by_name[_sort_candidates(staying, shards_by_name, number)[0].node] += 1
+    return [candidate.node for candidate in _sort_candidates(staying, shards_by_name, shard)]
+
+
+def _sort_candidates(
+    candidates: list[NodeRecord], shards_by_name: Counter[str], shard: int
+) -> list[NodeRecord]:
+    def sort_key(candidate: NodeRecord) -> tuple[float, float, int]:
+        shards_per_core = (shards_by_name[candidate.node] + 1) / max(candidate.cores, MIN_CORES)
+        return shards_per_core, -candidate.cores, _tie_breaker(candidate.node, shard)
+
+    return sorted(candidates, key=sort_key)
 
 
 class ShardElector:
@@ -125,12 +150,22 @@
         if self._directory.owner(self._shard) is not None or not self._directory.cache.revision:
             await self._directory.wait_for_change(DIRECTORY_WAIT_S)
             return False
-        ranked = rank_candidates(self._directory.members(), self._shard)
-        if self._record.node not in ranked:
+        rank = self._rank()
+        if rank is None:
             await self._directory.wait_for_change(RETRY_S)
             return False
-        await asyncio.sleep(CANDIDATE_DELAY_S * ranked.index(self._record.node))
-        return not self._is_leaving and self._directory.owner(self._shard) is None
+        await asyncio.sleep(CANDIDATE_DELAY_S * rank)
+        if self._is_leaving or self._directory.owner(self._shard) is not None:
+            return False
+        # This process may have acquired another shard in the meantime.
+        current_rank = self._rank()
+        return current_rank is not None and current_rank <= rank
+
+    def _rank(self) -> int | None:
+        """Returns the number of better candidates; None if this process is no candidate."""
+        owner_names_by_shard = self._directory.owner_names_by_shard()
+        ranked = rank_candidates(self._directory.members(), owner_names_by_shard, self._shard)
+        return ranked.index(self._record.node) if self._record.node in ranked else None
 
     async def _acquire(self) -> ShardLease | None:
         requested_at = self._clocks.monotonic_s()
