Let other processes register before one acquires a second shard after a start

Cause: electors start as soon as the layout is known. After a loss of all processes it is in the store already, so the first process up ranks itself alone and acquires every shard.

Evidence: when twelve processes start 0.02 s or 0.1 s apart with a known layout, the first one acquired all four shards.

Why this works: in a process that has just started, all candidates wait 0.5 s for each shard that the best one already has; then the order of the candidates is unchanged. Those that register meanwhile own nothing and acquire their shards at once. The first shard of a process, and takeovers by processes that have been up for longer, are not delayed.

What is not covered: a small VM that is up before all large ones acquires its first shard at once.

--- a/packages/pollengated/pollengated/edge/shard_elector.py
+++ b/packages/pollengated/pollengated/edge/shard_elector.py
@@ -1,6 +1,7 @@
 """Acquires a shard that has no owner, renews its lease and hands it over."""
 
 import asyncio
+import dataclasses
 import zlib
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
@@ -21,17 +22,32 @@
 RENEW_INTERVAL_S = 0.4
 # Each candidate waits this long for each better one before it acquires a shard without an owner.
 CANDIDATE_DELAY_S = 0.15
-# A starting process waits for others to register before it ranks the candidates.
 DIRECTORY_WAIT_S = 0.5
+# A starting process waits this long for others to register, for each shard that the best candidate
+# known so far already owns.
+REGISTRATION_WAIT_S = 0.5
 RETRY_S = 0.2
 HANDOVER_TIMEOUT_S = 1.0
 MIN_CORES = 0.01
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Candidate:
+    """A process that may acquire a shard.
+
+    Attributes:
+        node: name of its VM.
+        shards: number of other shards that it owns or is the best candidate for.
+    """
+
+    node: str
+    shards: int
+
+
 def rank_candidates(
     members: Iterable[NodeRecord], owner_names_by_shard: Mapping[int, str], shard: int
-) -> list[str]:
-    """Returns the names of the candidate owners of a shard, the best one first.
+) -> list[Candidate]:
+    """Returns the candidate owners of a shard, the best one first.
 
     The best candidate is the one that would own the fewest shards per core. Candidates with more
     cores come first among equal ones, and a hash of the name and the shard breaks ties.
@@ -49,7 +65,8 @@
     vacant = [number for number in range(shard) if number not in owner_names_by_shard]
     for number in vacant if staying else ():
         shards_by_name[_sort_candidates(staying, shards_by_name, number)[0].node] += 1
-    return [candidate.node for candidate in _sort_candidates(staying, shards_by_name, shard)]
+    ranked = _sort_candidates(staying, shards_by_name, shard)
+    return [Candidate(member.node, shards_by_name[member.node]) for member in ranked]
 
 
 def _sort_candidates(
@@ -94,6 +111,7 @@
         self._directory = directory
         self._clocks = clocks
         self._create_term = create_term
+        self._started_at = clocks.monotonic_s()
         self._is_leaving = False
         self._lease_id = 0
         self._is_suspended = False
@@ -150,22 +168,26 @@
         if self._directory.owner(self._shard) is not None or not self._directory.cache.revision:
             await self._directory.wait_for_change(DIRECTORY_WAIT_S)
             return False
-        rank = self._rank()
+        ranked = self._rank_candidates()
+        rank = _rank_of(self._record.node, ranked)
         if rank is None:
             await self._directory.wait_for_change(RETRY_S)
             return False
-        await asyncio.sleep(CANDIDATE_DELAY_S * rank)
+        await asyncio.sleep(CANDIDATE_DELAY_S * rank + self._registration_wait_s(ranked[0]))
         if self._is_leaving or self._directory.owner(self._shard) is not None:
             return False
-        # This process may have acquired another shard in the meantime.
-        current_rank = self._rank()
+        # In the meantime, this process may have acquired another shard or others may have started.
+        current_rank = _rank_of(self._record.node, self._rank_candidates())
         return current_rank is not None and current_rank <= rank
 
-    def _rank(self) -> int | None:
-        """Returns the number of better candidates; None if this process is no candidate."""
+    def _rank_candidates(self) -> list[Candidate]:
         owner_names_by_shard = self._directory.owner_names_by_shard()
-        ranked = rank_candidates(self._directory.members(), owner_names_by_shard, self._shard)
-        return ranked.index(self._record.node) if self._record.node in ranked else None
+        return rank_candidates(self._directory.members(), owner_names_by_shard, self._shard)
+
+    def _registration_wait_s(self, best: Candidate) -> float:
+        """Returns the time left for others to register before the best candidate owns one more."""
+        registered_by = self._started_at + REGISTRATION_WAIT_S * best.shards
+        return max(0.0, registered_by - self._clocks.monotonic_s())
 
     async def _acquire(self) -> ShardLease | None:
         requested_at = self._clocks.monotonic_s()
@@ -252,5 +274,9 @@
             shard_lease.record_renewal(requested_at)
 
 
+def _rank_of(node: str, ranked: list[Candidate]) -> int | None:
+    return next((rank for rank, candidate in enumerate(ranked) if candidate.node == node), None)
+
+
 def _tie_breaker(node: str, shard: int) -> int:
     return zlib.crc32(f"{node}/{shard}".encode())
--- a/tests/test_edge_election.py
+++ b/tests/test_edge_election.py
@@ -36,6 +36,14 @@
     return [NodeRecord(name, f"{name}:1", "x", cores) for name, cores in names]
 
 
+def rank_names(
+    members: list[NodeRecord], owner_names_by_shard: dict[int, str], shard: int
+) -> list[str]:
+    """Returns the names of the candidates for a shard, the best one first."""
+    ranked = rank_candidates(members, owner_names_by_shard, shard)
+    return [candidate.node for candidate in ranked]
+
+
 class RankCandidatesTest(unittest.TestCase):
     """Tests of the order of the candidates."""
 
@@ -43,32 +51,32 @@
         members = [NodeRecord(f"n{number}", "", "x", 1.0) for number in range(6)]
         strong = NodeRecord("strong", "", "x", 2.0)
         leaving = NodeRecord("leaving", "", "x", 4.0, is_leaving=True)
-        ranked = rank_candidates([*members, strong, leaving], {}, 0)
+        ranked = rank_names([*members, strong, leaving], {}, 0)
         self.assertEqual(ranked[0], "strong")
         self.assertNotIn("leaving", ranked)
-        firsts = {rank_candidates(members, {}, shard)[0] for shard in range(12)}
+        firsts = {rank_names(members, {}, shard)[0] for shard in range(12)}
         self.assertEqual(len(firsts), len(members))
 
     def test_no_vm_comes_first_for_two_shards_while_none_has_an_owner(self) -> None:
         for prefix in "abcdefgh":
             members = build_members(prefix=prefix)
-            firsts = {rank_candidates(members, {}, shard)[0] for shard in range(SHARDS)}
+            firsts = {rank_names(members, {}, shard)[0] for shard in range(SHARDS)}
             self.assertEqual(len(firsts), SHARDS)
             self.assertTrue(all("large" in name for name in firsts))
 
     def test_candidate_does_not_change_with_the_order_in_which_shards_get_owners(self) -> None:
         members = build_members()
-        expected = {shard: rank_candidates(members, {}, shard)[0] for shard in range(SHARDS)}
+        expected = {shard: rank_names(members, {}, shard)[0] for shard in range(SHARDS)}
         for order in itertools.permutations(range(SHARDS)):
             names_by_shard: dict[int, str] = {}
             for shard in order:
-                names_by_shard[shard] = rank_candidates(members, names_by_shard, shard)[0]
+                names_by_shard[shard] = rank_names(members, names_by_shard, shard)[0]
             self.assertEqual(names_by_shard, expected)
 
     def test_owner_of_a_shard_does_not_come_before_an_equal_vm_without_one(self) -> None:
         members = build_members()
         names = [member.node for member in members]
-        ranked = rank_candidates(members, {0: names[0], 1: names[1], 3: names[2]}, 2)
+        ranked = rank_names(members, {0: names[0], 1: names[1], 3: names[2]}, 2)
         self.assertEqual(set(ranked[:3]), set(names[3:6]))
         self.assertEqual(set(ranked[3:6]), set(names[:3]))
 
@@ -76,13 +84,13 @@
         members = build_members(large=1)
         for owned, is_large_first in enumerate((True, True, True, True, False)):
             names_by_shard = dict.fromkeys(range(1, owned + 1), members[0].node)
-            ranked = rank_candidates(members, names_by_shard, 0)
+            ranked = rank_names(members, names_by_shard, 0)
             self.assertEqual(ranked[0] == members[0].node, is_large_first, owned)
 
     def test_vm_without_processors_does_not_break_the_ranking(self) -> None:
         members = [NodeRecord("none", "", "x", 0.0), NodeRecord("n0", "", "x", 1.0)]
-        self.assertEqual(rank_candidates(members, {}, 1), ["n0", "none"])
-        self.assertEqual(rank_candidates([], {}, 1), [])
+        self.assertEqual(rank_names(members, {}, 1), ["n0", "none"])
+        self.assertEqual(rank_names([], {}, 1), [])
 
 
 class IdleTerm:
@@ -100,8 +108,8 @@
         self.store = MemoryStore()
         self.tasks_by_name: dict[str, list[asyncio.Task[None]]] = {}
 
-    def start(self, record: NodeRecord) -> None:
-        """Starts a process that takes part once the shards are decided."""
+    def start(self, record: NodeRecord, layout_wait_s: float = LAYOUT_WAIT_S) -> None:
+        """Starts a process that is a candidate once it knows the shards."""
         clocks = Clocks.of_loop()
         directory = NodeDirectory(self.store, clocks)
 
@@ -109,7 +117,7 @@
             return IdleTerm()
 
         async def run_elector(shard: int) -> None:
-            await asyncio.sleep(LAYOUT_WAIT_S)
+            await asyncio.sleep(layout_wait_s)
             await ShardElector(shard, record, self.store, directory, clocks, create_term).run()
 
         loops = [directory.cache.run(), Membership(self.store, record).run()]
@@ -150,6 +158,30 @@
             with self.subTest(prefix=prefix):
                 run_virtual(main(prefix))
 
+    def test_first_of_several_processes_to_restart_does_not_acquire_all_shards(self) -> None:
+        async def main(interval_s: float) -> None:
+            election = Election()
+            for record in build_members(small=6):
+                election.start(record, layout_wait_s=0.01)
+                await asyncio.sleep(interval_s)
+            await asyncio.sleep(TAKEOVER_S)
+            self.check_one_shard_each(await election.owner_names_by_shard())
+
+        for interval_s in (0.0, 0.02, 0.1):
+            with self.subTest(interval_s=interval_s):
+                run_virtual(main(interval_s))
+
+    def test_only_process_acquires_all_shards(self) -> None:
+        async def main() -> None:
+            election = Election()
+            record = build_members()[0]
+            election.start(record, layout_wait_s=0.01)
+            await asyncio.sleep(TAKEOVER_S)
+            names_by_shard = await election.owner_names_by_shard()
+            self.assertEqual(names_by_shard, dict.fromkeys(range(SHARDS), record.node))
+
+        run_virtual(main())
+
     def test_successor_of_a_dead_owner_owns_no_other_shard(self) -> None:
         async def main() -> None:
             election = Election()
