Limit bulk reads by progress, and give up a shard whose records can't be read

What callers would see: after a takeover by a VM on a slow link no job of the shard runs, submissions are refused as `owner_unreachable`, and nobody else takes the shard.

Cause: a page of a listing has up to 500 items or 1 MB, and its call 0.8 s in all, so on a link of 10 Mbit/s or less a full page can't be read (0.8 s for 1 MB). Three more limits covered a transfer whose size grows: polls for changes, whose response grows while they fail; transactions, which are sent again unchanged; workers' reports.

Change: reads and reports fail only if no part of the response arrives for their timeout. A transaction has a second more for each 100 KB. A later page of a listing is requested up to three times, and a takeover does not repeat a read that has succeeded; nobody writes the records meanwhile, as a commit of an earlier owner expects its owner key. If reads fail for 1.5 s while renewals succeed, the owner gives the shard up and is the last candidate for 30 s, so that another one gets it. Failures in an outage, when renewals fail too, do not count. Orders keep a limit on the whole call.

With the tests on the code before, these five fail, and they pass now: test_reads_that_take_longer_than_the_timeout_succeed_while_parts_arrive, test_failed_page_does_not_make_a_listing_start_anew, test_listing_fails_if_a_page_fails_repeatedly_or_is_the_first, test_transaction_has_time_to_be_sent_over_a_slow_link and test_candidate_that_cannot_read_the_records_leaves_the_shard_to_another.

Left as it was: the fetch of the operators' keys from a peer has 0.5 s in all (gRPC, only while the store can't be reached).

--- a/packages/pollengated/pollengated/edge/shard_elector.py
+++ b/packages/pollengated/pollengated/edge/shard_elector.py
@@ -22,6 +22,8 @@
 RENEW_INTERVAL_S = 0.4
 # Each candidate waits this long for each better one before it acquires a shard without an owner.
 CANDIDATE_DELAY_S = 0.15
+# A candidate that could not read the records of the shard lets all others go first for this long.
+STALL_MEMORY_S = 30.0
 DIRECTORY_WAIT_S = 0.5
 # A starting process waits this long for others to register, for each shard that the best candidate
 # known so far already owns.
@@ -115,6 +117,7 @@
         self._is_leaving = False
         self._lease_id = 0
         self._is_suspended = False
+        self._stalled_at = float("-inf")
         self._log = Log("keeper")
 
     async def run(self) -> None:
@@ -169,7 +172,7 @@
             await self._directory.wait_for_change(DIRECTORY_WAIT_S)
             return False
         ranked = self._rank_candidates()
-        rank = _rank_of(self._record.node, ranked)
+        rank = self._rank_in(ranked)
         if rank is None:
             await self._directory.wait_for_change(RETRY_S)
             return False
@@ -177,13 +180,20 @@
         if self._is_leaving or self._directory.owner(self._shard) is not None:
             return False
         # In the meantime, this process may have acquired another shard or others may have started.
-        current_rank = _rank_of(self._record.node, self._rank_candidates())
+        current_rank = self._rank_in(self._rank_candidates())
         return current_rank is not None and current_rank <= rank
 
     def _rank_candidates(self) -> list[Candidate]:
         owner_names_by_shard = self._directory.owner_names_by_shard()
         return rank_candidates(self._directory.members(), owner_names_by_shard, self._shard)
 
+    def _rank_in(self, ranked: list[Candidate]) -> int | None:
+        """Returns the number of candidates to wait for, None if this process is not a candidate."""
+        if self._clocks.monotonic_s() < self._stalled_at + STALL_MEMORY_S:
+            return len(ranked)
+        names = [candidate.node for candidate in ranked]
+        return names.index(self._record.node) if self._record.node in names else None
+
     def _registration_wait_s(self, best: Candidate) -> float:
         """Returns the time left for others to register before the best candidate owns one more."""
         registered_by = self._started_at + REGISTRATION_WAIT_S * best.shards
@@ -222,6 +232,8 @@
         renewal_task = asyncio.create_task(self._renew_until_lost(shard_lease))
         try:
             await self.term.run()
+            if self.term.has_stalled:
+                self._stalled_at = self._clocks.monotonic_s()
         finally:
             shard_lease.mark_lost()
             renewal_task.cancel()
@@ -274,9 +286,5 @@
             shard_lease.record_renewal(requested_at)
 
 
-def _rank_of(node: str, ranked: list[Candidate]) -> int | None:
-    return next((rank for rank, candidate in enumerate(ranked) if candidate.node == node), None)
-
-
 def _tie_breaker(node: str, shard: int) -> int:
     return zlib.crc32(f"{node}/{shard}".encode())
--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -10,15 +10,7 @@
 from pollengate.workflow.colocation import ColocationModel
 from pollengate.workflow.fleet import Fleet, WorkerView
 from pollengate.workflow.job_table import JobTable
-from pollengate.workflow.keys import (
-    TRANSFER_PREFIX,
-    commit_key,
-    interference_record_key,
-    job_key,
-    job_prefix,
-    progress_key,
-    progress_prefix,
-)
+from pollengate.workflow.keys import job_key, progress_key
 from pollengate.workflow.leases import WORKER_LEASE_S
 from pollengate.workflow.placement import Placer
 from pollengate.workflow.planner import Planner
@@ -30,7 +22,7 @@
 from pollengate.workflow.throttling import ThrottleController
 from pollengate.workflow.tickets import TicketCache
 from pollengate.workflow.waiting import WaitMonitor
-from result import Err, Ok, Result
+from result import Err
 
 from pollengated.edge.advice_requester import AdviceRequester
 from pollengated.edge.clocks import Clocks
@@ -48,6 +40,7 @@
 from pollengated.edge.recorded_workers import RecordedWorkers, decode_recorded_workers
 from pollengated.edge.run_mover import RunMover
 from pollengated.edge.shard_load_log import ShardLoadLog
+from pollengated.edge.shard_records import ShardRecords, ShardRecordsReader
 from pollengated.edge.worker_controller import WorkerController
 from pollengated.edge.worker_registry import WorkerRegistry
 from pollengated.edge.worker_transfers import WorkerTransfers
@@ -59,7 +52,6 @@
 PLAN_DELAY_S = 0.005
 # Interval of the checks that depend on time only.
 TICK_INTERVAL_S = 0.1
-RECOVERY_RETRY_S = 0.1
 # Time until a worker on which all tasks fail is tried again; a task takes a second or two.
 FIRST_PROBE_AFTER_S = 4.0
 # Added to the time for which clients may request the state of an ended job.
@@ -83,6 +75,7 @@
 
     Attributes:
         is_serving: whether the shard's records have been loaded and the term has not ended.
+        has_stalled: whether the term ended because the shard's records could not be read.
         fleet: workers of the shard.
         job_table: jobs of the shard; set once the records have been loaded.
         request_handler: handles clients' requests; set once the records have been loaded.
@@ -104,6 +97,7 @@
         self.shard = shard
         self.shard_lease = shard_lease
         self.is_serving = False
+        self.has_stalled = False
         self._settings = settings
         self._store = store
         self._client = client
@@ -179,58 +173,43 @@
     # Recovery.
 
     async def _recover(self) -> bool:
-        """Loads the shard's records; returns False if the lease becomes invalid first."""
-        while self.shard_lease.is_valid(self._clocks.monotonic_s()):
-            result = await self._read_records()
-            if isinstance(result, Ok):
-                self._log.info(
-                    "shard records loaded",
-                    shard=self.shard,
-                    token=self.shard_lease.token,
-                    jobs=len(self.job_table.jobs_by_id),
-                    workers=len(self._recorded_workers.addresses_by_id),
-                    took_s=round(self._clocks.monotonic_s() - self._acquired_at, 3),
-                )
-                return True
+        """Loads the shard's records; returns False if the shard is given up instead."""
+        reader = ShardRecordsReader(self.shard, self._store, self.shard_lease, self._clocks)
+        records = await reader.read()
+        if isinstance(records, Err):
+            abandoned = records.err_value
+            self.has_stalled = abandoned.is_stalled
             self._log.warning(
-                "cannot read the shard records; trying again",
+                "cannot read the shard records; giving up the shard",
                 shard=self.shard,
-                cause=result.err_value,
+                stalled=abandoned.is_stalled,
+                cause=abandoned.cause,
             )
-            await asyncio.sleep(RECOVERY_RETRY_S)
-        return False
-
-    async def _read_records(self) -> Result[None, str]:
-        commit = await self._store.get(commit_key(self.shard))
-        if isinstance(commit, Err):
-            return Err(commit.err_value.detail)
-        recorded_workers = await self._store.get(RecordedWorkers.key_of(self.shard))
-        if isinstance(recorded_workers, Err):
-            return Err(recorded_workers.err_value.detail)
-        interference_record = await self._store.get(interference_record_key(self.shard))
-        if isinstance(interference_record, Err):
-            return Err(interference_record.err_value.detail)
-        jobs = await self._store.list(job_prefix(self.shard))
-        if isinstance(jobs, Err):
-            return Err(jobs.err_value.detail)
-        progress = await self._store.list(progress_prefix(self.shard))
-        if isinstance(progress, Err):
-            return Err(progress.err_value.detail)
-        transfers = await self._store.list(TRANSFER_PREFIX)
-        if isinstance(transfers, Err):
-            return Err(transfers.err_value.detail)
-        previous_commit = commit.ok_value and decode_commit_number(commit.ok_value.value)
+            return False
+        self._restore(records.ok_value)
+        self._log.info(
+            "shard records loaded",
+            shard=self.shard,
+            token=self.shard_lease.token,
+            jobs=len(self.job_table.jobs_by_id),
+            workers=len(self._recorded_workers.addresses_by_id),
+            took_s=round(self._clocks.monotonic_s() - self._acquired_at, 3),
+        )
+        return True
+
+    def _restore(self, records: ShardRecords) -> None:
+        previous_commit = records.commit and decode_commit_number(records.commit.value)
         term_number = previous_commit.tenure + 1 if previous_commit else 0
         self._committer = Committer(
             self._store,
             self.shard,
             self.shard_lease,
             term_number,
-            commit.ok_value.revision if commit.ok_value else 0,
+            records.commit.revision if records.commit else 0,
             self._clocks,
         )
-        if interference_record.ok_value is not None:
-            load_interference_record(interference_record.ok_value.value, self._colocation)
+        if records.interference is not None:
+            load_interference_record(records.interference.value, self._colocation)
         self._interference_recorder = InterferenceRecorder(
             self.shard, self._colocation, self._committer
         )
@@ -250,11 +229,11 @@
             self._metrics,
         )
         addresses_by_id = (
-            decode_recorded_workers(recorded_workers.ok_value.value)
-            if recorded_workers.ok_value
+            decode_recorded_workers(records.recorded_workers.value)
+            if records.recorded_workers
             else {}
         )
-        self._transfers.load(transfers.ok_value)
+        self._transfers.load(records.transfers)
         addresses_by_id = {
             worker_id: address
             for worker_id, address in addresses_by_id.items()
@@ -271,13 +250,12 @@
             self._clocks,
             self._job_table_changed,
         )
-        encoded_progress_by_key = {entry.key: entry.value for entry in progress.ok_value.entries}
-        for entry in jobs.ok_value.entries:
+        encoded_progress_by_key = {entry.key: entry.value for entry in records.progress}
+        for entry in records.jobs:
             self._restore_job(entry.value, encoded_progress_by_key)
         for worker_id, address in addresses_by_id.items():
             self.fleet.add_recorded(worker_id, address, self._clocks.monotonic_s())
         self._update_lowest_tokens()
-        return Ok(None)
 
     def _restore_job(self, value: bytes, encoded_progress_by_key: dict[str, bytes]) -> None:
         stored = decode_job(value)
--- a/tests/edge_cluster.py
+++ b/tests/edge_cluster.py
@@ -11,6 +11,7 @@
     Changes,
     CommitResult,
     FailureKind,
+    Listing,
     Operation,
     PolledStore,
     Put,
@@ -47,11 +48,20 @@
 
     Attributes:
         is_silent: whether calls get no reply and have no effect.
+        unreadable_prefix: listings of this prefix get no reply; empty for none.
     """
 
     def __init__(self, shared_store: MemoryStore) -> None:
         super().__init__(shared_store, LOST_CALL_TIMEOUT_S)
         self.is_silent = False
+        self.unreadable_prefix = ""
+
+    async def list(self, prefix: str) -> Result[Listing, StoreFailure]:
+        """Lists the shared store unless the prefix is unreadable."""
+        if prefix == self.unreadable_prefix:
+            await asyncio.sleep(LOST_CALL_TIMEOUT_S)
+            return Err(StoreFailure(FailureKind.UNKNOWN, "unreadable"))
+        return await super().list(prefix)
 
     async def changes(
         self, prefix: str, after_revision: int, wait_s: float
--- a/tests/test_edge_takeover.py
+++ b/tests/test_edge_takeover.py
@@ -4,9 +4,12 @@
 import unittest
 
 from pollengate.workflow.job_service import Accepted, Cancelled, Found, JobResponse, NotAccepted
+from pollengate.workflow.keys import job_prefix
 from pollengate.workflow.progress import JobState
+from pollengated.edge.node_directory import NodeRecord
+from pollengated.edge.shard_elector import rank_candidates
 
-from tests.edge_cluster import EdgeCluster, overlapping_runs, runs_after_completion
+from tests.edge_cluster import EdgeCluster, EdgeNode, overlapping_runs, runs_after_completion
 from tests.faulty_store import Fault
 from tests.utils import run_virtual
 from tests.workflow_builders import build_step, build_workflow
@@ -243,6 +246,59 @@
 
         run_virtual(main())
 
+    def kill_owner(self, cluster: EdgeCluster) -> list[EdgeNode]:
+        """Kills the owner; returns the other processes, the best candidate first."""
+        node = cluster.serving_node()
+        node.kill()
+        others = [name for name in cluster.nodes_by_name if name != node.name]
+        ranked = rank_candidates([NodeRecord(name, "", "") for name in others], {}, 0)
+        return [cluster.nodes_by_name[candidate.node] for candidate in ranked]
+
+    def test_candidate_that_cannot_read_the_records_leaves_the_shard_to_another(self) -> None:
+        async def main() -> None:
+            cluster = EdgeCluster()
+            await cluster.open(nodes=3)
+            await cluster.submit(JOB_ID, build_workflow(build_step(6)))
+            await asyncio.sleep(0.3)
+            first, second = self.kill_owner(cluster)
+            first.store.unreadable_prefix = job_prefix(0)
+            await cluster.wait_for_state(JOB_ID, JobState.COMPLETED, 15.0)
+            self.assertIs(cluster.serving_node(), second)
+            self.check_single_execution(cluster)
+
+        run_virtual(main())
+
+    def test_only_candidate_serves_the_shard_as_soon_as_the_records_can_be_read(self) -> None:
+        async def main() -> None:
+            cluster = EdgeCluster()
+            await cluster.open()
+            await cluster.submit(JOB_ID, build_workflow(build_step(6)))
+            (other,) = self.kill_owner(cluster)
+            other.store.unreadable_prefix = job_prefix(0)
+            await asyncio.sleep(20.0)
+            other.store.unreadable_prefix = ""
+            await cluster.wait_for_state(JOB_ID, JobState.COMPLETED, 15.0)
+            self.check_single_execution(cluster)
+
+        run_virtual(main())
+
+    def test_store_outage_while_the_records_are_read_does_not_end_the_ownership(self) -> None:
+        async def main() -> None:
+            cluster = EdgeCluster()
+            await cluster.open()
+            await cluster.submit(JOB_ID, build_workflow(build_step(6)))
+            (other,) = self.kill_owner(cluster)
+            other.store.unreadable_prefix = job_prefix(0)
+            await asyncio.sleep(3.5)
+            assert other.elector.term is not None
+            token = other.elector.term.shard_lease.token
+            await cluster.pause_store(3.7)
+            other.store.unreadable_prefix = ""
+            term = await cluster.wait_for_term()
+            self.assertEqual(term.shard_lease.token, token)
+
+        run_virtual(main())
+
     def test_acknowledged_job_survives_a_crash_of_all_processes(self) -> None:
         async def main() -> None:
             cluster = EdgeCluster()
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -23,6 +23,7 @@
     def __init__(self, *responses: HttpResponse | HttpFailure) -> None:
         self._responses = list(responses)
         self.calls: list[tuple[str, str, Any, dict[str, str]]] = []
+        self.timeouts_s: list[float] = []
 
     async def call(
         self,
@@ -31,10 +32,12 @@
         timeout_s: float,
         body: bytes | None = None,
         headers: Mapping[str, str] | None = None,
+        is_bulk: bool = False,
     ) -> Result[HttpResponse, HttpFailure]:
         """Records the call and returns the next scripted response."""
         sent = None if body is None else json.loads(body)
         self.calls.append((method, url, sent, dict(headers or {})))
+        self.timeouts_s.append(timeout_s)
         http_response = self._responses.pop(0)
         return Err(http_response) if isinstance(http_response, HttpFailure) else Ok(http_response)
 
@@ -72,6 +75,37 @@
         self.assertEqual(listing.revision, 7)
         self.assertIn("after=k", http_client.calls[1][1])
 
+    def test_failed_page_does_not_make_a_listing_start_anew(self) -> None:
+        first = http_response(200, {"items": [ITEM], "truncated": True, "currentRev": 7})
+        last = http_response(200, {"items": [ITEM | {"key": "l"}], "currentRev": 9})
+        http_client = ScriptedHttpClient(
+            first, HttpFailure(True, "reset"), http_response(503), last
+        )
+        listing = run_virtual(KvStore("ip:1", http_client).list("")).unwrap()
+        self.assertEqual([entry.key for entry in listing.entries], ["k", "l"])
+        self.assertEqual(listing.revision, 7)
+        self.assertEqual(len({url for _, url, *_ in http_client.calls[1:]}), 1)
+
+    def test_listing_fails_if_a_page_fails_repeatedly_or_is_the_first(self) -> None:
+        first = http_response(200, {"items": [ITEM], "truncated": True, "currentRev": 7})
+        for replies in ([http_response(503)], [first, *[http_response(503)] * 3]):
+            http_client = ScriptedHttpClient(*replies)
+            failure = run_virtual(KvStore("ip:1", http_client).list("")).unwrap_err()
+            self.assertIs(failure.kind, FailureKind.REJECTED)
+            self.assertEqual(len(http_client.calls), len(replies))
+
+    def test_transaction_has_time_to_be_sent_over_a_slow_link(self) -> None:
+        http_client = ScriptedHttpClient(*[http_response(200, {"revision": 12})] * 2)
+        store = KvStore("ip:1", http_client)
+        values = (b"v" * 5_000, b"v" * 25_000)
+        for value in values:
+            puts = [Put(f"k{number}", value) for number in range(29)]
+            run_virtual(store.commit((), puts)).unwrap()
+        sent_bytes = [29 * 4 / 3 * len(value) for value in values]
+        link_bits_per_s = 2_000_000
+        longer_s = http_client.timeouts_s[1] - http_client.timeouts_s[0]
+        self.assertGreater(longer_s, 8 * (sent_bytes[1] - sent_bytes[0]) / link_bits_per_s)
+
     def test_changes_report_writes_deletions_and_lost_history(self) -> None:
         events = [ITEM, {"key": "old", "revision": 5, "deleted": True}]
         http_client = ScriptedHttpClient(
@@ -273,6 +307,62 @@
 
         self.assertTrue(self.call(serve, timeout_s=0.05).unwrap_err().was_sent)
 
+    def read_slowly(self, body: Any, call: Any, stalls_after: int = 10) -> Any:
+        """Makes a call whose response arrives in ten parts, the last of them after 3 s.
+
+        Args:
+            body: the response body.
+            call: makes the call, with an HTTP client and the address of the server.
+            stalls_after: number of parts after which nothing more arrives.
+        """
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            encoded = json.dumps(body).encode()
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(encoded))
+            size = -(-len(encoded) // 10)
+            for part in range(stalls_after):
+                await asyncio.sleep(0.3)
+                writer.write(encoded[part * size : (part + 1) * size])
+            await reader.read()
+            writer.close()
+
+        async def main() -> Any:
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            http_client = HttpClient()
+            result = await call(http_client, f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
+            await http_client.close()
+            server.close()
+            return result
+
+        return run_virtual(main())
+
+    def test_reads_that_take_longer_than_the_timeout_succeed_while_parts_arrive(self) -> None:
+        item = ITEM | {"currentRev": 7}
+        entry = self.read_slowly(item, lambda client, address: KvStore(address, client).get("k"))
+        self.assertEqual(entry.unwrap().value, b"v")
+        page = {"items": [ITEM], "currentRev": 7}
+        listing = self.read_slowly(page, lambda client, address: KvStore(address, client).list(""))
+        self.assertEqual(len(listing.unwrap().entries), 1)
+        events = {"events": [ITEM], "currentRev": 8}
+        changes = self.read_slowly(
+            events, lambda client, address: KvStore(address, client).changes("", 7, 0.5)
+        )
+        self.assertEqual(len(changes.unwrap().events), 1)
+        report = {"clockMs": 10, "ended": [[58, "aa.0.1.9", 1, "done", ""]]}
+        renewal = self.read_slowly(
+            report,
+            lambda client, address: HttpWorkerClient(client).renew(address, "w0", RenewOrder(7, 0)),
+        )
+        self.assertEqual(len(renewal.unwrap().ended), 1)
+
+    def test_read_fails_when_no_further_part_arrives(self) -> None:
+        page = {"items": [ITEM], "currentRev": 7}
+        listing = self.read_slowly(
+            page, lambda client, address: KvStore(address, client).list(""), stalls_after=5
+        )
+        self.assertIs(listing.unwrap_err().kind, FailureKind.UNKNOWN)
+
     def test_request_is_not_sent_if_the_connection_is_refused(self) -> None:
         async def main() -> Result[HttpResponse, HttpFailure]:
             http_client = HttpClient()
