Start unscheduled jobs whatever the time of day is

Cause: a job without a schedule counted as due from the Unix time of its acceptance on, by the clock of the owner that accepted it. A successor whose clock is behind did not open the job's steps, and stopped the runs of its tasks as orphans, as it found no task of that name. Now only the occurrences of scheduled jobs wait for a time of day. The test steps the clock of the first owner and kills it: on the code of the job did not complete within 60 s, with the change it does, each task run once. Ruled out: correcting the times by the store's clock, as it has none. Not changed: occurrences of scheduled jobs are due by the owner's time of day.

--- a/packages/pollengate/pollengate/workflow/job_table.py
+++ b/packages/pollengate/pollengate/workflow/job_table.py
@@ -83,7 +83,7 @@
     def open_due_occurrences(self, now: float, now_ms: int) -> None:
         """Opens the occurrences that have become due by Unix time `now_ms`."""
         for job in list(self._scheduled_by_id.values()):
-            while job.due_count < job.occurrence_count and job.due_ms(job.due_count) <= now_ms:
+            while job.due_count < job.occurrence_count and job.is_due(job.due_count, now_ms):
                 self._open_steps(job.open_occurrence(job.due_count), now)
             if job.is_ended or job.due_count >= job.occurrence_count:
                 del self._scheduled_by_id[job.job_id]
--- a/packages/pollengate/pollengate/workflow/progress.py
+++ b/packages/pollengate/pollengate/workflow/progress.py
@@ -244,11 +244,14 @@
         """Total number of occurrences."""
         return max(1, self.workflow.repeat_count)
 
-    def due_ms(self, occurrence: int) -> int:
-        """Returns the Unix time at which an occurrence is due."""
+    def is_due(self, occurrence: int, now_ms: int) -> bool:
+        """Returns True if an occurrence is due at a Unix time; without a schedule it always is.
+
+        The Unix time may be behind that of the process that accepted the job.
+        """
         if not self.workflow.repeat_count:
-            return self.accepted_ms
-        return self.workflow.first_due_ms + occurrence * self.workflow.interval_ms
+            return True
+        return self.workflow.first_due_ms + occurrence * self.workflow.interval_ms <= now_ms
 
     def open_occurrence(self, number: int) -> Occurrence:
         """Adds an occurrence with all of its steps and tasks."""
--- /dev/null
+++ b/tests/test_edge_clock_steps.py
@@ -0,0 +1,63 @@
+"""Tests of owners whose time of day jumps, on virtual time."""
+
+import asyncio
+import unittest
+from unittest import mock
+
+from pollengate.workflow.job_service import Accepted
+from pollengate.workflow.progress import JobState
+from pollengated.edge.clocks import Clocks
+
+from tests.edge_cluster import EdgeCluster, EdgeNode, overlapping_runs, runs_after_completion
+from tests.utils import run_virtual
+from tests.workflow_builders import build_step, build_workflow
+
+JOB_ID = "00000000000000aa"
+START_MS = 1_700_000_000_000
+STEP_MS = 2_400_000
+
+
+class SteppingCluster(EdgeCluster):
+    """A cluster whose processes have times of day that a test can change.
+
+    Attributes:
+        offset_ms_by_node: error of each process's time of day.
+    """
+
+    def __init__(self, duration_s: float) -> None:
+        super().__init__(duration_s=duration_s)
+        self.offset_ms_by_node: dict[str, int] = {}
+
+    def start_node(self, name: str) -> EdgeNode:
+        """Starts an edge process with a time of day of its own."""
+        loop = asyncio.get_running_loop()
+
+        def unix_ms() -> int:
+            offset_ms = self.offset_ms_by_node.get(name, 0)
+            return START_MS + int(loop.time() * 1000) + offset_ms
+
+        with mock.patch.object(Clocks, "of_loop", return_value=Clocks(loop.time, unix_ms)):
+            return super().start_node(name)
+
+
+class ClockStepTest(unittest.TestCase):
+    """Jobs run, and are shown, whatever the owners' times of day are."""
+
+    def test_job_accepted_by_a_clock_that_is_ahead_runs_on_after_a_takeover(self) -> None:
+        async def main() -> None:
+            cluster = SteppingCluster(duration_s=2.0)
+            await cluster.open()
+            node = cluster.serving_node()
+            cluster.offset_ms_by_node[node.name] = STEP_MS
+            workflow = build_workflow(build_step(4))
+            self.assertIsInstance(await cluster.submit(JOB_ID, workflow), Accepted)
+            await asyncio.sleep(0.5)
+            node.kill()
+            await cluster.wait_for_term(other_than=node.name)
+            await cluster.wait_for_state(JOB_ID, JobState.COMPLETED)
+            history = cluster.update_history()
+            self.assertEqual(len(history), 4)
+            self.assertEqual(overlapping_runs(history), [])
+            self.assertEqual(runs_after_completion(history), [])
+
+        run_virtual(main())
