Keep ended jobs for a time measured on the monotonic clock

Seen by callers: 410 for jobs that had completed a moment before (LOST), after a step of the owner's time of day, or after a takeover by a process whose time of day is more than 125 s ahead. Cause: the retention period was the difference of two Unix times, the end by the clock of the owner at that time and now by that of the present owner, which may be another, or have been stepped. The period now runs on the owner's monotonic clock from when it first sees the job ended. After a takeover it begins anew, so that records of ended jobs may stay for longer, never for less. The Unix time of the end stays in the record; nothing is decided by it. Two tests, one for a step and one for a successor whose clock is ahead: on the code of both requests were answered NoSuchJob. The first test also shows that the records are removed after the period.

--- a/packages/pollengate/pollengate/workflow/progress.py
+++ b/packages/pollengate/pollengate/workflow/progress.py
@@ -214,7 +214,7 @@
         accepted_ms: Unix time of its acceptance.
         accepted_at: clock time of its acceptance, or of the takeover that loaded it.
         state: its state.
-        finished_ms: Unix time of its end, 0 before that.
+        finished_ms: Unix time of its end by the clock of the owner at that time, 0 before that.
         visible_state: the state shown to clients; an end is shown once it is durable.
         is_restored: whether it was loaded at a takeover, so that an earlier owner may have started
             tasks of it.
--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -120,6 +120,7 @@
         self._wake = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
         self._is_handing_over = False
+        self._ended_since_by_job_id: dict[str, float] = {}
         self.job_table: JobTable
         self._committer: Committer
         self._planner: Planner
@@ -425,14 +426,18 @@
         self._wake.set()
 
     def _remove_ended_jobs(self) -> None:
-        """Removes ended jobs whose retention period has passed, and their records."""
-        keep_ms = (self._settings.bounds.status_s + RETENTION_MARGIN_S) * 1000
-        oldest_ms = self._clocks.unix_ms() - int(keep_ms)
-        for job in list(self.job_table.jobs_by_id.values()):
-            if job.is_ended and job.finished_ms < oldest_ms:
-                del self.job_table.jobs_by_id[job.job_id]
-                self._committer.add(RecordRemoval(job_key(self.shard, job.job_id)))
-                self._committer.add(RecordRemoval(progress_key(self.shard, job.job_id)))
+        """Removes ended jobs whose retention period has passed, and their records.
+
+        The period begins anew at a takeover: times of day differ between processes and may jump.
+        """
+        now = self._clocks.monotonic_s()
+        keep_s = self._settings.bounds.status_s + RETENTION_MARGIN_S
+        ended = [job_id for job_id, job in self.job_table.jobs_by_id.items() if job.is_ended]
+        for job_id in ended:
+            if now - self._ended_since_by_job_id.setdefault(job_id, now) > keep_s:
+                del self.job_table.jobs_by_id[job_id], self._ended_since_by_job_id[job_id]
+                self._committer.add(RecordRemoval(job_key(self.shard, job_id)))
+                self._committer.add(RecordRemoval(progress_key(self.shard, job_id)))
 
     def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(coroutine)
--- a/tests/test_edge_clock_steps.py
+++ b/tests/test_edge_clock_steps.py
@@ -4,7 +4,7 @@
 import unittest
 from unittest import mock
 
-from pollengate.workflow.job_service import Accepted
+from pollengate.workflow.job_service import Accepted, Found, NoSuchJob
 from pollengate.workflow.progress import JobState
 from pollengated.edge.clocks import Clocks
 
@@ -61,3 +61,36 @@
             self.assertEqual(runs_after_completion(history), [])
 
         run_virtual(main())
+
+    def test_ended_job_is_shown_although_the_clock_of_the_owner_jumps_ahead(self) -> None:
+        async def main() -> None:
+            cluster = SteppingCluster(duration_s=0.5)
+            await cluster.open()
+            await cluster.submit(JOB_ID, build_workflow())
+            await cluster.wait_for_state(JOB_ID, JobState.COMPLETED)
+            node = cluster.serving_node()
+            cluster.offset_ms_by_node[node.name] = STEP_MS
+            await asyncio.sleep(110.0)
+            term = await cluster.wait_for_term()
+            self.assertEqual(await term.request_handler.show(JOB_ID), Found(JobState.COMPLETED))
+            await asyncio.sleep(30.0)
+            self.assertEqual(await term.request_handler.show(JOB_ID), NoSuchJob())
+            self.assertEqual((await cluster.store.list("pollengate/job/")).unwrap().entries, ())
+
+        run_virtual(main())
+
+    def test_ended_job_is_shown_by_a_successor_whose_clock_is_ahead(self) -> None:
+        async def main() -> None:
+            cluster = SteppingCluster(duration_s=0.5)
+            await cluster.open()
+            await cluster.submit(JOB_ID, build_workflow())
+            await cluster.wait_for_state(JOB_ID, JobState.COMPLETED)
+            node = cluster.serving_node()
+            for name in cluster.nodes_by_name:
+                cluster.offset_ms_by_node[name] = 0 if name == node.name else STEP_MS
+            node.kill()
+            term = await cluster.wait_for_term(other_than=node.name)
+            await asyncio.sleep(2.0)
+            self.assertEqual(await term.request_handler.show(JOB_ID), Found(JobState.COMPLETED))
+
+        run_virtual(main())
