Withdraw the record of a new job only if no request waits for it

Seen by callers: 200 for a job that no process knows later (LOST). Cause: two requests that submit the same job share one record. When the first one gave up on a stalled store it withdrew the record, if no commit contained it yet. The second one waited for the record's number, which counts as durable as soon as later numbers are, and was answered Accepted. The last request that waits now withdraws the record; the others answer that the job is undecided. It takes a second request within 0.8 s of the first, for example after the VM of the first gate lost power, and a store that fails until the first one gives up and works again before the second one does. On the code of the test got Accepted and then NoSuchJob; with the change the job completes.

--- a/packages/pollengated/pollengated/edge/job_request_handler.py
+++ b/packages/pollengated/pollengated/edge/job_request_handler.py
@@ -81,9 +81,15 @@
             record = _Submission(self._shard, job, self._add_accepted_job)
             record.record_number = self._committer.add(record)
             self._submissions_by_id[job_id] = record
-        if await self._committer.wait_durable(record.record_number, DURABLE_TIMEOUT_S):
+        record.waiting_count += 1
+        try:
+            is_durable = await self._committer.wait_durable(record.record_number, DURABLE_TIMEOUT_S)
+        finally:
+            record.waiting_count -= 1
+        if is_durable:
             return Accepted()
-        if self._committer.withdraw(record):
+        # The record number says nothing of a withdrawn record, so none may be waited for.
+        if not record.waiting_count and self._committer.withdraw(record):
             self._submissions_by_id.pop(job_id, None)
             return self._store_unavailable()
         return Undecided("store_unavailable")
@@ -159,7 +165,13 @@
 
 
 class _Submission(JobRecord):
-    """Record of a new job; calls a function when it is durable."""
+    """Record of a new job; calls a function when it is durable.
+
+    Attributes:
+        job: the job.
+        record_number: number of the record in the committer.
+        waiting_count: number of requests that wait until the record is durable.
+    """
 
     def __init__(
         self, shard: int, job: JobProgress, on_durable: Callable[[JobProgress], None]
@@ -167,6 +179,7 @@
         super().__init__(shard, job)
         self.job = job
         self.record_number = 0
+        self.waiting_count = 0
         self._on_durable = on_durable
 
     def on_committed(self) -> None:
