Send stop orders again after a suspension of the owner

Seen by callers: an accepted job that never ends, as one of its tasks isn't started any more (LOST); seen by workers: runs of a cancelled job that go on (UNASKED). Cause: a stop order was repeated while the shard lease was valid, and dropped for good at the first moment at which it was not. A suspended owner whose lease is renewed keeps its job table. A start without a reply then stays unsettled: no report lists the run, and only a confirmed stop lets its absence count. A run in that state also occupies its worker's capacity. The order is now repeated until the lease is lost; while it is not valid, nothing is sent. It takes an outage of the store longer than the grace period during which the store keeps leases, and workers that don't reply before it.

--- a/packages/pollengated/pollengated/edge/worker_controller.py
+++ b/packages/pollengated/pollengated/edge/worker_controller.py
@@ -155,10 +155,11 @@
         self._on_event()
 
     async def stop(self, run: Run) -> None:
-        """Sends a stop order until the worker has confirmed it or the run is gone."""
-        while run.state is not RunState.ENDED and self._shard_lease.is_valid(
-            self._clocks.monotonic_s()
-        ):
+        """Sends a stop order until the worker has confirmed it or the run is gone.
+
+        While the shard lease is not valid, the order waits.
+        """
+        while run.state is not RunState.ENDED and not self._shard_lease.is_lost:
             confirmed = await self._send_stop(run.task.name, run.number)
             if confirmed:
                 run.replied_at = self._clocks.monotonic_s()
