Recognize an own commit only while the shard is owned

Seen by callers: 200 for a job that isn't stored (LOST). Cause: a commit whose condition fails counts as done if the commit key holds its number, which is the term's number and a sequence. The number of a term is one more than that of the newest commit. If no commit of an owner took effect before its successor took over, both have the same term number, and the first commit of the successor was taken for that of the first owner. The number now counts only if the owner key is unchanged too. An owner that was replaced after its commit had taken effect answers that the requests are undecided; its successor knows the jobs.

--- a/packages/pollengated/pollengated/edge/committer.py
+++ b/packages/pollengated/pollengated/edge/committer.py
@@ -259,11 +259,15 @@
         """Returns the revision of a commit that took effect although its reply was lost.
 
         Otherwise this process no longer owns the shard: marks the lease as lost and returns None.
+        A later owner may use the same number, so it identifies the commit only while the owner key
+        is unchanged.
         """
-        for entry in conflict.current:
-            is_own = entry.key == commit_key(self._shard)
-            if is_own and decode_commit_number(entry.value) == number:
-                return entry.revision
+        current = {entry.key: entry for entry in conflict.current}
+        owner = current.get(owner_key(self._shard))
+        commit = current.get(commit_key(self._shard))
+        is_owner = owner is not None and owner.revision == self._shard_lease.token
+        if is_owner and commit is not None and decode_commit_number(commit.value) == number:
+            return commit.revision
         self._log.warning(
             "this process no longer owns the shard; ending commits",
             shard=self._shard,
--- a/tests/test_committer.py
+++ b/tests/test_committer.py
@@ -111,6 +111,34 @@
 
         self.run_owned(scenario)
 
+    def test_commit_of_a_successor_with_the_same_number_is_not_taken_for_the_own_one(self) -> None:
+        # No commit of the first owner has taken effect, so its successor counts from the same term.
+        async def scenario(
+            shared_store: MemoryStore,
+            store: FaultyStore,
+            committer: Committer,
+            shard_lease: ShardLease,
+        ) -> None:
+            store.is_down = True
+            record = ValueRecord("k")
+            committer.add(record)
+            await asyncio.sleep(0.5)
+            await shared_store.commit((), (Delete(owner_key(0)),))
+            owner = (await shared_store.commit((), (Put(owner_key(0), b"other"),))).unwrap()
+            successor = Committer(
+                shared_store, 0, ShardLease(owner.revision, 0.0), 0, 0, Clocks.of_loop()
+            )
+            successor_task = asyncio.create_task(successor.run())
+            self.assertTrue(await successor.wait_durable(successor.add(ValueRecord("l")), 5.0))
+            successor_task.cancel()
+            store.is_down = False
+            await asyncio.sleep(1.0)
+            self.assertFalse(record.is_committed)
+            self.assertTrue(shard_lease.is_lost)
+            self.assertIsNone((await shared_store.get("k")).unwrap())
+
+        self.run_owned(scenario)
+
     def test_only_a_record_that_was_never_sent_can_be_withdrawn(self) -> None:
         async def scenario(
             shared_store: MemoryStore,
