End only the ownership term when planning fails

Cause: an error in any task of a term is logged and ends the term, but the planning loop was awaited directly, so that its error also ended the elector, unnoticed. That process never acquired the shard again although it was ranked as a candidate. If the error came back with each owner, no process was left to own the shard (LOST, all of its jobs). The planning loop is now a task of the term like the others. Found by reading; no error in planning is known. The test lets planning fail once with a single process: on the code of the shard had no owner for 30 s, with the change it has one again and the job completes.

--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -149,7 +149,8 @@
                     AdviceRequester(self.job_table, self._tickets, self._advice, self._clocks).run()
                 )
             try:
-                await self._plan_loop()
+                # Waiting raises no error of the loop: like any other task, it ends the term.
+                await asyncio.wait((self._spawn(self._plan_loop()),))
             finally:
                 unsubscribe()
         finally:
@@ -439,10 +440,11 @@
                 self._committer.add(RecordRemoval(job_key(self.shard, job_id)))
                 self._committer.add(RecordRemoval(progress_key(self.shard, job_id)))
 
-    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._on_task_done)
+        return task
 
     def _on_task_done(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
