Record workers again that departed and came back

Cause: a worker gets tasks once the stored list of workers contains it. The list was compared with the fleet only when registrations changed, not when an idle worker without registration was removed from the fleet. If the next change was its return, the list was the same as before, no record was written, and the worker waited for one until some other worker came or went. The list is now also compared when workers are removed. In a fleet in use, heartbeats of other workers hide it most of the time.

--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -344,8 +344,11 @@
         self._controller_tasks_by_id[view.worker_id] = task
 
     def _remove_departed_workers(self) -> None:
-        for view in self.fleet.forget_departed(self._clocks.monotonic_s()):
+        departed = self.fleet.forget_departed(self._clocks.monotonic_s())
+        for view in departed:
             self._forget_controller(view)
+        if departed:
+            self._recorded_workers.update()
 
     def _forget_controller(self, view: WorkerView) -> None:
         self._controllers_by_id.pop(view.worker_id)
