Do not take a recorded worker without registration for a draining one

Cause: a worker that left the registry while draining and doesn't reply is gone, and its runs are lost at once. A worker that a new owner knows only from the stored list was given the condition draining, so that one order without a reply was enough to start its tasks elsewhere while they ran on (TWICE). Until 8 s after a takeover the wait for runs of earlier owners hides it. Its condition is now ready. It gets no tasks in either case, as it isn't registered, and its runs are lost when its lease has expired. It takes a worker that its owner reaches but that the store doesn't list for 8 s. On the code of the test saw 6 starts of 4 tasks, with the change 4.

--- a/packages/pollengate/pollengate/workflow/fleet.py
+++ b/packages/pollengate/pollengate/workflow/fleet.py
@@ -224,4 +224,4 @@
 
 
 def _unregistered(worker_id: str, address: str) -> Worker:
-    return Worker(worker_id, "", address, "", WorkerCondition.DRAINING, Demand())
+    return Worker(worker_id, "", address, "", WorkerCondition.READY, Demand())
--- a/tests/test_edge_registrations.py
+++ b/tests/test_edge_registrations.py
@@ -7,15 +7,15 @@
 from pollengate.workflow.job_service import Accepted
 from pollengate.workflow.progress import JobState
 
-from tests.edge_cluster import EdgeCluster
+from tests.edge_cluster import EdgeCluster, overlapping_runs
 from tests.utils import run_virtual
-from tests.workflow_builders import build_workflow
+from tests.workflow_builders import build_step, build_workflow
 
 JOB_ID = "00000000000000aa"
 
 
 class RegistrationTest(unittest.TestCase):
-    """A worker that is registered again gets tasks again."""
+    """Workers whose registration is missing for a time."""
 
     def test_idle_workers_that_register_again_get_tasks(self) -> None:
         async def main() -> None:
@@ -29,3 +29,26 @@
             await cluster.wait_for_state(JOB_ID, JobState.COMPLETED)
 
         run_virtual(main())
+
+    def test_runs_of_a_recorded_worker_without_registration_outlast_a_lost_reply(self) -> None:
+        async def main() -> None:
+            cluster = EdgeCluster(workers=2, duration_s=float("inf"))
+            await cluster.open()
+            workflow = build_workflow(build_step(4, is_long_running=True))
+            await cluster.submit(JOB_ID, workflow)
+            await asyncio.sleep(2.0)
+            await cluster.store.commit((), (Delete("servers/w0"),))
+            node = cluster.serving_node()
+            node.kill()
+            await cluster.wait_for_term(other_than=node.name)
+            await asyncio.sleep(9.0)
+            worker = cluster.workers_by_id["w0"]
+            worker.is_unreachable = True
+            await asyncio.sleep(1.5)
+            worker.is_unreachable = False
+            await asyncio.sleep(2.0)
+            history = cluster.update_history()
+            self.assertEqual(len(history), 4)
+            self.assertEqual(overlapping_runs(history), [])
+
+        run_virtual(main())
