Wait only for candidates that are still registered

Cause: a candidate counted the better ones once, when the shard lost its owner, and slept 0.15 s for each. Dead processes stay registered for up to 3 s, the owner's lease lasts 2.5 s, so many of them were counted after a failure of many processes: up to 6 s for the last of 42. It now counts again after each change of the directory; the wait for others to register after a start is never shortened by that. In the test 29 of 30 processes are killed.

--- a/packages/pollengated/pollengated/edge/shard_elector.py
+++ b/packages/pollengated/pollengated/edge/shard_elector.py
@@ -31,6 +31,8 @@
 RETRY_S = 0.2
 HANDOVER_TIMEOUT_S = 1.0
 MIN_CORES = 0.01
+# A timer of a shorter time may fire before the clock shows that it has passed.
+TIMER_RESOLUTION_S = 0.001
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -167,21 +169,27 @@
         await self._directory.wait_for_change(RETRY_S)
 
     async def _wait_for_turn(self) -> bool:
-        """Waits for this process's turn; returns whether it may acquire the shard now."""
+        """Waits for this process's turn; returns whether it may acquire the shard now.
+
+        Candidates are ranked again after each change of the directory: better ones may have left or
+        started meanwhile, and this process may have acquired another shard.
+        """
         if self._directory.owner(self._shard) is not None or not self._directory.cache.revision:
             await self._directory.wait_for_change(DIRECTORY_WAIT_S)
             return False
-        ranked = self._rank_candidates()
-        rank = self._rank_in(ranked)
-        if rank is None:
-            await self._directory.wait_for_change(RETRY_S)
-            return False
-        await asyncio.sleep(CANDIDATE_DELAY_S * rank + self._registration_wait_s(ranked[0]))
-        if self._is_leaving or self._directory.owner(self._shard) is not None:
-            return False
-        # In the meantime, this process may have acquired another shard or others may have started.
-        current_rank = self._rank_in(self._rank_candidates())
-        return current_rank is not None and current_rank <= rank
+        first_turn_at = self._clocks.monotonic_s()
+        while not self._is_leaving and self._directory.owner(self._shard) is None:
+            ranked = self._rank_candidates()
+            rank = self._rank_in(ranked)
+            if rank is None:
+                await self._directory.wait_for_change(RETRY_S)
+                return False
+            first_turn_at = max(first_turn_at, self._registered_by(ranked[0]))
+            remaining_s = first_turn_at + CANDIDATE_DELAY_S * rank - self._clocks.monotonic_s()
+            if remaining_s < TIMER_RESOLUTION_S:
+                return True
+            await self._directory.wait_for_change(remaining_s)
+        return False
 
     def _rank_candidates(self) -> list[Candidate]:
         owner_names_by_shard = self._directory.owner_names_by_shard()
@@ -194,10 +202,9 @@
         names = [candidate.node for candidate in ranked]
         return names.index(self._record.node) if self._record.node in names else None
 
-    def _registration_wait_s(self, best: Candidate) -> float:
-        """Returns the time left for others to register before the best candidate owns one more."""
-        registered_by = self._started_at + REGISTRATION_WAIT_S * best.shards
-        return max(0.0, registered_by - self._clocks.monotonic_s())
+    def _registered_by(self, best: Candidate) -> float:
+        """Returns the clock time by which others have registered, if the best owns shards."""
+        return self._started_at + REGISTRATION_WAIT_S * best.shards
 
     async def _acquire(self) -> ShardLease | None:
         requested_at = self._clocks.monotonic_s()
--- a/tests/test_edge_election.py
+++ b/tests/test_edge_election.py
@@ -14,6 +14,7 @@
 from pollengated.edge.node_directory import NodeDirectory, NodeRecord
 from pollengated.edge.shard_elector import ShardElector, rank_candidates
 
+from tests.edge_cluster import EdgeCluster
 from tests.utils import run_virtual
 
 SHARDS = 4
@@ -23,6 +24,9 @@
 TAKEOVER_S = 8.0
 # The first processes of a deployment wait for workers before the shards are decided.
 LAYOUT_WAIT_S = 3.0
+NODES = 30
+# The owner's lease, the members' lease and the time until a survivor sees that they have expired.
+DEAD_CANDIDATES_TAKEOVER_S = 4.5
 
 
 def build_members(large: int = 6, small: int = 36, prefix: str = "") -> list[NodeRecord]:
@@ -211,3 +215,26 @@
             self.assertEqual(await election.owner_names_by_shard(), before)
 
         run_virtual(main())
+
+
+class DeadCandidatesTest(unittest.TestCase):
+    """Many candidates are dead."""
+
+    def test_last_candidate_does_not_wait_for_dead_ones_whose_registration_has_expired(
+        self,
+    ) -> None:
+        async def main() -> None:
+            cluster = EdgeCluster()
+            await cluster.open(NODES)
+            await asyncio.sleep(2.0)
+            owner = cluster.serving_node().name
+            members = [NodeRecord(name, "", "") for name in cluster.nodes_by_name]
+            *_, last = (name for name in rank_names(members, {}, 0) if name != owner)
+            for name, node in cluster.nodes_by_name.items():
+                if name != last:
+                    node.kill()
+            await asyncio.sleep(0.1)
+            await cluster.wait_for_term(timeout_s=DEAD_CANDIDATES_TAKEOVER_S)
+            self.assertEqual(cluster.serving_node().name, last)
+
+        run_virtual(main())
