Start a failed long-running task before its siblings that never ran

What callers saw: LOST on the grown league.

Cause: a task that ended was queued behind all others of its step, and its step behind those that were opened earlier. In a full shard its place is the only one, and the users of the task that ran miss it, while a task that never ran has none yet.

Change: a long-running task that has run is queued first, and its step goes before steps of its priority that only have first starts.

test_failed_long_running_task_does_not_lose_its_place_to_one_that_never_ran failed before.

--- a/packages/pollengate/pollengate/workflow/job_table.py
+++ b/packages/pollengate/pollengate/workflow/job_table.py
@@ -224,8 +224,13 @@
             self._enqueue(task)
 
     def _enqueue(self, task: TaskProgress) -> None:
+        """Queues a task, a long-running one that has run before ahead of its siblings."""
         step = task.step
-        if task not in step.waiting:
+        if task in step.waiting:
+            pass
+        elif step.spec.is_long_running and task.last_run:
+            step.waiting.appendleft(task)
+        else:
             step.waiting.append(task)
         self.open_steps[step] = None
 
--- a/packages/pollengate/pollengate/workflow/ordering.py
+++ b/packages/pollengate/pollengate/workflow/ordering.py
@@ -16,11 +16,13 @@
 def rank(step: StepProgress, queue: Queue | None, now: float) -> tuple[int, bool, float]:
     """Returns the sort key of a step; the step with the smallest key gets workers first.
 
-    A long-running step has no deadline; the time at which it was opened takes its place.
+    A long-running step has no deadline; the time at which it was opened takes its place. One with a
+    task that has run before comes first, as its users miss that task.
     """
     if queue is None:
         return LOWEST_PRIORITY, True, step.opened_at
     if step.spec.is_long_running:
-        return queue.priority, False, step.opened_at
+        runs_again = bool(step.waiting) and step.waiting[0].last_run > 0
+        return queue.priority, False, float("-inf") if runs_again else step.opened_at
     due_at = step.job.accepted_at + step.job.objective_s(queue)
     return queue.priority, now > due_at, due_at
--- a/tests/test_workflow_job_table.py
+++ b/tests/test_workflow_job_table.py
@@ -80,6 +80,21 @@
             job_table.mark_ended(run, how, "", 1.0, 0)
         self.assertEqual(len(start_all(job_table)), 1)
 
+    def test_failed_long_running_task_does_not_lose_its_place_to_one_that_never_ran(self) -> None:
+        job_table = build_job_table(build_lease_worker())
+        step = build_step(3, is_long_running=True)
+        job_table.add(build_job("aa", step), 0.0, 0)
+        job_table.add(build_job("bb", step), 1.0, 0)
+        runs = start_all(job_table)
+        failed = next(run for run in runs if run.task.name.startswith("bb"))
+        job_table.mark_ended(failed, EndKind.FAILED, "", 2.0, 0)
+        (again,) = start_all(job_table, 2.0)
+        self.assertIs(failed.task, again.task)
+        job_table.mark_ended(again, EndKind.FAILED, "", 3.0, 0)
+        job_table.add(build_job("cc", build_step(1, is_long_running=True)), 0.0, 0)
+        (again,) = start_all(job_table, 3.0)
+        self.assertIs(failed.task, again.task)
+
     def test_cancelled_job_stops_its_runs_and_starts_no_task(self) -> None:
         job_table = build_job_table(build_lease_worker())
         job = build_job("aa", build_step(9))
