Keep a stalled candidate running while nobody is registered

Cause: a candidate that could not read the records of a shard ranks behind all others; with no registered process it took the first of an empty list, and the error ended its elector, so that it was never a candidate of the shard again. Registrations expire together in an outage of the store. The test failed before.

--- a/packages/pollengated/pollengated/edge/shard_elector.py
+++ b/packages/pollengated/pollengated/edge/shard_elector.py
@@ -180,7 +180,7 @@
         first_turn_at = self._clocks.monotonic_s()
         while not self._is_leaving and self._directory.owner(self._shard) is None:
             ranked = self._rank_candidates()
-            rank = self._rank_in(ranked)
+            rank = self._rank_in(ranked) if ranked else None
             if rank is None:
                 await self._directory.wait_for_change(RETRY_S)
                 return False
--- a/tests/test_edge_election.py
+++ b/tests/test_edge_election.py
@@ -7,7 +7,8 @@
 from typing import Any
 
 from pollengate.memory_store import MemoryStore
-from pollengate.workflow.keys import OWNER_PREFIX
+from pollengate.store import Delete, Put
+from pollengate.workflow.keys import OWNER_PREFIX, member_key
 from pollengate.workflow.shard_lease import ShardLease
 from pollengated.edge.clocks import Clocks
 from pollengated.edge.membership import Membership
@@ -217,6 +218,41 @@
         run_virtual(main())
 
 
+class StallingTerm:
+    """An ownership term that ends at once, as the records can't be read."""
+
+    has_stalled = True
+
+    async def run(self) -> None:
+        """Gives the shard up."""
+
+
+class StalledCandidateTest(unittest.TestCase):
+    """A candidate that could not read the records of a shard."""
+
+    def test_stalled_candidate_goes_on_after_all_registrations_have_expired(self) -> None:
+        async def main() -> None:
+            store, clocks = MemoryStore(), Clocks.of_loop()
+            record = NodeRecord("n0", "n0:1", "x")
+            directory = NodeDirectory(store, clocks)
+            terms: list[StallingTerm] = []
+
+            def create_term(shard: int, shard_lease: ShardLease) -> Any:
+                terms.append(StallingTerm())
+                return terms[-1]
+
+            elector = ShardElector(0, record, store, directory, clocks, create_term)
+            tasks = [asyncio.create_task(loop) for loop in (directory.cache.run(), elector.run())]
+            await store.commit((), (Put(member_key("n0"), record.encode()),))
+            await asyncio.sleep(1.0)
+            self.assertTrue(terms)
+            await store.commit((), (Delete(member_key("n0")),))
+            await asyncio.sleep(1.0)
+            self.assertFalse(any(task.done() for task in tasks))
+
+        run_virtual(main())
+
+
 class DeadCandidatesTest(unittest.TestCase):
     """Many candidates are dead."""
 
