Release workers only from a shard that can spare them, and only while needed

A release went on when its own shard had become short or the other one was helped already, quarantined workers went first, a successor answered requests from before its time, and a batch task at the head of the queue hid a long-running one behind it.

Change: a shard releases nothing for 2 s after it was short, while non-fillers wait, before a takeover is settled, or while the store does not confirm the lease; a release is given up once the own shard is short, the request is met or out of date, or the worker's long-running tasks no longer fit elsewhere. Tasks that started in the last 3 s do not move. Requests prefer long-running tasks. A worker whose assignment changed is forgotten with its controller in every case, so that no view of an earlier assignment gets a newer token. Assignments and requests as stored become a module of their own.

--- a/packages/pollengate/pollengate/workflow/fleet.py
+++ b/packages/pollengate/pollengate/workflow/fleet.py
@@ -166,6 +166,7 @@
             view
             for view in self.workers_by_id.values()
             if not view.is_registered
+            and not view.is_released
             and not view.runs
             and (view.is_attached or view.is_replaced or now >= view.lease.expires_at())
         ]
@@ -173,21 +174,21 @@
             del self.workers_by_id[view.worker_id]
         return departed
 
-    def forget_released(self, lowest_token: Callable[[str], int]) -> list[WorkerView]:
-        """Removes and returns the released workers whose new assignment is known.
+    def forget_transferred(self, lowest_token: Callable[[str], int]) -> list[WorkerView]:
+        """Removes and returns the workers that were assigned to a shard since they were added.
 
         Args:
             lowest_token: returns the lowest fencing token that a worker accepts, which rises when
                 it is assigned to a shard.
         """
-        released = [
+        transferred = [
             view
             for view in self.workers_by_id.values()
-            if view.is_released and lowest_token(view.worker_id) > view.lowest_token
+            if lowest_token(view.worker_id) > view.lowest_token
         ]
-        for view in released:
+        for view in transferred:
             del self.workers_by_id[view.worker_id]
-        return released
+        return transferred
 
     def is_schedulable(self, view: WorkerView, now: float) -> bool:
         """Returns True if a worker may get new tasks."""
--- a/packages/pollengate/pollengate/workflow/worker_transfer.py
+++ b/packages/pollengate/pollengate/workflow/worker_transfer.py
@@ -19,6 +19,7 @@
 __all__ = [
     "CapacityRequest",
     "find_shortage",
+    "fits_elsewhere",
     "is_movable",
     "release_delay_s",
     "worker_to_release",
@@ -27,6 +28,8 @@
 # An owner without room waits this long before it releases a worker, an owner whose workers are all
 # empty not at all, so that the one with the most room responds first.
 MAX_RELEASE_DELAY_S = 0.6
+# A long-running task that has just started is not moved again.
+MIN_STAY_S = 3.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -52,21 +55,21 @@
 def find_shortage(
     shard: int, job_table: JobTable, is_settled: Callable[[], bool], now: float
 ) -> CapacityRequest | None:
-    """Returns what the shard lacks for its first waiting task that fits nowhere, None if all fit.
+    """Returns what the shard lacks for a waiting task that fits nowhere, None if all fit.
 
-    Fillers do not count, as they only use processors that other tasks leave unused.
+    Long-running tasks come first. Fillers do not count, as they only use processors that other
+    tasks leave unused.
     """
     waiting: list[tuple[StepProgress, Queue]] = []
     for step in job_table.open_steps:
         queue = job_table.queue_of(step)
         if step.waiting and queue is not None and not step.spec.is_filler:
             waiting.append((step, queue))
-    waiting.sort(key=lambda item: rank(item[0], item[1], now))
+    waiting.sort(key=lambda i: (not i[0].spec.is_long_running, rank(i[0], i[1], now)))
     for step, queue in waiting:
         if step.job.is_restored and not is_settled():
             continue
-        workers = job_table.fleet.schedulable_workers(queue.service, now)
-        if not _has_room(job_table, step, workers):
+        if not _has_room(step, _healthy_workers(job_table, queue.service, now)):
             spec = step.spec
             return CapacityRequest(
                 shard, queue.service, spec.required_label, spec.demand, spec.is_long_running
@@ -74,22 +77,51 @@
     return None
 
 
-def worker_to_release(fleet: Fleet, request: CapacityRequest, now: float) -> WorkerView | None:
+def worker_to_release(
+    job_table: JobTable, request: CapacityRequest, now: float
+) -> WorkerView | None:
     """Returns the worker that meets a request after the fewest moves, None if there is none.
 
     Its long-running tasks have to fit on other workers of the shard. They are moved only for a
     long-running task; a member of a gang is never moved.
     """
-    workers = fleet.schedulable_workers(request.service, now)
-    candidates = [view for view in workers if _meets(view, request) and _can_empty(view, request)]
+    candidates = [
+        view
+        for view in _healthy_workers(job_table, request.service, now)
+        if _meets(view, request) and _can_empty(view, request, now)
+    ]
     candidates.sort(key=lambda view: (len(_long_running(view)), len(view.runs), view.worker_id))
-    return next((view for view in candidates if _fit_elsewhere(view, workers)), None)
+    return next((view for view in candidates if fits_elsewhere(job_table, view, now)), None)
 
 
-def is_movable(run: Run) -> bool:
+def is_movable(run: Run, now: float) -> bool:
     """Returns True if a long-running task may be stopped to move: all others of its step serve."""
-    tasks = run.task.step.tasks
-    return run.state is RunState.RUNNING and all(task.is_past_startup for task in tasks)
+    return (
+        run.state is RunState.RUNNING
+        and now - run.ordered_at >= MIN_STAY_S
+        and all(task.is_past_startup for task in run.task.step.tasks)
+    )
+
+
+def fits_elsewhere(job_table: JobTable, view: WorkerView, now: float) -> bool:
+    """Returns True if all long-running tasks of a worker fit on other workers of its shard."""
+    workers = _healthy_workers(job_table, view.info.service, now)
+    planned_by_worker = dict.fromkeys((other for other in workers if other is not view), NO_DEMAND)
+    to_move = sorted(_long_running(view), key=lambda run: -run.task.step.spec.demand.cpu_millis)
+    for run in to_move:
+        step = run.task.step
+        target = next(
+            (
+                other
+                for other, planned in planned_by_worker.items()
+                if other.fits(step.spec.demand + planned, False) and is_allowed(step, other)
+            ),
+            None,
+        )
+        if target is None:
+            return False
+        planned_by_worker[target] += step.spec.demand
+    return True
 
 
 def release_delay_s(fleet: Fleet, request: CapacityRequest, now: float) -> float:
@@ -100,12 +132,16 @@
     return MAX_RELEASE_DELAY_S * committed / max(1, capacity)
 
 
-def _has_room(job_table: JobTable, step: StepProgress, workers: list[WorkerView]) -> bool:
+def _healthy_workers(job_table: JobTable, service: str, now: float) -> list[WorkerView]:
+    workers = job_table.fleet.schedulable_workers(service, now)
+    return [v for v in workers if not job_table.evidence.is_quarantined(v.worker_id)]
+
+
+def _has_room(step: StepProgress, workers: list[WorkerView]) -> bool:
     """Returns True if a task of a step fits on a worker; all tasks have to if they are a gang."""
-    healthy = [v for v in workers if not job_table.evidence.is_quarantined(v.worker_id)]
     if not step.spec.is_gang:
-        return any(can_place(step, view) for view in healthy)
-    return sum(_places(step, view) for view in healthy) >= step.spec.count
+        return any(can_place(step, view) for view in workers)
+    return sum(_places(step, view) for view in workers) >= step.spec.count
 
 
 def _places(step: StepProgress, view: WorkerView) -> int:
@@ -127,31 +163,11 @@
     return [run for run in view.runs.values() if run.task.step.spec.is_long_running]
 
 
-def _can_empty(view: WorkerView, request: CapacityRequest) -> bool:
+def _can_empty(view: WorkerView, request: CapacityRequest, now: float) -> bool:
     if any(run.task.step.spec.is_gang for run in view.runs.values()):
         return False
     to_move = _long_running(view)
-    return not to_move or (request.is_long_running and all(is_movable(run) for run in to_move))
-
-
-def _fit_elsewhere(view: WorkerView, workers: list[WorkerView]) -> bool:
-    """Returns True if all long-running tasks of a worker fit on others, the largest first."""
-    planned_by_worker = dict.fromkeys((other for other in workers if other is not view), NO_DEMAND)
-    to_move = sorted(_long_running(view), key=lambda run: -run.task.step.spec.demand.cpu_millis)
-    for run in to_move:
-        step = run.task.step
-        target = next(
-            (
-                other
-                for other, planned in planned_by_worker.items()
-                if other.fits(step.spec.demand + planned, False) and is_allowed(step, other)
-            ),
-            None,
-        )
-        if target is None:
-            return False
-        planned_by_worker[target] += step.spec.demand
-    return True
+    return not to_move or (request.is_long_running and all(is_movable(run, now) for run in to_move))
 
 
 def _meets(view: WorkerView, request: CapacityRequest) -> bool:
--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -41,6 +41,7 @@
 from pollengated.edge.run_mover import RunMover
 from pollengated.edge.shard_load_log import ShardLoadLog
 from pollengated.edge.shard_records import ShardRecords, ShardRecordsReader
+from pollengated.edge.worker_assignments import WorkerAssignments
 from pollengated.edge.worker_controller import WorkerController
 from pollengated.edge.worker_registry import WorkerRegistry
 from pollengated.edge.worker_transfers import WorkerTransfers
@@ -111,7 +112,7 @@
         self._previous_leases_expire_at = previous_leases_expire_at
         self.fleet = Fleet(self._worker_lease_s(), previous_leases_expire_at)
         self._registry = WorkerRegistry(store, clocks, self._workers_changed)
-        self._transfers = WorkerTransfers(shard, layout, store, clocks, self._workers_changed)
+        self._assignments = WorkerAssignments(shard, layout, store, clocks, self._workers_changed)
         self._controllers_by_id: dict[str, WorkerController] = {}
         self._controller_tasks_by_id: dict[str, asyncio.Task[None]] = {}
         self._colocation = ColocationModel()
@@ -128,6 +129,7 @@
         self._interference_recorder: InterferenceRecorder
         self._load_log: ShardLoadLog
         self._run_mover: RunMover
+        self._transfers: WorkerTransfers
         self.request_handler: JobRequestHandler
 
     async def run(self) -> None:
@@ -140,8 +142,8 @@
             self._operator_view_changed()
             self._add_missing_controllers()
             self._spawn(self._registry.cache.run())
-            if self._transfers.is_possible:
-                self._spawn(self._transfers.cache.run())
+            if self._assignments.is_used:
+                self._spawn(self._assignments.cache.run())
             self._spawn(self._tick())
             self._spawn(self._committer.run())
             if self._advice is not None:
@@ -222,6 +224,16 @@
             Placer(evidence, self._colocation, self._tickets),
             self._are_previous_runs_known,
         )
+        self._transfers = WorkerTransfers(
+            self.shard,
+            self._assignments,
+            self.job_table,
+            self._committer,
+            self.shard_lease,
+            self._clocks,
+            self._are_previous_runs_known,
+            self._detach_worker,
+        )
         rebalancer = Rebalancer(self.fleet, self._colocation)
         self._run_mover = RunMover(self.fleet, self.job_table, rebalancer)
         self._load_log = ShardLoadLog(
@@ -235,11 +247,11 @@
             if records.recorded_workers
             else {}
         )
-        self._transfers.load(records.transfers)
+        self._assignments.load(records.transfers)
         addresses_by_id = {
             worker_id: address
             for worker_id, address in addresses_by_id.items()
-            if not self._transfers.is_assigned_elsewhere(worker_id)
+            if not self._assignments.is_assigned_elsewhere(worker_id)
         }
         self._recorded_workers = RecordedWorkers(
             self.shard, self._committer, self.fleet, addresses_by_id
@@ -297,12 +309,15 @@
 
     def _workers_changed(self) -> None:
         now = self._clocks.monotonic_s()
-        for view in self.fleet.forget_released(self._transfers.token):
+        for view in self.fleet.forget_transferred(self._assignments.lowest_token):
             self._forget_controller(view)
+            for run in list(view.runs.values()):
+                self.job_table.mark_lost(run)
+        self._recorded_workers.update()
         own_workers = [
             worker
             for worker in self._registry.workers_by_id.values()
-            if self._transfers.shard_of(worker) == self.shard
+            if self._assignments.shard_of(worker) == self.shard
         ]
         self.fleet.update(own_workers, now)
         self._update_lowest_tokens()
@@ -312,7 +327,7 @@
 
     def _update_lowest_tokens(self) -> None:
         for view in self.fleet.workers_by_id.values():
-            view.lowest_token = self._transfers.token(view.worker_id)
+            view.lowest_token = self._assignments.lowest_token(view.worker_id)
 
     def _detach_worker(self, view: WorkerView) -> None:
         """Ends all orders to a worker that is about to be assigned to another shard."""
@@ -416,12 +431,8 @@
             await asyncio.sleep(TICK_INTERVAL_S)
             self.job_table.open_due_occurrences(self._clocks.monotonic_s(), self._clocks.unix_ms())
             self._run_mover.update(self._clocks.monotonic_s())
-            self._transfers.update(
-                self.job_table,
-                self._committer,
-                self._are_previous_runs_known,
-                self._detach_worker,
-            )
+            if not self._is_handing_over:
+                self._transfers.update()
             self._interference_recorder.update(self._clocks.monotonic_s())
             self._remove_departed_workers()
             self._remove_ended_jobs()
--- /dev/null
+++ b/packages/pollengated/pollengated/edge/worker_assignments.py
@@ -0,0 +1,143 @@
+"""The shards that workers were transferred to, and the open requests for workers, as stored."""
+
+import dataclasses
+from collections.abc import Callable
+from typing import TypeVar
+
+import msgspec
+from pollengate.store import Entry, Listing, PolledStore
+from pollengate.workflow.keys import (
+    TRANSFER_PREFIX,
+    assignment_prefix,
+    capacity_request_prefix,
+)
+from pollengate.workflow.model import Worker
+from pollengate.workflow.worker_transfer import CapacityRequest
+
+from pollengated.edge.clocks import Clocks
+from pollengated.edge.layout import Layout
+from pollengated.edge.prefix_cache import PrefixCache
+from pollengated.logs import Log
+
+__all__ = ["OpenRequest", "WorkerAssignments"]
+
+_T = TypeVar("_T")
+
+
+@dataclasses.dataclass(slots=True)
+class OpenRequest:
+    """The newest request of a shard.
+
+    Attributes:
+        revision: store revision of the request.
+        received_at: clock time at which this process learned of it.
+        request: the request.
+        is_answered: whether this process has responded to it, or is not to respond.
+    """
+
+    revision: int
+    received_at: float
+    request: CapacityRequest
+    is_answered: bool = False
+
+
+class WorkerAssignments:
+    """Local copy of the assignments of workers and the requests for workers.
+
+    Args:
+        shard: shard of the owner that uses the copy.
+        layout: the shards of the deployment.
+        store: the platform's store.
+        clocks: the process's clocks.
+        on_change: called after each change of the assignments.
+
+    Attributes:
+        cache: the cached keys.
+        requests_by_shard: the newest request of each other shard.
+    """
+
+    def __init__(
+        self,
+        shard: int,
+        layout: Layout,
+        store: PolledStore,
+        clocks: Clocks,
+        on_change: Callable[[], None],
+    ) -> None:
+        self.cache = PrefixCache(store, TRANSFER_PREFIX, clocks, self._changed)
+        self.requests_by_shard: dict[int, OpenRequest] = {}
+        self._shard = shard
+        self._layout = layout
+        self._clocks = clocks
+        self._on_change = on_change
+        self._is_loaded = False
+        self._shards_by_worker: dict[str, int] = {}
+        self._revisions_by_worker: dict[str, int] = {}
+        self._log = Log("transfers")
+
+    @property
+    def is_used(self) -> bool:
+        """Whether there is a shard to transfer workers to."""
+        return self._layout.shards > 1
+
+    def load(self, listing: Listing) -> None:
+        """Takes over what was read at the beginning of the term; earlier requests are not met."""
+        self.cache.replace_if_newer(listing.entries, listing.revision)
+        for open_request in self.requests_by_shard.values():
+            open_request.is_answered = True
+        self._is_loaded = True
+
+    def shard_of(self, worker: Worker) -> int:
+        """Returns the shard that a worker belongs to."""
+        assigned = self._shards_by_worker.get(worker.worker_id)
+        return self._layout.shard_of(worker.rack) if assigned is None else assigned
+
+    def is_assigned_elsewhere(self, worker_id: str) -> bool:
+        """Whether a worker was transferred to another shard."""
+        return self._shards_by_worker.get(worker_id, self._shard) != self._shard
+
+    def lowest_token(self, worker_id: str) -> int:
+        """Returns the lowest fencing token that a worker accepts, 0 if it was not transferred."""
+        return self._revisions_by_worker.get(worker_id, 0)
+
+    def is_met(self, open_request: OpenRequest) -> bool:
+        """Whether a worker was assigned to a shard after its newest request."""
+        return any(
+            shard == open_request.request.shard
+            and self._revisions_by_worker[worker_id] > open_request.revision
+            for worker_id, shard in self._shards_by_worker.items()
+        )
+
+    def _changed(self) -> None:
+        self._shards_by_worker.clear()
+        self._revisions_by_worker.clear()
+        for entry in self.cache.entries_by_key.values():
+            if entry.key.startswith(assignment_prefix()):
+                self._apply_assignment(entry)
+            elif entry.key.startswith(capacity_request_prefix()):
+                self._apply_request(entry)
+        if self._is_loaded:
+            self._on_change()
+
+    def _apply_assignment(self, entry: Entry) -> None:
+        shard = self._decode(entry, int)
+        if shard is not None:
+            worker_id = entry.key.removeprefix(assignment_prefix())
+            self._shards_by_worker[worker_id] = shard
+            self._revisions_by_worker[worker_id] = entry.revision
+
+    def _apply_request(self, entry: Entry) -> None:
+        request = self._decode(entry, CapacityRequest)
+        if request is None or request.shard == self._shard:
+            return
+        known = self.requests_by_shard.get(request.shard)
+        if known is None or known.revision < entry.revision:
+            now = self._clocks.monotonic_s()
+            self.requests_by_shard[request.shard] = OpenRequest(entry.revision, now, request)
+
+    def _decode(self, entry: Entry, expected: type[_T]) -> _T | None:
+        try:
+            return msgspec.json.decode(entry.value, type=expected)
+        except msgspec.MsgspecError as error:
+            self._log.warning("record is unreadable; ignoring it", key=entry.key, cause=str(error))
+            return None
--- a/packages/pollengated/pollengated/edge/worker_transfers.py
+++ b/packages/pollengated/pollengated/edge/worker_transfers.py
@@ -1,4 +1,4 @@
-"""Requests, releases and takes over workers for one shard, through the store.
+"""Requests workers for a shard that is short of capacity, and releases them to other shards.
 
 The assignment of a worker to another shard is a key that the releasing owner writes with its
 commits, after the results of all runs on the worker. Its revision is above the fencing token of
@@ -7,24 +7,18 @@
 
 import dataclasses
 from collections.abc import Callable
-from typing import TypeVar
 
 import msgspec
-from pollengate.store import Entry, Listing, Operation, PolledStore, Put
+from pollengate.store import Operation, Put
 from pollengate.workflow.fleet import WorkerView
 from pollengate.workflow.job_table import JobTable
-from pollengate.workflow.keys import (
-    TRANSFER_PREFIX,
-    assignment_key,
-    assignment_prefix,
-    capacity_request_key,
-    capacity_request_prefix,
-)
-from pollengate.workflow.model import Worker
+from pollengate.workflow.keys import assignment_key, capacity_request_key
 from pollengate.workflow.progress import RunState
+from pollengate.workflow.shard_lease import ShardLease
 from pollengate.workflow.worker_transfer import (
     CapacityRequest,
     find_shortage,
+    fits_elsewhere,
     is_movable,
     release_delay_s,
     worker_to_release,
@@ -32,33 +26,21 @@
 
 from pollengated.edge.clocks import Clocks
 from pollengated.edge.committer import Committer, Record
-from pollengated.edge.layout import Layout
-from pollengated.edge.prefix_cache import PrefixCache
+from pollengated.edge.worker_assignments import WorkerAssignments
 from pollengated.logs import Log
 
 __all__ = ["WorkerTransfers"]
 
-CHECK_INTERVAL_S = 0.1
 # Tasks of a second or two often free capacity in less time than a transfer takes.
 SHORT_AFTER_S = 0.5
 REQUEST_INTERVAL_S = 1.0
 # A request that nobody met is repeated sooner than this; an older one is out of date.
 REQUEST_VALID_S = 2.0
+# A shard that has just received a worker, or was loaded, may still need all of its workers.
+KEEP_AFTER_SHORTAGE_S = 2.0
 # A worker whose runs have not ended or moved within this time is kept.
 RELEASE_TIMEOUT_S = 6.0
 
-_T = TypeVar("_T")
-
-
-@dataclasses.dataclass(slots=True)
-class _OpenRequest:
-    """A request of another shard, as stored at a revision."""
-
-    revision: int
-    received_at: float
-    request: CapacityRequest
-    is_answered: bool = False
-
 
 @dataclasses.dataclass(slots=True)
 class _Release:
@@ -74,91 +56,65 @@
 
     Args:
         shard: number of the shard.
-        layout: the shards of the deployment.
-        store: the platform's store.
+        assignments: assignments of workers and requests for workers.
+        job_table: the shard's jobs, runs and workers.
+        committer: writes requests and assignments.
+        shard_lease: the owner's lease.
         clocks: the process's clocks.
-        on_change: called after each change of the assignments.
+        is_settled: returns True once no unreported run of an earlier owner can exist any more.
+        detach: ends all orders to a worker that is about to be assigned elsewhere.
     """
 
     def __init__(
         self,
         shard: int,
-        layout: Layout,
-        store: PolledStore,
+        assignments: WorkerAssignments,
+        job_table: JobTable,
+        committer: Committer,
+        shard_lease: ShardLease,
         clocks: Clocks,
-        on_change: Callable[[], None],
+        is_settled: Callable[[], bool],
+        detach: Callable[[WorkerView], None],
     ) -> None:
         self._shard = shard
-        self._layout = layout
+        self._assignments = assignments
+        self._job_table = job_table
+        self._committer = committer
+        self._shard_lease = shard_lease
         self._clocks = clocks
-        self._on_change = on_change
-        self.cache = PrefixCache(store, TRANSFER_PREFIX, clocks, self._changed)
-        self._log = Log("transfers")
-        self._shards_by_worker: dict[str, int] = {}
-        self._revisions_by_worker: dict[str, int] = {}
-        self._requests_by_shard: dict[int, _OpenRequest] = {}
-        self._checked_at = float("-inf")
+        self._is_settled = is_settled
+        self._detach = detach
         self._short_since: float | None = None
+        self._short_at = clocks.monotonic_s()
         self._requested_at = float("-inf")
         self._release: _Release | None = None
-        self._is_loaded = False
-
-    @property
-    def is_possible(self) -> bool:
-        """Whether there is another shard."""
-        return self._layout.shards > 1
-
-    def load(self, listing: Listing) -> None:
-        """Takes over the assignments and requests that were read at the beginning of the term."""
-        self.cache.replace_if_newer(listing.entries, listing.revision)
-        self._is_loaded = True
-
-    def shard_of(self, worker: Worker) -> int:
-        """Returns the shard that a worker belongs to."""
-        assigned = self._shards_by_worker.get(worker.worker_id)
-        return self._layout.shard_of(worker.rack) if assigned is None else assigned
-
-    def is_assigned_elsewhere(self, worker_id: str) -> bool:
-        """Whether a worker was transferred to another shard."""
-        return self._shards_by_worker.get(worker_id, self._shard) != self._shard
-
-    def token(self, worker_id: str) -> int:
-        """Returns the lowest fencing token that a worker accepts after its last transfer."""
-        return self._revisions_by_worker.get(worker_id, 0)
-
-    def update(
-        self,
-        job_table: JobTable,
-        committer: Committer,
-        is_settled: Callable[[], bool],
-        detach: Callable[[WorkerView], None],
-    ) -> None:
-        """Requests a worker if the shard is short of capacity, otherwise meets a request.
+        self._log = Log("transfers")
 
-        Args:
-            job_table: the shard's jobs, runs and workers.
-            committer: writes requests and assignments.
-            is_settled: whether no unreported run of an earlier owner can exist any more.
-            detach: ends all orders to a worker that is about to be assigned elsewhere.
-        """
-        now = self._clocks.monotonic_s()
-        if not self.is_possible or now - self._checked_at < CHECK_INTERVAL_S:
+    def update(self) -> None:
+        """Requests a worker if the shard is short of capacity, otherwise meets a request."""
+        if not self._assignments.is_used:
             return
-        self._checked_at = now
-        shortage = find_shortage(self._shard, job_table, is_settled, now)
+        now = self._clocks.monotonic_s()
+        shortage = find_shortage(self._shard, self._job_table, self._is_settled, now)
+        self._record_shortage(shortage, now)
+        if self._release is not None:
+            self._continue_release(self._release, shortage, now)
+        if shortage is not None:
+            self._request(shortage, now)
+        elif self._release is None and self._may_release(now):
+            self._begin_release(now)
+
+    def _record_shortage(self, shortage: CapacityRequest | None, now: float) -> None:
         if shortage is None:
             self._short_since = None
-        elif self._short_since is None:
+            return
+        self._short_at = now
+        if self._short_since is None:
             self._short_since = now
-        if self._release is not None:
-            self._continue_release(self._release, job_table, committer, detach, now)
-        elif shortage is None:
-            self._begin_release(job_table, now)
-        elif now - (self._short_since or now) >= SHORT_AFTER_S:
-            self._request(shortage, committer, now)
 
-    def _request(self, shortage: CapacityRequest, committer: Committer, now: float) -> None:
-        if now - self._requested_at < REQUEST_INTERVAL_S:
+    def _request(self, shortage: CapacityRequest, now: float) -> None:
+        is_lasting = self._short_since is not None and now - self._short_since >= SHORT_AFTER_S
+        if not is_lasting or now - self._requested_at < REQUEST_INTERVAL_S:
             return
         self._requested_at = now
         self._log.info(
@@ -167,104 +123,86 @@
             service=shortage.service,
             label=shortage.required_label,
             cpu_millis=shortage.demand.cpu_millis,
+            long_running=shortage.is_long_running,
+        )
+        self._committer.add(_RequestRecord(shortage))
+
+    def _may_release(self, now: float) -> bool:
+        """Returns True if the shard does not need all of its workers and can commit a release."""
+        return (
+            now - self._short_at >= KEEP_AFTER_SHORTAGE_S
+            and self._shard_lease.is_confirmed(now)
+            and not self._committer.is_stalled
+            and self._is_settled()
+            and not any(
+                step.waiting and not step.spec.is_filler for step in self._job_table.open_steps
+            )
         )
-        committer.add(_RequestRecord(shortage))
 
-    def _begin_release(self, job_table: JobTable, now: float) -> None:
-        fleet = job_table.fleet
-        for pending in self._requests_by_shard.values():
-            age_s = now - pending.received_at
-            if pending.is_answered or age_s > REQUEST_VALID_S or self._has_been_met(pending):
+    def _begin_release(self, now: float) -> None:
+        for open_request in self._assignments.requests_by_shard.values():
+            age_s = now - open_request.received_at
+            request = open_request.request
+            if open_request.is_answered or age_s > REQUEST_VALID_S:
+                continue
+            if self._assignments.is_met(open_request):
                 continue
-            if age_s < release_delay_s(fleet, pending.request, now):
+            if age_s < release_delay_s(self._job_table.fleet, request, now):
                 continue
-            pending.is_answered = True
-            view = worker_to_release(fleet, pending.request, now)
+            open_request.is_answered = True
+            view = worker_to_release(self._job_table, request, now)
             if view is not None:
-                self._release = _Release(view, pending.request, now)
+                self._release = _Release(view, request, now)
                 view.is_released = True
                 return
 
-    def _has_been_met(self, pending: _OpenRequest) -> bool:
-        return any(
-            shard == pending.request.shard
-            and self._revisions_by_worker[worker_id] > pending.revision
-            for worker_id, shard in self._shards_by_worker.items()
-        )
-
     def _continue_release(
-        self,
-        release: _Release,
-        job_table: JobTable,
-        committer: Committer,
-        detach: Callable[[WorkerView], None],
-        now: float,
+        self, release: _Release, shortage: CapacityRequest | None, now: float
     ) -> None:
         view = release.view
-        if not view.runs and view.is_attached:
+        if shortage is not None or not self._is_wanted(release, now):
+            view.is_released = False
+            self._release = None
+        elif view.runs:
+            self._stop_runs(view, now)
+        else:
             self._log.info(
                 "assigning a worker to a shard that is short of capacity",
                 worker=view.worker_id,
                 shard=self._shard,
                 to_shard=release.request.shard,
             )
-            detach(view)
-            committer.add(_AssignmentRecord(view.worker_id, release.request.shard))
-            self._release = None
-        elif now - release.began_at > RELEASE_TIMEOUT_S or not view.is_attached:
-            view.is_released = False
+            self._detach(view)
+            self._committer.add(_AssignmentRecord(view.worker_id, release.request.shard))
             self._release = None
-        else:
-            self._stop_runs(view, job_table)
 
-    def _stop_runs(self, view: WorkerView, job_table: JobTable) -> None:
+    def _is_wanted(self, release: _Release, now: float) -> bool:
+        """Returns True if a worker can still be released and the other shard still needs it."""
+        view = release.view
+        newest = self._assignments.requests_by_shard[release.request.shard]
+        return (
+            view.is_attached
+            and view.is_registered
+            and now - release.began_at <= RELEASE_TIMEOUT_S
+            and now - newest.received_at <= REQUEST_VALID_S
+            and not self._assignments.is_met(newest)
+            and fits_elsewhere(self._job_table, view, now)
+        )
+
+    def _stop_runs(self, view: WorkerView, now: float) -> None:
         """Stops the runs that can go on elsewhere; those of the same step one after the other."""
         for run in view.runs.values():
             spec = run.task.step.spec
             if run.is_stop_wanted or run.state is not RunState.RUNNING:
                 continue
-            if is_movable(run) if spec.is_long_running else spec.saves_progress:
+            if is_movable(run, now) if spec.is_long_running else spec.saves_progress:
                 self._log.info(
                     "stopping a run so that its worker can be released",
                     task=run.task.name,
                     run=run.number,
                     worker=view.worker_id,
                 )
-                job_table.stop(run)
-
-    def _changed(self) -> None:
-        self._shards_by_worker.clear()
-        self._revisions_by_worker.clear()
-        for entry in self.cache.entries_by_key.values():
-            if entry.key.startswith(assignment_prefix()):
-                self._apply_assignment(entry)
-            elif entry.key.startswith(capacity_request_prefix()):
-                self._apply_request(entry)
-        if self._is_loaded:
-            self._on_change()
-
-    def _apply_assignment(self, entry: Entry) -> None:
-        shard = self._decode(entry, int)
-        if shard is not None:
-            worker_id = entry.key.removeprefix(assignment_prefix())
-            self._shards_by_worker[worker_id] = shard
-            self._revisions_by_worker[worker_id] = entry.revision
-
-    def _apply_request(self, entry: Entry) -> None:
-        request = self._decode(entry, CapacityRequest)
-        if request is None or request.shard == self._shard:
-            return
-        known = self._requests_by_shard.get(request.shard)
-        if known is None or known.revision < entry.revision:
-            now = self._clocks.monotonic_s()
-            self._requests_by_shard[request.shard] = _OpenRequest(entry.revision, now, request)
-
-    def _decode(self, entry: Entry, expected: type[_T]) -> _T | None:
-        try:
-            return msgspec.json.decode(entry.value, type=expected)
-        except msgspec.MsgspecError as error:
-            self._log.warning("record is unreadable; ignoring it", key=entry.key, cause=str(error))
-            return None
+                self._job_table.stop(run)
 
 
 class _RequestRecord(Record):
--- a/tests/test_worker_transfers.py
+++ b/tests/test_worker_transfers.py
@@ -1,9 +1,9 @@
-"""Tests of the transfer of workers between two shards, on virtual time."""
+"""Tests of the transfer of workers between shards, on virtual time."""
 
 import asyncio
 import unittest
 
-from pollengate.workflow.keys import shard_of_job
+from pollengate.workflow.keys import assignment_prefix, shard_of_job
 from pollengate.workflow.model import Demand
 from pollengate.workflow.progress import JobState
 
@@ -20,10 +20,10 @@
 MAX_ABSENCE_S = 9.0
 
 
-def job_ids(shard: int, count: int) -> list[str]:
-    """Returns ids of jobs that belong to one of two shards."""
+def job_ids(shard: int, count: int, shards: int = 2) -> list[str]:
+    """Returns ids of jobs that belong to a shard."""
     found = (f"{number:016x}" for number in range(1000))
-    return [job_id for job_id in found if shard_of_job(job_id, 2) == shard][:count]
+    return [job_id for job_id in found if shard_of_job(job_id, shards) == shard][:count]
 
 
 class WorkerTransferTest(unittest.TestCase):
@@ -85,6 +85,27 @@
 
         run_virtual(main())
 
+    def test_shard_keeps_a_worker_that_it_has_just_received(self) -> None:
+        async def main() -> None:
+            cluster = EdgeCluster(workers=9, duration_s=INFINITE_DURATION_S, shards=3)
+            await cluster.open(nodes=3)
+            full = build_workflow(build_step(3, is_long_running=True, demand=Demand(4000, 100)))
+            ids_by_shard = {shard: job_ids(shard, 2, 3) for shard in (0, 2)}
+            for first, _ in ids_by_shard.values():
+                await cluster.submit(first, full)
+            await asyncio.sleep(4.0)
+            for _, second in ids_by_shard.values():
+                await cluster.submit(second, ONE_MORE)
+            await asyncio.sleep(MAX_ABSENCE_S)
+            assignments = (await cluster.store.list(assignment_prefix())).unwrap().entries
+            self.assertEqual(2, len(assignments))
+            self.assertTrue(all(entry.revision == entry.created_revision for entry in assignments))
+            for _, second in ids_by_shard.values():
+                self.assertEqual(1, len(self.running_workers(cluster, second)))
+            self.check_single_execution(cluster)
+
+        run_virtual(main())
+
     def test_successor_of_the_releasing_owner_leaves_a_transferred_worker_alone(self) -> None:
         async def main() -> None:
             cluster, job_id = await self.open_full_shard()
--- a/tests/test_workflow_worker_transfer.py
+++ b/tests/test_workflow_worker_transfer.py
@@ -22,6 +22,7 @@
     start_all,
 )
 
+NOW = 5.0
 LONG_RUNNING = build_step(is_long_running=True, demand=Demand(3000, 100))
 
 
@@ -59,6 +60,13 @@
     def test_task_that_fits_is_not_short(self) -> None:
         self.assertIsNone(shortage(self.full_job_table(build_step(demand=Demand(1000)))))
 
+    def test_long_running_task_is_requested_for_before_a_batch_task(self) -> None:
+        job_table = self.full_job_table(build_step(demand=Demand(2000)))
+        add_job(job_table, "00000000000000cc", LONG_RUNNING)
+        found = shortage(job_table)
+        assert found is not None
+        self.assertTrue(found.is_long_running)
+
     def test_filler_is_not_short(self) -> None:
         job_table = self.full_job_table(build_step(is_filler=True, demand=Demand(4000, 2000)))
         self.assertIsNone(shortage(job_table))
@@ -88,7 +96,7 @@
         job_table = build_job_table(build_lease_worker("w0"), build_lease_worker("w1"))
         add_job(job_table, "00000000000000aa", build_step())
         (run,) = start_all(job_table)
-        view = worker_to_release(job_table.fleet, self.request, 1.0)
+        view = worker_to_release(job_table, self.request, NOW)
         assert view is not None
         self.assertNotEqual(run.worker_id, view.worker_id)
 
@@ -103,30 +111,40 @@
 
     def test_worker_whose_long_running_task_fits_nowhere_else_is_kept(self) -> None:
         request = dataclasses.replace(self.request, is_long_running=True)
-        fleet = self.serving_job_table("w0").fleet
-        self.assertIsNone(worker_to_release(fleet, request, 1.0))
-        fleet = self.serving_job_table("w0", "w1", count=2).fleet
-        self.assertIsNone(worker_to_release(fleet, request, 1.0))
+        job_table = self.serving_job_table("w0")
+        self.assertIsNone(worker_to_release(job_table, request, NOW))
+        job_table = self.serving_job_table("w0", "w1", count=2)
+        self.assertIsNone(worker_to_release(job_table, request, NOW))
 
     def test_long_running_task_moves_only_for_another_one(self) -> None:
-        fleet = self.serving_job_table("w0", "w1").fleet
+        job_table = self.serving_job_table("w0", "w1")
+        fleet = job_table.fleet
         (used,) = (view for view in fleet.workers_by_id.values() if view.runs)
         (other,) = (view for view in fleet.workers_by_id.values() if not view.runs)
-        self.assertIs(other, worker_to_release(fleet, self.request, 1.0))
+        self.assertIs(other, worker_to_release(job_table, self.request, NOW))
         other.info = dataclasses.replace(other.info, labels=())
         request = dataclasses.replace(self.request, required_label="kind")
-        self.assertIsNone(worker_to_release(fleet, request, 1.0))
+        self.assertIsNone(worker_to_release(job_table, request, NOW))
         request = dataclasses.replace(request, is_long_running=True)
-        self.assertIs(used, worker_to_release(fleet, request, 1.0))
+        self.assertIs(used, worker_to_release(job_table, request, NOW))
 
     def test_no_long_running_task_moves_while_another_of_its_step_is_away(self) -> None:
         job_table = self.serving_job_table("w0", "w1", "w2", count=2)
         runs = [
             run for view in job_table.fleet.workers_by_id.values() for run in view.runs.values()
         ]
-        self.assertEqual([True, True], [is_movable(run) for run in runs])
+        self.assertEqual([False, False], [is_movable(run, 1.0) for run in runs])
+        self.assertEqual([True, True], [is_movable(run, NOW) for run in runs])
         job_table.stop(runs[0])
-        self.assertEqual([False, False], [is_movable(run) for run in runs])
+        self.assertEqual([False, False], [is_movable(run, NOW) for run in runs])
+
+    def test_quarantined_worker_is_neither_released_nor_counted_as_room(self) -> None:
+        job_table = self.serving_job_table("w0", "w1")
+        (other,) = (v.worker_id for v in job_table.fleet.workers_by_id.values() if not v.runs)
+        for number in range(3):
+            job_table.evidence.record_rejection(f"job{number}", other)
+        request = dataclasses.replace(self.request, is_long_running=True)
+        self.assertIsNone(worker_to_release(job_table, request, NOW))
 
     def test_worker_that_the_task_does_not_fit_on_is_kept(self) -> None:
         job_table = build_job_table(build_lease_worker())
@@ -135,7 +153,7 @@
             CapacityRequest(1, "service", "other", Demand(1000, 100)),
             CapacityRequest(1, "other", "", Demand(1000, 100)),
         ):
-            self.assertIsNone(worker_to_release(job_table.fleet, request, 1.0))
+            self.assertIsNone(worker_to_release(job_table, request, NOW))
 
     def test_released_worker_gets_no_start(self) -> None:
         job_table = build_job_table(build_lease_worker())
@@ -155,8 +173,10 @@
     def test_worker_is_forgotten_once_its_new_assignment_is_known(self) -> None:
         fleet = build_job_table(build_lease_worker()).fleet
         fleet.workers_by_id["w0"].is_released = True
-        self.assertEqual([], fleet.forget_released(lambda worker_id: 0))
-        self.assertEqual(1, len(fleet.forget_released(lambda worker_id: 7)))
+        fleet.update([], 1.0)
+        self.assertEqual([], fleet.forget_departed(1.0))
+        self.assertEqual([], fleet.forget_transferred(lambda worker_id: 0))
+        self.assertEqual(1, len(fleet.forget_transferred(lambda worker_id: 7)))
         self.assertEqual({}, fleet.workers_by_id)
 
 
