--- a/packages/pollengate/pollengate/workflow/job_table.py
+++ b/packages/pollengate/pollengate/workflow/job_table.py
@@ -83,7 +83,7 @@
     def open_due_occurrences(self, now: float, now_ms: int) -> None:
         """Opens the occurrences that have become due by Unix time `now_ms`."""
         for job in list(self._scheduled_by_id.values()):
-            while job.due_count < job.occurrence_count and job.due_ms(job.due_count) <= now_ms:
+            while job.due_count < job.occurrence_count and job.is_due(job.due_count, now_ms):
                 self._open_steps(job.open_occurrence(job.due_count), now)
             if job.is_ended or job.due_count >= job.occurrence_count:
                 del self._scheduled_by_id[job.job_id]
@@ -224,8 +224,13 @@
             self._enqueue(task)
 
     def _enqueue(self, task: TaskProgress) -> None:
+        """Queues a task, a long-running one that has run before ahead of its siblings."""
         step = task.step
-        if task not in step.waiting:
+        if task in step.waiting:
+            pass
+        elif step.spec.is_long_running and task.last_run:
+            step.waiting.appendleft(task)
+        else:
             step.waiting.append(task)
         self.open_steps[step] = None
 
--- a/packages/pollengate/pollengate/workflow/progress.py
+++ b/packages/pollengate/pollengate/workflow/progress.py
@@ -214,7 +214,7 @@
         accepted_ms: Unix time of its acceptance.
         accepted_at: clock time of its acceptance, or of the takeover that loaded it.
         state: its state.
-        finished_ms: Unix time of its end, 0 before that.
+        finished_ms: Unix time of its end by the clock of the owner at that time, 0 before that.
         visible_state: the state shown to clients; an end is shown once it is durable.
         is_restored: whether it was loaded at a takeover, so that an earlier owner may have started
             tasks of it.
@@ -244,11 +244,14 @@
         """Total number of occurrences."""
         return max(1, self.workflow.repeat_count)
 
-    def due_ms(self, occurrence: int) -> int:
-        """Returns the Unix time at which an occurrence is due."""
+    def is_due(self, occurrence: int, now_ms: int) -> bool:
+        """Returns True if an occurrence is due at a Unix time; without a schedule it always is.
+
+        The Unix time may be behind that of the process that accepted the job.
+        """
         if not self.workflow.repeat_count:
-            return self.accepted_ms
-        return self.workflow.first_due_ms + occurrence * self.workflow.interval_ms
+            return True
+        return self.workflow.first_due_ms + occurrence * self.workflow.interval_ms <= now_ms
 
     def open_occurrence(self, number: int) -> Occurrence:
         """Adds an occurrence with all of its steps and tasks."""
--- a/packages/pollengated/pollengated/edge/shard_elector.py
+++ b/packages/pollengated/pollengated/edge/shard_elector.py
@@ -1,8 +1,10 @@
 """Acquires a shard that has no owner, renews its lease and hands it over."""
 
 import asyncio
+import dataclasses
 import zlib
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Iterable, Mapping
 
 from pollengate.store import Delete, FailureKind, PolledStore, Put, Unchanged
 from pollengate.workflow.keys import owner_key
@@ -20,21 +22,65 @@
 RENEW_INTERVAL_S = 0.4
 # Each candidate waits this long for each better one before it acquires a shard without an owner.
 CANDIDATE_DELAY_S = 0.15
-# A starting process waits for others to register before it ranks the candidates.
+# A candidate that could not read the records of the shard lets all others go first for this long.
+STALL_MEMORY_S = 30.0
 DIRECTORY_WAIT_S = 0.5
+# A starting process waits this long for others to register, for each shard that the best candidate
+# known so far already owns.
+REGISTRATION_WAIT_S = 0.5
 RETRY_S = 0.2
 HANDOVER_TIMEOUT_S = 1.0
+MIN_CORES = 0.01
+# A timer of a shorter time may fire before the clock shows that it has passed.
+TIMER_RESOLUTION_S = 0.001
 
 
-def rank_candidates(members: list[NodeRecord], shard: int) -> list[str]:
-    """Returns the names of the candidate owners of a shard, the best one first.
+@dataclasses.dataclass(frozen=True, slots=True)
+class Candidate:
+    """A process that may acquire a shard.
 
-    Candidates with more cores come first; a hash of the name and the shard breaks ties, so that
-    equal candidates own different shards.
+    Attributes:
+        node: name of its VM.
+        shards: number of other shards that it owns or is the best candidate for.
+    """
+
+    node: str
+    shards: int
+
+
+def rank_candidates(
+    members: Iterable[NodeRecord], owner_names_by_shard: Mapping[int, str], shard: int
+) -> list[Candidate]:
+    """Returns the candidate owners of a shard, the best one first.
+
+    The best candidate is the one that would own the fewest shards per core. Candidates with more
+    cores come first among equal ones, and a hash of the name and the shard breaks ties.
+
+    Shards with lower numbers and no owner count as owned by their best candidates. Processes that
+    acquire several shards at the same moment therefore rank a different candidate first for each.
+
+    Args:
+        members: the running processes.
+        owner_names_by_shard: the owners of the shards that have one.
+        shard: the shard to acquire.
     """
     staying = [member for member in members if not member.is_leaving]
-    ranked = sorted(staying, key=lambda m: (-round(m.cores, 1), _tie_breaker(m.node, shard)))
-    return [member.node for member in ranked]
+    shards_by_name = Counter(owner_names_by_shard.values())
+    vacant = [number for number in range(shard) if number not in owner_names_by_shard]
+    for number in vacant if staying else ():
+        shards_by_name[_sort_candidates(staying, shards_by_name, number)[0].node] += 1
+    ranked = _sort_candidates(staying, shards_by_name, shard)
+    return [Candidate(member.node, shards_by_name[member.node]) for member in ranked]
+
+
+def _sort_candidates(
+    candidates: list[NodeRecord], shards_by_name: Counter[str], shard: int
+) -> list[NodeRecord]:
+    def sort_key(candidate: NodeRecord) -> tuple[float, float, int]:
+        shards_per_core = (shards_by_name[candidate.node] + 1) / max(candidate.cores, MIN_CORES)
+        return shards_per_core, -candidate.cores, _tie_breaker(candidate.node, shard)
+
+    return sorted(candidates, key=sort_key)
 
 
 class ShardElector:
@@ -69,9 +115,11 @@
         self._directory = directory
         self._clocks = clocks
         self._create_term = create_term
+        self._started_at = clocks.monotonic_s()
         self._is_leaving = False
         self._lease_id = 0
         self._is_suspended = False
+        self._stalled_at = float("-inf")
         self._log = Log("keeper")
 
     async def run(self) -> None:
@@ -121,16 +169,42 @@
         await self._directory.wait_for_change(RETRY_S)
 
     async def _wait_for_turn(self) -> bool:
-        """Waits for this process's turn; returns whether it may acquire the shard now."""
+        """Waits for this process's turn; returns whether it may acquire the shard now.
+
+        Candidates are ranked again after each change of the directory: better ones may have left or
+        started meanwhile, and this process may have acquired another shard.
+        """
         if self._directory.owner(self._shard) is not None or not self._directory.cache.revision:
             await self._directory.wait_for_change(DIRECTORY_WAIT_S)
             return False
-        ranked = rank_candidates(self._directory.members(), self._shard)
-        if self._record.node not in ranked:
-            await self._directory.wait_for_change(RETRY_S)
-            return False
-        await asyncio.sleep(CANDIDATE_DELAY_S * ranked.index(self._record.node))
-        return not self._is_leaving and self._directory.owner(self._shard) is None
+        first_turn_at = self._clocks.monotonic_s()
+        while not self._is_leaving and self._directory.owner(self._shard) is None:
+            ranked = self._rank_candidates()
+            rank = self._rank_in(ranked) if ranked else None
+            if rank is None:
+                await self._directory.wait_for_change(RETRY_S)
+                return False
+            first_turn_at = max(first_turn_at, self._registered_by(ranked[0]))
+            remaining_s = first_turn_at + CANDIDATE_DELAY_S * rank - self._clocks.monotonic_s()
+            if remaining_s < TIMER_RESOLUTION_S:
+                return True
+            await self._directory.wait_for_change(remaining_s)
+        return False
+
+    def _rank_candidates(self) -> list[Candidate]:
+        owner_names_by_shard = self._directory.owner_names_by_shard()
+        return rank_candidates(self._directory.members(), owner_names_by_shard, self._shard)
+
+    def _rank_in(self, ranked: list[Candidate]) -> int | None:
+        """Returns the number of candidates to wait for, None if this process is not a candidate."""
+        if self._clocks.monotonic_s() < self._stalled_at + STALL_MEMORY_S:
+            return len(ranked)
+        names = [candidate.node for candidate in ranked]
+        return names.index(self._record.node) if self._record.node in names else None
+
+    def _registered_by(self, best: Candidate) -> float:
+        """Returns the clock time by which others have registered, if the best owns shards."""
+        return self._started_at + REGISTRATION_WAIT_S * best.shards
 
     async def _acquire(self) -> ShardLease | None:
         requested_at = self._clocks.monotonic_s()
@@ -165,6 +239,8 @@
         renewal_task = asyncio.create_task(self._renew_until_lost(shard_lease))
         try:
             await self.term.run()
+            if self.term.has_stalled:
+                self._stalled_at = self._clocks.monotonic_s()
         finally:
             shard_lease.mark_lost()
             renewal_task.cancel()
--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -8,17 +8,9 @@
 from pollengate.store import PolledStore
 from pollengate.workflow.clients import AdviceClient, WorkerClient
 from pollengate.workflow.colocation import ColocationModel
-from pollengate.workflow.draining import runs_to_move
 from pollengate.workflow.fleet import Fleet, WorkerView
 from pollengate.workflow.job_table import JobTable
-from pollengate.workflow.keys import (
-    commit_key,
-    interference_record_key,
-    job_key,
-    job_prefix,
-    progress_key,
-    progress_prefix,
-)
+from pollengate.workflow.keys import job_key, progress_key
 from pollengate.workflow.leases import WORKER_LEASE_S
 from pollengate.workflow.placement import Placer
 from pollengate.workflow.planner import Planner
@@ -27,10 +19,10 @@
 from pollengate.workflow.records import decode_job, decode_progress, restore
 from pollengate.workflow.settings import NodeSettings
 from pollengate.workflow.shard_lease import ShardLease, previous_lease_expiry
-from pollengate.workflow.stragglers import Remedy, find_stragglers
 from pollengate.workflow.throttling import ThrottleController
 from pollengate.workflow.tickets import TicketCache
-from result import Err, Ok, Result
+from pollengate.workflow.waiting import WaitMonitor
+from result import Err
 
 from pollengated.edge.advice_requester import AdviceRequester
 from pollengated.edge.clocks import Clocks
@@ -46,8 +38,13 @@
 from pollengated.edge.layout import Layout
 from pollengated.edge.operator_view import OperatorView
 from pollengated.edge.recorded_workers import RecordedWorkers, decode_recorded_workers
+from pollengated.edge.run_mover import RunMover
+from pollengated.edge.shard_load_log import ShardLoadLog
+from pollengated.edge.shard_records import ShardRecords, ShardRecordsReader
+from pollengated.edge.worker_assignments import WorkerAssignments
 from pollengated.edge.worker_controller import WorkerController
 from pollengated.edge.worker_registry import WorkerRegistry
+from pollengated.edge.worker_transfers import WorkerTransfers
 from pollengated.logs import Log
 
 __all__ = ["ShardTerm"]
@@ -56,11 +53,8 @@
 PLAN_DELAY_S = 0.005
 # Interval of the checks that depend on time only.
 TICK_INTERVAL_S = 0.1
-RECOVERY_RETRY_S = 0.1
 # Time until a worker on which all tasks fail is tried again; a task takes a second or two.
 FIRST_PROBE_AFTER_S = 4.0
-# Serving tasks are moved only if fillers have waited longer than this.
-FILLER_WAIT_S = 0.5
 # Added to the time for which clients may request the state of an ended job.
 RETENTION_MARGIN_S = 5.0
 
@@ -82,6 +76,7 @@
 
     Attributes:
         is_serving: whether the shard's records have been loaded and the term has not ended.
+        has_stalled: whether the term ended because the shard's records could not be read.
         fleet: workers of the shard.
         job_table: jobs of the shard; set once the records have been loaded.
         request_handler: handles clients' requests; set once the records have been loaded.
@@ -103,7 +98,7 @@
         self.shard = shard
         self.shard_lease = shard_lease
         self.is_serving = False
-        self._layout = layout
+        self.has_stalled = False
         self._settings = settings
         self._store = store
         self._client = client
@@ -117,20 +112,24 @@
         self._previous_leases_expire_at = previous_leases_expire_at
         self.fleet = Fleet(self._worker_lease_s(), previous_leases_expire_at)
         self._registry = WorkerRegistry(store, clocks, self._workers_changed)
+        self._assignments = WorkerAssignments(shard, layout, store, clocks, self._workers_changed)
         self._controllers_by_id: dict[str, WorkerController] = {}
         self._controller_tasks_by_id: dict[str, asyncio.Task[None]] = {}
         self._colocation = ColocationModel()
         self._throttle_controller = ThrottleController(self._colocation)
         self._tickets = TicketCache()
-        self._rebalancer = Rebalancer(self.fleet, self._colocation)
         self._wake = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
         self._is_handing_over = False
+        self._ended_since_by_job_id: dict[str, float] = {}
         self.job_table: JobTable
         self._committer: Committer
         self._planner: Planner
         self._recorded_workers: RecordedWorkers
         self._interference_recorder: InterferenceRecorder
+        self._load_log: ShardLoadLog
+        self._run_mover: RunMover
+        self._transfers: WorkerTransfers
         self.request_handler: JobRequestHandler
 
     async def run(self) -> None:
@@ -143,6 +142,8 @@
             self._operator_view_changed()
             self._add_missing_controllers()
             self._spawn(self._registry.cache.run())
+            if self._assignments.is_used:
+                self._spawn(self._assignments.cache.run())
             self._spawn(self._tick())
             self._spawn(self._committer.run())
             if self._advice is not None:
@@ -150,7 +151,8 @@
                     AdviceRequester(self.job_table, self._tickets, self._advice, self._clocks).run()
                 )
             try:
-                await self._plan_loop()
+                # Waiting raises no error of the loop: like any other task, it ends the term.
+                await asyncio.wait((self._spawn(self._plan_loop()),))
             finally:
                 unsubscribe()
         finally:
@@ -175,55 +177,43 @@
     # Recovery.
 
     async def _recover(self) -> bool:
-        """Loads the shard's records; returns False if the lease becomes invalid first."""
-        while self.shard_lease.is_valid(self._clocks.monotonic_s()):
-            result = await self._read_records()
-            if isinstance(result, Ok):
-                self._log.info(
-                    "shard records loaded",
-                    shard=self.shard,
-                    token=self.shard_lease.token,
-                    jobs=len(self.job_table.jobs_by_id),
-                    workers=len(self._recorded_workers.addresses_by_id),
-                    took_s=round(self._clocks.monotonic_s() - self._acquired_at, 3),
-                )
-                return True
+        """Loads the shard's records; returns False if the shard is given up instead."""
+        reader = ShardRecordsReader(self.shard, self._store, self.shard_lease, self._clocks)
+        records = await reader.read()
+        if isinstance(records, Err):
+            abandoned = records.err_value
+            self.has_stalled = abandoned.is_stalled
             self._log.warning(
-                "cannot read the shard records; trying again",
+                "cannot read the shard records; giving up the shard",
                 shard=self.shard,
-                cause=result.err_value,
+                stalled=abandoned.is_stalled,
+                cause=abandoned.cause,
             )
-            await asyncio.sleep(RECOVERY_RETRY_S)
-        return False
-
-    async def _read_records(self) -> Result[None, str]:
-        commit = await self._store.get(commit_key(self.shard))
-        if isinstance(commit, Err):
-            return Err(commit.err_value.detail)
-        recorded_workers = await self._store.get(RecordedWorkers.key_of(self.shard))
-        if isinstance(recorded_workers, Err):
-            return Err(recorded_workers.err_value.detail)
-        interference_record = await self._store.get(interference_record_key(self.shard))
-        if isinstance(interference_record, Err):
-            return Err(interference_record.err_value.detail)
-        jobs = await self._store.list(job_prefix(self.shard))
-        if isinstance(jobs, Err):
-            return Err(jobs.err_value.detail)
-        progress = await self._store.list(progress_prefix(self.shard))
-        if isinstance(progress, Err):
-            return Err(progress.err_value.detail)
-        previous_commit = commit.ok_value and decode_commit_number(commit.ok_value.value)
+            return False
+        self._restore(records.ok_value)
+        self._log.info(
+            "shard records loaded",
+            shard=self.shard,
+            token=self.shard_lease.token,
+            jobs=len(self.job_table.jobs_by_id),
+            workers=len(self._recorded_workers.addresses_by_id),
+            took_s=round(self._clocks.monotonic_s() - self._acquired_at, 3),
+        )
+        return True
+
+    def _restore(self, records: ShardRecords) -> None:
+        previous_commit = records.commit and decode_commit_number(records.commit.value)
         term_number = previous_commit.tenure + 1 if previous_commit else 0
         self._committer = Committer(
             self._store,
             self.shard,
             self.shard_lease,
             term_number,
-            commit.ok_value.revision if commit.ok_value else 0,
+            records.commit.revision if records.commit else 0,
             self._clocks,
         )
-        if interference_record.ok_value is not None:
-            load_interference_record(interference_record.ok_value.value, self._colocation)
+        if records.interference is not None:
+            load_interference_record(records.interference.value, self._colocation)
         self._interference_recorder = InterferenceRecorder(
             self.shard, self._colocation, self._committer
         )
@@ -234,11 +224,35 @@
             Placer(evidence, self._colocation, self._tickets),
             self._are_previous_runs_known,
         )
+        self._transfers = WorkerTransfers(
+            self.shard,
+            self._assignments,
+            self.job_table,
+            self._committer,
+            self.shard_lease,
+            self._clocks,
+            self._are_previous_runs_known,
+            self._detach_worker,
+        )
+        rebalancer = Rebalancer(self.fleet, self._colocation)
+        self._run_mover = RunMover(self.fleet, self.job_table, rebalancer)
+        self._load_log = ShardLoadLog(
+            self.shard,
+            self.job_table,
+            WaitMonitor(self.job_table, self._are_previous_runs_known),
+            self._metrics,
+        )
         addresses_by_id = (
-            decode_recorded_workers(recorded_workers.ok_value.value)
-            if recorded_workers.ok_value
+            decode_recorded_workers(records.recorded_workers.value)
+            if records.recorded_workers
             else {}
         )
+        self._assignments.load(records.transfers)
+        addresses_by_id = {
+            worker_id: address
+            for worker_id, address in addresses_by_id.items()
+            if not self._assignments.is_assigned_elsewhere(worker_id)
+        }
         self._recorded_workers = RecordedWorkers(
             self.shard, self._committer, self.fleet, addresses_by_id
         )
@@ -250,12 +264,12 @@
             self._clocks,
             self._job_table_changed,
         )
-        encoded_progress_by_key = {entry.key: entry.value for entry in progress.ok_value.entries}
-        for entry in jobs.ok_value.entries:
+        encoded_progress_by_key = {entry.key: entry.value for entry in records.progress}
+        for entry in records.jobs:
             self._restore_job(entry.value, encoded_progress_by_key)
         for worker_id, address in addresses_by_id.items():
             self.fleet.add_recorded(worker_id, address, self._clocks.monotonic_s())
-        return Ok(None)
+        self._update_lowest_tokens()
 
     def _restore_job(self, value: bytes, encoded_progress_by_key: dict[str, bytes]) -> None:
         stored = decode_job(value)
@@ -295,16 +309,30 @@
 
     def _workers_changed(self) -> None:
         now = self._clocks.monotonic_s()
+        for view in self.fleet.forget_transferred(self._assignments.lowest_token):
+            self._forget_controller(view)
+            for run in list(view.runs.values()):
+                self.job_table.mark_lost(run)
+        self._recorded_workers.update()
         own_workers = [
             worker
             for worker in self._registry.workers_by_id.values()
-            if self._layout.shard_of(worker.rack) == self.shard
+            if self._assignments.shard_of(worker) == self.shard
         ]
         self.fleet.update(own_workers, now)
+        self._update_lowest_tokens()
         self._add_missing_controllers()
         self._recorded_workers.update()
         self._request_planning()
 
+    def _update_lowest_tokens(self) -> None:
+        for view in self.fleet.workers_by_id.values():
+            view.lowest_token = self._assignments.lowest_token(view.worker_id)
+
+    def _detach_worker(self, view: WorkerView) -> None:
+        """Ends all orders to a worker that is about to be assigned to another shard."""
+        self._controller_tasks_by_id[view.worker_id].cancel()
+
     def _add_missing_controllers(self) -> None:
         for view in self.fleet.workers_by_id.values():
             if view.worker_id not in self._controllers_by_id:
@@ -330,60 +358,17 @@
         task.add_done_callback(self._on_task_done)
         self._controller_tasks_by_id[view.worker_id] = task
 
-    def _move_off_draining_workers(self) -> None:
-        for view in self.fleet.workers_by_id.values():
-            for run in runs_to_move(view):
-                self._log.info(
-                    "stopping a run on a draining worker",
-                    task=run.task.name,
-                    run=run.number,
-                    worker=view.worker_id,
-                )
-                self.job_table.stop(run)
-
-    def _remedy_stragglers(self) -> None:
-        now = self._clocks.monotonic_s()
-        for view in self.fleet.workers_by_id.values():
-            for straggler in find_stragglers(view, now):
-                run = straggler.run
-                self._log.info(
-                    "run is a straggler",
-                    task=run.task.name,
-                    run=run.number,
-                    worker=view.worker_id,
-                    cause=straggler.cause,
-                    remedy=straggler.remedy.value,
-                    percent=run.percent,
-                    ran_s=round(now - run.ordered_at, 2),
-                )
-                if straggler.counts_against_worker:
-                    self.job_table.evidence.record_rejection(
-                        run.task.step.job.job_id, view.worker_id
-                    )
-                if straggler.remedy is Remedy.COPY:
-                    self.job_table.request_copy(run.task)
-                else:
-                    self.job_table.stop(run)
-
-    def _rebalance(self) -> None:
-        now = self._clocks.monotonic_s()
-        waiting_millis = self.job_table.waiting_filler_millis(now - FILLER_WAIT_S)
-        run = self._rebalancer.choose(waiting_millis, now)
-        if run is not None:
-            self._log.info(
-                "stopping a serving task so that it runs on another worker",
-                task=run.task.name,
-                run=run.number,
-                worker=run.worker_id,
-                image=run.task.step.spec.image,
-            )
-            self.job_table.stop(run)
-
     def _remove_departed_workers(self) -> None:
-        for view in self.fleet.forget_departed(self._clocks.monotonic_s()):
-            self._controllers_by_id.pop(view.worker_id)
-            self._controller_tasks_by_id.pop(view.worker_id).cancel()
-            self._throttle_controller.forget(view.worker_id)
+        departed = self.fleet.forget_departed(self._clocks.monotonic_s())
+        for view in departed:
+            self._forget_controller(view)
+        if departed:
+            self._recorded_workers.update()
+
+    def _forget_controller(self, view: WorkerView) -> None:
+        self._controllers_by_id.pop(view.worker_id)
+        self._controller_tasks_by_id.pop(view.worker_id).cancel()
+        self._throttle_controller.forget(view.worker_id)
 
     def _operator_view_changed(self) -> None:
         if self._operator_view.deployment is not None:
@@ -445,31 +430,35 @@
         while not self.shard_lease.is_lost:
             await asyncio.sleep(TICK_INTERVAL_S)
             self.job_table.open_due_occurrences(self._clocks.monotonic_s(), self._clocks.unix_ms())
-            self._move_off_draining_workers()
-            self._remedy_stragglers()
-            self._rebalance()
+            self._run_mover.update(self._clocks.monotonic_s())
+            if not self._is_handing_over:
+                self._transfers.update()
             self._interference_recorder.update(self._clocks.monotonic_s())
             self._remove_departed_workers()
             self._remove_ended_jobs()
-            waiting_count = sum(len(step.waiting) for step in self.job_table.open_steps)
-            self._metrics.waiting_tasks.set(waiting_count)
+            self._load_log.update(self._clocks.monotonic_s())
             self._request_planning()
         self._wake.set()
 
     def _remove_ended_jobs(self) -> None:
-        """Removes ended jobs whose retention period has passed, and their records."""
-        keep_ms = (self._settings.bounds.status_s + RETENTION_MARGIN_S) * 1000
-        oldest_ms = self._clocks.unix_ms() - int(keep_ms)
-        for job in list(self.job_table.jobs_by_id.values()):
-            if job.is_ended and job.finished_ms < oldest_ms:
-                del self.job_table.jobs_by_id[job.job_id]
-                self._committer.add(RecordRemoval(job_key(self.shard, job.job_id)))
-                self._committer.add(RecordRemoval(progress_key(self.shard, job.job_id)))
-
-    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        """Removes ended jobs whose retention period has passed, and their records.
+
+        The period begins anew at a takeover: times of day differ between processes and may jump.
+        """
+        now = self._clocks.monotonic_s()
+        keep_s = self._settings.bounds.status_s + RETENTION_MARGIN_S
+        ended = [job_id for job_id, job in self.job_table.jobs_by_id.items() if job.is_ended]
+        for job_id in ended:
+            if now - self._ended_since_by_job_id.setdefault(job_id, now) > keep_s:
+                del self.job_table.jobs_by_id[job_id], self._ended_since_by_job_id[job_id]
+                self._committer.add(RecordRemoval(job_key(self.shard, job_id)))
+                self._committer.add(RecordRemoval(progress_key(self.shard, job_id)))
+
+    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._on_task_done)
+        return task
 
     def _on_task_done(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
--- /dev/null
+++ b/packages/pollengated/pollengated/edge/worker_transfers.py
@@ -0,0 +1,227 @@
+"""Requests workers for a shard that is short of capacity, and releases them to other shards.
+
+The assignment of a worker to another shard is a key that the releasing owner writes with its
+commits, after the results of all runs on the worker. Its revision is above the fencing token of
+every owner that has contacted the worker, so that the new owner uses it as its token there.
+"""
+
+import dataclasses
+from collections.abc import Callable
+
+import msgspec
+from pollengate.store import Operation, Put
+from pollengate.workflow.fleet import WorkerView
+from pollengate.workflow.job_table import JobTable
+from pollengate.workflow.keys import assignment_key, capacity_request_key
+from pollengate.workflow.progress import RunState
+from pollengate.workflow.shard_lease import ShardLease
+from pollengate.workflow.worker_transfer import (
+    CapacityRequest,
+    find_shortage,
+    fits_elsewhere,
+    is_movable,
+    release_delay_s,
+    worker_to_release,
+)
+
+from pollengated.edge.clocks import Clocks
+from pollengated.edge.committer import Committer, Record
+from pollengated.edge.worker_assignments import WorkerAssignments
+from pollengated.logs import Log
+
+__all__ = ["WorkerTransfers"]
+
+# Tasks of a second or two often free capacity in less time than a transfer takes.
+SHORT_AFTER_S = 0.5
+REQUEST_INTERVAL_S = 1.0
+# A request that nobody met is repeated sooner than this; an older one is out of date.
+REQUEST_VALID_S = 2.0
+# A shard that has just received a worker, or was loaded, may still need all of its workers.
+KEEP_AFTER_SHORTAGE_S = 2.0
+# A worker whose runs have not ended or moved within this time is kept.
+RELEASE_TIMEOUT_S = 6.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Release:
+    """A worker that is about to be released, and the request for it."""
+
+    view: WorkerView
+    request: CapacityRequest
+    began_at: float
+
+
+class WorkerTransfers:
+    """Transfers workers between one shard and the others during an ownership term.
+
+    Args:
+        shard: number of the shard.
+        assignments: assignments of workers and requests for workers.
+        job_table: the shard's jobs, runs and workers.
+        committer: writes requests and assignments.
+        shard_lease: the owner's lease.
+        clocks: the process's clocks.
+        is_settled: returns True once no unreported run of an earlier owner can exist any more.
+        detach: ends all orders to a worker that is about to be assigned elsewhere.
+    """
+
+    def __init__(
+        self,
+        shard: int,
+        assignments: WorkerAssignments,
+        job_table: JobTable,
+        committer: Committer,
+        shard_lease: ShardLease,
+        clocks: Clocks,
+        is_settled: Callable[[], bool],
+        detach: Callable[[WorkerView], None],
+    ) -> None:
+        self._shard = shard
+        self._assignments = assignments
+        self._job_table = job_table
+        self._committer = committer
+        self._shard_lease = shard_lease
+        self._clocks = clocks
+        self._is_settled = is_settled
+        self._detach = detach
+        self._short_since: float | None = None
+        self._short_at = clocks.monotonic_s()
+        self._requested_at = float("-inf")
+        self._release: _Release | None = None
+        self._log = Log("transfers")
+
+    def update(self) -> None:
+        """Requests a worker if the shard is short of capacity, otherwise meets a request."""
+        if not self._assignments.is_used:
+            return
+        now = self._clocks.monotonic_s()
+        shortage = find_shortage(self._shard, self._job_table, self._is_settled, now)
+        self._record_shortage(shortage, now)
+        if self._release is not None:
+            self._continue_release(self._release, shortage, now)
+        if shortage is not None:
+            self._request(shortage, now)
+        elif self._release is None and self._may_release(now):
+            self._begin_release(now)
+
+    def _record_shortage(self, shortage: CapacityRequest | None, now: float) -> None:
+        if shortage is None:
+            self._short_since = None
+            return
+        self._short_at = now
+        if self._short_since is None:
+            self._short_since = now
+
+    def _request(self, shortage: CapacityRequest, now: float) -> None:
+        is_lasting = self._short_since is not None and now - self._short_since >= SHORT_AFTER_S
+        if not is_lasting or now - self._requested_at < REQUEST_INTERVAL_S:
+            return
+        self._requested_at = now
+        self._log.info(
+            "shard is short of capacity; requesting a worker",
+            shard=self._shard,
+            service=shortage.service,
+            label=shortage.required_label,
+            cpu_millis=shortage.demand.cpu_millis,
+            long_running=shortage.is_long_running,
+        )
+        self._committer.add(_RequestRecord(shortage))
+
+    def _may_release(self, now: float) -> bool:
+        """Returns True if the shard does not need all of its workers and can commit a release."""
+        return (
+            now - self._short_at >= KEEP_AFTER_SHORTAGE_S
+            and self._shard_lease.is_confirmed(now)
+            and not self._committer.is_stalled
+            and self._is_settled()
+            and not any(
+                step.waiting and not step.spec.is_filler for step in self._job_table.open_steps
+            )
+        )
+
+    def _begin_release(self, now: float) -> None:
+        for open_request in self._assignments.requests_by_shard.values():
+            age_s = now - open_request.received_at
+            request = open_request.request
+            if open_request.is_answered or age_s > REQUEST_VALID_S:
+                continue
+            if self._assignments.is_met(open_request):
+                continue
+            if age_s < release_delay_s(self._job_table.fleet, request, now):
+                continue
+            open_request.is_answered = True
+            view = worker_to_release(self._job_table, request, now)
+            if view is not None:
+                self._release = _Release(view, request, now)
+                view.is_released = True
+                return
+
+    def _continue_release(
+        self, release: _Release, shortage: CapacityRequest | None, now: float
+    ) -> None:
+        view = release.view
+        if shortage is not None or not self._is_wanted(release, now):
+            view.is_released = False
+            self._release = None
+        elif view.runs:
+            self._stop_runs(view, now)
+        else:
+            self._log.info(
+                "assigning a worker to a shard that is short of capacity",
+                worker=view.worker_id,
+                shard=self._shard,
+                to_shard=release.request.shard,
+            )
+            self._detach(view)
+            self._committer.add(_AssignmentRecord(view.worker_id, release.request.shard))
+            self._release = None
+
+    def _is_wanted(self, release: _Release, now: float) -> bool:
+        """Returns True if a worker can still be released and the other shard still needs it."""
+        view = release.view
+        newest = self._assignments.requests_by_shard[release.request.shard]
+        return (
+            view.is_attached
+            and view.is_registered
+            and now - release.began_at <= RELEASE_TIMEOUT_S
+            and now - newest.received_at <= REQUEST_VALID_S
+            and not self._assignments.is_met(newest)
+            and fits_elsewhere(self._job_table, view, now)
+        )
+
+    def _stop_runs(self, view: WorkerView, now: float) -> None:
+        """Stops the runs that can go on elsewhere; those of the same step one after the other."""
+        for run in view.runs.values():
+            spec = run.task.step.spec
+            if run.is_stop_wanted or run.state is not RunState.RUNNING:
+                continue
+            if is_movable(run, now) if spec.is_long_running else spec.saves_progress:
+                self._log.info(
+                    "stopping a run so that its worker can be released",
+                    task=run.task.name,
+                    run=run.number,
+                    worker=view.worker_id,
+                )
+                self._job_table.stop(run)
+
+
+class _RequestRecord(Record):
+    """Stores the request of a shard that is short of capacity."""
+
+    def __init__(self, request: CapacityRequest) -> None:
+        self.key = capacity_request_key(request.shard)
+        self._request = request
+
+    def operation(self) -> Operation:
+        return Put(self.key, msgspec.json.encode(self._request))
+
+
+class _AssignmentRecord(Record):
+    """Stores the shard that a worker belongs to from now on."""
+
+    def __init__(self, worker_id: str, shard: int) -> None:
+        self.key = assignment_key(worker_id)
+        self._shard = shard
+
+    def operation(self) -> Operation:
+        return Put(self.key, msgspec.json.encode(self._shard))
