Share the checks for moving long-running tasks

The transfer of workers had its own copies of what vacating and rebalancing already did: when a task may be stopped to move, and whether the tasks of a worker fit together on others. Both are now in workflow/moves.py and serve all three; the long-running tasks of a worker are a property of its view. The healthy workers of a service were listed anew for each waiting step, ten times a second while a shard is full; they are listed once for each service now. No change in behaviour.

--- a/packages/pollengate/pollengate/workflow/fleet.py
+++ b/packages/pollengate/pollengate/workflow/fleet.py
@@ -69,6 +69,11 @@
         """Images of its serving tasks."""
         return {run.task.step.spec.image for run in self.serving}
 
+    @property
+    def long_running(self) -> list[Run]:
+        """Runs of long-running tasks."""
+        return [run for run in self.runs.values() if run.task.step.spec.is_long_running]
+
     @property
     def worker_id(self) -> str:
         """The worker's id."""
--- a/packages/pollengate/pollengate/workflow/rebalancing.py
+++ b/packages/pollengate/pollengate/workflow/rebalancing.py
@@ -10,8 +10,9 @@
 
 from pollengate.workflow.colocation import ColocationModel
 from pollengate.workflow.fleet import Fleet, WorkerView
+from pollengate.workflow.moves import may_stop_to_move
 from pollengate.workflow.placement import can_place
-from pollengate.workflow.progress import Run, RunState
+from pollengate.workflow.progress import Run
 from pollengate.workflow.vacating import images_short_of_capacity, worker_to_vacate
 
 __all__ = ["Rebalancer"]
@@ -101,13 +102,7 @@
 
     def _may_move(self, run: Run, now: float) -> bool:
         moved_at = self._moved_at_by_task.get(run.task.name, float("-inf"))
-        tasks = run.task.step.tasks
-        return (
-            run.state is RunState.RUNNING
-            and run.task.step.spec.is_long_running
-            and now - moved_at >= MIN_STAY_S
-            and all(task.is_past_startup for task in tasks)
-        )
+        return now - moved_at >= MIN_STAY_S and may_stop_to_move(run)
 
     def _gain(self, view: WorkerView, run: Run, now: float) -> float:
         """Returns how much a move would free for fillers.
--- a/packages/pollengate/pollengate/workflow/vacating.py
+++ b/packages/pollengate/pollengate/workflow/vacating.py
@@ -5,33 +5,17 @@
 other workers therefore make room for them, one worker at a time.
 """
 
-import dataclasses
+import functools
 from collections.abc import Callable, Mapping
 
 from pollengate.workflow.colocation import ColocationModel
 from pollengate.workflow.fleet import Fleet, WorkerView
-from pollengate.workflow.model import NO_DEMAND, Demand
-from pollengate.workflow.placement import is_allowed
+from pollengate.workflow.moves import fit_together
 from pollengate.workflow.progress import Run, StepProgress
 
 __all__ = ["images_short_of_capacity", "worker_to_vacate"]
 
 
-@dataclasses.dataclass(slots=True)
-class _Target:
-    """A possible destination, with its excluded filler images and the demand planned for it."""
-
-    view: WorkerView
-    excluded_images: set[str]
-    planned: Demand = NO_DEMAND
-
-    def can_place(self, step: StepProgress) -> bool:
-        """Returns True if a task fits next to the runs on the worker and the planned demand."""
-        return self.view.fits(step.spec.demand + self.planned, False) and is_allowed(
-            step, self.view
-        )
-
-
 def images_short_of_capacity(
     fleet: Fleet, colocation: ColocationModel, waiting_millis: Mapping[str, int], now: float
 ) -> set[str]:
@@ -60,6 +44,11 @@
         for view in fleet.all_schedulable(now)
         if view.serving
     }
+    excluded_by_image = functools.cache(lambda image: colocation.excluded_images([image]))
+
+    def excludes_no_more(step: StepProgress, other: WorkerView) -> bool:
+        return excluded_by_image(step.spec.image) <= excluded_by_view[other]
+
     best: WorkerView | None = None
     best_gain = 0.0
     for view, excluded_images in excluded_by_view.items():
@@ -68,30 +57,13 @@
             continue
         if not all(may_move(run) for run in view.serving):
             continue
-        targets = [
-            _Target(other, excluded_there)
-            for other, excluded_there in excluded_by_view.items()
+        others = [
+            other
+            for other in excluded_by_view
             if other is not view
             and other.info.service == view.info.service
             and not other.is_reserved
         ]
-        if _others_can_take_all(view, targets, colocation):
+        if fit_together(view.serving, others, excludes_no_more):
             best, best_gain = view, gain
     return best
-
-
-def _others_can_take_all(
-    view: WorkerView, targets: list[_Target], colocation: ColocationModel
-) -> bool:
-    """Returns True if others can take all serving tasks without excluding more filler images."""
-    for run in sorted(view.serving, key=lambda run: -run.task.step.spec.demand.cpu_millis):
-        step = run.task.step
-        excluded_by_task = colocation.excluded_images([step.spec.image])
-        target = next(
-            (t for t in targets if excluded_by_task <= t.excluded_images and t.can_place(step)),
-            None,
-        )
-        if target is None:
-            return False
-        target.planned += step.spec.demand
-    return True
--- a/packages/pollengate/pollengate/workflow/waiting.py
+++ b/packages/pollengate/pollengate/workflow/waiting.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import enum
+import functools
 from collections.abc import Callable
 
 from pollengate.workflow.fleet import WorkerView
@@ -71,7 +72,9 @@
         self._reported_at = {
             step: at for step, at in self._reported_at.items() if step in self._waiting_since
         }
-        workers_by_service: dict[str, list[WorkerView]] = {}
+        workers_of = functools.cache(
+            lambda service: self._job_table.fleet.schedulable_workers(service, now)
+        )
         overdue = []
         for step, since in self._waiting_since.items():
             if now - since < OVERDUE_AFTER_S:
@@ -79,23 +82,19 @@
             if now - self._reported_at.get(step, float("-inf")) < REPEAT_AFTER_S:
                 continue
             self._reported_at[step] = now
-            overdue.append(self._explain(step, now - since, workers_by_service, now))
+            overdue.append(self._explain(step, now - since, workers_of))
         return overdue
 
     def _explain(
         self,
         step: StepProgress,
         waited_s: float,
-        workers_by_service: dict[str, list[WorkerView]],
-        now: float,
+        workers_of: Callable[[str], list[WorkerView]],
     ) -> OverdueStep:
         queue = self._job_table.queue_of(step)
         if queue is None:
             return OverdueStep(step, waited_s, WaitCause.NO_QUEUE, 0, 0)
-        workers = workers_by_service.get(queue.service)
-        if workers is None:
-            workers = self._job_table.fleet.schedulable_workers(queue.service, now)
-            workers_by_service[queue.service] = workers
+        workers = workers_of(queue.service)
         room = sum(can_place(step, view) for view in workers)
         if step.job.is_restored and not self._is_settled():
             cause = WaitCause.UNSETTLED
--- a/packages/pollengate/pollengate/workflow/worker_transfer.py
+++ b/packages/pollengate/pollengate/workflow/worker_transfer.py
@@ -7,14 +7,16 @@
 """
 
 import dataclasses
+import functools
 from collections.abc import Callable
 
 from pollengate.workflow.fleet import Fleet, WorkerView
 from pollengate.workflow.job_table import JobTable
-from pollengate.workflow.model import NO_DEMAND, Demand, Queue
+from pollengate.workflow.model import Demand, Queue
+from pollengate.workflow.moves import fit_together, may_stop_to_move
 from pollengate.workflow.ordering import rank
 from pollengate.workflow.placement import can_place, is_allowed
-from pollengate.workflow.progress import Run, RunState, StepProgress
+from pollengate.workflow.progress import Run, StepProgress
 
 __all__ = [
     "CapacityRequest",
@@ -66,10 +68,11 @@
         if step.waiting and queue is not None and not step.spec.is_filler:
             waiting.append((step, queue))
     waiting.sort(key=lambda i: (not i[0].spec.is_long_running, rank(i[0], i[1], now)))
+    workers_of = functools.cache(lambda service: _healthy_workers(job_table, service, now))
     for step, queue in waiting:
         if step.job.is_restored and not is_settled():
             continue
-        if not _has_room(step, _healthy_workers(job_table, queue.service, now)):
+        if not _has_room(step, workers_of(queue.service)):
             spec = step.spec
             return CapacityRequest(
                 shard, queue.service, spec.required_label, spec.demand, spec.is_long_running
@@ -90,38 +93,20 @@
         for view in _healthy_workers(job_table, request.service, now)
         if _meets(view, request) and _can_empty(view, request, now)
     ]
-    candidates.sort(key=lambda view: (len(_long_running(view)), len(view.runs), view.worker_id))
+    candidates.sort(key=lambda view: (len(view.long_running), len(view.runs), view.worker_id))
     return next((view for view in candidates if fits_elsewhere(job_table, view, now)), None)
 
 
 def is_movable(run: Run, now: float) -> bool:
     """Returns True if a long-running task may be stopped to move: all others of its step serve."""
-    return (
-        run.state is RunState.RUNNING
-        and now - run.ordered_at >= MIN_STAY_S
-        and all(task.is_past_startup for task in run.task.step.tasks)
-    )
+    return now - run.ordered_at >= MIN_STAY_S and may_stop_to_move(run)
 
 
 def fits_elsewhere(job_table: JobTable, view: WorkerView, now: float) -> bool:
     """Returns True if all long-running tasks of a worker fit on other workers of its shard."""
     workers = _healthy_workers(job_table, view.info.service, now)
-    planned_by_worker = dict.fromkeys((other for other in workers if other is not view), NO_DEMAND)
-    to_move = sorted(_long_running(view), key=lambda run: -run.task.step.spec.demand.cpu_millis)
-    for run in to_move:
-        step = run.task.step
-        target = next(
-            (
-                other
-                for other, planned in planned_by_worker.items()
-                if other.fits(step.spec.demand + planned, False) and is_allowed(step, other)
-            ),
-            None,
-        )
-        if target is None:
-            return False
-        planned_by_worker[target] += step.spec.demand
-    return True
+    others = [other for other in workers if other is not view]
+    return fit_together(view.long_running, others, lambda step, other: True)
 
 
 def release_delay_s(fleet: Fleet, request: CapacityRequest, now: float) -> float:
@@ -159,14 +144,10 @@
     return max(0, min((free // each for free, each in limits if each), default=step.spec.count))
 
 
-def _long_running(view: WorkerView) -> list[Run]:
-    return [run for run in view.runs.values() if run.task.step.spec.is_long_running]
-
-
 def _can_empty(view: WorkerView, request: CapacityRequest, now: float) -> bool:
     if any(run.task.step.spec.is_gang for run in view.runs.values()):
         return False
-    to_move = _long_running(view)
+    to_move = view.long_running
     return not to_move or (request.is_long_running and all(is_movable(run, now) for run in to_move))
 
 
--- a/packages/pollengated/pollengated/edge/shard_load_log.py
+++ b/packages/pollengated/pollengated/edge/shard_load_log.py
@@ -1,7 +1,6 @@
 """Logs and exports the load of an owned shard and the tasks that wait for long."""
 
 from pollengate.workflow.job_table import JobTable
-from pollengate.workflow.progress import Run
 from pollengate.workflow.waiting import WaitMonitor
 
 from pollengated.edge.edge_metrics import EdgeMetrics
@@ -45,7 +44,7 @@
         views = self._job_table.fleet.all_schedulable(now)
         capacity = sum(view.info.capacity.cpu_millis for view in views)
         committed = sum(view.committed_millis for view in views)
-        spare = sum(not any(_is_long_running(run) for run in v.runs.values()) for v in views)
+        spare = sum(not view.long_running for view in views)
         label = str(self._shard)
         self._metrics.shard_capacity.labels(label).set(capacity)
         self._metrics.shard_committed.labels(label).set(committed)
@@ -78,7 +77,3 @@
                 schedulable=overdue.workers,
                 with_room=overdue.room,
             )
-
-
-def _is_long_running(run: Run) -> bool:
-    return run.task.step.spec.is_long_running
