Hold each assignment of a worker in one place, and forget workers in one way

Two dictionaries held the shard and the revision of an assignment under the same keys. Workers that departed and workers that were transferred were forgotten by two copies of one loop, and the list of recorded workers was compared twice for each change of a registration; the first time only matters after a transfer. Prefixes without arguments are constants, like the others. An election without candidates is answered at the start of the ranking and in the rank, not in the loop that waits.

--- a/packages/pollengate/pollengate/workflow/keys.py
+++ b/packages/pollengate/pollengate/workflow/keys.py
@@ -5,12 +5,12 @@
 __all__ = [
     "LAYOUT_KEY",
     "NODE_PREFIX",
+    "OWNER_PREFIX",
     "TRANSFER_PREFIX",
+    "ASSIGNMENT_PREFIX",
+    "CAPACITY_REQUEST_PREFIX",
     "assignment_key",
-    "assignment_prefix",
     "capacity_request_key",
-    "capacity_request_prefix",
-    "OWNER_PREFIX",
     "interference_record_key",
     "commit_key",
     "job_key",
@@ -26,8 +26,10 @@
 ROOT = "pollengate/"
 LAYOUT_KEY = f"{ROOT}layout"
 NODE_PREFIX = f"{ROOT}node/"
-TRANSFER_PREFIX = f"{ROOT}transfer/"
 OWNER_PREFIX = f"{NODE_PREFIX}owner/"
+TRANSFER_PREFIX = f"{ROOT}transfer/"
+ASSIGNMENT_PREFIX = f"{TRANSFER_PREFIX}worker/"
+CAPACITY_REQUEST_PREFIX = f"{TRANSFER_PREFIX}request/"
 
 
 def owner_key(shard: int) -> str:
@@ -70,24 +72,14 @@
     return f"{progress_prefix(shard)}{job_id}"
 
 
-def assignment_prefix() -> str:
-    """Returns the prefix of the assignments of single workers to shards."""
-    return f"{TRANSFER_PREFIX}worker/"
-
-
 def assignment_key(worker_id: str) -> str:
     """Returns the key of the shard that a worker was transferred to."""
-    return f"{assignment_prefix()}{worker_id}"
-
-
-def capacity_request_prefix() -> str:
-    """Returns the prefix of the requests of shards that are short of capacity."""
-    return f"{TRANSFER_PREFIX}request/"
+    return f"{ASSIGNMENT_PREFIX}{worker_id}"
 
 
 def capacity_request_key(shard: int) -> str:
     """Returns the key of the newest request of a shard for a worker."""
-    return f"{capacity_request_prefix()}{shard}"
+    return f"{CAPACITY_REQUEST_PREFIX}{shard}"
 
 
 def shard_of_job(job_id: str, shards: int) -> int:
--- a/packages/pollengated/pollengated/edge/shard_elector.py
+++ b/packages/pollengated/pollengated/edge/shard_elector.py
@@ -65,10 +65,12 @@
         shard: the shard to acquire.
     """
     staying = [member for member in members if not member.is_leaving]
+    if not staying:
+        return []
     shards_by_name = Counter(owner_names_by_shard.values())
-    vacant = [number for number in range(shard) if number not in owner_names_by_shard]
-    for number in vacant if staying else ():
-        shards_by_name[_sort_candidates(staying, shards_by_name, number)[0].node] += 1
+    for number in range(shard):
+        if number not in owner_names_by_shard:
+            shards_by_name[_sort_candidates(staying, shards_by_name, number)[0].node] += 1
     ranked = _sort_candidates(staying, shards_by_name, shard)
     return [Candidate(member.node, shards_by_name[member.node]) for member in ranked]
 
@@ -180,7 +182,7 @@
         first_turn_at = self._clocks.monotonic_s()
         while not self._is_leaving and self._directory.owner(self._shard) is None:
             ranked = self._rank_candidates()
-            rank = self._rank_in(ranked) if ranked else None
+            rank = self._rank_in(ranked)
             if rank is None:
                 await self._directory.wait_for_change(RETRY_S)
                 return False
@@ -197,7 +199,7 @@
 
     def _rank_in(self, ranked: list[Candidate]) -> int | None:
         """Returns the number of candidates to wait for, None if this process is not a candidate."""
-        if self._clocks.monotonic_s() < self._stalled_at + STALL_MEMORY_S:
+        if ranked and self._clocks.monotonic_s() < self._stalled_at + STALL_MEMORY_S:
             return len(ranked)
         names = [candidate.node for candidate in ranked]
         return names.index(self._record.node) if self._record.node in names else None
--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -309,11 +309,7 @@
 
     def _workers_changed(self) -> None:
         now = self._clocks.monotonic_s()
-        for view in self.fleet.forget_transferred(self._assignments.lowest_token):
-            self._forget_controller(view)
-            for run in list(view.runs.values()):
-                self.job_table.mark_lost(run)
-        self._recorded_workers.update()
+        self._forget(self.fleet.forget_transferred(self._assignments.lowest_token))
         own_workers = [
             worker
             for worker in self._registry.workers_by_id.values()
@@ -359,17 +355,19 @@
         self._controller_tasks_by_id[view.worker_id] = task
 
     def _remove_departed_workers(self) -> None:
-        departed = self.fleet.forget_departed(self._clocks.monotonic_s())
-        for view in departed:
-            self._forget_controller(view)
-        if departed:
+        self._forget(self.fleet.forget_departed(self._clocks.monotonic_s()))
+
+    def _forget(self, views: list[WorkerView]) -> None:
+        """Ends the control of workers that were removed from the fleet, and records the others."""
+        for view in views:
+            self._controllers_by_id.pop(view.worker_id)
+            self._controller_tasks_by_id.pop(view.worker_id).cancel()
+            self._throttle_controller.forget(view.worker_id)
+            for run in list(view.runs.values()):
+                self.job_table.mark_lost(run)
+        if views:
             self._recorded_workers.update()
 
-    def _forget_controller(self, view: WorkerView) -> None:
-        self._controllers_by_id.pop(view.worker_id)
-        self._controller_tasks_by_id.pop(view.worker_id).cancel()
-        self._throttle_controller.forget(view.worker_id)
-
     def _operator_view_changed(self) -> None:
         if self._operator_view.deployment is not None:
             self.job_table.deployment = self._operator_view.deployment
--- a/packages/pollengated/pollengated/edge/worker_assignments.py
+++ b/packages/pollengated/pollengated/edge/worker_assignments.py
@@ -7,9 +7,9 @@
 import msgspec
 from pollengate.store import Entry, Listing, PolledStore
 from pollengate.workflow.keys import (
+    ASSIGNMENT_PREFIX,
+    CAPACITY_REQUEST_PREFIX,
     TRANSFER_PREFIX,
-    assignment_prefix,
-    capacity_request_prefix,
 )
 from pollengate.workflow.model import Worker
 from pollengate.workflow.worker_transfer import CapacityRequest
@@ -41,6 +41,14 @@
     is_answered: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Assignment:
+    """The shard that a worker was assigned to, and the store revision of the assignment."""
+
+    shard: int
+    revision: int
+
+
 class WorkerAssignments:
     """Local copy of the assignments of workers and the requests for workers.
 
@@ -71,8 +79,7 @@
         self._clocks = clocks
         self._on_change = on_change
         self._is_loaded = False
-        self._shards_by_worker: dict[str, int] = {}
-        self._revisions_by_worker: dict[str, int] = {}
+        self._assignments_by_worker: dict[str, _Assignment] = {}
         self._log = Log("transfers")
 
     @property
@@ -89,32 +96,33 @@
 
     def shard_of(self, worker: Worker) -> int:
         """Returns the shard that a worker belongs to."""
-        assigned = self._shards_by_worker.get(worker.worker_id)
-        return self._layout.shard_of(worker.rack) if assigned is None else assigned
+        assigned = self._assignments_by_worker.get(worker.worker_id)
+        return self._layout.shard_of(worker.rack) if assigned is None else assigned.shard
 
     def is_assigned_elsewhere(self, worker_id: str) -> bool:
         """Whether a worker was transferred to another shard."""
-        return self._shards_by_worker.get(worker_id, self._shard) != self._shard
+        assigned = self._assignments_by_worker.get(worker_id)
+        return assigned is not None and assigned.shard != self._shard
 
     def lowest_token(self, worker_id: str) -> int:
         """Returns the lowest fencing token that a worker accepts, 0 if it was not transferred."""
-        return self._revisions_by_worker.get(worker_id, 0)
+        assigned = self._assignments_by_worker.get(worker_id)
+        return 0 if assigned is None else assigned.revision
 
     def is_met(self, open_request: OpenRequest) -> bool:
         """Whether a worker was assigned to a shard after its newest request."""
         return any(
-            shard == open_request.request.shard
-            and self._revisions_by_worker[worker_id] > open_request.revision
-            for worker_id, shard in self._shards_by_worker.items()
+            assigned.shard == open_request.request.shard
+            and assigned.revision > open_request.revision
+            for assigned in self._assignments_by_worker.values()
         )
 
     def _changed(self) -> None:
-        self._shards_by_worker.clear()
-        self._revisions_by_worker.clear()
+        self._assignments_by_worker.clear()
         for entry in self.cache.entries_by_key.values():
-            if entry.key.startswith(assignment_prefix()):
+            if entry.key.startswith(ASSIGNMENT_PREFIX):
                 self._apply_assignment(entry)
-            elif entry.key.startswith(capacity_request_prefix()):
+            elif entry.key.startswith(CAPACITY_REQUEST_PREFIX):
                 self._apply_request(entry)
         if self._is_loaded:
             self._on_change()
@@ -122,9 +130,8 @@
     def _apply_assignment(self, entry: Entry) -> None:
         shard = self._decode(entry, int)
         if shard is not None:
-            worker_id = entry.key.removeprefix(assignment_prefix())
-            self._shards_by_worker[worker_id] = shard
-            self._revisions_by_worker[worker_id] = entry.revision
+            worker_id = entry.key.removeprefix(ASSIGNMENT_PREFIX)
+            self._assignments_by_worker[worker_id] = _Assignment(shard, entry.revision)
 
     def _apply_request(self, entry: Entry) -> None:
         request = self._decode(entry, CapacityRequest)
--- a/tests/test_worker_transfers.py
+++ b/tests/test_worker_transfers.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 
-from pollengate.workflow.keys import assignment_prefix, shard_of_job
+from pollengate.workflow.keys import ASSIGNMENT_PREFIX, shard_of_job
 from pollengate.workflow.model import Demand
 from pollengate.workflow.progress import JobState
 
@@ -97,7 +97,7 @@
             for _, second in ids_by_shard.values():
                 await cluster.submit(second, ONE_MORE)
             await asyncio.sleep(MAX_ABSENCE_S)
-            assignments = (await cluster.store.list(assignment_prefix())).unwrap().entries
+            assignments = (await cluster.store.list(ASSIGNMENT_PREFIX)).unwrap().entries
             self.assertEqual(2, len(assignments))
             self.assertTrue(all(entry.revision == entry.created_revision for entry in assignments))
             for _, second in ids_by_shard.values():
