Use one function for free addresses and one check for single execution

tests/utils.py and scripts/local_run.py had the same free_addresses; the tests now use that of the script, so that its test covers the only one. The check that no task ran twice stood in four test classes, once without the part on runs after completion; all use EdgeTestCase, which moved to tests/edge_cluster.py. Two tests of a takeover share their first steps. No assertion was taken out.

--- a/tests/edge_cluster.py
+++ b/tests/edge_cluster.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import json
+import unittest
 from collections.abc import Sequence
 from typing import Any
 
@@ -36,7 +37,7 @@
 
 from tests.faulty_store import FaultyStore
 
-__all__ = ["EdgeCluster", "EdgeNode", "overlapping_runs", "runs_after_completion"]
+__all__ = ["EdgeCluster", "EdgeNode", "EdgeTestCase"]
 
 LOST_CALL_TIMEOUT_S = 0.8
 LEASE_RENEW_INTERVAL_S = 0.25
@@ -333,3 +334,13 @@
         and earlier.ended_at is not None
         and earlier.ended_at < later.began_at
     ]
+
+
+class EdgeTestCase(unittest.TestCase):
+    """Base class with the check that ends most scenarios."""
+
+    def check_single_execution(self, cluster: EdgeCluster) -> None:
+        """Asserts that no task ran twice."""
+        history = cluster.update_history()
+        self.assertEqual(overlapping_runs(history), [])
+        self.assertEqual(runs_after_completion(history), [])
--- a/tests/faults/test_gate_shutdown.py
+++ b/tests/faults/test_gate_shutdown.py
@@ -14,7 +14,7 @@
 
 import httpx
 
-from tests.utils import free_addresses
+from scripts.local_run import free_addresses
 
 BIN = Path(sys.executable).parent
 ZONE, SERVICE = "lima-sur-a", "scoring"
--- a/tests/test_edge_clock_steps.py
+++ b/tests/test_edge_clock_steps.py
@@ -1,14 +1,13 @@
 """Tests of owners whose time of day jumps, on virtual time."""
 
 import asyncio
-import unittest
 from unittest import mock
 
 from pollengate.workflow.job_service import Accepted, Found, NoSuchJob
 from pollengate.workflow.progress import JobState
 from pollengated.edge.clocks import Clocks
 
-from tests.edge_cluster import EdgeCluster, EdgeNode, overlapping_runs, runs_after_completion
+from tests.edge_cluster import EdgeCluster, EdgeNode, EdgeTestCase
 from tests.utils import run_virtual
 from tests.workflow_builders import build_step, build_workflow
 
@@ -40,7 +39,7 @@
             return super().start_node(name)
 
 
-class ClockStepTest(unittest.TestCase):
+class ClockStepTest(EdgeTestCase):
     """Jobs run, and are shown, whatever the owners' times of day are."""
 
     def test_job_accepted_by_a_clock_that_is_ahead_runs_on_after_a_takeover(self) -> None:
@@ -55,10 +54,8 @@
             node.kill()
             await cluster.wait_for_term(other_than=node.name)
             await cluster.wait_for_state(JOB_ID, JobState.COMPLETED)
-            history = cluster.update_history()
-            self.assertEqual(len(history), 4)
-            self.assertEqual(overlapping_runs(history), [])
-            self.assertEqual(runs_after_completion(history), [])
+            self.check_single_execution(cluster)
+            self.assertEqual(len(cluster.history), 4)
 
         run_virtual(main())
 
--- a/tests/test_edge_registrations.py
+++ b/tests/test_edge_registrations.py
@@ -1,20 +1,19 @@
 """Tests of workers whose registrations come and go, on virtual time."""
 
 import asyncio
-import unittest
 
 from pollengate.store import Delete
 from pollengate.workflow.job_service import Accepted
 from pollengate.workflow.progress import JobState
 
-from tests.edge_cluster import EdgeCluster, overlapping_runs
+from tests.edge_cluster import EdgeCluster, EdgeTestCase
 from tests.utils import run_virtual
 from tests.workflow_builders import build_step, build_workflow
 
 JOB_ID = "00000000000000aa"
 
 
-class RegistrationTest(unittest.TestCase):
+class RegistrationTest(EdgeTestCase):
     """Workers whose registration is missing for a time."""
 
     def test_idle_workers_that_register_again_get_tasks(self) -> None:
@@ -49,6 +48,6 @@
             await asyncio.sleep(2.0)
             history = cluster.update_history()
             self.assertEqual(len(history), 4)
-            self.assertEqual(overlapping_runs(history), [])
+            self.check_single_execution(cluster)
 
         run_virtual(main())
--- a/tests/test_edge_suspension.py
+++ b/tests/test_edge_suspension.py
@@ -1,13 +1,12 @@
 """Tests of owners whose lease is not renewed for a time but not lost either, on virtual time."""
 
 import asyncio
-import unittest
 
 from pollengate.workflow.clients import EndKind
 from pollengate.workflow.job_service import Accepted, Cancelled
 from pollengate.workflow.progress import JobState
 
-from tests.edge_cluster import EdgeCluster, overlapping_runs, runs_after_completion
+from tests.edge_cluster import EdgeCluster, EdgeTestCase
 from tests.utils import run_virtual
 from tests.workflow_builders import build_step, build_workflow
 
@@ -18,7 +17,7 @@
 SUSPENDED_AFTER_S = 5.0
 
 
-class SuspendedOwnerTest(unittest.TestCase):
+class SuspendedOwnerTest(EdgeTestCase):
     """Stop orders that got no reply before the owner was suspended."""
 
     def test_runs_whose_stop_got_no_reply_before_a_suspension_are_stopped_after_it(self) -> None:
@@ -63,8 +62,6 @@
             await cluster.pause_store(PAUSE_S)
             self.assertIs(await cluster.wait_for_term(), term)
             await cluster.wait_for_state(JOB_ID, JobState.COMPLETED)
-            history = cluster.update_history()
-            self.assertEqual(overlapping_runs(history), [])
-            self.assertEqual(runs_after_completion(history), [])
+            self.check_single_execution(cluster)
 
         run_virtual(main())
--- a/tests/test_edge_takeover.py
+++ b/tests/test_edge_takeover.py
@@ -1,7 +1,6 @@
 """Tests of ownership of a shard under failures of processes, store and workers, on virtual time."""
 
 import asyncio
-import unittest
 
 from pollengate.workflow.job_service import Accepted, Cancelled, Found, JobResponse, NotAccepted
 from pollengate.workflow.keys import job_prefix
@@ -9,7 +8,7 @@
 from pollengated.edge.node_directory import NodeRecord
 from pollengated.edge.shard_elector import rank_candidates
 
-from tests.edge_cluster import EdgeCluster, EdgeNode, overlapping_runs, runs_after_completion
+from tests.edge_cluster import EdgeCluster, EdgeNode, EdgeTestCase
 from tests.faulty_store import Fault
 from tests.utils import run_virtual
 from tests.workflow_builders import build_step, build_workflow
@@ -18,16 +17,6 @@
 INFINITE_DURATION_S = float("inf")
 
 
-class EdgeTestCase(unittest.TestCase):
-    """Base class with the check that ends most scenarios."""
-
-    def check_single_execution(self, cluster: EdgeCluster) -> None:
-        """Asserts that no task ran twice."""
-        history = cluster.update_history()
-        self.assertEqual(overlapping_runs(history), [])
-        self.assertEqual(runs_after_completion(history), [])
-
-
 class JobRequestTest(EdgeTestCase):
     """Tests of clients' requests, also during an outage of the store."""
 
@@ -268,13 +257,18 @@
 
         run_virtual(main())
 
+    async def take_over_without_records(self) -> tuple[EdgeCluster, EdgeNode]:
+        """Kills the owner of a job; returns the only candidate, which can't read the records."""
+        cluster = EdgeCluster()
+        await cluster.open()
+        await cluster.submit(JOB_ID, build_workflow(build_step(6)))
+        (other,) = self.kill_owner(cluster)
+        other.store.unreadable_prefix = job_prefix(0)
+        return cluster, other
+
     def test_only_candidate_serves_the_shard_as_soon_as_the_records_can_be_read(self) -> None:
         async def main() -> None:
-            cluster = EdgeCluster()
-            await cluster.open()
-            await cluster.submit(JOB_ID, build_workflow(build_step(6)))
-            (other,) = self.kill_owner(cluster)
-            other.store.unreadable_prefix = job_prefix(0)
+            cluster, other = await self.take_over_without_records()
             await asyncio.sleep(20.0)
             other.store.unreadable_prefix = ""
             await cluster.wait_for_state(JOB_ID, JobState.COMPLETED, 15.0)
@@ -284,11 +278,7 @@
 
     def test_store_outage_while_the_records_are_read_does_not_end_the_ownership(self) -> None:
         async def main() -> None:
-            cluster = EdgeCluster()
-            await cluster.open()
-            await cluster.submit(JOB_ID, build_workflow(build_step(6)))
-            (other,) = self.kill_owner(cluster)
-            other.store.unreadable_prefix = job_prefix(0)
+            cluster, other = await self.take_over_without_records()
             await asyncio.sleep(3.5)
             assert other.elector.term is not None
             token = other.elector.term.shard_lease.token
--- a/tests/test_utils.py
+++ b/tests/test_local_run.py
@@ -1,9 +1,9 @@
-"""Tests of the helpers that other tests use."""
+"""Tests of the run on the loopback interface."""
 
 import unittest
 from pathlib import Path
 
-from tests.utils import free_addresses
+from scripts.local_run import free_addresses
 
 
 class FreeAddressesTest(unittest.TestCase):
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -14,7 +14,8 @@
 from pollengate_platform.workers import HttpWorkerClient
 from result import Err, Ok, Result
 
-from tests.utils import free_addresses, run_virtual
+from scripts.local_run import free_addresses
+from tests.utils import run_virtual
 
 
 class ScriptedHttpClient(HttpClient):
--- a/tests/test_worker_transfers.py
+++ b/tests/test_worker_transfers.py
@@ -7,7 +7,7 @@
 from pollengate.workflow.model import Demand
 from pollengate.workflow.progress import JobState
 
-from tests.edge_cluster import EdgeCluster, overlapping_runs, runs_after_completion
+from tests.edge_cluster import EdgeCluster, EdgeTestCase
 from tests.utils import run_virtual
 from tests.workflow_builders import build_step, build_workflow
 
@@ -26,15 +26,9 @@
     return [job_id for job_id in found if shard_of_job(job_id, shards) == shard][:count]
 
 
-class WorkerTransferTest(unittest.TestCase):
+class WorkerTransferTest(EdgeTestCase):
     """A shard that is full gets workers of a shard that has room."""
 
-    def check_single_execution(self, cluster: EdgeCluster) -> None:
-        """Asserts that no task ran twice."""
-        history = cluster.update_history()
-        self.assertEqual([], overlapping_runs(history))
-        self.assertEqual([], runs_after_completion(history))
-
     def running_workers(self, cluster: EdgeCluster, job_id: str) -> list[str]:
         """Returns the workers on which tasks of a job run."""
         history = cluster.update_history()
--- a/tests/utils.py
+++ b/tests/utils.py
@@ -1,11 +1,6 @@
 """Builders and helpers that several tests use."""
 
 import asyncio
-import contextlib
-import itertools
-import os
-import random
-import socket
 from collections.abc import Coroutine
 from typing import Any, TypeVar
 
@@ -26,7 +21,6 @@
     "build_settings",
     "build_spec",
     "build_worker",
-    "free_addresses",
     "request_app",
     "run_virtual",
 ]
@@ -36,11 +30,6 @@
 CANCEL_TIMEOUT_S = 60.0
 # Idle iterations of the loop before the virtual clock moves on.
 NOOP_CYCLES = 1
-# Below the ports that Linux assigns to outgoing connections.
-LISTEN_PORTS = range(20_000, 32_768)
-_listen_ports = itertools.cycle(
-    random.Random(os.getpid()).sample(LISTEN_PORTS, k=len(LISTEN_PORTS))
-)
 
 
 def run_virtual(main: Coroutine[Any, Any, T]) -> T:
@@ -150,14 +139,3 @@
             return await client.request(method, path, **options)
 
     return run_virtual(main())
-
-
-def free_addresses(count: int) -> list[str]:
-    """Returns loopback addresses with free ports that no outgoing connection can take."""
-    addresses: list[str] = []
-    while len(addresses) < count:
-        port = next(_listen_ports)
-        with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind(("127.0.0.1", port))
-            addresses.append(f"127.0.0.1:{port}")
-    return addresses
