Let owners send heartbeats instead of being pinged for each shard

Cause: each process called the owner of every shard every 0.4 s, processes x shards x 2.5 calls a second, 1,212 with 97 processes and five shards. An owner now sends one stream of heartbeats to each other process, with the shards that it serves: one message without a call, whatever the number of shards. An owner counts as unreachable 1.5 s after its last heartbeat, as before with pings.

--- a/packages/pollengate-net/pollengate_net/calls.py
+++ b/packages/pollengate-net/pollengate_net/calls.py
@@ -2,15 +2,15 @@
 
 import dataclasses
 from collections.abc import Awaitable, Callable
-from typing import TypeVar
+from typing import Any, TypeVar
 
-from grpclib.client import Channel
+from grpclib.client import Channel, UnaryStreamMethod
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 from result import Err, Ok, Result
 
 from pollengate_net.request_ids import trace_channel
 
-__all__ = ["CallFailure", "call_unary", "open_channel", "split_address"]
+__all__ = ["CallFailure", "call_unary", "open_channel", "receive_stream", "split_address"]
 
 T = TypeVar("T")
 
@@ -62,3 +62,23 @@
         return Err(CallFailure(was_sent, f"{type(error).__name__}: {error}"))
     except (TimeoutError, GRPCError, StreamTerminatedError) as error:
         return Err(CallFailure(True, f"{type(error).__name__}: {error}"))
+
+
+async def receive_stream(
+    method: UnaryStreamMethod[Any, Any], request: object, on_message: Callable[[Any], None]
+) -> CallFailure:
+    """Receives the messages of a streaming call until the stream ends, and returns why it ended.
+
+    Args:
+        method: the method of a generated stub.
+        request: the request message.
+        on_message: called with each message.
+    """
+    try:
+        async with method.open() as stream:
+            await stream.send_message(request, end=True)
+            async for message in stream:
+                on_message(message)
+    except (OSError, TimeoutError, GRPCError, StreamTerminatedError) as error:
+        return CallFailure(True, f"{type(error).__name__}: {error}")
+    return CallFailure(True, "the sender ended the stream")
--- a/packages/pollengate-net/pollengate_net/messages/edge_grpc.py
+++ b/packages/pollengate-net/pollengate_net/messages/edge_grpc.py
@@ -31,7 +31,7 @@
         pass
 
     @abc.abstractmethod
-    async def Ping(self, stream: 'grpclib.server.Stream[pollengate_net.messages.edge_pb2.QueueRequest, pollengate_net.messages.edge_pb2.JobReply]') -> None:
+    async def Heartbeats(self, stream: 'grpclib.server.Stream[pollengate_net.messages.edge_pb2.HeartbeatRequest, pollengate_net.messages.edge_pb2.Heartbeat]') -> None:
         pass
 
     @abc.abstractmethod
@@ -64,11 +64,11 @@
                 pollengate_net.messages.edge_pb2.QueueRequest,
                 pollengate_net.messages.edge_pb2.JobReply,
             ),
-            '/pollengate.edge.v1.Edge/Ping': grpclib.const.Handler(
-                self.Ping,
-                grpclib.const.Cardinality.UNARY_UNARY,
-                pollengate_net.messages.edge_pb2.QueueRequest,
-                pollengate_net.messages.edge_pb2.JobReply,
+            '/pollengate.edge.v1.Edge/Heartbeats': grpclib.const.Handler(
+                self.Heartbeats,
+                grpclib.const.Cardinality.UNARY_STREAM,
+                pollengate_net.messages.edge_pb2.HeartbeatRequest,
+                pollengate_net.messages.edge_pb2.Heartbeat,
             ),
             '/pollengate.edge.v1.Edge/GetView': grpclib.const.Handler(
                 self.GetView,
@@ -106,11 +106,11 @@
             pollengate_net.messages.edge_pb2.QueueRequest,
             pollengate_net.messages.edge_pb2.JobReply,
         )
-        self.Ping = grpclib.client.UnaryUnaryMethod(
+        self.Heartbeats = grpclib.client.UnaryStreamMethod(
             channel,
-            '/pollengate.edge.v1.Edge/Ping',
-            pollengate_net.messages.edge_pb2.QueueRequest,
-            pollengate_net.messages.edge_pb2.JobReply,
+            '/pollengate.edge.v1.Edge/Heartbeats',
+            pollengate_net.messages.edge_pb2.HeartbeatRequest,
+            pollengate_net.messages.edge_pb2.Heartbeat,
         )
         self.GetView = grpclib.client.UnaryUnaryMethod(
             channel,
--- a/packages/pollengated/pollengated/edge/owned_shards.py
+++ b/packages/pollengated/pollengated/edge/owned_shards.py
@@ -21,6 +21,10 @@
         self._clocks = clocks
         self.electors_by_shard: dict[int, ShardElector] = {}
 
+    def served_shards(self) -> list[int]:
+        """Returns the numbers of the shards that this process serves."""
+        return [shard for shard in self.electors_by_shard if self.serving_term(shard) is not None]
+
     def serving_term(self, shard: int) -> ShardTerm | None:
         """Returns the term of a shard if this process owns it and has loaded its records.
 
--- a/packages/pollengated/pollengated/edge/rpc.py
+++ b/packages/pollengated/pollengated/edge/rpc.py
@@ -1,7 +1,7 @@
 """gRPC client and service for calls between edge processes."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Any
 
 import msgspec
@@ -20,7 +20,7 @@
 )
 from pollengate.workflow.model import Workflow
 from pollengate.workflow.progress import JobState
-from pollengate_net.calls import CallFailure, call_unary, open_channel
+from pollengate_net.calls import CallFailure, call_unary, open_channel, receive_stream
 from pollengate_net.grpc_requests import receive_request
 from pollengate_net.messages import edge_pb2 as pb
 from pollengate_net.messages.edge_grpc import EdgeBase, EdgeStub
@@ -30,12 +30,14 @@
 from pollengated.edge.operator_view import OperatorView
 from pollengated.edge.owned_shards import OwnedShards
 
-__all__ = ["EdgeClient", "EdgeService", "NotOwner"]
+__all__ = ["HEARTBEAT_INTERVAL_S", "EdgeClient", "EdgeService", "NotOwner"]
 
 # An owner replies when a record is durable, which takes up to 0.3 s if the store is slow.
 CALL_TIMEOUT_S = 0.9
 VIEW_TIMEOUT_S = 0.5
+HEARTBEAT_INTERVAL_S = 0.4
 _NOT_OWNER = "not_owner"
+_JOB_STATES = frozenset(state.value for state in JobState)
 
 
 class NotOwner:
@@ -82,10 +84,23 @@
             address, "CountWaiting", pb.QueueRequest(shard=shard, queue=queue)
         )
 
-    async def ping(self, address: str, shard: int, timeout_s: float) -> bool:
-        """Returns True if a process replies within the timeout and serves a shard."""
-        result = await self._call(address, "Ping", pb.QueueRequest(shard=shard), timeout_s)
-        return not isinstance(result, Err) and result.ok_value.kind == "accepted"
+    async def follow_heartbeats(
+        self, address: str, on_heartbeat: Callable[[Sequence[int]], None]
+    ) -> CallFailure:
+        """Calls a function periodically with the shards that a process serves.
+
+        Returns:
+            Why the heartbeats ended.
+        """
+        channel = self._channel(address)
+        try:
+            return await receive_stream(
+                EdgeStub(channel).Heartbeats,
+                pb.HeartbeatRequest(),
+                lambda heartbeat: on_heartbeat(heartbeat.shards),
+            )
+        finally:
+            self._replace_channel(address, channel)
 
     async def fetch_view(self, address: str) -> Result[tuple[tuple[Entry, ...], int], CallFailure]:
         """Returns another process's copy of the operators' keys and its store revision."""
@@ -111,16 +126,26 @@
     async def _call(
         self, address: str, method: str, request: object, timeout_s: float
     ) -> Result[Any, CallFailure]:
+        channel = self._channel(address)
+        result = await call_unary(getattr(EdgeStub(channel), method), request, timeout_s)
+        if isinstance(result, Err):
+            self._replace_channel(address, channel)
+        return result
+
+    def _channel(self, address: str) -> Channel:
         channel = self._channels_by_address.get(address)
         if channel is None:
             channel = self._channels_by_address[address] = open_channel(address)
-        result = await call_unary(getattr(EdgeStub(channel), method), request, timeout_s)
-        if isinstance(result, Err) and self._channels_by_address.get(address) is channel:
-            # The connection may be dead; the next call opens a new one. Other calls on this one may
-            # still succeed, so it is closed after their timeout.
+        return channel
+
+    def _replace_channel(self, address: str, channel: Channel) -> None:
+        """Makes the next call open a new connection, as this one may be dead.
+
+        Other calls on this one may still succeed, so it is closed after their timeout.
+        """
+        if self._channels_by_address.get(address) is channel:
             del self._channels_by_address[address]
             asyncio.get_running_loop().call_later(CALL_TIMEOUT_S, channel.close)
-        return result
 
 
 class EdgeService(EdgeBase):
@@ -157,11 +182,12 @@
             stream, lambda request_handler, request: request_handler.count_waiting(request.queue)
         )
 
-    async def Ping(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
-        """Replies whether this process serves a shard."""
-        request = await receive_request(stream)
-        is_serving = self._owned_shards.serving_term(request.shard) is not None
-        await stream.send_message(pb.JobReply(kind="accepted" if is_serving else _NOT_OWNER))
+    async def Heartbeats(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
+        """Sends the shards that this process serves, until the caller closes the stream."""
+        await receive_request(stream)
+        while True:
+            await stream.send_message(pb.Heartbeat(shards=self._owned_shards.served_shards()))
+            await asyncio.sleep(HEARTBEAT_INTERVAL_S)
 
     async def GetView(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
         """Returns this process's copy of the operators' keys."""
--- a/tests/test_gate_job_service.py
+++ b/tests/test_gate_job_service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from collections.abc import Callable, Sequence
 from typing import Any
 
 from pollengate.memory_store import MemoryStore
@@ -26,7 +27,7 @@
 from pollengated.edge.operator_view import OperatorView
 from pollengated.edge.owned_shards import OwnedShards
 from pollengated.edge.owner_probe import UNREACHABLE_AFTER_S, OwnerProbe
-from pollengated.edge.rpc import EdgeClient, NotOwner
+from pollengated.edge.rpc import HEARTBEAT_INTERVAL_S, EdgeClient, NotOwner
 from result import Err, Ok, Result
 
 from tests.utils import run_virtual
@@ -46,7 +47,7 @@
         super().__init__()
         self._replies = list(replies)
         self.called_addresses: list[str] = []
-        self.replies_to_pings = True
+        self.sends_heartbeats = True
 
     async def submit(self, address: str, *_: Any) -> Result[JobResponse | NotOwner, CallFailure]:
         """Returns the next scripted reply."""
@@ -56,11 +57,14 @@
         """Returns the next scripted reply."""
         return await self._next(address)
 
-    async def ping(self, address: str, shard: int, timeout_s: float) -> bool:
-        """Replies at once, or times out if `replies_to_pings` is False."""
-        if not self.replies_to_pings:
-            await asyncio.sleep(timeout_s)
-        return self.replies_to_pings
+    async def follow_heartbeats(
+        self, address: str, on_heartbeat: Callable[[Sequence[int]], None]
+    ) -> CallFailure:
+        """Sends heartbeats of shard 0 while `sends_heartbeats` is True."""
+        while True:
+            if self.sends_heartbeats:
+                on_heartbeat((0,))
+            await asyncio.sleep(HEARTBEAT_INTERVAL_S)
 
     async def _next(self, address: str) -> Result[JobResponse | NotOwner, CallFailure]:
         self.called_addresses.append(address)
@@ -143,7 +147,7 @@
     def test_request_for_an_unreachable_owner_is_rejected_without_being_sent(self) -> None:
         async def main() -> None:
             gate = GateHarness(Accepted())
-            gate.client.replies_to_pings = False
+            gate.client.sends_heartbeats = False
             probe_task = asyncio.create_task(gate.probe.run())
             await asyncio.sleep(UNREACHABLE_AFTER_S + 1.0)
             self.assertFalse(gate.probe.are_all_reachable())
@@ -153,7 +157,7 @@
             self.assertEqual(response, NotAccepted("owner_unreachable", outage_s))
             self.assertEqual(took_s, 0.0)
             self.assertEqual(gate.client.called_addresses, [])
-            gate.client.replies_to_pings = True
+            gate.client.sends_heartbeats = True
             await asyncio.sleep(1.0)
             self.assertIsInstance((await gate.submit())[0], Accepted)
             probe_task.cancel()
