Load and wake less in edge processes that only stand by

Cause: each start loaded the settings model of the other roles, and litestar loads pydantic wherever it is installed; three HTTP servers a process woke up ten times a second each to look whether they should exit, and each elector twice.

--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,9 @@
 PACKAGES := packages/pollengate packages/pollengate-settings packages/pollengate-net packages/pollengated packages/pollengate-cli packages/pollengate-standins platform
 EDITABLE := $(foreach package,$(PACKAGES),--editable $(package))
 
+# Used only by roles that are not deployed; litestar loads pydantic at each start if it is there.
+NOT_DEPLOYED := annotated-types pydantic pydantic-core typing-inspection
+
 # Makes uv use the certificates of the system, as pip does.
 export UV_SYSTEM_CERTS := 1
 
@@ -39,7 +42,7 @@
 lock: setup  ## Pins all dependencies, without the address of a package index.
 	$(BIN)/uv lock --quiet
 	$(BIN)/uv export --quiet --frozen --no-emit-workspace --no-header --no-annotate --output-file requirements.lock
-	$(BIN)/uv export --quiet --frozen --package pollengated --no-dev --no-emit-workspace --no-header --no-annotate --output-file deploy/requirements.txt
+	$(BIN)/uv export --quiet --frozen --package pollengated --no-dev --no-emit-workspace --no-header --no-annotate $(addprefix --no-emit-package ,$(NOT_DEPLOYED)) --output-file deploy/requirements.txt
 
 messages: setup  ## Generates the message and service classes from proto/.
 	PATH="$(CURDIR)/$(BIN):$$PATH" $(BIN)/python -m grpc_tools.protoc --proto_path=proto \
--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -9,9 +9,8 @@
     touch target/deps/.lock
 fi
 rm -rf target/deps/pollengate target/deps/pollengate_*  target/deps/pollengated
-for package in packages/pollengate/pollengate packages/pollengate-settings/pollengate_settings \
-    packages/pollengate-net/pollengate_net packages/pollengated/pollengated \
-    platform/pollengate_platform; do
+for package in packages/pollengate/pollengate packages/pollengate-net/pollengate_net \
+    packages/pollengated/pollengated platform/pollengate_platform; do
     cp -R "$package" target/deps/
 done
 python3 -m compileall -q -j 0 target/deps
--- a/packages/pollengated/pollengated/edge/compose.py
+++ b/packages/pollengated/pollengated/edge/compose.py
@@ -33,10 +33,10 @@
 from pollengated.edge.shard_elector import ShardElector
 from pollengated.edge.shard_term import ShardTerm
 from pollengated.gate_shutdown import CloseConnectionsOnShutdown, GateShutdown
-from pollengated.http_server import NoSignalServer
 from pollengated.logs import Log
 from pollengated.readiness import ShutdownFlag
 from pollengated.stdout_log import configure_stdout_logging
+from pollengated.uvicorn_server import NoSignalServer
 
 __all__ = ["run_edge"]
 
--- a/packages/pollengated/pollengated/edge/shard_elector.py
+++ b/packages/pollengated/pollengated/edge/shard_elector.py
@@ -24,7 +24,7 @@
 CANDIDATE_DELAY_S = 0.15
 # A candidate that could not read the records of the shard lets all others go first for this long.
 STALL_MEMORY_S = 30.0
-DIRECTORY_WAIT_S = 0.5
+DIRECTORY_WAIT_S = 5.0
 # A starting process waits this long for others to register, for each shard that the best candidate
 # known so far already owns.
 REGISTRATION_WAIT_S = 0.5
--- a/packages/pollengated/pollengated/gate_shutdown.py
+++ b/packages/pollengated/pollengated/gate_shutdown.py
@@ -9,9 +9,9 @@
 
 from litestar.types import ASGIApp, Message, Receive, Scope, Send
 
-from pollengated.http_server import NoSignalServer
 from pollengated.logs import Log
 from pollengated.readiness import ShutdownFlag
+from pollengated.uvicorn_server import NoSignalServer
 
 __all__ = ["CloseConnectionsOnShutdown", "GateShutdown"]
 
--- a/packages/pollengated/pollengated/http_server.py
+++ b/packages/pollengated/pollengated/http_server.py
@@ -1,8 +1,7 @@
 """The HTTP server of a process: application, size and time limits, error responses."""
 
 import asyncio
-import contextlib
-from collections.abc import Iterator, Sequence
+from collections.abc import Sequence
 
 import uvicorn
 from litestar import Litestar, Router
@@ -16,8 +15,9 @@
 from pollengated.metrics import Metrics
 from pollengated.request_tracing import RequestTracing
 from pollengated.settings import Settings
+from pollengated.uvicorn_server import NoSignalServer
 
-__all__ = ["NoSignalServer", "create_app", "create_server", "serve_until_cancelled"]
+__all__ = ["create_app", "create_server", "serve_until_cancelled"]
 
 
 def create_app(
@@ -34,15 +34,6 @@
     return RequestTracing(BodyDeadline(app, settings.body_timeout_s))
 
 
-class NoSignalServer(uvicorn.Server):
-    """A uvicorn server that installs no signal handlers."""
-
-    @contextlib.contextmanager
-    def capture_signals(self) -> Iterator[None]:
-        """Installs no signal handlers; the role handles signals itself."""
-        yield
-
-
 def create_server(app: ASGIApp, settings: Settings, metrics: Metrics) -> NoSignalServer:
     """Returns a server that listens on the HTTP address of the settings."""
     host, port = split_address(settings.http_address)
--- a/packages/pollengated/pollengated/logs.py
+++ b/packages/pollengated/pollengated/logs.py
@@ -5,13 +5,15 @@
 import math
 import re
 import sys
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import logbook
 from logbook.compat import RedirectLoggingHandler
 from pollengate_net.request_ids import current_request_id
 
-from pollengated.settings import Settings
+if TYPE_CHECKING:
+    # The edge role logs without settings of its own, and does not load their model.
+    from pollengated.settings import Settings
 
 __all__ = ["Log", "format_json", "format_text", "configure_logging"]
 
@@ -42,7 +44,7 @@
         self._logger.error(message, exc_info=exc_info, extra=_with_request_id(fields))
 
 
-def configure_logging(settings: Settings) -> None:
+def configure_logging(settings: "Settings") -> None:
     """Writes the logs of all parts to standard error in the configured format and level.
 
     Warnings that libraries log through the standard `logging` module go there, too.
--- a/packages/pollengated/pollengated/main.py
+++ b/packages/pollengated/pollengated/main.py
@@ -4,11 +4,13 @@
 import sys
 from collections.abc import Awaitable, Callable
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import click
 from result import Err
 
-from pollengated.settings import Settings, read_settings
+if TYPE_CHECKING:
+    from pollengated.settings import Settings
 
 __all__ = ["main"]
 
@@ -61,7 +63,9 @@
     asyncio.run(run_edge(result.ok_value))
 
 
-def _run(path: Path, role: Callable[[Settings], Awaitable[None]]) -> None:
+def _run(path: Path, role: Callable[["Settings"], Awaitable[None]]) -> None:
+    from pollengated.settings import read_settings
+
     result = read_settings(path)
     if isinstance(result, Err):
         for fault in result.err_value:
--- a/tests/test_http_services.py
+++ b/tests/test_http_services.py
@@ -14,11 +14,11 @@
 from pollengate.backend_client import BackendResponse, ResponseTruncatedError
 from pollengate.refusals import Outcome, Reason, Refusal
 from pollengated.gate_shutdown import CloseConnectionsOnShutdown
-from pollengated.http_server import NoSignalServer
 from pollengated.http_services import drop_hop_by_hop_headers, service_router
 from pollengated.metrics import Metrics
 from pollengated.readiness import Readiness
 from pollengated.service_proxy import ServiceRequest
+from pollengated.uvicorn_server import NoSignalServer
 from result import Err, Ok, Result
 
 from tests.test_gate_shutdown import build_readiness
