Score each worker once for a step, and ask quiet workers less often

Scores are kept while the tasks of a step are placed; the counts are kept up to date. The pause between rounds follows the length of the last one, so that a backlog leaves the processor to reports. Workers without fillers are asked for a report every second, not every 0.4 s.

test_workflow_planner_cost plays twelve random loads with and without kept scores, with the same decisions, and counts checks of workers (workers + tasks, before workers x tasks).

--- a/packages/pollengate/pollengate/workflow/colocation.py
+++ b/packages/pollengate/pollengate/workflow/colocation.py
@@ -79,7 +79,7 @@
     def probability(self, serving: str, filler: str) -> float:
         """Returns the probability that a pair of images interferes."""
         log_odds = self._log_odds_by_pair.get((serving, filler))
-        return 1 / (1 + math.exp(-(PRIOR_LOG_ODDS if log_odds is None else log_odds)))
+        return _probability(PRIOR_LOG_ODDS if log_odds is None else log_odds)
 
     def interference_probability(self, view: WorkerView, step: StepProgress) -> float:
         """Returns the probability that a step's fillers interfere with a worker's serving tasks."""
@@ -95,8 +95,10 @@
         return empty.union(*(self._interfering_by_serving.get(i, empty) for i in serving_images))
 
     def _highest_probability(self, view: WorkerView, filler: str) -> float:
-        probabilities = (self.probability(image, filler) for image in view.serving_images)
-        return max(probabilities, default=0.0)
+        log_odds = [self._log_odds_by_pair.get((image, filler)) for image in view.serving_images]
+        if not log_odds:
+            return 0.0
+        return _probability(max(PRIOR_LOG_ODDS if odds is None else odds for odds in log_odds))
 
     def _raise_odds(self, serving: str, weight_by_filler: dict[str, float]) -> None:
         likelihood_by_filler = {
@@ -126,6 +128,10 @@
             interfering.discard(filler)
 
 
+def _probability(log_odds: float) -> float:
+    return 1 / (1 + math.exp(-log_odds))
+
+
 def _weight_by_filler_image(view: WorkerView) -> dict[str, float]:
     """Returns the weight of each filler image on a worker, from 0 to 1."""
     used_by_image: collections.defaultdict[str, float] = collections.defaultdict(float)
--- a/packages/pollengate/pollengate/workflow/fleet.py
+++ b/packages/pollengate/pollengate/workflow/fleet.py
@@ -33,6 +33,7 @@
         memory_mb: memory declared by all tasks.
         accelerators: devices declared by all tasks.
         serving: runs with a latency target.
+        serving_images: number of those runs by image.
         fillers: runs of fillers.
         unavailable_until: clock time before which no run is started on it.
         fillers_blocked_until: clock time before which no filler is placed on it.
@@ -56,6 +57,7 @@
     memory_mb: int = 0
     accelerators: int = 0
     serving: dict[Run, None] = dataclasses.field(default_factory=dict)
+    serving_images: dict[str, int] = dataclasses.field(default_factory=dict)
     fillers: dict[Run, None] = dataclasses.field(default_factory=dict)
     unavailable_until: float = 0.0
     fillers_blocked_until: float = 0.0
@@ -64,11 +66,6 @@
     is_released: bool = False
     lowest_token: int = 0
 
-    @property
-    def serving_images(self) -> set[str]:
-        """Images of its serving tasks."""
-        return {run.task.step.spec.image for run in self.serving}
-
     @property
     def long_running(self) -> list[Run]:
         """Runs of long-running tasks."""
@@ -120,6 +117,10 @@
         )
         if is_serving:
             _set_member(self.serving, run, sign > 0)
+            count = self.serving_images.get(spec.image, 0) + sign
+            self.serving_images[spec.image] = count
+            if not count:
+                del self.serving_images[spec.image]
 
 
 class Fleet:
--- a/packages/pollengate/pollengate/workflow/job_table.py
+++ b/packages/pollengate/pollengate/workflow/job_table.py
@@ -114,7 +114,7 @@
         """Adds a run that is about to be started."""
         run = Run(task, number, view.worker_id, now, progressed_at=now)
         task.last_run = max(task.last_run, number)
-        task.runs_by_number[number] = run
+        task.add_run(run)
         view.add(run)
         step = task.step
         if task in step.waiting:
@@ -298,7 +298,7 @@
     def _remove_run(self, run: Run) -> None:
         """Removes a run that is known to be gone and queues its task again if needed."""
         task = run.task
-        task.runs_by_number.pop(run.number, None)
+        task.remove_run(run)
         view = self.fleet.workers_by_id.get(run.worker_id)
         if view is not None:
             view.remove(run)
--- a/packages/pollengate/pollengate/workflow/placement.py
+++ b/packages/pollengate/pollengate/workflow/placement.py
@@ -6,7 +6,7 @@
 away from serving tasks that they interfere with.
 """
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from pollengate.failure_evidence import FailureEvidence
 from pollengate.workflow.colocation import INTERFERING_PROBABILITY, ColocationModel
@@ -14,7 +14,7 @@
 from pollengate.workflow.progress import StepProgress, TaskProgress
 from pollengate.workflow.tickets import TicketCache
 
-__all__ = ["Placer", "is_allowed", "can_place"]
+__all__ = ["Placer", "StepScores", "is_allowed", "can_place"]
 
 # A filler is placed only where at least this share of its declared processors is unused, so that it
 # runs at close to full speed.
@@ -43,6 +43,26 @@
 OTHER_RACK_PENALTY_MILLIS = 40_000
 
 
+class StepScores:
+    """Scores of workers for one step, kept while tasks of the step are placed one after the other.
+
+    A worker's score depends only on the step and the runs on the worker.
+    """
+
+    def __init__(self) -> None:
+        self._score_by_view: dict[WorkerView, float | None] = {}
+
+    def get(self, view: WorkerView, compute: Callable[[WorkerView], float | None]) -> float | None:
+        """Returns a worker's score, None if the step's tasks can't run there."""
+        if view not in self._score_by_view:
+            self._score_by_view[view] = compute(view)
+        return self._score_by_view[view]
+
+    def forget(self, view: WorkerView) -> None:
+        """Forgets the score of a worker whose runs have changed."""
+        self._score_by_view.pop(view, None)
+
+
 class Placer:
     """Scores workers for tasks.
 
@@ -65,19 +85,28 @@
         workers: Sequence[WorkerView],
         now: float,
         needs_ticket: bool = False,
+        scores: StepScores | None = None,
     ) -> WorkerView | None:
         """Returns the best worker for a task, None if it fits nowhere.
 
         Workers on which the task failed come last. A long-running task returns to one of them if
         no other worker has room, any other task only if there is no other worker at all.
+
+        Args:
+            task: the task.
+            workers: the possible workers.
+            now: clock time.
+            needs_ticket: whether only workers with a ticket may run it.
+            scores: scores for its step, if several tasks of the step are placed.
         """
+        scores = scores or StepScores()
         if needs_ticket:
             workers = [v for v in workers if self._tickets.ticket(task.step, v, now)]
         admitted = [v for v in workers if self._evidence.admits(v.worker_id, task.name)]
-        best = self._best_worker(task, admitted, now)
+        best = self._best_worker(task, admitted, now, scores)
         if best is None and (task.step.spec.is_long_running or not admitted):
             healthy = [v for v in workers if not self._evidence.is_quarantined(v.worker_id)]
-            best = self._best_worker(task, healthy, now)
+            best = self._best_worker(task, healthy, now, scores)
         return best
 
     def has_interference_free_worker(
@@ -96,16 +125,20 @@
         )
 
     def _best_worker(
-        self, task: TaskProgress, workers: Sequence[WorkerView], now: float
+        self, task: TaskProgress, workers: Sequence[WorkerView], now: float, scores: StepScores
     ) -> WorkerView | None:
         step = task.step
         used_worker_ids = task.worker_ids
+
+        def compute(view: WorkerView) -> float | None:
+            return self._score(step, view, now) if can_place(step, view) else None
+
         best = None
         best_score = float("-inf")
         for view in workers:
-            if view.worker_id in used_worker_ids or not can_place(step, view):
+            if view.worker_id in used_worker_ids:
                 continue
-            score = self._score(step, view, now)
+            score = scores.get(view, compute)
             if score is not None and score > best_score:
                 best, best_score = view, score
         return best
@@ -134,7 +167,7 @@
     def _serving_score(self, step: StepProgress, view: WorkerView) -> float:
         """Scores workers that serve the same image highest, the fullest first, then empty ones."""
         spec = step.spec
-        present_images = view.serving_images
+        present_images = view.serving_images.keys()
         excluded_images = self._colocation.excluded_images(present_images)
         newly_excluded = (
             self._colocation.excluded_images([spec.image]) - excluded_images
--- a/packages/pollengate/pollengate/workflow/planner.py
+++ b/packages/pollengate/pollengate/workflow/planner.py
@@ -7,7 +7,7 @@
 from pollengate.workflow.job_table import JobTable
 from pollengate.workflow.model import Queue
 from pollengate.workflow.ordering import rank
-from pollengate.workflow.placement import Placer
+from pollengate.workflow.placement import Placer, StepScores
 from pollengate.workflow.progress import Run, StepProgress, TaskProgress
 
 __all__ = ["Planner"]
@@ -75,8 +75,10 @@
                     job_table.fleet.schedulable_workers(queue.service, now)
                 )
             if largest_free.can_place(step):
-                planned += self._place_step(step, queue, largest_free.workers, now)
-                largest_free = _LargestFree.of(largest_free.workers)
+                placed = self._place_step(step, queue, largest_free.workers, now)
+                planned += placed
+                if placed:
+                    largest_free = _LargestFree.of(largest_free.workers)
             largest_free_by_service[queue.service] = largest_free
         return planned
 
@@ -94,11 +96,13 @@
         if step.spec.is_gang:
             return self._place_gang(step, queue, workers, now)
         runs = []
+        scores = StepScores()
         for task in list(step.waiting):
-            view = self._placer.choose(task, workers, now, queue.advice is not None)
+            view = self._placer.choose(task, workers, now, queue.advice is not None, scores)
             if view is None:
                 break
             runs.append(self._add_run(task, view, self._job_table.next_run_number(task), now))
+            scores.forget(view)
         return runs
 
     def _place_gang(
--- a/packages/pollengate/pollengate/workflow/progress.py
+++ b/packages/pollengate/pollengate/workflow/progress.py
@@ -125,6 +125,21 @@
     checkpoint: str = ""
     runs_by_number: dict[int, Run] = dataclasses.field(default_factory=dict)
 
+    def add_run(self, run: Run) -> None:
+        """Adds a run that may exist on a worker."""
+        self._replace_runs(self.runs_by_number | {run.number: run})
+
+    def remove_run(self, run: Run) -> None:
+        """Removes a run that is known to be gone."""
+        remaining = dict(self.runs_by_number)
+        remaining.pop(run.number, None)
+        self._replace_runs(remaining)
+
+    def _replace_runs(self, runs_by_number: dict[int, Run]) -> None:
+        self.step.task_counts_by_worker.subtract(self.worker_ids)
+        self.runs_by_number = runs_by_number
+        self.step.task_counts_by_worker.update(self.worker_ids)
+
     @property
     def worker_ids(self) -> set[str]:
         """Ids of the workers on which a run of the task may exist."""
@@ -153,6 +168,7 @@
         is_open: whether the steps before it are complete, so that its tasks may start.
         opened_at: clock time at which it was opened.
         durations_s: run times of its completed tasks, without runs that were disturbed.
+        task_counts_by_worker: number of tasks that may have a run on a worker, by worker id.
     """
 
     occurrence: "Occurrence"
@@ -164,6 +180,9 @@
     is_open: bool = False
     opened_at: float = 0.0
     durations_s: list[float] = dataclasses.field(default_factory=list)
+    task_counts_by_worker: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
 
     @property
     def job(self) -> "JobProgress":
@@ -177,10 +196,7 @@
 
     def runs_on(self, worker_id: str) -> int:
         """Returns the number of the step's tasks that may have a run on a worker."""
-        return sum(
-            any(run.worker_id == worker_id for run in task.runs_by_number.values())
-            for task in self.tasks
-        )
+        return self.task_counts_by_worker[worker_id]
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -233,6 +249,7 @@
     is_restored: bool = False
     occurrences_by_number: dict[int, Occurrence] = dataclasses.field(default_factory=dict)
     due_count: int = 0
+    _critical_path_ms: float | None = dataclasses.field(default=None, init=False)
 
     @property
     def is_ended(self) -> bool:
@@ -282,12 +299,18 @@
                 yield from step.tasks
 
     def critical_path_ms(self) -> float:
-        """Returns the estimated run time of the longest chain of steps."""
+        """Returns the estimated run time of the longest chain of steps.
+
+        Each round of planning ranks all open steps by it, so it is computed once.
+        """
+        if self._critical_path_ms is not None:
+            return self._critical_path_ms
         ends: list[float] = []
         for step in self.workflow.steps:
             begin = max((ends[number] for number in step.after), default=0.0)
             ends.append(begin + step.estimate_ms)
-        return max(ends, default=0.0)
+        self._critical_path_ms = max(ends, default=0.0)
+        return self._critical_path_ms
 
     def objective_s(self, queue: Queue) -> float:
         """Returns the latency objective: seconds from acceptance to completion."""
--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -51,6 +51,10 @@
 
 # Delay before planning, so that one plan covers events that arrive together.
 PLAN_DELAY_S = 0.005
+# The delay is this many times as long as the last plan took, so that a backlog leaves most of the
+# processor to reports and requests.
+PLAN_DELAY_FACTOR = 3.0
+MAX_PLAN_DELAY_S = 0.06
 # Interval of the checks that depend on time only.
 TICK_INTERVAL_S = 0.1
 # Time until a worker on which all tasks fail is tried again; a task takes a second or two.
@@ -407,9 +411,10 @@
         self._log.info("job ended", job=job.job_id, state=job.state.value, took_s=round(took_s, 3))
 
     async def _plan_loop(self) -> None:
+        delay_s = PLAN_DELAY_S
         while not self.shard_lease.is_lost:
             await self._wake.wait()
-            await asyncio.sleep(PLAN_DELAY_S)
+            await asyncio.sleep(delay_s)
             self._wake.clear()
             now = self._clocks.monotonic_s()
             if not self.shard_lease.is_valid(now):
@@ -418,6 +423,8 @@
                 for run in self._planner.plan(now):
                     self._spawn(self._controllers_by_id[run.worker_id].start(run))
             self._flush_outbox()
+            took_s = self._clocks.monotonic_s() - now
+            delay_s = min(max(PLAN_DELAY_S, PLAN_DELAY_FACTOR * took_s), MAX_PLAN_DELAY_S)
 
     def _flush_outbox(self) -> None:
         self._record_changes()
--- a/packages/pollengated/pollengated/edge/worker_controller.py
+++ b/packages/pollengated/pollengated/edge/worker_controller.py
@@ -35,8 +35,9 @@
 # Long poll: a worker replies to a renewal as soon as a run ends, otherwise after this time. This
 # also limits the age of its measurements.
 RENEW_WAIT_S = 1.0
-# Shorter for workers with serving tasks, whose latency measurements cover 0.5 s.
-SERVING_RENEW_WAIT_S = 0.4
+# Shorter for workers on which fillers may interfere with serving tasks, whose latency measurements
+# cover 0.5 s.
+SHARED_RENEW_WAIT_S = 0.4
 # Pause between a reply and the next renewal, so that one report lists more ended runs.
 RENEW_PAUSE_S = 0.03
 # If results are not durable after this time, the next renewal does not acknowledge them; the worker
@@ -192,7 +193,8 @@
     def _renew_wait_s(self) -> float:
         if self._is_failing or not self.view.is_attached:
             return 0.0
-        return SERVING_RENEW_WAIT_S if self.view.serving else RENEW_WAIT_S
+        is_shared = self.view.serving and self.view.fillers
+        return SHARED_RENEW_WAIT_S if is_shared else RENEW_WAIT_S
 
     async def _renew(self, wait_s: float) -> bool:
         """Sends a renewal and applies the report in its reply; returns False if it failed."""
--- /dev/null
+++ b/tests/test_workflow_planner_cost.py
@@ -0,0 +1,130 @@
+"""The planner's cost and that its shortcuts change no decision."""
+
+import random
+import unittest
+from collections.abc import Callable
+from unittest import mock
+
+from pollengate.workflow import placement, planner
+from pollengate.workflow.clients import EndKind
+from pollengate.workflow.colocation import ColocationModel
+from pollengate.workflow.fleet import WorkerView
+from pollengate.workflow.job_table import JobTable
+from pollengate.workflow.model import Demand
+from pollengate.workflow.placement import StepScores
+from pollengate.workflow.progress import Run
+
+from tests.workflow_builders import (
+    build_job,
+    build_job_table,
+    build_lease_worker,
+    build_planner,
+    build_step,
+)
+
+SEEDS = range(12)
+FLEET_SIZES = (33, 90, 246)
+
+
+class RecomputedScores(StepScores):
+    """Scores each worker anew for each task."""
+
+    def get(self, view: WorkerView, compute: Callable[[WorkerView], float | None]) -> float | None:
+        """Returns a worker's score."""
+        return compute(view)
+
+
+def build_fleet(workers: int) -> JobTable:
+    """Returns a job table with workers of 64 cores in racks of eight."""
+    return build_job_table(
+        *(
+            build_lease_worker(f"w{n:03}", capacity=Demand(64_000, 250_000), rack=f"r{n // 8}")
+            for n in range(workers)
+        )
+    )
+
+
+def play(seed: int, workers: int = 24) -> list[tuple[str, str]]:
+    """Plays a random load; returns the tasks and workers of all runs in order."""
+    generator = random.Random(seed)
+    job_table = build_fleet(workers)
+    colocation = ColocationModel()
+    colocation.load(
+        {
+            f"s{serving}": {f"f{filler}": generator.uniform(-2, 2) for filler in range(5)}
+            for serving in range(5)
+        }
+    )
+    planned: list[Run] = []
+    running: list[Run] = []
+    for number in range(60):
+        now = number * 0.2
+        kind = generator.choice(["serving", "filler", "plain", "large"])
+        demand = Demand(generator.randint(1, 60 if kind == "large" else 14) * 1000, 500)
+        step = build_step(
+            generator.randint(1, 12),
+            demand=demand,
+            is_filler=kind == "filler",
+            is_long_running=kind == "serving",
+            target_ms=100 if kind == "serving" else 0,
+            image=f"{kind[0]}{generator.randrange(5)}",
+            max_per_worker=generator.choice([0, 0, 1, 2]),
+            data_rack=generator.choice(["", "r1"]),
+            is_gang=kind == "plain" and generator.random() < 0.2,
+        )
+        job_table.add(build_job(f"{number:016x}", step), now, 0)
+        runs = build_planner(job_table, colocation).plan(now)
+        for run in runs:
+            job_table.mark_started(run, now)
+        planned += runs
+        running += runs
+        generator.shuffle(running)
+        for run in [running.pop() for _ in range(len(running) // 4)]:
+            end_kind = generator.choice([EndKind.DONE, EndKind.DONE, EndKind.FAILED])
+            job_table.mark_ended(run, end_kind, "", now, 0)
+    return [(run.task.name, run.worker_id) for run in planned]
+
+
+class PlannerCostTest(unittest.TestCase):
+    """Tests of the planner on large shards."""
+
+    def test_kept_scores_lead_to_the_same_decisions(self) -> None:
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                kept = play(seed)
+                with mock.patch.object(planner, "StepScores", RecomputedScores):
+                    self.assertEqual(play(seed), kept)
+                self.assertGreater(len(kept), 100)
+
+    def test_workers_are_scored_once_for_a_step_and_once_for_each_placement(self) -> None:
+        for workers in FLEET_SIZES:
+            for tasks in (1, 20, 100):
+                with self.subTest(workers=workers, tasks=tasks):
+                    job_table = build_fleet(workers)
+                    job_table.add(build_job("aa", build_step(tasks)), 0.0, 0)
+                    checked = mock.patch.object(
+                        placement, "can_place", side_effect=placement.can_place
+                    )
+                    with checked as counted:
+                        build_planner(job_table).plan(0.0)
+                    self.assertLessEqual(counted.call_count, workers + tasks)
+
+    def test_number_of_a_steps_tasks_on_a_worker_is_kept_up_to_date(self) -> None:
+        generator = random.Random(1)
+        job_table = build_fleet(4)
+        step_spec = build_step(20, is_long_running=True)
+        job_table.add(build_job("aa", step_spec), 0.0, 0)
+        running: list[Run] = []
+        for number in range(200):
+            running += build_planner(job_table).plan(float(number))
+            generator.shuffle(running)
+            for run in [running.pop() for _ in range(generator.randrange(len(running) + 1))]:
+                job_table.mark_lost(run)
+            step = job_table.jobs_by_id["aa"].occurrences_by_number[0].steps[0]
+            for worker_id in job_table.fleet.workers_by_id:
+                expected = sum(worker_id in task.worker_ids for task in step.tasks)
+                self.assertEqual(expected, step.runs_on(worker_id))
+
+
+if __name__ == "__main__":
+    unittest.main()
