Keep workers free of long-running tasks for large tasks

Workers are now reserved when a task has found no room: their long-running tasks move to others, one of a step at a time and only while all workers of the step are in touch, and other tasks use them only if they fit nowhere else.

--- a/packages/pollengate/pollengate/workflow/fleet.py
+++ b/packages/pollengate/pollengate/workflow/fleet.py
@@ -38,7 +38,8 @@
         unavailable_until: clock time before which no run is started on it.
         fillers_blocked_until: clock time before which no filler is placed on it.
         warm_at: clock time from which it runs at full speed after its start.
-        is_reserved: whether serving tasks are kept off it, for fillers that interfere with them.
+        is_reserved: whether tasks are kept off it, for fillers that interfere with serving tasks or
+            for large tasks.
         is_released: whether it is about to be assigned to another shard.
         lowest_token: lowest fencing token that it accepts.
     """
--- a/packages/pollengate/pollengate/workflow/placement.py
+++ b/packages/pollengate/pollengate/workflow/placement.py
@@ -31,7 +31,7 @@
 OTHER_IMAGE_PENALTY_MILLIS = 100_000
 # Penalty for a serving task, for each filler image that it would newly exclude from the worker.
 EXCLUDED_IMAGE_PENALTY_MILLIS = 100_000
-# Penalty for a serving task on a vacated worker, which is used only if no other worker has room.
+# Penalty for any task but a filler on a reserved worker, used only if no other worker has room.
 RESERVED_PENALTY_MILLIS = 1_000_000
 # Penalty for a serving task, for each task of the same step on the worker.
 SAME_STEP_PENALTY_MILLIS = 4_000
@@ -156,8 +156,11 @@
             ):
                 return None
             score -= INTERFERENCE_PENALTY_MILLIS * interference
-        elif spec.target_ms:
-            score = self._serving_score(step, view)
+        else:
+            if spec.target_ms:
+                score = self._serving_score(step, view)
+            if view.is_reserved:
+                score -= RESERVED_PENALTY_MILLIS
         if now < view.warm_at:
             score -= COLD_PENALTY_MILLIS
         if spec.data_rack and spec.data_rack != view.info.rack:
@@ -177,8 +180,6 @@
         free_millis = view.info.capacity.cpu_millis - view.committed_millis - spec.demand.cpu_millis
         score = -float(free_millis) - EXCLUDED_IMAGE_PENALTY_MILLIS * len(newly_excluded)
         score -= OTHER_IMAGE_PENALTY_MILLIS * len(present_images - {spec.image})
-        if view.is_reserved:
-            score -= RESERVED_PENALTY_MILLIS
         score -= SAME_STEP_PENALTY_MILLIS * step.runs_on(view.worker_id)
         if free_millis < SERVING_HEADROOM_MILLIS:
             score -= OTHER_IMAGE_PENALTY_MILLIS / 2
--- a/packages/pollengate/pollengate/workflow/stragglers.py
+++ b/packages/pollengate/pollengate/workflow/stragglers.py
@@ -14,7 +14,7 @@
 from pollengate.workflow.progress import PAST_STARTUP_PERCENT, Run, RunState
 from pollengate.workflow.throttling import SLOW_SPEED_PERCENT
 
-__all__ = ["Remedy", "Straggler", "find_stragglers"]
+__all__ = ["SILENT_AFTER_S", "Remedy", "Straggler", "find_stragglers"]
 
 # Workers report progress in whole percents at least once a second. Even the longest tasks take only
 # 4.3 s, so that each report of a healthy run shows progress.
--- a/packages/pollengated/pollengated/edge/run_mover.py
+++ b/packages/pollengated/pollengated/edge/run_mover.py
@@ -3,6 +3,7 @@
 from pollengate.workflow.draining import runs_to_move
 from pollengate.workflow.fleet import Fleet, WorkerView
 from pollengate.workflow.job_table import JobTable
+from pollengate.workflow.large_tasks import LargeTaskReserve
 from pollengate.workflow.progress import Run
 from pollengate.workflow.rebalancing import Rebalancer
 from pollengate.workflow.stragglers import Remedy, Straggler, find_stragglers
@@ -22,12 +23,20 @@
         fleet: workers of the shard.
         job_table: jobs of the shard.
         rebalancer: chooses serving tasks to move.
+        reserve: chooses the workers that are kept free for large tasks.
     """
 
-    def __init__(self, fleet: Fleet, job_table: JobTable, rebalancer: Rebalancer) -> None:
+    def __init__(
+        self,
+        fleet: Fleet,
+        job_table: JobTable,
+        rebalancer: Rebalancer,
+        reserve: LargeTaskReserve,
+    ) -> None:
         self._fleet = fleet
         self._job_table = job_table
         self._rebalancer = rebalancer
+        self._reserve = reserve
         self._log = Log("owner")
 
     def update(self, now: float) -> None:
@@ -35,6 +44,7 @@
         self._move_off_draining_workers()
         self._remedy_stragglers(now)
         self._rebalance(now)
+        self._make_room_for_large_tasks(now)
 
     def _move_off_draining_workers(self) -> None:
         for view in self._fleet.workers_by_id.values():
@@ -64,6 +74,13 @@
         else:
             self._job_table.stop(run)
 
+    def _make_room_for_large_tasks(self, now: float) -> None:
+        for run in self._reserve.update(now):
+            self._log.info(
+                "stopping a long-running task to make room for large ones", **_fields(run)
+            )
+            self._job_table.stop(run)
+
     def _rebalance(self, now: float) -> None:
         waiting_millis = self._job_table.waiting_filler_millis(now - FILLER_WAIT_S)
         run = self._rebalancer.choose(waiting_millis, now)
--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -11,6 +11,7 @@
 from pollengate.workflow.fleet import Fleet, WorkerView
 from pollengate.workflow.job_table import JobTable
 from pollengate.workflow.keys import job_key, progress_key
+from pollengate.workflow.large_tasks import LargeTaskReserve
 from pollengate.workflow.leases import WORKER_LEASE_S
 from pollengate.workflow.placement import Placer
 from pollengate.workflow.planner import Planner
@@ -239,7 +240,8 @@
             self._detach_worker,
         )
         rebalancer = Rebalancer(self.fleet, self._colocation)
-        self._run_mover = RunMover(self.fleet, self.job_table, rebalancer)
+        reserve = LargeTaskReserve(self.job_table)
+        self._run_mover = RunMover(self.fleet, self.job_table, rebalancer, reserve)
         self._load_log = ShardLoadLog(
             self.shard,
             self.job_table,
