Transfer several workers for one request

Cause: jobs fall to shards by a hash, so that one shard fills up; it got one worker a second however many its waiting tasks needed. A request now names how many, eight at most, and an owner with room releases that many together.

--- a/packages/pollengate/pollengate/workflow/worker_transfer.py
+++ b/packages/pollengate/pollengate/workflow/worker_transfer.py
@@ -2,12 +2,13 @@
 
 A job belongs to a shard by a hash of its id, and long-running tasks keep their processors until the
 job is cancelled. One shard may therefore be full while another has workers to spare. The owner of a
-shard that is short requests a worker; an owner that has room releases one, with no run on it, and
-from then on the worker belongs to the other shard.
+shard that is short requests workers; an owner that has room releases some, with no run on them, and
+from then on these workers belong to the other shard.
 """
 
 import dataclasses
 import functools
+import math
 from collections.abc import Callable
 
 from pollengate.workflow.fleet import Fleet, WorkerView
@@ -30,13 +31,15 @@
 # An owner without room waits this long before it releases a worker, an owner whose workers are all
 # empty not at all, so that the one with the most room responds first.
 MAX_RELEASE_DELAY_S = 0.6
+# A request asks for no more workers than this; further ones are requested a second later.
+MAX_WORKERS_PER_REQUEST = 8
 # A long-running task that has just started is not moved again.
 MIN_STAY_S = 3.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CapacityRequest:
-    """The worker that a shard needs for a task that fits on none of its own.
+    """The workers that a shard needs for tasks that fit on none of its own.
 
     Attributes:
         shard: the shard that is short of capacity.
@@ -45,6 +48,7 @@
         demand: resources of the task.
         is_long_running: whether the task is a long-running one, for which another shard moves its
             own long-running tasks together if it has no spare worker.
+        workers: number of workers.
     """
 
     shard: int
@@ -52,6 +56,7 @@
     required_label: str
     demand: Demand
     is_long_running: bool = False
+    workers: int = 1
 
 
 def find_shortage(
@@ -75,7 +80,12 @@
         if not _has_room(step, workers_of(queue.service)):
             spec = step.spec
             return CapacityRequest(
-                shard, queue.service, spec.required_label, spec.demand, spec.is_long_running
+                shard,
+                queue.service,
+                spec.required_label,
+                spec.demand,
+                spec.is_long_running,
+                _wanted_workers(step, workers_of(queue.service)),
             )
     return None
 
@@ -129,6 +139,14 @@
     return sum(_places(step, view) for view in workers) >= step.spec.count
 
 
+def _wanted_workers(step: StepProgress, workers: list[WorkerView]) -> int:
+    """Returns how many more workers of a typical size the waiting tasks of a step need."""
+    demand_millis = max(1, step.spec.demand.cpu_millis)
+    largest_millis = max((v.info.capacity.cpu_millis for v in workers), default=demand_millis)
+    wanted = math.ceil(len(step.waiting) / max(1, largest_millis // demand_millis))
+    return min(wanted, MAX_WORKERS_PER_REQUEST)
+
+
 def _places(step: StepProgress, view: WorkerView) -> int:
     """Returns how many more tasks of a step fit on a worker."""
     if not is_allowed(step, view):
--- a/packages/pollengated/pollengated/edge/worker_assignments.py
+++ b/packages/pollengated/pollengated/edge/worker_assignments.py
@@ -110,12 +110,13 @@
         return 0 if assigned is None else assigned.revision
 
     def is_met(self, open_request: OpenRequest) -> bool:
-        """Whether a worker was assigned to a shard after its newest request."""
-        return any(
+        """Whether all requested workers were assigned to a shard after its newest request."""
+        received = sum(
             assigned.shard == open_request.request.shard
             and assigned.revision > open_request.revision
             for assigned in self._assignments_by_worker.values()
         )
+        return received >= open_request.request.workers
 
     def _changed(self, keys: Collection[str]) -> None:
         changed_ids = []
--- a/packages/pollengated/pollengated/edge/worker_transfers.py
+++ b/packages/pollengated/pollengated/edge/worker_transfers.py
@@ -87,21 +87,20 @@
         self._short_since: float | None = None
         self._short_at = clocks.monotonic_s()
         self._requested_at = float("-inf")
-        self._release: _Release | None = None
+        self._releases: list[_Release] = []
         self._log = Log("transfers")
 
     def update(self) -> None:
-        """Requests a worker if the shard is short of capacity, otherwise meets a request."""
+        """Requests workers if the shard is short of capacity, otherwise meets a request."""
         if not self._assignments.is_used:
             return
         now = self._clocks.monotonic_s()
         shortage = find_shortage(self._shard, self._job_table, self._is_settled, now)
         self._record_shortage(shortage, now)
-        if self._release is not None:
-            self._continue_release(self._release, shortage, now)
+        self._releases = [r for r in self._releases if self._continue_release(r, shortage, now)]
         if shortage is not None:
             self._request(shortage, now)
-        elif self._release is None and self._may_release(now):
+        elif not self._releases and self._may_release(now):
             self._begin_release(now)
 
     def _record_shortage(self, shortage: CapacityRequest | None, now: float) -> None:
@@ -118,8 +117,9 @@
             return
         self._requested_at = now
         self._log.info(
-            "shard is short of capacity; requesting a worker",
+            "shard is short of capacity; requesting workers",
             shard=self._shard,
+            workers=shortage.workers,
             service=shortage.service,
             label=shortage.required_label,
             cpu_millis=shortage.demand.cpu_millis,
@@ -150,31 +150,35 @@
             if age_s < release_delay_s(self._job_table.fleet, request, now):
                 continue
             open_request.is_answered = True
-            view = worker_to_release(self._job_table, request, now)
-            if view is not None:
-                self._release = _Release(view, request, now)
+            for _ in range(request.workers):
+                view = worker_to_release(self._job_table, request, now)
+                if view is None:
+                    break
+                self._releases.append(_Release(view, request, now))
                 view.is_released = True
+            if self._releases:
                 return
 
     def _continue_release(
         self, release: _Release, shortage: CapacityRequest | None, now: float
-    ) -> None:
+    ) -> bool:
+        """Advances the release of a worker; returns False once it has ended."""
         view = release.view
         if shortage is not None or not self._is_wanted(release, now):
             view.is_released = False
-            self._release = None
-        elif view.runs:
+            return False
+        if view.runs:
             self._stop_runs(view, now)
-        else:
-            self._log.info(
-                "assigning a worker to a shard that is short of capacity",
-                worker=view.worker_id,
-                shard=self._shard,
-                to_shard=release.request.shard,
-            )
-            self._detach(view)
-            self._committer.add(_AssignmentRecord(view.worker_id, release.request.shard))
-            self._release = None
+            return True
+        self._log.info(
+            "assigning a worker to a shard that is short of capacity",
+            worker=view.worker_id,
+            shard=self._shard,
+            to_shard=release.request.shard,
+        )
+        self._detach(view)
+        self._committer.add(_AssignmentRecord(view.worker_id, release.request.shard))
+        return False
 
     def _is_wanted(self, release: _Release, now: float) -> bool:
         """Returns True if a worker can still be released and the other shard still needs it."""
--- a/tests/test_worker_transfers.py
+++ b/tests/test_worker_transfers.py
@@ -16,6 +16,8 @@
     build_step(2, is_long_running=True, demand=Demand(4000, 100), may_miss=1)
 )
 ONE_MORE = build_workflow(build_step(1, is_long_running=True, demand=Demand(3000, 100)))
+# A long-running task starts within this time if there is capacity for it.
+MAX_START_S = 6.0
 # A long-running task that does not run this long after it could have counts as lost.
 MAX_ABSENCE_S = 9.0
 
@@ -100,6 +102,21 @@
 
         run_virtual(main())
 
+    def test_shard_that_lacks_several_workers_gets_them_together(self) -> None:
+        async def main() -> None:
+            cluster = EdgeCluster(workers=16, duration_s=INFINITE_DURATION_S, shards=2)
+            await cluster.open(nodes=3)
+            first, second = job_ids(0, 2)
+            whole_worker = Demand(4000, 100)
+            for job_id, tasks in ((first, 8), (second, 7)):
+                step = build_step(tasks, is_long_running=True, demand=whole_worker, may_miss=1)
+                await cluster.submit(job_id, build_workflow(step))
+                await asyncio.sleep(MAX_START_S)
+                self.assertEqual(tasks, len(self.running_workers(cluster, job_id)))
+            self.check_single_execution(cluster)
+
+        run_virtual(main())
+
     def test_successor_of_the_releasing_owner_leaves_a_transferred_worker_alone(self) -> None:
         async def main() -> None:
             cluster, job_id = await self.open_full_shard()
