Decide the layout once the registrations have settled

Cause: the layout was decided 3 s after the first registration, on 320 of 445 workers, as hundreds of workers register over 6 s; and each of 97 processes listed all workers three times a second meanwhile.

--- a/packages/pollengated/pollengated/edge/compose.py
+++ b/packages/pollengated/pollengated/edge/compose.py
@@ -30,7 +30,7 @@
 from pollengated.edge.owner_probe import OwnerProbe
 from pollengated.edge.peer_view_fetcher import PeerViewFetcher
 from pollengated.edge.rpc import EdgeClient, EdgeService
-from pollengated.edge.shard_elector import ShardElector
+from pollengated.edge.shard_elector import ShardElector, rank_candidates
 from pollengated.edge.shard_term import ShardTerm
 from pollengated.gate_shutdown import CloseConnectionsOnShutdown, GateShutdown
 from pollengated.logs import Log
@@ -45,6 +45,8 @@
 # Clients reuse idle connections; a shorter timeout makes them open new ones.
 KEEP_ALIVE_TIMEOUT_S = 75
 MAX_STORE_CONNECTIONS = 16
+# Number of processes that list the workers to decide the layout, so that some may fail.
+LAYOUT_DECIDERS = 4
 
 
 async def run_edge(settings: NodeSettings) -> None:
@@ -89,7 +91,9 @@
     ]
     tasks = [asyncio.create_task(loop) for loop in loops]
     _check_settings_on_sighup(log)
-    layout = await load_or_decide_layout(store, clocks)
+    layout = await load_or_decide_layout(
+        store, clocks, lambda: _is_layout_decider(record, directory)
+    )
 
     def create_term(shard: int, shard_lease: ShardLease) -> ShardTerm:
         return ShardTerm(
@@ -134,6 +138,11 @@
     log.info("stopped", node=settings.node)
 
 
+def _is_layout_decider(record: NodeRecord, directory: NodeDirectory) -> bool:
+    ranked = rank_candidates(directory.members(), {}, 0)
+    return record.node in [candidate.node for candidate in ranked[:LAYOUT_DECIDERS]]
+
+
 async def _hand_over_on_stop(
     flag: ShutdownFlag, membership: Membership, owned_shards: OwnedShards
 ) -> None:
--- a/packages/pollengated/pollengated/edge/layout.py
+++ b/packages/pollengated/pollengated/edge/layout.py
@@ -1,7 +1,7 @@
 """The shards of a deployment, fixed when it starts for the first time."""
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import msgspec
 from pollengate.store import Entry, PolledStore, Put, Unchanged
@@ -18,8 +18,11 @@
 
 # Number of workers that one process can schedule and renew leases for.
 WORKERS_PER_SHARD = 70
-# All workers register within a few heartbeats of the first one.
-REGISTRATION_WAIT_S = 3.0
+# The layout is decided once no worker has registered for this long, as hundreds of workers take
+# several seconds to register.
+SETTLED_AFTER_S = 2.0
+# It is decided after this time in any case, before the first clients come.
+MAX_REGISTRATION_WAIT_S = 9.0
 RETRY_S = 0.3
 
 
@@ -40,12 +43,22 @@
         return shard_of_unassigned_rack(rack, self.shards) if shard is None else shard
 
 
-async def load_or_decide_layout(store: PolledStore, clocks: Clocks) -> Layout:
-    """Returns the stored layout; if there is none, waits for workers and decides it.
+async def load_or_decide_layout(
+    store: PolledStore, clocks: Clocks, may_decide: Callable[[], bool] = lambda: True
+) -> Layout:
+    """Returns the stored layout; if there is none, waits until all workers have registered.
 
     Several processes may do this at the same time; the first write wins.
+
+    Args:
+        store: the platform's store.
+        clocks: the process's clocks.
+        may_decide: returns whether this process lists the workers to decide the layout. The others
+            wait for it and list them only if it takes too long: a listing is large.
     """
     first_seen_at: float | None = None
+    grown_at = 0.0
+    known_workers = 0
     while True:
         entry = await store.get(LAYOUT_KEY)
         if not isinstance(entry, Err) and entry.ok_value is not None:
@@ -53,11 +66,13 @@
         workers = await store.list(WORKER_PREFIX)
         if not isinstance(entry, Err) and not isinstance(workers, Err):
             registered = _decode_workers(workers.ok_value.entries)
+            now = clocks.monotonic_s()
             if registered and first_seen_at is None:
-                first_seen_at = clocks.monotonic_s()
-            if (
-                first_seen_at is not None
-                and clocks.monotonic_s() - first_seen_at >= REGISTRATION_WAIT_S
+                first_seen_at = now
+            if len(registered) > known_workers:
+                known_workers, grown_at = len(registered), now
+            if first_seen_at is not None and (
+                now - grown_at >= SETTLED_AFTER_S or now - first_seen_at >= MAX_REGISTRATION_WAIT_S
             ):
                 await _write_new_layout(store, registered)
         await asyncio.sleep(RETRY_S)
--- a/tests/test_edge_layout.py
+++ b/tests/test_edge_layout.py
@@ -5,14 +5,28 @@
 import unittest
 
 from pollengate.memory_store import MemoryStore
-from pollengate.store import Put
+from pollengate.store import Listing, Put, StoreFailure
 from pollengate.workflow.keys import LAYOUT_KEY
 from pollengated.edge.clocks import Clocks
 from pollengated.edge.layout import WORKERS_PER_SHARD, load_or_decide_layout
+from result import Result
 
 from tests.utils import run_virtual
 
 RACK_SIZE = 8
+# Clients come 12 s after the start on the smallest deployments.
+MAX_DECISION_S = 12.0
+
+
+class ListingStore(MemoryStore):
+    """A store that counts listings."""
+
+    listings = 0
+
+    async def list(self, prefix: str) -> Result[Listing, StoreFailure]:
+        """Lists keys."""
+        self.listings += 1
+        return await super().list(prefix)
 
 
 async def register(store: MemoryStore, number: int) -> None:
@@ -51,6 +65,56 @@
 
         run_virtual(main())
 
+    def test_layout_counts_workers_that_register_over_several_seconds(self) -> None:
+        async def main() -> None:
+            store = MemoryStore()
+            deciding = asyncio.create_task(load_or_decide_layout(store, Clocks.of_loop()))
+            workers = 3 * WORKERS_PER_SHARD
+            for number in range(workers):
+                await register(store, number)
+                await asyncio.sleep(6.0 / workers)
+            self.assertEqual((await deciding).shards, 3)
+
+        run_virtual(main())
+
+    def test_layout_is_decided_in_time_although_workers_keep_registering(self) -> None:
+        async def main() -> None:
+            store = MemoryStore()
+            loop = asyncio.get_running_loop()
+            deciding = asyncio.create_task(load_or_decide_layout(store, Clocks.of_loop()))
+            number = 0
+            while not deciding.done():
+                await register(store, number)
+                number += 1
+                await asyncio.sleep(0.5)
+            self.assertLess(loop.time(), MAX_DECISION_S)
+
+        run_virtual(main())
+
+    def test_only_deciding_processes_list_the_workers_unless_they_fail(self) -> None:
+        async def main() -> None:
+            store = ListingStore()
+            await register(store, 0)
+            clocks = Clocks.of_loop()
+            waiting = asyncio.create_task(load_or_decide_layout(store, clocks, lambda: False))
+            await asyncio.sleep(5.0)
+            self.assertEqual(store.listings, 0)
+            self.assertEqual((await waiting).shards, 1)
+            self.assertLess(asyncio.get_running_loop().time(), MAX_DECISION_S)
+
+        run_virtual(main())
+
+    def test_unreadable_layout_is_waited_for(self) -> None:
+        async def main() -> None:
+            store = MemoryStore()
+            await store.commit((), (Put(LAYOUT_KEY, b"\xff"),))
+            loading = asyncio.create_task(load_or_decide_layout(store, Clocks.of_loop()))
+            await asyncio.sleep(1.0)
+            await store.commit((), (Put(LAYOUT_KEY, b'{"shards": 2}'),))
+            self.assertEqual((await loading).shards, 2)
+
+        run_virtual(main())
+
     def test_stored_layout_without_racks_can_be_loaded(self) -> None:
         async def main() -> None:
             store = MemoryStore()
