--- a/packages/pollengate/pollengate/workflow/records.py
+++ b/packages/pollengate/pollengate/workflow/records.py
@@ -1,6 +1,7 @@
 """Encoding of jobs and their progress as records in the store."""
 
 import dataclasses
+import re
 
 import msgspec
 from result import Err, Ok, Result
@@ -49,6 +50,7 @@
     occurrences: dict[int, StoredOccurrence]
 
 
+_HEXADECIMAL = re.compile("[0-9a-f]+")
 _JOB_DECODER = msgspec.json.Decoder(StoredJob)
 _PROGRESS_DECODER = msgspec.json.Decoder(StoredProgress)
 
@@ -89,26 +91,33 @@
         return Err(str(error))
 
 
-def restore(stored: StoredJob, progress: StoredProgress | None, now: float) -> JobProgress:
+def restore(
+    stored: StoredJob, progress: StoredProgress | None, now: float
+) -> Result[JobProgress, str]:
     """Rebuilds a job from its records.
 
     Args:
         stored: the job's record.
         progress: its progress record, None if there is none.
         now: clock time.
+
+    Returns:
+        The job, or a message that says why the progress record does not belong to it.
     """
     job = JobProgress(stored.job_id, stored.queue, stored.workflow, stored.accepted_ms, now)
     job.is_restored = True
     if progress is None:
-        return job
+        return Ok(job)
     job.state = job.visible_state = progress.state
     job.finished_ms = progress.finished_ms
     if job.is_ended:
-        return job
+        return Ok(job)
     for number, saved in sorted(progress.occurrences.items()):
+        if not _matches(stored.workflow, number, saved):
+            return Err(f"occurrence {number} does not match the job")
         _restore_occurrence(job.open_occurrence(number), saved)
-    job.due_count = max(job.due_count, progress.due_count)
-    return job
+    job.due_count = min(max(job.due_count, progress.due_count), job.occurrence_count)
+    return Ok(job)
 
 
 def _store_occurrence(occurrence: Occurrence) -> StoredOccurrence:
@@ -134,6 +143,14 @@
         stored.checkpoints[key] = task.checkpoint
 
 
+def _matches(workflow: Workflow, number: int, saved: StoredOccurrence) -> bool:
+    return (
+        0 <= number < max(1, workflow.repeat_count)
+        and len(saved.done) == len(workflow.steps)
+        and all(_HEXADECIMAL.fullmatch(digits) for digits in saved.done)
+    )
+
+
 def _restore_occurrence(occurrence: Occurrence, saved: StoredOccurrence) -> None:
     for step, digits in zip(occurrence.steps, saved.done, strict=True):
         bits = int(digits, 16)
--- a/packages/pollengated/pollengated/edge/layout.py
+++ b/packages/pollengated/pollengated/edge/layout.py
@@ -9,7 +9,7 @@
 from pollengate.workflow.model import Worker
 from pollengate.workflow.sharding import assign_racks
 from pollengate_platform.documents import WORKER_PREFIX, decode_worker
-from result import Err
+from result import Err, Ok, Result
 
 from pollengated.edge.clocks import Clocks
 from pollengated.logs import Log
@@ -56,13 +56,21 @@
         may_decide: returns whether this process lists the workers to decide the layout. The others
             wait for it and list them only if it takes too long: a listing is large.
     """
+    log = Log("layout")
+    began_at = clocks.monotonic_s()
     first_seen_at: float | None = None
     grown_at = 0.0
     known_workers = 0
     while True:
         entry = await store.get(LAYOUT_KEY)
         if not isinstance(entry, Err) and entry.ok_value is not None:
-            return msgspec.json.decode(entry.ok_value.value, type=Layout)
+            layout = _decode_layout(entry.ok_value.value)
+            if not isinstance(layout, Err):
+                return layout.ok_value
+            log.warning("stored layout is unreadable; waiting for it", cause=layout.err_value)
+        if not may_decide() and clocks.monotonic_s() - began_at < MAX_REGISTRATION_WAIT_S:
+            await asyncio.sleep(RETRY_S)
+            continue
         workers = await store.list(WORKER_PREFIX)
         if not isinstance(entry, Err) and not isinstance(workers, Err):
             registered = _decode_workers(workers.ok_value.entries)
@@ -78,6 +86,13 @@
         await asyncio.sleep(RETRY_S)
 
 
+def _decode_layout(value: bytes) -> Result[Layout, str]:
+    try:
+        return Ok(msgspec.json.decode(value, type=Layout))
+    except msgspec.MsgspecError as error:
+        return Err(str(error))
+
+
 def _decode_workers(entries: Iterable[Entry]) -> list[Worker]:
     """Decodes worker entries; skips unusable ones, which `WorkerRegistry` logs."""
     decoded = (decode_worker(entry) for entry in entries)
--- a/packages/pollengated/pollengated/edge/rpc.py
+++ b/packages/pollengated/pollengated/edge/rpc.py
@@ -244,7 +244,7 @@
             return Accepted()
         case "not_accepted":
             return NotAccepted(reply.reason, reply.retry_after_s, reply.is_overload)
-        case "found":
+        case "found" if reply.state in _JOB_STATES:
             return Found(JobState(reply.state))
         case "cancelled":
             return Cancelled()
--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -301,7 +301,14 @@
                 progress = decoded.ok_value
         now = self._clocks.monotonic_s()
         job = restore(stored.ok_value, progress, now)
-        self.job_table.add(job, now, self._clocks.unix_ms())
+        if isinstance(job, Err):
+            self._log.warning(
+                "progress record does not match its job; restoring the job without it",
+                job=stored.ok_value.job_id,
+                cause=job.err_value,
+            )
+            job = restore(stored.ok_value, None, now)
+        self.job_table.add(job.unwrap(), now, self._clocks.unix_ms())
 
     def _are_previous_runs_known(self) -> bool:
         """Whether every run that an earlier owner started is known or has ended."""
--- a/tests/test_workflow_job_table.py
+++ b/tests/test_workflow_job_table.py
@@ -168,7 +168,7 @@
             decode_job(encode_job(job)).unwrap(),
             decode_progress(encode_progress(job)).unwrap(),
             5.0,
-        )
+        ).unwrap()
         self.assertEqual(restored.workflow, job.workflow)
         later = build_job_table(build_lease_worker(), term=1)
         later.add(restored, 5.0, 0)
