Start loops of the edge role again that end by an error

Cause: an unexpected error in a loop of the composition root went unnoticed; the process kept serving with, for example, a configuration that was no longer updated, or without an elector.

--- a/packages/pollengated/pollengated/edge/compose.py
+++ b/packages/pollengated/pollengated/edge/compose.py
@@ -23,6 +23,7 @@
 from pollengated.edge.edge_readiness import EdgeReadiness
 from pollengated.edge.gate_job_service import GateJobService
 from pollengated.edge.layout import load_or_decide_layout
+from pollengated.edge.loop_supervisor import LoopSupervisor
 from pollengated.edge.membership import Membership
 from pollengated.edge.node_directory import NodeDirectory, NodeRecord
 from pollengated.edge.operator_view import OperatorView
@@ -82,14 +83,13 @@
         _create_server(probes, settings.readiness_address),
         _create_server(probes, settings.metrics_address),
     ]
-    loops = [
-        operator_view.cache.run(),
-        directory.cache.run(),
-        membership.run(),
-        view_fetcher.run(),
-        *(server.serve() for server in servers),
-    ]
-    tasks = [asyncio.create_task(loop) for loop in loops]
+    loops = LoopSupervisor(metrics)
+    loops.start("operator view", operator_view.cache.run)
+    loops.start("directory", directory.cache.run)
+    loops.start("membership", membership.run)
+    loops.start("view fetcher", view_fetcher.run)
+    for server in servers:
+        loops.start("server", server.serve)
     _check_settings_on_sighup(log)
     layout = await load_or_decide_layout(
         store, clocks, lambda: _is_layout_decider(record, directory)
@@ -112,9 +112,9 @@
     for shard in range(layout.shards):
         elector = ShardElector(shard, record, store, directory, clocks, create_term)
         owned_shards.electors_by_shard[shard] = elector
-        tasks.append(asyncio.create_task(elector.run()))
+        loops.start(f"elector {shard}", elector.run)
     probe = OwnerProbe(layout.shards, owned_shards, directory, client, clocks)
-    tasks.append(asyncio.create_task(probe.run()))
+    loops.start("owner probe", probe.run)
     job_service = GateJobService(
         layout.shards, owned_shards, operator_view, directory, client, probe, store, clocks, metrics
     )
@@ -127,9 +127,7 @@
     handover_task = asyncio.create_task(_hand_over_on_stop(stop_flag, membership, owned_shards))
     await shutdown.serve(client_server)
     handover_task.cancel()
-    for task in tasks:
-        task.cancel()
-    await asyncio.gather(*tasks, return_exceptions=True)
+    await loops.stop()
     rpc_server.close()
     client.close()
     await membership.deregister()
--- a/packages/pollengated/pollengated/edge/edge_metrics.py
+++ b/packages/pollengated/pollengated/edge/edge_metrics.py
@@ -59,6 +59,12 @@
             buckets=(0.5, 1, 2, 3, 5, 8, 12, 20, 40, 80),
             registry=registry,
         )
+        self.loop_failures = Counter(
+            "pollengate_edge_loop_failures",
+            "Failures of long-lived loops, which were started again, by loop.",
+            ["loop"],
+            registry=registry,
+        )
         self.owned_shards = Gauge(
             "pollengate_edge_owned_shards", "Shards that this process owns.", registry=registry
         )
