--- /dev/null
+++ b/tests/test_peer_view_fetcher.py
@@ -0,0 +1,66 @@
+"""Tests of the operators' keys that a process gets from its peers, on virtual time."""
+
+import asyncio
+import json
+import unittest
+
+from pollengate.memory_store import MemoryStore
+from pollengate.store import Entry
+from pollengate.workflow.keys import member_key
+from pollengate_net.calls import CallFailure
+from pollengated.edge.clocks import Clocks
+from pollengated.edge.node_directory import NodeDirectory, NodeRecord
+from pollengated.edge.operator_view import OperatorView
+from pollengated.edge.peer_view_fetcher import PEERS_PER_FETCH, PeerViewFetcher
+from pollengated.edge.rpc import EdgeClient
+from result import Err, Ok, Result
+
+from tests.utils import run_virtual
+
+OLD_REVISION = 10
+NEW_REVISION = 20
+
+
+class ScriptedPeers(EdgeClient):
+    """Peers of which one has the newest copy, one does not reply and all others are cut off."""
+
+    async def fetch_view(self, address: str) -> Result[tuple[tuple[Entry, ...], int], CallFailure]:
+        """Returns the copy of a peer."""
+        if address == "n1:1":
+            return Err(CallFailure(True, "timeout"))
+        is_current = address == "n2:1"
+        revision = NEW_REVISION if is_current else OLD_REVISION
+        document = json.dumps({"version": revision}).encode()
+        entries = [Entry("op/config", document, revision, 1)]
+        if is_current:
+            entries.append(Entry("op/evacuate/z", b"{}", revision, revision))
+        return Ok((tuple(entries), revision))
+
+
+class PeerViewFetcherTest(unittest.TestCase):
+    """Tests of a process that starts while the store turns it away."""
+
+    def test_restarted_process_uses_no_zone_that_a_peer_knows_to_be_evacuated(self) -> None:
+        async def main() -> None:
+            clocks = Clocks.of_loop()
+            view = OperatorView(MemoryStore(), clocks)
+            directory = NodeDirectory(MemoryStore(), clocks)
+            members = [NodeRecord(f"n{n}", f"n{n}:1", "x") for n in range(PEERS_PER_FETCH + 1)]
+            entries = [Entry(member_key(m.node), m.encode(), 1, 1) for m in members]
+            directory.cache.replace_if_newer(entries, 1)
+            fetcher = PeerViewFetcher("n0:1", view, directory, ScriptedPeers())
+            fetch_task = asyncio.create_task(fetcher.run())
+            versions = set()
+            for _ in range(100):
+                await asyncio.sleep(0.01)
+                if view.deployment is not None:
+                    versions.add(view.deployment.version)
+            fetch_task.cancel()
+            self.assertEqual({NEW_REVISION}, versions)
+            self.assertEqual({"z"}, view.evacuated_zones)
+
+        run_virtual(main())
+
+
+if __name__ == "__main__":
+    unittest.main()
