--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -50,7 +50,7 @@
 
 __all__ = ["ShardTerm"]
 
-# Delay before planning, so that one plan covers events that arrive together.
+# Shortest delay before planning, so that one plan covers events that arrive together.
 PLAN_DELAY_S = 0.005
 # The delay is this many times as long as the last plan took, so that a backlog leaves most of the
 # processor to reports and requests.
