Prepare the planner and the records for client accounts and scheduling policies

Cause: the coming parts (client accounts, overload, shared learning) all decide on the order and the conditions of starts, which Planner had fixed in one function.

Change: Planner takes a StepOrder and a StartFilter; DeadlineOrder and NoStartFilter are what it did so far. Jobs and their records have the name of a client account, empty for none.

The whole suite has not been run on it yet; behaviour with defaults is meant to be the same.

--- a/packages/pollengate/pollengate/workflow/model.py
+++ b/packages/pollengate/pollengate/workflow/model.py
@@ -5,6 +5,7 @@
 
 __all__ = [
     "AdviceTiming",
+    "ClientAccount",
     "RequestLimits",
     "Demand",
     "NO_DEMAND",
@@ -122,6 +123,23 @@
     valid_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClientAccount:
+    """A client account: who hands in jobs, and how much of its work may run.
+
+    Attributes:
+        name: unique in a deployment.
+        key_digests: SHA-256 digests of its keys; the keys themselves are not kept.
+        weight: its share of the room when all is full, relative to the other accounts.
+        limit: what its tasks may use at the same time on all workers; 0 is no limit.
+    """
+
+    name: str
+    key_digests: frozenset[bytes] = frozenset()
+    weight: float = 1.0
+    limit: Demand = NO_DEMAND
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Queue:
     """A queue that accepts workflows.
@@ -138,6 +156,7 @@
         target_ms: constant part of the latency objective.
         timeout_ms: how long a client waits for a response.
         advice: timing of the advice service, None if its tasks need no ticket.
+        is_public: whether its requests need no key of a client account.
     """
 
     name: str
@@ -150,6 +169,7 @@
     target_ms: int = 0
     timeout_ms: int = 0
     advice: AdviceTiming | None = None
+    is_public: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -177,12 +197,22 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Deployment:
-    """One version of the operators' configuration."""
+    """One version of the operators' configuration.
+
+    Attributes:
+        version: its number; a higher one is newer.
+        queues: the queues that accept jobs.
+        services_by_name: the pools of workers.
+        limits: maximum sizes of requests.
+        accounts_by_name: the client accounts, None if the deployment has no accounts, so that no
+            key is looked at.
+    """
 
     version: int
     queues: tuple[Queue, ...] = ()
     services_by_name: dict[str, Service] = dataclasses.field(default_factory=dict)
     limits: RequestLimits = RequestLimits()
+    accounts_by_name: dict[str, ClientAccount] | None = None
 
     def find_queue(self, host: str, path: str) -> Queue | None:
         """Returns the queue of a host with the longest matching prefix, None if there is none."""
--- a/packages/pollengate/pollengate/workflow/ordering.py
+++ b/packages/pollengate/pollengate/workflow/ordering.py
@@ -5,10 +5,13 @@
 head. Jobs that have missed their objective follow, in the same order, so that none of them starves.
 """
 
+import abc
+from typing import Any
+
 from pollengate.workflow.model import Queue
 from pollengate.workflow.progress import StepProgress
 
-__all__ = ["rank"]
+__all__ = ["DeadlineOrder", "StepOrder", "rank"]
 
 LOWEST_PRIORITY = 1_000_000
 
@@ -26,3 +29,25 @@
         return queue.priority, False, float("-inf") if runs_again else step.opened_at
     due_at = step.job.accepted_at + step.job.objective_s(queue)
     return queue.priority, now > due_at, due_at
+
+
+class StepOrder(abc.ABC):
+    """Decides which steps get workers first."""
+
+    @abc.abstractmethod
+    def key(self, step: StepProgress, queue: Queue | None, now: float) -> tuple[Any, ...]:
+        """Returns the sort key of a step; the step with the smallest key gets workers first.
+
+        Args:
+            step: the step.
+            queue: the queue of its job, None if it is no longer configured.
+            now: clock time.
+        """
+
+
+class DeadlineOrder(StepOrder):
+    """Orders steps by priority and deadline, see `rank`."""
+
+    def key(self, step: StepProgress, queue: Queue | None, now: float) -> tuple[Any, ...]:
+        """Returns the rank of a step."""
+        return rank(step, queue, now)
--- a/packages/pollengate/pollengate/workflow/planner.py
+++ b/packages/pollengate/pollengate/workflow/planner.py
@@ -6,9 +6,10 @@
 from pollengate.workflow.fleet import WorkerView
 from pollengate.workflow.job_table import JobTable
 from pollengate.workflow.model import Queue
-from pollengate.workflow.ordering import rank
+from pollengate.workflow.ordering import DeadlineOrder, StepOrder
 from pollengate.workflow.placement import Placer, StepScores
 from pollengate.workflow.progress import Run, StepProgress, TaskProgress
+from pollengate.workflow.start_filter import NoStartFilter, StartFilter
 
 __all__ = ["Planner"]
 
@@ -48,12 +49,23 @@
         placer: chooses the worker of each task.
         is_settled: returns True once no unreported run of an earlier owner can exist any more;
             before that, only jobs that were accepted since the takeover are started.
+        order: decides which steps get workers first.
+        start_filter: holds back tasks that may not start although a worker has room.
     """
 
-    def __init__(self, job_table: JobTable, placer: Placer, is_settled: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        job_table: JobTable,
+        placer: Placer,
+        is_settled: Callable[[], bool],
+        order: StepOrder | None = None,
+        start_filter: StartFilter | None = None,
+    ) -> None:
         self._job_table = job_table
         self._placer = placer
         self._is_settled = is_settled
+        self._order = order or DeadlineOrder()
+        self._start_filter = start_filter or NoStartFilter()
 
     def plan(self, now: float) -> list[Run]:
         """Adds and returns runs for the waiting tasks that fit on a worker, in order of rank."""
@@ -62,7 +74,7 @@
         steps = [
             step for step in job_table.open_steps if step.waiting and (settled or _is_new(step))
         ]
-        steps.sort(key=lambda step: rank(step, job_table.queue_of(step), now))
+        steps.sort(key=lambda step: self._order.key(step, job_table.queue_of(step), now))
         largest_free_by_service: dict[str, _LargestFree] = {}
         planned: list[Run] = []
         for step in steps:
@@ -98,6 +110,8 @@
         runs = []
         scores = StepScores()
         for task in list(step.waiting):
+            if not self._start_filter.startable(step):
+                break
             view = self._placer.choose(task, workers, now, queue.advice is not None, scores)
             if view is None:
                 break
@@ -111,6 +125,8 @@
         """Adds runs with the same number for all tasks of a gang, or for none of them."""
         if len(step.waiting) < step.spec.count:
             return []
+        if self._start_filter.startable(step) < step.spec.count:
+            return []
         number = max(self._job_table.next_run_number(task) for task in step.tasks)
         runs: list[Run] = []
         for task in list(step.waiting):
--- /dev/null
+++ b/packages/pollengate/pollengate/workflow/policy.py
@@ -0,0 +1,52 @@
+"""Settings of scheduling decisions that a deployment may switch on."""
+
+import dataclasses
+
+__all__ = ["InterferencePolicy", "OverloadPolicy", "SchedulingPolicy"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OverloadPolicy:
+    """What happens when there is too little room.
+
+    Attributes:
+        is_enabled: whether jobs are ordered by their cost to callers and refused in a shortage.
+        useful_factor: a job is of no use to its caller after this many times its latency objective.
+        enter_factor: due work divided by room from which there is a shortage.
+        leave_factor: due work divided by room below which a shortage has ended.
+        floor_jobs_per_s: jobs of each queue that a shard always accepts, per second.
+        floor_share: share of the jobs of each queue that a shard always accepts, from 0 to 1.
+    """
+
+    is_enabled: bool = False
+    useful_factor: float = 3.0
+    enter_factor: float = 1.0
+    leave_factor: float = 0.8
+    floor_jobs_per_s: float = 1.0
+    floor_share: float = 0.25
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InterferencePolicy:
+    """How owners learn which fillers interfere with serving tasks, and how long fillers wait.
+
+    Attributes:
+        is_shared: whether the owners of all shards learn from each other.
+        is_wait_bounded: whether fillers that may interfere everywhere start in time for their
+            objective, instead of waiting for a fixed time.
+        certain_probability: probability of interference from which a filler is not started early.
+        max_doubtful_share: largest share of a shard's workers on which such fillers run.
+    """
+
+    is_shared: bool = False
+    is_wait_bounded: bool = False
+    certain_probability: float = 0.8
+    max_doubtful_share: float = 0.2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SchedulingPolicy:
+    """All such settings; by default everything is off."""
+
+    overload: OverloadPolicy = OverloadPolicy()
+    interference: InterferencePolicy = InterferencePolicy()
--- a/packages/pollengate/pollengate/workflow/progress.py
+++ b/packages/pollengate/pollengate/workflow/progress.py
@@ -236,6 +236,7 @@
             tasks of it.
         occurrences_by_number: the occurrences that are due.
         due_count: number of occurrences that have become due.
+        account: name of the client account that handed it in, empty for none.
     """
 
     job_id: str
@@ -249,6 +250,7 @@
     is_restored: bool = False
     occurrences_by_number: dict[int, Occurrence] = dataclasses.field(default_factory=dict)
     due_count: int = 0
+    account: str = ""
     _critical_path_ms: float | None = dataclasses.field(default=None, init=False)
 
     @property
--- a/packages/pollengate/pollengate/workflow/records.py
+++ b/packages/pollengate/pollengate/workflow/records.py
@@ -21,6 +21,7 @@
     queue: str
     accepted_ms: int
     workflow: Workflow
+    account: str = ""
 
 
 @dataclasses.dataclass(slots=True)
@@ -57,7 +58,7 @@
 
 def encode_job(job: JobProgress) -> bytes:
     """Encodes the unchanging part of a job."""
-    stored = StoredJob(job.job_id, job.queue_name, job.accepted_ms, job.workflow)
+    stored = StoredJob(job.job_id, job.queue_name, job.accepted_ms, job.workflow, job.account)
     return msgspec.json.encode(stored)
 
 
@@ -106,6 +107,7 @@
     """
     job = JobProgress(stored.job_id, stored.queue, stored.workflow, stored.accepted_ms, now)
     job.is_restored = True
+    job.account = stored.account
     if progress is None:
         return Ok(job)
     job.state = job.visible_state = progress.state
--- a/packages/pollengated/pollengated/edge/compose.py
+++ b/packages/pollengated/pollengated/edge/compose.py
@@ -7,6 +7,7 @@
 import uvicorn
 from grpclib.server import Server
 from litestar.types import ASGIApp
+from pollengate.workflow.policy import SchedulingPolicy
 from pollengate.workflow.settings import NodeSettings
 from pollengate.workflow.shard_lease import ShardLease
 from pollengate_net.calls import split_address
@@ -50,7 +51,7 @@
 LAYOUT_DECIDERS = 4
 
 
-async def run_edge(settings: NodeSettings) -> None:
+async def run_edge(settings: NodeSettings, policy: SchedulingPolicy) -> None:
     """Runs the edge role until SIGTERM."""
     configure_stdout_logging()
     log = Log("edge")
@@ -107,6 +108,7 @@
             operator_view,
             clocks,
             metrics,
+            policy,
         )
 
     for shard in range(layout.shards):
--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -10,11 +10,12 @@
 from pollengate.workflow.colocation import ColocationModel
 from pollengate.workflow.fleet import Fleet, WorkerView
 from pollengate.workflow.job_table import JobTable
-from pollengate.workflow.keys import job_key, progress_key
+from pollengate.workflow.keys import progress_key
 from pollengate.workflow.large_tasks import LargeTaskReserve
 from pollengate.workflow.leases import WORKER_LEASE_S
 from pollengate.workflow.placement import Placer
 from pollengate.workflow.planner import Planner
+from pollengate.workflow.policy import SchedulingPolicy
 from pollengate.workflow.progress import JobProgress
 from pollengate.workflow.rebalancing import Rebalancer
 from pollengate.workflow.records import decode_job, decode_progress, restore
@@ -30,18 +31,19 @@
 from pollengated.edge.committer import (
     Committer,
     ProgressRecord,
-    RecordRemoval,
     decode_commit_number,
 )
 from pollengated.edge.edge_metrics import EdgeMetrics
 from pollengated.edge.interference_record import InterferenceRecorder, load_interference_record
 from pollengated.edge.job_request_handler import JobRequestHandler
+from pollengated.edge.job_retention import JobRetention
 from pollengated.edge.layout import Layout
 from pollengated.edge.operator_view import OperatorView
 from pollengated.edge.recorded_workers import RecordedWorkers, decode_recorded_workers
 from pollengated.edge.run_mover import RunMover
 from pollengated.edge.shard_load_log import ShardLoadLog
 from pollengated.edge.shard_records import ShardRecords, ShardRecordsReader
+from pollengated.edge.start_policy import StartPolicy
 from pollengated.edge.worker_assignments import WorkerAssignments
 from pollengated.edge.worker_controller import WorkerController
 from pollengated.edge.worker_registry import WorkerRegistry
@@ -60,8 +62,6 @@
 TICK_INTERVAL_S = 0.1
 # Time until a worker on which all tasks fail is tried again; a task takes a second or two.
 FIRST_PROBE_AFTER_S = 4.0
-# Added to the time for which clients may request the state of an ended job.
-RETENTION_MARGIN_S = 5.0
 
 
 class ShardTerm:
@@ -78,6 +78,7 @@
         operator_view: configuration and evacuated zones.
         clocks: the process's clocks.
         metrics: metrics of this process.
+        policy: settings of scheduling decisions.
 
     Attributes:
         is_serving: whether the shard's records have been loaded and the term has not ended.
@@ -99,6 +100,7 @@
         operator_view: OperatorView,
         clocks: Clocks,
         metrics: EdgeMetrics,
+        policy: SchedulingPolicy,
     ) -> None:
         self.shard = shard
         self.shard_lease = shard_lease
@@ -111,6 +113,7 @@
         self._operator_view = operator_view
         self._clocks = clocks
         self._metrics = metrics
+        self._policy = policy
         self._log = Log("owner")
         self._acquired_at = clocks.monotonic_s()
         previous_leases_expire_at = previous_lease_expiry(self._acquired_at, self._worker_lease_s())
@@ -126,10 +129,11 @@
         self._wake = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
         self._is_handing_over = False
-        self._ended_since_by_job_id: dict[str, float] = {}
         self.job_table: JobTable
         self._committer: Committer
+        self._start_policy: StartPolicy
         self._planner: Planner
+        self._retention: JobRetention
         self._recorded_workers: RecordedWorkers
         self._interference_recorder: InterferenceRecorder
         self._load_log: ShardLoadLog
@@ -224,10 +228,16 @@
         )
         evidence = FailureEvidence(self._clocks.monotonic_s, FIRST_PROBE_AFTER_S)
         self.job_table = JobTable(self.fleet, evidence, term_number)
+        self._start_policy = StartPolicy(self.shard, self.job_table, self._policy)
         self._planner = Planner(
             self.job_table,
             Placer(evidence, self._colocation, self._tickets),
             self._are_previous_runs_known,
+            self._start_policy.order,
+            self._start_policy.start_filter,
+        )
+        self._retention = JobRetention(
+            self.shard, self.job_table, self._committer, self._settings.bounds.status_s
         )
         self._transfers = WorkerTransfers(
             self.shard,
@@ -455,25 +465,12 @@
                 self._transfers.update()
             self._interference_recorder.update(self._clocks.monotonic_s())
             self._remove_departed_workers()
-            self._remove_ended_jobs()
+            self._retention.update(self._clocks.monotonic_s())
+            self._start_policy.update(self._clocks.monotonic_s())
             self._load_log.update(self._clocks.monotonic_s())
             self._request_planning()
         self._wake.set()
 
-    def _remove_ended_jobs(self) -> None:
-        """Removes ended jobs whose retention period has passed, and their records.
-
-        The period begins anew at a takeover: times of day differ between processes and may jump.
-        """
-        now = self._clocks.monotonic_s()
-        keep_s = self._settings.bounds.status_s + RETENTION_MARGIN_S
-        ended = [job_id for job_id, job in self.job_table.jobs_by_id.items() if job.is_ended]
-        for job_id in ended:
-            if now - self._ended_since_by_job_id.setdefault(job_id, now) > keep_s:
-                del self.job_table.jobs_by_id[job_id], self._ended_since_by_job_id[job_id]
-                self._committer.add(RecordRemoval(job_key(self.shard, job_id)))
-                self._committer.add(RecordRemoval(progress_key(self.shard, job_id)))
-
     def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
--- a/packages/pollengated/pollengated/main.py
+++ b/packages/pollengated/pollengated/main.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 import click
-from result import Err
+from result import Err, Ok
 
 if TYPE_CHECKING:
     from pollengated.settings import Settings
@@ -47,20 +47,30 @@
 
 
 @main.command()
-def edge() -> None:
+@click.option(
+    "--policy",
+    "policy_path",
+    type=click.Path(path_type=Path),
+    help="File with settings of scheduling decisions; without it all of them are off.",
+)
+def edge(policy_path: Path | None) -> None:
     """Runs a process of the edge role, which accepts jobs and runs them on the users' platform.
 
     Its settings file is the platform's.
     """
+    from pollengate.workflow.policy import SchedulingPolicy
     from pollengate_platform.boot import read_boot_settings
 
     from pollengated.edge.compose import run_edge
-
-    result = read_boot_settings()
-    if isinstance(result, Err):
-        click.echo(result.err_value, err=True)
-        sys.exit(EXIT_USAGE)
-    asyncio.run(run_edge(result.ok_value))
+    from pollengated.edge.policy_file import read_policy
+
+    settings = read_boot_settings()
+    policy = Ok(SchedulingPolicy()) if policy_path is None else read_policy(policy_path)
+    for result in (settings, policy):
+        if isinstance(result, Err):
+            click.echo(result.err_value, err=True)
+            sys.exit(EXIT_USAGE)
+    asyncio.run(run_edge(settings.unwrap(), policy.unwrap()))
 
 
 def _run(path: Path, role: Callable[["Settings"], Awaitable[None]]) -> None:
--- a/tests/edge_cluster.py
+++ b/tests/edge_cluster.py
@@ -22,6 +22,7 @@
 from pollengate.workflow.job_service import JobResponse
 from pollengate.workflow.keys import owner_key, shard_of_job
 from pollengate.workflow.model import Workflow
+from pollengate.workflow.policy import SchedulingPolicy
 from pollengate.workflow.settings import Bounds, NodeSettings
 from pollengate.workflow.shard_lease import ShardLease
 from pollengate_standins.lease_worker import LeaseWorker, LeaseWorkerClient, StartRecord
@@ -127,6 +128,7 @@
         workers_by_id: the workers that all processes share.
         history: every run that has started.
         nodes_by_name: all processes, including killed ones.
+        policy: settings of scheduling decisions, for processes that start afterwards.
     """
 
     def __init__(self, workers: int = 3, duration_s: float | None = None, shards: int = 1) -> None:
@@ -140,6 +142,7 @@
             for worker in self.workers_by_id.values():
                 worker.duration_of = lambda task: duration_s
         self.nodes_by_name: dict[str, EdgeNode] = {}
+        self.policy = SchedulingPolicy()
         self._incarnations = 0
 
     async def open(self, nodes: int = 2) -> None:
@@ -201,6 +204,7 @@
                 operator_view,
                 clocks,
                 metrics,
+                self.policy,
             )
 
         electors = [
