Decode client accounts and find the account of a key

A configuration is unreadable if a name or key is empty, a name is used twice, or two accounts have a key in common; its error contains no key. Without `tenants` (or with null, as before) there are no accounts.

--- /dev/null
+++ b/packages/pollengate/pollengate/accounts/__init__.py
@@ -0,0 +1,1 @@
+"""Client accounts: keys, limits and order; no network access."""
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -6,8 +6,9 @@
 from pathlib import Path
 from typing import Any
 
+from pollengate.accounts.keys import KeyRing
 from pollengate.store import Entry
-from pollengate.workflow.model import AdviceTiming, Demand, Worker, WorkerCondition
+from pollengate.workflow.model import AdviceTiming, ClientAccount, Demand, Worker, WorkerCondition
 from pollengate_platform.boot import read_boot_settings
 from pollengate_platform.client_api import decode_workflow
 from pollengate_platform.documents import decode_deployment, decode_worker, evacuated_zone
@@ -119,6 +120,39 @@
         self.assertFalse(deployment.services_by_name["s"].checks_capacity)
         self.assertEqual(deployment.limits.body_bytes, 10)
 
+    def test_tenants_are_decoded_into_accounts(self) -> None:
+        """Guards against mixed-up limits, keys in logs, and keys needed without accounts."""
+        cap = {"cpu": 128000, "memMb": 9, "gpu": 2}
+        tenant = {"name": "a", "apiKeys": ["secret", "new"], "weight": 2.5, "cap": cap}
+        document = json.dumps({"version": 1, "tenants": [tenant, {"name": "b"}]}).encode()
+        deployment = decode_deployment(document).unwrap()
+        accounts = deployment.accounts_by_name
+        assert accounts is not None
+        self.assertEqual(accounts["b"], ClientAccount("b"))
+        self.assertEqual((accounts["a"].weight, accounts["a"].limit), (2.5, Demand(128000, 9, 2)))
+        self.assertNotIn("secret", repr(deployment))
+        found = [
+            KeyRing(accounts.values()).find_account(k) for k in (b"secret", b"new", b"ne", b"")
+        ]
+        self.assertEqual(found, ["a", "a", None, None])
+        self.assertIsNone(decode_deployment(b'{"version":1}').unwrap().accounts_by_name)
+
+    def test_malformed_tenants_make_the_configuration_unreadable(self) -> None:
+        """Guards against a key that anyone or two accounts have, and a key in the error."""
+        for changes in (
+            {"name": ""},
+            {"name": "a"},
+            {"apiKeys": ["secret"]},
+            {"apiKeys": ["secret-2", ""]},
+            {"apiKeys": "secret-2"},
+            {"weight": 0},
+            {"cap": {"cpu": -1}},
+        ):
+            tenants = [{"name": "a", "apiKeys": ["secret"]}, {"name": "b"} | changes]
+            document = {"version": 1, "tenants": tenants}
+            error = decode_deployment(json.dumps(document).encode()).unwrap_err()
+            self.assertNotIn("secret", error)
+
     def test_evacuated_zone_is_read_from_the_key(self) -> None:
         self.assertEqual(evacuated_zone("op/evacuate/lima-sur-a"), "lima-sur-a")
         self.assertIsNone(evacuated_zone("op/config"))
