Require the key of a client account and keep jobs of other accounts unknown

Cause: with client accounts configured, a request without a key was served, and any client could show and cancel the jobs of all others.

Change: JobService.authenticate returns the account of the `Credential` header, or the HTTP interface answers 401; the configuration (503) and the route (404) are checked before. OperatorView builds one KeyRing for each configuration, so that a version is in force for keys as for all else. The account goes with SubmitRequest and JobRequest to the owner and into the job's record; a job of another account is answered as an unknown one, also where a gate reads the records itself. A job without an account can be shown and cancelled by all who reach its route. A restriction never depends on the owner's copy of the configuration alone: a request with an account has access to its own jobs only, whatever the owner has read. Refused keys are counted by reason and logged once a second at most.

Without client accounts no record is read in addition, and log lines have the same fields as before.

--- a/packages/pollengate/pollengate/workflow/job_service.py
+++ b/packages/pollengate/pollengate/workflow/job_service.py
@@ -3,6 +3,8 @@
 import abc
 import dataclasses
 
+from result import Result
+
 from pollengate.workflow.model import Queue, Workflow
 from pollengate.workflow.progress import JobState
 
@@ -16,6 +18,7 @@
     "NotAccepted",
     "Undecided",
     "RETRY_AFTER_S",
+    "UnknownKey",
     "WaitingCount",
     "remaining_outage_s",
 ]
@@ -77,6 +80,17 @@
     count: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnknownKey:
+    """The request has no key of a client account, and its route requires one.
+
+    Attributes:
+        reason: `missing` if there is no key in the request, otherwise `unknown`.
+    """
+
+    reason: str
+
+
 JobResponse = Accepted | NotAccepted | Undecided | Found | Cancelled | NoSuchJob | WaitingCount
 
 
@@ -92,16 +106,29 @@
         """Returns True once a configuration with the queues has been loaded."""
 
     @abc.abstractmethod
-    async def submit(self, queue: Queue, job_id: str, workflow: Workflow) -> JobResponse:
-        """Accepts or refuses a job."""
+    def authenticate(self, queue: Queue, key: bytes) -> Result[str, UnknownKey]:
+        """Returns the name of the client account that a key belongs to.
+
+        The name is empty if the queue's route is public or the deployment has no client accounts.
+
+        Args:
+            queue: the queue whose route the request used.
+            key: the key in the request, empty if there is none.
+        """
+
+    @abc.abstractmethod
+    async def submit(
+        self, queue: Queue, job_id: str, workflow: Workflow, account: str
+    ) -> JobResponse:
+        """Accepts or refuses a job of a client account."""
 
     @abc.abstractmethod
-    async def show(self, queue: Queue, job_id: str) -> JobResponse:
-        """Returns the state of a job."""
+    async def show(self, queue: Queue, job_id: str, account: str) -> JobResponse:
+        """Returns the state of a job; one of another account is unknown."""
 
     @abc.abstractmethod
-    async def cancel(self, queue: Queue, job_id: str) -> JobResponse:
-        """Cancels a job."""
+    async def cancel(self, queue: Queue, job_id: str, account: str) -> JobResponse:
+        """Cancels a job; one of another account is unknown."""
 
     @abc.abstractmethod
     async def count_waiting(self, queue: Queue) -> JobResponse:
--- a/packages/pollengated/pollengated/edge/edge_metrics.py
+++ b/packages/pollengated/pollengated/edge/edge_metrics.py
@@ -32,6 +32,12 @@
             ["request"],
             registry=registry,
         )
+        self.refused_keys = Counter(
+            "pollengate_edge_refused_keys",
+            "Requests without a key of a client account, by reason.",
+            ["reason"],
+            registry=registry,
+        )
         self.starts = Counter("pollengate_edge_starts", "Tasks started.", registry=registry)
         self.failed_starts = Counter(
             "pollengate_edge_failed_starts",
--- a/packages/pollengated/pollengated/edge/gate_job_service.py
+++ b/packages/pollengated/pollengated/edge/gate_job_service.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+from pollengate.accounts.job_access import Requester
 from pollengate.store import PolledStore
 from pollengate.workflow.job_service import (
     RETRY_AFTER_S,
@@ -12,18 +13,20 @@
     NoSuchJob,
     NotAccepted,
     Undecided,
+    UnknownKey,
     WaitingCount,
     remaining_outage_s,
 )
 from pollengate.workflow.keys import job_key, progress_key, shard_of_job
-from pollengate.workflow.model import Queue, Workflow
+from pollengate.workflow.model import Deployment, Queue, Workflow
 from pollengate.workflow.progress import JobState
-from pollengate.workflow.records import decode_progress
+from pollengate.workflow.records import decode_job, decode_progress
 from pollengate_net.calls import CallFailure
-from result import Err, Result
+from result import Err, Ok, Result
 
 from pollengated.edge.clocks import Clocks
 from pollengated.edge.edge_metrics import EdgeMetrics
+from pollengated.edge.key_refusals import KeyRefusals
 from pollengated.edge.node_directory import NodeDirectory
 from pollengated.edge.operator_view import OperatorView
 from pollengated.edge.owned_shards import OwnedShards
@@ -80,6 +83,7 @@
         self._clocks = clocks
         self._metrics = metrics
         self._log = Log("gate")
+        self._key_refusals = KeyRefusals(clocks, metrics)
 
     def has_configuration(self) -> bool:
         """Whether a configuration has been loaded."""
@@ -90,63 +94,97 @@
         deployment = self._operator_view.deployment
         return None if deployment is None else deployment.find_queue(host, path)
 
-    async def submit(self, queue: Queue, job_id: str, workflow: Workflow) -> JobResponse:
-        """Submits a job to the owner of its shard."""
+    def authenticate(self, queue: Queue, key: bytes) -> Result[str, UnknownKey]:
+        """Returns the name of the client account that a key belongs to, empty for none."""
+        key_ring = self._operator_view.key_ring
+        if key_ring is None or queue.is_public:
+            return Ok("")
+        account = key_ring.find_account(key)
+        if account is not None:
+            return Ok(account)
+        refusal = UnknownKey("unknown" if key else "missing")
+        self._key_refusals.record(queue.name, refusal.reason, self._operator_view.cache.age_s())
+        return Err(refusal)
+
+    async def submit(
+        self, queue: Queue, job_id: str, workflow: Workflow, account: str
+    ) -> JobResponse:
+        """Submits a job of a client account to the owner of its shard."""
         shard = shard_of_job(job_id, self._shards)
         return await self._measure_response(
             "submit",
             job_id,
             self._forward_to_owner(
                 shard,
-                lambda term: term.request_handler.submit(queue.name, job_id, workflow),
-                lambda address: self._client.submit(address, shard, queue.name, job_id, workflow),
+                lambda term: term.request_handler.submit(queue.name, job_id, workflow, account),
+                lambda address: self._client.submit(
+                    address, shard, queue.name, job_id, workflow, account
+                ),
             ),
+            account,
         )
 
-    async def show(self, queue: Queue, job_id: str) -> JobResponse:
-        """Returns the state of a job."""
-        return await self._measure_response("show", job_id, self._show(queue, job_id))
+    async def show(self, queue: Queue, job_id: str, account: str) -> JobResponse:
+        """Returns the state of a job; one of another account is unknown."""
+        pending_response = self._show(job_id, Requester(queue.name, account))
+        return await self._measure_response("show", job_id, pending_response, account)
 
-    async def cancel(self, queue: Queue, job_id: str) -> JobResponse:
-        """Cancels a job at the owner of its shard."""
+    async def cancel(self, queue: Queue, job_id: str, account: str) -> JobResponse:
+        """Cancels a job at the owner of its shard; one of another account is unknown."""
         shard = shard_of_job(job_id, self._shards)
+        requester = Requester(queue.name, account)
         return await self._measure_response(
             "cancel",
             job_id,
             self._forward_to_owner(
                 shard,
-                lambda term: term.request_handler.cancel(job_id),
-                lambda address: self._client.cancel(address, shard, queue.name, job_id),
+                lambda term: term.request_handler.cancel(job_id, requester),
+                lambda address: self._client.cancel(address, shard, job_id, requester),
             ),
+            account,
         )
 
     async def count_waiting(self, queue: Queue) -> JobResponse:
         """Returns the number of waiting jobs of a queue in all shards."""
         return await self._measure_response("count", queue.name, self._count_waiting(queue))
 
-    async def _show(self, queue: Queue, job_id: str) -> JobResponse:
+    async def _show(self, job_id: str, requester: Requester) -> JobResponse:
         shard = shard_of_job(job_id, self._shards)
         response = await self._forward_to_owner(
             shard,
-            lambda term: term.request_handler.show(job_id),
-            lambda address: self._client.show(address, shard, queue.name, job_id),
+            lambda term: term.request_handler.show(job_id, requester),
+            lambda address: self._client.show(address, shard, job_id, requester),
         )
         if isinstance(response, NotAccepted | Undecided):
-            return await self._show_stored(shard, job_id) or response
+            return await self._show_stored(shard, job_id, requester) or response
         return response
 
-    async def _show_stored(self, shard: int, job_id: str) -> JobResponse | None:
+    async def _show_stored(
+        self, shard: int, job_id: str, requester: Requester
+    ) -> JobResponse | None:
         """Returns a job's state from its records; None if they can't be read or decoded."""
+        deployment = self._operator_view.deployment or Deployment(0)
+        is_restricted = requester.is_restricted(deployment)
         progress = await self._store.get(progress_key(shard, job_id))
         if isinstance(progress, Err):
             return None
-        if progress.ok_value is not None:
-            decoded = decode_progress(progress.ok_value.value)
-            return None if isinstance(decoded, Err) else Found(decoded.ok_value.state)
+        if progress.ok_value is not None and not is_restricted:
+            return _decode_state(progress.ok_value.value)
         job = await self._store.get(job_key(shard, job_id))
         if isinstance(job, Err):
             return None
-        return NoSuchJob() if job.ok_value is None else Found(JobState.QUEUED)
+        if job.ok_value is None:
+            return NoSuchJob()
+        if is_restricted:
+            # Only the job's record has its account.
+            stored = decode_job(job.ok_value.value)
+            if isinstance(stored, Err):
+                return None
+            if not requester.may_access(stored.ok_value.queue, stored.ok_value.account, deployment):
+                return NoSuchJob()
+        if progress.ok_value is None:
+            return Found(JobState.QUEUED)
+        return _decode_state(progress.ok_value.value)
 
     async def _count_waiting(self, queue: Queue) -> JobResponse:
         total = 0
@@ -216,7 +254,11 @@
         return None if isinstance(result.ok_value, NotOwner) else result.ok_value
 
     async def _measure_response(
-        self, request: str, subject: str, pending_response: Awaitable[JobResponse]
+        self,
+        request: str,
+        subject: str,
+        pending_response: Awaitable[JobResponse],
+        account: str = "",
     ) -> JobResponse:
         began_at = asyncio.get_running_loop().time()
         response = await pending_response
@@ -234,6 +276,12 @@
                 outcome=outcome,
                 took_ms=round(took_s * 1000, 1),
                 view_age_s=round(self._operator_view.cache.age_s(), 2),
+                **({"account": account} if account else {}),
                 **fields,
             )
         return response
+
+
+def _decode_state(encoded_progress: bytes) -> JobResponse | None:
+    decoded = decode_progress(encoded_progress)
+    return None if isinstance(decoded, Err) else Found(decoded.ok_value.state)
--- a/packages/pollengated/pollengated/edge/job_request_handler.py
+++ b/packages/pollengated/pollengated/edge/job_request_handler.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from pollengate.accounts.job_access import Requester
 from pollengate.workflow.job_service import (
     RETRY_AFTER_S,
     Accepted,
@@ -64,8 +65,10 @@
         self._submissions_by_id: dict[str, _Submission] = {}
         self._log = Log("owner")
 
-    async def submit(self, queue_name: str, job_id: str, workflow: Workflow) -> JobResponse:
-        """Accepts a job; responds when its record is durable."""
+    async def submit(
+        self, queue_name: str, job_id: str, workflow: Workflow, account: str
+    ) -> JobResponse:
+        """Accepts a job of a client account; responds when its record is durable."""
         existing_job = self._job_table.jobs_by_id.get(job_id)
         if existing_job is not None:
             return Accepted()
@@ -77,7 +80,7 @@
             if refusal is not None:
                 return refusal
             now, now_ms = self._clocks.monotonic_s(), self._clocks.unix_ms()
-            job = JobProgress(job_id, queue_name, workflow, now_ms, now)
+            job = JobProgress(job_id, queue_name, workflow, now_ms, now, account=account)
             record = _Submission(self._shard, job, self._add_accepted_job)
             record.record_number = self._committer.add(record)
             self._submissions_by_id[job_id] = record
@@ -109,25 +112,25 @@
         outage_s = max(self._committer.stalled_s, silent_s)
         return NotAccepted("store_unavailable", remaining_outage_s(outage_s))
 
-    async def show(self, job_id: str) -> JobResponse:
+    async def show(self, job_id: str, requester: Requester) -> JobResponse:
         """Returns the state of a job; an end state only when it is durable."""
-        job = self._job_table.jobs_by_id.get(job_id)
+        job = self._find_job(job_id, requester)
         if job is not None:
             return Found(job.visible_state)
-        if job_id in self._submissions_by_id:
+        if self._find_submission(job_id, requester) is not None:
             return Found(JobState.QUEUED)
         if not self._shard_lease.is_confirmed(self._clocks.monotonic_s()):
             return NotAccepted("owner_unconfirmed", RETRY_AFTER_S)
         return NoSuchJob()
 
-    async def cancel(self, job_id: str) -> JobResponse:
+    async def cancel(self, job_id: str, requester: Requester) -> JobResponse:
         """Cancels a job; responds when the cancellation is durable."""
-        submission = self._submissions_by_id.get(job_id)
+        submission = self._find_submission(job_id, requester)
         if submission is not None and not await self._committer.wait_durable(
             submission.record_number, DURABLE_TIMEOUT_S
         ):
             return Undecided("store_unavailable")
-        job = self._job_table.jobs_by_id.get(job_id)
+        job = self._find_job(job_id, requester)
         if job is None:
             if not self._shard_lease.is_confirmed(self._clocks.monotonic_s()):
                 return NotAccepted("owner_unconfirmed", RETRY_AFTER_S)
@@ -149,6 +152,17 @@
         )
         return WaitingCount(count)
 
+    def _find_job(self, job_id: str, requester: Requester) -> JobProgress | None:
+        job = self._job_table.jobs_by_id.get(job_id)
+        return job if job is not None and self._may_access(job, requester) else None
+
+    def _find_submission(self, job_id: str, requester: Requester) -> "_Submission | None":
+        record = self._submissions_by_id.get(job_id)
+        return record if record is not None and self._may_access(record.job, requester) else None
+
+    def _may_access(self, job: JobProgress, requester: Requester) -> bool:
+        return requester.may_access(job.queue_name, job.account, self._job_table.deployment)
+
     def _add_accepted_job(self, job: JobProgress) -> None:
         """Adds a job to the job table when its record is durable, so that it is scheduled."""
         self._submissions_by_id.pop(job.job_id, None)
@@ -160,6 +174,7 @@
             queue=job.queue_name,
             tasks=sum(step.count for step in job.workflow.steps),
             objective_s=round(job.objective_s(queue), 3) if queue else None,
+            **({"account": job.account} if job.account else {}),
         )
         self._on_change()
 
--- a/packages/pollengated/pollengated/edge/operator_view.py
+++ b/packages/pollengated/pollengated/edge/operator_view.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Collection
 
+from pollengate.accounts.keys import KeyRing
 from pollengate.store import Entry, PolledStore
 from pollengate.workflow.model import Deployment
 from pollengate_platform.documents import (
@@ -24,6 +25,7 @@
 
     Attributes:
         deployment: the newest configuration, None until one has been loaded.
+        key_ring: the keys of its client accounts, None if it has no accounts.
         evacuated_zones: zones that get no new tasks.
         cache: the cached keys.
     """
@@ -31,6 +33,7 @@
     def __init__(self, store: PolledStore, clocks: Clocks) -> None:
         self.cache = PrefixCache(store, OPERATOR_PREFIX, clocks, self._changed)
         self.deployment: Deployment | None = None
+        self.key_ring: KeyRing | None = None
         self.evacuated_zones: frozenset[str] = frozenset()
         self._listeners: list[Callable[[], None]] = []
         self._log = Log("configuration")
@@ -62,10 +65,13 @@
             return
         newest = decoded.ok_value
         if self.deployment is None or newest.version > self.deployment.version:
+            accounts = newest.accounts_by_name
             self.deployment = newest
+            self.key_ring = None if accounts is None else KeyRing(accounts.values())
             self._log.info(
                 "configuration applied",
                 version=newest.version,
                 queues=len(newest.queues),
                 revision=entry.revision,
+                **({} if accounts is None else {"accounts": len(accounts)}),
             )
--- a/packages/pollengated/pollengated/edge/rpc.py
+++ b/packages/pollengated/pollengated/edge/rpc.py
@@ -7,6 +7,7 @@
 import msgspec
 from grpclib.client import Channel
 from grpclib.server import Stream
+from pollengate.accounts.job_access import Requester
 from pollengate.store import Entry
 from pollengate.workflow.job_service import (
     Accepted,
@@ -54,26 +55,30 @@
         self._channels_by_address: dict[str, Channel] = {}
 
     async def submit(
-        self, address: str, shard: int, queue: str, job_id: str, workflow: Workflow
+        self, address: str, shard: int, queue: str, job_id: str, workflow: Workflow, account: str
     ) -> Result[JobResponse | NotOwner, CallFailure]:
-        """Submits a job to a shard's owner."""
+        """Submits a job of a client account to a shard's owner."""
         request = pb.SubmitRequest(
-            shard=shard, queue=queue, job_id=job_id, workflow=msgspec.json.encode(workflow)
+            shard=shard,
+            queue=queue,
+            job_id=job_id,
+            workflow=msgspec.json.encode(workflow),
+            account=account,
         )
         return await self._call_owner(address, "Submit", request)
 
     async def show(
-        self, address: str, shard: int, queue: str, job_id: str
+        self, address: str, shard: int, job_id: str, requester: Requester
     ) -> Result[JobResponse | NotOwner, CallFailure]:
         """Requests the state of a job from a shard's owner."""
-        request = pb.JobRequest(shard=shard, queue=queue, job_id=job_id)
+        request = _job_request(shard, job_id, requester)
         return await self._call_owner(address, "Show", request)
 
     async def cancel(
-        self, address: str, shard: int, queue: str, job_id: str
+        self, address: str, shard: int, job_id: str, requester: Requester
     ) -> Result[JobResponse | NotOwner, CallFailure]:
         """Cancels a job at a shard's owner."""
-        request = pb.JobRequest(shard=shard, queue=queue, job_id=job_id)
+        request = _job_request(shard, job_id, requester)
         return await self._call_owner(address, "Cancel", request)
 
     async def count_waiting(
@@ -160,20 +165,29 @@
         await self._handle(
             stream,
             lambda request_handler, request: request_handler.submit(
-                request.queue, request.job_id, msgspec.json.decode(request.workflow, type=Workflow)
+                request.queue,
+                request.job_id,
+                msgspec.json.decode(request.workflow, type=Workflow),
+                request.account,
             ),
         )
 
     async def Show(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
         """Returns the state of a job."""
         await self._handle(
-            stream, lambda request_handler, request: request_handler.show(request.job_id)
+            stream,
+            lambda request_handler, request: request_handler.show(
+                request.job_id, Requester(request.queue, request.account)
+            ),
         )
 
     async def Cancel(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
         """Cancels a job."""
         await self._handle(
-            stream, lambda request_handler, request: request_handler.cancel(request.job_id)
+            stream,
+            lambda request_handler, request: request_handler.cancel(
+                request.job_id, Requester(request.queue, request.account)
+            ),
         )
 
     async def CountWaiting(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
@@ -215,6 +229,12 @@
             await stream.send_message(_encode_reply(await handle(term.request_handler, request)))
 
 
+def _job_request(shard: int, job_id: str, requester: Requester) -> Any:
+    return pb.JobRequest(
+        shard=shard, queue=requester.queue_name, job_id=job_id, account=requester.account
+    )
+
+
 def _encode_reply(response: JobResponse) -> pb.JobReply:
     match response:
         case NotAccepted(reason, retry_after_s, is_overload):
--- a/tests/edge_cluster.py
+++ b/tests/edge_cluster.py
@@ -155,8 +155,8 @@
         for shard in range(self._layout.shards):
             await self.wait_for_term(shard=shard)
 
-    async def configure(self, version: int) -> None:
-        """Writes a configuration with one queue."""
+    async def configure(self, version: int, **fields: Any) -> None:
+        """Writes a configuration with one queue and further fields."""
         route = {
             "name": "queue",
             "host": "host",
@@ -166,6 +166,7 @@
             "stretch": 2.0,
         }
         document = {"version": version, "routes": [route], "services": [{"name": "service"}]}
+        document |= fields
         await self.store.commit((), (Put("op/config", json.dumps(document).encode()),))
 
     async def register(self, worker_id: str, state: str = "ready") -> None:
@@ -268,11 +269,13 @@
         for node in self.nodes_by_name.values():
             node.store.is_down = False
 
-    async def submit(self, job_id: str, workflow: Workflow, other_than: str = "") -> JobResponse:
+    async def submit(
+        self, job_id: str, workflow: Workflow, other_than: str = "", account: str = ""
+    ) -> JobResponse:
         """Submits a job to the owner of its shard."""
         shard = shard_of_job(job_id, self._layout.shards)
         term = await self.wait_for_term(other_than, shard=shard)
-        return await term.request_handler.submit("queue", job_id, workflow)
+        return await term.request_handler.submit("queue", job_id, workflow, account)
 
     async def wait_for_state(self, job_id: str, state: str, timeout_s: float = 60.0) -> float:
         """Waits until the visible state of a job is `state`; returns the seconds waited."""
--- a/tests/test_edge_clock_steps.py
+++ b/tests/test_edge_clock_steps.py
@@ -9,7 +9,7 @@
 
 from tests.edge_cluster import EdgeCluster, EdgeNode, EdgeTestCase
 from tests.utils import run_virtual
-from tests.workflow_builders import build_step, build_workflow
+from tests.workflow_builders import REQUESTER, build_step, build_workflow
 
 JOB_ID = "00000000000000aa"
 START_MS = 1_700_000_000_000
@@ -69,9 +69,11 @@
             cluster.offset_ms_by_node[node.name] = STEP_MS
             await asyncio.sleep(110.0)
             term = await cluster.wait_for_term()
-            self.assertEqual(await term.request_handler.show(JOB_ID), Found(JobState.COMPLETED))
+            self.assertEqual(
+                await term.request_handler.show(JOB_ID, REQUESTER), Found(JobState.COMPLETED)
+            )
             await asyncio.sleep(30.0)
-            self.assertEqual(await term.request_handler.show(JOB_ID), NoSuchJob())
+            self.assertEqual(await term.request_handler.show(JOB_ID, REQUESTER), NoSuchJob())
             self.assertEqual((await cluster.store.list("pollengate/job/")).unwrap().entries, ())
 
         run_virtual(main())
@@ -88,6 +90,8 @@
             node.kill()
             term = await cluster.wait_for_term(other_than=node.name)
             await asyncio.sleep(2.0)
-            self.assertEqual(await term.request_handler.show(JOB_ID), Found(JobState.COMPLETED))
+            self.assertEqual(
+                await term.request_handler.show(JOB_ID, REQUESTER), Found(JobState.COMPLETED)
+            )
 
         run_virtual(main())
--- a/tests/test_edge_requests.py
+++ b/tests/test_edge_requests.py
@@ -8,7 +8,7 @@
 
 from tests.edge_cluster import EdgeCluster
 from tests.utils import run_virtual
-from tests.workflow_builders import build_workflow
+from tests.workflow_builders import REQUESTER, build_workflow
 
 JOB_ID = "00000000000000aa"
 
@@ -33,7 +33,7 @@
             await asyncio.gather(other, first)
             self.assertEqual(await second, Accepted())
             term = await cluster.wait_for_term()
-            self.assertIsInstance(await term.request_handler.show(JOB_ID), Found)
+            self.assertIsInstance(await term.request_handler.show(JOB_ID, REQUESTER), Found)
             await cluster.wait_for_state(JOB_ID, JobState.COMPLETED)
 
         run_virtual(main())
--- a/tests/test_edge_suspension.py
+++ b/tests/test_edge_suspension.py
@@ -8,7 +8,7 @@
 
 from tests.edge_cluster import EdgeCluster, EdgeTestCase
 from tests.utils import run_virtual
-from tests.workflow_builders import build_step, build_workflow
+from tests.workflow_builders import REQUESTER, build_step, build_workflow
 
 JOB_ID = "00000000000000aa"
 # Longer than the owner's lease and its grace period.
@@ -30,13 +30,13 @@
             pause = asyncio.create_task(cluster.pause_store(PAUSE_S))
             await asyncio.sleep(CANCELLED_AFTER_S)
             self.set_unreachable(cluster, True)
-            await term.request_handler.cancel(JOB_ID)
+            await term.request_handler.cancel(JOB_ID, REQUESTER)
             await asyncio.sleep(SUSPENDED_AFTER_S - CANCELLED_AFTER_S)
             self.assertFalse(term.shard_lease.is_valid(asyncio.get_running_loop().time()))
             self.set_unreachable(cluster, False)
             await pause
             self.assertIs(await cluster.wait_for_term(), term)
-            self.assertEqual(await term.request_handler.cancel(JOB_ID), Cancelled())
+            self.assertEqual(await term.request_handler.cancel(JOB_ID, REQUESTER), Cancelled())
             await asyncio.sleep(2.0)
             ends = [run.end_kind for run in cluster.update_history()]
             self.assertEqual(ends, [EndKind.STOPPED] * 4)
--- a/tests/test_edge_takeover.py
+++ b/tests/test_edge_takeover.py
@@ -11,7 +11,7 @@
 from tests.edge_cluster import EdgeCluster, EdgeNode, EdgeTestCase
 from tests.faulty_store import Fault
 from tests.utils import run_virtual
-from tests.workflow_builders import build_step, build_workflow
+from tests.workflow_builders import REQUESTER, build_step, build_workflow
 
 JOB_ID = "00000000000000aa"
 INFINITE_DURATION_S = float("inf")
@@ -41,7 +41,7 @@
             await cluster.submit(JOB_ID, build_workflow(build_step(4, is_long_running=True)))
             await asyncio.sleep(1.0)
             term = await cluster.wait_for_term()
-            self.assertIsInstance(await term.request_handler.cancel(JOB_ID), Cancelled)
+            self.assertIsInstance(await term.request_handler.cancel(JOB_ID, REQUESTER), Cancelled)
             await asyncio.sleep(1.0)
             self.assertTrue(all(run.ended_at is not None for run in cluster.update_history()))
 
@@ -122,7 +122,7 @@
             node = cluster.serving_node()
             node.kill()
             term = await cluster.wait_for_term(other_than=node.name)
-            self.assertIsInstance(await term.request_handler.show(JOB_ID), Found)
+            self.assertIsInstance(await term.request_handler.show(JOB_ID, REQUESTER), Found)
             await cluster.wait_for_state(JOB_ID, JobState.COMPLETED)
             self.assertEqual(len(cluster.history), 14)
             self.check_single_execution(cluster)
--- a/tests/test_gate_job_service.py
+++ b/tests/test_gate_job_service.py
@@ -1,10 +1,13 @@
 """Tests of the gate, which forwards clients' requests to the owners of shards."""
 
 import asyncio
+import dataclasses
+import json
 import unittest
 from collections.abc import Callable, Sequence
 from typing import Any
 
+import logbook
 from pollengate.memory_store import MemoryStore
 from pollengate.store import Entry, Put
 from pollengate.workflow.job_service import (
@@ -92,23 +95,30 @@
             self.directory.cache.replace_if_newer([entry], 5)
         owned_shards = OwnedShards(clocks)
         self.probe = OwnerProbe(1, owned_shards, self.directory, self.client, clocks)
+        self.view = OperatorView(self.store, clocks)
+        self.metrics = EdgeMetrics()
         self.job_service = GateJobService(
             1,
             owned_shards,
-            OperatorView(self.store, clocks),
+            self.view,
             self.directory,
             self.client,
             self.probe,
             self.store,
             clocks,
-            EdgeMetrics(),
+            self.metrics,
         )
 
+    def configure(self, version: int, **fields: Any) -> None:
+        """Applies a configuration."""
+        value = json.dumps({"version": version} | fields).encode()
+        self.view.cache.replace_if_newer([Entry("op/config", value, version, 1)], version)
+
     async def submit(self) -> tuple[JobResponse, float]:
         """Submits a job; returns the response and the seconds that it took."""
         loop = asyncio.get_running_loop()
         began_at = loop.time()
-        response = await self.job_service.submit(QUEUE, JOB_ID, build_workflow())
+        response = await self.job_service.submit(QUEUE, JOB_ID, build_workflow(), "")
         return response, loop.time() - began_at
 
 
@@ -171,12 +181,67 @@
     def test_state_is_read_from_the_records_if_the_owner_does_not_reply(self) -> None:
         async def main() -> None:
             gate = GateHarness(NOT_SENT)
-            self.assertIsInstance(await gate.job_service.show(QUEUE, JOB_ID), NoSuchJob)
+            self.assertIsInstance(await gate.job_service.show(QUEUE, JOB_ID, ""), NoSuchJob)
             job = build_job(JOB_ID)
             await gate.store.commit((), (Put(job_key(0, JOB_ID), encode_job(job)),))
-            self.assertEqual(await gate.job_service.show(QUEUE, JOB_ID), Found(JobState.QUEUED))
+            self.assertEqual(await gate.job_service.show(QUEUE, JOB_ID, ""), Found(JobState.QUEUED))
             job.state = JobState.COMPLETED
             await gate.store.commit((), (Put(progress_key(0, JOB_ID), encode_progress(job)),))
-            self.assertEqual(await gate.job_service.show(QUEUE, JOB_ID), Found(JobState.COMPLETED))
+            self.assertEqual(
+                await gate.job_service.show(QUEUE, JOB_ID, ""), Found(JobState.COMPLETED)
+            )
+
+        run_virtual(main())
+
+    def test_stored_job_of_another_account_is_unknown(self) -> None:
+        """Guards against showing it to others while its shard has no owner."""
+
+        async def main() -> None:
+            gate = GateHarness(NOT_SENT)
+            gate.configure(1, tenants=[])
+            job = build_job(JOB_ID)
+            job.account = "a"
+            await gate.store.commit((), (Put(job_key(0, JOB_ID), encode_job(job)),))
+            for _ in range(2):
+                shown = [
+                    await gate.job_service.show(QUEUE, JOB_ID, name) for name in ("b", "", "a")
+                ]
+                self.assertEqual(shown, [NoSuchJob(), NoSuchJob(), Found(JobState.QUEUED)])
+                await gate.store.commit((), (Put(progress_key(0, JOB_ID), encode_progress(job)),))
 
         run_virtual(main())
+
+
+class AuthenticateTest(unittest.TestCase):
+    """Keys of client accounts."""
+
+    def test_keys_are_those_of_the_newest_configuration(self) -> None:
+        """Guards against a key that outlives its withdrawal, and keys in logs or metrics."""
+
+        async def main() -> None:
+            gate = GateHarness()
+            public = dataclasses.replace(QUEUE, is_public=True)
+            for version, keys, accounts in (
+                (1, None, ["", "", ""]),
+                (2, ["key-old", "key-both"], ["a", "a", None]),
+                (3, ["key-both", "key-new"], [None, "a", "a"]),
+                (4, ["", "key-old"], [None, "a", "a"]),  # malformed: version 3 stays in force
+                (5, [], [None, None, None]),
+            ):
+                tenants = None if keys is None else [{"name": "a", "apiKeys": keys}]
+                gate.configure(version, tenants=tenants)
+                for key, account in zip(("old", "both", "new"), accounts, strict=True):
+                    found = gate.job_service.authenticate(QUEUE, f"key-{key}".encode())
+                    self.assertEqual(found.unwrap_or(None), account)
+                self.assertEqual(gate.job_service.authenticate(QUEUE, b"").is_ok(), keys is None)
+                self.assertEqual(gate.job_service.authenticate(public, b""), Ok(""))
+            metrics = gate.metrics.export().decode()
+            self.assertIn('pollengate_edge_refused_keys_total{reason="unknown"} 6.0', metrics)
+            self.assertNotIn("key-", metrics)
+
+        with logbook.TestHandler() as log:
+            run_virtual(main())
+        refusals = [record.extra for record in log.records if record.message == "key refused"]
+        # One line a second for each reason.
+        self.assertEqual([line["reason"] for line in refusals], ["unknown", "missing"])
+        self.assertNotIn("key-", str([record.to_dict() for record in log.records]))
--- a/tests/test_malformed_messages.py
+++ b/tests/test_malformed_messages.py
@@ -31,7 +31,7 @@
 from result import Err, Ok, Result
 
 from tests.utils import run_virtual
-from tests.workflow_builders import build_job
+from tests.workflow_builders import REQUESTER, build_job
 
 EXAMPLES = 300
 WORKER = {
@@ -235,7 +235,7 @@
 
         for sent_kind in (kind, "found"):
             kind = sent_kind
-            asyncio.run(ScriptedEdgeClient().show("a:1", 0, "q", "00000000000000aa"))
+            asyncio.run(ScriptedEdgeClient().show("a:1", 0, "00000000000000aa", REQUESTER))
 
 
 class MalformedItemStore(MemoryStore):
--- a/tests/test_peer_view_fetcher.py
+++ b/tests/test_peer_view_fetcher.py
@@ -30,7 +30,8 @@
             return Err(CallFailure(True, "timeout"))
         is_current = address == "n2:1"
         revision = NEW_REVISION if is_current else OLD_REVISION
-        document = json.dumps({"version": revision}).encode()
+        tenants = [{"name": "a", "apiKeys": [f"key-{revision}"]}]
+        document = json.dumps({"version": revision, "tenants": tenants}).encode()
         entries = [Entry("op/config", document, revision, 1)]
         if is_current:
             entries.append(Entry("op/evacuate/z", b"{}", revision, revision))
@@ -58,6 +59,10 @@
             fetch_task.cancel()
             self.assertEqual({NEW_REVISION}, versions)
             self.assertEqual({"z"}, view.evacuated_zones)
+            # A key that was withdrawn while the process was down must not be valid again.
+            assert view.key_ring is not None
+            self.assertEqual("a", view.key_ring.find_account(f"key-{NEW_REVISION}".encode()))
+            self.assertIsNone(view.key_ring.find_account(f"key-{OLD_REVISION}".encode()))
 
         run_virtual(main())
 
--- a/tests/test_platform_client_api.py
+++ b/tests/test_platform_client_api.py
@@ -14,11 +14,13 @@
     NoSuchJob,
     NotAccepted,
     Undecided,
+    UnknownKey,
     WaitingCount,
 )
 from pollengate.workflow.model import Queue, Workflow
 from pollengate.workflow.progress import JobState
 from pollengate_platform.client_api import create_client_app, create_probe_app
+from result import Err, Ok, Result
 
 from tests.utils import request_app
 from tests.workflow_builders import build_deployment
@@ -30,10 +32,17 @@
 class StubJobService(JobService):
     """Returns the same response to all requests and records them."""
 
-    def __init__(self, job_response: JobResponse, has_configuration: bool = True) -> None:
+    def __init__(
+        self, job_response: JobResponse, has_configuration: bool = True, key: str = ""
+    ) -> None:
         self._job_response = job_response
         self._has_configuration = has_configuration
-        self.calls: list[tuple[str, str]] = []
+        self._key = key
+        self.calls: list[tuple[str, ...]] = []
+
+    def authenticate(self, queue: Queue, key: bytes) -> Result[str, UnknownKey]:
+        """Accepts the key given to the constructor; its account is `a`."""
+        return Ok("a") if key == self._key.encode() else Err(UnknownKey("unknown"))
 
     def find_queue(self, host: str, path: str) -> Queue | None:
         """Finds a queue of the test deployment."""
@@ -43,19 +52,21 @@
         """Returns the value given to the constructor."""
         return self._has_configuration
 
-    async def submit(self, queue: Queue, job_id: str, workflow: Workflow) -> JobResponse:
+    async def submit(
+        self, queue: Queue, job_id: str, workflow: Workflow, account: str
+    ) -> JobResponse:
         """Records a submission."""
-        self.calls.append(("submit", job_id))
+        self.calls.append(("submit", job_id, account))
         return self._job_response
 
-    async def show(self, queue: Queue, job_id: str) -> JobResponse:
+    async def show(self, queue: Queue, job_id: str, account: str) -> JobResponse:
         """Records a status request."""
-        self.calls.append(("show", job_id))
+        self.calls.append(("show", job_id, account))
         return self._job_response
 
-    async def cancel(self, queue: Queue, job_id: str) -> JobResponse:
+    async def cancel(self, queue: Queue, job_id: str, account: str) -> JobResponse:
         """Records a cancellation."""
-        self.calls.append(("cancel", job_id))
+        self.calls.append(("cancel", job_id, account))
         return self._job_response
 
     async def count_waiting(self, queue: Queue) -> JobResponse:
@@ -71,7 +82,7 @@
         self, job_service: StubJobService, method: str, path: str, **options: Any
     ) -> httpx.Response:
         """Sends a request to the queue's host."""
-        headers = {"host": "host"}
+        headers = {"host": "host"} | options.pop("headers", {})
         return request_app(create_client_app(job_service), method, path, headers=headers, **options)
 
     def test_job_responses_map_to_http_statuses(self) -> None:
@@ -125,6 +136,30 @@
         self.assertEqual(response.status_code, 400)
         self.assertEqual(job_service.calls, [])
 
+    def test_each_request_needs_a_key_and_has_its_account(self) -> None:
+        """Guards against a path that needs no key, lost accounts and keys decoded as Latin-1."""
+        for method, path in (
+            ("POST", JOB),
+            ("GET", JOB),
+            ("DELETE", JOB),
+            ("GET", ""),
+            ("GET", "x"),
+        ):
+            job_service = StubJobService(Accepted(), key="clé")
+            for key in ("", "Bearer clé", "clé"):
+                headers = {"credential": key.encode()}
+                options = {"content": BODY, "headers": headers}
+                response = self.send(job_service, method, f"/jobs/{path}", **options)
+                self.assertEqual(response.status_code == 401, key != "clé")
+                self.assertEqual(response.json() == {"error": "unknown key"}, key != "clé")
+            self.assertEqual(
+                [call[2:] for call in job_service.calls if call[1] == JOB], [("a",)] * (path == JOB)
+            )
+        # A client must not give up its key because of a process that can't know it.
+        unconfigured = StubJobService(Accepted(), has_configuration=False, key="k")
+        self.assertEqual(self.send(unconfigured, "GET", "/jobs/").status_code, 503)
+        self.assertEqual(self.send(job_service, "GET", "/other/").status_code, 404)
+
 
 class ProbeAppTest(unittest.TestCase):
     """Readiness probes and metrics."""
--- a/tests/workflow_builders.py
+++ b/tests/workflow_builders.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from pollengate.accounts.job_access import Requester
 from pollengate.failure_evidence import FailureEvidence
 from pollengate.workflow.colocation import ColocationModel
 from pollengate.workflow.fleet import Fleet
@@ -21,6 +22,7 @@
 from pollengate.workflow.tickets import TicketCache
 
 __all__ = [
+    "REQUESTER",
     "build_job_table",
     "build_deployment",
     "build_job",
@@ -32,6 +34,7 @@
 ]
 
 QUEUE = "queue"
+REQUESTER = Requester(QUEUE, "")
 SERVICE = "service"
 LEASE_S = 4.0
 
