--- a/tests/test_peer_view_fetcher.py
+++ b/tests/test_peer_view_fetcher.py
@@ -12,7 +12,7 @@
 from pollengated.edge.node_directory import NodeDirectory, NodeRecord
 from pollengated.edge.operator_view import OperatorView
 from pollengated.edge.peer_view_fetcher import PEERS_PER_FETCH, PeerViewFetcher
-from pollengated.edge.rpc import EdgeClient
+from pollengated.edge.rpc import VIEW_TIMEOUT_S, EdgeClient
 from result import Err, Ok, Result
 
 from tests.utils import run_virtual
@@ -27,6 +27,7 @@
     async def fetch_view(self, address: str) -> Result[tuple[tuple[Entry, ...], int], CallFailure]:
         """Returns the copy of a peer."""
         if address == "n1:1":
+            await asyncio.sleep(VIEW_TIMEOUT_S)
             return Err(CallFailure(True, "timeout"))
         is_current = address == "n2:1"
         revision = NEW_REVISION if is_current else OLD_REVISION
@@ -39,18 +40,22 @@
 
 
 class PeerViewFetcherTest(unittest.TestCase):
-    """Tests of a process that starts while the store turns it away."""
+    """Tests of a process that the store turns away."""
+
+    def start_fetcher(self) -> tuple[OperatorView, asyncio.Task[None]]:
+        """Starts a fetcher that asks all peers; returns the view that it updates and its task."""
+        clocks = Clocks.of_loop()
+        view = OperatorView(MemoryStore(), clocks)
+        directory = NodeDirectory(MemoryStore(), clocks)
+        members = [NodeRecord(f"n{n}", f"n{n}:1", "x") for n in range(PEERS_PER_FETCH + 1)]
+        entries = [Entry(member_key(m.node), m.encode(), 1, 1) for m in members]
+        directory.cache.replace_if_newer(entries, 1)
+        fetcher = PeerViewFetcher("n0:1", view, directory, ScriptedPeers())
+        return view, asyncio.create_task(fetcher.run())
 
     def test_restarted_process_uses_no_zone_that_a_peer_knows_to_be_evacuated(self) -> None:
         async def main() -> None:
-            clocks = Clocks.of_loop()
-            view = OperatorView(MemoryStore(), clocks)
-            directory = NodeDirectory(MemoryStore(), clocks)
-            members = [NodeRecord(f"n{n}", f"n{n}:1", "x") for n in range(PEERS_PER_FETCH + 1)]
-            entries = [Entry(member_key(m.node), m.encode(), 1, 1) for m in members]
-            directory.cache.replace_if_newer(entries, 1)
-            fetcher = PeerViewFetcher("n0:1", view, directory, ScriptedPeers())
-            fetch_task = asyncio.create_task(fetcher.run())
+            view, fetch_task = self.start_fetcher()
             versions = set()
             for _ in range(100):
                 await asyncio.sleep(0.01)
@@ -66,6 +71,26 @@
 
         run_virtual(main())
 
+    def test_process_that_loses_the_store_refuses_a_withdrawn_key_within_3_s(self) -> None:
+        """Guards against waiting for a silent peer while another has the newest configuration."""
+
+        async def main() -> None:
+            view, fetch_task = self.start_fetcher()
+            for phase_s in (0.0, 0.1, 0.2, 0.3):
+                old = {"version": 1, "tenants": [{"name": "a", "apiKeys": ["old"]}]}
+                entry = Entry("op/config", json.dumps(old).encode(), 5, 1)
+                await asyncio.sleep(phase_s)
+                view.cache.revision, view.deployment = 0, None
+                view.cache.replace_if_newer([entry], 5)
+                view.cache.confirmed_at = asyncio.get_running_loop().time()
+                assert view.key_ring is not None
+                self.assertEqual(view.key_ring.find_account(b"old"), "a")
+                await asyncio.sleep(2.99)
+                self.assertIsNone(view.key_ring.find_account(b"old"))
+            fetch_task.cancel()
+
+        run_virtual(main())
+
 
 if __name__ == "__main__":
     unittest.main()
