Bound the waits of fillers that may interfere everywhere by their objective

Cause: a step of fillers that probably interfere on every worker with room was withheld for a fixed 20 s, whatever its waiting cost.

Change: with `interference.is_wait_bounded`, such a step is withheld until it must start to meet its objective (at least 0.5 s, at most 20 s as before). It then starts where interference is least likely, if the probability is below `certain_probability`, on at most `max_doubtful_share` of the workers and beside no other image that probably interferes. The latest start allows 1.3 times the estimates, since an image's tasks take up to 1.27 times theirs in the mean. Candidates are kept from the one scoring of each worker. Throttling is unchanged; without the setting nothing changes.

Tests of filler waits, placement, planner cost, documentation and edge imports pass; the whole suite has not been run.

--- /dev/null
+++ b/packages/pollengate/pollengate/learning/__init__.py
@@ -0,0 +1,1 @@
+"""What owners learn about interference, and decisions under doubt about it."""
--- a/packages/pollengate/pollengate/workflow/placement.py
+++ b/packages/pollengate/pollengate/workflow/placement.py
@@ -9,8 +9,10 @@
 from collections.abc import Callable, Sequence
 
 from pollengate.failure_evidence import FailureEvidence
+from pollengate.learning.doubtful_starts import DoubtfulStarts
 from pollengate.workflow.colocation import INTERFERING_PROBABILITY, ColocationModel
 from pollengate.workflow.fleet import WorkerView
+from pollengate.workflow.model import Queue
 from pollengate.workflow.progress import StepProgress, TaskProgress
 from pollengate.workflow.tickets import TicketCache
 
@@ -22,9 +24,9 @@
 # The penalties below are millicores that are subtracted from a worker's score.
 # Penalty for a filler, multiplied by the probability that it interferes with serving tasks there.
 INTERFERENCE_PENALTY_MILLIS = 60_000
-# If a step's fillers probably interfere on every worker, the step waits this long for a better one.
-# After that it runs, throttled if need be, where interference is least likely; this also tests
-# whether the learned probability is still right.
+# If a step's fillers probably interfere on every worker, the step waits this long for a better one,
+# or less if doubtful starts are allowed. After that it runs, throttled if need be, where
+# interference is least likely; this also tests whether the learned probability is still right.
 INTERFERENCE_FREE_WAIT_S = 20.0
 # Penalty for a serving task, for each other serving image on the worker: the fewer images share a
 # worker, the more fillers can run there without interference.
@@ -47,9 +49,20 @@
     """Scores of workers for one step, kept while tasks of the step are placed one after the other.
 
     A worker's score depends only on the step and the runs on the worker.
+
+    Args:
+        doubtful_below: probability of interference below which the step's fillers may start now
+            although they would be withheld otherwise, 0 if they may not.
+
+    Attributes:
+        doubtful_below: the same.
+        doubtful_by_view: workers on which only a doubtful start is possible, with the negated
+            probability of interference and the score.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, doubtful_below: float = 0.0) -> None:
+        self.doubtful_below = doubtful_below
+        self.doubtful_by_view: dict[WorkerView, tuple[float, float]] = {}
         self._score_by_view: dict[WorkerView, float | None] = {}
 
     def get(self, view: WorkerView, compute: Callable[[WorkerView], float | None]) -> float | None:
@@ -61,6 +74,7 @@
     def forget(self, view: WorkerView) -> None:
         """Forgets the score of a worker whose runs have changed."""
         self._score_by_view.pop(view, None)
+        self.doubtful_by_view.pop(view, None)
 
 
 class Placer:
@@ -70,14 +84,28 @@
         evidence: record of which tasks failed on which workers.
         colocation: learned odds of interference between fillers and serving tasks.
         tickets: tickets for steps of queues that use the advice service.
+        doubtful_starts: decides which doubtful fillers may start, None if all of them wait for
+            `INTERFERENCE_FREE_WAIT_S`.
     """
 
     def __init__(
-        self, evidence: FailureEvidence, colocation: ColocationModel, tickets: TicketCache
+        self,
+        evidence: FailureEvidence,
+        colocation: ColocationModel,
+        tickets: TicketCache,
+        doubtful_starts: DoubtfulStarts | None = None,
     ) -> None:
         self._evidence = evidence
         self._tickets = tickets
         self._colocation = colocation
+        self._doubtful_starts = doubtful_starts
+
+    def doubtful_below(self, step: StepProgress, queue: Queue, now: float) -> float:
+        """Returns the argument of the same name of a step's scores."""
+        starts = self._doubtful_starts
+        if starts is None or not starts.is_due(step, queue, now):
+            return 0.0
+        return starts.certain_probability
 
     def choose(
         self,
@@ -107,6 +135,12 @@
         if best is None and (task.step.spec.is_long_running or not admitted):
             healthy = [v for v in workers if not self._evidence.is_quarantined(v.worker_id)]
             best = self._best_worker(task, healthy, now, scores)
+        if self._doubtful_starts is None or not task.step.spec.is_filler:
+            return best
+        if best is None:
+            return self._best_doubtful_worker(task, admitted, now, scores)
+        if self._colocation.interference_probability(best, task.step) >= INTERFERING_PROBABILITY:
+            self._doubtful_starts.count(task.step, best)
         return best
 
     def has_interference_free_worker(
@@ -131,7 +165,7 @@
         used_worker_ids = task.worker_ids
 
         def compute(view: WorkerView) -> float | None:
-            return self._score(step, view, now) if can_place(step, view) else None
+            return self._score(step, view, now, scores) if can_place(step, view) else None
 
         best = None
         best_score = float("-inf")
@@ -143,17 +177,42 @@
                 best, best_score = view, score
         return best
 
-    def _score(self, step: StepProgress, view: WorkerView, now: float) -> float | None:
+    def _best_doubtful_worker(
+        self, task: TaskProgress, workers: Sequence[WorkerView], now: float, scores: StepScores
+    ) -> WorkerView | None:
+        """Returns the worker where a doubtful filler interferes least, None if it is withheld."""
+        starts = self._doubtful_starts
+        if starts is None or not scores.doubtful_by_view:
+            return None
+        used_worker_ids = task.worker_ids
+        best = None
+        best_key = (float("-inf"), float("-inf"))
+        for view in workers:
+            key = scores.doubtful_by_view.get(view)
+            if key is None or key <= best_key or view.worker_id in used_worker_ids:
+                continue
+            if starts.admits(task.step, view, now):
+                best, best_key = view, key
+        if best is not None:
+            starts.record(task.step, best, -best_key[0])
+        return best
+
+    def _score(
+        self, step: StepProgress, view: WorkerView, now: float, scores: StepScores
+    ) -> float | None:
         spec = step.spec
         score = view.unused_millis()
+        is_withheld = False
+        interference = 0.0
         if spec.is_filler:
             if not _gives_full_speed(step, view, now):
                 return None
             interference = self._colocation.interference_probability(view, step)
-            if (
+            is_withheld = (
                 interference >= INTERFERING_PROBABILITY
                 and now - step.opened_at < INTERFERENCE_FREE_WAIT_S
-            ):
+            )
+            if is_withheld and interference >= scores.doubtful_below:
                 return None
             score -= INTERFERENCE_PENALTY_MILLIS * interference
         else:
@@ -165,6 +224,9 @@
             score -= COLD_PENALTY_MILLIS
         if spec.data_rack and spec.data_rack != view.info.rack:
             score -= OTHER_RACK_PENALTY_MILLIS
+        if is_withheld:
+            scores.doubtful_by_view[view] = (-interference, score)
+            return None
         return score
 
     def _serving_score(self, step: StepProgress, view: WorkerView) -> float:
--- a/packages/pollengate/pollengate/workflow/planner.py
+++ b/packages/pollengate/pollengate/workflow/planner.py
@@ -108,7 +108,7 @@
         if step.spec.is_gang:
             return self._place_gang(step, queue, workers, now)
         runs = []
-        scores = StepScores()
+        scores = StepScores(self._placer.doubtful_below(step, queue, now))
         for task in list(step.waiting):
             if not self._start_filter.startable(step):
                 break
@@ -130,7 +130,8 @@
         number = max(self._job_table.next_run_number(task) for task in step.tasks)
         runs: list[Run] = []
         for task in list(step.waiting):
-            view = self._placer.choose(task, workers, now, queue.advice is not None)
+            scores = StepScores(self._placer.doubtful_below(step, queue, now))
+            view = self._placer.choose(task, workers, now, queue.advice is not None, scores)
             if view is None:
                 for run in runs:
                     self._job_table.mark_rejected(run)
--- a/packages/pollengate/pollengate/workflow/progress.py
+++ b/packages/pollengate/pollengate/workflow/progress.py
@@ -252,6 +252,7 @@
     due_count: int = 0
     account: str = ""
     _critical_path_ms: float | None = dataclasses.field(default=None, init=False)
+    _chain_ms_by_step: list[float] | None = dataclasses.field(default=None, init=False)
 
     @property
     def is_ended(self) -> bool:
@@ -314,6 +315,19 @@
         self._critical_path_ms = max(ends, default=0.0)
         return self._critical_path_ms
 
+    def longest_chain_ms(self, number: int) -> float:
+        """Returns the estimated run time of the longest chain of steps that begins with a step."""
+        if self._chain_ms_by_step is None:
+            steps = self.workflow.steps
+            chains = [float(step.estimate_ms) for step in steps]
+            for later in reversed(range(len(steps))):
+                for earlier in steps[later].after:
+                    chains[earlier] = max(
+                        chains[earlier], steps[earlier].estimate_ms + chains[later]
+                    )
+            self._chain_ms_by_step = chains
+        return self._chain_ms_by_step[number]
+
     def objective_s(self, queue: Queue) -> float:
         """Returns the latency objective: seconds from acceptance to completion."""
         return (queue.stretch * self.critical_path_ms() + queue.target_ms) / 1000
--- a/packages/pollengated/pollengated/edge/edge_metrics.py
+++ b/packages/pollengated/pollengated/edge/edge_metrics.py
@@ -39,6 +39,11 @@
             ["reason"],
             registry=registry,
         )
+        self.doubtful_starts = Counter(
+            "pollengate_edge_doubtful_starts",
+            "Fillers placed although they probably interfere, in time for their objective.",
+            registry=registry,
+        )
         self.stops = Counter("pollengate_edge_stops", "Runs stopped.", registry=registry)
         self.throttle_changes = Counter(
             "pollengate_edge_paces", "Paces changed.", registry=registry
--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -33,6 +33,7 @@
     ProgressRecord,
     decode_commit_number,
 )
+from pollengated.edge.doubtful_start_log import build_doubtful_starts
 from pollengated.edge.edge_metrics import EdgeMetrics
 from pollengated.edge.interference_record import InterferenceRecorder, load_interference_record
 from pollengated.edge.job_request_handler import JobRequestHandler
@@ -229,9 +230,12 @@
         evidence = FailureEvidence(self._clocks.monotonic_s, FIRST_PROBE_AFTER_S)
         self.job_table = JobTable(self.fleet, evidence, term_number)
         self._start_policy = StartPolicy(self.shard, self.job_table, self._policy)
+        doubtful_starts = build_doubtful_starts(
+            self.fleet, self._colocation, self._policy.interference, self._metrics
+        )
         self._planner = Planner(
             self.job_table,
-            Placer(evidence, self._colocation, self._tickets),
+            Placer(evidence, self._colocation, self._tickets, doubtful_starts),
             self._are_previous_runs_known,
             self._start_policy.order,
             self._start_policy.start_filter,
