Let owners use what other shards learned about interference

Cause: each shard's owner learned only from its own workers, so that each of several shards made every mistake again.

Change: with `interference.is_shared` and two shards or more, an owner lists the interference records each 2 s (stale reads are allowed) and adds the evidence of other shards (log odds less the prior) when it decides. Own evidence is kept apart; only it is learned, exported and stored, in the same format as before. Records that have not changed for 30 s by revision, malformed ones and those of unknown shards are ignored, so an unchanged record is written again each 10 s. Own log odds, the others' sum and the sum of all are bounded alike, and samples beyond the bound of the sum add nothing to own evidence.

Each new test fails if its mechanism is taken out (rewriting, the bound, the age, export of own evidence alone). Tests of both settings, documentation, platform calls, placement, planner cost, edge imports, takeover, term failure, worker transfers and policy file pass (98); the whole suite has not been run.

--- a/packages/pollengate/pollengate/store.py
+++ b/packages/pollengate/pollengate/store.py
@@ -197,6 +197,13 @@
             wait_s: how long the store may wait for a change before it replies.
         """
 
+    async def list_stale(self, prefix: str) -> Result[Listing, StoreFailure]:
+        """Reads all keys that start with a prefix, possibly as they were some seconds ago.
+
+        This costs the store less than a linearizable read if the store offers it.
+        """
+        return await self.list(prefix)
+
     async def watch(self, prefix: str, from_revision: int) -> AsyncIterator[WatchEvent]:
         """Yields the changes of keys that start with a prefix; ends if a poll fails."""
         revision = from_revision - 1
--- a/packages/pollengate/pollengate/workflow/colocation.py
+++ b/packages/pollengate/pollengate/workflow/colocation.py
@@ -4,18 +4,21 @@
 all by the others. The model therefore keeps, for each pair of images, the probability that the pair
 interferes. A latency over its target raises the odds for the fillers on the same worker, in
 proportion to their probability and their processor use; a latency well below its target lowers
-them.
+them. Evidence of other shards may be added, see `pollengate.learning.merging`.
 """
 
 import collections
 import math
 from collections.abc import Iterable
 
-from pollengate.bounded import BoundedDict
+from pollengate.learning.merging import MergedOdds, Pair
 from pollengate.workflow.fleet import WorkerView
 from pollengate.workflow.progress import Run, RunState, StepProgress
 
-__all__ = ["INTERFERING_PROBABILITY", "ColocationModel"]
+__all__ = ["INTERFERING_PROBABILITY", "ColocationModel", "LogOddsByImage"]
+
+# Log odds by serving image and filler image.
+LogOddsByImage = dict[str, dict[str, float]]
 
 # Without interference, latencies vary between a quarter of the target and this share of it.
 UNDISTURBED_LATENCY_SHARE = 0.85
@@ -43,7 +46,7 @@
     """Probability of interference for each pair of a serving image and a filler image."""
 
     def __init__(self) -> None:
-        self._log_odds_by_pair: BoundedDict[tuple[str, str], float] = BoundedDict(MAX_PAIRS)
+        self._odds = MergedOdds(PRIOR_LOG_ODDS, MIN_LOG_ODDS, MAX_LOG_ODDS, MAX_PAIRS)
         self._interfering_by_serving: dict[str, set[str]] = {}
 
     def observe(self, view: WorkerView) -> None:
@@ -63,23 +66,33 @@
             elif run.measurement < UNDISTURBED_LATENCY_SHARE * spec.target_ms:
                 self._lower_odds(spec.image, weight_by_filler)
 
-    def export(self) -> dict[str, dict[str, float]]:
-        """Returns the log odds by serving image and filler image, for the shard's next owner."""
-        exported: dict[str, dict[str, float]] = {}
-        for (serving, filler), log_odds in self._log_odds_by_pair.items():
+    def export(self) -> LogOddsByImage:
+        """Returns the log odds from own evidence, for the shard's next owner and other shards."""
+        exported: LogOddsByImage = {}
+        for (serving, filler), log_odds in self._odds.own_items():
             exported.setdefault(serving, {})[filler] = round(log_odds, 2)
         return exported
 
-    def load(self, exported: dict[str, dict[str, float]]) -> None:
-        """Loads log odds that an earlier owner exported."""
-        for serving, log_odds_by_filler in exported.items():
-            for filler, log_odds in log_odds_by_filler.items():
-                self._set_log_odds(serving, filler, log_odds)
+    def load(self, exported: LogOddsByImage) -> None:
+        """Loads log odds that an earlier owner of the shard exported."""
+        for pair, log_odds in _by_pair(exported).items():
+            self._odds.set_own(pair, log_odds)
+            self._classify(pair)
+
+    def replace_others(self, exported: Iterable[LogOddsByImage]) -> int:
+        """Replaces the evidence of other shards by what their owners exported.
+
+        Returns:
+            The number of pairs with evidence of other shards.
+        """
+        records = [_by_pair(record) for record in exported]
+        for pair in self._odds.replace_others(records):
+            self._classify(pair)
+        return len(set().union(*records))
 
     def probability(self, serving: str, filler: str) -> float:
         """Returns the probability that a pair of images interferes."""
-        log_odds = self._log_odds_by_pair.get((serving, filler))
-        return _probability(PRIOR_LOG_ODDS if log_odds is None else log_odds)
+        return _probability(self._odds.get((serving, filler)))
 
     def interference_probability(self, view: WorkerView, step: StepProgress) -> float:
         """Returns the probability that a step's fillers interfere with a worker's serving tasks."""
@@ -95,10 +108,8 @@
         return empty.union(*(self._interfering_by_serving.get(i, empty) for i in serving_images))
 
     def _highest_probability(self, view: WorkerView, filler: str) -> float:
-        log_odds = [self._log_odds_by_pair.get((image, filler)) for image in view.serving_images]
-        if not log_odds:
-            return 0.0
-        return _probability(max(PRIOR_LOG_ODDS if odds is None else odds for odds in log_odds))
+        log_odds = [self._odds.get((image, filler)) for image in view.serving_images]
+        return _probability(max(log_odds)) if log_odds else 0.0
 
     def _raise_odds(self, serving: str, weight_by_filler: dict[str, float]) -> None:
         likelihood_by_filler = {
@@ -113,21 +124,27 @@
             self._shift_log_odds(serving, filler, -EVIDENCE_AGAINST_LOG_ODDS * weight)
 
     def _shift_log_odds(self, serving: str, filler: str, change: float) -> None:
-        log_odds = self._log_odds_by_pair.get((serving, filler))
-        self._set_log_odds(
-            serving, filler, (PRIOR_LOG_ODDS if log_odds is None else log_odds) + change
-        )
-
-    def _set_log_odds(self, serving: str, filler: str, log_odds: float) -> None:
-        clipped = min(max(log_odds, MIN_LOG_ODDS), MAX_LOG_ODDS)
-        self._log_odds_by_pair.put((serving, filler), clipped)
+        self._odds.shift_own((serving, filler), change)
+        self._classify((serving, filler))
+
+    def _classify(self, pair: Pair) -> None:
+        """Updates whether a pair counts as interfering."""
+        serving, filler = pair
         interfering = self._interfering_by_serving.setdefault(serving, set())
-        if clipped >= INTERFERING_LOG_ODDS:
+        if self._odds.get(pair) >= INTERFERING_LOG_ODDS:
             interfering.add(filler)
         else:
             interfering.discard(filler)
 
 
+def _by_pair(exported: LogOddsByImage) -> dict[Pair, float]:
+    return {
+        (serving, filler): log_odds
+        for serving, log_odds_by_filler in exported.items()
+        for filler, log_odds in log_odds_by_filler.items()
+    }
+
+
 def _probability(log_odds: float) -> float:
     return 1 / (1 + math.exp(-log_odds))
 
--- a/packages/pollengate/pollengate/workflow/keys.py
+++ b/packages/pollengate/pollengate/workflow/keys.py
@@ -9,6 +9,7 @@
     "TRANSFER_PREFIX",
     "ASSIGNMENT_PREFIX",
     "CAPACITY_REQUEST_PREFIX",
+    "INTERFERENCE_RECORD_PREFIX",
     "assignment_key",
     "capacity_request_key",
     "interference_record_key",
@@ -30,6 +31,7 @@
 TRANSFER_PREFIX = f"{ROOT}transfer/"
 ASSIGNMENT_PREFIX = f"{TRANSFER_PREFIX}worker/"
 CAPACITY_REQUEST_PREFIX = f"{TRANSFER_PREFIX}request/"
+INTERFERENCE_RECORD_PREFIX = f"{ROOT}beliefs/"
 
 
 def owner_key(shard: int) -> str:
@@ -49,7 +51,7 @@
 
 def interference_record_key(shard: int) -> str:
     """Returns the key of a shard's interference record."""
-    return f"{ROOT}beliefs/{shard}"
+    return f"{INTERFERENCE_RECORD_PREFIX}{shard}"
 
 
 def job_prefix(shard: int) -> str:
--- a/packages/pollengated/pollengated/edge/edge_metrics.py
+++ b/packages/pollengated/pollengated/edge/edge_metrics.py
@@ -44,6 +44,17 @@
             "Fillers placed although they probably interfere, in time for their objective.",
             registry=registry,
         )
+        self.merged_interference_records = Counter(
+            "pollengate_edge_merged_interference_records",
+            "Interference records of other shards whose evidence was taken over.",
+            registry=registry,
+        )
+        self.shared_interference_pairs = Gauge(
+            "pollengate_edge_shared_interference_pairs",
+            "Pairs of images with evidence of other shards in use, by owned shard.",
+            ["shard"],
+            registry=registry,
+        )
         self.stops = Counter("pollengate_edge_stops", "Runs stopped.", registry=registry)
         self.throttle_changes = Counter(
             "pollengate_edge_paces", "Paces changed.", registry=registry
--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -7,7 +7,6 @@
 from pollengate.failure_evidence import FailureEvidence
 from pollengate.store import PolledStore
 from pollengate.workflow.clients import AdviceClient, WorkerClient
-from pollengate.workflow.colocation import ColocationModel
 from pollengate.workflow.fleet import Fleet, WorkerView
 from pollengate.workflow.job_table import JobTable
 from pollengate.workflow.keys import progress_key
@@ -33,9 +32,8 @@
     ProgressRecord,
     decode_commit_number,
 )
-from pollengated.edge.doubtful_start_log import build_doubtful_starts
 from pollengated.edge.edge_metrics import EdgeMetrics
-from pollengated.edge.interference_record import InterferenceRecorder, load_interference_record
+from pollengated.edge.interference_learning import InterferenceLearning
 from pollengated.edge.job_request_handler import JobRequestHandler
 from pollengated.edge.job_retention import JobRetention
 from pollengated.edge.layout import Layout
@@ -124,7 +122,10 @@
         self._assignments = WorkerAssignments(shard, layout, store, clocks, self._workers_changed)
         self._controllers_by_id: dict[str, WorkerController] = {}
         self._controller_tasks_by_id: dict[str, asyncio.Task[None]] = {}
-        self._colocation = ColocationModel()
+        self._interference = InterferenceLearning(
+            shard, layout, store, clocks, metrics, policy.interference
+        )
+        self._colocation = self._interference.colocation
         self._throttle_controller = ThrottleController(self._colocation)
         self._tickets = TicketCache()
         self._wake = asyncio.Event()
@@ -136,7 +137,6 @@
         self._planner: Planner
         self._retention: JobRetention
         self._recorded_workers: RecordedWorkers
-        self._interference_recorder: InterferenceRecorder
         self._load_log: ShardLoadLog
         self._run_mover: RunMover
         self._transfers: WorkerTransfers
@@ -156,6 +156,7 @@
                 self._spawn(self._assignments.cache.run())
             self._spawn(self._tick())
             self._spawn(self._committer.run())
+            self._spawn(self._interference.run())
             if self._advice is not None:
                 self._spawn(
                     AdviceRequester(self.job_table, self._tickets, self._advice, self._clocks).run()
@@ -222,17 +223,11 @@
             records.commit.revision if records.commit else 0,
             self._clocks,
         )
-        if records.interference is not None:
-            load_interference_record(records.interference.value, self._colocation)
-        self._interference_recorder = InterferenceRecorder(
-            self.shard, self._colocation, self._committer
-        )
+        self._interference.restore(records.interference, self._committer)
         evidence = FailureEvidence(self._clocks.monotonic_s, FIRST_PROBE_AFTER_S)
         self.job_table = JobTable(self.fleet, evidence, term_number)
         self._start_policy = StartPolicy(self.shard, self.job_table, self._policy)
-        doubtful_starts = build_doubtful_starts(
-            self.fleet, self._colocation, self._policy.interference, self._metrics
-        )
+        doubtful_starts = self._interference.build_doubtful_starts(self.fleet)
         self._planner = Planner(
             self.job_table,
             Placer(evidence, self._colocation, self._tickets, doubtful_starts),
@@ -467,7 +462,7 @@
             self._run_mover.update(self._clocks.monotonic_s())
             if not self._is_handing_over:
                 self._transfers.update()
-            self._interference_recorder.update(self._clocks.monotonic_s())
+            self._interference.update(self._clocks.monotonic_s())
             self._remove_departed_workers()
             self._retention.update(self._clocks.monotonic_s())
             self._start_policy.update(self._clocks.monotonic_s())
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -76,6 +76,15 @@
         self.assertEqual(listing.revision, 7)
         self.assertIn("after=k", http_client.calls[1][1])
 
+    def test_only_a_stale_listing_allows_any_replica_to_reply(self) -> None:
+        # Guards against takeovers that load old records, and against costly reads for hints.
+        page = {"items": [ITEM], "truncated": False, "currentRev": 7}
+        http_client = ScriptedHttpClient(http_response(200, page), http_response(200, page))
+        store = KvStore("ip:1", http_client)
+        self.assertEqual(run_virtual(store.list("p")), run_virtual(store.list_stale("p")))
+        stale = ["allowStale=1" in call[1] for call in http_client.calls]
+        self.assertEqual(stale, [False, True])
+
     def test_failed_page_does_not_make_a_listing_start_anew(self) -> None:
         first = http_response(200, {"items": [ITEM], "truncated": True, "currentRev": 7})
         last = http_response(200, {"items": [ITEM | {"key": "l"}], "currentRev": 9})
