Find the workers without interference once for each image of fillers in a plan

Change: Planner keeps the workers without interference by image for the length of a plan, in which runs are only added; a withheld step looks at no other worker.

--- a/packages/pollengate/pollengate/workflow/placement.py
+++ b/packages/pollengate/pollengate/workflow/placement.py
@@ -16,7 +16,7 @@
 from pollengate.workflow.progress import StepProgress, TaskProgress
 from pollengate.workflow.tickets import TicketCache
 
-__all__ = ["Placer", "StepScores", "is_allowed", "can_place"]
+__all__ = ["Placer", "StepScores", "can_place", "is_allowed", "may_withhold"]
 
 # A filler is placed only where at least this share of its declared processors is unused, so that it
 # runs at close to full speed.
@@ -114,6 +114,7 @@
         now: float,
         needs_ticket: bool = False,
         scores: StepScores | None = None,
+        candidates: Sequence[WorkerView] | None = None,
     ) -> WorkerView | None:
         """Returns the best worker for a task, None if it fits nowhere.
 
@@ -126,14 +127,21 @@
             now: clock time.
             needs_ticket: whether only workers with a ticket may run it.
             scores: scores for its step, if several tasks of the step are placed.
+            candidates: the workers among them that may score, None for all; see
+                `interference_free_workers`.
         """
         scores = scores or StepScores()
+        if candidates is None:
+            candidates = workers
         if needs_ticket:
             workers = [v for v in workers if self._tickets.ticket(task.step, v, now)]
-        admitted = [v for v in workers if self._evidence.admits(v.worker_id, task.name)]
+            candidates = [v for v in candidates if self._tickets.ticket(task.step, v, now)]
+        admitted = [v for v in candidates if self._evidence.admits(v.worker_id, task.name)]
         best = self._best_worker(task, admitted, now, scores)
-        if best is None and (task.step.spec.is_long_running or not admitted):
-            healthy = [v for v in workers if not self._evidence.is_quarantined(v.worker_id)]
+        if best is None and (
+            task.step.spec.is_long_running or not (admitted or self._admits_any(task, workers))
+        ):
+            healthy = [v for v in candidates if not self._evidence.is_quarantined(v.worker_id)]
             best = self._best_worker(task, healthy, now, scores)
         if self._doubtful_starts is None or not task.step.spec.is_filler:
             return best
@@ -143,6 +151,22 @@
             self._doubtful_starts.count(task.step, best)
         return best
 
+    def interference_free_workers(
+        self, step: StepProgress, workers: Sequence[WorkerView], now: float
+    ) -> list[WorkerView]:
+        """Returns the workers on which a step's fillers are not withheld; the same for its image.
+
+        In a shortage of them most steps of fillers wait, and scoring every worker for each of these
+        steps took 40 ms a plan for 100 steps on 66 workers.
+        """
+        return [
+            view
+            for view in workers
+            if now >= view.fillers_blocked_until
+            and view.unused_millis() > 0
+            and self._colocation.interference_probability(view, step) < INTERFERING_PROBABILITY
+        ]
+
     def has_interference_free_worker(
         self, task: TaskProgress, workers: Sequence[WorkerView], now: float
     ) -> bool:
@@ -158,6 +182,9 @@
             for view in workers
         )
 
+    def _admits_any(self, task: TaskProgress, workers: Sequence[WorkerView]) -> bool:
+        return any(self._evidence.admits(view.worker_id, task.name) for view in workers)
+
     def _best_worker(
         self, task: TaskProgress, workers: Sequence[WorkerView], now: float, scores: StepScores
     ) -> WorkerView | None:
@@ -208,10 +235,7 @@
             if not _gives_full_speed(step, view, now):
                 return None
             interference = self._colocation.interference_probability(view, step)
-            is_withheld = (
-                interference >= INTERFERING_PROBABILITY
-                and now - step.opened_at < INTERFERENCE_FREE_WAIT_S
-            )
+            is_withheld = interference >= INTERFERING_PROBABILITY and may_withhold(step, now)
             if is_withheld and interference >= scores.doubtful_below:
                 return None
             score -= INTERFERENCE_PENALTY_MILLIS * interference
@@ -248,6 +272,11 @@
         return score
 
 
+def may_withhold(step: StepProgress, now: float) -> bool:
+    """Returns True while a step of fillers waits for a worker without interference."""
+    return step.spec.is_filler and now - step.opened_at < INTERFERENCE_FREE_WAIT_S
+
+
 def can_place(step: StepProgress, view: WorkerView) -> bool:
     """Returns True if one more task of a step fits on a worker and is allowed there."""
     return view.fits(step.spec.demand, step.spec.is_filler) and is_allowed(step, view)
--- a/packages/pollengate/pollengate/workflow/planner.py
+++ b/packages/pollengate/pollengate/workflow/planner.py
@@ -7,7 +7,7 @@
 from pollengate.workflow.job_table import JobTable
 from pollengate.workflow.model import Queue
 from pollengate.workflow.ordering import DeadlineOrder, StepOrder
-from pollengate.workflow.placement import Placer, StepScores
+from pollengate.workflow.placement import Placer, StepScores, may_withhold
 from pollengate.workflow.progress import Run, StepProgress, TaskProgress
 from pollengate.workflow.start_filter import NoStartFilter, StartFilter
 
@@ -76,6 +76,9 @@
         ]
         steps.sort(key=lambda step: self._order.key(step, job_table.queue_of(step), now))
         largest_free_by_service: dict[str, _LargestFree] = {}
+        # While a plan is made, runs are only added, so that no further worker can become free of
+        # interference.
+        candidates_by_image: dict[tuple[str, str], list[WorkerView]] = {}
         planned: list[Run] = []
         for step in steps:
             queue = job_table.queue_of(step)
@@ -87,7 +90,9 @@
                     job_table.fleet.schedulable_workers(queue.service, now)
                 )
             if largest_free.can_place(step):
-                placed = self._place_step(step, queue, largest_free.workers, now)
+                placed = self._place_step(
+                    step, queue, largest_free.workers, candidates_by_image, now
+                )
                 planned += placed
                 if placed:
                     largest_free = _LargestFree.of(largest_free.workers)
@@ -103,16 +108,30 @@
         return self._placer.has_interference_free_worker(task, workers, now)
 
     def _place_step(
-        self, step: StepProgress, queue: Queue, workers: list[WorkerView], now: float
+        self,
+        step: StepProgress,
+        queue: Queue,
+        workers: list[WorkerView],
+        candidates_by_image: dict[tuple[str, str], list[WorkerView]],
+        now: float,
     ) -> list[Run]:
         if step.spec.is_gang:
             return self._place_gang(step, queue, workers, now)
         runs = []
         scores = StepScores(self._placer.doubtful_below(step, queue, now))
+        candidates: list[WorkerView] | None = None
+        if may_withhold(step, now) and not scores.doubtful_below:
+            image = (queue.service, step.spec.image)
+            candidates = candidates_by_image.get(image)
+            if candidates is None:
+                candidates = self._placer.interference_free_workers(step, workers, now)
+                candidates_by_image[image] = candidates
         for task in list(step.waiting):
             if not self._start_filter.startable(step):
                 break
-            view = self._placer.choose(task, workers, now, queue.advice is not None, scores)
+            view = self._placer.choose(
+                task, workers, now, queue.advice is not None, scores, candidates
+            )
             if view is None:
                 break
             runs.append(self._add_run(task, view, self._job_table.next_run_number(task), now))
--- a/tests/test_workflow_planner_cost.py
+++ b/tests/test_workflow_planner_cost.py
@@ -109,6 +109,22 @@
                         build_planner(job_table).plan(0.0)
                     self.assertLessEqual(counted.call_count, workers + tasks)
 
+    def test_withheld_fillers_are_not_scored(self) -> None:
+        """Guards against plans of 40 ms while 100 steps of fillers wait on a shard of 66 workers."""
+        job_table = build_fleet(66)
+        colocation = ColocationModel()
+        colocation.load({"s": {f"f{number}": 1.0 for number in range(18)}})
+        serving = build_step(66, is_long_running=True, max_per_worker=1, target_ms=50, image="s")
+        job_table.add(build_job("aa", serving), 0.0, 0)
+        planner = build_planner(job_table, colocation)
+        self.assertEqual(len(planner.plan(0.0)), 66)
+        for number in range(100):
+            fillers = build_step(20, is_filler=True, image=f"f{number % 18}")
+            job_table.add(build_job(f"{number:016x}", fillers), 0.0, 0)
+        with mock.patch.object(placement, "can_place", side_effect=placement.can_place) as counted:
+            self.assertEqual(planner.plan(0.1), [])
+        self.assertEqual(counted.call_count, 0)
+
     def test_number_of_a_steps_tasks_on_a_worker_is_kept_up_to_date(self) -> None:
         generator = random.Random(1)
         job_table = build_fleet(4)
