--- a/tests/test_workflow_planner_cost.py
+++ b/tests/test_workflow_planner_cost.py
@@ -110,7 +110,7 @@
                     self.assertLessEqual(counted.call_count, workers + tasks)
 
     def test_withheld_fillers_are_not_scored(self) -> None:
-        """Guards against plans of 40 ms while 100 steps of fillers wait on a shard of 66 workers."""
+        """Guards against plans of 40 ms while 100 steps of fillers wait on 66 workers."""
         job_table = build_fleet(66)
         colocation = ColocationModel()
         colocation.load({"s": {f"f{number}": 1.0 for number in range(18)}})
