Move the dominant resource share into a module of its own

Cause: the order among client accounts needs the share by which FairQueue compares teams. Change: `dominant_share` in pollengate/dominant_share.py; FairQueue calls it. Result: tests.test_fair_queue passes as before.

--- a/packages/pollengate/pollengate/fair_queue.py
+++ b/packages/pollengate/pollengate/fair_queue.py
@@ -12,6 +12,7 @@
 from pollengate.capacity import CapacityTracker
 from pollengate.class_profiles import ClassProfiles
 from pollengate.configuration import Quota
+from pollengate.dominant_share import dominant_share
 from pollengate.jobs import Resources
 from pollengate.placement_request import PlacementRequest
 from pollengate.reservations import Reservations
@@ -346,10 +347,9 @@
         """Returns a team's dominant share of the schedulable capacity."""
         used = self._capacity_tracker.usage(team)
         capacity = self._capacity_tracker.schedulable_capacity
-        return max(
-            used.cores / max(capacity.cores, 1),
-            used.memory_mb / max(capacity.memory_mb, 1),
-            used.accelerators / max(capacity.accelerators, 1),
+        return dominant_share(
+            (used.cores, used.memory_mb, used.accelerators),
+            (capacity.cores, capacity.memory_mb, capacity.accelerators),
         )
 
     def _is_within_quota(self, request: PlacementRequest, tier: PriorityTier) -> bool:
