Count what each client account has running in a shard

Cause: order and limits of accounts need the demand of an account's runs, which nothing sums up. Change: `AccountUsage`, updated by JobTable with each run that is added or removed, fillers and runs that are being stopped included.

--- a/packages/pollengate/pollengate/workflow/job_table.py
+++ b/packages/pollengate/pollengate/workflow/job_table.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 
+from pollengate.accounts.usage import AccountUsage
 from pollengate.failure_evidence import FailureEvidence
 from pollengate.workflow.clients import EndKind
 from pollengate.workflow.fleet import Fleet, WorkerView
@@ -49,6 +50,9 @@
         fleet: the shard's workers.
         evidence: record of which tasks failed on which workers.
         term: number of owners that the shard had before.
+
+    Attributes:
+        usage: demand of all runs of the table, by client account.
     """
 
     def __init__(self, fleet: Fleet, evidence: FailureEvidence, term: int) -> None:
@@ -58,6 +62,7 @@
         self.jobs_by_id: dict[str, JobProgress] = {}
         self.open_steps: dict[StepProgress, None] = {}
         self.outbox = Outbox()
+        self.usage = AccountUsage()
         self._run_number_floor = term * RUNS_PER_TERM
         self._scheduled_by_id: dict[str, JobProgress] = {}
 
@@ -122,6 +127,7 @@
         if not step.waiting:
             self.open_steps.pop(step, None)
         job = step.job
+        self.usage.add(job.account, step.spec.demand)
         if job.state is JobState.QUEUED:
             job.state = job.visible_state = JobState.RUNNING
         return run
@@ -299,6 +305,7 @@
         """Removes a run that is known to be gone and queues its task again if needed."""
         task = run.task
         task.remove_run(run)
+        self.usage.remove(task.step.job.account, task.step.spec.demand)
         view = self.fleet.workers_by_id.get(run.worker_id)
         if view is not None:
             view.remove(run)
--- a/packages/pollengate/pollengate/workflow/model.py
+++ b/packages/pollengate/pollengate/workflow/model.py
@@ -41,6 +41,13 @@
             self.accelerators + other.accelerators,
         )
 
+    def __sub__(self, other: "Demand") -> "Demand":
+        return Demand(
+            self.cpu_millis - other.cpu_millis,
+            self.memory_mb - other.memory_mb,
+            self.accelerators - other.accelerators,
+        )
+
 
 NO_DEMAND = Demand()
 
