Name limits of client accounts as the cause of a wait and export accounts' metrics

Cause: a task that the limit of its account holds back was reported as `withheld`, as if a worker were quarantined, and nothing tells operators what an account uses. WaitMonitor takes the start filter and gives the cause `account_limit` to a step with room on a worker of which no task may start. The log line names the account. Result: the new test of tests.test_workflow_waiting passes; it can't pass without the new cause.

--- a/packages/pollengate/pollengate/workflow/waiting.py
+++ b/packages/pollengate/pollengate/workflow/waiting.py
@@ -1,8 +1,8 @@
 """Explains why tasks wait for a start.
 
 A task may wait because its shard is full, although workers of other shards have room, because runs
-of an earlier owner may still exist, or because no worker may get it. The causes need different
-remedies, so each is named.
+of an earlier owner may still exist, because its client account has reached its limit, or because no
+worker may get it. The causes need different remedies, so each is named.
 """
 
 import dataclasses
@@ -14,6 +14,7 @@
 from pollengate.workflow.job_table import JobTable
 from pollengate.workflow.placement import can_place
 from pollengate.workflow.progress import StepProgress
+from pollengate.workflow.start_filter import NoStartFilter, StartFilter
 
 __all__ = ["OverdueStep", "WaitCause", "WaitMonitor"]
 
@@ -29,6 +30,7 @@
     UNSETTLED = "unsettled"
     NO_WORKER = "no_worker"
     NO_CAPACITY = "no_capacity"
+    ACCOUNT_LIMIT = "account_limit"
     WITHHELD = "withheld"
 
 
@@ -57,11 +59,18 @@
     Args:
         job_table: the shard's jobs and runs.
         is_settled: whether no unreported run of an earlier owner can exist any more.
+        start_filter: holds back tasks that may not start although a worker has room.
     """
 
-    def __init__(self, job_table: JobTable, is_settled: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        job_table: JobTable,
+        is_settled: Callable[[], bool],
+        start_filter: StartFilter | None = None,
+    ) -> None:
         self._job_table = job_table
         self._is_settled = is_settled
+        self._start_filter = start_filter or NoStartFilter()
         self._waiting_since: dict[StepProgress, float] = {}
         self._reported_at: dict[StepProgress, float] = {}
 
@@ -102,6 +111,8 @@
             cause = WaitCause.NO_WORKER
         elif not room:
             cause = WaitCause.NO_CAPACITY
+        elif not self._start_filter.startable(step):
+            cause = WaitCause.ACCOUNT_LIMIT
         else:
             cause = WaitCause.WITHHELD
         return OverdueStep(step, waited_s, cause, len(workers), room)
--- a/packages/pollengated/pollengated/edge/edge_metrics.py
+++ b/packages/pollengated/pollengated/edge/edge_metrics.py
@@ -10,6 +10,8 @@
     generate_latest,
 )
 
+from pollengated.edge.account_metrics import AccountMetrics
+
 __all__ = ["EdgeMetrics"]
 
 disable_created_metrics()
@@ -83,6 +85,7 @@
             ["shard"],
             registry=registry,
         )
+        self.accounts = AccountMetrics(registry)
         ProcessCollector(registry=registry)
 
     def export(self) -> bytes:
--- a/packages/pollengated/pollengated/edge/shard_load_log.py
+++ b/packages/pollengated/pollengated/edge/shard_load_log.py
@@ -1,6 +1,9 @@
 """Logs and exports the load of an owned shard and the tasks that wait for long."""
 
+from collections.abc import Callable
+
 from pollengate.workflow.job_table import JobTable
+from pollengate.workflow.start_filter import StartFilter
 from pollengate.workflow.waiting import WaitMonitor
 
 from pollengated.edge.edge_metrics import EdgeMetrics
@@ -18,16 +21,23 @@
     Args:
         shard: number of the shard.
         job_table: the shard's jobs, runs and workers.
-        monitor: finds tasks that wait for long.
+        is_settled: whether no unreported run of an earlier owner can exist any more.
+        start_filter: holds back tasks that may not start although a worker has room.
         metrics: metrics of this process.
     """
 
     def __init__(
-        self, shard: int, job_table: JobTable, monitor: WaitMonitor, metrics: EdgeMetrics
+        self,
+        shard: int,
+        job_table: JobTable,
+        is_settled: Callable[[], bool],
+        start_filter: StartFilter,
+        metrics: EdgeMetrics,
     ) -> None:
         self._shard = shard
         self._job_table = job_table
-        self._monitor = monitor
+        self._start_filter = start_filter
+        self._monitor = WaitMonitor(job_table, is_settled, start_filter)
         self._metrics = metrics
         self._checked_at = float("-inf")
         self._logged_at = float("-inf")
@@ -48,6 +58,7 @@
         label = str(self._shard)
         self._metrics.shard_capacity.labels(label).set(capacity)
         self._metrics.shard_committed.labels(label).set(committed)
+        self._metrics.accounts.update(self._shard, self._job_table, self._start_filter, now)
         if now - self._logged_at >= LOG_INTERVAL_S:
             self._logged_at = now
             self._log.info(
@@ -68,6 +79,7 @@
                 shard=self._shard,
                 job=step.job.job_id,
                 step=step.number,
+                **({"account": step.job.account} if step.job.account else {}),
                 waiting=len(step.waiting),
                 waited_s=round(overdue.waited_s, 1),
                 cause=overdue.cause.value,
@@ -77,3 +89,7 @@
                 schedulable=overdue.workers,
                 with_room=overdue.room,
             )
+
+    def close(self) -> None:
+        """Removes the metrics by client account of a shard whose ownership has ended."""
+        self._metrics.accounts.forget(self._shard)
--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -23,7 +23,6 @@
 from pollengate.workflow.shard_lease import ShardLease, previous_lease_expiry
 from pollengate.workflow.throttling import ThrottleController
 from pollengate.workflow.tickets import TicketCache
-from pollengate.workflow.waiting import WaitMonitor
 from result import Err
 
 from pollengated.edge.advice_requester import AdviceRequester
@@ -255,7 +254,8 @@
         self._load_log = ShardLoadLog(
             self.shard,
             self.job_table,
-            WaitMonitor(self.job_table, self._are_previous_runs_known),
+            self._are_previous_runs_known,
+            self._start_policy.start_filter,
             self._metrics,
         )
         addresses_by_id = (
--- a/tests/test_workflow_waiting.py
+++ b/tests/test_workflow_waiting.py
@@ -1,9 +1,13 @@
 """Tests of the reasons given for tasks that wait for long."""
 
+import dataclasses
 import unittest
+from unittest import mock
 
+from pollengate.accounts.start_filter import AccountStartFilter
 from pollengate.workflow.job_table import JobTable
 from pollengate.workflow.model import Demand
+from pollengate.workflow.start_filter import StartFilter
 from pollengate.workflow.waiting import WaitCause, WaitMonitor
 
 from tests.workflow_builders import (
@@ -16,9 +20,11 @@
 )
 
 
-def causes(job_table: JobTable, is_settled: bool = True) -> list[WaitCause]:
+def causes(
+    job_table: JobTable, is_settled: bool = True, start_filter: StartFilter | None = None
+) -> list[WaitCause]:
     """Returns the causes given once tasks have waited for long."""
-    monitor = WaitMonitor(job_table, lambda: is_settled)
+    monitor = WaitMonitor(job_table, lambda: is_settled, start_filter)
     assert monitor.find_overdue(0.0) == []
     return [overdue.cause for overdue in monitor.find_overdue(2.5)]
 
@@ -56,6 +62,18 @@
         job_table.add(build_job(), 0.0, 0)
         self.assertEqual([WaitCause.WITHHELD], causes(job_table))
 
+    def test_limit_of_an_account_is_told_from_a_full_shard(self) -> None:
+        """A limit looks like lack of room. Load: a gang of 3 and a task of 1 core, 2 allowed."""
+        job_table = build_job_table(build_lease_worker())
+        job_table.deployment = dataclasses.replace(job_table.deployment, accounts_by_name={})
+        for job_id, step in (("aa", build_step(3, is_gang=True)), ("bb", build_step())):
+            job = build_job(job_id, step)
+            job.account = "a"
+            job_table.add(job, 0.0, 0)
+        limits = mock.Mock(may_start=lambda account, demand: demand.cpu_millis <= 2000)
+        found = causes(job_table, start_filter=AccountStartFilter(job_table, limits))
+        self.assertEqual([WaitCause.ACCOUNT_LIMIT, WaitCause.WITHHELD], found)
+
     def test_step_is_reported_again_after_the_interval_and_not_once_it_has_started(self) -> None:
         job_table = build_job_table(build_lease_worker())
         job_table.add(build_job("00000000000000aa", build_step(demand=Demand(4000))), 0.0, 0)
