Order steps among client accounts by rate and fair share

Cause: weights of accounts are ignored, and an account that sends ten times its rate delays all others. Change: `AccountOrder` wraps the order by deadline while the configuration has accounts. Within a priority, jobs beyond `weight / shards` jobs a second come last (token bucket, decided at acceptance; computed again from the times of acceptance for jobs of earlier owners). Next, accounts at or under their fair share come first and the others in bands of 5 %. `StepOrder.arrange` and `may_take` let a step's turn end once its account has left its band: with one sort a plan, an account whose tasks end together took all of their room back. Planner and AdviceRequester use this order.

--- a/packages/pollengate/pollengate/workflow/ordering.py
+++ b/packages/pollengate/pollengate/workflow/ordering.py
@@ -6,12 +6,13 @@
 """
 
 import abc
+from collections.abc import Callable, Iterable, Sequence
 from typing import Any
 
 from pollengate.workflow.model import Queue
 from pollengate.workflow.progress import StepProgress
 
-__all__ = ["DeadlineOrder", "StepOrder", "rank"]
+__all__ = ["LOWEST_PRIORITY", "DeadlineOrder", "StepOrder", "rank", "runs_again"]
 
 LOWEST_PRIORITY = 1_000_000
 
@@ -25,15 +26,43 @@
     if queue is None:
         return LOWEST_PRIORITY, True, step.opened_at
     if step.spec.is_long_running:
-        runs_again = bool(step.waiting) and step.waiting[0].last_run > 0
-        return queue.priority, False, float("-inf") if runs_again else step.opened_at
+        return queue.priority, False, float("-inf") if runs_again(step) else step.opened_at
     due_at = step.job.accepted_at + step.job.objective_s(queue)
     return queue.priority, now > due_at, due_at
 
 
+def runs_again(step: StepProgress) -> bool:
+    """Returns True if the first waiting task of a long-running step has run before."""
+    return step.spec.is_long_running and bool(step.waiting) and step.waiting[0].last_run > 0
+
+
 class StepOrder(abc.ABC):
     """Decides which steps get workers first."""
 
+    def arrange(
+        self,
+        steps: Sequence[StepProgress],
+        queue_of: Callable[[StepProgress], Queue | None],
+        now: float,
+    ) -> Iterable[StepProgress]:
+        """Returns steps in the order in which they get workers.
+
+        An order may yield a step again, after others, while it still has waiting tasks.
+
+        Args:
+            steps: the steps with waiting tasks that take part in a plan.
+            queue_of: returns the queue of a step.
+            now: clock time.
+        """
+        return sorted(steps, key=lambda step: self.key(step, queue_of(step), now))
+
+    def may_take(self, step: StepProgress) -> bool:
+        """Returns False if the other steps come before the next task of the step that has its turn.
+
+        The planner asks before each start, since the runs that it has added count.
+        """
+        return True
+
     @abc.abstractmethod
     def key(self, step: StepProgress, queue: Queue | None, now: float) -> tuple[Any, ...]:
         """Returns the sort key of a step; the step with the smallest key gets workers first.
--- a/packages/pollengate/pollengate/workflow/planner.py
+++ b/packages/pollengate/pollengate/workflow/planner.py
@@ -74,10 +74,9 @@
         steps = [
             step for step in job_table.open_steps if step.waiting and (settled or _is_new(step))
         ]
-        steps.sort(key=lambda step: self._order.key(step, job_table.queue_of(step), now))
         largest_free_by_service: dict[str, _LargestFree] = {}
         planned: list[Run] = []
-        for step in steps:
+        for step in self._order.arrange(steps, job_table.queue_of, now):
             queue = job_table.queue_of(step)
             if queue is None:
                 continue
@@ -110,7 +109,7 @@
         runs = []
         scores = StepScores()
         for task in list(step.waiting):
-            if not self._start_filter.startable(step):
+            if not (self._order.may_take(step) and self._start_filter.startable(step)):
                 break
             view = self._placer.choose(task, workers, now, queue.advice is not None, scores)
             if view is None:
@@ -125,6 +124,8 @@
         """Adds runs with the same number for all tasks of a gang, or for none of them."""
         if len(step.waiting) < step.spec.count:
             return []
+        if not self._order.may_take(step):
+            return []
         if self._start_filter.startable(step) < step.spec.count:
             return []
         number = max(self._job_table.next_run_number(task) for task in step.tasks)
--- a/packages/pollengate/pollengate/workflow/progress.py
+++ b/packages/pollengate/pollengate/workflow/progress.py
@@ -237,6 +237,8 @@
         occurrences_by_number: the occurrences that are due.
         due_count: number of occurrences that have become due.
         account: name of the client account that handed it in, empty for none.
+        is_over_rate: whether its account had handed in more jobs than its rate allows when this one
+            was accepted; it is not recorded.
     """
 
     job_id: str
@@ -251,6 +253,7 @@
     occurrences_by_number: dict[int, Occurrence] = dataclasses.field(default_factory=dict)
     due_count: int = 0
     account: str = ""
+    is_over_rate: bool = False
     _critical_path_ms: float | None = dataclasses.field(default=None, init=False)
 
     @property
--- a/packages/pollengated/pollengated/edge/advice_requester.py
+++ b/packages/pollengated/pollengated/edge/advice_requester.py
@@ -5,7 +5,7 @@
 from pollengate.workflow.clients import AdviceClient
 from pollengate.workflow.job_table import JobTable
 from pollengate.workflow.model import AdviceTiming, Queue
-from pollengate.workflow.ordering import rank
+from pollengate.workflow.ordering import StepOrder
 from pollengate.workflow.progress import StepProgress
 from pollengate.workflow.tickets import TicketCache
 from result import Err
@@ -27,15 +27,22 @@
         job_table: jobs of the shard.
         tickets: cache in which the tickets are stored.
         client: calls the service, which accepts one call at a time from this VM.
+        order: decides which steps get tickets first; the planner's.
         clocks: the process's clocks.
     """
 
     def __init__(
-        self, job_table: JobTable, tickets: TicketCache, client: AdviceClient, clocks: Clocks
+        self,
+        job_table: JobTable,
+        tickets: TicketCache,
+        client: AdviceClient,
+        order: StepOrder,
+        clocks: Clocks,
     ) -> None:
         self._job_table = job_table
         self._tickets = tickets
         self._client = client
+        self._order = order
         self._clocks = clocks
         self._log = Log("advice")
 
@@ -49,14 +56,16 @@
                     break  # the order of the steps may have changed during the call
 
     def _waiting_steps(self) -> list[tuple[StepProgress, Queue, AdviceTiming]]:
-        """Returns the waiting steps that may need tickets, in order of rank."""
+        """Returns the waiting steps that may need tickets, in the planner's order."""
         now = self._clocks.monotonic_s()
-        found = []
+        queue_of = self._job_table.queue_of
+        found = {}
         for step in self._job_table.open_steps:
-            queue = self._job_table.queue_of(step)
+            queue = queue_of(step)
             if queue is not None and queue.advice is not None and step.waiting:
-                found.append((step, queue, queue.advice))
-        return sorted(found, key=lambda entry: rank(entry[0], entry[1], now))
+                found[step] = queue, queue.advice
+        arranged = self._order.arrange(list(found), queue_of, now)
+        return [(step, *found[step]) for step in arranged]
 
     async def _request_advice(self, step: StepProgress, queue: Queue, advice: AdviceTiming) -> bool:
         """Requests tickets for one step; returns whether a call was made."""
--- a/packages/pollengated/pollengated/edge/job_request_handler.py
+++ b/packages/pollengated/pollengated/edge/job_request_handler.py
@@ -40,6 +40,7 @@
             this one doesn't.
         clocks: the process's clocks.
         on_change: called after each change of the job table.
+        on_accepted: called with each accepted job and the clock time before it is scheduled.
 
     Attributes:
         is_closing: whether the shard is being handed over and accepts no new jobs.
@@ -53,6 +54,7 @@
         shard_lease: ShardLease,
         clocks: Clocks,
         on_change: Callable[[], None],
+        on_accepted: Callable[[JobProgress, float], None],
     ) -> None:
         self.is_closing = False
         self._shard = shard
@@ -61,6 +63,7 @@
         self._shard_lease = shard_lease
         self._clocks = clocks
         self._on_change = on_change
+        self._on_accepted = on_accepted
         self._submissions_by_id: dict[str, _Submission] = {}
         self._log = Log("owner")
 
@@ -152,7 +155,9 @@
     def _add_accepted_job(self, job: JobProgress) -> None:
         """Adds a job to the job table when its record is durable, so that it is scheduled."""
         self._submissions_by_id.pop(job.job_id, None)
-        self._job_table.add(job, self._clocks.monotonic_s(), self._clocks.unix_ms())
+        now = self._clocks.monotonic_s()
+        self._on_accepted(job, now)
+        self._job_table.add(job, now, self._clocks.unix_ms())
         queue = self._job_table.deployment.queue(job.queue_name)
         self._log.info(
             "job accepted",
--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -113,6 +113,7 @@
         self._clocks = clocks
         self._metrics = metrics
         self._policy = policy
+        self._shards = layout.shards
         self._log = Log("owner")
         self._acquired_at = clocks.monotonic_s()
         previous_leases_expire_at = previous_lease_expiry(self._acquired_at, self._worker_lease_s())
@@ -155,14 +156,17 @@
             self._spawn(self._tick())
             self._spawn(self._committer.run())
             if self._advice is not None:
-                self._spawn(
-                    AdviceRequester(self.job_table, self._tickets, self._advice, self._clocks).run()
+                order = self._start_policy.order
+                requester = AdviceRequester(
+                    self.job_table, self._tickets, self._advice, order, self._clocks
                 )
+                self._spawn(requester.run())
             try:
                 # Waiting raises no error of the loop: like any other task, it ends the term.
                 await asyncio.wait((self._spawn(self._plan_loop()),))
             finally:
                 unsubscribe()
+                self._load_log.close()
         finally:
             self.is_serving = False
             self._log.warning(
@@ -227,7 +231,7 @@
         )
         evidence = FailureEvidence(self._clocks.monotonic_s, FIRST_PROBE_AFTER_S)
         self.job_table = JobTable(self.fleet, evidence, term_number)
-        self._start_policy = StartPolicy(self.shard, self.job_table, self._policy)
+        self._start_policy = StartPolicy(self.shard, self._shards, self.job_table, self._policy)
         self._planner = Planner(
             self.job_table,
             Placer(evidence, self._colocation, self._tickets),
@@ -279,6 +283,7 @@
             self.shard_lease,
             self._clocks,
             self._job_table_changed,
+            self._start_policy.record_accepted,
         )
         encoded_progress_by_key = {entry.key: entry.value for entry in records.progress}
         for entry in records.jobs:
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -6,6 +6,7 @@
 
 from pollengate.workflow.clients import AdviceClient, OrderFailure, OrderRejection, Ticket
 from pollengate.workflow.model import AdviceTiming
+from pollengate.workflow.ordering import DeadlineOrder
 from pollengate.workflow.tickets import TicketCache
 from pollengated.edge.advice_requester import AdviceRequester
 from pollengated.edge.clocks import Clocks
@@ -80,7 +81,9 @@
     def test_requester_retries_after_a_failure(self) -> None:
         async def main() -> None:
             client = FixedAdvice("w2")
-            requester = AdviceRequester(self.job_table, self.tickets, client, Clocks.of_loop())
+            requester = AdviceRequester(
+                self.job_table, self.tickets, client, DeadlineOrder(), Clocks.of_loop()
+            )
             request_loop = asyncio.create_task(requester.run())
             await asyncio.sleep(0.5)
             self.assertEqual(self.plan(0.5), ["w2", "w2"])
--- a/tests/workflow_builders.py
+++ b/tests/workflow_builders.py
@@ -15,6 +15,7 @@
     WorkerCondition,
     Workflow,
 )
+from pollengate.workflow.ordering import StepOrder
 from pollengate.workflow.placement import Placer
 from pollengate.workflow.planner import Planner
 from pollengate.workflow.progress import JobProgress, Run
@@ -89,10 +90,11 @@
     colocation: ColocationModel | None = None,
     settled: bool = True,
     tickets: TicketCache | None = None,
+    order: StepOrder | None = None,
 ) -> Planner:
     """Returns a planner for a job table."""
     placer = Placer(job_table.evidence, colocation or ColocationModel(), tickets or TicketCache())
-    return Planner(job_table, placer, lambda: settled)
+    return Planner(job_table, placer, lambda: settled, order)
 
 
 def start_all(job_table: JobTable, now: float = 0.0) -> list[Run]:
