--- a/packages/pollengate/pollengate/accounts/__init__.py
+++ b/packages/pollengate/pollengate/accounts/__init__.py
@@ -1,1 +1,1 @@
-"""Client accounts: keys, limits and order; no network access."""
+"""Client accounts: keys, limits and the order among their jobs; no network access."""
--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -22,7 +22,6 @@
 from pollengate.workflow.shard_lease import ShardLease, previous_lease_expiry
 from pollengate.workflow.throttling import ThrottleController
 from pollengate.workflow.tickets import TicketCache
-from pollengate.workflow.waiting import WaitMonitor
 from result import Err
 
 from pollengated.edge.advice_requester import AdviceRequester
@@ -113,6 +112,7 @@
         self._clocks = clocks
         self._metrics = metrics
         self._policy = policy
+        self._shards = layout.shards
         self._log = Log("owner")
         self._acquired_at = clocks.monotonic_s()
         previous_leases_expire_at = previous_lease_expiry(self._acquired_at, self._worker_lease_s())
@@ -158,14 +158,17 @@
             self._spawn(self._committer.run())
             self._spawn(self._interference.run())
             if self._advice is not None:
-                self._spawn(
-                    AdviceRequester(self.job_table, self._tickets, self._advice, self._clocks).run()
+                order = self._start_policy.order
+                requester = AdviceRequester(
+                    self.job_table, self._tickets, self._advice, order, self._clocks
                 )
+                self._spawn(requester.run())
             try:
                 # Waiting raises no error of the loop: like any other task, it ends the term.
                 await asyncio.wait((self._spawn(self._plan_loop()),))
             finally:
                 unsubscribe()
+                self._load_log.close()
         finally:
             self.is_serving = False
             self._log.warning(
@@ -226,7 +229,7 @@
         self._interference.restore(records.interference, self._committer)
         evidence = FailureEvidence(self._clocks.monotonic_s, FIRST_PROBE_AFTER_S)
         self.job_table = JobTable(self.fleet, evidence, term_number)
-        self._start_policy = StartPolicy(self.shard, self.job_table, self._policy)
+        self._start_policy = StartPolicy(self.shard, self._shards, self.job_table, self._policy)
         doubtful_starts = self._interference.build_doubtful_starts(self.fleet)
         self._planner = Planner(
             self.job_table,
@@ -254,7 +257,8 @@
         self._load_log = ShardLoadLog(
             self.shard,
             self.job_table,
-            WaitMonitor(self.job_table, self._are_previous_runs_known),
+            self._are_previous_runs_known,
+            self._start_policy.start_filter,
             self._metrics,
         )
         addresses_by_id = (
@@ -278,6 +282,7 @@
             self.shard_lease,
             self._clocks,
             self._job_table_changed,
+            self._start_policy.record_accepted,
         )
         encoded_progress_by_key = {entry.key: entry.value for entry in records.progress}
         for entry in records.jobs:
