--- /dev/null
+++ b/packages/pollengate/pollengate/accounts/__init__.py
@@ -0,0 +1,1 @@
+"""Client accounts: limits of what their tasks use on the workers of all shards."""
--- a/packages/pollengate/pollengate/workflow/job_table.py
+++ b/packages/pollengate/pollengate/workflow/job_table.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 
+from pollengate.accounts.usage import AccountUsage
 from pollengate.failure_evidence import FailureEvidence
 from pollengate.workflow.clients import EndKind
 from pollengate.workflow.fleet import Fleet, WorkerView
@@ -49,6 +50,9 @@
         fleet: the shard's workers.
         evidence: record of which tasks failed on which workers.
         term: number of owners that the shard had before.
+
+    Attributes:
+        account_usage: demand of all runs that may exist, by client account.
     """
 
     def __init__(self, fleet: Fleet, evidence: FailureEvidence, term: int) -> None:
@@ -58,6 +62,7 @@
         self.jobs_by_id: dict[str, JobProgress] = {}
         self.open_steps: dict[StepProgress, None] = {}
         self.outbox = Outbox()
+        self.account_usage = AccountUsage()
         self._run_number_floor = term * RUNS_PER_TERM
         self._scheduled_by_id: dict[str, JobProgress] = {}
 
@@ -117,6 +122,7 @@
         task.add_run(run)
         view.add(run)
         step = task.step
+        self.account_usage.add(step.job.account, step.spec.demand, 1)
         if task in step.waiting:
             step.waiting.remove(task)
         if not step.waiting:
@@ -299,6 +305,7 @@
         """Removes a run that is known to be gone and queues its task again if needed."""
         task = run.task
         task.remove_run(run)
+        self.account_usage.add(task.step.job.account, task.step.spec.demand, -1)
         view = self.fleet.workers_by_id.get(run.worker_id)
         if view is not None:
             view.remove(run)
--- a/packages/pollengate/pollengate/workflow/keys.py
+++ b/packages/pollengate/pollengate/workflow/keys.py
@@ -3,6 +3,7 @@
 import zlib
 
 __all__ = [
+    "ACCOUNT_SHARES_KEY",
     "LAYOUT_KEY",
     "NODE_PREFIX",
     "OWNER_PREFIX",
@@ -27,6 +28,7 @@
 LAYOUT_KEY = f"{ROOT}layout"
 NODE_PREFIX = f"{ROOT}node/"
 OWNER_PREFIX = f"{NODE_PREFIX}owner/"
+ACCOUNT_SHARES_KEY = f"{ROOT}accounts/shares"
 TRANSFER_PREFIX = f"{ROOT}transfer/"
 ASSIGNMENT_PREFIX = f"{TRANSFER_PREFIX}worker/"
 CAPACITY_REQUEST_PREFIX = f"{TRANSFER_PREFIX}request/"
--- a/packages/pollengate/pollengate/workflow/planner.py
+++ b/packages/pollengate/pollengate/workflow/planner.py
@@ -75,6 +75,7 @@
             step for step in job_table.open_steps if step.waiting and (settled or _is_new(step))
         ]
         steps.sort(key=lambda step: self._order.key(step, job_table.queue_of(step), now))
+        self._start_filter.begin_round()
         largest_free_by_service: dict[str, _LargestFree] = {}
         planned: list[Run] = []
         for step in steps:
--- a/packages/pollengate/pollengate/workflow/start_filter.py
+++ b/packages/pollengate/pollengate/workflow/start_filter.py
@@ -10,6 +10,10 @@
 class StartFilter(abc.ABC):
     """Decides whether tasks of a step may start now, apart from the room on workers."""
 
+    def begin_round(self) -> None:
+        """Called before each round of planning, which asks for steps in order of rank."""
+        return
+
     @abc.abstractmethod
     def startable(self, step: StepProgress) -> int:
         """Returns how many more tasks of a step may start now.
