Share the limits of client accounts between owners through the store

Cause: the decisions of `pollengate/accounts` need the rows of the other shards.

`StartPolicy` builds the limits and the filter.

--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -26,6 +26,7 @@
 from pollengate.workflow.waiting import WaitMonitor
 from result import Err
 
+from pollengated.edge.account_shares import AccountShares
 from pollengated.edge.advice_requester import AdviceRequester
 from pollengated.edge.clocks import Clocks
 from pollengated.edge.committer import (
@@ -121,6 +122,7 @@
         self.fleet = Fleet(self._worker_lease_s(), previous_leases_expire_at)
         self._registry = WorkerRegistry(store, clocks, self._workers_changed)
         self._assignments = WorkerAssignments(shard, layout, store, clocks, self._workers_changed)
+        self._account_shares = AccountShares(shard, layout.shards, store, shard_lease, clocks)
         self._controllers_by_id: dict[str, WorkerController] = {}
         self._controller_tasks_by_id: dict[str, asyncio.Task[None]] = {}
         self._colocation = ColocationModel()
@@ -153,6 +155,7 @@
             self._spawn(self._registry.cache.run())
             if self._assignments.is_used:
                 self._spawn(self._assignments.cache.run())
+            self._spawn(self._account_shares.run(self._request_planning))
             self._spawn(self._tick())
             self._spawn(self._committer.run())
             if self._advice is not None:
@@ -228,11 +231,14 @@
         )
         evidence = FailureEvidence(self._clocks.monotonic_s, FIRST_PROBE_AFTER_S)
         self.job_table = JobTable(self.fleet, evidence, term_number)
-        self._start_policy = StartPolicy(self.shard, self.job_table, self._policy)
+        is_settled = self._are_previous_runs_known
+        self._start_policy = StartPolicy(
+            self.shard, self.job_table, self._policy, self._account_shares, is_settled
+        )
         self._planner = Planner(
             self.job_table,
             Placer(evidence, self._colocation, self._tickets),
-            self._are_previous_runs_known,
+            is_settled,
             self._start_policy.order,
             self._start_policy.start_filter,
         )
--- a/packages/pollengated/pollengated/edge/start_policy.py
+++ b/packages/pollengated/pollengated/edge/start_policy.py
@@ -1,9 +1,15 @@
 """Builds the order in which steps get workers, and the conditions on which tasks start."""
 
+from collections.abc import Callable
+
+from pollengate.accounts.limits import AccountLimits
+from pollengate.accounts.start_filter import AccountStartFilter
 from pollengate.workflow.job_table import JobTable
 from pollengate.workflow.ordering import DeadlineOrder, StepOrder
 from pollengate.workflow.policy import SchedulingPolicy
-from pollengate.workflow.start_filter import NoStartFilter, StartFilter
+from pollengate.workflow.start_filter import StartFilter
+
+from pollengated.edge.account_shares import AccountShares
 
 __all__ = ["StartPolicy"]
 
@@ -15,18 +21,37 @@
         shard: number of the shard.
         job_table: the shard's jobs, runs and workers.
         policy: settings of scheduling decisions.
+        account_shares: reads and writes the parts of accounts' limits.
+        is_settled: whether no unreported run of an earlier owner can exist any more.
 
     Attributes:
         order: decides which steps get workers first.
         start_filter: holds back tasks that may not start although a worker has room.
+        account_limits: what client accounts may have running in the shard.
     """
 
-    def __init__(self, shard: int, job_table: JobTable, policy: SchedulingPolicy) -> None:
+    def __init__(
+        self,
+        shard: int,
+        job_table: JobTable,
+        policy: SchedulingPolicy,
+        account_shares: AccountShares,
+        is_settled: Callable[[], bool],
+    ) -> None:
         self.order: StepOrder = DeadlineOrder()
-        self.start_filter: StartFilter = NoStartFilter()
+        self.account_limits = AccountLimits(shard, account_shares.shards, job_table.account_usage)
+        self._account_filter = AccountStartFilter(
+            job_table, self.account_limits, is_settled, account_shares.update
+        )
+        self.start_filter: StartFilter = self._account_filter
+        self._account_shares = account_shares
+        account_shares.limits = self.account_limits
+        account_shares.is_settled = lambda: self._account_filter.has_settled
         self._shard = shard
         self._job_table = job_table
         self._policy = policy
 
     def update(self, now: float) -> None:
         """Updates what depends on time and on the configuration; called every 0.1 s."""
+        self._account_filter.update(now)
+        self._account_shares.update()
