--- a/packages/pollengate/pollengate/workflow/job_table.py
+++ b/packages/pollengate/pollengate/workflow/job_table.py
@@ -52,7 +52,7 @@
         term: number of owners that the shard had before.
 
     Attributes:
-        usage: demand of all runs of the table, by client account.
+        account_usage: demand of all runs that may exist, by client account.
     """
 
     def __init__(self, fleet: Fleet, evidence: FailureEvidence, term: int) -> None:
@@ -62,7 +62,7 @@
         self.jobs_by_id: dict[str, JobProgress] = {}
         self.open_steps: dict[StepProgress, None] = {}
         self.outbox = Outbox()
-        self.usage = AccountUsage()
+        self.account_usage = AccountUsage()
         self._run_number_floor = term * RUNS_PER_TERM
         self._scheduled_by_id: dict[str, JobProgress] = {}
 
@@ -122,12 +122,12 @@
         task.add_run(run)
         view.add(run)
         step = task.step
+        self.account_usage.add(step.job.account, step.spec.demand, 1)
         if task in step.waiting:
             step.waiting.remove(task)
         if not step.waiting:
             self.open_steps.pop(step, None)
         job = step.job
-        self.usage.add(job.account, step.spec.demand)
         if job.state is JobState.QUEUED:
             job.state = job.visible_state = JobState.RUNNING
         return run
@@ -305,7 +305,7 @@
         """Removes a run that is known to be gone and queues its task again if needed."""
         task = run.task
         task.remove_run(run)
-        self.usage.remove(task.step.job.account, task.step.spec.demand)
+        self.account_usage.add(task.step.job.account, task.step.spec.demand, -1)
         view = self.fleet.workers_by_id.get(run.worker_id)
         if view is not None:
             view.remove(run)
--- a/packages/pollengate/pollengate/workflow/planner.py
+++ b/packages/pollengate/pollengate/workflow/planner.py
@@ -74,6 +74,7 @@
         steps = [
             step for step in job_table.open_steps if step.waiting and (settled or _is_new(step))
         ]
+        self._start_filter.begin_round()
         largest_free_by_service: dict[str, _LargestFree] = {}
         # While a plan is made, runs are only added, so that no further worker can become free of
         # interference.
--- a/packages/pollengated/pollengated/edge/account_metrics.py
+++ b/packages/pollengated/pollengated/edge/account_metrics.py
@@ -72,7 +72,7 @@
         views = job_table.fleet.all_schedulable(now)
         self._figures_by_shard[shard] = _ShardFigures(
             sum((view.info.capacity for view in views), NO_DEMAND),
-            {name: job_table.usage.usage_of(name) for name in accounts},
+            {name: job_table.account_usage.usage_of(name) for name in accounts},
             held,
         )
         self._export()
--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -24,6 +24,7 @@
 from pollengate.workflow.tickets import TicketCache
 from result import Err
 
+from pollengated.edge.account_shares import AccountShares
 from pollengated.edge.advice_requester import AdviceRequester
 from pollengated.edge.clocks import Clocks
 from pollengated.edge.committer import (
@@ -112,7 +113,6 @@
         self._clocks = clocks
         self._metrics = metrics
         self._policy = policy
-        self._shards = layout.shards
         self._log = Log("owner")
         self._acquired_at = clocks.monotonic_s()
         previous_leases_expire_at = previous_lease_expiry(self._acquired_at, self._worker_lease_s())
@@ -120,6 +120,7 @@
         self.fleet = Fleet(self._worker_lease_s(), previous_leases_expire_at)
         self._registry = WorkerRegistry(store, clocks, self._workers_changed)
         self._assignments = WorkerAssignments(shard, layout, store, clocks, self._workers_changed)
+        self._account_shares = AccountShares(shard, layout.shards, store, shard_lease, clocks)
         self._controllers_by_id: dict[str, WorkerController] = {}
         self._controller_tasks_by_id: dict[str, asyncio.Task[None]] = {}
         self._interference = InterferenceLearning(
@@ -154,6 +155,7 @@
             self._spawn(self._registry.cache.run())
             if self._assignments.is_used:
                 self._spawn(self._assignments.cache.run())
+            self._spawn(self._account_shares.run(self._request_planning))
             self._spawn(self._tick())
             self._spawn(self._committer.run())
             self._spawn(self._interference.run())
@@ -229,12 +231,15 @@
         self._interference.restore(records.interference, self._committer)
         evidence = FailureEvidence(self._clocks.monotonic_s, FIRST_PROBE_AFTER_S)
         self.job_table = JobTable(self.fleet, evidence, term_number)
-        self._start_policy = StartPolicy(self.shard, self._shards, self.job_table, self._policy)
+        is_settled = self._are_previous_runs_known
+        self._start_policy = StartPolicy(
+            self.shard, self.job_table, self._policy, self._account_shares, is_settled
+        )
         doubtful_starts = self._interference.build_doubtful_starts(self.fleet)
         self._planner = Planner(
             self.job_table,
             Placer(evidence, self._colocation, self._tickets, doubtful_starts),
-            self._are_previous_runs_known,
+            is_settled,
             self._start_policy.order,
             self._start_policy.start_filter,
         )
--- a/tests/test_account_order.py
+++ b/tests/test_account_order.py
@@ -37,7 +37,7 @@
             table.deployment, queues=table.deployment.queues + later
         )
         self.configure({name: ClientAccount(name, weight=w) for name, w in weights.items()})
-        self.order = AccountOrder(DeadlineOrder(), table, table.usage.usage_of, SHARDS)
+        self.order = AccountOrder(DeadlineOrder(), table, table.account_usage.usage_of, SHARDS)
         self.planner = builders.build_planner(table, order=self.order)
         self.now = 0.0
         self.started: list[tuple[float, JobProgress]] = []
@@ -78,7 +78,7 @@
                     self.submit(account, step)
             self.tick()
             for name in cores:
-                used = self.job_table.usage.usage_of(name).cpu_millis
+                used = self.job_table.account_usage.usage_of(name).cpu_millis
                 cores[name] += used / 1000 * TICK_S / seconds
         return cores
 
@@ -143,7 +143,7 @@
             gaps = [b - a for a, b in zip([0.0, *starts], [*starts, 15.0], strict=True)]
             self.assertLess(max(gaps), 5.0, name)
             used = sum((s.spec.demand for s in steps if s.job.account == name), NO_DEMAND)
-            self.assertEqual(used, shard.job_table.usage.usage_of(name))
+            self.assertEqual(used, shard.job_table.account_usage.usage_of(name))
 
     def test_deadlines_decide_below_the_fair_share_and_priorities_before_accounts(self) -> None:
         """Late starts of urgent work. Load: 14 cores are free, `a` has 2 and `b` 4 of 10."""
--- a/tests/test_workflow_waiting.py
+++ b/tests/test_workflow_waiting.py
@@ -2,11 +2,11 @@
 
 import dataclasses
 import unittest
-from unittest import mock
 
+from pollengate.accounts.limits import AccountLimits
 from pollengate.accounts.start_filter import AccountStartFilter
 from pollengate.workflow.job_table import JobTable
-from pollengate.workflow.model import Demand
+from pollengate.workflow.model import ClientAccount, Demand
 from pollengate.workflow.start_filter import StartFilter
 from pollengate.workflow.waiting import WaitCause, WaitMonitor
 
@@ -65,13 +65,15 @@
     def test_limit_of_an_account_is_told_from_a_full_shard(self) -> None:
         """A limit looks like lack of room. Load: a gang of 3 and a task of 1 core, 2 allowed."""
         job_table = build_job_table(build_lease_worker())
-        job_table.deployment = dataclasses.replace(job_table.deployment, accounts_by_name={})
+        accounts = {"a": ClientAccount("a", limit=Demand(2000))}
+        job_table.deployment = dataclasses.replace(job_table.deployment, accounts_by_name=accounts)
         for job_id, step in (("aa", build_step(3, is_gang=True)), ("bb", build_step())):
             job = build_job(job_id, step)
             job.account = "a"
             job_table.add(job, 0.0, 0)
-        limits = mock.Mock(may_start=lambda account, demand: demand.cpu_millis <= 2000)
-        found = causes(job_table, start_filter=AccountStartFilter(job_table, limits))
+        limits = AccountLimits(0, 1, job_table.account_usage)
+        start_filter = AccountStartFilter(job_table, limits, lambda: True, lambda: None)
+        found = causes(job_table, start_filter=start_filter)
         self.assertEqual([WaitCause.ACCOUNT_LIMIT, WaitCause.WITHHELD], found)
 
     def test_step_is_reported_again_after_the_interval_and_not_once_it_has_started(self) -> None:
