--- /dev/null
+++ b/packages/pollengate/pollengate/overload/__init__.py
@@ -0,0 +1,1 @@
+"""Decides what waits and what is refused when there is too little available capacity."""
--- a/packages/pollengate/pollengate/workflow/job_table.py
+++ b/packages/pollengate/pollengate/workflow/job_table.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+from collections.abc import Callable
 
 from pollengate.failure_evidence import FailureEvidence
 from pollengate.workflow.clients import EndKind
@@ -49,6 +50,10 @@
         fleet: the shard's workers.
         evidence: record of which tasks failed on which workers.
         term: number of owners that the shard had before.
+
+    Attributes:
+        on_run_ended: called with a run that ended on its worker, whether it is done, and the clock
+            time; None for no call.
     """
 
     def __init__(self, fleet: Fleet, evidence: FailureEvidence, term: int) -> None:
@@ -58,6 +63,7 @@
         self.jobs_by_id: dict[str, JobProgress] = {}
         self.open_steps: dict[StepProgress, None] = {}
         self.outbox = Outbox()
+        self.on_run_ended: Callable[[Run, bool, float], None] | None = None
         self._run_number_floor = term * RUNS_PER_TERM
         self._scheduled_by_id: dict[str, JobProgress] = {}
 
@@ -178,6 +184,8 @@
         run.apply_event("ended")
         if end_kind is EndKind.DONE and run.is_undisturbed:
             run.task.step.durations_s.append(now - run.ordered_at)
+        if self.on_run_ended is not None:
+            self.on_run_ended(run, end_kind is EndKind.DONE, now)
         self.apply_result(run.task, run.number, run.worker_id, end_kind, checkpoint, now, now_ms)
         self._remove_run(run)
 
