--- a/packages/pollengated/pollengated/edge/edge_metrics.py
+++ b/packages/pollengated/pollengated/edge/edge_metrics.py
@@ -83,6 +83,24 @@
             ["shard"],
             registry=registry,
         )
+        self.shortage_factor = Gauge(
+            "pollengate_edge_shortage_factor",
+            "Due work by what the room can complete in time; the highest of all priorities.",
+            ["shard", "service", "room"],
+            registry=registry,
+        )
+        self.overload_refusals = Counter(
+            "pollengate_edge_overload_refusals",
+            "Jobs refused in a shortage, by queue and reason.",
+            ["queue", "reason"],
+            registry=registry,
+        )
+        self.jobs_past_use = Gauge(
+            "pollengate_edge_jobs_past_use",
+            "Waiting jobs that are past their last useful moment.",
+            ["shard", "service", "room"],
+            registry=registry,
+        )
         ProcessCollector(registry=registry)
 
     def export(self) -> bytes:
--- a/packages/pollengated/pollengated/edge/job_request_handler.py
+++ b/packages/pollengated/pollengated/edge/job_request_handler.py
@@ -40,6 +40,8 @@
             this one doesn't.
         clocks: the process's clocks.
         on_change: called after each change of the job table.
+        find_overload: returns why a new job is refused for lack of room at a clock time, None if it
+            is accepted.
 
     Attributes:
         is_closing: whether the shard is being handed over and accepts no new jobs.
@@ -53,6 +55,7 @@
         shard_lease: ShardLease,
         clocks: Clocks,
         on_change: Callable[[], None],
+        find_overload: Callable[[JobProgress, float], NotAccepted | None],
     ) -> None:
         self.is_closing = False
         self._shard = shard
@@ -61,6 +64,7 @@
         self._shard_lease = shard_lease
         self._clocks = clocks
         self._on_change = on_change
+        self._find_overload = find_overload
         self._submissions_by_id: dict[str, _Submission] = {}
         self._log = Log("owner")
 
@@ -78,6 +82,9 @@
                 return refusal
             now, now_ms = self._clocks.monotonic_s(), self._clocks.unix_ms()
             job = JobProgress(job_id, queue_name, workflow, now_ms, now)
+            refusal = self._find_overload(job, now)
+            if refusal is not None:
+                return refusal
             record = _Submission(self._shard, job, self._add_accepted_job)
             record.record_number = self._committer.add(record)
             self._submissions_by_id[job_id] = record
--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -228,7 +228,9 @@
         )
         evidence = FailureEvidence(self._clocks.monotonic_s, FIRST_PROBE_AFTER_S)
         self.job_table = JobTable(self.fleet, evidence, term_number)
-        self._start_policy = StartPolicy(self.shard, self.job_table, self._policy)
+        self._start_policy = StartPolicy(
+            self.shard, self.job_table, self._policy, self._metrics, self._are_previous_runs_known
+        )
         self._planner = Planner(
             self.job_table,
             Placer(evidence, self._colocation, self._tickets),
@@ -279,6 +281,7 @@
             self.shard_lease,
             self._clocks,
             self._job_table_changed,
+            self._start_policy.find_refusal,
         )
         encoded_progress_by_key = {entry.key: entry.value for entry in records.progress}
         for entry in records.jobs:
