--- a/packages/pollengate/pollengate/workflow/job_table.py
+++ b/packages/pollengate/pollengate/workflow/job_table.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+from collections.abc import Callable
 
 from pollengate.accounts.usage import AccountUsage
 from pollengate.failure_evidence import FailureEvidence
@@ -53,6 +54,8 @@
 
     Attributes:
         account_usage: demand of all runs that may exist, by client account.
+        on_run_ended: called with a run that ended on its worker, whether it is done, and the clock
+            time; None for no call.
     """
 
     def __init__(self, fleet: Fleet, evidence: FailureEvidence, term: int) -> None:
@@ -63,6 +66,7 @@
         self.open_steps: dict[StepProgress, None] = {}
         self.outbox = Outbox()
         self.account_usage = AccountUsage()
+        self.on_run_ended: Callable[[Run, bool, float], None] | None = None
         self._run_number_floor = term * RUNS_PER_TERM
         self._scheduled_by_id: dict[str, JobProgress] = {}
 
@@ -184,6 +188,8 @@
         run.apply_event("ended")
         if end_kind is EndKind.DONE and run.is_undisturbed:
             run.task.step.durations_s.append(now - run.ordered_at)
+        if self.on_run_ended is not None:
+            self.on_run_ended(run, end_kind is EndKind.DONE, now)
         self.apply_result(run.task, run.number, run.worker_id, end_kind, checkpoint, now, now_ms)
         self._remove_run(run)
 
--- a/packages/pollengated/pollengated/edge/account_shares.py
+++ b/packages/pollengated/pollengated/edge/account_shares.py
@@ -53,6 +53,7 @@
         clocks: the process's clocks.
 
     Attributes:
+        shard: number of the shard.
         shards: number of shards of the deployment.
         limits: what accounts may have running in the shard; set before `run`.
         is_settled: whether all runs of earlier owners are known, so that rows may be lowered to
@@ -66,7 +67,7 @@
         self, shard: int, shards: int, store: PolledStore, shard_lease: ShardLease, clocks: Clocks
     ) -> None:
         self.shards = shards
-        self._shard = shard
+        self.shard = shard
         self._store = store
         self._shard_lease = shard_lease
         self._clocks = clocks
@@ -134,11 +135,11 @@
 
     async def _send(self, write: ShareWrite) -> None:
         conditions = (
-            Unchanged(owner_key(self._shard), self._shard_lease.token),
+            Unchanged(owner_key(self.shard), self._shard_lease.token),
             Unchanged(ACCOUNT_SHARES_KEY, write.base_revision),
         )
         parts_before = {
-            account: self.limits.row_of(account, self._shard).part for account in write.own_rows
+            account: self.limits.row_of(account, self.shard).part for account in write.own_rows
         }
         put = Put(ACCOUNT_SHARES_KEY, encode_shares(write.record))
         result = await self._store.commit(conditions, (put,))
@@ -158,11 +159,11 @@
 
     def _handle_conflict(self, write: ShareWrite, conflict: CommitResult) -> None:
         current = {entry.key: entry for entry in conflict.current}
-        owner = current.get(owner_key(self._shard))
+        owner = current.get(owner_key(self.shard))
         if owner is None or owner.revision != self._shard_lease.token:
             self._log.warning(
                 "this process no longer owns the shard; its row is not written",
-                shard=self._shard,
+                shard=self.shard,
                 token=self._shard_lease.token,
             )
             return
@@ -177,7 +178,7 @@
             self._log.info(
                 "part of a limit changed",
                 account=account,
-                shard=self._shard,
+                shard=self.shard,
                 cpu_millis=after.cpu_millis,
                 memory_mb=after.memory_mb,
                 accelerators=after.accelerators,
@@ -192,7 +193,7 @@
             self._failing_since = self._failed_at
             self._log.warning(
                 "cannot write the parts of limits; going on within them",
-                shard=self._shard,
+                shard=self.shard,
                 kind=failure.kind.value,
                 cause=failure.detail,
             )
@@ -203,7 +204,7 @@
             self._failing_since = None
             self._log.info(
                 "parts of limits are written again",
-                shard=self._shard,
+                shard=self.shard,
                 failing_s=round(failing_s, 2),
             )
 
--- a/packages/pollengated/pollengated/edge/job_request_handler.py
+++ b/packages/pollengated/pollengated/edge/job_request_handler.py
@@ -42,6 +42,8 @@
         clocks: the process's clocks.
         on_change: called after each change of the job table.
         on_accepted: called with each accepted job and the clock time before it is scheduled.
+        find_overload: returns why a new job is refused for lack of room at a clock time, None if it
+            is accepted.
 
     Attributes:
         is_closing: whether the shard is being handed over and accepts no new jobs.
@@ -56,6 +58,7 @@
         clocks: Clocks,
         on_change: Callable[[], None],
         on_accepted: Callable[[JobProgress, float], None],
+        find_overload: Callable[[JobProgress, float], NotAccepted | None],
     ) -> None:
         self.is_closing = False
         self._shard = shard
@@ -65,6 +68,7 @@
         self._clocks = clocks
         self._on_change = on_change
         self._on_accepted = on_accepted
+        self._find_overload = find_overload
         self._submissions_by_id: dict[str, _Submission] = {}
         self._log = Log("owner")
 
@@ -84,6 +88,9 @@
                 return refusal
             now, now_ms = self._clocks.monotonic_s(), self._clocks.unix_ms()
             job = JobProgress(job_id, queue_name, workflow, now_ms, now, account=account)
+            refusal = self._find_overload(job, now)
+            if refusal is not None:
+                return refusal
             record = _Submission(self._shard, job, self._add_accepted_job)
             record.record_number = self._committer.add(record)
             self._submissions_by_id[job_id] = record
--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -233,7 +233,7 @@
         self.job_table = JobTable(self.fleet, evidence, term_number)
         is_settled = self._are_previous_runs_known
         self._start_policy = StartPolicy(
-            self.shard, self.job_table, self._policy, self._account_shares, is_settled
+            self.job_table, self._policy, self._account_shares, self._metrics, is_settled
         )
         doubtful_starts = self._interference.build_doubtful_starts(self.fleet)
         self._planner = Planner(
@@ -288,6 +288,7 @@
             self._clocks,
             self._job_table_changed,
             self._start_policy.record_accepted,
+            self._start_policy.find_refusal,
         )
         encoded_progress_by_key = {entry.key: entry.value for entry in records.progress}
         for entry in records.jobs:
--- a/packages/pollengated/pollengated/edge/start_policy.py
+++ b/packages/pollengated/pollengated/edge/start_policy.py
@@ -5,6 +5,7 @@
 from pollengate.accounts.fair_order import AccountOrder
 from pollengate.accounts.limits import AccountLimits
 from pollengate.accounts.start_filter import AccountStartFilter
+from pollengate.workflow.job_service import NotAccepted
 from pollengate.workflow.job_table import JobTable
 from pollengate.workflow.ordering import DeadlineOrder, StepOrder
 from pollengate.workflow.policy import SchedulingPolicy
@@ -12,6 +13,8 @@
 from pollengate.workflow.start_filter import StartFilter
 
 from pollengated.edge.account_shares import AccountShares
+from pollengated.edge.edge_metrics import EdgeMetrics
+from pollengated.edge.overload_control import OverloadControl
 
 __all__ = ["StartPolicy"]
 
@@ -20,10 +23,10 @@
     """Order and conditions of starts during one ownership term.
 
     Args:
-        shard: number of the shard.
         job_table: the shard's jobs, runs and workers.
         policy: settings of scheduling decisions.
         account_shares: reads and writes the parts of accounts' limits.
+        metrics: metrics of this process.
         is_settled: whether no unreported run of an earlier owner can exist any more.
 
     Attributes:
@@ -34,17 +37,20 @@
 
     def __init__(
         self,
-        shard: int,
         job_table: JobTable,
         policy: SchedulingPolicy,
         account_shares: AccountShares,
+        metrics: EdgeMetrics,
         is_settled: Callable[[], bool],
     ) -> None:
-        shards = account_shares.shards
+        shard, shards = account_shares.shard, account_shares.shards
+        self._overload: OverloadControl | None = None
+        order: StepOrder = DeadlineOrder()
+        if policy.overload.is_enabled:
+            self._overload = OverloadControl(shard, job_table, policy.overload, metrics, is_settled)
+            order = self._overload.order
         self.account_limits = AccountLimits(shard, shards, job_table.account_usage)
-        self._account_order = AccountOrder(
-            DeadlineOrder(), job_table, self.account_limits.usage_of, shards
-        )
+        self._account_order = AccountOrder(order, job_table, self.account_limits.usage_of, shards)
         self.order: StepOrder = self._account_order
         self._account_filter = AccountStartFilter(
             job_table, self.account_limits, is_settled, account_shares.update
@@ -53,9 +59,6 @@
         self._account_shares = account_shares
         account_shares.limits = self.account_limits
         account_shares.is_settled = lambda: self._account_filter.has_settled
-        self._shard = shard
-        self._job_table = job_table
-        self._policy = policy
 
     def record_accepted(self, job: JobProgress, now: float) -> None:
         """Decides what the order has to know of a job that was just accepted."""
@@ -65,3 +68,9 @@
         """Updates what depends on time and on the configuration; called every 0.1 s."""
         self._account_filter.update(now)
         self._account_shares.update()
+        if self._overload is not None:
+            self._overload.update(now)
+
+    def find_refusal(self, job: JobProgress, now: float) -> NotAccepted | None:
+        """Returns why a new job is refused, None if it is accepted."""
+        return None if self._overload is None else self._overload.find_refusal(job, now)
