Refuse no job that reserves cores while other shards may release workers

Owners transfer workers for such tasks within about a second.

Change: with several shards, only a shortage of the room of fillers refuses jobs; a shortage of cores to reserve still changes the order.

Measured: the new test failed before.

--- a/packages/pollengate/pollengate/overload/admission.py
+++ b/packages/pollengate/pollengate/overload/admission.py
@@ -67,11 +67,17 @@
     Args:
         backlog: measures shortages.
         policy: settings.
+        may_get_workers: whether other shards may release workers to this one. They do so for tasks
+            that reserve cores, so that a shortage of the shard says nothing of the deployment's
+            room for these tasks, and no job is refused for it.
     """
 
-    def __init__(self, backlog: ShardBacklog, policy: OverloadPolicy) -> None:
+    def __init__(
+        self, backlog: ShardBacklog, policy: OverloadPolicy, may_get_workers: bool = False
+    ) -> None:
         self._backlog = backlog
         self._policy = policy
+        self._kinds_of_room = (True,) if may_get_workers else (False, True)
         self._floor_by_queue: dict[str, _Floor] = {}
         self._refused: collections.OrderedDict[str, None] = collections.OrderedDict()
 
@@ -101,7 +107,7 @@
         steps = job.workflow.steps
         if job.workflow.repeat_count or any(step.is_long_running for step in steps):
             return None
-        for is_filler in (False, True):
+        for is_filler in self._kinds_of_room:
             pool = Pool(queue.service, is_filler)
             state = self._backlog.states_by_pool.get(pool)
             if state is None or not state.is_short(queue.priority):
--- a/packages/pollengated/pollengated/edge/overload_control.py
+++ b/packages/pollengated/pollengated/edge/overload_control.py
@@ -29,6 +29,7 @@
         policy: settings.
         metrics: metrics of this process.
         is_settled: returns True once all runs of earlier owners are known.
+        may_get_workers: whether other shards may release workers to this one.
 
     Attributes:
         order: decides which steps get workers first.
@@ -41,12 +42,13 @@
         policy: OverloadPolicy,
         metrics: EdgeMetrics,
         is_settled: Callable[[], bool],
+        may_get_workers: bool,
     ) -> None:
         self._shard = shard
         self._job_table = job_table
         self._metrics = metrics
         self._backlog = ShardBacklog(job_table, policy, is_settled)
-        self._admission = OverloadAdmission(self._backlog, policy)
+        self._admission = OverloadAdmission(self._backlog, policy, may_get_workers)
         self.order = OverloadOrder(self._backlog)
         self._metrics_at = float("-inf")
         self._log = Log("overload")
--- a/packages/pollengated/pollengated/edge/start_policy.py
+++ b/packages/pollengated/pollengated/edge/start_policy.py
@@ -47,7 +47,9 @@
         self._overload: OverloadControl | None = None
         order: StepOrder = DeadlineOrder()
         if policy.overload.is_enabled:
-            self._overload = OverloadControl(shard, job_table, policy.overload, metrics, is_settled)
+            self._overload = OverloadControl(
+                shard, job_table, policy.overload, metrics, is_settled, shards > 1
+            )
             order = self._overload.order
         self.account_limits = AccountLimits(shard, shards, job_table.account_usage)
         self._account_order = AccountOrder(order, job_table, self.account_limits.usage_of, shards)
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -211,6 +211,15 @@
         )
         self.assertIs(steps[0].job, serving)
 
+    def test_jobs_for_which_workers_may_be_transferred_are_not_refused(self) -> None:
+        # Guards against refusals by a full shard while other shards have room. Load: 10 times.
+        self.fill(0.0, 5.0)
+        self.assertTrue(self.is_refused(5.0))
+        self.admission = OverloadAdmission(self.backlog, NO_FLOOR, may_get_workers=True)
+        self.assertFalse(self.is_refused(5.0))
+        self.fill(5.1, 10.0, is_filler=True)
+        self.assertTrue(self.is_refused(10.0, is_filler=True))
+
     def test_shortage_of_fillers_leaves_other_jobs_alone(self) -> None:
         # Guards against one room's shortage that delays or refuses work of the other.
         self.fill(0.0, 5.0, is_filler=True)
