Explain the decisions of a planner without changing them

Cause: logs name one cause for steps that have waited for 2 s; operators can't see the workers considered, nor ask about a job that was not submitted.

Placer and DoubtfulStarts get preview(), which counts and reports nothing; Planner's parts are public attributes; StepOrder.key and StartFilter.startable must have no effect.

Ruled out: a plan on a copy of the job table, whose copying blocks the event loop.

--- a/packages/pollengate/pollengate/learning/doubtful_starts.py
+++ b/packages/pollengate/pollengate/learning/doubtful_starts.py
@@ -7,6 +7,7 @@
 image on a worker, so that a measured slowdown tells which image caused it.
 """
 
+import copy
 from collections.abc import Callable
 
 from pollengate.workflow.colocation import ColocationModel
@@ -73,6 +74,15 @@
         self._max_workers = 0
         self._counted_at = float("-inf")
 
+    def preview(self) -> "DoubtfulStarts":
+        """Returns a copy that decides the same; what it counts is neither kept nor reported."""
+        copied = copy.copy(self)
+        copied._on_start = lambda *_: None
+        copied._images_by_worker = {
+            worker_id: set(images) for worker_id, images in self._images_by_worker.items()
+        }
+        return copied
+
     def is_due(self, step: StepProgress, queue: Queue, now: float) -> bool:
         """Returns True if a step is no longer withheld where its fillers are doubtful."""
         return step.spec.is_filler and now >= withheld_until(step, queue)
--- a/packages/pollengate/pollengate/workflow/ordering.py
+++ b/packages/pollengate/pollengate/workflow/ordering.py
@@ -38,6 +38,8 @@
     def key(self, step: StepProgress, queue: Queue | None, now: float) -> tuple[Any, ...]:
         """Returns the sort key of a step; the step with the smallest key gets workers first.
 
+        Asking has no effect, as explanations ask, too, also for jobs that were never submitted.
+
         Args:
             step: the step.
             queue: the queue of its job, None if it is no longer configured.
--- a/packages/pollengate/pollengate/workflow/placement.py
+++ b/packages/pollengate/pollengate/workflow/placement.py
@@ -16,7 +16,7 @@
 from pollengate.workflow.progress import StepProgress, TaskProgress
 from pollengate.workflow.tickets import TicketCache
 
-__all__ = ["Placer", "StepScores", "can_place", "is_allowed", "may_withhold"]
+__all__ = ["Placer", "StepScores", "can_place", "gives_full_speed", "is_allowed", "may_withhold"]
 
 # A filler is placed only where at least this share of its declared processors is unused, so that it
 # runs at close to full speed.
@@ -86,6 +86,9 @@
         tickets: tickets for steps of queues that use the advice service.
         doubtful_starts: decides which doubtful fillers may start, None if all of them wait for
             `INTERFERENCE_FREE_WAIT_S`.
+
+    Attributes:
+        evidence: the same.
     """
 
     def __init__(
@@ -95,11 +98,18 @@
         tickets: TicketCache,
         doubtful_starts: DoubtfulStarts | None = None,
     ) -> None:
-        self._evidence = evidence
+        self.evidence = evidence
         self._tickets = tickets
         self._colocation = colocation
         self._doubtful_starts = doubtful_starts
 
+    def preview(self) -> "Placer":
+        """Returns a placer that chooses the same workers now and counts no doubtful start."""
+        starts = self._doubtful_starts
+        return Placer(
+            self.evidence, self._colocation, self._tickets, starts.preview() if starts else None
+        )
+
     def doubtful_below(self, step: StepProgress, queue: Queue, now: float) -> float:
         """Returns the argument of the same name of a step's scores."""
         starts = self._doubtful_starts
@@ -136,12 +146,12 @@
         if needs_ticket:
             workers = [v for v in workers if self._tickets.ticket(task.step, v, now)]
             candidates = [v for v in candidates if self._tickets.ticket(task.step, v, now)]
-        admitted = [v for v in candidates if self._evidence.admits(v.worker_id, task.name)]
+        admitted = [v for v in candidates if self.evidence.admits(v.worker_id, task.name)]
         best = self._best_worker(task, admitted, now, scores)
         if best is None and (
             task.step.spec.is_long_running or not (admitted or self._admits_any(task, workers))
         ):
-            healthy = [v for v in candidates if not self._evidence.is_quarantined(v.worker_id)]
+            healthy = [v for v in candidates if not self.evidence.is_quarantined(v.worker_id)]
             best = self._best_worker(task, healthy, now, scores)
         if self._doubtful_starts is None or not task.step.spec.is_filler:
             return best
@@ -167,6 +177,17 @@
             and self._colocation.interference_probability(view, step) < INTERFERING_PROBABILITY
         ]
 
+    def withholds(self, step: StepProgress, view: WorkerView, now: float) -> bool:
+        """Returns True while a step's fillers wait because they probably interfere on a worker."""
+        return (
+            may_withhold(step, now)
+            and self._colocation.interference_probability(view, step) >= INTERFERING_PROBABILITY
+        )
+
+    def has_ticket(self, step: StepProgress, view: WorkerView, now: float) -> bool:
+        """Returns True if the advice service allows a step's tasks on a worker."""
+        return bool(self._tickets.ticket(step, view, now))
+
     def has_interference_free_worker(
         self, task: TaskProgress, workers: Sequence[WorkerView], now: float
     ) -> bool:
@@ -176,14 +197,14 @@
         return any(
             view.worker_id not in used_worker_ids
             and can_place(step, view)
-            and _gives_full_speed(step, view, now)
+            and gives_full_speed(step, view, now)
             and self._colocation.interference_probability(view, step) < INTERFERING_PROBABILITY
-            and self._evidence.admits(view.worker_id, task.name)
+            and self.evidence.admits(view.worker_id, task.name)
             for view in workers
         )
 
     def _admits_any(self, task: TaskProgress, workers: Sequence[WorkerView]) -> bool:
-        return any(self._evidence.admits(view.worker_id, task.name) for view in workers)
+        return any(self.evidence.admits(view.worker_id, task.name) for view in workers)
 
     def _best_worker(
         self, task: TaskProgress, workers: Sequence[WorkerView], now: float, scores: StepScores
@@ -232,7 +253,7 @@
         is_withheld = False
         interference = 0.0
         if spec.is_filler:
-            if not _gives_full_speed(step, view, now):
+            if not gives_full_speed(step, view, now):
                 return None
             interference = self._colocation.interference_probability(view, step)
             is_withheld = interference >= INTERFERING_PROBABILITY and may_withhold(step, now)
@@ -290,7 +311,7 @@
     return not spec.max_per_worker or step.runs_on(view.worker_id) < spec.max_per_worker
 
 
-def _gives_full_speed(step: StepProgress, view: WorkerView, now: float) -> bool:
+def gives_full_speed(step: StepProgress, view: WorkerView, now: float) -> bool:
     """Returns True if a worker has processors for a filler and fillers are not blocked there."""
     wanted_millis = FILLER_MIN_UNUSED_SHARE * step.spec.demand.cpu_millis
     return now >= view.fillers_blocked_until and view.unused_millis() >= wanted_millis
--- a/packages/pollengate/pollengate/workflow/planner.py
+++ b/packages/pollengate/pollengate/workflow/planner.py
@@ -51,6 +51,13 @@
             before that, only jobs that were accepted since the takeover are started.
         order: decides which steps get workers first.
         start_filter: holds back tasks that may not start although a worker has room.
+
+    Attributes:
+        job_table: the same.
+        placer: the same.
+        is_settled: the same.
+        order: the same.
+        start_filter: the same.
     """
 
     def __init__(
@@ -61,20 +68,20 @@
         order: StepOrder | None = None,
         start_filter: StartFilter | None = None,
     ) -> None:
-        self._job_table = job_table
-        self._placer = placer
-        self._is_settled = is_settled
-        self._order = order or DeadlineOrder()
-        self._start_filter = start_filter or NoStartFilter()
+        self.job_table = job_table
+        self.placer = placer
+        self.is_settled = is_settled
+        self.order = order or DeadlineOrder()
+        self.start_filter = start_filter or NoStartFilter()
 
     def plan(self, now: float) -> list[Run]:
         """Adds and returns runs for the waiting tasks that fit on a worker, in order of rank."""
-        job_table = self._job_table
-        settled = self._is_settled()
+        job_table = self.job_table
+        settled = self.is_settled()
         steps = [
             step for step in job_table.open_steps if step.waiting and (settled or _is_new(step))
         ]
-        steps.sort(key=lambda step: self._order.key(step, job_table.queue_of(step), now))
+        steps.sort(key=lambda step: self.order.key(step, job_table.queue_of(step), now))
         largest_free_by_service: dict[str, _LargestFree] = {}
         # While a plan is made, runs are only added, so that no further worker can become free of
         # interference.
@@ -101,11 +108,11 @@
 
     def has_interference_free_worker(self, task: TaskProgress, now: float) -> bool:
         """Returns True if another worker could run a filler at full speed without interference."""
-        queue = self._job_table.queue_of(task.step)
+        queue = self.job_table.queue_of(task.step)
         if queue is None:
             return False
-        workers = self._job_table.fleet.schedulable_workers(queue.service, now)
-        return self._placer.has_interference_free_worker(task, workers, now)
+        workers = self.job_table.fleet.schedulable_workers(queue.service, now)
+        return self.placer.has_interference_free_worker(task, workers, now)
 
     def _place_step(
         self,
@@ -118,23 +125,23 @@
         if step.spec.is_gang:
             return self._place_gang(step, queue, workers, now)
         runs = []
-        scores = StepScores(self._placer.doubtful_below(step, queue, now))
+        scores = StepScores(self.placer.doubtful_below(step, queue, now))
         candidates: list[WorkerView] | None = None
         if may_withhold(step, now) and not scores.doubtful_below:
             image = (queue.service, step.spec.image)
             candidates = candidates_by_image.get(image)
             if candidates is None:
-                candidates = self._placer.interference_free_workers(step, workers, now)
+                candidates = self.placer.interference_free_workers(step, workers, now)
                 candidates_by_image[image] = candidates
         for task in list(step.waiting):
-            if not self._start_filter.startable(step):
+            if not self.start_filter.startable(step):
                 break
-            view = self._placer.choose(
+            view = self.placer.choose(
                 task, workers, now, queue.advice is not None, scores, candidates
             )
             if view is None:
                 break
-            runs.append(self._add_run(task, view, self._job_table.next_run_number(task), now))
+            runs.append(self._add_run(task, view, self.job_table.next_run_number(task), now))
             scores.forget(view)
         return runs
 
@@ -144,23 +151,23 @@
         """Adds runs with the same number for all tasks of a gang, or for none of them."""
         if len(step.waiting) < step.spec.count:
             return []
-        if self._start_filter.startable(step) < step.spec.count:
+        if self.start_filter.startable(step) < step.spec.count:
             return []
-        number = max(self._job_table.next_run_number(task) for task in step.tasks)
+        number = max(self.job_table.next_run_number(task) for task in step.tasks)
         runs: list[Run] = []
         for task in list(step.waiting):
-            scores = StepScores(self._placer.doubtful_below(step, queue, now))
-            view = self._placer.choose(task, workers, now, queue.advice is not None, scores)
+            scores = StepScores(self.placer.doubtful_below(step, queue, now))
+            view = self.placer.choose(task, workers, now, queue.advice is not None, scores)
             if view is None:
                 for run in runs:
-                    self._job_table.mark_rejected(run)
+                    self.job_table.mark_rejected(run)
                 return []
             runs.append(self._add_run(task, view, number, now))
         return runs
 
     def _add_run(self, task: TaskProgress, view: WorkerView, number: int, now: float) -> Run:
-        self._job_table.evidence.record_placement(task.name, task.step.job.job_id, view.worker_id)
-        return self._job_table.add_run(task, view, number, now)
+        self.job_table.evidence.record_placement(task.name, task.step.job.job_id, view.worker_id)
+        return self.job_table.add_run(task, view, number, now)
 
 
 def _is_new(step: StepProgress) -> bool:
--- a/packages/pollengate/pollengate/workflow/start_filter.py
+++ b/packages/pollengate/pollengate/workflow/start_filter.py
@@ -14,7 +14,8 @@
     def startable(self, step: StepProgress) -> int:
         """Returns how many more tasks of a step may start now.
 
-        The planner asks again after each start, since the runs that it has added count.
+        The planner asks again after each start, since the runs that it has added count. Asking has
+        no effect, as explanations ask, too.
         """
 
 
--- a/packages/pollengate/pollengate/workflow/waiting.py
+++ b/packages/pollengate/pollengate/workflow/waiting.py
@@ -85,6 +85,11 @@
             overdue.append(self._explain(step, now - since, workers_of))
         return overdue
 
+    def find_cause(self, step: StepProgress, now: float) -> WaitCause:
+        """Returns why the waiting tasks of a step do not start at present."""
+        fleet = self._job_table.fleet
+        return self._explain(step, 0.0, lambda s: fleet.schedulable_workers(s, now)).cause
+
     def _explain(
         self,
         step: StepProgress,
