Serve explanations at the metrics address, and add `pollengate explain`

Cause: the explanations have to reach operators.

Change: GET /explain/{job id} and POST /explain/{queue prefix} on the edge role's metrics server, from the owner's state: 421 with the owner's node name elsewhere, 404 for an unknown id or prefix, 400 with the reason for a malformed body. The answer has shard, owner, the age of the configuration and of each worker's report, and the refusal that a submission would get. No key is needed, as the address is for operators; the readiness server does not serve it. `pollengate explain` prints it as tables or JSON.

--- a/packages/pollengate-cli/pollengate_cli/client.py
+++ b/packages/pollengate-cli/pollengate_cli/client.py
@@ -33,15 +33,25 @@
     Args:
         addresses: `host:port` of the gates, in the order in which they are tried.
         transport: replaces the network in tests.
+        peer: what the addresses belong to, for error messages.
     """
 
     def __init__(
-        self, addresses: Sequence[str], transport: httpx.BaseTransport | None = None
+        self,
+        addresses: Sequence[str],
+        transport: httpx.BaseTransport | None = None,
+        peer: str = "gate",
     ) -> None:
         self._addresses = tuple(addresses)
+        self._transport = transport
+        self._peer = peer
         timeout = httpx.Timeout(CALL_TIMEOUT_S, connect=CONNECT_TIMEOUT_S)
         self._client = httpx.Client(timeout=timeout, transport=transport)
 
+    def at(self, address: str) -> "GateClient":
+        """Returns a client of the process at another address."""
+        return GateClient((address,), self._transport, "process")
+
     def call(
         self,
         method: str,
@@ -65,17 +75,19 @@
             except (httpx.ConnectError, httpx.ConnectTimeout):
                 continue
             except httpx.HTTPError as error:
-                return Err(_no_response(method, address, error))
+                return Err(_no_response(method, f"{self._peer} {address}", error))
             return _decode(method, response)
         tried = ", ".join(self._addresses)
-        return Err(Failure(NOT_RUN, NO_GATE, f"no gate accepts a connection; tried {tried}"))
+        return Err(
+            Failure(NOT_RUN, NO_GATE, f"no {self._peer} accepts a connection; tried {tried}")
+        )
 
 
-def _no_response(method: str, address: str, error: httpx.HTTPError) -> Failure:
+def _no_response(method: str, process: str, error: httpx.HTTPError) -> Failure:
     # A read has no effect, even if the gate received it.
     outcome = NOT_RUN if method == "GET" else UNKNOWN
     reason = NO_GATE if method == "GET" else NO_RESPONSE
-    detail = f"gate {address} did not answer: {type(error).__name__}"
+    detail = f"{process} did not answer: {type(error).__name__}"
     return Failure(outcome, reason, detail)
 
 
--- a/packages/pollengate-cli/pollengate_cli/failures.py
+++ b/packages/pollengate-cli/pollengate_cli/failures.py
@@ -11,10 +11,12 @@
 UNKNOWN = "unknown"
 
 NO_GATE = "no_gate"
+NO_PROCESS = "no_process"
 NO_RESPONSE = "no_answer"
 MALFORMED_RESPONSE = "malformed_answer"
 
 _NEXT_STEP_BY_REASON = {
+    "ambiguous_queue": "repeat with --host",
     "configuration_stale": "look at `pollengate status`: a zone is cut off or the store is down",
     "idempotency_conflict": "this key was used for another patch; leave out --idempotency-key",
     "internal_error": "look for the request id in the gate's log",
@@ -23,14 +25,19 @@
     "no_backend": "look at the service's backend servers, then repeat",
     "not_admitted": "repeat in a few seconds, or with another --gate",
     "no_owner": "repeat in a few seconds; if it persists, look at `pollengate status`",
+    "not_owner": "repeat with the metrics address of that node as --address",
     "not_found": "check the name with `pollengate task list`, `service list` or `zone list`",
     "queue_full": "submit later, or raise limits.max_queued_tasks with `pollengate config patch`",
     "stopping": "repeat with another --gate",
     "store_unavailable": "repeat once the platform's store answers",
     "task_conflict": "choose another task id; this one is taken by another task",
+    "unknown_account": "check the name given with --account against the configuration",
+    "unknown_job": "check the id; jobs are forgotten some time after their end",
+    "unknown_queue": "check --queue and --host against the routes of the configuration",
     "version_conflict": "read `pollengate config get`, check the patch, repeat with --version",
     "version_required": "the gate and this command differ in version; update one of them",
     NO_GATE: "check the addresses given with --gate or POLLENGATE_GATE",
+    NO_PROCESS: "check that --address is the metrics address of an edge process that runs",
     MALFORMED_RESPONSE: "check that the address is a gate with the version of this command",
 }
 _NEXT_STEP_UNKNOWN = "check with `get`, `show` or `list` whether it took effect before repeating"
@@ -72,7 +79,7 @@
         """Returns the exit code of a command that fails this way."""
         if self.outcome != NOT_RUN:
             return ExitCode.UNKNOWN
-        if self.reason == NO_GATE:
+        if self.reason in (NO_GATE, NO_PROCESS):
             return ExitCode.UNREACHABLE
         if self.reason == "version_conflict":
             return ExitCode.CONFLICT
--- a/packages/pollengate-cli/pollengate_cli/main.py
+++ b/packages/pollengate-cli/pollengate_cli/main.py
@@ -5,6 +5,7 @@
 from pollengate_cli import porcelain
 from pollengate_cli.client import GateClient
 from pollengate_cli.config_commands import config
+from pollengate_cli.explain_command import explain
 from pollengate_cli.local_commands import completion, settings
 from pollengate_cli.output import json_option, print_result
 from pollengate_cli.task_commands import task
@@ -58,5 +59,5 @@
     print_result(porcelain.get_status(gate), as_json)
 
 
-for command in (completion, config, settings, task, zone):
+for command in (completion, config, explain, settings, task, zone):
     main.add_command(command)
--- a/packages/pollengate-cli/pollengate_cli/output.py
+++ b/packages/pollengate-cli/pollengate_cli/output.py
@@ -15,10 +15,12 @@
 from pollengate_cli.views import (
     AcceptedPatchView,
     ConfigurationView,
+    ExplanationView,
     HistoryEntryView,
     ProcessView,
     ServiceView,
     StatusView,
+    StepExplanationView,
     TaskView,
     ZoneView,
 )
@@ -122,6 +124,36 @@
     return "\n\n".join(parts)
 
 
+@_format.register
+def _(value: ExplanationView) -> str:
+    job = value.job
+    head = "not submitted" if job.job is None else f"job {job.job}, {job.state}"
+    age = value.configuration_age_s
+    configuration_age = "of unknown age" if age is None else f"{age} s old"
+    account = f", account {job.account}" if job.account else ""
+    parts = [
+        f"{head}, queue {job.queue}{account}\n"
+        f"shard {value.shard} of {value.shards}, owner {value.owner}; configuration version"
+        f" {value.configuration_version}, {configuration_age}\n"
+        f"waiting in the shard, this job included: {job.waiting_tasks} tasks of"
+        f" {job.waiting_steps} steps",
+    ]
+    if value.refusal:
+        after = f"retry after {value.refusal.retry_after_s} s"
+        parts.append(f"a submission would be refused: {value.refusal.reason}, {after}")
+    parts.append(_format_list(job.steps) if job.steps else "no occurrence is due yet")
+    if job.omitted_steps:
+        parts.append(f"... {job.omitted_steps} more steps")
+    if any(step.against for step in job.steps):
+        rows = [(s.occurrence, s.step, r, n) for s in job.steps for r, n in s.against.items()]
+        parts.append(format_table(("OCCURRENCE", "STEP", "REASON AGAINST", "WORKERS"), rows))
+    ages = [worker.report_age_s for worker in value.workers]
+    known = [age for age in ages if age is not None]
+    oldest = f", the oldest report {max(known)} s old" if known else ""
+    parts.append(f"{len(ages)} workers{oldest}, {len(ages) - len(known)} without a report")
+    return "\n\n".join(parts)
+
+
 def _format_section(content: Any) -> str:
     if not content:
         return "  none"
@@ -152,6 +184,23 @@
     )
 
 
+def _step_row(step: StepExplanationView) -> tuple[object, ...]:
+    is_waiting = step.place is not None
+    return (
+        step.occurrence,
+        step.step,
+        step.state,
+        step.tasks,
+        step.done,
+        step.waiting,
+        step.place,
+        step.tasks_ahead if is_waiting else None,
+        step.cause,
+        f"{step.worker} (last resort)" if step.is_last_resort else step.worker,
+        f"{step.suitable} of {step.workers}" if is_waiting else None,
+    )
+
+
 _Row = Callable[[Any], tuple[object, ...]]
 
 _COLUMNS_BY_TYPE: dict[type[Any], tuple[tuple[str, ...], _Row]] = {
@@ -163,6 +212,11 @@
         ("SERVICE", "SLOTS", "CONNECTIONS", "TIMEOUT MS", "PRIORITY"),
         lambda s: (s.name, s.slots, s.connections, s.default_timeout_ms, s.priority),
     ),
+    StepExplanationView: (
+        ("OCCURRENCE", "STEP", "STATE", "TASKS", "DONE", "WAITING", "PLACE", "TASKS AHEAD")
+        + ("CAUSE", "NEXT WORKER", "SUITABLE"),
+        _step_row,
+    ),
     ProcessView: (("PROCESS", "ROLE", "ZONE", "CONFIGURATION", "OWNS"), _process_row),
     TaskView: (
         ("TASK", "TEAM", "STATE", "ZONE", "COUNT"),
--- a/packages/pollengate-cli/pollengate_cli/porcelain.py
+++ b/packages/pollengate-cli/pollengate_cli/porcelain.py
@@ -4,15 +4,16 @@
 import uuid
 from collections.abc import Callable
 from typing import Any, TypeVar
-from urllib.parse import quote
+from urllib.parse import quote, urlencode
 
 from result import Err, Ok, Result
 
 from pollengate_cli.client import GateClient
-from pollengate_cli.failures import MALFORMED_RESPONSE, NOT_RUN, UNKNOWN, Failure
+from pollengate_cli.failures import MALFORMED_RESPONSE, NO_PROCESS, NOT_RUN, UNKNOWN, Failure
 from pollengate_cli.views import (
     AcceptedPatchView,
     ConfigurationView,
+    ExplanationView,
     HistoryEntryView,
     ServiceView,
     StatusView,
@@ -21,6 +22,7 @@
     ZoneView,
     decode_view,
     decode_views,
+    explanation_from_document,
     status_from_document,
     task_from_document,
 )
@@ -28,6 +30,8 @@
 __all__ = [
     "Patch",
     "cancel_task",
+    "explain_job",
+    "explain_workflow",
     "find_patch",
     "get_configuration",
     "get_history",
@@ -162,6 +166,42 @@
     return _read(gate, "/status", status_from_document)
 
 
+def explain_job(process: GateClient, job_id: str) -> Result[ExplanationView, Failure]:
+    """Explains a job; asks the process at whose metrics address the client calls."""
+    return _explain(process, "GET", f"/explain/{quote(job_id, safe='')}", None)
+
+
+def explain_workflow(
+    process: GateClient, path: str, document: dict[str, Any], host: str, account: str
+) -> Result[ExplanationView, Failure]:
+    """Explains a job that was never submitted.
+
+    Args:
+        process: client of the metrics address of a process.
+        path: prefix of the queue, optionally followed by a job id.
+        document: the job as clients send it.
+        host: host of the queue, empty if the prefix is enough to find it.
+        account: the client account that would submit it, empty for none.
+    """
+    given = {name: value for name, value in (("host", host), ("account", account)) if value}
+    query = f"?{urlencode(given)}" if given else ""
+    return _explain(process, "POST", f"/explain/{quote(path.removeprefix('/'))}{query}", document)
+
+
+def _explain(
+    process: GateClient, method: str, path: str, body: object
+) -> Result[ExplanationView, Failure]:
+    response = process.call(method, path, body).map_err(_as_failed_read)
+    return _decode(response, explanation_from_document, NOT_RUN)
+
+
+def _as_failed_read(failure: Failure) -> Failure:
+    """Returns the failure of a call that has no effect whatever became of it."""
+    if failure.status:
+        return dataclasses.replace(failure, outcome=NOT_RUN)
+    return dataclasses.replace(failure, outcome=NOT_RUN, reason=NO_PROCESS)
+
+
 def _task_path(task_id: str) -> str:
     return f"/tasks/{quote(task_id, safe='')}"
 
--- a/packages/pollengate-cli/pollengate_cli/views.py
+++ b/packages/pollengate-cli/pollengate_cli/views.py
@@ -7,15 +7,18 @@
 __all__ = [
     "AcceptedPatchView",
     "ConfigurationView",
+    "ExplanationView",
     "HistoryEntryView",
     "ProcessView",
     "ServiceView",
     "StatusView",
+    "StepExplanationView",
     "ArrayTaskView",
     "TaskSubmission",
     "TaskView",
     "ZoneView",
     "process_from_document",
+    "explanation_from_document",
     "status_from_document",
     "task_from_document",
     "decode_view",
@@ -158,6 +161,75 @@
     tasks: tuple[ArrayTaskView, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StepExplanationView:
+    """State of a step of a job and, if it waits, where its next task would go."""
+
+    occurrence: int
+    step: int
+    state: str
+    tasks: int
+    waiting: int
+    done: int
+    place: int | None
+    tasks_ahead: int
+    cause: str | None
+    worker: str | None
+    is_last_resort: bool
+    workers: int
+    suitable: int
+    fitting_tasks: int
+    against: dict[str, int]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobExplanationView:
+    """A job with its steps; `job` and `state` are None if it was never submitted."""
+
+    job: str | None
+    queue: str
+    account: str
+    state: str | None
+    occurrences: int
+    due_occurrences: int
+    waiting_steps: int
+    waiting_tasks: int
+    steps: tuple[StepExplanationView, ...]
+    omitted_steps: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkerAgeView:
+    """A worker and the age of its newest report, None before its first report."""
+
+    worker: str
+    zone: str
+    report_age_s: float | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RefusalView:
+    """The refusal that a submission would get."""
+
+    reason: str
+    retry_after_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ExplanationView:
+    """Where a job would go now and why, as the owner of its shard sees it."""
+
+    shard: int
+    shards: int
+    owner: str
+    is_owner: bool
+    configuration_version: int
+    configuration_age_s: float | None
+    refusal: RefusalView | None
+    job: JobExplanationView
+    workers: tuple[WorkerAgeView, ...]
+
+
 def decode_view(cls: type[T], document: dict[str, Any]) -> T:
     """Decodes a document without nested views; unknown fields are dropped.
 
@@ -194,3 +266,17 @@
     processes = tuple(process_from_document(process) for process in document["processes"])
     zones = decode_views(ZoneView, document["zones"])
     return decode_view(StatusView, document | {"processes": processes, "zones": zones})
+
+
+def explanation_from_document(document: dict[str, Any]) -> ExplanationView:
+    """Decodes an explanation with its job, steps and workers."""
+    job = document["job"]
+    refusal = document["refusal"]
+    nested = {
+        "job": decode_view(
+            JobExplanationView, job | {"steps": decode_views(StepExplanationView, job["steps"])}
+        ),
+        "refusal": refusal and decode_view(RefusalView, refusal),
+        "workers": decode_views(WorkerAgeView, document["workers"]),
+    }
+    return decode_view(ExplanationView, document | nested)
--- a/packages/pollengated/pollengated/edge/compose.py
+++ b/packages/pollengated/pollengated/edge/compose.py
@@ -14,6 +14,7 @@
 from pollengate_platform.advice import HttpAdviceClient
 from pollengate_platform.boot import read_boot_settings
 from pollengate_platform.client_api import create_client_app, create_probe_app
+from pollengate_platform.explain_api import create_explain_handler
 from pollengate_platform.http import HttpClient
 from pollengate_platform.kv_store import KvStore
 from pollengate_platform.workers import HttpWorkerClient
@@ -22,6 +23,7 @@
 from pollengated.edge.clocks import Clocks
 from pollengated.edge.edge_metrics import EdgeMetrics
 from pollengated.edge.edge_readiness import EdgeReadiness
+from pollengated.edge.explain_service import EdgeExplainService
 from pollengated.edge.gate_job_service import GateJobService
 from pollengated.edge.layout import load_or_decide_layout
 from pollengated.edge.loop_supervisor import LoopSupervisor
@@ -78,11 +80,17 @@
     log.info("starting", node=settings.node, zone=settings.zone, incarnation=record.incarnation)
     readiness = EdgeReadiness(operator_view, stop_flag)
     probes = create_probe_app(readiness.is_ready, metrics.export)
+    explain_service = EdgeExplainService(
+        settings.node, owned_shards, operator_view, directory, clocks
+    )
+    operator_app = create_probe_app(
+        readiness.is_ready, metrics.export, [create_explain_handler(explain_service)]
+    )
     rpc_server = Server([EdgeService(owned_shards, operator_view)])
     await rpc_server.start(*split_address(settings.rpc_address))
     servers = [
         _create_server(probes, settings.readiness_address),
-        _create_server(probes, settings.metrics_address),
+        _create_server(operator_app, settings.metrics_address),
     ]
     loops = LoopSupervisor(metrics)
     loops.start("operator view", operator_view.cache.run)
@@ -121,6 +129,7 @@
         layout.shards, owned_shards, operator_view, directory, client, probe, store, clocks, metrics
     )
     readiness.probe = probe
+    explain_service.shards = layout.shards
     client_server = _create_server(
         CloseConnectionsOnShutdown(create_client_app(job_service), stop_flag),
         settings.client_address,
--- a/packages/pollengated/pollengated/edge/job_request_handler.py
+++ b/packages/pollengated/pollengated/edge/job_request_handler.py
@@ -152,6 +152,10 @@
         )
         return WaitingCount(count)
 
+    def current_refusal(self) -> NotAccepted | None:
+        """Returns why a new job would be refused now, None if it would be accepted."""
+        return self._find_refusal()
+
     def _find_job(self, job_id: str, requester: Requester) -> JobProgress | None:
         job = self._job_table.jobs_by_id.get(job_id)
         return job if job is not None and self._may_access(job, requester) else None
--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -4,6 +4,7 @@
 from collections.abc import Collection, Coroutine
 from typing import Any
 
+from pollengate.explain.explainer import JobExplainer
 from pollengate.failure_evidence import FailureEvidence
 from pollengate.store import PolledStore
 from pollengate.workflow.clients import AdviceClient, WorkerClient
@@ -85,6 +86,7 @@
         fleet: workers of the shard.
         job_table: jobs of the shard; set once the records have been loaded.
         request_handler: handles clients' requests; set once the records have been loaded.
+        explainer: explains decisions to operators; set once the records have been loaded.
     """
 
     def __init__(
@@ -141,6 +143,7 @@
         self._run_mover: RunMover
         self._transfers: WorkerTransfers
         self.request_handler: JobRequestHandler
+        self.explainer: JobExplainer
 
     async def run(self) -> None:
         """Serves the shard until its lease is lost or it is handed over."""
@@ -235,6 +238,7 @@
             self._start_policy.order,
             self._start_policy.start_filter,
         )
+        self.explainer = JobExplainer(self._planner)
         self._retention = JobRetention(
             self.shard, self.job_table, self._committer, self._settings.bounds.status_s
         )
