--- a/packages/pollengate/pollengate/explain/service.py
+++ b/packages/pollengate/pollengate/explain/service.py
@@ -40,8 +40,8 @@
         owner: node name of the shard's owner.
         is_owner: whether the process that answers owns the shard.
         configuration_version: number of the configuration in force.
-        configuration_age_s: seconds since the configuration was known to be the newest, None if that
-            was never the case, as it came from another process.
+        configuration_age_s: seconds since the configuration was known to be the newest, None if the
+            process only has a copy of another process.
         refusal: the refusal that a submission would get now, None if it would be accepted; always
             None for a job that was accepted.
         job: the job and its steps.
