--- a/packages/pollengate/pollengate/accounts/start_filter.py
+++ b/packages/pollengate/pollengate/accounts/start_filter.py
@@ -85,6 +85,15 @@
         self._held_back_by_account.clear()
 
     def startable(self, step: StepProgress) -> int:
+        """Returns how many more tasks of a step may start; records a step that is held back."""
+        count = self.count_startable(step)
+        if not count and self.has_settled:
+            account = step.job.account
+            if self._limits.is_possible(account, _needed_at_once(step)):
+                self._hold_back(account, step)
+        return count
+
+    def count_startable(self, step: StepProgress) -> int:
         """Returns how many more tasks of a step may start within its account's limit."""
         accounts_by_name = self._job_table.deployment.accounts_by_name
         account = step.job.account
@@ -100,11 +109,7 @@
         if spared_step is not None and spared_step is not step:
             spared = _needed_at_once(spared_step)
         count = self._limits.count_startable(account, step.spec.demand, spared)
-        if count < (step.spec.count if step.spec.is_gang else 1):
-            if self._limits.is_possible(account, _needed_at_once(step)):
-                self._hold_back(account, step)
-            return 0
-        return count
+        return 0 if step.spec.is_gang and count < step.spec.count else count
 
     def update(self, now: float) -> None:
         """Passes what the last round of planning held back to the limits; called every 0.1 s."""
--- a/packages/pollengate/pollengate/workflow/start_filter.py
+++ b/packages/pollengate/pollengate/workflow/start_filter.py
@@ -15,16 +15,20 @@
         return
 
     @abc.abstractmethod
+    def count_startable(self, step: StepProgress) -> int:
+        """Returns how many more tasks of a step may start now; has no effect."""
+
     def startable(self, step: StepProgress) -> int:
-        """Returns how many more tasks of a step may start now.
+        """Returns the same to the planner, and may record that the step is held back.
 
         The planner asks again after each start, since the runs that it has added count.
         """
+        return self.count_startable(step)
 
 
 class NoStartFilter(StartFilter):
     """Holds back no task."""
 
-    def startable(self, step: StepProgress) -> int:
+    def count_startable(self, step: StepProgress) -> int:
         """Returns the number of tasks of the step."""
         return step.spec.count
--- a/packages/pollengate/pollengate/workflow/waiting.py
+++ b/packages/pollengate/pollengate/workflow/waiting.py
@@ -94,6 +94,11 @@
             overdue.append(self._explain(step, now - since, workers_of))
         return overdue
 
+    def find_cause(self, step: StepProgress, now: float) -> WaitCause:
+        """Returns why the waiting tasks of a step do not start at present."""
+        fleet = self._job_table.fleet
+        return self._explain(step, 0.0, lambda s: fleet.schedulable_workers(s, now)).cause
+
     def _explain(
         self,
         step: StepProgress,
@@ -111,7 +116,7 @@
             cause = WaitCause.NO_WORKER
         elif not room:
             cause = WaitCause.NO_CAPACITY
-        elif not self._start_filter.startable(step):
+        elif not self._start_filter.count_startable(step):
             cause = WaitCause.ACCOUNT_LIMIT
         else:
             cause = WaitCause.WITHHELD
--- a/packages/pollengated/pollengated/edge/account_metrics.py
+++ b/packages/pollengated/pollengated/edge/account_metrics.py
@@ -67,7 +67,7 @@
         held: dict[str, int] = {}
         for step in job_table.open_steps:
             account = step.job.account
-            if account and step.waiting and not start_filter.startable(step):
+            if account and step.waiting and not start_filter.count_startable(step):
                 held[account] = held.get(account, 0) + len(step.waiting)
         views = job_table.fleet.all_schedulable(now)
         self._figures_by_shard[shard] = _ShardFigures(
--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -4,6 +4,7 @@
 from collections.abc import Collection, Coroutine
 from typing import Any
 
+from pollengate.explain.explainer import JobExplainer
 from pollengate.failure_evidence import FailureEvidence
 from pollengate.store import PolledStore
 from pollengate.workflow.clients import AdviceClient, WorkerClient
@@ -85,6 +86,7 @@
         fleet: workers of the shard.
         job_table: jobs of the shard; set once the records have been loaded.
         request_handler: handles clients' requests; set once the records have been loaded.
+        explainer: explains decisions to operators; set once the records have been loaded.
     """
 
     def __init__(
@@ -115,9 +117,10 @@
         self._policy = policy
         self._log = Log("owner")
         self._acquired_at = clocks.monotonic_s()
-        previous_leases_expire_at = previous_lease_expiry(self._acquired_at, self._worker_lease_s())
+        worker_lease_s = min(WORKER_LEASE_S, settings.bounds.max_worker_lease_s)
+        previous_leases_expire_at = previous_lease_expiry(self._acquired_at, worker_lease_s)
         self._previous_leases_expire_at = previous_leases_expire_at
-        self.fleet = Fleet(self._worker_lease_s(), previous_leases_expire_at)
+        self.fleet = Fleet(worker_lease_s, previous_leases_expire_at)
         self._registry = WorkerRegistry(store, clocks, self._workers_changed)
         self._assignments = WorkerAssignments(shard, layout, store, clocks, self._workers_changed)
         self._account_shares = AccountShares(shard, layout.shards, store, shard_lease, clocks)
@@ -142,6 +145,7 @@
         self._run_mover: RunMover
         self._transfers: WorkerTransfers
         self.request_handler: JobRequestHandler
+        self.explainer: JobExplainer
 
     async def run(self) -> None:
         """Serves the shard until its lease is lost or it is handed over."""
@@ -243,6 +247,7 @@
             self._start_policy.order,
             self._start_policy.start_filter,
         )
+        self.explainer = JobExplainer(self._planner)
         self._retention = JobRetention(
             self.shard, self.job_table, self._committer, self._settings.bounds.status_s
         )
@@ -393,9 +398,6 @@
         task.add_done_callback(self._on_task_done)
         self._controller_tasks_by_id[view.worker_id] = task
 
-    def _remove_departed_workers(self) -> None:
-        self._forget(self.fleet.forget_departed(self._clocks.monotonic_s()))
-
     def _forget(self, views: list[WorkerView]) -> None:
         """Ends the control of workers that were removed from the fleet, and records the others."""
         for view in views:
@@ -474,7 +476,7 @@
             if not self._is_handing_over:
                 self._transfers.update()
             self._interference.update(self._clocks.monotonic_s())
-            self._remove_departed_workers()
+            self._forget(self.fleet.forget_departed(self._clocks.monotonic_s()))
             self._retention.update(self._clocks.monotonic_s())
             self._start_policy.update(self._clocks.monotonic_s())
             self._load_log.update(self._clocks.monotonic_s())
@@ -493,6 +495,3 @@
             self._log.error("internal task failed; ending ownership", error, shard=self.shard)
             self.shard_lease.mark_lost()
             self._wake.set()
-
-    def _worker_lease_s(self) -> float:
-        return min(WORKER_LEASE_S, self._settings.bounds.max_worker_lease_s)
--- a/tests/test_account_order.py
+++ b/tests/test_account_order.py
@@ -198,7 +198,7 @@
         shard.submit("a", build_step(4))
         shard.tick()
         steps = list(shard.submit("a", build_step()).occurrences_by_number[0].steps)
-        held = mock.Mock(startable=lambda step: 0)
+        held = mock.Mock(count_startable=lambda step: 0)
         names = [f"pollengate_edge_account_{n}" for n in ("running_millis", "share", "held_tasks")]
         seen = []
         for accounts in ({"a": ClientAccount("a")}, {"b": ClientAccount("b")}, None):
