Log the room that long-running tasks leave, and the queue of jobs that end

"load of the shard" now has long_running_millis and largest_free_millis, also as pollengate_edge_shard_largest_free_millis; "job ended" has the queue and the objective, "tasks wait for a start" the queue. No line is added: the volume grows by these fields only. No decision changes.

--- a/packages/pollengated/pollengated/edge/edge_metrics.py
+++ b/packages/pollengated/pollengated/edge/edge_metrics.py
@@ -107,6 +107,12 @@
             ["shard"],
             registry=registry,
         )
+        self.shard_largest_free = Gauge(
+            "pollengate_edge_shard_largest_free_millis",
+            "Millicores that are free on the emptiest worker of an owned shard.",
+            ["shard"],
+            registry=registry,
+        )
         self.accounts = AccountMetrics(registry)
         self.shortage_factor = Gauge(
             "pollengate_edge_shortage_factor",
--- /dev/null
+++ b/packages/pollengated/pollengated/edge/job_end_log.py
@@ -0,0 +1,41 @@
+"""Logs and counts the ends of jobs."""
+
+from pollengate.workflow.job_table import JobTable
+from pollengate.workflow.progress import JobProgress
+
+from pollengated.edge.clocks import Clocks
+from pollengated.edge.edge_metrics import EdgeMetrics
+from pollengated.logs import Log
+
+__all__ = ["JobEndLog"]
+
+
+class JobEndLog:
+    """Reports the jobs of one shard that end during an ownership term.
+
+    Args:
+        job_table: the shard's jobs.
+        clocks: the process's clocks.
+        metrics: metrics of this process.
+    """
+
+    def __init__(self, job_table: JobTable, clocks: Clocks, metrics: EdgeMetrics) -> None:
+        self._job_table = job_table
+        self._clocks = clocks
+        self._metrics = metrics
+        self._log = Log("owner")
+
+    def record(self, job: JobProgress) -> None:
+        """Reports a job that has just ended."""
+        took_s = self._clocks.monotonic_s() - job.accepted_at
+        self._metrics.jobs_ended.labels(job.state.value).inc()
+        self._metrics.job_seconds.labels(job.queue_name).observe(took_s)
+        queue = self._job_table.deployment.queue(job.queue_name)
+        self._log.info(
+            "job ended",
+            job=job.job_id,
+            queue=job.queue_name,
+            state=job.state.value,
+            took_s=round(took_s, 3),
+            objective_s=round(job.objective_s(queue), 3) if queue is not None else None,
+        )
--- a/packages/pollengated/pollengated/edge/shard_load_log.py
+++ b/packages/pollengated/pollengated/edge/shard_load_log.py
@@ -55,9 +55,12 @@
         capacity = sum(view.info.capacity.cpu_millis for view in views)
         committed = sum(view.committed_millis for view in views)
         spare = sum(not view.long_running for view in views)
+        free = [view.info.capacity.cpu_millis - view.committed_millis for view in views]
+        largest_free = max(free, default=0)
         label = str(self._shard)
         self._metrics.shard_capacity.labels(label).set(capacity)
         self._metrics.shard_committed.labels(label).set(committed)
+        self._metrics.shard_largest_free.labels(label).set(largest_free)
         self._metrics.accounts.update(self._shard, self._job_table, self._start_filter, now)
         if now - self._logged_at >= LOG_INTERVAL_S:
             self._logged_at = now
@@ -69,6 +72,10 @@
                 without_long_running=spare,
                 capacity_millis=capacity,
                 committed_millis=committed,
+                long_running_millis=sum(
+                    run.task.step.spec.demand.cpu_millis for v in views for run in v.long_running
+                ),
+                largest_free_millis=largest_free,
                 waiting=waiting,
                 lag_s=round(lag_s, 2) if lag_s < float("inf") else None,
             )
@@ -78,6 +85,7 @@
                 "tasks wait for a start",
                 shard=self._shard,
                 job=step.job.job_id,
+                queue=step.job.queue_name,
                 step=step.number,
                 **({"account": step.job.account} if step.job.account else {}),
                 waiting=len(step.waiting),
--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -16,7 +16,6 @@
 from pollengate.workflow.placement import Placer
 from pollengate.workflow.planner import Planner
 from pollengate.workflow.policy import SchedulingPolicy
-from pollengate.workflow.progress import JobProgress
 from pollengate.workflow.rebalancing import Rebalancer
 from pollengate.workflow.records import decode_job, decode_progress, restore
 from pollengate.workflow.settings import NodeSettings
@@ -35,6 +34,7 @@
 )
 from pollengated.edge.edge_metrics import EdgeMetrics
 from pollengated.edge.interference_learning import InterferenceLearning
+from pollengated.edge.job_end_log import JobEndLog
 from pollengated.edge.job_request_handler import JobRequestHandler
 from pollengated.edge.job_retention import JobRetention
 from pollengated.edge.layout import Layout
@@ -142,6 +142,7 @@
         self._retention: JobRetention
         self._recorded_workers: RecordedWorkers
         self._load_log: ShardLoadLog
+        self._job_end_log: JobEndLog
         self._run_mover: RunMover
         self._transfers: WorkerTransfers
         self.request_handler: JobRequestHandler
@@ -235,6 +236,7 @@
         self._interference.restore(records.interference, self._committer)
         evidence = FailureEvidence(self._clocks.monotonic_s, FIRST_PROBE_AFTER_S)
         self.job_table = JobTable(self.fleet, evidence, term_number)
+        self._job_end_log = JobEndLog(self.job_table, self._clocks, self._metrics)
         is_settled = self._are_previous_runs_known
         self._start_policy = StartPolicy(
             self.job_table, self._policy, self._account_shares, self._metrics, is_settled
@@ -433,15 +435,9 @@
         for job in changed.values():
             self._committer.add(ProgressRecord(self.shard, job))
             if job.is_ended:
-                self._record_job_end(job)
+                self._job_end_log.record(job)
         changed.clear()
 
-    def _record_job_end(self, job: JobProgress) -> None:
-        took_s = self._clocks.monotonic_s() - job.accepted_at
-        self._metrics.jobs_ended.labels(job.state.value).inc()
-        self._metrics.job_seconds.labels(job.queue_name).observe(took_s)
-        self._log.info("job ended", job=job.job_id, state=job.state.value, took_s=round(took_s, 3))
-
     async def _plan_loop(self) -> None:
         delay_s = PLAN_DELAY_S
         while not self.shard_lease.is_lost:
