--- a/packages/pollengate-standins/pollengate_standins/lease_worker.py
+++ b/packages/pollengate-standins/pollengate_standins/lease_worker.py
@@ -24,6 +24,9 @@
 REPLY_LATENCY_S = 0.002
 LOST_REPLY_TIMEOUT_S = 0.8
 STOP_LATENCY_S = 0.1
+# Time from the start of a task that crashes its worker to the crash, and until the worker is back.
+CRASH_LATENCY_S = 0.01
+DOWN_S = 3.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -61,6 +64,7 @@
         born_ms: identifies the incarnation; a crash increases it.
         fails: returns whether a run of the task ends with a failure.
         duration_of: returns the `duration_s` of a run of the task.
+        crashes_under: returns whether the worker crashes right after it has started the task.
     """
 
     def __init__(self, worker_id: str, history: list[StartRecord]) -> None:
@@ -71,6 +75,7 @@
         self.born_ms = 1
         self.fails: Callable[[str], bool] = lambda task: False
         self.duration_of: Callable[[str], float] = lambda task: 1.0
+        self.crashes_under: Callable[[str], bool] = lambda task: False
         self._history = history
         self._token = 0
         self._lease_until = 0.0
@@ -91,6 +96,12 @@
         self._lease_until = 0.0
         self.born_ms += 1
 
+    def crash_for(self, seconds: float) -> None:
+        """Crashes; the new incarnation replies after some time."""
+        self.crash()
+        self.is_unreachable = True
+        asyncio.get_running_loop().call_later(seconds, self._become_reachable)
+
     def start(self, order: StartOrder) -> Result[int, OrderFailure]:
         """Starts a run; confirms an order that was already carried out."""
         self.advance()
@@ -115,6 +126,8 @@
         )
         self._running[key] = record
         self._history.append(record)
+        if self.crashes_under(order.task):
+            asyncio.get_running_loop().call_later(CRASH_LATENCY_S, self.crash_for, DOWN_S)
         return Ok(self._clock_ms())
 
     def stop(self, order: StopOrder) -> Result[int, OrderFailure]:
@@ -165,6 +178,9 @@
             elif self._lease_until <= now:
                 self._end(record, EndKind.EXPIRED, self._lease_until)
 
+    def _become_reachable(self) -> None:
+        self.is_unreachable = False
+
     def _end(self, record: StartRecord, end_kind: EndKind, at: float) -> None:
         del self._running[record.task, record.run]
         highest = self._highest_by_task.get(record.task, 0)
