--- a/packages/pollengate/pollengate/workflow/placement.py
+++ b/packages/pollengate/pollengate/workflow/placement.py
@@ -39,7 +39,7 @@
 SAME_STEP_PENALTY_MILLIS = 4_000
 # Penalty for a long-running task on a worker without any. Large tasks need most of a worker, and
 # workers without long-running tasks can be transferred to other shards at once.
-SPARE_WORKER_PENALTY_MILLIS = 160_000
+SPARE_WORKER_PENALTY_MILLIS = 800_000
 # Serving tasks leave this many millicores of a worker free, unless they fit nowhere else.
 SERVING_HEADROOM_MILLIS = 8_000
 # Penalty for a worker that is still warming up.
--- a/packages/pollengate/pollengate/workflow/worker_transfer.py
+++ b/packages/pollengate/pollengate/workflow/worker_transfer.py
@@ -6,7 +6,6 @@
 from then on these workers belong to the other shard.
 """
 
-import collections
 import dataclasses
 import functools
 import math
@@ -119,19 +118,10 @@
         and _meets(view, request)
         and _can_empty(view, request, now)
     ]
-    candidates.sort(key=_vacating_cost)
+    candidates.sort(key=lambda view: (len(view.long_running), len(view.runs), view.worker_id))
     return next((view for view in candidates if fits_elsewhere(job_table, view, now)), None)
 
 
-def _vacating_cost(view: WorkerView) -> tuple[int, int, int, str]:
-    """Returns the sort key of a worker; the one with the lowest key is vacated in the least time.
-
-    Tasks of the same step move one after the other.
-    """
-    steps = collections.Counter(run.task.step for run in view.long_running)
-    return max(steps.values(), default=0), steps.total(), len(view.runs), view.worker_id
-
-
 def is_movable(run: Run, now: float) -> bool:
     """Returns True if a long-running task may be stopped to move: all others of its step serve."""
     return now - run.ordered_at >= MIN_STAY_S and may_stop_to_move(run)
--- a/packages/pollengated/pollengated/edge/worker_transfers.py
+++ b/packages/pollengated/pollengated/edge/worker_transfers.py
@@ -45,8 +45,10 @@
 KEEP_AFTER_SHORTAGE_S = 2.0
 # A worker whose runs have not ended or moved within this time is kept.
 RELEASE_TIMEOUT_S = 6.0
-# Workers that are released to balance the shards at the same time.
+# Workers that are released to balance the shards at the same time, and how many of them have
+# long-running tasks that have to move first.
 MAX_BALANCING_RELEASES = 8
+MAX_VACATING_RELEASES = 2
 
 
 @dataclasses.dataclass(slots=True)
@@ -188,7 +190,7 @@
             millis = transfer.millis
             while len(self._releases) < MAX_BALANCING_RELEASES:
                 view = worker_to_release(self._job_table, request, now, max_millis=millis)
-                if view is None:
+                if view is None or (view.long_running and not self._may_vacate()):
                     break
                 millis -= view.info.capacity.cpu_millis
                 view.is_released = True
@@ -214,6 +216,11 @@
             if self._releases:
                 return
 
+    def _may_vacate(self) -> bool:
+        """Returns True if one more worker with long-running tasks may be released."""
+        vacating = sum(bool(release.view.long_running) for release in self._releases)
+        return vacating < MAX_VACATING_RELEASES
+
     def _continue_release(
         self, release: _Release, shortage: CapacityRequest | None, now: float
     ) -> bool:
--- a/tests/test_filler_waits.py
+++ b/tests/test_filler_waits.py
@@ -119,4 +119,4 @@
 
     def test_without_the_setting_random_loads_are_placed_as_ever(self) -> None:
         placements = repr([play(seed) for seed in SEEDS]).encode()
-        self.assertEqual(hashlib.sha256(placements).hexdigest()[:16], "43ddc2c05f4e4bea")
+        self.assertEqual(hashlib.sha256(placements).hexdigest()[:16], "ec02ac51fb75a9a8")
