Give up tasks that crash the workers that start them

Cause: only ends that a worker reports counted as failures of a task. A worker that crashes reports none; its runs were queued again without a trace.

Change: the end of an incarnation is counted against the runs that it may have had, in the job's progress record, unless the worker had drained, replies again as the same incarnation, or crashed together with a tenth of the workers without that step. Runs of 10 s are suspected only if there is no younger one. Suspects start apart; after two crashes a task is tried alone, once the count is durable; it is given up, and its job failed, after a crash in such a trial, and after four in any case. Shown by two log lines, two metrics and explain.

--- a/packages/pollengate/pollengate/explain/reasons.py
+++ b/packages/pollengate/pollengate/explain/reasons.py
@@ -20,6 +20,7 @@
     RELEASED = "released"
     DRAINING = "draining"
     EVACUATED_ZONE = "evacuated_zone"
+    TRIAL = "trial"
     BACKOFF = "backoff"
     LABEL = "label"
     NO_CAPACITY = "no_capacity"
@@ -40,6 +41,8 @@
         return Reason.NOT_REGISTERED
     if view.is_released:
         return Reason.RELEASED
+    if view.trial is not None:
+        return Reason.TRIAL
     if view.info.condition is not WorkerCondition.READY:
         return Reason.DRAINING
     if view.info.zone in fleet.evacuated_zones:
--- a/packages/pollengate/pollengate/workflow/fleet.py
+++ b/packages/pollengate/pollengate/workflow/fleet.py
@@ -24,6 +24,10 @@
         is_attached: whether its present incarnation has replied to this owner.
         is_recorded: whether it is on the stored list of workers, where the next owner finds it;
             no run is started on it before that.
+        has_drained: whether its present incarnation was registered as draining.
+        trial: run of a task under which workers have crashed; no other run is started beside it.
+        lapsed_runs: runs that were lost with the lease while the worker did not reply; it may have
+            crashed under them or have been cut off.
         is_replaced: whether another incarnation replies at its address, so that this one is dead.
         born_ms: start time of the incarnation that replied, 0 before the first reply.
         runs: runs that may exist on the worker, by task name and run number.
@@ -49,6 +53,9 @@
     is_registered: bool = True
     is_attached: bool = False
     is_recorded: bool = False
+    has_drained: bool = False
+    trial: Run | None = None
+    lapsed_runs: list[Run] = dataclasses.field(default_factory=list)
     is_replaced: bool = False
     born_ms: int = 0
     runs: dict[tuple[str, int], Run] = dataclasses.field(default_factory=dict)
@@ -88,6 +95,8 @@
         """Removes a run that is known to be gone."""
         if self.runs.pop((run.task.name, run.number), None) is not None:
             self._count(run, -1)
+        if self.trial is run:
+            self.trial = None
 
     def fits(self, demand: Demand, is_filler: bool) -> bool:
         """Returns True if a task fits next to all runs that may exist on the worker."""
@@ -152,6 +161,8 @@
         if known is None:
             return self._add(worker, now)
         known.is_registered = True
+        if worker.condition is WorkerCondition.DRAINING:
+            known.has_drained = True
         if known.info.born_ms != worker.born_ms:
             known.warm_at = now + worker.cold_ms / 1000
         known.info = worker
@@ -205,6 +216,7 @@
             and view.is_attached
             and view.is_recorded
             and not view.is_released
+            and view.trial is None
             and view.info.condition is WorkerCondition.READY
             and view.info.zone not in self.evacuated_zones
             and now >= view.unavailable_until
@@ -221,6 +233,7 @@
     def _add(self, worker: Worker, now: float) -> WorkerView:
         view = WorkerView(worker, WorkerLease(self._lease_s, self._previous_leases_expire_at))
         view.warm_at = now + worker.cold_ms / 1000
+        view.has_drained = worker.condition is WorkerCondition.DRAINING
         self.workers_by_id[worker.worker_id] = view
         return view
 
--- a/packages/pollengate/pollengate/workflow/job_table.py
+++ b/packages/pollengate/pollengate/workflow/job_table.py
@@ -10,6 +10,7 @@
 from pollengate.accounts.usage import AccountUsage
 from pollengate.failure_evidence import FailureEvidence
 from pollengate.workflow.clients import EndKind
+from pollengate.workflow.crashes import TRIAL_CRASHES, CrashLog, WorkerCrash
 from pollengate.workflow.fleet import Fleet, WorkerView
 from pollengate.workflow.model import Deployment, Queue
 from pollengate.workflow.progress import (
@@ -54,6 +55,8 @@
 
     Attributes:
         account_usage: demand of all runs that may exist, by client account.
+        durable_record_number: returns the number of the newest record that is durable; see
+            `is_recorded`.
         on_run_ended: called with a run that ended on its worker, whether it is done, and the clock
             time; None for no call.
     """
@@ -66,7 +69,9 @@
         self.open_steps: dict[StepProgress, None] = {}
         self.outbox = Outbox()
         self.account_usage = AccountUsage()
+        self.durable_record_number: Callable[[], float] = lambda: float("inf")
         self.on_run_ended: Callable[[Run, bool, float], None] | None = None
+        self._crash_log = CrashLog()
         self._run_number_floor = term * RUNS_PER_TERM
         self._scheduled_by_id: dict[str, JobProgress] = {}
 
@@ -173,6 +178,39 @@
         run.apply_event("stop")
         self.outbox.stops.append(run)
 
+    def record_crash(self, view: WorkerView, now: float, now_ms: int) -> WorkerCrash | None:
+        """Counts the end of a worker's incarnation against the tasks that it ran.
+
+        Returns:
+            The crash, None if the worker ran nothing or had announced that it would leave.
+        """
+        if view.has_drained or not (view.runs or view.lapsed_runs):
+            return None
+        crash = self._crash_log.record(view, self.fleet.workers_by_id.values(), now)
+        for task in crash.suspects:
+            self.outbox.changed[task.step.job.job_id] = task.step.job
+        for task in crash.given_up:
+            if not task.step.job.is_ended:
+                self._end_job(task.step.job, JobState.FAILED, now_ms)
+        return crash
+
+    def clear_crashes(self, task: TaskProgress) -> None:
+        """Forgets the crashes under a task that was shown not to cause them."""
+        task.crashes = 0
+        task.crashed_after_s = 0.0
+        self.outbox.changed[task.step.job.job_id] = task.step.job
+
+    def is_recorded(self, task: TaskProgress) -> bool:
+        """Returns True unless a task that may be given up has crashes that are not durable yet.
+
+        A successor that did not know them would start the task more often.
+        """
+        job = task.step.job
+        return task.crashes < TRIAL_CRASHES or (
+            job.job_id not in self.outbox.changed
+            and job.record_number <= self.durable_record_number()
+        )
+
     def mark_lost(self, run: Run) -> None:
         """Removes a run that is gone without a result."""
         if run.state is not RunState.ENDED:
--- a/packages/pollengate/pollengate/workflow/placement.py
+++ b/packages/pollengate/pollengate/workflow/placement.py
@@ -6,11 +6,13 @@
 away from serving tasks that they interfere with.
 """
 
-from collections.abc import Callable, Sequence
+import itertools
+from collections.abc import Callable, Iterable, Sequence
 
 from pollengate.failure_evidence import FailureEvidence
 from pollengate.learning.doubtful_starts import DoubtfulStarts
 from pollengate.workflow.colocation import INTERFERING_PROBABILITY, ColocationModel
+from pollengate.workflow.crashes import TRIAL_CRASHES
 from pollengate.workflow.fleet import WorkerView
 from pollengate.workflow.model import Queue
 from pollengate.workflow.progress import StepProgress, TaskProgress
@@ -147,6 +149,10 @@
             workers = [v for v in workers if self._tickets.ticket(task.step, v, now)]
             candidates = [v for v in candidates if self._tickets.ticket(task.step, v, now)]
         admitted = [v for v in candidates if self.evidence.admits(v.worker_id, task.name)]
+        # The planner does not list workers anew while it plans.
+        admitted = [v for v in admitted if v.trial is None]
+        if task.crashes:
+            return self._best_suspect_worker(task, admitted, now, scores)
         best = self._best_worker(task, admitted, now, scores)
         if best is None and (
             task.step.spec.is_long_running or not (admitted or self._admits_any(task, workers))
@@ -231,6 +237,28 @@
                 best, best_score = view, score
         return best
 
+    def _best_suspect_worker(
+        self, task: TaskProgress, workers: Sequence[WorkerView], now: float, scores: StepScores
+    ) -> WorkerView | None:
+        """Returns a worker for a task under which workers have crashed, None if there is none.
+
+        It starts beside no other such task if there is a choice, and is tried alone where a crash
+        would end the fewest runs.
+        """
+        apart = [v for v in workers if not any(run.task.crashes for run in v.runs.values())]
+        if task.crashes >= TRIAL_CRASHES:
+            apart.sort(key=lambda view: len(view.runs))
+            groups: Iterable[Sequence[WorkerView]] = ([view] for view in apart)
+        else:
+            groups = (apart,)
+        for group in itertools.chain(groups, (workers,)):
+            view = self._best_worker(task, group, now, scores)
+            if view is not None:
+                return view
+        if task.step.spec.is_filler:
+            return self._best_doubtful_worker(task, workers, now, scores)
+        return None
+
     def _best_doubtful_worker(
         self, task: TaskProgress, workers: Sequence[WorkerView], now: float, scores: StepScores
     ) -> WorkerView | None:
--- a/packages/pollengate/pollengate/workflow/planner.py
+++ b/packages/pollengate/pollengate/workflow/planner.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from pollengate.workflow.colocation import INTERFERING_PROBABILITY
+from pollengate.workflow.crashes import may_try_alone
 from pollengate.workflow.fleet import WorkerView
 from pollengate.workflow.job_table import JobTable
 from pollengate.workflow.model import Queue
@@ -138,9 +139,13 @@
         for task in list(step.waiting):
             if not (self.order.may_take(step) and self.start_filter.startable(step)):
                 break
+            if not self.job_table.is_recorded(task):
+                continue
             view = self.placer.choose(
                 task, workers, now, queue.advice is not None, scores, candidates
             )
+            if view is None and task.crashes:
+                continue  # its siblings may run where it may not
             if view is None:
                 break
             runs.append(self._add_run(task, view, self.job_table.next_run_number(task), now))
@@ -157,6 +162,8 @@
             return []
         if self.start_filter.startable(step) < step.spec.count:
             return []
+        if not all(self.job_table.is_recorded(task) for task in step.waiting):
+            return []
         number = max(self.job_table.next_run_number(task) for task in step.tasks)
         runs: list[Run] = []
         for task in list(step.waiting):
@@ -171,7 +178,10 @@
 
     def _add_run(self, task: TaskProgress, view: WorkerView, number: int, now: float) -> Run:
         self.job_table.evidence.record_placement(task.name, task.step.job.job_id, view.worker_id)
-        return self.job_table.add_run(task, view, number, now)
+        run = self.job_table.add_run(task, view, number, now)
+        if may_try_alone(task, self.job_table.fleet.workers_by_id.values()):
+            view.trial = run
+        return run
 
 
 def _is_new(step: StepProgress) -> bool:
--- a/packages/pollengate/pollengate/workflow/progress.py
+++ b/packages/pollengate/pollengate/workflow/progress.py
@@ -113,6 +113,9 @@
         failed_runs: numbers of the runs that failed.
         last_run: the highest run number used so far.
         checkpoint: where the next run resumes, empty to start from the beginning.
+        crashes: number of workers that crashed under one of its runs; recorded.
+        crashed_after_s: longest time from the start of a run to the crash of its worker; not
+            recorded.
         runs_by_number: runs that may exist on a worker.
     """
 
@@ -123,6 +126,8 @@
     failed_runs: set[int] = dataclasses.field(default_factory=set)
     last_run: int = 0
     checkpoint: str = ""
+    crashes: int = 0
+    crashed_after_s: float = 0.0
     runs_by_number: dict[int, Run] = dataclasses.field(default_factory=dict)
 
     def add_run(self, run: Run) -> None:
@@ -237,6 +242,7 @@
         occurrences_by_number: the occurrences that are due.
         due_count: number of occurrences that have become due.
         account: name of the client account that handed it in, empty for none.
+        record_number: number of the newest record of its progress, see `JobTable.is_recorded`.
         is_over_rate: whether its account had handed in more jobs than its rate allows when this one
             was accepted; it is not recorded.
     """
@@ -253,6 +259,7 @@
     occurrences_by_number: dict[int, Occurrence] = dataclasses.field(default_factory=dict)
     due_count: int = 0
     account: str = ""
+    record_number: int = 0
     is_over_rate: bool = False
     _critical_path_ms: float | None = dataclasses.field(default=None, init=False)
     _chain_ms_by_step: list[float] | None = dataclasses.field(default=None, init=False)
--- a/packages/pollengate/pollengate/workflow/records.py
+++ b/packages/pollengate/pollengate/workflow/records.py
@@ -33,12 +33,14 @@
         failed_runs: numbers of the failed runs by task; the key is `step.index`.
         runs: highest run number by task, unless it is 0.
         checkpoints: newest checkpoint by task, if there is one.
+        crashes: number of workers that crashed under a task, unless it is 0.
     """
 
     done: list[str]
     failed_runs: dict[str, list[int]] = dataclasses.field(default_factory=dict)
     runs: dict[str, int] = dataclasses.field(default_factory=dict)
     checkpoints: dict[str, str] = dataclasses.field(default_factory=dict)
+    crashes: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(slots=True)
@@ -143,6 +145,8 @@
         stored.runs[key] = task.last_run
     if task.checkpoint:
         stored.checkpoints[key] = task.checkpoint
+    if task.crashes:
+        stored.crashes[key] = task.crashes
 
 
 def _matches(workflow: Workflow, number: int, saved: StoredOccurrence) -> bool:
@@ -162,6 +166,7 @@
             task.failed_runs = set(saved.failed_runs.get(key, ()))
             task.last_run = saved.runs.get(key, 0)
             task.checkpoint = saved.checkpoints.get(key, "")
+            task.crashes = saved.crashes.get(key, 0)
         step.done = sum(task.is_done for task in step.tasks)
 
 
--- a/packages/pollengate/pollengate/workflow/reports.py
+++ b/packages/pollengate/pollengate/workflow/reports.py
@@ -1,9 +1,13 @@
 """Reconciles the job table with the reports of workers."""
 
+from collections.abc import Callable
+
 from pollengate.workflow.clients import EndedRun, EndKind, Report, RunningTask
+from pollengate.workflow.crashes import WorkerCrash, is_cleared, is_trial_over
 from pollengate.workflow.fleet import WorkerView
 from pollengate.workflow.job_table import JobTable
-from pollengate.workflow.progress import PAST_STARTUP_PERCENT, RunState, TaskProgress
+from pollengate.workflow.model import WorkerCondition
+from pollengate.workflow.progress import PAST_STARTUP_PERCENT, Run, RunState, TaskProgress
 
 __all__ = ["ReportReconciler"]
 
@@ -12,11 +16,23 @@
 
 
 class ReportReconciler:
-    """Applies the reports of one worker, over all of its incarnations, to the job table."""
-
-    def __init__(self, job_table: JobTable, view: WorkerView) -> None:
+    """Applies the reports of one worker, over all of its incarnations, to the job table.
+
+    Args:
+        job_table: the shard's jobs, runs and workers.
+        view: the worker.
+        on_crash: called with each crash of the worker.
+    """
+
+    def __init__(
+        self,
+        job_table: JobTable,
+        view: WorkerView,
+        on_crash: Callable[[WorkerCrash], None] = lambda crash: None,
+    ) -> None:
         self._job_table = job_table
         self._view = view
+        self._on_crash = on_crash
         self.last_end_number = 0
 
     def apply(
@@ -35,8 +51,9 @@
         """
         view = self._view
         if view.born_ms != report.born_ms:
-            self.reset()
+            self.reset(now, now_ms)
             view.born_ms = report.born_ms
+        self._forget_lapsed()
         had_expired = view.lease.record_reply(report.worker_clock_ms, now)
         view.is_attached = True
         new_ends = tuple(ended for ended in report.ended if ended.number > self.last_end_number)
@@ -49,8 +66,19 @@
             self._mark_absent_lost(report, sent_at)
         return new_ends
 
-    def reset(self) -> None:
-        """Detaches the worker's incarnation, which is gone, and marks all of its runs as lost."""
+    def reset(self, now: float, now_ms: int) -> None:
+        """Detaches the worker's incarnation, which is gone, and marks all of its runs as lost.
+
+        Args:
+            now: clock time.
+            now_ms: Unix time.
+        """
+        view = self._view
+        crash = self._job_table.record_crash(view, now, now_ms)
+        if crash is not None:
+            self._on_crash(crash)
+        self._forget_lapsed()
+        view.has_drained = view.info.condition is WorkerCondition.DRAINING
         self._view.is_attached = False
         self._view.lease.reset()
         self.last_end_number = 0
@@ -61,6 +89,19 @@
         for run in list(self._view.runs.values()):
             self._job_table.mark_lost(run)
 
+    def mark_all_lapsed(self) -> None:
+        """Marks all runs as lost with the lease; the next report tells whether by a crash."""
+        view = self._view
+        trial = view.trial
+        view.lapsed_runs += view.runs.values()
+        self.mark_all_lost()
+        view.trial = trial
+
+    def _forget_lapsed(self) -> None:
+        if self._view.lapsed_runs:
+            self._view.lapsed_runs.clear()
+            self._view.trial = None
+
     def _apply_end(self, ended: EndedRun, had_expired: bool, now: float, now_ms: int) -> None:
         # Once the lease has expired a result does not count: the task may already run elsewhere.
         end_kind = EndKind.EXPIRED if had_expired and ended.how is EndKind.DONE else ended.how
@@ -95,6 +136,8 @@
         elif run.state is RunState.UNSETTLED:
             run.apply_event("seen")
             self._job_table.outbox.stops.append(run)
+        if run.task.crashes:
+            self._clear_suspicion(run, now)
         if row.percent > run.percent:
             run.progressed_at = now
             if row.percent >= PAST_STARTUP_PERCENT:
@@ -108,6 +151,13 @@
         if row.checkpoint:
             run.task.checkpoint = row.checkpoint
 
+    def _clear_suspicion(self, run: Run, now: float) -> None:
+        """Ends the trial of a run, and clears its task, once it has run for long enough."""
+        if self._view.trial is run and is_trial_over(run, now):
+            self._view.trial = None
+        if is_cleared(run, now):
+            self._job_table.clear_crashes(run.task)
+
     def _mark_absent_lost(self, report: Report, sent_at: float) -> None:
         present = {(row.task, row.run) for row in report.running}
         for key, run in list(self._view.runs.items()):
--- a/packages/pollengated/pollengated/edge/edge_metrics.py
+++ b/packages/pollengated/pollengated/edge/edge_metrics.py
@@ -73,6 +73,18 @@
             "Reports whose results were not durable in time.",
             registry=registry,
         )
+        self.worker_crashes = Counter(
+            "pollengate_edge_worker_crashes",
+            "Workers that crashed with runs on them, by what the crash is attributed to.",
+            ["cause"],
+            registry=registry,
+        )
+        self.tasks_given_up = Counter(
+            "pollengate_edge_tasks_given_up",
+            "Tasks that were given up before their last attempt, by reason.",
+            ["reason"],
+            registry=registry,
+        )
         self.jobs_ended = Counter(
             "pollengate_edge_jobs_ended", "Jobs ended, by state.", ["state"], registry=registry
         )
--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -235,7 +235,9 @@
         )
         self._interference.restore(records.interference, self._committer)
         evidence = FailureEvidence(self._clocks.monotonic_s, FIRST_PROBE_AFTER_S)
+        committer = self._committer
         self.job_table = JobTable(self.fleet, evidence, term_number)
+        self.job_table.durable_record_number = lambda: committer.durable_record_number
         self._job_end_log = JobEndLog(self.job_table, self._clocks, self._metrics)
         is_settled = self._are_previous_runs_known
         self._start_policy = StartPolicy(
@@ -433,7 +435,7 @@
     def _record_changes(self) -> None:
         changed = self.job_table.outbox.changed
         for job in changed.values():
-            self._committer.add(ProgressRecord(self.shard, job))
+            job.record_number = self._committer.add(ProgressRecord(self.shard, job))
             if job.is_ended:
                 self._job_end_log.record(job)
         changed.clear()
--- a/packages/pollengated/pollengated/edge/worker_controller.py
+++ b/packages/pollengated/pollengated/edge/worker_controller.py
@@ -15,6 +15,7 @@
     WorkerClient,
 )
 from pollengate.workflow.colocation import ColocationModel
+from pollengate.workflow.crashes import WorkerCrash
 from pollengate.workflow.fleet import WorkerView
 from pollengate.workflow.job_table import JobTable
 from pollengate.workflow.planner import Planner
@@ -98,7 +99,7 @@
         self._clocks = clocks
         self._metrics = metrics
         self._on_event = on_event
-        self._reconciler = ReportReconciler(job_table, view)
+        self._reconciler = ReportReconciler(job_table, view, self._report_crash)
         self._log = Log("worker")
         self._acked_upto = 0
         self._report_record_number = 0
@@ -236,6 +237,26 @@
         self._on_event()
         self._report_record_number = self._committer.last_record_number
 
+    def _report_crash(self, crash: WorkerCrash) -> None:
+        self._metrics.worker_crashes.labels(crash.cause.value).inc()
+        self._log.warning(
+            "worker crashed",
+            worker=crash.worker_id,
+            cause=crash.cause.value,
+            silent_s=round(self._clocks.monotonic_s() - crash.silent_since, 2),
+            suspects=len(crash.suspects),
+            crashes=max((task.crashes for task in crash.suspects), default=0),
+        )
+        for task in crash.given_up:
+            self._metrics.tasks_given_up.labels("worker_crashes").inc()
+            self._log.warning(
+                "giving up a task that crashes its workers; its job has failed",
+                task=task.name,
+                job=task.step.job.job_id,
+                crashes=task.crashes,
+                worker=crash.worker_id,
+            )
+
     def _log_ends(self, new_ends: Iterable[EndedRun]) -> None:
         for ended in new_ends:
             self._log.info(
@@ -354,7 +375,7 @@
             )
             self._shard_lease.mark_lost()
         elif failure.kind is OrderRejection.OTHER_INCARNATION:
-            self._reconciler.reset()
+            self._reconciler.reset(now, self._clocks.unix_ms())
             self.view.born_ms = 0
             self.view.is_replaced = True
             self._on_event()
@@ -389,5 +410,5 @@
             silent_s=round(self._clocks.monotonic_s() - self.view.lease.replied_at, 2),
         )
         self.view.is_attached = False
-        self._reconciler.mark_all_lost()
+        self._reconciler.mark_all_lapsed()
         self._on_event()
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -1,14 +1,27 @@
-"""Tests of tasks that crash their workers."""
+"""Tests of tasks that crash their workers, and of crashes that are not the tasks' doing."""
 
 import asyncio
+import random
 import unittest
 from collections.abc import Collection
 
+from pollengate.workflow.crashes import MAX_CRASHES, CrashCause
 from pollengate.workflow.model import Demand, Workflow
+from pollengate.workflow.progress import JobState, Run
+from pollengate.workflow.records import decode_job, decode_progress, encode_job, encode_progress
+from pollengate.workflow.records import restore as restore_job
+from pollengate.workflow.reports import ReportReconciler
 
 from tests.edge_cluster import EdgeCluster, EdgeTestCase
 from tests.utils import run_virtual
-from tests.workflow_builders import build_step, build_workflow
+from tests.workflow_builders import (
+    build_job,
+    build_job_table,
+    build_lease_worker,
+    build_planner,
+    build_step,
+    build_workflow,
+)
 
 DEADLY = f"{0xDEAD:016x}"
 OTHER_DEADLY = f"{0xDEAE:016x}"
@@ -141,5 +154,169 @@
         run_virtual(main())
 
 
+class HarmlessTaskTest(EdgeTestCase):
+    """Crashes, cuts and departures under tasks that do no harm."""
+
+    def test_waves_of_crashes_fail_no_job(self) -> None:
+        async def main() -> None:
+            cluster = EdgeCluster(workers=33, duration_s=2.2)
+            await cluster.open(nodes=2)
+            generator = random.Random(9301)
+            jobs = []
+            for wave in range(5):
+                for number in range(4):
+                    jobs.append(f"{wave * 16 + number + 1:016x}")
+                    await cluster.submit(jobs[-1], small_tasks(20))
+                await asyncio.sleep(1.5)
+                for worker_id in generator.sample(sorted(cluster.workers_by_id), 12):
+                    cluster.workers_by_id[worker_id].crash_for(1.5)
+                await asyncio.sleep(1.5)
+            for job_id in jobs:
+                await cluster.wait_for_state(job_id, "completed")
+
+        run_virtual(main())
+
+    def test_worker_that_is_cut_off_counts_against_no_task(self) -> None:
+        async def main() -> None:
+            cluster = EdgeCluster(workers=2, duration_s=float("inf"))
+            await cluster.open(nodes=2)
+            step = build_step(2, is_long_running=True, demand=Demand(1000, 100))
+            await cluster.submit(DEADLY, build_workflow(step))
+            for _ in range(4):
+                for worker in cluster.workers_by_id.values():
+                    worker.is_unreachable = True
+                    await asyncio.sleep(8.0)
+                    worker.is_unreachable = False
+                    await asyncio.sleep(3.0)
+            term = await cluster.wait_for_term()
+            job = term.job_table.jobs_by_id[DEADLY]
+            self.assertEqual([0, 0], [task.crashes for task in job.tasks()])
+
+        run_virtual(main())
+
+
+class CrashCountTest(unittest.TestCase):
+    """What counts as a crash under a task."""
+
+    def start(self, workers: int = 1) -> list[Run]:
+        """Starts a long-running step with a task on each worker."""
+        names = [f"w{number}" for number in range(workers)]
+        self.job_table = build_job_table(*(build_lease_worker(name) for name in names))
+        step = build_step(workers, is_long_running=True, max_per_worker=1)
+        self.job_table.add(build_job(DEADLY, step), 0.0, 0)
+        runs = build_planner(self.job_table).plan(0.0)
+        for run in runs:
+            self.job_table.mark_started(run, 0.0)
+        return runs
+
+    def crash(self, worker_id: str, now: float, silent_since: float) -> None:
+        """Ends the incarnation of a worker that was last heard of at a time."""
+        view = self.job_table.fleet.workers_by_id[worker_id]
+        view.lease.record_reply(0, silent_since)
+        ReportReconciler(self.job_table, view).reset(now, 0)
+
+    def test_crash_counts_against_the_tasks_on_the_worker(self) -> None:
+        (run,) = self.start()
+        self.crash("w0", 3.0, 1.0)
+        self.assertEqual(1, run.task.crashes)
+
+    def test_worker_that_has_drained_did_not_crash(self) -> None:
+        (run,) = self.start()
+        self.job_table.fleet.workers_by_id["w0"].has_drained = True
+        self.crash("w0", 3.0, 1.0)
+        self.assertEqual(0, run.task.crashes)
+
+    def test_lease_that_expired_counts_once_the_worker_is_known_to_have_crashed(self) -> None:
+        (run,) = self.start()
+        view = self.job_table.fleet.workers_by_id["w0"]
+        reconciler = ReportReconciler(self.job_table, view)
+        reconciler.mark_all_lapsed()
+        self.assertEqual(0, run.task.crashes)
+        reconciler.reset(9.0, 0)
+        self.assertEqual(1, run.task.crashes)
+
+    def test_loss_of_power_counts_against_no_task(self) -> None:
+        self.start(workers=12)
+        other = build_job(OTHER_DEADLY, build_step(12, is_long_running=True, max_per_worker=1))
+        self.job_table.add(other, 0.0, 0)
+        runs = build_planner(self.job_table).plan(0.0)
+        for number, run in enumerate(runs):
+            self.job_table.fleet.workers_by_id[run.worker_id].lease.record_reply(0, 1.0)
+            if number >= 6:
+                self.job_table.mark_lost(run)
+        for number in range(12):
+            self.crash(f"w{number}", 4.0, 1.0)
+        self.assertEqual([0] * 6, [run.task.crashes for run in runs[:6]])
+
+    def test_run_that_had_been_at_work_is_suspected_only_without_a_younger_one(self) -> None:
+        (old,) = self.start()
+        self.job_table.add(build_job(OTHER_DEADLY, build_step(1)), 60.0, 0)
+        (young,) = build_planner(self.job_table).plan(60.0)
+        self.crash("w0", 63.0, 60.5)
+        self.assertEqual((0, 1), (old.task.crashes, young.task.crashes))
+        self.job_table.cancel(young.task.step.job, 0)
+        self.job_table.fleet.workers_by_id["w0"].is_attached = True
+        (again,) = build_planner(self.job_table).plan(64.0)
+        self.crash("w0", 93.0, 90.0)
+        self.assertEqual(1, again.task.crashes)
+
+    def test_trials_take_few_workers(self) -> None:
+        runs = self.start(workers=32)
+        for run in runs:
+            run.task.crashes = 2
+            self.job_table.mark_lost(run)
+        build_planner(self.job_table).plan(4.0)
+        views = self.job_table.fleet.workers_by_id.values()
+        self.assertEqual(2, sum(view.trial is not None for view in views))
+
+    def test_crashes_are_recorded(self) -> None:
+        (run,) = self.start()
+        self.crash("w0", 3.0, 1.0)
+        job = run.task.step.job
+        self.assertIn(job.job_id, self.job_table.outbox.changed)
+        stored = decode_job(encode_job(job)).unwrap()
+        progress = decode_progress(encode_progress(job)).unwrap()
+        restored = restore_job(stored, progress, 0.0).unwrap()
+        self.assertEqual([1], [task.crashes for task in restored.tasks()])
+
+    def test_task_is_tried_again_only_after_its_crashes_are_durable(self) -> None:
+        (run,) = self.start()
+        run.task.crashes = 1
+        self.crash("w0", 3.0, 1.0)
+        view = self.job_table.fleet.workers_by_id["w0"]
+        view.is_attached = True
+        self.job_table.outbox.changed.clear()
+        run.task.step.job.record_number = 7
+        self.job_table.durable_record_number = lambda: 6
+        self.assertEqual([], build_planner(self.job_table).plan(4.0))
+        self.job_table.durable_record_number = lambda: 7
+        self.assertEqual(1, len(build_planner(self.job_table).plan(4.0)))
+
+    def test_no_task_starts_beside_one_that_is_tried_alone(self) -> None:
+        (run,) = self.start()
+        run.task.crashes = 1
+        self.crash("w0", 3.0, 1.0)
+        view = self.job_table.fleet.workers_by_id["w0"]
+        view.is_attached = True
+        self.job_table.take_outbox()
+        (trial,) = build_planner(self.job_table).plan(4.0)
+        self.assertIs(trial, view.trial)
+        self.job_table.add(build_job(OTHER_DEADLY), 4.0, 0)
+        self.assertEqual([], build_planner(self.job_table).plan(4.0))
+
+    def test_job_fails_after_the_most_crashes_in_any_case(self) -> None:
+        (run,) = self.start()
+        run.task.crashes = MAX_CRASHES - 1
+        self.crash("w0", 3.0, 1.0)
+        self.assertIs(JobState.FAILED, run.task.step.job.state)
+
+    def test_cause_of_a_crash_under_tasks_is_reported(self) -> None:
+        self.start()
+        found = []
+        view = self.job_table.fleet.workers_by_id["w0"]
+        ReportReconciler(self.job_table, view, found.append).reset(3.0, 0)
+        self.assertEqual([CrashCause.TASKS], [crash.cause for crash in found])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_workflow_placement.py
+++ b/tests/test_workflow_placement.py
@@ -62,6 +62,21 @@
         job_table.mark_unknown(runs[0])
         self.assertEqual(build_planner(job_table).plan(0.0), [])
 
+    def test_nothing_starts_on_a_worker_whose_capacity_has_shrunk_below_what_it_runs(self) -> None:
+        worker = build_lease_worker()
+        job_table = build_job_table(worker)
+        job_table.add(build_job("aa", build_step(6)), 0.0, 0)
+        first, *_ = start_all(job_table)
+        smaller = dataclasses.replace(worker, capacity=Demand(3000, 1000))
+        view = job_table.fleet.register(smaller, 1.0)
+        self.assertEqual([], start_all(job_table, 1.0))
+        job_table.stop(first)
+        self.assertEqual([], start_all(job_table, 1.1))
+        job_table.mark_ended(first, EndKind.STOPPED, "", 1.4, 0)
+        self.assertEqual([], start_all(job_table, 1.4))
+        job_table.fleet.register(worker, 2.0)
+        self.assertEqual([view.worker_id], [run.worker_id for run in start_all(job_table, 2.0)])
+
     def test_step_keeps_its_limit_for_each_worker(self) -> None:
         job_table = build_job_table(build_lease_worker("w0"), build_lease_worker("w1"))
         job_table.add(build_job("aa", build_step(4, max_per_worker=1)), 0.0, 0)
