Start no copy of a suspect while its worker is silent

Cause: a run on a silent worker gets a copy after 1.7 s without a report, and a crash is known after some 3.2 s only, so that each copy crashed the next worker before the crash under the last one was counted.

Change: a task under which a worker has crashed gets no copy while the worker of its run is silent; the first copy, for which there is no suspicion, remains. test_suspect_on_a_silent_worker_gets_no_copy failed before.

--- a/packages/pollengate/pollengate/workflow/stragglers.py
+++ b/packages/pollengate/pollengate/workflow/stragglers.py
@@ -82,7 +82,9 @@
     spec = run.task.step.spec
     silent_s = now - view.lease.replied_at
     if silent_s > SILENT_AFTER_S:
-        if spec.is_speculative:
+        # The worker may have crashed under the task; a copy is not to crash the next one before
+        # that is known.
+        if spec.is_speculative and not run.task.crashes:
             return Straggler(run, Remedy.COPY, "worker is silent", False)
         return None
     if spec.is_long_running:
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -11,6 +11,7 @@
 from pollengate.workflow.records import decode_job, decode_progress, encode_job, encode_progress
 from pollengate.workflow.records import restore as restore_job
 from pollengate.workflow.reports import ReportReconciler
+from pollengate.workflow.stragglers import Remedy, find_stragglers
 
 from tests.edge_cluster import EdgeCluster, EdgeTestCase
 from tests.utils import run_virtual
@@ -102,6 +103,17 @@
 
         run_virtual(main())
 
+    def test_copies_of_a_task_that_crashes_its_workers_are_few(self) -> None:
+        async def main() -> None:
+            cluster = await self.open_cluster(workers=16)
+            step = build_step(4, is_speculative=True, demand=Demand(1000, 100))
+            await cluster.submit(DEADLY, build_workflow(step))
+            await cluster.wait_for_state(DEADLY, "failed")
+            await asyncio.sleep(10.0)
+            self.assertLessEqual(starts_of(cluster, f"{DEADLY}.0.0.0"), MAX_STARTS)
+
+        run_virtual(main())
+
     def test_long_running_task_that_crashes_its_workers_is_given_up(self) -> None:
         async def main() -> None:
             cluster = await self.open_cluster()
@@ -260,6 +272,17 @@
         self.crash("w0", 93.0, 90.0)
         self.assertEqual(1, again.task.crashes)
 
+    def test_suspect_on_a_silent_worker_gets_no_copy(self) -> None:
+        self.job_table = build_job_table(build_lease_worker())
+        self.job_table.add(build_job(DEADLY, build_step(1, is_speculative=True)), 0.0, 0)
+        (run,) = build_planner(self.job_table).plan(0.0)
+        self.job_table.mark_started(run, 0.0)
+        view = self.job_table.fleet.workers_by_id["w0"]
+        view.lease.record_reply(0, 0.1)
+        self.assertEqual([Remedy.COPY], [found.remedy for found in find_stragglers(view, 3.0)])
+        run.task.crashes = 1
+        self.assertEqual([], find_stragglers(view, 3.0))
+
     def test_trials_take_few_workers(self) -> None:
         runs = self.start(workers=32)
         for run in runs:
