Count crashes of several deadly tasks, and start no copies of suspects

Cause: with a tenth of the workers as the bound of a shared crash, three of the 24 workers that other deadly tasks crashed at the same time excused a task three times; and a run on a worker that had just crashed got a copy as slower than its siblings, after 0.9 s, before it counted as silent.

A suspect gets no copy for any reason. test_several_deadly_tasks_do_not_excuse_each_other failed before.

--- a/packages/pollengate/pollengate/workflow/crashes.py
+++ b/packages/pollengate/pollengate/workflow/crashes.py
@@ -43,7 +43,7 @@
 SAME_TIME_S = 1.2
 # A crash is shared if as many of the workers without the step crashed or are silent.
 SHARED_WORKERS = 3
-SHARED_SHARE = 0.1
+SHARED_SHARE = 0.25
 # Largest share of a shard's workers on which tasks are tried alone at the same time.
 MAX_TRIAL_SHARE = 1 / 16
 # A run that started this much earlier than the trial beside it did not cause the crash.
--- a/packages/pollengate/pollengate/workflow/stragglers.py
+++ b/packages/pollengate/pollengate/workflow/stragglers.py
@@ -82,9 +82,7 @@
     spec = run.task.step.spec
     silent_s = now - view.lease.replied_at
     if silent_s > SILENT_AFTER_S:
-        # The worker may have crashed under the task; a copy is not to crash the next one before
-        # that is known.
-        if spec.is_speculative and not run.task.crashes:
+        if _may_copy(run):
             return Straggler(run, Remedy.COPY, "worker is silent", False)
         return None
     if spec.is_long_running:
@@ -94,13 +92,22 @@
     if now - run.progressed_at > STALLED_AFTER_S and not _is_short_of_cpu(run):
         return Straggler(run, Remedy.MOVE, "no progress", True)
     if _is_slow(run, now):
-        if spec.is_speculative:
+        if _may_copy(run):
             return Straggler(run, Remedy.COPY, "slower than its siblings", True)
         if spec.saves_progress:
             return Straggler(run, Remedy.MOVE, "slower than its siblings", True)
     return None
 
 
+def _may_copy(run: Run) -> bool:
+    """Returns True if a second run may start beside a run.
+
+    Its worker may just have crashed under the task: a copy of a suspect would crash the next one
+    before that is known.
+    """
+    return run.task.step.spec.is_speculative and not run.task.crashes
+
+
 def _is_slow(run: Run, now: float) -> bool:
     durations_s = run.task.step.durations_s
     elapsed_s = now - run.ordered_at
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -272,6 +272,17 @@
         self.crash("w0", 93.0, 90.0)
         self.assertEqual(1, again.task.crashes)
 
+    def test_several_deadly_tasks_do_not_excuse_each_other(self) -> None:
+        names = [f"w{number:02}" for number in range(24)]
+        self.job_table = build_job_table(*(build_lease_worker(name) for name in names))
+        for number in range(4):
+            step = build_step(1, demand=Demand(4000, 100))
+            self.job_table.add(build_job(f"{number:016x}", step), 0.0, 0)
+        runs = build_planner(self.job_table).plan(0.0)
+        for run in runs:
+            self.crash(run.worker_id, 4.0, 1.0)
+        self.assertEqual([1] * 4, [run.task.crashes for run in runs])
+
     def test_suspect_on_a_silent_worker_gets_no_copy(self) -> None:
         self.job_table = build_job_table(build_lease_worker())
         self.job_table.add(build_job(DEADLY, build_step(1, is_speculative=True)), 0.0, 0)
