Call a crash shared only if it was excused as one

Operators saw cause=shared in "worker crashed" also for a worker whose runs belonged to jobs that had ended, so that the metric counted losses of power that were none. Cause: a crash without suspects was taken for a shared one. Nothing that is counted or given up changes; tests of crashes pass.

--- a/packages/pollengate/pollengate/workflow/crashes.py
+++ b/packages/pollengate/pollengate/workflow/crashes.py
@@ -69,7 +69,8 @@
 
     Attributes:
         worker_id: the worker.
-        cause: what the crash is attributed to; `TASKS` if it counts against any task.
+        cause: what the crash is attributed to; `SHARED` if it counts against no task, as many
+            workers crashed.
         silent_since: clock time of its last reply.
         suspects: the tasks against which it counts.
         given_up: those of them that are given up.
@@ -111,18 +112,22 @@
         silent = {found.worker_id: found for found in self._simultaneous(crash, others, now)}
         self._recent.append(crash)
         young = [run for run in runs if crash.since - run.ordered_at < CLEARED_AFTER_S]
+        is_excused = False
         suspects = []
         given_up = []
         for run in young or runs:
             task = run.task
-            if task.is_done or task.step.job.is_ended or _is_shared(task.step, silent, others):
+            if task.is_done or task.step.job.is_ended:
+                continue
+            if _is_shared(task.step, silent, others):
+                is_excused = True
                 continue
             suspects.append(task)
             task.crashes += 1
             task.crashed_after_s = max(task.crashed_after_s, crash.since - run.ordered_at)
             if _is_given_up(run, runs, view):
                 given_up.append(task)
-        cause = CrashCause.TASKS if suspects or not runs else CrashCause.SHARED
+        cause = CrashCause.SHARED if is_excused and not suspects else CrashCause.TASKS
         return WorkerCrash(view.worker_id, cause, crash.since, tuple(suspects), tuple(given_up))
 
     def _simultaneous(
