--- a/packages/pollengate/pollengate/workflow/placement.py
+++ b/packages/pollengate/pollengate/workflow/placement.py
@@ -148,17 +148,16 @@
         if needs_ticket:
             workers = [v for v in workers if self._tickets.ticket(task.step, v, now)]
             candidates = [v for v in candidates if self._tickets.ticket(task.step, v, now)]
-        admitted = [v for v in candidates if self.evidence.admits(v.worker_id, task.name)]
         # The planner does not list workers anew while it plans.
-        admitted = [v for v in admitted if v.trial is None]
-        if task.crashes:
-            return self._best_suspect_worker(task, admitted, now, scores)
-        best = self._best_worker(task, admitted, now, scores)
+        candidates = [v for v in candidates if v.trial is None]
+        admitted = [v for v in candidates if self.evidence.admits(v.worker_id, task.name)]
+        best_of = self._best_worker_for_suspect if task.crashes else self._best_worker
+        best = best_of(task, admitted, now, scores)
         if best is None and (
             task.step.spec.is_long_running or not (admitted or self._admits_any(task, workers))
         ):
             healthy = [v for v in candidates if not self.evidence.is_quarantined(v.worker_id)]
-            best = self._best_worker(task, healthy, now, scores)
+            best = best_of(task, healthy, now, scores)
         if self._doubtful_starts is None or not task.step.spec.is_filler:
             return best
         if best is None:
@@ -237,7 +236,7 @@
                 best, best_score = view, score
         return best
 
-    def _best_suspect_worker(
+    def _best_worker_for_suspect(
         self, task: TaskProgress, workers: Sequence[WorkerView], now: float, scores: StepScores
     ) -> WorkerView | None:
         """Returns a worker for a task under which workers have crashed, None if there is none.
@@ -255,8 +254,6 @@
             view = self._best_worker(task, group, now, scores)
             if view is not None:
                 return view
-        if task.step.spec.is_filler:
-            return self._best_doubtful_worker(task, workers, now, scores)
         return None
 
     def _best_doubtful_worker(
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -5,6 +5,7 @@
 import unittest
 from collections.abc import Collection
 
+from pollengate.workflow.clients import EndKind
 from pollengate.workflow.crashes import MAX_CRASHES, CrashCause
 from pollengate.workflow.model import Demand, Workflow
 from pollengate.workflow.progress import JobState, Run
@@ -294,6 +295,12 @@
         run.task.crashes = 1
         self.assertEqual([], find_stragglers(view, 3.0))
 
+    def test_long_running_suspect_returns_to_a_worker_that_failed_it_rather_than_wait(self) -> None:
+        (run,) = self.start()
+        self.job_table.mark_ended(run, EndKind.FAILED, "", 1.0, 0)
+        run.task.crashes = 1
+        self.assertEqual(1, len(build_planner(self.job_table).plan(2.0)))
+
     def test_trials_take_few_workers(self) -> None:
         runs = self.start(workers=32)
         for run in runs:
