Learn interference as an amount, and set starts and speeds of fillers by it

Cause: a pair of images interfered or not. Target / latency is linear in load, each filler takes an amount of it, and a serving task's own load swings: a filler that takes 1.5 of headroom is harmless for half of the time and harmful for the other half, so that either verdict is wrong.

Change: one package, pollengate.interference, with one estimator for both kinds of roles. The edge role tracks each step's own headroom (level and trend over all its tasks) and a coefficient for each pair. Harmless fillers run everywhere; others start where the headroom expected 0.3 s and 1.5 s ahead allows it and run at the speed that it allows; unknown pairs run on two workers at most. A latency that stays over its target for 0.4 s slows all fillers that may matter, as before. Moves only if a filler ends 1.5 s sooner.

--- a/benchmarks/placement_policies.py
+++ b/benchmarks/placement_policies.py
@@ -6,7 +6,7 @@
 from pollengate.capacity import CapacityTracker
 from pollengate.configuration import Configuration, Limits, Policy, Zone
 from pollengate.failure_evidence import RetryDecision
-from pollengate.interference import PRIOR_COEFFICIENT
+from pollengate.interference.slowdowns import PRIOR_COEFFICIENT
 from pollengate.placement import FirstFit, LeastLoaded, TrackedPlacement
 from pollengate.reaction import Action, Evict, NoReaction, Observation, Reaction
 from pollengate.shard_policy import ShardPolicy
--- a/packages/pollengate/pollengate/explain/explainer.py
+++ b/packages/pollengate/pollengate/explain/explainer.py
@@ -18,7 +18,7 @@
 )
 from pollengate.workflow.fleet import WorkerView
 from pollengate.workflow.model import Queue, Workflow
-from pollengate.workflow.placement import Placer, StepScores
+from pollengate.workflow.placement import Placer
 from pollengate.workflow.planner import Planner
 from pollengate.workflow.progress import JobProgress, JobState, StepProgress
 from pollengate.workflow.waiting import WaitCause, WaitMonitor
@@ -228,7 +228,7 @@
         if queue is None:
             explanation.cause = WaitCause.NO_QUEUE
             return
-        placer = self._planner.placer.preview()
+        placer = self._planner.placer
         needs_ticket = is_submitted and queue.advice is not None
         reason_by_view = self._find_reasons(step, queue, placer, needs_ticket, now)
         explanation.workers = len(reason_by_view)
@@ -287,8 +287,7 @@
         self, step: StepProgress, queue: Queue, placer: Placer, needs_ticket: bool, now: float
     ) -> WorkerView | None:
         workers = self._job_table.fleet.schedulable_workers(queue.service, now)
-        scores = StepScores(placer.doubtful_below(step, queue, now))
-        return placer.choose(step.waiting[0], workers, now, needs_ticket, scores)
+        return placer.choose(step.waiting[0], workers, now, needs_ticket)
 
 
 def _describe(step: StepProgress) -> StepExplanation:
--- a/packages/pollengate/pollengate/explain/reasons.py
+++ b/packages/pollengate/pollengate/explain/reasons.py
@@ -5,7 +5,7 @@
 
 from pollengate.workflow.fleet import Fleet, WorkerView
 from pollengate.workflow.model import WorkerCondition
-from pollengate.workflow.placement import Placer, gives_full_speed
+from pollengate.workflow.placement import Placer, has_unused_processors
 from pollengate.workflow.progress import StepProgress, TaskProgress
 
 __all__ = ["Reason", "count_fitting_tasks", "find_reason", "find_unschedulable_reason"]
@@ -77,9 +77,9 @@
         return Reason.RESERVED if view.is_reserved else None
     if now < view.fillers_blocked_until:
         return Reason.FILLERS_BLOCKED
-    if not gives_full_speed(step, view, now):
+    if not has_unused_processors(step, view, now):
         return Reason.NO_CAPACITY
-    return Reason.INTERFERENCE if placer.withholds(step, view, now) else None
+    return None if placer.fillers.may_start(step, view, now) else Reason.INTERFERENCE
 
 
 def count_fitting_tasks(step: StepProgress, view: WorkerView) -> int:
--- /dev/null
+++ b/packages/pollengate/pollengate/interference/filler_placement.py
@@ -0,0 +1,161 @@
+"""Where fillers may start beside serving tasks, and whether a slow one would end sooner elsewhere.
+
+A filler that takes little headroom may start anywhere. Any other may start on a worker while the
+load of the serving tasks there leaves as much as it takes.
+"""
+
+import dataclasses
+import math
+from collections.abc import Iterable
+
+from pollengate.interference.latency_model import NEGLIGIBLE_HEADROOM, LatencyModel, Pair
+from pollengate.workflow.fleet import WorkerView
+from pollengate.workflow.progress import Run, StepProgress
+
+__all__ = ["MAX_START_STRAIN", "FillerPlacement", "may_withhold"]
+
+# A filler starts only where it takes at most this part of each serving task's spare headroom.
+MAX_START_STRAIN = 1.05
+# If no worker allows that, a step waits this long; after that it starts all the same.
+MAX_WITHHELD_S = 20.0
+# Speeds are expected for the load after these times, as tasks take a second or two.
+HORIZONS_S = (0.3, 1.5)
+# A move costs a stop, a checkpoint, a new start and 0.1 to 0.25 s to resume.
+MOVE_COST_S = 0.6
+# A filler moves only if it ends this much sooner.
+MIN_GAIN_S = 1.5
+MIN_SPEED = 0.05
+# Largest number of workers on which fillers of an unknown pair of images run at the same time.
+MAX_TRIAL_WORKERS = 2
+# Spare headroom is computed again after this time, or once the runs on a worker have changed.
+MAX_AGE_S = 0.2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Spare:
+    """Spare headroom of one worker, when it was computed and for which amounts of work."""
+
+    headroom_by_image: dict[str, float]
+    at: float
+    committed_millis: int
+    filler_millis: int
+
+    def is_current(self, view: WorkerView, now: float) -> bool:
+        """Returns True while the worker has the same load and the amounts are recent."""
+        return (
+            now - self.at < MAX_AGE_S
+            and self.committed_millis == view.committed_millis
+            and self.filler_millis == view.filler_millis
+        )
+
+
+class FillerPlacement:
+    """Where fillers may start, and whether they would end sooner elsewhere.
+
+    Args:
+        model: expected headroom of serving tasks and what fillers take of it.
+    """
+
+    def __init__(self, model: LatencyModel) -> None:
+        self._model = model
+        self._spare_by_view: dict[WorkerView, _Spare] = {}
+        self._trials_by_pair: dict[Pair, set[str]] = {}
+
+    def refresh(self, views: Iterable[WorkerView], now: float) -> None:
+        """Keeps the spare headroom of workers for the decisions that follow."""
+        for view in views:
+            known = self._spare_by_view.get(view)
+            if known is None or not known.is_current(view, now):
+                self._spare_by_view[view] = self._compute_spare(view, now)
+                self._count_trials(view)
+
+    def forget(self, view: WorkerView) -> None:
+        """Forgets a worker that has left."""
+        self._spare_by_view.pop(view, None)
+        for worker_ids in self._trials_by_pair.values():
+            worker_ids.discard(view.worker_id)
+
+    def strain(self, step: StepProgress, view: WorkerView, now: float) -> float:
+        """Returns the largest part of a serving task's spare headroom that a filler would take.
+
+        At most one filler image about which little is known runs on a worker, so that a measured
+        latency tells which one raised it, and a pair about which little is known runs on a few
+        workers only, so that it can do little harm until more is known. Beyond that, the strain is
+        infinite.
+
+        Returns:
+            0 beside no serving task, above 1 if a latency would exceed its target.
+        """
+        if not view.serving:
+            return 0.0
+        spec = step.spec
+        if not self._may_try(view, spec.image):
+            return math.inf
+        share = spec.demand.cpu_millis / max(1, view.info.capacity.cpu_millis)
+        spare = self._spare_by_view.get(view)
+        if spare is None or not spare.is_current(view, now):
+            spare = self._compute_spare(view, now)
+        strain = 0.0
+        for serving, headroom in spare.headroom_by_image.items():
+            taken = self._model.cost(serving, spec.image) * share
+            if taken > NEGLIGIBLE_HEADROOM:
+                strain = max(strain, taken / headroom if headroom > 0 else math.inf)
+        return strain
+
+    def speed(self, step: StepProgress, view: WorkerView, now: float) -> float:
+        """Returns the share of full speed that one more filler of a step may have on a worker."""
+        return 1 / max(1.0, self.strain(step, view, now))
+
+    def may_start(self, step: StepProgress, view: WorkerView, now: float) -> bool:
+        """Returns True unless a step's fillers wait for a worker with more headroom."""
+        return not may_withhold(step, now) or self.strain(step, view, now) <= MAX_START_STRAIN
+
+    def ends_sooner_elsewhere(self, run: Run, workers: Iterable[WorkerView], now: float) -> bool:
+        """Returns True if a filler is worth moving to one of the other workers."""
+        step = run.task.step
+        left_s = step.spec.estimate_ms / 1000 * max(0.0, 1 - run.percent / 100)
+        stays_s = left_s / max(MIN_SPEED, run.speed_percent / 100)
+        if stays_s - left_s < MOVE_COST_S + MIN_GAIN_S:
+            return False
+        speed = max((self.speed(step, view, now) for view in workers), default=0.0)
+        moves_s = MOVE_COST_S + left_s / max(MIN_SPEED, speed)
+        return stays_s - moves_s >= MIN_GAIN_S
+
+    def _compute_spare(self, view: WorkerView, now: float) -> _Spare:
+        headroom = self._model.spare_headroom(view, [now + horizon for horizon in HORIZONS_S])
+        return _Spare(headroom, now, view.committed_millis, view.filler_millis)
+
+    def _may_try(self, view: WorkerView, image: str) -> bool:
+        """Returns True if a filler image is known beside a worker's images, or may be tried."""
+        unknown = [s for s in view.serving_images if self._model.is_unknown((s, image))]
+        if not unknown:
+            return True
+        for serving in unknown:
+            worker_ids = self._trials_by_pair.get((serving, image), set())
+            if len(worker_ids - {view.worker_id}) >= MAX_TRIAL_WORKERS:
+                return False
+        others = {run.task.step.spec.image for run in view.fillers} - {image}
+        return not any(
+            self._model.is_unknown((s, other)) for s in view.serving_images for other in others
+        )
+
+    def _count_trials(self, view: WorkerView) -> None:
+        """Updates on which workers unknown pairs of images run."""
+        present = {
+            (serving, run.task.step.spec.image)
+            for serving in view.serving_images
+            for run in view.fillers
+        }
+        trials = {pair for pair in present if self._model.is_unknown(pair)}
+        for pair, worker_ids in list(self._trials_by_pair.items()):
+            if pair not in trials:
+                worker_ids.discard(view.worker_id)
+            if not worker_ids:
+                del self._trials_by_pair[pair]
+        for pair in trials:
+            self._trials_by_pair.setdefault(pair, set()).add(view.worker_id)
+
+
+def may_withhold(step: StepProgress, now: float) -> bool:
+    """Returns True while a step of fillers may wait for a worker with more headroom."""
+    return step.spec.is_filler and now - step.opened_at < MAX_WITHHELD_S
--- a/packages/pollengate/pollengate/interference_reaction.py
+++ b/packages/pollengate/pollengate/interference/reaction_stages.py
@@ -8,7 +8,7 @@
 from pollengate.capacity import CapacityTracker, WorkerLoad
 from pollengate.class_profiles import ClassProfiles
 from pollengate.eviction_budget import EvictionBudget
-from pollengate.interference import InterferenceModel
+from pollengate.interference.slowdowns import InterferenceModel
 from pollengate.placement_request import PlacementRequest
 from pollengate.reaction import Action, Evict, Observation, Reaction, Throttle
 
--- a/packages/pollengate/pollengate/workflow/rebalancing.py
+++ b/packages/pollengate/pollengate/interference/rebalancing.py
@@ -8,12 +8,12 @@
 import collections
 from collections.abc import Mapping
 
-from pollengate.workflow.colocation import ColocationModel
+from pollengate.interference.latency_model import LatencyModel
+from pollengate.interference.vacating import images_short_of_capacity, worker_to_vacate
 from pollengate.workflow.fleet import Fleet, WorkerView
 from pollengate.workflow.moves import may_stop_to_move
 from pollengate.workflow.placement import can_place
 from pollengate.workflow.progress import Run
-from pollengate.workflow.vacating import images_short_of_capacity, worker_to_vacate
 
 __all__ = ["Rebalancer"]
 
@@ -30,12 +30,12 @@
 
     Args:
         fleet: the shard's workers.
-        colocation: learned odds of interference between fillers and serving images.
+        latency_model: what fillers take of the headroom of serving images.
     """
 
-    def __init__(self, fleet: Fleet, colocation: ColocationModel) -> None:
+    def __init__(self, fleet: Fleet, latency_model: LatencyModel) -> None:
         self._fleet = fleet
-        self._colocation = colocation
+        self._latency_model = latency_model
         self._searched_at = float("-inf")
         self._moved_at_by_task: dict[str, float] = {}
         self._vacating: WorkerView | None = None
@@ -65,12 +65,12 @@
             view = None
         if view is None:
             short_images = images_short_of_capacity(
-                self._fleet, self._colocation, waiting_millis, now
+                self._fleet, self._latency_model, waiting_millis, now
             )
             if short_images:
                 view = worker_to_vacate(
                     self._fleet,
-                    self._colocation,
+                    self._latency_model,
                     short_images,
                     lambda r: self._may_move(r, now),
                     now,
@@ -115,8 +115,8 @@
         image = run.task.step.spec.image
         counts = collections.Counter(r.task.step.spec.image for r in view.serving)
         others = [other for other in counts if other != image]
-        freed = len(self._colocation.excluded_images(counts)) - len(
-            self._colocation.excluded_images(others)
+        freed = len(self._latency_model.excluded_images(counts)) - len(
+            self._latency_model.excluded_images(others)
         )
         if not freed or not others or not self._has_destination(view, run, now):
             return 0.0
@@ -125,12 +125,12 @@
     def _has_destination(self, source: WorkerView, run: Run, now: float) -> bool:
         """Returns True if the task fits on another worker without excluding more fillers there."""
         step = run.task.step
-        excluded_by_task = self._colocation.excluded_images([step.spec.image])
+        excluded_by_task = self._latency_model.excluded_images([step.spec.image])
         for view in self._fleet.schedulable_workers(source.info.service, now):
             if view is source or view.is_reserved or not can_place(step, view):
                 continue
             present_images = view.serving_images
-            if not present_images or excluded_by_task <= self._colocation.excluded_images(
+            if not present_images or excluded_by_task <= self._latency_model.excluded_images(
                 present_images
             ):
                 return True
--- a/packages/pollengate/pollengate/interference_placement.py
+++ b/packages/pollengate/pollengate/interference/sampled_placement.py
@@ -8,7 +8,7 @@
 from pollengate.class_profiles import ClassProfiles
 from pollengate.failure_evidence import FailureEvidence
 from pollengate.free_index import FreeIndex
-from pollengate.interference import InterferenceModel
+from pollengate.interference.slowdowns import InterferenceModel
 from pollengate.placement import TrackedPlacement
 from pollengate.placement_request import PlacementRequest
 from pollengate.reservations import Reservations
--- a/packages/pollengate/pollengate/workflow/vacating.py
+++ b/packages/pollengate/pollengate/interference/vacating.py
@@ -8,7 +8,7 @@
 import functools
 from collections.abc import Callable, Mapping
 
-from pollengate.workflow.colocation import ColocationModel
+from pollengate.interference.latency_model import LatencyModel
 from pollengate.workflow.fleet import Fleet, WorkerView
 from pollengate.workflow.moves import fit_together
 from pollengate.workflow.progress import Run, StepProgress
@@ -17,7 +17,7 @@
 
 
 def images_short_of_capacity(
-    fleet: Fleet, colocation: ColocationModel, waiting_millis: Mapping[str, int], now: float
+    fleet: Fleet, latency_model: LatencyModel, waiting_millis: Mapping[str, int], now: float
 ) -> set[str]:
     """Returns the images of waiting fillers that are short of capacity.
 
@@ -26,25 +26,25 @@
     """
     unused = dict.fromkeys(waiting_millis, 0.0)
     for view in fleet.all_schedulable(now):
-        for image in unused.keys() - colocation.excluded_images(view.serving_images):
+        for image in unused.keys() - latency_model.excluded_images(view.serving_images):
             unused[image] += max(0.0, view.unused_millis())
     return {image for image, millis in waiting_millis.items() if millis > unused[image]}
 
 
 def worker_to_vacate(
     fleet: Fleet,
-    colocation: ColocationModel,
+    latency_model: LatencyModel,
     short_images: set[str],
     may_move: Callable[[Run], bool],
     now: float,
 ) -> WorkerView | None:
     """Returns the worker that frees the most processors per move, None if none can be vacated."""
     excluded_by_view = {
-        view: colocation.excluded_images(view.serving_images)
+        view: latency_model.excluded_images(view.serving_images)
         for view in fleet.all_schedulable(now)
         if view.serving
     }
-    excluded_by_image = functools.cache(lambda image: colocation.excluded_images([image]))
+    excluded_by_image = functools.cache(lambda image: latency_model.excluded_images([image]))
 
     def excludes_no_more(step: StepProgress, other: WorkerView) -> bool:
         return excluded_by_image(step.spec.image) <= excluded_by_view[other]
--- a/packages/pollengate/pollengate/shard_policy.py
+++ b/packages/pollengate/pollengate/shard_policy.py
@@ -10,9 +10,9 @@
 from pollengate.eviction_budget import EvictionBudget, EvictionLimits
 from pollengate.failure_evidence import FailureEvidence
 from pollengate.fair_queue import FairQueue
-from pollengate.interference import InterferenceModel
-from pollengate.interference_placement import InterferencePlacement, PlacementWeights
-from pollengate.interference_reaction import InterferenceReaction, ReactionThresholds
+from pollengate.interference.reaction_stages import InterferenceReaction, ReactionThresholds
+from pollengate.interference.sampled_placement import InterferencePlacement, PlacementWeights
+from pollengate.interference.slowdowns import InterferenceModel
 from pollengate.placement import Placement
 from pollengate.policy_builders import ShardPolicyBuilders
 from pollengate.preemption import Preemption
--- a/packages/pollengate/pollengate/workflow/keys.py
+++ b/packages/pollengate/pollengate/workflow/keys.py
@@ -33,7 +33,7 @@
 TRANSFER_PREFIX = f"{ROOT}transfer/"
 ASSIGNMENT_PREFIX = f"{TRANSFER_PREFIX}worker/"
 CAPACITY_REQUEST_PREFIX = f"{TRANSFER_PREFIX}request/"
-INTERFERENCE_RECORD_PREFIX = f"{ROOT}beliefs/"
+INTERFERENCE_RECORD_PREFIX = f"{ROOT}interference/"
 
 
 def owner_key(shard: int) -> str:
--- a/packages/pollengate/pollengate/workflow/placement.py
+++ b/packages/pollengate/pollengate/workflow/placement.py
@@ -2,34 +2,34 @@
 
 A typical fleet is four fifths full: tasks of one or two seconds share it with long-running serving
 tasks. The emptiest worker is preferred, since this keeps interference between tasks low and leaves
-room for tasks with a high demand. Fillers go to the workers with the most unused processor time,
-away from serving tasks that they interfere with.
+room for tasks with a high demand. Fillers go to the workers with the most unused processor time
+whose serving tasks they take little headroom from.
 """
 
 import itertools
 from collections.abc import Callable, Iterable, Sequence
 
 from pollengate.failure_evidence import FailureEvidence
-from pollengate.learning.doubtful_starts import DoubtfulStarts
-from pollengate.workflow.colocation import INTERFERING_PROBABILITY, ColocationModel
+from pollengate.interference.filler_placement import (
+    MAX_START_STRAIN,
+    FillerPlacement,
+    may_withhold,
+)
+from pollengate.interference.latency_model import LatencyModel
 from pollengate.workflow.crashes import TRIAL_CRASHES
 from pollengate.workflow.fleet import WorkerView
-from pollengate.workflow.model import Queue
-from pollengate.workflow.progress import StepProgress, TaskProgress
+from pollengate.workflow.progress import Run, StepProgress, TaskProgress
 from pollengate.workflow.tickets import TicketCache
 
-__all__ = ["Placer", "StepScores", "can_place", "gives_full_speed", "is_allowed", "may_withhold"]
+__all__ = ["Placer", "StepScores", "can_place", "has_unused_processors", "is_allowed"]
 
 # A filler is placed only where at least this share of its declared processors is unused, so that it
 # runs at close to full speed.
 FILLER_MIN_UNUSED_SHARE = 0.9
 # The penalties below are millicores that are subtracted from a worker's score.
-# Penalty for a filler, multiplied by the probability that it interferes with serving tasks there.
-INTERFERENCE_PENALTY_MILLIS = 60_000
-# If a step's fillers probably interfere on every worker, the step waits this long for a better one,
-# or less if doubtful starts are allowed. After that it runs, throttled if need be, where
-# interference is least likely; this also tests whether the learned probability is still right.
-INTERFERENCE_FREE_WAIT_S = 20.0
+# Penalty for a filler, multiplied by the part of the spare headroom there that it would take.
+STRAIN_PENALTY_MILLIS = 20_000
+MAX_STRAIN = 10.0
 # Penalty for a serving task, for each other serving image on the worker: the fewer images share a
 # worker, the more fillers can run there without interference.
 OTHER_IMAGE_PENALTY_MILLIS = 100_000
@@ -51,20 +51,9 @@
     """Scores of workers for one step, kept while tasks of the step are placed one after the other.
 
     A worker's score depends only on the step and the runs on the worker.
-
-    Args:
-        doubtful_below: probability of interference below which the step's fillers may start now
-            although they would be withheld otherwise, 0 if they may not.
-
-    Attributes:
-        doubtful_below: the same.
-        doubtful_by_view: workers on which only a doubtful start is possible, with the negated
-            probability of interference and the score.
     """
 
-    def __init__(self, doubtful_below: float = 0.0) -> None:
-        self.doubtful_below = doubtful_below
-        self.doubtful_by_view: dict[WorkerView, tuple[float, float]] = {}
+    def __init__(self) -> None:
         self._score_by_view: dict[WorkerView, float | None] = {}
 
     def get(self, view: WorkerView, compute: Callable[[WorkerView], float | None]) -> float | None:
@@ -76,7 +65,6 @@
     def forget(self, view: WorkerView) -> None:
         """Forgets the score of a worker whose runs have changed."""
         self._score_by_view.pop(view, None)
-        self.doubtful_by_view.pop(view, None)
 
 
 class Placer:
@@ -84,40 +72,21 @@
 
     Args:
         evidence: record of which tasks failed on which workers.
-        colocation: learned odds of interference between fillers and serving tasks.
+        latency_model: expected headroom of serving tasks.
         tickets: tickets for steps of queues that use the advice service.
-        doubtful_starts: decides which doubtful fillers may start, None if all of them wait for
-            `INTERFERENCE_FREE_WAIT_S`.
 
     Attributes:
         evidence: the same.
+        fillers: decides where fillers may start.
     """
 
     def __init__(
-        self,
-        evidence: FailureEvidence,
-        colocation: ColocationModel,
-        tickets: TicketCache,
-        doubtful_starts: DoubtfulStarts | None = None,
+        self, evidence: FailureEvidence, latency_model: LatencyModel, tickets: TicketCache
     ) -> None:
         self.evidence = evidence
+        self.fillers = FillerPlacement(latency_model)
         self._tickets = tickets
-        self._colocation = colocation
-        self._doubtful_starts = doubtful_starts
-
-    def preview(self) -> "Placer":
-        """Returns a placer that chooses the same workers now and counts no doubtful start."""
-        starts = self._doubtful_starts
-        return Placer(
-            self.evidence, self._colocation, self._tickets, starts.preview() if starts else None
-        )
-
-    def doubtful_below(self, step: StepProgress, queue: Queue, now: float) -> float:
-        """Returns the argument of the same name of a step's scores."""
-        starts = self._doubtful_starts
-        if starts is None or not starts.is_due(step, queue, now):
-            return 0.0
-        return starts.certain_probability
+        self._latency_model = latency_model
 
     def choose(
         self,
@@ -140,7 +109,7 @@
             needs_ticket: whether only workers with a ticket may run it.
             scores: scores for its step, if several tasks of the step are placed.
             candidates: the workers among them that may score, None for all; see
-                `interference_free_workers`.
+                `filler_workers`.
         """
         scores = scores or StepScores()
         if candidates is None:
@@ -158,61 +127,39 @@
         ):
             healthy = [v for v in candidates if not self.evidence.is_quarantined(v.worker_id)]
             best = best_of(task, healthy, now, scores)
-        if self._doubtful_starts is None or not task.step.spec.is_filler:
-            return best
-        if best is None:
-            return self._best_doubtful_worker(task, admitted, now, scores)
-        if self._colocation.interference_probability(best, task.step) >= INTERFERING_PROBABILITY:
-            self._doubtful_starts.count(task.step, best)
         return best
 
-    def interference_free_workers(
-        self, step: StepProgress, workers: Sequence[WorkerView], below: float, now: float
+    def filler_workers(
+        self, step: StepProgress, workers: Sequence[WorkerView], now: float
     ) -> list[WorkerView]:
-        """Returns the workers on which a step's fillers are not withheld; the same for its image.
+        """Returns the workers on which a step's fillers may start, whatever other tasks they run.
 
-        Args:
-            step: the step.
-            workers: the possible workers.
-            below: probability of interference from which they are withheld.
-            now: clock time.
-
-        In a shortage of them most steps of fillers wait, and scoring every worker for each of these
-        steps took 40 ms a plan for 100 steps on 66 workers.
+        They are the same for steps of the same image and demand. Under load most steps of fillers
+        wait, and scoring every worker for each of them took 40 ms a plan for 100 steps.
         """
         return [
             view
             for view in workers
-            if now >= view.fillers_blocked_until
-            and view.unused_millis() >= 0
-            and self._colocation.interference_probability(view, step) < below
+            if has_unused_processors(step, view, now) and self.fillers.may_start(step, view, now)
         ]
 
-    def withholds(self, step: StepProgress, view: WorkerView, now: float) -> bool:
-        """Returns True while a step's fillers wait because they probably interfere on a worker."""
-        return (
-            may_withhold(step, now)
-            and self._colocation.interference_probability(view, step) >= INTERFERING_PROBABILITY
-        )
-
     def has_ticket(self, step: StepProgress, view: WorkerView, now: float) -> bool:
         """Returns True if the advice service allows a step's tasks on a worker."""
         return bool(self._tickets.ticket(step, view, now))
 
-    def has_interference_free_worker(
-        self, task: TaskProgress, workers: Sequence[WorkerView], now: float
-    ) -> bool:
-        """Returns True if another worker could run a filler at full speed without interference."""
-        step = task.step
+    def ends_sooner_elsewhere(self, run: Run, workers: Sequence[WorkerView], now: float) -> bool:
+        """Returns True if a slow filler is worth moving to one of the workers."""
+        task = run.task
         used_worker_ids = task.worker_ids
-        return any(
-            view.worker_id not in used_worker_ids
-            and can_place(step, view)
-            and gives_full_speed(step, view, now)
-            and self._colocation.interference_probability(view, step) < INTERFERING_PROBABILITY
-            and self.evidence.admits(view.worker_id, task.name)
+        others = [
+            view
             for view in workers
-        )
+            if view.worker_id not in used_worker_ids
+            and can_place(task.step, view)
+            and has_unused_processors(task.step, view, now)
+            and self.evidence.admits(view.worker_id, task.name)
+        ]
+        return self.fillers.ends_sooner_elsewhere(run, others, now)
 
     def _admits_any(self, task: TaskProgress, workers: Sequence[WorkerView]) -> bool:
         return any(self.evidence.admits(view.worker_id, task.name) for view in workers)
@@ -224,7 +171,7 @@
         used_worker_ids = task.worker_ids
 
         def compute(view: WorkerView) -> float | None:
-            return self._score(step, view, now, scores) if can_place(step, view) else None
+            return self._score(step, view, now) if can_place(step, view) else None
 
         best = None
         best_score = float("-inf")
@@ -256,41 +203,16 @@
                 return view
         return None
 
-    def _best_doubtful_worker(
-        self, task: TaskProgress, workers: Sequence[WorkerView], now: float, scores: StepScores
-    ) -> WorkerView | None:
-        """Returns the worker where a doubtful filler interferes least, None if it is withheld."""
-        starts = self._doubtful_starts
-        if starts is None or not scores.doubtful_by_view:
-            return None
-        used_worker_ids = task.worker_ids
-        best = None
-        best_key = (float("-inf"), float("-inf"))
-        for view in workers:
-            key = scores.doubtful_by_view.get(view)
-            if key is None or key <= best_key or view.worker_id in used_worker_ids:
-                continue
-            if starts.admits(task.step, view, now):
-                best, best_key = view, key
-        if best is not None:
-            starts.record(task.step, best, -best_key[0])
-        return best
-
-    def _score(
-        self, step: StepProgress, view: WorkerView, now: float, scores: StepScores
-    ) -> float | None:
+    def _score(self, step: StepProgress, view: WorkerView, now: float) -> float | None:
         spec = step.spec
         score = view.unused_millis()
-        is_withheld = False
-        interference = 0.0
         if spec.is_filler:
-            if not gives_full_speed(step, view, now):
+            if not has_unused_processors(step, view, now):
                 return None
-            interference = self._colocation.interference_probability(view, step)
-            is_withheld = interference >= INTERFERING_PROBABILITY and may_withhold(step, now)
-            if is_withheld and interference >= scores.doubtful_below:
+            strain = self.fillers.strain(step, view, now)
+            if strain > MAX_START_STRAIN and may_withhold(step, now):
                 return None
-            score -= INTERFERENCE_PENALTY_MILLIS * interference
+            score -= STRAIN_PENALTY_MILLIS * min(strain, MAX_STRAIN)
         else:
             if spec.target_ms:
                 score = self._serving_score(step, view)
@@ -300,18 +222,15 @@
             score -= COLD_PENALTY_MILLIS
         if spec.data_rack and spec.data_rack != view.info.rack:
             score -= OTHER_RACK_PENALTY_MILLIS
-        if is_withheld:
-            scores.doubtful_by_view[view] = (-interference, score)
-            return None
         return score
 
     def _serving_score(self, step: StepProgress, view: WorkerView) -> float:
         """Scores workers that serve the same image highest, the fullest first, then empty ones."""
         spec = step.spec
         present_images = view.serving_images.keys()
-        excluded_images = self._colocation.excluded_images(present_images)
+        excluded_images = self._latency_model.excluded_images(present_images)
         newly_excluded = (
-            self._colocation.excluded_images([spec.image]) - excluded_images
+            self._latency_model.excluded_images([spec.image]) - excluded_images
             if present_images
             else ()
         )
@@ -324,11 +243,6 @@
         return score
 
 
-def may_withhold(step: StepProgress, now: float) -> bool:
-    """Returns True while a step of fillers waits for a worker without interference."""
-    return step.spec.is_filler and now - step.opened_at < INTERFERENCE_FREE_WAIT_S
-
-
 def can_place(step: StepProgress, view: WorkerView) -> bool:
     """Returns True if one more task of a step fits on a worker and is allowed there."""
     return view.fits(step.spec.demand, step.spec.is_filler) and is_allowed(step, view)
@@ -342,7 +256,7 @@
     return not spec.max_per_worker or step.runs_on(view.worker_id) < spec.max_per_worker
 
 
-def gives_full_speed(step: StepProgress, view: WorkerView, now: float) -> bool:
+def has_unused_processors(step: StepProgress, view: WorkerView, now: float) -> bool:
     """Returns True if a worker has processors for a filler and fillers are not blocked there."""
     wanted_millis = FILLER_MIN_UNUSED_SHARE * step.spec.demand.cpu_millis
     return now >= view.fillers_blocked_until and view.unused_millis() >= wanted_millis
--- a/packages/pollengate/pollengate/workflow/planner.py
+++ b/packages/pollengate/pollengate/workflow/planner.py
@@ -3,18 +3,21 @@
 import dataclasses
 from collections.abc import Callable
 
-from pollengate.workflow.colocation import INTERFERING_PROBABILITY
+from pollengate.interference.filler_placement import may_withhold
 from pollengate.workflow.crashes import may_try_alone
 from pollengate.workflow.fleet import WorkerView
 from pollengate.workflow.job_table import JobTable
 from pollengate.workflow.model import Queue
 from pollengate.workflow.ordering import DeadlineOrder, StepOrder
-from pollengate.workflow.placement import Placer, StepScores, may_withhold
+from pollengate.workflow.placement import Placer, StepScores
 from pollengate.workflow.progress import Run, StepProgress, TaskProgress
 from pollengate.workflow.start_filter import NoStartFilter, StartFilter
 
 __all__ = ["Planner"]
 
+# Service, image and millicores of fillers.
+_FillerKey = tuple[str, str, int]
+
 
 @dataclasses.dataclass(slots=True)
 class _LargestFree:
@@ -85,9 +88,8 @@
         ]
         self.start_filter.begin_round()
         largest_free_by_service: dict[str, _LargestFree] = {}
-        # While a plan is made, runs are only added, so that no further worker can become free of
-        # interference.
-        candidates_by_image: dict[tuple[str, str, float], list[WorkerView]] = {}
+        # While a plan is made, runs are only added, so that no further worker can get headroom.
+        candidates_by_filler: dict[_FillerKey, list[WorkerView]] = {}
         planned: list[Run] = []
         for step in self.order.arrange(steps, job_table.queue_of, now):
             queue = job_table.queue_of(step)
@@ -100,7 +102,7 @@
                 )
             if largest_free.can_place(step):
                 placed = self._place_step(
-                    step, queue, largest_free.workers, candidates_by_image, now
+                    step, queue, largest_free.workers, candidates_by_filler, now
                 )
                 planned += placed
                 if placed:
@@ -108,34 +110,34 @@
             largest_free_by_service[queue.service] = largest_free
         return planned
 
-    def has_interference_free_worker(self, task: TaskProgress, now: float) -> bool:
-        """Returns True if another worker could run a filler at full speed without interference."""
-        queue = self.job_table.queue_of(task.step)
+    def ends_sooner_elsewhere(self, run: Run, now: float) -> bool:
+        """Returns True if a slow filler is worth moving to another worker."""
+        queue = self.job_table.queue_of(run.task.step)
         if queue is None:
             return False
         workers = self.job_table.fleet.schedulable_workers(queue.service, now)
-        return self.placer.has_interference_free_worker(task, workers, now)
+        return self.placer.ends_sooner_elsewhere(run, workers, now)
 
     def _place_step(
         self,
         step: StepProgress,
         queue: Queue,
         workers: list[WorkerView],
-        candidates_by_image: dict[tuple[str, str, float], list[WorkerView]],
+        candidates_by_filler: dict[_FillerKey, list[WorkerView]],
         now: float,
     ) -> list[Run]:
         if step.spec.is_gang:
             return self._place_gang(step, queue, workers, now)
         runs = []
-        scores = StepScores(self.placer.doubtful_below(step, queue, now))
+        scores = StepScores()
         candidates: list[WorkerView] | None = None
         if may_withhold(step, now):
-            below = max(scores.doubtful_below, INTERFERING_PROBABILITY)
-            image = (queue.service, step.spec.image, below)
-            candidates = candidates_by_image.get(image)
+            key = (queue.service, step.spec.image, step.spec.demand.cpu_millis)
+            candidates = candidates_by_filler.get(key)
             if candidates is None:
-                candidates = self.placer.interference_free_workers(step, workers, below, now)
-                candidates_by_image[image] = candidates
+                self.placer.fillers.refresh(workers, now)
+                candidates = self.placer.filler_workers(step, workers, now)
+                candidates_by_filler[key] = candidates
         for task in list(step.waiting):
             if not (self.order.may_take(step) and self.start_filter.startable(step)):
                 break
@@ -150,6 +152,8 @@
                 break
             runs.append(self._add_run(task, view, self.job_table.next_run_number(task), now))
             scores.forget(view)
+            if step.spec.is_filler:
+                self.placer.fillers.refresh((view,), now)
         return runs
 
     def _place_gang(
@@ -167,8 +171,7 @@
         number = max(self.job_table.next_run_number(task) for task in step.tasks)
         runs: list[Run] = []
         for task in list(step.waiting):
-            scores = StepScores(self.placer.doubtful_below(step, queue, now))
-            view = self.placer.choose(task, workers, now, queue.advice is not None, scores)
+            view = self.placer.choose(task, workers, now, queue.advice is not None)
             if view is None:
                 for run in runs:
                     self.job_table.mark_rejected(run)
--- a/packages/pollengate/pollengate/workflow/policy.py
+++ b/packages/pollengate/pollengate/workflow/policy.py
@@ -35,20 +35,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class InterferencePolicy:
-    """How owners learn which fillers interfere with serving tasks, and how long fillers wait.
+    """How owners learn which fillers interfere with serving tasks.
 
     Attributes:
         is_shared: whether the owners of all shards learn from each other.
-        is_wait_bounded: whether fillers that may interfere everywhere start in time for their
-            objective, instead of waiting for a fixed time.
-        certain_probability: probability of interference from which a filler is not started early.
-        max_doubtful_share: largest share of a shard's workers on which such fillers run.
     """
 
     is_shared: bool = False
-    is_wait_bounded: bool = False
-    certain_probability: _Share = 0.8
-    max_doubtful_share: _Share = 0.2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/pollengate/pollengate/workflow/stragglers.py
+++ b/packages/pollengate/pollengate/workflow/stragglers.py
@@ -10,9 +10,9 @@
 import enum
 import statistics
 
+from pollengate.interference.speeds import SLOW_SPEED_PERCENT
 from pollengate.workflow.fleet import WorkerView
 from pollengate.workflow.progress import PAST_STARTUP_PERCENT, Run, RunState
-from pollengate.workflow.throttling import SLOW_SPEED_PERCENT
 
 __all__ = ["SILENT_AFTER_S", "Remedy", "Straggler", "find_stragglers"]
 
--- a/packages/pollengated/pollengated/edge/edge_metrics.py
+++ b/packages/pollengated/pollengated/edge/edge_metrics.py
@@ -47,11 +47,6 @@
             ["reason"],
             registry=registry,
         )
-        self.doubtful_starts = Counter(
-            "pollengate_edge_doubtful_starts",
-            "Fillers placed although they probably interfere, in time for their objective.",
-            registry=registry,
-        )
         self.merged_interference_records = Counter(
             "pollengate_edge_merged_interference_records",
             "Interference records of other shards whose evidence was taken over.",
--- a/packages/pollengated/pollengated/edge/interference_learning.py
+++ b/packages/pollengated/pollengated/edge/interference_learning.py
@@ -1,14 +1,11 @@
 """What the owner of a shard learns about interference during one ownership term."""
 
-from pollengate.learning.doubtful_starts import DoubtfulStarts
+from pollengate.interference.latency_model import LatencyModel
 from pollengate.store import Entry, PolledStore
-from pollengate.workflow.colocation import ColocationModel
-from pollengate.workflow.fleet import Fleet
 from pollengate.workflow.policy import InterferencePolicy
 
 from pollengated.edge.clocks import Clocks
 from pollengated.edge.committer import Committer
-from pollengated.edge.doubtful_start_log import build_doubtful_starts
 from pollengated.edge.edge_metrics import EdgeMetrics
 from pollengated.edge.interference_record import InterferenceRecorder, load_interference_record
 from pollengated.edge.layout import Layout
@@ -18,7 +15,7 @@
 
 
 class InterferenceLearning:
-    """The learned odds of interference, their record, and the evidence of other shards.
+    """What was learned about interference, its record, and the evidence of other shards.
 
     Args:
         shard: number of the shard.
@@ -26,10 +23,10 @@
         store: the platform's store.
         clocks: the process's clocks.
         metrics: metrics of this process.
-        policy: settings of learning and of waits.
+        policy: settings of learning.
 
     Attributes:
-        colocation: learned odds of interference between fillers and serving tasks.
+        latency_model: expected headroom of serving tasks and what fillers take of it.
     """
 
     def __init__(
@@ -41,29 +38,25 @@
         metrics: EdgeMetrics,
         policy: InterferencePolicy,
     ) -> None:
-        self.colocation = ColocationModel()
+        self.latency_model = LatencyModel()
         self._shard = shard
         self._metrics = metrics
         self._policy = policy
         self._shared: SharedInterference | None = None
         if policy.is_shared and layout.shards > 1:
             self._shared = SharedInterference(
-                shard, layout.shards, store, self.colocation, clocks, metrics
+                shard, layout.shards, store, self.latency_model, clocks, metrics
             )
         self._recorder: InterferenceRecorder
 
     def restore(self, entry: Entry | None, committer: Committer) -> None:
         """Loads the record of the owner before, and prepares to write the next one."""
         if entry is not None:
-            load_interference_record(entry.value, self.colocation)
+            load_interference_record(entry.value, self.latency_model)
         self._recorder = InterferenceRecorder(
-            self._shard, self.colocation, committer, is_shared=self._shared is not None
+            self._shard, self.latency_model, committer, is_shared=self._shared is not None
         )
 
-    def build_doubtful_starts(self, fleet: Fleet) -> DoubtfulStarts | None:
-        """Returns the decision about doubtful fillers, None unless their waits are bounded."""
-        return build_doubtful_starts(fleet, self.colocation, self._policy, self._metrics)
-
     def update(self, now: float) -> None:
         """Queues the record if it is due."""
         self._recorder.update(now)
--- a/packages/pollengated/pollengated/edge/interference_record.py
+++ b/packages/pollengated/pollengated/edge/interference_record.py
@@ -1,8 +1,8 @@
-"""Stores the learned odds of interference between images for the next owner of the shard."""
+"""Stores what was learned about interference between images for the next owner of the shard."""
 
 import msgspec
+from pollengate.interference.latency_model import EstimateByImages, LatencyModel
 from pollengate.store import Operation, Put
-from pollengate.workflow.colocation import ColocationModel, LogOddsByImage
 from pollengate.workflow.keys import interference_record_key
 
 from pollengated.edge.committer import Committer, Record
@@ -17,10 +17,10 @@
 REFRESH_INTERVAL_S = 10.0
 
 
-def load_interference_record(value: bytes, colocation: ColocationModel) -> None:
+def load_interference_record(value: bytes, latency_model: LatencyModel) -> None:
     """Loads the record of an earlier owner into the model; ignores a malformed record."""
     try:
-        colocation.load(msgspec.json.decode(value, type=LogOddsByImage))
+        latency_model.load(msgspec.json.decode(value, type=EstimateByImages))
     except msgspec.MsgspecError as error:
         Log("beliefs").warning(
             "interference record is unreadable; starting without it", cause=str(error)
@@ -28,27 +28,27 @@
 
 
 class InterferenceRecorder:
-    """Writes the interference record periodically if the odds have changed.
+    """Writes the interference record periodically if it has changed.
 
     Args:
         shard: number of the shard.
-        colocation: the learned odds.
+        latency_model: what was learned.
         committer: writes the record.
         is_shared: whether other shards use the record while it is fresh, so that it is also written
-            if the odds have not changed.
+            if it has not changed.
     """
 
     def __init__(
         self,
         shard: int,
-        colocation: ColocationModel,
+        latency_model: LatencyModel,
         committer: Committer,
         is_shared: bool = False,
     ) -> None:
-        self._record = _InterferenceRecord(shard, colocation)
-        self._colocation = colocation
+        self._record = _InterferenceRecord(shard, latency_model)
+        self._latency_model = latency_model
         self._committer = committer
-        self._recorded: dict[str, dict[str, float]] = {}
+        self._recorded: EstimateByImages = {}
         self._refresh_s = REFRESH_INTERVAL_S if is_shared else float("inf")
         self._checked_at = float("-inf")
         self._recorded_at = float("-inf")
@@ -58,7 +58,7 @@
         if now - self._checked_at < RECORD_INTERVAL_S:
             return
         self._checked_at = now
-        current = self._colocation.export()
+        current = self._latency_model.export()
         is_stale = bool(current) and now - self._recorded_at >= self._refresh_s
         if current != self._recorded or is_stale:
             self._recorded = current
@@ -67,9 +67,9 @@
 
 
 class _InterferenceRecord(Record):
-    def __init__(self, shard: int, colocation: ColocationModel) -> None:
+    def __init__(self, shard: int, latency_model: LatencyModel) -> None:
         self.key = interference_record_key(shard)
-        self._colocation = colocation
+        self._latency_model = latency_model
 
     def operation(self) -> Operation:
-        return Put(self.key, msgspec.json.encode(self._colocation.export()))
+        return Put(self.key, msgspec.json.encode(self._latency_model.export()))
--- a/packages/pollengated/pollengated/edge/run_mover.py
+++ b/packages/pollengated/pollengated/edge/run_mover.py
@@ -1,11 +1,11 @@
 """Stops runs that should run on another worker, and requests copies of slow ones."""
 
+from pollengate.interference.rebalancing import Rebalancer
 from pollengate.workflow.draining import runs_to_move
 from pollengate.workflow.fleet import Fleet, WorkerView
 from pollengate.workflow.job_table import JobTable
 from pollengate.workflow.large_tasks import LargeTaskReserve
 from pollengate.workflow.progress import Run
-from pollengate.workflow.rebalancing import Rebalancer
 from pollengate.workflow.stragglers import Remedy, Straggler, find_stragglers
 
 from pollengated.logs import Log
--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -6,6 +6,8 @@
 
 from pollengate.explain.explainer import JobExplainer
 from pollengate.failure_evidence import FailureEvidence
+from pollengate.interference.rebalancing import Rebalancer
+from pollengate.interference.speeds import SpeedController
 from pollengate.store import PolledStore
 from pollengate.workflow.clients import AdviceClient, WorkerClient
 from pollengate.workflow.fleet import Fleet, WorkerView
@@ -16,11 +18,9 @@
 from pollengate.workflow.placement import Placer
 from pollengate.workflow.planner import Planner
 from pollengate.workflow.policy import SchedulingPolicy
-from pollengate.workflow.rebalancing import Rebalancer
 from pollengate.workflow.records import decode_job, decode_progress, restore
 from pollengate.workflow.settings import NodeSettings
 from pollengate.workflow.shard_lease import ShardLease, previous_lease_expiry
-from pollengate.workflow.throttling import ThrottleController
 from pollengate.workflow.tickets import TicketCache
 from result import Err
 
@@ -129,8 +129,8 @@
         self._interference = InterferenceLearning(
             shard, layout, store, clocks, metrics, policy.interference
         )
-        self._colocation = self._interference.colocation
-        self._throttle_controller = ThrottleController(self._colocation)
+        self._latency_model = self._interference.latency_model
+        self._speed_controller = SpeedController(self._latency_model)
         self._tickets = TicketCache()
         self._wake = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -243,10 +243,9 @@
         self._start_policy = StartPolicy(
             self.job_table, self._policy, self._account_shares, self._metrics, is_settled
         )
-        doubtful_starts = self._interference.build_doubtful_starts(self.fleet)
         self._planner = Planner(
             self.job_table,
-            Placer(evidence, self._colocation, self._tickets, doubtful_starts),
+            Placer(evidence, self._latency_model, self._tickets),
             is_settled,
             self._start_policy.order,
             self._start_policy.start_filter,
@@ -266,7 +265,7 @@
             self._detach_worker,
             self._start_policy.start_filter,
         )
-        rebalancer = Rebalancer(self.fleet, self._colocation)
+        rebalancer = Rebalancer(self.fleet, self._latency_model)
         reserve = LargeTaskReserve(self.job_table, self._start_policy.start_filter)
         self._run_mover = RunMover(self.fleet, self.job_table, rebalancer, reserve)
         self._load_log = ShardLoadLog(
@@ -390,8 +389,8 @@
             self._client,
             self.shard_lease,
             self._committer,
-            self._colocation,
-            self._throttle_controller,
+            self._latency_model,
+            self._speed_controller,
             self._tickets,
             self._planner,
             self._clocks,
@@ -408,7 +407,8 @@
         for view in views:
             self._controllers_by_id.pop(view.worker_id)
             self._controller_tasks_by_id.pop(view.worker_id).cancel()
-            self._throttle_controller.forget(view.worker_id)
+            self._speed_controller.forget(view.worker_id)
+            self._planner.placer.fillers.forget(view)
             for run in list(view.runs.values()):
                 self.job_table.mark_lost(run)
         if views:
--- a/packages/pollengated/pollengated/edge/shared_interference.py
+++ b/packages/pollengated/pollengated/edge/shared_interference.py
@@ -5,8 +5,8 @@
 from collections.abc import Iterable
 
 import msgspec
+from pollengate.interference.latency_model import EstimateByImages, LatencyModel
 from pollengate.store import Entry, PolledStore, StoreFailure
-from pollengate.workflow.colocation import ColocationModel, LogOddsByImage
 from pollengate.workflow.keys import INTERFERENCE_RECORD_PREFIX
 from result import Err
 
@@ -30,12 +30,12 @@
     Attributes:
         revision: store revision of the newest record, also if that is malformed.
         changed_at: clock time at which the newest readable record was first read.
-        log_odds: its content.
+        estimates: its content.
     """
 
     revision: int
     changed_at: float = float("-inf")
-    log_odds: LogOddsByImage = dataclasses.field(default_factory=dict)
+    estimates: EstimateByImages = dataclasses.field(default_factory=dict)
 
 
 class SharedInterference:
@@ -48,7 +48,7 @@
         shard: shard of the owner that uses the evidence.
         shards: number of shards.
         store: the platform's store.
-        colocation: the owner's model.
+        latency_model: the owner's model.
         clocks: the process's clocks.
         metrics: metrics of this process.
     """
@@ -58,7 +58,7 @@
         shard: int,
         shards: int,
         store: PolledStore,
-        colocation: ColocationModel,
+        latency_model: LatencyModel,
         clocks: Clocks,
         metrics: EdgeMetrics,
     ) -> None:
@@ -69,7 +69,7 @@
             if other != shard
         }
         self._store = store
-        self._colocation = colocation
+        self._latency_model = latency_model
         self._clocks = clocks
         self._metrics = metrics
         self._record_by_shard: dict[int, _ShardRecord] = {}
@@ -105,7 +105,7 @@
                 continue
             record.revision = entry.revision
             try:
-                record.log_odds = msgspec.json.decode(entry.value, type=LogOddsByImage)
+                record.estimates = msgspec.json.decode(entry.value, type=EstimateByImages)
                 record.changed_at = now
             except msgspec.MsgspecError as error:
                 self._log.warning(
@@ -125,7 +125,7 @@
         changed_at_by_shard = {shard: record.changed_at for shard, record in fresh.items()}
         if changed_at_by_shard == self._merged_at_by_shard:
             return
-        pairs = self._colocation.replace_others(record.log_odds for record in fresh.values())
+        pairs = self._latency_model.replace_others(record.estimates for record in fresh.values())
         self._metrics.merged_interference_records.inc(
             len(changed_at_by_shard.items() - self._merged_at_by_shard.items())
         )
--- a/packages/pollengated/pollengated/edge/worker_controller.py
+++ b/packages/pollengated/pollengated/edge/worker_controller.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Callable, Iterable
 
+from pollengate.interference.latency_model import LatencyModel
+from pollengate.interference.speeds import SpeedChange, SpeedController
 from pollengate.workflow.clients import (
     EndedRun,
     OrderFailure,
@@ -14,7 +16,6 @@
     ThrottleOrder,
     WorkerClient,
 )
-from pollengate.workflow.colocation import ColocationModel
 from pollengate.workflow.crashes import WorkerCrash
 from pollengate.workflow.fleet import WorkerView
 from pollengate.workflow.job_table import JobTable
@@ -22,7 +23,6 @@
 from pollengate.workflow.progress import Run, RunState
 from pollengate.workflow.reports import ReportReconciler
 from pollengate.workflow.shard_lease import ShardLease
-from pollengate.workflow.throttling import SpeedChange, ThrottleController
 from pollengate.workflow.tickets import TicketCache
 from result import Err, Result
 
@@ -63,8 +63,8 @@
         client: sends orders to workers.
         shard_lease: the owner's lease; orders are sent only while it is valid.
         committer: makes results durable.
-        colocation: learns from the latencies of serving tasks.
-        throttle_controller: decides the speed of fillers.
+        latency_model: learns from the latencies of serving tasks.
+        speed_controller: decides the speed of fillers.
         tickets: tickets for steps of queues that use the advice service.
         planner: finds other workers for a filler.
         clocks: the process's clocks.
@@ -79,8 +79,8 @@
         client: WorkerClient,
         shard_lease: ShardLease,
         committer: Committer,
-        colocation: ColocationModel,
-        throttle_controller: ThrottleController,
+        latency_model: LatencyModel,
+        speed_controller: SpeedController,
         tickets: TicketCache,
         planner: Planner,
         clocks: Clocks,
@@ -92,8 +92,8 @@
         self._client = client
         self._shard_lease = shard_lease
         self._committer = committer
-        self._colocation = colocation
-        self._throttle_controller = throttle_controller
+        self._latency_model = latency_model
+        self._speed_controller = speed_controller
         self._tickets = tickets
         self._planner = planner
         self._clocks = clocks
@@ -232,8 +232,8 @@
         if self._is_failing:
             self._is_failing = False
             self._log.info("worker replies again", worker=self.view.worker_id)
-        self._colocation.observe(self.view)
-        self._adjust_throttling(now)
+        self._latency_model.observe(self.view, now)
+        self._adjust_speeds(now)
         self._on_event()
         self._report_record_number = self._committer.last_record_number
 
@@ -267,8 +267,8 @@
                 how=ended.how.value,
             )
 
-    def _adjust_throttling(self, now: float) -> None:
-        changes = self._throttle_controller.adjust(self.view, now)
+    def _adjust_speeds(self, now: float) -> None:
+        changes = self._speed_controller.adjust(self.view, now)
         if changes:
             self._log.info(
                 "speed of fillers changes",
@@ -282,8 +282,8 @@
             )
         for change in changes:
             asyncio.get_running_loop().create_task(self.throttle(change))
-        for run in self._throttle_controller.runs_to_relocate(self.view, now):
-            if not self._planner.has_interference_free_worker(run.task, now):
+        for run in self._speed_controller.runs_to_relocate(self.view, now):
+            if not self._planner.ends_sooner_elsewhere(run, now):
                 continue
             self._log.info(
                 "stopping a slow filler so that it runs on another worker",
@@ -304,7 +304,7 @@
             ended=len(report.ended),
         )
         self._acked_upto = 0
-        self._throttle_controller.forget(self.view.worker_id)
+        self._speed_controller.forget(self.view.worker_id)
 
     async def _wait_for_durable_results(self) -> None:
         """Waits until the results of the last report are durable.
@@ -321,6 +321,8 @@
         if not isinstance(result, Err):
             self._job_table.mark_started(run, now)
             self._metrics.starts.inc()
+            if run.task.step.spec.is_filler:
+                self._adjust_speeds(now)  # it runs at full speed until it is told otherwise
             self._log.info(
                 "task started",
                 task=run.task.name,
--- a/tests/test_interference.py
+++ b/tests/test_interference.py
@@ -3,7 +3,7 @@
 import random
 import unittest
 
-from pollengate.interference import PRIOR_COEFFICIENT, InterferenceModel
+from pollengate.interference.slowdowns import PRIOR_COEFFICIENT, InterferenceModel
 
 
 class InterferenceModelTest(unittest.TestCase):
--- a/tests/test_interference_reaction.py
+++ b/tests/test_interference_reaction.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from pollengate.interference_reaction import InterferenceReaction
+from pollengate.interference.reaction_stages import InterferenceReaction
 from pollengate.reaction import Action, Evict, Observation, Throttle
 from pollengate.shard_policy import ShardPolicy
 from pollengate.worker import TaskUsage
