--- a/packages/pollengated/pollengated/edge/shard_load_log.py
+++ b/packages/pollengated/pollengated/edge/shard_load_log.py
@@ -93,6 +93,7 @@
                 cause=overdue.cause.value,
                 long_running=step.spec.is_long_running,
                 filler=step.spec.is_filler,
+                image=step.spec.image,
                 cpu_millis=step.spec.demand.cpu_millis,
                 schedulable=overdue.workers,
                 with_room=overdue.room,
