--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -41,7 +41,7 @@
 
 
 def dump(planner: Planner) -> bytes:
-    """Returns the state of a planner, its job table, workers, evidence and colocation model."""
+    """Returns the state of a planner, its job table, workers, evidence and latency model."""
     buffer = io.BytesIO()
     _StatePickler(buffer).dump(planner)
     return buffer.getvalue()
--- a/tests/test_workflow_planner_cost.py
+++ b/tests/test_workflow_planner_cost.py
@@ -125,6 +125,26 @@
             self.assertEqual(planner.plan(0.1), [])
         self.assertEqual(counted.call_count, 0)
 
+    def test_headroom_is_computed_once_for_a_worker_and_once_for_each_placement(self) -> None:
+        """Guards against plans that compute the headroom of each worker for each step."""
+        for workers in FLEET_SIZES:
+            job_table = build_fleet(workers)
+            latency_model = LatencyModel()
+            latency_model.load({"s": {f"f{number}": (1.0, 1.0) for number in range(18)}})
+            serving = build_step(
+                workers, is_long_running=True, max_per_worker=1, target_ms=50, image="s"
+            )
+            job_table.add(build_job("aa", serving), 0.0, 0)
+            planner = build_planner(job_table, latency_model)
+            planner.plan(0.0)
+            for number in range(40):
+                fillers = build_step(2, is_filler=True, image=f"f{number % 18}")
+                job_table.add(build_job(f"{number:016x}", fillers), 0.0, 0)
+            compute = latency_model.spare_headroom
+            with mock.patch.object(latency_model, "spare_headroom", side_effect=compute) as counted:
+                self.assertEqual(len(planner.plan(0.1)), 80)
+            self.assertLessEqual(counted.call_count, workers + 80)
+
     def test_number_of_a_steps_tasks_on_a_worker_is_kept_up_to_date(self) -> None:
         generator = random.Random(1)
         job_table = build_fleet(4)
