Log the lowest and the highest new speed of a worker's fillers

The line 'speed of fillers changes' had the speed of the first filler only, although each filler has its own speed now, so that operators read a halt as a change to 100 or the other way round.

--- a/packages/pollengated/pollengated/edge/worker_controller.py
+++ b/packages/pollengated/pollengated/edge/worker_controller.py
@@ -273,7 +273,8 @@
             self._log.info(
                 "speed of fillers changes",
                 worker=self.view.worker_id,
-                percent=changes[0].percent,
+                lowest_percent=min(change.percent for change in changes),
+                highest_percent=max(change.percent for change in changes),
                 fillers=len(changes),
                 latencies=[
                     [round(run.measurement), run.task.step.spec.target_ms]
