--- a/tests/test_latency_model.py
+++ b/tests/test_latency_model.py
@@ -102,8 +102,8 @@
         alone = self.learn(samples, 1)
         for owners in (2, 4):
             together = self.learn(samples, owners)
-            self.assertAlmostEqual(together.mean, alone.mean, delta=0.3)
-            self.assertAlmostEqual(together.variance, alone.variance, delta=0.05)
+            self.assertAlmostEqual(together.mean, alone.mean)
+            self.assertAlmostEqual(together.variance, alone.variance)
 
     def test_the_cause_gets_the_blame_and_an_outlier_changes_little(self) -> None:
         table: Coefficients[str] = Coefficients(lambda key: 5.0, 25.0, 0.01, 10)
