Decode documents of operators and workers into values or error values only

Callers saw jobs without an owner: one deeply nested entry among the registrations of workers ended the owner's term about 200 times a second, and the processes that decide the layout ended. decode_worker caught MsgspecError; the decoder raises RecursionError for nesting beyond the interpreter's limit, also in a field that the model does not have. An id with a line feed or a host with a label of 64 characters went further, and raised ValueError or UnicodeError out of the HTTP client when the first order was sent.

DocumentDecoder turns every failure of the decoder into an error value and limits the size. A registration needs a port from 1 to 65535, an IP address or a name that can be looked up, numbers within 2**53 and an id of 1 to 128 visible ASCII characters; 128, because the keys of the owner's records contain it and the store takes keys of up to 200 bytes. Numbers of the configuration are bounded, too. Causes are cut to 200 characters in logs.

--- a/tests/test_odd_documents.py
+++ b/tests/test_odd_documents.py
@@ -10,7 +10,7 @@
 from pollengate.store import Entry, Put
 from pollengate.workflow.job_service import Accepted
 from pollengate.workflow.progress import JobState
-from pollengate_platform.documents import decode_worker
+from pollengate_platform.documents import decode_deployment, decode_worker
 from pollengated.edge import worker_registry
 from pollengated.edge.clocks import Clocks
 from pollengated.edge.layout import load_or_decide_layout
@@ -89,6 +89,28 @@
                 self.check_invalid(encode(), worker_id)
 
 
+class ConfigurationTest(unittest.TestCase):
+    """Configurations that cannot be applied."""
+
+    def test_deeply_nested_configuration_is_an_error_value(self) -> None:
+        value = b'{"version":1,"unknown":' + b"[" * NESTING + b"]" * NESTING + b"}"
+        self.assertTrue(decode_deployment(value).is_err())
+
+    def test_configuration_with_a_number_out_of_range_is_an_error_value(self) -> None:
+        route = {"name": "q", "host": "h", "prefix": "/", "service": "s"}
+        advice = {"decideMs": 1, "eachMs": 1, "validMs": 1}
+        huge = int("9" * 400)
+        for changes in (
+            {"stretch": 1e300},
+            {"timeoutMs": huge},
+            {"maxAttempts": huge},
+            {"advice": advice | {"eachMs": huge}},
+        ):
+            with self.subTest(fields=list(changes)):
+                document = {"version": 1, "routes": [route | changes]}
+                self.assertTrue(decode_deployment(json.dumps(document).encode()).is_err())
+
+
 class RegistryTest(unittest.TestCase):
     """The local copy of the registrations."""
 
