Apply each changed key of a local copy by itself

Callers saw workers and configurations that a process did not follow any more: PrefixCache advanced its revision and then passed all changed keys to its consumer, so that an error at one key left out the keys after it, and those before it were applied but not passed on. No later poll returned them. In the owner of a shard such an error ended the term.

PrefixCache now applies key by key. An unexpected error is logged with its traceback, counted (pollengate_edge_unapplied_entries_total) and leaves the other keys alone; the copy is listed anew and the key tried once more for each of its revisions. Applied keys are passed on together as before; if that fails, they are kept and passed on with the next listing. Invalid entries are counted by prefix (pollengate_edge_invalid_entries_total).

Ruled out: applying before the revision advances without isolation, which would read the odd entry for ever and the others never.

--- a/packages/pollengated/pollengated/edge/compose.py
+++ b/packages/pollengated/pollengated/edge/compose.py
@@ -69,8 +69,8 @@
     record = NodeRecord(
         settings.node, settings.rpc_address, uuid.uuid4().hex[:12], round(settings.cores, 2)
     )
-    operator_view = OperatorView(store, clocks)
-    directory = NodeDirectory(store, clocks)
+    operator_view = OperatorView(store, clocks, metrics)
+    directory = NodeDirectory(store, clocks, metrics)
     membership = Membership(store, record)
     client = EdgeClient()
     owned_shards = OwnedShards(clocks)
--- a/packages/pollengated/pollengated/edge/edge_metrics.py
+++ b/packages/pollengated/pollengated/edge/edge_metrics.py
@@ -96,6 +96,18 @@
             ["loop"],
             registry=registry,
         )
+        self.invalid_entries = Counter(
+            "pollengate_edge_invalid_entries",
+            "Entries of the store that could not be decoded and are ignored, by prefix.",
+            ["prefix"],
+            registry=registry,
+        )
+        self.unapplied_entries = Counter(
+            "pollengate_edge_unapplied_entries",
+            "Entries of the store that could not be applied for an internal error, by prefix.",
+            ["prefix"],
+            registry=registry,
+        )
         self.owned_shards = Gauge(
             "pollengate_edge_owned_shards", "Shards that this process owns.", registry=registry
         )
--- a/packages/pollengated/pollengated/edge/node_directory.py
+++ b/packages/pollengated/pollengated/edge/node_directory.py
@@ -9,6 +9,7 @@
 from pollengate.workflow.keys import NODE_PREFIX, OWNER_PREFIX, member_key, owner_key
 
 from pollengated.edge.clocks import Clocks
+from pollengated.edge.edge_metrics import EdgeMetrics
 from pollengated.edge.prefix_cache import PrefixCache
 from pollengated.logs import Log
 
@@ -56,12 +57,27 @@
 class NodeDirectory:
     """Local copy of the member and owner keys.
 
+    Args:
+        store: the platform's store.
+        clocks: the process's clocks.
+        metrics: counts invalid records.
+
     Attributes:
         cache: the cached keys.
     """
 
-    def __init__(self, store: PolledStore, clocks: Clocks) -> None:
-        self.cache = PrefixCache(store, NODE_PREFIX, clocks, self._changed)
+    def __init__(
+        self, store: PolledStore, clocks: Clocks, metrics: EdgeMetrics | None = None
+    ) -> None:
+        self._metrics = metrics or EdgeMetrics()
+        self.cache = PrefixCache(
+            store,
+            NODE_PREFIX,
+            clocks,
+            self._changed,
+            apply_key=self._apply_key,
+            metrics=self._metrics,
+        )
         self._records_by_key: dict[str, NodeRecord] = {}
         self._changed_event = asyncio.Event()
         self._log = Log("directory")
@@ -105,15 +121,18 @@
             self._log.warning(
                 "node record is unreadable; ignoring it", key=entry.key, cause=str(error)
             )
+            self._metrics.invalid_entries.labels(NODE_PREFIX).inc()
             return None
 
-    def _changed(self, keys: Collection[str]) -> None:
-        for key in keys:
-            entry = self.cache.entries_by_key.get(key)
-            record = None if entry is None else self._decode(entry)
-            if record is None:
-                self._records_by_key.pop(key, None)
-            else:
-                self._records_by_key[key] = record
+    def _apply_key(self, key: str) -> bool:
+        entry = self.cache.entries_by_key.get(key)
+        record = None if entry is None else self._decode(entry)
+        if record is None:
+            self._records_by_key.pop(key, None)
+        else:
+            self._records_by_key[key] = record
+        return True
+
+    def _changed(self, _keys: Collection[str]) -> None:
         self._changed_event.set()
         self._changed_event = asyncio.Event()
--- a/packages/pollengated/pollengated/edge/operator_view.py
+++ b/packages/pollengated/pollengated/edge/operator_view.py
@@ -14,6 +14,7 @@
 from result import Err
 
 from pollengated.edge.clocks import Clocks
+from pollengated.edge.edge_metrics import EdgeMetrics
 from pollengated.edge.prefix_cache import PrefixCache
 from pollengated.logs import Log
 
@@ -23,6 +24,11 @@
 class OperatorView:
     """Local copy of the operators' keys; an older configuration never replaces a newer one.
 
+    Args:
+        store: the platform's store.
+        clocks: the process's clocks.
+        metrics: counts invalid configurations.
+
     Attributes:
         deployment: the newest configuration, None until one has been loaded.
         key_ring: the keys of its client accounts, None if it has no accounts.
@@ -30,8 +36,18 @@
         cache: the cached keys.
     """
 
-    def __init__(self, store: PolledStore, clocks: Clocks) -> None:
-        self.cache = PrefixCache(store, OPERATOR_PREFIX, clocks, self._changed)
+    def __init__(
+        self, store: PolledStore, clocks: Clocks, metrics: EdgeMetrics | None = None
+    ) -> None:
+        self._metrics = metrics or EdgeMetrics()
+        self.cache = PrefixCache(
+            store,
+            OPERATOR_PREFIX,
+            clocks,
+            self._changed,
+            apply_key=self._apply_key,
+            metrics=self._metrics,
+        )
         self.deployment: Deployment | None = None
         self.key_ring: KeyRing | None = None
         self.evacuated_zones: frozenset[str] = frozenset()
@@ -43,10 +59,13 @@
         self._listeners.append(listener)
         return lambda: self._listeners.remove(listener)
 
-    def _changed(self, keys: Collection[str]) -> None:
+    def _apply_key(self, key: str) -> bool:
+        if key == CONFIGURATION_KEY:
+            self._apply_configuration(self.cache.entries_by_key.get(key))
+        return True
+
+    def _changed(self, _keys: Collection[str]) -> None:
         entries = self.cache.entries_by_key
-        if CONFIGURATION_KEY in keys:
-            self._apply_configuration(entries.get(CONFIGURATION_KEY))
         zones = frozenset(z for key in entries if (z := evacuated_zone(key)) is not None)
         if zones != self.evacuated_zones:
             self._log.info("evacuated zones changed", zones=",".join(sorted(zones)) or "none")
@@ -62,6 +81,7 @@
             self._log.warning(
                 "configuration is unreadable; keeping the previous one", cause=decoded.err_value
             )
+            self._metrics.invalid_entries.labels(OPERATOR_PREFIX).inc()
             return
         newest = decoded.ok_value
         if self.deployment is None or newest.version > self.deployment.version:
--- a/packages/pollengated/pollengated/edge/prefix_cache.py
+++ b/packages/pollengated/pollengated/edge/prefix_cache.py
@@ -7,6 +7,7 @@
 from result import Err
 
 from pollengated.edge.clocks import Clocks
+from pollengated.edge.edge_metrics import EdgeMetrics
 from pollengated.logs import Log
 
 __all__ = ["PrefixCache"]
@@ -18,12 +19,19 @@
 class PrefixCache:
     """Local copy of all keys below a prefix, updated by long polls of the store.
 
+    An error of `apply_key` concerns one key: it is logged and counted, the other keys are applied,
+    and the copy is listed anew, after which the key is tried once more. After an error of
+    `on_change`, the keys are passed on again with the next change.
+
     Args:
         store: the platform's store.
         prefix: the prefix of the keys.
         clocks: the process's clocks.
-        on_change: called after each change of the copy with the keys that changed.
+        on_change: called after each change of the copy with the keys for which `apply_key` returned
+            True, and after each listing.
         pause_s: pause after a poll that returned changes, so that the next one returns several.
+        apply_key: called with each key that changed; returns whether to pass it to `on_change`.
+        metrics: counts the keys that could not be applied.
 
     Attributes:
         entries_by_key: the cached entries.
@@ -39,14 +47,21 @@
         clocks: Clocks,
         on_change: Callable[[Collection[str]], None],
         pause_s: float = 0.0,
+        apply_key: Callable[[str], bool] = lambda key: True,
+        metrics: EdgeMetrics | None = None,
     ) -> None:
         self._store = store
         self._prefix = prefix
         self._clocks = clocks
         self._on_change = on_change
         self._pause_s = pause_s
+        self._apply_key = apply_key
+        self._metrics = metrics or EdgeMetrics()
         self._log = Log("views")
         self._is_failing = False
+        self._must_list = True
+        self._failed_revisions_by_key: dict[str, int] = {}
+        self._unreported_keys: set[str] = set()
         self.entries_by_key: dict[str, Entry] = {}
         self.revision = 0
         self.confirmed_at: float | None = None
@@ -59,13 +74,16 @@
 
     async def run(self) -> None:
         """Updates the copy until cancelled."""
-        must_list = True
+        self._must_list = True
         while True:
-            failure = await (self._list() if must_list else self._poll())
-            must_list = failure is not None and (
-                self.revision == 0 or failure.kind is FailureKind.HISTORY_GONE
-            )
+            if self._must_list:
+                self._must_list = False
+                failure = await self._list()
+            else:
+                failure = await self._poll()
             if failure is not None:
+                if self.revision == 0 or failure.kind is FailureKind.HISTORY_GONE:
+                    self._must_list = True
                 self._handle_failure(failure)
                 if failure.kind is not FailureKind.HISTORY_GONE:
                     await asyncio.sleep(RETRY_S)
@@ -92,10 +110,12 @@
         if isinstance(polled, Err):
             return polled.err_value
         self._mark_confirmed(self._clocks.monotonic_s())
-        changed_keys = {event.key for event in polled.ok_value.events if self._apply(event)}
+        changed_keys = {event.key for event in polled.ok_value.events if self._apply_event(event)}
         self.revision = max(self.revision, polled.ok_value.revision)
         if changed_keys:
-            self._on_change(changed_keys)
+            self._apply_keys(changed_keys)
+        if self._unreported_keys:
+            self._report()
         if polled.ok_value.events and self._pause_s:
             await asyncio.sleep(self._pause_s)
         return None
@@ -104,9 +124,32 @@
         known, self.entries_by_key = self.entries_by_key, {entry.key: entry for entry in entries}
         self.revision = revision
         keys = known.keys() | self.entries_by_key.keys()
-        self._on_change({key for key in keys if known.get(key) != self.entries_by_key.get(key)})
-
-    def _apply(self, event: WatchEvent) -> bool:
+        changed = {key for key in keys if known.get(key) != self.entries_by_key.get(key)}
+        self._apply_keys(changed | self._failed_revisions_by_key.keys())
+        self._report()
+
+    def _apply_keys(self, keys: Iterable[str]) -> None:
+        """Applies the newest entry of each key, whether or not others can be applied."""
+        for key in keys:
+            entry = self.entries_by_key.get(key)
+            revision = entry.revision if entry is not None else 0
+            try:
+                if self._apply_key(key):
+                    self._unreported_keys.add(key)
+                self._failed_revisions_by_key.pop(key, None)
+            except Exception as error:
+                self._log.error("entry cannot be applied; the others are", error, key=key)
+                self._metrics.unapplied_entries.labels(self._prefix).inc()
+                if self._failed_revisions_by_key.get(key) != revision:
+                    self._failed_revisions_by_key[key] = revision
+                    self._must_list = True
+
+    def _report(self) -> None:
+        """Passes the applied keys on; they are kept until that has succeeded."""
+        self._on_change(frozenset(self._unreported_keys))
+        self._unreported_keys.clear()
+
+    def _apply_event(self, event: WatchEvent) -> bool:
         """Applies an event; returns whether it is newer than the copy of its key."""
         known = self.entries_by_key.get(event.key)
         if known is not None and known.revision >= event.revision:
--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -121,8 +121,10 @@
         previous_leases_expire_at = previous_lease_expiry(self._acquired_at, worker_lease_s)
         self._previous_leases_expire_at = previous_leases_expire_at
         self.fleet = Fleet(worker_lease_s, previous_leases_expire_at)
-        self._registry = WorkerRegistry(store, clocks, self._workers_changed)
-        self._assignments = WorkerAssignments(shard, layout, store, clocks, self._workers_changed)
+        self._registry = WorkerRegistry(store, clocks, self._workers_changed, metrics)
+        self._assignments = WorkerAssignments(
+            shard, layout, store, clocks, self._workers_changed, metrics
+        )
         self._account_shares = AccountShares(shard, layout.shards, store, shard_lease, clocks)
         self._controllers_by_id: dict[str, WorkerController] = {}
         self._controller_tasks_by_id: dict[str, asyncio.Task[None]] = {}
--- a/packages/pollengated/pollengated/edge/worker_assignments.py
+++ b/packages/pollengated/pollengated/edge/worker_assignments.py
@@ -15,6 +15,7 @@
 from pollengate.workflow.worker_transfer import CapacityRequest
 
 from pollengated.edge.clocks import Clocks
+from pollengated.edge.edge_metrics import EdgeMetrics
 from pollengated.edge.layout import Layout
 from pollengated.edge.prefix_cache import PrefixCache
 from pollengated.logs import Log
@@ -58,6 +59,7 @@
         store: the platform's store.
         clocks: the process's clocks.
         on_change: called with the ids of the workers whose assignment has changed.
+        metrics: counts invalid records.
 
     Attributes:
         cache: the cached keys.
@@ -71,8 +73,17 @@
         store: PolledStore,
         clocks: Clocks,
         on_change: Callable[[Collection[str]], None],
+        metrics: EdgeMetrics | None = None,
     ) -> None:
-        self.cache = PrefixCache(store, TRANSFER_PREFIX, clocks, self._changed)
+        self._metrics = metrics or EdgeMetrics()
+        self.cache = PrefixCache(
+            store,
+            TRANSFER_PREFIX,
+            clocks,
+            self._report,
+            apply_key=self._apply_key,
+            metrics=self._metrics,
+        )
         self.requests_by_shard: dict[int, OpenRequest] = {}
         self._shard = shard
         self._layout = layout
@@ -118,17 +129,19 @@
         )
         return received >= open_request.request.workers
 
-    def _changed(self, keys: Collection[str]) -> None:
-        changed_ids = []
-        for key in keys:
-            entry = self.cache.entries_by_key.get(key)
-            if key.startswith(ASSIGNMENT_PREFIX):
-                changed_ids.append(key.removeprefix(ASSIGNMENT_PREFIX))
-                self._apply_assignment(changed_ids[-1], entry)
-            elif key.startswith(CAPACITY_REQUEST_PREFIX) and entry is not None:
-                self._apply_request(entry)
-        if self._is_loaded and changed_ids:
-            self._on_change(changed_ids)
+    def _apply_key(self, key: str) -> bool:
+        """Applies the newest entry of a key; returns whether it assigns a worker."""
+        entry = self.cache.entries_by_key.get(key)
+        if key.startswith(ASSIGNMENT_PREFIX):
+            self._apply_assignment(key.removeprefix(ASSIGNMENT_PREFIX), entry)
+            return True
+        if key.startswith(CAPACITY_REQUEST_PREFIX) and entry is not None:
+            self._apply_request(entry)
+        return False
+
+    def _report(self, keys: Collection[str]) -> None:
+        if self._is_loaded and keys:
+            self._on_change([key.removeprefix(ASSIGNMENT_PREFIX) for key in keys])
 
     def _apply_assignment(self, worker_id: str, entry: Entry | None) -> None:
         shard = None if entry is None else self._decode(entry, int)
@@ -151,4 +164,5 @@
             return msgspec.json.decode(entry.value, type=expected)
         except msgspec.MsgspecError as error:
             self._log.warning("record is unreadable; ignoring it", key=entry.key, cause=str(error))
+            self._metrics.invalid_entries.labels(TRANSFER_PREFIX).inc()
             return None
--- a/packages/pollengated/pollengated/edge/worker_registry.py
+++ b/packages/pollengated/pollengated/edge/worker_registry.py
@@ -8,6 +8,7 @@
 from result import Err
 
 from pollengated.edge.clocks import Clocks
+from pollengated.edge.edge_metrics import EdgeMetrics
 from pollengated.edge.prefix_cache import PrefixCache
 from pollengated.logs import Log
 
@@ -27,6 +28,7 @@
         store: the platform's store.
         clocks: the process's clocks.
         on_change: called with the ids of the workers whose registration has changed.
+        metrics: counts invalid registrations.
 
     Attributes:
         cache: the cached registrations.
@@ -34,18 +36,30 @@
     """
 
     def __init__(
-        self, store: PolledStore, clocks: Clocks, on_change: Callable[[Collection[str]], None]
+        self,
+        store: PolledStore,
+        clocks: Clocks,
+        on_change: Callable[[Collection[str]], None],
+        metrics: EdgeMetrics | None = None,
     ) -> None:
-        self.cache = PrefixCache(store, WORKER_PREFIX, clocks, self._changed, POLL_PAUSE_S)
+        self._metrics = metrics or EdgeMetrics()
+        self.cache = PrefixCache(
+            store,
+            WORKER_PREFIX,
+            clocks,
+            self._report,
+            POLL_PAUSE_S,
+            self._update,
+            self._metrics,
+        )
         self.workers_by_id: dict[str, Worker] = {}
         self._values_by_key: dict[str, bytes] = {}
         self._on_change = on_change
         self._log = Log("registry")
 
-    def _changed(self, keys: Collection[str]) -> None:
-        changed_ids = [key.removeprefix(WORKER_PREFIX) for key in keys if self._update(key)]
-        if changed_ids:
-            self._on_change(changed_ids)
+    def _report(self, keys: Collection[str]) -> None:
+        if keys:
+            self._on_change([key.removeprefix(WORKER_PREFIX) for key in keys])
 
     def _update(self, key: str) -> bool:
         """Applies the newest entry of a key; returns whether its worker has changed."""
@@ -58,8 +72,8 @@
         if entry is None:
             self._values_by_key.pop(key, None)
         else:
-            self._values_by_key[key] = entry.value
             worker = self._decode(entry)
+            self._values_by_key[key] = entry.value
         if worker == known:
             return False
         self._log_change(known, worker, entry)
@@ -77,6 +91,7 @@
                 key=entry.key,
                 cause=decoded.err_value,
             )
+            self._metrics.invalid_entries.labels(WORKER_PREFIX).inc()
             return None
         return decoded.ok_value
 
--- a/tests/test_odd_documents.py
+++ b/tests/test_odd_documents.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import unittest
+from collections.abc import Collection
 from typing import Any
 from unittest import mock
 
@@ -13,7 +14,10 @@
 from pollengate_platform.documents import decode_deployment, decode_worker
 from pollengated.edge import worker_registry
 from pollengated.edge.clocks import Clocks
+from pollengated.edge.edge_metrics import EdgeMetrics
 from pollengated.edge.layout import load_or_decide_layout
+from pollengated.edge.loop_supervisor import LoopSupervisor
+from pollengated.edge.prefix_cache import PrefixCache
 from pollengated.edge.worker_registry import POLL_PAUSE_S, WorkerRegistry
 
 from tests.edge_cluster import EdgeCluster, EdgeTestCase
@@ -153,6 +157,65 @@
         run_virtual(main())
 
 
+class CopyTest(unittest.TestCase):
+    """The local copy of a prefix whose consumer fails."""
+
+    def test_key_that_could_not_be_applied_is_logged_counted_and_tried_once_more(self) -> None:
+        async def main() -> None:
+            store = MemoryStore()
+            metrics = EdgeMetrics()
+            attempts: list[str] = []
+
+            def apply(key: str) -> bool:
+                attempts.append(key)
+                if key == "p/odd":
+                    raise ArithmeticError
+                return True
+
+            def count() -> float | None:
+                return metrics.registry.get_sample_value(
+                    "pollengate_edge_unapplied_entries_total", {"prefix": "p/"}
+                )
+
+            clocks = Clocks.of_loop()
+            cache = PrefixCache(
+                store, "p/", clocks, lambda keys: None, apply_key=apply, metrics=metrics
+            )
+            task = asyncio.create_task(cache.run())
+            await asyncio.sleep(0.1)
+            await store.commit((), (Put("p/odd", b"x"), Put("p/even", b"x")))
+            await asyncio.sleep(30.0)
+            self.assertEqual((2.0, 1), (count(), attempts.count("p/even")))
+            await store.commit((), (Put("p/odd", b"y"),))
+            await asyncio.sleep(30.0)
+            self.assertEqual(4.0, count())
+            self.assertFalse(task.done())
+
+        run_virtual(main())
+
+    def test_changes_are_passed_on_again_after_their_consumer_failed(self) -> None:
+        async def main() -> None:
+            store = MemoryStore()
+            errors = [ArithmeticError()]
+            reported: set[str] = set()
+
+            def report(keys: Collection[str]) -> None:
+                if keys and errors:
+                    raise errors.pop()
+                reported.update(keys)
+
+            cache = PrefixCache(store, "p/", Clocks.of_loop(), report)
+            supervisor = LoopSupervisor(EdgeMetrics())
+            supervisor.start("copy", cache.run)
+            await asyncio.sleep(0.1)
+            await store.commit((), (Put("p/a", b"x"), Put("p/b", b"x")))
+            await asyncio.sleep(5.0)
+            self.assertEqual({"p/a", "p/b"}, reported)
+            await supervisor.stop()
+
+        run_virtual(main())
+
+
 class OwnerTest(EdgeTestCase):
     """The owner of a shard."""
 
