Log why long-running tasks wait to run again

A line `tasks wait for a start` is of a step and does not tell how long one of its tasks has had no run, nor whether its worker still counts as running it. `long-running task waits to run again` names the task, the cause, the workers with room, and the workers that would have room beside their long-running tasks only: a full shard differs from one in which short tasks take the room. `load of the shard` counts the silent workers with runs, `not releasing a worker` says why an owner does not meet another shard's request, and a gauge has the longest wait of each shard.

No decision changes.

--- a/packages/pollengate/pollengate/workflow/placement.py
+++ b/packages/pollengate/pollengate/workflow/placement.py
@@ -21,7 +21,14 @@
 from pollengate.workflow.progress import Run, StepProgress, TaskProgress
 from pollengate.workflow.tickets import TicketCache
 
-__all__ = ["Placer", "StepScores", "can_place", "has_unused_processors", "is_allowed"]
+__all__ = [
+    "Placer",
+    "StepScores",
+    "can_place",
+    "fits_beside_long_running",
+    "has_unused_processors",
+    "is_allowed",
+]
 
 # A filler is placed only where at least this share of its declared processors is unused, so that it
 # runs at close to full speed.
@@ -248,6 +255,22 @@
     return view.fits(step.spec.demand, step.spec.is_filler) and is_allowed(step, view)
 
 
+def fits_beside_long_running(step: StepProgress, view: WorkerView) -> bool:
+    """Returns True if one more task of a step would fit beside a worker's long-running tasks only.
+
+    All other tasks end by themselves within seconds.
+    """
+    demands = [run.task.step.spec.demand for run in view.long_running]
+    demands.append(step.spec.demand)
+    capacity = view.info.capacity
+    return (
+        is_allowed(step, view)
+        and sum(demand.cpu_millis for demand in demands) <= capacity.cpu_millis
+        and sum(demand.memory_mb for demand in demands) <= capacity.memory_mb
+        and sum(demand.accelerators for demand in demands) <= capacity.accelerators
+    )
+
+
 def is_allowed(step: StepProgress, view: WorkerView) -> bool:
     """Checks the required label and the limit per worker for one more task, but not capacity."""
     spec = step.spec
--- a/packages/pollengate/pollengate/workflow/waiting.py
+++ b/packages/pollengate/pollengate/workflow/waiting.py
@@ -12,11 +12,11 @@
 
 from pollengate.workflow.fleet import WorkerView
 from pollengate.workflow.job_table import JobTable
-from pollengate.workflow.placement import can_place
-from pollengate.workflow.progress import StepProgress
+from pollengate.workflow.placement import can_place, fits_beside_long_running
+from pollengate.workflow.progress import StepProgress, TaskProgress
 from pollengate.workflow.start_filter import NoStartFilter, StartFilter
 
-__all__ = ["OverdueStep", "WaitCause", "WaitMonitor"]
+__all__ = ["OverdueRestart", "OverdueStep", "WaitCause", "WaitMonitor"]
 
 # Plans are made within milliseconds of an event, so that a longer wait has another cause.
 OVERDUE_AFTER_S = 2.0
@@ -53,6 +53,26 @@
     room: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class OverdueRestart:
+    """A long-running task that has run before and has waited for long to run again.
+
+    Attributes:
+        task: the task.
+        waited_s: how long it has waited.
+        cause: why it waits.
+        room: number of workers that it fits on.
+        room_beside_long_running: number of workers that it would fit on if all tasks there but the
+            long-running ones had ended.
+    """
+
+    task: TaskProgress
+    waited_s: float
+    cause: WaitCause
+    room: int
+    room_beside_long_running: int
+
+
 class WaitMonitor:
     """Finds the steps of a shard whose tasks wait for long.
 
@@ -73,6 +93,43 @@
         self._start_filter = start_filter or NoStartFilter()
         self._waiting_since: dict[StepProgress, float] = {}
         self._reported_at: dict[StepProgress, float] = {}
+        self._restart_since: dict[TaskProgress, float] = {}
+        self._restart_reported_at: dict[TaskProgress, float] = {}
+
+    def longest_restart_wait_s(self, now: float) -> float:
+        """Returns how long a long-running task has waited to run again, 0 if none waits.
+
+        It refers to the last call of `find_overdue_restarts`.
+        """
+        return max((now - since for since in self._restart_since.values()), default=0.0)
+
+    def find_overdue_restarts(self, now: float) -> list[OverdueRestart]:
+        """Returns the long-running tasks that are overdue; each again after `REPEAT_AFTER_S`."""
+        waiting = [
+            task
+            for step in self._job_table.open_steps
+            if step.spec.is_long_running
+            for task in step.waiting
+            if task.last_run
+        ]
+        self._restart_since = {task: self._restart_since.get(task, now) for task in waiting}
+        self._restart_reported_at = {
+            task: at
+            for task, at in self._restart_reported_at.items()
+            if task in self._restart_since
+        }
+        workers_of = functools.cache(
+            lambda service: self._job_table.fleet.schedulable_workers(service, now)
+        )
+        overdue = []
+        for task, since in self._restart_since.items():
+            if now - since < OVERDUE_AFTER_S:
+                continue
+            if now - self._restart_reported_at.get(task, float("-inf")) < REPEAT_AFTER_S:
+                continue
+            self._restart_reported_at[task] = now
+            overdue.append(self._explain_restart(task, now - since, workers_of))
+        return overdue
 
     def find_overdue(self, now: float) -> list[OverdueStep]:
         """Returns the steps that are overdue; each again after `REPEAT_AFTER_S`."""
@@ -99,6 +156,19 @@
         fleet = self._job_table.fleet
         return self._explain(step, 0.0, lambda s: fleet.schedulable_workers(s, now)).cause
 
+    def _explain_restart(
+        self,
+        task: TaskProgress,
+        waited_s: float,
+        workers_of: Callable[[str], list[WorkerView]],
+    ) -> OverdueRestart:
+        step = task.step
+        explained = self._explain(step, waited_s, workers_of)
+        queue = self._job_table.queue_of(step)
+        workers = [] if queue is None else workers_of(queue.service)
+        beside = sum(fits_beside_long_running(step, view) for view in workers)
+        return OverdueRestart(task, waited_s, explained.cause, explained.room, beside)
+
     def _explain(
         self,
         step: StepProgress,
--- a/packages/pollengate/pollengate/workflow/worker_transfer.py
+++ b/packages/pollengate/pollengate/workflow/worker_transfer.py
@@ -21,6 +21,7 @@
 from pollengate.workflow.start_filter import StartFilter
 
 __all__ = [
+    "MAX_RELEASE_DELAY_S",
     "CapacityRequest",
     "find_shortage",
     "fits_elsewhere",
--- a/packages/pollengated/pollengated/edge/edge_metrics.py
+++ b/packages/pollengated/pollengated/edge/edge_metrics.py
@@ -120,6 +120,12 @@
             ["shard"],
             registry=registry,
         )
+        self.longest_restart_wait = Gauge(
+            "pollengate_edge_longest_restart_wait_seconds",
+            "Time for which a long-running task has waited to run again; the longest of the shard.",
+            ["shard"],
+            registry=registry,
+        )
         self.accounts = AccountMetrics(registry)
         self.shortage_factor = Gauge(
             "pollengate_edge_shortage_factor",
--- a/packages/pollengated/pollengated/edge/shard_load_log.py
+++ b/packages/pollengated/pollengated/edge/shard_load_log.py
@@ -4,6 +4,7 @@
 
 from pollengate.workflow.job_table import JobTable
 from pollengate.workflow.start_filter import StartFilter
+from pollengate.workflow.stragglers import SILENT_AFTER_S
 from pollengate.workflow.waiting import WaitMonitor
 
 from pollengated.edge.edge_metrics import EdgeMetrics
@@ -76,9 +77,14 @@
                     run.task.step.spec.demand.cpu_millis for v in views for run in v.long_running
                 ),
                 largest_free_millis=largest_free,
+                silent_workers_with_runs=sum(
+                    bool(view.runs) and now - view.lease.replied_at > SILENT_AFTER_S
+                    for view in self._job_table.fleet.workers_by_id.values()
+                ),
                 waiting=waiting,
                 lag_s=round(lag_s, 2) if lag_s < float("inf") else None,
             )
+        self._log_overdue_restarts(now)
         for overdue in self._monitor.find_overdue(now):
             step = overdue.step
             self._log.info(
@@ -99,6 +105,23 @@
                 with_room=overdue.room,
             )
 
+    def _log_overdue_restarts(self, now: float) -> None:
+        for overdue in self._monitor.find_overdue_restarts(now):
+            step = overdue.task.step
+            self._log.info(
+                "long-running task waits to run again",
+                shard=self._shard,
+                task=overdue.task.name,
+                run=overdue.task.last_run,
+                waited_s=round(overdue.waited_s, 1),
+                cause=overdue.cause.value,
+                cpu_millis=step.spec.demand.cpu_millis,
+                with_room=overdue.room,
+                with_room_beside_long_running=overdue.room_beside_long_running,
+            )
+        longest_s = self._monitor.longest_restart_wait_s(now)
+        self._metrics.longest_restart_wait.labels(str(self._shard)).set(longest_s)
+
     def close(self) -> None:
         """Removes the metrics by client account of a shard whose ownership has ended."""
         self._metrics.accounts.forget(self._shard)
--- a/packages/pollengated/pollengated/edge/worker_transfers.py
+++ b/packages/pollengated/pollengated/edge/worker_transfers.py
@@ -17,6 +17,7 @@
 from pollengate.workflow.shard_lease import ShardLease
 from pollengate.workflow.start_filter import StartFilter
 from pollengate.workflow.worker_transfer import (
+    MAX_RELEASE_DELAY_S,
     CapacityRequest,
     find_shortage,
     fits_elsewhere,
@@ -92,6 +93,7 @@
         self._short_at = clocks.monotonic_s()
         self._requested_at = float("-inf")
         self._releases: list[_Release] = []
+        self._logged_revisions_by_shard: dict[int, int] = {}
         self._log = Log("transfers")
 
     def update(self) -> None:
@@ -106,8 +108,12 @@
         self._releases = [r for r in self._releases if self._continue_release(r, shortage, now)]
         if shortage is not None:
             self._request(shortage, now)
-        elif not self._releases and self._may_release(now):
-            self._begin_release(now)
+        elif not self._releases:
+            blocker = self._release_blocker(now)
+            if blocker is None:
+                self._begin_release(now)
+            else:
+                self._log_unmet_requests(blocker, now)
 
     def _record_shortage(self, shortage: CapacityRequest | None, now: float) -> None:
         if shortage is None:
@@ -133,17 +139,33 @@
         )
         self._committer.add(_RequestRecord(shortage))
 
-    def _may_release(self, now: float) -> bool:
-        """Returns True if the shard does not need all of its workers and can commit a release."""
-        return (
-            now - self._short_at >= KEEP_AFTER_SHORTAGE_S
-            and self._shard_lease.is_confirmed(now)
-            and not self._committer.is_stalled
-            and self._is_settled()
-            and not any(
-                step.waiting and not step.spec.is_filler for step in self._job_table.open_steps
+    def _release_blocker(self, now: float) -> str | None:
+        """Returns why the shard may need all of its workers or can't commit a release, if so."""
+        if now - self._short_at < KEEP_AFTER_SHORTAGE_S:
+            return "short_lately"
+        if not self._shard_lease.is_confirmed(now) or self._committer.is_stalled:
+            return "store_unavailable"
+        if not self._is_settled():
+            return "unsettled"
+        if any(step.waiting and not step.spec.is_filler for step in self._job_table.open_steps):
+            return "tasks_wait"
+        return None
+
+    def _log_unmet_requests(self, blocker: str, now: float) -> None:
+        for open_request in self._assignments.requests_by_shard.values():
+            logged_revision = self._logged_revisions_by_shard.get(open_request.request.shard)
+            age_s = now - open_request.received_at
+            if open_request.is_answered or age_s < MAX_RELEASE_DELAY_S or age_s > REQUEST_VALID_S:
+                continue
+            if logged_revision == open_request.revision or self._assignments.is_met(open_request):
+                continue
+            self._logged_revisions_by_shard[open_request.request.shard] = open_request.revision
+            self._log.info(
+                "not releasing a worker",
+                shard=self._shard,
+                to_shard=open_request.request.shard,
+                cause=blocker,
             )
-        )
 
     def _begin_release(self, now: float) -> None:
         for open_request in self._assignments.requests_by_shard.values():
--- a/tests/test_workflow_waiting.py
+++ b/tests/test_workflow_waiting.py
@@ -5,10 +5,11 @@
 
 from pollengate.accounts.limits import AccountLimits
 from pollengate.accounts.start_filter import AccountStartFilter
+from pollengate.workflow.clients import EndKind
 from pollengate.workflow.job_table import JobTable
-from pollengate.workflow.model import ClientAccount, Demand
+from pollengate.workflow.model import ClientAccount, Demand, Step
 from pollengate.workflow.start_filter import StartFilter
-from pollengate.workflow.waiting import WaitCause, WaitMonitor
+from pollengate.workflow.waiting import OverdueRestart, WaitCause, WaitMonitor
 
 from tests.workflow_builders import (
     build_deployment,
@@ -86,5 +87,35 @@
         self.assertEqual([], monitor.find_overdue(14.0))
 
 
+class RestartMonitorTest(unittest.TestCase):
+    """A full shard is told from one in which short tasks keep a long-running one waiting."""
+
+    def waiting_restart(self, beside: Step) -> OverdueRestart:
+        """Returns the long-running task that failed and whose place tasks of a step took."""
+        job_table = build_job_table(build_lease_worker())
+        lasting = build_step(is_long_running=True, demand=Demand(3000, 100))
+        job_table.add(build_job("00000000000000aa", lasting), 0.0, 0)
+        (run,) = start_all(job_table)
+        job_table.mark_ended(run, EndKind.FAILED, "", 1.0, 1000)
+        job_table.open_steps.clear()
+        job_table.add(build_job("00000000000000bb", beside), 1.0, 1000)
+        start_all(job_table, 1.0)
+        job_table.requeue(run.task)
+        monitor = WaitMonitor(job_table, lambda: True)
+        self.assertEqual([], monitor.find_overdue_restarts(1.0))
+        (overdue,) = monitor.find_overdue_restarts(4.0)
+        self.assertEqual(3.0, monitor.longest_restart_wait_s(4.0))
+        return overdue
+
+    def test_room_beside_long_running_tasks_shows_that_short_ones_are_in_the_way(self) -> None:
+        overdue = self.waiting_restart(build_step(demand=Demand(2000, 100)))
+        self.assertEqual(WaitCause.NO_CAPACITY, overdue.cause)
+        self.assertEqual((0, 1), (overdue.room, overdue.room_beside_long_running))
+
+    def test_shard_full_of_long_running_tasks_has_no_room_beside_them(self) -> None:
+        overdue = self.waiting_restart(build_step(is_long_running=True, demand=Demand(2000, 100)))
+        self.assertEqual((0, 0), (overdue.room, overdue.room_beside_long_running))
+
+
 if __name__ == "__main__":
     unittest.main()
