Keep workers clear for long-running tasks that run again

Cause: the task is first in the order, but it is placed only where it fits at the moment of a plan. Short tasks, fillers' memory included, take each piece that is freed, so that a task of several cores never fits while they wait. Reserved workers exist for large tasks that end, not for these.

Evidence: test_short_tasks_do_not_keep_a_long_running_task_from_running_again failed before with AssertionError: 4 != 3; the log of that run has `long-running task waits to run again` after 2.1 s and 7.1 s with cause=no_capacity, with_room=0 and with_room_beside_long_running=1.

Change: while such a task fits nowhere, the planner starts nothing else on the worker that has room for it beside its long-running tasks and on which least has to be freed. The worker is chosen anew in each plan; as nothing starts on it, what has to be freed only falls.

Ruled out: the reserve for large tasks, which is only a penalty and would hand the worker to any short task that fits nowhere else.

--- a/packages/pollengate/pollengate/workflow/planner.py
+++ b/packages/pollengate/pollengate/workflow/planner.py
@@ -4,11 +4,12 @@
 from collections.abc import Callable
 
 from pollengate.interference.filler_placement import may_withhold
+from pollengate.workflow.cleared_workers import ClearedWorkers
 from pollengate.workflow.crashes import may_try_alone
 from pollengate.workflow.fleet import WorkerView
 from pollengate.workflow.job_table import JobTable
 from pollengate.workflow.model import Queue
-from pollengate.workflow.ordering import DeadlineOrder, StepOrder
+from pollengate.workflow.ordering import DeadlineOrder, StepOrder, runs_again
 from pollengate.workflow.placement import Placer, StepScores
 from pollengate.workflow.progress import Run, StepProgress, TaskProgress
 from pollengate.workflow.start_filter import NoStartFilter, StartFilter
@@ -90,6 +91,7 @@
         largest_free_by_service: dict[str, _LargestFree] = {}
         # While a plan is made, runs are only added, so that no further worker can get headroom.
         candidates_by_filler: dict[_FillerKey, list[WorkerView]] = {}
+        cleared = ClearedWorkers()
         planned: list[Run] = []
         for step in self.order.arrange(steps, job_table.queue_of, now):
             queue = job_table.queue_of(step)
@@ -107,6 +109,12 @@
                 planned += placed
                 if placed:
                     largest_free = _LargestFree.of(largest_free.workers)
+            if self._clear_workers(cleared, step, queue, largest_free.workers, now):
+                # A worker that is kept clear is no candidate for the steps that follow.
+                largest_free = _LargestFree.of(
+                    [view for view in largest_free.workers if view not in cleared]
+                )
+                candidates_by_filler.clear()
             largest_free_by_service[queue.service] = largest_free
         return planned
 
@@ -118,6 +126,29 @@
         workers = self.job_table.fleet.schedulable_workers(queue.service, now)
         return self.placer.ends_sooner_elsewhere(run, workers, now)
 
+    def _clear_workers(
+        self,
+        cleared: ClearedWorkers,
+        step: StepProgress,
+        queue: Queue,
+        workers: list[WorkerView],
+        now: float,
+    ) -> bool:
+        """Keeps workers clear for tasks of a step that run again and fit nowhere at present."""
+        if not runs_again(step) or step.spec.is_gang:
+            return False
+        if not self.start_filter.count_startable(step):
+            return False
+        evidence = self.job_table.evidence
+        possible = [
+            view
+            for view in workers
+            if view.trial is None
+            and not evidence.is_quarantined(view.worker_id)
+            and (queue.advice is None or self.placer.has_ticket(step, view, now))
+        ]
+        return cleared.clear_for(step, possible)
+
     def _place_step(
         self,
         step: StepProgress,
