Release workers for tasks that run again while batch tasks wait

Cause: an owner released a worker only if its own shard had not been short for 2 s and no task but fillers waited there at that moment. On a loaded fleet some batch task waits at most moments, also where much room is free: its step may run once a worker, or it was submitted a moment ago. So all owners kept all workers, although a long-running task that has run before comes before batch tasks within a shard.

Change: a request says whether its task has run before. For such a request only the shard's own long-running tasks that run again count as its need, before and during the release.

Requests for first starts and for batch tasks are met as before.

--- a/packages/pollengate/pollengate/workflow/worker_transfer.py
+++ b/packages/pollengate/pollengate/workflow/worker_transfer.py
@@ -15,13 +15,12 @@
 from pollengate.workflow.job_table import JobTable
 from pollengate.workflow.model import Demand, Queue
 from pollengate.workflow.moves import fit_together, may_stop_to_move
-from pollengate.workflow.ordering import rank
+from pollengate.workflow.ordering import rank, runs_again
 from pollengate.workflow.placement import can_place, is_allowed
 from pollengate.workflow.progress import Run, StepProgress
 from pollengate.workflow.start_filter import StartFilter
 
 __all__ = [
-    "MAX_RELEASE_DELAY_S",
     "CapacityRequest",
     "find_shortage",
     "fits_elsewhere",
@@ -51,6 +50,8 @@
         is_long_running: whether the task is a long-running one, for which another shard moves its
             own long-running tasks together if it has no spare worker.
         workers: number of workers.
+        is_restart: whether the task has run before; its users miss it, so that it comes before
+            the tasks that wait in other shards.
     """
 
     shard: int
@@ -59,6 +60,7 @@
     demand: Demand
     is_long_running: bool = False
     workers: int = 1
+    is_restart: bool = False
 
 
 def find_shortage(
@@ -94,6 +96,7 @@
                 spec.demand,
                 spec.is_long_running,
                 _wanted_workers(step, workers_of(queue.service)),
+                runs_again(step),
             )
     return None
 
--- a/packages/pollengated/pollengated/edge/worker_transfers.py
+++ b/packages/pollengated/pollengated/edge/worker_transfers.py
@@ -13,11 +13,11 @@
 from pollengate.workflow.fleet import WorkerView
 from pollengate.workflow.job_table import JobTable
 from pollengate.workflow.keys import assignment_key, capacity_request_key
+from pollengate.workflow.ordering import runs_again
 from pollengate.workflow.progress import RunState
 from pollengate.workflow.shard_lease import ShardLease
 from pollengate.workflow.start_filter import StartFilter
 from pollengate.workflow.worker_transfer import (
-    MAX_RELEASE_DELAY_S,
     CapacityRequest,
     find_shortage,
     fits_elsewhere,
@@ -28,7 +28,7 @@
 
 from pollengated.edge.clocks import Clocks
 from pollengated.edge.committer import Committer, Record
-from pollengated.edge.worker_assignments import WorkerAssignments
+from pollengated.edge.worker_assignments import OpenRequest, WorkerAssignments
 from pollengated.logs import Log
 
 __all__ = ["WorkerTransfers"]
@@ -90,14 +90,14 @@
         self._detach = detach
         self._start_filter = start_filter
         self._short_since: float | None = None
-        self._short_at = clocks.monotonic_s()
+        self._short_at = self._short_for_restart_at = clocks.monotonic_s()
         self._requested_at = float("-inf")
         self._releases: list[_Release] = []
         self._logged_revisions_by_shard: dict[int, int] = {}
         self._log = Log("transfers")
 
     def update(self) -> None:
-        """Requests workers if the shard is short of capacity, otherwise meets a request."""
+        """Requests workers if the shard is short of capacity, and meets requests if it may."""
         if not self._assignments.is_used:
             return
         now = self._clocks.monotonic_s()
@@ -108,18 +108,16 @@
         self._releases = [r for r in self._releases if self._continue_release(r, shortage, now)]
         if shortage is not None:
             self._request(shortage, now)
-        elif not self._releases:
-            blocker = self._release_blocker(now)
-            if blocker is None:
-                self._begin_release(now)
-            else:
-                self._log_unmet_requests(blocker, now)
+        if not self._releases:
+            self._begin_release(now)
 
     def _record_shortage(self, shortage: CapacityRequest | None, now: float) -> None:
         if shortage is None:
             self._short_since = None
             return
         self._short_at = now
+        if shortage.is_restart:
+            self._short_for_restart_at = now
         if self._short_since is None:
             self._short_since = now
 
@@ -139,33 +137,23 @@
         )
         self._committer.add(_RequestRecord(shortage))
 
-    def _release_blocker(self, now: float) -> str | None:
-        """Returns why the shard may need all of its workers or can't commit a release, if so."""
-        if now - self._short_at < KEEP_AFTER_SHORTAGE_S:
+    def _release_blocker(self, request: CapacityRequest, now: float) -> str | None:
+        """Returns why the shard may need all of its workers or can't commit a release, if so.
+
+        For a long-running task that has run before, only such tasks count as the shard's own need.
+        """
+        short_at = self._short_for_restart_at if request.is_restart else self._short_at
+        if now - short_at < KEEP_AFTER_SHORTAGE_S:
             return "short_lately"
         if not self._shard_lease.is_confirmed(now) or self._committer.is_stalled:
             return "store_unavailable"
         if not self._is_settled():
             return "unsettled"
-        if any(step.waiting and not step.spec.is_filler for step in self._job_table.open_steps):
-            return "tasks_wait"
-        return None
-
-    def _log_unmet_requests(self, blocker: str, now: float) -> None:
-        for open_request in self._assignments.requests_by_shard.values():
-            logged_revision = self._logged_revisions_by_shard.get(open_request.request.shard)
-            age_s = now - open_request.received_at
-            if open_request.is_answered or age_s < MAX_RELEASE_DELAY_S or age_s > REQUEST_VALID_S:
-                continue
-            if logged_revision == open_request.revision or self._assignments.is_met(open_request):
-                continue
-            self._logged_revisions_by_shard[open_request.request.shard] = open_request.revision
-            self._log.info(
-                "not releasing a worker",
-                shard=self._shard,
-                to_shard=open_request.request.shard,
-                cause=blocker,
-            )
+        own_need = (
+            runs_again(step) if request.is_restart else step.waiting and not step.spec.is_filler
+            for step in self._job_table.open_steps
+        )
+        return "tasks_wait" if any(own_need) else None
 
     def _begin_release(self, now: float) -> None:
         for open_request in self._assignments.requests_by_shard.values():
@@ -177,6 +165,10 @@
                 continue
             if age_s < release_delay_s(self._job_table.fleet, request, now):
                 continue
+            blocker = self._release_blocker(request, now)
+            if blocker is not None:
+                self._log_unmet_request(open_request, blocker)
+                continue
             open_request.is_answered = True
             for _ in range(request.workers):
                 view = worker_to_release(self._job_table, request, now)
@@ -187,12 +179,22 @@
             if self._releases:
                 return
 
+    def _log_unmet_request(self, open_request: OpenRequest, blocker: str) -> None:
+        to_shard = open_request.request.shard
+        if self._logged_revisions_by_shard.get(to_shard) == open_request.revision:
+            return
+        self._logged_revisions_by_shard[to_shard] = open_request.revision
+        self._log.info(
+            "not releasing a worker", shard=self._shard, to_shard=to_shard, cause=blocker
+        )
+
     def _continue_release(
         self, release: _Release, shortage: CapacityRequest | None, now: float
     ) -> bool:
         """Advances the release of a worker; returns False once it has ended."""
         view = release.view
-        if shortage is not None or not self._is_wanted(release, now):
+        needs_worker = shortage is not None and shortage.is_restart >= release.request.is_restart
+        if needs_worker or not self._is_wanted(release, now):
             view.is_released = False
             return False
         if view.runs:
