Bound the wait for a worker's report

What callers would see: the tasks of a worker that sends its report byte by byte and never completes it have no run once its lease has expired, and none is started elsewhere (LOST).

Cause: a call for a report has no limit on its whole, only on the wait for each part, so that large reports arrive on slow links. An owner checks whether a worker's lease has expired only between two calls.

Change: a call for a report ends after 2.5 s in any case and counts as not answered. Starts pause until the next one has ended, as each would extend the lease in which the owner believes.

Result: test_worker_that_never_completes_a_report_does_not_keep_its_tasks failed before with AssertionError: 2 != 1 and passes.

--- a/packages/pollengate-standins/pollengate_standins/lease_worker.py
+++ b/packages/pollengate-standins/pollengate_standins/lease_worker.py
@@ -59,6 +59,7 @@
 
     Attributes:
         is_unreachable: whether calls, except throttle orders, have no effect and time out.
+        completes_reports: whether calls for a report ever end.
         loses_replies: whether start orders take effect, but time out.
         start_delay_s: if not 0, start orders time out and take effect after this time.
         born_ms: identifies the incarnation; a crash increases it.
@@ -70,6 +71,7 @@
     def __init__(self, worker_id: str, history: list[StartRecord]) -> None:
         self.worker_id = worker_id
         self.is_unreachable = False
+        self.completes_reports = True
         self.loses_replies = False
         self.start_delay_s = 0.0
         self.born_ms = 1
@@ -260,6 +262,8 @@
         if self._is_unreachable(worker):
             return await _time_out()
         await asyncio.sleep(REPLY_LATENCY_S)
+        if not worker.completes_reports:
+            await asyncio.Event().wait()
         first = worker.renew(order)
         if isinstance(first, Err) or not order.wait_ms:
             return first
--- a/packages/pollengated/pollengated/edge/worker_controller.py
+++ b/packages/pollengated/pollengated/edge/worker_controller.py
@@ -39,6 +39,9 @@
 # Shorter for workers on which fillers may interfere with serving tasks, whose latency measurements
 # cover 0.5 s.
 SHARED_RENEW_WAIT_S = 0.4
+# Limits the wait for a reply whose parts keep arriving; lease expiry is checked only after a reply
+# or a failure. Two such waits fit into a worker's lease.
+RENEW_TIMEOUT_S = 2.5
 # Pause between a reply and the next renewal, so that one report lists more ended runs.
 RENEW_PAUSE_S = 0.03
 # If results are not durable after this time, the next renewal does not acknowledge them; the worker
@@ -210,7 +213,7 @@
             lease_until_ms=lease.longest_until_ms() if is_unconfirmed else lease.extend(sent_at),
             wait_ms=int(wait_s * 1000),
         )
-        result = await self._client.renew(self.view.info.address, self.view.worker_id, order)
+        result = await self._send_renewal(order)
         self._metrics.renewals.inc()
         if isinstance(result, Err):
             self._handle_failure(result.err_value)
@@ -218,6 +221,16 @@
         self._apply_report(result.ok_value, sent_at)
         return True
 
+    async def _send_renewal(self, order: RenewOrder) -> Result[Report, OrderFailure]:
+        address, worker_id = self.view.info.address, self.view.worker_id
+        try:
+            async with asyncio.timeout(RENEW_TIMEOUT_S):
+                return await self._client.renew(address, worker_id, order)
+        except TimeoutError:
+            # No start may extend the lease until the next renewal has failed or succeeded.
+            self._suspend_starts(self._clocks.monotonic_s() + RENEW_TIMEOUT_S + NO_REPLY_BACKOFF_S)
+            return Err(OrderFailure(OrderRejection.NO_ANSWER, "reply is not complete in time"))
+
     def _apply_report(self, report: Report, sent_at: float) -> None:
         self.view.is_replaced = False
         is_new_incarnation = report.born_ms != self.view.born_ms
--- a/tests/test_long_running_restarts.py
+++ b/tests/test_long_running_restarts.py
@@ -7,6 +7,7 @@
 
 from pollengate.store import Delete
 from pollengate.workflow.keys import shard_of_job
+from pollengate.workflow.leases import WORKER_LEASE_S
 from pollengate.workflow.model import Demand, Step
 
 from tests.edge_cluster import EdgeCluster, EdgeTestCase
@@ -108,6 +109,22 @@
 
         run_virtual(main())
 
+    def test_worker_that_never_completes_a_report_does_not_keep_its_tasks(self) -> None:
+        async def main() -> None:
+            cluster = self.open_cluster(workers=3, shards=1)
+            await cluster.open()
+            job_id = await self.submit(cluster, 0, long_running(2, 3000))
+            await asyncio.sleep(SETTLE_S)
+            worker_id = self.running_workers(cluster, job_id)[0]
+            cluster.workers_by_id[worker_id].completes_reports = False
+            await asyncio.sleep(WORKER_LEASE_S + MAX_ABSENCE_S)
+            after = self.running_workers(cluster, job_id)
+            self.assertEqual(2, len(after))
+            self.assertNotIn(worker_id, after)
+            self.check_single_execution(cluster)
+
+        run_virtual(main())
+
 
 if __name__ == "__main__":
     unittest.main()
