Show that trials of a filler image count after their fillers have ended

A filler image about which little is known runs on two workers at most. The workers that count are updated only when they may get tasks. One whose zone is evacuated keeps its place for as long as the zone is out of service, also after its fillers have ended, and jobs of that image wait for 20 s beside idle workers. It isn't shown yet that this is what the users saw.

--- a/tests/test_latency_model.py
+++ b/tests/test_latency_model.py
@@ -8,6 +8,7 @@
 from pollengate.interference.headroom import HeadroomTrend
 from pollengate.interference.latency_model import EstimateByImages, LatencyModel
 from pollengate.interference.speeds import SpeedChange, SpeedController
+from pollengate.workflow.clients import EndKind
 from pollengate.workflow.fleet import WorkerView
 from pollengate.workflow.job_table import JobTable
 from pollengate.workflow.model import Demand
@@ -251,6 +252,32 @@
         worker.report(2.4, 40)
         self.assertEqual(len(worker.planner.plan(worker.now)), 1)
 
+    def test_worker_that_gets_no_tasks_does_not_keep_a_filler_image_off_all_others(self) -> None:
+        # Guards against trials that still count after their fillers have ended.
+        job_table = build_job_table(
+            *(
+                build_lease_worker(f"w{n}", zone="aabb"[n], capacity=Demand(20_000, 64_000))
+                for n in range(4)
+            )
+        )
+        planner = build_planner(job_table)
+        serving = build_step(
+            4, is_long_running=True, target_ms=TARGET_MS, image="x", max_per_worker=1
+        )
+        job_table.add(build_job("aa", serving), 0.0, 0)
+        for run in planner.plan(0.0):
+            job_table.mark_started(run, 0.0)
+        filler = build_step(2, demand=Demand(15_000, 100), image="f", is_filler=True)
+        job_table.add(build_job("bb", filler), 0.0, 0)
+        trials = planner.plan(0.0)
+        self.assertEqual([run.worker_id for run in trials], ["w0", "w1"])
+        planner.plan(1.0)
+        job_table.fleet.evacuated_zones = frozenset("a")
+        for run in trials:
+            job_table.mark_ended(run, EndKind.DONE, "", 2.0, 0)
+        job_table.add(build_job("cc", build_step(image="f", is_filler=True)), 3.0, 0)
+        self.assertEqual(len(planner.plan(3.0)), 1)
+
     def test_slow_filler_moves_only_if_it_ends_sooner_elsewhere(self) -> None:
         worker = Worker({"x": {"f": (20.0, KNOWN)}})
         worker.report(3.0, 10)
