Count trials of a filler image only while its fillers run

Callers saw: jobs of fillers wait for 20 s although workers have room.

Cause: the workers on which an unknown pair of images is tried were updated only when they may get tasks, so that a worker of an evacuated zone counted as a trial after its fillers had ended.

Change: a trial counts only while the worker runs a filler of the image.

Ruled out: updating all workers in each plan, which costs time for every worker of the shard and says nothing about those that run no filler.

--- a/packages/pollengate/pollengate/interference/filler_placement.py
+++ b/packages/pollengate/pollengate/interference/filler_placement.py
@@ -59,7 +59,7 @@
     def __init__(self, model: LatencyModel) -> None:
         self._model = model
         self._spare_by_view: dict[WorkerView, _Spare] = {}
-        self._trials_by_pair: dict[Pair, set[str]] = {}
+        self._trials_by_pair: dict[Pair, set[WorkerView]] = {}
 
     def refresh(self, views: Iterable[WorkerView], now: float) -> None:
         """Keeps the spare headroom of workers for the decisions that follow."""
@@ -72,8 +72,8 @@
     def forget(self, view: WorkerView) -> None:
         """Forgets a worker that has left."""
         self._spare_by_view.pop(view, None)
-        for worker_ids in self._trials_by_pair.values():
-            worker_ids.discard(view.worker_id)
+        for views in self._trials_by_pair.values():
+            views.discard(view)
 
     def strain(self, step: StepProgress, view: WorkerView, now: float) -> float:
         """Returns the largest part of a serving task's spare headroom that a filler would take.
@@ -131,29 +131,31 @@
         if not unknown:
             return True
         for serving in unknown:
-            worker_ids = self._trials_by_pair.get((serving, image), set())
-            if len(worker_ids - {view.worker_id}) >= MAX_TRIAL_WORKERS:
+            views = self._trials_by_pair.get((serving, image), set()) - {view}
+            # Workers that may get no tasks are not refreshed.
+            if sum(image in _filler_images(other) for other in views) >= MAX_TRIAL_WORKERS:
                 return False
-        others = {run.task.step.spec.image for run in view.fillers} - {image}
+        others = _filler_images(view) - {image}
         return not any(
             self._model.is_unknown((s, other)) for s in view.serving_images for other in others
         )
 
     def _count_trials(self, view: WorkerView) -> None:
         """Updates on which workers unknown pairs of images run."""
-        present = {
-            (serving, run.task.step.spec.image)
-            for serving in view.serving_images
-            for run in view.fillers
-        }
+        fillers = _filler_images(view)
+        present = {(serving, filler) for serving in view.serving_images for filler in fillers}
         trials = {pair for pair in present if self._model.is_unknown(pair)}
-        for pair, worker_ids in list(self._trials_by_pair.items()):
+        for pair, views in list(self._trials_by_pair.items()):
             if pair not in trials:
-                worker_ids.discard(view.worker_id)
-            if not worker_ids:
+                views.discard(view)
+            if not views:
                 del self._trials_by_pair[pair]
         for pair in trials:
-            self._trials_by_pair.setdefault(pair, set()).add(view.worker_id)
+            self._trials_by_pair.setdefault(pair, set()).add(view)
+
+
+def _filler_images(view: WorkerView) -> set[str]:
+    return {run.task.step.spec.image for run in view.fillers}
 
 
 def may_withhold(step: StepProgress, now: float) -> bool:
