Show that jobs of fillers have nothing running although there is room

One job of 23 tasks waits from 42.5 s, the takeover after the loss of power, to past 59.7 s; at 57.7 s 119 tasks wait with 209 of 408 cores reserved by long-running tasks.

--- /dev/null
+++ b/tests/test_idle_jobs.py
@@ -0,0 +1,85 @@
+"""Tests that fillers of a job of which nothing runs do not wait for long."""
+
+import unittest
+
+from pollengate.interference.filler_placement import MAX_WITHHELD_S
+from pollengate.interference.latency_model import LatencyModel
+from pollengate.workflow.job_table import JobTable
+from pollengate.workflow.model import Demand, Step
+from pollengate.workflow.planner import Planner
+from pollengate.workflow.progress import Run
+
+from tests.workflow_builders import (
+    build_job,
+    build_job_table,
+    build_lease_worker,
+    build_planner,
+    build_step,
+)
+
+PLAN_INTERVAL_S = 0.1
+# A job that could run and of which nothing runs for this long counts as lost.
+LOST_AFTER_S = 3.0
+CAPACITY = Demand(16_000, 64_000)
+
+
+def build_filler_step(count: int, image: str = "f") -> Step:
+    """Returns a step of fillers of two cores."""
+    return build_step(
+        count, demand=Demand(2000, 1000), image=image, is_filler=True, estimate_ms=60_000
+    )
+
+
+class IdleJobsTest(unittest.TestCase):
+    """One worker of 16 cores."""
+
+    job_table: JobTable
+    planner: Planner
+
+    def build(self, model: LatencyModel | None = None) -> None:
+        """Creates the shard."""
+        self.job_table = build_job_table(build_lease_worker(capacity=CAPACITY))
+        self.planner = build_planner(self.job_table, model)
+
+    def start(self, job_id: str, step: Step, now: float) -> list[Run]:
+        """Submits a job and starts what may start at once."""
+        self.job_table.add(build_job(job_id, step), now, 0)
+        return self.plan(now)
+
+    def plan(self, now: float) -> list[Run]:
+        """Plans once and confirms the starts."""
+        runs = self.planner.plan(now)
+        for run in runs:
+            self.job_table.mark_started(run, now)
+        return runs
+
+    def plan_until(self, begin: float, end: float) -> list[Run]:
+        """Plans at regular intervals; returns all runs."""
+        runs = []
+        for number in range(round((end - begin) / PLAN_INTERVAL_S)):
+            runs += self.plan(begin + (number + 1) * PLAN_INTERVAL_S)
+        return runs
+
+    def test_job_starts_beside_fillers_that_declare_all_processors(self) -> None:
+        # Guards against a job that waits, with memory free, until other jobs have ended.
+        self.build()
+        self.assertEqual(len(self.start("aa", build_filler_step(8), 0.0)), 8)
+        self.assertEqual(self.start("bb", build_filler_step(3), 1.0), [])
+        started = self.plan_until(1.0, 1.0 + LOST_AFTER_S)
+        self.assertEqual([run.task.step.job.job_id for run in started], ["bb"])
+        self.assertEqual(self.plan_until(4.0, 30.0), [])
+
+    def test_job_starts_beside_serving_tasks_without_headroom(self) -> None:
+        # Guards against a job that is withheld while most of its service is free.
+        model = LatencyModel()
+        model.load({"x": {"f": (60.0, 0.1)}})
+        self.build(model)
+        serving = build_step(is_long_running=True, target_ms=150, image="x")
+        self.assertEqual(len(self.start("aa", serving, 0.0)), 1)
+        self.assertEqual(self.start("bb", build_filler_step(3), 1.0), [])
+        self.assertEqual(len(self.plan_until(1.0, 1.0 + LOST_AFTER_S)), 1)
+        self.assertEqual(self.plan_until(4.0, MAX_WITHHELD_S), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
