--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -258,6 +258,38 @@
         result = run_virtual(HttpWorkerClient(http_client).renew("ip:2", "w0", RenewOrder(7, 0)))
         self.assertIs(result.unwrap_err().kind, OrderRejection.NO_ANSWER)
 
+    def test_report_with_an_odd_value_is_a_failure(self) -> None:
+        task = "aa.0.1.9"
+        huge = int("9" * 400)
+        row = [task, 1, "", 5.0, 1.0]
+        deep = "[" * 100_000 + "]" * 100_000
+        bodies: list[dict[str, Any]] = [
+            {"clockMs": huge},
+            {"clockMs": -5},
+            {"born": huge},
+            {"running": [[task, 1, "", huge]]},
+            {"running": [row[:4] + [huge]]},
+            {"running": [row[:3] + ["nan"]]},
+            {"running": [[task, huge, *row[2:]]]},
+            {"running": [[task, -1, *row[2:]]]},
+            {"running": [[None, *row[1:]]]},
+            {"running": [row[:2]]},
+            {"running": [{"task": task}]},
+            {"running": ["@"]},
+            {"running": [["@", *row[1:]]]},
+            {"ended": [[huge, task, 1, "done", ""]]},
+            {"ended": [["1", task, 1, "done", ""]]},
+            {"ended": [[1, task, 1, ["done"], ""]]},
+            {"ended": [[1, task, 1, "done"]]},
+            {"odd": "@"},
+        ]
+        for body in bodies:
+            with self.subTest(body=str(body)[:60]):
+                content = json.dumps({"clockMs": 10} | body).replace('"@"', deep).encode()
+                client = HttpWorkerClient(ScriptedHttpClient(HttpResponse(200, content)))
+                result = run_virtual(client.renew("ip:2", "w0", RenewOrder(7, 0)))
+                self.assertIs(result.unwrap_err().kind, OrderRejection.NO_ANSWER)
+
 
 class AdviceTest(unittest.TestCase):
     """Client of the advice service."""
@@ -381,3 +413,34 @@
             return result
 
         self.assertFalse(asyncio.run(main()).unwrap_err().was_sent)
+
+    def test_call_that_cannot_be_made_is_a_failure(self) -> None:
+        async def call(url: str, headers: dict[str, str]) -> Result[HttpResponse, HttpFailure]:
+            connections: list[asyncio.Task[None]] = []
+
+            async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+                await reader.read()
+                writer.close()
+                await writer.wait_closed()
+
+            def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+                connections.append(asyncio.create_task(serve(reader, writer)))
+
+            server = await asyncio.start_server(accept, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            http_client = HttpClient()
+            result = await http_client.call("GET", url.format(port=port), 5.0, None, headers)
+            await http_client.close()
+            await asyncio.gather(*connections)
+            server.close()
+            return result
+
+        for url, header in (
+            ("http://127.0.0.1:{port}/", "a\nb"),
+            ("http://127.0.0.1:{port}/", "a\x00b"),
+            (f"http://{'a' * 64}.b:{{port}}/", "a"),
+            ("http://127.0.0.1:99999/", "a"),
+        ):
+            with self.subTest(url=url, header=header):
+                result = asyncio.run(call(url, {"Expect-Instance": header}))
+                self.assertTrue(result.is_err())
