Refuse odd job bodies with 400, and jobs that fit in no record

A client whose body had a deeply nested field got 500, and tried again. A job whose specification or steps take more than the 1 MB of a value in the store was taken: 20,000 steps of one task are 280 kB in the body and over 6 MB in the record. The store refuses a commit with such a record as a whole, and the committer sends it again until the owner loses its lease, with the records of other jobs in it.

A body or an encoded workflow of over 1,000,000 bytes is refused with 400, as is a step number out of range.

The commit of such a job was read in the code, not played.

--- a/tests/test_platform_client_api.py
+++ b/tests/test_platform_client_api.py
@@ -146,6 +146,25 @@
         self.assertEqual(response.status_code, 400)
         self.assertEqual(job_service.calls, [])
 
+    def test_odd_body_is_refused_with_400(self) -> None:
+        deep = b"[" * 100_000 + b"]" * 100_000
+        many = json.dumps({"steps": [{"count": 1}] * 20_000}).encode()
+        bodies = {
+            "nested": b'{"steps":[{"count":1}],"unknown":' + deep + b"}",
+            "huge": b'{"steps":[{"count":' + b"9" * 400 + b"}]}",
+            "order": b'{"steps":[{"count":1},{"count":1,"after":[' + b"9" * 400 + b"]}]}",
+            "surrogate": b'{"steps":[{"count":1}],"spec":"\\ud800"}',
+            "spec larger than a record": json.dumps(
+                {"steps": [{"count": 1}], "spec": "x" * 1_048_577}
+            ).encode(),
+            "steps larger than a record": many,
+        }
+        for name, body in bodies.items():
+            with self.subTest(name=name):
+                job_service = StubJobService(Accepted())
+                response = self.send(job_service, "POST", f"/jobs/{JOB}", content=body)
+                self.assertEqual((400, []), (response.status_code, job_service.calls))
+
     def test_each_request_needs_a_key_and_has_its_account(self) -> None:
         """Guards against a path that needs no key, lost accounts and keys decoded as Latin-1."""
         for method, path in (
