Decode records and requests of other processes into values or error values only

A nested job, progress, layout, node, transfer, interference or shares record, or commit number, raised RecursionError, mostly in the recovery of a shard, where the next owner fails in the same way; a malformed workflow in a call between processes raised out of the service, so that its caller took the effect for unknown. A node record with an address without a port raised ValueError in each process that called it, and a worker assigned to a shard that does not exist belonged to none.

All of them use DocumentDecoder. Node records need a valid address, layouts at least one shard, assignments a shard of the layout; run numbers, counts and estimates are bounded. A malformed workflow gets not_accepted (malformed_request), because it certainly had no effect.

--- a/packages/pollengate/pollengate/accounts/shares_record.py
+++ b/packages/pollengate/pollengate/accounts/shares_record.py
@@ -5,6 +5,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from pollengate.decoding import DocumentDecoder
 from pollengate.workflow.model import NO_DEMAND, Demand
 
 __all__ = ["SharesRecord", "ShareRow", "decode_shares", "encode_shares"]
@@ -30,7 +31,7 @@
 
 SharesRecord = dict[str, dict[int, ShareRow]]
 
-_DECODER = msgspec.json.Decoder(SharesRecord)
+_DECODER = DocumentDecoder(SharesRecord)
 
 
 def encode_shares(record: SharesRecord) -> bytes:
@@ -40,10 +41,10 @@
 
 def decode_shares(value: bytes) -> Result[SharesRecord, str]:
     """Decodes the rows by account and shard; returns the cause if they are malformed."""
-    try:
-        record = _DECODER.decode(value)
-    except msgspec.MsgspecError as error:
-        return Err(str(error))
+    decoded = _DECODER.decode(value)
+    if isinstance(decoded, Err):
+        return decoded
+    record = decoded.ok_value
     for account, rows in record.items():
         for shard, row in rows.items():
             demands = (row.part, row.wanted, row.needed)
--- a/packages/pollengate/pollengate/workflow/records.py
+++ b/packages/pollengate/pollengate/workflow/records.py
@@ -6,6 +6,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from pollengate.decoding import Amount, DocumentDecoder
 from pollengate.workflow.model import Workflow
 from pollengate.workflow.progress import JobProgress, JobState, Occurrence, TaskProgress
 
@@ -19,7 +20,7 @@
 
     job_id: str
     queue: str
-    accepted_ms: int
+    accepted_ms: Amount
     workflow: Workflow
     account: str = ""
 
@@ -37,10 +38,10 @@
     """
 
     done: list[str]
-    failed_runs: dict[str, list[int]] = dataclasses.field(default_factory=dict)
-    runs: dict[str, int] = dataclasses.field(default_factory=dict)
+    failed_runs: dict[str, list[Amount]] = dataclasses.field(default_factory=dict)
+    runs: dict[str, Amount] = dataclasses.field(default_factory=dict)
     checkpoints: dict[str, str] = dataclasses.field(default_factory=dict)
-    crashes: dict[str, int] = dataclasses.field(default_factory=dict)
+    crashes: dict[str, Amount] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(slots=True)
@@ -48,14 +49,14 @@
     """Progress record of a job."""
 
     state: JobState
-    finished_ms: int
-    due_count: int
+    finished_ms: Amount
+    due_count: Amount
     occurrences: dict[int, StoredOccurrence]
 
 
 _HEXADECIMAL = re.compile("[0-9a-f]+")
-_JOB_DECODER = msgspec.json.Decoder(StoredJob)
-_PROGRESS_DECODER = msgspec.json.Decoder(StoredProgress)
+_JOB_DECODER = DocumentDecoder(StoredJob)
+_PROGRESS_DECODER = DocumentDecoder(StoredProgress)
 
 
 def encode_job(job: JobProgress) -> bytes:
@@ -66,10 +67,7 @@
 
 def decode_job(value: bytes) -> Result[StoredJob, str]:
     """Decodes a job's record; the error is the decoder's message."""
-    try:
-        return Ok(_JOB_DECODER.decode(value))
-    except msgspec.MsgspecError as error:
-        return Err(str(error))
+    return _JOB_DECODER.decode(value)
 
 
 def encode_progress(job: JobProgress) -> bytes:
@@ -88,10 +86,7 @@
 
 def decode_progress(value: bytes) -> Result[StoredProgress, str]:
     """Decodes a progress record; the error is the decoder's message."""
-    try:
-        return Ok(_PROGRESS_DECODER.decode(value))
-    except msgspec.MsgspecError as error:
-        return Err(str(error))
+    return _PROGRESS_DECODER.decode(value)
 
 
 def restore(
--- a/packages/pollengated/pollengated/edge/committer.py
+++ b/packages/pollengated/pollengated/edge/committer.py
@@ -11,6 +11,7 @@
 import dataclasses
 
 import msgspec
+from pollengate.decoding import Amount, DocumentDecoder
 from pollengate.store import CommitResult, Delete, FailureKind, Operation, Put, Store, Unchanged
 from pollengate.workflow.keys import commit_key, job_key, owner_key, progress_key
 from pollengate.workflow.progress import JobProgress, JobState
@@ -50,16 +51,16 @@
         sequence: number of the commit within its term, counted from 0.
     """
 
-    tenure: int
-    sequence: int
+    tenure: Amount
+    sequence: Amount
+
+
+_COMMIT_NUMBER_DECODER = DocumentDecoder(CommitNumber)
 
 
 def decode_commit_number(value: bytes) -> CommitNumber | None:
     """Decodes the value of a commit key; returns None if it is malformed."""
-    try:
-        return msgspec.json.decode(value, type=CommitNumber)
-    except msgspec.MsgspecError:
-        return None
+    return _COMMIT_NUMBER_DECODER.decode(value).ok()
 
 
 class Record(abc.ABC):
--- a/packages/pollengated/pollengated/edge/interference_record.py
+++ b/packages/pollengated/pollengated/edge/interference_record.py
@@ -1,14 +1,16 @@
 """Stores what was learned about interference between images for the next owner of the shard."""
 
 import msgspec
+from pollengate.decoding import MAX_NUMBER, DocumentDecoder
 from pollengate.interference.latency_model import EstimateByImages, LatencyModel
 from pollengate.store import Operation, Put
 from pollengate.workflow.keys import interference_record_key
+from result import Err, Result
 
 from pollengated.edge.committer import Committer, Record
 from pollengated.logs import Log
 
-__all__ = ["InterferenceRecorder", "load_interference_record"]
+__all__ = ["InterferenceRecorder", "decode_estimates", "load_interference_record"]
 
 # The next owner learns later changes itself; the interference of a pair shows within some seconds.
 RECORD_INTERVAL_S = 2.0
@@ -17,14 +19,30 @@
 REFRESH_INTERVAL_S = 10.0
 
 
+_ESTIMATES_DECODER = DocumentDecoder(EstimateByImages)
+
+
+def decode_estimates(value: bytes) -> Result[EstimateByImages, str]:
+    """Decodes a record; the error says why it cannot be used."""
+    decoded = _ESTIMATES_DECODER.decode(value)
+    if isinstance(decoded, Err):
+        return decoded
+    for estimate_by_filler in decoded.ok_value.values():
+        for mean, variance in estimate_by_filler.values():
+            if abs(mean) > MAX_NUMBER or not 0 <= variance <= MAX_NUMBER:
+                return Err("an estimate is out of range")
+    return decoded
+
+
 def load_interference_record(value: bytes, latency_model: LatencyModel) -> None:
     """Loads the record of an earlier owner into the model; ignores a malformed record."""
-    try:
-        latency_model.load(msgspec.json.decode(value, type=EstimateByImages))
-    except msgspec.MsgspecError as error:
+    decoded = decode_estimates(value)
+    if isinstance(decoded, Err):
         Log("beliefs").warning(
-            "interference record is unreadable; starting without it", cause=str(error)
+            "interference record is unreadable; starting without it", cause=decoded.err_value
         )
+    else:
+        latency_model.load(decoded.ok_value)
 
 
 class InterferenceRecorder:
--- a/packages/pollengated/pollengated/edge/layout.py
+++ b/packages/pollengated/pollengated/edge/layout.py
@@ -2,22 +2,26 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
+from typing import Annotated
 
 import msgspec
+from pollengate.decoding import DocumentDecoder
 from pollengate.store import Entry, PolledStore, Put, Unchanged
 from pollengate.workflow.keys import LAYOUT_KEY, shard_of_unassigned_rack
 from pollengate.workflow.model import Worker
 from pollengate.workflow.sharding import assign_racks
 from pollengate_platform.documents import WORKER_PREFIX, decode_worker
-from result import Err, Ok, Result
+from result import Err, Result
 
 from pollengated.edge.clocks import Clocks
 from pollengated.logs import Log
 
-__all__ = ["Layout", "load_or_decide_layout"]
+__all__ = ["Layout", "decode_layout", "load_or_decide_layout"]
 
 # Number of workers that one process can schedule and renew leases for.
 WORKERS_PER_SHARD = 70
+# Each process runs an elector for each shard.
+MAX_SHARDS = 10_000
 # The layout is decided once no worker has registered for this long, as hundreds of workers take
 # several seconds to register.
 SETTLED_AFTER_S = 2.0
@@ -34,7 +38,7 @@
         shard_by_rack: shard of each rack that had workers when the layout was decided.
     """
 
-    shards: int
+    shards: Annotated[int, msgspec.Meta(ge=1, le=MAX_SHARDS)]
     shard_by_rack: dict[str, int] = {}
 
     def shard_of(self, rack: str) -> int:
@@ -43,6 +47,9 @@
         return shard_of_unassigned_rack(rack, self.shards) if shard is None else shard
 
 
+_LAYOUT_DECODER = DocumentDecoder(Layout)
+
+
 async def load_or_decide_layout(
     store: PolledStore, clocks: Clocks, may_decide: Callable[[], bool] = lambda: True
 ) -> Layout:
@@ -64,7 +71,7 @@
     while True:
         entry = await store.get(LAYOUT_KEY)
         if not isinstance(entry, Err) and entry.ok_value is not None:
-            layout = _decode_layout(entry.ok_value.value)
+            layout = decode_layout(entry.ok_value.value)
             if not isinstance(layout, Err):
                 return layout.ok_value
             log.warning("stored layout is unreadable; waiting for it", cause=layout.err_value)
@@ -86,11 +93,15 @@
         await asyncio.sleep(RETRY_S)
 
 
-def _decode_layout(value: bytes) -> Result[Layout, str]:
-    try:
-        return Ok(msgspec.json.decode(value, type=Layout))
-    except msgspec.MsgspecError as error:
-        return Err(str(error))
+def decode_layout(value: bytes) -> Result[Layout, str]:
+    """Decodes a stored layout; the error says why it cannot be used."""
+    decoded = _LAYOUT_DECODER.decode(value)
+    if isinstance(decoded, Err):
+        return decoded
+    layout = decoded.ok_value
+    if not all(0 <= shard < layout.shards for shard in layout.shard_by_rack.values()):
+        return Err("a rack belongs to a shard that does not exist")
+    return decoded
 
 
 def _decode_workers(entries: Iterable[Entry]) -> list[Worker]:
--- a/packages/pollengated/pollengated/edge/node_directory.py
+++ b/packages/pollengated/pollengated/edge/node_directory.py
@@ -5,15 +5,18 @@
 from collections.abc import Collection
 
 import msgspec
+from pollengate.addresses import is_address
+from pollengate.decoding import DocumentDecoder, Quantity, shorten
 from pollengate.store import Entry, PolledStore
 from pollengate.workflow.keys import NODE_PREFIX, OWNER_PREFIX, member_key, owner_key
+from result import Err, Result
 
 from pollengated.edge.clocks import Clocks
 from pollengated.edge.edge_metrics import EdgeMetrics
 from pollengated.edge.prefix_cache import PrefixCache
 from pollengated.logs import Log
 
-__all__ = ["NodeDirectory", "NodeRecord", "Owner"]
+__all__ = ["NodeDirectory", "NodeRecord", "Owner", "decode_node_record"]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -31,7 +34,7 @@
     node: str
     address: str
     incarnation: str
-    cores: float = 1.0
+    cores: Quantity = 1.0
     is_leaving: bool = False
 
     def encode(self) -> bytes:
@@ -39,6 +42,17 @@
         return msgspec.json.encode(self)
 
 
+_RECORD_DECODER = DocumentDecoder(NodeRecord)
+
+
+def decode_node_record(value: bytes) -> Result[NodeRecord, str]:
+    """Decodes a record; the error says why it names no process to call."""
+    decoded = _RECORD_DECODER.decode(value)
+    if not isinstance(decoded, Err) and not is_address(decoded.ok_value.address):
+        return Err(f"address {shorten(decoded.ok_value.address)!r} is not host:port")
+    return decoded
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Owner:
     """The owner of a shard.
@@ -115,14 +129,13 @@
             return
 
     def _decode(self, entry: Entry) -> NodeRecord | None:
-        try:
-            return msgspec.json.decode(entry.value, type=NodeRecord)
-        except msgspec.MsgspecError as error:
+        decoded = decode_node_record(entry.value)
+        if isinstance(decoded, Err):
             self._log.warning(
-                "node record is unreadable; ignoring it", key=entry.key, cause=str(error)
+                "node record is unreadable; ignoring it", key=entry.key, cause=decoded.err_value
             )
             self._metrics.invalid_entries.labels(NODE_PREFIX).inc()
-            return None
+        return decoded.ok()
 
     def _apply_key(self, key: str) -> bool:
         entry = self.cache.entries_by_key.get(key)
--- a/packages/pollengated/pollengated/edge/recorded_workers.py
+++ b/packages/pollengated/pollengated/edge/recorded_workers.py
@@ -6,9 +6,11 @@
 from collections.abc import Iterable
 
 import msgspec
+from pollengate.decoding import DocumentDecoder
 from pollengate.store import Operation, Put
 from pollengate.workflow.fleet import Fleet
 from pollengate.workflow.keys import ROOT
+from result import Err
 
 from pollengated.edge.committer import Committer, Record
 from pollengated.logs import Log
@@ -16,15 +18,18 @@
 __all__ = ["RecordedWorkers", "decode_recorded_workers"]
 
 
+_ADDRESSES_DECODER = DocumentDecoder(dict[str, str])
+
+
 def decode_recorded_workers(value: bytes) -> dict[str, str]:
     """Returns addresses by worker id; an empty dict if the record is malformed."""
-    try:
-        return msgspec.json.decode(value, type=dict[str, str])
-    except msgspec.MsgspecError as error:
+    decoded = _ADDRESSES_DECODER.decode(value)
+    if isinstance(decoded, Err):
         Log("roster").warning(
-            "record of workers is unreadable; assuming that it lists none", cause=str(error)
+            "record of workers is unreadable; assuming that it lists none", cause=decoded.err_value
         )
         return {}
+    return decoded.ok_value
 
 
 class RecordedWorkers:
--- a/packages/pollengated/pollengated/edge/rpc.py
+++ b/packages/pollengated/pollengated/edge/rpc.py
@@ -8,8 +8,10 @@
 from grpclib.client import Channel
 from grpclib.server import Stream
 from pollengate.accounts.job_access import Requester
+from pollengate.decoding import DocumentDecoder
 from pollengate.store import Entry
 from pollengate.workflow.job_service import (
+    RETRY_AFTER_S,
     Accepted,
     Cancelled,
     Found,
@@ -30,6 +32,7 @@
 from pollengated.edge.job_request_handler import JobRequestHandler
 from pollengated.edge.operator_view import OperatorView
 from pollengated.edge.owned_shards import OwnedShards
+from pollengated.logs import Log
 
 __all__ = ["HEARTBEAT_INTERVAL_S", "EdgeClient", "EdgeService", "NotOwner"]
 
@@ -38,6 +41,7 @@
 VIEW_TIMEOUT_S = 0.5
 HEARTBEAT_INTERVAL_S = 0.4
 _NOT_OWNER = "not_owner"
+_WORKFLOW_DECODER = DocumentDecoder(Workflow)
 _JOB_STATES = frozenset(state.value for state in JobState)
 
 
@@ -162,15 +166,7 @@
 
     async def Submit(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
         """Submits a job to a shard that this process owns."""
-        await self._handle(
-            stream,
-            lambda request_handler, request: request_handler.submit(
-                request.queue,
-                request.job_id,
-                msgspec.json.decode(request.workflow, type=Workflow),
-                request.account,
-            ),
-        )
+        await self._handle(stream, _submit)
 
     async def Show(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
         """Returns the state of a job."""
@@ -229,6 +225,18 @@
             await stream.send_message(_encode_reply(await handle(term.request_handler, request)))
 
 
+async def _submit(request_handler: JobRequestHandler, request: Any) -> JobResponse:
+    workflow = _WORKFLOW_DECODER.decode(request.workflow)
+    if isinstance(workflow, Err):
+        Log("peers").warning(
+            "request of another process is malformed", job=request.job_id, cause=workflow.err_value
+        )
+        return NotAccepted("malformed_request", RETRY_AFTER_S)
+    return await request_handler.submit(
+        request.queue, request.job_id, workflow.ok_value, request.account
+    )
+
+
 def _job_request(shard: int, job_id: str, requester: Requester) -> Any:
     return pb.JobRequest(
         shard=shard, queue=requester.queue_name, job_id=job_id, account=requester.account
--- a/packages/pollengated/pollengated/edge/shared_interference.py
+++ b/packages/pollengated/pollengated/edge/shared_interference.py
@@ -4,7 +4,6 @@
 import dataclasses
 from collections.abc import Iterable
 
-import msgspec
 from pollengate.interference.latency_model import EstimateByImages, LatencyModel
 from pollengate.store import Entry, PolledStore, StoreFailure
 from pollengate.workflow.keys import INTERFERENCE_RECORD_PREFIX
@@ -12,6 +11,7 @@
 
 from pollengated.edge.clocks import Clocks
 from pollengated.edge.edge_metrics import EdgeMetrics
+from pollengated.edge.interference_record import decode_estimates
 from pollengated.logs import Log
 
 __all__ = ["MAX_AGE_S", "READ_INTERVAL_S", "SharedInterference"]
@@ -104,15 +104,16 @@
             if entry.revision <= record.revision:
                 continue
             record.revision = entry.revision
-            try:
-                record.estimates = msgspec.json.decode(entry.value, type=EstimateByImages)
+            decoded = decode_estimates(entry.value)
+            if not isinstance(decoded, Err):
+                record.estimates = decoded.ok_value
                 record.changed_at = now
-            except msgspec.MsgspecError as error:
+            else:
                 self._log.warning(
                     "interference record of another shard is unreadable; ignoring it",
                     shard=self._shard,
                     other=shard,
-                    cause=str(error),
+                    cause=decoded.err_value,
                 )
 
     def _merge(self, now: float) -> None:
--- a/packages/pollengated/pollengated/edge/worker_assignments.py
+++ b/packages/pollengated/pollengated/edge/worker_assignments.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Collection
 from typing import TypeVar
 
-import msgspec
+from pollengate.decoding import DocumentDecoder
 from pollengate.store import Entry, Listing, PolledStore
 from pollengate.workflow.keys import (
     ASSIGNMENT_PREFIX,
@@ -13,6 +13,7 @@
 )
 from pollengate.workflow.model import Worker
 from pollengate.workflow.worker_transfer import CapacityRequest
+from result import Err
 
 from pollengated.edge.clocks import Clocks
 from pollengated.edge.edge_metrics import EdgeMetrics
@@ -23,6 +24,8 @@
 __all__ = ["OpenRequest", "WorkerAssignments"]
 
 _T = TypeVar("_T")
+_SHARD_DECODER = DocumentDecoder(int)
+_REQUEST_DECODER = DocumentDecoder(CapacityRequest)
 
 
 @dataclasses.dataclass(slots=True)
@@ -144,14 +147,17 @@
             self._on_change([key.removeprefix(ASSIGNMENT_PREFIX) for key in keys])
 
     def _apply_assignment(self, worker_id: str, entry: Entry | None) -> None:
-        shard = None if entry is None else self._decode(entry, int)
+        shard = None if entry is None else self._decode(entry, _SHARD_DECODER)
+        if entry is not None and shard is not None and not 0 <= shard < self._layout.shards:
+            self._ignore(entry, "there is no such shard")
+            shard = None
         if entry is None or shard is None:
             self._assignments_by_worker.pop(worker_id, None)
         else:
             self._assignments_by_worker[worker_id] = _Assignment(shard, entry.revision)
 
     def _apply_request(self, entry: Entry) -> None:
-        request = self._decode(entry, CapacityRequest)
+        request = self._decode(entry, _REQUEST_DECODER)
         if request is None or request.shard == self._shard:
             return
         known = self.requests_by_shard.get(request.shard)
@@ -159,10 +165,12 @@
             now = self._clocks.monotonic_s()
             self.requests_by_shard[request.shard] = OpenRequest(entry.revision, now, request)
 
-    def _decode(self, entry: Entry, expected: type[_T]) -> _T | None:
-        try:
-            return msgspec.json.decode(entry.value, type=expected)
-        except msgspec.MsgspecError as error:
-            self._log.warning("record is unreadable; ignoring it", key=entry.key, cause=str(error))
-            self._metrics.invalid_entries.labels(TRANSFER_PREFIX).inc()
-            return None
+    def _decode(self, entry: Entry, decoder: DocumentDecoder[_T]) -> _T | None:
+        decoded = decoder.decode(entry.value)
+        if isinstance(decoded, Err):
+            self._ignore(entry, decoded.err_value)
+        return decoded.ok()
+
+    def _ignore(self, entry: Entry, cause: str) -> None:
+        self._log.warning("record is unreadable; ignoring it", key=entry.key, cause=cause)
+        self._metrics.invalid_entries.labels(TRANSFER_PREFIX).inc()
--- a/tests/test_malformed_messages.py
+++ b/tests/test_malformed_messages.py
@@ -11,14 +11,18 @@
 from collections.abc import Callable
 from typing import Any
 
+from grpclib.testing import ChannelFor
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from pollengate.accounts.shares_record import decode_shares
 from pollengate.memory_store import MemoryStore
-from pollengate.store import Changes, Entry, PolledStore, Put, StoreFailure
+from pollengate.store import Changes, Entry, Listing, PolledStore, Put, StoreFailure
 from pollengate.workflow.clients import RenewOrder
+from pollengate.workflow.keys import assignment_key, capacity_request_key, member_key
 from pollengate.workflow.records import decode_job, decode_progress, encode_job, encode_progress
 from pollengate.workflow.records import restore as restore_job
 from pollengate_net.messages import edge_pb2 as pb
+from pollengate_net.messages.edge_grpc import EdgeStub
 from pollengate_platform.advice import HttpAdviceClient
 from pollengate_platform.client_api import decode_workflow
 from pollengate_platform.documents import decode_deployment, decode_worker
@@ -26,14 +30,24 @@
 from pollengate_platform.kv_store import KvStore
 from pollengate_platform.workers import HttpWorkerClient
 from pollengated.edge.clocks import Clocks
+from pollengated.edge.committer import decode_commit_number
+from pollengated.edge.edge_metrics import EdgeMetrics
+from pollengated.edge.interference_record import decode_estimates
+from pollengated.edge.layout import Layout, decode_layout
+from pollengated.edge.node_directory import NodeDirectory, decode_node_record
 from pollengated.edge.operator_view import OperatorView
-from pollengated.edge.rpc import EdgeClient
+from pollengated.edge.owned_shards import OwnedShards
+from pollengated.edge.recorded_workers import decode_recorded_workers
+from pollengated.edge.rpc import EdgeClient, EdgeService
+from pollengated.edge.worker_assignments import WorkerAssignments
 from result import Err, Ok, Result
 
+from tests.edge_cluster import EdgeCluster, EdgeTestCase
 from tests.utils import run_virtual
 from tests.workflow_builders import REQUESTER, build_job
 
 EXAMPLES = 300
+NESTING = 20_000
 WORKER = {
     "service": "s",
     "addr": "10.0.0.1:1",
@@ -84,11 +98,28 @@
     "truncated": False,
 }
 
+NODE_RECORD = {"node": "n", "address": "10.0.0.1:1", "incarnation": "x", "cores": 1.5}
+CAPACITY_REQUEST = {
+    "shard": 1,
+    "service": "s",
+    "required_label": "",
+    "demand": {"cpu_millis": 1},
+    "workers": 2,
+}
+RECORD_DECODERS: dict[str, tuple[Any, Callable[[bytes], Any]]] = {
+    "node": (NODE_RECORD, decode_node_record),
+    "layout": ({"shards": 2, "shard_by_rack": {"r": 1}}, decode_layout),
+    "interference": ({"s": {"f": [1.5, 2.5]}}, decode_estimates),
+    "shares": ({"a": {"0": {"part": {"cpu_millis": 1}, "ticket": 1}}}, decode_shares),
+    "commit number": ({"tenure": 1, "sequence": 1}, lambda v: Ok(decode_commit_number(v))),
+    "workers": ({"w": "10.0.0.1:1"}, lambda value: Ok(decode_recorded_workers(value))),
+}
+
 _SCALARS = (
     st.none()
     | st.booleans()
     | st.integers()
-    | st.sampled_from([10**400, -1, 0, 2**63, 2**64])
+    | st.sampled_from([10**400, -(10**400), 10**4000, -1, 0, 2**53, 2**63, 2**64])
     | st.floats(allow_nan=False, allow_infinity=False)
     | st.text(max_size=8)
     | st.sampled_from(["10.0.0.1:99999", ":", "a:٣", "\ud800", "=", "!", "A", "AAAAA"])
@@ -118,24 +149,33 @@
     if not path:
         return value
     changed = dict(document) if isinstance(document, dict) else list(document)
-    changed[path[0]] = _replace(changed[path[0]], path[1:], value)
+    part = changed.get(path[0]) if isinstance(changed, dict) else changed[path[0]]
+    changed[path[0]] = _replace(part, path[1:], value)
     return changed
 
 
 def messages(document: Any) -> st.SearchStrategy[bytes]:
-    """Returns arbitrary bytes, and the document with one part replaced or cut off."""
+    """Returns arbitrary bytes, and the document with one part replaced, nested or cut off."""
+    paths = _paths(document) or [()]
     mutated = st.builds(
         lambda path, value: json.dumps(_replace(document, path, value)).encode(),
-        st.sampled_from(_paths(document)),
+        st.sampled_from(paths),
         _VALUES,
     )
     huge_number = st.builds(
         lambda path: json.dumps(_replace(document, path, "@")).replace('"@"', "1e999").encode(),
-        st.sampled_from(_paths(document)),
+        st.sampled_from(paths),
+    )
+    deep = st.builds(
+        lambda path, brackets: json.dumps(_replace(document, path, "@"))
+        .replace('"@"', f"{brackets[0] * NESTING}1{brackets[1] * NESTING}")
+        .encode(),
+        st.sampled_from([*paths, ("unknown",)] if isinstance(document, dict) else paths),
+        st.sampled_from([("[", "]"), ('{"a":', "}")]),
     )
     encoded = json.dumps(document).encode()
     cut = st.integers(0, len(encoded)).map(lambda length: encoded[:length])
-    return st.binary(max_size=40) | mutated | huge_number | cut
+    return st.binary(max_size=40) | mutated | huge_number | deep | cut
 
 
 class ScriptedHttpClient(HttpClient):
@@ -197,6 +237,36 @@
         if isinstance(progress, Ok):
             self.assertIsInstance(restore_job(stored_job, progress.ok_value, 0.0), Ok | Err)
 
+    @settings(max_examples=EXAMPLES, derandomize=True, deadline=None)
+    @given(st.sampled_from(list(RECORD_DECODERS)), st.data())
+    def test_record_of_another_process(self, name: str, data: st.DataObject) -> None:
+        document, decode = RECORD_DECODERS[name]
+        self.assertIsInstance(decode(json.dumps(document).encode()), Ok)
+        self.assertIsInstance(decode(data.draw(messages(document))), Ok | Err)
+
+    @settings(max_examples=EXAMPLES, derandomize=True, deadline=None)
+    @given(messages(NODE_RECORD), messages(1), messages(CAPACITY_REQUEST))
+    def test_copies_of_records_follow_the_store(
+        self, node: bytes, assignment: bytes, request: bytes
+    ) -> None:
+        clocks = Clocks(lambda: 0.0, lambda: 0)
+        metrics = EdgeMetrics()
+        directory = NodeDirectory(MemoryStore(), clocks, metrics)
+        changed: list[str] = []
+        assignments = WorkerAssignments(
+            0, Layout(2), MemoryStore(), clocks, changed.extend, metrics
+        )
+        assignments.load(Listing((), 1))
+        self.assertTrue(directory.cache.replace_if_newer([Entry(member_key("n"), node, 2, 2)], 2))
+        entries = [
+            Entry(assignment_key("w"), assignment, 2, 2),
+            Entry(capacity_request_key(1), request, 2, 2),
+        ]
+        self.assertTrue(assignments.cache.replace_if_newer(entries, 2))
+        self.assertEqual(["w"], changed)
+        (family,) = metrics.unapplied_entries.collect()
+        self.assertEqual([], family.samples)
+
     @settings(max_examples=EXAMPLES, derandomize=True, deadline=None)
     @given(messages(REPORT))
     def test_report_of_a_worker(self, body: bytes) -> None:
@@ -238,6 +308,28 @@
             asyncio.run(ScriptedEdgeClient().show("a:1", 0, "00000000000000aa", REQUESTER))
 
 
+class RequestTest(EdgeTestCase):
+    """Requests of other processes."""
+
+    def test_malformed_workflow_of_another_process_is_not_accepted(self) -> None:
+        async def main() -> None:
+            cluster = EdgeCluster()
+            await cluster.open(nodes=1)
+            node = cluster.serving_node()
+            owned_shards = OwnedShards(Clocks.of_loop())
+            owned_shards.electors_by_shard[0] = node.elector
+            view = OperatorView(MemoryStore(), Clocks.of_loop())
+            async with ChannelFor([EdgeService(owned_shards, view)]) as channel:
+                for workflow in (b"", b"{}", b"[" * NESTING + b"]" * NESTING):
+                    request = pb.SubmitRequest(
+                        shard=0, queue="queue", job_id="00000000000000aa", workflow=workflow
+                    )
+                    reply = await EdgeStub(channel).Submit(request, timeout=5.0)
+                    self.assertEqual("not_accepted", reply.kind)
+
+        run_virtual(main())
+
+
 class MalformedItemStore(MemoryStore):
     """A store whose watch returns an item that is not Base64, as the adapter decodes it."""
 
