Report odd settings instead of ending with a traceback

A settings file that is not UTF-8 or is deeply nested raised UnicodeDecodeError or RecursionError: at the start the process ended without naming the file, and after SIGHUP the check of the settings failed unnoticed.

--- a/packages/pollengate/pollengate/decoding.py
+++ b/packages/pollengate/pollengate/decoding.py
@@ -1,11 +1,12 @@
-"""Decodes JSON documents of other writers; every failure is an error value."""
+"""Decodes JSON and TOML documents of other writers; every failure is an error value."""
 
-from typing import Annotated, Generic, TypeVar
+import tomllib
+from typing import Annotated, Any, Generic, TypeVar
 
 import msgspec
 from result import Err, Ok, Result
 
-__all__ = ["MAX_NUMBER", "Amount", "DocumentDecoder", "Quantity", "shorten"]
+__all__ = ["MAX_NUMBER", "Amount", "DocumentDecoder", "Quantity", "decode_toml", "shorten"]
 
 # Larger whole numbers are not exact in JSON, and a float of them may overflow.
 MAX_NUMBER = 2**53 - 1
@@ -43,6 +44,16 @@
             return Err(shorten(str(error)))
 
 
+def decode_toml(document: bytes) -> Result[dict[str, Any], str]:
+    """Decodes a TOML document into tables; the error says why it is invalid."""
+    try:
+        return Ok(tomllib.loads(document.decode()))
+    except RecursionError:
+        return Err("the document is nested too deeply")
+    except ValueError as error:
+        return Err(shorten(str(error)))
+
+
 def shorten(text: str) -> str:
     """Returns a text that is short enough for a log line."""
     if len(text) <= MAX_CAUSE_CHARACTERS:
--- a/packages/pollengated/pollengated/edge/policy_file.py
+++ b/packages/pollengated/pollengated/edge/policy_file.py
@@ -1,11 +1,11 @@
 """Reads the file with the settings of scheduling decisions."""
 
 import dataclasses
-import tomllib
 from pathlib import Path
 from typing import TypeVar
 
 import msgspec
+from pollengate.decoding import decode_toml
 from pollengate.workflow.policy import InterferencePolicy, OverloadPolicy, SchedulingPolicy
 from result import Err, Ok, Result
 
@@ -28,12 +28,15 @@
         The settings, or a message that names the invalid setting and says what is wrong.
     """
     try:
-        tables = msgspec.convert(tomllib.loads(path.read_text()), _PolicyFile)
+        document = decode_toml(path.read_bytes())
+        if isinstance(document, Err):
+            return Err(f"{path}: {document.err_value}")
+        tables = msgspec.convert(document.ok_value, _PolicyFile)
         policy = SchedulingPolicy(
             _convert("overload", tables.overload, OverloadPolicy),
             _convert("interference", tables.interference, InterferencePolicy),
         )
-    except (OSError, tomllib.TOMLDecodeError, msgspec.ValidationError) as error:
+    except (OSError, msgspec.ValidationError) as error:
         return Err(f"{path}: {error}")
     return Ok(policy)
 
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -196,13 +196,31 @@
 class BootTest(unittest.TestCase):
     """The settings file of a VM."""
 
-    def read(self, text: str) -> Any:
+    def read(self, content: str | bytes) -> Any:
         """Reads a settings file with the given content."""
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "boot.toml"
-            path.write_text(text)
+            path.write_bytes(content.encode() if isinstance(content, str) else content)
             return read_boot_settings(path)
 
+    def test_odd_settings_are_an_error_value(self) -> None:
+        for content in (
+            BOOT.encode("utf-16"),
+            BOOT.encode() + b"\xff",
+            f"deep = {'[' * 5000}{']' * 5000}\n{BOOT}",
+            BOOT.replace("holdMaxMs = 6000", "holdMaxMs = nan"),
+            BOOT.replace("holdMaxMs = 6000", "holdMaxMs = inf"),
+            BOOT.replace("stopMs = 400", f"stopMs = {'9' * 400}"),
+            BOOT.replace("stopMs = 400", "stopMs = -1"),
+            BOOT.replace("cores = 2", "cores = nan"),
+            BOOT.replace("[7720, 7735]", "[77200, 77350]"),
+            BOOT.replace("10.1.0.13:8161", "10.1.0.13:0"),
+            BOOT.replace("10.1.0.13:8167", "10.1.0.13"),
+            BOOT.replace("10.200.1.7:8169", "10.200.1.7:81690"),
+        ):
+            with self.subTest(content=content[:40]):
+                self.assertTrue(self.read(content).is_err())
+
     def test_settings_are_read_and_converted(self) -> None:
         settings = self.read(BOOT).unwrap()
         self.assertEqual(settings.rpc_address, "10.1.0.13:7720")
