Let other candidates go first after a term that ended by an error

While a deeply nested registration ended each term at once, one process acquired the shard about 200 times a second and wrote to the store 400 times a second, which is all that the platform allows its machines together. Nothing paused between two terms, and the process that had just failed was again the best candidate.

A term that ends by an error of one of its tasks, or whose recovery raises, now counts like one that could not read the shard's records: the process lets all other candidates go first for 30 s, and each attempt waits 0.15 s for each candidate.

Ruled out: giving the shard up for good, as the next owner may be a fixed version or the error may be over.

--- a/packages/pollengated/pollengated/edge/shard_elector.py
+++ b/packages/pollengated/pollengated/edge/shard_elector.py
@@ -22,7 +22,8 @@
 RENEW_INTERVAL_S = 0.4
 # Each candidate waits this long for each better one before it acquires a shard without an owner.
 CANDIDATE_DELAY_S = 0.15
-# A candidate that could not read the records of the shard lets all others go first for this long.
+# A candidate whose term ended by an error, or that could not read the records of the shard, lets
+# all others go first for this long.
 STALL_MEMORY_S = 30.0
 DIRECTORY_WAIT_S = 5.0
 # A starting process waits this long for others to register, for each shard that the best candidate
@@ -239,11 +240,13 @@
         self.term = self._create_term(self._shard, shard_lease)
         self._is_suspended = False
         renewal_task = asyncio.create_task(self._renew_until_lost(shard_lease))
+        has_stalled = True
         try:
             await self.term.run()
-            if self.term.has_stalled:
-                self._stalled_at = self._clocks.monotonic_s()
+            has_stalled = self.term.has_stalled
         finally:
+            if has_stalled:
+                self._stalled_at = self._clocks.monotonic_s()
             shard_lease.mark_lost()
             renewal_task.cancel()
             self.term = None
--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -82,7 +82,7 @@
 
     Attributes:
         is_serving: whether the shard's records have been loaded and the term has not ended.
-        has_stalled: whether the term ended because the shard's records could not be read.
+        has_stalled: whether the term ended by an error or could not read the shard's records.
         fleet: workers of the shard.
         job_table: jobs of the shard; set once the records have been loaded.
         request_handler: handles clients' requests; set once the records have been loaded.
@@ -494,5 +494,6 @@
         self._tasks.discard(task)
         if not task.cancelled() and (error := task.exception()) is not None:
             self._log.error("internal task failed; ending ownership", error, shard=self.shard)
+            self.has_stalled = True
             self.shard_lease.mark_lost()
             self._wake.set()
--- a/tests/test_edge_term_failure.py
+++ b/tests/test_edge_term_failure.py
@@ -7,6 +7,7 @@
 from pollengate.workflow.job_service import Accepted
 from pollengate.workflow.planner import Planner
 from pollengate.workflow.progress import JobState
+from pollengated.edge.shard_elector import CANDIDATE_DELAY_S
 
 from tests.edge_cluster import EdgeCluster
 from tests.utils import run_virtual
@@ -31,3 +32,20 @@
             await cluster.wait_for_state(JOB_ID, JobState.COMPLETED)
 
         run_virtual(main())
+
+    def test_terms_that_fail_at_once_do_not_follow_each_other_without_a_pause(self) -> None:
+        async def main() -> None:
+            cluster = EdgeCluster()
+            await cluster.open(nodes=2)
+            await asyncio.sleep(1.0)
+            watched_s = 10.0
+            with mock.patch.object(Planner, "plan", side_effect=ArithmeticError):
+                before = (await cluster.store.list("")).unwrap().revision
+                await asyncio.sleep(watched_s)
+                after = (await cluster.store.list("")).unwrap().revision
+            # Each term writes its owner key and removes it.
+            self.assertLessEqual(after - before, 2 * 2 * watched_s / CANDIDATE_DELAY_S)
+            await cluster.submit(JOB_ID, build_workflow())
+            await cluster.wait_for_state(JOB_ID, JobState.COMPLETED)
+
+        run_virtual(main())
