Check workflows of stored jobs and of other processes like those of clients

A workflow was checked only in the client's body. A job record or a request of another process with a step after one that does not exist, without steps, or with numbers of 400 digits was taken; ranking its steps raises IndexError or OverflowError in each round of planning, so that the owner's term and that of each successor ends.

The checks move from the adapter to the library (find_fault) and apply to all three. A job record that fails them is logged and ignored, as an undecodable one was.

Before: all five records of the new test were decoded, and a workflow without steps got 'accepted' from another process.

--- a/packages/pollengate/pollengate/workflow/records.py
+++ b/packages/pollengate/pollengate/workflow/records.py
@@ -9,6 +9,7 @@
 from pollengate.decoding import Amount, DocumentDecoder
 from pollengate.workflow.model import Workflow
 from pollengate.workflow.progress import JobProgress, JobState, Occurrence, TaskProgress
+from pollengate.workflow.validation import find_fault
 
 __all__ = ["StoredJob", "StoredProgress", "decode_job", "decode_progress", "encode_job"]
 __all__ += ["encode_progress", "restore"]
@@ -66,8 +67,10 @@
 
 
 def decode_job(value: bytes) -> Result[StoredJob, str]:
-    """Decodes a job's record; the error is the decoder's message."""
-    return _JOB_DECODER.decode(value)
+    """Decodes a job's record; the error says why the job cannot be scheduled."""
+    decoded = _JOB_DECODER.decode(value)
+    fault = None if isinstance(decoded, Err) else find_fault(decoded.ok_value.workflow)
+    return decoded if fault is None else Err(fault)
 
 
 def encode_progress(job: JobProgress) -> bytes:
--- a/packages/pollengated/pollengated/edge/rpc.py
+++ b/packages/pollengated/pollengated/edge/rpc.py
@@ -23,6 +23,7 @@
 )
 from pollengate.workflow.model import Workflow
 from pollengate.workflow.progress import JobState
+from pollengate.workflow.validation import find_fault
 from pollengate_net.calls import CallFailure, call_unary, open_channel, receive_stream
 from pollengate_net.grpc_requests import receive_request
 from pollengate_net.messages import edge_pb2 as pb
@@ -226,7 +227,7 @@
 
 
 async def _submit(request_handler: JobRequestHandler, request: Any) -> JobResponse:
-    workflow = _WORKFLOW_DECODER.decode(request.workflow)
+    workflow = _decode_workflow(request.workflow)
     if isinstance(workflow, Err):
         Log("peers").warning(
             "request of another process is malformed", job=request.job_id, cause=workflow.err_value
@@ -237,6 +238,12 @@
     )
 
 
+def _decode_workflow(value: bytes) -> Result[Workflow, str]:
+    decoded = _WORKFLOW_DECODER.decode(value)
+    fault = None if isinstance(decoded, Err) else find_fault(decoded.ok_value)
+    return decoded if fault is None else Err(fault)
+
+
 def _job_request(shard: int, job_id: str, requester: Requester) -> Any:
     return pb.JobRequest(
         shard=shard, queue=requester.queue_name, job_id=job_id, account=requester.account
--- a/tests/test_malformed_messages.py
+++ b/tests/test_malformed_messages.py
@@ -224,7 +224,27 @@
     @settings(max_examples=EXAMPLES, derandomize=True, deadline=None)
     @given(messages(json.loads(encode_job(build_job()))))
     def test_job_record(self, value: bytes) -> None:
-        self.assertIsInstance(decode_job(value), Ok | Err)
+        decoded = decode_job(value)
+        self.assertIsInstance(decoded, Ok | Err)
+        if isinstance(decoded, Ok):
+            job = restore_job(decoded.ok_value, None, 0.0).unwrap()
+            self.assertGreaterEqual(job.critical_path_ms(), 0)
+            job.open_occurrence(0)
+            encode_job(job)
+            encode_progress(job)
+
+    def test_job_record_that_no_planner_can_rank_is_invalid(self) -> None:
+        record = json.loads(encode_job(build_job()))
+        for path, value in (
+            (("workflow", "steps"), []),
+            (("workflow", "steps", 0, "after"), [5]),
+            (("workflow", "steps", 0, "count"), -1),
+            (("workflow", "steps", 0, "count"), 10**9),
+            (("workflow", "steps", 0, "estimate_ms"), 10**400),
+        ):
+            with self.subTest(path=path):
+                changed = json.dumps(_replace(record, path, value)).encode()
+                self.assertIsInstance(decode_job(changed), Err)
 
     @settings(max_examples=EXAMPLES, derandomize=True, deadline=None)
     @given(st.data())
@@ -320,7 +340,14 @@
             owned_shards.electors_by_shard[0] = node.elector
             view = OperatorView(MemoryStore(), Clocks.of_loop())
             async with ChannelFor([EdgeService(owned_shards, view)]) as channel:
-                for workflow in (b"", b"{}", b"[" * NESTING + b"]" * NESTING):
+                misplaced = {"payload": "", "steps": [{"count": 1, "after": [5]}]}
+                for workflow in (
+                    b"",
+                    b"{}",
+                    b'{"payload":"","steps":[]}',
+                    json.dumps(misplaced).encode(),
+                    b"[" * NESTING + b"]" * NESTING,
+                ):
                     request = pb.SubmitRequest(
                         shard=0, queue="queue", job_id="00000000000000aa", workflow=workflow
                     )
