Move smaller long-running tasks for one that runs again

Cause: free cores lie in pieces on all workers, as tasks go to the emptiest one. After a worker has left or a zone was cut off, a large task fits beside the long-running tasks of no worker, and these never move for it. Another shard helps only if it can empty a whole worker.

Change: half a second after such a task found no room, the smallest long-running task moves whose room it needs and that fits elsewhere: one at a time, all others of its step at work on workers that reply. A task moves only for a larger one. The largest tasks that run again are placed first.

Result: test_free_cores_in_pieces_do_not_keep_a_long_running_task_from_running_again failed before with AssertionError: 2 != 1 and passes.

Ruled out: emptying a worker as for large tasks, which moves several tasks and needs room for all.

--- a/packages/pollengate/pollengate/workflow/large_tasks.py
+++ b/packages/pollengate/pollengate/workflow/large_tasks.py
@@ -11,11 +11,10 @@
 
 from pollengate.workflow.fleet import WorkerView
 from pollengate.workflow.job_table import JobTable
-from pollengate.workflow.moves import fit_together, may_stop_to_move
+from pollengate.workflow.moves import fit_together, is_in_touch, may_stop_to_move
 from pollengate.workflow.placement import can_place, is_allowed
 from pollengate.workflow.progress import Run, StepProgress
 from pollengate.workflow.start_filter import NoStartFilter, StartFilter
-from pollengate.workflow.stragglers import SILENT_AFTER_S
 
 __all__ = ["LargeTaskReserve"]
 
@@ -122,7 +121,7 @@
                     continue
                 if (
                     may_stop_to_move(run)
-                    and self._is_in_touch(step, now)
+                    and is_in_touch(step, self._job_table.fleet, now)
                     and any(not view.is_reserved and can_place(step, view) for view in workers)
                 ):
                     stopped_steps.add(step)
@@ -130,17 +129,6 @@
                     runs.append(run)
         return runs
 
-    def _is_in_touch(self, step: StepProgress, now: float) -> bool:
-        """Whether all workers with tasks of a step have replied lately.
-
-        A task on a silent worker may not serve, so that another one must not stop, too.
-        """
-        views_by_id = self._job_table.fleet.workers_by_id
-        views = (views_by_id.get(worker_id) for task in step.tasks for worker_id in task.worker_ids)
-        return all(
-            view is not None and now - view.lease.replied_at <= SILENT_AFTER_S for view in views
-        )
-
     def _workers(self, step: StepProgress, now: float) -> list[WorkerView]:
         queue = self._job_table.queue_of(step)
         if queue is None:
--- a/packages/pollengate/pollengate/workflow/moves.py
+++ b/packages/pollengate/pollengate/workflow/moves.py
@@ -2,12 +2,13 @@
 
 from collections.abc import Callable, Iterable
 
-from pollengate.workflow.fleet import WorkerView
+from pollengate.workflow.fleet import Fleet, WorkerView
 from pollengate.workflow.model import Demand
 from pollengate.workflow.placement import is_allowed
 from pollengate.workflow.progress import Run, RunState, StepProgress
+from pollengate.workflow.stragglers import SILENT_AFTER_S
 
-__all__ = ["fit_together", "may_stop_to_move"]
+__all__ = ["fit_together", "is_in_touch", "may_stop_to_move"]
 
 
 class _Destination:
@@ -53,6 +54,17 @@
     )
 
 
+def is_in_touch(step: StepProgress, fleet: Fleet, now: float) -> bool:
+    """Returns True if all workers with tasks of a step have replied lately.
+
+    A task on a silent worker may not serve, so that another one must not stop, too.
+    """
+    views = (
+        fleet.workers_by_id.get(worker_id) for task in step.tasks for worker_id in task.worker_ids
+    )
+    return all(view is not None and now - view.lease.replied_at <= SILENT_AFTER_S for view in views)
+
+
 def fit_together(
     runs: Iterable[Run],
     workers: Iterable[WorkerView],
--- a/packages/pollengate/pollengate/workflow/ordering.py
+++ b/packages/pollengate/pollengate/workflow/ordering.py
@@ -15,18 +15,23 @@
 __all__ = ["LOWEST_PRIORITY", "DeadlineOrder", "StepOrder", "rank", "runs_again"]
 
 LOWEST_PRIORITY = 1_000_000
+# Before any clock time.
+_RESTART_RANK = -1e12
 
 
 def rank(step: StepProgress, queue: Queue | None, now: float) -> tuple[int, bool, float]:
     """Returns the sort key of a step; the step with the smallest key gets workers first.
 
     A long-running step has no deadline; the time at which it was opened takes its place. One with a
-    task that has run before comes first, as its users miss that task.
+    task that has run before comes first, as its users miss that task; among these, the one with the
+    largest tasks, as they fit on the fewest workers.
     """
     if queue is None:
         return LOWEST_PRIORITY, True, step.opened_at
     if step.spec.is_long_running:
-        return queue.priority, False, float("-inf") if runs_again(step) else step.opened_at
+        if runs_again(step):
+            return queue.priority, False, _RESTART_RANK - step.spec.demand.cpu_millis
+        return queue.priority, False, step.opened_at
     due_at = step.job.accepted_at + step.job.objective_s(queue)
     return queue.priority, now > due_at, due_at
 
--- /dev/null
+++ b/packages/pollengate/pollengate/workflow/restart_room.py
@@ -0,0 +1,146 @@
+"""Makes room for long-running tasks that have to run again, by moves of other long-running tasks.
+
+A worker that is cut off or leaves returns its tasks to a shard whose free cores lie in pieces on
+all workers. A task that fits beside the long-running tasks of no worker finds room if another one
+moves into a smaller piece elsewhere.
+"""
+
+import dataclasses
+
+from pollengate.workflow.fleet import WorkerView
+from pollengate.workflow.job_table import JobTable
+from pollengate.workflow.moves import is_in_touch, may_stop_to_move
+from pollengate.workflow.ordering import runs_again
+from pollengate.workflow.placement import can_place, fits_beside_long_running, is_allowed
+from pollengate.workflow.progress import Run, StepProgress
+from pollengate.workflow.start_filter import NoStartFilter, StartFilter
+
+__all__ = ["RestartRoom"]
+
+UPDATE_INTERVAL_S = 0.25
+# A plan or two may still place the task.
+WAIT_BEFORE_MOVE_S = 0.5
+# A move takes a stop, a plan and a start; the next one for the same step waits for it.
+MOVE_TIME_S = 2.0
+# A task that was moved is not moved again for this long.
+MIN_STAY_S = 10.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Waiting:
+    """A step with a task that has to run again and fits nowhere.
+
+    Attributes:
+        since: clock time since which that is so.
+        moved_at: clock time of the last move for it.
+    """
+
+    since: float
+    moved_at: float = float("-inf")
+
+
+class RestartRoom:
+    """Chooses the long-running tasks of one shard that move.
+
+    Args:
+        job_table: the shard's jobs, runs and workers.
+        start_filter: holds back tasks that room would not help to start.
+    """
+
+    def __init__(self, job_table: JobTable, start_filter: StartFilter | None = None) -> None:
+        self._job_table = job_table
+        self._start_filter = start_filter or NoStartFilter()
+        self._updated_at = float("-inf")
+        self._waiting_by_step: dict[StepProgress, _Waiting] = {}
+        self._moved_at_by_task: dict[str, float] = {}
+
+    def update(self, now: float) -> list[Run]:
+        """Returns the runs to stop, so that others take their room; at most one for each step."""
+        if now - self._updated_at < UPDATE_INTERVAL_S:
+            return []
+        self._updated_at = now
+        blocked = [step for step in self._job_table.open_steps if self._is_blocked(step, now)]
+        known = self._waiting_by_step
+        self._waiting_by_step = {step: known.get(step) or _Waiting(now) for step in blocked}
+        self._moved_at_by_task = {
+            name: at for name, at in self._moved_at_by_task.items() if now - at < MIN_STAY_S
+        }
+        for step, waiting in self._waiting_by_step.items():
+            if now - waiting.since < WAIT_BEFORE_MOVE_S or now - waiting.moved_at < MOVE_TIME_S:
+                continue
+            run = self._choose(step, now)
+            if run is not None:
+                waiting.moved_at = now
+                self._moved_at_by_task[run.task.name] = now
+                return [run]
+        return []
+
+    def _is_blocked(self, step: StepProgress, now: float) -> bool:
+        """Whether the next task of a step has run before and fits beside no long-running tasks."""
+        if not runs_again(step) or step.spec.is_gang:
+            return False
+        if not self._start_filter.count_startable(step):
+            return False
+        return not any(fits_beside_long_running(step, view) for view in self._workers(step, now))
+
+    def _choose(self, step: StepProgress, now: float) -> Run | None:
+        """Returns the run whose move makes room for a task, None if there is none.
+
+        The smallest one moves, if possible to a worker that has room for it already.
+        """
+        workers = self._workers(step, now)
+        best = None
+        best_key = (True, 0)
+        for view in workers:
+            if not is_allowed(step, view):
+                continue
+            for run in view.long_running:
+                moved = run.task.step
+                if not _makes_room(run, step, view) or not self._may_move(run, view, now):
+                    continue
+                others = [other for other in workers if other is not view]
+                if not any(fits_beside_long_running(moved, other) for other in others):
+                    continue
+                must_wait = not any(can_place(moved, other) for other in others)
+                key = (must_wait, moved.spec.demand.cpu_millis)
+                if best is None or key < best_key:
+                    best, best_key = run, key
+        return best
+
+    def _may_move(self, run: Run, view: WorkerView, now: float) -> bool:
+        step = run.task.step
+        queue = self._job_table.queue_of(step)
+        return (
+            queue is not None
+            and queue.service == view.info.service
+            and not step.spec.is_gang
+            and run.task.name not in self._moved_at_by_task
+            and may_stop_to_move(run)
+            and is_in_touch(step, self._job_table.fleet, now)
+        )
+
+    def _workers(self, step: StepProgress, now: float) -> list[WorkerView]:
+        queue = self._job_table.queue_of(step)
+        if queue is None or queue.advice is not None:
+            return []
+        evidence = self._job_table.evidence
+        workers = self._job_table.fleet.schedulable_workers(queue.service, now)
+        return [view for view in workers if not evidence.is_quarantined(view.worker_id)]
+
+
+def _makes_room(run: Run, step: StepProgress, view: WorkerView) -> bool:
+    """Whether a task fits beside the long-running tasks of a worker once a smaller run has left.
+
+    As a task moves only for a larger one, moves come to an end.
+    """
+    demand = step.spec.demand
+    if run.task.step.spec.demand.cpu_millis >= demand.cpu_millis:
+        return False
+    lasting = [other.task.step.spec.demand for other in view.long_running if other is not run]
+    total = sum(lasting, demand)
+    capacity = view.info.capacity
+    return (
+        total.cpu_millis <= capacity.cpu_millis
+        and total.memory_mb <= capacity.memory_mb
+        and total.accelerators <= capacity.accelerators
+    )
--- a/packages/pollengated/pollengated/edge/run_mover.py
+++ b/packages/pollengated/pollengated/edge/run_mover.py
@@ -6,6 +6,7 @@
 from pollengate.workflow.job_table import JobTable
 from pollengate.workflow.large_tasks import LargeTaskReserve
 from pollengate.workflow.progress import Run
+from pollengate.workflow.restart_room import RestartRoom
 from pollengate.workflow.stragglers import Remedy, Straggler, find_stragglers
 
 from pollengated.logs import Log
@@ -24,6 +25,7 @@
         job_table: jobs of the shard.
         rebalancer: chooses serving tasks to move.
         reserve: chooses the workers that are kept free for large tasks.
+        restart_room: chooses the long-running tasks that move for one that has to run again.
     """
 
     def __init__(
@@ -32,11 +34,13 @@
         job_table: JobTable,
         rebalancer: Rebalancer,
         reserve: LargeTaskReserve,
+        restart_room: RestartRoom,
     ) -> None:
         self._fleet = fleet
         self._job_table = job_table
         self._rebalancer = rebalancer
         self._reserve = reserve
+        self._restart_room = restart_room
         self._log = Log("owner")
 
     def update(self, now: float) -> None:
@@ -45,6 +49,7 @@
         self._remedy_stragglers(now)
         self._rebalance(now)
         self._make_room_for_large_tasks(now)
+        self._make_room_for_restarts(now)
 
     def _move_off_draining_workers(self) -> None:
         for view in self._fleet.workers_by_id.values():
@@ -81,6 +86,13 @@
             )
             self._job_table.stop(run)
 
+    def _make_room_for_restarts(self, now: float) -> None:
+        for run in self._restart_room.update(now):
+            self._log.info(
+                "stopping a long-running task to make room for one that runs again", **_fields(run)
+            )
+            self._job_table.stop(run)
+
     def _rebalance(self, now: float) -> None:
         waiting_millis = self._job_table.waiting_filler_millis(now - FILLER_WAIT_S)
         run = self._rebalancer.choose(waiting_millis, now)
--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -19,6 +19,7 @@
 from pollengate.workflow.planner import Planner
 from pollengate.workflow.policy import SchedulingPolicy
 from pollengate.workflow.records import decode_job, decode_progress, restore
+from pollengate.workflow.restart_room import RestartRoom
 from pollengate.workflow.settings import NodeSettings
 from pollengate.workflow.shard_lease import ShardLease, previous_lease_expiry
 from pollengate.workflow.tickets import TicketCache
@@ -267,7 +268,8 @@
         )
         rebalancer = Rebalancer(self.fleet, self._latency_model)
         reserve = LargeTaskReserve(self.job_table, self._start_policy.start_filter)
-        self._run_mover = RunMover(self.fleet, self.job_table, rebalancer, reserve)
+        restart_room = RestartRoom(self.job_table, self._start_policy.start_filter)
+        self._run_mover = RunMover(self.fleet, self.job_table, rebalancer, reserve, restart_room)
         self._load_log = ShardLoadLog(
             self.shard,
             self.job_table,
--- a/tests/test_long_running_restarts.py
+++ b/tests/test_long_running_restarts.py
@@ -109,6 +109,24 @@
 
         run_virtual(main())
 
+    def test_free_cores_in_pieces_do_not_keep_a_long_running_task_from_running_again(self) -> None:
+        async def main() -> None:
+            cluster = self.open_cluster(workers=4, shards=1)
+            await cluster.open()
+            large_id = await self.submit(cluster, 0, long_running(2, 3000, max_per_worker=1))
+            await asyncio.sleep(SETTLE_S)
+            small_id = await self.submit(cluster, 0, long_running(2, 2000))
+            await asyncio.sleep(SETTLE_S)
+            small = self.running_workers(cluster, small_id)
+            self.assertEqual(2, len(set(small)))  # two cores are left on each
+            await self.remove(cluster, self.running_workers(cluster, large_id)[0])
+            await asyncio.sleep(MAX_ABSENCE_S)
+            for job_id in (large_id, small_id):
+                self.assertEqual(2, len(self.running_workers(cluster, job_id)))
+            self.check_single_execution(cluster)
+
+        run_virtual(main())
+
     def test_worker_that_never_completes_a_report_does_not_keep_its_tasks(self) -> None:
         async def main() -> None:
             cluster = self.open_cluster(workers=3, shards=1)
