Choose the worker to keep clear by what has to be freed

Cause: a task that needs no accelerator counted as lacking all of its accelerators on every worker, so that all workers were equally far from having room and the one with the lowest id was chosen.

The room of a worker gets a module of its own, which the choice of the task that moves uses, too: it summed the demands of all long-running tasks of a worker for each pair of a task and a worker.

test_worker_nearest_to_having_room_is_chosen failed with the old formula: ['w1'] != ['w0'].

--- a/packages/pollengate/pollengate/workflow/cleared_workers.py
+++ b/packages/pollengate/pollengate/workflow/cleared_workers.py
@@ -5,13 +5,13 @@
 nothing else until it fits: the other tasks there end within seconds.
 """
 
-import dataclasses
 import math
 from collections.abc import Iterable, Sequence
 
 from pollengate.workflow.fleet import WorkerView
 from pollengate.workflow.placement import is_allowed
 from pollengate.workflow.progress import StepProgress
+from pollengate.workflow.worker_room import WorkerRoom
 
 __all__ = ["ClearedWorkers"]
 
@@ -19,58 +19,6 @@
 MAX_CLEARED_SHARE = 0.2
 
 
-@dataclasses.dataclass(slots=True)
-class _Room:
-    """What is left of a worker, as it is and once only its long-running tasks are left."""
-
-    free_millis: int
-    free_mb: int
-    free_accelerators: int
-    later_millis: int
-    later_mb: int
-    later_accelerators: int
-
-    @classmethod
-    def of(cls, view: WorkerView) -> "_Room":
-        capacity = view.info.capacity
-        lasting = [run.task.step.spec.demand for run in view.long_running]
-        return cls(
-            capacity.cpu_millis - view.committed_millis,
-            capacity.memory_mb - view.memory_mb,
-            capacity.accelerators - view.accelerators,
-            capacity.cpu_millis - sum(demand.cpu_millis for demand in lasting),
-            capacity.memory_mb - sum(demand.memory_mb for demand in lasting),
-            capacity.accelerators - sum(demand.accelerators for demand in lasting),
-        )
-
-    def can_hold_later(self, step: StepProgress) -> bool:
-        demand = step.spec.demand
-        return (
-            demand.cpu_millis <= self.later_millis
-            and demand.memory_mb <= self.later_mb
-            and demand.accelerators <= self.later_accelerators
-        )
-
-    def shortfall(self, step: StepProgress) -> float:
-        """Returns what still has to be freed for a task, as a share of its demand."""
-        demand = step.spec.demand
-        return max(
-            0.0,
-            1 - self.free_millis / max(1, demand.cpu_millis),
-            1 - self.free_mb / max(1, demand.memory_mb),
-            1 - self.free_accelerators / max(1, demand.accelerators),
-        )
-
-    def plan(self, step: StepProgress) -> None:
-        demand = step.spec.demand
-        self.free_millis -= demand.cpu_millis
-        self.free_mb -= demand.memory_mb
-        self.free_accelerators -= demand.accelerators
-        self.later_millis -= demand.cpu_millis
-        self.later_mb -= demand.memory_mb
-        self.later_accelerators -= demand.accelerators
-
-
 class ClearedWorkers:
     """The workers that are kept clear during one round of planning.
 
@@ -79,7 +27,7 @@
     """
 
     def __init__(self) -> None:
-        self._room_by_view: dict[WorkerView, _Room] = {}
+        self._room_by_view: dict[WorkerView, WorkerRoom] = {}
         self._planned: dict[StepProgress, list[WorkerView]] = {}
         self._cleared: dict[WorkerView, None] = {}
 
@@ -130,8 +78,8 @@
             not limit or step.runs_on(view.worker_id) + planned < limit
         )
 
-    def _room(self, view: WorkerView) -> _Room:
+    def _room(self, view: WorkerView) -> WorkerRoom:
         room = self._room_by_view.get(view)
         if room is None:
-            room = self._room_by_view[view] = _Room.of(view)
+            room = self._room_by_view[view] = WorkerRoom.of(view)
         return room
--- a/packages/pollengate/pollengate/workflow/placement.py
+++ b/packages/pollengate/pollengate/workflow/placement.py
@@ -20,6 +20,7 @@
 from pollengate.workflow.fleet import WorkerView
 from pollengate.workflow.progress import Run, StepProgress, TaskProgress
 from pollengate.workflow.tickets import TicketCache
+from pollengate.workflow.worker_room import WorkerRoom
 
 __all__ = [
     "Placer",
@@ -260,15 +261,7 @@
 
     All other tasks end by themselves within seconds.
     """
-    demands = [run.task.step.spec.demand for run in view.long_running]
-    demands.append(step.spec.demand)
-    capacity = view.info.capacity
-    return (
-        is_allowed(step, view)
-        and sum(demand.cpu_millis for demand in demands) <= capacity.cpu_millis
-        and sum(demand.memory_mb for demand in demands) <= capacity.memory_mb
-        and sum(demand.accelerators for demand in demands) <= capacity.accelerators
-    )
+    return is_allowed(step, view) and WorkerRoom.of(view).can_hold_later(step)
 
 
 def is_allowed(step: StepProgress, view: WorkerView) -> bool:
--- a/packages/pollengate/pollengate/workflow/restart_room.py
+++ b/packages/pollengate/pollengate/workflow/restart_room.py
@@ -11,9 +11,10 @@
 from pollengate.workflow.job_table import JobTable
 from pollengate.workflow.moves import is_in_touch, may_stop_to_move
 from pollengate.workflow.ordering import runs_again
-from pollengate.workflow.placement import can_place, fits_beside_long_running, is_allowed
+from pollengate.workflow.placement import fits_beside_long_running, is_allowed
 from pollengate.workflow.progress import Run, StepProgress
 from pollengate.workflow.start_filter import NoStartFilter, StartFilter
+from pollengate.workflow.worker_room import WorkerRoom
 
 __all__ = ["RestartRoom"]
 
@@ -88,20 +89,29 @@
 
         The smallest one moves, if possible to a worker that has room for it already.
         """
-        workers = self._workers(step, now)
+        room_by_view = {view: WorkerRoom.of(view) for view in self._workers(step, now)}
         best = None
         best_key = (True, 0)
-        for view in workers:
+        for view, room in room_by_view.items():
             if not is_allowed(step, view):
                 continue
             for run in view.long_running:
                 moved = run.task.step
-                if not _makes_room(run, step, view) or not self._may_move(run, view, now):
+                # A task moves only for a larger one, so that moves come to an end.
+                if moved.spec.demand.cpu_millis >= step.spec.demand.cpu_millis:
                     continue
-                others = [other for other in workers if other is not view]
-                if not any(fits_beside_long_running(moved, other) for other in others):
+                if not room.can_hold_later(step, moved.spec.demand):
                     continue
-                must_wait = not any(can_place(moved, other) for other in others)
+                places = [
+                    other_room
+                    for other, other_room in room_by_view.items()
+                    if other is not view
+                    and other_room.can_hold_later(moved)
+                    and is_allowed(moved, other)
+                ]
+                if not places or not self._may_move(run, view, now):
+                    continue
+                must_wait = not any(place.can_hold(moved) for place in places)
                 key = (must_wait, moved.spec.demand.cpu_millis)
                 if best is None or key < best_key:
                     best, best_key = run, key
@@ -126,21 +136,3 @@
         evidence = self._job_table.evidence
         workers = self._job_table.fleet.schedulable_workers(queue.service, now)
         return [view for view in workers if not evidence.is_quarantined(view.worker_id)]
-
-
-def _makes_room(run: Run, step: StepProgress, view: WorkerView) -> bool:
-    """Whether a task fits beside the long-running tasks of a worker once a smaller run has left.
-
-    As a task moves only for a larger one, moves come to an end.
-    """
-    demand = step.spec.demand
-    if run.task.step.spec.demand.cpu_millis >= demand.cpu_millis:
-        return False
-    lasting = [other.task.step.spec.demand for other in view.long_running if other is not run]
-    total = sum(lasting, demand)
-    capacity = view.info.capacity
-    return (
-        total.cpu_millis <= capacity.cpu_millis
-        and total.memory_mb <= capacity.memory_mb
-        and total.accelerators <= capacity.accelerators
-    )
--- /dev/null
+++ b/tests/test_workflow_cleared_workers.py
@@ -0,0 +1,71 @@
+"""Tests of the workers that are kept clear for long-running tasks that run again."""
+
+import unittest
+
+from pollengate.workflow.cleared_workers import ClearedWorkers
+from pollengate.workflow.clients import EndKind
+from pollengate.workflow.model import Demand, Step
+from pollengate.workflow.progress import StepProgress
+
+from tests.workflow_builders import (
+    build_job,
+    build_job_table,
+    build_lease_worker,
+    build_step,
+    start_all,
+)
+
+LASTING = build_step(is_long_running=True, demand=Demand(3000, 100))
+
+
+class ClearedWorkersTest(unittest.TestCase):
+    """A worker is kept clear only if the tasks in the way end by themselves."""
+
+    def cleared(self, workers: int, *beside: Step) -> list[str]:
+        """Returns the workers kept clear for a task whose place these steps have taken."""
+        job_table = build_job_table(*(build_lease_worker(f"w{n}") for n in range(workers)))
+        job_table.add(build_job("00000000000000aa", LASTING), 0.0, 0)
+        (run,) = start_all(job_table)
+        job_table.mark_ended(run, EndKind.FAILED, "", 1.0, 1000)
+        step: StepProgress = run.task.step
+        step.waiting.clear()
+        for number, other in enumerate(beside):
+            job_table.add(build_job(f"{number:016x}", other), 1.0, 1000)
+            start_all(job_table, 1.0)
+        job_table.requeue(run.task)
+        views = list(job_table.fleet.workers_by_id.values())
+        cleared = ClearedWorkers()
+        cleared.clear_for(step, views)
+        return [view.worker_id for view in views if view in cleared]
+
+    def test_worker_nearest_to_having_room_is_chosen(self) -> None:
+        full = build_step(demand=Demand(4000, 100))
+        nearly_free = build_step(demand=Demand(2000, 100))
+        self.assertEqual(["w1"], self.cleared(2, full, nearly_free))
+
+    def test_memory_of_fillers_counts_as_in_the_way(self) -> None:
+        filler = build_step(is_filler=True, demand=Demand(1000, 950))
+        self.assertEqual(["w1"], self.cleared(2, filler, build_step(demand=Demand(2000, 100))))
+
+    def test_worker_full_of_long_running_tasks_is_not_kept_clear(self) -> None:
+        lasting = build_step(is_long_running=True, demand=Demand(2000, 100))
+        self.assertEqual([], self.cleared(1, lasting))
+
+    def test_only_a_fifth_of_the_workers_is_kept_clear(self) -> None:
+        job_table = build_job_table(*(build_lease_worker(f"w{n}") for n in range(10)))
+        job_table.add(build_job("00000000000000aa", build_step(8)), 0.0, 0)
+        job = build_job("00000000000000bb", build_step(6, is_long_running=True))
+        job_table.add(job, 0.0, 0)
+        (step,) = (s for s in job_table.open_steps if s.job is job)
+        for task in step.waiting:
+            task.last_run = 1
+        views = list(job_table.fleet.workers_by_id.values())
+        for view in views:
+            view.committed_millis = 3500
+        cleared = ClearedWorkers()
+        cleared.clear_for(step, views)
+        self.assertEqual(2, sum(view in cleared for view in views))
+
+
+if __name__ == "__main__":
+    unittest.main()
