Start a filler of each job that has had no run for 2 s

Cause: fillers waited for headroom beside serving tasks and for processors that no other filler declares, whether or not their job had anything running. Neither is capacity for callers: fillers get what other tasks leave, and memory alone limits them.

Change: the planner notes since when a job has had no run. After 2 s one of its fillers starts on the worker where it disturbs least, with memory as the only condition; the others wait as before. The speed of fillers protects the serving tasks beside it.

Ruled out: a shorter bound for all fillers, which starts whole steps where they disturb; a bound only at low load, which leaves jobs standing behind fillers that last.

--- a/packages/pollengate/pollengate/interference/filler_placement.py
+++ b/packages/pollengate/pollengate/interference/filler_placement.py
@@ -1,7 +1,8 @@
 """Where fillers may start beside serving tasks, and whether a slow one would end sooner elsewhere.
 
 A filler that takes little headroom may start anywhere. Any other may start on a worker while the
-load of the serving tasks there leaves as much as it takes.
+load of the serving tasks there leaves as much as it takes. A job without any run gets one soon, on
+the worker where it disturbs least, so that no job stands still beside free memory.
 """
 
 import dataclasses
@@ -12,12 +13,15 @@
 from pollengate.workflow.fleet import WorkerView
 from pollengate.workflow.progress import Run, StepProgress
 
-__all__ = ["MAX_START_STRAIN", "FillerPlacement", "may_withhold"]
+__all__ = ["MAX_START_STRAIN", "FillerPlacement", "may_withhold", "must_start"]
 
 # A filler starts only where it takes at most this part of each serving task's spare headroom.
 MAX_START_STRAIN = 1.05
 # If no worker allows that, a step waits this long; after that it starts all the same.
 MAX_WITHHELD_S = 20.0
+# A job without any run starts one filler after this time wherever memory allows it. Jobs that could
+# run may have nothing running for 3 s.
+MAX_IDLE_S = 2.0
 # Speeds are expected for the load after these times, as tasks take a second or two.
 HORIZONS_S = (0.3, 1.5)
 # A move costs a stop, a checkpoint, a new start and 0.1 to 0.25 s to resume.
@@ -160,4 +164,14 @@
 
 def may_withhold(step: StepProgress, now: float) -> bool:
     """Returns True while a step of fillers may wait for a worker with more headroom."""
-    return step.spec.is_filler and now - step.opened_at < MAX_WITHHELD_S
+    is_young = now - step.opened_at < MAX_WITHHELD_S
+    return step.spec.is_filler and is_young and not must_start(step, now)
+
+
+def must_start(step: StepProgress, now: float) -> bool:
+    """Returns True if a filler of a step starts without headroom or unused processors.
+
+    Its job has had no run for too long. The speed of fillers protects the serving tasks beside it.
+    """
+    idle_since = step.job.idle_since
+    return step.spec.is_filler and idle_since is not None and now - idle_since >= MAX_IDLE_S
--- a/packages/pollengate/pollengate/workflow/job_table.py
+++ b/packages/pollengate/pollengate/workflow/job_table.py
@@ -137,6 +137,8 @@
         if not step.waiting:
             self.open_steps.pop(step, None)
         job = step.job
+        job.run_count += 1
+        job.idle_since = None
         if job.state is JobState.QUEUED:
             job.state = job.visible_state = JobState.RUNNING
         return run
@@ -349,6 +351,7 @@
         """Removes a run that is known to be gone and queues its task again if needed."""
         task = run.task
         task.remove_run(run)
+        task.step.job.run_count -= 1
         self.account_usage.add(task.step.job.account, task.step.spec.demand, -1)
         view = self.fleet.workers_by_id.get(run.worker_id)
         if view is not None:
--- a/packages/pollengate/pollengate/workflow/placement.py
+++ b/packages/pollengate/pollengate/workflow/placement.py
@@ -14,6 +14,7 @@
     MAX_START_STRAIN,
     FillerPlacement,
     may_withhold,
+    must_start,
 )
 from pollengate.interference.latency_model import LatencyModel
 from pollengate.workflow.crashes import TRIAL_CRASHES
@@ -30,6 +31,8 @@
 # Penalty for a filler, multiplied by the part of the spare headroom there that it would take.
 STRAIN_PENALTY_MILLIS = 20_000
 MAX_STRAIN = 10.0
+# Penalty for a filler that must start, on a worker on which fillers are blocked.
+BLOCKED_PENALTY_MILLIS = 200_000
 # Penalty for a serving task, for each other serving image on the worker: the fewer images share a
 # worker, the more fillers can run there without interference.
 OTHER_IMAGE_PENALTY_MILLIS = 100_000
@@ -207,12 +210,15 @@
         spec = step.spec
         score = view.unused_millis()
         if spec.is_filler:
-            if not has_unused_processors(step, view, now):
+            is_urgent = must_start(step, now)
+            if not is_urgent and not has_unused_processors(step, view, now):
                 return None
             strain = self.fillers.strain(step, view, now)
             if strain > MAX_START_STRAIN and may_withhold(step, now):
                 return None
             score -= STRAIN_PENALTY_MILLIS * min(strain, MAX_STRAIN)
+            if now < view.fillers_blocked_until:
+                score -= BLOCKED_PENALTY_MILLIS
         else:
             if spec.target_ms:
                 score = self._serving_score(step, view)
--- a/packages/pollengate/pollengate/workflow/planner.py
+++ b/packages/pollengate/pollengate/workflow/planner.py
@@ -3,7 +3,7 @@
 import dataclasses
 from collections.abc import Callable
 
-from pollengate.interference.filler_placement import may_withhold
+from pollengate.interference.filler_placement import may_withhold, must_start
 from pollengate.workflow.crashes import may_try_alone
 from pollengate.workflow.fleet import WorkerView
 from pollengate.workflow.job_table import JobTable
@@ -37,12 +37,12 @@
             max((v.unused_millis() for v in workers), default=-1.0),
         )
 
-    def can_place(self, step: StepProgress) -> bool:
+    def can_place(self, step: StepProgress, now: float) -> bool:
         demand = step.spec.demand
         if demand.memory_mb > self.memory_mb:
             return False
         if step.spec.is_filler:
-            return self.unused_millis > 0
+            return self.unused_millis > 0 or must_start(step, now)
         return demand.cpu_millis <= self.free_millis
 
 
@@ -86,6 +86,9 @@
         steps = [
             step for step in job_table.open_steps if step.waiting and (settled or _is_new(step))
         ]
+        for step in steps:
+            if step.job.idle_since is None and not step.job.run_count:
+                step.job.idle_since = now
         self.start_filter.begin_round()
         largest_free_by_service: dict[str, _LargestFree] = {}
         # While a plan is made, runs are only added, so that no further worker can get headroom.
@@ -100,7 +103,7 @@
                 largest_free = _LargestFree.of(
                     job_table.fleet.schedulable_workers(queue.service, now)
                 )
-            if largest_free.can_place(step):
+            if largest_free.can_place(step, now):
                 placed = self._place_step(
                     step, queue, largest_free.workers, candidates_by_filler, now
                 )
@@ -130,6 +133,7 @@
             return self._place_gang(step, queue, workers, now)
         runs = []
         scores = StepScores()
+        is_urgent = must_start(step, now)
         candidates: list[WorkerView] | None = None
         if may_withhold(step, now):
             key = (queue.service, step.spec.image, step.spec.demand.cpu_millis)
@@ -154,6 +158,8 @@
             scores.forget(view)
             if step.spec.is_filler:
                 self.placer.fillers.refresh((view,), now)
+            if is_urgent:
+                break  # its siblings wait for headroom
         return runs
 
     def _place_gang(
--- a/packages/pollengate/pollengate/workflow/progress.py
+++ b/packages/pollengate/pollengate/workflow/progress.py
@@ -245,6 +245,9 @@
         record_number: number of the newest record of its progress, see `JobTable.is_recorded`.
         is_over_rate: whether its account had handed in more jobs than its rate allows when this one
             was accepted; it is not recorded.
+        run_count: number of its runs that may exist on a worker.
+        idle_since: clock time since which tasks of it may start and it has no run, None if it has
+            one.
     """
 
     job_id: str
@@ -261,6 +264,8 @@
     account: str = ""
     record_number: int = 0
     is_over_rate: bool = False
+    run_count: int = 0
+    idle_since: float | None = None
     _critical_path_ms: float | None = dataclasses.field(default=None, init=False)
     _chain_ms_by_step: list[float] | None = dataclasses.field(default=None, init=False)
 
