Place the siblings of a task that failed where it may not go itself

Callers saw: nothing that is known to come from this; found by reading, in the search for causes of a job that has nothing running beside workers with room.

Cause: the planner ended with the first waiting task of a step that found no worker. A task that failed on the only worker with room waits for another one, and its siblings, which may run there, waited with it.

Change: the next tasks are tried after one that has failed, as after one under which workers crashed.

The test failed before (ValueError: not enough values to unpack (expected 1, got 0)). tests.test_idle_jobs, tests.test_workflow_placement and tests.test_crashes pass with it. Ruled out: to try all tasks of each step; a task that never failed finds no worker where its sibling found none, and the search takes time for each worker.

--- a/packages/pollengate/pollengate/workflow/planner.py
+++ b/packages/pollengate/pollengate/workflow/planner.py
@@ -150,7 +150,7 @@
             view = self.placer.choose(
                 task, workers, now, queue.advice is not None, scores, candidates
             )
-            if view is None and task.crashes:
+            if view is None and (task.crashes or self.placer.evidence.has_failed(task.name)):
                 continue  # its siblings may run where it may not
             if view is None:
                 break
--- a/tests/test_idle_jobs.py
+++ b/tests/test_idle_jobs.py
@@ -1,9 +1,10 @@
-"""Tests that fillers of a job of which nothing runs do not wait for long."""
+"""Tests that a job of which nothing runs does not wait for long beside workers with room."""
 
 import unittest
 
 from pollengate.interference.filler_placement import MAX_WITHHELD_S
 from pollengate.interference.latency_model import LatencyModel
+from pollengate.workflow.clients import EndKind
 from pollengate.workflow.job_table import JobTable
 from pollengate.workflow.model import Demand, Step
 from pollengate.workflow.planner import Planner
@@ -31,14 +32,16 @@
 
 
 class IdleJobsTest(unittest.TestCase):
-    """One worker of 16 cores."""
+    """One or two workers of 16 cores."""
 
     job_table: JobTable
     planner: Planner
 
-    def build(self, model: LatencyModel | None = None) -> None:
+    def build(self, model: LatencyModel | None = None, workers: int = 1) -> None:
         """Creates the shard."""
-        self.job_table = build_job_table(build_lease_worker(capacity=CAPACITY))
+        self.job_table = build_job_table(
+            *(build_lease_worker(f"w{n}", capacity=CAPACITY) for n in range(workers))
+        )
         self.planner = build_planner(self.job_table, model)
 
     def start(self, job_id: str, step: Step, now: float) -> list[Run]:
@@ -80,6 +83,24 @@
         self.assertEqual(len(self.plan_until(1.0, 1.0 + LOST_AFTER_S)), 1)
         self.assertEqual(self.plan_until(4.0, MAX_WITHHELD_S), [])
 
+    def start_beside_a_full_worker(self) -> list[Run]:
+        """Starts a job of two tasks on the first of two workers, as the other is full."""
+        self.build(workers=2)
+        full = build_step(is_long_running=True, demand=CAPACITY)
+        (blocker,) = self.start("aa", full, 0.0)
+        step = build_step(2, demand=Demand(2000, 1000), saves_progress=True)
+        runs = self.start("bb", step, 0.0)
+        self.assertEqual([run.worker_id == blocker.worker_id for run in runs], [False, False])
+        return runs
+
+    def test_task_that_failed_does_not_hold_back_its_siblings(self) -> None:
+        # Guards against a sibling that waits for the worker which the first task needs.
+        first, second = self.start_beside_a_full_worker()
+        self.job_table.mark_ended(first, EndKind.FAILED, "", 1.0, 0)
+        self.job_table.mark_ended(second, EndKind.STOPPED, "", 1.0, 0)
+        (run,) = self.plan(1.0)
+        self.assertIs(run.task, second.task)
+
 
 if __name__ == "__main__":
     unittest.main()
