Return a task of an idle job to workers that failed it if few others exist

Callers saw: nothing that is known to come from this; found by reading, in the search for causes of a job that has nothing running beside workers with room.

Cause: a task that failed on a worker waited for another one for as long as there was any that admits it. If these few are full of long-running tasks, it waits until those end, with room on the workers that failed it.

Change: once its job has had no run for 2 s, a task returns to a worker that failed it if it may not return to at least half of the workers on which it is allowed. The limit on idle time moves to JobProgress, where fillers use it, too.

The test failed before (AssertionError: 0 != 1). tests.test_idle_jobs, test_workflow_placement, test_crashes, test_latency_model, test_failure_evidence, test_workflow_reports and test_explain: 89 passed, 0 failed. Ruled out: to return after 2 s whatever other workers there are; in a full shard the workers with room are those that fail their tasks, and another failure may cost the job.

--- a/packages/pollengate/pollengate/interference/filler_placement.py
+++ b/packages/pollengate/pollengate/interference/filler_placement.py
@@ -19,9 +19,6 @@
 MAX_START_STRAIN = 1.05
 # If no worker allows that, a step waits this long; after that it starts all the same.
 MAX_WITHHELD_S = 20.0
-# A job without any run starts one filler after this time wherever memory allows it. Jobs that could
-# run may have nothing running for 3 s.
-MAX_IDLE_S = 2.0
 # Speeds are expected for the load after these times, as tasks take a second or two.
 HORIZONS_S = (0.3, 1.5)
 # A move costs a stop, a checkpoint, a new start and 0.1 to 0.25 s to resume.
@@ -173,5 +170,4 @@
 
     Its job has had no run for too long. The speed of fillers protects the serving tasks beside it.
     """
-    idle_since = step.job.idle_since
-    return step.spec.is_filler and idle_since is not None and now - idle_since >= MAX_IDLE_S
+    return step.spec.is_filler and step.job.is_overdue(now)
--- a/packages/pollengate/pollengate/workflow/placement.py
+++ b/packages/pollengate/pollengate/workflow/placement.py
@@ -103,7 +103,8 @@
         """Returns the best worker for a task, None if it fits nowhere.
 
         Workers on which the task failed come last. A long-running task returns to one of them if
-        no other worker has room, any other task only if there is no other worker at all.
+        no other worker has room, any other task only if there is no other worker at all, or if
+        they are few and its job has had no run for too long.
 
         Args:
             task: the task.
@@ -126,7 +127,9 @@
         best_of = self._best_worker_for_suspect if task.crashes else self._best_worker
         best = best_of(task, admitted, now, scores)
         if best is None and (
-            task.step.spec.is_long_running or not (admitted or self._admits_any(task, workers))
+            task.step.spec.is_long_running
+            or (task.step.job.is_overdue(now) and self._has_failed_on_most(task, workers))
+            or not (admitted or self._admits_any(task, workers))
         ):
             healthy = [v for v in candidates if not self.evidence.is_quarantined(v.worker_id)]
             best = best_of(task, healthy, now, scores)
@@ -167,6 +170,15 @@
     def _admits_any(self, task: TaskProgress, workers: Sequence[WorkerView]) -> bool:
         return any(self.evidence.admits(view.worker_id, task.name) for view in workers)
 
+    def _has_failed_on_most(self, task: TaskProgress, workers: Sequence[WorkerView]) -> bool:
+        """Whether a task may not return to at least half of the workers on which it is allowed.
+
+        With more of the others, one of them soon has room, and another failure may cost the job.
+        """
+        allowed = [view for view in workers if is_allowed(task.step, view)]
+        admitted = sum(self.evidence.admits(view.worker_id, task.name) for view in allowed)
+        return 2 * admitted <= len(allowed)
+
     def _best_worker(
         self, task: TaskProgress, workers: Sequence[WorkerView], now: float, scores: StepScores
     ) -> WorkerView | None:
--- a/packages/pollengate/pollengate/workflow/progress.py
+++ b/packages/pollengate/pollengate/workflow/progress.py
@@ -22,6 +22,9 @@
 
 # Workers report this percentage for a long-running task that is past its startup.
 PAST_STARTUP_PERCENT = 100
+# A job that could run may have nothing running for 3 s. After this time without any run its tasks
+# start where they otherwise would not.
+MAX_IDLE_S = 2.0
 
 _RUN_CHART = load_chart("run")
 
@@ -279,6 +282,10 @@
         """Total number of occurrences."""
         return max(1, self.workflow.repeat_count)
 
+    def is_overdue(self, now: float) -> bool:
+        """Returns True if it has had no run for too long although tasks of it may start."""
+        return self.idle_since is not None and now - self.idle_since >= MAX_IDLE_S
+
     def is_due(self, occurrence: int, now_ms: int) -> bool:
         """Returns True if an occurrence is due at a Unix time; without a schedule it always is.
 
--- a/tests/test_idle_jobs.py
+++ b/tests/test_idle_jobs.py
@@ -93,6 +93,14 @@
         self.assertEqual([run.worker_id == blocker.worker_id for run in runs], [False, False])
         return runs
 
+    def test_task_returns_to_a_worker_that_failed_it_while_all_others_are_full(self) -> None:
+        # Guards against a task that waits until long-running tasks end on another worker.
+        first, second = self.start_beside_a_full_worker()
+        self.job_table.mark_ended(second, EndKind.DONE, "", 1.0, 0)
+        self.job_table.mark_ended(first, EndKind.FAILED, "", 1.0, 0)
+        self.assertEqual(self.plan(1.0), [])
+        self.assertEqual(len(self.plan_until(1.0, 1.0 + LOST_AFTER_S)), 1)
+
     def test_task_that_failed_does_not_hold_back_its_siblings(self) -> None:
         # Guards against a sibling that waits for the worker which the first task needs.
         first, second = self.start_beside_a_full_worker()
