--- a/packages/pollengate/pollengate/interference/filler_placement.py
+++ b/packages/pollengate/pollengate/interference/filler_placement.py
@@ -1,7 +1,8 @@
 """Where fillers may start beside serving tasks, and whether a slow one would end sooner elsewhere.
 
 A filler that takes little headroom may start anywhere. Any other may start on a worker while the
-load of the serving tasks there leaves as much as it takes.
+load of the serving tasks there leaves as much as it takes. A job without any run gets one soon, on
+the worker where it disturbs least, so that no job stands still beside free memory.
 """
 
 import dataclasses
@@ -12,7 +13,7 @@
 from pollengate.workflow.fleet import WorkerView
 from pollengate.workflow.progress import Run, StepProgress
 
-__all__ = ["MAX_START_STRAIN", "FillerPlacement", "may_withhold"]
+__all__ = ["MAX_START_STRAIN", "FillerPlacement", "may_withhold", "must_start"]
 
 # A filler starts only where it takes at most this part of each serving task's spare headroom.
 MAX_START_STRAIN = 1.05
@@ -160,4 +161,13 @@
 
 def may_withhold(step: StepProgress, now: float) -> bool:
     """Returns True while a step of fillers may wait for a worker with more headroom."""
-    return step.spec.is_filler and now - step.opened_at < MAX_WITHHELD_S
+    is_young = now - step.opened_at < MAX_WITHHELD_S
+    return step.spec.is_filler and is_young and not must_start(step, now)
+
+
+def must_start(step: StepProgress, now: float) -> bool:
+    """Returns True if a filler of a step starts without headroom or unused processors.
+
+    Its job has had no run for too long. The speed of fillers protects the serving tasks beside it.
+    """
+    return step.spec.is_filler and step.job.is_overdue(now)
--- a/packages/pollengate/pollengate/workflow/placement.py
+++ b/packages/pollengate/pollengate/workflow/placement.py
@@ -14,6 +14,7 @@
     MAX_START_STRAIN,
     FillerPlacement,
     may_withhold,
+    must_start,
 )
 from pollengate.interference.latency_model import LatencyModel
 from pollengate.workflow.crashes import TRIAL_CRASHES
@@ -38,6 +39,8 @@
 # Penalty for a filler, multiplied by the part of the spare headroom there that it would take.
 STRAIN_PENALTY_MILLIS = 20_000
 MAX_STRAIN = 10.0
+# Penalty for a filler that must start, on a worker on which fillers are blocked.
+BLOCKED_PENALTY_MILLIS = 200_000
 # Penalty for a serving task, for each other serving image on the worker: the fewer images share a
 # worker, the more fillers can run there without interference.
 OTHER_IMAGE_PENALTY_MILLIS = 100_000
@@ -108,7 +111,8 @@
         """Returns the best worker for a task, None if it fits nowhere.
 
         Workers on which the task failed come last. A long-running task returns to one of them if
-        no other worker has room, any other task only if there is no other worker at all.
+        no other worker has room, any other task only if there is no other worker at all, or if
+        they are few and its job has had no run for too long.
 
         Args:
             task: the task.
@@ -131,7 +135,9 @@
         best_of = self._best_worker_for_suspect if task.crashes else self._best_worker
         best = best_of(task, admitted, now, scores)
         if best is None and (
-            task.step.spec.is_long_running or not (admitted or self._admits_any(task, workers))
+            task.step.spec.is_long_running
+            or (task.step.job.is_overdue(now) and self._has_failed_on_most(task, workers))
+            or not (admitted or self._admits_any(task, workers))
         ):
             healthy = [v for v in candidates if not self.evidence.is_quarantined(v.worker_id)]
             best = best_of(task, healthy, now, scores)
@@ -172,6 +178,15 @@
     def _admits_any(self, task: TaskProgress, workers: Sequence[WorkerView]) -> bool:
         return any(self.evidence.admits(view.worker_id, task.name) for view in workers)
 
+    def _has_failed_on_most(self, task: TaskProgress, workers: Sequence[WorkerView]) -> bool:
+        """Whether a task may not return to at least half of the workers on which it is allowed.
+
+        With more of the others, one of them soon has room, and another failure may cost the job.
+        """
+        allowed = [view for view in workers if is_allowed(task.step, view)]
+        admitted = sum(self.evidence.admits(view.worker_id, task.name) for view in allowed)
+        return 2 * admitted <= len(allowed)
+
     def _best_worker(
         self, task: TaskProgress, workers: Sequence[WorkerView], now: float, scores: StepScores
     ) -> WorkerView | None:
@@ -215,12 +230,15 @@
         spec = step.spec
         score = view.unused_millis()
         if spec.is_filler:
-            if not has_unused_processors(step, view, now):
+            is_urgent = must_start(step, now)
+            if not is_urgent and not has_unused_processors(step, view, now):
                 return None
             strain = self.fillers.strain(step, view, now)
             if strain > MAX_START_STRAIN and may_withhold(step, now):
                 return None
             score -= STRAIN_PENALTY_MILLIS * min(strain, MAX_STRAIN)
+            if now < view.fillers_blocked_until:
+                score -= BLOCKED_PENALTY_MILLIS
         else:
             if spec.target_ms:
                 score = self._serving_score(step, view)
--- a/packages/pollengate/pollengate/workflow/progress.py
+++ b/packages/pollengate/pollengate/workflow/progress.py
@@ -22,6 +22,9 @@
 
 # Workers report this percentage for a long-running task that is past its startup.
 PAST_STARTUP_PERCENT = 100
+# A job that could run may have nothing running for 3 s. After this time without any run its tasks
+# start where they otherwise would not.
+MAX_IDLE_S = 2.0
 
 _RUN_CHART = load_chart("run")
 
@@ -245,6 +248,9 @@
         record_number: number of the newest record of its progress, see `JobTable.is_recorded`.
         is_over_rate: whether its account had handed in more jobs than its rate allows when this one
             was accepted; it is not recorded.
+        run_count: number of its runs that may exist on a worker.
+        idle_since: clock time since which tasks of it may start and it has no run, None if it has
+            one.
     """
 
     job_id: str
@@ -261,6 +267,8 @@
     account: str = ""
     record_number: int = 0
     is_over_rate: bool = False
+    run_count: int = 0
+    idle_since: float | None = None
     _critical_path_ms: float | None = dataclasses.field(default=None, init=False)
     _chain_ms_by_step: list[float] | None = dataclasses.field(default=None, init=False)
 
@@ -274,6 +282,10 @@
         """Total number of occurrences."""
         return max(1, self.workflow.repeat_count)
 
+    def is_overdue(self, now: float) -> bool:
+        """Returns True if it has had no run for too long although tasks of it may start."""
+        return self.idle_since is not None and now - self.idle_since >= MAX_IDLE_S
+
     def is_due(self, occurrence: int, now_ms: int) -> bool:
         """Returns True if an occurrence is due at a Unix time; without a schedule it always is.
 
