--- a/packages/pollengate-net/pollengate_net/messages/edge_grpc.py
+++ b/packages/pollengate-net/pollengate_net/messages/edge_grpc.py
@@ -26,6 +26,10 @@
     async def Cancel(self, stream: 'grpclib.server.Stream[pollengate_net.messages.edge_pb2.JobRequest, pollengate_net.messages.edge_pb2.JobReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Place(self, stream: 'grpclib.server.Stream[pollengate_net.messages.edge_pb2.PlaceRequest, pollengate_net.messages.edge_pb2.PlaceReply]') -> None:
+        pass
+
     @abc.abstractmethod
     async def CountWaiting(self, stream: 'grpclib.server.Stream[pollengate_net.messages.edge_pb2.QueueRequest, pollengate_net.messages.edge_pb2.JobReply]') -> None:
         pass
@@ -58,6 +62,12 @@
                 pollengate_net.messages.edge_pb2.JobRequest,
                 pollengate_net.messages.edge_pb2.JobReply,
             ),
+            '/pollengate.edge.v1.Edge/Place': grpclib.const.Handler(
+                self.Place,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                pollengate_net.messages.edge_pb2.PlaceRequest,
+                pollengate_net.messages.edge_pb2.PlaceReply,
+            ),
             '/pollengate.edge.v1.Edge/CountWaiting': grpclib.const.Handler(
                 self.CountWaiting,
                 grpclib.const.Cardinality.UNARY_UNARY,
@@ -100,6 +110,12 @@
             pollengate_net.messages.edge_pb2.JobRequest,
             pollengate_net.messages.edge_pb2.JobReply,
         )
+        self.Place = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/pollengate.edge.v1.Edge/Place',
+            pollengate_net.messages.edge_pb2.PlaceRequest,
+            pollengate_net.messages.edge_pb2.PlaceReply,
+        )
         self.CountWaiting = grpclib.client.UnaryUnaryMethod(
             channel,
             '/pollengate.edge.v1.Edge/CountWaiting',
--- /dev/null
+++ b/packages/pollengate/pollengate/workflow/job_placement.py
@@ -0,0 +1,115 @@
+"""Decides in which shard a new job is placed.
+
+A job's home shard follows from its id. If the home shard has no room for the job's first tasks, the
+job is placed in a shard that has. Short jobs go where the most room is left; long-running ones fill
+the fullest shard in which all of their tasks fit, so that room stays pooled elsewhere.
+"""
+
+import dataclasses
+from collections.abc import Mapping, Sequence
+
+import msgspec
+from result import Err, Ok, Result
+
+from pollengate.workflow.model import Deployment, Queue, Step, Workflow
+from pollengate.workflow.shard_room import RoomSummary
+
+__all__ = [
+    "StoredPlacement",
+    "decode_placement",
+    "encode_placement",
+    "first_steps",
+    "is_long_running",
+    "may_be_placed_elsewhere",
+    "min_places",
+    "rank_shards",
+]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredPlacement:
+    """Placement record of a job, written once.
+
+    Attributes:
+        shard: the shard that has the job; the home shard if no other one may take it any more.
+        account: name of the client account that submitted it, empty for none.
+    """
+
+    shard: int
+    account: str = ""
+
+
+def encode_placement(placement: StoredPlacement) -> bytes:
+    """Encodes a placement record."""
+    return msgspec.json.encode(placement)
+
+
+def decode_placement(value: bytes) -> Result[StoredPlacement, str]:
+    """Decodes a placement record; the error is the decoder's message."""
+    try:
+        return Ok(msgspec.json.decode(value, type=StoredPlacement))
+    except (msgspec.MsgspecError, RecursionError) as error:
+        return Err(str(error))
+
+
+def first_steps(workflow: Workflow) -> tuple[Step, ...]:
+    """Returns the steps that need room at once; fillers only use what others leave."""
+    return tuple(step for step in workflow.steps if not (step.after or step.is_filler))
+
+
+def is_long_running(steps: Sequence[Step]) -> bool:
+    """Returns True if some of the steps run until their job is cancelled."""
+    return any(step.is_long_running for step in steps)
+
+
+def may_be_placed_elsewhere(workflow: Workflow, queue: Queue, deployment: Deployment) -> bool:
+    """Returns True if the summary of a shard's room says enough about a job.
+
+    It says nothing of labels, racks, accelerators and tickets. Scheduled jobs need room later, and
+    the limits of client accounts are kept for each shard.
+    """
+    return (
+        bool(first_steps(workflow))
+        and not workflow.repeat_count
+        and queue.advice is None
+        and deployment.accounts_by_name is None
+        and not any(
+            step.is_gang
+            or step.same_rack
+            or step.data_rack
+            or step.required_label
+            or step.demand.accelerators
+            for step in workflow.steps
+        )
+    )
+
+
+def min_places(steps: Sequence[Step], home_places: int) -> int:
+    """Returns the number of tasks for which another shard needs room to get the job.
+
+    A short job may go where only a part of its tasks start at once, if these are more than at home.
+    """
+    total = sum(step.count for step in steps)
+    return total if is_long_running(steps) else min(total, home_places + 1)
+
+
+def rank_shards(
+    steps: Sequence[Step], home_places: int, summaries_by_shard: Mapping[int, RoomSummary]
+) -> list[int]:
+    """Returns the shards that may take a job, the best one first.
+
+    Args:
+        steps: the steps that need room at once.
+        home_places: number of their tasks that find room in the home shard.
+        summaries_by_shard: the room of the other shards for the job's service.
+    """
+    needed = min_places(steps, home_places)
+    prefers_full = is_long_running(steps)
+    ranked: list[tuple[int, int, int]] = []
+    for shard, summary in summaries_by_shard.items():
+        free = summary.expand()
+        free_millis = free.free_millis
+        places = free.take_all(steps)
+        if places >= needed:
+            ranked.append((-places, free_millis if prefers_full else -free_millis, shard))
+    return [shard for _, _, shard in sorted(ranked)]
--- a/packages/pollengate/pollengate/workflow/job_service.py
+++ b/packages/pollengate/pollengate/workflow/job_service.py
@@ -16,6 +16,8 @@
     "JobService",
     "NoSuchJob",
     "NotAccepted",
+    "OwnerResponse",
+    "PlacedElsewhere",
     "Undecided",
     "RETRY_AFTER_S",
     "UnknownKey",
@@ -94,6 +96,20 @@
 JobResponse = Accepted | NotAccepted | Undecided | Found | Cancelled | NoSuchJob | WaitingCount
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlacedElsewhere:
+    """The job was placed in another shard, whose owner answers the request.
+
+    Attributes:
+        shard: number of that shard.
+    """
+
+    shard: int
+
+
+OwnerResponse = JobResponse | PlacedElsewhere
+
+
 class JobService(abc.ABC):
     """Answers clients' requests about jobs."""
 
--- a/packages/pollengate/pollengate/workflow/keys.py
+++ b/packages/pollengate/pollengate/workflow/keys.py
@@ -19,6 +19,8 @@
     "job_prefix",
     "member_key",
     "owner_key",
+    "placement_key",
+    "placement_prefix",
     "progress_key",
     "progress_prefix",
     "shard_of_job",
@@ -76,6 +78,16 @@
     return f"{progress_prefix(shard)}{job_id}"
 
 
+def placement_prefix(home_shard: int) -> str:
+    """Returns the prefix of the placement records of a home shard's jobs."""
+    return f"{ROOT}placement/{home_shard}/"
+
+
+def placement_key(home_shard: int, job_id: str) -> str:
+    """Returns the key that names the shard in which a job was placed."""
+    return f"{placement_prefix(home_shard)}{job_id}"
+
+
 def assignment_key(worker_id: str) -> str:
     """Returns the key of the shard that a worker was transferred to."""
     return f"{ASSIGNMENT_PREFIX}{worker_id}"
@@ -87,7 +99,7 @@
 
 
 def shard_of_job(job_id: str, shards: int) -> int:
-    """Returns the shard of a job, by a stable hash of its id."""
+    """Returns the home shard of a job, by a stable hash of its id."""
     return zlib.crc32(job_id.encode()) % shards
 
 
--- a/packages/pollengated/pollengated/edge/compose.py
+++ b/packages/pollengated/pollengated/edge/compose.py
@@ -33,6 +33,7 @@
 from pollengated.edge.owned_shards import OwnedShards
 from pollengated.edge.owner_probe import OwnerProbe
 from pollengated.edge.peer_view_fetcher import PeerViewFetcher
+from pollengated.edge.remote_shards import RemoteShards
 from pollengated.edge.rpc import EdgeClient, EdgeService
 from pollengated.edge.shard_elector import ShardElector, rank_candidates
 from pollengated.edge.shard_term import ShardTerm
@@ -104,6 +105,9 @@
         store, clocks, lambda: _is_layout_decider(record, directory)
     )
 
+    probe = OwnerProbe(layout.shards, owned_shards, directory, client, clocks)
+    other_shards = RemoteShards(owned_shards, directory, probe, client, clocks)
+
     def create_term(shard: int, shard_lease: ShardLease) -> ShardTerm:
         return ShardTerm(
             shard,
@@ -117,13 +121,13 @@
             clocks,
             metrics,
             policy,
+            other_shards,
         )
 
     for shard in range(layout.shards):
         elector = ShardElector(shard, record, store, directory, clocks, create_term)
         owned_shards.electors_by_shard[shard] = elector
         loops.start(f"elector {shard}", elector.run)
-    probe = OwnerProbe(layout.shards, owned_shards, directory, client, clocks)
     loops.start("owner probe", probe.run)
     job_service = GateJobService(
         layout.shards, owned_shards, operator_view, directory, client, probe, store, clocks, metrics
--- a/packages/pollengated/pollengated/edge/edge_metrics.py
+++ b/packages/pollengated/pollengated/edge/edge_metrics.py
@@ -133,6 +133,12 @@
             ["queue", "reason"],
             registry=registry,
         )
+        self.placements = Counter(
+            "pollengate_edge_placements",
+            "Jobs without room in their home shard, by what other shards' owners replied.",
+            ["outcome"],
+            registry=registry,
+        )
         self.jobs_past_use = Gauge(
             "pollengate_edge_jobs_past_use",
             "Waiting jobs that are past their last useful moment.",
--- a/packages/pollengated/pollengated/edge/explain_service.py
+++ b/packages/pollengated/pollengated/edge/explain_service.py
@@ -16,6 +16,7 @@
     UnknownJob,
     UnknownQueue,
 )
+from pollengate.workflow.job_placement import StoredPlacement
 from pollengate.workflow.keys import shard_of_job
 from pollengate.workflow.model import Deployment, Queue, Workflow
 from result import Err, Ok, Result
@@ -66,14 +67,21 @@
             return Err(NoConfiguration())
         if not _JOB_ID.fullmatch(job_id):
             return Err(UnknownJob())
-        shard = shard_of_job(job_id, self.shards)
-        term = self._owned_shards.serving_term(shard)
-        if term is None:
-            return Err(self._not_owner(shard))
-        explained = term.explainer.explain_job(job_id, self._clocks.monotonic_s())
-        if explained is None:
-            return Err(UnknownJob())
-        return Ok(self._complete(term, explained, None))
+        now = self._clocks.monotonic_s()
+        for shard in self._owned_shards.served_shards():
+            term = self._owned_shards.serving_term(shard)
+            explained = None if term is None else term.explainer.explain_job(job_id, now)
+            if term is not None and explained is not None:
+                return Ok(self._complete(term, explained, None))
+        home_shard = shard_of_job(job_id, self.shards)
+        home_term = self._owned_shards.serving_term(home_shard)
+        if home_term is None:
+            return Err(self._not_owner(home_shard))
+        match home_term.request_handler.placer.find(job_id):
+            case StoredPlacement(shard):
+                return Err(self._not_owner(shard))
+            case _:
+                return Err(UnknownJob())
 
     def explain_workflow(
         self, path: str, workflow: Workflow, host: str, account: str
--- a/packages/pollengated/pollengated/edge/gate_job_service.py
+++ b/packages/pollengated/pollengated/edge/gate_job_service.py
@@ -1,10 +1,14 @@
-"""Handles clients' requests in any process by forwarding them to the owner of the job's shard."""
+"""Handles clients' requests in any process by forwarding them to the owner of the job's shard.
+
+The owner of a job's home shard names the shard that has it if it was placed elsewhere.
+"""
 
 import asyncio
 from collections.abc import Awaitable, Callable
 
 from pollengate.accounts.job_access import Requester
 from pollengate.store import PolledStore
+from pollengate.workflow.job_placement import decode_placement
 from pollengate.workflow.job_service import (
     RETRY_AFTER_S,
     Found,
@@ -12,12 +16,14 @@
     JobService,
     NoSuchJob,
     NotAccepted,
+    OwnerResponse,
+    PlacedElsewhere,
     Undecided,
     UnknownKey,
     WaitingCount,
     remaining_outage_s,
 )
-from pollengate.workflow.keys import job_key, progress_key, shard_of_job
+from pollengate.workflow.keys import job_key, placement_key, progress_key, shard_of_job
 from pollengate.workflow.model import Deployment, Queue, Workflow
 from pollengate.workflow.progress import JobState
 from pollengate.workflow.records import decode_job, decode_progress
@@ -42,8 +48,8 @@
 # Clients wait 3 s for a response.
 RESPONSE_TIMEOUT_S = 2.4
 FORWARD_RETRY_INTERVAL_S = 0.1
-_RemoteCall = Callable[[str], Awaitable[Result[JobResponse | NotOwner, CallFailure]]]
-_LocalCall = Callable[[ShardTerm], Awaitable[JobResponse]]
+_RemoteCall = Callable[[str], Awaitable[Result[OwnerResponse | NotOwner, CallFailure]]]
+_LocalCall = Callable[[ShardTerm], Awaitable[OwnerResponse]]
 
 
 class GateJobService(JobService):
@@ -110,19 +116,8 @@
         self, queue: Queue, job_id: str, workflow: Workflow, account: str
     ) -> JobResponse:
         """Submits a job of a client account to the owner of its shard."""
-        shard = shard_of_job(job_id, self._shards)
-        return await self._measure_response(
-            "submit",
-            job_id,
-            self._forward_to_owner(
-                shard,
-                lambda term: term.request_handler.submit(queue.name, job_id, workflow, account),
-                lambda address: self._client.submit(
-                    address, shard, queue.name, job_id, workflow, account
-                ),
-            ),
-            account,
-        )
+        pending_response = self._submit(queue, job_id, workflow, account)
+        return await self._measure_response("submit", job_id, pending_response, account)
 
     async def show(self, queue: Queue, job_id: str, account: str) -> JobResponse:
         """Returns the state of a job; one of another account is unknown."""
@@ -131,34 +126,58 @@
 
     async def cancel(self, queue: Queue, job_id: str, account: str) -> JobResponse:
         """Cancels a job at the owner of its shard; one of another account is unknown."""
-        shard = shard_of_job(job_id, self._shards)
         requester = Requester(queue.name, account)
         return await self._measure_response(
-            "cancel",
-            job_id,
-            self._forward_to_owner(
-                shard,
-                lambda term: term.request_handler.cancel(job_id, requester),
-                lambda address: self._client.cancel(address, shard, job_id, requester),
-            ),
-            account,
+            "cancel", job_id, self._cancel(job_id, requester), account
         )
 
     async def count_waiting(self, queue: Queue) -> JobResponse:
         """Returns the number of waiting jobs of a queue in all shards."""
         return await self._measure_response("count", queue.name, self._count_waiting(queue))
 
-    async def _show(self, job_id: str, requester: Requester) -> JobResponse:
+    async def _submit(
+        self, queue: Queue, job_id: str, workflow: Workflow, account: str
+    ) -> JobResponse:
         shard = shard_of_job(job_id, self._shards)
         response = await self._forward_to_owner(
             shard,
+            lambda term: term.request_handler.submit(queue.name, job_id, workflow, account),
+            lambda address: self._client.submit(
+                address, shard, queue.name, job_id, workflow, account
+            ),
+        )
+        return _without_placement(response)
+
+    async def _cancel(self, job_id: str, requester: Requester) -> JobResponse:
+        response, _ = await self._forward_to_holder(
+            job_id,
+            lambda term: term.request_handler.cancel(job_id, requester),
+            lambda shard: lambda address: self._client.cancel(address, shard, job_id, requester),
+        )
+        return response
+
+    async def _show(self, job_id: str, requester: Requester) -> JobResponse:
+        response, shard = await self._forward_to_holder(
+            job_id,
             lambda term: term.request_handler.show(job_id, requester),
-            lambda address: self._client.show(address, shard, job_id, requester),
+            lambda shard: lambda address: self._client.show(address, shard, job_id, requester),
         )
         if isinstance(response, NotAccepted | Undecided):
             return await self._show_stored(shard, job_id, requester) or response
         return response
 
+    async def _forward_to_holder(
+        self, job_id: str, local: _LocalCall, remote_of: Callable[[int], _RemoteCall]
+    ) -> tuple[JobResponse, int]:
+        """Sends a request to the owner of the shard that has a job; returns that shard, too."""
+        home_shard = shard_of_job(job_id, self._shards)
+        response = await self._forward_to_owner(home_shard, local, remote_of(home_shard))
+        if not isinstance(response, PlacedElsewhere):
+            return response, home_shard
+        shard = response.shard
+        response = await self._forward_to_owner(shard, local, remote_of(shard))
+        return _without_placement(response), shard
+
     async def _show_stored(
         self, shard: int, job_id: str, requester: Requester
     ) -> JobResponse | None:
@@ -174,7 +193,7 @@
         if isinstance(job, Err):
             return None
         if job.ok_value is None:
-            return NoSuchJob()
+            return await self._show_placed(shard, job_id, requester)
         if is_restricted:
             # Only the job's record has its account.
             stored = decode_job(job.ok_value.value)
@@ -186,6 +205,25 @@
             return Found(JobState.QUEUED)
         return _decode_state(progress.ok_value.value)
 
+    async def _show_placed(
+        self, shard: int, job_id: str, requester: Requester
+    ) -> JobResponse | None:
+        """Returns the state of a job that has no record in a shard, following its placement."""
+        home_shard = shard_of_job(job_id, self._shards)
+        if shard != home_shard:
+            return NoSuchJob()
+        entry = await self._store.get(placement_key(home_shard, job_id))
+        if isinstance(entry, Err):
+            return None
+        if entry.ok_value is None:
+            return NoSuchJob()
+        placement = decode_placement(entry.ok_value.value)
+        if isinstance(placement, Err):
+            return None
+        if placement.ok_value.shard == home_shard:
+            return NoSuchJob()
+        return await self._show_stored(placement.ok_value.shard, job_id, requester)
+
     async def _count_waiting(self, queue: Queue) -> JobResponse:
         total = 0
         for shard in range(self._shards):
@@ -197,13 +235,13 @@
                 ),
             )
             if not isinstance(response, WaitingCount):
-                return response
+                return _without_placement(response)
             total += response.count
         return WaitingCount(total)
 
     async def _forward_to_owner(
         self, shard: int, local: _LocalCall, remote: _RemoteCall
-    ) -> JobResponse:
+    ) -> OwnerResponse:
         """Sends a request to the owner of a shard; waits for a short time if there is none.
 
         All requests are idempotent: a new owner loads every job that the previous one made durable,
@@ -232,7 +270,7 @@
 
     async def _call_owner_once(
         self, shard: int, local: _LocalCall, remote: _RemoteCall
-    ) -> JobResponse | None:
+    ) -> OwnerResponse | None:
         """Sends a request to the current owner; returns None if it certainly had no effect."""
         term = self._owned_shards.serving_term(shard)
         if term is not None:
@@ -282,6 +320,13 @@
         return response
 
 
+def _without_placement(response: OwnerResponse) -> JobResponse:
+    """Returns the response of an owner that should have the job itself."""
+    if isinstance(response, PlacedElsewhere):
+        return Undecided("placement_changed")
+    return response
+
+
 def _decode_state(encoded_progress: bytes) -> JobResponse | None:
     decoded = decode_progress(encoded_progress)
     return None if isinstance(decoded, Err) else Found(decoded.ok_value.state)
--- a/packages/pollengated/pollengated/edge/job_request_handler.py
+++ b/packages/pollengated/pollengated/edge/job_request_handler.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from pollengate.accounts.job_access import Requester
+from pollengate.workflow.job_placement import first_steps
 from pollengate.workflow.job_service import (
     RETRY_AFTER_S,
     Accepted,
@@ -11,6 +12,8 @@
     JobResponse,
     NoSuchJob,
     NotAccepted,
+    OwnerResponse,
+    PlacedElsewhere,
     Undecided,
     WaitingCount,
     remaining_outage_s,
@@ -19,9 +22,12 @@
 from pollengate.workflow.model import Workflow
 from pollengate.workflow.progress import JobProgress, JobState
 from pollengate.workflow.shard_lease import ShardLease
+from pollengate.workflow.shard_room import RoomSummary, ShardRoom
 
 from pollengated.edge.clocks import Clocks
 from pollengated.edge.committer import Committer, JobRecord
+from pollengated.edge.job_placer import JobPlacer, PendingPlacement
+from pollengated.edge.placement_acceptor import PlacementAcceptor
 from pollengated.logs import Log
 
 __all__ = ["JobRequestHandler"]
@@ -44,11 +50,17 @@
         on_accepted: called with each accepted job and the clock time before it is scheduled.
         find_overload: returns why a new job is refused for lack of room at a clock time, None if it
             is accepted.
+        room: room of the shard.
 
     Attributes:
         is_closing: whether the shard is being handed over and accepts no new jobs.
+        placer: places new jobs in other shards; set before the first request.
+        acceptor: takes jobs from other shards; set before the first request.
     """
 
+    placer: JobPlacer
+    acceptor: PlacementAcceptor
+
     def __init__(
         self,
         shard: int,
@@ -59,6 +71,7 @@
         on_change: Callable[[], None],
         on_accepted: Callable[[JobProgress, float], None],
         find_overload: Callable[[JobProgress, float], NotAccepted | None],
+        room: ShardRoom,
     ) -> None:
         self.is_closing = False
         self._shard = shard
@@ -69,13 +82,45 @@
         self._on_change = on_change
         self._on_accepted = on_accepted
         self._find_overload = find_overload
+        self._room = room
         self._submissions_by_id: dict[str, _Submission] = {}
         self._log = Log("owner")
 
     async def submit(
         self, queue_name: str, job_id: str, workflow: Workflow, account: str
     ) -> JobResponse:
-        """Accepts a job of a client account; responds when its record is durable."""
+        """Accepts a job of a client account; responds when its record is durable.
+
+        A job for which the shard has no room is offered to other shards first.
+        """
+        is_known = job_id in self._job_table.jobs_by_id or job_id in self._submissions_by_id
+        if not is_known:
+            placement = self.placer.find(job_id)
+            if placement is not None:
+                return Accepted() if placement.account == account else _ID_IN_USE
+            pending = self.placer.find_pending(job_id)
+            if pending is None:
+                refusal = self.current_refusal()
+                if refusal is not None:
+                    return refusal
+                pending = self.placer.begin(self._create_job(queue_name, job_id, workflow, account))
+            if pending is not None:
+                response = await self._wait_placed(pending, account)
+                if response is not None:
+                    return response
+        return await self._submit_at_home(queue_name, job_id, workflow, account)
+
+    async def _wait_placed(self, pending: PendingPlacement, account: str) -> JobResponse | None:
+        """Waits until other shards have been asked; returns None if the job stays at home."""
+        if not _is_same_client(pending.job, account):
+            return _ID_IN_USE
+        if not await self.placer.wait_ended(pending, DURABLE_TIMEOUT_S):
+            return Undecided("placement_pending")
+        return None if pending.shard is None else Accepted()
+
+    async def _submit_at_home(
+        self, queue_name: str, job_id: str, workflow: Workflow, account: str
+    ) -> JobResponse:
         existing_job = self._job_table.jobs_by_id.get(job_id)
         if existing_job is not None:
             return Accepted() if _is_same_client(existing_job, account) else _ID_IN_USE
@@ -85,17 +130,17 @@
         if record is not None and not _is_same_client(record.job, account):
             return _ID_IN_USE
         if record is None:
-            refusal = self._find_refusal()
+            refusal = self.current_refusal()
             if refusal is not None:
                 return refusal
-            now, now_ms = self._clocks.monotonic_s(), self._clocks.unix_ms()
-            job = JobProgress(job_id, queue_name, workflow, now_ms, now, account=account)
-            refusal = self._find_overload(job, now)
+            job = self._create_job(queue_name, job_id, workflow, account)
+            refusal = self._find_overload(job, job.accepted_at)
             if refusal is not None:
                 return refusal
-            record = _Submission(self._shard, job, self._add_accepted_job)
+            record = _Submission(self._shard, job, self.add_accepted_job)
             record.record_number = self._committer.add(record)
             self._submissions_by_id[job_id] = record
+            self._reserve_room(job)
         record.waiting_count += 1
         try:
             is_durable = await self._committer.wait_durable(record.record_number, DURABLE_TIMEOUT_S)
@@ -106,10 +151,23 @@
         # The record number says nothing of a withdrawn record, so none may be waited for.
         if not record.waiting_count and self._committer.withdraw(record):
             self._submissions_by_id.pop(job_id, None)
+            self._room.release(job_id)
             return self._store_unavailable()
         return Undecided("store_unavailable")
 
-    def _find_refusal(self) -> NotAccepted | None:
+    def _create_job(
+        self, queue_name: str, job_id: str, workflow: Workflow, account: str
+    ) -> JobProgress:
+        now, now_ms = self._clocks.monotonic_s(), self._clocks.unix_ms()
+        return JobProgress(job_id, queue_name, workflow, now_ms, now, account=account)
+
+    def _reserve_room(self, job: JobProgress) -> None:
+        queue = self._job_table.deployment.queue(job.queue_name)
+        if queue is not None and not job.workflow.repeat_count:
+            steps = first_steps(job.workflow)
+            self._room.reserve(job.job_id, queue.service, steps, job.accepted_at)
+
+    def current_refusal(self) -> NotAccepted | None:
         """Returns why new jobs are refused at present, None if they are accepted."""
         if self.is_closing:
             return NotAccepted("handing_over", RETRY_AFTER_S)
@@ -124,19 +182,30 @@
         outage_s = max(self._committer.stalled_s, silent_s)
         return NotAccepted("store_unavailable", remaining_outage_s(outage_s))
 
-    async def show(self, job_id: str, requester: Requester) -> JobResponse:
+    async def show(self, job_id: str, requester: Requester) -> OwnerResponse:
         """Returns the state of a job; an end state only when it is durable."""
         job = self._find_job(job_id, requester)
         if job is not None:
             return Found(job.visible_state)
-        if self._find_submission(job_id, requester) is not None:
+        placement = self.placer.find(job_id)
+        if placement is not None:
+            return PlacedElsewhere(placement.shard)
+        if self._find_pending_job(job_id, requester) is not None:
             return Found(JobState.QUEUED)
         if not self._shard_lease.is_confirmed(self._clocks.monotonic_s()):
             return NotAccepted("owner_unconfirmed", RETRY_AFTER_S)
         return NoSuchJob()
 
-    async def cancel(self, job_id: str, requester: Requester) -> JobResponse:
+    async def cancel(self, job_id: str, requester: Requester) -> OwnerResponse:
         """Cancels a job; responds when the cancellation is durable."""
+        pending = self.placer.find_pending(job_id)
+        if pending is not None and not await self.placer.wait_ended(pending, DURABLE_TIMEOUT_S):
+            return Undecided("placement_pending")
+        placement = self.placer.find(job_id)
+        if placement is not None:
+            return PlacedElsewhere(placement.shard)
+        if not await self.acceptor.wait_ended(job_id, DURABLE_TIMEOUT_S):
+            return Undecided("placement_pending")
         submission = self._find_submission(job_id, requester)
         if submission is not None and not await self._committer.wait_durable(
             submission.record_number, DURABLE_TIMEOUT_S
@@ -164,9 +233,9 @@
         )
         return WaitingCount(count)
 
-    def current_refusal(self) -> NotAccepted | None:
-        """Returns why a new job would be refused now, None if it would be accepted."""
-        return self._find_refusal()
+    def offered_room(self, now: float) -> dict[str, RoomSummary]:
+        """Returns the room by service that the shard offers to jobs of other shards."""
+        return {} if self.current_refusal() is not None else self._room.summaries_by_service(now)
 
     def _find_job(self, job_id: str, requester: Requester) -> JobProgress | None:
         job = self._job_table.jobs_by_id.get(job_id)
@@ -176,12 +245,25 @@
         record = self._submissions_by_id.get(job_id)
         return record if record is not None and self._may_access(record.job, requester) else None
 
+    def _find_pending_job(self, job_id: str, requester: Requester) -> JobProgress | None:
+        """Returns a job that may already be accepted, although it is not in the job table."""
+        submission = self._submissions_by_id.get(job_id)
+        placement = self.placer.find_pending(job_id)
+        if submission is not None:
+            job: JobProgress | None = submission.job
+        elif placement is not None:
+            job = placement.job
+        else:
+            job = self.acceptor.pending_job(job_id)
+        return job if job is not None and self._may_access(job, requester) else None
+
     def _may_access(self, job: JobProgress, requester: Requester) -> bool:
         return requester.may_access(job.queue_name, job.account, self._job_table.deployment)
 
-    def _add_accepted_job(self, job: JobProgress) -> None:
+    def add_accepted_job(self, job: JobProgress) -> None:
         """Adds a job to the job table when its record is durable, so that it is scheduled."""
         self._submissions_by_id.pop(job.job_id, None)
+        self._room.release(job.job_id)
         now = self._clocks.monotonic_s()
         self._on_accepted(job, now)
         self._job_table.add(job, now, self._clocks.unix_ms())
--- a/packages/pollengated/pollengated/edge/job_retention.py
+++ b/packages/pollengated/pollengated/edge/job_retention.py
@@ -1,7 +1,7 @@
 """Removes jobs that ended long ago."""
 
 from pollengate.workflow.job_table import JobTable
-from pollengate.workflow.keys import job_key, progress_key
+from pollengate.workflow.keys import job_key, placement_key, progress_key, shard_of_job
 
 from pollengated.edge.committer import Committer, RecordRemoval
 
@@ -18,15 +18,17 @@
 
     Args:
         shard: number of the shard.
+        shards: number of shards of the deployment.
         job_table: jobs of the shard.
         committer: removes the records.
         status_s: time for which clients may request the state of an ended job.
     """
 
     def __init__(
-        self, shard: int, job_table: JobTable, committer: Committer, status_s: float
+        self, shard: int, shards: int, job_table: JobTable, committer: Committer, status_s: float
     ) -> None:
         self._shard = shard
+        self._shards = shards
         self._job_table = job_table
         self._committer = committer
         self._keep_s = status_s + RETENTION_MARGIN_S
@@ -40,3 +42,6 @@
                 del self._job_table.jobs_by_id[job_id], self._ended_since_by_job_id[job_id]
                 self._committer.add(RecordRemoval(job_key(self._shard, job_id)))
                 self._committer.add(RecordRemoval(progress_key(self._shard, job_id)))
+                home_shard = shard_of_job(job_id, self._shards)
+                if home_shard != self._shard:
+                    self._committer.add(RecordRemoval(placement_key(home_shard, job_id)))
--- a/packages/pollengated/pollengated/edge/owned_shards.py
+++ b/packages/pollengated/pollengated/edge/owned_shards.py
@@ -1,5 +1,7 @@
 """The shards that this process owns at present."""
 
+from pollengate.workflow.shard_room import RoomSummary
+
 from pollengated.edge.clocks import Clocks
 from pollengated.edge.shard_elector import ShardElector
 from pollengated.edge.shard_term import ShardTerm
@@ -25,6 +27,16 @@
         """Returns the numbers of the shards that this process serves."""
         return [shard for shard in self.electors_by_shard if self.serving_term(shard) is not None]
 
+    def rooms_by_shard(self) -> dict[int, dict[str, RoomSummary]]:
+        """Returns the room by service in each shard that this process serves."""
+        now = self._clocks.monotonic_s()
+        rooms: dict[int, dict[str, RoomSummary]] = {}
+        for shard in self.electors_by_shard:
+            term = self.serving_term(shard)
+            if term is not None:
+                rooms[shard] = term.request_handler.offered_room(now)
+        return rooms
+
     def serving_term(self, shard: int) -> ShardTerm | None:
         """Returns the term of a shard if this process owns it and has loaded its records.
 
--- /dev/null
+++ b/packages/pollengated/pollengated/edge/remote_shards.py
@@ -0,0 +1,71 @@
+"""Reaches the owners of other shards, in this process or over gRPC."""
+
+from collections.abc import Mapping
+
+from pollengate.workflow.shard_room import RoomSummary
+
+from pollengated.edge.clocks import Clocks
+from pollengated.edge.node_directory import NodeDirectory
+from pollengated.edge.other_shards import OtherShards, PlacementOutcome, PlacementRequest, Refused
+from pollengated.edge.owned_shards import OwnedShards
+from pollengated.edge.owner_probe import OwnerProbe
+from pollengated.edge.rpc import HEARTBEAT_INTERVAL_S, EdgeClient
+
+__all__ = ["RemoteShards"]
+
+# Room that is older than two heartbeats says little, as most tasks run for about a second.
+ROOM_VALID_S = 2 * HEARTBEAT_INTERVAL_S + 0.2
+
+
+class RemoteShards(OtherShards):
+    """Knows the room in all shards from heartbeats and asks their owners to take jobs.
+
+    Args:
+        owned_shards: shards that this process owns.
+        directory: owners of the other shards.
+        probe: knows which owners are reachable.
+        client: calls other processes, and passes on the room that their heartbeats name.
+        clocks: the process's clocks.
+    """
+
+    def __init__(
+        self,
+        owned_shards: OwnedShards,
+        directory: NodeDirectory,
+        probe: OwnerProbe,
+        client: EdgeClient,
+        clocks: Clocks,
+    ) -> None:
+        self._owned_shards = owned_shards
+        self._directory = directory
+        self._probe = probe
+        self._client = client
+        self._clocks = clocks
+        self._received_by_shard: dict[int, tuple[float, dict[str, RoomSummary]]] = {}
+        client.on_room = self._receive
+
+    def summaries_by_shard(self, service: str) -> Mapping[int, RoomSummary]:
+        """Returns the room for a service in all shards that lately offered room, own ones too."""
+        now = self._clocks.monotonic_s()
+        rooms = {
+            shard: summaries
+            for shard, (received_at, summaries) in self._received_by_shard.items()
+            if now - received_at <= ROOM_VALID_S and self._probe.is_reachable(shard)
+        }
+        rooms |= self._owned_shards.rooms_by_shard()
+        return {
+            shard: summaries[service] for shard, summaries in rooms.items() if service in summaries
+        }
+
+    async def place(self, shard: int, request: PlacementRequest) -> PlacementOutcome:
+        """Asks the owner of a shard to take a job."""
+        term = self._owned_shards.serving_term(shard)
+        if term is not None:
+            return await term.request_handler.acceptor.accept(request)
+        owner = self._directory.owner(shard)
+        if owner is None:
+            return Refused("no_owner")
+        return await self._client.place(owner.record.address, shard, request)
+
+    def _receive(self, shard: int, summaries: dict[str, RoomSummary]) -> None:
+        self._received_by_shard[shard] = self._clocks.monotonic_s(), summaries
--- a/packages/pollengated/pollengated/edge/rpc.py
+++ b/packages/pollengated/pollengated/edge/rpc.py
@@ -13,14 +13,16 @@
     Accepted,
     Cancelled,
     Found,
-    JobResponse,
     NoSuchJob,
     NotAccepted,
+    OwnerResponse,
+    PlacedElsewhere,
     Undecided,
     WaitingCount,
 )
 from pollengate.workflow.model import Workflow
 from pollengate.workflow.progress import JobState
+from pollengate.workflow.shard_room import RoomSummary
 from pollengate_net.calls import CallFailure, call_unary, open_channel, receive_stream
 from pollengate_net.grpc_requests import receive_request
 from pollengate_net.messages import edge_pb2 as pb
@@ -29,6 +31,13 @@
 
 from pollengated.edge.job_request_handler import JobRequestHandler
 from pollengated.edge.operator_view import OperatorView
+from pollengated.edge.other_shards import (
+    Placed,
+    PlacementOutcome,
+    PlacementRequest,
+    PlacementUnknown,
+    Refused,
+)
 from pollengated.edge.owned_shards import OwnedShards
 
 __all__ = ["HEARTBEAT_INTERVAL_S", "EdgeClient", "EdgeService", "NotOwner"]
@@ -36,6 +45,9 @@
 # An owner replies when a record is durable, which takes up to 0.3 s if the store is slow.
 CALL_TIMEOUT_S = 0.9
 VIEW_TIMEOUT_S = 0.5
+# The home shard's owner settles a placement without a reply after this time, so that its own client
+# gets a response before `CALL_TIMEOUT_S`.
+PLACE_TIMEOUT_S = 0.5
 HEARTBEAT_INTERVAL_S = 0.4
 _NOT_OWNER = "not_owner"
 _JOB_STATES = frozenset(state.value for state in JobState)
@@ -49,14 +61,19 @@
     """Calls other edge processes.
 
     Keeps one channel for each address and replaces it after a failed call.
+
+    Attributes:
+        on_room: called with a shard and its room by service, as received with a heartbeat; None for
+            no call.
     """
 
     def __init__(self) -> None:
+        self.on_room: Callable[[int, dict[str, RoomSummary]], None] | None = None
         self._channels_by_address: dict[str, Channel] = {}
 
     async def submit(
         self, address: str, shard: int, queue: str, job_id: str, workflow: Workflow, account: str
-    ) -> Result[JobResponse | NotOwner, CallFailure]:
+    ) -> Result[OwnerResponse | NotOwner, CallFailure]:
         """Submits a job of a client account to a shard's owner."""
         request = pb.SubmitRequest(
             shard=shard,
@@ -69,26 +86,44 @@
 
     async def show(
         self, address: str, shard: int, job_id: str, requester: Requester
-    ) -> Result[JobResponse | NotOwner, CallFailure]:
+    ) -> Result[OwnerResponse | NotOwner, CallFailure]:
         """Requests the state of a job from a shard's owner."""
         request = _job_request(shard, job_id, requester)
         return await self._call_owner(address, "Show", request)
 
     async def cancel(
         self, address: str, shard: int, job_id: str, requester: Requester
-    ) -> Result[JobResponse | NotOwner, CallFailure]:
+    ) -> Result[OwnerResponse | NotOwner, CallFailure]:
         """Cancels a job at a shard's owner."""
         request = _job_request(shard, job_id, requester)
         return await self._call_owner(address, "Cancel", request)
 
     async def count_waiting(
         self, address: str, shard: int, queue: str
-    ) -> Result[JobResponse | NotOwner, CallFailure]:
+    ) -> Result[OwnerResponse | NotOwner, CallFailure]:
         """Requests the number of waiting jobs of a queue from a shard's owner."""
         return await self._call_owner(
             address, "CountWaiting", pb.QueueRequest(shard=shard, queue=queue)
         )
 
+    async def place(self, address: str, shard: int, request: PlacementRequest) -> PlacementOutcome:
+        """Asks a shard's owner to take a job whose home shard has no room for it."""
+        message = pb.PlaceRequest(
+            shard=shard,
+            queue=request.queue_name,
+            job_id=request.job_id,
+            workflow=msgspec.json.encode(request.workflow),
+            home_shard=request.home_shard,
+            home_token=request.home_token,
+            min_tasks=request.min_tasks,
+            account=request.account,
+        )
+        result = await self._call(address, "Place", message, PLACE_TIMEOUT_S)
+        if isinstance(result, Err):
+            failure = result.err_value
+            return PlacementUnknown(failure.detail) if failure.was_sent else Refused("unreachable")
+        return _decode_outcome(result.ok_value)
+
     async def follow_heartbeats(
         self, address: str, on_heartbeat: Callable[[Sequence[int]], None]
     ) -> CallFailure:
@@ -102,7 +137,7 @@
             return await receive_stream(
                 EdgeStub(channel).Heartbeats,
                 pb.HeartbeatRequest(),
-                lambda heartbeat: on_heartbeat(heartbeat.shards),
+                lambda heartbeat: self._receive_heartbeat(heartbeat, on_heartbeat),
             )
         finally:
             self._replace_channel(address, channel)
@@ -116,6 +151,18 @@
         entries = tuple(Entry(e.key, e.value, e.revision, e.revision) for e in reply.entries)
         return Ok((entries, reply.revision))
 
+    def _receive_heartbeat(
+        self, heartbeat: Any, on_heartbeat: Callable[[Sequence[int]], None]
+    ) -> None:
+        on_heartbeat(heartbeat.shards)
+        if self.on_room is not None:
+            for room in heartbeat.rooms:
+                summaries = {
+                    service.service: RoomSummary(tuple(service.worker_counts))
+                    for service in room.services
+                }
+                self.on_room(room.shard, summaries)
+
     def close(self) -> None:
         """Closes every channel."""
         for channel in self._channels_by_address.values():
@@ -124,7 +171,7 @@
 
     async def _call_owner(
         self, address: str, method: str, request: object
-    ) -> Result[JobResponse | NotOwner, CallFailure]:
+    ) -> Result[OwnerResponse | NotOwner, CallFailure]:
         result = await self._call(address, method, request, CALL_TIMEOUT_S)
         return result.map(_decode_reply)
 
@@ -190,6 +237,25 @@
             ),
         )
 
+    async def Place(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
+        """Takes a job whose home shard has no room for it, if this process serves the shard."""
+        request = await receive_request(stream)
+        term = self._owned_shards.serving_term(request.shard)
+        if term is None:
+            await stream.send_message(pb.PlaceReply(kind="refused", reason=_NOT_OWNER))
+            return
+        placement = PlacementRequest(
+            request.job_id,
+            request.queue,
+            msgspec.json.decode(request.workflow, type=Workflow),
+            request.account,
+            request.home_shard,
+            request.home_token,
+            request.min_tasks,
+        )
+        outcome = await term.request_handler.acceptor.accept(placement)
+        await stream.send_message(_encode_outcome(outcome))
+
     async def CountWaiting(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
         """Counts the waiting jobs of a queue."""
         await self._handle(
@@ -200,9 +266,26 @@
         """Sends the shards that this process serves, until the caller closes the stream."""
         await receive_request(stream)
         while True:
-            await stream.send_message(pb.Heartbeat(shards=self._owned_shards.served_shards()))
+            await stream.send_message(self._build_heartbeat())
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
 
+    def _build_heartbeat(self) -> pb.Heartbeat:
+        rooms_by_shard = self._owned_shards.rooms_by_shard()
+        return pb.Heartbeat(
+            shards=list(rooms_by_shard),
+            rooms=[
+                pb.ShardRoom(
+                    shard=shard,
+                    services=[
+                        pb.ServiceRoom(service=name, worker_counts=summary.worker_counts)
+                        for name, summary in summaries.items()
+                    ],
+                )
+                for shard, summaries in rooms_by_shard.items()
+                if summaries
+            ],
+        )
+
     async def GetView(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
         """Returns this process's copy of the operators' keys."""
         await receive_request(stream)
@@ -218,7 +301,7 @@
     async def _handle(
         self,
         stream: Stream[Any, Any],
-        handle: Callable[[JobRequestHandler, Any], Awaitable[JobResponse]],
+        handle: Callable[[JobRequestHandler, Any], Awaitable[OwnerResponse]],
     ) -> None:
         """Handles a request if this process serves its shard; otherwise replies that it doesn't."""
         request = await receive_request(stream)
@@ -235,7 +318,7 @@
     )
 
 
-def _encode_reply(response: JobResponse) -> pb.JobReply:
+def _encode_reply(response: OwnerResponse) -> pb.JobReply:
     match response:
         case NotAccepted(reason, retry_after_s, is_overload):
             return pb.JobReply(
@@ -256,9 +339,31 @@
             return pb.JobReply(kind="cancelled")
         case NoSuchJob():
             return pb.JobReply(kind="no_such_job")
+        case PlacedElsewhere(shard):
+            return pb.JobReply(kind="placed_elsewhere", shard=shard)
+
+
+def _encode_outcome(outcome: PlacementOutcome) -> pb.PlaceReply:
+    match outcome:
+        case Placed():
+            return pb.PlaceReply(kind="placed")
+        case Refused(reason):
+            return pb.PlaceReply(kind="refused", reason=reason)
+        case PlacementUnknown(cause):
+            return pb.PlaceReply(kind="unknown", reason=cause)
+
+
+def _decode_outcome(reply: Any) -> PlacementOutcome:
+    match reply.kind:
+        case "placed":
+            return Placed()
+        case "refused":
+            return Refused(reply.reason)
+        case _:
+            return PlacementUnknown(reply.reason)
 
 
-def _decode_reply(reply: Any) -> JobResponse | NotOwner:
+def _decode_reply(reply: Any) -> OwnerResponse | NotOwner:
     match reply.kind:
         case "accepted":
             return Accepted()
@@ -272,6 +377,8 @@
             return NoSuchJob()
         case "waiting":
             return WaitingCount(reply.count)
+        case "placed_elsewhere":
+            return PlacedElsewhere(reply.shard)
         case "not_owner":
             return NotOwner()
         case _:
--- a/packages/pollengated/pollengated/edge/shard_records.py
+++ b/packages/pollengated/pollengated/edge/shard_records.py
@@ -11,6 +11,7 @@
     commit_key,
     interference_record_key,
     job_prefix,
+    placement_prefix,
     progress_prefix,
 )
 from pollengate.workflow.shard_lease import ShardLease
@@ -41,6 +42,7 @@
         interference: probabilities that images interfere.
         jobs: jobs as accepted.
         progress: progress of the jobs.
+        placements: shards in which jobs of the shard were placed.
         transfers: shards of transferred workers, and requests of all shards for workers.
     """
 
@@ -49,6 +51,7 @@
     interference: Entry | None
     jobs: tuple[Entry, ...]
     progress: tuple[Entry, ...]
+    placements: tuple[Entry, ...]
     transfers: Listing
 
 
@@ -103,6 +106,9 @@
         progress = await self._list(progress_prefix(self._shard))
         if isinstance(progress, Err):
             return progress
+        placements = await self._list(placement_prefix(self._shard))
+        if isinstance(placements, Err):
+            return placements
         transfers = await self._list(TRANSFER_PREFIX)
         if isinstance(transfers, Err):
             return transfers
@@ -113,6 +119,7 @@
                 interference.ok_value,
                 jobs.ok_value.entries,
                 progress.ok_value.entries,
+                placements.ok_value.entries,
                 transfers.ok_value,
             )
         )
--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -12,15 +12,14 @@
 from pollengate.workflow.clients import AdviceClient, WorkerClient
 from pollengate.workflow.fleet import Fleet, WorkerView
 from pollengate.workflow.job_table import JobTable
-from pollengate.workflow.keys import progress_key
 from pollengate.workflow.large_tasks import LargeTaskReserve
 from pollengate.workflow.leases import WORKER_LEASE_S
 from pollengate.workflow.placement import Placer
 from pollengate.workflow.planner import Planner
 from pollengate.workflow.policy import SchedulingPolicy
-from pollengate.workflow.records import decode_job, decode_progress, restore
 from pollengate.workflow.settings import NodeSettings
 from pollengate.workflow.shard_lease import ShardLease, previous_lease_expiry
+from pollengate.workflow.shard_room import ShardRoom
 from pollengate.workflow.tickets import TicketCache
 from result import Err
 
@@ -35,10 +34,15 @@
 from pollengated.edge.edge_metrics import EdgeMetrics
 from pollengated.edge.interference_learning import InterferenceLearning
 from pollengated.edge.job_end_log import JobEndLog
+from pollengated.edge.job_placer import JobPlacer
 from pollengated.edge.job_request_handler import JobRequestHandler
+from pollengated.edge.job_restore import restore_jobs
 from pollengated.edge.job_retention import JobRetention
 from pollengated.edge.layout import Layout
 from pollengated.edge.operator_view import OperatorView
+from pollengated.edge.other_shards import NoOtherShards, OtherShards
+from pollengated.edge.placement_acceptor import PlacementAcceptor
+from pollengated.edge.placement_context import PlacementContext
 from pollengated.edge.recorded_workers import RecordedWorkers, decode_recorded_workers
 from pollengated.edge.run_mover import RunMover
 from pollengated.edge.shard_load_log import ShardLoadLog
@@ -79,12 +83,14 @@
         clocks: the process's clocks.
         metrics: metrics of this process.
         policy: settings of scheduling decisions.
+        other_shards: reaches the owners of other shards; None if there are none.
 
     Attributes:
         is_serving: whether the shard's records have been loaded and the term has not ended.
         has_stalled: whether the term ended because the shard's records could not be read.
         fleet: workers of the shard.
         job_table: jobs of the shard; set once the records have been loaded.
+        room: room of the shard; set once the records have been loaded.
         request_handler: handles clients' requests; set once the records have been loaded.
         explainer: explains decisions to operators; set once the records have been loaded.
     """
@@ -102,8 +108,10 @@
         clocks: Clocks,
         metrics: EdgeMetrics,
         policy: SchedulingPolicy,
+        other_shards: OtherShards | None = None,
     ) -> None:
         self.shard = shard
+        self._layout = layout
         self.shard_lease = shard_lease
         self.is_serving = False
         self.has_stalled = False
@@ -115,6 +123,7 @@
         self._clocks = clocks
         self._metrics = metrics
         self._policy = policy
+        self._other_shards = other_shards or NoOtherShards()
         self._log = Log("owner")
         self._acquired_at = clocks.monotonic_s()
         worker_lease_s = min(WORKER_LEASE_S, settings.bounds.max_worker_lease_s)
@@ -136,6 +145,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._is_handing_over = False
         self.job_table: JobTable
+        self.room: ShardRoom
         self._committer: Committer
         self._start_policy: StartPolicy
         self._planner: Planner
@@ -251,8 +261,13 @@
             self._start_policy.start_filter,
         )
         self.explainer = JobExplainer(self._planner)
+        self.room = ShardRoom(self.job_table, is_settled)
         self._retention = JobRetention(
-            self.shard, self.job_table, self._committer, self._settings.bounds.status_s
+            self.shard,
+            self._layout.shards,
+            self.job_table,
+            self._committer,
+            self._settings.bounds.status_s,
         )
         self._transfers = WorkerTransfers(
             self.shard,
@@ -275,11 +290,8 @@
             self._start_policy.start_filter,
             self._metrics,
         )
-        addresses_by_id = (
-            decode_recorded_workers(records.recorded_workers.value)
-            if records.recorded_workers
-            else {}
-        )
+        recorded = records.recorded_workers
+        addresses_by_id = decode_recorded_workers(recorded.value) if recorded else {}
         self._assignments.load(records.transfers)
         addresses_by_id = {
             worker_id: address
@@ -298,46 +310,35 @@
             self._job_table_changed,
             self._start_policy.record_accepted,
             self._start_policy.find_refusal,
+            self.room,
         )
-        encoded_progress_by_key = {entry.key: entry.value for entry in records.progress}
-        for entry in records.jobs:
-            self._restore_job(entry.value, encoded_progress_by_key)
+        self._create_placement()
+        self.request_handler.placer.load(records.placements)
+        restore_jobs(self.shard, records, self.job_table, self._clocks)
         for worker_id, address in addresses_by_id.items():
             self.fleet.add_recorded(worker_id, address, self._clocks.monotonic_s())
             self.fleet.workers_by_id[worker_id].lowest_token = self._assignments.lowest_token(
                 worker_id
             )
 
-    def _restore_job(self, value: bytes, encoded_progress_by_key: dict[str, bytes]) -> None:
-        stored = decode_job(value)
-        if isinstance(stored, Err):
-            self._log.warning("job record is unreadable; ignoring the job", cause=stored.err_value)
-            return
-        encoded_progress = encoded_progress_by_key.get(
-            progress_key(self.shard, stored.ok_value.job_id)
+    def _create_placement(self) -> None:
+        """Creates what exchanges jobs with other shards' owners."""
+        context = PlacementContext(
+            self.shard,
+            self.job_table,
+            self._store,
+            self._committer,
+            self.shard_lease,
+            self._clocks,
+            self.room,
+            self._are_previous_runs_known,
+            self._spawn,
+        )
+        handler = self.request_handler
+        handler.placer = JobPlacer(context, self._other_shards, self._metrics)
+        handler.acceptor = PlacementAcceptor(
+            context, handler.current_refusal, handler.add_accepted_job
         )
-        progress = None
-        if encoded_progress is not None:
-            decoded = decode_progress(encoded_progress)
-            if isinstance(decoded, Err):
-                cause = decoded.err_value
-                self._log.warning(
-                    "progress record is unreadable; restoring the job without it",
-                    job=stored.ok_value.job_id,
-                    cause=cause,
-                )
-            else:
-                progress = decoded.ok_value
-        now = self._clocks.monotonic_s()
-        job = restore(stored.ok_value, progress, now)
-        if isinstance(job, Err):
-            self._log.warning(
-                "progress record does not match its job; restoring the job without it",
-                job=stored.ok_value.job_id,
-                cause=job.err_value,
-            )
-            job = restore(stored.ok_value, None, now)
-        self.job_table.add(job.unwrap(), now, self._clocks.unix_ms())
 
     def _are_previous_runs_known(self) -> bool:
         """Whether every run that an earlier owner started is known or has ended."""
@@ -477,6 +478,7 @@
             self._interference.update(self._clocks.monotonic_s())
             self._forget(self.fleet.forget_departed(self._clocks.monotonic_s()))
             self._retention.update(self._clocks.monotonic_s())
+            self.request_handler.placer.update(self._clocks.monotonic_s())
             self._start_policy.update(self._clocks.monotonic_s())
             self._load_log.update(self._clocks.monotonic_s())
             self._request_planning()
--- a/tests/edge_cluster.py
+++ b/tests/edge_cluster.py
@@ -23,8 +23,10 @@
 from pollengate.workflow.keys import owner_key, shard_of_job
 from pollengate.workflow.model import Workflow
 from pollengate.workflow.policy import SchedulingPolicy
+from pollengate.workflow.progress import JobProgress
 from pollengate.workflow.settings import Bounds, NodeSettings
 from pollengate.workflow.shard_lease import ShardLease
+from pollengate.workflow.shard_room import RoomSummary
 from pollengate_standins.lease_worker import LeaseWorker, LeaseWorkerClient, StartRecord
 from pollengated.edge.clocks import Clocks
 from pollengated.edge.edge_metrics import EdgeMetrics
@@ -32,6 +34,13 @@
 from pollengated.edge.membership import Membership
 from pollengated.edge.node_directory import NodeDirectory, NodeRecord
 from pollengated.edge.operator_view import OperatorView
+from pollengated.edge.other_shards import (
+    OtherShards,
+    PlacementOutcome,
+    PlacementRequest,
+    PlacementUnknown,
+    Refused,
+)
 from pollengated.edge.shard_elector import ShardElector
 from pollengated.edge.shard_term import ShardTerm
 from result import Err, Result
@@ -115,6 +124,35 @@
             task.cancel()
 
 
+class ClusterShards(OtherShards):
+    """Reaches the owners of all shards of a cluster."""
+
+    def __init__(self, cluster: "EdgeCluster") -> None:
+        self._cluster = cluster
+
+    def summaries_by_shard(self, service: str) -> dict[int, RoomSummary]:
+        """Returns the room of all shards, as their owners compute it now."""
+        now = asyncio.get_running_loop().time()
+        found: dict[int, RoomSummary] = {}
+        for shard in range(self._cluster.shards):
+            term = self._cluster.term(shard)
+            summaries = term.request_handler.offered_room(now) if term else {}
+            if service in summaries:
+                found[shard] = summaries[service]
+        return found
+
+    async def place(self, shard: int, request: PlacementRequest) -> PlacementOutcome:
+        """Asks the owner of a shard; the request takes effect even if its reply is lost."""
+        term = self._cluster.term(shard)
+        if term is None:
+            return Refused("no_owner")
+        accepting = asyncio.create_task(term.request_handler.acceptor.accept(request))
+        await asyncio.wait((accepting,), timeout=LOST_CALL_TIMEOUT_S)
+        if self._cluster.loses_placement_replies or not accepting.done():
+            return PlacementUnknown("reply lost")
+        return accepting.result()
+
+
 class EdgeCluster:
     """Edge processes that are candidate owners of all shards, with their store and workers.
 
@@ -122,6 +160,7 @@
         workers: number of workers, which belong to the shards in turn.
         duration_s: duration of every task; if None, the workers choose it.
         shards: number of shards.
+        places_elsewhere: whether owners reach each other to place jobs in other shards.
 
     Attributes:
         store: the store that all processes share.
@@ -129,9 +168,16 @@
         history: every run that has started.
         nodes_by_name: all processes, including killed ones.
         policy: settings of scheduling decisions, for processes that start afterwards.
+        loses_placement_replies: whether requests to take a job of another shard get no reply.
     """
 
-    def __init__(self, workers: int = 3, duration_s: float | None = None, shards: int = 1) -> None:
+    def __init__(
+        self,
+        workers: int = 3,
+        duration_s: float | None = None,
+        shards: int = 1,
+        places_elsewhere: bool = True,
+    ) -> None:
         self.store = MemoryStore()
         self.history: list[StartRecord] = []
         names = [f"w{number}" for number in range(workers)]
@@ -143,8 +189,15 @@
                 worker.duration_of = lambda task: duration_s
         self.nodes_by_name: dict[str, EdgeNode] = {}
         self.policy = SchedulingPolicy()
+        self.loses_placement_replies = False
+        self._places_elsewhere = places_elsewhere
         self._incarnations = 0
 
+    @property
+    def shards(self) -> int:
+        """Number of shards."""
+        return self._layout.shards
+
     async def open(self, nodes: int = 2) -> None:
         """Writes a configuration, registers workers, starts processes and waits for an owner."""
         await self.configure(1)
@@ -206,6 +259,7 @@
                 clocks,
                 metrics,
                 self.policy,
+                ClusterShards(self) if self._places_elsewhere else None,
             )
 
         electors = [
@@ -239,6 +293,11 @@
                 return node
         return None
 
+    def term(self, shard: int = 0) -> ShardTerm | None:
+        """Returns the term of the process that serves a shard, None if there is none."""
+        node = self.owner(shard=shard)
+        return None if node is None else node.electors[shard].term
+
     def serving_node(self) -> EdgeNode:
         """Returns the process that serves the shard; fails if there is none."""
         node = self.owner()
@@ -279,17 +338,23 @@
 
     async def wait_for_state(self, job_id: str, state: str, timeout_s: float = 60.0) -> float:
         """Waits until the visible state of a job is `state`; returns the seconds waited."""
-        shard = shard_of_job(job_id, self._layout.shards)
         began_at = asyncio.get_running_loop().time()
         async with asyncio.timeout(timeout_s):
             while True:
-                node = self.owner(shard=shard)
-                term = node.electors[shard].term if node else None
-                job = term.job_table.jobs_by_id.get(job_id) if term else None
+                job = self.find_job(job_id)
                 if job is not None and job.visible_state == state:
                     return asyncio.get_running_loop().time() - began_at
                 await asyncio.sleep(0.02)
 
+    def find_job(self, job_id: str) -> JobProgress | None:
+        """Returns a job from the table of the owner that has it, None if no owner has it."""
+        for shard in range(self.shards):
+            term = self.term(shard)
+            job = term.job_table.jobs_by_id.get(job_id) if term else None
+            if job is not None:
+                return job
+        return None
+
     def update_history(self) -> list[StartRecord]:
         """Returns the history after the workers have recorded the runs that have ended."""
         for worker in self.workers_by_id.values():
--- a/tests/test_worker_transfers.py
+++ b/tests/test_worker_transfers.py
@@ -28,6 +28,11 @@
     return [job_id for job_id in found if shard_of_job(job_id, shards) == shard][:count]
 
 
+def build_cluster(workers: int, shards: int, duration_s: float | None = None) -> EdgeCluster:
+    """Returns a cluster in which jobs stay in their home shards, so that these need workers."""
+    return EdgeCluster(workers, duration_s, shards, places_elsewhere=False)
+
+
 class WorkerTransferTest(EdgeTestCase):
     """A shard that is full gets workers of a shard that has room."""
 
@@ -41,7 +46,7 @@
 
         Workers w0 and w2 belong to shard 0, w1 and w3 to shard 1.
         """
-        cluster = EdgeCluster(workers=4, duration_s=INFINITE_DURATION_S, shards=2)
+        cluster = build_cluster(workers=4, duration_s=INFINITE_DURATION_S, shards=2)
         await cluster.open(nodes=3)
         first, second = job_ids(0, 2)
         await cluster.submit(first, LONG_RUNNING)
@@ -61,7 +66,7 @@
 
     def test_worker_is_released_although_every_worker_has_a_long_running_task(self) -> None:
         async def main() -> None:
-            cluster = EdgeCluster(workers=4, duration_s=INFINITE_DURATION_S, shards=2)
+            cluster = build_cluster(workers=4, duration_s=INFINITE_DURATION_S, shards=2)
             await cluster.open(nodes=3)
             others = job_ids(1, 2)
             for job_id in others:
@@ -83,7 +88,7 @@
 
     def test_shard_keeps_a_worker_that_it_has_just_received(self) -> None:
         async def main() -> None:
-            cluster = EdgeCluster(workers=9, duration_s=INFINITE_DURATION_S, shards=3)
+            cluster = build_cluster(workers=9, duration_s=INFINITE_DURATION_S, shards=3)
             await cluster.open(nodes=3)
             full = build_workflow(build_step(3, is_long_running=True, demand=Demand(4000, 100)))
             ids_by_shard = {shard: job_ids(shard, 2, 3) for shard in (0, 2)}
@@ -104,7 +109,7 @@
 
     def test_shard_that_lacks_several_workers_gets_them_together(self) -> None:
         async def main() -> None:
-            cluster = EdgeCluster(workers=16, duration_s=INFINITE_DURATION_S, shards=2)
+            cluster = build_cluster(workers=16, duration_s=INFINITE_DURATION_S, shards=2)
             await cluster.open(nodes=3)
             first, second = job_ids(0, 2)
             whole_worker = Demand(4000, 100)
@@ -151,7 +156,7 @@
 
     def test_worker_is_transferred_only_after_its_tasks_have_ended(self) -> None:
         async def main() -> None:
-            cluster = EdgeCluster(workers=4, shards=2)
+            cluster = build_cluster(workers=4, shards=2)
             for worker in cluster.workers_by_id.values():
                 worker.duration_of = lambda task: INFINITE_DURATION_S if task[0] == "0" else 1.5
             await cluster.open(nodes=3)
