Accept a resubmission of a placed job whose record names no account

A home job with such a record is accepted again whatever account the client has by then; a placed one answered id_in_use. Found by reading; the placement of jobs is off in deployments with client accounts, so that no test shows it.

--- a/packages/pollengated/pollengated/edge/job_request_handler.py
+++ b/packages/pollengated/pollengated/edge/job_request_handler.py
@@ -97,7 +97,7 @@
         if not is_known:
             placement = self.placer.find(job_id)
             if placement is not None:
-                return Accepted() if placement.account == account else _ID_IN_USE
+                return Accepted() if _is_account(placement.account, account) else _ID_IN_USE
             pending = self.placer.find_pending(job_id)
             if pending is None:
                 refusal = self.current_refusal()
@@ -285,7 +285,11 @@
 
 def _is_same_client(job: JobProgress, account: str) -> bool:
     """Returns True unless a job is known to be of another account; older records name none."""
-    return not job.account or job.account == account
+    return _is_account(job.account, account)
+
+
+def _is_account(recorded: str, account: str) -> bool:
+    return not recorded or recorded == account
 
 
 class _Submission(JobRecord):
