--- a/tests/test_long_running_restarts.py
+++ b/tests/test_long_running_restarts.py
@@ -9,6 +9,11 @@
 from pollengate.workflow.keys import shard_of_job
 from pollengate.workflow.leases import WORKER_LEASE_S
 from pollengate.workflow.model import Demand, Step
+from pollengated.edge.worker_controller import (
+    NO_REPLY_BACKOFF_S,
+    RENEW_TIMEOUT_S,
+    RENEW_WAIT_S,
+)
 
 from tests.edge_cluster import EdgeCluster, EdgeTestCase
 from tests.utils import run_virtual
@@ -143,6 +148,20 @@
 
         run_virtual(main())
 
+    def test_worker_whose_report_was_late_once_gets_tasks_soon_after_the_next_one(self) -> None:
+        async def main() -> None:
+            cluster = self.open_cluster(workers=1, shards=1)
+            await cluster.open()
+            worker = cluster.workers_by_id["w0"]
+            worker.completes_reports = False
+            await asyncio.sleep(RENEW_WAIT_S + RENEW_TIMEOUT_S)
+            worker.completes_reports = True
+            await asyncio.sleep(RENEW_TIMEOUT_S)
+            job_id = await self.submit(cluster, 0, build_step())
+            await cluster.wait_for_state(job_id, "completed", SHORT_S + NO_REPLY_BACKOFF_S)
+
+        run_virtual(main())
+
 
 if __name__ == "__main__":
     unittest.main()
