End the pause of starts after a late report with the next report

What callers would see: after one report that took longer than 2.5 s, a worker gets no task for 3.5 s, although it replies again. An owner that is suspended for 2.5 s finds all reports late at once, and starts nothing in its whole shard.

Cause: the pause covers the time that the next call may take, so that no start extends the lease of a silent worker meanwhile, but it went on after that call had succeeded.

Change: a complete report shortens the pause to that of any order without a reply, 1 s from the failure. A pause for another reason stays.

--- a/packages/pollengated/pollengated/edge/worker_controller.py
+++ b/packages/pollengated/pollengated/edge/worker_controller.py
@@ -50,6 +50,8 @@
 RETRY_S = 0.15
 # A worker gets no starts for this long after an order without a reply.
 NO_REPLY_BACKOFF_S = 1.0
+# The same after a report that was not complete in time, unless the next one is.
+LATE_REPORT_BACKOFF_S = RENEW_TIMEOUT_S + NO_REPLY_BACKOFF_S
 # A worker that rejects a start for lack of room has runs that are not known here; it gets no starts
 # for this long.
 NO_ROOM_BACKOFF_S = 0.3
@@ -109,6 +111,7 @@
         self._last_clock_ms = 0
         self._is_failing = False
         self._is_requesting_report = False
+        self._late_report_at: float | None = None
 
     async def run(self) -> None:
         """Renews the leases of the worker's runs until cancelled or the shard lease is lost."""
@@ -228,7 +231,8 @@
                 return await self._client.renew(address, worker_id, order)
         except TimeoutError:
             # No start may extend the lease until the next renewal has failed or succeeded.
-            self._suspend_starts(self._clocks.monotonic_s() + RENEW_TIMEOUT_S + NO_REPLY_BACKOFF_S)
+            self._late_report_at = self._clocks.monotonic_s()
+            self._suspend_starts(self._late_report_at + LATE_REPORT_BACKOFF_S)
             return Err(OrderFailure(OrderRejection.NO_ANSWER, "reply is not complete in time"))
 
     def _apply_report(self, report: Report, sent_at: float) -> None:
@@ -240,6 +244,7 @@
             return  # a newer report has been applied already
         self._last_clock_ms = report.worker_clock_ms
         now = self._clocks.monotonic_s()
+        self._end_late_report_backoff()
         new_ends = self._reconciler.apply(report, sent_at, now, self._clocks.unix_ms())
         self._log_ends(new_ends)
         if self._is_failing:
@@ -250,6 +255,12 @@
         self._on_event()
         self._report_record_number = self._committer.last_record_number
 
+    def _end_late_report_backoff(self) -> None:
+        """Shortens the pause of starts after a late report, unless another reason prolonged it."""
+        late_at, self._late_report_at = self._late_report_at, None
+        if late_at is not None and self.view.unavailable_until == late_at + LATE_REPORT_BACKOFF_S:
+            self.view.unavailable_until = late_at + NO_REPLY_BACKOFF_S
+
     def _report_crash(self, crash: WorkerCrash) -> None:
         self._metrics.worker_crashes.labels(crash.cause.value).inc()
         self._log.warning(
