--- a/packages/pollengated/pollengated/edge/rpc.py
+++ b/packages/pollengated/pollengated/edge/rpc.py
@@ -314,7 +314,7 @@
             await stream.send_message(_encode_reply(await handle(term.request_handler, request)))
 
 
-async def _submit(request_handler: JobRequestHandler, request: Any) -> JobResponse:
+async def _submit(request_handler: JobRequestHandler, request: Any) -> OwnerResponse:
     workflow = _decode_workflow(request)
     if isinstance(workflow, Err):
         return NotAccepted(_MALFORMED, RETRY_AFTER_S)
@@ -329,9 +329,7 @@
     fault = decoded.err_value if isinstance(decoded, Err) else find_fault(decoded.ok_value)
     if fault is None:
         return decoded
-    Log("peers").warning(
-        "request of another process is malformed", job=request.job_id, cause=fault
-    )
+    Log("peers").warning("request of another process is malformed", job=request.job_id, cause=fault)
     return Err(fault)
 
 
