--- a/packages/pollengated/pollengated/http_configuration.py
+++ b/packages/pollengated/pollengated/http_configuration.py
@@ -1,10 +1,10 @@
 """HTTP routes for operators: the configuration and its patches."""
 
-import json
 from typing import Any
 
 from litestar import Request, Router, get, patch
 from litestar.response import Response
+from pollengate.decoding import DocumentDecoder
 from pollengate.patches import AcceptedPatch
 from pollengate.refusals import Outcome, Reason, Refusal
 from result import Err, Ok, Result
@@ -15,7 +15,7 @@
 from pollengated.metrics import Metrics
 from pollengated.problems import problem_response
 
-__all__ = ["configuration_router"]
+__all__ = ["configuration_router", "decode_merge_patch"]
 
 
 def configuration_router(
@@ -36,7 +36,7 @@
         expected = _expected_version(request.headers.get("if-match"))
         if isinstance(expected, Err):
             return problem_response(expected.err_value, metrics)
-        body = _decode_merge_patch(await request.body())
+        body = decode_merge_patch(await request.body())
         if isinstance(body, Err):
             return problem_response(body.err_value, metrics)
         key = request.headers.get("idempotency-key", "")
@@ -96,12 +96,16 @@
         return Err(Refusal(Outcome.NOT_RUN, Reason.INVALID_REQUEST, detail))
 
 
-def _decode_merge_patch(body: bytes) -> Result[dict[str, Any], Refusal]:
-    try:
-        patch_document = json.loads(body)
-    except ValueError as error:
-        detail = f"the body is not valid JSON: {error}"
+_PATCH_DECODER: DocumentDecoder[Any] = DocumentDecoder(Any)
+
+
+def decode_merge_patch(body: bytes) -> Result[dict[str, Any], Refusal]:
+    """Decodes the body of a patch; the error is the refusal to send."""
+    decoded = _PATCH_DECODER.decode(body)
+    if isinstance(decoded, Err):
+        detail = f"the body is not valid JSON: {decoded.err_value}"
         return Err(Refusal(Outcome.NOT_RUN, Reason.INVALID_REQUEST, detail))
+    patch_document = decoded.ok_value
     if not isinstance(patch_document, dict):
         detail = "the body must be a JSON object"
         return Err(Refusal(Outcome.NOT_RUN, Reason.INVALID_REQUEST, detail))
--- a/tests/test_http_vm_list.py
+++ b/tests/test_http_vm_list.py
@@ -50,6 +50,36 @@
             transport = CountingTransport(app)  # type: ignore[arg-type]
             run_virtual(check(HttpVmList("vm-list", transport), transport))
 
+    def answering(self, body: str) -> HttpVmList:
+        """Returns a client whose server answers with a body."""
+        transport = httpx.MockTransport(lambda request: httpx.Response(200, text=body))
+        return HttpVmList("vm-list", transport)
+
+    def test_odd_entry_does_not_hide_the_others(self) -> None:
+        good = VM_DOCUMENTS[0]
+        odd: list[Any] = [
+            {},
+            [],
+            None,
+            5,
+            good | {"kind": "odd"},
+            good | {"vm_id": ""},
+            good | {"address": "127.0.0.1:99999"},
+            good | {"cores": 10**400},
+            good | {"cores": "4"},
+            good | {"zone": None},
+            good | {"unknown": 1},
+        ]
+        vm_list = self.answering(json.dumps([*odd, good]))
+        with self.assertLogs("pollengate_net.http_vm_list", "WARNING") as logs:
+            vms = run_virtual(vm_list.read()).unwrap()
+        self.assertEqual(["w0"], [vm.vm_id for vm in vms])
+        self.assertEqual(len(odd), len(logs.records))
+
+    def test_deeply_nested_list_is_a_failure(self) -> None:
+        vm_list = self.answering("[" * 100_000 + "]" * 100_000)
+        self.assertTrue(run_virtual(vm_list.read()).is_err())
+
     def test_unchanged_list_is_not_sent_again(self) -> None:
         async def check(vm_list: HttpVmList, transport: CountingTransport) -> None:
             first = (await vm_list.read()).unwrap()
--- a/tests/test_malformed_messages.py
+++ b/tests/test_malformed_messages.py
@@ -40,6 +40,7 @@
 from pollengated.edge.recorded_workers import decode_recorded_workers
 from pollengated.edge.rpc import EdgeClient, EdgeService
 from pollengated.edge.worker_assignments import WorkerAssignments
+from pollengated.http_configuration import decode_merge_patch
 from result import Err, Ok, Result
 
 from tests.edge_cluster import EdgeCluster, EdgeTestCase
@@ -294,6 +295,11 @@
         result = asyncio.run(client.renew("10.0.0.1:1", "w", RenewOrder(1, 0, None, 0)))
         self.assertIsInstance(result, Ok | Err)
 
+    @settings(max_examples=EXAMPLES, derandomize=True, deadline=None)
+    @given(messages({"zones": {"a": {"drained": True}}}))
+    def test_configuration_patch(self, body: bytes) -> None:
+        self.assertIsInstance(decode_merge_patch(body), Ok | Err)
+
     @settings(max_examples=EXAMPLES, derandomize=True, deadline=None)
     @given(messages({"good": [["w", "ticket"]]}))
     def test_advice(self, body: bytes) -> None:
