Let a job without a run wait for processors that are in use

Change: such a job still starts without headroom and on workers where fillers are blocked, but only where processors are unused at the present speeds of the fillers there.

--- a/packages/pollengate/pollengate/interference/filler_placement.py
+++ b/packages/pollengate/pollengate/interference/filler_placement.py
@@ -2,7 +2,7 @@
 
 A filler that takes little headroom may start anywhere. Any other may start on a worker while the
 load of the serving tasks there leaves as much as it takes. A job without any run gets one soon, on
-the worker where it disturbs least, so that no job stands still beside free memory.
+the worker where it disturbs least, so that no job stands still beside unused processors.
 """
 
 import dataclasses
@@ -166,7 +166,7 @@
 
 
 def must_start(step: StepProgress, now: float) -> bool:
-    """Returns True if a filler of a step starts without headroom or unused processors.
+    """Returns True if a filler of a step starts without headroom.
 
     Its job has had no run for too long. The speed of fillers protects the serving tasks beside it.
     """
--- a/packages/pollengate/pollengate/workflow/placement.py
+++ b/packages/pollengate/pollengate/workflow/placement.py
@@ -223,7 +223,9 @@
         score = view.unused_millis()
         if spec.is_filler:
             is_urgent = must_start(step, now)
-            if not is_urgent and not has_unused_processors(step, view, now):
+            if not has_unused_processors(step, view, now) and not (
+                is_urgent and _has_idle_processors(step, view)
+            ):
                 return None
             strain = self.fillers.strain(step, view, now)
             if strain > MAX_START_STRAIN and may_withhold(step, now):
@@ -278,3 +280,12 @@
     """Returns True if a worker has processors for a filler and fillers are not blocked there."""
     wanted_millis = FILLER_MIN_UNUSED_SHARE * step.spec.demand.cpu_millis
     return now >= view.fillers_blocked_until and view.unused_millis() >= wanted_millis
+
+
+def _has_idle_processors(step: StepProgress, view: WorkerView) -> bool:
+    """Returns True if a worker has processors for a filler at the speeds of those there."""
+    wanted_millis = FILLER_MIN_UNUSED_SHARE * step.spec.demand.cpu_millis
+    idle_millis = view.unused_millis()
+    for run in view.fillers:
+        idle_millis += run.task.step.spec.demand.cpu_millis * (1 - run.speed_percent / 100)
+    return idle_millis >= wanted_millis
