Compute the idle processors of workers once for all waiting fillers

A plan with many jobs without a run scored every worker for each of them and summed up the speeds of all fillers there each time. The sums are now kept with the spare headroom, and the workers that have processors for a step are found once for the same image and demand.

The time that a plan takes was not measured.

--- a/packages/pollengate/pollengate/interference/filler_placement.py
+++ b/packages/pollengate/pollengate/interference/filler_placement.py
@@ -34,9 +34,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Spare:
-    """Spare headroom of one worker, when it was computed and for which amounts of work."""
+    """Spare headroom of one worker, when it was computed and for which amounts of work.
+
+    Attributes:
+        headroom_by_image: the least of each serving image.
+        idle_millis: millicores that no task uses at the present speeds of the fillers.
+        at: clock time at which it was computed.
+        committed_millis: millicores declared by tasks other than fillers.
+        filler_millis: millicores declared by fillers.
+    """
 
     headroom_by_image: dict[str, float]
+    idle_millis: float
     at: float
     committed_millis: int
     filler_millis: int
@@ -93,16 +102,17 @@
         if not self._may_try(view, spec.image):
             return math.inf
         share = spec.demand.cpu_millis / max(1, view.info.capacity.cpu_millis)
-        spare = self._spare_by_view.get(view)
-        if spare is None or not spare.is_current(view, now):
-            spare = self._compute_spare(view, now)
         strain = 0.0
-        for serving, headroom in spare.headroom_by_image.items():
+        for serving, headroom in self._spare(view, now).headroom_by_image.items():
             taken = self._model.cost(serving, spec.image) * share
             if taken > NEGLIGIBLE_HEADROOM:
                 strain = max(strain, taken / headroom if headroom > 0 else math.inf)
         return strain
 
+    def idle_millis(self, view: WorkerView, now: float) -> float:
+        """Returns the millicores that no task uses at the present speeds of a worker's fillers."""
+        return self._spare(view, now).idle_millis
+
     def speed(self, step: StepProgress, view: WorkerView, now: float) -> float:
         """Returns the share of full speed that one more filler of a step may have on a worker."""
         return 1 / max(1.0, self.strain(step, view, now))
@@ -122,9 +132,19 @@
         moves_s = MOVE_COST_S + left_s / max(MIN_SPEED, speed)
         return stays_s - moves_s >= MIN_GAIN_S
 
+    def _spare(self, view: WorkerView, now: float) -> _Spare:
+        known = self._spare_by_view.get(view)
+        is_current = known is not None and known.is_current(view, now)
+        return known if known is not None and is_current else self._compute_spare(view, now)
+
     def _compute_spare(self, view: WorkerView, now: float) -> _Spare:
         headroom = self._model.spare_headroom(view, [now + horizon for horizon in HORIZONS_S])
-        return _Spare(headroom, now, view.committed_millis, view.filler_millis)
+        slowed_millis = sum(
+            run.task.step.spec.demand.cpu_millis * (1 - run.speed_percent / 100)
+            for run in view.fillers
+        )
+        idle_millis = view.unused_millis() + slowed_millis
+        return _Spare(headroom, idle_millis, now, view.committed_millis, view.filler_millis)
 
     def _may_try(self, view: WorkerView, image: str) -> bool:
         """Returns True if a filler image is known beside a worker's images, or may be tried."""
--- a/packages/pollengate/pollengate/workflow/placement.py
+++ b/packages/pollengate/pollengate/workflow/placement.py
@@ -153,9 +153,16 @@
         return [
             view
             for view in workers
-            if has_unused_processors(step, view, now) and self.fillers.may_start(step, view, now)
+            if self._has_processors(step, view, now) and self.fillers.may_start(step, view, now)
         ]
 
+    def _has_processors(self, step: StepProgress, view: WorkerView, now: float) -> bool:
+        """Returns True if a worker has processors for a filler of a step."""
+        if has_unused_processors(step, view, now):
+            return True
+        wanted_millis = FILLER_MIN_UNUSED_SHARE * step.spec.demand.cpu_millis
+        return must_start(step, now) and self.fillers.idle_millis(view, now) >= wanted_millis
+
     def has_ticket(self, step: StepProgress, view: WorkerView, now: float) -> bool:
         """Returns True if the advice service allows a step's tasks on a worker."""
         return bool(self._tickets.ticket(step, view, now))
@@ -229,10 +236,7 @@
         spec = step.spec
         score = view.unused_millis()
         if spec.is_filler:
-            is_urgent = must_start(step, now)
-            if not has_unused_processors(step, view, now) and not (
-                is_urgent and _has_idle_processors(step, view)
-            ):
+            if not self._has_processors(step, view, now):
                 return None
             strain = self.fillers.strain(step, view, now)
             if strain > MAX_START_STRAIN and may_withhold(step, now):
@@ -303,12 +307,3 @@
     """Returns True if a worker has processors for a filler and fillers are not blocked there."""
     wanted_millis = FILLER_MIN_UNUSED_SHARE * step.spec.demand.cpu_millis
     return now >= view.fillers_blocked_until and view.unused_millis() >= wanted_millis
-
-
-def _has_idle_processors(step: StepProgress, view: WorkerView) -> bool:
-    """Returns True if a worker has processors for a filler at the speeds of those there."""
-    wanted_millis = FILLER_MIN_UNUSED_SHARE * step.spec.demand.cpu_millis
-    idle_millis = view.unused_millis()
-    for run in view.fillers:
-        idle_millis += run.task.step.spec.demand.cpu_millis * (1 - run.speed_percent / 100)
-    return idle_millis >= wanted_millis
--- a/packages/pollengate/pollengate/workflow/planner.py
+++ b/packages/pollengate/pollengate/workflow/planner.py
@@ -16,8 +16,8 @@
 
 __all__ = ["Planner"]
 
-# Service, image and millicores of fillers.
-_FillerKey = tuple[str, str, int]
+# Service, image and millicores of fillers, and whether one of them must start.
+_FillerKey = tuple[str, str, int, bool]
 
 
 @dataclasses.dataclass(slots=True)
@@ -166,8 +166,8 @@
         scores = StepScores()
         is_urgent = must_start(step, now)
         candidates: list[WorkerView] | None = None
-        if may_withhold(step, now):
-            key = (queue.service, step.spec.image, step.spec.demand.cpu_millis)
+        if is_urgent or may_withhold(step, now):
+            key = (queue.service, step.spec.image, step.spec.demand.cpu_millis, is_urgent)
             candidates = candidates_by_filler.get(key)
             if candidates is None:
                 self.placer.fillers.refresh(workers, now)
