--- a/packages/pollengate/pollengate/workflow/placement.py
+++ b/packages/pollengate/pollengate/workflow/placement.py
@@ -154,9 +154,16 @@
         return [
             view
             for view in workers
-            if has_unused_processors(step, view, now) and self.fillers.may_start(step, view, now)
+            if self._has_processors(step, view, now) and self.fillers.may_start(step, view, now)
         ]
 
+    def _has_processors(self, step: StepProgress, view: WorkerView, now: float) -> bool:
+        """Returns True if a worker has processors for a filler of a step."""
+        if has_unused_processors(step, view, now):
+            return True
+        wanted_millis = FILLER_MIN_UNUSED_SHARE * step.spec.demand.cpu_millis
+        return must_start(step, now) and self.fillers.idle_millis(view, now) >= wanted_millis
+
     def has_ticket(self, step: StepProgress, view: WorkerView, now: float) -> bool:
         """Returns True if the advice service allows a step's tasks on a worker."""
         return bool(self._tickets.ticket(step, view, now))
@@ -230,8 +237,7 @@
         spec = step.spec
         score = view.unused_millis()
         if spec.is_filler:
-            is_urgent = must_start(step, now)
-            if not is_urgent and not has_unused_processors(step, view, now):
+            if not self._has_processors(step, view, now):
                 return None
             strain = self.fillers.strain(step, view, now)
             if strain > MAX_START_STRAIN and may_withhold(step, now):
