Place jobs that find no room at once where their wait is shortest

Of 181 lines 'tasks wait for a start' of withheld fillers until 36 s, 165 were of shards 0, 2 and 6, which long-running tasks fill to 95 of 100.

Cause: a job that found no room at once stayed at home, also where room never comes back. Now a short job is placed where the short work that runs and waits fills what long-running tasks leave the fewest times, if that is at most two thirds of the rounds at home; fillers are compared by the millicores that are unused. Jobs that are being placed count at home, so that a herd is shared.

The test of a herd counted the jobs of each shard; under the new rule all of them belong in the shard that can run them. It is replaced by two: all of the herd completes in the time of its rounds, and a herd of two shards that can run it is shared. Without the count at home, the latter failed:

--- a/packages/pollengated/pollengated/edge/other_shards.py
+++ b/packages/pollengated/pollengated/edge/other_shards.py
@@ -4,6 +4,7 @@
 import dataclasses
 from collections.abc import Mapping
 
+from pollengate.workflow.job_placement import PlacementLimits
 from pollengate.workflow.model import Workflow
 from pollengate.workflow.shard_room import RoomSummary
 
@@ -29,7 +30,7 @@
         account: name of the client account that submitted it, empty for none.
         home_shard: the job's home shard.
         home_token: fencing token of the home shard's owner.
-        min_tasks: number of tasks that have to find room at once.
+        limits: what makes the other shard better for the job than its home shard.
     """
 
     job_id: str
@@ -38,7 +39,7 @@
     account: str
     home_shard: int
     home_token: int
-    min_tasks: int
+    limits: PlacementLimits
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/pollengated/pollengated/edge/rpc.py
+++ b/packages/pollengated/pollengated/edge/rpc.py
@@ -1,6 +1,7 @@
 """gRPC client and service for calls between edge processes."""
 
 import asyncio
+import dataclasses
 from collections.abc import Awaitable, Callable, Sequence
 from typing import Any
 
@@ -9,6 +10,7 @@
 from grpclib.server import Stream
 from pollengate.accounts.job_access import Requester
 from pollengate.store import Entry
+from pollengate.workflow.job_placement import PlacementLimits
 from pollengate.workflow.job_service import (
     Accepted,
     Cancelled,
@@ -115,7 +117,8 @@
             workflow=msgspec.json.encode(request.workflow),
             home_shard=request.home_shard,
             home_token=request.home_token,
-            min_tasks=request.min_tasks,
+            min_tasks=request.limits.min_tasks,
+            max_rounds=request.limits.max_rounds,
             account=request.account,
         )
         result = await self._call(address, "Place", message, PLACE_TIMEOUT_S)
@@ -158,7 +161,13 @@
         if self.on_room is not None:
             for room in heartbeat.rooms:
                 summaries = {
-                    service.service: RoomSummary(tuple(service.worker_counts))
+                    service.service: RoomSummary(
+                        tuple(service.worker_counts),
+                        tuple(service.turnover_counts),
+                        service.backlog_millis,
+                        service.filler_millis,
+                        service.filler_backlog_millis,
+                    )
                     for service in room.services
                 }
                 self.on_room(room.shard, summaries)
@@ -251,7 +260,7 @@
             request.account,
             request.home_shard,
             request.home_token,
-            request.min_tasks,
+            PlacementLimits(request.min_tasks, request.max_rounds),
         )
         outcome = await term.request_handler.acceptor.accept(placement)
         await stream.send_message(_encode_outcome(outcome))
@@ -277,7 +286,7 @@
                 pb.ShardRoom(
                     shard=shard,
                     services=[
-                        pb.ServiceRoom(service=name, worker_counts=summary.worker_counts)
+                        pb.ServiceRoom(service=name, **dataclasses.asdict(summary))
                         for name, summary in summaries.items()
                     ],
                 )
