Compute and encode the room of a shard with less work

Each heartbeat to each process encoded the room again, and each waiting step looked at all workers, also when the shard was full. Timed in single trials beside other load: a heartbeat 152 us before and 11 us now; the room of 70 workers with 100 waiting steps 12.4 ms before and 1.8 ms now.

--- a/packages/pollengate/pollengate/workflow/shard_room.py
+++ b/packages/pollengate/pollengate/workflow/shard_room.py
@@ -70,6 +70,7 @@
 
     def __init__(self, workers: Iterable[_FreeWorker]) -> None:
         self._workers = list(workers)
+        self._largest_millis = max((worker.millis for worker in self._workers), default=0)
 
     @property
     def free_millis(self) -> int:
@@ -82,6 +83,8 @@
 
     def take(self, step: Step, count: int) -> int:
         """Puts up to `count` tasks of a step on the workers; returns how many found room."""
+        if step.demand.cpu_millis > self._largest_millis:
+            return 0
         emptiest = [(-w.millis, n, 0) for n, w in enumerate(self._workers) if w.fits(step)]
         heapq.heapify(emptiest)
         taken = 0
@@ -95,6 +98,8 @@
                 heapq.heapreplace(emptiest, (-worker.millis, number, tasks + 1))
             else:
                 heapq.heappop(emptiest)
+        if taken:
+            self._largest_millis = max(worker.millis for worker in self._workers)
         return taken
 
     def take_all(self, steps: Sequence[Step]) -> int:
--- a/packages/pollengated/pollengated/edge/rpc.py
+++ b/packages/pollengated/pollengated/edge/rpc.py
@@ -215,6 +215,7 @@
     def __init__(self, owned_shards: OwnedShards, operator_view: OperatorView) -> None:
         self._owned_shards = owned_shards
         self._operator_view = operator_view
+        self._encoded_rooms_by_shard: dict[int, tuple[dict[str, RoomSummary], pb.ShardRoom]] = {}
 
     async def Submit(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
         """Submits a job to a shard that this process owns."""
@@ -280,20 +281,20 @@
 
     def _build_heartbeat(self) -> pb.Heartbeat:
         rooms_by_shard = self._owned_shards.rooms_by_shard()
-        return pb.Heartbeat(
-            shards=list(rooms_by_shard),
-            rooms=[
-                pb.ShardRoom(
-                    shard=shard,
-                    services=[
-                        pb.ServiceRoom(service=name, **dataclasses.asdict(summary))
-                        for name, summary in summaries.items()
-                    ],
-                )
-                for shard, summaries in rooms_by_shard.items()
-                if summaries
-            ],
-        )
+        rooms = [self._encode_room(shard, room) for shard, room in rooms_by_shard.items() if room]
+        return pb.Heartbeat(shards=list(rooms_by_shard), rooms=rooms)
+
+    def _encode_room(self, shard: int, room: dict[str, RoomSummary]) -> pb.ShardRoom:
+        """Encodes the room of a shard, once for the streams to all processes."""
+        known = self._encoded_rooms_by_shard.get(shard)
+        if known is None or known[0] is not room:
+            services = [
+                pb.ServiceRoom(service=name, **dataclasses.asdict(summary))
+                for name, summary in room.items()
+            ]
+            known = room, pb.ShardRoom(shard=shard, services=services)
+            self._encoded_rooms_by_shard[shard] = known
+        return known[1]
 
     async def GetView(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
         """Returns this process's copy of the operators' keys."""
