Take an absent key in a store's conflict for no placement record

A store may list the keys of failed conditions although they are absent, without a value; such an entry was read as an unreadable placement record, and the job stayed undecided for the rest of the term.

--- a/packages/pollengated/pollengated/edge/job_placer.py
+++ b/packages/pollengated/pollengated/edge/job_placer.py
@@ -25,7 +25,7 @@
 from pollengated.edge.committer import RecordRemoval
 from pollengated.edge.edge_metrics import EdgeMetrics
 from pollengated.edge.other_shards import OtherShards, Placed, PlacementRequest, Refused
-from pollengated.edge.placement_context import PlacementContext
+from pollengated.edge.placement_context import PlacementContext, present_entries
 from pollengated.logs import Log
 
 __all__ = ["JobPlacer", "PendingPlacement"]
@@ -243,24 +243,26 @@
                 continue
             if result.ok_value.succeeded:
                 self._record(request.job_id, at_home)
+            else:
+                self._apply_conflict(key, result.ok_value)
+            if request.job_id in self._known_by_id:
                 return True
-            return self._apply_conflict(key, request, result.ok_value)
+            await asyncio.sleep(RETRY_S)
         return False
 
-    def _apply_conflict(self, key: str, request: PlacementRequest, conflict: CommitResult) -> bool:
-        """Applies the placement record that was there before; returns False if there is none."""
-        current = {entry.key: entry for entry in conflict.current}
+    def _apply_conflict(self, key: str, conflict: CommitResult) -> None:
+        """Loads the placement record that was there before, or ends the ownership if it is lost."""
+        current = present_entries(conflict)
         owner = current.get(owner_key(self._shard))
-        if owner is None or owner.revision != self._shard_lease.token:
-            self._log.warning(
-                "this process no longer owns the shard; ending placements",
-                shard=self._shard,
-                token=self._shard_lease.token,
-            )
-            self._shard_lease.mark_lost()
-            return False
-        self.load([current[key]] if key in current else [])
-        return request.job_id in self._known_by_id
+        if owner is not None and owner.revision == self._shard_lease.token:
+            self.load([current[key]] if key in current else [])
+            return
+        self._log.warning(
+            "this process no longer owns the shard; ending placements",
+            shard=self._shard,
+            token=self._shard_lease.token,
+        )
+        self._shard_lease.mark_lost()
 
     def _record(self, job_id: str, placement: StoredPlacement) -> None:
         self._known_by_id[job_id] = _KnownPlacement(placement, self._clocks.monotonic_s())
--- a/packages/pollengated/pollengated/edge/placement_acceptor.py
+++ b/packages/pollengated/pollengated/edge/placement_acceptor.py
@@ -31,7 +31,7 @@
     PlacementUnknown,
     Refused,
 )
-from pollengated.edge.placement_context import PlacementContext
+from pollengated.edge.placement_context import PlacementContext, present_entries
 from pollengated.logs import Log
 
 __all__ = ["PlacementAcceptor"]
@@ -180,7 +180,7 @@
 
         It may be the repetition of one that took effect; the placement record then names the shard.
         """
-        current = {entry.key: entry for entry in conflict.current}
+        current = present_entries(conflict)
         owner = current.get(owner_key(self._shard))
         if owner is None or owner.revision != self._shard_lease.token:
             self._log.warning(
--- a/packages/pollengated/pollengated/edge/placement_context.py
+++ b/packages/pollengated/pollengated/edge/placement_context.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from pollengate.store import PolledStore
+from pollengate.store import CommitResult, Entry, PolledStore
 from pollengate.workflow.job_table import JobTable
 from pollengate.workflow.shard_lease import ShardLease
 from pollengate.workflow.shard_room import ShardRoom
@@ -12,7 +12,7 @@
 from pollengated.edge.clocks import Clocks
 from pollengated.edge.committer import Committer
 
-__all__ = ["PlacementContext"]
+__all__ = ["PlacementContext", "present_entries"]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -40,3 +40,11 @@
     room: ShardRoom
     is_settled: Callable[[], bool]
     spawn: Callable[[Coroutine[Any, Any, None]], object]
+
+
+def present_entries(conflict: CommitResult) -> dict[str, Entry]:
+    """Returns the entries of a failed transaction's conditions by key, without absent keys.
+
+    A store may list an absent key with revision 0 or without a value.
+    """
+    return {entry.key: entry for entry in conflict.current if entry.revision and entry.value}
--- a/tests/test_job_placement_calls.py
+++ b/tests/test_job_placement_calls.py
@@ -7,7 +7,7 @@
 
 from grpclib.testing import ChannelFor
 from pollengate.memory_store import MemoryStore
-from pollengate.store import Entry, Put
+from pollengate.store import CommitResult, Entry, Put
 from pollengate.workflow.job_placement import PlacementLimits, StoredPlacement, encode_placement
 from pollengate.workflow.job_service import (
     Cancelled,
@@ -30,6 +30,7 @@
 from pollengated.edge.other_shards import Placed, PlacementRequest, Refused
 from pollengated.edge.owned_shards import OwnedShards
 from pollengated.edge.owner_probe import OwnerProbe
+from pollengated.edge.placement_context import present_entries
 from pollengated.edge.remote_shards import RemoteShards
 from pollengated.edge.rpc import EdgeClient, EdgeService
 from result import Ok, Result
@@ -128,6 +129,16 @@
             self.assertEqual((found.shard, found.owner), (1, owner))
 
 
+class ConflictTest(unittest.TestCase):
+    """Entries in the response of a store to a transaction whose conditions did not hold."""
+
+    def test_absent_key_that_the_store_lists_is_no_placement(self) -> None:
+        owner = Entry(owner_key(0), b"x", 5, 5, 6)
+        absent = [Entry("a", b"", 0, 0), Entry("b", b"", 7, 0), Entry("c", b"x", 0, 0)]
+        conflict = CommitResult(False, 0, (owner, *absent))
+        self.assertEqual(present_entries(conflict), {owner.key: owner})
+
+
 class OwnerCallTest(unittest.TestCase):
     """Calls between owners over gRPC."""
 
