--- a/packages/pollengated/pollengated/edge/rpc.py
+++ b/packages/pollengated/pollengated/edge/rpc.py
@@ -1,6 +1,7 @@
 """gRPC client and service for calls between edge processes."""
 
 import asyncio
+import dataclasses
 from collections.abc import Awaitable, Callable, Sequence
 from typing import Any
 
@@ -10,6 +11,7 @@
 from pollengate.accounts.job_access import Requester
 from pollengate.decoding import DocumentDecoder
 from pollengate.store import Entry
+from pollengate.workflow.job_placement import PlacementLimits
 from pollengate.workflow.job_service import (
     RETRY_AFTER_S,
     Accepted,
@@ -121,7 +123,8 @@
             workflow=msgspec.json.encode(request.workflow),
             home_shard=request.home_shard,
             home_token=request.home_token,
-            min_tasks=request.min_tasks,
+            min_tasks=request.limits.min_tasks,
+            max_rounds=request.limits.max_rounds,
             account=request.account,
         )
         result = await self._call(address, "Place", message, PLACE_TIMEOUT_S)
@@ -164,7 +167,13 @@
         if self.on_room is not None:
             for room in heartbeat.rooms:
                 summaries = {
-                    service.service: RoomSummary(tuple(service.worker_counts))
+                    service.service: RoomSummary(
+                        tuple(service.worker_counts),
+                        tuple(service.turnover_counts),
+                        service.backlog_millis,
+                        service.filler_millis,
+                        service.filler_backlog_millis,
+                    )
                     for service in room.services
                 }
                 self.on_room(room.shard, summaries)
@@ -212,6 +221,7 @@
     def __init__(self, owned_shards: OwnedShards, operator_view: OperatorView) -> None:
         self._owned_shards = owned_shards
         self._operator_view = operator_view
+        self._encoded_rooms_by_shard: dict[int, tuple[dict[str, RoomSummary], pb.ShardRoom]] = {}
 
     async def Submit(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
         """Submits a job to a shard that this process owns."""
@@ -253,7 +263,7 @@
             request.account,
             request.home_shard,
             request.home_token,
-            request.min_tasks,
+            PlacementLimits(request.min_tasks, request.max_rounds),
         )
         outcome = await term.request_handler.acceptor.accept(placement)
         await stream.send_message(_encode_outcome(outcome))
@@ -273,20 +283,20 @@
 
     def _build_heartbeat(self) -> pb.Heartbeat:
         rooms_by_shard = self._owned_shards.rooms_by_shard()
-        return pb.Heartbeat(
-            shards=list(rooms_by_shard),
-            rooms=[
-                pb.ShardRoom(
-                    shard=shard,
-                    services=[
-                        pb.ServiceRoom(service=name, worker_counts=summary.worker_counts)
-                        for name, summary in summaries.items()
-                    ],
-                )
-                for shard, summaries in rooms_by_shard.items()
-                if summaries
-            ],
-        )
+        rooms = [self._encode_room(shard, room) for shard, room in rooms_by_shard.items() if room]
+        return pb.Heartbeat(shards=list(rooms_by_shard), rooms=rooms)
+
+    def _encode_room(self, shard: int, room: dict[str, RoomSummary]) -> pb.ShardRoom:
+        """Encodes the room of a shard, once for the streams to all processes."""
+        known = self._encoded_rooms_by_shard.get(shard)
+        if known is None or known[0] is not room:
+            services = [
+                pb.ServiceRoom(service=name, **dataclasses.asdict(summary))
+                for name, summary in room.items()
+            ]
+            known = room, pb.ShardRoom(shard=shard, services=services)
+            self._encoded_rooms_by_shard[shard] = known
+        return known[1]
 
     async def GetView(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
         """Returns this process's copy of the operators' keys."""
