Count the workers that are kept clear by service

Cause: one count of cleared workers for a whole round of planning was compared with a fifth of one service's workers. A service with many workers uses up the limit of one with few.

Change: each service has its own cleared workers.

--- a/packages/pollengate/pollengate/workflow/cleared_workers.py
+++ b/packages/pollengate/pollengate/workflow/cleared_workers.py
@@ -72,7 +72,7 @@
 
 
 class ClearedWorkers:
-    """The workers that are kept clear during one round of planning.
+    """The workers of one service that are kept clear during one round of planning.
 
     The worker on which least has to be freed is chosen. As nothing else starts there, it is
     nearer to its aim in the next round.
--- a/packages/pollengate/pollengate/workflow/planner.py
+++ b/packages/pollengate/pollengate/workflow/planner.py
@@ -91,7 +91,7 @@
         largest_free_by_service: dict[str, _LargestFree] = {}
         # While a plan is made, runs are only added, so that no further worker can get headroom.
         candidates_by_filler: dict[_FillerKey, list[WorkerView]] = {}
-        cleared = ClearedWorkers()
+        cleared_by_service: dict[str, ClearedWorkers] = {}
         planned: list[Run] = []
         for step in self.order.arrange(steps, job_table.queue_of, now):
             queue = job_table.queue_of(step)
@@ -109,6 +109,7 @@
                 planned += placed
                 if placed:
                     largest_free = _LargestFree.of(largest_free.workers)
+            cleared = cleared_by_service.setdefault(queue.service, ClearedWorkers())
             if self._clear_workers(cleared, step, queue, largest_free.workers, now):
                 # A worker that is kept clear is no candidate for the steps that follow.
                 largest_free = _LargestFree.of(
