Stop no task for a release while another of its step is on a silent worker

What callers would see: a release of a worker ends a task of a step while another task of that step is not at work (AVAIL).

Cause: a task on a worker that crashed counts as at work until the worker's lease has expired, 5.5 s after its last reply; after 4.5 s it counts as away. Moves for large tasks and for tasks that run again check that all workers of a step have replied lately, releases did not. Releases have become more frequent right after faults, as tasks that run again cause them.

Change: releases check it, too. If a worker stays silent, the release ends after its time limit.

--- a/packages/pollengated/pollengated/edge/worker_transfers.py
+++ b/packages/pollengated/pollengated/edge/worker_transfers.py
@@ -13,8 +13,9 @@
 from pollengate.workflow.fleet import WorkerView
 from pollengate.workflow.job_table import JobTable
 from pollengate.workflow.keys import assignment_key, capacity_request_key
+from pollengate.workflow.moves import is_in_touch
 from pollengate.workflow.ordering import runs_again
-from pollengate.workflow.progress import RunState
+from pollengate.workflow.progress import Run, RunState
 from pollengate.workflow.shard_lease import ShardLease
 from pollengate.workflow.start_filter import StartFilter
 from pollengate.workflow.worker_transfer import (
@@ -229,7 +230,7 @@
             spec = run.task.step.spec
             if run.is_stop_wanted or run.state is not RunState.RUNNING:
                 continue
-            if is_movable(run, now) if spec.is_long_running else spec.saves_progress:
+            if self._may_move(run, now) if spec.is_long_running else spec.saves_progress:
                 self._log.info(
                     "stopping a run so that its worker can be released",
                     task=run.task.name,
@@ -238,6 +239,9 @@
                 )
                 self._job_table.stop(run)
 
+    def _may_move(self, run: Run, now: float) -> bool:
+        return is_movable(run, now) and is_in_touch(run.task.step, self._job_table.fleet, now)
+
 
 class _RequestRecord(Record):
     """Stores the request of a shard that is short of capacity."""
