Keep the last worker with a label that jobs of the shard require

Cause: the worker to release is chosen by what runs on it. One that runs short tasks only is the first choice, also if it is the only one with a label. Since a task that runs again comes before batch tasks that wait, this happens while they wait for it. The receiver puts a long-running task there and does not give it back, as it moves such tasks for long-running ones only.

Evidence: in the test, worker w5 is assigned to the other shard at 14.1 s; its shard requests a worker with the label each second from then on and gets none until the end at 53 s.

Change: such a worker is released only for a task that requires the same label.

--- a/packages/pollengate/pollengate/workflow/worker_transfer.py
+++ b/packages/pollengate/pollengate/workflow/worker_transfer.py
@@ -6,6 +6,7 @@
 from then on these workers belong to the other shard.
 """
 
+import collections
 import dataclasses
 import functools
 import math
@@ -107,12 +108,17 @@
     """Returns the worker that meets a request after the fewest moves, None if there is none.
 
     Its long-running tasks have to fit on other workers of the shard. They are moved only for a
-    long-running task; a member of a gang is never moved.
+    long-running task; a member of a gang is never moved. The last worker with a label that jobs of
+    the shard require is kept, unless the other shard requires it, too.
     """
+    workers = _healthy_workers(job_table, request.service, now)
+    kept_labels = _last_labels(job_table, workers) - {request.required_label}
     candidates = [
         view
-        for view in _healthy_workers(job_table, request.service, now)
-        if _meets(view, request) and _can_empty(view, request, now)
+        for view in workers
+        if _meets(view, request)
+        and _can_empty(view, request, now)
+        and kept_labels.isdisjoint(view.info.labels)
     ]
     candidates.sort(key=lambda view: (len(view.long_running), len(view.runs), view.worker_id))
     return next((view for view in candidates if fits_elsewhere(job_table, view, now)), None)
@@ -143,6 +149,18 @@
     return [v for v in workers if not job_table.evidence.is_quarantined(v.worker_id)]
 
 
+def _last_labels(job_table: JobTable, workers: list[WorkerView]) -> set[str]:
+    """Returns the labels that jobs of the shard require and only one of its workers has."""
+    counts = collections.Counter(label for view in workers for label in set(view.info.labels))
+    return {
+        step.required_label
+        for job in job_table.jobs_by_id.values()
+        if not job.is_ended
+        for step in job.workflow.steps
+        if counts[step.required_label] == 1
+    }
+
+
 def _has_room(step: StepProgress, workers: list[WorkerView]) -> bool:
     """Returns True if a task of a step fits on a worker; all tasks have to if they are a gang."""
     if not step.spec.is_gang:
