Release workers although a task waits that none of them could run

Cause: an owner keeps all workers as long as a long-running task of its own waits to run again, also if no worker of the shard could ever run it, for example as the only one with its label or of its size was in the zone that is cut off. After the loss of a zone each shard has such tasks at the same time, so that all shards keep all workers from each other.

Change: only a task that a healthy worker of the shard could run once it is empty counts as own need.

--- a/packages/pollengate/pollengate/workflow/worker_transfer.py
+++ b/packages/pollengate/pollengate/workflow/worker_transfer.py
@@ -23,6 +23,7 @@
 
 __all__ = [
     "CapacityRequest",
+    "can_ever_run",
     "find_shortage",
     "fits_elsewhere",
     "is_movable",
@@ -136,6 +137,14 @@
     return fit_together(view.long_running, others, lambda step, other: True)
 
 
+def can_ever_run(
+    job_table: JobTable, service: str, required_label: str, demand: Demand, now: float
+) -> bool:
+    """Returns True if a healthy worker of the shard could run a task once it is empty."""
+    workers = _healthy_workers(job_table, service, now)
+    return any(_has_label_and_size(view, required_label, demand) for view in workers)
+
+
 def release_delay_s(fleet: Fleet, request: CapacityRequest, now: float) -> float:
     """Returns how long an owner waits before it responds to a request, shorter the more it has."""
     workers = fleet.schedulable_workers(request.service, now)
@@ -199,9 +208,13 @@
 
 
 def _meets(view: WorkerView, request: CapacityRequest) -> bool:
-    capacity, demand = view.info.capacity, request.demand
+    return _has_label_and_size(view, request.required_label, request.demand)
+
+
+def _has_label_and_size(view: WorkerView, required_label: str, demand: Demand) -> bool:
+    capacity = view.info.capacity
     return (
-        (not request.required_label or request.required_label in view.info.labels)
+        (not required_label or required_label in view.info.labels)
         and demand.cpu_millis <= capacity.cpu_millis
         and demand.memory_mb <= capacity.memory_mb
         and demand.accelerators <= capacity.accelerators
--- a/packages/pollengated/pollengated/edge/worker_transfers.py
+++ b/packages/pollengated/pollengated/edge/worker_transfers.py
@@ -20,6 +20,7 @@
 from pollengate.workflow.start_filter import StartFilter
 from pollengate.workflow.worker_transfer import (
     CapacityRequest,
+    can_ever_run,
     find_shortage,
     fits_elsewhere,
     is_movable,
@@ -106,7 +107,7 @@
             self._shard, self._job_table, self._is_settled, now, self._start_filter
         )
         self._record_shortage(shortage, now)
-        self._releases = [r for r in self._releases if self._continue_release(r, shortage, now)]
+        self._releases = [r for r in self._releases if self._continue_release(r, now)]
         if shortage is not None:
             self._request(shortage, now)
         if not self._releases:
@@ -117,7 +118,9 @@
             self._short_since = None
             return
         self._short_at = now
-        if shortage.is_restart:
+        if shortage.is_restart and can_ever_run(
+            self._job_table, shortage.service, shortage.required_label, shortage.demand, now
+        ):
             self._short_for_restart_at = now
         if self._short_since is None:
             self._short_since = now
@@ -150,11 +153,24 @@
             return "store_unavailable"
         if not self._is_settled():
             return "unsettled"
-        own_need = (
-            runs_again(step) if request.is_restart else step.waiting and not step.spec.is_filler
-            for step in self._job_table.open_steps
-        )
-        return "tasks_wait" if any(own_need) else None
+        if request.is_restart:
+            needs_worker = self._needs_worker_for_restart(now)
+        else:
+            needs_worker = any(
+                step.waiting and not step.spec.is_filler for step in self._job_table.open_steps
+            )
+        return "tasks_wait" if needs_worker else None
+
+    def _needs_worker_for_restart(self, now: float) -> bool:
+        """Whether a long-running task waits to run again that a worker of the shard could run."""
+        for step in self._job_table.open_steps:
+            queue = self._job_table.queue_of(step)
+            if queue is None or not runs_again(step):
+                continue
+            label, demand = step.spec.required_label, step.spec.demand
+            if can_ever_run(self._job_table, queue.service, label, demand, now):
+                return True
+        return False
 
     def _begin_release(self, now: float) -> None:
         for open_request in self._assignments.requests_by_shard.values():
@@ -189,13 +205,11 @@
             "not releasing a worker", shard=self._shard, to_shard=to_shard, cause=blocker
         )
 
-    def _continue_release(
-        self, release: _Release, shortage: CapacityRequest | None, now: float
-    ) -> bool:
+    def _continue_release(self, release: _Release, now: float) -> bool:
         """Advances the release of a worker; returns False once it has ended."""
         view = release.view
-        needs_worker = shortage is not None and shortage.is_restart >= release.request.is_restart
-        if needs_worker or not self._is_wanted(release, now):
+        short_at = self._short_for_restart_at if release.request.is_restart else self._short_at
+        if short_at == now or not self._is_wanted(release, now):
             view.is_released = False
             return False
         if view.runs:
