Show that a task which loses its worker and its owner together runs again too late

What callers would see: a long-running task has no run for 10.4 to 10.6 s after its worker and the owner of its shard were lost within 5 s of each other (LOST; 3 s until the others are in touch and 7 calm seconds make 10 s).

Cause: a successor acquires the shard 2.5 s after the loss and starts no task that it has loaded before all recorded workers have replied or 7.9 s have passed: the earlier owner may be alive, cut off from the store, and renew leases for 2 s more. A worker that is gone never replies.

Not fixed: the wait protects from two runs of a task.

--- a/tests/test_long_running_restarts.py
+++ b/tests/test_long_running_restarts.py
@@ -22,6 +22,10 @@
 # A long-running task that does not run this long after it could have counts as lost.
 MAX_ABSENCE_S = 9.0
 SETTLE_S = 3.0
+# After a loss the other machines count as in touch again; a task without a run after as many calm
+# seconds counts as lost.
+IN_TOUCH_S = 3.0
+CALM_S = 7.0
 SHORT_S = 1.0
 
 
@@ -162,6 +166,23 @@
 
         run_virtual(main())
 
+    def test_task_that_loses_its_worker_and_its_owner_together_runs_again_in_time(self) -> None:
+        async def main() -> None:
+            cluster = self.open_cluster(workers=4, shards=1)
+            await cluster.open(nodes=3)
+            job_id = await self.submit(cluster, 0, long_running(2, 1000))
+            await asyncio.sleep(SETTLE_S)
+            worker_id = self.running_workers(cluster, job_id)[0]
+            worker = cluster.workers_by_id[worker_id]
+            worker.crash()
+            worker.is_unreachable = True
+            await cluster.store.commit((), (Delete(f"servers/{worker_id}"),))
+            cluster.serving_node().kill()
+            await asyncio.sleep(IN_TOUCH_S + CALM_S)
+            self.assertEqual(2, len(self.running_workers(cluster, job_id)))
+
+        run_virtual(main())
+
 
 if __name__ == "__main__":
     unittest.main()
