--- a/packages/pollengate/pollengate/workflow/worker_transfer.py
+++ b/packages/pollengate/pollengate/workflow/worker_transfer.py
@@ -24,7 +24,7 @@
 __all__ = [
     "CapacityRequest",
     "can_ever_run",
-    "find_shortages",
+    "find_shortage",
     "fits_elsewhere",
     "is_movable",
     "release_delay_s",
@@ -65,38 +65,46 @@
     is_restart: bool = False
 
 
-def find_shortages(
+def find_shortage(
     shard: int,
     job_table: JobTable,
     is_settled: Callable[[], bool],
     now: float,
     start_filter: StartFilter | None = None,
-) -> list[CapacityRequest]:
-    """Returns what the shard lacks for waiting tasks that fit nowhere, empty if all fit.
-
-    Long-running tasks that run again come first, whatever their priority, with one request for
-    each kind of them: other shards may meet one and not another. Without any, the result has one
-    request, for a long-running task if possible. Fillers do not count, as they only use processors
-    that other tasks leave unused.
+    turn: int = 0,
+) -> CapacityRequest | None:
+    """Returns what the shard lacks for a waiting task that fits nowhere, None if all fit.
+
+    Long-running tasks that run again come first, whatever their priority, then other long-running
+    ones. Fillers do not count, as they only use processors that other tasks leave unused.
+
+    Args:
+        shard: number of the shard.
+        job_table: its jobs, runs and workers.
+        is_settled: whether no unreported run of an earlier owner can exist any more.
+        now: clock time.
+        start_filter: holds back tasks that a worker would not help to start.
+        turn: number of requests so far; the tasks that run again take turns, as no other shard may
+            be able to help the first one.
     """
-    waiting: list[tuple[StepProgress, Queue]] = []
+    restarts: list[tuple[StepProgress, Queue]] = []
+    others: list[tuple[StepProgress, Queue]] = []
     for step in job_table.open_steps:
         queue = job_table.queue_of(step)
         if step.waiting and queue is not None and not step.spec.is_filler:
-            waiting.append((step, queue))
-    waiting.sort(key=lambda i: _urgency(i[0], i[1], now))
+            (restarts if runs_again(step) else others).append((step, queue))
+    restarts.sort(key=lambda i: rank(i[0], i[1], now))
+    others.sort(key=lambda i: (not i[0].spec.is_long_running, rank(i[0], i[1], now)))
+    first = turn % len(restarts) if restarts else 0
     workers_of = functools.cache(lambda service: _healthy_workers(job_table, service, now))
-    found: dict[CapacityRequest, None] = {}
-    for step, queue in waiting:
-        if found and not runs_again(step):
-            break
+    for step, queue in restarts[first:] + restarts[:first] + others:
         if step.job.is_restored and not is_settled():
             continue
         if start_filter is not None and not start_filter.count_startable(step):
             continue  # a worker would not help
         if not _has_room(step, workers_of(queue.service)):
             spec = step.spec
-            request = CapacityRequest(
+            return CapacityRequest(
                 shard,
                 queue.service,
                 spec.required_label,
@@ -105,8 +113,7 @@
                 _wanted_workers(step, workers_of(queue.service)),
                 runs_again(step),
             )
-            found[request] = None
-    return list(found)
+    return None
 
 
 def worker_to_release(
@@ -176,10 +183,6 @@
     }
 
 
-def _urgency(step: StepProgress, queue: Queue, now: float) -> tuple[object, ...]:
-    return not runs_again(step), not step.spec.is_long_running, rank(step, queue, now)
-
-
 def _has_room(step: StepProgress, workers: list[WorkerView]) -> bool:
     """Returns True if a task of a step fits on a worker; all tasks have to if they are a gang."""
     if not step.spec.is_gang:
--- a/packages/pollengated/pollengated/edge/worker_transfers.py
+++ b/packages/pollengated/pollengated/edge/worker_transfers.py
@@ -21,7 +21,7 @@
 from pollengate.workflow.worker_transfer import (
     CapacityRequest,
     can_ever_run,
-    find_shortages,
+    find_shortage,
     fits_elsewhere,
     is_movable,
     release_delay_s,
@@ -104,39 +104,38 @@
         if not self._assignments.is_used:
             return
         now = self._clocks.monotonic_s()
-        shortages = find_shortages(
-            self._shard, self._job_table, self._is_settled, now, self._start_filter
+        shortage = find_shortage(
+            self._shard,
+            self._job_table,
+            self._is_settled,
+            now,
+            self._start_filter,
+            self._requests_sent,
         )
-        self._record_shortages(shortages, now)
+        self._record_shortage(shortage, now)
         self._releases = [r for r in self._releases if self._continue_release(r, now)]
-        if shortages:
-            self._request(shortages, now)
+        if shortage is not None:
+            self._request(shortage, now)
         if not self._releases:
             self._begin_release(now)
 
-    def _record_shortages(self, shortages: list[CapacityRequest], now: float) -> None:
-        if not shortages:
+    def _record_shortage(self, shortage: CapacityRequest | None, now: float) -> None:
+        if shortage is None:
             self._short_since = None
             return
         self._short_at = now
-        if any(
-            shortage.is_restart
-            and can_ever_run(
-                self._job_table, shortage.service, shortage.required_label, shortage.demand, now
-            )
-            for shortage in shortages
+        if shortage.is_restart and can_ever_run(
+            self._job_table, shortage.service, shortage.required_label, shortage.demand, now
         ):
             self._short_for_restart_at = now
         if self._short_since is None:
             self._short_since = now
 
-    def _request(self, shortages: list[CapacityRequest], now: float) -> None:
-        """Requests workers for the shortages in turn, as a shard has one open request."""
+    def _request(self, shortage: CapacityRequest, now: float) -> None:
         is_lasting = self._short_since is not None and now - self._short_since >= SHORT_AFTER_S
         if not is_lasting or now - self._requested_at < REQUEST_INTERVAL_S:
             return
         self._requested_at = now
-        shortage = shortages[self._requests_sent % len(shortages)]
         self._requests_sent += 1
         self._log.info(
             "shard is short of capacity; requesting workers",
