--- a/packages/pollengate/pollengate/workflow/cleared_workers.py
+++ b/packages/pollengate/pollengate/workflow/cleared_workers.py
@@ -20,7 +20,7 @@
 
 
 class ClearedWorkers:
-    """The workers that are kept clear during one round of planning.
+    """The workers of one service that are kept clear during one round of planning.
 
     The worker on which least has to be freed is chosen. As nothing else starts there, it is
     nearer to its aim in the next round.
--- a/packages/pollengate/pollengate/workflow/worker_transfer.py
+++ b/packages/pollengate/pollengate/workflow/worker_transfer.py
@@ -6,6 +6,7 @@
 from then on these workers belong to the other shard.
 """
 
+import collections
 import dataclasses
 import functools
 import math
@@ -22,6 +23,7 @@
 
 __all__ = [
     "CapacityRequest",
+    "can_ever_run",
     "find_shortage",
     "fits_elsewhere",
     "is_movable",
@@ -69,20 +71,33 @@
     is_settled: Callable[[], bool],
     now: float,
     start_filter: StartFilter | None = None,
+    turn: int = 0,
 ) -> CapacityRequest | None:
     """Returns what the shard lacks for a waiting task that fits nowhere, None if all fit.
 
-    Long-running tasks come first. Fillers do not count, as they only use processors that other
-    tasks leave unused.
+    Long-running tasks that run again come first, whatever their priority, then other long-running
+    ones. Fillers do not count, as they only use processors that other tasks leave unused.
+
+    Args:
+        shard: number of the shard.
+        job_table: its jobs, runs and workers.
+        is_settled: whether no unreported run of an earlier owner can exist any more.
+        now: clock time.
+        start_filter: holds back tasks that a worker would not help to start.
+        turn: number of requests so far; the tasks that run again take turns, as no other shard may
+            be able to help the first one.
     """
-    waiting: list[tuple[StepProgress, Queue]] = []
+    restarts: list[tuple[StepProgress, Queue]] = []
+    others: list[tuple[StepProgress, Queue]] = []
     for step in job_table.open_steps:
         queue = job_table.queue_of(step)
         if step.waiting and queue is not None and not step.spec.is_filler:
-            waiting.append((step, queue))
-    waiting.sort(key=lambda i: (not i[0].spec.is_long_running, rank(i[0], i[1], now)))
+            (restarts if runs_again(step) else others).append((step, queue))
+    restarts.sort(key=lambda i: rank(i[0], i[1], now))
+    others.sort(key=lambda i: (not i[0].spec.is_long_running, rank(i[0], i[1], now)))
+    first = turn % len(restarts) if restarts else 0
     workers_of = functools.cache(lambda service: _healthy_workers(job_table, service, now))
-    for step, queue in waiting:
+    for step, queue in restarts[first:] + restarts[:first] + others:
         if step.job.is_restored and not is_settled():
             continue
         if start_filter is not None and not start_filter.count_startable(step):
@@ -107,12 +122,17 @@
     """Returns the worker that meets a request after the fewest moves, None if there is none.
 
     Its long-running tasks have to fit on other workers of the shard. They are moved only for a
-    long-running task; a member of a gang is never moved.
+    long-running task; a member of a gang is never moved. The last worker with a label that jobs of
+    the shard require is kept, unless the other shard requires it, too.
     """
+    workers = _healthy_workers(job_table, request.service, now)
+    kept_labels = _last_labels(job_table, workers) - {request.required_label}
     candidates = [
         view
-        for view in _healthy_workers(job_table, request.service, now)
-        if _meets(view, request) and _can_empty(view, request, now)
+        for view in workers
+        if _meets(view, request)
+        and _can_empty(view, request, now)
+        and kept_labels.isdisjoint(view.info.labels)
     ]
     candidates.sort(key=lambda view: (len(view.long_running), len(view.runs), view.worker_id))
     return next((view for view in candidates if fits_elsewhere(job_table, view, now)), None)
@@ -130,6 +150,14 @@
     return fit_together(view.long_running, others, lambda step, other: True)
 
 
+def can_ever_run(
+    job_table: JobTable, service: str, required_label: str, demand: Demand, now: float
+) -> bool:
+    """Returns True if a healthy worker of the shard could run a task once it is empty."""
+    workers = _healthy_workers(job_table, service, now)
+    return any(_has_label_and_size(view, required_label, demand) for view in workers)
+
+
 def release_delay_s(fleet: Fleet, request: CapacityRequest, now: float) -> float:
     """Returns how long an owner waits before it responds to a request, shorter the more it has."""
     workers = fleet.schedulable_workers(request.service, now)
@@ -143,6 +171,18 @@
     return [v for v in workers if not job_table.evidence.is_quarantined(v.worker_id)]
 
 
+def _last_labels(job_table: JobTable, workers: list[WorkerView]) -> set[str]:
+    """Returns the labels that jobs of the shard require and only one of its workers has."""
+    counts = collections.Counter(label for view in workers for label in set(view.info.labels))
+    return {
+        step.required_label
+        for job in job_table.jobs_by_id.values()
+        if not job.is_ended
+        for step in job.workflow.steps
+        if counts[step.required_label] == 1
+    }
+
+
 def _has_room(step: StepProgress, workers: list[WorkerView]) -> bool:
     """Returns True if a task of a step fits on a worker; all tasks have to if they are a gang."""
     if not step.spec.is_gang:
@@ -181,9 +221,13 @@
 
 
 def _meets(view: WorkerView, request: CapacityRequest) -> bool:
-    capacity, demand = view.info.capacity, request.demand
+    return _has_label_and_size(view, request.required_label, request.demand)
+
+
+def _has_label_and_size(view: WorkerView, required_label: str, demand: Demand) -> bool:
+    capacity = view.info.capacity
     return (
-        (not request.required_label or request.required_label in view.info.labels)
+        (not required_label or required_label in view.info.labels)
         and demand.cpu_millis <= capacity.cpu_millis
         and demand.memory_mb <= capacity.memory_mb
         and demand.accelerators <= capacity.accelerators
