Request tickets for workers with room beside tickets for full ones

Callers saw: nothing that is known to come from this (no queue of the print floor uses the advice service); found by reading, in the search for causes of a job that has nothing running beside workers with room.

Cause: a step stopped requesting tickets once it had as many as waiting tasks. If the workers they are for have filled up meanwhile, and there are more workers than one call names, it waited until the tickets had expired.

Change: such a step requests tickets for the other workers that have room. Steps that lack tickets request them as before, so that full services cause no further calls.

The test failed before (AssertionError: Lists differ: [] != ['w2']). tests.test_tickets and tests.test_explain pass with it.

--- a/packages/pollengate/pollengate/workflow/tickets.py
+++ b/packages/pollengate/pollengate/workflow/tickets.py
@@ -2,7 +2,8 @@
 
 The policy of a queue may allow only a few workers for each step. The service handles one call at a
 time, and a call takes longer the more workers it names. A step therefore stops requesting once it
-has enough tickets, names the emptiest workers first, and never names a denied worker again.
+has enough tickets for workers with room, names the emptiest workers first, and never names a denied
+worker again.
 """
 
 import dataclasses
@@ -57,12 +58,19 @@
     def workers_to_request(
         self, step: StepProgress, workers: Sequence[WorkerView], now: float
     ) -> list[WorkerView]:
-        """Returns the workers to request tickets for; none while the step has enough tickets."""
+        """Returns the workers to request tickets for; none while the step has enough tickets.
+
+        A step that has them for full workers requests them for workers with room only.
+        """
         step_tickets = self._by_step.setdefault(step, StepTickets())
         usable = [view for view in workers if view.worker_id not in step_tickets.denied_ids]
         missing = [view for view in usable if not self.ticket(step, view, now)]
         if len(usable) - len(missing) >= len(step.waiting):
-            return []
+            demand, is_filler = step.spec.demand, step.spec.is_filler
+            with_room = [view for view in usable if view.fits(demand, is_filler)]
+            missing = [view for view in missing if view.fits(demand, is_filler)]
+            if len(with_room) - len(missing) >= len(step.waiting):
+                return []
         missing.sort(key=lambda view: -view.unused_millis())
         return missing[:MAX_WORKERS_PER_CALL]
 
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -78,6 +78,18 @@
         requested = self.tickets.workers_to_request(self.step, views, 9.0)
         self.assertEqual([view.worker_id for view in requested], ["w1"])
 
+    def test_ticket_for_a_full_worker_does_not_keep_a_step_from_workers_with_room(self) -> None:
+        # Guards against a task that waits until the ticket has expired.
+        full = build_step(is_long_running=True, demand=self.views["w0"].info.capacity)
+        self.job_table.add(build_job("bb", full), 0.0, 0)
+        blocker = next(task for task in self.job_table.jobs_by_id["bb"].tasks())
+        self.job_table.add_run(blocker, self.views["w0"], 1, 0.0)
+        tickets = [Ticket("w0", "t"), Ticket("w1", "t")]
+        self.tickets.record_reply(self.step, [self.views["w0"], self.views["w1"]], tickets, 3.0)
+        views = list(self.views.values())
+        requested = self.tickets.workers_to_request(self.step, views, 0.0)
+        self.assertEqual([view.worker_id for view in requested], ["w2"])
+
     def test_requester_retries_after_a_failure(self) -> None:
         async def main() -> None:
             client = FixedAdvice("w2")
