--- a/packages/pollengate/pollengate/workflow/restart_room.py
+++ b/packages/pollengate/pollengate/workflow/restart_room.py
@@ -56,7 +56,7 @@
         self._moved_at_by_task: dict[str, float] = {}
 
     def update(self, now: float) -> list[Run]:
-        """Returns the runs to stop, so that others take their room; at most one for each step."""
+        """Returns the run to stop, so that a larger task takes its room; none if none is to move."""
         if now - self._updated_at < UPDATE_INTERVAL_S:
             return []
         self._updated_at = now
