--- a/tests/test_job_placement.py
+++ b/tests/test_job_placement.py
@@ -293,6 +293,31 @@
 
         self.run_scenario(scenario)
 
+    def test_former_home_owner_that_wakes_up_settles_nothing(self) -> None:
+        async def scenario(cluster: EdgeCluster) -> None:
+            cluster.loses_placement_replies = True
+            node_of(cluster, OTHER).store.choose_fault = lambda keys: (
+                Fault.LATE if any(PLACEMENT in key for key in keys) else None
+            )
+            home = node_of(cluster, HOME)
+            former = await cluster.wait_for_term(shard=HOME)
+            submission = asyncio.create_task(cluster.submit(JOB_ID, SHORT_JOB))
+            await asyncio.sleep(0)
+            home.store.is_silent = True
+            self.assertIsInstance(await submission, Undecided)
+            await cluster.wait_for_term(home.name, shard=HOME)
+            node_of(cluster, OTHER).store.choose_fault = lambda keys: None
+            cluster.loses_placement_replies = False
+            self.assertEqual(await resubmit(cluster, home.name), Accepted())
+            placement = await stored_placement(cluster)
+            home.store.is_silent = False
+            await asyncio.sleep(SETTLE_S)
+            self.assertTrue(former.shard_lease.is_lost)
+            self.assertEqual(await stored_placement(cluster), placement)
+            await self.check_runs_once(cluster, None)
+
+        self.run_scenario(scenario)
+
     def test_placement_is_forgotten_with_the_ended_job(self) -> None:
         async def scenario(cluster: EdgeCluster) -> None:
             await cluster.submit(JOB_ID, SHORT_JOB)
