Test that a late write of a placement fails by the home owner's token

With room at home the next owner accepts the job without settling it, so that no placement record stops a late write.

--- a/tests/test_job_placement.py
+++ b/tests/test_job_placement.py
@@ -213,7 +213,7 @@
         self.run_scenario(scenario)
 
     def test_late_write_fails_after_the_next_home_owner_accepted_the_job(self) -> None:
-        async def scenario(cluster: EdgeCluster) -> None:
+        async def scenario(cluster: EdgeCluster, has_room_at_home: bool) -> None:
             store, home = node_of(cluster, OTHER).store, node_of(cluster, HOME)
             store.choose_fault = lambda keys: (
                 Fault.LATE if any(PLACEMENT in key for key in keys) else None
@@ -222,14 +222,21 @@
             await asyncio.sleep(0.05)
             submission.cancel()
             home.kill()
+            successor = await cluster.wait_for_term(home.name, shard=HOME)
+            if has_room_at_home:
+                await successor.request_handler.cancel(FILL_ID, REQUESTER)
+                await asyncio.sleep(2.0)
             self.assertEqual(await resubmit(cluster, home.name), Accepted())
+            self.assertEqual(await stored_placement(cluster) is None, has_room_at_home)
             results = await store.release_delayed()
             self.assertTrue(results)
             self.assertFalse(any(result.unwrap().succeeded for result in results))
             store.choose_fault = lambda keys: None
             await self.check_runs_once(cluster, HOME)
 
-        self.run_scenario(scenario)
+        for has_room_at_home in (False, True):
+            with self.subTest(has_room_at_home=has_room_at_home):
+                self.run_scenario(lambda c, room=has_room_at_home: scenario(c, room))  # type: ignore[misc]
 
     def test_handover_of_the_home_shard_during_a_placement(self) -> None:
         async def scenario(cluster: EdgeCluster) -> None:
