--- a/packages/pollengate/pollengate/workflow/restart_room.py
+++ b/packages/pollengate/pollengate/workflow/restart_room.py
@@ -62,7 +62,7 @@
         self._rooms_by_service: dict[str, dict[WorkerView, WorkerRoom]] = {}
 
     def update(self, now: float) -> list[Run]:
-        """Returns the run to stop, so that a larger task takes its room; none if none is to move."""
+        """Returns the run to stop, so that a larger task takes its room; empty if none moves."""
         if now - self._updated_at < UPDATE_INTERVAL_S:
             return []
         self._updated_at = now
