Look for idle processors only where a waiting filler may find them

With many jobs without a run in a full shard, each plan compared each of them with all workers. The planner now knows the most unused and the most idle processors of any worker and leaves out the steps that need more.

--- a/packages/pollengate/pollengate/workflow/planner.py
+++ b/packages/pollengate/pollengate/workflow/planner.py
@@ -3,14 +3,14 @@
 import dataclasses
 from collections.abc import Callable
 
-from pollengate.interference.filler_placement import may_withhold, must_start
+from pollengate.interference.filler_placement import FillerPlacement, may_withhold, must_start
 from pollengate.workflow.cleared_workers import ClearedWorkers
 from pollengate.workflow.crashes import may_try_alone
 from pollengate.workflow.fleet import WorkerView
 from pollengate.workflow.job_table import JobTable
 from pollengate.workflow.model import Queue
 from pollengate.workflow.ordering import DeadlineOrder, StepOrder, runs_again
-from pollengate.workflow.placement import Placer, StepScores
+from pollengate.workflow.placement import FILLER_MIN_UNUSED_SHARE, Placer, StepScores
 from pollengate.workflow.progress import Run, StepProgress, TaskProgress
 from pollengate.workflow.start_filter import NoStartFilter, StartFilter
 
@@ -28,14 +28,17 @@
     memory_mb: int
     free_millis: int
     unused_millis: float
+    _fillers: FillerPlacement
+    _idle_millis: float | None = None
 
     @classmethod
-    def of(cls, workers: list[WorkerView]) -> "_LargestFree":
+    def of(cls, workers: list[WorkerView], fillers: FillerPlacement) -> "_LargestFree":
         return cls(
             workers,
             max((v.info.capacity.memory_mb - v.memory_mb for v in workers), default=-1),
             max((v.info.capacity.cpu_millis - v.committed_millis for v in workers), default=-1),
             max((v.unused_millis() for v in workers), default=-1.0),
+            fillers,
         )
 
     def can_place(self, step: StepProgress, now: float) -> bool:
@@ -43,9 +46,19 @@
         if demand.memory_mb > self.memory_mb:
             return False
         if step.spec.is_filler:
-            return self.unused_millis > 0 or must_start(step, now)
+            wanted_millis = FILLER_MIN_UNUSED_SHARE * demand.cpu_millis
+            if wanted_millis <= self.unused_millis:
+                return True
+            return must_start(step, now) and wanted_millis <= self._largest_idle(now)
         return demand.cpu_millis <= self.free_millis
 
+    def _largest_idle(self, now: float) -> float:
+        if self._idle_millis is None:
+            self._fillers.refresh(self.workers, now)
+            idle = (self._fillers.idle_millis(view, now) for view in self.workers)
+            self._idle_millis = max(idle, default=-1.0)
+        return self._idle_millis
+
 
 class Planner:
     """Assigns waiting tasks to workers in order of rank.
@@ -103,7 +116,7 @@
             largest_free = largest_free_by_service.get(queue.service)
             if largest_free is None:
                 largest_free = _LargestFree.of(
-                    job_table.fleet.schedulable_workers(queue.service, now)
+                    job_table.fleet.schedulable_workers(queue.service, now), self.placer.fillers
                 )
             if largest_free.can_place(step, now):
                 placed = self._place_step(
@@ -111,11 +124,12 @@
                 )
                 planned += placed
                 if placed:
-                    largest_free = _LargestFree.of(largest_free.workers)
+                    largest_free = _LargestFree.of(largest_free.workers, self.placer.fillers)
             if self._clear_workers(cleared, step, queue, largest_free.workers, now):
                 # A worker that is kept clear is no candidate for the steps that follow.
                 largest_free = _LargestFree.of(
-                    [view for view in largest_free.workers if view not in cleared]
+                    [view for view in largest_free.workers if view not in cleared],
+                    self.placer.fillers,
                 )
                 candidates_by_filler.clear()
             largest_free_by_service[queue.service] = largest_free
