Move no serving task for fillers while another of its step is on a silent worker

What callers would see: a move for fillers ends a task of a step while another task of that step is not at work (AVAIL).

Cause: the same as for releases: a task on a worker that crashed counts as at work until the lease of its worker has expired, 5.5 s after the last reply.

Change: the rebalancer checks, as the other moves do, that all workers of the step have replied lately.

--- a/packages/pollengate/pollengate/interference/rebalancing.py
+++ b/packages/pollengate/pollengate/interference/rebalancing.py
@@ -11,7 +11,7 @@
 from pollengate.interference.latency_model import LatencyModel
 from pollengate.interference.vacating import images_short_of_capacity, worker_to_vacate
 from pollengate.workflow.fleet import Fleet, WorkerView
-from pollengate.workflow.moves import may_stop_to_move
+from pollengate.workflow.moves import is_in_touch, may_stop_to_move
 from pollengate.workflow.placement import can_place
 from pollengate.workflow.progress import Run
 
@@ -102,7 +102,11 @@
 
     def _may_move(self, run: Run, now: float) -> bool:
         moved_at = self._moved_at_by_task.get(run.task.name, float("-inf"))
-        return now - moved_at >= MIN_STAY_S and may_stop_to_move(run)
+        return (
+            now - moved_at >= MIN_STAY_S
+            and may_stop_to_move(run)
+            and is_in_touch(run.task.step, self._fleet, now)
+        )
 
     def _gain(self, view: WorkerView, run: Run, now: float) -> float:
         """Returns how much a move would free for fillers.
--- a/tests/test_workflow_placement.py
+++ b/tests/test_workflow_placement.py
@@ -175,6 +175,14 @@
         next(iter(task.runs_by_number.values())).percent = 10.0
         self.assertIsNone(self.choose())
 
+    def test_no_task_moves_while_another_of_its_step_is_on_a_silent_worker(self) -> None:
+        self.place(aa0="w0", aa1="w1", bb0="w1", bb1="w1")
+        views_by_id = self.job_table.fleet.workers_by_id
+        views_by_id["w1"].lease.record_reply(5000, 5.0)
+        self.assertIsNone(self.choose(5.0))
+        views_by_id["w0"].lease.record_reply(5000, 5.0)
+        self.assertIsNotNone(self.choose(5.0))
+
     def test_moves_are_separated_by_the_interval(self) -> None:
         self.place(aa0="w0", aa1="w1", bb0="w1", bb1="w1")
         rebalancer = Rebalancer(self.job_table.fleet, self.latency_model)
