Place short jobs by room only, and fillers by their wait

Jobs that were too late anyway were placed where others still met their objective.

So the shortest wait of short jobs is taken back, and that of fillers stays.

--- a/packages/pollengate/pollengate/workflow/job_placement.py
+++ b/packages/pollengate/pollengate/workflow/job_placement.py
@@ -2,9 +2,8 @@
 
 A job's home shard follows from its id. If the home shard has no room for the job's first tasks, the
 job is placed in a shard that has. Short jobs go where the most room is left; long-running ones fill
-the fullest shard in which all of their tasks fit, so that room stays pooled elsewhere. If no shard
-has room at once, a short job goes where the short work that runs and waits fills what long-running
-tasks leave the fewest times. Fillers, which wait for unused processors, are placed in the same way.
+the fullest shard in which all of their tasks fit, so that room stays pooled elsewhere. Fillers go
+where the fewest of them run and wait for the processors that other tasks leave unused.
 """
 
 import dataclasses
@@ -17,7 +16,7 @@
 from pollengate.workflow.model import Deployment, Queue, Step, Workflow
 from pollengate.workflow.shard_room import RoomSummary
 
-# A job leaves home for a shorter wait only if it is shorter by this factor, as waits are rough.
+# Fillers leave home only for a wait that is shorter by this factor, as waits are rough.
 ROUNDS_FACTOR = 1.5
 # Fillers stay at home while those there, with them, fill no more than this part of what is unused.
 HOME_FILLER_ROUNDS = 0.5
@@ -66,8 +65,8 @@
     """On what conditions another shard is better for a job than its home shard.
 
     Attributes:
-        min_tasks: number of tasks that find room at once; 0 if that is no reason.
-        max_rounds: largest value of `RoomSummary.count_rounds`; 0 if a shorter wait is no reason.
+        min_tasks: number of tasks that find room at once; 0 for fillers.
+        max_rounds: largest value of `RoomSummary.count_filler_rounds`; 0 if they are no fillers.
     """
 
     min_tasks: int = 0
@@ -114,8 +113,8 @@
         home: the room of the home shard.
     """
     total = sum(step.count for step in steps)
-    home_rounds = home.count_rounds(steps)
     if _are_fillers(steps):
+        home_rounds = home.count_filler_rounds(steps)
         if home_rounds <= HOME_FILLER_ROUNDS:
             return None
         return PlacementLimits(max_rounds=home_rounds / ROUNDS_FACTOR)
@@ -123,7 +122,7 @@
         return None
     if _is_long_running(steps):
         return PlacementLimits(min_tasks=total)
-    return PlacementLimits(home_places + 1, home_rounds / ROUNDS_FACTOR)
+    return PlacementLimits(min_tasks=home_places + 1)
 
 
 def is_acceptable(
@@ -137,9 +136,9 @@
         places: number of the steps' tasks that find room in the shard at once.
         room: the room of the shard.
     """
-    if limits.min_tasks and places >= limits.min_tasks:
-        return True
-    rounds = room.count_rounds(steps)
+    if not _are_fillers(steps):
+        return places >= limits.min_tasks
+    rounds = room.count_filler_rounds(steps)
     return math.isfinite(rounds) and rounds <= limits.max_rounds
 
 
@@ -154,17 +153,18 @@
         summaries_by_shard: the room of the other shards for the job's service.
     """
     prefers_full = _is_long_running(steps)
+    are_fillers = _are_fillers(steps)
     ranked: list[tuple[int, float, int]] = []
     for shard, summary in summaries_by_shard.items():
         free = summary.expand()
         free_millis = free.free_millis
-        places = 0 if _are_fillers(steps) else free.take_all(steps)
+        places = free.take_all(steps)
         if not is_acceptable(steps, limits, places, summary):
             continue
-        if limits.min_tasks and places >= limits.min_tasks:
-            ranked.append((-places, free_millis if prefers_full else -free_millis, shard))
+        if are_fillers:
+            ranked.append((0, summary.count_filler_rounds(steps), shard))
         else:
-            ranked.append((0, summary.count_rounds(steps), shard))
+            ranked.append((-places, free_millis if prefers_full else -free_millis, shard))
     return [shard for _, _, shard in sorted(ranked)]
 
 
--- a/packages/pollengate/pollengate/workflow/shard_room.py
+++ b/packages/pollengate/pollengate/workflow/shard_room.py
@@ -123,15 +123,11 @@
 
     Attributes:
         worker_counts: number of workers in each class of `FREE_MILLIS_STEPS`; missing ones are 0.
-        turnover_counts: the same by the millicores that long-running tasks leave to short ones.
-        backlog_millis: millicores of the short tasks that run or wait there.
         filler_millis: millicores that fillers may use.
         filler_backlog_millis: millicores of the fillers that run or wait there.
     """
 
     worker_counts: tuple[int, ...] = ()
-    turnover_counts: tuple[int, ...] = ()
-    backlog_millis: int = 0
     filler_millis: int = 0
     filler_backlog_millis: int = 0
 
@@ -143,23 +139,15 @@
             for _ in range(count)
         )
 
-    def count_rounds(self, steps: Sequence[Step]) -> float:
-        """Returns how often short work fills what is left to it, with the given steps added.
+    def count_filler_rounds(self, steps: Sequence[Step]) -> float:
+        """Returns how often the fillers that run and wait, and those of the steps, fill the room.
 
-        It is proportional to the wait if nobody has room at once; infinite if the largest task
-        finds no room even when all short tasks have ended.
+        It is proportional to the wait of the steps; infinite if there is no room.
         """
         millis = sum(step.count * step.demand.cpu_millis for step in steps)
-        if all(step.is_filler for step in steps):
-            backlog_millis, usable_millis = self.filler_backlog_millis, self.filler_millis
-        else:
-            largest = max(1, *(step.demand.cpu_millis for step in steps))
-            backlog_millis = self.backlog_millis
-            usable_millis = sum(
-                count * (free // largest * largest)
-                for free, count in _classes(self.turnover_counts)
-            )
-        return (backlog_millis + millis) / usable_millis if usable_millis else math.inf
+        if not self.filler_millis:
+            return math.inf
+        return (self.filler_backlog_millis + millis) / self.filler_millis
 
 
 @dataclasses.dataclass(slots=True)
@@ -167,53 +155,27 @@
     """Room of one service's workers; the attributes are those of `RoomSummary`."""
 
     free: FreeWorkers
-    turnover: FreeWorkers
-    backlog_millis: int
     filler_millis: int
     filler_backlog_millis: int
 
     @classmethod
     def of(cls, views: Sequence[WorkerView]) -> "_ServiceRoom":
-        free = [_FreeWorker.of(view) for view in views]
-        turnover = [
-            _FreeWorker(
-                view.info.capacity.cpu_millis
-                - sum(run.task.step.spec.demand.cpu_millis for run in view.long_running)
-            )
-            for view in views
-        ]
-        left_millis = sum(worker.millis for worker in turnover)
+        unused = [view.info.capacity.cpu_millis - view.estimated_use_millis for view in views]
         return cls(
-            FreeWorkers(free),
-            FreeWorkers(turnover),
-            left_millis - sum(worker.millis for worker in free),
-            sum(
-                max(0, round(view.info.capacity.cpu_millis - view.estimated_use_millis))
-                for view in views
-            ),
+            FreeWorkers(_FreeWorker.of(view) for view in views),
+            sum(max(0, round(millis)) for millis in unused),
             sum(view.filler_millis for view in views),
         )
 
     def add(self, step: Step, count: int) -> None:
         """Counts tasks that wait or are about to be accepted."""
-        millis = count * step.demand.cpu_millis
         if step.is_filler:
-            self.filler_backlog_millis += millis
-            return
-        self.free.take(step, count)
-        if step.is_long_running:
-            self.turnover.take(dataclasses.replace(step, required_label=""), count)
+            self.filler_backlog_millis += count * step.demand.cpu_millis
         else:
-            self.backlog_millis += millis
+            self.free.take(step, count)
 
     def summarize(self) -> RoomSummary:
-        return RoomSummary(
-            self.free.summarize(),
-            self.turnover.summarize(),
-            self.backlog_millis,
-            self.filler_millis,
-            self.filler_backlog_millis,
-        )
+        return RoomSummary(self.free.summarize(), self.filler_millis, self.filler_backlog_millis)
 
 
 class ShardRoom:
--- a/packages/pollengated/pollengated/edge/rpc.py
+++ b/packages/pollengated/pollengated/edge/rpc.py
@@ -163,8 +163,6 @@
                 summaries = {
                     service.service: RoomSummary(
                         tuple(service.worker_counts),
-                        tuple(service.turnover_counts),
-                        service.backlog_millis,
                         service.filler_millis,
                         service.filler_backlog_millis,
                     )
