--- a/packages/pollengate/pollengate/workflow/job_placement.py
+++ b/packages/pollengate/pollengate/workflow/job_placement.py
@@ -16,11 +16,6 @@
 from pollengate.workflow.model import Deployment, Queue, Step, Workflow
 from pollengate.workflow.shard_room import RoomSummary
 
-# Fillers leave home only for a wait that is shorter by this factor, as waits are rough.
-ROUNDS_FACTOR = 1.5
-# Fillers stay at home while those there, with them, fill no more than this part of what is unused.
-HOME_FILLER_ROUNDS = 0.5
-
 __all__ = [
     "PlacementLimits",
     "StoredPlacement",
@@ -33,6 +28,11 @@
     "rank_shards",
 ]
 
+# Fillers leave home only for a wait that is shorter by this factor, as waits are rough.
+ROUNDS_FACTOR = 1.5
+# Fillers stay at home while those there, with them, fill no more than this part of what is unused.
+HOME_FILLER_ROUNDS = 0.5
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoredPlacement:
