Move no task into room that another waiting task takes

Cause: the task that moves for a larger one was given a place that a task which waits to run again, or one that is just moving, was about to take, or the room that an earlier move had made. It then waited itself.

Change: what waits to run again and what is moving counts as placed, the largest first, and a worker on which a move made room is left out for the time of a move.

--- a/packages/pollengate/pollengate/workflow/restart_room.py
+++ b/packages/pollengate/pollengate/workflow/restart_room.py
@@ -12,7 +12,7 @@
 from pollengate.workflow.moves import is_in_touch, may_stop_to_move
 from pollengate.workflow.ordering import runs_again
 from pollengate.workflow.placement import fits_beside_long_running, is_allowed
-from pollengate.workflow.progress import Run, StepProgress
+from pollengate.workflow.progress import Run, RunState, StepProgress, TaskProgress
 from pollengate.workflow.start_filter import NoStartFilter, StartFilter
 from pollengate.workflow.worker_room import WorkerRoom
 
@@ -34,10 +34,12 @@
     Attributes:
         since: clock time since which that is so.
         moved_at: clock time of the last move for it.
+        target: the worker that the move made room on, None before it.
     """
 
     since: float
     moved_at: float = float("-inf")
+    target: WorkerView | None = None
 
 
 class RestartRoom:
@@ -53,10 +55,10 @@
         self._start_filter = start_filter or NoStartFilter()
         self._updated_at = float("-inf")
         self._waiting_by_step: dict[StepProgress, _Waiting] = {}
-        self._moved_at_by_task: dict[str, float] = {}
+        self._moved_at_by_task: dict[TaskProgress, float] = {}
 
     def update(self, now: float) -> list[Run]:
-        """Returns the run to stop, so that a larger task takes its room; none if none is to move."""
+        """Returns the run to stop, so that a larger task takes its room; empty if none moves."""
         if now - self._updated_at < UPDATE_INTERVAL_S:
             return []
         self._updated_at = now
@@ -64,7 +66,7 @@
         known = self._waiting_by_step
         self._waiting_by_step = {step: known.get(step) or _Waiting(now) for step in blocked}
         self._moved_at_by_task = {
-            name: at for name, at in self._moved_at_by_task.items() if now - at < MIN_STAY_S
+            task: at for task, at in self._moved_at_by_task.items() if now - at < MIN_STAY_S
         }
         for step, waiting in self._waiting_by_step.items():
             if now - waiting.since < WAIT_BEFORE_MOVE_S or now - waiting.moved_at < MOVE_TIME_S:
@@ -72,7 +74,8 @@
             run = self._choose(step, now)
             if run is not None:
                 waiting.moved_at = now
-                self._moved_at_by_task[run.task.name] = now
+                waiting.target = self._job_table.fleet.workers_by_id.get(run.worker_id)
+                self._moved_at_by_task[run.task] = now
                 return [run]
         return []
 
@@ -89,7 +92,7 @@
 
         The smallest one moves, if possible to a worker that has room for it already.
         """
-        room_by_view = {view: WorkerRoom.of(view) for view in self._workers(step, now)}
+        room_by_view = self._unclaimed_room(step, now)
         best = None
         best_key = (True, 0)
         for view, room in room_by_view.items():
@@ -117,6 +120,30 @@
                     best, best_key = run, key
         return best
 
+    def _unclaimed_room(self, step: StepProgress, now: float) -> dict[WorkerView, WorkerRoom]:
+        """Returns the room that no other task that runs again is about to take."""
+        targets = {
+            waiting.target
+            for waiting in self._waiting_by_step.values()
+            if now - waiting.moved_at < MOVE_TIME_S
+        }
+        views = [view for view in self._workers(step, now) if view not in targets]
+        room_by_view = {view: WorkerRoom.of(view) for view in views}
+        claims = [
+            task.step
+            for other in self._job_table.open_steps
+            if runs_again(other)
+            for task in other.waiting
+            if task.last_run
+        ]
+        claims += [task.step for task in self._moved_at_by_task if _is_stopping(task)]
+        for other in sorted(claims, key=lambda claim: -claim.spec.demand.cpu_millis):
+            for view, room in room_by_view.items():
+                if room.can_hold_later(other) and is_allowed(other, view):
+                    room.plan(other)
+                    break
+        return room_by_view
+
     def _may_move(self, run: Run, view: WorkerView, now: float) -> bool:
         step = run.task.step
         queue = self._job_table.queue_of(step)
@@ -124,7 +151,7 @@
             queue is not None
             and queue.service == view.info.service
             and not step.spec.is_gang
-            and run.task.name not in self._moved_at_by_task
+            and run.task not in self._moved_at_by_task
             and may_stop_to_move(run)
             and is_in_touch(step, self._job_table.fleet, now)
         )
@@ -136,3 +163,8 @@
         evidence = self._job_table.evidence
         workers = self._job_table.fleet.schedulable_workers(queue.service, now)
         return [view for view in workers if not evidence.is_quarantined(view.worker_id)]
+
+
+def _is_stopping(task: TaskProgress) -> bool:
+    """Whether a task that moves has not been stopped yet."""
+    return any(run.state is RunState.STOPPING for run in task.runs_by_number.values())
