--- a/packages/pollengate/pollengate/workflow/restart_room.py
+++ b/packages/pollengate/pollengate/workflow/restart_room.py
@@ -12,7 +12,7 @@
 from pollengate.workflow.moves import is_in_touch, may_stop_to_move
 from pollengate.workflow.ordering import runs_again
 from pollengate.workflow.placement import is_allowed
-from pollengate.workflow.progress import Run, StepProgress
+from pollengate.workflow.progress import Run, RunState, StepProgress, TaskProgress
 from pollengate.workflow.start_filter import NoStartFilter, StartFilter
 from pollengate.workflow.worker_room import WorkerRoom
 
@@ -37,10 +37,12 @@
     Attributes:
         since: clock time since which that is so.
         moved_at: clock time of the last move for it.
+        target: the worker that the move made room on, None before it.
     """
 
     since: float
     moved_at: float = float("-inf")
+    target: WorkerView | None = None
 
 
 class RestartRoom:
@@ -56,7 +58,7 @@
         self._start_filter = start_filter or NoStartFilter()
         self._updated_at = float("-inf")
         self._waiting_by_step: dict[StepProgress, _Waiting] = {}
-        self._moved_at_by_task: dict[str, float] = {}
+        self._moved_at_by_task: dict[TaskProgress, float] = {}
         self._searches = 0
         # Kept for one update.
         self._rooms_by_service: dict[str, dict[WorkerView, WorkerRoom]] = {}
@@ -71,13 +73,15 @@
         known = self._waiting_by_step
         self._waiting_by_step = {step: known.get(step) or _Waiting(now) for step in blocked}
         self._moved_at_by_task = {
-            name: at for name, at in self._moved_at_by_task.items() if now - at < MIN_STAY_S
+            task: at for task, at in self._moved_at_by_task.items() if now - at < MIN_STAY_S
         }
         for step in self._next_to_search(now):
             run = self._choose(step, now)
             if run is not None:
-                self._waiting_by_step[step].moved_at = now
-                self._moved_at_by_task[run.task.name] = now
+                waiting = self._waiting_by_step[step]
+                waiting.moved_at = now
+                waiting.target = self._job_table.fleet.workers_by_id.get(run.worker_id)
+                self._moved_at_by_task[run.task] = now
                 return [run]
         return []
 
@@ -109,7 +113,7 @@
 
         The smallest one moves, if possible to a worker that has room for it already.
         """
-        room_by_view = self._rooms(step, now)
+        room_by_view = self._unclaimed_rooms(step, now)
         best = None
         best_key = (True, 0)
         for view, room in room_by_view.items():
@@ -137,6 +141,34 @@
                     best, best_key = run, key
         return best
 
+    def _unclaimed_rooms(self, step: StepProgress, now: float) -> dict[WorkerView, WorkerRoom]:
+        """Returns the room that no other task that runs again is about to take."""
+        targets = {
+            waiting.target
+            for waiting in self._waiting_by_step.values()
+            if now - waiting.moved_at < MOVE_TIME_S
+        }
+        unclaimed = {
+            view: dataclasses.replace(room)
+            for view, room in self._rooms(step, now).items()
+            if view not in targets
+        }
+        # Blocked steps take no room that is there.
+        claims = [
+            task.step
+            for other in self._job_table.open_steps
+            if runs_again(other) and other not in self._waiting_by_step
+            for task in other.waiting
+            if task.last_run
+        ]
+        claims += [task.step for task in self._moved_at_by_task if _is_stopping(task)]
+        for other in sorted(claims, key=lambda claim: -claim.spec.demand.cpu_millis):
+            for view, room in unclaimed.items():
+                if room.can_hold_later(other) and is_allowed(other, view):
+                    room.plan(other)
+                    break
+        return unclaimed
+
     def _may_move(self, run: Run, view: WorkerView, now: float) -> bool:
         step = run.task.step
         queue = self._job_table.queue_of(step)
@@ -144,7 +176,7 @@
             queue is not None
             and queue.service == view.info.service
             and not step.spec.is_gang
-            and run.task.name not in self._moved_at_by_task
+            and run.task not in self._moved_at_by_task
             and may_stop_to_move(run)
             and is_in_touch(step, self._job_table.fleet, now)
         )
@@ -163,3 +195,8 @@
                 if not evidence.is_quarantined(view.worker_id)
             }
         return rooms
+
+
+def _is_stopping(task: TaskProgress) -> bool:
+    """Whether a task that moves has not been stopped yet."""
+    return any(run.state is RunState.STOPPING for run in task.runs_by_number.values())
