Settle a placement whenever the call to the other owner fails

Callers would see a job run in two shards: a call that seemed not to have been sent counted as a refusal, so that the home shard accepted the job without a placement record. Whether a failed call was sent is a guess for some errors of a connection in use; found in review, not seen in a play.

Every failed call now has an unknown outcome, which the placement record settles with one write. The test failed before with Refused(reason='unreachable') != PlacementUnknown(cause='host unreachable').

--- a/packages/pollengated/pollengated/edge/rpc.py
+++ b/packages/pollengated/pollengated/edge/rpc.py
@@ -129,8 +129,9 @@
         )
         result = await self._call(address, "Place", message, PLACE_TIMEOUT_S)
         if isinstance(result, Err):
-            failure = result.err_value
-            return PlacementUnknown(failure.detail) if failure.was_sent else Refused("unreachable")
+            # A placement record settles it, also if the call seems not to have been sent: a wrong
+            # guess would let two shards run the job.
+            return PlacementUnknown(result.err_value.detail)
         return _decode_outcome(result.ok_value)
 
     async def follow_heartbeats(
--- a/tests/test_job_placement_calls.py
+++ b/tests/test_job_placement_calls.py
@@ -27,13 +27,13 @@
 from pollengated.edge.gate_job_service import GateJobService
 from pollengated.edge.node_directory import NodeDirectory, NodeRecord
 from pollengated.edge.operator_view import OperatorView
-from pollengated.edge.other_shards import Placed, PlacementRequest, Refused
+from pollengated.edge.other_shards import Placed, PlacementRequest, PlacementUnknown, Refused
 from pollengated.edge.owned_shards import OwnedShards
 from pollengated.edge.owner_probe import OwnerProbe
 from pollengated.edge.placement_context import present_entries
 from pollengated.edge.remote_shards import RemoteShards
 from pollengated.edge.rpc import EdgeClient, EdgeService
-from result import Ok, Result
+from result import Err, Ok, Result
 
 from tests.utils import run_virtual
 from tests.workflow_builders import REQUESTER, build_deployment, build_job, build_workflow
@@ -178,6 +178,17 @@
 
         run_virtual(main())
 
+    def test_failed_call_does_not_count_as_a_refusal(self) -> None:
+        async def main() -> None:
+            client = EdgeClient()
+            for failure in (CallFailure(True, "reset"), CallFailure(False, "host unreachable")):
+                call = mock.AsyncMock(return_value=Err(failure))
+                with mock.patch.object(client, "_call", call):
+                    outcome = await client.place("n1:1", 1, REQUEST)
+                self.assertEqual(outcome, PlacementUnknown(failure.detail))
+
+        run_virtual(main())
+
     def test_placement_of_a_job_is_named_to_other_processes(self) -> None:
         term = mock.Mock()
         term.request_handler.show = mock.AsyncMock(return_value=PlacedElsewhere(1))
