Answer no cancel while a submission may still accept the job at home

A client would get 410 for its cancel and the job would run all the same: when no other shard takes a job, a cancel that had waited for the outcome longer than a repeated submission was answered first. It is undecided now, so that the client repeats it. Found in review; the test failed before with NoSuchJob.

--- a/packages/pollengated/pollengated/edge/job_request_handler.py
+++ b/packages/pollengated/pollengated/edge/job_request_handler.py
@@ -206,6 +206,10 @@
             return PlacedElsewhere(placement.shard)
         if not await self.acceptor.wait_ended(job_id, DURABLE_TIMEOUT_S):
             return Undecided("placement_pending")
+        is_accepted = job_id in self._job_table.jobs_by_id or job_id in self._submissions_by_id
+        if pending is not None and not is_accepted:
+            # A submission that waited for the same placement may accept the job after this.
+            return Undecided("placement_pending")
         submission = self._find_submission(job_id, requester)
         if submission is not None and not await self._committer.wait_durable(
             submission.record_number, DURABLE_TIMEOUT_S
--- a/tests/test_job_placement.py
+++ b/tests/test_job_placement.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from unittest import mock
 
 from pollengate.workflow.job_placement import PlacementLimits, StoredPlacement, decode_placement
 from pollengate.workflow.job_service import (
@@ -15,7 +16,7 @@
 from pollengate.workflow.keys import job_key, job_prefix, placement_key, shard_of_job
 from pollengate.workflow.model import Demand
 from pollengate.workflow.progress import JobState
-from pollengated.edge.other_shards import PlacementRequest, PlacementUnknown
+from pollengated.edge.other_shards import PlacementRequest, PlacementUnknown, Refused
 
 from tests.edge_cluster import BOUNDS, EdgeCluster, EdgeNode, EdgeTestCase
 from tests.faulty_store import Fault
@@ -122,6 +123,28 @@
 
         self.run_scenario(scenario)
 
+    def test_cancel_is_not_answered_before_a_submission_that_waits_for_the_same_placement(
+        self,
+    ) -> None:
+        async def scenario(cluster: EdgeCluster) -> None:
+            home = await cluster.wait_for_term(shard=HOME)
+            other = await cluster.wait_for_term(shard=OTHER)
+
+            async def refuse_late(request: PlacementRequest) -> Refused:
+                await asyncio.sleep(1.0)
+                return Refused("no_room")
+
+            with mock.patch.object(other.request_handler.acceptor, "accept", refuse_late):
+                first = asyncio.create_task(cluster.submit(JOB_ID, SHORT_JOB))
+                await asyncio.sleep(0.5)
+                cancel = asyncio.create_task(home.request_handler.cancel(JOB_ID, REQUESTER))
+                await asyncio.sleep(0.1)
+                self.assertEqual(await cluster.submit(JOB_ID, SHORT_JOB), Accepted())
+            self.assertIsInstance(await first, Undecided)
+            self.assertIsInstance(await cancel, Undecided)
+
+        self.run_scenario(scenario)
+
     def test_herd_of_jobs_does_not_overfill_the_shard_with_room(self) -> None:
         async def scenario(cluster: EdgeCluster) -> None:
             ids = IDS[1:21]
