Place long-running jobs in the shard with the most room

They went to the fullest shard in which all of their tasks fit, so that room stayed pooled elsewhere.

--- a/packages/pollengate/pollengate/workflow/job_placement.py
+++ b/packages/pollengate/pollengate/workflow/job_placement.py
@@ -1,9 +1,9 @@
 """Decides in which shard a new job is placed.
 
 A job's home shard follows from its id. If the home shard has no room for the job's first tasks, the
-job is placed in a shard that has. Short jobs go where the most room is left; long-running ones fill
-the fullest shard in which all of their tasks fit, so that room stays pooled elsewhere. Fillers go
-where the fewest of them run and wait for the processors that other tasks leave unused.
+job is placed in a shard that has, short and long-running ones where the most room is left: a shard
+that is filled up has none for a long-running task that has to run again. Fillers go where the
+fewest of them run and wait for the processors that other tasks leave unused.
 """
 
 import dataclasses
@@ -152,7 +152,6 @@
         limits: what makes another shard better than the home shard.
         summaries_by_shard: the room of the other shards for the job's service.
     """
-    prefers_full = _is_long_running(steps)
     are_fillers = _are_fillers(steps)
     ranked: list[tuple[int, float, int]] = []
     for shard, summary in summaries_by_shard.items():
@@ -164,7 +163,7 @@
         if are_fillers:
             ranked.append((0, summary.count_filler_rounds(steps), shard))
         else:
-            ranked.append((-places, free_millis if prefers_full else -free_millis, shard))
+            ranked.append((-places, -free_millis, shard))
     return [shard for _, _, shard in sorted(ranked)]
 
 
