--- a/packages/pollengate/pollengate/workflow/shard_room.py
+++ b/packages/pollengate/pollengate/workflow/shard_room.py
@@ -107,14 +107,14 @@
         largest_first = sorted(steps, key=lambda step: -step.demand.cpu_millis)
         return sum(self.take(step, step.count) for step in largest_first)
 
-    def summarize(self) -> tuple[int, ...]:
-        """Returns the number of workers in each class of `FREE_MILLIS_STEPS`."""
+    def summarize(self) -> "RoomSummary":
+        """Returns the distribution of free millicores."""
         counts = [0] * len(FREE_MILLIS_STEPS)
         for worker in self._workers:
             number = bisect.bisect_right(FREE_MILLIS_STEPS, worker.millis)
             if number:
                 counts[number - 1] += 1
-        return tuple(counts)
+        return RoomSummary(tuple(counts))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -123,60 +123,18 @@
 
     Attributes:
         worker_counts: number of workers in each class of `FREE_MILLIS_STEPS`; missing ones are 0.
-        filler_millis: millicores that fillers may use.
-        filler_backlog_millis: millicores of the fillers that run or wait there.
     """
 
     worker_counts: tuple[int, ...] = ()
-    filler_millis: int = 0
-    filler_backlog_millis: int = 0
 
     def expand(self) -> FreeWorkers:
         """Returns workers with the least room that the summary allows; memory is not limited."""
         return FreeWorkers(
             _FreeWorker(millis)
-            for millis, count in _classes(self.worker_counts)
+            for millis, count in zip(FREE_MILLIS_STEPS, self.worker_counts, strict=False)
             for _ in range(count)
         )
 
-    def count_filler_rounds(self, steps: Sequence[Step]) -> float:
-        """Returns how often the fillers that run and wait, and those of the steps, fill the room.
-
-        It is proportional to the wait of the steps; infinite if there is no room.
-        """
-        millis = sum(step.count * step.demand.cpu_millis for step in steps)
-        if not self.filler_millis:
-            return math.inf
-        return (self.filler_backlog_millis + millis) / self.filler_millis
-
-
-@dataclasses.dataclass(slots=True)
-class _ServiceRoom:
-    """Room of one service's workers; the attributes are those of `RoomSummary`."""
-
-    free: FreeWorkers
-    filler_millis: int
-    filler_backlog_millis: int
-
-    @classmethod
-    def of(cls, views: Sequence[WorkerView]) -> "_ServiceRoom":
-        unused = [view.info.capacity.cpu_millis - view.estimated_use_millis for view in views]
-        return cls(
-            FreeWorkers(_FreeWorker.of(view) for view in views),
-            sum(max(0, round(millis)) for millis in unused),
-            sum(view.filler_millis for view in views),
-        )
-
-    def add(self, step: Step, count: int) -> None:
-        """Counts tasks that wait or are about to be accepted."""
-        if step.is_filler:
-            self.filler_backlog_millis += count * step.demand.cpu_millis
-        else:
-            self.free.take(step, count)
-
-    def summarize(self) -> RoomSummary:
-        return RoomSummary(self.free.summarize(), self.filler_millis, self.filler_backlog_millis)
-
 
 class ShardRoom:
     """Computes the room of one shard during an ownership term.
@@ -189,7 +147,7 @@
     def __init__(self, job_table: JobTable, is_settled: Callable[[], bool]) -> None:
         self._job_table = job_table
         self._is_settled = is_settled
-        self._rooms_by_service: dict[str, _ServiceRoom] = {}
+        self._free_by_service: dict[str, FreeWorkers] = {}
         self._computed_at = float("-inf")
         self._summaries_by_service: dict[str, RoomSummary] = {}
         self._summarized_at = float("-inf")
@@ -197,20 +155,14 @@
 
     def count_places(self, service: str, steps: Sequence[Step], now: float) -> int:
         """Returns how many tasks of the steps find room at once on the workers of a service."""
-        room = self._refresh(now).get(service)
-        return 0 if room is None else room.free.copy().take_all(steps)
-
-    def summarize(self, service: str, now: float) -> RoomSummary:
-        """Returns the room for a service."""
-        room = self._refresh(now).get(service)
-        return RoomSummary() if room is None else room.summarize()
+        free = self._refresh(now).get(service)
+        return 0 if free is None else free.copy().take_all(steps)
 
     def reserve(self, job_id: str, service: str, steps: Sequence[Step], now: float) -> None:
         """Counts a job that is about to be accepted, until `release` is called."""
-        room = self._refresh(now).get(service)
-        if room is not None:
-            for step in steps:
-                room.add(step, step.count)
+        free = self._refresh(now).get(service)
+        if free is not None:
+            free.take_all(steps)
         self._reserved_by_job_id[job_id] = service, steps
 
     def release(self, job_id: str) -> None:
@@ -224,34 +176,31 @@
         if now - self._summarized_at >= SUMMARIZE_AFTER_S:
             self._summarized_at = now
             self._summaries_by_service = {
-                service: room.summarize() for service, room in self._refresh(now).items()
+                service: free.summarize() for service, free in self._refresh(now).items()
             }
         return self._summaries_by_service
 
-    def _refresh(self, now: float) -> dict[str, _ServiceRoom]:
+    def _refresh(self, now: float) -> dict[str, FreeWorkers]:
         if now - self._computed_at >= REFRESH_AFTER_S:
             self._computed_at = now
-            self._rooms_by_service = self._compute(now)
-        return self._rooms_by_service
+            self._free_by_service = self._compute(now)
+        return self._free_by_service
 
-    def _compute(self, now: float) -> dict[str, _ServiceRoom]:
+    def _compute(self, now: float) -> dict[str, FreeWorkers]:
         evidence = self._job_table.evidence
-        views_by_service: dict[str, list[WorkerView]] = {}
+        workers_by_service: dict[str, list[_FreeWorker]] = {}
         for view in self._job_table.fleet.all_schedulable(now):
             if not evidence.is_quarantined(view.worker_id):
-                views_by_service.setdefault(view.info.service, []).append(view)
-        rooms = {service: _ServiceRoom.of(views) for service, views in views_by_service.items()}
+                workers = workers_by_service.setdefault(view.info.service, [])
+                workers.append(_FreeWorker.of(view))
+        free_by_service = {
+            service: FreeWorkers(workers) for service, workers in workers_by_service.items()
+        }
         for step in self._job_table.open_steps:
             queue = self._job_table.queue_of(step)
-            if queue is not None and queue.service in rooms:
-                rooms[queue.service].add(step.spec, len(step.waiting))
+            if queue is not None and queue.service in free_by_service and not step.spec.is_filler:
+                free_by_service[queue.service].take(step.spec, len(step.waiting))
         for service, steps in self._reserved_by_job_id.values():
-            if service in rooms:
-                for spec in steps:
-                    rooms[service].add(spec, spec.count)
-        return rooms
-
-
-def _classes(counts: Sequence[int]) -> Iterable[tuple[int, int]]:
-    """Returns the least millicores and the number of workers of each class."""
-    return zip(FREE_MILLIS_STEPS, counts, strict=False)
+            if service in free_by_service:
+                free_by_service[service].take_all(steps)
+        return free_by_service
--- a/packages/pollengated/pollengated/edge/job_placer.py
+++ b/packages/pollengated/pollengated/edge/job_placer.py
@@ -14,8 +14,8 @@
     decode_placement,
     encode_placement,
     first_steps,
-    limits_for,
     may_be_placed_elsewhere,
+    min_places,
     rank_shards,
 )
 from pollengate.workflow.keys import owner_key, placement_key, placement_prefix
@@ -31,7 +31,7 @@
 __all__ = ["JobPlacer", "PendingPlacement"]
 
 # Other shards that are asked for one job before it stays at home.
-MAX_REQUESTS = 5
+MAX_REQUESTS = 3
 # A shard that had no room is not asked again before its next heartbeats.
 REFUSAL_MEMORY_S = 0.5
 RETRY_S = 0.1
@@ -128,8 +128,7 @@
         steps = first_steps(job.workflow)
         room = self._context.room
         home_places = room.count_places(queue.service, steps, now)
-        limits = limits_for(steps, home_places, room.summarize(queue.service, now))
-        if limits is None:
+        if home_places >= sum(step.count for step in steps):
             return None
         summaries = {
             shard: summary
@@ -137,7 +136,7 @@
             if shard != self._shard
             and now - self._refused_at_by_shard.get(shard, float("-inf")) >= REFUSAL_MEMORY_S
         }
-        shards = rank_shards(steps, limits, summaries)[:MAX_REQUESTS]
+        shards = rank_shards(steps, home_places, summaries)[:MAX_REQUESTS]
         if not shards:
             self._metrics.placements.labels("no_room_elsewhere").inc()
             return None
@@ -148,11 +147,9 @@
             job.account,
             self._shard,
             self._shard_lease.token,
-            limits,
+            min_places(steps, home_places),
         )
         pending = self._pending_by_id[job.job_id] = PendingPlacement(job)
-        # It counts at home until another shard has it, so that a herd is shared between shards.
-        room.reserve(job.job_id, queue.service, steps, now)
         self._context.spawn(self._run(pending, request, shards))
         return pending
 
@@ -199,7 +196,6 @@
         placement = self.find(request.job_id)
         pending.shard = None if placement is None else placement.shard
         del self._pending_by_id[request.job_id]
-        self._context.room.release(request.job_id)
         pending.ended.set()
         if pending.shard is None:
             return
--- a/packages/pollengated/pollengated/edge/other_shards.py
+++ b/packages/pollengated/pollengated/edge/other_shards.py
@@ -4,7 +4,6 @@
 import dataclasses
 from collections.abc import Mapping
 
-from pollengate.workflow.job_placement import PlacementLimits
 from pollengate.workflow.model import Workflow
 from pollengate.workflow.shard_room import RoomSummary
 
@@ -30,7 +29,7 @@
         account: name of the client account that submitted it, empty for none.
         home_shard: the job's home shard.
         home_token: fencing token of the home shard's owner.
-        limits: what makes the other shard better for the job than its home shard.
+        min_tasks: number of tasks that have to find room at once.
     """
 
     job_id: str
@@ -39,7 +38,7 @@
     account: str
     home_shard: int
     home_token: int
-    limits: PlacementLimits
+    min_tasks: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/pollengated/pollengated/edge/placement_acceptor.py
+++ b/packages/pollengated/pollengated/edge/placement_acceptor.py
@@ -15,7 +15,6 @@
     decode_placement,
     encode_placement,
     first_steps,
-    is_acceptable,
 )
 from pollengate.workflow.job_service import NotAccepted
 from pollengate.workflow.keys import job_key, owner_key, placement_key
@@ -111,12 +110,8 @@
         if not self._context.is_settled():
             return Refused("unsettled")
         now = self._clocks.monotonic_s()
-        steps = first_steps(request.workflow)
-        places = self._room.count_places(queue.service, steps, now)
-        room = self._room.summarize(queue.service, now)
-        if not is_acceptable(steps, request.limits, places, room):
-            return Refused("no_room")
-        return queue
+        places = self._room.count_places(queue.service, first_steps(request.workflow), now)
+        return queue if places >= request.min_tasks else Refused("no_room")
 
     def _begin(self, request: PlacementRequest, queue: Queue) -> _PendingPlacement:
         now, now_ms = self._clocks.monotonic_s(), self._clocks.unix_ms()
--- a/packages/pollengated/pollengated/edge/rpc.py
+++ b/packages/pollengated/pollengated/edge/rpc.py
@@ -1,7 +1,6 @@
 """gRPC client and service for calls between edge processes."""
 
 import asyncio
-import dataclasses
 from collections.abc import Awaitable, Callable, Sequence
 from typing import Any
 
@@ -10,7 +9,6 @@
 from grpclib.server import Stream
 from pollengate.accounts.job_access import Requester
 from pollengate.store import Entry
-from pollengate.workflow.job_placement import PlacementLimits
 from pollengate.workflow.job_service import (
     Accepted,
     Cancelled,
@@ -117,8 +115,7 @@
             workflow=msgspec.json.encode(request.workflow),
             home_shard=request.home_shard,
             home_token=request.home_token,
-            min_tasks=request.limits.min_tasks,
-            max_rounds=request.limits.max_rounds,
+            min_tasks=request.min_tasks,
             account=request.account,
         )
         result = await self._call(address, "Place", message, PLACE_TIMEOUT_S)
@@ -161,11 +158,7 @@
         if self.on_room is not None:
             for room in heartbeat.rooms:
                 summaries = {
-                    service.service: RoomSummary(
-                        tuple(service.worker_counts),
-                        service.filler_millis,
-                        service.filler_backlog_millis,
-                    )
+                    service.service: RoomSummary(tuple(service.worker_counts))
                     for service in room.services
                 }
                 self.on_room(room.shard, summaries)
@@ -259,7 +252,7 @@
             request.account,
             request.home_shard,
             request.home_token,
-            PlacementLimits(request.min_tasks, request.max_rounds),
+            request.min_tasks,
         )
         outcome = await term.request_handler.acceptor.accept(placement)
         await stream.send_message(_encode_outcome(outcome))
@@ -287,7 +280,7 @@
         known = self._encoded_rooms_by_shard.get(shard)
         if known is None or known[0] is not room:
             services = [
-                pb.ServiceRoom(service=name, **dataclasses.asdict(summary))
+                pb.ServiceRoom(service=name, worker_counts=summary.worker_counts)
                 for name, summary in room.items()
             ]
             known = room, pb.ShardRoom(shard=shard, services=services)
