--- a/packages/pollengate/pollengate/workflow/job_placement.py
+++ b/packages/pollengate/pollengate/workflow/job_placement.py
@@ -2,7 +2,7 @@
 
 A job's home shard follows from its id. If the home shard has no room for the job's first tasks, the
 job is placed in a shard that has. Short jobs go where the most room is left. Long-running ones go
-to the fullest shard that is not filled to the brim by them, so that room stays pooled elsewhere.
+to the fullest shard that keeps some room beside them, so that room stays pooled elsewhere.
 """
 
 import dataclasses
@@ -96,7 +96,7 @@
 def with_spare_tasks(steps: Sequence[Step]) -> tuple[Step, ...]:
     """Returns the steps with one more task for each that is long-running.
 
-    A shard that is filled to the brim has no room for a long-running task that has to run again.
+    A shard without spare room has none for a long-running task that has to run again.
     """
     return tuple(
         dataclasses.replace(step, count=step.count + 1) if step.is_long_running else step
--- a/packages/pollengate/pollengate/workflow/restart_room.py
+++ b/packages/pollengate/pollengate/workflow/restart_room.py
@@ -86,7 +86,7 @@
         return []
 
     def _next_to_search(self, now: float) -> list[StepProgress]:
-        """Returns the steps for which a move is searched in this update; all have their turn."""
+        """Returns the steps for which this update searches a move, round robin."""
         due = [
             step
             for step, waiting in self._waiting_by_step.items()
