--- a/packages/pollengate/pollengate/workflow/job_placement.py
+++ b/packages/pollengate/pollengate/workflow/job_placement.py
@@ -9,8 +9,9 @@
 from collections.abc import Mapping, Sequence
 
 import msgspec
-from result import Err, Ok, Result
+from result import Result
 
+from pollengate.decoding import DocumentDecoder
 from pollengate.workflow.model import Deployment, Queue, Step, Workflow
 from pollengate.workflow.shard_room import RoomSummary
 
@@ -39,6 +40,9 @@
     account: str = ""
 
 
+_PLACEMENT_DECODER = DocumentDecoder(StoredPlacement)
+
+
 def encode_placement(placement: StoredPlacement) -> bytes:
     """Encodes a placement record."""
     return msgspec.json.encode(placement)
@@ -46,10 +50,7 @@
 
 def decode_placement(value: bytes) -> Result[StoredPlacement, str]:
     """Decodes a placement record; the error is the decoder's message."""
-    try:
-        return Ok(msgspec.json.decode(value, type=StoredPlacement))
-    except (msgspec.MsgspecError, RecursionError) as error:
-        return Err(str(error))
+    return _PLACEMENT_DECODER.decode(value)
 
 
 def first_steps(workflow: Workflow) -> tuple[Step, ...]:
