--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -27,11 +27,7 @@
 from pollengated.edge.account_shares import AccountShares
 from pollengated.edge.advice_requester import AdviceRequester
 from pollengated.edge.clocks import Clocks
-from pollengated.edge.committer import (
-    Committer,
-    ProgressRecord,
-    decode_commit_number,
-)
+from pollengated.edge.committer import Committer, ProgressRecord, decode_commit_number
 from pollengated.edge.edge_metrics import EdgeMetrics
 from pollengated.edge.interference_learning import InterferenceLearning
 from pollengated.edge.job_end_log import JobEndLog
@@ -265,12 +261,9 @@
         )
         self.explainer = JobExplainer(self._planner)
         self.room = ShardRoom(self.job_table, is_settled)
+        shards, status_s = self._layout.shards, self._settings.bounds.status_s
         self._retention = JobRetention(
-            self.shard,
-            self._layout.shards,
-            self.job_table,
-            self._committer,
-            self._settings.bounds.status_s,
+            self.shard, shards, self.job_table, self._committer, status_s
         )
         self._transfers = WorkerTransfers(
             self.shard,
