--- a/packages/pollengate-standins/pollengate_standins/lease_worker.py
+++ b/packages/pollengate-standins/pollengate_standins/lease_worker.py
@@ -66,6 +66,7 @@
         fails: returns whether a run of the task ends with a failure.
         duration_of: returns the `duration_s` of a run of the task.
         crashes_under: returns whether the worker crashes right after it has started the task.
+        measurement_of: returns what the worker measures of a running task.
     """
 
     def __init__(self, worker_id: str, history: list[StartRecord]) -> None:
@@ -78,6 +79,7 @@
         self.fails: Callable[[str], bool] = lambda task: False
         self.duration_of: Callable[[str], float] = lambda task: 1.0
         self.crashes_under: Callable[[str], bool] = lambda task: False
+        self.measurement_of: Callable[[str], float] = lambda task: 1.0
         self._history = history
         self._token = 0
         self._lease_until = 0.0
@@ -155,7 +157,13 @@
         if order.lease_until_ms is not None:
             self._lease_until = max(self._lease_until, order.lease_until_ms / 1000)
         running = tuple(
-            RunningTask(r.task, r.run, f"c{self._now():.2f}", self._percent(r), 1.0)
+            RunningTask(
+                r.task,
+                r.run,
+                f"c{self._now():.2f}",
+                self._percent(r),
+                self.measurement_of(r.task),
+            )
             for r in self._running.values()
         )
         return Ok(Report(self._clock_ms(), self.born_ms, running, tuple(self._ended)))
--- /dev/null
+++ b/tests/test_edge_decision_failure.py
@@ -0,0 +1,101 @@
+"""Tests that a decision that cannot be made does not end an ownership term, on virtual time."""
+
+import asyncio
+
+from pollengate.workflow.model import Demand
+
+from tests.edge_cluster import EdgeCluster, EdgeTestCase
+from tests.utils import run_virtual
+from tests.workflow_builders import build_step, build_workflow
+
+SERVING_ID = "00000000000000aa"
+FILLER_ID = "00000000000000bb"
+STEADY_S = 5.0
+# An accepted job that runs nowhere for longer than this, although workers have room, counts as lost.
+MAX_IDLE_S = 3.0
+WATCHED_S = 12.0
+
+
+class PauseInReportsTest(EdgeTestCase):
+    """A serving task and fillers; the latencies of the serving task pause for some seconds."""
+
+    async def open_cluster(self) -> EdgeCluster:
+        """Returns a cluster in which all latencies have changed steadily for some seconds."""
+        cluster = EdgeCluster()
+        self.frozen_at: float | None = None
+        for worker in cluster.workers_by_id.values():
+            worker.duration_of = lambda task: float("inf") if SERVING_ID in task else 1.0
+            worker.measurement_of = self.measure
+        await cluster.open()
+        serving = build_step(
+            is_long_running=True, may_miss=1, image="web", target_ms=100, demand=Demand(2000, 100)
+        )
+        await cluster.submit(SERVING_ID, build_workflow(serving))
+        filler = build_step(200, is_filler=True, image="batch", demand=Demand(1000, 100))
+        await cluster.submit(FILLER_ID, build_workflow(filler))
+        await asyncio.sleep(STEADY_S)
+        return cluster
+
+    def measure(self, task: str) -> float:
+        """Returns the latency of the serving task in milliseconds, or the use of a filler."""
+        if SERVING_ID not in task:
+            return 900.0
+        now = asyncio.get_running_loop().time()
+        return 40.0 + (now if self.frozen_at is None else self.frozen_at) % 7
+
+    async def watch(self, cluster: EdgeCluster) -> float:
+        """Returns the longest time in which no filler ran."""
+        longest_s, idle_s = 0.0, 0.0
+        for _ in range(round(WATCHED_S / 0.1)):
+            await asyncio.sleep(0.1)
+            history = cluster.update_history()
+            is_running = any(r.ended_at is None for r in history if FILLER_ID in r.task)
+            idle_s = 0.0 if is_running else idle_s + 0.1
+            longest_s = max(longest_s, idle_s)
+        return longest_s
+
+    async def check_after_pause(self, cluster: EdgeCluster, term: object) -> None:
+        """Asserts that the owner stays and the fillers go on while one worker is silent."""
+        cluster.workers_by_id["w2"].is_unreachable = True
+        longest_s = await self.watch(cluster)
+        with self.subTest("the term goes on"):
+            self.assertIs(cluster.term(), term)
+        with self.subTest("accepted jobs go on"):
+            self.assertLessEqual(longest_s, MAX_IDLE_S)
+
+    def test_owner_stays_after_latencies_that_did_not_change_for_some_seconds(self) -> None:
+        async def main() -> None:
+            cluster = await self.open_cluster()
+            term = await cluster.wait_for_term()
+            self.frozen_at = asyncio.get_running_loop().time()
+            await asyncio.sleep(6.0)
+            self.frozen_at = None
+            await self.check_after_pause(cluster, term)
+
+        run_virtual(main())
+
+    def test_owner_stays_after_a_worker_was_cut_off_for_less_than_its_lease(self) -> None:
+        async def main() -> None:
+            cluster = await self.open_cluster()
+            term = await cluster.wait_for_term()
+            history = cluster.update_history()
+            worker_id = next(r.worker_id for r in history if SERVING_ID in r.task)
+            worker = cluster.workers_by_id[worker_id]
+            worker.is_unreachable = True
+            await asyncio.sleep(4.0)
+            worker.is_unreachable = False
+            await asyncio.sleep(0.5)
+            await self.check_after_pause(cluster, term)
+
+        run_virtual(main())
+
+    def test_owner_stays_after_a_pause_of_the_store_that_kept_it_from_renewing(self) -> None:
+        async def main() -> None:
+            cluster = await self.open_cluster()
+            term = await cluster.wait_for_term()
+            await cluster.pause_store(7.0)
+            await cluster.wait_for_term()
+            await asyncio.sleep(0.5)
+            await self.check_after_pause(cluster, term)
+
+        run_virtual(main())
