--- a/packages/pollengate/pollengate/interference/headroom.py
+++ b/packages/pollengate/pollengate/interference/headroom.py
@@ -19,7 +19,9 @@
 
 # Variance of a level about which nothing is known, and the highest one.
 LEVEL_VARIANCE = 1.0
-# Variance of the change per second of a new level.
+# The lowest variance: more measurements tell no more about load that changes all the time.
+MIN_VARIANCE = 1e-6
+# Variance of the change per second of a new level, and the highest one.
 TREND_VARIANCE = 0.2**2
 # Variance that the trend gains per second.
 TREND_DRIFT_VARIANCE = 0.04
@@ -36,6 +38,12 @@
 class HeadroomTrend:
     """Level and trend of the headroom of a step's tasks, by a Kalman filter.
 
+    The trend fades and changes at random (an Ornstein-Uhlenbeck process), and the level is its
+    integral. The covariance matrix is kept factored (UD form): the variance of the level, the
+    regression of the trend on the level, and the variance that the trend has beside it. It is
+    positive definite for any values of these, so that no pause and no rounding makes a variance
+    negative.
+
     Args:
         level: expected headroom.
         at: clock time.
@@ -45,37 +53,43 @@
         self._level = level
         self._trend = 0.0
         self._level_variance = LEVEL_VARIANCE
-        self._covariance = 0.0
-        self._trend_variance = TREND_VARIANCE
+        self._regression = 0.0
+        self._residual_variance = TREND_VARIANCE
         self._at = at
 
     def expect(self, at: float) -> Estimate:
         """Returns the headroom expected at a clock time."""
         elapsed_s = max(0.0, at - self._at)
-        fading_s = TREND_TIME_S * (1 - math.exp(-elapsed_s / TREND_TIME_S))
-        variance = (
-            self._level_variance
-            + 2 * elapsed_s * self._covariance
-            + elapsed_s**2 * self._trend_variance
-            + TREND_DRIFT_VARIANCE * elapsed_s**3 / 3
-        )
-        return Estimate(self._level + self._trend * fading_s, min(variance, LEVEL_VARIANCE))
+        variance = min(self._uncapped_variance(elapsed_s), LEVEL_VARIANCE)
+        return Estimate(self._level + self._trend * _fading_s(elapsed_s), variance)
 
     def advance(self, at: float) -> None:
         """Moves the state to a clock time; does nothing if that has passed."""
         elapsed_s = at - self._at
         if elapsed_s <= 0:
             return
-        expected = self.expect(at)
-        fade = math.exp(-elapsed_s / TREND_TIME_S)
-        self._covariance = (
-            fade * (self._covariance + elapsed_s * self._trend_variance)
-            + TREND_DRIFT_VARIANCE * elapsed_s**2 / 2
+        fading_s = _fading_s(elapsed_s)
+        faded_share = fading_s / TREND_TIME_S
+        fade = 1 - faded_share
+        level_variance = self._uncapped_variance(elapsed_s)
+        covariance = (
+            fade * self._regression * self._level_variance * (1 + fading_s * self._regression)
+            + fade * fading_s * self._residual_variance
+            + TREND_DRIFT_VARIANCE * fading_s**2 / 2
         )
-        self._trend_variance = min(
-            fade**2 * self._trend_variance + TREND_DRIFT_VARIANCE * elapsed_s, TREND_VARIANCE
+        trend_variance = (
+            fade**2 * (self._residual_variance + self._regression**2 * self._level_variance)
+            + TREND_DRIFT_VARIANCE * fading_s * (2 - faded_share) / 2
         )
-        self._level, self._level_variance = expected.mean, expected.variance
+        # Both scales apply to the covariance, too: limits of the variances alone would leave level
+        # and trend correlated by more than 1.
+        level_scale = math.sqrt(LEVEL_VARIANCE / max(level_variance, LEVEL_VARIANCE))
+        trend_scale = math.sqrt(TREND_VARIANCE / max(trend_variance, TREND_VARIANCE))
+        residual_variance = max(0.0, trend_variance - covariance**2 / level_variance)
+        self._regression = covariance / level_variance * trend_scale / level_scale
+        self._residual_variance = residual_variance * trend_scale**2
+        self._level += self._trend * fading_s
+        self._level_variance = level_variance * level_scale**2
         self._trend *= fade
         self._at = at
 
@@ -86,13 +100,34 @@
             error: measured headroom less the expected one.
             total_variance: variance of the error, with that of the level.
         """
-        level_gain = self._level_variance / total_variance
-        trend_gain = self._covariance / total_variance
-        self._level += level_gain * error
-        self._trend += trend_gain * error
-        self._trend_variance -= trend_gain * self._covariance
-        self._covariance -= trend_gain * self._level_variance
-        self._level_variance -= level_gain * self._level_variance
+        other_variance = max(total_variance - self._level_variance, MIN_VARIANCE)
+        total_variance = self._level_variance + other_variance
+        level_change = self._level_variance / total_variance * error
+        self._level += level_change
+        self._trend += self._regression * level_change
+        # A measurement of the level changes neither the regression nor what the trend has beside.
+        self._level_variance = max(
+            MIN_VARIANCE, self._level_variance * other_variance / total_variance
+        )
+
+    def _uncapped_variance(self, elapsed_s: float) -> float:
+        """Returns the variance of the level after some time, as a sum of positive terms."""
+        fading_s = _fading_s(elapsed_s)
+        faded_share = fading_s / TREND_TIME_S
+        # The difference loses all its digits for short times; the second value is its leading term
+        # and a lower bound at all times.
+        drift = max(elapsed_s / TREND_TIME_S - faded_share - faded_share**2 / 2, faded_share**3 / 3)
+        variance = (
+            self._level_variance * (1 + fading_s * self._regression) ** 2
+            + self._residual_variance * fading_s**2
+            + TREND_DRIFT_VARIANCE * TREND_TIME_S**3 * drift
+        )
+        return max(MIN_VARIANCE, variance)
+
+
+def _fading_s(elapsed_s: float) -> float:
+    """Returns the time for which a trend at its present value would change the level as much."""
+    return -TREND_TIME_S * math.expm1(-elapsed_s / TREND_TIME_S)
 
 
 @dataclasses.dataclass(slots=True)
@@ -128,6 +163,6 @@
 
     def correct(self, error: float, total_variance: float) -> None:
         """Applies a measurement; the arguments are those of `HeadroomTrend.correct`."""
-        gain = self.variance / total_variance
+        gain = self.variance / max(total_variance, self.variance + MIN_VARIANCE)
         self.mean += gain * error
-        self.variance *= 1 - gain
+        self.variance = max(MIN_VARIANCE, self.variance * (1 - gain))
--- a/tests/test_edge_decision_failure.py
+++ b/tests/test_edge_decision_failure.py
@@ -11,7 +11,7 @@
 SERVING_ID = "00000000000000aa"
 FILLER_ID = "00000000000000bb"
 STEADY_S = 5.0
-# An accepted job that runs nowhere for longer than this, although workers have room, counts as lost.
+# An accepted job that runs nowhere for longer than this beside workers with room counts as lost.
 MAX_IDLE_S = 3.0
 WATCHED_S = 12.0
 
--- a/tests/test_headroom.py
+++ b/tests/test_headroom.py
@@ -4,7 +4,7 @@
 import random
 import unittest
 
-from pollengate.interference.headroom import LEVEL_VARIANCE, HeadroomTrend
+from pollengate.interference.headroom import LEVEL_VARIANCE, HeadroomTrend, RunOffset
 
 HORIZONS_S = (0.0, 0.2, 0.5, 1.0, 2.0, 3.0, 10.0, 1e6)
 NOISE = 0.01
@@ -49,3 +49,27 @@
                 with self.subTest(seed=seed, at=at):
                     self.observe(trend, at, generator.gauss(0.0, 2.0), noise)
                     self.check_variances(trend, at)
+
+    def test_expectation_does_not_depend_on_the_steps_by_which_time_passes(self) -> None:
+        trend = HeadroomTrend(1.0, 0.0)
+        for number in range(1, 40):
+            self.observe(trend, 0.45 * number, 0.3 if number % 3 else -0.2, noise=0.001)
+        at = 0.45 * 39
+        whole = trend.expect(at + 0.9)
+        for number in range(1, 10):
+            trend.advance(at + 0.05 * number)
+        parts = trend.expect(at + 0.9)
+        self.assertLess(whole.variance, LEVEL_VARIANCE)
+        self.assertAlmostEqual(whole.mean, parts.mean, places=9)
+        self.assertAlmostEqual(whole.variance, parts.variance, places=9)
+
+
+class RunOffsetTest(unittest.TestCase):
+    """The offset of a run is corrected with the same variances."""
+
+    def test_variance_stays_positive_if_the_measurement_has_no_variance_of_its_own(self) -> None:
+        offset = RunOffset.unknown(0.0)
+        for _ in range(100):
+            offset.correct(0.1, offset.variance)
+            self.assertGreater(offset.variance, 0.0)
+            self.assertTrue(math.isfinite(offset.mean))
