--- a/packages/pollengate/pollengate/interference/coefficients.py
+++ b/packages/pollengate/pollengate/interference/coefficients.py
@@ -22,6 +22,8 @@
 
 # Limits the effect of an outlier, in standard deviations of the expected measurement.
 MAX_ERROR_DEVIATIONS = 5.0
+# The lowest variance; its inverse is the highest precision.
+MIN_VARIANCE = 1e-9
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -69,6 +71,7 @@
         self._prior_mean = prior_mean
         self._prior_variance = prior_variance
         self._drift_variance = drift_variance
+        self._min_variance = max(drift_variance, MIN_VARIANCE)
         self._own_by_key: BoundedDict[K, Estimate] = BoundedDict(max_keys)
         self._others_by_key: dict[K, _Evidence] = {}
 
@@ -106,25 +109,26 @@
             noise_variance: variance of the measurement's error.
 
         Returns:
-            The difference between measured and expected sum, limited for outliers.
+            The difference between measured and expected sum, limited for outliers; 0 for a
+            measurement that is out of range, which changes nothing.
         """
         expected = self.expect(shares)
         total_variance = expected.variance + noise_variance
+        if not (math.isfinite(total_variance) and math.isfinite(measured)):
+            return 0.0
         bound = MAX_ERROR_DEVIATIONS * math.sqrt(total_variance)
         error = min(max(measured - expected.mean, -bound), bound)
         for key, share in shares.items():
             merged = self.get(key)
             own = self._own_by_key.get(key) or self._prior(key)
-            other_variance = total_variance - merged.variance * share * share
+            # The difference loses its digits if the share of this cause is large.
+            other_variance = max(
+                total_variance - merged.variance * share * share, noise_variance, MIN_VARIANCE
+            )
             gain = own.variance * share / (own.variance * share * share + other_variance)
             own_error = error + (merged.mean - own.mean) * share
             variance = own.variance * (1 - gain * share) + self._drift_variance
-            self._own_by_key.put(
-                key,
-                Estimate(
-                    max(0.0, own.mean + gain * own_error), min(variance, self._prior_variance)
-                ),
-            )
+            self.set_own(key, Estimate(own.mean + gain * own_error, variance))
         return error
 
     def own_items(self) -> Iterator[tuple[K, Estimate]]:
@@ -133,8 +137,8 @@
 
     def set_own(self, key: K, estimate: Estimate) -> None:
         """Replaces the own estimate of a coefficient."""
-        variance = min(max(estimate.variance, self._drift_variance), self._prior_variance)
-        self._own_by_key.put(key, Estimate(max(0.0, estimate.mean), variance))
+        mean = max(0.0, estimate.mean)
+        self._own_by_key.put(key, Estimate(mean, self._limited_variance(estimate)))
 
     def replace_others(self, records: Iterable[Mapping[K, Estimate]]) -> set[K]:
         """Replaces the evidence of all other processes.
@@ -154,10 +158,13 @@
         return affected
 
     def _evidence(self, key: K, estimate: Estimate) -> _Evidence:
-        variance = min(max(estimate.variance, self._drift_variance), self._prior_variance)
+        variance = self._limited_variance(estimate)
         precision = max(0.0, 1 / variance - 1 / self._prior_variance)
         weighted_mean = estimate.mean / variance - self._prior_mean(key) / self._prior_variance
         return _Evidence(precision, weighted_mean if precision else 0.0)
 
+    def _limited_variance(self, estimate: Estimate) -> float:
+        return min(max(estimate.variance, self._min_variance), self._prior_variance)
+
     def _prior(self, key: K) -> Estimate:
         return Estimate(self._prior_mean(key), self._prior_variance)
--- a/packages/pollengate/pollengate/interference/latency_model.py
+++ b/packages/pollengate/pollengate/interference/latency_model.py
@@ -38,6 +38,9 @@
 CONSTANT_NOISE = 0.08
 # Above this multiple of its target a latency only shows that there is no capacity left over.
 SATURATED_LATENCY_RATIO = 3.0
+# Highest ratio that is learned from: a task so far below its target leaves room for any filler.
+# The square of the ratio of a latency near 0 is out of range.
+MAX_RATIO = 100.0
 # Headroom of an image without samples, and the weight of a new sample.
 TYPICAL_HEADROOM = 2.0
 TYPICAL_WEIGHT = 0.02
@@ -195,7 +198,7 @@
 
     def _observe_run(self, run: Run, shares: Mapping[str, float], at: float) -> None:
         spec = run.task.step.spec
-        ratio = spec.target_ms / run.measurement
+        ratio = min(spec.target_ms / run.measurement, MAX_RATIO)
         trend = self._trend_by_step.get(run.task.step) or HeadroomTrend(
             self._typical(spec.image), at
         )
@@ -261,7 +264,7 @@
         millis_by_image[spec.image] = millis_by_image.get(spec.image, 0.0) + used_millis
     capacity_millis = view.info.capacity.cpu_millis
     return {
-        image: millis / capacity_millis
+        image: min(1.0, millis / capacity_millis)
         for image, millis in millis_by_image.items()
         if millis >= MIN_SHARE * capacity_millis
     }
--- a/packages/pollengate/pollengate/interference/slowdowns.py
+++ b/packages/pollengate/pollengate/interference/slowdowns.py
@@ -25,6 +25,8 @@
 MIN_NOISE = 0.1
 # Limit on one measurement, so that an outlier changes the estimates little.
 MAX_EXCESS_SLOWDOWN = 4.0
+# Keeps the variance of a measurement in range, whatever a worker reports.
+MAX_SLOWDOWN = 1e6
 MEAN_SMOOTHING_WEIGHT = 0.05
 MIN_SHARE = 0.005
 
@@ -64,7 +66,7 @@
             for aggressor, share in shares.items()
             if share >= MIN_SHARE
         }
-        noise = (MIN_NOISE + NOISE_PER_SLOWDOWN * slowdown) ** 2
+        noise = (MIN_NOISE + NOISE_PER_SLOWDOWN * min(slowdown, MAX_SLOWDOWN)) ** 2
         excess = min(slowdown - 1.0, MAX_EXCESS_SLOWDOWN)
         self._coefficients.observe(share_by_key, excess, noise)
         for key in share_by_key:
--- a/tests/test_interference.py
+++ b/tests/test_interference.py
@@ -47,6 +47,12 @@
         model.observe("service", {"quiet": 0.3}, 0.9, 50.0)
         self.assertLess(model.coefficient("service", "quiet", 3), 0.3)
 
+    def test_slowdown_out_of_range_does_not_raise(self) -> None:
+        model = InterferenceModel()
+        for slowdown in (1e200, float("inf")):
+            model.observe("service", {"noisy": 0.3}, 0.9, slowdown)
+        self.assertLess(model.coefficient("service", "noisy", 3), 0.3)
+
     def test_state_is_bounded(self) -> None:
         model = InterferenceModel(max_pairs=100)
         for number in range(1000):
--- a/tests/test_latency_model.py
+++ b/tests/test_latency_model.py
@@ -1,6 +1,7 @@
 """Tests of what is learned about interference, and of the speeds and placement that follow."""
 
 import math
+import random
 import unittest
 
 from pollengate.interference.coefficients import Coefficients, Estimate
@@ -82,6 +83,24 @@
 class CoefficientsTest(unittest.TestCase):
     """Evidence counts once, wherever it was measured."""
 
+    def test_no_share_or_measurement_makes_an_estimate_unusable(self) -> None:
+        for seed in range(200):
+            generator = random.Random(seed)
+            table: Coefficients[str] = Coefficients(lambda key: 2.0, 25.0, 0.03, 10)
+            for _ in range(30):
+                shares = {
+                    key: generator.choice((0.0, 1e-9, 0.3, 1.0, 1e12, 1e200, math.inf))
+                    for key in generator.sample("abcd", generator.randint(0, 4))
+                }
+                if generator.random() < 0.2:
+                    table.replace_others([{"a": Estimate(generator.uniform(-9, 9), 0.0)}])
+                measured = generator.choice((0.0, -3.0, 0.5, 1e300, math.inf, math.nan))
+                error = table.observe(shares, measured, generator.choice((0.0, 0.006, 1e9)))
+                self.assertTrue(math.isfinite(error), seed)
+                for key in "abcd":
+                    self.assertTrue(0.0 <= table.get(key).mean < math.inf, seed)
+                    self.assertTrue(0.0 < table.get(key).variance <= 25.0, seed)
+
     @staticmethod
     def learn(samples: list[tuple[float, float]], owners: int) -> Estimate:
         """Returns the estimate of owners that get the samples in turn and read each other's."""
@@ -117,6 +136,23 @@
         self.assertLess(table.get("quiet").mean, 5.0)
 
 
+class OddReportTest(unittest.TestCase):
+    """Whatever a worker reports, the decisions that need the model can be made."""
+
+    def test_latency_near_zero_does_not_raise(self) -> None:
+        worker = Worker()
+        worker.start_filler("bb", "q")
+        for latency in (5e-324, 1e-200, 9e15, 100.0):
+            worker.serving.measurement = latency
+            worker.serving.measurement_change = 1.0
+            worker.now += REPORT_INTERVAL_S
+            worker.model.observe(worker.view, worker.now)
+            worker.speeds.adjust(worker.view, worker.now)
+        worker.report(1.0, 30)
+        own = worker.model.own_headroom(worker.serving, worker.now)
+        self.assertAlmostEqual(own.mean, 1.0, delta=0.5)
+
+
 class LatencyModelTest(unittest.TestCase):
     """Own load and interference are told apart."""
 
