Log and export which recorded workers a takeover waits for

Change: the state of a takeover moves from the ownership term into a module of its own. After 0.5 s it logs the recorded workers that have not replied, the restored tasks that wait, and the time until all leases have expired, and in the end how long it took and whether reports or expiry ended it. Metrics `pollengate_edge_awaited_workers` and `pollengate_edge_takeover_seconds`.

Decisions are the same. tests.test_takeover checks both lines for a takeover with and without a silent worker.

--- a/packages/pollengated/pollengated/edge/edge_metrics.py
+++ b/packages/pollengated/pollengated/edge/edge_metrics.py
@@ -138,6 +138,18 @@
             ["shard"],
             registry=registry,
         )
+        self.awaited_workers = Gauge(
+            "pollengate_edge_awaited_workers",
+            "Workers of an earlier owner that have not replied and may still run tasks.",
+            ["shard"],
+            registry=registry,
+        )
+        self.takeover_seconds = Histogram(
+            "pollengate_edge_takeover_seconds",
+            "Time from the acquisition of a shard until all runs of earlier owners are known.",
+            buckets=(0.1, 0.25, 0.5, 1, 2, 3, 4, 5, 6, 8),
+            registry=registry,
+        )
         self.accounts = AccountMetrics(registry)
         self.shortage_factor = Gauge(
             "pollengate_edge_shortage_factor",
--- a/packages/pollengated/pollengated/edge/recorded_workers.py
+++ b/packages/pollengated/pollengated/edge/recorded_workers.py
@@ -3,11 +3,11 @@
 A worker is recorded before it gets its first lease.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import msgspec
 from pollengate.decoding import DocumentDecoder
-from pollengate.store import Operation, Put
+from pollengate.store import Entry, Operation, Put
 from pollengate.workflow.fleet import Fleet
 from pollengate.workflow.keys import ROOT
 from result import Err
@@ -15,7 +15,7 @@
 from pollengated.edge.committer import Committer, Record
 from pollengated.logs import Log
 
-__all__ = ["RecordedWorkers", "decode_recorded_workers"]
+__all__ = ["RecordedWorkers", "decode_recorded_workers", "load_recorded_workers"]
 
 
 _ADDRESSES_DECODER = DocumentDecoder(dict[str, str])
@@ -32,6 +32,23 @@
     return decoded.ok_value
 
 
+def load_recorded_workers(
+    entry: Entry | None, is_assigned_elsewhere: Callable[[str], bool]
+) -> dict[str, str]:
+    """Returns the addresses of the workers that may run tasks of a shard, by worker id.
+
+    Args:
+        entry: the stored list, None if there is none.
+        is_assigned_elsewhere: returns whether a worker has been assigned to another shard.
+    """
+    addresses_by_id = {} if entry is None else decode_recorded_workers(entry.value)
+    return {
+        worker_id: address
+        for worker_id, address in addresses_by_id.items()
+        if not is_assigned_elsewhere(worker_id)
+    }
+
+
 class RecordedWorkers:
     """Durable list of the workers that may run tasks of a shard.
 
@@ -44,7 +61,6 @@
         addresses_by_id: addresses by worker id, as recorded by an earlier owner.
 
     Attributes:
-        previously_recorded_ids: ids of the workers that an earlier owner recorded.
         addresses_by_id: addresses of all recorded workers, and of those whose record is pending.
     """
 
@@ -54,7 +70,6 @@
         self.shard = shard
         self._committer = committer
         self._fleet = fleet
-        self.previously_recorded_ids = frozenset(addresses_by_id)
         self.addresses_by_id = dict(addresses_by_id)
 
     @staticmethod
--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -40,11 +40,12 @@
 from pollengated.edge.other_shards import NoOtherShards, OtherShards
 from pollengated.edge.placement_acceptor import PlacementAcceptor
 from pollengated.edge.placement_context import PlacementContext
-from pollengated.edge.recorded_workers import RecordedWorkers, decode_recorded_workers
+from pollengated.edge.recorded_workers import RecordedWorkers, load_recorded_workers
 from pollengated.edge.run_mover import RunMover
 from pollengated.edge.shard_load_log import ShardLoadLog
 from pollengated.edge.shard_records import ShardRecords, ShardRecordsReader
 from pollengated.edge.start_policy import StartPolicy
+from pollengated.edge.takeover import Takeover
 from pollengated.edge.worker_assignments import WorkerAssignments
 from pollengated.edge.worker_controller import WorkerController
 from pollengated.edge.worker_registry import WorkerRegistry
@@ -150,6 +151,7 @@
         self._planner: Planner
         self._retention: JobRetention
         self._recorded_workers: RecordedWorkers
+        self._takeover: Takeover
         self._load_log: ShardLoadLog
         self._job_end_log: JobEndLog
         self._run_mover: RunMover
@@ -185,6 +187,7 @@
             finally:
                 unsubscribe()
                 self._load_log.close()
+                self._takeover.close()
         finally:
             self.is_serving = False
             self._log.warning(
@@ -248,7 +251,20 @@
         self.job_table = JobTable(self.fleet, evidence, term_number)
         self.job_table.durable_record_number = lambda: committer.durable_record_number
         self._job_end_log = JobEndLog(self.job_table, self._clocks, self._metrics)
-        is_settled = self._are_previous_runs_known
+        self._assignments.load(records.transfers)
+        addresses_by_id = load_recorded_workers(
+            records.recorded_workers, self._assignments.is_assigned_elsewhere
+        )
+        self._takeover = Takeover(
+            self.shard,
+            self.job_table,
+            addresses_by_id,
+            self._acquired_at,
+            self._previous_leases_expire_at,
+            self._clocks,
+            self._metrics,
+        )
+        is_settled = self._takeover.is_settled
         self._start_policy = StartPolicy(
             self.job_table, self._policy, self._account_shares, self._metrics, is_settled
         )
@@ -272,7 +288,7 @@
             self._committer,
             self.shard_lease,
             self._clocks,
-            self._are_previous_runs_known,
+            is_settled,
             self._detach_worker,
             self._start_policy.start_filter,
         )
@@ -283,18 +299,10 @@
         self._load_log = ShardLoadLog(
             self.shard,
             self.job_table,
-            self._are_previous_runs_known,
+            is_settled,
             self._start_policy.start_filter,
             self._metrics,
         )
-        recorded = records.recorded_workers
-        addresses_by_id = decode_recorded_workers(recorded.value) if recorded else {}
-        self._assignments.load(records.transfers)
-        addresses_by_id = {
-            worker_id: address
-            for worker_id, address in addresses_by_id.items()
-            if not self._assignments.is_assigned_elsewhere(worker_id)
-        }
         self._recorded_workers = RecordedWorkers(
             self.shard, self._committer, self.fleet, addresses_by_id
         )
@@ -328,7 +336,7 @@
             self.shard_lease,
             self._clocks,
             self.room,
-            self._are_previous_runs_known,
+            self._takeover.is_settled,
             self._spawn,
         )
         handler = self.request_handler
@@ -337,16 +345,6 @@
             context, handler.current_refusal, handler.add_accepted_job
         )
 
-    def _are_previous_runs_known(self) -> bool:
-        """Whether every run that an earlier owner started is known or has ended."""
-        if self._clocks.monotonic_s() >= self._previous_leases_expire_at:
-            return True
-        views = (
-            self.fleet.workers_by_id.get(worker_id)
-            for worker_id in self._recorded_workers.previously_recorded_ids
-        )
-        return all(view is None or view.is_attached or view.is_replaced for view in views)
-
     # Workers.
 
     def _workers_changed(self, worker_ids: Collection[str]) -> None:
@@ -473,6 +471,7 @@
             if not self._is_handing_over:
                 self._transfers.update()
             self._interference.update(self._clocks.monotonic_s())
+            self._takeover.update()
             self._forget(self.fleet.forget_departed(self._clocks.monotonic_s()))
             self._retention.update(self._clocks.monotonic_s())
             self.request_handler.placer.update(self._clocks.monotonic_s())
--- /dev/null
+++ b/packages/pollengated/pollengated/edge/takeover.py
@@ -0,0 +1,105 @@
+"""The time after a takeover in which runs of an earlier owner may exist that are not known yet."""
+
+from collections.abc import Iterable
+
+from pollengate.workflow.job_table import JobTable
+
+from pollengated.edge.clocks import Clocks
+from pollengated.edge.edge_metrics import EdgeMetrics
+from pollengated.logs import Log
+
+__all__ = ["Takeover"]
+
+# Workers that reply do so within this time after a takeover; the others are logged.
+LOG_AFTER_S = 0.5
+# Ids in one log line.
+MAX_LOGGED_WORKERS = 10
+
+
+class Takeover:
+    """Waits for the workers that an earlier owner recorded, until its leases have expired.
+
+    Args:
+        shard: number of the shard.
+        job_table: the shard's jobs, runs and workers.
+        recorded_ids: ids of the workers that may run tasks which an earlier owner started.
+        acquired_at: clock time at which this process acquired the shard.
+        leases_expire_at: clock time by which all leases of earlier owners have expired.
+        clocks: the process's clocks.
+        metrics: metrics of this process.
+    """
+
+    def __init__(
+        self,
+        shard: int,
+        job_table: JobTable,
+        recorded_ids: Iterable[str],
+        acquired_at: float,
+        leases_expire_at: float,
+        clocks: Clocks,
+        metrics: EdgeMetrics,
+    ) -> None:
+        self._shard = shard
+        self._job_table = job_table
+        self._recorded_ids = tuple(recorded_ids)
+        self._acquired_at = acquired_at
+        self._leases_expire_at = leases_expire_at
+        self._clocks = clocks
+        self._metrics = metrics
+        self._logged_ids: list[str] = []
+        self._is_reported = False
+        self._log = Log("takeover")
+
+    def is_settled(self) -> bool:
+        """Whether every run that an earlier owner started is known or has ended."""
+        return self._clocks.monotonic_s() >= self._leases_expire_at or not self._awaited_ids()
+
+    def update(self) -> None:
+        """Logs and exports which workers are awaited, and when the takeover is settled."""
+        if self._is_reported:
+            return
+        now = self._clocks.monotonic_s()
+        awaited_ids = self._awaited_ids()
+        took_s = now - self._acquired_at
+        has_expired = now >= self._leases_expire_at
+        if has_expired or not awaited_ids:
+            self._is_reported = True
+            self._metrics.awaited_workers.labels(str(self._shard)).set(0)
+            self._metrics.takeover_seconds.observe(took_s)
+            self._log.info(
+                "takeover is settled",
+                shard=self._shard,
+                took_s=round(took_s, 2),
+                by="expiry" if has_expired and awaited_ids else "reports",
+                silent=len(awaited_ids),
+            )
+            return
+        self._metrics.awaited_workers.labels(str(self._shard)).set(len(awaited_ids))
+        if took_s >= LOG_AFTER_S and awaited_ids != self._logged_ids:
+            self._logged_ids = awaited_ids
+            self._log.warning(
+                "workers of an earlier owner have not replied; restored tasks wait",
+                shard=self._shard,
+                workers=",".join(awaited_ids[:MAX_LOGGED_WORKERS]),
+                silent=len(awaited_ids),
+                tasks=self._count_waiting(),
+                at_most_s=round(self._leases_expire_at - now, 2),
+            )
+
+    def close(self) -> None:
+        """Removes the metrics of a shard whose ownership has ended."""
+        self._metrics.awaited_workers.labels(str(self._shard)).set(0)
+
+    def _awaited_ids(self) -> list[str]:
+        views = (
+            self._job_table.fleet.workers_by_id.get(worker_id) for worker_id in self._recorded_ids
+        )
+        return [
+            view.worker_id
+            for view in views
+            if view is not None and not view.is_attached and not view.is_replaced
+        ]
+
+    def _count_waiting(self) -> int:
+        """Returns the number of restored tasks whose turn has come and that have no known run."""
+        return sum(len(step.waiting) for step in self._job_table.open_steps if step.job.is_restored)
--- /dev/null
+++ b/tests/test_takeover.py
@@ -0,0 +1,69 @@
+"""Tests of takeovers in which recorded workers do not reply, on virtual time."""
+
+import asyncio
+
+import logbook
+from pollengate.store import Delete
+
+from tests.edge_cluster import EdgeCluster, EdgeTestCase
+from tests.utils import run_virtual
+from tests.workflow_builders import build_step, build_workflow
+
+JOB_ID = "00000000000000aa"
+SETTLE_S = 2.0
+# Longer than the owner's lease and all leases that it has given.
+ALL_EXPIRED_S = 12.0
+
+
+class TakeoverTestCase(EdgeTestCase):
+    """Base class with the faults of the scenarios."""
+
+    async def lose_worker(self, cluster: EdgeCluster, worker_id: str) -> None:
+        """Crashes a worker that never returns."""
+        worker = cluster.workers_by_id[worker_id]
+        worker.crash()
+        worker.is_unreachable = True
+        await cluster.store.commit((), (Delete(f"servers/{worker_id}"),))
+
+    def records(self, handler: logbook.TestHandler, message: str) -> list[dict[str, object]]:
+        """Returns the fields of the log records with a message."""
+        return [dict(record.extra) for record in handler.records if record.message == message]
+
+
+class TakeoverLogTest(TakeoverTestCase):
+    """What operators see of a takeover."""
+
+    def test_log_names_the_silent_workers_of_a_takeover_and_its_end(self) -> None:
+        async def main() -> None:
+            cluster = EdgeCluster(workers=4, duration_s=float("inf"))
+            await cluster.open(nodes=3)
+            await cluster.submit(JOB_ID, build_workflow(build_step(4, is_long_running=True)))
+            await asyncio.sleep(SETTLE_S)
+            handler = logbook.TestHandler()
+            with handler.applicationbound():
+                cluster.serving_node().kill()
+                await self.lose_worker(cluster, "w1")
+                await asyncio.sleep(ALL_EXPIRED_S)
+            (awaited,) = self.records(
+                handler, "workers of an earlier owner have not replied; restored tasks wait"
+            )
+            self.assertEqual(
+                (awaited["workers"], awaited["silent"], awaited["tasks"]), ("w1", 1, 1)
+            )
+            (settled,) = self.records(handler, "takeover is settled")
+            self.assertEqual((settled["by"], settled["silent"]), ("expiry", 1))
+
+        run_virtual(main())
+
+    def test_takeover_without_silent_workers_is_settled_by_their_reports(self) -> None:
+        async def main() -> None:
+            cluster = EdgeCluster(workers=4)
+            await cluster.open()
+            handler = logbook.TestHandler()
+            with handler.applicationbound():
+                cluster.serving_node().kill()
+                await asyncio.sleep(ALL_EXPIRED_S)
+            (settled,) = self.records(handler, "takeover is settled")
+            self.assertEqual(settled["by"], "reports")
+
+        run_virtual(main())
