Cap workers' leases so that a successor waits 5.9 s for silent workers

Cause: an owner gave full worker leases (5.5 s) in the 2 s for which it continues without the store, so that a successor had to add these 2 s to the wait for recorded workers that do not reply: 7.9 s.

Change: an order extends a worker's lease at most to the end of the owner's confirmed lease and 5.5 s more, and the 2 s drop out of the wait. In a handover leases are capped from the moment at which the deletion of the owner key is sent, as a deletion whose reply is lost may have taken effect. The bound's test was one of the rule that is gone (wait > grace + lease); its replacement computes the end of leases on slow clocks of owner and worker, for orders over the whole lease and grace, and compares it with the wait.

--- a/packages/pollengate/pollengate/workflow/leases.py
+++ b/packages/pollengate/pollengate/workflow/leases.py
@@ -1,5 +1,7 @@
 """The lease of all runs on a worker, by the worker's clock and by the owner's clock."""
 
+import math
+
 from pollengate.clock_drift import MAX_CLOCK_DRIFT_RATIO
 
 __all__ = ["WORKER_LEASE_S", "WorkerLease"]
@@ -16,10 +18,13 @@
     Args:
         length_s: how long each order extends the lease.
         previous_leases_expire_at: clock time by which all leases of earlier owners have expired.
+
+    Attributes:
+        length_s: the same.
     """
 
     def __init__(self, length_s: float, previous_leases_expire_at: float) -> None:
-        self._length_ms = int(length_s * 1000)
+        self.length_s = length_s
         self._previous_leases_expire_at = previous_leases_expire_at
         self._until_ms: int | None = None
         self._clock_ms: int | None = None
@@ -41,15 +46,20 @@
         self._replied_at = received_at
         return had_expired
 
-    def extend(self, now: float) -> int | None:
+    def extend(self, now: float, ends_by: float = math.inf) -> int | None:
         """Extends the lease for an order that is about to be sent.
 
+        Args:
+            now: clock time.
+            ends_by: clock time beyond which the order must not extend the lease.
+
         Returns:
             The new end of the lease by the worker's clock, None while that clock is unknown.
         """
         if self._clock_ms is None:
             return None
-        until_ms = self._clock_ms + int((now - self._replied_at) * 1000) + self._length_ms
+        ends_in_s = min(now + self.length_s, ends_by) - self._replied_at
+        until_ms = self._clock_ms + int(ends_in_s * 1000)
         self._until_ms = max(self._until_ms or 0, until_ms)
         return self._until_ms
 
--- a/packages/pollengate/pollengate/workflow/shard_lease.py
+++ b/packages/pollengate/pollengate/workflow/shard_lease.py
@@ -7,10 +7,12 @@
 # Long enough for a few slow renewals; also the time after which a dead owner is replaced.
 OWNER_LEASE_S = 2.5
 # An owner that cannot reach the store goes on for this long after its lease. This is safe because
-# workers reject the token of an earlier owner as soon as its successor has contacted them.
+# workers reject the token of an earlier owner as soon as its successor has contacted them, and its
+# orders extend no lease beyond `ShardLease.leases_end_by`.
 OUTAGE_GRACE_S = 2.0
-# Allowance for orders that are in transit when the shard lease expires.
-ORDER_MARGIN_S = 0.3
+# Allowance for the drift of clocks by 2 %, over the owner's lease and the age of a worker's newest
+# reply.
+DRIFT_MARGIN_S = 0.3
 
 
 class ShardLease:
@@ -23,6 +25,7 @@
     def __init__(self, token: int, requested_at: float) -> None:
         self.token = token
         self._requested_at = requested_at
+        self._released_at: float | None = None
         self._is_lost = False
 
     @property
@@ -34,6 +37,29 @@
         """Records a successful renewal that was requested at `requested_at`."""
         self._requested_at = max(self._requested_at, requested_at)
 
+    def begin_release(self, now: float) -> None:
+        """Records that the shard may have a successor from `now` on, by an order to the store."""
+        if self._released_at is None:
+            self._released_at = now
+
+    def withdraw_release(self) -> None:
+        """Records that no order to release the shard has had, or can have, an effect."""
+        self._released_at = None
+
+    def leases_end_by(self, worker_lease_s: float) -> float:
+        """Returns the clock time beyond which orders must not extend a worker's lease.
+
+        A successor waits for a worker's lease from its takeover, which is not possible before the
+        store's lease has expired or the owner has released the shard.
+
+        Args:
+            worker_lease_s: length of worker leases.
+        """
+        owned_until = self._requested_at + OWNER_LEASE_S
+        if self._released_at is not None:
+            owned_until = min(owned_until, self._released_at)
+        return owned_until + worker_lease_s
+
     def mark_lost(self) -> None:
         """Marks the lease as lost, since the store or a worker knows another owner or none."""
         self._is_lost = True
@@ -58,4 +84,4 @@
         taken_at: clock time at which the store gave ownership to the successor.
         worker_lease_s: length of worker leases.
     """
-    return taken_at + OUTAGE_GRACE_S + ORDER_MARGIN_S + worker_lease_s / (1 - MAX_CLOCK_DRIFT_RATIO)
+    return taken_at + DRIFT_MARGIN_S + worker_lease_s / (1 - MAX_CLOCK_DRIFT_RATIO)
--- a/packages/pollengated/pollengated/edge/shard_elector.py
+++ b/packages/pollengated/pollengated/edge/shard_elector.py
@@ -142,14 +142,19 @@
             return
         await term.prepare_handover(HANDOVER_TIMEOUT_S)
         condition = Unchanged(self._key, term.shard_lease.token)
-        # While the store does not reply, there can be no new owner. This process then renews the
-        # leases of the runs for as long as it lives.
+        # While the store has not replied, a release may or may not have taken effect. This process
+        # then keeps the workers' leases for as long as a successor waits for them.
+        may_have_effect = False
         while not term.shard_lease.is_lost:
+            term.shard_lease.begin_release(self._clocks.monotonic_s())
             released = await self._store.commit((condition,), (Delete(self._key),))
             if not isinstance(released, Err):
                 self._log.info("shard handed over", shard=self._shard)
                 term.shard_lease.mark_lost()
                 return
+            may_have_effect |= released.err_value.kind is FailureKind.UNKNOWN
+            if not may_have_effect:
+                term.shard_lease.withdraw_release()
             cause = released.err_value.detail
             self._log.warning(
                 "handover was not confirmed; trying again", shard=self._shard, cause=cause
--- a/packages/pollengated/pollengated/edge/worker_controller.py
+++ b/packages/pollengated/pollengated/edge/worker_controller.py
@@ -143,7 +143,7 @@
     async def start(self, run: Run) -> None:
         """Sends a start order and applies its outcome to the job table."""
         now = self._clocks.monotonic_s()
-        lease_until_ms = self.view.lease.extend(now)
+        lease_until_ms = self._extend_lease(now)
         if lease_until_ms is None or not self._shard_lease.is_valid(now):
             self._job_table.mark_rejected(run)
             self._on_event()
@@ -203,6 +203,11 @@
         is_shared = self.view.serving and self.view.fillers
         return SHARED_RENEW_WAIT_S if is_shared else RENEW_WAIT_S
 
+    def _extend_lease(self, now: float) -> int | None:
+        """Extends the worker's lease for an order, no further than a successor waits for."""
+        lease = self.view.lease
+        return lease.extend(now, self._shard_lease.leases_end_by(lease.length_s))
+
     async def _renew(self, wait_s: float) -> bool:
         """Sends a renewal and applies the report in its reply; returns False if it failed."""
         sent_at = self._clocks.monotonic_s()
@@ -213,7 +218,9 @@
         order = RenewOrder(
             token=self._token,
             acked_upto=self._acked_upto,
-            lease_until_ms=lease.longest_until_ms() if is_unconfirmed else lease.extend(sent_at),
+            lease_until_ms=(
+                lease.longest_until_ms() if is_unconfirmed else self._extend_lease(sent_at)
+            ),
             wait_ms=int(wait_s * 1000),
         )
         result = await self._send_renewal(order)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -4,8 +4,10 @@
 
 import logbook
 from pollengate.store import Delete
+from pollengate.workflow.keys import owner_key
 
 from tests.edge_cluster import EdgeCluster, EdgeTestCase
+from tests.faulty_store import Fault
 from tests.utils import run_virtual
 from tests.workflow_builders import build_step, build_workflow
 
@@ -13,6 +15,7 @@
 SETTLE_S = 2.0
 # Longer than the owner's lease and all leases that it has given.
 ALL_EXPIRED_S = 12.0
+HANDOVER_REPLIES_LOST_S = 3.0
 
 
 class TakeoverTestCase(EdgeTestCase):
@@ -67,3 +70,30 @@
             self.assertEqual(settled["by"], "reports")
 
         run_virtual(main())
+
+
+class ReleasedShardTest(TakeoverTestCase):
+    """Owners that release their shard, and whose store or network fails at that moment."""
+
+    def test_handover_whose_replies_are_lost_does_not_prolong_leases_for_a_second_run(self) -> None:
+        async def main() -> None:
+            cluster = EdgeCluster(workers=2, duration_s=float("inf"))
+            await cluster.open()
+            await cluster.submit(JOB_ID, build_workflow(build_step(2, is_long_running=True)))
+            await asyncio.sleep(SETTLE_S)
+            node = cluster.serving_node()
+            other = next(n for n in cluster.nodes_by_name.values() if n is not node)
+            other.workers.unreachable_worker_ids = {"w0"}
+            node.workers.unreachable_worker_ids = {"w1"}
+            await node.membership.announce_leaving()
+            node.store.choose_fault = lambda keys: (
+                Fault.REPLY_LOST if owner_key(0) in keys else None
+            )
+            heal = (setattr, node.store, "choose_fault", lambda keys: None)
+            asyncio.get_running_loop().call_later(HANDOVER_REPLIES_LOST_S, *heal)
+            await node.elector.hand_over()
+            await asyncio.sleep(ALL_EXPIRED_S)
+            self.check_no_overlap(cluster)
+            self.assertEqual(len(cluster.history), 3)  # the task on w0 runs again on w1
+
+        run_virtual(main())
--- a/tests/test_worker_lease.py
+++ b/tests/test_worker_lease.py
@@ -1,5 +1,6 @@
 """Tests of worker leases, which span two clocks, and of the shard lease."""
 
+import itertools
 import unittest
 
 from pollengate.clock_drift import MAX_CLOCK_DRIFT_RATIO
@@ -12,6 +13,8 @@
 )
 
 LENGTH_S = 4.0
+# Age of a worker's newest reply after which its owner gives it no order that extends the lease.
+MAX_REPLY_AGE_S = 4.0
 
 
 class WorkerLeaseTest(unittest.TestCase):
@@ -67,7 +70,31 @@
         shard_lease.record_renewal(12.0)
         self.assertFalse(shard_lease.is_valid(12.0))
 
-    def test_successor_allows_for_leases_given_in_the_grace_period(self) -> None:
-        # The last order of the grace period, on a worker with the slowest clock.
-        last_expiry = OUTAGE_GRACE_S + LENGTH_S / (1 - MAX_CLOCK_DRIFT_RATIO)
-        self.assertGreater(previous_lease_expiry(0.0, LENGTH_S), last_expiry)
+    def test_no_lease_outlasts_the_wait_of_a_successor_on_slow_clocks(self) -> None:
+        # Real time 0: the last renewal that succeeds is requested. Clocks read 100 times the ages.
+        rates = (1.0, 1 - MAX_CLOCK_DRIFT_RATIO)
+        replies_at = (-3.0, -0.1, 0.2, 1.0, 2.4, 3.5, 4.4)
+        orders_at = (0.0, 0.3, 2.4, 2.6, 4.0, 4.49)
+        for owner_rate, worker_rate in itertools.product(rates, rates):
+            for replied_at, ordered_at in itertools.product(replies_at, orders_at):
+                if not 0 <= ordered_at - replied_at <= MAX_REPLY_AGE_S:
+                    continue
+                with self.subTest(f"{owner_rate=} {worker_rate=} {replied_at=} {ordered_at=}"):
+                    shard_lease = ShardLease(5, 0.0)
+                    now = ordered_at * owner_rate
+                    self.assertTrue(shard_lease.is_valid(now))
+                    lease = WorkerLease(LENGTH_S, 0.0)
+                    lease.record_reply(100_000, replied_at * owner_rate)
+                    until_ms = lease.extend(now, shard_lease.leases_end_by(LENGTH_S))
+                    assert until_ms is not None
+                    lapses_at = replied_at + (until_ms - 100_000) / 1000 / worker_rate
+                    self.assertLess(lapses_at, previous_lease_expiry(OWNER_LEASE_S, LENGTH_S))
+
+    def test_orders_after_a_release_extend_no_lease_beyond_the_wait_of_a_successor(self) -> None:
+        shard_lease = ShardLease(5, 10.0)
+        shard_lease.begin_release(10.5)
+        shard_lease.begin_release(11.0)
+        shard_lease.record_renewal(12.0)  # the store's lease may outlast the owner key
+        self.assertEqual(shard_lease.leases_end_by(LENGTH_S), 10.5 + LENGTH_S)
+        shard_lease.withdraw_release()
+        self.assertEqual(shard_lease.leases_end_by(LENGTH_S), 12.0 + OWNER_LEASE_S + LENGTH_S)
