Keep failures of tasks that started before a quarantine from prolonging it

A worker that fails or stalls several tasks at once is withheld for minutes to an hour although it works again.

Cause: each failure on a quarantined worker doubled the time to its next probe, also that of a task that had started before.

Evidence: test_failures_of_tasks_that_started_before_a_quarantine_do_not_prolong_it failed before with 'AssertionError: False is not true'.

Change: only a failure from the time on at which a probe is due doubles the interval.

--- a/packages/pollengate/pollengate/failure_evidence.py
+++ b/packages/pollengate/pollengate/failure_evidence.py
@@ -103,6 +103,8 @@
         worker = self._worker_evidence(worker_id)
         _add_bounded(worker.failed_jobs, job_id)
         if worker.is_quarantined:
+            if self._clock() < worker.probe_at:
+                return  # the task started before the quarantine
             worker.probe_after_s = min(2.0 * worker.probe_after_s, MAX_PROBE_AFTER_S)
             self._quarantine(worker)
         elif self._count_jobs_failing_only_on(worker, worker_id) >= MIN_FAILED_JOBS:
--- a/tests/test_failure_evidence.py
+++ b/tests/test_failure_evidence.py
@@ -78,6 +78,13 @@
         self.failures.record_success("e.0", "e", "bad")
         self.assertFalse(self.failures.is_quarantined("bad"))
 
+    def test_failures_of_tasks_that_started_before_a_quarantine_do_not_prolong_it(self) -> None:
+        # Guards against a worker that gets no task for an hour after it failed twelve at once.
+        for index in range(12):
+            self.fail(f"j{index}", "bad")
+        self.clock.now = FIRST_PROBE_AFTER_S
+        self.assertTrue(self.failures.admits("bad", "d.0"))
+
     def test_failing_job_is_probed_by_one_task_at_a_time(self) -> None:
         for index in range(3):
             self.fail("a", f"w{index}", index)
