Bound the time between two probes of a quarantined worker of an owner to 8 s

A worker that fails all it starts for 20 s is withheld until 28 s after its quarantine began, one that does so for 30 s until 60 s, with its room free.

Cause: the time between probes doubles from 4 s to an hour, so that a worker is withheld for as long after its recovery as it was faulty.

Evidence: test_interval_between_probes_is_bounded; before, the bound could not be set (TypeError: unexpected keyword argument 'max_probe_after_s').

Change: an owner's evidence doubles the time once, to 8 s.

--- a/packages/pollengate/pollengate/failure_evidence.py
+++ b/packages/pollengate/pollengate/failure_evidence.py
@@ -60,13 +60,18 @@
     Args:
         clock: returns the time in seconds.
         first_probe_after_s: seconds until a quarantined worker or a failing job is first probed.
+        max_probe_after_s: longest time between two probes of a worker or a job, in seconds.
     """
 
     def __init__(
-        self, clock: Callable[[], float], first_probe_after_s: float = FIRST_PROBE_AFTER_S
+        self,
+        clock: Callable[[], float],
+        first_probe_after_s: float = FIRST_PROBE_AFTER_S,
+        max_probe_after_s: float = MAX_PROBE_AFTER_S,
     ) -> None:
         self._clock = clock
         self._first_probe_after_s = first_probe_after_s
+        self._max_probe_after_s = max_probe_after_s
         self._workers_by_task: BoundedDict[str, set[str]] = BoundedDict(MAX_TASKS)
         self._jobs_by_id: BoundedDict[str, _JobEvidence] = BoundedDict(MAX_JOBS)
         self._workers_by_id: BoundedDict[str, _WorkerEvidence] = BoundedDict(MAX_WORKERS)
@@ -105,7 +110,7 @@
         if worker.is_quarantined:
             if self._clock() < worker.probe_at:
                 return  # the task started before the quarantine
-            worker.probe_after_s = min(2.0 * worker.probe_after_s, MAX_PROBE_AFTER_S)
+            worker.probe_after_s = min(2.0 * worker.probe_after_s, self._max_probe_after_s)
             self._quarantine(worker)
         elif self._count_jobs_failing_only_on(worker, worker_id) >= MIN_FAILED_JOBS:
             self._quarantine(worker)
@@ -178,7 +183,7 @@
         if not self._fails_everywhere(job) or now < job.next_probe_at:
             return
         job.next_probe_at = now + job.next_probe_after_s
-        job.next_probe_after_s = min(2.0 * job.next_probe_after_s, MAX_PROBE_AFTER_S)
+        job.next_probe_after_s = min(2.0 * job.next_probe_after_s, self._max_probe_after_s)
 
     def _is_suspect(self, worker_id: str, job_id: str) -> bool:
         """Returns True if a worker is quarantined or several other jobs fail on it alone."""
--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -63,6 +63,8 @@
 TICK_INTERVAL_S = 0.1
 # Time until a worker on which all tasks fail is tried again; a task takes a second or two.
 FIRST_PROBE_AFTER_S = 4.0
+# A job may stand still while all workers with room are quarantined; its users accept 14 s.
+MAX_PROBE_AFTER_S = 8.0
 
 
 class ShardTerm:
@@ -243,7 +245,9 @@
             self._clocks,
         )
         self._interference.restore(records.interference, self._committer)
-        evidence = FailureEvidence(self._clocks.monotonic_s, FIRST_PROBE_AFTER_S)
+        evidence = FailureEvidence(
+            self._clocks.monotonic_s, FIRST_PROBE_AFTER_S, MAX_PROBE_AFTER_S
+        )
         committer = self._committer
         self.job_table = JobTable(self.fleet, evidence, term_number)
         self.job_table.durable_record_number = lambda: committer.durable_record_number
--- a/tests/test_failure_evidence.py
+++ b/tests/test_failure_evidence.py
@@ -85,6 +85,16 @@
         self.clock.now = FIRST_PROBE_AFTER_S
         self.assertTrue(self.failures.admits("bad", "d.0"))
 
+    def test_interval_between_probes_is_bounded(self) -> None:
+        # Guards against a worker that recovers and is withheld for as long as it was faulty.
+        self.failures = FailureEvidence(self.clock, first_probe_after_s=4.0, max_probe_after_s=8.0)
+        for job_id in ("a", "b", "c"):
+            self.fail(job_id, "bad")
+        for index in range(5):
+            self.clock.now += 8.0
+            self.assertTrue(self.failures.admits("bad", f"d.{index}"))
+            self.fail("d", "bad", index)
+
     def test_failing_job_is_probed_by_one_task_at_a_time(self) -> None:
         for index in range(3):
             self.fail("a", f"w{index}", index)
