--- a/packages/pollengate/pollengate/workflow/planner.py
+++ b/packages/pollengate/pollengate/workflow/planner.py
@@ -1,11 +1,14 @@
 """Assigns waiting tasks to workers."""
 
 import dataclasses
+import functools
 from collections.abc import Callable
 
+from pollengate.errors import InvariantViolation
 from pollengate.interference.filler_placement import FillerPlacement, may_withhold, must_start
 from pollengate.workflow.cleared_workers import ClearedWorkers
 from pollengate.workflow.crashes import may_try_alone
+from pollengate.workflow.decision_guard import Attempt, DecisionGuard, changing_books
 from pollengate.workflow.fleet import WorkerView
 from pollengate.workflow.job_table import JobTable
 from pollengate.workflow.model import Queue
@@ -19,6 +22,12 @@
 # Service, image and millicores of fillers, and whether one of them must start.
 _FillerKey = tuple[str, str, int, bool]
 
+# Kind of the decision where a step's tasks start.
+START_DECISION = "start"
+# If the steps of several jobs fail for this long and those of no other job succeed, the cause is
+# not in one job, and a new owner, which begins without this one's estimates, may do better.
+MAX_FAILING_S = 3.0
+
 
 @dataclasses.dataclass(slots=True)
 class _LargestFree:
@@ -60,6 +69,32 @@
         return self._idle_millis
 
 
+@dataclasses.dataclass(slots=True)
+class _Round:
+    """What one plan knows so far.
+
+    Attributes:
+        now: clock time.
+        runs: the runs that it has added.
+        largest_free_by_service: free resources of each service's workers.
+        candidates_by_filler: workers on which fillers may start. While a plan is made, runs are
+            only added, so that no further worker can get headroom.
+        cleared_by_service: workers that are kept clear.
+        has_succeeded: whether a step was planned without an error.
+        failed_job_ids: jobs of which a step was not.
+    """
+
+    now: float
+    runs: list[Run] = dataclasses.field(default_factory=list)
+    largest_free_by_service: dict[str, _LargestFree] = dataclasses.field(default_factory=dict)
+    candidates_by_filler: dict[_FillerKey, list[WorkerView]] = dataclasses.field(
+        default_factory=dict
+    )
+    cleared_by_service: dict[str, ClearedWorkers] = dataclasses.field(default_factory=dict)
+    has_succeeded: bool = False
+    failed_job_ids: set[str] = dataclasses.field(default_factory=set)
+
+
 class Planner:
     """Assigns waiting tasks to workers in order of rank.
 
@@ -70,6 +105,8 @@
             before that, only jobs that were accepted since the takeover are started.
         order: decides which steps get workers first.
         start_filter: holds back tasks that may not start although a worker has room.
+        guard: contains the error of a step's decision, so that the other steps are planned; by
+            default, no error is contained.
 
     Attributes:
         job_table: the same.
@@ -86,15 +123,24 @@
         is_settled: Callable[[], bool],
         order: StepOrder | None = None,
         start_filter: StartFilter | None = None,
+        guard: DecisionGuard | None = None,
     ) -> None:
         self.job_table = job_table
         self.placer = placer
         self.is_settled = is_settled
         self.order = order or DeadlineOrder()
         self.start_filter = start_filter or NoStartFilter()
+        self._guard = guard or DecisionGuard()
+        # Jobs whose steps failed since a step was last planned without an error.
+        self._failed_job_ids: set[str] = set()
+        self._failing_since = self._failed_at = float("-inf")
 
     def plan(self, now: float) -> list[Run]:
-        """Adds and returns runs for the waiting tasks that fit on a worker, in order of rank."""
+        """Adds and returns runs for the waiting tasks that fit on a worker, in order of rank.
+
+        Raises:
+            InvariantViolation: the job table could not be changed, or no step can be planned.
+        """
         job_table = self.job_table
         settled = self.is_settled()
         steps = [
@@ -104,37 +150,57 @@
             if step.job.idle_since is None and not step.job.run_count:
                 step.job.idle_since = now
         self.start_filter.begin_round()
-        largest_free_by_service: dict[str, _LargestFree] = {}
-        # While a plan is made, runs are only added, so that no further worker can get headroom.
-        candidates_by_filler: dict[_FillerKey, list[WorkerView]] = {}
-        cleared_by_service: dict[str, ClearedWorkers] = {}
-        planned: list[Run] = []
+        plan = _Round(now)
         for step in self.order.arrange(steps, job_table.queue_of, now):
             queue = job_table.queue_of(step)
             if queue is None:
                 continue
-            largest_free = largest_free_by_service.get(queue.service)
-            if largest_free is None:
-                largest_free = _LargestFree.of(
-                    job_table.fleet.schedulable_workers(queue.service, now), self.placer.fillers
-                )
-            if largest_free.can_place(step, now):
-                placed = self._place_step(
-                    step, queue, largest_free.workers, candidates_by_filler, now
-                )
-                planned += placed
-                if placed:
-                    largest_free = _LargestFree.of(largest_free.workers, self.placer.fillers)
-            cleared = cleared_by_service.setdefault(queue.service, ClearedWorkers())
-            if self._clear_workers(cleared, step, queue, largest_free.workers, now):
-                # A worker that is kept clear is no candidate for the steps that follow.
-                largest_free = _LargestFree.of(
-                    [view for view in largest_free.workers if view not in cleared],
-                    self.placer.fillers,
-                )
-                candidates_by_filler.clear()
-            largest_free_by_service[queue.service] = largest_free
-        return planned
+            attempt = self._guard.attempt(
+                START_DECISION, step, now, functools.partial(self._plan_step, step, queue, plan)
+            )
+            if attempt is Attempt.FAILED:
+                # It may have added runs before.
+                plan.largest_free_by_service.pop(queue.service, None)
+                plan.candidates_by_filler.clear()
+                plan.failed_job_ids.add(step.job.job_id)
+            elif attempt is Attempt.DONE:
+                plan.has_succeeded = True
+        self._check_failures(plan)
+        return plan.runs
+
+    def _plan_step(self, step: StepProgress, queue: Queue, plan: _Round) -> None:
+        """Starts the tasks of a step that fit, and keeps workers clear for the others."""
+        now, fillers = plan.now, self.placer.fillers
+        largest_free = plan.largest_free_by_service.get(queue.service)
+        cleared = plan.cleared_by_service.setdefault(queue.service, ClearedWorkers())
+        if largest_free is None:
+            workers = self.job_table.fleet.schedulable_workers(queue.service, now)
+            largest_free = _LargestFree.of([v for v in workers if v not in cleared], fillers)
+        if largest_free.can_place(step, now):
+            added_before = len(plan.runs)
+            self._place_step(step, queue, largest_free.workers, plan)
+            if len(plan.runs) > added_before:
+                largest_free = _LargestFree.of(largest_free.workers, fillers)
+        if self._clear_workers(cleared, step, queue, largest_free.workers, now):
+            # A worker that is kept clear is no candidate for the steps that follow.
+            largest_free = _LargestFree.of(
+                [view for view in largest_free.workers if view not in cleared], fillers
+            )
+            plan.candidates_by_filler.clear()
+        plan.largest_free_by_service[queue.service] = largest_free
+
+    def _check_failures(self, plan: _Round) -> None:
+        if plan.has_succeeded or plan.now - self._failed_at > MAX_FAILING_S:
+            self._failed_job_ids.clear()
+        if plan.has_succeeded or not plan.failed_job_ids:
+            return
+        if not self._failed_job_ids:
+            self._failing_since = plan.now
+        self._failed_at = plan.now
+        self._failed_job_ids |= plan.failed_job_ids
+        failing_s = plan.now - self._failing_since
+        if len(self._failed_job_ids) > 1 and failing_s >= MAX_FAILING_S:
+            raise InvariantViolation(f"no step could be planned for {failing_s:.1f} s")
 
     def ends_sooner_elsewhere(self, run: Run, now: float) -> bool:
         """Returns True if a slow filler is worth moving to another worker."""
@@ -172,22 +238,22 @@
         step: StepProgress,
         queue: Queue,
         workers: list[WorkerView],
-        candidates_by_filler: dict[_FillerKey, list[WorkerView]],
-        now: float,
-    ) -> list[Run]:
+        plan: _Round,
+    ) -> None:
+        now = plan.now
         if step.spec.is_gang:
-            return self._place_gang(step, queue, workers, now)
-        runs = []
+            plan.runs += self._place_gang(step, queue, workers, now)
+            return
         scores = StepScores()
         is_urgent = must_start(step, now)
         candidates: list[WorkerView] | None = None
         if is_urgent or may_withhold(step, now):
             key = (queue.service, step.spec.image, step.spec.demand.cpu_millis, is_urgent)
-            candidates = candidates_by_filler.get(key)
+            candidates = plan.candidates_by_filler.get(key)
             if candidates is None:
                 self.placer.fillers.refresh(workers, now)
                 candidates = self.placer.filler_workers(step, workers, now)
-                candidates_by_filler[key] = candidates
+                plan.candidates_by_filler[key] = candidates
         for task in list(step.waiting):
             if not (self.order.may_take(step) and self.start_filter.startable(step)):
                 break
@@ -200,13 +266,13 @@
                 continue  # its siblings may run where it may not
             if view is None:
                 break
-            runs.append(self._add_run(task, view, self.job_table.next_run_number(task), now))
+            number = self.job_table.next_run_number(task)
+            plan.runs.append(self._add_run(task, view, number, now))
             scores.forget(view)
             if step.spec.is_filler:
                 self.placer.fillers.refresh((view,), now)
             if is_urgent:
                 break  # its siblings wait for headroom
-        return runs
 
     def _place_gang(
         self, step: StepProgress, queue: Queue, workers: list[WorkerView], now: float
@@ -222,21 +288,29 @@
             return []
         number = max(self.job_table.next_run_number(task) for task in step.tasks)
         runs: list[Run] = []
-        for task in list(step.waiting):
-            view = self.placer.choose(task, workers, now, queue.advice is not None)
-            if view is None:
-                for run in runs:
-                    self.job_table.mark_rejected(run)
-                return []
-            runs.append(self._add_run(task, view, number, now))
+        is_complete = False
+        try:
+            for task in list(step.waiting):
+                view = self.placer.choose(task, workers, now, queue.advice is not None)
+                if view is None:
+                    return []
+                runs.append(self._add_run(task, view, number, now))
+            is_complete = True
+        finally:
+            if not is_complete:
+                with changing_books():
+                    for run in runs:
+                        self.job_table.mark_rejected(run)
         return runs
 
     def _add_run(self, task: TaskProgress, view: WorkerView, number: int, now: float) -> Run:
-        self.job_table.evidence.record_placement(task.name, task.step.job.job_id, view.worker_id)
-        run = self.job_table.add_run(task, view, number, now)
-        if may_try_alone(task, self.job_table.fleet.workers_by_id.values()):
-            view.trial = run
-        return run
+        with changing_books():
+            job_id = task.step.job.job_id
+            self.job_table.evidence.record_placement(task.name, job_id, view.worker_id)
+            run = self.job_table.add_run(task, view, number, now)
+            if may_try_alone(task, self.job_table.fleet.workers_by_id.values()):
+                view.trial = run
+            return run
 
 
 def _is_new(step: StepProgress) -> bool:
--- a/packages/pollengated/pollengated/edge/edge_metrics.py
+++ b/packages/pollengated/pollengated/edge/edge_metrics.py
@@ -96,6 +96,17 @@
             ["loop"],
             registry=registry,
         )
+        self.failed_decisions = Counter(
+            "pollengate_edge_failed_decisions",
+            "Decisions that failed by an internal error and were left out, by decision.",
+            ["decision"],
+            registry=registry,
+        )
+        self.failed_terms = Counter(
+            "pollengate_edge_failed_terms",
+            "Ownership terms that ended by an internal error.",
+            registry=registry,
+        )
         self.invalid_entries = Counter(
             "pollengate_edge_invalid_entries",
             "Entries of the store that could not be decoded and are ignored, by prefix.",
--- a/packages/pollengated/pollengated/edge/run_mover.py
+++ b/packages/pollengated/pollengated/edge/run_mover.py
@@ -1,12 +1,18 @@
 """Stops runs that should run on another worker, and requests copies of slow ones."""
 
+import functools
+from collections.abc import Callable
+
+from pollengate.interference.latency_model import LatencyModel
 from pollengate.interference.rebalancing import Rebalancer
+from pollengate.workflow.decision_guard import DecisionGuard
 from pollengate.workflow.draining import runs_to_move
-from pollengate.workflow.fleet import Fleet, WorkerView
+from pollengate.workflow.fleet import WorkerView
 from pollengate.workflow.job_table import JobTable
 from pollengate.workflow.large_tasks import LargeTaskReserve
 from pollengate.workflow.progress import Run
 from pollengate.workflow.restart_room import RestartRoom
+from pollengate.workflow.start_filter import StartFilter
 from pollengate.workflow.stragglers import Remedy, Straggler, find_stragglers
 
 from pollengated.logs import Log
@@ -21,37 +27,40 @@
     """Moves runs of one shard off draining workers, away from stragglers, and to make room.
 
     Args:
-        fleet: workers of the shard.
-        job_table: jobs of the shard.
-        rebalancer: chooses serving tasks to move.
-        reserve: chooses the workers that are kept free for large tasks.
-        restart_room: chooses the long-running tasks that move for one that has to run again.
+        job_table: the shard's jobs, runs and workers.
+        latency_model: what fillers take of the headroom of serving images.
+        start_filter: holds back tasks for which no room is made.
+        guard: contains the errors of each kind of move.
     """
 
     def __init__(
         self,
-        fleet: Fleet,
         job_table: JobTable,
-        rebalancer: Rebalancer,
-        reserve: LargeTaskReserve,
-        restart_room: RestartRoom,
+        latency_model: LatencyModel,
+        start_filter: StartFilter,
+        guard: DecisionGuard,
     ) -> None:
-        self._fleet = fleet
+        self._fleet = job_table.fleet
         self._job_table = job_table
-        self._rebalancer = rebalancer
-        self._reserve = reserve
-        self._restart_room = restart_room
+        self._rebalancer = Rebalancer(job_table.fleet, latency_model)
+        self._reserve = LargeTaskReserve(job_table, start_filter)
+        self._restart_room = RestartRoom(job_table, start_filter)
+        self._guard = guard
         self._log = Log("owner")
 
     def update(self, now: float) -> None:
         """Requests the stops and copies that are due."""
-        self._move_off_draining_workers()
-        self._remedy_stragglers(now)
-        self._rebalance(now)
-        self._make_room_for_large_tasks(now)
-        self._make_room_for_restarts(now)
-
-    def _move_off_draining_workers(self) -> None:
+        moves: dict[str, Callable[[float], None]] = {
+            "drain_workers": self._move_off_draining_workers,
+            "remedy_stragglers": self._remedy_stragglers,
+            "rebalance": self._rebalance,
+            "make_room_for_large_tasks": self._make_room_for_large_tasks,
+            "make_room_for_restarts": self._make_room_for_restarts,
+        }
+        for kind, move in moves.items():
+            self._guard.attempt(kind, "", now, functools.partial(move, now))
+
+    def _move_off_draining_workers(self, now: float) -> None:
         for view in self._fleet.workers_by_id.values():
             for run in runs_to_move(view):
                 self._log.info("stopping a run on a draining worker", **_fields(run))
--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -6,18 +6,16 @@
 
 from pollengate.explain.explainer import JobExplainer
 from pollengate.failure_evidence import FailureEvidence
-from pollengate.interference.rebalancing import Rebalancer
 from pollengate.interference.speeds import SpeedController
 from pollengate.store import PolledStore
 from pollengate.workflow.clients import AdviceClient, WorkerClient
+from pollengate.workflow.decision_guard import DecisionGuard
 from pollengate.workflow.fleet import Fleet, WorkerView
 from pollengate.workflow.job_table import JobTable
-from pollengate.workflow.large_tasks import LargeTaskReserve
 from pollengate.workflow.leases import WORKER_LEASE_S
 from pollengate.workflow.placement import Placer
 from pollengate.workflow.planner import Planner
 from pollengate.workflow.policy import SchedulingPolicy
-from pollengate.workflow.restart_room import RestartRoom
 from pollengate.workflow.settings import NodeSettings
 from pollengate.workflow.shard_lease import ShardLease, previous_lease_expiry
 from pollengate.workflow.shard_room import ShardRoom
@@ -28,6 +26,7 @@
 from pollengated.edge.advice_requester import AdviceRequester
 from pollengated.edge.clocks import Clocks
 from pollengated.edge.committer import Committer, ProgressRecord, decode_commit_number
+from pollengated.edge.decision_failures import DecisionFailures
 from pollengated.edge.edge_metrics import EdgeMetrics
 from pollengated.edge.interference_learning import InterferenceLearning
 from pollengated.edge.job_end_log import JobEndLog
@@ -38,6 +37,7 @@
 from pollengated.edge.layout import Layout
 from pollengated.edge.operator_view import OperatorView
 from pollengated.edge.other_shards import NoOtherShards, OtherShards
+from pollengated.edge.periodic_decisions import PeriodicDecisions
 from pollengated.edge.placement_acceptor import PlacementAcceptor
 from pollengated.edge.placement_context import PlacementContext
 from pollengated.edge.recorded_workers import RecordedWorkers, decode_recorded_workers
@@ -140,6 +140,7 @@
         self._latency_model = self._interference.latency_model
         self._speed_controller = SpeedController(self._latency_model)
         self._tickets = TicketCache()
+        self._guard = DecisionGuard(DecisionFailures(shard, metrics).record)
         self._wake = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
         self._is_handing_over = False
@@ -152,8 +153,7 @@
         self._recorded_workers: RecordedWorkers
         self._load_log: ShardLoadLog
         self._job_end_log: JobEndLog
-        self._run_mover: RunMover
-        self._transfers: WorkerTransfers
+        self._decisions: PeriodicDecisions
         self.request_handler: JobRequestHandler
         self.explainer: JobExplainer
 
@@ -258,6 +258,7 @@
             is_settled,
             self._start_policy.order,
             self._start_policy.start_filter,
+            self._guard,
         )
         self.explainer = JobExplainer(self._planner)
         self.room = ShardRoom(self.job_table, is_settled)
@@ -265,7 +266,7 @@
         self._retention = JobRetention(
             self.shard, shards, self.job_table, self._committer, status_s
         )
-        self._transfers = WorkerTransfers(
+        transfers = WorkerTransfers(
             self.shard,
             self._assignments,
             self.job_table,
@@ -276,16 +277,18 @@
             self._detach_worker,
             self._start_policy.start_filter,
         )
-        rebalancer = Rebalancer(self.fleet, self._latency_model)
-        reserve = LargeTaskReserve(self.job_table, self._start_policy.start_filter)
-        restart_room = RestartRoom(self.job_table, self._start_policy.start_filter)
-        self._run_mover = RunMover(self.fleet, self.job_table, rebalancer, reserve, restart_room)
+        start_filter = self._start_policy.start_filter
+        run_mover = RunMover(self.job_table, self._latency_model, start_filter, self._guard)
         self._load_log = ShardLoadLog(
-            self.shard,
-            self.job_table,
-            self._are_previous_runs_known,
-            self._start_policy.start_filter,
-            self._metrics,
+            self.shard, self.job_table, is_settled, start_filter, self._metrics
+        )
+        self._decisions = PeriodicDecisions(
+            self._guard,
+            run_mover,
+            transfers,
+            self._interference,
+            self._start_policy,
+            self._load_log,
         )
         recorded = records.recorded_workers
         addresses_by_id = decode_recorded_workers(recorded.value) if recorded else {}
@@ -391,6 +394,7 @@
             self._speed_controller,
             self._tickets,
             self._planner,
+            self._guard,
             self._clocks,
             self._metrics,
             self._request_planning,
@@ -468,16 +472,12 @@
     async def _tick(self) -> None:
         while not self.shard_lease.is_lost:
             await asyncio.sleep(TICK_INTERVAL_S)
-            self.job_table.open_due_occurrences(self._clocks.monotonic_s(), self._clocks.unix_ms())
-            self._run_mover.update(self._clocks.monotonic_s())
-            if not self._is_handing_over:
-                self._transfers.update()
-            self._interference.update(self._clocks.monotonic_s())
+            now = self._clocks.monotonic_s()
+            self.job_table.open_due_occurrences(now, self._clocks.unix_ms())
+            self._decisions.update(now, self._is_handing_over)
             self._forget(self.fleet.forget_departed(self._clocks.monotonic_s()))
             self._retention.update(self._clocks.monotonic_s())
             self.request_handler.placer.update(self._clocks.monotonic_s())
-            self._start_policy.update(self._clocks.monotonic_s())
-            self._load_log.update(self._clocks.monotonic_s())
             self._request_planning()
         self._wake.set()
 
@@ -491,6 +491,8 @@
         self._tasks.discard(task)
         if not task.cancelled() and (error := task.exception()) is not None:
             self._log.error("internal task failed; ending ownership", error, shard=self.shard)
+            if not self.has_stalled:
+                self._metrics.failed_terms.inc()
             self.has_stalled = True
             self.shard_lease.mark_lost()
             self._wake.set()
--- a/packages/pollengated/pollengated/edge/worker_controller.py
+++ b/packages/pollengated/pollengated/edge/worker_controller.py
@@ -17,6 +17,7 @@
     WorkerClient,
 )
 from pollengate.workflow.crashes import WorkerCrash
+from pollengate.workflow.decision_guard import DecisionGuard
 from pollengate.workflow.fleet import WorkerView
 from pollengate.workflow.job_table import JobTable
 from pollengate.workflow.planner import Planner
@@ -72,6 +73,7 @@
         speed_controller: decides the speed of fillers.
         tickets: tickets for steps of queues that use the advice service.
         planner: finds other workers for a filler.
+        guard: contains the errors of what is learned and decided from a report.
         clocks: the process's clocks.
         metrics: counts orders.
         on_event: called after each change of the job table or the worker's state.
@@ -88,6 +90,7 @@
         speed_controller: SpeedController,
         tickets: TicketCache,
         planner: Planner,
+        guard: DecisionGuard,
         clocks: Clocks,
         metrics: EdgeMetrics,
         on_event: Callable[[], None],
@@ -101,6 +104,7 @@
         self._speed_controller = speed_controller
         self._tickets = tickets
         self._planner = planner
+        self._guard = guard
         self._clocks = clocks
         self._metrics = metrics
         self._on_event = on_event
@@ -250,7 +254,12 @@
         if self._is_failing:
             self._is_failing = False
             self._log.info("worker replies again", worker=self.view.worker_id)
-        self._latency_model.observe(self.view, now)
+        self._guard.attempt(
+            "learn_latencies",
+            self.view.worker_id,
+            now,
+            lambda: self._latency_model.observe(self.view, now),
+        )
         self._adjust_speeds(now)
         self._on_event()
         self._report_record_number = self._committer.last_record_number
@@ -292,6 +301,11 @@
             )
 
     def _adjust_speeds(self, now: float) -> None:
+        worker_id = self.view.worker_id
+        self._guard.attempt("adjust_speeds", worker_id, now, lambda: self._change_speeds(now))
+        self._guard.attempt("move_slow_fillers", worker_id, now, lambda: self._move_slow(now))
+
+    def _change_speeds(self, now: float) -> None:
         changes = self._speed_controller.adjust(self.view, now)
         if changes:
             self._log.info(
@@ -307,6 +321,9 @@
             )
         for change in changes:
             asyncio.get_running_loop().create_task(self.throttle(change))
+
+    def _move_slow(self, now: float) -> None:
+        """Stops slow fillers that would end sooner on another worker."""
         for run in self._speed_controller.runs_to_relocate(self.view, now):
             if not self._planner.ends_sooner_elsewhere(run, now):
                 continue
--- a/tests/edge_cluster.py
+++ b/tests/edge_cluster.py
@@ -110,6 +110,7 @@
     electors: list[ShardElector]
     tasks: list[asyncio.Task[None]]
     membership: Membership
+    metrics: EdgeMetrics
 
     @property
     def elector(self) -> ShardElector:
@@ -274,7 +275,7 @@
             *(elector.run() for elector in electors),
         ]
         tasks = [asyncio.create_task(loop) for loop in loops]
-        node = EdgeNode(name, store, workers, electors, tasks, membership)
+        node = EdgeNode(name, store, workers, electors, tasks, membership, metrics)
         self.nodes_by_name[name] = node
         return node
 
--- a/tests/test_edge_decision_failure.py
+++ b/tests/test_edge_decision_failure.py
@@ -1,12 +1,22 @@
 """Tests that a decision that cannot be made does not end an ownership term, on virtual time."""
 
 import asyncio
+from typing import Any
+from unittest import mock
 
+from pollengate.interference.latency_model import LatencyModel
+from pollengate.interference.rebalancing import Rebalancer
+from pollengate.interference.speeds import SpeedController
+from pollengate.workflow.job_table import JobTable
 from pollengate.workflow.model import Demand
+from pollengate.workflow.placement import Placer
+from pollengate.workflow.progress import JobState
+from pollengated.edge.start_policy import StartPolicy
+from pollengated.edge.worker_transfers import WorkerTransfers
 
 from tests.edge_cluster import EdgeCluster, EdgeTestCase
 from tests.utils import run_virtual
-from tests.workflow_builders import build_step, build_workflow
+from tests.workflow_builders import build_step, build_workflow, fail_for
 
 SERVING_ID = "00000000000000aa"
 FILLER_ID = "00000000000000bb"
@@ -99,3 +109,82 @@
             await self.check_after_pause(cluster, term)
 
         run_virtual(main())
+
+
+class FailedDecisionTest(EdgeTestCase):
+    """An internal error in one decision; the owner goes on with all others."""
+
+    def failures(self, cluster: EdgeCluster) -> dict[str, float]:
+        """Returns the number of failed decisions of all processes, by kind."""
+        found: dict[str, float] = {}
+        for node in cluster.nodes_by_name.values():
+            for metric in node.metrics.failed_decisions.collect():
+                for sample in metric.samples:
+                    kind = sample.labels["decision"]
+                    found[kind] = found.get(kind, 0.0) + sample.value
+        return found
+
+    def failed_terms(self, cluster: EdgeCluster) -> float:
+        """Returns the number of terms of all processes that ended by an error."""
+        return sum(
+            sample.value
+            for node in cluster.nodes_by_name.values()
+            for metric in node.metrics.failed_terms.collect()
+            for sample in metric.samples
+        )
+
+    def test_error_in_the_placement_of_one_job_does_not_keep_others_from_starting(self) -> None:
+        async def main() -> None:
+            cluster = EdgeCluster()
+            await cluster.open()
+            term = await cluster.wait_for_term()
+            with mock.patch.object(Placer, "choose", fail_for(SERVING_ID, Placer.choose)):
+                await cluster.submit(SERVING_ID, build_workflow())
+                for number in range(10):
+                    job_id = f"{number:016x}"
+                    await cluster.submit(job_id, build_workflow())
+                    await cluster.wait_for_state(job_id, JobState.COMPLETED, MAX_IDLE_S)
+                self.assertGreater(self.failures(cluster)["start"], 1)
+            await cluster.wait_for_state(SERVING_ID, JobState.COMPLETED, MAX_IDLE_S)
+            self.assertIs(cluster.term(), term)
+            self.assertEqual(self.failed_terms(cluster), 0)
+
+        run_virtual(main())
+
+    def test_errors_in_what_follows_a_report_or_time_do_not_end_the_term(self) -> None:
+        decisions: dict[str, tuple[type[Any], str]] = {
+            "learn_latencies": (LatencyModel, "observe"),
+            "adjust_speeds": (SpeedController, "adjust"),
+            "move_slow_fillers": (SpeedController, "runs_to_relocate"),
+            "rebalance": (Rebalancer, "choose"),
+            "transfer_workers": (WorkerTransfers, "update"),
+            "update_start_policy": (StartPolicy, "update"),
+        }
+        for kind, (owner, method) in decisions.items():
+            with self.subTest(kind):
+
+                async def main(kind: str = kind, owner: Any = owner, method: str = method) -> None:
+                    cluster = EdgeCluster()
+                    await cluster.open()
+                    term = await cluster.wait_for_term()
+                    with mock.patch.object(owner, method, side_effect=ArithmeticError):
+                        await cluster.submit(FILLER_ID, build_workflow(build_step(20)))
+                        await cluster.wait_for_state(FILLER_ID, JobState.COMPLETED)
+                        self.assertGreater(self.failures(cluster)[kind], 0)
+                    self.assertIs(cluster.term(), term)
+
+                run_virtual(main())
+
+    def test_error_in_a_change_of_the_job_table_ends_the_term(self) -> None:
+        async def main() -> None:
+            cluster = EdgeCluster()
+            await cluster.open()
+            term = await cluster.wait_for_term()
+            with mock.patch.object(JobTable, "add_run", side_effect=ArithmeticError):
+                await cluster.submit(FILLER_ID, build_workflow())
+                await asyncio.sleep(0.1)
+                self.assertFalse(term.is_serving)
+                self.assertEqual(self.failed_terms(cluster), 1)
+            await cluster.wait_for_state(FILLER_ID, JobState.COMPLETED)
+
+        run_virtual(main())
--- a/tests/workflow_builders.py
+++ b/tests/workflow_builders.py
@@ -1,10 +1,13 @@
 """Builders of workflows, workers and job tables for tests."""
 
+import itertools
+from collections.abc import Callable
 from typing import Any
 
 from pollengate.accounts.job_access import Requester
 from pollengate.failure_evidence import FailureEvidence
 from pollengate.interference.latency_model import LatencyModel
+from pollengate.workflow.decision_guard import DecisionGuard
 from pollengate.workflow.fleet import Fleet
 from pollengate.workflow.job_table import JobTable
 from pollengate.workflow.model import (
@@ -19,7 +22,7 @@
 from pollengate.workflow.ordering import StepOrder
 from pollengate.workflow.placement import Placer
 from pollengate.workflow.planner import Planner
-from pollengate.workflow.progress import JobProgress, Run
+from pollengate.workflow.progress import JobProgress, Run, TaskProgress
 from pollengate.workflow.tickets import TicketCache
 
 __all__ = [
@@ -30,6 +33,7 @@
     "build_lease_worker",
     "build_planner",
     "build_workflow",
+    "fail_for",
     "start_all",
     "build_step",
 ]
@@ -94,10 +98,11 @@
     settled: bool = True,
     tickets: TicketCache | None = None,
     order: StepOrder | None = None,
+    guard: DecisionGuard | None = None,
 ) -> Planner:
     """Returns a planner for a job table."""
     placer = Placer(job_table.evidence, latency_model or LatencyModel(), tickets or TicketCache())
-    return Planner(job_table, placer, lambda: settled, order)
+    return Planner(job_table, placer, lambda: settled, order, guard=guard)
 
 
 def start_all(job_table: JobTable, now: float = 0.0) -> list[Run]:
@@ -106,3 +111,21 @@
     for run in runs:
         job_table.mark_started(run, now)
     return runs
+
+
+def fail_for(job_id: str, choose: Callable[..., Any], after: int = 0) -> Callable[..., Any]:
+    """Returns a stand-in of `Placer.choose` that raises for the tasks of a job.
+
+    Args:
+        job_id: the job.
+        choose: the real method.
+        after: number of calls for the job that succeed before.
+    """
+    calls = itertools.count()
+
+    def choose_or_fail(placer: Placer, task: TaskProgress, *args: Any, **kwargs: Any) -> Any:
+        if task.step.job.job_id == job_id and next(calls) >= after:
+            raise ArithmeticError(task.name)
+        return choose(placer, task, *args, **kwargs)
+
+    return choose_or_fail
