--- a/packages/pollengate/pollengate/workflow/worker_room.py
+++ b/packages/pollengate/pollengate/workflow/worker_room.py
@@ -69,7 +69,8 @@
             (demand.memory_mb, self.free_mb),
             (demand.accelerators, self.free_accelerators),
         )
-        return max(1 - free / wanted if wanted > free else 0.0 for wanted, free in wanted_and_free)
+        # A worker may run more than it has by now, and a task may need none of a resource.
+        return max(max(0, wanted - free) / max(1, wanted) for wanted, free in wanted_and_free)
 
     def plan(self, step: StepProgress) -> None:
         """Plans a task of a step for the worker."""
--- a/tests/test_workflow_cleared_workers.py
+++ b/tests/test_workflow_cleared_workers.py
@@ -1,5 +1,6 @@
 """Tests of the workers that are kept clear for long-running tasks that run again."""
 
+import dataclasses
 import unittest
 
 from pollengate.workflow.cleared_workers import ClearedWorkers
@@ -7,6 +8,7 @@
 from pollengate.workflow.job_table import JobTable
 from pollengate.workflow.model import Demand, Deployment, Queue, Step
 from pollengate.workflow.progress import JobProgress, Run, StepProgress
+from pollengate.workflow.worker_room import WorkerRoom
 
 from tests.workflow_builders import (
     build_job,
@@ -52,6 +54,20 @@
         filler = build_step(is_filler=True, demand=Demand(1000, 950))
         self.assertEqual(["w1"], self.cleared(2, filler, build_step(demand=Demand(2000, 100))))
 
+    def test_overcommitted_resource_that_a_task_does_not_need_raises_no_error(self) -> None:
+        job_table = build_job_table(build_lease_worker("w0"), build_lease_worker("w1"))
+        job_table.add(build_job("00000000000000aa", LASTING), 0.0, 0)
+        job_table.add(build_job("00000000000000bb", build_step(2, demand=WHOLE_WORKER)), 0.0, 0)
+        start_all(job_table)
+        for view in job_table.fleet.workers_by_id.values():
+            capacity = dataclasses.replace(view.info.capacity, memory_mb=50)
+            view.info = dataclasses.replace(view.info, capacity=capacity)
+            step = build_step(is_long_running=True, demand=Demand(1000, 0))
+            job = build_job("00000000000000cc", step)
+            job_table.add(job, 0.0, 0)
+            waiting = job.occurrences_by_number[0].steps[0]
+            self.assertGreater(WorkerRoom.of(view).shortfall(waiting), 0.0)
+
     def test_worker_full_of_long_running_tasks_is_not_kept_clear(self) -> None:
         lasting = build_step(is_long_running=True, demand=Demand(2000, 100))
         self.assertEqual([], self.cleared(1, lasting))
