--- a/packages/pollengate/pollengate/workflow/job_table.py
+++ b/packages/pollengate/pollengate/workflow/job_table.py
@@ -28,6 +28,8 @@
 # Each owner starts its run numbers this much higher than the owner before, so that they are above
 # numbers that earlier owners may have used without recording them.
 RUNS_PER_TERM = 64
+# Digits of a number in a task's name; the conversion of thousands of digits raises.
+MAX_DIGITS = 9
 
 
 @dataclasses.dataclass(slots=True)
@@ -115,7 +117,9 @@
         """Returns the task with a name, None if it is unknown or its occurrence is not due."""
         job_id, *numbers = name.split(".")
         job = self.jobs_by_id.get(job_id)
-        if job is None or len(numbers) != 3 or not all(part.isdecimal() for part in numbers):
+        if job is None or len(numbers) != 3:
+            return None
+        if not all(part.isdecimal() and len(part) <= MAX_DIGITS for part in numbers):
             return None
         return job.find_task(*(int(part) for part in numbers))
 
--- a/tests/test_workflow_job_table.py
+++ b/tests/test_workflow_job_table.py
@@ -40,6 +40,12 @@
         job_table.mark_ended(last, EndKind.DONE, "", 2.0, 0)
         self.assertIs(job.state, JobState.COMPLETED)
 
+    def test_name_of_thousands_of_digits_is_no_task(self) -> None:
+        job_table = build_job_table(build_lease_worker())
+        job_table.add(build_job("aa"), 0.0, 0)
+        self.assertIsNotNone(job_table.find_task("aa.0.0.0"))
+        self.assertIsNone(job_table.find_task("aa.0.0." + "9" * 5000))
+
     def test_job_fails_after_the_last_attempt(self) -> None:
         job_table = build_job_table(build_lease_worker("w0"), build_lease_worker("w1"))
         job = build_job("aa", build_step(2))
