--- a/packages/pollengated/pollengated/edge/interference_learning.py
+++ b/packages/pollengated/pollengated/edge/interference_learning.py
@@ -9,6 +9,7 @@
 from pollengated.edge.edge_metrics import EdgeMetrics
 from pollengated.edge.interference_record import InterferenceRecorder, load_interference_record
 from pollengated.edge.layout import Layout
+from pollengated.edge.loop_supervisor import LoopSupervisor
 from pollengated.edge.shared_interference import SharedInterference
 
 __all__ = ["InterferenceLearning"]
@@ -64,4 +65,4 @@
     async def run(self) -> None:
         """Reads the evidence of other shards until cancelled; returns at once if it is not used."""
         if self._shared is not None:
-            await self._shared.run()
+            await LoopSupervisor(self._metrics).run("shared_interference", self._shared.run)
--- a/packages/pollengated/pollengated/edge/loop_supervisor.py
+++ b/packages/pollengated/pollengated/edge/loop_supervisor.py
@@ -34,7 +34,7 @@
             name: names the loop in logs and metrics.
             run: runs the loop; called again after each failure.
         """
-        self._tasks.append(asyncio.create_task(self._run(name, run)))
+        self._tasks.append(asyncio.create_task(self.run(name, run)))
 
     async def stop(self) -> None:
         """Cancels all loops and waits for their end."""
@@ -42,7 +42,8 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    async def _run(self, name: str, run: Callable[[], Awaitable[None]]) -> None:
+    async def run(self, name: str, run: Callable[[], Awaitable[None]]) -> None:
+        """Runs a loop in the caller's task; the arguments are those of `start`."""
         while True:
             try:
                 await run()
--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -35,6 +35,7 @@
 from pollengated.edge.job_restore import restore_jobs
 from pollengated.edge.job_retention import JobRetention
 from pollengated.edge.layout import Layout
+from pollengated.edge.loop_supervisor import LoopSupervisor
 from pollengated.edge.operator_view import OperatorView
 from pollengated.edge.other_shards import NoOtherShards, OtherShards
 from pollengated.edge.periodic_decisions import PeriodicDecisions
@@ -178,7 +179,7 @@
                 requester = AdviceRequester(
                     self.job_table, self._tickets, self._advice, order, self._clocks
                 )
-                self._spawn(requester.run())
+                self._spawn(LoopSupervisor(self._metrics).run("advice", requester.run))
             try:
                 # Waiting raises no error of the loop: like any other task, it ends the term.
                 await asyncio.wait((self._spawn(self._plan_loop()),))
--- a/tests/edge_cluster.py
+++ b/tests/edge_cluster.py
@@ -19,6 +19,7 @@
     StoreFailure,
     Unchanged,
 )
+from pollengate.workflow.clients import AdviceClient
 from pollengate.workflow.job_service import JobResponse
 from pollengate.workflow.keys import owner_key, shard_of_job
 from pollengate.workflow.model import Workflow
@@ -169,6 +170,7 @@
         history: every run that has started.
         nodes_by_name: all processes, including killed ones.
         policy: settings of scheduling decisions, for processes that start afterwards.
+        advice: client of the advice service, for processes that start afterwards; None for none.
         loses_placement_replies: whether requests to take a job of another shard get no reply.
     """
 
@@ -190,6 +192,7 @@
                 worker.duration_of = lambda task: duration_s
         self.nodes_by_name: dict[str, EdgeNode] = {}
         self.policy = SchedulingPolicy()
+        self.advice: AdviceClient | None = None
         self.loses_placement_replies = False
         self._places_elsewhere = places_elsewhere
         self._incarnations = 0
@@ -254,7 +257,7 @@
                 build_settings(name),
                 store,
                 workers,
-                None,
+                self.advice,
                 shard_lease,
                 operator_view,
                 clocks,
--- a/tests/test_edge_decision_failure.py
+++ b/tests/test_edge_decision_failure.py
@@ -10,7 +10,10 @@
 from pollengate.workflow.job_table import JobTable
 from pollengate.workflow.model import Demand
 from pollengate.workflow.placement import Placer
+from pollengate.workflow.policy import InterferencePolicy, SchedulingPolicy
 from pollengate.workflow.progress import JobState
+from pollengated.edge.advice_requester import AdviceRequester
+from pollengated.edge.shared_interference import SharedInterference
 from pollengated.edge.start_policy import StartPolicy
 from pollengated.edge.worker_transfers import WorkerTransfers
 
@@ -175,6 +178,29 @@
 
                 run_virtual(main())
 
+    def test_errors_in_loops_that_only_help_decisions_do_not_end_the_term(self) -> None:
+        loops: tuple[tuple[type[Any], str], ...] = (
+            (SharedInterference, "update"),
+            (AdviceRequester, "_waiting_steps"),
+        )
+        for owner, method in loops:
+            with self.subTest(owner.__name__):
+
+                async def main(owner: Any = owner, method: str = method) -> None:
+                    cluster = EdgeCluster(shards=2)
+                    cluster.policy = SchedulingPolicy(interference=InterferencePolicy(True))
+                    cluster.advice = mock.AsyncMock()
+                    with mock.patch.object(owner, method, side_effect=ArithmeticError):
+                        await cluster.open()
+                        term = await cluster.wait_for_term()
+                        await asyncio.sleep(5.0)
+                    self.assertIs(cluster.term(), term)
+                    nodes = cluster.nodes_by_name.values()
+                    failures = [m for n in nodes for m in n.metrics.loop_failures.collect()]
+                    self.assertTrue(any(metric.samples for metric in failures))
+
+                run_virtual(main())
+
     def test_error_in_a_change_of_the_job_table_ends_the_term(self) -> None:
         async def main() -> None:
             cluster = EdgeCluster()
