--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -1,8 +1,7 @@
 """One ownership term of a shard, from its acquisition to its loss or handover."""
 
 import asyncio
-from collections.abc import Collection, Coroutine
-from typing import Any
+from collections.abc import Collection
 
 from pollengate.explain.explainer import JobExplainer
 from pollengate.failure_evidence import FailureEvidence
@@ -46,6 +45,7 @@
 from pollengated.edge.shard_load_log import ShardLoadLog
 from pollengated.edge.shard_records import ShardRecords, ShardRecordsReader
 from pollengated.edge.start_policy import StartPolicy
+from pollengated.edge.term_tasks import TermTasks
 from pollengated.edge.worker_assignments import WorkerAssignments
 from pollengated.edge.worker_controller import WorkerController
 from pollengated.edge.worker_registry import WorkerRegistry
@@ -143,7 +143,8 @@
         self._tickets = TicketCache()
         self._guard = DecisionGuard(DecisionFailures(shard, metrics).record)
         self._wake = asyncio.Event()
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = TermTasks(self._on_error)
+        self._spawn = self._tasks.spawn
         self._is_handing_over = False
         self.job_table: JobTable
         self.room: ShardRoom
@@ -193,8 +194,7 @@
                 shard=self.shard,
                 token=self.shard_lease.token,
             )
-            for task in [*self._tasks, *self._controller_tasks_by_id.values()]:
-                task.cancel()
+            self._tasks.cancel()
 
     async def prepare_handover(self, timeout_s: float) -> None:
         """Stops accepting jobs and starting tasks, and waits until all records are durable."""
@@ -401,9 +401,7 @@
             self._request_planning,
         )
         self._controllers_by_id[view.worker_id] = controller
-        task = asyncio.get_running_loop().create_task(controller.run())
-        task.add_done_callback(self._on_task_done)
-        self._controller_tasks_by_id[view.worker_id] = task
+        self._controller_tasks_by_id[view.worker_id] = self._spawn(controller.run())
 
     def _forget(self, views: list[WorkerView]) -> None:
         """Ends the control of workers that were removed from the fleet, and records the others."""
@@ -482,18 +480,11 @@
             self._request_planning()
         self._wake.set()
 
-    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
-        task = asyncio.get_running_loop().create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._on_task_done)
-        return task
-
-    def _on_task_done(self, task: asyncio.Task[None]) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and (error := task.exception()) is not None:
-            self._log.error("internal task failed; ending ownership", error, shard=self.shard)
-            if not self.has_stalled:
-                self._metrics.failed_terms.inc()
-            self.has_stalled = True
-            self.shard_lease.mark_lost()
-            self._wake.set()
+    def _on_error(self, error: BaseException) -> None:
+        """Ends the term after an error of one of its tasks."""
+        self._log.error("internal task failed; ending ownership", error, shard=self.shard)
+        if not self.has_stalled:
+            self._metrics.failed_terms.inc()
+        self.has_stalled = True
+        self.shard_lease.mark_lost()
+        self._wake.set()
