--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -40,11 +40,12 @@
 from pollengated.edge.periodic_decisions import PeriodicDecisions
 from pollengated.edge.placement_acceptor import PlacementAcceptor
 from pollengated.edge.placement_context import PlacementContext
-from pollengated.edge.recorded_workers import RecordedWorkers, decode_recorded_workers
+from pollengated.edge.recorded_workers import RecordedWorkers, load_recorded_workers
 from pollengated.edge.run_mover import RunMover
 from pollengated.edge.shard_load_log import ShardLoadLog
 from pollengated.edge.shard_records import ShardRecords, ShardRecordsReader
 from pollengated.edge.start_policy import StartPolicy
+from pollengated.edge.takeover import Takeover
 from pollengated.edge.term_tasks import TermTasks
 from pollengated.edge.worker_assignments import WorkerAssignments
 from pollengated.edge.worker_controller import WorkerController
@@ -64,6 +65,8 @@
 TICK_INTERVAL_S = 0.1
 # Time until a worker on which all tasks fail is tried again; a task takes a second or two.
 FIRST_PROBE_AFTER_S = 4.0
+# A job may stand still while all workers with room are quarantined; its users accept 14 s.
+MAX_PROBE_AFTER_S = 8.0
 
 
 class ShardTerm:
@@ -153,6 +156,7 @@
         self._planner: Planner
         self._retention: JobRetention
         self._recorded_workers: RecordedWorkers
+        self._takeover: Takeover
         self._load_log: ShardLoadLog
         self._job_end_log: JobEndLog
         self._decisions: PeriodicDecisions
@@ -187,6 +191,7 @@
             finally:
                 unsubscribe()
                 self._load_log.close()
+                self._takeover.close()
         finally:
             self.is_serving = False
             self._log.warning(
@@ -244,12 +249,25 @@
             self._clocks,
         )
         self._interference.restore(records.interference, self._committer)
-        evidence = FailureEvidence(self._clocks.monotonic_s, FIRST_PROBE_AFTER_S)
+        evidence = FailureEvidence(self._clocks.monotonic_s, FIRST_PROBE_AFTER_S, MAX_PROBE_AFTER_S)
         committer = self._committer
         self.job_table = JobTable(self.fleet, evidence, term_number)
         self.job_table.durable_record_number = lambda: committer.durable_record_number
         self._job_end_log = JobEndLog(self.job_table, self._clocks, self._metrics)
-        is_settled = self._are_previous_runs_known
+        self._assignments.load(records.transfers)
+        addresses_by_id = load_recorded_workers(
+            records.recorded_workers, self._assignments.is_assigned_elsewhere
+        )
+        self._takeover = Takeover(
+            self.shard,
+            self.job_table,
+            addresses_by_id,
+            self._acquired_at,
+            self._previous_leases_expire_at,
+            self._clocks,
+            self._metrics,
+        )
+        is_settled = self._takeover.is_settled
         self._start_policy = StartPolicy(
             self.job_table, self._policy, self._account_shares, self._metrics, is_settled
         )
@@ -274,7 +292,7 @@
             self._committer,
             self.shard_lease,
             self._clocks,
-            self._are_previous_runs_known,
+            is_settled,
             self._detach_worker,
             self._start_policy.start_filter,
         )
@@ -291,14 +309,6 @@
             self._start_policy,
             self._load_log,
         )
-        recorded = records.recorded_workers
-        addresses_by_id = decode_recorded_workers(recorded.value) if recorded else {}
-        self._assignments.load(records.transfers)
-        addresses_by_id = {
-            worker_id: address
-            for worker_id, address in addresses_by_id.items()
-            if not self._assignments.is_assigned_elsewhere(worker_id)
-        }
         self._recorded_workers = RecordedWorkers(
             self.shard, self._committer, self.fleet, addresses_by_id
         )
@@ -332,7 +342,7 @@
             self.shard_lease,
             self._clocks,
             self.room,
-            self._are_previous_runs_known,
+            self._takeover.is_settled,
             self._spawn,
         )
         handler = self.request_handler
@@ -341,16 +351,6 @@
             context, handler.current_refusal, handler.add_accepted_job
         )
 
-    def _are_previous_runs_known(self) -> bool:
-        """Whether every run that an earlier owner started is known or has ended."""
-        if self._clocks.monotonic_s() >= self._previous_leases_expire_at:
-            return True
-        views = (
-            self.fleet.workers_by_id.get(worker_id)
-            for worker_id in self._recorded_workers.previously_recorded_ids
-        )
-        return all(view is None or view.is_attached or view.is_replaced for view in views)
-
     # Workers.
 
     def _workers_changed(self, worker_ids: Collection[str]) -> None:
@@ -474,6 +474,7 @@
             now = self._clocks.monotonic_s()
             self.job_table.open_due_occurrences(now, self._clocks.unix_ms())
             self._decisions.update(now, self._is_handing_over)
+            self._guard.attempt("report_takeover", "", now, self._takeover.update)
             self._forget(self.fleet.forget_departed(self._clocks.monotonic_s()))
             self._retention.update(self._clocks.monotonic_s())
             self.request_handler.placer.update(self._clocks.monotonic_s())
