React to a worker that registers again without processors without an error

An operator's scheduler would have logged a failed loop: a worker of the product's own roles that registers again with a capacity of 0 between a report and the reaction to it raised "ZeroDivisionError: division by zero" in `InterferenceReaction.decide`.

Change: the share of a task is that of one core at least, as in placement. The new test failed before.

--- a/packages/pollengate/pollengate/interference/reaction_stages.py
+++ b/packages/pollengate/pollengate/interference/reaction_stages.py
@@ -241,10 +241,10 @@
         stage = self._stage_by_task.get(request.task_id, 0)
         limit = self.thresholds.throttle_shares[stage - 1] if stage else FULL_SHARE
         cores = request.resources.cores * self._profiles.cores_ratio(request.task_class) * limit
-        level = self._model.level_of(1.0 - load.free.cores / load.capacity.cores)
+        # The worker may have registered again, without processors, since its report.
+        capacity = max(load.capacity.cores, 1)
+        level = self._model.level_of(1.0 - load.free.cores / capacity)
         victim = max(
             evidence.slowdown_by_service, key=lambda name: evidence.slowdown_by_service[name]
         )
-        return (
-            self._model.coefficient(victim, request.task_class, level) * cores / load.capacity.cores
-        )
+        return self._model.coefficient(victim, request.task_class, level) * cores / capacity
--- a/tests/test_interference_reaction.py
+++ b/tests/test_interference_reaction.py
@@ -3,6 +3,7 @@
 import unittest
 
 from pollengate.interference.reaction_stages import InterferenceReaction
+from pollengate.jobs import Resources
 from pollengate.reaction import Action, Evict, Observation, Throttle
 from pollengate.shard_policy import ShardPolicy
 from pollengate.worker import TaskUsage
@@ -101,6 +102,13 @@
         self.assertLessEqual(len(evictions), 5)
         self.assertEqual(len({eviction.task_id for eviction in evictions}), len(evictions))
 
+    def test_worker_that_registers_again_without_processors_raises_no_error(self) -> None:
+        policy, reaction = build_loaded_policy()
+        for measured_at in (10.0, 15.0):
+            reaction.observe(report(measured_at, 3.0))
+        policy.placement.capacity_tracker.add_worker("w0", "r0", Resources(0, 0, 0))
+        self.assertIsInstance(reaction.decide(16.0), list)
+
     def test_task_in_a_step_is_not_evicted(self) -> None:
         _, reaction = build_loaded_policy(worker_eviction_interval_s=0.0)
         actions = feed(reaction, 0.0, 60, 3.0, in_step=("batch.0", "batch.1"))
