--- a/packages/pollengate/pollengate/workflow/decision_guard.py
+++ b/packages/pollengate/pollengate/workflow/decision_guard.py
@@ -1,8 +1,8 @@
 """Contains the errors of single decisions, so that one that fails does not stop the others.
 
-A decision reads the state of the shard and chooses. An error in it says nothing about the books, so
-that the owner goes on without it. An error while the books are changed leaves them in doubt: it is
-a broken invariant, which no guard contains.
+A decision reads the state of the shard and chooses. An error in it says nothing about the job
+table, so that the owner goes on without it. An error while the table is changed may leave it
+inconsistent: it is a broken invariant, which no guard contains.
 """
 
 import contextlib
@@ -13,7 +13,7 @@
 from pollengate.bounded import BoundedDict
 from pollengate.errors import InvariantViolation
 
-__all__ = ["Attempt", "DecisionGuard", "FailedDecision", "changing_books"]
+__all__ = ["Attempt", "DecisionGuard", "FailedDecision", "changing_job_table"]
 
 # A decision that failed is left out for this long: its error may be gone after the next report.
 PAUSE_S = 1.0
@@ -92,8 +92,8 @@
 
 
 @contextlib.contextmanager
-def changing_books() -> Iterator[None]:
-    """Marks a change of the books within a decision.
+def changing_job_table() -> Iterator[None]:
+    """Marks a change of the job table within a decision.
 
     Raises:
         InvariantViolation: the change failed.
--- a/packages/pollengate/pollengate/workflow/planner.py
+++ b/packages/pollengate/pollengate/workflow/planner.py
@@ -8,7 +8,7 @@
 from pollengate.interference.filler_placement import FillerPlacement, may_withhold, must_start
 from pollengate.workflow.cleared_workers import ClearedWorkers
 from pollengate.workflow.crashes import may_try_alone
-from pollengate.workflow.decision_guard import Attempt, DecisionGuard, changing_books
+from pollengate.workflow.decision_guard import Attempt, DecisionGuard, changing_job_table
 from pollengate.workflow.fleet import WorkerView
 from pollengate.workflow.job_table import JobTable
 from pollengate.workflow.model import Queue
@@ -298,13 +298,13 @@
             is_complete = True
         finally:
             if not is_complete:
-                with changing_books():
+                with changing_job_table():
                     for run in runs:
                         self.job_table.mark_rejected(run)
         return runs
 
     def _add_run(self, task: TaskProgress, view: WorkerView, number: int, now: float) -> Run:
-        with changing_books():
+        with changing_job_table():
             job_id = task.step.job.job_id
             self.job_table.evidence.record_placement(task.name, job_id, view.worker_id)
             run = self.job_table.add_run(task, view, number, now)
