--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -1,23 +1,20 @@
 """One ownership term of a shard, from its acquisition to its loss or handover."""
 
 import asyncio
-from collections.abc import Collection, Coroutine
-from typing import Any
+from collections.abc import Collection
 
 from pollengate.explain.explainer import JobExplainer
 from pollengate.failure_evidence import FailureEvidence
-from pollengate.interference.rebalancing import Rebalancer
 from pollengate.interference.speeds import SpeedController
 from pollengate.store import PolledStore
 from pollengate.workflow.clients import AdviceClient, WorkerClient
+from pollengate.workflow.decision_guard import DecisionGuard
 from pollengate.workflow.fleet import Fleet, WorkerView
 from pollengate.workflow.job_table import JobTable
-from pollengate.workflow.large_tasks import LargeTaskReserve
 from pollengate.workflow.leases import WORKER_LEASE_S
 from pollengate.workflow.placement import Placer
 from pollengate.workflow.planner import Planner
 from pollengate.workflow.policy import SchedulingPolicy
-from pollengate.workflow.restart_room import RestartRoom
 from pollengate.workflow.settings import NodeSettings
 from pollengate.workflow.shard_lease import ShardLease, previous_lease_expiry
 from pollengate.workflow.shard_room import ShardRoom
@@ -28,6 +25,7 @@
 from pollengated.edge.advice_requester import AdviceRequester
 from pollengated.edge.clocks import Clocks
 from pollengated.edge.committer import Committer, ProgressRecord, decode_commit_number
+from pollengated.edge.decision_failures import DecisionFailures
 from pollengated.edge.edge_metrics import EdgeMetrics
 from pollengated.edge.interference_learning import InterferenceLearning
 from pollengated.edge.job_end_log import JobEndLog
@@ -36,8 +34,10 @@
 from pollengated.edge.job_restore import restore_jobs
 from pollengated.edge.job_retention import JobRetention
 from pollengated.edge.layout import Layout
+from pollengated.edge.loop_supervisor import LoopSupervisor
 from pollengated.edge.operator_view import OperatorView
 from pollengated.edge.other_shards import NoOtherShards, OtherShards
+from pollengated.edge.periodic_decisions import PeriodicDecisions
 from pollengated.edge.placement_acceptor import PlacementAcceptor
 from pollengated.edge.placement_context import PlacementContext
 from pollengated.edge.recorded_workers import RecordedWorkers, load_recorded_workers
@@ -46,6 +46,7 @@
 from pollengated.edge.shard_records import ShardRecords, ShardRecordsReader
 from pollengated.edge.start_policy import StartPolicy
 from pollengated.edge.takeover import Takeover
+from pollengated.edge.term_tasks import TermTasks
 from pollengated.edge.worker_assignments import WorkerAssignments
 from pollengated.edge.worker_controller import WorkerController
 from pollengated.edge.worker_registry import WorkerRegistry
@@ -143,8 +144,10 @@
         self._latency_model = self._interference.latency_model
         self._speed_controller = SpeedController(self._latency_model)
         self._tickets = TicketCache()
+        self._guard = DecisionGuard(DecisionFailures(shard, metrics).record)
         self._wake = asyncio.Event()
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = TermTasks(self._on_error)
+        self._spawn = self._tasks.spawn
         self._is_handing_over = False
         self.job_table: JobTable
         self.room: ShardRoom
@@ -156,8 +159,7 @@
         self._takeover: Takeover
         self._load_log: ShardLoadLog
         self._job_end_log: JobEndLog
-        self._run_mover: RunMover
-        self._transfers: WorkerTransfers
+        self._decisions: PeriodicDecisions
         self.request_handler: JobRequestHandler
         self.explainer: JobExplainer
 
@@ -182,7 +184,7 @@
                 requester = AdviceRequester(
                     self.job_table, self._tickets, self._advice, order, self._clocks
                 )
-                self._spawn(requester.run())
+                self._spawn(LoopSupervisor(self._metrics).run("advice", requester.run))
             try:
                 # Waiting raises no error of the loop: like any other task, it ends the term.
                 await asyncio.wait((self._spawn(self._plan_loop()),))
@@ -197,8 +199,7 @@
                 shard=self.shard,
                 token=self.shard_lease.token,
             )
-            for task in [*self._tasks, *self._controller_tasks_by_id.values()]:
-                task.cancel()
+            self._tasks.cancel()
 
     async def prepare_handover(self, timeout_s: float) -> None:
         """Stops accepting jobs and starting tasks, and waits until all records are durable."""
@@ -248,9 +249,7 @@
             self._clocks,
         )
         self._interference.restore(records.interference, self._committer)
-        evidence = FailureEvidence(
-            self._clocks.monotonic_s, FIRST_PROBE_AFTER_S, MAX_PROBE_AFTER_S
-        )
+        evidence = FailureEvidence(self._clocks.monotonic_s, FIRST_PROBE_AFTER_S, MAX_PROBE_AFTER_S)
         committer = self._committer
         self.job_table = JobTable(self.fleet, evidence, term_number)
         self.job_table.durable_record_number = lambda: committer.durable_record_number
@@ -278,6 +277,7 @@
             is_settled,
             self._start_policy.order,
             self._start_policy.start_filter,
+            self._guard,
         )
         self.explainer = JobExplainer(self._planner)
         self.room = ShardRoom(self.job_table, is_settled)
@@ -285,7 +285,7 @@
         self._retention = JobRetention(
             self.shard, shards, self.job_table, self._committer, status_s
         )
-        self._transfers = WorkerTransfers(
+        transfers = WorkerTransfers(
             self.shard,
             self._assignments,
             self.job_table,
@@ -296,16 +296,18 @@
             self._detach_worker,
             self._start_policy.start_filter,
         )
-        rebalancer = Rebalancer(self.fleet, self._latency_model)
-        reserve = LargeTaskReserve(self.job_table, self._start_policy.start_filter)
-        restart_room = RestartRoom(self.job_table, self._start_policy.start_filter)
-        self._run_mover = RunMover(self.fleet, self.job_table, rebalancer, reserve, restart_room)
+        start_filter = self._start_policy.start_filter
+        run_mover = RunMover(self.job_table, self._latency_model, start_filter, self._guard)
         self._load_log = ShardLoadLog(
-            self.shard,
-            self.job_table,
-            is_settled,
-            self._start_policy.start_filter,
-            self._metrics,
+            self.shard, self.job_table, is_settled, start_filter, self._metrics
+        )
+        self._decisions = PeriodicDecisions(
+            self._guard,
+            run_mover,
+            transfers,
+            self._interference,
+            self._start_policy,
+            self._load_log,
         )
         self._recorded_workers = RecordedWorkers(
             self.shard, self._committer, self.fleet, addresses_by_id
@@ -393,14 +395,13 @@
             self._speed_controller,
             self._tickets,
             self._planner,
+            self._guard,
             self._clocks,
             self._metrics,
             self._request_planning,
         )
         self._controllers_by_id[view.worker_id] = controller
-        task = asyncio.get_running_loop().create_task(controller.run())
-        task.add_done_callback(self._on_task_done)
-        self._controller_tasks_by_id[view.worker_id] = task
+        self._controller_tasks_by_id[view.worker_id] = self._spawn(controller.run())
 
     def _forget(self, views: list[WorkerView]) -> None:
         """Ends the control of workers that were removed from the fleet, and records the others."""
@@ -470,30 +471,21 @@
     async def _tick(self) -> None:
         while not self.shard_lease.is_lost:
             await asyncio.sleep(TICK_INTERVAL_S)
-            self.job_table.open_due_occurrences(self._clocks.monotonic_s(), self._clocks.unix_ms())
-            self._run_mover.update(self._clocks.monotonic_s())
-            if not self._is_handing_over:
-                self._transfers.update()
-            self._interference.update(self._clocks.monotonic_s())
-            self._takeover.update()
+            now = self._clocks.monotonic_s()
+            self.job_table.open_due_occurrences(now, self._clocks.unix_ms())
+            self._decisions.update(now, self._is_handing_over)
+            self._guard.attempt("report_takeover", "", now, self._takeover.update)
             self._forget(self.fleet.forget_departed(self._clocks.monotonic_s()))
             self._retention.update(self._clocks.monotonic_s())
             self.request_handler.placer.update(self._clocks.monotonic_s())
-            self._start_policy.update(self._clocks.monotonic_s())
-            self._load_log.update(self._clocks.monotonic_s())
             self._request_planning()
         self._wake.set()
 
-    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
-        task = asyncio.get_running_loop().create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._on_task_done)
-        return task
-
-    def _on_task_done(self, task: asyncio.Task[None]) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and (error := task.exception()) is not None:
-            self._log.error("internal task failed; ending ownership", error, shard=self.shard)
-            self.has_stalled = True
-            self.shard_lease.mark_lost()
-            self._wake.set()
+    def _on_error(self, error: BaseException) -> None:
+        """Ends the term after an error of one of its tasks."""
+        self._log.error("internal task failed; ending ownership", error, shard=self.shard)
+        if not self.has_stalled:
+            self._metrics.failed_terms.inc()
+        self.has_stalled = True
+        self.shard_lease.mark_lost()
+        self._wake.set()
