--- a/packages/pollengate-standins/pollengate_standins/lease_worker.py
+++ b/packages/pollengate-standins/pollengate_standins/lease_worker.py
@@ -42,6 +42,8 @@
         end_kind: how it ended; None while it runs.
         duration_s: time that it runs until it is done; infinite for a long-running task.
         checkpoint: checkpoint from which it resumed; empty for none.
+        done_s: work that is done, in seconds at full speed.
+        speed: share of full speed to which it is limited.
     """
 
     task: str
@@ -52,6 +54,8 @@
     end_kind: EndKind | None = None
     duration_s: float = 1.0
     checkpoint: str = ""
+    done_s: float = 0.0
+    speed: float = 1.0
 
 
 class LeaseWorker:
@@ -62,6 +66,7 @@
         completes_reports: whether calls for a report ever end.
         loses_replies: whether start orders take effect, but time out.
         start_delay_s: if not 0, start orders time out and take effect after this time.
+        stop_delay_s: the same for stop orders.
         born_ms: identifies the incarnation; a crash increases it.
         fails: returns whether a run of the task ends with a failure.
         duration_of: returns the `duration_s` of a run of the task.
@@ -75,6 +80,7 @@
         self.completes_reports = True
         self.loses_replies = False
         self.start_delay_s = 0.0
+        self.stop_delay_s = 0.0
         self.born_ms = 1
         self.fails: Callable[[str], bool] = lambda task: False
         self.duration_of: Callable[[str], float] = lambda task: 1.0
@@ -88,6 +94,18 @@
         self._highest_by_task: dict[str, int] = {}
         self._running: dict[tuple[str, int], StartRecord] = {}
         self._changed = asyncio.Event()
+        self._is_hanging = False
+        self._advanced_at = 0.0
+
+    @property
+    def running(self) -> list[StartRecord]:
+        """The runs in progress."""
+        return list(self._running.values())
+
+    def hang(self, is_hanging: bool) -> None:
+        """Makes all tasks stand still, or work on; calls are still answered."""
+        self.advance()
+        self._is_hanging = is_hanging
 
     def crash(self) -> None:
         """Ends all runs and starts a new incarnation without any state of the old one."""
@@ -147,6 +165,14 @@
             self._end(record, EndKind.STOPPED, self._now())
         return Ok(self._clock_ms())
 
+    def throttle(self, order: ThrottleOrder) -> Result[int, OrderFailure]:
+        """Limits the speed of a run."""
+        self.advance()
+        record = self._running.get((order.task, order.run))
+        if record is not None:
+            record.speed = order.percent / 100
+        return Ok(self._clock_ms())
+
     def renew(self, order: RenewOrder) -> Result[Report, OrderFailure]:
         """Extends the lease if the order asks for it, and returns a report."""
         self.advance()
@@ -172,7 +198,7 @@
         """Waits until there is an end to report, at most for `seconds`."""
         deadline = self._now() + seconds
         while not self._ended and self._now() < deadline:
-            ends = [r.began_at + r.duration_s for r in self._running.values()]
+            ends = [self._done_at(record) for record in self._running.values()]
             wake_at = min([deadline, self._lease_until, *ends])
             await asyncio.sleep(max(0.001, wake_at - self._now()))
             self.advance()
@@ -181,12 +207,28 @@
         """Ends runs that are done by now, and all others if the lease has expired."""
         now = self._now()
         for record in list(self._running.values()):
-            done_at = record.began_at + record.duration_s
+            done_at = self._done_at(record)
             if done_at <= min(now, self._lease_until):
                 end_kind = EndKind.FAILED if self.fails(record.task) else EndKind.DONE
                 self._end(record, end_kind, done_at)
             elif self._lease_until <= now:
                 self._end(record, EndKind.EXPIRED, self._lease_until)
+            else:
+                record.done_s += self._speed(record) * (now - self._from(record))
+        self._advanced_at = now
+
+    def _from(self, record: StartRecord) -> float:
+        """Returns the time up to which the work of a run is counted."""
+        return max(record.began_at, self._advanced_at)
+
+    def _speed(self, record: StartRecord) -> float:
+        return 0.0 if self._is_hanging else record.speed
+
+    def _done_at(self, record: StartRecord) -> float:
+        speed = self._speed(record)
+        if not speed:
+            return float("inf")
+        return self._from(record) + (record.duration_s - record.done_s) / speed
 
     def _become_reachable(self) -> None:
         self.is_unreachable = False
@@ -205,7 +247,7 @@
     def _percent(self, record: StartRecord) -> float:
         if record.duration_s == float("inf"):
             return 100.0
-        return 100 * (self._now() - record.began_at) / record.duration_s
+        return 100 * record.done_s / record.duration_s
 
     def _refuse(self, kind: OrderRejection) -> Err[OrderFailure]:
         return Err(OrderFailure(kind, kind.value, self._clock_ms()))
@@ -250,6 +292,10 @@
     ) -> Result[int, OrderFailure]:
         """Sends a stop order, which times out if the worker is unreachable."""
         worker = self.workers_by_id[worker_id]
+        if worker.stop_delay_s and not self._is_unreachable(worker):
+            loop = asyncio.get_running_loop()
+            loop.call_later(worker.stop_delay_s, worker.stop, order)
+            return await _time_out()
         if self._is_unreachable(worker):
             return await _time_out()
         await asyncio.sleep(STOP_LATENCY_S)
@@ -258,9 +304,9 @@
     async def throttle(
         self, address: str, worker_id: str, order: ThrottleOrder
     ) -> Result[int, OrderFailure]:
-        """Confirms any throttle order without effect."""
+        """Sends a throttle order, also to an unreachable worker."""
         await asyncio.sleep(REPLY_LATENCY_S)
-        return Ok(0)
+        return self.workers_by_id[worker_id].throttle(order)
 
     async def renew(
         self, address: str, worker_id: str, order: RenewOrder
--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -248,9 +248,7 @@
             self._clocks,
         )
         self._interference.restore(records.interference, self._committer)
-        evidence = FailureEvidence(
-            self._clocks.monotonic_s, FIRST_PROBE_AFTER_S, MAX_PROBE_AFTER_S
-        )
+        evidence = FailureEvidence(self._clocks.monotonic_s, FIRST_PROBE_AFTER_S, MAX_PROBE_AFTER_S)
         committer = self._committer
         self.job_table = JobTable(self.fleet, evidence, term_number)
         self.job_table.durable_record_number = lambda: committer.durable_record_number
--- a/tests/edge_cluster.py
+++ b/tests/edge_cluster.py
@@ -21,7 +21,7 @@
 )
 from pollengate.workflow.job_service import JobResponse
 from pollengate.workflow.keys import owner_key, shard_of_job
-from pollengate.workflow.model import Workflow
+from pollengate.workflow.model import Demand, Workflow
 from pollengate.workflow.policy import SchedulingPolicy
 from pollengate.workflow.progress import JobProgress
 from pollengate.workflow.settings import Bounds, NodeSettings
@@ -50,6 +50,7 @@
 __all__ = ["EdgeCluster", "EdgeNode", "EdgeTestCase"]
 
 LOST_CALL_TIMEOUT_S = 0.8
+DEFAULT_CAPACITY = Demand(4000, 4000)
 LEASE_RENEW_INTERVAL_S = 0.25
 BOUNDS = Bounds(10.0, 0.4, 3.0, 3.0, 0.25, 120.0, 3.0, 0.25, 0.5, 6.0, 4.0, 4.5)
 
@@ -161,9 +162,12 @@
         duration_s: duration of every task; if None, the workers choose it.
         shards: number of shards.
         places_elsewhere: whether owners reach each other to place jobs in other shards.
+        capacity: capacity of every worker.
+        zones: the workers' zones, in turn.
 
     Attributes:
         store: the store that all processes share.
+        zone_by_worker: zone of each worker.
         workers_by_id: the workers that all processes share.
         history: every run that has started.
         nodes_by_name: all processes, including killed ones.
@@ -177,10 +181,14 @@
         duration_s: float | None = None,
         shards: int = 1,
         places_elsewhere: bool = True,
+        capacity: Demand = DEFAULT_CAPACITY,
+        zones: Sequence[str] = ("a",),
     ) -> None:
         self.store = MemoryStore()
         self.history: list[StartRecord] = []
         names = [f"w{number}" for number in range(workers)]
+        self._capacity = capacity
+        self.zone_by_worker = {name: zones[n % len(zones)] for n, name in enumerate(names)}
         self._rack_by_worker = {name: f"r{n % shards}" for n, name in enumerate(names)}
         self._layout = Layout(shards, {f"r{shard}": shard for shard in range(shards)})
         self.workers_by_id = {name: LeaseWorker(name, self.history) for name in names}
@@ -227,9 +235,9 @@
         document = {
             "service": "service",
             "addr": f"{worker_id}:1",
-            "zone": "a",
+            "zone": self.zone_by_worker[worker_id],
             "state": state,
-            "capacity": {"cpu": 4000, "memMb": 4000},
+            "capacity": {"cpu": self._capacity.cpu_millis, "memMb": self._capacity.memory_mb},
             "labels": ["k", self._rack_by_worker[worker_id]],
         }
         put = Put(f"servers/{worker_id}", json.dumps(document).encode())
