Send a filler's speed again if its worker may have another one

A batch task that was paced down stands still for good, with its worker free, and its job never ends.

Cause: an owner took the speed of a run for 100 % after a takeover, and for unchanged after an order without a reply, which may have taken effect. As it sends changes only, a filler that stood still and was to run at full speed got no order; nor was it moved, as fillers that use no processors are no stragglers. A late order that is carried out after a newer one had the same effect.

Change: the speed of an adopted run, and after an order without a reply, counts as unknown and is sent with the next report; also if a filler makes no progress for 2 s and uses under a tenth of what it would at its speed.

--- a/packages/pollengate/pollengate/interference/speeds.py
+++ b/packages/pollengate/pollengate/interference/speeds.py
@@ -38,6 +38,10 @@
 FILLER_BLOCK_S = 1.0
 # A filler with a lower speed than this may finish sooner on another worker.
 SLOW_SPEED_PERCENT = 50
+# A filler without progress for this long that uses less than this share of its processors may have
+# another speed than is known here.
+STANDSTILL_S = 2.0
+STANDSTILL_USE_SHARE = 0.1
 # A filler that has been slow for this long is compared with other workers.
 RELOCATE_AFTER_S = 0.7
 
@@ -52,6 +56,7 @@
     def apply(self, now: float) -> None:
         """Updates the run once the worker has confirmed the change."""
         self.run.speed_percent = self.percent
+        self.run.is_speed_known = True
         if self.percent >= SLOW_SPEED_PERCENT:
             self.run.slow_since = None
         elif self.run.slow_since is None:
@@ -118,7 +123,8 @@
             if not self._is_negligible(view, run) or state.limit == 0.0:
                 speed = min(speed, state.limit)
             percent = _percent(speed)
-            if _is_worth_changing(run.speed_percent, percent, is_over, may_rise):
+            is_worth = _is_worth_changing(run.speed_percent, percent, is_over, may_rise)
+            if is_worth or _may_differ(run, now):
                 changes.append(SpeedChange(run, percent))
         if any(change.percent > change.run.speed_percent for change in changes):
             state.raised_at = now
@@ -194,6 +200,19 @@
     )
 
 
+def _may_differ(run: Run, now: float) -> bool:
+    """Returns True if the speed on the worker may not be the one that is known here.
+
+    An order may be carried out late, after a newer one.
+    """
+    expected_millis = run.task.step.spec.demand.cpu_millis * run.speed_percent / 100
+    stands_still = (
+        now - run.progressed_at > STANDSTILL_S
+        and run.measurement < STANDSTILL_USE_SHARE * expected_millis
+    )
+    return not run.is_speed_known or stands_still
+
+
 def _percent(speed: float) -> int:
     percent = int(speed * FULL_SPEED_PERCENT + 1e-6)
     return percent - percent % SPEED_STEP_PERCENT
--- a/packages/pollengate/pollengate/workflow/job_table.py
+++ b/packages/pollengate/pollengate/workflow/job_table.py
@@ -261,6 +261,7 @@
         run = self.add_run(task, view, number, now)
         run.apply_event("seen")
         run.replied_at = now
+        run.is_speed_known = False
         return run
 
     def request_copy(self, task: TaskProgress) -> None:
--- a/packages/pollengate/pollengate/workflow/progress.py
+++ b/packages/pollengate/pollengate/workflow/progress.py
@@ -68,6 +68,8 @@
         measurement: the last measurement reported (see `RunningTask`).
         measurement_change: difference between the last two measurements.
         speed_percent: speed to which it is limited, in percent of full speed.
+        is_speed_known: whether its worker has that speed for certain; it may not after an order
+            without a reply, or after one of an earlier owner.
         slow_since: clock time since which its speed has been limited to a low value, None if it
             is not.
         replied_at: clock time at which the worker confirmed or first reported it, None before that;
@@ -86,6 +88,7 @@
     measurement: float = 0.0
     measurement_change: float = 0.0
     speed_percent: int = 100
+    is_speed_known: bool = True
     slow_since: float | None = None
     replied_at: float | None = None
     is_stop_wanted: bool = False
--- a/packages/pollengated/pollengated/edge/worker_controller.py
+++ b/packages/pollengated/pollengated/edge/worker_controller.py
@@ -187,6 +187,7 @@
         order = ThrottleOrder(run.task.name, run.number, change.percent, self._token)
         result = await self._client.throttle(self.view.info.address, self.view.worker_id, order)
         if isinstance(result, Err):
+            run.is_speed_known = False  # the order may have taken effect
             self._handle_failure(result.err_value)
         else:
             change.apply(self._clocks.monotonic_s())
