Place the siblings of a copy that fits nowhere

A sibling waits although the worker of the first task has room.

Cause: a plan ends a step at the first waiting task that fits nowhere. A copy may not run where its task runs already, so that a copy at the head kept its siblings from that worker.

Evidence: test_copy_does_not_hold_back_its_siblings failed before with 'ValueError: not enough values to unpack (expected 1, got 0)'.

Change: a task with a run is passed over like one that failed or is suspected.

--- a/packages/pollengate/pollengate/workflow/planner.py
+++ b/packages/pollengate/pollengate/workflow/planner.py
@@ -196,7 +196,7 @@
             view = self.placer.choose(
                 task, workers, now, queue.advice is not None, scores, candidates
             )
-            if view is None and (task.crashes or self.placer.evidence.has_failed(task.name)):
+            if view is None and self._has_fewer_workers(task):
                 continue  # its siblings may run where it may not
             if view is None:
                 break
@@ -208,6 +208,12 @@
                 break  # its siblings wait for headroom
         return runs
 
+    def _has_fewer_workers(self, task: TaskProgress) -> bool:
+        """Returns True if some worker may get a task's siblings, but not the task itself."""
+        return bool(
+            task.crashes or task.runs_by_number or self.placer.evidence.has_failed(task.name)
+        )
+
     def _place_gang(
         self, step: StepProgress, queue: Queue, workers: list[WorkerView], now: float
     ) -> list[Run]:
--- a/tests/test_idle_jobs.py
+++ b/tests/test_idle_jobs.py
@@ -111,6 +111,17 @@
         self.assertEqual(self.plan(1.0), [])
         self.assertEqual(len(self.plan_until(1.0, 1.0 + LOST_AFTER_S)), 1)
 
+    def test_copy_does_not_hold_back_its_siblings(self) -> None:
+        # Guards against a sibling that waits while the only worker with room runs the first task.
+        self.build(workers=2)
+        self.start("aa", build_step(is_long_running=True, demand=CAPACITY), 0.0)
+        step = build_step(2, demand=Demand(8000, 1000), is_speculative=True)
+        first, second = self.start("bb", step, 0.0)
+        self.job_table.request_copy(first.task)
+        self.job_table.mark_ended(second, EndKind.STOPPED, "", 1.0, 0)
+        (run,) = self.plan(1.0)
+        self.assertEqual(run.task.name, second.task.name)
+
     def test_task_that_failed_does_not_hold_back_its_siblings(self) -> None:
         # Guards against a sibling that waits for the worker which the first task needs.
         first, second = self.start_beside_a_full_worker()
