Probe a quarantined worker sooner with a long-running task that has no other worker

Cause: only a probe that is due may start on a quarantined worker, and its interval doubles.

Evidence: test_long_running_task_runs_again_while_all_workers_are_quarantined failed before with 'AssertionError: 0 != 1'.

Change: if no other worker has room, a long-running task, whose failures are not limited, may probe a worker 4 s after its last failure, whatever the present interval.

--- a/packages/pollengate/pollengate/failure_evidence.py
+++ b/packages/pollengate/pollengate/failure_evidence.py
@@ -143,6 +143,19 @@
         workers = self._workers_by_task.get(task_id)
         return workers is None or worker_id not in workers
 
+    def may_probe_early(self, worker_id: str) -> bool:
+        """Returns True unless a worker is probed now, or failed within the first interval.
+
+        A task that no other worker can get need not wait for an interval that was doubled.
+        """
+        worker = self._workers_by_id.get(worker_id)
+        if worker is None or not worker.is_quarantined:
+            return True
+        quarantined_at = worker.probe_at - worker.probe_after_s
+        return not worker.probe_task and (
+            self._clock() >= quarantined_at + self._first_probe_after_s
+        )
+
     def has_failed(self, task_id: str) -> bool:
         """Returns True if a task has failed on some worker."""
         return task_id in self._workers_by_task
--- a/packages/pollengate/pollengate/workflow/placement.py
+++ b/packages/pollengate/pollengate/workflow/placement.py
@@ -112,7 +112,9 @@
 
         Workers on which the task failed come last. A long-running task returns to one of them if
         no other worker has room, any other task only if there is no other worker at all, or if
-        they are few and its job has had no run for too long.
+        they are few and its job has had no run for too long. A quarantined worker gets a
+        long-running task, which may fail any number of times, sooner than others if no other worker
+        has room.
 
         Args:
             task: the task.
@@ -141,6 +143,9 @@
         ):
             healthy = [v for v in candidates if not self.evidence.is_quarantined(v.worker_id)]
             best = best_of(task, healthy, now, scores)
+        if best is None and task.step.spec.is_long_running:
+            probes = [v for v in candidates if self.evidence.may_probe_early(v.worker_id)]
+            best = best_of(task, probes, now, scores)
         return best
 
     def filler_workers(
--- a/tests/test_idle_jobs.py
+++ b/tests/test_idle_jobs.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from pollengate.failure_evidence import FailureEvidence
 from pollengate.interference.filler_placement import MAX_WITHHELD_S
 from pollengate.interference.latency_model import LatencyModel
 from pollengate.workflow.clients import EndKind
@@ -10,6 +11,7 @@
 from pollengate.workflow.planner import Planner
 from pollengate.workflow.progress import Run
 
+from tests.utils import ManualClock
 from tests.workflow_builders import (
     build_job,
     build_job_table,
@@ -111,6 +113,22 @@
         self.assertEqual(self.plan(1.0), [])
         self.assertEqual(len(self.plan_until(1.0, 1.0 + LOST_AFTER_S)), 1)
 
+    def test_long_running_task_runs_again_while_all_workers_are_quarantined(self) -> None:
+        # Guards against a task that waits for a probe for 8 s; its users accept 6 s and 3 s.
+        clock = ManualClock()
+        self.build(workers=2)
+        evidence = FailureEvidence(clock, first_probe_after_s=4.0, max_probe_after_s=8.0)
+        self.job_table.evidence = evidence
+        self.planner = build_planner(self.job_table)
+        for clock.now in (0.0, 4.0):
+            for number in range(3):
+                for worker_id in self.job_table.fleet.workers_by_id:
+                    evidence.record_rejection(f"c{number}", worker_id)
+        step = build_step(is_long_running=True)
+        self.assertEqual(self.start("aa", step, 4.0), [])
+        clock.now = 8.0
+        self.assertEqual(len(self.plan(8.0)), 1)
+
     def test_copy_does_not_hold_back_its_siblings(self) -> None:
         # Guards against a sibling that waits while the only worker with room runs the first task.
         self.build(workers=2)
