Test that a silent worker holds only its own tasks after a takeover

A successor holds all restored tasks while one recorded worker is silent, also if that worker has been silent for long, or if the owner handed the shard over and knew what ran where.

--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -1,10 +1,13 @@
 """Tests of takeovers in which recorded workers do not reply, on virtual time."""
 
 import asyncio
+from unittest import mock
 
 import logbook
 from pollengate.store import Delete
 from pollengate.workflow.keys import owner_key
+from pollengate.workflow.planner import Planner
+from pollengate.workflow.progress import JobState
 
 from tests.edge_cluster import EdgeCluster, EdgeTestCase
 from tests.faulty_store import Fault
@@ -15,6 +18,11 @@
 SETTLE_S = 2.0
 # Longer than the owner's lease and all leases that it has given.
 ALL_EXPIRED_S = 12.0
+SHORT_S = 1.0
+# Time after which an owner has noticed and recorded that a worker is silent.
+NOTICED_S = 3.0
+# A job without a run for longer than this, beside free room, counts as lost.
+MAX_PAUSE_S = 3.0
 HANDOVER_REPLIES_LOST_S = 3.0
 
 
@@ -72,6 +80,66 @@
         run_virtual(main())
 
 
+class SilentWorkerTest(TakeoverTestCase):
+    """Tasks that can't be on a silent worker, after a takeover."""
+
+    async def open_loaded(self) -> EdgeCluster:
+        """Returns a cluster whose four workers have ten seconds of short tasks."""
+        cluster = EdgeCluster(workers=4, duration_s=SHORT_S)
+        await cluster.open(nodes=3)
+        await cluster.submit(JOB_ID, build_workflow(build_step(160)))
+        await asyncio.sleep(SETTLE_S)
+        return cluster
+
+    async def check_starts_go_on(self, cluster: EdgeCluster) -> None:
+        """Asserts that tasks start soon after the next takeover, and none of them twice."""
+        term = await cluster.wait_for_term()
+        taken_at = asyncio.get_running_loop().time()
+        await asyncio.sleep(MAX_PAUSE_S)
+        started = [run for run in cluster.history if run.began_at > taken_at]
+        self.assertGreater(len(started), 9)
+        self.assertIs(cluster.term(), term)
+        cluster.workers_by_id["w1"].is_unreachable = False
+        await cluster.wait_for_state(JOB_ID, JobState.COMPLETED)
+        self.check_single_execution(cluster)
+
+    def test_worker_that_was_silent_before_its_owner_died_holds_its_own_tasks_only(self) -> None:
+        async def main() -> None:
+            cluster = await self.open_loaded()
+            cluster.workers_by_id["w1"].is_unreachable = True
+            await asyncio.sleep(NOTICED_S)
+            cluster.serving_node().kill()
+            await self.check_starts_go_on(cluster)
+
+        run_virtual(main())
+
+    def test_worker_that_was_silent_before_a_term_failed_holds_its_own_tasks_only(self) -> None:
+        async def main() -> None:
+            cluster = await self.open_loaded()
+            cluster.workers_by_id["w1"].is_unreachable = True
+            await asyncio.sleep(NOTICED_S)
+            with mock.patch.object(Planner, "plan", side_effect=ArithmeticError):
+                await asyncio.sleep(0.1)
+            await self.check_starts_go_on(cluster)
+
+        run_virtual(main())
+
+    def test_worker_that_a_successor_does_not_reach_after_a_handover_holds_its_tasks_only(
+        self,
+    ) -> None:
+        async def main() -> None:
+            cluster = await self.open_loaded()
+            node = cluster.serving_node()
+            for other in cluster.nodes_by_name.values():
+                if other is not node:
+                    other.workers.unreachable_worker_ids = {"w1"}
+            await node.membership.announce_leaving()
+            await node.elector.hand_over()
+            await self.check_starts_go_on(cluster)
+
+        run_virtual(main())
+
+
 class ReleasedShardTest(TakeoverTestCase):
     """Owners that release their shard, and whose store or network fails at that moment."""
 
