Record what may run on silent workers, so that they hold nothing else after a takeover

Cause: a successor does not know what an earlier owner started on the silent worker, so that every restored task may run there. The earlier owner knew, but told it nobody.

Change: an owner lists what may run on each worker that does not reply, and in a handover on every worker, in one record of the group commit. The successor holds the listed tasks only. No run starts on a listed worker until its removal from the record is durable; a list is written after the results that the worker reported before.

--- a/packages/pollengate/pollengate/explain/explainer.py
+++ b/packages/pollengate/pollengate/explain/explainer.py
@@ -277,7 +277,8 @@
 
     def _may_start(self, step: StepProgress) -> bool:
         """Returns True if a task of a step may start on a worker that is suitable."""
-        if step.job.is_restored and not self._planner.is_settled():
+        is_unsettled = step.job.is_restored and not self._planner.is_settled()
+        if is_unsettled and all(self._job_table.may_run_unseen(task) for task in step.waiting):
             return False
         if step.spec.is_gang and len(step.waiting) < step.spec.count:
             return False
--- a/packages/pollengate/pollengate/workflow/fleet.py
+++ b/packages/pollengate/pollengate/workflow/fleet.py
@@ -139,6 +139,11 @@
     Args:
         lease_s: length of the leases that it grants.
         previous_leases_expire_at: clock time by which all leases of earlier owners have expired.
+
+    Attributes:
+        workers_by_id: the workers.
+        evacuated_zones: zones whose workers get no tasks.
+        listed_ids: workers whose runs the store may list as complete; they get no tasks.
     """
 
     def __init__(self, lease_s: float, previous_leases_expire_at: float) -> None:
@@ -146,6 +151,7 @@
         self._previous_leases_expire_at = previous_leases_expire_at
         self.workers_by_id: dict[str, WorkerView] = {}
         self.evacuated_zones: frozenset[str] = frozenset()
+        self.listed_ids: set[str] = set()
 
     def update(self, workers: Iterable[Worker], now: float) -> None:
         """Applies a complete listing of the registry."""
@@ -215,6 +221,7 @@
             view.is_registered
             and view.is_attached
             and view.is_recorded
+            and view.worker_id not in self.listed_ids
             and not view.is_released
             and view.trial is None
             and view.info.condition is WorkerCondition.READY
--- a/packages/pollengate/pollengate/workflow/job_table.py
+++ b/packages/pollengate/pollengate/workflow/job_table.py
@@ -57,6 +57,8 @@
         account_usage: demand of all runs that may exist, by client account.
         durable_record_number: returns the number of the newest record that is durable; see
             `is_recorded`.
+        may_run_unseen: returns whether a restored task may have a run of an earlier owner that is
+            not known yet; asked before a takeover is settled.
         on_run_ended: called with a run that ended on its worker, whether it is done, and the clock
             time; None for no call.
     """
@@ -70,6 +72,7 @@
         self.outbox = Outbox()
         self.account_usage = AccountUsage()
         self.durable_record_number: Callable[[], float] = lambda: float("inf")
+        self.may_run_unseen: Callable[[TaskProgress], bool] = lambda task: True
         self.on_run_ended: Callable[[Run, bool, float], None] | None = None
         self._crash_log = CrashLog()
         self._run_number_floor = term * RUNS_PER_TERM
--- a/packages/pollengate/pollengate/workflow/keys.py
+++ b/packages/pollengate/pollengate/workflow/keys.py
@@ -23,6 +23,7 @@
     "placement_prefix",
     "progress_key",
     "progress_prefix",
+    "run_lists_key",
     "shard_of_job",
     "shard_of_unassigned_rack",
 ]
@@ -53,6 +54,11 @@
     return f"{ROOT}commit/{shard}"
 
 
+def run_lists_key(shard: int) -> str:
+    """Returns the key of the lists of what may run on workers that get no starts."""
+    return f"{ROOT}runs/{shard}"
+
+
 def interference_record_key(shard: int) -> str:
     """Returns the key of a shard's interference record."""
     return f"{INTERFERENCE_RECORD_PREFIX}{shard}"
--- a/packages/pollengate/pollengate/workflow/planner.py
+++ b/packages/pollengate/pollengate/workflow/planner.py
@@ -67,7 +67,8 @@
         job_table: the shard's jobs and runs.
         placer: chooses the worker of each task.
         is_settled: returns True once no unreported run of an earlier owner can exist any more;
-            before that, only jobs that were accepted since the takeover are started.
+            before that, only tasks of jobs that were accepted since the takeover are started, and
+            those that have no such run for certain.
         order: decides which steps get workers first.
         start_filter: holds back tasks that may not start although a worker has room.
 
@@ -98,7 +99,9 @@
         job_table = self.job_table
         settled = self.is_settled()
         steps = [
-            step for step in job_table.open_steps if step.waiting and (settled or _is_new(step))
+            step
+            for step in job_table.open_steps
+            if step.waiting and (settled or _is_new(step) or self._has_known(step))
         ]
         for step in steps:
             if step.job.idle_since is None and not step.job.run_count:
@@ -191,7 +194,7 @@
         for task in list(step.waiting):
             if not (self.order.may_take(step) and self.start_filter.startable(step)):
                 break
-            if not self.job_table.is_recorded(task):
+            if not self.job_table.is_recorded(task) or self._may_run_unseen(task):
                 continue
             view = self.placer.choose(
                 task, workers, now, queue.advice is not None, scores, candidates
@@ -220,6 +223,8 @@
             return []
         if not all(self.job_table.is_recorded(task) for task in step.waiting):
             return []
+        if any(self._may_run_unseen(task) for task in step.waiting):
+            return []
         number = max(self.job_table.next_run_number(task) for task in step.tasks)
         runs: list[Run] = []
         for task in list(step.waiting):
@@ -231,6 +236,16 @@
             runs.append(self._add_run(task, view, number, now))
         return runs
 
+    def _has_known(self, step: StepProgress) -> bool:
+        """Whether a waiting task of a restored step certainly has no run."""
+        return not all(self.job_table.may_run_unseen(task) for task in step.waiting)
+
+    def _may_run_unseen(self, task: TaskProgress) -> bool:
+        """Whether a task may have a run of an earlier owner that is not known yet."""
+        if _is_new(task.step) or self.is_settled():
+            return False
+        return self.job_table.may_run_unseen(task)
+
     def _add_run(self, task: TaskProgress, view: WorkerView, number: int, now: float) -> Run:
         self.job_table.evidence.record_placement(task.name, task.step.job.job_id, view.worker_id)
         run = self.job_table.add_run(task, view, number, now)
--- a/packages/pollengate/pollengate/workflow/waiting.py
+++ b/packages/pollengate/pollengate/workflow/waiting.py
@@ -180,7 +180,9 @@
             return OverdueStep(step, waited_s, WaitCause.NO_QUEUE, 0, 0)
         workers = workers_of(queue.service)
         room = sum(can_place(step, view) for view in workers)
-        if step.job.is_restored and not self._is_settled():
+        may_run_unseen = self._job_table.may_run_unseen
+        is_restored = step.job.is_restored and not self._is_settled()
+        if is_restored and all(may_run_unseen(task) for task in step.waiting):
             cause = WaitCause.UNSETTLED
         elif not workers:
             cause = WaitCause.NO_WORKER
--- a/packages/pollengated/pollengated/edge/committer.py
+++ b/packages/pollengated/pollengated/edge/committer.py
@@ -132,6 +132,9 @@
         term_number: number of the ownership term, counted from 0.
         commit_revision: revision of the shard's commit key, 0 if it is absent.
         clocks: the process's clocks.
+
+    Attributes:
+        term_number: the same.
     """
 
     def __init__(
@@ -146,7 +149,7 @@
         self._store = store
         self._shard = shard
         self._shard_lease = shard_lease
-        self._term_number = term_number
+        self.term_number = term_number
         self._commit_revision = commit_revision
         self._clocks = clocks
         self._log = Log("commits")
@@ -224,7 +227,7 @@
     async def _commit_group(self) -> None:
         keys = list(self._pending)[:RECORDS_PER_COMMIT]
         self._writing = {key: self._pending.pop(key) for key in keys}
-        number = CommitNumber(self._term_number, self._next_sequence)
+        number = CommitNumber(self.term_number, self._next_sequence)
         self._next_sequence += 1
         operations = [record.operation() for _, record in self._writing.values()]
         operations.append(Put(commit_key(self._shard), msgspec.json.encode(number)))
--- a/packages/pollengated/pollengated/edge/recorded_workers.py
+++ b/packages/pollengated/pollengated/edge/recorded_workers.py
@@ -77,6 +77,17 @@
         """Returns the store key of a shard's list."""
         return f"{ROOT}roster/{shard}"
 
+    def add_to_fleet(self, lowest_token: Callable[[str], int], now: float) -> None:
+        """Adds the workers that an earlier owner recorded to the fleet, at a takeover.
+
+        Args:
+            lowest_token: returns the lowest fencing token that a worker accepts.
+            now: clock time.
+        """
+        for worker_id, address in self.addresses_by_id.items():
+            self._fleet.add_recorded(worker_id, address, now)
+            self._fleet.workers_by_id[worker_id].lowest_token = lowest_token(worker_id)
+
     def update(self) -> None:
         """Queues a new record if the workers of the fleet have changed.
 
--- a/packages/pollengated/pollengated/edge/shard_records.py
+++ b/packages/pollengated/pollengated/edge/shard_records.py
@@ -13,6 +13,7 @@
     job_prefix,
     placement_prefix,
     progress_prefix,
+    run_lists_key,
 )
 from pollengate.workflow.shard_lease import ShardLease
 from result import Err, Ok, Result
@@ -39,6 +40,7 @@
     Attributes:
         commit: number of the newest commit, None before the first.
         recorded_workers: list of the workers that may run tasks.
+        run_lists: lists of what may run on workers that get no starts.
         interference: probabilities that images interfere.
         jobs: jobs as accepted.
         progress: progress of the jobs.
@@ -48,6 +50,7 @@
 
     commit: Entry | None
     recorded_workers: Entry | None
+    run_lists: Entry | None
     interference: Entry | None
     jobs: tuple[Entry, ...]
     progress: tuple[Entry, ...]
@@ -97,6 +100,9 @@
         recorded_workers = await self._get(RecordedWorkers.key_of(self._shard))
         if isinstance(recorded_workers, Err):
             return recorded_workers
+        run_lists = await self._get(run_lists_key(self._shard))
+        if isinstance(run_lists, Err):
+            return run_lists
         interference = await self._get(interference_record_key(self._shard))
         if isinstance(interference, Err):
             return interference
@@ -116,6 +122,7 @@
             ShardRecords(
                 commit.ok_value,
                 recorded_workers.ok_value,
+                run_lists.ok_value,
                 interference.ok_value,
                 jobs.ok_value.entries,
                 progress.ok_value.entries,
--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -41,6 +41,7 @@
 from pollengated.edge.placement_acceptor import PlacementAcceptor
 from pollengated.edge.placement_context import PlacementContext
 from pollengated.edge.recorded_workers import RecordedWorkers, load_recorded_workers
+from pollengated.edge.run_lists import load_run_lists
 from pollengated.edge.run_mover import RunMover
 from pollengated.edge.shard_load_log import ShardLoadLog
 from pollengated.edge.shard_records import ShardRecords, ShardRecordsReader
@@ -125,9 +126,8 @@
         self._log = Log("owner")
         self._acquired_at = clocks.monotonic_s()
         worker_lease_s = min(WORKER_LEASE_S, settings.bounds.max_worker_lease_s)
-        previous_leases_expire_at = previous_lease_expiry(self._acquired_at, worker_lease_s)
-        self._previous_leases_expire_at = previous_leases_expire_at
-        self.fleet = Fleet(worker_lease_s, previous_leases_expire_at)
+        self._previous_leases_expire_at = previous_lease_expiry(self._acquired_at, worker_lease_s)
+        self.fleet = Fleet(worker_lease_s, self._previous_leases_expire_at)
         self._registry = WorkerRegistry(store, clocks, self._workers_changed, metrics)
         self._assignments = WorkerAssignments(
             shard, layout, store, clocks, self._workers_changed, metrics
@@ -205,7 +205,8 @@
             self.request_handler.is_closing = True
         await asyncio.sleep(PLAN_DELAY_S)
         if self.is_serving:
-            await self._committer.wait_durable(self._committer.last_record_number, timeout_s)
+            self._record_changes()
+            await self._takeover.run_lists.hand_over(timeout_s)
 
     # Recovery.
 
@@ -235,7 +236,7 @@
         return True
 
     def _restore(self, records: ShardRecords) -> None:
-        previous_commit = records.commit and decode_commit_number(records.commit.value)
+        previous_commit = decode_commit_number(records.commit.value) if records.commit else None
         term_number = previous_commit.tenure + 1 if previous_commit else 0
         self._committer = Committer(
             self._store,
@@ -258,13 +259,16 @@
         self._takeover = Takeover(
             self.shard,
             self.job_table,
+            committer,
             addresses_by_id,
+            load_run_lists(records.run_lists, previous_commit),
             self._acquired_at,
             self._previous_leases_expire_at,
             self._clocks,
             self._metrics,
         )
         is_settled = self._takeover.is_settled
+        self.job_table.may_run_unseen = self._takeover.may_run_unseen
         self._start_policy = StartPolicy(
             self.job_table, self._policy, self._account_shares, self._metrics, is_settled
         )
@@ -320,11 +324,9 @@
         self._create_placement()
         self.request_handler.placer.load(records.placements)
         restore_jobs(self.shard, records, self.job_table, self._clocks)
-        for worker_id, address in addresses_by_id.items():
-            self.fleet.add_recorded(worker_id, address, self._clocks.monotonic_s())
-            self.fleet.workers_by_id[worker_id].lowest_token = self._assignments.lowest_token(
-                worker_id
-            )
+        self._recorded_workers.add_to_fleet(
+            self._assignments.lowest_token, self._clocks.monotonic_s()
+        )
 
     def _create_placement(self) -> None:
         """Creates what exchanges jobs with other shards' owners."""
@@ -421,6 +423,7 @@
     def _request_planning(self) -> None:
         """Queues changed jobs for writing and wakes the planner."""
         self._record_changes()
+        self._takeover.run_lists.update_replying()
         self._wake.set()
 
     def _job_table_changed(self) -> None:
@@ -471,6 +474,7 @@
             if not self._is_handing_over:
                 self._transfers.update()
             self._interference.update(self._clocks.monotonic_s())
+            self._record_changes()
             self._takeover.update()
             self._forget(self.fleet.forget_departed(self._clocks.monotonic_s()))
             self._retention.update(self._clocks.monotonic_s())
--- a/packages/pollengated/pollengated/edge/takeover.py
+++ b/packages/pollengated/pollengated/edge/takeover.py
@@ -1,39 +1,60 @@
 """The time after a takeover in which runs of an earlier owner may exist that are not known yet."""
 
-from collections.abc import Iterable
+import dataclasses
+from collections.abc import Iterable, Mapping
 
 from pollengate.workflow.job_table import JobTable
+from pollengate.workflow.progress import TaskProgress
 
 from pollengated.edge.clocks import Clocks
+from pollengated.edge.committer import Committer
 from pollengated.edge.edge_metrics import EdgeMetrics
+from pollengated.edge.run_lists import RunLists
 from pollengated.logs import Log
 
 __all__ = ["Takeover"]
 
 # Workers that reply do so within this time after a takeover; the others are logged.
 LOG_AFTER_S = 0.5
+# Age after which the tasks that may run unseen are determined anew.
+REFRESH_AFTER_S = 0.01
 # Ids in one log line.
 MAX_LOGGED_WORKERS = 10
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _HeldTasks:
+    """Restored tasks that may have a run which is not known: all of them, or some by name."""
+
+    are_all: bool
+    names: frozenset[str]
+
+
 class Takeover:
     """Waits for the workers that an earlier owner recorded, until its leases have expired.
 
     Args:
         shard: number of the shard.
         job_table: the shard's jobs, runs and workers.
+        committer: writes the shard's records.
         recorded_ids: ids of the workers that may run tasks which an earlier owner started.
+        listed_tasks_by_id: names of the only tasks that may run on a worker, if they are known.
         acquired_at: clock time at which this process acquired the shard.
         leases_expire_at: clock time by which all leases of earlier owners have expired.
         clocks: the process's clocks.
         metrics: metrics of this process.
+
+    Attributes:
+        run_lists: lists what may run on silent workers, for the next owner.
     """
 
     def __init__(
         self,
         shard: int,
         job_table: JobTable,
+        committer: Committer,
         recorded_ids: Iterable[str],
+        listed_tasks_by_id: Mapping[str, frozenset[str]],
         acquired_at: float,
         leases_expire_at: float,
         clocks: Clocks,
@@ -42,6 +63,12 @@
         self._shard = shard
         self._job_table = job_table
         self._recorded_ids = tuple(recorded_ids)
+        self.run_lists = RunLists(
+            shard, committer, job_table.fleet, clocks, leases_expire_at, listed_tasks_by_id
+        )
+        self._listed_tasks_by_id = listed_tasks_by_id
+        self._held = _HeldTasks(True, frozenset())
+        self._held_at = float("-inf")
         self._acquired_at = acquired_at
         self._leases_expire_at = leases_expire_at
         self._clocks = clocks
@@ -54,7 +81,20 @@
         """Whether every run that an earlier owner started is known or has ended."""
         return self._clocks.monotonic_s() >= self._leases_expire_at or not self._awaited_ids()
 
+    def may_run_unseen(self, task: TaskProgress) -> bool:
+        """Whether a restored task may have a run of an earlier owner that is not known yet."""
+        now = self._clocks.monotonic_s()
+        if now - self._held_at >= REFRESH_AFTER_S:
+            self._held_at = now
+            self._held = self._find_held(now)
+        return self._held.are_all or task.name in self._held.names
+
     def update(self) -> None:
+        """Updates the lists of silent workers, and reports on those that are awaited."""
+        self.run_lists.update()
+        self._report()
+
+    def _report(self) -> None:
         """Logs and exports which workers are awaited, and when the takeover is settled."""
         if self._is_reported:
             return
@@ -90,6 +130,12 @@
         """Removes the metrics of a shard whose ownership has ended."""
         self._metrics.awaited_workers.labels(str(self._shard)).set(0)
 
+    def _find_held(self, now: float) -> "_HeldTasks":
+        awaited_ids = [] if now >= self._leases_expire_at else self._awaited_ids()
+        lists = [self._listed_tasks_by_id.get(worker_id) for worker_id in awaited_ids]
+        known = [tasks for tasks in lists if tasks is not None]
+        return _HeldTasks(len(known) < len(lists), frozenset().union(*known))
+
     def _awaited_ids(self) -> list[str]:
         views = (
             self._job_table.fleet.workers_by_id.get(worker_id) for worker_id in self._recorded_ids
@@ -102,4 +148,9 @@
 
     def _count_waiting(self) -> int:
         """Returns the number of restored tasks whose turn has come and that have no known run."""
-        return sum(len(step.waiting) for step in self._job_table.open_steps if step.job.is_restored)
+        return sum(
+            self.may_run_unseen(task)
+            for step in self._job_table.open_steps
+            if step.job.is_restored
+            for task in step.waiting
+        )
