--- a/packages/pollengate-standins/pollengate_standins/lease_worker.py
+++ b/packages/pollengate-standins/pollengate_standins/lease_worker.py
@@ -66,6 +66,8 @@
         fails: returns whether a run of the task ends with a failure.
         duration_of: returns the `duration_s` of a run of the task.
         crashes_under: returns whether the worker crashes right after it has started the task.
+        clock_rate: seconds that the worker's clock advances in a second.
+        noted_ends: start records whose end was acknowledged before the lease expired.
     """
 
     def __init__(self, worker_id: str, history: list[StartRecord]) -> None:
@@ -78,9 +80,13 @@
         self.fails: Callable[[str], bool] = lambda task: False
         self.duration_of: Callable[[str], float] = lambda task: 1.0
         self.crashes_under: Callable[[str], bool] = lambda task: False
+        self.clock_rate = 1.0
+        self.noted_ends: list[StartRecord] = []
         self._history = history
         self._token = 0
         self._lease_until = 0.0
+        self._expired_at = 0.0
+        self._records_by_end: dict[int, StartRecord] = {}
         self._ended: list[EndedRun] = []
         self._ended_count = 0
         self._highest_by_task: dict[str, int] = {}
@@ -89,6 +95,7 @@
 
     def crash(self) -> None:
         """Ends all runs and starts a new incarnation without any state of the old one."""
+        self.advance()
         for record in self._running.values():
             record.ended_at, record.end_kind = self._now(), EndKind.EXPIRED
         self._running.clear()
@@ -117,7 +124,7 @@
             return self._refuse(OrderRejection.OLD_RUN)
         if order.lease_until_ms <= self._clock_ms():
             return self._refuse(OrderRejection.TOO_LATE)
-        self._lease_until = max(self._lease_until, order.lease_until_ms / 1000)
+        self._extend_lease(order.lease_until_ms)
         record = StartRecord(
             order.task,
             order.run,
@@ -151,9 +158,9 @@
         if order.token < self._token:
             return self._refuse(OrderRejection.FENCED)
         self._token = order.token
-        self._ended = [end for end in self._ended if end.number > order.acked_upto]
+        self._note_ends(order.acked_upto)
         if order.lease_until_ms is not None:
-            self._lease_until = max(self._lease_until, order.lease_until_ms / 1000)
+            self._extend_lease(order.lease_until_ms)
         running = tuple(
             RunningTask(r.task, r.run, f"c{self._now():.2f}", self._percent(r), 1.0)
             for r in self._running.values()
@@ -172,6 +179,8 @@
     def advance(self) -> None:
         """Ends runs that are done by now, and all others if the lease has expired."""
         now = self._now()
+        if self._lease_until <= now:
+            self._expired_at = self._lease_until
         for record in list(self._running.values()):
             done_at = record.began_at + record.duration_s
             if done_at <= min(now, self._lease_until):
@@ -180,6 +189,16 @@
             elif self._lease_until <= now:
                 self._end(record, EndKind.EXPIRED, self._lease_until)
 
+    def _extend_lease(self, until_ms: int) -> None:
+        self._lease_until = max(self._lease_until, until_ms / 1000 / self.clock_rate)
+
+    def _note_ends(self, acked_upto: int) -> None:
+        for end in self._ended:
+            record = self._records_by_end[end.number]
+            if end.number <= acked_upto and (record.ended_at or 0.0) > self._expired_at:
+                self.noted_ends.append(record)
+        self._ended = [end for end in self._ended if end.number > acked_upto]
+
     def _become_reachable(self) -> None:
         self.is_unreachable = False
 
@@ -189,6 +208,7 @@
         self._highest_by_task[record.task] = max(highest, record.run)
         record.ended_at, record.end_kind = at, end_kind
         self._ended_count += 1
+        self._records_by_end[self._ended_count] = record
         checkpoint = f"c{at:.2f}" if end_kind is EndKind.STOPPED else ""
         self._ended.append(
             EndedRun(self._ended_count, record.task, record.run, end_kind, checkpoint)
@@ -203,7 +223,7 @@
         return Err(OrderFailure(kind, kind.value, self._clock_ms()))
 
     def _clock_ms(self) -> int:
-        return int(self._now() * 1000)
+        return int(self._now() * 1000 * self.clock_rate)
 
     @staticmethod
     def _now() -> float:
@@ -229,7 +249,7 @@
         worker = self.workers_by_id[worker_id]
         if worker.start_delay_s and not self._is_unreachable(worker):
             loop = asyncio.get_running_loop()
-            loop.call_later(worker.start_delay_s, worker.start, order)
+            loop.call_later(worker.start_delay_s, _start_late, worker, worker.born_ms, order)
             return await _time_out()
         if self._is_unreachable(worker):
             return await _time_out()
@@ -276,6 +296,11 @@
         return worker.is_unreachable or worker.worker_id in self.unreachable_worker_ids
 
 
+def _start_late(worker: LeaseWorker, born_ms: int, order: StartOrder) -> None:
+    if worker.born_ms == born_ms:
+        worker.start(order)
+
+
 async def _time_out() -> Err[OrderFailure]:
     await asyncio.sleep(LOST_REPLY_TIMEOUT_S)
     return Err(OrderFailure(OrderRejection.NO_ANSWER, "timeout"))
--- a/tests/test_malformed_messages.py
+++ b/tests/test_malformed_messages.py
@@ -39,6 +39,7 @@
 from pollengated.edge.owned_shards import OwnedShards
 from pollengated.edge.recorded_workers import decode_recorded_workers
 from pollengated.edge.rpc import EdgeClient, EdgeService
+from pollengated.edge.run_lists import decode_run_lists
 from pollengated.edge.worker_assignments import WorkerAssignments
 from pollengated.http_configuration import decode_merge_patch
 from result import Err, Ok, Result
@@ -114,6 +115,10 @@
     "shares": ({"a": {"0": {"part": {"cpu_millis": 1}, "ticket": 1}}}, decode_shares),
     "commit number": ({"tenure": 1, "sequence": 1}, lambda v: Ok(decode_commit_number(v))),
     "workers": ({"w": "10.0.0.1:1"}, lambda value: Ok(decode_recorded_workers(value))),
+    "run lists": (
+        {"term": 1, "tasks_by_worker_id": {"w": ["00000000000000aa.0.0.0"]}},
+        lambda value: Ok(decode_run_lists(value)),
+    ),
 }
 
 _SCALARS = (
