Check the cap of workers' leases in a model

The model of leases had no grace period and no release whose reply is lost, on which the shorter wait of a successor depends. models/grace_leases.py has one takeover, a release, renewals and orders that arrive late, and one skipped tick of the owner's and of the worker's clock.

--- a/models/ownership.py
+++ b/models/ownership.py
@@ -11,6 +11,7 @@
 
 from minicheck import Protocol, check_safety
 
+from models.grace_leases import GraceRules, build_grace_leases
 from models.ownership_leases import LeaseRules, build_leases
 from models.ownership_starts import StartRules, build_starts
 
@@ -61,6 +62,10 @@
     return Check(f"starts: {name}", lambda: build_starts(StartRules(**rules)), broken)
 
 
+def _grace_check(name: str, *broken: str, **rules: object) -> Check:
+    return Check(f"grace: {name}", lambda: build_grace_leases(GraceRules(**rules)), broken)
+
+
 _NOT_IDEMPOTENT = {"is_idempotent": False, "sessions": 1}
 
 CHECKS = (
@@ -76,6 +81,10 @@
     _lease_check(
         "successor does not wait", "lapse_is_seen_after_it_happened", waits_for_leases=False
     ),
+    _grace_check("1 takeover, release, drift"),
+    _grace_check("full leases in the grace period", "no_second_run", caps_in_grace=False),
+    _grace_check("full leases after a release", "no_second_run", caps_in_release=False),
+    _grace_check("successor without a margin", "no_second_run", margin=0),
     _start_check("1 epoch, 2 sessions", max_epochs=1),
     _start_check("2 epochs, 1 session, handover", sessions=1, hands_over=True),
     _start_check("non-idempotent, 2 epochs, 1 session", **_NOT_IDEMPOTENT),
