Log how many other shards have room for a long-running task that waits

Change: 'long-running task waits to run again' has shards_with_room, the number of other shards whose summary of room has a worker that would hold the task. rank_restart_shards orders these shards: those that keep room for a second such task first, then the fullest.

--- a/packages/pollengate/pollengate/workflow/job_placement.py
+++ b/packages/pollengate/pollengate/workflow/job_placement.py
@@ -22,6 +22,7 @@
     "first_steps",
     "may_be_placed_elsewhere",
     "min_places",
+    "rank_restart_shards",
     "rank_shards",
     "with_spare_tasks",
 ]
@@ -127,6 +128,25 @@
     return [shard for _, _, shard in sorted(ranked)]
 
 
+def rank_restart_shards(step: Step, summaries_by_shard: Mapping[int, RoomSummary]) -> list[int]:
+    """Returns the shards in which one task that has to run again finds room, the best one first.
+
+    Shards that keep room for a second such task come first, and among these the fullest.
+
+    Args:
+        step: the task's step.
+        summaries_by_shard: the room of the other shards for the task's service.
+    """
+    two = dataclasses.replace(step, count=2)
+    ranked: list[tuple[int, int, int]] = []
+    for shard, summary in summaries_by_shard.items():
+        free = summary.expand()
+        free_millis = free.free_millis
+        if places := free.take(two, two.count):
+            ranked.append((-places, free_millis, shard))
+    return [shard for _, _, shard in sorted(ranked)]
+
+
 def _is_long_running(steps: Sequence[Step]) -> bool:
     """Returns True if some of the steps run until their job is cancelled."""
     return any(step.is_long_running for step in steps)
--- a/packages/pollengated/pollengated/edge/shard_load_log.py
+++ b/packages/pollengated/pollengated/edge/shard_load_log.py
@@ -2,12 +2,15 @@
 
 from collections.abc import Callable
 
+from pollengate.workflow.job_placement import rank_restart_shards
 from pollengate.workflow.job_table import JobTable
+from pollengate.workflow.progress import StepProgress
 from pollengate.workflow.start_filter import StartFilter
 from pollengate.workflow.stragglers import SILENT_AFTER_S
 from pollengate.workflow.waiting import WaitMonitor
 
 from pollengated.edge.edge_metrics import EdgeMetrics
+from pollengated.edge.other_shards import OtherShards
 from pollengated.logs import Log
 
 __all__ = ["ShardLoadLog"]
@@ -25,6 +28,7 @@
         is_settled: whether no unreported run of an earlier owner can exist any more.
         start_filter: holds back tasks that may not start although a worker has room.
         metrics: metrics of this process.
+        other_shards: knows the room in other shards.
     """
 
     def __init__(
@@ -34,8 +38,10 @@
         is_settled: Callable[[], bool],
         start_filter: StartFilter,
         metrics: EdgeMetrics,
+        other_shards: OtherShards,
     ) -> None:
         self._shard = shard
+        self._other_shards = other_shards
         self._job_table = job_table
         self._start_filter = start_filter
         self._monitor = WaitMonitor(job_table, is_settled, start_filter)
@@ -118,10 +124,20 @@
                 cpu_millis=step.spec.demand.cpu_millis,
                 with_room=overdue.room,
                 with_room_beside_long_running=overdue.room_beside_long_running,
+                shards_with_room=self._count_shards_with_room(step),
             )
         longest_s = self._monitor.longest_restart_wait_s(now)
         self._metrics.longest_restart_wait.labels(str(self._shard)).set(longest_s)
 
+    def _count_shards_with_room(self, step: StepProgress) -> int:
+        """Returns the number of other shards in which a task of a step would find room at once."""
+        queue = self._job_table.queue_of(step)
+        if queue is None:
+            return 0
+        summaries = dict(self._other_shards.summaries_by_shard(queue.service))
+        summaries.pop(self._shard, None)
+        return len(rank_restart_shards(step.spec, summaries))
+
     def close(self) -> None:
         """Removes the metrics by client account of a shard whose ownership has ended."""
         self._metrics.accounts.forget(self._shard)
--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -280,12 +280,9 @@
         reserve = LargeTaskReserve(self.job_table, self._start_policy.start_filter)
         restart_room = RestartRoom(self.job_table, self._start_policy.start_filter)
         self._run_mover = RunMover(self.fleet, self.job_table, rebalancer, reserve, restart_room)
+        start_filter = self._start_policy.start_filter
         self._load_log = ShardLoadLog(
-            self.shard,
-            self.job_table,
-            self._are_previous_runs_known,
-            self._start_policy.start_filter,
-            self._metrics,
+            self.shard, self.job_table, is_settled, start_filter, self._metrics, self._other_shards
         )
         recorded = records.recorded_workers
         addresses_by_id = decode_recorded_workers(recorded.value) if recorded else {}
--- a/tests/edge_cluster.py
+++ b/tests/edge_cluster.py
@@ -11,6 +11,7 @@
 from pollengate.store import (
     Changes,
     CommitResult,
+    Delete,
     FailureKind,
     Listing,
     Operation,
@@ -235,6 +236,14 @@
         put = Put(f"servers/{worker_id}", json.dumps(document).encode())
         await self.store.commit((), (put,))
 
+    async def drain_worker(self, worker_id: str) -> None:
+        """Lets a worker drain for a second and leave."""
+        await self.register(worker_id, "draining")
+        await asyncio.sleep(1.0)
+        await self.store.commit((), (Delete(f"servers/{worker_id}"),))
+        self.workers_by_id[worker_id].crash()
+        self.workers_by_id[worker_id].is_unreachable = True
+
     def start_node(self, name: str) -> EdgeNode:
         """Starts an edge process."""
         self._incarnations += 1
--- a/tests/test_job_placement_decisions.py
+++ b/tests/test_job_placement_decisions.py
@@ -6,6 +6,7 @@
     first_steps,
     may_be_placed_elsewhere,
     min_places,
+    rank_restart_shards,
     rank_shards,
 )
 from pollengate.workflow.model import Demand, Step
@@ -98,6 +99,13 @@
         self.assertEqual(self.rank(4, step_of(4000, 9)), [])
         self.assertEqual(min_places((step_of(4000, 9),), 2), 3)
 
+    def test_task_that_runs_again_takes_the_last_piece_only_if_no_shard_has_two(self) -> None:
+        for millis, shards in ((250, [3, 2, 1]), (1000, [2, 1]), (2000, [2, 1]), (5000, [])):
+            ranked = rank_restart_shards(step_of(millis, 9), self.SUMMARIES)
+            self.assertEqual(ranked, shards)
+        one_piece = {1: RoomSummary((0, 0, 0, 1)), 2: RoomSummary((0, 0, 0, 0, 1))}
+        self.assertEqual(rank_restart_shards(step_of(2000), one_piece), [1, 2])
+
     def test_jobs_that_the_summary_cannot_judge_stay_at_home(self) -> None:
         deployment = build_deployment()
         queue = deployment.queues[0]
