Run a long-running task again in another shard that has room in pieces

Cause: only whole workers change shards, and a worker that can't be emptied is not released, so that room in pieces on other shards' workers never reached the task.

Change: a task that has waited for 2.5 s to run again and fits on no worker of its shard is delegated: the owner asks another one whose summary has a piece, by the transaction of whole jobs (both owner keys unchanged, the task's placement record unchanged). There the task is a job of its own whose id is the task's name, with the checkpoint and run numbers continued, so that planning, records and takeover are those of any job. A request without an outcome is settled in the store; the record's revision makes an earlier write void. The end of the job is passed on until the other shard has recorded it, and a cancel is acknowledged only then. Delegated tasks don't move for other tasks, since the state of their siblings is not known there; tasks whose workers crash, gangs, labels, racks, accelerators, advice, schedules and deployments with client accounts stay at home.

--- a/packages/pollengate/pollengate/workflow/job_placement.py
+++ b/packages/pollengate/pollengate/workflow/job_placement.py
@@ -20,6 +20,7 @@
     "decode_placement",
     "encode_placement",
     "first_steps",
+    "is_task_name",
     "may_be_placed_elsewhere",
     "min_places",
     "rank_restart_shards",
@@ -30,15 +31,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoredPlacement:
-    """Placement record of a job, written once.
+    """Placement record of a job, written once, or of a delegated task.
 
     Attributes:
         shard: the shard that has the job; the home shard if no other one may take it any more.
         account: name of the client account that submitted it, empty for none.
+        queue: for a delegated task, the name of its job's queue.
     """
 
     shard: int
     account: str = ""
+    queue: str = ""
 
 
 _PLACEMENT_DECODER = DocumentDecoder(StoredPlacement)
@@ -54,6 +57,11 @@
     return _PLACEMENT_DECODER.decode(value)
 
 
+def is_task_name(record_id: str) -> bool:
+    """Returns True if a placement record is that of a delegated task, and not of a whole job."""
+    return "." in record_id
+
+
 def first_steps(workflow: Workflow) -> tuple[Step, ...]:
     """Returns the steps that need room at once; fillers only use what others leave."""
     return tuple(step for step in workflow.steps if not (step.after or step.is_filler))
--- a/packages/pollengate/pollengate/workflow/job_table.py
+++ b/packages/pollengate/pollengate/workflow/job_table.py
@@ -113,12 +113,34 @@
 
     def find_task(self, name: str) -> TaskProgress | None:
         """Returns the task with a name, None if it is unknown or its occurrence is not due."""
+        delegated = self.jobs_by_id.get(name)
+        if delegated is not None and delegated.delegated_by is not None:
+            return delegated.find_task(0, 0, 0)
         job_id, *numbers = name.split(".")
         job = self.jobs_by_id.get(job_id)
         if job is None or len(numbers) != 3 or not all(part.isdecimal() for part in numbers):
             return None
         return job.find_task(*(int(part) for part in numbers))
 
+    def delegate(self, task: TaskProgress) -> None:
+        """Keeps a task without a run from being started, as another shard may run it."""
+        task.is_delegated = True
+        step = task.step
+        if task in step.waiting:
+            step.waiting.remove(task)
+        if not step.waiting:
+            self.open_steps.pop(step, None)
+
+    def reclaim(self, task: TaskProgress) -> None:
+        """Queues a task again that no other shard runs or will run."""
+        task.is_delegated = False
+        self.requeue(task)
+
+    def fail(self, job: JobProgress, now_ms: int) -> None:
+        """Ends a job as failed, unless it has ended."""
+        if not job.is_ended:
+            self._end_job(job, JobState.FAILED, now_ms)
+
     def cancel(self, job: JobProgress, now_ms: int) -> None:
         """Cancels a job, unless it has ended."""
         if not job.is_ended:
@@ -145,7 +167,13 @@
 
     def next_run_number(self, task: TaskProgress) -> int:
         """Returns the number of a task's next run."""
-        return max(task.last_run, self._run_number_floor) + 1
+        floor = self._run_number_floor + task.step.job.run_number_offset
+        return max(task.last_run, floor) + 1
+
+    def continue_run_numbers(self, task: TaskProgress, last_run: int) -> None:
+        """Makes this owner and its successors number a delegated task's runs above `last_run`."""
+        task.last_run = last_run
+        task.step.job.run_number_offset = max(0, last_run - self._run_number_floor)
 
     def mark_started(self, run: Run, now: float) -> None:
         """Marks a run as started, as its worker confirmed."""
@@ -272,6 +300,8 @@
     def requeue(self, task: TaskProgress) -> None:
         """Queues a task for a start if it needs one."""
         step = task.step
+        if task.is_delegated:
+            return
         if step.is_open and not (task.is_done or step.job.is_ended or task.runs_by_number):
             self._enqueue(task)
 
--- a/packages/pollengate/pollengate/workflow/moves.py
+++ b/packages/pollengate/pollengate/workflow/moves.py
@@ -45,8 +45,13 @@
 
 
 def may_stop_to_move(run: Run) -> bool:
-    """Returns True if a run is that of a long-running task and all tasks of its step serve."""
+    """Returns True if a run is that of a long-running task and all tasks of its step serve.
+
+    Whether the siblings of a delegated task serve is known in another shard only, so it stays.
+    """
     step = run.task.step
+    if step.job.delegated_by is not None:
+        return False
     return (
         run.state is RunState.RUNNING
         and step.spec.is_long_running
--- a/packages/pollengate/pollengate/workflow/progress.py
+++ b/packages/pollengate/pollengate/workflow/progress.py
@@ -119,6 +119,7 @@
         crashes: number of workers that crashed under one of its runs; recorded.
         crashed_after_s: longest time from the start of a run to the crash of its worker; not
             recorded.
+        is_delegated: whether it runs in another shard, or another shard is being asked to run it.
         runs_by_number: runs that may exist on a worker.
     """
 
@@ -131,6 +132,7 @@
     checkpoint: str = ""
     crashes: int = 0
     crashed_after_s: float = 0.0
+    is_delegated: bool = False
     runs_by_number: dict[int, Run] = dataclasses.field(default_factory=dict)
 
     def add_run(self, run: Run) -> None:
@@ -245,6 +247,10 @@
         occurrences_by_number: the occurrences that are due.
         due_count: number of occurrences that have become due.
         account: name of the client account that handed it in, empty for none.
+        delegated_by: for a delegated task, which is a job of its own here and has the task's name
+            as its id: the shard that has the task's job; None for a job as submitted.
+        run_number_offset: added to the run numbers with which each owner of the shard starts, as
+            the shard that delegated the task may have used higher ones.
         record_number: number of the newest record of its progress, see `JobTable.is_recorded`.
         is_over_rate: whether its account had handed in more jobs than its rate allows when this one
             was accepted; it is not recorded.
@@ -265,6 +271,8 @@
     occurrences_by_number: dict[int, Occurrence] = dataclasses.field(default_factory=dict)
     due_count: int = 0
     account: str = ""
+    delegated_by: int | None = None
+    run_number_offset: int = 0
     record_number: int = 0
     is_over_rate: bool = False
     run_count: int = 0
@@ -301,7 +309,7 @@
         for step_number, spec in enumerate(self.workflow.steps):
             step = StepProgress(occurrence, step_number, spec)
             step.tasks = [
-                TaskProgress(step, index, task_name(self.job_id, number, step_number, index))
+                TaskProgress(step, index, self._task_name(number, step_number, index))
                 for index in range(spec.count)
             ]
             occurrence.steps.append(step)
@@ -309,6 +317,11 @@
         self.due_count = max(self.due_count, number + 1)
         return occurrence
 
+    def _task_name(self, occurrence: int, step: int, index: int) -> str:
+        if self.delegated_by is not None:
+            return self.job_id
+        return task_name(self.job_id, occurrence, step, index)
+
     def find_task(self, occurrence: int, step: int, index: int) -> TaskProgress | None:
         """Returns a task by its numbers, None if it does not exist or its occurrence is not due."""
         found = self.occurrences_by_number.get(occurrence)
--- a/packages/pollengate/pollengate/workflow/records.py
+++ b/packages/pollengate/pollengate/workflow/records.py
@@ -24,6 +24,8 @@
     accepted_ms: Amount
     workflow: Workflow
     account: str = ""
+    delegated_by: Amount | None = None
+    run_number_offset: Amount = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -62,7 +64,15 @@
 
 def encode_job(job: JobProgress) -> bytes:
     """Encodes the unchanging part of a job."""
-    stored = StoredJob(job.job_id, job.queue_name, job.accepted_ms, job.workflow, job.account)
+    stored = StoredJob(
+        job.job_id,
+        job.queue_name,
+        job.accepted_ms,
+        job.workflow,
+        job.account,
+        job.delegated_by,
+        job.run_number_offset,
+    )
     return msgspec.json.encode(stored)
 
 
@@ -108,6 +118,8 @@
     job = JobProgress(stored.job_id, stored.queue, stored.workflow, stored.accepted_ms, now)
     job.is_restored = True
     job.account = stored.account
+    job.delegated_by = stored.delegated_by
+    job.run_number_offset = stored.run_number_offset
     if progress is None:
         return Ok(job)
     job.state = job.visible_state = progress.state
--- a/packages/pollengate/pollengate/workflow/reports.py
+++ b/packages/pollengate/pollengate/workflow/reports.py
@@ -171,6 +171,7 @@
     step = task.step
     return (
         not task.is_done
+        and not task.is_delegated
         and not step.job.is_ended
         and (not task.runs_by_number or step.spec.is_speculative)
     )
--- /dev/null
+++ b/packages/pollengate/pollengate/workflow/task_delegation.py
@@ -0,0 +1,98 @@
+"""Decides which long-running tasks another shard is asked to run.
+
+Only whole workers change shards. A shard whose room lies in pieces on workers that it cannot empty
+gives none of it to another shard, so a task that has to run again goes to the room instead.
+"""
+
+import dataclasses
+
+from pollengate.workflow.job_table import JobTable
+from pollengate.workflow.model import Deployment, Queue, Step, Workflow
+from pollengate.workflow.placement import can_place
+from pollengate.workflow.progress import StepProgress, TaskProgress
+
+__all__ = ["DelegationCandidates", "delegated_workflow", "may_be_delegated"]
+
+# A task may be absent for 6 s. A worker that is released, or a smaller task that moves, takes up to
+# 2.5 s and keeps the task in its own shard.
+WAIT_BEFORE_DELEGATION_S = 2.5
+
+
+class DelegationCandidates:
+    """Finds the tasks of one shard that wait in vain to run again.
+
+    Args:
+        job_table: the shard's jobs, runs and workers.
+    """
+
+    def __init__(self, job_table: JobTable) -> None:
+        self._job_table = job_table
+        self._waiting_since: dict[TaskProgress, float] = {}
+
+    def find_due(self, now: float) -> list[TaskProgress]:
+        """Returns the tasks that other shards may be asked to run, the longest wait first."""
+        waiting = [
+            task
+            for step in self._job_table.open_steps
+            if self._may_delegate(step)
+            for task in step.waiting
+            if task.last_run and not task.crashes and not task.runs_by_number
+        ]
+        # A task is not in the queue while another shard is asked.
+        asked = [task for task in self._waiting_since if task.is_delegated]
+        self._waiting_since = {
+            task: self._waiting_since.get(task, now)
+            for task in [*waiting, *asked]
+            if not task.step.job.is_ended
+        }
+        due = [
+            task
+            for task in waiting
+            if now - self._waiting_since[task] >= WAIT_BEFORE_DELEGATION_S
+            and not self._has_room(task.step, now)
+        ]
+        return sorted(due, key=lambda task: self._waiting_since[task])
+
+    def forget(self, task: TaskProgress) -> None:
+        """Forgets how long a task has waited, as another shard runs it."""
+        self._waiting_since.pop(task, None)
+
+    def _may_delegate(self, step: StepProgress) -> bool:
+        queue = self._job_table.queue_of(step)
+        return queue is not None and may_be_delegated(step, queue, self._job_table.deployment)
+
+    def _has_room(self, step: StepProgress, now: float) -> bool:
+        queue = self._job_table.queue_of(step)
+        workers = self._job_table.fleet.schedulable_workers(queue.service, now) if queue else []
+        return any(can_place(step, view) for view in workers)
+
+
+def may_be_delegated(step: StepProgress, queue: Queue, deployment: Deployment) -> bool:
+    """Returns True if the tasks of a step may run in another shard than their job.
+
+    Other shards' summaries say nothing of labels, racks, accelerators and tickets, and the limits
+    of client accounts are kept for each shard. A delegated task is not delegated again.
+    """
+    spec = step.spec
+    return (
+        spec.is_long_running
+        and step.job.delegated_by is None
+        and not step.job.workflow.repeat_count
+        and queue.advice is None
+        and deployment.accounts_by_name is None
+        and not (
+            spec.is_gang
+            or spec.is_speculative
+            or spec.is_filler
+            or spec.same_rack
+            or spec.data_rack
+            or spec.required_label
+            or spec.demand.accelerators
+        )
+    )
+
+
+def delegated_workflow(task: TaskProgress) -> Workflow:
+    """Returns the workflow that has one task only, which may start at once."""
+    step: Step = dataclasses.replace(task.step.spec, count=1, after=())
+    return Workflow(task.step.job.workflow.payload, (step,))
--- a/packages/pollengated/pollengated/edge/edge_metrics.py
+++ b/packages/pollengated/pollengated/edge/edge_metrics.py
@@ -157,6 +157,12 @@
             ["outcome"],
             registry=registry,
         )
+        self.delegations = Counter(
+            "pollengate_edge_delegations",
+            "Long-running tasks that wait to run again, by what other shards' owners replied.",
+            ["outcome"],
+            registry=registry,
+        )
         self.jobs_past_use = Gauge(
             "pollengate_edge_jobs_past_use",
             "Waiting jobs that are past their last useful moment.",
--- a/packages/pollengated/pollengated/edge/job_end_log.py
+++ b/packages/pollengated/pollengated/edge/job_end_log.py
@@ -26,7 +26,10 @@
         self._log = Log("owner")
 
     def record(self, job: JobProgress) -> None:
-        """Reports a job that has just ended."""
+        """Reports a job that has just ended; a delegated task counts with its own job only."""
+        if job.delegated_by is not None:
+            self._log.info("delegated task ended", task=job.job_id, state=job.state.value)
+            return
         took_s = self._clocks.monotonic_s() - job.accepted_at
         self._metrics.jobs_ended.labels(job.state.value).inc()
         self._metrics.job_seconds.labels(job.queue_name).observe(took_s)
--- a/packages/pollengated/pollengated/edge/job_placer.py
+++ b/packages/pollengated/pollengated/edge/job_placer.py
@@ -14,6 +14,7 @@
     decode_placement,
     encode_placement,
     first_steps,
+    is_task_name,
     may_be_placed_elsewhere,
     min_places,
     rank_shards,
@@ -96,8 +97,10 @@
         """Loads the placement records that earlier owners of the shard left."""
         prefix = placement_prefix(self._shard)
         for entry in entries:
-            decoded = decode_placement(entry.value)
             job_id = entry.key.removeprefix(prefix)
+            if is_task_name(job_id):
+                continue
+            decoded = decode_placement(entry.value)
             if isinstance(decoded, Err):
                 self._log.warning(
                     "placement record is unreadable", job=job_id, cause=decoded.err_value
--- a/packages/pollengated/pollengated/edge/job_request_handler.py
+++ b/packages/pollengated/pollengated/edge/job_request_handler.py
@@ -28,6 +28,7 @@
 from pollengated.edge.committer import Committer, JobRecord
 from pollengated.edge.job_placer import JobPlacer, PendingPlacement
 from pollengated.edge.placement_acceptor import PlacementAcceptor
+from pollengated.edge.task_delegator import TaskDelegator
 from pollengated.logs import Log
 
 __all__ = ["JobRequestHandler"]
@@ -55,11 +56,13 @@
     Attributes:
         is_closing: whether the shard is being handed over and accepts no new jobs.
         placer: places new jobs in other shards; set before the first request.
-        acceptor: takes jobs from other shards; set before the first request.
+        acceptor: takes jobs and tasks from other shards; set before the first request.
+        delegator: places single tasks in other shards; set before the first request.
     """
 
     placer: JobPlacer
     acceptor: PlacementAcceptor
+    delegator: TaskDelegator
 
     def __init__(
         self,
@@ -219,15 +222,21 @@
         if job is None:
             if not self._shard_lease.is_confirmed(self._clocks.monotonic_s()):
                 return NotAccepted("owner_unconfirmed", RETRY_AFTER_S)
+            if self.delegator.has_live_tasks(job_id):
+                return Undecided("delegated_tasks")
             return NoSuchJob()
+        began_at = self._clocks.monotonic_s()
         if not job.is_ended:
             self._job_table.cancel(job, self._clocks.unix_ms())
             self._log.info("job cancelled", job=job_id)
             self._on_change()
         record_number = self._committer.last_record_number
-        if await self._committer.wait_durable(record_number, DURABLE_TIMEOUT_S):
+        if not await self._committer.wait_durable(record_number, DURABLE_TIMEOUT_S):
+            return Undecided("store_unavailable")
+        remaining_s = DURABLE_TIMEOUT_S - (self._clocks.monotonic_s() - began_at)
+        if await self.delegator.wait_ended(job_id, remaining_s):
             return Cancelled()
-        return Undecided("store_unavailable")
+        return Undecided("delegated_tasks")
 
     async def count_waiting(self, queue_name: str) -> JobResponse:
         """Returns the number of jobs of a queue of which no task has started."""
@@ -237,6 +246,11 @@
         )
         return WaitingCount(count)
 
+    def update(self, now: float) -> None:
+        """Places tasks that wait in other shards, ends those of ended jobs, and forgets others."""
+        self.placer.update(now)
+        self.delegator.update(now)
+
     def offered_room(self, now: float) -> dict[str, RoomSummary]:
         """Returns the room by service that the shard offers to jobs of other shards."""
         return {} if self.current_refusal() is not None else self._room.summaries_by_service(now)
@@ -269,8 +283,19 @@
         self._submissions_by_id.pop(job.job_id, None)
         self._room.release(job.job_id)
         now = self._clocks.monotonic_s()
-        self._on_accepted(job, now)
+        if job.delegated_by is None:
+            self._on_accepted(job, now)
         self._job_table.add(job, now, self._clocks.unix_ms())
+        if job.delegated_by is not None:
+            self._log.info(
+                "delegated task accepted",
+                task=job.job_id,
+                queue=job.queue_name,
+                shard=self._shard,
+                from_shard=job.delegated_by,
+            )
+            self._on_change()
+            return
         queue = self._job_table.deployment.queue(job.queue_name)
         self._log.info(
             "job accepted",
--- a/packages/pollengated/pollengated/edge/job_retention.py
+++ b/packages/pollengated/pollengated/edge/job_retention.py
@@ -39,9 +39,12 @@
         ended = [job_id for job_id, job in self._job_table.jobs_by_id.items() if job.is_ended]
         for job_id in ended:
             if now - self._ended_since_by_job_id.setdefault(job_id, now) > self._keep_s:
-                del self._job_table.jobs_by_id[job_id], self._ended_since_by_job_id[job_id]
+                job = self._job_table.jobs_by_id.pop(job_id)
+                del self._ended_since_by_job_id[job_id]
                 self._committer.add(RecordRemoval(job_key(self._shard, job_id)))
                 self._committer.add(RecordRemoval(progress_key(self._shard, job_id)))
-                home_shard = shard_of_job(job_id, self._shards)
+                home_shard = job.delegated_by
+                if home_shard is None:
+                    home_shard = shard_of_job(job_id, self._shards)
                 if home_shard != self._shard:
                     self._committer.add(RecordRemoval(placement_key(home_shard, job_id)))
--- a/packages/pollengated/pollengated/edge/other_shards.py
+++ b/packages/pollengated/pollengated/edge/other_shards.py
@@ -4,10 +4,13 @@
 import dataclasses
 from collections.abc import Mapping
 
+from pollengate.accounts.job_access import Requester
+from pollengate.workflow.job_service import OwnerResponse, Undecided
 from pollengate.workflow.model import Workflow
 from pollengate.workflow.shard_room import RoomSummary
 
 __all__ = [
+    "DelegatedTask",
     "NoOtherShards",
     "OtherShards",
     "Placed",
@@ -18,18 +21,34 @@
 ]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class DelegatedTask:
+    """Progress of a task that another shard is to run.
+
+    Attributes:
+        last_run: the highest run number that may have been used.
+        checkpoint: where the next run resumes, empty to start from the beginning.
+        placement_revision: revision of the task's placement record, 0 if there is none.
+    """
+
+    last_run: int
+    checkpoint: str
+    placement_revision: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlacementRequest:
-    """A job that its home shard's owner asks another owner to take.
+    """A job, or one task of it, that its shard's owner asks another owner to take.
 
     Attributes:
-        job_id: id of the job.
+        job_id: id of the job; the name of a task that is delegated.
         queue_name: queue that it was submitted to.
         workflow: the workflow.
         account: name of the client account that submitted it, empty for none.
-        home_shard: the job's home shard.
+        home_shard: the job's home shard; for a task the shard that has its job.
         home_token: fencing token of the home shard's owner.
         min_tasks: number of tasks that have to find room at once.
+        task: progress of the task, None for a whole job. The workflow then has one step with it.
     """
 
     job_id: str
@@ -39,6 +58,7 @@
     home_shard: int
     home_token: int
     min_tasks: int
+    task: DelegatedTask | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -82,6 +102,14 @@
     async def place(self, shard: int, request: PlacementRequest) -> PlacementOutcome:
         """Asks the owner of a shard to take a job."""
 
+    @abc.abstractmethod
+    async def show(self, shard: int, job_id: str, requester: Requester) -> OwnerResponse:
+        """Returns the state of a job that a shard has, or of a task that was delegated to it."""
+
+    @abc.abstractmethod
+    async def cancel(self, shard: int, job_id: str, requester: Requester) -> OwnerResponse:
+        """Ends a job that a shard has, or a task that was delegated to it."""
+
 
 class NoOtherShards(OtherShards):
     """Used where no other shard can be reached."""
@@ -93,3 +121,11 @@
     async def place(self, shard: int, request: PlacementRequest) -> PlacementOutcome:
         """Refuses the job."""
         return Refused("unreachable")
+
+    async def show(self, shard: int, job_id: str, requester: Requester) -> OwnerResponse:
+        """Reaches no owner."""
+        return Undecided("unreachable")
+
+    async def cancel(self, shard: int, job_id: str, requester: Requester) -> OwnerResponse:
+        """Reaches no owner."""
+        return Undecided("unreachable")
--- a/packages/pollengated/pollengated/edge/placement_acceptor.py
+++ b/packages/pollengated/pollengated/edge/placement_acceptor.py
@@ -18,10 +18,10 @@
     with_spare_tasks,
 )
 from pollengate.workflow.job_service import NotAccepted
-from pollengate.workflow.keys import job_key, owner_key, placement_key
+from pollengate.workflow.keys import job_key, owner_key, placement_key, progress_key
 from pollengate.workflow.model import Queue
-from pollengate.workflow.progress import JobProgress
-from pollengate.workflow.records import encode_job
+from pollengate.workflow.progress import JobProgress, JobState
+from pollengate.workflow.records import encode_job, encode_progress
 from result import Err
 
 from pollengated.edge.other_shards import (
@@ -110,11 +110,31 @@
             return Refused("no_queue")
         if not self._context.is_settled():
             return Refused("unsettled")
+        if request.task is not None and self._has_limited_sibling(request):
+            return Refused("sibling_here")
         now = self._clocks.monotonic_s()
-        steps = with_spare_tasks(first_steps(request.workflow))
+        steps = first_steps(request.workflow)
+        if request.task is None:
+            steps = with_spare_tasks(steps)
         places = self._room.count_places(queue.service, steps, now)
         return queue if places >= request.min_tasks else Refused("no_room")
 
+    def _has_limited_sibling(self, request: PlacementRequest) -> bool:
+        """Whether the shard has another delegated task of a step with a limit per worker.
+
+        Each delegated task is a job of its own, so that the limit would not be kept.
+        """
+        if not request.workflow.steps[0].max_per_worker:
+            return False
+        step_name = request.job_id.rpartition(".")[0]
+        return any(
+            job.delegated_by is not None and job.job_id.rpartition(".")[0] == step_name
+            for job in [
+                *self._job_table.jobs_by_id.values(),
+                *(pending.job for pending in self._pending_by_id.values()),
+            ]
+        )
+
     def _begin(self, request: PlacementRequest, queue: Queue) -> _PendingPlacement:
         now, now_ms = self._clocks.monotonic_s(), self._clocks.unix_ms()
         job = JobProgress(
@@ -125,6 +145,12 @@
             now,
             account=request.account,
         )
+        if request.task is not None:
+            job.delegated_by = request.home_shard
+            job.state = job.visible_state = JobState.RUNNING
+            (task,) = job.open_occurrence(0).steps[0].tasks
+            task.checkpoint = request.task.checkpoint
+            self._job_table.continue_run_numbers(task, request.task.last_run)
         self._room.reserve(job.job_id, queue.service, first_steps(job.workflow), now)
         pending = self._pending_by_id[job.job_id] = _PendingPlacement(job)
         self._context.spawn(self._run(pending, request))
@@ -141,16 +167,20 @@
 
     async def _write(self, job: JobProgress, request: PlacementRequest) -> PlacementOutcome:
         key = placement_key(request.home_shard, job.job_id)
+        revision = 0 if request.task is None else request.task.placement_revision
         conditions = (
             Unchanged(owner_key(request.home_shard), request.home_token),
             Unchanged(owner_key(self._shard), self._shard_lease.token),
-            Unchanged(key, 0),
+            Unchanged(key, revision),
         )
-        placement = StoredPlacement(self._shard, request.account)
-        operations = (
+        queue = "" if request.task is None else request.queue_name
+        placement = StoredPlacement(self._shard, request.account, queue)
+        operations = [
             Put(key, encode_placement(placement)),
             Put(job_key(self._shard, job.job_id), encode_job(job)),
-        )
+        ]
+        if request.task is not None:
+            operations.append(Put(progress_key(self._shard, job.job_id), encode_progress(job)))
         may_be_written = False
         while not self._shard_lease.is_lost:
             result = await self._context.store.commit(conditions, operations)
--- a/packages/pollengated/pollengated/edge/remote_shards.py
+++ b/packages/pollengated/pollengated/edge/remote_shards.py
@@ -2,14 +2,18 @@
 
 from collections.abc import Mapping
 
+from pollengate.accounts.job_access import Requester
+from pollengate.workflow.job_service import OwnerResponse, Undecided
 from pollengate.workflow.shard_room import RoomSummary
+from pollengate_net.calls import CallFailure
+from result import Err, Result
 
 from pollengated.edge.clocks import Clocks
 from pollengated.edge.node_directory import NodeDirectory
 from pollengated.edge.other_shards import OtherShards, PlacementOutcome, PlacementRequest, Refused
 from pollengated.edge.owned_shards import OwnedShards
 from pollengated.edge.owner_probe import OwnerProbe
-from pollengated.edge.rpc import HEARTBEAT_INTERVAL_S, EdgeClient
+from pollengated.edge.rpc import HEARTBEAT_INTERVAL_S, EdgeClient, NotOwner
 
 __all__ = ["RemoteShards"]
 
@@ -67,5 +71,32 @@
             return Refused("no_owner")
         return await self._client.place(owner.record.address, shard, request)
 
+    async def show(self, shard: int, job_id: str, requester: Requester) -> OwnerResponse:
+        """Returns the state of a job that a shard has, or of a task that was delegated to it."""
+        term = self._owned_shards.serving_term(shard)
+        if term is not None:
+            return await term.request_handler.show(job_id, requester)
+        owner = self._directory.owner(shard)
+        if owner is None:
+            return Undecided("no_owner")
+        return _response(await self._client.show(owner.record.address, shard, job_id, requester))
+
+    async def cancel(self, shard: int, job_id: str, requester: Requester) -> OwnerResponse:
+        """Ends a job that a shard has, or a task that was delegated to it."""
+        term = self._owned_shards.serving_term(shard)
+        if term is not None:
+            return await term.request_handler.cancel(job_id, requester)
+        owner = self._directory.owner(shard)
+        if owner is None:
+            return Undecided("no_owner")
+        return _response(await self._client.cancel(owner.record.address, shard, job_id, requester))
+
     def _receive(self, shard: int, summaries: dict[str, RoomSummary]) -> None:
         self._received_by_shard[shard] = self._clocks.monotonic_s(), summaries
+
+
+def _response(result: Result[OwnerResponse | NotOwner, CallFailure]) -> OwnerResponse:
+    if isinstance(result, Err):
+        return Undecided(result.err_value.detail)
+    response = result.ok_value
+    return Undecided("not_owner") if isinstance(response, NotOwner) else response
--- a/packages/pollengated/pollengated/edge/rpc.py
+++ b/packages/pollengated/pollengated/edge/rpc.py
@@ -35,6 +35,7 @@
 from pollengated.edge.job_request_handler import JobRequestHandler
 from pollengated.edge.operator_view import OperatorView
 from pollengated.edge.other_shards import (
+    DelegatedTask,
     Placed,
     PlacementOutcome,
     PlacementRequest,
@@ -123,6 +124,7 @@
             home_token=request.home_token,
             min_tasks=request.min_tasks,
             account=request.account,
+            task=_encode_task(request.task),
         )
         result = await self._call(address, "Place", message, PLACE_TIMEOUT_S)
         if isinstance(result, Err):
@@ -256,6 +258,7 @@
             request.home_shard,
             request.home_token,
             request.min_tasks,
+            _decode_task(request),
         )
         outcome = await term.request_handler.acceptor.accept(placement)
         await stream.send_message(_encode_outcome(outcome))
@@ -335,6 +338,23 @@
     return Err(fault)
 
 
+def _encode_task(task: DelegatedTask | None) -> pb.DelegatedTask | None:
+    if task is None:
+        return None
+    return pb.DelegatedTask(
+        last_run=task.last_run,
+        checkpoint=task.checkpoint,
+        placement_revision=task.placement_revision,
+    )
+
+
+def _decode_task(request: Any) -> DelegatedTask | None:
+    if not request.HasField("task"):
+        return None
+    task = request.task
+    return DelegatedTask(task.last_run, task.checkpoint, task.placement_revision)
+
+
 def _job_request(shard: int, job_id: str, requester: Requester) -> Any:
     return pb.JobRequest(
         shard=shard, queue=requester.queue_name, job_id=job_id, account=requester.account
--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -45,6 +45,7 @@
 from pollengated.edge.shard_load_log import ShardLoadLog
 from pollengated.edge.shard_records import ShardRecords, ShardRecordsReader
 from pollengated.edge.start_policy import StartPolicy
+from pollengated.edge.task_delegator import TaskDelegator
 from pollengated.edge.worker_assignments import WorkerAssignments
 from pollengated.edge.worker_controller import WorkerController
 from pollengated.edge.worker_registry import WorkerRegistry
@@ -309,6 +310,7 @@
         self._create_placement()
         self.request_handler.placer.load(records.placements)
         restore_jobs(self.shard, records, self.job_table, self._clocks)
+        self.request_handler.delegator.load(records.placements)
         for worker_id, address in addresses_by_id.items():
             self.fleet.add_recorded(worker_id, address, self._clocks.monotonic_s())
             self.fleet.workers_by_id[worker_id].lowest_token = self._assignments.lowest_token(
@@ -333,6 +335,9 @@
         handler.acceptor = PlacementAcceptor(
             context, handler.current_refusal, handler.add_accepted_job
         )
+        handler.delegator = TaskDelegator(
+            context, self._other_shards, self._metrics, handler.current_refusal
+        )
 
     def _are_previous_runs_known(self) -> bool:
         """Whether every run that an earlier owner started is known or has ended."""
@@ -472,7 +477,7 @@
             self._interference.update(self._clocks.monotonic_s())
             self._forget(self.fleet.forget_departed(self._clocks.monotonic_s()))
             self._retention.update(self._clocks.monotonic_s())
-            self.request_handler.placer.update(self._clocks.monotonic_s())
+            self.request_handler.update(self._clocks.monotonic_s())
             self._start_policy.update(self._clocks.monotonic_s())
             self._load_log.update(self._clocks.monotonic_s())
             self._request_planning()
--- a/tests/edge_cluster.py
+++ b/tests/edge_cluster.py
@@ -4,9 +4,10 @@
 import dataclasses
 import json
 import unittest
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Any
 
+from pollengate.accounts.job_access import Requester
 from pollengate.memory_store import MemoryStore
 from pollengate.store import (
     Changes,
@@ -20,7 +21,7 @@
     StoreFailure,
     Unchanged,
 )
-from pollengate.workflow.job_service import JobResponse
+from pollengate.workflow.job_service import JobResponse, OwnerResponse, Undecided
 from pollengate.workflow.keys import owner_key, shard_of_job
 from pollengate.workflow.model import Workflow
 from pollengate.workflow.policy import SchedulingPolicy
@@ -31,6 +32,7 @@
 from pollengate_standins.lease_worker import LeaseWorker, LeaseWorkerClient, StartRecord
 from pollengated.edge.clocks import Clocks
 from pollengated.edge.edge_metrics import EdgeMetrics
+from pollengated.edge.job_request_handler import JobRequestHandler
 from pollengated.edge.layout import Layout
 from pollengated.edge.membership import Membership
 from pollengated.edge.node_directory import NodeDirectory, NodeRecord
@@ -153,6 +155,26 @@
             return PlacementUnknown("reply lost")
         return accepting.result()
 
+    async def show(self, shard: int, job_id: str, requester: Requester) -> OwnerResponse:
+        """Asks the owner of a shard for the state of a job."""
+        return await self._call(shard, lambda handler: handler.show(job_id, requester))
+
+    async def cancel(self, shard: int, job_id: str, requester: Requester) -> OwnerResponse:
+        """Asks the owner of a shard to end a job; it takes effect even if its reply is lost."""
+        return await self._call(shard, lambda handler: handler.cancel(job_id, requester))
+
+    async def _call(
+        self, shard: int, send: Callable[[JobRequestHandler], Awaitable[OwnerResponse]]
+    ) -> OwnerResponse:
+        term = self._cluster.term(shard)
+        if term is None:
+            return Undecided("no_owner")
+        response = await send(term.request_handler)
+        if self._cluster.loses_placement_replies:
+            await asyncio.sleep(LOST_CALL_TIMEOUT_S)
+            return Undecided("reply lost")
+        return response
+
 
 class EdgeCluster:
     """Edge processes that are candidate owners of all shards, with their store and workers.
--- a/tests/test_task_delegation.py
+++ b/tests/test_task_delegation.py
@@ -3,14 +3,27 @@
 import asyncio
 import unittest
 from collections.abc import Awaitable, Callable
+from unittest import mock
 
 import logbook
+from pollengate.workflow.job_service import (
+    Accepted,
+    Cancelled,
+    Found,
+    NotAccepted,
+    OwnerResponse,
+    Undecided,
+    WaitingCount,
+)
 from pollengate.workflow.keys import shard_of_job
 from pollengate.workflow.model import Demand
+from pollengate.workflow.progress import JobState
+from pollengated.edge.task_delegator import TaskDelegator
 
-from tests.edge_cluster import EdgeCluster, EdgeTestCase
+from tests.edge_cluster import BOUNDS, EdgeCluster, EdgeNode, EdgeTestCase
+from tests.faulty_store import Fault
 from tests.utils import run_virtual
-from tests.workflow_builders import build_step, build_workflow
+from tests.workflow_builders import REQUESTER, build_step, build_workflow
 
 HOME, OTHER = 0, 1
 IDS = [f"{n:016x}" for n in range(400) if shard_of_job(f"{n:016x}", 2) == HOME]
@@ -19,7 +32,13 @@
 OTHER_FILL_ID = OTHER_IDS[0]
 # A long-running task with room elsewhere runs again within 6 s of its last run.
 MAX_ABSENCE_S = 6.0
+DRAIN_S = 1.0
+# A shard without an owner gets one, which waits for the leases of silent workers.
+RECOVERY_S = 15.0
+# A cancelled task has to be gone after this time.
+CANCEL_S = 1.0
 SETTLE_S = 3.0
+PLACEMENT = "placement/"
 
 
 async def open_pieces(other_millis: int = 2500, nodes: int = 4) -> EdgeCluster:
@@ -47,6 +66,27 @@
     return cluster
 
 
+def node_of(cluster: EdgeCluster, shard: int) -> EdgeNode:
+    """Returns the process that owns a shard."""
+    node = cluster.owner(shard=shard)
+    assert node is not None
+    return node
+
+
+def kill_at_write(cluster: EdgeCluster, node: EdgeNode, fault: Fault) -> None:
+    """Makes the write of a placement fail and kills a process at that moment."""
+    other = node_of(cluster, OTHER)
+
+    def kill(keys: list[str]) -> Fault | None:
+        if not any(PLACEMENT in key for key in keys):
+            return None
+        other.store.choose_fault = lambda keys: None
+        asyncio.get_running_loop().call_later(0.01, node.kill)
+        return fault
+
+    other.store.choose_fault = kill
+
+
 def running_workers(cluster: EdgeCluster) -> list[str]:
     """Returns the workers on which the job's tasks run."""
     history = cluster.update_history()
@@ -74,6 +114,244 @@
         """Returns the fields of all lines with a message."""
         return [record.extra for record in self.log.records if record.message == message]
 
+    async def wait_running(self, cluster: EdgeCluster, timeout_s: float = MAX_ABSENCE_S) -> str:
+        """Waits until the job's task runs again; returns its worker."""
+        async with asyncio.timeout(timeout_s):
+            while True:
+                for worker_id in running_workers(cluster):
+                    return worker_id
+                await asyncio.sleep(0.02)
+
+    async def check_runs_elsewhere(
+        self, cluster: EdgeCluster, timeout_s: float = MAX_ABSENCE_S
+    ) -> None:
+        """Asserts that the task runs on a worker of the other shard, after a higher run number."""
+        worker_id = await self.wait_running(cluster, timeout_s)
+        self.assertEqual(int(worker_id[1:]) % 2, OTHER)
+        await asyncio.sleep(SETTLE_S)
+        runs = [run for run in cluster.update_history() if run.task.startswith(JOB_ID)]
+        numbers = [run.run for run in runs]
+        self.assertEqual(numbers, sorted(set(numbers)))
+        self.assertEqual(running_workers(cluster), [worker_id])
+
+    async def cancel(self, cluster: EdgeCluster) -> list[OwnerResponse]:
+        """Cancels the job like a client, until the response is definite; returns all of them."""
+        responses: list[OwnerResponse] = []
+        while not responses or isinstance(responses[-1], Undecided | NotAccepted):
+            term = await cluster.wait_for_term(shard=HOME)
+            responses.append(await term.request_handler.cancel(JOB_ID, REQUESTER))
+            await asyncio.sleep(0.05)
+        return responses
+
+    async def check_ends(self, cluster: EdgeCluster) -> None:
+        """Cancels the job and asserts that its task ends at once and never starts again."""
+        self.assertEqual((await self.cancel(cluster))[-1], Cancelled())
+        started = len(cluster.history)
+        await asyncio.sleep(CANCEL_S)
+        self.assertEqual(running_workers(cluster), [])
+        await asyncio.sleep(MAX_ABSENCE_S)
+        later = cluster.update_history()[started:]
+        self.assertEqual([run for run in later if run.task.startswith(JOB_ID)], [])
+
+    def test_task_runs_again_in_time_and_its_job_is_answered_by_its_own_shard(self) -> None:
+        async def scenario(cluster: EdgeCluster) -> None:
+            await self.check_runs_elsewhere(cluster, MAX_ABSENCE_S - DRAIN_S)
+            home = await cluster.wait_for_term(shard=HOME)
+            handler = home.request_handler
+            self.assertEqual(await handler.show(JOB_ID, REQUESTER), Found(JobState.RUNNING))
+            self.assertEqual(await cluster.submit(JOB_ID, build_workflow()), Accepted())
+            for shard in (HOME, OTHER):
+                term = await cluster.wait_for_term(shard=shard)
+                count = await term.request_handler.count_waiting("queue")
+                self.assertEqual(count, WaitingCount(0))
+            await self.check_ends(cluster)
+            self.assertEqual(await handler.show(JOB_ID, REQUESTER), Found(JobState.CANCELLED))
+
+        self.run_scenario(scenario)
+
+    def test_home_owner_dies_after_the_write(self) -> None:
+        async def scenario(cluster: EdgeCluster) -> None:
+            home = node_of(cluster, HOME)
+            kill_at_write(cluster, home, Fault.REPLY_LOST)
+            await self.check_runs_elsewhere(cluster, RECOVERY_S)
+            await cluster.wait_for_term(home.name, shard=HOME)
+            await asyncio.sleep(SETTLE_S)
+            await self.check_ends(cluster)
+
+        self.run_scenario(scenario)
+
+    def test_write_of_a_home_owner_that_died_has_no_effect_later(self) -> None:
+        async def scenario(cluster: EdgeCluster) -> None:
+            home, store = node_of(cluster, HOME), node_of(cluster, OTHER).store
+            kill_at_write(cluster, home, Fault.LATE)
+            await cluster.wait_for_term(home.name, shard=HOME)
+            results = await store.release_delayed()
+            self.assertTrue(results)
+            self.assertFalse(any(result.unwrap().succeeded for result in results))
+            await self.check_runs_elsewhere(cluster, RECOVERY_S)
+            await self.check_ends(cluster)
+
+        self.run_scenario(scenario)
+
+    def test_other_owner_dies_before_or_after_its_write(self) -> None:
+        async def scenario(cluster: EdgeCluster, fault: Fault) -> None:
+            other = node_of(cluster, OTHER)
+            kill_at_write(cluster, other, fault)
+            await self.check_runs_elsewhere(cluster, RECOVERY_S)
+            await self.check_ends(cluster)
+
+        for fault in (Fault.LATE, Fault.REPLY_LOST):
+            with self.subTest(fault=fault):
+                self.run_scenario(lambda c, f=fault: scenario(c, f))  # type: ignore[misc]
+
+    def test_lost_replies_are_settled_in_the_store(self) -> None:
+        async def scenario(cluster: EdgeCluster) -> None:
+            cluster.loses_placement_replies = True
+            await self.check_runs_elsewhere(cluster)
+            self.assertTrue(
+                self.logged("outcome of a delegation is unknown; settling it in the store")
+            )
+            cluster.loses_placement_replies = False
+            await self.check_ends(cluster)
+
+        self.run_scenario(scenario)
+
+    def test_write_that_is_applied_after_the_task_stayed_has_no_effect(self) -> None:
+        async def scenario(cluster: EdgeCluster) -> None:
+            store = node_of(cluster, OTHER).store
+            store.choose_fault = lambda keys: (
+                Fault.LATE if any(PLACEMENT in key for key in keys) else None
+            )
+            await asyncio.sleep(MAX_ABSENCE_S)
+            self.assertEqual(running_workers(cluster), [])
+            store.choose_fault = lambda keys: None
+            results = await store.release_delayed()
+            self.assertTrue(results)
+            self.assertFalse(any(result.unwrap().succeeded for result in results))
+            await self.check_runs_elsewhere(cluster)
+            await self.check_ends(cluster)
+
+        self.run_scenario(scenario)
+
+    def test_outage_of_the_store_while_another_shard_is_asked(self) -> None:
+        async def scenario(cluster: EdgeCluster) -> None:
+            stores = [node.store for node in cluster.nodes_by_name.values()]
+
+            def fail(keys: list[str]) -> Fault | None:
+                if not any(PLACEMENT in key for key in keys):
+                    return None
+                for store in stores:
+                    store.is_down = True
+                return Fault.REPLY_LOST
+
+            node_of(cluster, OTHER).store.choose_fault = fail
+            await asyncio.sleep(DRAIN_S + 2.0)
+            self.assertTrue(stores[0].is_down)
+            for store in stores:
+                store.is_down = False
+                store.choose_fault = lambda keys: None
+            await self.check_runs_elsewhere(cluster, RECOVERY_S)
+            await self.check_ends(cluster)
+
+        self.run_scenario(scenario)
+
+    def test_next_owner_of_the_other_shard_keeps_the_task_running(self) -> None:
+        async def scenario(cluster: EdgeCluster) -> None:
+            await self.check_runs_elsewhere(cluster)
+            node = node_of(cluster, OTHER)
+            node.kill()
+            await cluster.wait_for_term(node.name, shard=OTHER)
+            await asyncio.sleep(RECOVERY_S)
+            (worker_id,) = running_workers(cluster)
+            await cluster.drain_worker(worker_id)
+            await self.check_runs_elsewhere(cluster)
+            await self.check_ends(cluster)
+
+        self.run_scenario(scenario)
+
+    def test_next_home_owner_starts_no_second_run(self) -> None:
+        async def scenario(cluster: EdgeCluster) -> None:
+            await self.check_runs_elsewhere(cluster)
+            home = node_of(cluster, HOME)
+            home.kill()
+            term = await cluster.wait_for_term(home.name, shard=HOME)
+            await term.request_handler.cancel(FILL_ID, REQUESTER)
+            await asyncio.sleep(RECOVERY_S)
+            await self.check_runs_elsewhere(cluster)
+            await self.check_ends(cluster)
+
+        self.run_scenario(scenario)
+
+    def test_cancel_is_acknowledged_only_after_the_other_shard_has_recorded_it(self) -> None:
+        async def scenario(cluster: EdgeCluster) -> None:
+            await self.check_runs_elsewhere(cluster)
+            node_of(cluster, OTHER).store.is_silent = True
+            home = await cluster.wait_for_term(shard=HOME)
+            response = await home.request_handler.cancel(JOB_ID, REQUESTER)
+            self.assertEqual(response, Undecided("delegated_tasks"))
+            for node in cluster.nodes_by_name.values():
+                node.store.is_silent = False
+            await self.check_ends(cluster)
+
+        self.run_scenario(scenario)
+
+    def test_cancel_while_another_shard_is_asked(self) -> None:
+        async def scenario(cluster: EdgeCluster, loses_replies: bool) -> None:
+            cluster.loses_placement_replies = loses_replies
+            asked = asyncio.Event()
+
+            def note(keys: list[str]) -> Fault | None:
+                if any(PLACEMENT in key for key in keys):
+                    asked.set()
+                return None
+
+            node_of(cluster, OTHER).store.choose_fault = note
+            await asked.wait()
+            asyncio.get_running_loop().call_later(
+                1.0, setattr, cluster, "loses_placement_replies", False
+            )
+            await self.check_ends(cluster)
+
+        for loses_replies in (False, True):
+            with self.subTest(loses_replies=loses_replies):
+                self.run_scenario(lambda c, x=loses_replies: scenario(c, x))  # type: ignore[misc]
+
+    def test_home_owner_dies_after_it_recorded_a_cancel(self) -> None:
+        async def scenario(cluster: EdgeCluster) -> None:
+            await self.check_runs_elsewhere(cluster)
+            home = node_of(cluster, HOME)
+            term = await cluster.wait_for_term(shard=HOME)
+            with mock.patch.object(TaskDelegator, "_end_tasks_of_ended_jobs"):
+                await term.request_handler.cancel(JOB_ID, REQUESTER)
+                self.assertEqual(len(running_workers(cluster)), 1)
+                home.kill()
+            await cluster.wait_for_term(home.name, shard=HOME)
+            await asyncio.sleep(CANCEL_S)
+            self.assertEqual(running_workers(cluster), [])
+            await self.check_ends(cluster)
+
+        self.run_scenario(scenario)
+
+    def test_records_of_a_task_are_removed_with_those_of_its_job(self) -> None:
+        async def scenario(cluster: EdgeCluster) -> None:
+            await self.check_runs_elsewhere(cluster)
+            await self.check_ends(cluster)
+            await asyncio.sleep(BOUNDS.status_s + 70.0)
+            listing = (await cluster.store.list("pollengate/")).unwrap()
+            keys = [entry.key for entry in listing.entries if JOB_ID in entry.key]
+            self.assertEqual(keys, [])
+
+        self.run_scenario(scenario)
+
+    def test_job_fails_if_the_other_shard_gives_its_task_up(self) -> None:
+        async def scenario(cluster: EdgeCluster) -> None:
+            await self.check_runs_elsewhere(cluster)
+            other = await cluster.wait_for_term(shard=OTHER)
+            other.job_table.fail(other.job_table.jobs_by_id[f"{JOB_ID}.0.0.0"], 0)
+            await cluster.wait_for_state(JOB_ID, JobState.FAILED, timeout_s=15.0)
+
+        self.run_scenario(scenario)
+
     def test_log_tells_that_other_shards_have_room_for_a_task_that_waits(self) -> None:
         async def scenario(cluster: EdgeCluster) -> None:
             await asyncio.sleep(MAX_ABSENCE_S)
