Offer tasks to shards whose summary leaves room open, and in turn

Cause: a summary sorts workers into classes of free millicores, and only the lower bound of a class counted, so that no shard was asked; the line of the wait said shards_with_room=0. Besides, the longest wait came first in each round, so that four tasks which no shard takes would keep all others from being offered (found by reading).

Change: a shard in whose class the demand lies is asked last; its owner checks exactly. Tasks that were asked for longest ago come first.

--- a/packages/pollengate/pollengate/workflow/job_placement.py
+++ b/packages/pollengate/pollengate/workflow/job_placement.py
@@ -137,9 +137,10 @@
 
 
 def rank_restart_shards(step: Step, summaries_by_shard: Mapping[int, RoomSummary]) -> list[int]:
-    """Returns the shards in which one task that has to run again finds room, the best one first.
+    """Returns the shards in which one task that has to run again may find room, the best one first.
 
-    Shards that keep room for a second such task come first, and among these the fullest.
+    Shards that keep room for a second such task come first, and among these the fullest. Last come
+    those of which the summary does not tell whether they have room.
 
     Args:
         step: the task's step.
@@ -150,7 +151,8 @@
     for shard, summary in summaries_by_shard.items():
         free = summary.expand()
         free_millis = free.free_millis
-        if places := free.take(two, two.count):
+        places = free.take(two, two.count)
+        if places or summary.may_hold(step.demand.cpu_millis):
             ranked.append((-places, free_millis, shard))
     return [shard for _, _, shard in sorted(ranked)]
 
--- a/packages/pollengate/pollengate/workflow/shard_room.py
+++ b/packages/pollengate/pollengate/workflow/shard_room.py
@@ -135,6 +135,14 @@
             for _ in range(count)
         )
 
+    def may_hold(self, cpu_millis: int) -> bool:
+        """Returns True unless it is certain that no worker has so many millicores free."""
+        upper_bounds = (*FREE_MILLIS_STEPS[1:], math.inf)
+        return any(
+            count and cpu_millis < upper_bound
+            for upper_bound, count in zip(upper_bounds, self.worker_counts, strict=False)
+        )
+
 
 class ShardRoom:
     """Computes the room of one shard during an ownership term.
--- a/packages/pollengate/pollengate/workflow/task_delegation.py
+++ b/packages/pollengate/pollengate/workflow/task_delegation.py
@@ -28,9 +28,13 @@
     def __init__(self, job_table: JobTable) -> None:
         self._job_table = job_table
         self._waiting_since: dict[TaskProgress, float] = {}
+        self._asked_at: dict[TaskProgress, float] = {}
 
     def find_due(self, now: float) -> list[TaskProgress]:
-        """Returns the tasks that other shards may be asked to run, the longest wait first."""
+        """Returns the tasks that other shards may be asked to run, those never asked for first.
+
+        So tasks for which no shard has room do not keep others from being offered.
+        """
         waiting = [
             task
             for step in self._job_table.open_steps
@@ -51,7 +55,15 @@
             if now - self._waiting_since[task] >= WAIT_BEFORE_DELEGATION_S
             and not self._has_room(task.step, now)
         ]
-        return sorted(due, key=lambda task: self._waiting_since[task])
+        self._asked_at = {
+            task: at for task, at in self._asked_at.items() if task in self._waiting_since
+        }
+        before = float("-inf")
+        return sorted(due, key=lambda t: (self._asked_at.get(t, before), self._waiting_since[t]))
+
+    def record_request(self, task: TaskProgress, now: float) -> None:
+        """Records that another shard is asked to run a task."""
+        self._asked_at[task] = now
 
     def forget(self, task: TaskProgress) -> None:
         """Forgets how long a task has waited, as another shard runs it."""
--- a/packages/pollengated/pollengated/edge/task_delegator.py
+++ b/packages/pollengated/pollengated/edge/task_delegator.py
@@ -154,9 +154,12 @@
         due = self._candidates.find_due(now)
         if not due or not self._context.is_settled() or self._find_refusal() is not None:
             return
-        for task in due[: MAX_PENDING - len(self._pending_by_name)]:
+        for task in due:
+            if len(self._pending_by_name) >= MAX_PENDING:
+                break
             shards = self._shards_with_room(task, now)
             if shards:
+                self._candidates.record_request(task, now)
                 self._job_table.delegate(task)
                 self._pending_by_name[task.name] = task
                 self._context.spawn(self._run(task, shards))
