Describe delegated tasks and show them in explanations

Operators could not tell from 'pollengate explain' that a task without a run at home runs in another shard. A step's explanation has the number of delegated tasks, the table a column.

test_job_is_shown_as_tables_or_json expects the lines of the table with the new column.

--- a/packages/pollengate-cli/pollengate_cli/output.py
+++ b/packages/pollengate-cli/pollengate_cli/output.py
@@ -198,6 +198,7 @@
         step.cause,
         f"{step.worker} (last resort)" if step.is_last_resort else step.worker,
         f"{step.suitable} of {step.workers}" if is_waiting else None,
+        step.delegated or None,
     )
 
 
@@ -214,7 +215,7 @@
     ),
     StepExplanationView: (
         ("OCCURRENCE", "STEP", "STATE", "TASKS", "DONE", "WAITING", "PLACE", "TASKS AHEAD")
-        + ("CAUSE", "NEXT WORKER", "SUITABLE"),
+        + ("CAUSE", "NEXT WORKER", "SUITABLE", "DELEGATED"),
         _step_row,
     ),
     ProcessView: (("PROCESS", "ROLE", "ZONE", "CONFIGURATION", "OWNS"), _process_row),
--- a/packages/pollengate-cli/pollengate_cli/views.py
+++ b/packages/pollengate-cli/pollengate_cli/views.py
@@ -180,6 +180,7 @@
     suitable: int
     fitting_tasks: int
     against: dict[str, int]
+    delegated: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/pollengate/pollengate/explain/explainer.py
+++ b/packages/pollengate/pollengate/explain/explainer.py
@@ -72,6 +72,7 @@
         fitting_tasks: number of the waiting tasks that fit on the suitable and the reserved
             workers.
         against: number of the other workers by the first reason against them.
+        delegated: number of its tasks that run in other shards, or for which one is being asked.
     """
 
     occurrence: int
@@ -89,6 +90,7 @@
     suitable: int = 0
     fitting_tasks: int = 0
     against: dict[Reason, int] = dataclasses.field(default_factory=dict)
+    delegated: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -298,6 +300,7 @@
         step.spec.count,
         len(step.waiting),
         step.done,
+        delegated=sum(task.is_delegated for task in step.tasks),
     )
 
 
--- a/tests/test_explain_interfaces.py
+++ b/tests/test_explain_interfaces.py
@@ -144,8 +144,8 @@
         for line in (
             f"job {JOB}, running, queue queue",
             "shard 0 of 1, owner n0; configuration version 7, 0.25 s old",
-            "0 0 waiting 5 0 1 1 0 no_capacity - 0 of 1",
-            "0 1 not_open 1 0 0 - - - - -",
+            "0 0 waiting 5 0 1 1 0 no_capacity - 0 of 1 -",
+            "0 1 not_open 1 0 0 - - - - - -",
             "0 0 no_capacity 1",
             "1 workers, the oldest report 1.5 s old, 0 without a report",
         ):
