Bound the search for tasks that other shards are asked to run

After the loss of a zone hundreds of long-running tasks may wait. By reading: each of them was compared with all workers of its shard, and the summaries of all shards were expanded to one object a worker for each, four times a second.

Change: at most eight tasks are searched in one update, in turn, once for each step; a summary counts places by arithmetic over its classes.

Processor time was not measured.

--- a/packages/pollengate/pollengate/workflow/job_placement.py
+++ b/packages/pollengate/pollengate/workflow/job_placement.py
@@ -146,14 +146,11 @@
         step: the task's step.
         summaries_by_shard: the room of the other shards for the task's service.
     """
-    two = dataclasses.replace(step, count=2)
-    ranked: list[tuple[int, int, int]] = []
-    for shard, summary in summaries_by_shard.items():
-        free = summary.expand()
-        free_millis = free.free_millis
-        places = free.take(two, two.count)
-        if places or summary.may_hold(step.demand.cpu_millis):
-            ranked.append((-places, free_millis, shard))
+    ranked = [
+        (-min(2, summary.count_places(step)), summary.free_millis, shard)
+        for shard, summary in summaries_by_shard.items()
+        if summary.may_hold(step.demand.cpu_millis)
+    ]
     return [shard for _, _, shard in sorted(ranked)]
 
 
--- a/packages/pollengate/pollengate/workflow/shard_room.py
+++ b/packages/pollengate/pollengate/workflow/shard_room.py
@@ -135,6 +135,24 @@
             for _ in range(count)
         )
 
+    @property
+    def free_millis(self) -> int:
+        """The least number of millicores that may be free on all workers together."""
+        return sum(
+            millis * count
+            for millis, count in zip(FREE_MILLIS_STEPS, self.worker_counts, strict=False)
+        )
+
+    def count_places(self, step: Step) -> int:
+        """Returns how many tasks of one step find room at least; memory is not limited."""
+        demand = max(1, step.demand.cpu_millis)
+        limit = step.max_per_worker or math.inf
+        places = (
+            min(millis // demand, limit) * count
+            for millis, count in zip(FREE_MILLIS_STEPS, self.worker_counts, strict=False)
+        )
+        return int(sum(places))
+
     def may_hold(self, cpu_millis: int) -> bool:
         """Returns True unless it is certain that no worker has so many millicores free."""
         upper_bounds = (*FREE_MILLIS_STEPS[1:], math.inf)
--- a/packages/pollengate/pollengate/workflow/task_delegation.py
+++ b/packages/pollengate/pollengate/workflow/task_delegation.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import functools
 
 from pollengate.workflow.job_table import JobTable
 from pollengate.workflow.model import Deployment, Queue, Step, Workflow
@@ -16,6 +17,8 @@
 # A task may be absent for 6 s. A worker that is released, or a smaller task that moves, takes up to
 # 2.5 s and keeps the task in its own shard.
 WAIT_BEFORE_DELEGATION_S = 2.5
+# A search compares a task with all workers and all shards; after the loss of a zone hundreds wait.
+MAX_SEARCHES = 8
 
 
 class DelegationCandidates:
@@ -28,10 +31,10 @@
     def __init__(self, job_table: JobTable) -> None:
         self._job_table = job_table
         self._waiting_since: dict[TaskProgress, float] = {}
-        self._asked_at: dict[TaskProgress, float] = {}
+        self._searched_at: dict[TaskProgress, float] = {}
 
     def find_due(self, now: float) -> list[TaskProgress]:
-        """Returns the tasks that other shards may be asked to run, those never asked for first.
+        """Returns some of the tasks that other shards may be asked to run, each in its turn.
 
         So tasks for which no shard has room do not keep others from being offered.
         """
@@ -49,21 +52,18 @@
             for task in [*waiting, *asked]
             if not task.step.job.is_ended
         }
-        due = [
-            task
-            for task in waiting
-            if now - self._waiting_since[task] >= WAIT_BEFORE_DELEGATION_S
-            and not self._has_room(task.step, now)
-        ]
-        self._asked_at = {
-            task: at for task, at in self._asked_at.items() if task in self._waiting_since
+        self._searched_at = {
+            task: at for task, at in self._searched_at.items() if task in self._waiting_since
         }
+        ready = [
+            task for task in waiting if now - self._waiting_since[task] >= WAIT_BEFORE_DELEGATION_S
+        ]
         before = float("-inf")
-        return sorted(due, key=lambda t: (self._asked_at.get(t, before), self._waiting_since[t]))
-
-    def record_request(self, task: TaskProgress, now: float) -> None:
-        """Records that another shard is asked to run a task."""
-        self._asked_at[task] = now
+        ready.sort(key=lambda t: (self._searched_at.get(t, before), self._waiting_since[t]))
+        searched = ready[:MAX_SEARCHES]
+        self._searched_at |= dict.fromkeys(searched, now)
+        has_room = functools.cache(lambda step: self._has_room(step, now))
+        return [task for task in searched if not has_room(task.step)]
 
     def forget(self, task: TaskProgress) -> None:
         """Forgets how long a task has waited, as another shard runs it."""
--- a/packages/pollengated/pollengated/edge/task_delegator.py
+++ b/packages/pollengated/pollengated/edge/task_delegator.py
@@ -40,7 +40,7 @@
 
 OFFER_INTERVAL_S = 0.25
 # Each request is a transaction of the store.
-MAX_PENDING = 4
+MAX_PENDING = 8
 # Other shards that are asked for one task before it is queued again.
 MAX_REQUESTS = 3
 # A shard that had no room is not asked again before its next heartbeats.
@@ -159,7 +159,6 @@
                 break
             shards = self._shards_with_room(task, now)
             if shards:
-                self._candidates.record_request(task, now)
                 self._job_table.delegate(task)
                 self._pending_by_name[task.name] = task
                 self._context.spawn(self._run(task, shards))
--- a/tests/test_workflow_task_delegation.py
+++ b/tests/test_workflow_task_delegation.py
@@ -15,6 +15,7 @@
     restore,
 )
 from pollengate.workflow.task_delegation import (
+    MAX_SEARCHES,
     WAIT_BEFORE_DELEGATION_S,
     DelegationCandidates,
     delegated_workflow,
@@ -87,15 +88,12 @@
         self.assertEqual(due_of(job_table), [])
 
     def test_tasks_that_no_shard_takes_do_not_keep_others_from_being_offered(self) -> None:
-        job_table = waiting_table(*[long_running()] * 6)
-        candidates = DelegationCandidates(job_table)
+        count = 3 * MAX_SEARCHES
+        candidates = DelegationCandidates(waiting_table(*[long_running()] * count))
         candidates.find_due(0.0)
-        offered = []
-        for now in (3.0, 4.0, 5.0):
-            for task in candidates.find_due(now)[:2]:
-                candidates.record_request(task, now)
-                offered.append(task.name)
-        self.assertEqual(len(set(offered)), 6)
+        offered = [task.name for now in (3.0, 4.0, 5.0) for task in candidates.find_due(now)]
+        self.assertEqual(len(offered), count)
+        self.assertEqual(len(set(offered)), count)
 
     def test_delegated_task_is_one_job_that_is_not_moved_or_delegated_again(self) -> None:
         job_table = waiting_table(long_running(3, demand=Demand(100, 100), after=(), may_miss=1))
