Return a delegated task to its job's shard if it finds no room any more

With TaskReturner.update switched off, test_delegated_task_returns_if_the_other_shard_has_no_room_for_it_any_more fails with "TimeoutError" (the task has no run 5 s after its worker left).

Cause: a delegated task could neither return nor be delegated again.

Change: one transaction of the owner that has the task deletes its records there and writes a placement record that names the job's shard, with the run number and checkpoint; it is conditioned on the own owner key and on the record's revision. The job's owner is told, or finds out within 10 s. Until the outcome is known nobody starts, takes or cancels the task.

--- a/packages/pollengate-net/pollengate_net/messages/edge_grpc.py
+++ b/packages/pollengate-net/pollengate_net/messages/edge_grpc.py
@@ -30,6 +30,10 @@
     async def Place(self, stream: 'grpclib.server.Stream[pollengate_net.messages.edge_pb2.PlaceRequest, pollengate_net.messages.edge_pb2.PlaceReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def NotifyReturned(self, stream: 'grpclib.server.Stream[pollengate_net.messages.edge_pb2.JobRequest, pollengate_net.messages.edge_pb2.JobReply]') -> None:
+        pass
+
     @abc.abstractmethod
     async def CountWaiting(self, stream: 'grpclib.server.Stream[pollengate_net.messages.edge_pb2.QueueRequest, pollengate_net.messages.edge_pb2.JobReply]') -> None:
         pass
@@ -68,6 +72,12 @@
                 pollengate_net.messages.edge_pb2.PlaceRequest,
                 pollengate_net.messages.edge_pb2.PlaceReply,
             ),
+            '/pollengate.edge.v1.Edge/NotifyReturned': grpclib.const.Handler(
+                self.NotifyReturned,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                pollengate_net.messages.edge_pb2.JobRequest,
+                pollengate_net.messages.edge_pb2.JobReply,
+            ),
             '/pollengate.edge.v1.Edge/CountWaiting': grpclib.const.Handler(
                 self.CountWaiting,
                 grpclib.const.Cardinality.UNARY_UNARY,
@@ -116,6 +126,12 @@
             pollengate_net.messages.edge_pb2.PlaceRequest,
             pollengate_net.messages.edge_pb2.PlaceReply,
         )
+        self.NotifyReturned = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/pollengate.edge.v1.Edge/NotifyReturned',
+            pollengate_net.messages.edge_pb2.JobRequest,
+            pollengate_net.messages.edge_pb2.JobReply,
+        )
         self.CountWaiting = grpclib.client.UnaryUnaryMethod(
             channel,
             '/pollengate.edge.v1.Edge/CountWaiting',
--- a/packages/pollengate/pollengate/workflow/job_placement.py
+++ b/packages/pollengate/pollengate/workflow/job_placement.py
@@ -11,7 +11,7 @@
 import msgspec
 from result import Result
 
-from pollengate.decoding import DocumentDecoder
+from pollengate.decoding import Amount, DocumentDecoder
 from pollengate.workflow.model import Deployment, Queue, Step, Workflow
 from pollengate.workflow.shard_room import RoomSummary
 
@@ -37,11 +37,15 @@
         shard: the shard that has the job; the home shard if no other one may take it any more.
         account: name of the client account that submitted it, empty for none.
         queue: for a delegated task, the name of its job's queue.
+        last_run: for a task that was returned, the highest run number that may have been used.
+        checkpoint: for a task that was returned, where its next run resumes.
     """
 
     shard: int
     account: str = ""
     queue: str = ""
+    last_run: Amount = 0
+    checkpoint: str = ""
 
 
 _PLACEMENT_DECODER = DocumentDecoder(StoredPlacement)
--- a/packages/pollengate/pollengate/workflow/job_table.py
+++ b/packages/pollengate/pollengate/workflow/job_table.py
@@ -136,6 +136,21 @@
         task.is_delegated = False
         self.requeue(task)
 
+    def resume_returned(self, task: TaskProgress, last_run: int, checkpoint: str) -> None:
+        """Applies the progress that a task had when another shard returned it.
+
+        Each owner numbers its runs above those that an earlier one may not have recorded.
+        """
+        if last_run >= task.last_run and checkpoint:
+            task.checkpoint = checkpoint
+        task.last_run = max(task.last_run, last_run + self._run_number_floor)
+
+    def forget(self, job: JobProgress) -> None:
+        """Removes a job without runs that another shard has now."""
+        self.jobs_by_id.pop(job.job_id, None)
+        self._scheduled_by_id.pop(job.job_id, None)
+        self.outbox.changed.pop(job.job_id, None)
+
     def fail(self, job: JobProgress, now_ms: int) -> None:
         """Ends a job as failed, unless it has ended."""
         if not job.is_ended:
--- a/packages/pollengate/pollengate/workflow/task_delegation.py
+++ b/packages/pollengate/pollengate/workflow/task_delegation.py
@@ -6,13 +6,14 @@
 
 import dataclasses
 import functools
+from collections.abc import Callable
 
 from pollengate.workflow.job_table import JobTable
 from pollengate.workflow.model import Deployment, Queue, Step, Workflow
 from pollengate.workflow.placement import can_place
 from pollengate.workflow.progress import StepProgress, TaskProgress
 
-__all__ = ["DelegationCandidates", "delegated_workflow", "may_be_delegated"]
+__all__ = ["DelegationCandidates", "delegated_workflow", "is_returnable", "may_be_delegated"]
 
 # A task may be absent for 6 s. A worker that is released, or a smaller task that moves, takes up to
 # 2.5 s and keeps the task in its own shard.
@@ -26,10 +27,16 @@
 
     Args:
         job_table: the shard's jobs, runs and workers.
+        may_leave: returns whether the tasks of a step may run in another shard.
     """
 
-    def __init__(self, job_table: JobTable) -> None:
+    def __init__(
+        self,
+        job_table: JobTable,
+        may_leave: Callable[[StepProgress, Queue, Deployment], bool] | None = None,
+    ) -> None:
         self._job_table = job_table
+        self._may_leave = may_leave or may_be_delegated
         self._waiting_since: dict[TaskProgress, float] = {}
         self._searched_at: dict[TaskProgress, float] = {}
 
@@ -65,13 +72,17 @@
         has_room = functools.cache(lambda step: self._has_room(step, now))
         return [task for task in searched if not has_room(task.step)]
 
+    def set_overdue(self, task: TaskProgress, now: float) -> None:
+        """Makes a task due at once, as it has waited in another shard."""
+        self._waiting_since[task] = now - WAIT_BEFORE_DELEGATION_S
+
     def forget(self, task: TaskProgress) -> None:
         """Forgets how long a task has waited, as another shard runs it."""
         self._waiting_since.pop(task, None)
 
     def _may_delegate(self, step: StepProgress) -> bool:
         queue = self._job_table.queue_of(step)
-        return queue is not None and may_be_delegated(step, queue, self._job_table.deployment)
+        return queue is not None and self._may_leave(step, queue, self._job_table.deployment)
 
     def _has_room(self, step: StepProgress, now: float) -> bool:
         queue = self._job_table.queue_of(step)
@@ -104,6 +115,11 @@
     )
 
 
+def is_returnable(step: StepProgress, _queue: Queue, _deployment: Deployment) -> bool:
+    """Returns True for a delegated task, which may go back to the shard of its job."""
+    return step.job.delegated_by is not None
+
+
 def delegated_workflow(task: TaskProgress) -> Workflow:
     """Returns the workflow that has one task only, which may start at once."""
     step: Step = dataclasses.replace(task.step.spec, count=1, after=())
--- a/packages/pollengated/pollengated/edge/job_request_handler.py
+++ b/packages/pollengated/pollengated/edge/job_request_handler.py
@@ -26,15 +26,20 @@
 
 from pollengated.edge.clocks import Clocks
 from pollengated.edge.committer import Committer, JobRecord
+from pollengated.edge.edge_metrics import EdgeMetrics
 from pollengated.edge.job_placer import JobPlacer, PendingPlacement
+from pollengated.edge.other_shards import OtherShards
 from pollengated.edge.placement_acceptor import PlacementAcceptor
+from pollengated.edge.placement_context import PlacementContext
 from pollengated.edge.task_delegator import TaskDelegator
+from pollengated.edge.task_returner import TaskReturner
 from pollengated.logs import Log
 
 __all__ = ["JobRequestHandler"]
 
 # Shorter than the time for which a gate waits for a reply; the gate sends the request again.
 DURABLE_TIMEOUT_S = 0.8
+RETURN_INTERVAL_S = 0.25
 
 
 class JobRequestHandler:
@@ -58,11 +63,13 @@
         placer: places new jobs in other shards; set before the first request.
         acceptor: takes jobs and tasks from other shards; set before the first request.
         delegator: places single tasks in other shards; set before the first request.
+        returner: returns such tasks of other shards' jobs; set before the first request.
     """
 
     placer: JobPlacer
     acceptor: PlacementAcceptor
     delegator: TaskDelegator
+    returner: TaskReturner
 
     def __init__(
         self,
@@ -86,9 +93,21 @@
         self._on_accepted = on_accepted
         self._find_overload = find_overload
         self._room = room
+        self._return_at = clocks.monotonic_s()
         self._submissions_by_id: dict[str, _Submission] = {}
         self._log = Log("owner")
 
+    def create_placement(
+        self, context: PlacementContext, other_shards: OtherShards, metrics: EdgeMetrics
+    ) -> None:
+        """Creates what exchanges jobs and tasks with other shards' owners."""
+        self.placer = JobPlacer(context, other_shards, metrics)
+        self.delegator = TaskDelegator(context, other_shards, metrics, self.current_refusal)
+        self.returner = TaskReturner(context, other_shards)
+        self.acceptor = PlacementAcceptor(
+            context, self.current_refusal, self.returner.is_returning, self.add_accepted_job
+        )
+
     async def submit(
         self, queue_name: str, job_id: str, workflow: Workflow, account: str
     ) -> JobResponse:
@@ -209,6 +228,8 @@
             return PlacedElsewhere(placement.shard)
         if not await self.acceptor.wait_ended(job_id, DURABLE_TIMEOUT_S):
             return Undecided("placement_pending")
+        if self.returner.is_returning(job_id):
+            return Undecided("returning")
         is_accepted = job_id in self._job_table.jobs_by_id or job_id in self._submissions_by_id
         if pending is not None and not is_accepted:
             # A submission that waited for the same placement may accept the job after this.
@@ -250,6 +271,9 @@
         """Places tasks that wait in other shards, ends those of ended jobs, and forgets others."""
         self.placer.update(now)
         self.delegator.update(now)
+        if now >= self._return_at and self.current_refusal() is None:
+            self._return_at = now + RETURN_INTERVAL_S
+            self.returner.update(now)
 
     def offered_room(self, now: float) -> dict[str, RoomSummary]:
         """Returns the room by service that the shard offers to jobs of other shards."""
--- a/packages/pollengated/pollengated/edge/other_shards.py
+++ b/packages/pollengated/pollengated/edge/other_shards.py
@@ -110,6 +110,10 @@
     async def cancel(self, shard: int, job_id: str, requester: Requester) -> OwnerResponse:
         """Ends a job that a shard has, or a task that was delegated to it."""
 
+    @abc.abstractmethod
+    async def notify_returned(self, shard: int, task: str) -> None:
+        """Tells the owner of a shard that a task was returned to it; it may not learn of it."""
+
 
 class NoOtherShards(OtherShards):
     """Used where no other shard can be reached."""
@@ -129,3 +133,7 @@
     async def cancel(self, shard: int, job_id: str, requester: Requester) -> OwnerResponse:
         """Reaches no owner."""
         return Undecided("unreachable")
+
+    async def notify_returned(self, shard: int, task: str) -> None:
+        """Reaches no owner."""
+        return
--- a/packages/pollengated/pollengated/edge/placement_acceptor.py
+++ b/packages/pollengated/pollengated/edge/placement_acceptor.py
@@ -56,6 +56,7 @@
     Args:
         context: the ownership term.
         find_refusal: returns why the shard accepts no new jobs at present, None if it does.
+        is_returning: whether a task is being returned to the shard that asked for it before.
         add_job: adds a job whose record is durable to the job table.
     """
 
@@ -63,6 +64,7 @@
         self,
         context: PlacementContext,
         find_refusal: Callable[[], NotAccepted | None],
+        is_returning: Callable[[str], bool],
         add_job: Callable[[JobProgress], None],
     ) -> None:
         self._context = context
@@ -72,6 +74,7 @@
         self._shard_lease = context.shard_lease
         self._clocks = context.clocks
         self._find_refusal = find_refusal
+        self._is_returning = is_returning
         self._add_job = add_job
         self._pending_by_id: dict[str, _PendingPlacement] = {}
         self._log = Log("placement")
@@ -88,6 +91,8 @@
 
     async def accept(self, request: PlacementRequest) -> PlacementOutcome:
         """Takes a job if the shard has room for it; replies when its record is durable."""
+        if self._is_returning(request.job_id):
+            return Refused("returning")
         known = self._job_table.jobs_by_id.get(request.job_id)
         if known is not None:
             return Placed() if known.account == request.account else Refused("id_in_use")
--- a/packages/pollengated/pollengated/edge/remote_shards.py
+++ b/packages/pollengated/pollengated/edge/remote_shards.py
@@ -91,6 +91,15 @@
             return Undecided("no_owner")
         return _response(await self._client.cancel(owner.record.address, shard, job_id, requester))
 
+    async def notify_returned(self, shard: int, task: str) -> None:
+        """Tells the owner of a shard that a task was returned to it; it may not learn of it."""
+        term = self._owned_shards.serving_term(shard)
+        owner = self._directory.owner(shard)
+        if term is not None:
+            term.request_handler.delegator.read_again(task)
+        elif owner is not None:
+            await self._client.notify_returned(owner.record.address, shard, task)
+
     def _receive(self, shard: int, summaries: dict[str, RoomSummary]) -> None:
         self._received_by_shard[shard] = self._clocks.monotonic_s(), summaries
 
--- a/packages/pollengated/pollengated/edge/rpc.py
+++ b/packages/pollengated/pollengated/edge/rpc.py
@@ -133,6 +133,11 @@
             return PlacementUnknown(result.err_value.detail)
         return _decode_outcome(result.ok_value)
 
+    async def notify_returned(self, address: str, shard: int, task: str) -> None:
+        """Tells a shard's owner that a task was returned; a lost call is made up for later."""
+        request = pb.JobRequest(shard=shard, job_id=task)
+        await self._call(address, "NotifyReturned", request, CALL_TIMEOUT_S)
+
     async def follow_heartbeats(
         self, address: str, on_heartbeat: Callable[[Sequence[int]], None]
     ) -> CallFailure:
@@ -263,6 +268,14 @@
         outcome = await term.request_handler.acceptor.accept(placement)
         await stream.send_message(_encode_outcome(outcome))
 
+    async def NotifyReturned(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
+        """Reads the placement of a task again, if this process serves its job's shard."""
+        request = await receive_request(stream)
+        term = self._owned_shards.serving_term(request.shard)
+        if term is not None:
+            term.request_handler.delegator.read_again(request.job_id)
+        await stream.send_message(pb.JobReply(kind=_NOT_OWNER if term is None else "accepted"))
+
     async def CountWaiting(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
         """Counts the waiting jobs of a queue."""
         await self._handle(
--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -31,21 +31,18 @@
 from pollengated.edge.edge_metrics import EdgeMetrics
 from pollengated.edge.interference_learning import InterferenceLearning
 from pollengated.edge.job_end_log import JobEndLog
-from pollengated.edge.job_placer import JobPlacer
 from pollengated.edge.job_request_handler import JobRequestHandler
 from pollengated.edge.job_restore import restore_jobs
 from pollengated.edge.job_retention import JobRetention
 from pollengated.edge.layout import Layout
 from pollengated.edge.operator_view import OperatorView
 from pollengated.edge.other_shards import NoOtherShards, OtherShards
-from pollengated.edge.placement_acceptor import PlacementAcceptor
 from pollengated.edge.placement_context import PlacementContext
 from pollengated.edge.recorded_workers import RecordedWorkers, decode_recorded_workers
 from pollengated.edge.run_mover import RunMover
 from pollengated.edge.shard_load_log import ShardLoadLog
 from pollengated.edge.shard_records import ShardRecords, ShardRecordsReader
 from pollengated.edge.start_policy import StartPolicy
-from pollengated.edge.task_delegator import TaskDelegator
 from pollengated.edge.worker_assignments import WorkerAssignments
 from pollengated.edge.worker_controller import WorkerController
 from pollengated.edge.worker_registry import WorkerRegistry
@@ -330,14 +327,7 @@
             self._are_previous_runs_known,
             self._spawn,
         )
-        handler = self.request_handler
-        handler.placer = JobPlacer(context, self._other_shards, self._metrics)
-        handler.acceptor = PlacementAcceptor(
-            context, handler.current_refusal, handler.add_accepted_job
-        )
-        handler.delegator = TaskDelegator(
-            context, self._other_shards, self._metrics, handler.current_refusal
-        )
+        self.request_handler.create_placement(context, self._other_shards, self._metrics)
 
     def _are_previous_runs_known(self) -> bool:
         """Whether every run that an earlier owner started is known or has ended."""
--- a/packages/pollengated/pollengated/edge/task_delegator.py
+++ b/packages/pollengated/pollengated/edge/task_delegator.py
@@ -252,7 +252,12 @@
         """Records in the store which shard has a task; returns False if the lease is lost."""
         name = request.job_id
         key = placement_key(self._shard, name)
-        at_home = StoredPlacement(self._shard, request.account, request.queue_name)
+        known = self._known_by_name.get(name)
+        at_home = (
+            StoredPlacement(self._shard, request.account, request.queue_name)
+            if known is None
+            else known.placement
+        )
         revision = request.task.placement_revision if request.task is not None else 0
         conditions = (
             Unchanged(owner_key(self._shard), self._shard_lease.token),
@@ -301,8 +306,12 @@
     def _record(self, name: str, placement: StoredPlacement, revision: int) -> None:
         self._known_by_name[name] = _Delegation(placement, revision, self._clocks.monotonic_s())
         task = self._job_table.find_task(name)
-        if task is not None and placement.shard != self._shard:
+        if task is None:
+            return
+        if placement.shard != self._shard:
             self._job_table.delegate(task)
+        elif placement.last_run:
+            self._job_table.resume_returned(task, placement.last_run, placement.checkpoint)
 
     def _is_live(self, delegation: _Delegation) -> bool:
         return delegation.placement.shard != self._shard and not delegation.has_ended
@@ -350,10 +359,35 @@
             placement = delegation.placement
             requester = Requester(placement.queue, placement.account)
             response = await self._other_shards.show(placement.shard, name, requester)
-            if response == Found(JobState.FAILED):
+            if isinstance(response, NoSuchJob):
+                await self._read_returned(name)
+            elif response == Found(JobState.FAILED):
                 self._log.warning("another shard gave up a delegated task", task=name)
                 self._job_table.fail(job, self._clocks.unix_ms())
 
+    def read_again(self, name: str) -> None:
+        """Reads the placement record of a task that another shard has returned."""
+        self._context.spawn(self._read_returned(name))
+
+    async def _read_returned(self, name: str) -> None:
+        """Queues a task again if its placement record names the own shard."""
+        known = self._known_by_name.get(name)
+        if known is None or known.placement.shard == self._shard:
+            return
+        read = await self._context.store.get(placement_key(self._shard, name))
+        entry = None if isinstance(read, Err) else read.ok_value
+        placement = None if entry is None else decode_placement(entry.value).ok()
+        if entry is None or placement is None or placement.shard != self._shard:
+            return
+        if self._known_by_name.get(name) is not known:
+            return
+        self._record(name, placement, entry.revision)
+        task = self._job_table.find_task(name)
+        if task is not None:
+            self._job_table.reclaim(task)
+            self._candidates.set_overdue(task, self._clocks.monotonic_s())
+        self._notify()
+
     def _notify(self) -> None:
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
--- a/tests/edge_cluster.py
+++ b/tests/edge_cluster.py
@@ -163,6 +163,12 @@
         """Asks the owner of a shard to end a job; it takes effect even if its reply is lost."""
         return await self._call(shard, lambda handler: handler.cancel(job_id, requester))
 
+    async def notify_returned(self, shard: int, task: str) -> None:
+        """Tells the owner of a shard, unless calls are lost."""
+        term = self._cluster.term(shard)
+        if term is not None and not self._cluster.loses_placement_replies:
+            term.request_handler.delegator.read_again(task)
+
     async def _call(
         self, shard: int, send: Callable[[JobRequestHandler], Awaitable[OwnerResponse]]
     ) -> OwnerResponse:
--- a/tests/test_job_placement_calls.py
+++ b/tests/test_job_placement_calls.py
@@ -1,6 +1,7 @@
 """Tests of requests for placed jobs between processes, and of the room in heartbeats."""
 
 import asyncio
+import dataclasses
 import unittest
 from typing import Any
 from unittest import mock
@@ -15,6 +16,7 @@
     NoSuchJob,
     OwnerResponse,
     PlacedElsewhere,
+    Undecided,
 )
 from pollengate.workflow.keys import job_key, owner_key, placement_key, shard_of_job
 from pollengate.workflow.progress import JobState
@@ -27,7 +29,13 @@
 from pollengated.edge.gate_job_service import GateJobService
 from pollengated.edge.node_directory import NodeDirectory, NodeRecord
 from pollengated.edge.operator_view import OperatorView
-from pollengated.edge.other_shards import Placed, PlacementRequest, PlacementUnknown, Refused
+from pollengated.edge.other_shards import (
+    DelegatedTask,
+    Placed,
+    PlacementRequest,
+    PlacementUnknown,
+    Refused,
+)
 from pollengated.edge.owned_shards import OwnedShards
 from pollengated.edge.owner_probe import OwnerProbe
 from pollengated.edge.placement_context import present_entries
@@ -178,6 +186,42 @@
 
         run_virtual(main())
 
+    def test_delegated_task_its_end_and_its_return_reach_the_other_owner(self) -> None:
+        task = f"{JOB_ID}.0.0.0"
+        request = dataclasses.replace(REQUEST, job_id=task, task=DelegatedTask(7, "abc", 9))
+        handler = mock.Mock()
+        handler.acceptor.accept = mock.AsyncMock(return_value=Placed())
+        handler.show = mock.AsyncMock(return_value=Found(JobState.RUNNING))
+        handler.cancel = mock.AsyncMock(return_value=Cancelled())
+        owned = mock.Mock(**{"serving_term.return_value": mock.Mock(request_handler=handler)})
+
+        async def main() -> None:
+            clocks = Clocks.of_loop()
+            client, own, store = EdgeClient(), OwnedShards(clocks), MemoryStore()
+            directory = NodeDirectory(store, clocks)
+            others = RemoteShards(own, directory, mock.Mock(), client, clocks)
+            self.assertEqual(await others.cancel(1, task, REQUESTER), Undecided("no_owner"))
+            record = NodeRecord("n1", "n1:1", "x").encode()
+            directory.cache.replace_if_newer([Entry(owner_key(1), record, 5, 5, 6)], 5)
+            async with ChannelFor([EdgeService(owned, mock.Mock())]) as channel:
+                with mock.patch.object(client, "_channel", return_value=channel):
+                    self.assertEqual(await others.place(1, request), Placed())
+                    shown = await others.show(1, task, REQUESTER)
+                    self.assertEqual(shown, Found(JobState.RUNNING))
+                    self.assertEqual(await others.cancel(1, task, REQUESTER), Cancelled())
+                    await others.notify_returned(1, task)
+                    owned.serving_term.return_value = None
+                    response = await others.cancel(1, task, REQUESTER)
+                    self.assertEqual(response, Undecided("not_owner"))
+            handler.acceptor.accept.assert_awaited_once_with(request)
+            handler.cancel.assert_awaited_once_with(task, REQUESTER)
+            handler.delegator.read_again.assert_called_once_with(task)
+            call = mock.AsyncMock(return_value=Err(CallFailure(True, "reset")))
+            with mock.patch.object(client, "_call", call):
+                self.assertEqual(await others.cancel(1, task, REQUESTER), Undecided("reset"))
+
+        run_virtual(main())
+
     def test_failed_call_does_not_count_as_a_refusal(self) -> None:
         async def main() -> None:
             client = EdgeClient()
--- a/tests/test_task_delegation.py
+++ b/tests/test_task_delegation.py
@@ -15,8 +15,8 @@
     Undecided,
     WaitingCount,
 )
-from pollengate.workflow.keys import shard_of_job
-from pollengate.workflow.model import Demand
+from pollengate.workflow.keys import job_prefix, progress_prefix, shard_of_job
+from pollengate.workflow.model import Demand, Workflow
 from pollengate.workflow.progress import JobState
 from pollengated.edge.task_delegator import TaskDelegator
 
@@ -87,6 +87,14 @@
     other.store.choose_fault = kill
 
 
+def fill_workflow(count: int, millis: int) -> Workflow:
+    """Returns a long-running job with one task on each of some workers."""
+    demand = Demand(millis, 50)
+    return build_workflow(
+        build_step(count, demand=demand, is_long_running=True, may_miss=1, max_per_worker=1)
+    )
+
+
 def running_workers(cluster: EdgeCluster) -> list[str]:
     """Returns the workers on which the job's tasks run."""
     history = cluster.update_history()
@@ -332,6 +340,95 @@
 
         self.run_scenario(scenario)
 
+    async def fill_other_shard(self, cluster: EdgeCluster) -> None:
+        """Moves the pieces of room from the other shard to the home shard, and drains a worker."""
+        await self.check_runs_elsewhere(cluster)
+        await cluster.submit(OTHER_IDS[1], fill_workflow(2, 1500))
+        home = await cluster.wait_for_term(shard=HOME)
+        await home.request_handler.cancel(FILL_ID, REQUESTER)
+        await cluster.submit(IDS[2], fill_workflow(2, 2500))
+        await asyncio.sleep(SETTLE_S)
+        await cluster.drain_worker(*running_workers(cluster))
+
+    async def check_runs_at_home(
+        self, cluster: EdgeCluster, timeout_s: float = MAX_ABSENCE_S - DRAIN_S
+    ) -> None:
+        """Asserts that the task was returned, and that its records in the other shard are gone."""
+        worker_id = await self.wait_running(cluster, timeout_s)
+        self.assertEqual(int(worker_id[1:]) % 2, HOME)
+        await asyncio.sleep(SETTLE_S)
+        runs = [run for run in cluster.update_history() if run.task.startswith(JOB_ID)]
+        numbers = [run.run for run in runs]
+        self.assertEqual(numbers, sorted(set(numbers)))
+        for prefix in (job_prefix(OTHER), progress_prefix(OTHER)):
+            entries = (await cluster.store.list(prefix)).unwrap().entries
+            self.assertEqual([e.key for e in entries if JOB_ID in e.key], [])
+        await self.check_ends(cluster)
+
+    def test_delegated_task_returns_if_the_other_shard_has_no_room_for_it_any_more(self) -> None:
+        async def scenario(cluster: EdgeCluster) -> None:
+            await self.fill_other_shard(cluster)
+            await self.check_runs_at_home(cluster)
+
+        self.run_scenario(scenario)
+
+    def test_return_is_noticed_without_the_message_of_the_other_owner(self) -> None:
+        async def scenario(cluster: EdgeCluster) -> None:
+            with mock.patch.object(TaskDelegator, "read_again"):
+                await self.fill_other_shard(cluster)
+                await self.check_runs_at_home(cluster, RECOVERY_S)
+
+        self.run_scenario(scenario)
+
+    def test_return_under_faults(self) -> None:
+        async def lose_reply(cluster: EdgeCluster) -> None:
+            node_of(cluster, OTHER).store.fail_once(Fault.REPLY_LOST, PLACEMENT)
+
+        async def kill_home(cluster: EdgeCluster) -> None:
+            kill_at_write(cluster, node_of(cluster, HOME), Fault.REPLY_LOST)
+
+        async def kill_other(cluster: EdgeCluster) -> None:
+            kill_at_write(cluster, node_of(cluster, OTHER), Fault.REPLY_LOST)
+
+        async def kill_other_before(cluster: EdgeCluster) -> None:
+            kill_at_write(cluster, node_of(cluster, OTHER), Fault.LATE)
+
+        async def scenario(
+            cluster: EdgeCluster, inject: Callable[[EdgeCluster], Awaitable[None]]
+        ) -> None:
+            await self.fill_other_shard(cluster)
+            await inject(cluster)
+            stores = [node.store for node in cluster.nodes_by_name.values()]
+            await self.wait_running(cluster, 2 * RECOVERY_S)
+            for store in stores:
+                results = await store.release_delayed()
+                self.assertFalse(any(result.unwrap().succeeded for result in results))
+            await self.check_runs_at_home(cluster)
+
+        for inject in (lose_reply, kill_home, kill_other, kill_other_before):
+            with self.subTest(fault=inject.__name__):
+                self.run_scenario(lambda c, i=inject: scenario(c, i))  # type: ignore[misc]
+
+    def test_cancel_during_a_return(self) -> None:
+        async def scenario(cluster: EdgeCluster) -> None:
+            await self.fill_other_shard(cluster)
+            returning = asyncio.Event()
+
+            def note(keys: list[str]) -> Fault | None:
+                if any(PLACEMENT in key for key in keys):
+                    returning.set()
+                    return Fault.REPLY_LOST
+                return None
+
+            node_of(cluster, OTHER).store.choose_fault = note
+            await returning.wait()
+            asyncio.get_running_loop().call_later(
+                1.5, setattr, node_of(cluster, OTHER).store, "choose_fault", lambda keys: None
+            )
+            await self.check_ends(cluster)
+
+        self.run_scenario(scenario)
+
     def test_records_of_a_task_are_removed_with_those_of_its_job(self) -> None:
         async def scenario(cluster: EdgeCluster) -> None:
             await self.check_runs_elsewhere(cluster)
