Test that a limit per worker holds among delegated tasks, and note what is mended

Guards against two delegated tasks of one step, which are two jobs in their shard, on one worker: the second is refused if the step has a limit.

--- a/tests/test_task_delegation.py
+++ b/tests/test_task_delegation.py
@@ -18,6 +18,7 @@
 from pollengate.workflow.keys import job_prefix, progress_prefix, shard_of_job
 from pollengate.workflow.model import Demand, Workflow
 from pollengate.workflow.progress import JobState
+from pollengated.edge.other_shards import DelegatedTask, Placed, PlacementRequest, Refused
 from pollengated.edge.task_delegator import TaskDelegator
 
 from tests.edge_cluster import BOUNDS, EdgeCluster, EdgeNode, EdgeTestCase
@@ -113,6 +114,7 @@
             cluster = await open_pieces(other_millis)
             await cluster.drain_worker(*running_workers(cluster))
             await scenario(cluster)
+            await asyncio.sleep(SETTLE_S)
             self.check_single_execution(cluster)
 
         with logbook.TestHandler() as self.log:
@@ -429,6 +431,30 @@
 
         self.run_scenario(scenario)
 
+    def test_second_task_of_a_step_with_a_limit_per_worker_is_refused(self) -> None:
+        async def scenario(cluster: EdgeCluster) -> None:
+            await self.check_runs_elsewhere(cluster)
+            home = await cluster.wait_for_term(shard=HOME)
+            other = await cluster.wait_for_term(shard=OTHER)
+            for max_per_worker, outcome in ((1, Refused("sibling_here")), (0, Placed())):
+                step = build_step(
+                    demand=Demand(500, 50), is_long_running=True, max_per_worker=max_per_worker
+                )
+                request = PlacementRequest(
+                    f"{JOB_ID}.0.0.1",
+                    "queue",
+                    build_workflow(step),
+                    "",
+                    HOME,
+                    home.shard_lease.token,
+                    1,
+                    DelegatedTask(1, "", 0),
+                )
+                replied = await other.request_handler.acceptor.accept(request)
+                self.assertEqual(replied, outcome)
+
+        self.run_scenario(scenario)
+
     def test_records_of_a_task_are_removed_with_those_of_its_job(self) -> None:
         async def scenario(cluster: EdgeCluster) -> None:
             await self.check_runs_elsewhere(cluster)
