--- a/packages/pollengate/pollengate/workflow/job_placement.py
+++ b/packages/pollengate/pollengate/workflow/job_placement.py
@@ -11,7 +11,7 @@
 import msgspec
 from result import Result
 
-from pollengate.decoding import DocumentDecoder
+from pollengate.decoding import Amount, DocumentDecoder
 from pollengate.workflow.model import Deployment, Queue, Step, Workflow
 from pollengate.workflow.shard_room import RoomSummary
 
@@ -20,8 +20,10 @@
     "decode_placement",
     "encode_placement",
     "first_steps",
+    "is_task_name",
     "may_be_placed_elsewhere",
     "min_places",
+    "rank_restart_shards",
     "rank_shards",
     "with_spare_tasks",
 ]
@@ -29,15 +31,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoredPlacement:
-    """Placement record of a job, written once.
+    """Placement record of a job, written once, or of a delegated task.
 
     Attributes:
         shard: the shard that has the job; the home shard if no other one may take it any more.
         account: name of the client account that submitted it, empty for none.
+        queue: for a delegated task, the name of its job's queue.
+        last_run: for a task that was returned, the highest run number that may have been used.
+        checkpoint: for a task that was returned, where its next run resumes.
     """
 
     shard: int
     account: str = ""
+    queue: str = ""
+    last_run: Amount = 0
+    checkpoint: str = ""
 
 
 _PLACEMENT_DECODER = DocumentDecoder(StoredPlacement)
@@ -53,6 +61,11 @@
     return _PLACEMENT_DECODER.decode(value)
 
 
+def is_task_name(record_id: str) -> bool:
+    """Returns True if a placement record is that of a delegated task, and not of a whole job."""
+    return "." in record_id
+
+
 def first_steps(workflow: Workflow) -> tuple[Step, ...]:
     """Returns the steps that need room at once; fillers only use what others leave."""
     return tuple(step for step in workflow.steps if not (step.after or step.is_filler))
@@ -127,6 +140,24 @@
     return [shard for _, _, shard in sorted(ranked)]
 
 
+def rank_restart_shards(step: Step, summaries_by_shard: Mapping[int, RoomSummary]) -> list[int]:
+    """Returns the shards in which one task that has to run again may find room, the best one first.
+
+    Shards that keep room for a second such task come first, and among these the fullest. Last come
+    those of which the summary does not tell whether they have room.
+
+    Args:
+        step: the task's step.
+        summaries_by_shard: the room of the other shards for the task's service.
+    """
+    ranked = [
+        (-min(2, summary.count_places(step)), summary.free_millis, shard)
+        for shard, summary in summaries_by_shard.items()
+        if summary.may_hold(step.demand.cpu_millis)
+    ]
+    return [shard for _, _, shard in sorted(ranked)]
+
+
 def _is_long_running(steps: Sequence[Step]) -> bool:
     """Returns True if some of the steps run until their job is cancelled."""
     return any(step.is_long_running for step in steps)
--- a/packages/pollengated/pollengated/edge/rpc.py
+++ b/packages/pollengated/pollengated/edge/rpc.py
@@ -35,6 +35,7 @@
 from pollengated.edge.job_request_handler import JobRequestHandler
 from pollengated.edge.operator_view import OperatorView
 from pollengated.edge.other_shards import (
+    DelegatedTask,
     Placed,
     PlacementOutcome,
     PlacementRequest,
@@ -123,6 +124,7 @@
             home_token=request.home_token,
             min_tasks=request.min_tasks,
             account=request.account,
+            task=_encode_task(request.task),
         )
         result = await self._call(address, "Place", message, PLACE_TIMEOUT_S)
         if isinstance(result, Err):
@@ -131,6 +133,11 @@
             return PlacementUnknown(result.err_value.detail)
         return _decode_outcome(result.ok_value)
 
+    async def notify_returned(self, address: str, shard: int, task: str) -> None:
+        """Tells a shard's owner that a task was returned; a lost call is made up for later."""
+        request = pb.JobRequest(shard=shard, job_id=task)
+        await self._call(address, "NotifyReturned", request, CALL_TIMEOUT_S)
+
     async def follow_heartbeats(
         self, address: str, on_heartbeat: Callable[[Sequence[int]], None]
     ) -> CallFailure:
@@ -256,10 +263,19 @@
             request.home_shard,
             request.home_token,
             request.min_tasks,
+            _decode_task(request),
         )
         outcome = await term.request_handler.acceptor.accept(placement)
         await stream.send_message(_encode_outcome(outcome))
 
+    async def NotifyReturned(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
+        """Reads the placement of a task again, if this process serves its job's shard."""
+        request = await receive_request(stream)
+        term = self._owned_shards.serving_term(request.shard)
+        if term is not None:
+            term.request_handler.delegator.read_again(request.job_id)
+        await stream.send_message(pb.JobReply(kind=_NOT_OWNER if term is None else "accepted"))
+
     async def CountWaiting(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
         """Counts the waiting jobs of a queue."""
         await self._handle(
@@ -335,6 +351,23 @@
     return Err(fault)
 
 
+def _encode_task(task: DelegatedTask | None) -> pb.DelegatedTask | None:
+    if task is None:
+        return None
+    return pb.DelegatedTask(
+        last_run=task.last_run,
+        checkpoint=task.checkpoint,
+        placement_revision=task.placement_revision,
+    )
+
+
+def _decode_task(request: Any) -> DelegatedTask | None:
+    if not request.HasField("task"):
+        return None
+    task = request.task
+    return DelegatedTask(task.last_run, task.checkpoint, task.placement_revision)
+
+
 def _job_request(shard: int, job_id: str, requester: Requester) -> Any:
     return pb.JobRequest(
         shard=shard, queue=requester.queue_name, job_id=job_id, account=requester.account
--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -29,7 +29,6 @@
 from pollengated.edge.edge_metrics import EdgeMetrics
 from pollengated.edge.interference_learning import InterferenceLearning
 from pollengated.edge.job_end_log import JobEndLog
-from pollengated.edge.job_placer import JobPlacer
 from pollengated.edge.job_request_handler import JobRequestHandler
 from pollengated.edge.job_restore import restore_jobs
 from pollengated.edge.job_retention import JobRetention
@@ -38,7 +37,6 @@
 from pollengated.edge.operator_view import OperatorView
 from pollengated.edge.other_shards import NoOtherShards, OtherShards
 from pollengated.edge.periodic_decisions import PeriodicDecisions
-from pollengated.edge.placement_acceptor import PlacementAcceptor
 from pollengated.edge.placement_context import PlacementContext
 from pollengated.edge.recorded_workers import RecordedWorkers, load_recorded_workers
 from pollengated.edge.run_lists import load_run_lists
@@ -303,7 +301,7 @@
         start_filter = self._start_policy.start_filter
         run_mover = RunMover(self.job_table, self._latency_model, start_filter, self._guard)
         self._load_log = ShardLoadLog(
-            self.shard, self.job_table, is_settled, start_filter, self._metrics
+            self.shard, self.job_table, is_settled, start_filter, self._metrics, self._other_shards
         )
         self._decisions = PeriodicDecisions(
             self._guard,
@@ -330,6 +328,7 @@
         self._create_placement()
         self.request_handler.placer.load(records.placements)
         restore_jobs(self.shard, records, self.job_table, self._clocks)
+        self.request_handler.delegator.load(records.placements)
         self._recorded_workers.add_to_fleet(
             self._assignments.lowest_token, self._clocks.monotonic_s()
         )
@@ -347,11 +346,7 @@
             self._takeover.is_settled,
             self._spawn,
         )
-        handler = self.request_handler
-        handler.placer = JobPlacer(context, self._other_shards, self._metrics)
-        handler.acceptor = PlacementAcceptor(
-            context, handler.current_refusal, handler.add_accepted_job
-        )
+        self.request_handler.create_placement(context, self._other_shards, self._metrics)
 
     # Workers.
 
@@ -481,7 +476,7 @@
             self._takeover.update()
             self._forget(self.fleet.forget_departed(self._clocks.monotonic_s()))
             self._retention.update(self._clocks.monotonic_s())
-            self.request_handler.placer.update(self._clocks.monotonic_s())
+            self.request_handler.update(self._clocks.monotonic_s())
             self._request_planning()
         self._wake.set()
 
