--- a/tests/test_idle_jobs_soak.py
+++ b/tests/test_idle_jobs_soak.py
@@ -66,6 +66,7 @@
         cluster: the cluster under test.
         idle: what stood still.
         longest_idle_s: longest time for which a job stood still, whether allowed or not.
+        unfinished: the jobs from before the calm time that have not ended by its end.
         faults: the faults that were injected, with their times.
     """
 
@@ -87,6 +88,7 @@
         self._idle_since: dict[str, float] = {}
         self._is_calm = False
         self.longest_idle_s = 0.0
+        self.unfinished: list[str] = []
         for worker in self.cluster.workers_by_id.values():
             self._equip(worker)
 
@@ -98,6 +100,7 @@
             submitting = group.create_task(self._submit_all())
             await asyncio.gather(*(self._inject() for _ in range(3)))
             self._is_calm = True
+            early = set(self._steps_by_id)
             self._deadly.clear()
             has_takeover = any(kind in OWNER_FAULTS for _, kind in self.faults)
             await asyncio.sleep(CALM_AFTER_S + (TAKEOVER_S if has_takeover else 0.0))
@@ -106,6 +109,17 @@
                 self._check(loop.time())
                 await asyncio.sleep(POLL_S)
             submitting.cancel()
+        self.unfinished = sorted(early & self._unfinished())
+
+    def _unfinished(self) -> set[str]:
+        """Returns the jobs that could have ended."""
+        term = self.cluster.term()
+        jobs = term.job_table.jobs_by_id.values() if term else ()
+        return {
+            job.job_id
+            for job in jobs
+            if not job.is_ended and not any(s.is_long_running for s in job.workflow.steps)
+        }
 
     def _equip(self, worker: LeaseWorker) -> None:
         def duration_of(task: str) -> float:
@@ -383,3 +397,4 @@
         await soak.run()
         self.check_no_overlap(soak.cluster)
         self.assertEqual(soak.idle, [], soak.faults)
+        self.assertEqual(soak.unfinished, [], soak.faults)
