Log why workers with room do not get a task that waits

Change: 'tasks wait for a start' has a count for each reason with 'withheld', and 'on_trial' workers. Guarded by test_reasons_against_workers_with_room_are_told_apart.

--- a/packages/pollengate/pollengate/workflow/waiting.py
+++ b/packages/pollengate/pollengate/workflow/waiting.py
@@ -5,6 +5,7 @@
 worker may get it. The causes need different remedies, so each is named.
 """
 
+import collections
 import dataclasses
 import enum
 import functools
@@ -16,7 +17,7 @@
 from pollengate.workflow.progress import StepProgress, TaskProgress
 from pollengate.workflow.start_filter import NoStartFilter, StartFilter
 
-__all__ = ["OverdueRestart", "OverdueStep", "WaitCause", "WaitMonitor"]
+__all__ = ["OverdueRestart", "OverdueStep", "WaitCause", "WaitMonitor", "Withheld"]
 
 # Plans are made within milliseconds of an event, so that a longer wait has another cause.
 OVERDUE_AFTER_S = 2.0
@@ -34,6 +35,26 @@
     WITHHELD = "withheld"
 
 
+class Withheld(enum.StrEnum):
+    """Why a worker with room does not get a waiting task.
+
+    Attributes:
+        RUNS_THERE: a run of the task may exist there.
+        NOT_RECORDED: crashes under the task are not durable yet.
+        QUARANTINED: tasks of several jobs failed there, and no probe is due.
+        FAILED_THERE: the task failed there.
+        FILLERS: no headroom or processors for a filler, or fillers are blocked there.
+        OTHER: none of these, for example a worker that is kept clear.
+    """
+
+    RUNS_THERE = "runs_there"
+    NOT_RECORDED = "not_recorded"
+    QUARANTINED = "quarantined"
+    FAILED_THERE = "failed_there"
+    FILLERS = "fillers"
+    OTHER = "other"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class OverdueStep:
     """A step with tasks that have waited for long.
@@ -44,6 +65,8 @@
         cause: why they wait.
         workers: number of workers that may get tasks of its service.
         room: number of those that its next task fits on.
+        withheld: number of these by the reason for which they do not get that task.
+        on_trial: number of workers that get nothing beside a task that is tried alone.
     """
 
     step: StepProgress
@@ -51,6 +74,8 @@
     cause: WaitCause
     workers: int
     room: int
+    withheld: dict[Withheld, int] = dataclasses.field(default_factory=dict)
+    on_trial: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -179,7 +204,8 @@
         if queue is None:
             return OverdueStep(step, waited_s, WaitCause.NO_QUEUE, 0, 0)
         workers = workers_of(queue.service)
-        room = sum(can_place(step, view) for view in workers)
+        with_room = [view for view in workers if can_place(step, view)]
+        room = len(with_room)
         if step.job.is_restored and not self._is_settled():
             cause = WaitCause.UNSETTLED
         elif not workers:
@@ -190,4 +216,22 @@
             cause = WaitCause.ACCOUNT_LIMIT
         else:
             cause = WaitCause.WITHHELD
-        return OverdueStep(step, waited_s, cause, len(workers), room)
+        withheld: collections.Counter[Withheld] = collections.Counter()
+        if cause is WaitCause.WITHHELD:
+            withheld.update(self._withheld_by(step, view) for view in with_room)
+        views = self._job_table.fleet.workers_by_id.values()
+        on_trial = sum(view.trial is not None for view in views)
+        return OverdueStep(step, waited_s, cause, len(workers), room, withheld, on_trial)
+
+    def _withheld_by(self, step: StepProgress, view: WorkerView) -> Withheld:
+        """Returns why the next task of a step does not get a worker with room."""
+        evidence = self._job_table.evidence
+        task = step.waiting[0] if step.waiting else step.tasks[0]
+        if not self._job_table.is_recorded(task):
+            return Withheld.NOT_RECORDED
+        if view.worker_id in task.worker_ids:
+            return Withheld.RUNS_THERE
+        if not evidence.admits(view.worker_id, task.name):
+            is_quarantined = evidence.is_quarantined(view.worker_id)
+            return Withheld.QUARANTINED if is_quarantined else Withheld.FAILED_THERE
+        return Withheld.FILLERS if step.spec.is_filler else Withheld.OTHER
--- a/packages/pollengated/pollengated/edge/shard_load_log.py
+++ b/packages/pollengated/pollengated/edge/shard_load_log.py
@@ -103,6 +103,8 @@
                 cpu_millis=step.spec.demand.cpu_millis,
                 schedulable=overdue.workers,
                 with_room=overdue.room,
+                on_trial=overdue.on_trial,
+                **{f"withheld_{reason}": count for reason, count in overdue.withheld.items()},
             )
 
     def _log_overdue_restarts(self, now: float) -> None:
--- a/tests/test_workflow_waiting.py
+++ b/tests/test_workflow_waiting.py
@@ -9,7 +9,7 @@
 from pollengate.workflow.job_table import JobTable
 from pollengate.workflow.model import ClientAccount, Demand, Step
 from pollengate.workflow.start_filter import StartFilter
-from pollengate.workflow.waiting import OverdueRestart, WaitCause, WaitMonitor
+from pollengate.workflow.waiting import OverdueRestart, WaitCause, WaitMonitor, Withheld
 
 from tests.workflow_builders import (
     build_deployment,
@@ -63,6 +63,20 @@
         job_table.add(build_job(), 0.0, 0)
         self.assertEqual([WaitCause.WITHHELD], causes(job_table))
 
+    def test_reasons_against_workers_with_room_are_told_apart(self) -> None:
+        # Guards against a log that cannot tell why a job stands still beside free workers.
+        workers = [build_lease_worker(f"w{number}") for number in range(4)]
+        job_table = build_job_table(*workers)
+        job_table.add(build_job("aa"), 0.0, 0)
+        for number in range(3):
+            job_table.evidence.record_rejection(f"c{number}", "w0")
+        job_table.evidence.record_failure("aa.0.0.0", "aa", "w1", 4)
+        monitor = WaitMonitor(job_table, lambda: True)
+        self.assertEqual([], monitor.find_overdue(0.0))
+        (overdue,) = monitor.find_overdue(4.0)
+        expected = {Withheld.QUARANTINED: 1, Withheld.FAILED_THERE: 1, Withheld.OTHER: 2}
+        self.assertEqual(expected, overdue.withheld)
+
     def test_limit_of_an_account_is_told_from_a_full_shard(self) -> None:
         """A limit looks like lack of room. Load: a gang of 3 and a task of 1 core, 2 allowed."""
         job_table = build_job_table(build_lease_worker())
