Lift the quarantine of workers on which only hopeless tasks failed

Cause: a job counts against a worker unless it failed on two others. A job that is given up after two attempts has failed on one other worker, so that it counts against both for good. Three such jobs quarantine a sound worker on which nothing else ends; further ones are its probes, and each of their failures doubled the time to the next.

Change: if a task that failed on several workers is given up, its job is no evidence against them, and a worker with too little evidence left is quarantined no longer.

--- a/packages/pollengate/pollengate/failure_evidence.py
+++ b/packages/pollengate/pollengate/failure_evidence.py
@@ -115,6 +115,22 @@
         elif self._count_jobs_failing_only_on(worker, worker_id) >= MIN_FAILED_JOBS:
             self._quarantine(worker)
 
+    def record_given_up(self, task_id: str, job_id: str) -> None:
+        """Records that a task has failed too often, so that its job has failed.
+
+        If it failed on several workers, the fault is its own: the job counts against none of them.
+        """
+        worker_ids = self._workers_by_task.get(task_id) or set()
+        if len(worker_ids) < 2:
+            return
+        for worker_id in worker_ids:
+            worker = self._workers_by_id.get(worker_id)
+            if worker is None:
+                continue
+            worker.failed_jobs.discard(job_id)
+            if self._count_jobs_failing_only_on(worker, worker_id) < MIN_FAILED_JOBS:
+                worker.is_quarantined = False
+
     def record_success(self, task_id: str, job_id: str, worker_id: str) -> None:
         """Records a success and drops the failures of the task, its job and the worker."""
         self._workers_by_task.pop(task_id)
--- a/packages/pollengate/pollengate/workflow/job_table.py
+++ b/packages/pollengate/pollengate/workflow/job_table.py
@@ -324,6 +324,7 @@
             else len(task.failed_runs)
         )
         if queue is not None and failures >= queue.max_attempts and not job.is_ended:
+            self.evidence.record_given_up(task.name, job.job_id)
             self._end_job(job, JobState.FAILED, now_ms)
 
     def _end_job(self, job: JobProgress, state: JobState, now_ms: int) -> None:
--- a/tests/test_failure_evidence.py
+++ b/tests/test_failure_evidence.py
@@ -85,6 +85,16 @@
         self.clock.now = FIRST_PROBE_AFTER_S
         self.assertTrue(self.failures.admits("bad", "d.0"))
 
+    def test_failures_of_a_task_that_is_given_up_are_no_evidence_against_its_workers(self) -> None:
+        # Guards against sound workers that are withheld for jobs that can never be done.
+        for number in range(3):
+            for worker_id in ("w0", "w1"):
+                self.fail(f"j{number}", worker_id)
+        self.assertTrue(self.failures.is_quarantined("w0"))
+        self.failures.record_given_up("j0.0", "j0")
+        self.assertFalse(self.failures.is_quarantined("w0"))
+        self.assertFalse(self.failures.is_quarantined("w1"))
+
     def test_interval_between_probes_is_bounded(self) -> None:
         # Guards against a worker that recovers and is withheld for as long as it was faulty.
         self.failures = FailureEvidence(self.clock, first_probe_after_s=4.0, max_probe_after_s=8.0)
