Start a task of a job without any run while most workers are quarantined

Cause: a quarantined worker gets one probe at a time, once it is due. If most workers are quarantined and the others are full, a job stands still beside free workers, for 8 s or longer than a probe takes.

Evidence: test_job_starts_while_most_workers_are_quarantined failed before with 'AssertionError: 0 not greater than 0'.

Change: after 2 s without any run, one task of the job starts on a quarantined worker on which it has not failed, if more than half of the workers are quarantined: then tasks are more likely at fault.

--- a/packages/pollengate/pollengate/failure_evidence.py
+++ b/packages/pollengate/pollengate/failure_evidence.py
@@ -156,8 +156,12 @@
         worker = self._workers_by_id.get(worker_id)
         if worker is not None and worker.is_quarantined:
             return not worker.probe_task and self._clock() >= worker.probe_at
+        return not self.has_failed_on(worker_id, task_id)
+
+    def has_failed_on(self, worker_id: str, task_id: str) -> bool:
+        """Returns True if a task has failed on a worker."""
         workers = self._workers_by_task.get(task_id)
-        return workers is None or worker_id not in workers
+        return workers is not None and worker_id in workers
 
     def may_probe_early(self, worker_id: str) -> bool:
         """Returns True unless a worker is probed now, or failed within the first interval.
--- a/packages/pollengate/pollengate/workflow/placement.py
+++ b/packages/pollengate/pollengate/workflow/placement.py
@@ -114,7 +114,8 @@
         no other worker has room, any other task only if there is no other worker at all, or if
         they are few and its job has had no run for too long. A quarantined worker gets a
         long-running task, which may fail any number of times, sooner than others if no other worker
-        has room.
+        has room; while most workers are quarantined, also a task whose job has had no run for too
+        long.
 
         Args:
             task: the task.
@@ -146,6 +147,11 @@
         if best is None and task.step.spec.is_long_running:
             probes = [v for v in candidates if self.evidence.may_probe_early(v.worker_id)]
             best = best_of(task, probes, now, scores)
+        if best is None and task.step.job.is_overdue(now) and self._are_most_quarantined(workers):
+            untried = [
+                v for v in candidates if not self.evidence.has_failed_on(v.worker_id, task.name)
+            ]
+            best = best_of(task, untried, now, scores)
         return best
 
     def filler_workers(
@@ -190,6 +196,10 @@
     def _admits_any(self, task: TaskProgress, workers: Sequence[WorkerView]) -> bool:
         return any(self.evidence.admits(view.worker_id, task.name) for view in workers)
 
+    def _are_most_quarantined(self, workers: Sequence[WorkerView]) -> bool:
+        """Whether most workers are quarantined, so that tasks are more likely at fault."""
+        return 2 * sum(self.evidence.is_quarantined(v.worker_id) for v in workers) > len(workers)
+
     def _has_failed_on_most(self, task: TaskProgress, workers: Sequence[WorkerView]) -> bool:
         """Whether a task may not return to at least half of the workers on which it is allowed.
 
--- a/tests/test_idle_jobs.py
+++ b/tests/test_idle_jobs.py
@@ -129,6 +129,17 @@
         clock.now = 8.0
         self.assertEqual(len(self.plan(8.0)), 1)
 
+    def test_job_starts_while_most_workers_are_quarantined(self) -> None:
+        # Guards against a job that waits for a probe while most of its service is free.
+        self.build(workers=3)
+        for number in range(3):
+            for worker_id in ("w0", "w1"):
+                self.job_table.evidence.record_rejection(f"c{number}", worker_id)
+        full = build_step(is_long_running=True, demand=CAPACITY)
+        self.assertEqual(len(self.start("aa", full, 0.0)), 1)
+        self.assertEqual(self.start("bb", build_step(3), 1.0), [])
+        self.assertGreater(len(self.plan_until(1.0, 1.0 + LOST_AFTER_S)), 0)
+
     def test_copy_does_not_hold_back_its_siblings(self) -> None:
         # Guards against a sibling that waits while the only worker with room runs the first task.
         self.build(workers=2)
