--- a/tests/test_idle_jobs_soak.py
+++ b/tests/test_idle_jobs_soak.py
@@ -37,10 +37,12 @@
 IDLE_S = 3.0
 RESTART_S = 6.0
 POLL_S = 0.1
-# Some jobs fail everywhere with "hopeless", some tasks crash their workers with "deadly".
+POISON_JOBS = 60
+# Some jobs fail everywhere with "hopeless", many small ones at once with "poison"; some tasks crash
+# their workers with "deadly".
 FAULTS = (
     *("crash", "lose", "grey", "hang", "late", "replies", "cut", "drain", "evacuate", "kill"),
-    *("silence", "store", "unqueue", "upgrade", "hopeless", "deadly"),
+    *("silence", "store", "unqueue", "upgrade", "hopeless", "deadly", "poison"),
 )
 OWNER_FAULTS = ("kill", "silence", "store")
 LASTS = float("inf")
@@ -239,6 +241,8 @@
             for worker in chosen:
                 worker.crash_for(self._fault_random.uniform(0.5, 4.0))
             await asyncio.sleep(4.0)
+        elif kind == "poison":
+            await asyncio.gather(*(self._submit_hopeless() for _ in range(POISON_JOBS)))
         elif kind == "upgrade":
             for worker in chosen:
                 worker.crash()
@@ -268,6 +272,15 @@
         elif kind in ("kill", "silence"):
             await self._fail_owner(kind, length_s)
 
+    async def _submit_hopeless(self) -> None:
+        """Submits a job of one task that fails wherever it runs."""
+        job_id = f"{self._fault_random.getrandbits(64):016x}"
+        await asyncio.sleep(self._fault_random.uniform(0.0, 1.5))
+        workflow = build_workflow(build_step())
+        self._steps_by_id[job_id] = tuple(workflow.steps)
+        self._hopeless.add(job_id)
+        await self.cluster.submit(job_id, workflow)
+
     async def _disturb(self, kind: str, chosen: list[LeaseWorker], length_s: float) -> None:
         names = {worker.worker_id for worker in chosen}
         if kind == "grey":
