--- a/packages/pollengate/pollengate/workflow/shard_lease.py
+++ b/packages/pollengate/pollengate/workflow/shard_lease.py
@@ -73,8 +73,10 @@
         return now - self._requested_at
 
     def is_confirmed(self, now: float) -> bool:
-        """Returns True if the store's lease is certainly still valid at `now`."""
-        return not self._is_lost and now < self._requested_at + OWNER_LEASE_S
+        """Returns True if the shard certainly has no later owner at `now`."""
+        if self._is_lost or self._released_at is not None:
+            return False
+        return now < self._requested_at + OWNER_LEASE_S
 
 
 def previous_lease_expiry(taken_at: float, worker_lease_s: float) -> float:
--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -265,6 +265,7 @@
             load_run_lists(records.run_lists, previous_commit),
             self._acquired_at,
             self._previous_leases_expire_at,
+            self.shard_lease,
             self._clocks,
             self._metrics,
         )
@@ -474,12 +475,18 @@
             self._decisions.update(now, self._is_handing_over)
             self._record_changes()
             self._takeover.update()
-            self._forget(self.fleet.forget_departed(self._clocks.monotonic_s()))
+            self._forget_departed()
             self._retention.update(self._clocks.monotonic_s())
             self.request_handler.update(self._clocks.monotonic_s())
             self._request_planning()
         self._wake.set()
 
+    def _forget_departed(self) -> None:
+        now = self._clocks.monotonic_s()
+        # Unless the shard lease is confirmed, a new owner may be renewing the workers' leases.
+        if self.shard_lease.is_confirmed(now):
+            self._forget(self.fleet.forget_departed(now))
+
     def _on_error(self, error: BaseException) -> None:
         """Ends the term after an error of one of its tasks."""
         self._log.error("internal task failed; ending ownership", error, shard=self.shard)
--- a/packages/pollengated/pollengated/edge/takeover.py
+++ b/packages/pollengated/pollengated/edge/takeover.py
@@ -5,6 +5,7 @@
 
 from pollengate.workflow.job_table import JobTable
 from pollengate.workflow.progress import TaskProgress
+from pollengate.workflow.shard_lease import ShardLease
 
 from pollengated.edge.clocks import Clocks
 from pollengated.edge.committer import Committer
@@ -41,6 +42,8 @@
         listed_tasks_by_id: names of the only tasks that may run on a worker, if they are known.
         acquired_at: clock time at which this process acquired the shard.
         leases_expire_at: clock time by which all leases of earlier owners have expired.
+        shard_lease: the owner's lease. While it is not confirmed, a later owner may renew the
+            leases that an earlier one gave.
         clocks: the process's clocks.
         metrics: metrics of this process.
 
@@ -57,6 +60,7 @@
         listed_tasks_by_id: Mapping[str, frozenset[str]],
         acquired_at: float,
         leases_expire_at: float,
+        shard_lease: ShardLease,
         clocks: Clocks,
         metrics: EdgeMetrics,
     ) -> None:
@@ -71,6 +75,8 @@
         self._held_at = float("-inf")
         self._acquired_at = acquired_at
         self._leases_expire_at = leases_expire_at
+        self._have_leases_expired = False
+        self._shard_lease = shard_lease
         self._clocks = clocks
         self._metrics = metrics
         self._logged_ids: list[str] = []
@@ -79,7 +85,7 @@
 
     def is_settled(self) -> bool:
         """Whether every run that an earlier owner started is known or has ended."""
-        return self._clocks.monotonic_s() >= self._leases_expire_at or not self._awaited_ids()
+        return self._has_expired(self._clocks.monotonic_s()) or not self._awaited_ids()
 
     def may_run_unseen(self, task: TaskProgress) -> bool:
         """Whether a restored task may have a run of an earlier owner that is not known yet."""
@@ -101,7 +107,7 @@
         now = self._clocks.monotonic_s()
         awaited_ids = self._awaited_ids()
         took_s = now - self._acquired_at
-        has_expired = now >= self._leases_expire_at
+        has_expired = self._has_expired(now)
         if has_expired or not awaited_ids:
             self._is_reported = True
             self._metrics.awaited_workers.labels(str(self._shard)).set(0)
@@ -123,7 +129,7 @@
                 workers=",".join(awaited_ids[:MAX_LOGGED_WORKERS]),
                 silent=len(awaited_ids),
                 tasks=self._count_waiting(),
-                at_most_s=round(self._leases_expire_at - now, 2),
+                at_most_s=round(max(0.0, self._leases_expire_at - now), 2),
             )
 
     def close(self) -> None:
@@ -131,11 +137,17 @@
         self._metrics.awaited_workers.labels(str(self._shard)).set(0)
 
     def _find_held(self, now: float) -> "_HeldTasks":
-        awaited_ids = [] if now >= self._leases_expire_at else self._awaited_ids()
+        awaited_ids = [] if self._has_expired(now) else self._awaited_ids()
         lists = [self._listed_tasks_by_id.get(worker_id) for worker_id in awaited_ids]
         known = [tasks for tasks in lists if tasks is not None]
         return _HeldTasks(len(known) < len(lists), frozenset().union(*known))
 
+    def _has_expired(self, now: float) -> bool:
+        """Whether the leases of earlier owners ended while there was no later owner."""
+        if not self._have_leases_expired and now >= self._leases_expire_at:
+            self._have_leases_expired = self._shard_lease.is_confirmed(now)
+        return self._have_leases_expired
+
     def _awaited_ids(self) -> list[str]:
         views = (
             self._job_table.fleet.workers_by_id.get(worker_id) for worker_id in self._recorded_ids
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -9,7 +9,7 @@
 from pollengate.workflow.planner import Planner
 from pollengate.workflow.progress import JobState
 
-from tests.edge_cluster import EdgeCluster, EdgeTestCase
+from tests.edge_cluster import EdgeCluster, EdgeNode, EdgeTestCase
 from tests.faulty_store import Fault
 from tests.utils import run_virtual
 from tests.workflow_builders import build_step, build_workflow
@@ -166,3 +166,49 @@
             self.assertEqual(len(cluster.history), 3)  # the task on w0 runs again on w1
 
         run_virtual(main())
+
+
+class UnconfirmedOwnerTest(TakeoverTestCase):
+    """Owners that do not know whether there is a later one."""
+
+    def test_owner_without_the_store_starts_no_task_whose_end_a_later_owner_noted(self) -> None:
+        for cut_after_s in (2.0, 2.4, 2.8):
+            with self.subTest(cut_after_s=cut_after_s):
+                run_virtual(self.check_second_cut(cut_after_s))
+
+    async def check_second_cut(self, cut_after_s: float) -> None:
+        """Cuts an owner off with the worker of its task, and then its successor with the others."""
+        cluster = EdgeCluster(workers=3, duration_s=2.0)
+        await cluster.open(nodes=3)
+        await cluster.submit(JOB_ID, build_workflow(build_step(1)))
+        await asyncio.sleep(SHORT_S)
+        (run,) = cluster.update_history()
+        first = cluster.serving_node()
+        self.cut(cluster, first, {run.worker_id})
+        await cluster.wait_for_term(other_than=first.name)
+        second = next(
+            node
+            for node in cluster.nodes_by_name.values()
+            if node is not first and node.elector.term
+        )
+        await asyncio.sleep(cut_after_s)
+        self.cut(cluster, second, set(cluster.workers_by_id) - {run.worker_id})
+        await asyncio.sleep(ALL_EXPIRED_S)
+        for node in cluster.nodes_by_name.values():
+            node.store.is_silent = False
+            node.workers.unreachable_worker_ids = set()
+        await cluster.wait_for_state(JOB_ID, JobState.COMPLETED)
+        self.check_no_overlap(cluster)
+        noted = [end for worker in cluster.workers_by_id.values() for end in worker.noted_ends]
+        last_noted_at = max(end.began_at for end in noted)
+        self.assertEqual([r for r in cluster.update_history() if r.began_at > last_noted_at], [])
+
+    def cut(self, cluster: EdgeCluster, node: EdgeNode, inside: set[str]) -> None:
+        """Cuts a process and some workers off from the store and all others."""
+        node.store.is_silent = True
+        for other in cluster.nodes_by_name.values():
+            outside = set(cluster.workers_by_id) - inside
+            if other is node:
+                other.workers.unreachable_worker_ids = outside
+            elif not other.store.is_silent:
+                other.workers.unreachable_worker_ids = set(inside)
