--- a/packages/pollengate/pollengate/failure_evidence.py
+++ b/packages/pollengate/pollengate/failure_evidence.py
@@ -188,6 +188,8 @@
         worker = self._workers_by_id.get(worker_id)
         if worker is not None and worker.is_quarantined:
             worker.probe_task = task_id
+            # The failure of an early probe counts, too.
+            worker.probe_at = min(worker.probe_at, self._clock())
 
     def is_quarantined(self, worker_id: str) -> bool:
         """Returns True if a worker is given only probes."""
--- a/tests/test_failure_evidence.py
+++ b/tests/test_failure_evidence.py
@@ -78,6 +78,19 @@
         self.failures.record_success("e.0", "e", "bad")
         self.assertFalse(self.failures.is_quarantined("bad"))
 
+    def test_worker_whose_early_probe_failed_is_not_probed_again_at_once(self) -> None:
+        for job_id in ("a", "b", "c"):
+            self.fail(job_id, "bad")
+        self.clock.now = FIRST_PROBE_AFTER_S
+        self.failures.record_placement("d.0", "d", "bad")
+        self.fail("d", "bad")
+        self.clock.now += FIRST_PROBE_AFTER_S
+        self.assertTrue(self.failures.may_probe_early("bad"))
+        self.failures.record_placement("e.0", "e", "bad")
+        self.fail("e", "bad")
+        self.failures.record_departure("e.0", "bad")
+        self.assertFalse(self.failures.may_probe_early("bad"))
+
     def test_failures_of_tasks_that_started_before_a_quarantine_do_not_prolong_it(self) -> None:
         # Guards against a worker that gets no task for an hour after it failed twelve at once.
         for index in range(12):
