Heal the workers of processes that live after an outage in the soak of takeovers

A process that was cut off from workers kept them unreachable for good if the store was down when the cut ended, as the soak took it for a dead one. No check was changed.

--- a/tests/test_takeover_soak.py
+++ b/tests/test_takeover_soak.py
@@ -179,7 +179,7 @@
         await asyncio.sleep(self._random.uniform(0.5, 9.0))
         for healed in (node, *others):
             healed.store.is_silent = False
-            if not healed.store.is_down:
+            if _is_alive(healed):
                 healed.workers.unreachable_worker_ids = set()
 
     async def _lose_worker(self) -> None:
@@ -201,7 +201,7 @@
             node.workers.unreachable_worker_ids.add(worker_id)
         await asyncio.sleep(self._random.uniform(0.5, 9.0))
         for node in nodes:
-            if not node.store.is_down:
+            if _is_alive(node):
                 node.workers.unreachable_worker_ids.discard(worker_id)
 
     async def _stop_store(self) -> None:
@@ -231,6 +231,11 @@
         worker.start_delay_s = 0.0
 
 
+def _is_alive(node: EdgeNode) -> bool:
+    """Whether a process has not been killed; its store may be down."""
+    return not all(task.done() for task in node.tasks)
+
+
 def main() -> None:
     """Plays the seeds that the arguments name."""
     first, count = int(sys.argv[1]), int(sys.argv[2])
