--- a/packages/pollengate/pollengate/workflow/planner.py
+++ b/packages/pollengate/pollengate/workflow/planner.py
@@ -75,6 +75,8 @@
 
     Attributes:
         now: clock time.
+        is_settled: whether no unreported run of an earlier owner can exist any more; asking for it
+            looks at all recorded workers.
         runs: the runs that it has added.
         largest_free_by_service: free resources of each service's workers.
         candidates_by_filler: workers on which fillers may start. While a plan is made, runs are
@@ -85,6 +87,7 @@
     """
 
     now: float
+    is_settled: bool
     runs: list[Run] = dataclasses.field(default_factory=list)
     largest_free_by_service: dict[str, _LargestFree] = dataclasses.field(default_factory=dict)
     candidates_by_filler: dict[_FillerKey, list[WorkerView]] = dataclasses.field(
@@ -153,7 +156,7 @@
             if step.job.idle_since is None and not step.job.run_count:
                 step.job.idle_since = now
         self.start_filter.begin_round()
-        plan = _Round(now)
+        plan = _Round(now, settled)
         for step in self.order.arrange(steps, job_table.queue_of, now):
             queue = job_table.queue_of(step)
             if queue is None:
@@ -245,7 +248,7 @@
     ) -> None:
         now = plan.now
         if step.spec.is_gang:
-            plan.runs += self._place_gang(step, queue, workers, now)
+            plan.runs += self._place_gang(step, queue, workers, plan)
             return
         scores = StepScores()
         is_urgent = must_start(step, now)
@@ -260,7 +263,7 @@
         for task in list(step.waiting):
             if not (self.order.may_take(step) and self.start_filter.startable(step)):
                 break
-            if not self.job_table.is_recorded(task) or self._may_run_unseen(task):
+            if not self.job_table.is_recorded(task) or self._may_run_unseen(task, plan):
                 continue
             view = self.placer.choose(
                 task, workers, now, queue.advice is not None, scores, candidates
@@ -284,7 +287,7 @@
         )
 
     def _place_gang(
-        self, step: StepProgress, queue: Queue, workers: list[WorkerView], now: float
+        self, step: StepProgress, queue: Queue, workers: list[WorkerView], plan: _Round
     ) -> list[Run]:
         """Adds runs with the same number for all tasks of a gang, or for none of them."""
         if len(step.waiting) < step.spec.count:
@@ -295,17 +298,17 @@
             return []
         if not all(self.job_table.is_recorded(task) for task in step.waiting):
             return []
-        if any(self._may_run_unseen(task) for task in step.waiting):
+        if any(self._may_run_unseen(task, plan) for task in step.waiting):
             return []
         number = max(self.job_table.next_run_number(task) for task in step.tasks)
         runs: list[Run] = []
         is_complete = False
         try:
             for task in list(step.waiting):
-                view = self.placer.choose(task, workers, now, queue.advice is not None)
+                view = self.placer.choose(task, workers, plan.now, queue.advice is not None)
                 if view is None:
                     return []
-                runs.append(self._add_run(task, view, number, now))
+                runs.append(self._add_run(task, view, number, plan.now))
             is_complete = True
         finally:
             if not is_complete:
@@ -318,9 +321,9 @@
         """Whether a waiting task of a restored step certainly has no run."""
         return not all(self.job_table.may_run_unseen(task) for task in step.waiting)
 
-    def _may_run_unseen(self, task: TaskProgress) -> bool:
+    def _may_run_unseen(self, task: TaskProgress, plan: _Round) -> bool:
         """Whether a task may have a run of an earlier owner that is not known yet."""
-        if _is_new(task.step) or self.is_settled():
+        if _is_new(task.step) or plan.is_settled:
             return False
         return self.job_table.may_run_unseen(task)
 
--- a/tests/test_workflow_placement.py
+++ b/tests/test_workflow_placement.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import unittest
+from unittest import mock
 
 from pollengate.interference.latency_model import LatencyModel
 from pollengate.interference.rebalancing import MOVE_INTERVAL_S, Rebalancer
@@ -121,6 +122,17 @@
         ]
         self.assertTrue(all(len(present) <= 1 for present in images), images)
 
+    def test_plan_after_a_takeover_looks_at_all_recorded_workers_once_for_all_tasks(self) -> None:
+        job_table = build_job_table(build_lease_worker())
+        job = build_job("aa", build_step(4))
+        job.is_restored = True
+        job_table.add(job, 0.0, 0)
+        job_table.may_run_unseen = lambda task: False
+        planner = build_planner(job_table)
+        planner.is_settled = mock.Mock(return_value=False)
+        self.assertEqual(len(planner.plan(0.0)), 4)
+        planner.is_settled.assert_called_once_with()
+
     def test_before_a_takeover_is_settled_only_new_jobs_start(self) -> None:
         job_table = build_job_table(build_lease_worker())
         old, new = build_job("aa"), build_job("bb")
