Request a worker for each task that can't share one

Cause: the number of workers was computed from millicores alone, so that limits on tasks of a step on one worker, and memory, counted for nothing.

Evidence: both tests failed before, with "5 != 2 : 1" (a limit of one task on a worker) and "5 != 2" (memory).

Change: the tasks that fit on an empty worker are counted by all resources and by the limit. As before, a request is for eight workers at most. If tasks run again, only those count: other shards give up workers for them although their own batch tasks wait, which first starts of the same step must not cause. Their tests pass before, too; without the bound one fails with "8 != 100", without the count of restarts the other with "2 != 8".

--- a/packages/pollengate/pollengate/workflow/worker_transfer.py
+++ b/packages/pollengate/pollengate/workflow/worker_transfer.py
@@ -14,7 +14,7 @@
 
 from pollengate.workflow.fleet import Fleet, WorkerView
 from pollengate.workflow.job_table import JobTable
-from pollengate.workflow.model import Demand, Queue
+from pollengate.workflow.model import Demand, Queue, Step
 from pollengate.workflow.moves import fit_together, may_stop_to_move
 from pollengate.workflow.ordering import rank, runs_again
 from pollengate.workflow.placement import can_place, is_allowed
@@ -191,26 +191,44 @@
 
 
 def _wanted_workers(step: StepProgress, workers: list[WorkerView]) -> int:
-    """Returns how many more workers of a typical size the waiting tasks of a step need."""
-    demand_millis = max(1, step.spec.demand.cpu_millis)
-    largest_millis = max((v.info.capacity.cpu_millis for v in workers), default=demand_millis)
-    wanted = math.ceil(len(step.waiting) / max(1, largest_millis // demand_millis))
-    return min(wanted, MAX_WORKERS_PER_REQUEST)
+    """Returns how many more empty workers of the largest size the waiting tasks of a step need.
+
+    If tasks run again, only those count, as other shards give up more for them.
+    """
+    tasks = len(step.waiting)
+    if runs_again(step):
+        tasks = sum(task.last_run > 0 for task in step.waiting)
+    spec = step.spec
+    limit = spec.max_per_worker or spec.count
+    fitting = max((_fitting_tasks(spec, v.info.capacity, limit) for v in workers), default=1)
+    return min(math.ceil(tasks / max(1, fitting)), MAX_WORKERS_PER_REQUEST)
 
 
 def _places(step: StepProgress, view: WorkerView) -> int:
     """Returns how many more tasks of a step fit on a worker."""
     if not is_allowed(step, view):
         return 0
-    demand, capacity = step.spec.demand, view.info.capacity
-    limits = [
-        (capacity.cpu_millis - view.committed_millis, demand.cpu_millis),
-        (capacity.memory_mb - view.memory_mb, demand.memory_mb),
-        (capacity.accelerators - view.accelerators, demand.accelerators),
-    ]
-    if step.spec.max_per_worker:
-        limits.append((step.spec.max_per_worker - step.runs_on(view.worker_id), 1))
-    return max(0, min((free // each for free, each in limits if each), default=step.spec.count))
+    spec, capacity = step.spec, view.info.capacity
+    free = Demand(
+        capacity.cpu_millis - view.committed_millis,
+        capacity.memory_mb - view.memory_mb,
+        capacity.accelerators - view.accelerators,
+    )
+    limit = spec.count
+    if spec.max_per_worker:
+        limit = spec.max_per_worker - step.runs_on(view.worker_id)
+    return max(0, _fitting_tasks(spec, free, limit))
+
+
+def _fitting_tasks(spec: Step, free: Demand, limit: int) -> int:
+    """Returns how many tasks of a step find room in free resources, at most the given limit."""
+    demand = spec.demand
+    pairs = (
+        (free.cpu_millis, demand.cpu_millis),
+        (free.memory_mb, demand.memory_mb),
+        (free.accelerators, demand.accelerators),
+    )
+    return min((limit, *(available // each for available, each in pairs if each)))
 
 
 def _can_empty(view: WorkerView, request: CapacityRequest, now: float) -> bool:
--- a/tests/test_workflow_worker_transfer.py
+++ b/tests/test_workflow_worker_transfer.py
@@ -67,6 +67,55 @@
         assert found is not None
         self.assertTrue(found.is_long_running)
 
+    def requested_workers(self, step: Step, waiting_again: int = 0) -> int:
+        """Returns how many workers a shard with a full worker of four cores requests for a step.
+
+        Args:
+            step: the step.
+            waiting_again: number of tasks of the step that have run before.
+        """
+        job_table = build_job_table(build_lease_worker())
+        add_job(job_table, "00000000000000aa", build_step(demand=Demand(4000, 1000)))
+        start_all(job_table)
+        add_job(job_table, "00000000000000bb", step)
+        (opened,) = (s for s in job_table.open_steps if s.job.job_id.endswith("bb"))
+        for task in list(opened.waiting)[:waiting_again]:
+            task.last_run = 1
+        found = shortage(job_table)
+        assert found is not None
+        return found.workers
+
+    def test_tasks_that_may_not_share_a_worker_are_not_requested_for_one_at_a_time(self) -> None:
+        for limit, workers in ((1, 5), (2, 3), (4, 2), (0, 2)):
+            step = build_step(5, is_long_running=True, max_per_worker=limit)
+            self.assertEqual(workers, self.requested_workers(step), limit)
+
+    def test_tasks_that_fill_a_workers_memory_are_not_requested_for_as_if_they_shared_it(
+        self,
+    ) -> None:
+        step = build_step(5, is_long_running=True, demand=Demand(1000, 600))
+        self.assertEqual(5, self.requested_workers(step))
+
+    def test_request_for_tasks_without_a_demand_is_no_error(self) -> None:
+        job_table = build_job_table(build_lease_worker())
+        step = build_step(2, is_long_running=True, demand=Demand(), max_per_worker=1)
+        add_job(job_table, "00000000000000aa", step)
+        start_all(job_table)
+        found = shortage(job_table)
+        assert found is not None
+        self.assertEqual(1, found.workers)
+        gang = build_step(2, is_gang=True, demand=Demand())
+        add_job(job_table, "00000000000000bb", gang)
+        self.assertEqual(found, shortage(job_table))
+
+    def test_wide_step_does_not_take_all_workers_of_other_shards(self) -> None:
+        step = build_step(100, is_long_running=True, max_per_worker=1)
+        self.assertEqual(8, self.requested_workers(step))
+
+    def test_first_starts_take_no_workers_with_the_precedence_of_restarts(self) -> None:
+        step = build_step(8, is_long_running=True, max_per_worker=1)
+        self.assertEqual(2, self.requested_workers(step, waiting_again=2))
+
     def test_filler_is_not_short(self) -> None:
         job_table = self.full_job_table(build_step(is_filler=True, demand=Demand(4000, 2000)))
         self.assertIsNone(shortage(job_table))
