Give workers to the shard that has waited longest for one

Cause: owners went through the requests in the order in which the shards had first asked, and gave the first one that was due as many workers as it asked for. A request becomes due up to 0.6 s after it arrives, and shards ask anew each second, so that the times of the requests decided as well.

Evidence: the test failed before for three of eight times between the first requests (0.2, 1.1 and 2.3 s), with "1 != 0".

Change: one worker is given at a time, to the shard that has got none for the longest time while it asked. A request that is not due yet holds back those after it if a worker could be released for it, and one that was due in vain is looked at again before a later request gets a worker. Workers that are being released for a shard count as given.

Measured: the test, test_worker_transfers and test_restart_transfers pass.

--- a/packages/pollengate/pollengate/workflow/worker_transfer.py
+++ b/packages/pollengate/pollengate/workflow/worker_transfer.py
@@ -22,6 +22,7 @@
 from pollengate.workflow.start_filter import StartFilter
 
 __all__ = [
+    "MAX_WORKERS_PER_REQUEST",
     "CapacityRequest",
     "can_ever_run",
     "find_shortage",
--- a/packages/pollengated/pollengated/edge/worker_assignments.py
+++ b/packages/pollengated/pollengated/edge/worker_assignments.py
@@ -21,8 +21,10 @@
 from pollengated.edge.prefix_cache import PrefixCache
 from pollengated.logs import Log
 
-__all__ = ["OpenRequest", "WorkerAssignments"]
+__all__ = ["REQUEST_VALID_S", "OpenRequest", "WorkerAssignments"]
 
+# A request that nobody met is repeated sooner than this; an older one is out of date.
+REQUEST_VALID_S = 2.0
 _T = TypeVar("_T")
 _SHARD_DECODER = DocumentDecoder(int)
 _REQUEST_DECODER = DocumentDecoder(CapacityRequest)
@@ -36,13 +38,17 @@
         revision: store revision of the request.
         received_at: clock time at which this process learned of it.
         request: the request.
+        waiting_since: clock time from which on the shard has asked without getting a worker.
         is_answered: whether this process has responded to it, or is not to respond.
+        is_tried: whether it was due and this process had no worker for it.
     """
 
     revision: int
     received_at: float
     request: CapacityRequest
+    waiting_since: float
     is_answered: bool = False
+    is_tried: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -125,12 +131,15 @@
 
     def is_met(self, open_request: OpenRequest) -> bool:
         """Whether all requested workers were assigned to a shard after its newest request."""
-        received = sum(
+        return self.received_workers(open_request) >= open_request.request.workers
+
+    def received_workers(self, open_request: OpenRequest) -> int:
+        """Returns how many workers were assigned to a shard after its newest request."""
+        return sum(
             assigned.shard == open_request.request.shard
             and assigned.revision > open_request.revision
             for assigned in self._assignments_by_worker.values()
         )
-        return received >= open_request.request.workers
 
     def _apply_key(self, key: str) -> bool:
         """Applies the newest entry of a key; returns whether it assigns a worker."""
@@ -155,6 +164,8 @@
             self._assignments_by_worker.pop(worker_id, None)
         else:
             self._assignments_by_worker[worker_id] = _Assignment(shard, entry.revision)
+            if shard in self.requests_by_shard:
+                self.requests_by_shard[shard].waiting_since = self._clocks.monotonic_s()
 
     def _apply_request(self, entry: Entry) -> None:
         request = self._decode(entry, _REQUEST_DECODER)
@@ -162,8 +173,12 @@
             return
         known = self.requests_by_shard.get(request.shard)
         if known is None or known.revision < entry.revision:
-            now = self._clocks.monotonic_s()
-            self.requests_by_shard[request.shard] = OpenRequest(entry.revision, now, request)
+            now = waiting_since = self._clocks.monotonic_s()
+            if known is not None and now - known.received_at <= REQUEST_VALID_S:
+                waiting_since = known.waiting_since
+            self.requests_by_shard[request.shard] = OpenRequest(
+                entry.revision, now, request, waiting_since
+            )
 
     def _decode(self, entry: Entry, decoder: DocumentDecoder[_T]) -> _T | None:
         decoded = decoder.decode(entry.value)
--- a/packages/pollengated/pollengated/edge/worker_transfers.py
+++ b/packages/pollengated/pollengated/edge/worker_transfers.py
@@ -5,6 +5,7 @@
 every owner that has contacted the worker, so that the new owner uses it as its token there.
 """
 
+import collections
 import dataclasses
 from collections.abc import Callable
 
@@ -19,6 +20,7 @@
 from pollengate.workflow.shard_lease import ShardLease
 from pollengate.workflow.start_filter import StartFilter
 from pollengate.workflow.worker_transfer import (
+    MAX_WORKERS_PER_REQUEST,
     CapacityRequest,
     can_ever_run,
     find_shortage,
@@ -30,7 +32,11 @@
 
 from pollengated.edge.clocks import Clocks
 from pollengated.edge.committer import Committer, Record
-from pollengated.edge.worker_assignments import OpenRequest, WorkerAssignments
+from pollengated.edge.worker_assignments import (
+    REQUEST_VALID_S,
+    OpenRequest,
+    WorkerAssignments,
+)
 from pollengated.logs import Log
 
 __all__ = ["WorkerTransfers"]
@@ -38,8 +44,6 @@
 # Tasks of a second or two often free capacity in less time than a transfer takes.
 SHORT_AFTER_S = 0.5
 REQUEST_INTERVAL_S = 1.0
-# A request that nobody met is repeated sooner than this; an older one is out of date.
-REQUEST_VALID_S = 2.0
 # A shard that has just received a worker, or was loaded, may still need all of its workers.
 KEEP_AFTER_SHORTAGE_S = 2.0
 # A worker whose runs have not ended or moved within this time is kept.
@@ -117,7 +121,7 @@
         if shortage is not None:
             self._request(shortage, now)
         if not self._releases:
-            self._begin_release(now)
+            self._begin_releases(now)
 
     def _record_shortage(self, shortage: CapacityRequest | None, now: float) -> None:
         if shortage is None:
@@ -179,29 +183,101 @@
                 return True
         return False
 
-    def _begin_release(self, now: float) -> None:
-        for open_request in self._assignments.requests_by_shard.values():
-            age_s = now - open_request.received_at
+    def _begin_releases(self, now: float) -> None:
+        """Begins releases for the requests that are due, one worker for each shard in turn.
+
+        Long-running tasks are moved for no further release while some are being moved, as each of
+        these counts on the same room.
+        """
+        may_move = not any(release.view.long_running for release in self._releases)
+        releases_by_shard: collections.Counter[int] = collections.Counter()
+        while True:
+            moving = sum(bool(release.view.long_running) for release in self._releases)
+            allows_moves = may_move and moving < MAX_WORKERS_PER_REQUEST
+            choice = self._choose_release(releases_by_shard, allows_moves, now)
+            if choice is None:
+                return
+            open_request, view = choice
+            self._releases.append(_Release(view, open_request.request, now))
+            view.is_released = True
+            open_request.waiting_since = now
+            open_request.is_answered = self._missing_workers(open_request) <= 0
+            releases_by_shard[open_request.request.shard] += 1
+
+    def _choose_release(
+        self, releases_by_shard: collections.Counter[int], allows_moves: bool, now: float
+    ) -> tuple[OpenRequest, WorkerView] | None:
+        """Returns the request to meet next and the worker for it, None if none is met now.
+
+        A request that is not due yet holds back those after it if a worker could be released for
+        it: the delay would otherwise let a shard that asks for many take all of them. One that was
+        due and found no worker is looked at again once there is a worker for a request after it.
+
+        Args:
+            releases_by_shard: numbers of releases that have begun now.
+            allows_moves: whether long-running tasks may move for the release.
+            now: clock time.
+        """
+        earlier: list[OpenRequest] = []
+        for open_request in self._requests_in_order(releases_by_shard, now):
             request = open_request.request
-            if open_request.is_answered or age_s > REQUEST_VALID_S:
-                continue
-            if self._assignments.is_met(open_request):
-                continue
-            if age_s < release_delay_s(self._job_table.fleet, request, now):
-                continue
+            delay_s = release_delay_s(self._job_table.fleet, request, now)
+            is_due = now - open_request.received_at >= delay_s
             blocker = self._release_blocker(request, now)
             if blocker is not None:
-                self._log_unmet_request(open_request, blocker)
+                if is_due:
+                    self._log_unmet_request(open_request, blocker)
                 continue
-            open_request.is_answered = True
-            for _ in range(request.workers):
-                view = worker_to_release(self._job_table, request, now)
-                if view is None:
-                    break
-                self._releases.append(_Release(view, request, now))
-                view.is_released = True
-            if self._releases:
-                return
+            if open_request.is_tried or not is_due:
+                earlier.append(open_request)
+                continue
+            view = self._worker_for(request, allows_moves, now)
+            if view is None:
+                open_request.is_tried = True
+                continue
+            for other in earlier:
+                view_for_other = self._worker_for(other.request, allows_moves, now)
+                if view_for_other is not None:
+                    return (other, view_for_other) if other.is_tried else None
+            return open_request, view
+        return None
+
+    def _requests_in_order(
+        self, releases_by_shard: collections.Counter[int], now: float
+    ) -> list[OpenRequest]:
+        """Returns the requests that lack workers, those with precedence first.
+
+        First is the shard that has got no worker for the longest time.
+        """
+        waiting = [
+            open_request
+            for open_request in self._assignments.requests_by_shard.values()
+            if not open_request.is_answered
+            and now - open_request.received_at <= REQUEST_VALID_S
+            and self._missing_workers(open_request) > 0
+        ]
+        return sorted(
+            waiting,
+            key=lambda r: (
+                r.waiting_since,
+                releases_by_shard[r.request.shard],
+                r.revision,
+            ),
+        )
+
+    def _missing_workers(self, open_request: OpenRequest) -> int:
+        """Returns how many workers a shard lacks beside those that are being released for it."""
+        request = open_request.request
+        releases = sum(release.request.shard == request.shard for release in self._releases)
+        return request.workers - releases - self._assignments.received_workers(open_request)
+
+    def _worker_for(
+        self, request: CapacityRequest, allows_moves: bool, now: float
+    ) -> WorkerView | None:
+        """Returns a worker to release for a request, None if there is none."""
+        if not allows_moves:
+            request = dataclasses.replace(request, is_long_running=False)
+        return worker_to_release(self._job_table, request, now)
 
     def _log_unmet_request(self, open_request: OpenRequest, blocker: str) -> None:
         to_shard = open_request.request.shard
