Give workers to restarts before first starts of other shards

A task that has run and is absent for 6 s counts as lost; one that has not started yet doesn't.

Cause: requests for restarts only made owners with waiting batch tasks give workers, but had no precedence over requests of other shards.

Change: requests for restarts come first, then the longest wait. They are for tasks that have run before only, so that other requests wait until these tasks run, or while no worker can be released for them.

--- a/packages/pollengated/pollengated/edge/worker_transfers.py
+++ b/packages/pollengated/pollengated/edge/worker_transfers.py
@@ -247,7 +247,7 @@
     ) -> list[OpenRequest]:
         """Returns the requests that lack workers, those with precedence first.
 
-        First is the shard that has got no worker for the longest time.
+        Restarts come first, then the shard that has got no worker for the longest time.
         """
         waiting = [
             open_request
@@ -259,6 +259,7 @@
         return sorted(
             waiting,
             key=lambda r: (
+                not r.request.is_restart,
                 r.waiting_since,
                 releases_by_shard[r.request.shard],
                 r.revision,
--- a/tests/test_transfer_precedence.py
+++ b/tests/test_transfer_precedence.py
@@ -94,6 +94,28 @@
         self.assertEqual(2, self.running(cluster, large_id))
         self.check_single_execution(cluster)
 
+    def test_restarts_do_not_wait_for_the_first_starts_of_a_shard_that_asked_before(self) -> None:
+        # The time between the first requests decides whose newest one is due first.
+        for gap_s in (1.0, 1.25, 1.5, 1.75):
+            with self.subTest(gap_s=gap_s):
+                self.setUp()
+                run_virtual(self.ask_for_restarts_after_first_starts(gap_s))
+
+    async def ask_for_restarts_after_first_starts(self, gap_s: float) -> None:
+        """Lets two shards ask while a gang keeps a third one from emptying any worker."""
+        cluster = await self.open_cluster(3, lambda worker_id: 9.0)
+        gang = build_step(3, is_gang=True, demand=WHOLE_WORKER)
+        gang_id = await self.submit(cluster, DONOR, gang)
+        large_id = await self.submit(cluster, LARGE, lasting(8))
+        await asyncio.sleep(gap_s)
+        for worker_id in (f"w{MODEST}", f"w{MODEST + SHARDS}"):
+            await cluster.drain_worker(worker_id)
+        await cluster.wait_for_state(gang_id, "completed", 30.0)
+        await asyncio.sleep(RELEASE_S)
+        self.assertEqual(3, self.running(cluster, self.full_ids_by_shard[MODEST]))
+        self.assertEqual(1, self.running(cluster, large_id))
+        self.check_single_execution(cluster)
+
 
 if __name__ == "__main__":
     unittest.main()
