Release workers to one shard while others are being emptied

Cause: an owner began no release while any other went on, and one goes on until the runs on the worker have ended or moved, for up to 6 s.

Evidence: the test failed before with "1 != 0". A worker that a task that is being moved counts on could have been released besides; the test of it fails without its part of the change, as the last worker with room is released.

Change: releases begin at any time. The log line of a request says whether it is for a restart.

--- a/packages/pollengate/pollengate/workflow/worker_transfer.py
+++ b/packages/pollengate/pollengate/workflow/worker_transfer.py
@@ -10,7 +10,7 @@
 import dataclasses
 import functools
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from pollengate.workflow.fleet import Fleet, WorkerView
 from pollengate.workflow.job_table import JobTable
@@ -118,7 +118,10 @@
 
 
 def worker_to_release(
-    job_table: JobTable, request: CapacityRequest, now: float
+    job_table: JobTable,
+    request: CapacityRequest,
+    now: float,
+    released: Sequence[WorkerView] = (),
 ) -> WorkerView | None:
     """Returns the worker that meets a request after the fewest moves, None if there is none.
 
@@ -136,7 +139,9 @@
         and kept_labels.isdisjoint(view.info.labels)
     ]
     candidates.sort(key=lambda view: (len(view.long_running), len(view.runs), view.worker_id))
-    return next((view for view in candidates if fits_elsewhere(job_table, view, now)), None)
+    return next(
+        (view for view in candidates if fits_elsewhere(job_table, view, now, released)), None
+    )
 
 
 def is_movable(run: Run, now: float) -> bool:
@@ -144,11 +149,18 @@
     return now - run.ordered_at >= MIN_STAY_S and may_stop_to_move(run)
 
 
-def fits_elsewhere(job_table: JobTable, view: WorkerView, now: float) -> bool:
-    """Returns True if all long-running tasks of a worker fit on other workers of its shard."""
+def fits_elsewhere(
+    job_table: JobTable, view: WorkerView, now: float, released: Sequence[WorkerView] = ()
+) -> bool:
+    """Returns True if all long-running tasks of a worker fit on other workers of its shard.
+
+    Those of the workers that are being released have to fit beside them.
+    """
     workers = _healthy_workers(job_table, view.info.service, now)
-    others = [other for other in workers if other is not view]
-    return fit_together(view.long_running, others, lambda step, other: True)
+    leaving = [view, *(v for v in released if v.info.service == view.info.service)]
+    runs = [run for leaving_view in leaving for run in leaving_view.long_running]
+    others = [other for other in workers if other not in leaving]
+    return fit_together(runs, others, lambda step, other: True)
 
 
 def can_ever_run(
--- a/packages/pollengated/pollengated/edge/worker_transfers.py
+++ b/packages/pollengated/pollengated/edge/worker_transfers.py
@@ -120,8 +120,7 @@
         self._releases = [r for r in self._releases if self._continue_release(r, now)]
         if shortage is not None:
             self._request(shortage, now)
-        if not self._releases:
-            self._begin_releases(now)
+        self._begin_releases(now)
 
     def _record_shortage(self, shortage: CapacityRequest | None, now: float) -> None:
         if shortage is None:
@@ -149,6 +148,7 @@
             label=shortage.required_label,
             cpu_millis=shortage.demand.cpu_millis,
             long_running=shortage.is_long_running,
+            restart=shortage.is_restart,
         )
         self._committer.add(_RequestRecord(shortage))
 
@@ -278,7 +278,8 @@
         """Returns a worker to release for a request, None if there is none."""
         if not allows_moves:
             request = dataclasses.replace(request, is_long_running=False)
-        return worker_to_release(self._job_table, request, now)
+        released = [release.view for release in self._releases]
+        return worker_to_release(self._job_table, request, now, released)
 
     def _log_unmet_request(self, open_request: OpenRequest, blocker: str) -> None:
         to_shard = open_request.request.shard
--- a/tests/test_transfer_precedence.py
+++ b/tests/test_transfer_precedence.py
@@ -94,6 +94,21 @@
         self.assertEqual(2, self.running(cluster, large_id))
         self.check_single_execution(cluster)
 
+    def test_worker_that_is_free_is_not_kept_while_another_one_is_emptied(self) -> None:
+        async def main() -> None:
+            cluster = await self.open_cluster(3, lambda worker_id: 5.5 if worker_id == "w2" else 2)
+            await self.submit(cluster, DONOR, build_step(3, demand=WHOLE_WORKER))
+            large_id = await self.submit(cluster, LARGE, lasting(1))
+            await asyncio.sleep(1.2)
+            modest_id = await self.submit(cluster, MODEST, lasting(1))
+            await asyncio.sleep(RELEASE_S)
+            self.assertEqual(1, self.running(cluster, modest_id))
+            await asyncio.sleep(RELEASE_S)
+            self.assertEqual(1, self.running(cluster, large_id))
+            self.check_single_execution(cluster)
+
+        run_virtual(main())
+
     def test_restarts_do_not_wait_for_the_first_starts_of_a_shard_that_asked_before(self) -> None:
         # The time between the first requests decides whose newest one is due first.
         for gap_s in (1.0, 1.25, 1.5, 1.75):
--- a/tests/test_workflow_worker_transfer.py
+++ b/tests/test_workflow_worker_transfer.py
@@ -177,6 +177,16 @@
         request = dataclasses.replace(request, is_long_running=True)
         self.assertIs(used, worker_to_release(job_table, request, NOW))
 
+    def test_worker_whose_room_a_task_that_is_being_moved_needs_is_kept(self) -> None:
+        job_table = self.serving_job_table("w0", "w1", "w2")
+        views = job_table.fleet.workers_by_id.values()
+        (moved,) = (view for view in views if view.runs)
+        moved.is_released = True
+        kept = worker_to_release(job_table, self.request, NOW, [moved])
+        assert kept is not None
+        kept.is_released = True
+        self.assertIsNone(worker_to_release(job_table, self.request, NOW, [moved, kept]))
+
     def test_no_long_running_task_moves_while_another_of_its_step_is_away(self) -> None:
         job_table = self.serving_job_table("w0", "w1", "w2", count=2)
         runs = [
