--- a/tests/test_transfer_precedence.py
+++ b/tests/test_transfer_precedence.py
@@ -5,6 +5,7 @@
 import unittest
 from collections.abc import Callable
 
+from pollengate.workflow.keys import ASSIGNMENT_PREFIX
 from pollengate.workflow.model import Demand, Step
 
 from tests.edge_cluster import EdgeCluster, EdgeTestCase
@@ -72,6 +73,12 @@
         history = cluster.update_history()
         return sum(r.task.startswith(job_id) and r.ended_at is None for r in history)
 
+    async def check_transferred_once(self, cluster: EdgeCluster) -> None:
+        """Checks that no worker went on to a further shard, or back."""
+        entries = (await cluster.store.list(ASSIGNMENT_PREFIX)).unwrap().entries
+        self.assertTrue(entries)
+        self.assertTrue(all(entry.revision == entry.created_revision for entry in entries))
+
     def test_shard_that_asks_for_one_worker_is_not_served_after_all_of_one_that_asks_for_many(
         self,
     ) -> None:
@@ -92,6 +99,7 @@
         await asyncio.sleep(RELEASE_S)
         self.assertEqual(1, self.running(cluster, modest_id))
         self.assertEqual(2, self.running(cluster, large_id))
+        await self.check_transferred_once(cluster)
         self.check_single_execution(cluster)
 
     def test_worker_that_is_free_is_not_kept_while_another_one_is_emptied(self) -> None:
@@ -105,6 +113,7 @@
             self.assertEqual(1, self.running(cluster, modest_id))
             await asyncio.sleep(RELEASE_S)
             self.assertEqual(1, self.running(cluster, large_id))
+            await self.check_transferred_once(cluster)
             self.check_single_execution(cluster)
 
         run_virtual(main())
@@ -129,6 +138,7 @@
         await asyncio.sleep(RELEASE_S)
         self.assertEqual(3, self.running(cluster, self.full_ids_by_shard[MODEST]))
         self.assertEqual(1, self.running(cluster, large_id))
+        await self.check_transferred_once(cluster)
         self.check_single_execution(cluster)
 
 
