--- a/packages/pollengated/pollengated/edge/job_request_handler.py
+++ b/packages/pollengated/pollengated/edge/job_request_handler.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from pollengate.accounts.job_access import Requester
+from pollengate.workflow.decision_guard import DecisionGuard
 from pollengate.workflow.job_placement import first_steps
 from pollengate.workflow.job_service import (
     RETRY_AFTER_S,
@@ -64,12 +65,14 @@
         acceptor: takes jobs and tasks from other shards; set before the first request.
         delegator: places single tasks in other shards; set before the first request.
         returner: returns such tasks of other shards' jobs; set before the first request.
+        guard: contains errors of what is offered to other shards; set before the first request.
     """
 
     placer: JobPlacer
     acceptor: PlacementAcceptor
     delegator: TaskDelegator
     returner: TaskReturner
+    guard: DecisionGuard
 
     def __init__(
         self,
@@ -98,9 +101,14 @@
         self._log = Log("owner")
 
     def create_placement(
-        self, context: PlacementContext, other_shards: OtherShards, metrics: EdgeMetrics
+        self,
+        context: PlacementContext,
+        other_shards: OtherShards,
+        metrics: EdgeMetrics,
+        guard: DecisionGuard,
     ) -> None:
         """Creates what exchanges jobs and tasks with other shards' owners."""
+        self.guard = guard
         self.placer = JobPlacer(context, other_shards, metrics)
         self.delegator = TaskDelegator(context, other_shards, metrics, self.current_refusal)
         self.returner = TaskReturner(context, other_shards)
@@ -270,14 +278,21 @@
     def update(self, now: float) -> None:
         """Places tasks that wait in other shards, ends those of ended jobs, and forgets others."""
         self.placer.update(now)
-        self.delegator.update(now)
+        self.guard.attempt("delegate_tasks", "", now, lambda: self.delegator.update(now))
         if now >= self._return_at and self.current_refusal() is None:
             self._return_at = now + RETURN_INTERVAL_S
-            self.returner.update(now)
+            self.guard.attempt("return_tasks", "", now, lambda: self.returner.update(now))
 
     def offered_room(self, now: float) -> dict[str, RoomSummary]:
         """Returns the room by service that the shard offers to jobs of other shards."""
-        return {} if self.current_refusal() is not None else self._room.summaries_by_service(now)
+        if self.current_refusal() is not None:
+            return {}
+        # The heartbeats of all shards of this process name the room of each.
+        rooms: list[dict[str, RoomSummary]] = []
+        self.guard.attempt(
+            "offer_room", "", now, lambda: rooms.append(self._room.summaries_by_service(now))
+        )
+        return rooms[0] if rooms else {}
 
     def _find_job(self, job_id: str, requester: Requester) -> JobProgress | None:
         job = self._job_table.jobs_by_id.get(job_id)
--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -347,7 +347,9 @@
             self._takeover.is_settled,
             self._spawn,
         )
-        self.request_handler.create_placement(context, self._other_shards, self._metrics)
+        self.request_handler.create_placement(
+            context, self._other_shards, self._metrics, self._guard
+        )
 
     # Workers.
 
--- a/packages/pollengated/pollengated/edge/task_delegator.py
+++ b/packages/pollengated/pollengated/edge/task_delegator.py
@@ -11,6 +11,7 @@
 
 from pollengate.accounts.job_access import Requester
 from pollengate.store import CommitResult, Entry, Put, Unchanged
+from pollengate.workflow.decision_guard import changing_job_table
 from pollengate.workflow.job_placement import (
     StoredPlacement,
     decode_placement,
@@ -159,9 +160,10 @@
                 break
             shards = self._shards_with_room(task, now)
             if shards:
-                self._job_table.delegate(task)
-                self._pending_by_name[task.name] = task
-                self._context.spawn(self._run(task, shards))
+                with changing_job_table():
+                    self._job_table.delegate(task)
+                    self._pending_by_name[task.name] = task
+                    self._context.spawn(self._run(task, shards))
 
     def _shards_with_room(self, task: TaskProgress, now: float) -> list[int]:
         queue = self._job_table.queue_of(task.step)
--- a/packages/pollengated/pollengated/edge/task_returner.py
+++ b/packages/pollengated/pollengated/edge/task_returner.py
@@ -8,6 +8,7 @@
 import asyncio
 
 from pollengate.store import CommitResult, Delete, Put, Unchanged
+from pollengate.workflow.decision_guard import changing_job_table
 from pollengate.workflow.job_placement import (
     StoredPlacement,
     decode_placement,
@@ -60,9 +61,10 @@
         for task in due:
             job = task.step.job
             if job.delegated_by is not None and self._has_room_elsewhere(task):
-                self._job_table.delegate(task)
-                self._pending_names.add(job.job_id)
-                self._context.spawn(self._run(task, job, job.delegated_by))
+                with changing_job_table():
+                    self._job_table.delegate(task)
+                    self._pending_names.add(job.job_id)
+                    self._context.spawn(self._run(task, job, job.delegated_by))
 
     def _has_room_elsewhere(self, task: TaskProgress) -> bool:
         queue = self._job_table.queue_of(task.step)
--- a/tests/test_edge_decision_failure.py
+++ b/tests/test_edge_decision_failure.py
@@ -12,9 +12,12 @@
 from pollengate.workflow.placement import Placer
 from pollengate.workflow.policy import InterferencePolicy, SchedulingPolicy
 from pollengate.workflow.progress import JobState
+from pollengate.workflow.shard_room import ShardRoom
 from pollengated.edge.advice_requester import AdviceRequester
 from pollengated.edge.shared_interference import SharedInterference
 from pollengated.edge.start_policy import StartPolicy
+from pollengated.edge.task_delegator import TaskDelegator
+from pollengated.edge.task_returner import TaskReturner
 from pollengated.edge.worker_transfers import WorkerTransfers
 
 from tests.edge_cluster import EdgeCluster, EdgeTestCase
@@ -162,6 +165,8 @@
             "rebalance": (Rebalancer, "choose"),
             "transfer_workers": (WorkerTransfers, "update"),
             "update_start_policy": (StartPolicy, "update"),
+            "delegate_tasks": (TaskDelegator, "update"),
+            "return_tasks": (TaskReturner, "update"),
         }
         for kind, (owner, method) in decisions.items():
             with self.subTest(kind):
@@ -178,6 +183,18 @@
 
                 run_virtual(main())
 
+    def test_error_in_the_room_of_a_shard_does_not_end_the_heartbeats_of_its_process(self) -> None:
+        async def main() -> None:
+            cluster = EdgeCluster()
+            await cluster.open()
+            term = await cluster.wait_for_term()
+            now = asyncio.get_running_loop().time()
+            with mock.patch.object(ShardRoom, "summaries_by_service", side_effect=ArithmeticError):
+                self.assertEqual(term.request_handler.offered_room(now), {})
+            self.assertEqual(self.failures(cluster)["offer_room"], 1)
+
+        run_virtual(main())
+
     def test_errors_in_loops_that_only_help_decisions_do_not_end_the_term(self) -> None:
         loops: tuple[tuple[type[Any], str], ...] = (
             (SharedInterference, "update"),
