Seed the hashes of strings in the test runner

CONTRIBUTING promises the same result every time. The runner starts itself again with a fixed seed unless the environment has one. No check has changed.

--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -2,9 +2,12 @@
 
 An entry of KNOWN-RED.txt is a line that begins with the dotted name of a test. Indented lines and
 lines that begin with `#` are explanations. Listed tests run like all others.
+
+Hashes of strings are seeded, unless the environment has a seed, as the order of sets depends on them.
 """
 
 import dataclasses
+import os
 import sys
 from collections.abc import Iterable
 from pathlib import Path
@@ -135,4 +138,7 @@
 
 
 if __name__ == "__main__":
+    if "PYTHONHASHSEED" not in os.environ:
+        os.environ["PYTHONHASHSEED"] = "0"
+        os.execv(sys.executable, [sys.executable, *sys.argv])
     sys.exit(main(sys.argv[1:]))
