--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -3,7 +3,7 @@
 An entry of KNOWN-RED.txt is a line that begins with the dotted name of a test. Indented lines and
 lines that begin with `#` are explanations. Listed tests run like all others.
 
-Hashes of strings are seeded, unless the environment has a seed, as the order of sets depends on them.
+Hashes of strings are seeded, unless the environment has a seed: the order of sets follows them.
 """
 
 import dataclasses
