--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -64,7 +64,7 @@
 TICK_INTERVAL_S = 0.1
 # Time until a worker on which all tasks fail is tried again; a task takes a second or two.
 FIRST_PROBE_AFTER_S = 4.0
-# A job may stand still while all workers with room are quarantined; its users accept 14 s.
+# A job may stand still for this long while all workers with room are quarantined.
 MAX_PROBE_AFTER_S = 8.0
 
 
