Log what the end of a run changed

An end whose task is unknown, done or has a newer run, or that is reported after its lease has expired, completes no task and was logged like any other, so that the logs could not tell whether a task that ran again had an end that was dropped. The line has the end's number and its effect now, and a metric counts runs that ended done without completing a task. No decision changes.

--- a/packages/pollengate/pollengate/workflow/reports.py
+++ b/packages/pollengate/pollengate/workflow/reports.py
@@ -1,5 +1,7 @@
 """Reconciles the job table with the reports of workers."""
 
+import dataclasses
+import enum
 from collections.abc import Callable
 
 from pollengate.workflow.clients import EndedRun, EndKind, Report, RunningTask
@@ -9,12 +11,35 @@
 from pollengate.workflow.model import WorkerCondition
 from pollengate.workflow.progress import PAST_STARTUP_PERCENT, Run, RunState, TaskProgress
 
-__all__ = ["ReportReconciler"]
+__all__ = ["AppliedEnd", "EndEffect", "ReportReconciler"]
 
 # Maximum number of ended runs in one report.
 MAX_ENDS_PER_REPORT = 500
 
 
+class EndEffect(enum.StrEnum):
+    """What an ended run changed in the job table, or why it changed nothing.
+
+    `LEASE_EXPIRED`: its result does not count, as the lease had expired before it was reported.
+    `NEWER_RUN`: its result does not count, as the task has a newer run.
+    """
+
+    APPLIED = "applied"
+    LEASE_EXPIRED = "lease_expired"
+    NEWER_RUN = "newer_run"
+    TASK_DONE = "task_done"
+    JOB_ENDED = "job_ended"
+    UNKNOWN_TASK = "unknown_task"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AppliedEnd:
+    """An ended run that no earlier report listed, and its effect."""
+
+    ended: EndedRun
+    effect: EndEffect
+
+
 class ReportReconciler:
     """Applies the reports of one worker, over all of its incarnations, to the job table.
 
@@ -37,7 +62,7 @@
 
     def apply(
         self, report: Report, sent_at: float, now: float, now_ms: int
-    ) -> tuple[EndedRun, ...]:
+    ) -> tuple[AppliedEnd, ...]:
         """Applies a report.
 
         Args:
@@ -47,7 +72,7 @@
             now_ms: Unix time.
 
         Returns:
-            The ended runs that no earlier report listed.
+            The ended runs that no earlier report listed, with their effects.
         """
         view = self._view
         if view.born_ms != report.born_ms:
@@ -57,14 +82,15 @@
         had_expired = view.lease.record_reply(report.worker_clock_ms, now)
         view.is_attached = True
         new_ends = tuple(ended for ended in report.ended if ended.number > self.last_end_number)
+        applied: list[AppliedEnd] = []
         for ended in new_ends:
             self.last_end_number = ended.number
-            self._apply_end(ended, had_expired, now, now_ms)
+            applied.append(AppliedEnd(ended, self._apply_end(ended, had_expired, now, now_ms)))
         for row in report.running:
             self._apply_running(row, now)
         if len(report.ended) < MAX_ENDS_PER_REPORT:
             self._mark_absent_lost(report, sent_at)
-        return new_ends
+        return tuple(applied)
 
     def reset(self, now: float, now_ms: int) -> None:
         """Detaches the worker's incarnation, which is gone, and marks all of its runs as lost.
@@ -102,16 +128,22 @@
             self._view.lapsed_runs.clear()
             self._view.trial = None
 
-    def _apply_end(self, ended: EndedRun, had_expired: bool, now: float, now_ms: int) -> None:
+    def _apply_end(self, ended: EndedRun, had_expired: bool, now: float, now_ms: int) -> EndEffect:
         # Once the lease has expired a result does not count: the task may already run elsewhere.
-        end_kind = EndKind.EXPIRED if had_expired and ended.how is EndKind.DONE else ended.how
+        is_too_late = had_expired and ended.how is EndKind.DONE
+        end_kind = EndKind.EXPIRED if is_too_late else ended.how
+        effect = EndEffect.LEASE_EXPIRED if is_too_late else EndEffect.APPLIED
         run = self._view.runs.get((ended.task, ended.run))
         if run is not None:
             self._job_table.mark_ended(run, end_kind, ended.checkpoint, now, now_ms)
-            return
+            return effect
         task = self._job_table.find_task(ended.task)
-        if task is None or task.is_done or task.step.job.is_ended:
-            return
+        if task is None:
+            return EndEffect.UNKNOWN_TASK
+        if task.is_done:
+            return EndEffect.TASK_DONE
+        if task.step.job.is_ended:
+            return EndEffect.JOB_ENDED
         is_newest = ended.run >= task.last_run and not task.runs_by_number
         # If copies are allowed, any run may complete the task. Otherwise a later run exists only if
         # this one was taken for lost, and its result does not count.
@@ -120,6 +152,8 @@
             self._job_table.apply_result(
                 task, ended.run, self._view.worker_id, end_kind, ended.checkpoint, now, now_ms
             )
+            return effect
+        return EndEffect.NEWER_RUN
 
     def _apply_running(self, row: RunningTask, now: float) -> None:
         view = self._view
--- a/packages/pollengated/pollengated/edge/edge_metrics.py
+++ b/packages/pollengated/pollengated/edge/edge_metrics.py
@@ -68,6 +68,12 @@
             "Reports whose results were not durable in time.",
             registry=registry,
         )
+        self.ineffective_ends = Counter(
+            "pollengate_edge_ineffective_ends",
+            "Runs that ended done and completed no task, by reason.",
+            ["reason"],
+            registry=registry,
+        )
         self.worker_crashes = Counter(
             "pollengate_edge_worker_crashes",
             "Workers that crashed with runs on them, by what the crash is attributed to.",
--- a/packages/pollengated/pollengated/edge/worker_controller.py
+++ b/packages/pollengated/pollengated/edge/worker_controller.py
@@ -6,7 +6,7 @@
 from pollengate.interference.latency_model import LatencyModel
 from pollengate.interference.speeds import SpeedChange, SpeedController
 from pollengate.workflow.clients import (
-    EndedRun,
+    EndKind,
     OrderFailure,
     OrderRejection,
     RenewOrder,
@@ -22,7 +22,7 @@
 from pollengate.workflow.job_table import JobTable
 from pollengate.workflow.planner import Planner
 from pollengate.workflow.progress import Run, RunState
-from pollengate.workflow.reports import ReportReconciler
+from pollengate.workflow.reports import AppliedEnd, EndEffect, ReportReconciler
 from pollengate.workflow.shard_lease import ShardLease
 from pollengate.workflow.tickets import TicketCache
 from result import Err, Result
@@ -298,14 +298,19 @@
                 worker=crash.worker_id,
             )
 
-    def _log_ends(self, new_ends: Iterable[EndedRun]) -> None:
-        for ended in new_ends:
+    def _log_ends(self, new_ends: Iterable[AppliedEnd]) -> None:
+        for applied in new_ends:
+            ended = applied.ended
+            if ended.how is EndKind.DONE and applied.effect is not EndEffect.APPLIED:
+                self._metrics.ineffective_ends.labels(applied.effect.value).inc()
             self._log.info(
                 "run ended",
                 task=ended.task,
                 run=ended.run,
                 worker=self.view.worker_id,
+                number=ended.number,
                 how=ended.how.value,
+                effect=applied.effect.value,
             )
 
     def _adjust_speeds(self, now: float) -> None:
