Count ownership terms when a shard is acquired

Two owners in a row that commit nothing gave their runs the same numbers: the number of a term followed from the newest commit, and an owner starts restored tasks before its first commit. Attempts, results and stops are told apart by run numbers, so that two failed runs counted as one attempt, and the end of one run could be taken for that of the other.

The term is counted in a key of its own, in the transaction that acquires the shard, at one read of the store for an acquisition. The commits' number remains a lower bound for shards that earlier versions owned.

--- a/packages/pollengate/pollengate/workflow/keys.py
+++ b/packages/pollengate/pollengate/workflow/keys.py
@@ -26,6 +26,7 @@
     "run_lists_key",
     "shard_of_job",
     "shard_of_unassigned_rack",
+    "term_key",
 ]
 
 ROOT = "pollengate/"
@@ -49,6 +50,11 @@
     return f"{NODE_PREFIX}member/{node}"
 
 
+def term_key(shard: int) -> str:
+    """Returns the key of the number of a shard's newest ownership term."""
+    return f"{ROOT}term/{shard}"
+
+
 def commit_key(shard: int) -> str:
     """Returns the key of the number of a shard's newest commit, which orders its commits."""
     return f"{ROOT}commit/{shard}"
--- a/packages/pollengate/pollengate/workflow/shard_lease.py
+++ b/packages/pollengate/pollengate/workflow/shard_lease.py
@@ -20,10 +20,13 @@
 
     Attributes:
         token: fencing token, the store revision when ownership was taken; rises with each owner.
+        term_number: number of the ownership term, higher than that of each earlier one; 0 if
+            earlier versions of the process counted the terms, by their commits.
     """
 
-    def __init__(self, token: int, requested_at: float) -> None:
+    def __init__(self, token: int, requested_at: float, term_number: int = 0) -> None:
         self.token = token
+        self.term_number = term_number
         self._requested_at = requested_at
         self._released_at: float | None = None
         self._is_lost = False
--- a/packages/pollengated/pollengated/edge/shard_elector.py
+++ b/packages/pollengated/pollengated/edge/shard_elector.py
@@ -6,8 +6,10 @@
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 
-from pollengate.store import Delete, FailureKind, PolledStore, Put, Unchanged
-from pollengate.workflow.keys import owner_key
+import msgspec
+from pollengate.decoding import Amount, DocumentDecoder
+from pollengate.store import Delete, Entry, FailureKind, PolledStore, Put, Unchanged
+from pollengate.workflow.keys import owner_key, term_key
 from pollengate.workflow.shard_lease import OWNER_LEASE_S, ShardLease
 from result import Err
 
@@ -34,6 +36,7 @@
 MIN_CORES = 0.01
 # A timer of a shorter time may fire before the clock shows that it has passed.
 TIMER_RESOLUTION_S = 0.001
+_TERM_NUMBER_DECODER = DocumentDecoder(Amount)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -215,23 +218,59 @@
         return self._started_at + REGISTRATION_WAIT_S * best.shards
 
     async def _acquire(self) -> ShardLease | None:
+        previous_term = await self._store.get(term_key(self._shard))
+        if isinstance(previous_term, Err):
+            await asyncio.sleep(RETRY_S)
+            return None
         requested_at = self._clocks.monotonic_s()
         lease = await self._store.grant_lease(OWNER_LEASE_S)
         if isinstance(lease, Err):
             await asyncio.sleep(RETRY_S)
             return None
         self._lease_id = lease.ok_value
-        token = await self._write_owner()
+        term_number = self._next_term_number(previous_term.ok_value)
+        token = await self._write_owner(previous_term.ok_value, term_number)
         if token is None:
             await self._store.revoke_lease(self._lease_id)
             await self._directory.wait_for_change(RETRY_S)
             return None
-        self._log.info("shard acquired", shard=self._shard, token=token, lease=self._lease_id)
-        return ShardLease(token, requested_at)
+        self._log.info(
+            "shard acquired",
+            shard=self._shard,
+            token=token,
+            lease=self._lease_id,
+            term=term_number,
+        )
+        return ShardLease(token, requested_at, term_number)
 
-    async def _write_owner(self) -> int | None:
-        put = Put(self._key, self._record.encode(), self._lease_id)
-        result = await self._store.commit((Unchanged(self._key, 0),), (put,))
+    def _next_term_number(self, previous_term: Entry | None) -> int:
+        if previous_term is None:
+            return 0
+        decoded = _TERM_NUMBER_DECODER.decode(previous_term.value)
+        if isinstance(decoded, Err):
+            self._log.warning(
+                "number of the ownership term is unreadable; numbering by commits",
+                shard=self._shard,
+                cause=decoded.err_value,
+            )
+            return 0
+        return decoded.ok_value + 1
+
+    async def _write_owner(self, previous_term: Entry | None, term_number: int) -> int | None:
+        """Takes the shard and counts the term in one transaction; returns the fencing token.
+
+        An owner may start runs and be lost before it commits anything, so that its commits alone
+        don't keep the next one from using the same run numbers.
+        """
+        conditions = (
+            Unchanged(self._key, 0),
+            Unchanged(term_key(self._shard), previous_term.revision if previous_term else 0),
+        )
+        operations = (
+            Put(self._key, self._record.encode(), self._lease_id),
+            Put(term_key(self._shard), msgspec.json.encode(term_number)),
+        )
+        result = await self._store.commit(conditions, operations)
         if not isinstance(result, Err):
             return result.ok_value.revision if result.ok_value.succeeded else None
         if result.err_value.kind is not FailureKind.UNKNOWN:
--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -238,7 +238,8 @@
 
     def _restore(self, records: ShardRecords) -> None:
         previous_commit = decode_commit_number(records.commit.value) if records.commit else None
-        term_number = previous_commit.tenure + 1 if previous_commit else 0
+        committed_terms = previous_commit.tenure + 1 if previous_commit else 0
+        term_number = max(self.shard_lease.term_number, committed_terms)
         self._committer = Committer(
             self._store,
             self.shard,
