Test that a run started by an owner whose clock was ahead is not started again

An occurrence of a scheduled job is opened by the clock of each owner. A successor whose clock is behind takes a run of an occurrence that it does not hold for due as one of an unknown task: its end is acknowledged and dropped, and the task starts when the occurrence is due.

--- a/tests/test_edge_clock_steps.py
+++ b/tests/test_edge_clock_steps.py
@@ -15,6 +15,9 @@
 START_MS = 1_700_000_000_000
 STEP_MS = 2_400_000
 
+# Within the 5 s by which clocks may jump.
+AHEAD_MS = 4_000
+
 
 class SteppingCluster(EdgeCluster):
     """A cluster whose processes have times of day that a test can change.
@@ -95,3 +98,28 @@
             )
 
         run_virtual(main())
+
+    def test_run_that_an_owner_whose_clock_was_ahead_started_is_not_started_again_when_due(
+        self,
+    ) -> None:
+        # The run ends, or goes on, before the successor holds its occurrence for due.
+        for duration_s in (0.6, 6.0):
+            with self.subTest(duration_s=duration_s):
+                run_virtual(self.check_early_occurrence(duration_s))
+
+    async def check_early_occurrence(self, duration_s: float) -> None:
+        """Kills an owner that has started an occurrence before it is due by other clocks."""
+        cluster = SteppingCluster(duration_s)
+        await cluster.open()
+        node = cluster.serving_node()
+        cluster.offset_ms_by_node[node.name] = AHEAD_MS
+        due_ms = START_MS + int(asyncio.get_running_loop().time() * 1000) + AHEAD_MS + 1000
+        workflow = build_workflow(first_due_ms=due_ms, interval_ms=60_000, repeat_count=1)
+        self.assertIsInstance(await cluster.submit(JOB_ID, workflow), Accepted)
+        await asyncio.sleep(1.3)
+        self.assertEqual(len(cluster.history), 1)
+        node.kill()
+        await cluster.wait_for_term(other_than=node.name)
+        await cluster.wait_for_state(JOB_ID, JobState.COMPLETED)
+        self.check_single_execution(cluster)
+        self.assertEqual(len(cluster.history), 1)
