Test a takeover in which a worker lists its ends on several pages

A worker lists 500 ends at a time. The stand-in listed all of them; it lists pages now. With pages of 3, a successor starts the tasks whose ends are on a later page.

--- a/packages/pollengate-standins/pollengate_standins/lease_worker.py
+++ b/packages/pollengate-standins/pollengate_standins/lease_worker.py
@@ -27,6 +27,8 @@
 # Time from the start of a task that crashes its worker to the crash, and until the worker is back.
 CRASH_LATENCY_S = 0.01
 DOWN_S = 3.0
+# Ends that a worker lists in one report.
+MAX_ENDS_PER_REPORT = 500
 
 
 @dataclasses.dataclass(slots=True)
@@ -73,6 +75,7 @@
         crashes_under: returns whether the worker crashes right after it has started the task.
         measurement_of: returns what the worker measures of a running task.
         clock_rate: seconds that the worker's clock advances in a second.
+        max_ends_per_report: ends that one report lists at most.
         noted_ends: start records whose end was acknowledged before the lease expired.
     """
 
@@ -89,6 +92,7 @@
         self.crashes_under: Callable[[str], bool] = lambda task: False
         self.measurement_of: Callable[[str], float] = lambda task: 1.0
         self.clock_rate = 1.0
+        self.max_ends_per_report = MAX_ENDS_PER_REPORT
         self.noted_ends: list[StartRecord] = []
         self._history = history
         self._token = 0
@@ -199,7 +203,8 @@
             )
             for r in self._running.values()
         )
-        return Ok(Report(self._clock_ms(), self.born_ms, running, tuple(self._ended)))
+        listed = tuple(self._ended[: self.max_ends_per_report])
+        return Ok(Report(self._clock_ms(), self.born_ms, running, listed))
 
     async def wait_for_end(self, seconds: float) -> None:
         """Waits until there is an end to report, at most for `seconds`."""
--- a/tests/test_edge_takeover.py
+++ b/tests/test_edge_takeover.py
@@ -1,9 +1,12 @@
 """Tests of ownership of a shard under failures of processes, store and workers, on virtual time."""
 
 import asyncio
+from unittest import mock
 
+from pollengate.workflow import reports
 from pollengate.workflow.job_service import Accepted, Cancelled, Found, JobResponse, NotAccepted
 from pollengate.workflow.keys import job_prefix
+from pollengate.workflow.model import Demand
 from pollengate.workflow.progress import JobState
 from pollengated.edge.node_directory import NodeRecord
 from pollengated.edge.shard_elector import rank_candidates
@@ -129,6 +132,26 @@
 
         run_virtual(main())
 
+    def test_task_whose_end_is_on_a_later_page_of_the_first_report_is_not_started_again(
+        self,
+    ) -> None:
+        async def main() -> None:
+            cluster = EdgeCluster(workers=2, duration_s=1.0)
+            for worker in cluster.workers_by_id.values():
+                worker.max_ends_per_report = 3
+            await cluster.open()
+            workflow = build_workflow(build_step(16, demand=Demand(500, 50)))
+            self.assertIsInstance(await cluster.submit(JOB_ID, workflow), Accepted)
+            await asyncio.sleep(0.5)
+            self.assertEqual(len(cluster.history), 16)
+            cluster.serving_node().kill()
+            await cluster.wait_for_term()
+            await cluster.wait_for_state(JOB_ID, JobState.COMPLETED)
+            self.check_single_execution(cluster)
+
+        with mock.patch.object(reports, "MAX_ENDS_PER_REPORT", 3):
+            run_virtual(main())
+
     def test_handover_keeps_all_runs_and_does_not_wait_for_the_lease_to_expire(self) -> None:
         async def main() -> None:
             cluster = EdgeCluster()
