Take a worker as attached once it has listed all of its ends

After a takeover, tasks whose ends were among the later ones of a worker with more than 500 unacknowledged ends started again.

Cause: the first report to a successor marked the worker as attached, also if it listed the maximum number of ends, so that more of them were to come. The takeover was settled by it, and the tasks of the missing ends started before the next report.

Evidence: with pages of 3 ends and 16 tasks that end while there is no owner, 10 tasks had a second run (tests.test_edge_takeover).

Change: a worker is attached from its first report that lists fewer ends than the maximum; one that was attached stays so.

--- a/packages/pollengate/pollengate/workflow/fleet.py
+++ b/packages/pollengate/pollengate/workflow/fleet.py
@@ -21,7 +21,7 @@
         info: the newest registration.
         lease: lease of all runs on the worker.
         is_registered: whether the worker is in the registry.
-        is_attached: whether its present incarnation has replied to this owner.
+        is_attached: whether its present incarnation has listed all of its ended runs to this owner.
         is_recorded: whether it is on the stored list of workers, where the next owner finds it;
             no run is started on it before that.
         has_drained: whether its present incarnation was registered as draining.
--- a/packages/pollengate/pollengate/workflow/reports.py
+++ b/packages/pollengate/pollengate/workflow/reports.py
@@ -80,7 +80,9 @@
             view.born_ms = report.born_ms
         self._forget_lapsed()
         had_expired = view.lease.record_reply(report.worker_clock_ms, now)
-        view.is_attached = True
+        is_complete = len(report.ended) < MAX_ENDS_PER_REPORT
+        # Until all ends are listed, a task without a known run may have one that is done.
+        view.is_attached = view.is_attached or is_complete
         new_ends = tuple(ended for ended in report.ended if ended.number > self.last_end_number)
         applied: list[AppliedEnd] = []
         for ended in new_ends:
@@ -88,7 +90,7 @@
             applied.append(AppliedEnd(ended, self._apply_end(ended, had_expired, now, now_ms)))
         for row in report.running:
             self._apply_running(row, now)
-        if len(report.ended) < MAX_ENDS_PER_REPORT:
+        if is_complete:
             self._mark_absent_lost(report, sent_at)
         return tuple(applied)
 
