Test a repeated request that arrives as the placement of its job fails

The home shard's owner asks other shards again for the second request, while the first one is accepted at home: the job has records in two shards.

--- a/tests/test_job_placement.py
+++ b/tests/test_job_placement.py
@@ -16,9 +16,15 @@
 from pollengate.workflow.keys import job_key, job_prefix, placement_key, shard_of_job
 from pollengate.workflow.model import Demand
 from pollengate.workflow.progress import JobState
-from pollengated.edge.other_shards import PlacementRequest, PlacementUnknown, Refused
+from pollengated.edge.job_placer import REFUSAL_MEMORY_S
+from pollengated.edge.other_shards import (
+    PlacementOutcome,
+    PlacementRequest,
+    PlacementUnknown,
+    Refused,
+)
 
-from tests.edge_cluster import BOUNDS, EdgeCluster, EdgeNode, EdgeTestCase
+from tests.edge_cluster import BOUNDS, ClusterShards, EdgeCluster, EdgeNode, EdgeTestCase
 from tests.faulty_store import Fault
 from tests.utils import run_virtual
 from tests.workflow_builders import REQUESTER, build_step, build_workflow
@@ -145,6 +151,57 @@
 
         self.run_scenario(scenario)
 
+    def test_request_that_arrives_as_a_placement_fails_does_not_place_the_job_again(self) -> None:
+        # The job would run in its home shard, for the first request, and in another one.
+        async def main() -> None:
+            ids = [f"{n:016x}" for n in range(99) if shard_of_job(f"{n:016x}", 3) == HOME]
+            cluster = EdgeCluster(workers=12, shards=3)
+            for worker in cluster.workers_by_id.values():
+                worker.duration_of = lambda task: (
+                    float("inf") if task.startswith(ids[0]) else SHORT_S
+                )
+            await cluster.open(nodes=4)
+            step = build_step(4, is_long_running=True, demand=Demand(4000, 100))
+            await cluster.submit(ids[0], build_workflow(step))
+            await asyncio.sleep(2.0)
+            home = await cluster.wait_for_term(shard=HOME)
+            submissions = []
+
+            def submit() -> None:
+                submission = home.request_handler.submit("queue", ids[1], SHORT_JOB, "")
+                submissions.append(asyncio.create_task(submission))
+
+            shards = ClusterShards(cluster)
+            asked: list[int] = []
+            original_place = ClusterShards.place
+
+            async def place(shard: int, request: PlacementRequest) -> PlacementOutcome:
+                asked.append(shard)
+                if len(asked) > 2:
+                    return await original_place(shards, shard, request)
+                if len(asked) == 2:
+                    await asyncio.sleep(REFUSAL_MEMORY_S)
+                    submit()
+                return Refused("no_room")
+
+            with mock.patch.object(ClusterShards, "place", side_effect=place):
+                submit()
+                while len(submissions) < 2:
+                    await asyncio.sleep(0.1)
+                await asyncio.sleep(1.0)
+            responses = await asyncio.gather(*submissions)
+            self.assertEqual(responses, [Accepted(), Accepted()])
+            await asyncio.sleep(20 * SHORT_S)
+            holders = [
+                shard
+                for shard in range(3)
+                if (await cluster.store.get(job_key(shard, ids[1]))).unwrap() is not None
+            ]
+            self.assertEqual(holders, [HOME])
+            self.check_single_execution(cluster)
+
+        run_virtual(main())
+
     def test_herd_of_jobs_does_not_overfill_the_shard_with_room(self) -> None:
         async def scenario(cluster: EdgeCluster) -> None:
             ids = IDS[1:21]
