Keep a placement pending until the requests that wait for it have gone on

A job may have records in two shards and run in both.

Cause: when all other shards had refused a job, its placement was forgotten before the request that waited for it accepted the job at home. A repetition of the request that ran in between began another placement, and a shard whose refusal was older than 0.5 s took the job. The transaction of that shard does not see the record at home. Requests that are ready together, as after a long plan, may run in this order.

Evidence: with two refusals 0.5 s apart and a repetition as the second one arrives, shards 0 and 1 both have the job's record (tests.test_job_placement).

Change: the placement stays pending for one more round of the event loop, in which the waiting requests accept the job at home. The repetition waits for the same placement and finds that job.

--- a/packages/pollengated/pollengated/edge/job_placer.py
+++ b/packages/pollengated/pollengated/edge/job_placer.py
@@ -187,8 +187,11 @@
             break
         placement = self.find(request.job_id)
         pending.shard = None if placement is None else placement.shard
-        del self._pending_by_id[request.job_id]
         pending.ended.set()
+        # The requests that wait for the outcome go on first: if the job stays at home, a further
+        # request has to find it accepted there, or it would be offered to other shards again.
+        await asyncio.sleep(0)
+        del self._pending_by_id[request.job_id]
         if pending.shard is None:
             return
         self._metrics.placements.labels("placed").inc()
