--- a/packages/pollengate/pollengate/workflow/reports.py
+++ b/packages/pollengate/pollengate/workflow/reports.py
@@ -80,7 +80,9 @@
             view.born_ms = report.born_ms
         self._forget_lapsed()
         had_expired = view.lease.record_reply(report.worker_clock_ms, now)
-        view.is_attached = True
+        is_complete = len(report.ended) < MAX_ENDS_PER_REPORT
+        # Until all ends are listed, a task without a known run may have one that is done.
+        view.is_attached = view.is_attached or is_complete
         new_ends = tuple(ended for ended in report.ended if ended.number > self.last_end_number)
         applied: list[AppliedEnd] = []
         for ended in new_ends:
@@ -88,7 +90,7 @@
             applied.append(AppliedEnd(ended, self._apply_end(ended, had_expired, now, now_ms)))
         for row in report.running:
             self._apply_running(row, now)
-        if len(report.ended) < MAX_ENDS_PER_REPORT:
+        if is_complete:
             self._mark_absent_lost(report, sent_at)
         return tuple(applied)
 
@@ -137,7 +139,7 @@
         if run is not None:
             self._job_table.mark_ended(run, end_kind, ended.checkpoint, now, now_ms)
             return effect
-        task = self._job_table.find_task(ended.task)
+        task = self._job_table.find_started_task(ended.task, now)
         if task is None:
             return EndEffect.UNKNOWN_TASK
         if task.is_done:
@@ -159,7 +161,7 @@
         view = self._view
         run = view.runs.get((row.task, row.run))
         if run is None:
-            task = self._job_table.find_task(row.task)
+            task = self._job_table.find_started_task(row.task, now)
             if task is None or not _may_adopt(task):
                 self._job_table.outbox.orphans.append((view.worker_id, row.task, row.run))
                 return
