--- a/packages/pollengate-standins/pollengate_standins/lease_worker.py
+++ b/packages/pollengate-standins/pollengate_standins/lease_worker.py
@@ -27,6 +27,8 @@
 # Time from the start of a task that crashes its worker to the crash, and until the worker is back.
 CRASH_LATENCY_S = 0.01
 DOWN_S = 3.0
+# Longer leases are shortened to this length.
+MAX_LEASE_S = 6.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -92,6 +94,7 @@
         self.noted_ends: list[StartRecord] = []
         self._history = history
         self._token = 0
+        self._born_at = 0.0
         self._lease_until = 0.0
         self._expired_at = 0.0
         self._records_by_end: dict[int, StartRecord] = {}
@@ -114,7 +117,7 @@
         self._is_hanging = is_hanging
 
     def crash(self) -> None:
-        """Ends all runs and starts a new incarnation without any state of the old one."""
+        """Ends all runs and starts a new incarnation, whose clock and counts start anew."""
         self.advance()
         for record in self._running.values():
             record.ended_at, record.end_kind = self._now(), EndKind.EXPIRED
@@ -123,6 +126,7 @@
         self._highest_by_task.clear()
         self._ended_count = self._token = 0
         self._lease_until = 0.0
+        self._born_at = self._now()
         self.born_ms += 1
 
     def crash_for(self, seconds: float) -> None:
@@ -240,7 +244,9 @@
         return self._from(record) + (record.duration_s - record.done_s) / speed
 
     def _extend_lease(self, until_ms: int) -> None:
-        self._lease_until = max(self._lease_until, until_ms / 1000 / self.clock_rate)
+        longest_ms = self._clock_ms() + MAX_LEASE_S * 1000
+        age_s = min(until_ms, longest_ms) / 1000 / self.clock_rate
+        self._lease_until = max(self._lease_until, self._born_at + age_s)
 
     def _note_ends(self, acked_upto: int) -> None:
         for end in self._ended:
@@ -273,7 +279,7 @@
         return Err(OrderFailure(kind, kind.value, self._clock_ms()))
 
     def _clock_ms(self) -> int:
-        return int(self._now() * 1000 * self.clock_rate)
+        return int((self._now() - self._born_at) * 1000 * self.clock_rate)
 
     @staticmethod
     def _now() -> float:
@@ -336,13 +342,14 @@
         if self._is_unreachable(worker):
             return await _time_out()
         await asyncio.sleep(REPLY_LATENCY_S)
+        born_ms = worker.born_ms
         if not worker.completes_reports:
             await asyncio.Event().wait()
         first = worker.renew(order)
         if isinstance(first, Err) or not order.wait_ms:
             return first
         await worker.wait_for_end(order.wait_ms / 1000)
-        if self._is_unreachable(worker):
+        if self._is_unreachable(worker) or worker.born_ms != born_ms:
             return await _time_out()
         return worker.renew(RenewOrder(order.token, order.acked_upto))
 
