Acknowledge only ends that the worker's present incarnation has listed

Cause: a renewal repeated the highest number that was ever processed. Ends are numbered anew by each incarnation and an order does not name one, so that the number made the new incarnation forget an end that no report had listed.

A renewal now acknowledges what the newest report lists, once, and nothing after a renewal that failed, after a start order without a response, while one has waited for its response for 0.1 s, or after a response whose clock has started anew. Such a response also makes the owner request a report at once and start nothing before it. A report of an earlier incarnation that arrives late is no longer taken for that of a new one. Class EndAcknowledgement decides; it has neither sockets nor a clock.

Ruled out: no acknowledgement while any start order waits for its response. Responses take up to tens of milliseconds, and each acknowledgement that is left out costs a renewal.

--- /dev/null
+++ b/packages/pollengate/pollengate/workflow/end_acknowledgement.py
@@ -0,0 +1,125 @@
+"""Decides which ends of runs a renewal may acknowledge to a worker that may start again.
+
+Each incarnation of a worker numbers its ends from 1, and an order names the worker but not the
+incarnation. An acknowledgement that is meant for the incarnation before makes a worker forget ends
+that no report has listed, and their tasks run a second time. So a renewal acknowledges only the
+ends that the newest report lists, and only if no run may have ended since on another incarnation:
+the incarnation of that report has responded to every start order, and no renewal has failed.
+An end that is not acknowledged is listed again.
+
+A worker's steady clock starts anew with an incarnation, and its responses to orders contain it.
+"""
+
+import dataclasses
+import math
+
+from pollengate.clock_drift import MAX_CLOCK_DRIFT_RATIO
+from pollengate.workflow.clients import Report
+
+__all__ = ["EndAcknowledgement", "SentOrder"]
+
+# A run does not end sooner after its start order was sent. Workers respond to a start at once, so
+# that on ordinary days no acknowledgement waits for a response.
+MIN_RUN_S = 0.1
+
+
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
+class SentOrder:
+    """An order that waits for its response.
+
+    Attributes:
+        sent_at: clock time at which it was sent.
+        lowest_clock_ms: lowest clock that the incarnation of the newest report can respond with.
+        is_start: whether it starts a run.
+    """
+
+    sent_at: float
+    lowest_clock_ms: int
+    is_start: bool
+
+
+class EndAcknowledgement:
+    """Tracks the reports and responses of one worker over its incarnations.
+
+    Attributes:
+        listed_upto: highest number of the ends in the newest report, 0 if there is none.
+    """
+
+    def __init__(self) -> None:
+        self.listed_upto = 0
+        self._born_ms: int | None = None
+        self._clock_ms = 0
+        self._report_sent_at = 0.0
+        self._reported_at = 0.0
+        self._starts_in_flight: set[SentOrder] = set()
+        self._doubted_at = -math.inf
+        self._replaced_at = -math.inf
+
+    def upto(self, now: float) -> int:
+        """Returns the number up to which a renewal at clock time `now` acknowledges, 0 for none."""
+        is_unanswered = any(now - order.sent_at >= MIN_RUN_S for order in self._starts_in_flight)
+        if is_unanswered or self._doubted_at > self._report_sent_at:
+            return 0
+        return self.listed_upto
+
+    def begin_order(self, now: float, is_start: bool = False) -> SentOrder:
+        """Records an order that is about to be sent; `record_response` has to follow.
+
+        Args:
+            now: clock time.
+            is_start: whether it starts a run.
+        """
+        # A clock that lags behind this one by more than the drift has started anew.
+        elapsed_ms = int((now - self._reported_at) * (1 - MAX_CLOCK_DRIFT_RATIO) * 1000)
+        is_known = self._born_ms is not None
+        order = SentOrder(now, self._clock_ms + elapsed_ms if is_known else 0, is_start)
+        if is_start:
+            self._starts_in_flight.add(order)
+        return order
+
+    def record_response(self, order: SentOrder, clock_ms: int | None, now: float) -> bool:
+        """Records the response to an order, or that it has failed.
+
+        Args:
+            order: the order.
+            clock_ms: the worker's clock in the response; None if that is not known.
+            now: clock time.
+
+        Returns:
+            True if another incarnation than that of the newest report has responded.
+        """
+        self._starts_in_flight.discard(order)
+        if clock_ms is not None and clock_ms < order.lowest_clock_ms:
+            self._doubted_at = self._replaced_at = now
+            return True
+        if clock_ms is None and order.is_start:
+            self._doubted_at = now
+        return False
+
+    def record_failed_renewal(self, now: float) -> None:
+        """Records a renewal without a report, at clock time `now`."""
+        self._doubted_at = now
+
+    def record_report(self, report: Report, sent_at: float, now: float) -> bool:
+        """Records a report.
+
+        Args:
+            report: the report.
+            sent_at: clock time at which the renewal that it responds to was sent.
+            now: clock time.
+
+        Returns:
+            False if the report must not be applied: a newer one was, or another incarnation has
+            responded since the renewal was sent.
+        """
+        if report.born_ms == self._born_ms:
+            if report.worker_clock_ms < self._clock_ms or sent_at < self._replaced_at:
+                return False
+        elif self._born_ms is not None and sent_at < self._reported_at:
+            # Which of the two incarnations is the later one shows in the next report.
+            self._doubted_at = now
+            return False
+        self._born_ms, self._clock_ms = report.born_ms, report.worker_clock_ms
+        self._report_sent_at, self._reported_at = sent_at, now
+        self.listed_upto = max((ended.number for ended in report.ended), default=0)
+        return True
--- a/packages/pollengated/pollengated/edge/worker_controller.py
+++ b/packages/pollengated/pollengated/edge/worker_controller.py
@@ -18,6 +18,7 @@
 )
 from pollengate.workflow.crashes import WorkerCrash
 from pollengate.workflow.decision_guard import DecisionGuard
+from pollengate.workflow.end_acknowledgement import EndAcknowledgement, SentOrder
 from pollengate.workflow.fleet import WorkerView
 from pollengate.workflow.job_table import JobTable
 from pollengate.workflow.planner import Planner
@@ -110,9 +111,8 @@
         self._on_event = on_event
         self._reconciler = ReportReconciler(job_table, view, self._report_crash)
         self._log = Log("worker")
-        self._acked_upto = 0
+        self._acknowledgement = EndAcknowledgement()
         self._report_record_number = 0
-        self._last_clock_ms = 0
         self._is_failing = False
         self._is_requesting_report = False
         self._late_report_at: float | None = None
@@ -162,8 +162,10 @@
             checkpoint=run.task.checkpoint,
             ticket=self._tickets.ticket(step, self.view, now),
         )
+        sent = self._acknowledgement.begin_order(now, is_start=True)
         result = await self._client.start(self.view.info.address, self.view.worker_id, order)
         self._apply_start_result(run, result)
+        self._record_response(sent, result)
         self._on_event()
 
     async def stop(self, run: Run) -> None:
@@ -186,10 +188,13 @@
     async def throttle(self, change: SpeedChange) -> None:
         """Sends a filler's new speed; after a failure, the next report leads to another order."""
         run = change.run
-        if not self._shard_lease.is_valid(self._clocks.monotonic_s()):
+        now = self._clocks.monotonic_s()
+        if not self._shard_lease.is_valid(now):
             return
         order = ThrottleOrder(run.task.name, run.number, change.percent, self._token)
+        sent = self._acknowledgement.begin_order(now)
         result = await self._client.throttle(self.view.info.address, self.view.worker_id, order)
+        self._record_response(sent, result)
         if isinstance(result, Err):
             run.is_speed_known = False  # the order may have taken effect
             self._handle_failure(result.err_value)
@@ -216,13 +221,12 @@
     async def _renew(self, wait_s: float) -> bool:
         """Sends a renewal and applies the report in its reply; returns False if it failed."""
         sent_at = self._clocks.monotonic_s()
-        if self._committer.durable_record_number >= self._report_record_number:
-            self._acked_upto = self._reconciler.last_end_number
+        is_durable = self._committer.durable_record_number >= self._report_record_number
         lease = self.view.lease
         is_unconfirmed = self._is_failing or not self.view.is_attached
         order = RenewOrder(
             token=self._token,
-            acked_upto=self._acked_upto,
+            acked_upto=self._acknowledgement.upto(sent_at) if is_durable else 0,
             lease_until_ms=(
                 lease.longest_until_ms() if is_unconfirmed else self._extend_lease(sent_at)
             ),
@@ -231,6 +235,7 @@
         result = await self._send_renewal(order)
         self._metrics.renewals.inc()
         if isinstance(result, Err):
+            self._acknowledgement.record_failed_renewal(self._clocks.monotonic_s())
             self._handle_failure(result.err_value)
             return False
         self._apply_report(result.ok_value, sent_at)
@@ -248,14 +253,12 @@
             return Err(OrderFailure(OrderRejection.NO_ANSWER, "reply is not complete in time"))
 
     def _apply_report(self, report: Report, sent_at: float) -> None:
+        now = self._clocks.monotonic_s()
+        if not self._acknowledgement.record_report(report, sent_at, now):
+            return
         self.view.is_replaced = False
-        is_new_incarnation = report.born_ms != self.view.born_ms
-        if is_new_incarnation:
+        if report.born_ms != self.view.born_ms:
             self._handle_new_incarnation(report)
-        elif report.worker_clock_ms < self._last_clock_ms:
-            return  # a newer report has been applied already
-        self._last_clock_ms = report.worker_clock_ms
-        now = self._clocks.monotonic_s()
         self._end_late_report_backoff()
         new_ends = self._reconciler.apply(report, sent_at, now, self._clocks.unix_ms())
         self._log_ends(new_ends)
@@ -358,7 +361,6 @@
             running=len(report.running),
             ended=len(report.ended),
         )
-        self._acked_upto = 0
         self._speed_controller.forget(self.view.worker_id)
 
     async def _wait_for_durable_results(self) -> None:
@@ -366,7 +368,7 @@
 
         The next renewal then acknowledges them, so that the worker does not list them again.
         """
-        if self._reconciler.last_end_number == self._acked_upto:
+        if not self._acknowledgement.listed_upto:
             return
         if not await self._committer.wait_durable(self._report_record_number, DURABLE_TIMEOUT_S):
             self._metrics.undurable_results.inc()
@@ -410,16 +412,36 @@
         self._job_table.mark_rejected(run)
 
     async def _send_stop(self, task: str, number: int) -> bool:
-        if not self._shard_lease.is_valid(self._clocks.monotonic_s()):
+        now = self._clocks.monotonic_s()
+        if not self._shard_lease.is_valid(now):
             return False
         order = StopOrder(task, number, self._token)
+        sent = self._acknowledgement.begin_order(now)
         result = await self._client.stop(self.view.info.address, self.view.worker_id, order)
+        self._record_response(sent, result)
         if isinstance(result, Err):
             self._handle_failure(result.err_value)
             return False
         self._metrics.stops.inc()
         return True
 
+    def _record_response(self, sent: SentOrder, result: Result[int, OrderFailure]) -> None:
+        """Requests a report at once if another incarnation than the known one has responded."""
+        clock_ms = result.err_value.worker_clock_ms if isinstance(result, Err) else result.ok_value
+        if clock_ms is not None and clock_ms < 0:
+            clock_ms = None  # the response lacks it
+        now = self._clocks.monotonic_s()
+        if not self._acknowledgement.record_response(sent, clock_ms, now):
+            return
+        self._log.info(
+            "another incarnation of a worker has responded",
+            worker=self.view.worker_id,
+            clock_ms=clock_ms,
+            lowest_clock_ms=sent.lowest_clock_ms,
+        )
+        self.view.is_attached = False
+        asyncio.get_running_loop().create_task(self.request_report())
+
     def _handle_failure(self, failure: OrderFailure) -> None:
         now = self._clocks.monotonic_s()
         if failure.kind is OrderRejection.FENCED and self.view.is_released:
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -1,7 +1,10 @@
 """Tests of orders that reach another incarnation of a worker, on virtual time."""
 
 import asyncio
+import unittest
 
+from pollengate.workflow.clients import EndedRun, EndKind, Report
+from pollengate.workflow.end_acknowledgement import EndAcknowledgement
 from pollengate.workflow.progress import JobState
 
 from tests.edge_cluster import EdgeCluster, EdgeTestCase
@@ -10,6 +13,7 @@
 
 FIRST_JOB_ID = "00000000000000aa"
 SECOND_JOB_ID = "00000000000000bb"
+ENDED = EndedRun(8, "task", 1, EndKind.DONE, "")
 
 
 class RestartedWorkerTest(EdgeTestCase):
@@ -29,3 +33,25 @@
             self.check_single_execution(cluster)
 
         run_virtual(main())
+
+
+class EndAcknowledgementTest(unittest.TestCase):
+    """What a renewal acknowledges after the report of 5.0 s, at which the clock is at 3 s."""
+
+    def setUp(self) -> None:
+        self.acknowledgement = EndAcknowledgement()
+        self.assertTrue(self.acknowledgement.record_report(Report(3000, 1, (), (ENDED,)), 4.0, 5.0))
+
+    def test_ends_are_kept_while_a_start_may_be_on_another_incarnation(self) -> None:
+        for clock_ms, upto in ((3980, 8), (3979, 0), (None, 0)):
+            with self.subTest(clock_ms=clock_ms):
+                self.setUp()
+                order = self.acknowledgement.begin_order(6.0, is_start=True)
+                self.assertEqual([self.acknowledgement.upto(at) for at in (6.09, 6.2)], [8, 0])
+                self.acknowledgement.record_response(order, clock_ms, 6.3)
+                self.assertEqual(self.acknowledgement.upto(6.4), upto)
+
+    def test_late_report_of_an_earlier_incarnation_is_not_applied(self) -> None:
+        self.assertTrue(self.acknowledgement.record_report(Report(50, 2, (), (ENDED,)), 5.1, 5.2))
+        self.assertFalse(self.acknowledgement.record_report(Report(3200, 1, (), ()), 5.1, 5.3))
+        self.assertEqual(self.acknowledgement.upto(5.4), 0)
