Keep the runs that a worker's next incarnation has carried out

Callers saw a job given up as `failed` whose tasks crashed nothing (rule LOST), and tasks that ran twice at the same time (rule TWICE). Cause: until the first report of a new incarnation the owner sends it starts that are meant for the one before. That report then marked all runs of the worker as lost and suspected them of its crash, those that it lists itself and those whose start order was still without a response and could arrive later. Such a task started elsewhere at once.

Runs that the report lists go on and are not suspected. Runs whose start has no response stay until it is known whether they exist: by the response, or by a stop that the worker confirms. All other runs are lost, as before, and all runs if another worker replies.

--- a/packages/pollengate/pollengate/workflow/crashes.py
+++ b/packages/pollengate/pollengate/workflow/crashes.py
@@ -98,15 +98,17 @@
     def __init__(self) -> None:
         self._recent: collections.deque[_Silence] = collections.deque(maxlen=256)
 
-    def record(self, view: WorkerView, workers: Iterable[WorkerView], now: float) -> WorkerCrash:
+    def record(
+        self, view: WorkerView, runs: Collection[Run], workers: Iterable[WorkerView], now: float
+    ) -> WorkerCrash:
         """Records that a worker's incarnation is gone, and counts the crash against its tasks.
 
         Args:
-            view: the worker, still with the runs of that incarnation.
+            view: the worker.
+            runs: the runs of that incarnation.
             workers: all workers of the shard.
             now: clock time.
         """
-        runs = [*view.runs.values(), *view.lapsed_runs]
         crash = _Silence(view.worker_id, view.lease.replied_at, _steps(runs))
         others = [other for other in workers if other is not view]
         silent = {found.worker_id: found for found in self._simultaneous(crash, others, now)}
--- a/packages/pollengate/pollengate/workflow/job_table.py
+++ b/packages/pollengate/pollengate/workflow/job_table.py
@@ -5,7 +5,7 @@
 """
 
 import dataclasses
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from pollengate.accounts.usage import AccountUsage
 from pollengate.failure_evidence import FailureEvidence
@@ -230,15 +230,32 @@
         run.apply_event("stop")
         self.outbox.stops.append(run)
 
-    def record_crash(self, view: WorkerView, now: float, now_ms: int) -> WorkerCrash | None:
+    def record_crash(
+        self,
+        view: WorkerView,
+        now: float,
+        now_ms: int,
+        surviving: Collection[tuple[str, int]] = (),
+    ) -> WorkerCrash | None:
         """Counts the end of a worker's incarnation against the tasks that it ran.
 
+        Args:
+            view: the worker.
+            now: clock time.
+            now_ms: Unix time.
+            surviving: task names and numbers of the runs that its next incarnation started.
+
         Returns:
             The crash, None if the worker ran nothing or had announced that it would leave.
         """
-        if view.has_drained or not (view.runs or view.lapsed_runs):
+        runs = [
+            run
+            for run in (*view.runs.values(), *view.lapsed_runs)
+            if (run.task.name, run.number) not in surviving
+        ]
+        if view.has_drained or not runs:
             return None
-        crash = self._crash_log.record(view, self.fleet.workers_by_id.values(), now)
+        crash = self._crash_log.record(view, runs, self.fleet.workers_by_id.values(), now)
         for task in crash.suspects:
             self.outbox.changed[task.step.job.job_id] = task.step.job
         for task in crash.given_up:
--- a/packages/pollengate/pollengate/workflow/reports.py
+++ b/packages/pollengate/pollengate/workflow/reports.py
@@ -76,7 +76,7 @@
         """
         view = self._view
         if view.born_ms != report.born_ms:
-            self.reset(now, now_ms)
+            self.reset(now, now_ms, report)
             view.born_ms = report.born_ms
         self._forget_lapsed()
         had_expired = view.lease.record_reply(report.worker_clock_ms, now)
@@ -92,15 +92,23 @@
             self._mark_absent_lost(report, sent_at)
         return tuple(applied)
 
-    def reset(self, now: float, now_ms: int) -> None:
-        """Detaches the worker's incarnation, which is gone, and marks all of its runs as lost.
+    def reset(self, now: float, now_ms: int, report: Report | None = None) -> None:
+        """Detaches the worker's incarnation, which is gone, and marks its runs as lost.
+
+        The next incarnation may have carried out start orders that were meant for this one, and may
+        still receive those without a response.
 
         Args:
             now: clock time.
             now_ms: Unix time.
+            report: first report of the worker's next incarnation; None if another worker replied.
         """
         view = self._view
-        crash = self._job_table.record_crash(view, now, now_ms)
+        listed: set[tuple[str, int]] = set()
+        if report is not None:
+            listed.update((row.task, row.run) for row in report.running)
+            listed.update((ended.task, ended.run) for ended in report.ended)
+        crash = self._job_table.record_crash(view, now, now_ms, listed)
         if crash is not None:
             self._on_crash(crash)
         self._forget_lapsed()
@@ -108,7 +116,10 @@
         self._view.is_attached = False
         self._view.lease.reset()
         self.last_end_number = 0
-        self.mark_all_lost()
+        for key, run in list(view.runs.items()):
+            is_unanswered = report is not None and run.replied_at is None
+            if key not in listed and not is_unanswered:
+                self._job_table.mark_lost(run)
 
     def mark_all_lost(self) -> None:
         """Marks all runs on the worker as lost."""
--- a/tests/test_workflow_reports.py
+++ b/tests/test_workflow_reports.py
@@ -145,3 +145,17 @@
         row = build_running_task(again.task.name, again.number)
         reconciler.apply(Report(30, 1, (row,), (ended,)), 0.4, 0.5, 0)
         self.assertIs(again.state, RunState.RUNNING)
+
+    def test_run_that_a_new_incarnation_carried_out_is_neither_lost_nor_suspected(self) -> None:
+        job_table = build_job_table(build_lease_worker("w0"))
+        job_table.add(build_job("aa", build_step(4)), 0.0, 0)
+        reconciler = build_reconciler(job_table)
+        at_work, done, gone, unanswered = start_all(job_table)
+        unanswered.replied_at = None
+        row = build_running_task(at_work.task.name, at_work.number)
+        ended = EndedRun(1, done.task.name, done.number, EndKind.DONE, "")
+        reconciler.apply(Report(0, 2, (row,), (ended,)), 1.0, 1.1, 0)
+        found = [run.state is RunState.ENDED for run in (at_work, done, gone, unanswered)]
+        self.assertEqual(found, [False, True, True, False])
+        self.assertTrue(done.task.is_done)
+        self.assertEqual([run.task.crashes for run in (at_work, done, gone)], [0, 0, 1])
