Allow for the lease that a new incarnation holds by an earlier order

Cause: at a new incarnation the estimate of its lease was cleared, so that it counted as expired until the next renewal; a renewal of before that then failed was enough. A start order that was meant for the incarnation before ends the lease by that one's clock, which is far ahead, so that the new one holds the longest lease that it accepts.

From the response that shows a new incarnation on, the lease counts for holdMaxMs, 2 % more for slow clocks, unless the worker never got one from this owner; then the bound on leases of earlier owners, which was cleared, too, stays. The tests' processes and stand-ins have the same longest lease, 6 s as in deployments (10 s before, which no stand-in applied).

--- a/packages/pollengate-standins/pollengate_standins/lease_worker.py
+++ b/packages/pollengate-standins/pollengate_standins/lease_worker.py
@@ -19,7 +19,7 @@
 )
 from result import Err, Ok, Result
 
-__all__ = ["LeaseWorker", "LeaseWorkerClient", "StartRecord"]
+__all__ = ["MAX_LEASE_S", "LeaseWorker", "LeaseWorkerClient", "StartRecord"]
 
 REPLY_LATENCY_S = 0.002
 LOST_REPLY_TIMEOUT_S = 0.8
--- a/packages/pollengate/pollengate/workflow/fleet.py
+++ b/packages/pollengate/pollengate/workflow/fleet.py
@@ -139,6 +139,7 @@
     Args:
         lease_s: length of the leases that it grants.
         previous_leases_expire_at: clock time by which all leases of earlier owners have expired.
+        max_lease_s: longest lease that a worker accepts, `lease_s` by default.
 
     Attributes:
         workers_by_id: the workers.
@@ -146,8 +147,14 @@
         listed_ids: workers whose runs the store may list as complete; they get no tasks.
     """
 
-    def __init__(self, lease_s: float, previous_leases_expire_at: float) -> None:
+    def __init__(
+        self,
+        lease_s: float,
+        previous_leases_expire_at: float,
+        max_lease_s: float | None = None,
+    ) -> None:
         self._lease_s = lease_s
+        self._max_lease_s = max_lease_s
         self._previous_leases_expire_at = previous_leases_expire_at
         self.workers_by_id: dict[str, WorkerView] = {}
         self.evacuated_zones: frozenset[str] = frozenset()
@@ -238,7 +245,8 @@
         return [view for view in self.workers_by_id.values() if self.is_schedulable(view, now)]
 
     def _add(self, worker: Worker, now: float) -> WorkerView:
-        view = WorkerView(worker, WorkerLease(self._lease_s, self._previous_leases_expire_at))
+        lease = WorkerLease(self._lease_s, self._previous_leases_expire_at, self._max_lease_s)
+        view = WorkerView(worker, lease)
         view.warm_at = now + worker.cold_ms / 1000
         view.has_drained = worker.condition is WorkerCondition.DRAINING
         self.workers_by_id[worker.worker_id] = view
--- a/packages/pollengate/pollengate/workflow/leases.py
+++ b/packages/pollengate/pollengate/workflow/leases.py
@@ -18,14 +18,22 @@
     Args:
         length_s: how long each order extends the lease.
         previous_leases_expire_at: clock time by which all leases of earlier owners have expired.
+        max_length_s: longest lease that a worker accepts, `length_s` by default.
 
     Attributes:
         length_s: the same.
     """
 
-    def __init__(self, length_s: float, previous_leases_expire_at: float) -> None:
+    def __init__(
+        self,
+        length_s: float,
+        previous_leases_expire_at: float,
+        max_length_s: float | None = None,
+    ) -> None:
         self.length_s = length_s
-        self._previous_leases_expire_at = previous_leases_expire_at
+        self._max_length_s = max_length_s or length_s
+        # Leases of earlier owners, and of orders that another incarnation has carried out.
+        self._untracked_expire_at = previous_leases_expire_at
         self._until_ms: int | None = None
         self._clock_ms: int | None = None
         self._replied_at = 0.0
@@ -74,15 +82,30 @@
     def expires_at(self) -> float:
         """Returns the clock time by which the lease will have expired, unless it is extended."""
         if self._until_ms is None or self._clock_ms is None:
-            return self._previous_leases_expire_at
+            return self._untracked_expire_at
         remaining_s = max(0, self._until_ms - self._clock_ms) / 1000
         return max(
-            self._previous_leases_expire_at,
+            self._untracked_expire_at,
             self._replied_at + remaining_s / (1 - MAX_CLOCK_DRIFT_RATIO),
         )
 
     def reset(self) -> None:
-        """Clears the clock and lease of an earlier incarnation of the worker."""
+        """Clears the clock and lease of a worker that is gone."""
+        self._until_ms = None
+        self._clock_ms = None
+        self._untracked_expire_at = 0.0
+
+    def begin_incarnation(self, now: float) -> None:
+        """Clears the clock and lease of the incarnation before one that has responded.
+
+        An order for the earlier incarnation ends its lease by the earlier clock. If the next one
+        has carried it out, it holds the longest lease that a worker accepts.
+
+        Args:
+            now: clock time of the response.
+        """
+        if self._until_ms is not None:
+            longest_s = self._max_length_s / (1 - MAX_CLOCK_DRIFT_RATIO)
+            self._untracked_expire_at = max(self._untracked_expire_at, now + longest_s)
         self._until_ms = None
         self._clock_ms = None
-        self._previous_leases_expire_at = 0.0
--- a/packages/pollengate/pollengate/workflow/reports.py
+++ b/packages/pollengate/pollengate/workflow/reports.py
@@ -114,7 +114,10 @@
         self._forget_lapsed()
         view.has_drained = view.info.condition is WorkerCondition.DRAINING
         self._view.is_attached = False
-        self._view.lease.reset()
+        if report is None:
+            view.lease.reset()
+        else:
+            view.lease.begin_incarnation(now)
         self.last_end_number = 0
         for key, run in list(view.runs.items()):
             is_unanswered = report is not None and run.replied_at is None
--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -126,9 +126,10 @@
         self._other_shards = other_shards or NoOtherShards()
         self._log = Log("owner")
         self._acquired_at = clocks.monotonic_s()
-        worker_lease_s = min(WORKER_LEASE_S, settings.bounds.max_worker_lease_s)
+        max_lease_s = settings.bounds.max_worker_lease_s
+        worker_lease_s = min(WORKER_LEASE_S, max_lease_s)
         self._previous_leases_expire_at = previous_lease_expiry(self._acquired_at, worker_lease_s)
-        self.fleet = Fleet(worker_lease_s, self._previous_leases_expire_at)
+        self.fleet = Fleet(worker_lease_s, self._previous_leases_expire_at, max_lease_s)
         self._registry = WorkerRegistry(store, clocks, self._workers_changed, metrics)
         self._assignments = WorkerAssignments(
             shard, layout, store, clocks, self._workers_changed, metrics
--- a/packages/pollengated/pollengated/edge/worker_controller.py
+++ b/packages/pollengated/pollengated/edge/worker_controller.py
@@ -440,6 +440,7 @@
             lowest_clock_ms=sent.lowest_clock_ms,
         )
         self.view.is_attached = False
+        self.view.lease.begin_incarnation(now)
         asyncio.get_running_loop().create_task(self.request_report())
 
     def _handle_failure(self, failure: OrderFailure) -> None:
--- a/tests/edge_cluster.py
+++ b/tests/edge_cluster.py
@@ -30,7 +30,12 @@
 from pollengate.workflow.settings import Bounds, NodeSettings
 from pollengate.workflow.shard_lease import ShardLease
 from pollengate.workflow.shard_room import RoomSummary
-from pollengate_standins.lease_worker import LeaseWorker, LeaseWorkerClient, StartRecord
+from pollengate_standins.lease_worker import (
+    MAX_LEASE_S,
+    LeaseWorker,
+    LeaseWorkerClient,
+    StartRecord,
+)
 from pollengated.edge.clocks import Clocks
 from pollengated.edge.edge_metrics import EdgeMetrics
 from pollengated.edge.job_request_handler import JobRequestHandler
@@ -56,7 +61,7 @@
 LOST_CALL_TIMEOUT_S = 0.8
 DEFAULT_CAPACITY = Demand(4000, 4000)
 LEASE_RENEW_INTERVAL_S = 0.25
-BOUNDS = Bounds(10.0, 0.4, 3.0, 3.0, 0.25, 120.0, 3.0, 0.25, 0.5, 6.0, 4.0, 4.5)
+BOUNDS = Bounds(MAX_LEASE_S, 0.4, 3.0, 3.0, 0.25, 120.0, 3.0, 0.25, 0.5, 6.0, 4.0, 4.5)
 
 
 class NodeStore(FaultyStore, PolledStore):
--- a/tests/test_worker_lease.py
+++ b/tests/test_worker_lease.py
@@ -47,6 +47,16 @@
         self.assertFalse(lease.record_reply(5000, 14.0))
         self.assertTrue(lease.record_reply(5001, 14.1))
 
+    def test_new_incarnation_may_hold_the_longest_lease_by_an_order_for_the_earlier_one(
+        self,
+    ) -> None:
+        lease = WorkerLease(LENGTH_S, 7.0, 6.0)
+        lease.record_reply(9000, 10.0)
+        lease.extend(10.0)
+        lease.begin_incarnation(11.0)
+        self.assertFalse(lease.record_reply(50, 11.0))
+        self.assertAlmostEqual(lease.expires_at(), 11.0 + 6.0 / (1 - MAX_CLOCK_DRIFT_RATIO))
+
 
 class ShardLeaseTest(unittest.TestCase):
     """Confirmed, in its grace period, expired and lost."""
