Allow for the rounding of workers' clocks

Two readings in whole milliseconds may differ from the time between them by 1 ms. At the slowest clock that is allowed a response could have been taken for one of another incarnation, which costs a renewal.

--- a/packages/pollengate/pollengate/workflow/end_acknowledgement.py
+++ b/packages/pollengate/pollengate/workflow/end_acknowledgement.py
@@ -21,6 +21,8 @@
 # A run does not end sooner after its start order was sent. Workers respond to a start at once, so
 # that on ordinary days no acknowledgement waits for a response.
 MIN_RUN_S = 0.1
+# Two clocks are read in whole milliseconds.
+CLOCK_ROUNDING_MS = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True, eq=False)
@@ -69,10 +71,10 @@
             now: clock time.
             is_start: whether it starts a run.
         """
-        # A clock that lags behind this one by more than the drift has started anew.
+        # A clock that has advanced by less than this since the report has started anew.
         elapsed_ms = int((now - self._reported_at) * (1 - MAX_CLOCK_DRIFT_RATIO) * 1000)
-        is_known = self._born_ms is not None
-        order = SentOrder(now, self._clock_ms + elapsed_ms if is_known else 0, is_start)
+        lowest_clock_ms = self._clock_ms + elapsed_ms - CLOCK_ROUNDING_MS
+        order = SentOrder(now, lowest_clock_ms if self._born_ms is not None else 0, is_start)
         if is_start:
             self._starts_in_flight.add(order)
         return order
