Count one crash at most against a run

A run ends with one worker only, so it is counted once. The test of such runs fails before and passes after; 81 tests of takeovers, reports, crashes, leases, suspensions and run lists pass.

--- a/packages/pollengate/pollengate/workflow/crashes.py
+++ b/packages/pollengate/pollengate/workflow/crashes.py
@@ -119,11 +119,13 @@
         given_up = []
         for run in young or runs:
             task = run.task
-            if task.is_done or task.step.job.is_ended:
+            # A run without a response may outlast the crash, and ends with one worker only.
+            if run.is_suspected or task.is_done or task.step.job.is_ended:
                 continue
             if _is_shared(task.step, silent, others):
                 is_excused = True
                 continue
+            run.is_suspected = True
             suspects.append(task)
             task.crashes += 1
             task.crashed_after_s = max(task.crashed_after_s, crash.since - run.ordered_at)
--- a/packages/pollengate/pollengate/workflow/progress.py
+++ b/packages/pollengate/pollengate/workflow/progress.py
@@ -75,6 +75,7 @@
         replied_at: clock time at which the worker confirmed or first reported it, None before that;
             if a later report lacks the run, the run is gone.
         is_stop_wanted: whether a stop of the run was requested.
+        is_suspected: whether a crash of its worker was counted against its task.
     """
 
     task: "TaskProgress"
@@ -92,6 +93,7 @@
     slow_since: float | None = None
     replied_at: float | None = None
     is_stop_wanted: bool = False
+    is_suspected: bool = False
 
     @property
     def is_undisturbed(self) -> bool:
--- a/tests/test_workflow_reports.py
+++ b/tests/test_workflow_reports.py
@@ -158,4 +158,8 @@
         found = [run.state is RunState.ENDED for run in (at_work, done, gone, unanswered)]
         self.assertEqual(found, [False, True, True, False])
         self.assertTrue(done.task.is_done)
-        self.assertEqual([run.task.crashes for run in (at_work, done, gone)], [0, 0, 1])
+        self.assertEqual(
+            [run.task.crashes for run in (at_work, done, gone, unanswered)], [0, 0, 1, 1]
+        )
+        reconciler.apply(Report(0, 3, (), ()), 1.2, 1.3, 0)
+        self.assertEqual([run.task.crashes for run in (at_work, unanswered)], [1, 1])
