--- a/packages/pollengate/pollengate/workflow/crashes.py
+++ b/packages/pollengate/pollengate/workflow/crashes.py
@@ -98,15 +98,17 @@
     def __init__(self) -> None:
         self._recent: collections.deque[_Silence] = collections.deque(maxlen=256)
 
-    def record(self, view: WorkerView, workers: Iterable[WorkerView], now: float) -> WorkerCrash:
+    def record(
+        self, view: WorkerView, runs: Collection[Run], workers: Iterable[WorkerView], now: float
+    ) -> WorkerCrash:
         """Records that a worker's incarnation is gone, and counts the crash against its tasks.
 
         Args:
-            view: the worker, still with the runs of that incarnation.
+            view: the worker.
+            runs: the runs of that incarnation.
             workers: all workers of the shard.
             now: clock time.
         """
-        runs = [*view.runs.values(), *view.lapsed_runs]
         crash = _Silence(view.worker_id, view.lease.replied_at, _steps(runs))
         others = [other for other in workers if other is not view]
         silent = {found.worker_id: found for found in self._simultaneous(crash, others, now)}
@@ -117,11 +119,13 @@
         given_up = []
         for run in young or runs:
             task = run.task
-            if task.is_done or task.step.job.is_ended:
+            # A run without a response may outlast the crash, and ends with one worker only.
+            if run.is_suspected or task.is_done or task.step.job.is_ended:
                 continue
             if _is_shared(task.step, silent, others):
                 is_excused = True
                 continue
+            run.is_suspected = True
             suspects.append(task)
             task.crashes += 1
             task.crashed_after_s = max(task.crashed_after_s, crash.since - run.ordered_at)
