--- a/packages/pollengate-standins/pollengate_standins/lease_worker.py
+++ b/packages/pollengate-standins/pollengate_standins/lease_worker.py
@@ -44,6 +44,11 @@
         checkpoint: checkpoint from which it resumed; empty for none.
         done_s: work that is done, in seconds at full speed.
         speed: share of full speed to which it is limited.
+        noted_at: loop time at which its end was acknowledged before the lease expired; None if it
+            was not.
+        noted_token: fencing token of the order that acknowledged it then.
+        is_late: whether its start order was carried out late.
+        token: fencing token of its start order.
     """
 
     task: str
@@ -56,6 +61,10 @@
     checkpoint: str = ""
     done_s: float = 0.0
     speed: float = 1.0
+    noted_at: float | None = None
+    noted_token: int = 0
+    is_late: bool = False
+    token: int = 0
 
 
 class LeaseWorker:
@@ -63,6 +72,7 @@
 
     Attributes:
         is_unreachable: whether calls, except throttle orders, have no effect and time out.
+        is_gone: the same, for good.
         completes_reports: whether calls for a report ever end.
         loses_replies: whether start orders take effect, but time out.
         start_delay_s: if not 0, start orders time out and take effect after this time.
@@ -73,12 +83,15 @@
         crashes_under: returns whether the worker crashes right after it has started the task.
         measurement_of: returns what the worker measures of a running task.
         clock_rate: seconds that the worker's clock advances in a second.
+        fences_reports: whether a renewal that waited for an end is rejected if the worker has seen
+            a higher token meanwhile; otherwise its reply is a report.
         noted_ends: start records whose end was acknowledged before the lease expired.
     """
 
     def __init__(self, worker_id: str, history: list[StartRecord]) -> None:
         self.worker_id = worker_id
         self.is_unreachable = False
+        self.is_gone = False
         self.completes_reports = True
         self.loses_replies = False
         self.start_delay_s = 0.0
@@ -89,6 +102,7 @@
         self.crashes_under: Callable[[str], bool] = lambda task: False
         self.measurement_of: Callable[[str], float] = lambda task: 1.0
         self.clock_rate = 1.0
+        self.fences_reports = True
         self.noted_ends: list[StartRecord] = []
         self._history = history
         self._token = 0
@@ -131,7 +145,7 @@
         self.is_unreachable = True
         asyncio.get_running_loop().call_later(seconds, self._become_reachable)
 
-    def start(self, order: StartOrder) -> Result[int, OrderFailure]:
+    def start(self, order: StartOrder, is_late: bool = False) -> Result[int, OrderFailure]:
         """Starts a run; confirms an order that was already carried out."""
         self.advance()
         key = (order.task, order.run)
@@ -152,6 +166,8 @@
             self._now(),
             duration_s=self.duration_of(order.task),
             checkpoint=order.checkpoint,
+            is_late=is_late,
+            token=order.token,
         )
         self._running[key] = record
         self._history.append(record)
@@ -189,6 +205,11 @@
         self._note_ends(order.acked_upto)
         if order.lease_until_ms is not None:
             self._extend_lease(order.lease_until_ms)
+        return Ok(self.report())
+
+    def report(self) -> Report:
+        """Returns the runs and ends, without an order."""
+        self.advance()
         running = tuple(
             RunningTask(
                 r.task,
@@ -199,7 +220,7 @@
             )
             for r in self._running.values()
         )
-        return Ok(Report(self._clock_ms(), self.born_ms, running, tuple(self._ended)))
+        return Report(self._clock_ms(), self.born_ms, running, tuple(self._ended))
 
     async def wait_for_end(self, seconds: float) -> None:
         """Waits until there is an end to report, at most for `seconds`."""
@@ -247,6 +268,7 @@
             record = self._records_by_end[end.number]
             if end.number <= acked_upto and (record.ended_at or 0.0) > self._expired_at:
                 self.noted_ends.append(record)
+                record.noted_at, record.noted_token = self._now(), self._token
         self._ended = [end for end in self._ended if end.number > acked_upto]
 
     def _become_reachable(self) -> None:
@@ -341,18 +363,23 @@
         first = worker.renew(order)
         if isinstance(first, Err) or not order.wait_ms:
             return first
+        born_ms = worker.born_ms
         await worker.wait_for_end(order.wait_ms / 1000)
-        if self._is_unreachable(worker):
+        # A crash breaks the connection: the next incarnation doesn't reply to this order.
+        if self._is_unreachable(worker) or worker.born_ms != born_ms:
             return await _time_out()
+        if not worker.fences_reports:
+            return Ok(worker.report())
         return worker.renew(RenewOrder(order.token, order.acked_upto))
 
     def _is_unreachable(self, worker: LeaseWorker) -> bool:
-        return worker.is_unreachable or worker.worker_id in self.unreachable_worker_ids
+        is_down = worker.is_unreachable or worker.is_gone
+        return is_down or worker.worker_id in self.unreachable_worker_ids
 
 
 def _start_late(worker: LeaseWorker, born_ms: int, order: StartOrder) -> None:
-    if worker.born_ms == born_ms:
-        worker.start(order)
+    if worker.born_ms == born_ms and not worker.is_gone:
+        worker.start(order, is_late=True)
 
 
 async def _time_out() -> Err[OrderFailure]:
--- a/tests/edge_cluster.py
+++ b/tests/edge_cluster.py
@@ -1,11 +1,12 @@
 """A shard with several candidate owners, a store and workers, in one process on virtual time."""
 
 import asyncio
+import contextvars
 import dataclasses
 import json
 import unittest
-from collections.abc import Awaitable, Callable, Sequence
-from typing import Any
+from collections.abc import Awaitable, Callable, Coroutine, Sequence
+from typing import Any, TypeVar
 
 from pollengate.accounts.job_access import Requester
 from pollengate.memory_store import MemoryStore
@@ -53,6 +54,8 @@
 
 __all__ = ["EdgeCluster", "EdgeNode", "EdgeTestCase"]
 
+T = TypeVar("T")
+
 LOST_CALL_TIMEOUT_S = 0.8
 DEFAULT_CAPACITY = Demand(4000, 4000)
 LEASE_RENEW_INTERVAL_S = 0.25
@@ -116,12 +119,17 @@
     tasks: list[asyncio.Task[None]]
     membership: Membership
     metrics: EdgeMetrics
+    context: contextvars.Context
 
     @property
     def elector(self) -> ShardElector:
         """The elector of shard 0."""
         return self.electors[0]
 
+    async def run(self, main: Coroutine[Any, Any, T]) -> T:
+        """Runs a coroutine as part of the process."""
+        return await asyncio.create_task(main, context=self.context)
+
     def kill(self) -> None:
         """Ends the process at once; it writes and sends nothing more."""
         self.store.is_down = True
@@ -199,6 +207,7 @@
     Attributes:
         store: the store that all processes share.
         zone_by_worker: zone of each worker.
+        rack_by_worker: rack of each worker.
         workers_by_id: the workers that all processes share.
         history: every run that has started.
         nodes_by_name: all processes, including killed ones.
@@ -221,7 +230,7 @@
         names = [f"w{number}" for number in range(workers)]
         self._capacity = capacity
         self.zone_by_worker = {name: zones[n % len(zones)] for n, name in enumerate(names)}
-        self._rack_by_worker = {name: f"r{n % shards}" for n, name in enumerate(names)}
+        self.rack_by_worker = {name: f"r{n % shards}" for n, name in enumerate(names)}
         self._layout = Layout(shards, {f"r{shard}": shard for shard in range(shards)})
         self.workers_by_id = {name: LeaseWorker(name, self.history) for name in names}
         if duration_s is not None:
@@ -271,7 +280,7 @@
             "zone": self.zone_by_worker[worker_id],
             "state": state,
             "capacity": {"cpu": self._capacity.cpu_millis, "memMb": self._capacity.memory_mb},
-            "labels": ["k", self._rack_by_worker[worker_id]],
+            "labels": ["k", self.rack_by_worker[worker_id]],
         }
         put = Put(f"servers/{worker_id}", json.dumps(document).encode())
         await self.store.commit((), (put,))
@@ -288,8 +297,9 @@
         """Starts an edge process."""
         self._incarnations += 1
         clocks = Clocks.of_loop()
-        store = NodeStore(self.store)
-        workers = LeaseWorkerClient(self.workers_by_id)
+        context = self.create_context()
+        store = self.create_store(context)
+        workers = self.create_worker_client(context)
         record = NodeRecord(name, f"{name}:1", str(self._incarnations))
         directory = NodeDirectory(store, clocks)
         operator_view = OperatorView(store, clocks)
@@ -322,11 +332,23 @@
             membership.run(),
             *(elector.run() for elector in electors),
         ]
-        tasks = [asyncio.create_task(loop) for loop in loops]
-        node = EdgeNode(name, store, workers, electors, tasks, membership, metrics)
+        tasks = [asyncio.create_task(loop, context=context.copy()) for loop in loops]
+        node = EdgeNode(name, store, workers, electors, tasks, membership, metrics, context)
         self.nodes_by_name[name] = node
         return node
 
+    def create_context(self) -> contextvars.Context:
+        """Returns the context in which all tasks of a new process run."""
+        return contextvars.copy_context()
+
+    def create_store(self, context: contextvars.Context) -> NodeStore:
+        """Returns a new process's access to the shared store."""
+        return NodeStore(self.store)
+
+    def create_worker_client(self, context: contextvars.Context) -> LeaseWorkerClient:
+        """Returns the client through which a new process calls the workers."""
+        return LeaseWorkerClient(self.workers_by_id)
+
     def owner(self, other_than: str = "", shard: int = 0) -> EdgeNode | None:
         """Returns the process that serves a shard, None if there is none.
 
--- a/tests/test_takeover_soak.py
+++ b/tests/test_takeover_soak.py
@@ -9,12 +9,15 @@
 import asyncio
 import random
 import sys
+from collections.abc import Callable, Coroutine, Sequence
+from typing import Any
 from unittest import mock
 
 from pollengate.clock_drift import MAX_CLOCK_DRIFT_RATIO
 from pollengate.store import Delete
 from pollengate.workflow.job_service import Accepted
 from pollengate.workflow.keys import owner_key
+from pollengate.workflow.model import Workflow
 from pollengate.workflow.planner import Planner
 from pollengate.workflow.progress import JobState
 
@@ -22,6 +25,8 @@
 from tests.utils import run_virtual
 from tests.workflow_builders import build_step, build_workflow
 
+__all__ = ["Soak", "TakeoverSoak", "play_seeds"]
+
 CI_SEEDS = range(6)
 FAULTS = 14
 MAX_GAP_S = 3.5
@@ -45,19 +50,22 @@
 
     def play(self, seed: int) -> None:
         """Plays one seed."""
-        run_virtual(_Soak(self, seed).run())
+        run_virtual(Soak(self, seed).run())
+
 
+class Soak:
+    """One seed of a soak."""
 
-class _Soak:
     def __init__(self, case: EdgeTestCase, seed: int) -> None:
         self._case = case
         self._random = random.Random(seed)
-        self._cluster = EdgeCluster(workers=self._random.randint(4, 7))
+        self._cluster: EdgeCluster
         self._job_ids: list[str] = []
         self._long_running_ids: list[str] = []
 
     async def run(self) -> None:
-        cluster = self._cluster
+        """Plays the seed and checks what the workers have started."""
+        cluster = self._cluster = self._create_cluster(self._random.randint(4, 7))
         rates = (1.0, 1 - MAX_CLOCK_DRIFT_RATIO)
         for worker in cluster.workers_by_id.values():
             worker.clock_rate = self._random.choice(rates)
@@ -65,18 +73,7 @@
         await cluster.open(nodes=3)
         for _ in range(3):
             await self._submit()
-        faults = (
-            self._kill_owner,
-            self._fail_term,
-            self._hand_over,
-            self._cut_owner,
-            self._lose_worker,
-            self._crash_worker,
-            self._cut_worker_from_some,
-            self._stop_store,
-            self._lose_replies,
-            self._delay_starts,
-        )
+        faults = self._faults()
         pending: list[asyncio.Task[None]] = []
         for _ in range(FAULTS):
             await asyncio.sleep(self._random.uniform(0.1, MAX_GAP_S))
@@ -92,6 +89,23 @@
                 await cluster.wait_for_state(job_id, JobState.COMPLETED, DRAINED_S)
         self._check_history()
 
+    def _create_cluster(self, workers: int) -> EdgeCluster:
+        return EdgeCluster(workers)
+
+    def _faults(self) -> Sequence[Callable[[], Coroutine[Any, Any, None]]]:
+        return (
+            self._kill_owner,
+            self._fail_term,
+            self._hand_over,
+            self._cut_owner,
+            self._lose_worker,
+            self._crash_worker,
+            self._cut_worker_from_some,
+            self._stop_store,
+            self._lose_replies,
+            self._delay_starts,
+        )
+
     def _duration_of(self, task: str) -> float:
         is_long_running = task.partition(".")[0] in self._long_running_ids
         return float("inf") if is_long_running else self._random.uniform(0.3, 3.0)
@@ -104,15 +118,17 @@
             step = build_step(self._random.randint(1, 2), is_long_running=True, may_miss=1)
             workflow = build_workflow(step)
         else:
-            first = build_step(self._random.randint(1, 25))
-            second = build_step(self._random.randint(1, 4), after=(0,))
-            workflow = build_workflow(first, second)
+            workflow = self._build_workflow(job_id)
         for _ in range(SUBMISSIONS):
             if isinstance(await self._cluster.submit(job_id, workflow), Accepted):
                 return
             await asyncio.sleep(0.5)
         self._case.fail("a job was not accepted")
 
+    def _build_workflow(self, job_id: str) -> Workflow:
+        first = build_step(self._random.randint(1, 25))
+        return build_workflow(first, build_step(self._random.randint(1, 4), after=(0,)))
+
     def _check_long_running(self) -> None:
         running = [run for run in self._cluster.update_history() if run.ended_at is None]
         for job_id in self._long_running_ids:
@@ -157,15 +173,19 @@
         node = self._cluster.owner()
         if node is None:
             return
-        await node.membership.announce_leaving()
+        await self._run_in(node, node.membership.announce_leaving())
         try:
             async with asyncio.timeout(6.0):
-                await node.elector.hand_over()
+                await self._run_in(node, node.elector.hand_over())
         except TimeoutError:
             pass
         node.kill()
         self._restart(node)
 
+    async def _run_in(self, node: EdgeNode, main: Coroutine[Any, Any, None]) -> None:
+        """Runs a coroutine as part of a process."""
+        await main
+
     async def _cut_owner(self) -> None:
         """Cuts the owner and some workers off from the store and the others."""
         node = self._cluster.owner()
@@ -237,13 +257,13 @@
     return not all(task.done() for task in node.tasks)
 
 
-def main() -> None:
-    """Plays the seeds that the arguments name."""
+def play_seeds(play: Callable[[int], None]) -> None:
+    """Plays the seeds that the arguments of the process name."""
     first, count = int(sys.argv[1]), int(sys.argv[2])
     failed = 0
     for seed in range(first, first + count):
         try:
-            TakeoverSoak().play(seed)
+            play(seed)
         except (AssertionError, TimeoutError) as error:
             failed += 1
             print(f"seed {seed}: {type(error).__name__} {str(error)[:600]}", flush=True)
@@ -251,4 +271,4 @@
 
 
 if __name__ == "__main__":
-    main()
+    play_seeds(TakeoverSoak().play)
