--- a/tests/test_frozen_owner_soak.py
+++ b/tests/test_frozen_owner_soak.py
@@ -23,7 +23,7 @@
 from tests.utils import run_virtual
 from tests.workflow_builders import build_step, build_workflow
 
-CI_SEEDS = range(4)
+CI_SEEDS = range(6)
 # The store replaces an owner 2.5 s after the last renewal of its lease.
 LIKELY_FREEZE_S = (2.3, 2.9)
 FREEZE_S = (0.5, 5.0)
@@ -76,6 +76,8 @@
             self._delay_renewals,
             self._disturb_commits,
             self._delay_lease_calls,
+            self._submit_again,
+            self._freeze_any,
         )
         freezes = (
             self._freeze_owner,
@@ -121,6 +123,11 @@
         if node is not None:
             await self._freeze(node, self._choose_freeze_s())
 
+    async def _freeze_any(self) -> None:
+        """Freezes a process, such as one that acquires the shard or may acquire it."""
+        nodes = list(self._cluster.nodes_by_name.values())
+        await self._freeze(self._random.choice(nodes), self._choose_freeze_s())
+
     async def _freeze_after_renewal(self) -> None:
         """Freezes an owner whose renewal is on its way to the store."""
         node = self._cluster.owner()
@@ -191,6 +198,12 @@
         await asyncio.sleep(self._random.uniform(0.1, 3.0))
         await cluster.store.commit((), (Delete(f"servers/{old_id}"),))
 
+    async def _submit_again(self) -> None:
+        """Submits jobs again whose acceptance a client has not seen."""
+        for _ in range(self._random.randint(2, 6)):
+            await self._submit_until_accepted(self._random.choice(self._job_ids))
+            await asyncio.sleep(self._random.uniform(0.0, 2.0))
+
     async def _delay_renewals(self) -> None:
         for clients in self._worker_clients():
             clients.late_renewal_share = self._random.choice((0.0, 0.3, 0.6))
--- a/tests/test_takeover_soak.py
+++ b/tests/test_takeover_soak.py
@@ -62,6 +62,7 @@
         self._cluster: EdgeCluster
         self._job_ids: list[str] = []
         self._long_running_ids: list[str] = []
+        self._workflows_by_id: dict[str, Workflow] = {}
 
     async def run(self) -> None:
         """Plays the seed and checks what the workers have started."""
@@ -119,6 +120,11 @@
             workflow = build_workflow(step)
         else:
             workflow = self._build_workflow(job_id)
+        self._workflows_by_id[job_id] = workflow
+        await self._submit_until_accepted(job_id)
+
+    async def _submit_until_accepted(self, job_id: str) -> None:
+        workflow = self._workflows_by_id[job_id]
         for _ in range(SUBMISSIONS):
             if isinstance(await self._cluster.submit(job_id, workflow), Accepted):
                 return
