--- a/tests/test_job_placement.py
+++ b/tests/test_job_placement.py
@@ -186,9 +186,7 @@
 
             with mock.patch.object(ClusterShards, "place", side_effect=place):
                 submit()
-                while len(submissions) < 2:
-                    await asyncio.sleep(0.1)
-                await asyncio.sleep(1.0)
+                await asyncio.sleep(2.0)
             responses = await asyncio.gather(*submissions)
             self.assertEqual(responses, [Accepted(), Accepted()])
             await asyncio.sleep(20 * SHORT_S)
