Hang workers and checkpoint tasks in the soak of frozen owners

An owner that goes on after a freeze takes its runs for stragglers and moves or copies them. Tasks that save their progress and workers whose tasks stand still make it do so in more ways.

--- a/tests/test_frozen_owner_soak.py
+++ b/tests/test_frozen_owner_soak.py
@@ -77,6 +77,7 @@
             self._disturb_commits,
             self._delay_lease_calls,
             self._submit_again,
+            self._hang_worker,
             self._freeze_any,
         )
         freezes = (
@@ -95,6 +96,7 @@
             self._random.randint(1, 25),
             is_speculative=is_speculative,
             is_filler=self._random.random() < 0.2,
+            saves_progress=self._random.random() < 0.3,
         )
         return build_workflow(first, build_step(self._random.randint(1, 4), after=(0,)))
 
@@ -204,6 +206,13 @@
             await self._submit_until_accepted(self._random.choice(self._job_ids))
             await asyncio.sleep(self._random.uniform(0.0, 2.0))
 
+    async def _hang_worker(self) -> None:
+        """Lets the tasks of a worker stand still, so that its owner moves them."""
+        worker = self._cluster.workers_by_id[self._choose_worker()]
+        worker.hang(True)
+        await asyncio.sleep(self._random.uniform(1.0, 5.0))
+        worker.hang(False)
+
     async def _delay_renewals(self) -> None:
         for clients in self._worker_clients():
             clients.late_renewal_share = self._random.choice((0.0, 0.3, 0.6))
