Apply the ends of an unknown job when the job is submitted again

Cause, of this fault: the end of a run whose job the owner does not have was acknowledged and dropped. The worker forgets it. If the client submits the job again, as clients do up to 8 s after the first response, the owner takes it for a new one and runs it all again.

Evidence: with a job record that a successor cannot read, the ends of 4 tasks are acknowledged without effect and all 4 start again when the job comes again (tests.test_unknown_jobs, failed before). It has the record's form, but no play shows that the successor of the record lacked the job, nor why it would: this is suspected, not shown.

Change: such an end is kept in the job table, for 1,024 jobs, and completes its task when the job is added. The end of a job that ended under an earlier owner is logged as job_ended, no longer as unknown_task.

Measured: the two tests pass, 72 tests of reports, takeovers, clocks and delegation pass. A successor of the owner does not know the kept ends.

--- a/packages/pollengate/pollengate/workflow/job_table.py
+++ b/packages/pollengate/pollengate/workflow/job_table.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Collection
 
 from pollengate.accounts.usage import AccountUsage
+from pollengate.bounded import BoundedDict
 from pollengate.failure_evidence import FailureEvidence
 from pollengate.workflow.clients import EndKind
 from pollengate.workflow.crashes import TRIAL_CRASHES, CrashLog, WorkerCrash
@@ -30,6 +31,17 @@
 RUNS_PER_TERM = 64
 # Digits of a number in a task's name; the conversion of thousands of digits raises.
 MAX_DIGITS = 9
+# Unknown jobs of which the tasks that are done are kept.
+MAX_UNKNOWN_JOBS = 1024
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _UnclaimedEnd:
+    """A run that ended done while its job was unknown."""
+
+    task: str
+    run: int
+    worker_id: str
 
 
 @dataclasses.dataclass(slots=True)
@@ -79,6 +91,9 @@
         self._crash_log = CrashLog()
         self._run_number_floor = term * RUNS_PER_TERM
         self._scheduled_by_id: dict[str, JobProgress] = {}
+        self._unclaimed_ends_by_job_id = BoundedDict[str, tuple[_UnclaimedEnd, ...]](
+            MAX_UNKNOWN_JOBS
+        )
 
     def take_outbox(self) -> Outbox:
         """Returns the actions collected since the last call and clears them."""
@@ -98,6 +113,30 @@
             self._open_steps(occurrence, now)
         self._scheduled_by_id[job.job_id] = job
         self.open_due_occurrences(now, now_ms)
+        for end in self._unclaimed_ends_by_job_id.get(job.job_id) or ():
+            task = self.find_started_task(end.task, now)
+            if task is not None and not (task.is_done or job.is_ended):
+                self.apply_result(task, end.run, end.worker_id, EndKind.DONE, "", now, now_ms)
+
+    def keep_unclaimed_end(self, task: str, run: int, worker_id: str) -> None:
+        """Keeps a run that ended done and whose job is unknown, for when the job is added.
+
+        Its client may submit the job again, and the worker forgets the end.
+
+        Args:
+            task: name of the task.
+            run: number of the run.
+            worker_id: the worker.
+        """
+        job_id = task.partition(".")[0]
+        known = self._unclaimed_ends_by_job_id.get(job_id) or ()
+        end = _UnclaimedEnd(task, run, worker_id)
+        self._unclaimed_ends_by_job_id.put(job_id, (*known, end))
+
+    def has_ended_job(self, task: str) -> bool:
+        """Returns True if the job of a task is known to have ended."""
+        job = self.jobs_by_id.get(task.partition(".")[0])
+        return job is not None and job.is_ended
 
     def open_due_occurrences(self, now: float, now_ms: int) -> None:
         """Opens the occurrences that have become due by Unix time `now_ms`."""
--- a/packages/pollengate/pollengate/workflow/reports.py
+++ b/packages/pollengate/pollengate/workflow/reports.py
@@ -154,7 +154,11 @@
             self._job_table.mark_ended(run, end_kind, ended.checkpoint, now, now_ms)
             return effect
         task = self._job_table.find_started_task(ended.task, now)
+        if task is None and self._job_table.has_ended_job(ended.task):
+            return EndEffect.JOB_ENDED
         if task is None:
+            if end_kind is EndKind.DONE:
+                self._job_table.keep_unclaimed_end(ended.task, ended.run, self._view.worker_id)
             return EndEffect.UNKNOWN_TASK
         if task.is_done:
             return EndEffect.TASK_DONE
