Mend what the review of the acknowledgements found

By the reviewer, who had not seen the work, each by reading or on the class:

- A young incarnation's clock does not tell it from the next one: with a report at clock 300, a crash and a response at clock 530, the next renewal acknowledged 8 ends.
A start's response with a clock that an incarnation born after the report could show stops acknowledgements until the next report.
- A response that arrives after the report of another incarnation counted as one of yet another: it detached the worker.
It is no evidence now.
- Terms of a shard that earlier versions owned had the number of the newest commit as long as nothing was committed (6, 6, 6).
The commits' number is read if there is no record of the term, or an unreadable one.
- A worker that lists its ends on several pages got no extension of its lease meanwhile.

The test of a frozen owner has freezes longer than the owner's lease, too.

--- a/packages/pollengate/pollengate/workflow/end_acknowledgement.py
+++ b/packages/pollengate/pollengate/workflow/end_acknowledgement.py
@@ -33,11 +33,15 @@
         sent_at: clock time at which it was sent.
         lowest_clock_ms: lowest clock that the incarnation of the newest report can respond with.
         is_start: whether it starts a run.
+        born_ms: start of that incarnation, None if there is no report.
+        report_sent_at: clock time at which the renewal was sent that the report responds to.
     """
 
     sent_at: float
     lowest_clock_ms: int
     is_start: bool
+    born_ms: int | None
+    report_sent_at: float
 
 
 class EndAcknowledgement:
@@ -74,7 +78,13 @@
         # A clock that has advanced by less than this since the report has started anew.
         elapsed_ms = int((now - self._reported_at) * (1 - MAX_CLOCK_DRIFT_RATIO) * 1000)
         lowest_clock_ms = self._clock_ms + elapsed_ms - CLOCK_ROUNDING_MS
-        order = SentOrder(now, lowest_clock_ms if self._born_ms is not None else 0, is_start)
+        order = SentOrder(
+            now,
+            lowest_clock_ms if self._born_ms is not None else 0,
+            is_start,
+            self._born_ms,
+            self._report_sent_at,
+        )
         if is_start:
             self._starts_in_flight.add(order)
         return order
@@ -91,13 +101,25 @@
             True if another incarnation than that of the newest report has responded.
         """
         self._starts_in_flight.discard(order)
-        if clock_ms is not None and clock_ms < order.lowest_clock_ms:
+        if clock_ms is None:
+            if order.is_start:
+                self._doubted_at = now
+            return False
+        if order.born_ms != self._born_ms:
+            # It may be the response of either incarnation.
+            self._doubted_at = now
+            return False
+        if clock_ms < order.lowest_clock_ms:
             self._doubted_at = self._replaced_at = now
             return True
-        if clock_ms is None and order.is_start:
+        if order.is_start and self._may_be_younger(order, clock_ms, now):
             self._doubted_at = now
         return False
 
+    def _may_be_younger(self, order: SentOrder, clock_ms: int, now: float) -> bool:
+        """Whether an incarnation that was born after the report could respond with a clock."""
+        return clock_ms <= (now - order.report_sent_at) * 1000 + CLOCK_ROUNDING_MS
+
     def record_failed_renewal(self, now: float) -> None:
         """Records a renewal without a report, at clock time `now`."""
         self._doubted_at = now
--- a/packages/pollengate/pollengate/workflow/fleet.py
+++ b/packages/pollengate/pollengate/workflow/fleet.py
@@ -22,6 +22,7 @@
         lease: lease of all runs on the worker.
         is_registered: whether the worker is in the registry.
         is_attached: whether its present incarnation has listed all of its ended runs to this owner.
+        is_paging: whether its present incarnation has listed some of its ended runs, but not all.
         is_recorded: whether it is on the stored list of workers, where the next owner finds it;
             no run is started on it before that.
         has_drained: whether its present incarnation was registered as draining.
@@ -52,6 +53,7 @@
     lease: WorkerLease
     is_registered: bool = True
     is_attached: bool = False
+    is_paging: bool = False
     is_recorded: bool = False
     has_drained: bool = False
     trial: Run | None = None
--- a/packages/pollengate/pollengate/workflow/reports.py
+++ b/packages/pollengate/pollengate/workflow/reports.py
@@ -83,6 +83,7 @@
         is_complete = len(report.ended) < MAX_ENDS_PER_REPORT
         # Until all ends are listed, a task without a known run may have one that is done.
         view.is_attached = view.is_attached or is_complete
+        view.is_paging = not view.is_attached
         new_ends = tuple(ended for ended in report.ended if ended.number > self.last_end_number)
         applied: list[AppliedEnd] = []
         for ended in new_ends:
@@ -115,7 +116,7 @@
             self._on_crash(crash)
         self._forget_lapsed()
         view.has_drained = view.info.condition is WorkerCondition.DRAINING
-        self._view.is_attached = False
+        self._view.is_attached = self._view.is_paging = False
         if report is None:
             view.lease.reset()
         else:
--- a/packages/pollengated/pollengated/edge/shard_elector.py
+++ b/packages/pollengated/pollengated/edge/shard_elector.py
@@ -8,12 +8,21 @@
 
 import msgspec
 from pollengate.decoding import Amount, DocumentDecoder
-from pollengate.store import Delete, Entry, FailureKind, PolledStore, Put, Unchanged
-from pollengate.workflow.keys import owner_key, term_key
+from pollengate.store import (
+    Delete,
+    Entry,
+    FailureKind,
+    PolledStore,
+    Put,
+    StoreFailure,
+    Unchanged,
+)
+from pollengate.workflow.keys import commit_key, owner_key, term_key
 from pollengate.workflow.shard_lease import OWNER_LEASE_S, ShardLease
-from result import Err
+from result import Err, Result
 
 from pollengated.edge.clocks import Clocks
+from pollengated.edge.committer import decode_commit_number
 from pollengated.edge.node_directory import NodeDirectory, NodeRecord
 from pollengated.edge.shard_term import ShardTerm
 from pollengated.logs import Log
@@ -219,7 +228,8 @@
 
     async def _acquire(self) -> ShardLease | None:
         previous_term = await self._store.get(term_key(self._shard))
-        if isinstance(previous_term, Err):
+        term_number = await self._next_term_number(previous_term)
+        if isinstance(previous_term, Err) or term_number is None:
             await asyncio.sleep(RETRY_S)
             return None
         requested_at = self._clocks.monotonic_s()
@@ -228,7 +238,6 @@
             await asyncio.sleep(RETRY_S)
             return None
         self._lease_id = lease.ok_value
-        term_number = self._next_term_number(previous_term.ok_value)
         token = await self._write_owner(previous_term.ok_value, term_number)
         if token is None:
             await self._store.revoke_lease(self._lease_id)
@@ -243,18 +252,27 @@
         )
         return ShardLease(token, requested_at, term_number)
 
-    def _next_term_number(self, previous_term: Entry | None) -> int:
-        if previous_term is None:
-            return 0
-        decoded = _TERM_NUMBER_DECODER.decode(previous_term.value)
-        if isinstance(decoded, Err):
+    async def _next_term_number(
+        self, previous_term: Result[Entry | None, StoreFailure]
+    ) -> int | None:
+        """Returns the number of the next term, None if it cannot be read."""
+        if isinstance(previous_term, Err):
+            return None
+        if previous_term.ok_value is not None:
+            decoded = _TERM_NUMBER_DECODER.decode(previous_term.ok_value.value)
+            if not isinstance(decoded, Err):
+                return decoded.ok_value + 1
             self._log.warning(
                 "number of the ownership term is unreadable; numbering by commits",
                 shard=self._shard,
                 cause=decoded.err_value,
             )
-            return 0
-        return decoded.ok_value + 1
+        # Earlier versions of the process numbered terms by their commits only.
+        commit = await self._store.get(commit_key(self._shard))
+        if isinstance(commit, Err):
+            return None
+        newest = None if commit.ok_value is None else decode_commit_number(commit.ok_value.value)
+        return 0 if newest is None else newest.tenure + 1
 
     async def _write_owner(self, previous_term: Entry | None, term_number: int) -> int | None:
         """Takes the shard and counts the term in one transaction; returns the fencing token.
--- a/packages/pollengated/pollengated/edge/worker_controller.py
+++ b/packages/pollengated/pollengated/edge/worker_controller.py
@@ -124,7 +124,7 @@
             if not self._shard_lease.is_valid(now):
                 # The leases on the worker may expire meanwhile, so it has to report before it gets
                 # another start.
-                self.view.is_attached = False
+                self.view.is_attached = self.view.is_paging = False
                 await asyncio.sleep(RETRY_S)
                 continue
             if await self._renew(self._renew_wait_s()):
@@ -223,7 +223,8 @@
         sent_at = self._clocks.monotonic_s()
         is_durable = self._committer.durable_record_number >= self._report_record_number
         lease = self.view.lease
-        is_unconfirmed = self._is_failing or not self.view.is_attached
+        is_known = self.view.is_attached or self.view.is_paging
+        is_unconfirmed = self._is_failing or not is_known
         order = RenewOrder(
             token=self._token,
             acked_upto=self._acknowledgement.upto(sent_at) if is_durable else 0,
@@ -439,7 +440,7 @@
             clock_ms=clock_ms,
             lowest_clock_ms=sent.lowest_clock_ms,
         )
-        self.view.is_attached = False
+        self.view.is_attached = self.view.is_paging = False
         self.view.lease.begin_incarnation(now)
         asyncio.get_running_loop().create_task(self.request_report())
 
@@ -489,6 +490,6 @@
             runs=len(self.view.runs),
             silent_s=round(self._clocks.monotonic_s() - self.view.lease.replied_at, 2),
         )
-        self.view.is_attached = False
+        self.view.is_attached = self.view.is_paging = False
         self._reconciler.mark_all_lapsed()
         self._on_event()
--- a/tests/test_frozen_owner.py
+++ b/tests/test_frozen_owner.py
@@ -1,6 +1,7 @@
 """Tests of owners that are frozen and lose the shard soon after they resume, on virtual time."""
 
 import asyncio
+import itertools
 import random
 
 from pollengate.workflow.clients import EndKind
@@ -13,22 +14,22 @@
 
 EARLIER_ID = "00000000000000aa"
 JOB_ID = "00000000000000bb"
-# Shorter than the owner's lease, and longer than the tasks take.
-FREEZE_S = 2.2
+# Both longer than the tasks take; the owner's lease is 2.5 s, and it goes on for 2 s more.
+FREEZES_S = (2.2, 2.6)
 # A resumed owner sends renewals, and has not committed their results.
 KILLED_AFTER_S = 0.02
 PHASES = 10
 
 
 class FrozenOwnerTest(EdgeTestCase):
-    """The owner of the record in issue 48, whose workers restarted before it was frozen."""
+    """Workers restarted under their ids shortly before their owner was frozen."""
 
     def test_resumed_owner_acknowledges_no_end_that_it_has_not_been_told_of(self) -> None:
-        for phase in range(PHASES):
-            with self.subTest(phase=phase):
-                run_virtual(self.check_resumption(1.3 + 0.02 * phase))
+        for freeze_s, phase in itertools.product(FREEZES_S, range(PHASES)):
+            with self.subTest(freeze_s=freeze_s, phase=phase):
+                run_virtual(self.check_resumption(freeze_s, 1.3 + 0.02 * phase))
 
-    async def check_resumption(self, frozen_after_s: float) -> None:
+    async def check_resumption(self, freeze_s: float, frozen_after_s: float) -> None:
         """Restarts the workers under their ids, and freezes the owner while renewals fail."""
         cluster = FreezableCluster(4, random.Random(1), counts_freezes=True)
         await cluster.open(nodes=3)
@@ -41,7 +42,7 @@
         await asyncio.sleep(frozen_after_s)
         node = cluster.serving_node()
         process_of(node).freeze()
-        await asyncio.sleep(FREEZE_S)
+        await asyncio.sleep(freeze_s)
         process_of(node).resume()
         await asyncio.sleep(KILLED_AFTER_S)
         node.kill()
--- a/tests/test_term_numbers.py
+++ b/tests/test_term_numbers.py
@@ -2,6 +2,11 @@
 
 import asyncio
 
+import msgspec
+from pollengate.store import Put
+from pollengate.workflow.keys import commit_key
+from pollengated.edge.committer import CommitNumber
+
 from tests.edge_cluster import EdgeCluster, EdgeTestCase
 from tests.faulty_store import Fault
 from tests.utils import run_virtual
@@ -34,6 +39,28 @@
 
         run_virtual(main())
 
+    def test_owners_that_commit_nothing_after_an_upgrade_number_their_runs_differently(
+        self,
+    ) -> None:
+        async def main() -> None:
+            cluster = EdgeCluster()
+            commit = Put(commit_key(0), msgspec.json.encode(CommitNumber(5, 1)))
+            await cluster.store.commit((), (commit,))
+            await cluster.open(nodes=3)
+            for node in cluster.nodes_by_name.values():
+                node.store.choose_fault = _refuse_commits
+            numbers: list[int] = []
+            for _ in range(3):
+                node = cluster.serving_node()
+                assert node.elector.term is not None
+                numbers.append(node.elector.term.shard_lease.term_number)
+                node.kill()
+                if len(numbers) < 3:
+                    await cluster.wait_for_term(other_than=node.name)
+            self.assertEqual(numbers, [6, 7, 8])
+
+        run_virtual(main())
+
 
 def _refuse_commits(keys: list[str]) -> Fault | None:
     """Refuses the commits of records; a shard can still be acquired."""
