--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -241,13 +241,9 @@
         previous_commit = decode_commit_number(records.commit.value) if records.commit else None
         committed_terms = previous_commit.tenure + 1 if previous_commit else 0
         term_number = max(self.shard_lease.term_number, committed_terms)
+        revision = records.commit.revision if records.commit else 0
         self._committer = Committer(
-            self._store,
-            self.shard,
-            self.shard_lease,
-            term_number,
-            records.commit.revision if records.commit else 0,
-            self._clocks,
+            self._store, self.shard, self.shard_lease, term_number, revision, self._clocks
         )
         self._interference.restore(records.interference, self._committer)
         evidence = FailureEvidence(self._clocks.monotonic_s, FIRST_PROBE_AFTER_S, MAX_PROBE_AFTER_S)
