--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -305,11 +305,16 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def main() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         with tempfile.TemporaryDirectory() as temporary:
             deployment = Deployment(temporary, record, bounds)
             try:
                 async with asyncio.timeout(112):
                     return await case(deployment, trouble)
+            except asyncio.CancelledError:
+                return CANNOT_RUN
             except Exception:
                 record.write(f"cannot run: {traceback.format_exc()}")
                 return CANNOT_RUN
