--- a/review/1/case.py
+++ b/review/1/case.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import json
+import os
 import pathlib
 import sys
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "standins"))
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 
 from deployment import Deployment, run_case
 
@@ -67,4 +68,4 @@
     return int(longest_s > IDLE_S)
 
 
-run_case(hand_in_large_job, __file__)
+run_case(hand_in_large_job, __file__, has_trouble=os.environ["TROUBLE"] != "0")
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import json
+import os
 import pathlib
 import sys
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "standins"))
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 
 from deployment import Deployment, run_case
 
@@ -53,4 +54,4 @@
     return int(broken > 0)
 
 
-run_case(count_waiting_jobs, __file__)
+run_case(count_waiting_jobs, __file__, has_trouble=os.environ["TROUBLE"] != "0")
--- a/review/standins/deployment.py
+++ b/review/deployment.py
@@ -18,7 +18,7 @@
 from runners import Bounds, Floor, Record, Runner
 from store import Store
 
-REPOSITORY = pathlib.Path(__file__).resolve().parents[2]
+REPOSITORY = pathlib.Path(__file__).resolve().parents[1]
 ZONES = ("lima-sur-a", "lima-sur-b", "lima-sur-c")
 SERVICE = "marcador"
 HOST = "nony24.example"
@@ -298,21 +298,20 @@
         pathlib.Path(kept or "", log.name).write_bytes(log.read_bytes())
 
 
-def run_case(case: Case, case_file: str, bounds: Bounds | None = None) -> None:
+def run_case(case: Case, case_file: str, has_trouble: bool) -> None:
     """Runs a case and exits: 1 if the rule was broken, 0 if it held, 2 if it could not run."""
     folder = pathlib.Path(case_file).resolve().parent
     record = Record(str(folder / "record.txt"))
-    trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def main() -> int:
         task = asyncio.current_task()
         assert task is not None
         asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         with tempfile.TemporaryDirectory() as temporary:
-            deployment = Deployment(temporary, record, bounds)
+            deployment = Deployment(temporary, record)
             try:
                 async with asyncio.timeout(112):
-                    return await case(deployment, trouble)
+                    return await case(deployment, has_trouble)
             except asyncio.CancelledError:
                 return CANNOT_RUN
             except Exception:
