Log which part of the owner's work holds the event loop, and for which job

The logs had only 'event loop is late' (24.8 to 25.1 s) and 'shard records loaded' (25.0 to 25.2 s): they don't tell whether a job's hand-in, the restoring of records, their encoding or a plan stands still, nor for which job.

The owner now measures these four parts: 'a section held the event loop' names section, job or shard and time from 80 ms on, at most every 2 s a section, and pollengate_edge_section_seconds has all of them. Committer.resume works out the number of a term from the commit key, which ShardTerm did.

The new test fails without the timer, which didn't exist.

--- a/packages/pollengated/pollengated/edge/committer.py
+++ b/packages/pollengated/pollengated/edge/committer.py
@@ -12,14 +12,25 @@
 
 import msgspec
 from pollengate.decoding import Amount, DocumentDecoder
-from pollengate.store import CommitResult, Delete, FailureKind, Operation, Put, Store, Unchanged
+from pollengate.store import (
+    CommitResult,
+    Delete,
+    Entry,
+    FailureKind,
+    Operation,
+    Put,
+    Store,
+    Unchanged,
+)
 from pollengate.workflow.keys import commit_key, job_key, owner_key, progress_key
 from pollengate.workflow.progress import JobProgress, JobState
 from pollengate.workflow.records import encode_job, encode_progress
 from pollengate.workflow.shard_lease import ShardLease
+from prometheus_client import CollectorRegistry
 from result import Err
 
 from pollengated.edge.clocks import Clocks
+from pollengated.edge.section_timer import Section, SectionTimer
 from pollengated.logs import Log
 
 __all__ = [
@@ -132,9 +143,11 @@
         term_number: number of the ownership term, counted from 0.
         commit_revision: revision of the shard's commit key, 0 if it is absent.
         clocks: the process's clocks.
+        sections: measures the encoding of records.
 
     Attributes:
         term_number: the same.
+        previous_commit: the last commit of earlier terms, None if there is none.
     """
 
     def __init__(
@@ -145,13 +158,16 @@
         term_number: int,
         commit_revision: int,
         clocks: Clocks,
+        sections: SectionTimer | None = None,
     ) -> None:
         self._store = store
         self._shard = shard
         self._shard_lease = shard_lease
         self.term_number = term_number
         self._commit_revision = commit_revision
+        self.previous_commit: CommitNumber | None = None
         self._clocks = clocks
+        self._sections = sections or SectionTimer(CollectorRegistry())
         self._log = Log("commits")
         self._pending: dict[str, tuple[int, Record]] = {}
         self._writing: dict[str, tuple[int, Record]] = {}
@@ -161,6 +177,24 @@
         self._advanced = asyncio.Event()
         self._failing_since: float | None = None
 
+    @classmethod
+    def resume(
+        cls,
+        store: Store,
+        shard: int,
+        shard_lease: ShardLease,
+        commit: Entry | None,
+        clocks: Clocks,
+        sections: SectionTimer,
+    ) -> "Committer":
+        """Returns the committer of a term that follows the one of a shard's commit key."""
+        previous = decode_commit_number(commit.value) if commit else None
+        term_number = max(shard_lease.term_number, previous.tenure + 1 if previous else 0)
+        revision = commit.revision if commit else 0
+        committer = cls(store, shard, shard_lease, term_number, revision, clocks, sections)
+        committer.previous_commit = previous
+        return committer
+
     @property
     def last_record_number(self) -> int:
         """Number of the newest record."""
@@ -229,7 +263,8 @@
         self._writing = {key: self._pending.pop(key) for key in keys}
         number = CommitNumber(self.term_number, self._next_sequence)
         self._next_sequence += 1
-        operations = [record.operation() for _, record in self._writing.values()]
+        with self._sections.measure(Section.ENCODE_RECORDS, self._shard):
+            operations = [record.operation() for _, record in self._writing.values()]
         operations.append(Put(commit_key(self._shard), msgspec.json.encode(number)))
         revision = await self._write(number, operations)
         if revision is None:
--- a/packages/pollengated/pollengated/edge/edge_metrics.py
+++ b/packages/pollengated/pollengated/edge/edge_metrics.py
@@ -11,6 +11,7 @@
 )
 
 from pollengated.edge.account_metrics import AccountMetrics
+from pollengated.edge.section_timer import SectionTimer
 
 __all__ = ["EdgeMetrics"]
 
@@ -179,6 +180,7 @@
             buckets=(0.1, 0.25, 0.5, 1, 2, 3, 4, 5, 6, 8),
             registry=registry,
         )
+        self.sections = SectionTimer(registry)
         self.accounts = AccountMetrics(registry)
         self.shortage_factor = Gauge(
             "pollengate_edge_shortage_factor",
--- a/packages/pollengated/pollengated/edge/job_request_handler.py
+++ b/packages/pollengated/pollengated/edge/job_request_handler.py
@@ -32,6 +32,7 @@
 from pollengated.edge.other_shards import OtherShards
 from pollengated.edge.placement_acceptor import PlacementAcceptor
 from pollengated.edge.placement_context import PlacementContext
+from pollengated.edge.section_timer import Section, SectionTimer
 from pollengated.edge.task_delegator import TaskDelegator
 from pollengated.edge.task_returner import TaskReturner
 from pollengated.logs import Log
@@ -73,6 +74,7 @@
     delegator: TaskDelegator
     returner: TaskReturner
     guard: DecisionGuard
+    _sections: SectionTimer
 
     def __init__(
         self,
@@ -109,6 +111,7 @@
     ) -> None:
         """Creates what exchanges jobs and tasks with other shards' owners."""
         self.guard = guard
+        self._sections = metrics.sections
         self.placer = JobPlacer(context, other_shards, metrics)
         self.delegator = TaskDelegator(context, other_shards, metrics, self.current_refusal)
         self.returner = TaskReturner(context, other_shards)
@@ -324,7 +327,8 @@
         now = self._clocks.monotonic_s()
         if job.delegated_by is None:
             self._on_accepted(job, now)
-        self._job_table.add(job, now, self._clocks.unix_ms())
+        with self._sections.measure(Section.ADD_JOB, job.job_id):
+            self._job_table.add(job, now, self._clocks.unix_ms())
         if job.delegated_by is not None:
             self._log.info(
                 "delegated task accepted",
--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -26,7 +26,7 @@
 from pollengated.edge.account_shares import AccountShares
 from pollengated.edge.advice_requester import AdviceRequester
 from pollengated.edge.clocks import Clocks
-from pollengated.edge.committer import Committer, ProgressRecord, decode_commit_number
+from pollengated.edge.committer import Committer, ProgressRecord
 from pollengated.edge.decision_failures import DecisionFailures
 from pollengated.edge.edge_metrics import EdgeMetrics
 from pollengated.edge.interference_learning import InterferenceLearning
@@ -44,6 +44,7 @@
 from pollengated.edge.recorded_workers import RecordedWorkers, load_recorded_workers
 from pollengated.edge.run_lists import load_run_lists
 from pollengated.edge.run_mover import RunMover
+from pollengated.edge.section_timer import Section
 from pollengated.edge.shard_load_log import ShardLoadLog
 from pollengated.edge.shard_records import ShardRecords, ShardRecordsReader
 from pollengated.edge.start_policy import StartPolicy
@@ -219,8 +220,6 @@
             self._takeover.run_lists.cancel_handover()
             self._request_planning()
 
-    # Recovery.
-
     async def _recover(self) -> bool:
         """Loads the shard's records; returns False if the shard is given up instead."""
         reader = ShardRecordsReader(self.shard, self._store, self.shard_lease, self._clocks)
@@ -235,7 +234,8 @@
                 cause=abandoned.cause,
             )
             return False
-        self._restore(records.ok_value)
+        with self._metrics.sections.measure(Section.RESTORE, self.shard):
+            self._restore(records.ok_value)
         self._log.info(
             "shard records loaded",
             shard=self.shard,
@@ -247,16 +247,13 @@
         return True
 
     def _restore(self, records: ShardRecords) -> None:
-        previous_commit = decode_commit_number(records.commit.value) if records.commit else None
-        committed_terms = previous_commit.tenure + 1 if previous_commit else 0
-        term_number = max(self.shard_lease.term_number, committed_terms)
-        revision = records.commit.revision if records.commit else 0
-        committer = self._committer = Committer(
-            self._store, self.shard, self.shard_lease, term_number, revision, self._clocks
+        clocks, sections = self._clocks, self._metrics.sections
+        committer = self._committer = Committer.resume(
+            self._store, self.shard, self.shard_lease, records.commit, clocks, sections
         )
         self._interference.restore(records.interference, self._committer)
         evidence = FailureEvidence(self._clocks.monotonic_s, FIRST_PROBE_AFTER_S, MAX_PROBE_AFTER_S)
-        self.job_table = JobTable(self.fleet, evidence, term_number)
+        self.job_table = JobTable(self.fleet, evidence, committer.term_number)
         self.job_table.durable_record_number = lambda: committer.durable_record_number
         self._job_end_log = JobEndLog(self.job_table, self._clocks, self._metrics)
         self._assignments.load(records.transfers)
@@ -268,7 +265,7 @@
             self.job_table,
             committer,
             addresses_by_id,
-            load_run_lists(records.run_lists, previous_commit),
+            load_run_lists(records.run_lists, committer.previous_commit),
             self._acquired_at,
             self._previous_leases_expire_at,
             self.shard_lease,
@@ -457,7 +454,9 @@
             if not self.shard_lease.is_valid(now):
                 continue
             if self._may_start(now):
-                for run in self._planner.plan(now, self._pacer.free):
+                with self._metrics.sections.measure(Section.PLAN, self.shard):
+                    runs = self._planner.plan(now, self._pacer.free)
+                for run in runs:
                     self._spawn(self._controllers_by_id[run.worker_id].start(run))
             self._flush_outbox()
             delay_s = next_plan_delay_s(self._clocks.monotonic_s() - now)
--- a/tests/test_loop_delay.py
+++ b/tests/test_loop_delay.py
@@ -3,11 +3,13 @@
 import asyncio
 import random
 import unittest
+from unittest import mock
 
 import logbook
 from pollengated.edge.clocks import Clocks
 from pollengated.edge.edge_metrics import EdgeMetrics
 from pollengated.edge.loop_delay import LoopDelayMonitor
+from pollengated.edge.section_timer import Section
 
 from tests.freezable_cluster import FreezableCluster, process_of
 from tests.utils import run_virtual
@@ -63,3 +65,30 @@
         self.check_lines(2.0, 4)
         self.check_lines(0.4, 3)
         self.check_lines(0.1, 0)
+
+
+class SectionTimerTest(unittest.TestCase):
+    """Parts of the owner's work that hold the event loop."""
+
+    def test_slow_section_is_logged_with_its_job(self) -> None:
+        async def main() -> EdgeMetrics:
+            metrics = EdgeMetrics()
+            loop = asyncio.get_running_loop()
+            for job_id, took_s in (("aa", 0.01), ("bb", 0.5), ("cc", 0.5)):
+                times = iter((loop.time(), loop.time() + took_s))
+                with (
+                    mock.patch.object(loop, "time", lambda times=times: next(times)),
+                    metrics.sections.measure(Section.ADD_JOB, job_id),
+                ):
+                    pass
+            return metrics
+
+        with logbook.TestHandler() as log:
+            metrics = run_virtual(main())
+        lines = [record for record in log.records if "held the event loop" in record.message]
+        self.assertEqual(len(lines), 1)
+        self.assertIn("bb", str(lines[0].extra))
+        count = metrics.registry.get_sample_value(
+            "pollengate_edge_section_seconds_count", {"section": "add_job"}
+        )
+        self.assertEqual(count, 3.0)
