Find the waiting tasks of a step in constant time

Cause: JobTable looked for each task in a deque before it queued it, so that opening a step took time in the square of its tasks (25 s for 50,000), on the loop that renews the owner's lease, at the hand-in and again at each takeover. The same search was made for each end (up to 1 ms) and for each run that a successor adopts.

Change: TaskQueue, an ordered mapping, in place of the deque; the planner walks it in place of copying it. Read for the same: explainer, wait monitor, cleared workers, restart room, tickets, transfers, delegation, account filter (each looks at lengths or stops at the first task that fits nowhere).

--- a/packages/pollengate/pollengate/explain/explainer.py
+++ b/packages/pollengate/pollengate/explain/explainer.py
@@ -164,7 +164,8 @@
         for step in opened:
             step.is_open = True
             step.opened_at = now
-            step.waiting.extend(step.tasks)
+            for task in step.tasks:
+                step.waiting.append(task)
         return self._explain(job, opened, now)
 
     def worker_ages(self, now: float) -> list[WorkerAge]:
@@ -265,7 +266,7 @@
             if view.info.service != queue.service:
                 continue
             reason = find_unschedulable_reason(fleet, view, now) or find_reason(
-                step.waiting[0], view, placer, needs_ticket, now
+                step.waiting.first or step.tasks[0], view, placer, needs_ticket, now
             )
             if is_held_back and reason in (None, Reason.RESERVED):
                 reason = Reason.ACCOUNT_LIMIT
@@ -290,7 +291,7 @@
         self, step: StepProgress, queue: Queue, placer: Placer, needs_ticket: bool, now: float
     ) -> WorkerView | None:
         workers = self._job_table.fleet.schedulable_workers(queue.service, now)
-        return placer.choose(step.waiting[0], workers, now, needs_ticket)
+        return placer.choose(step.waiting.first or step.tasks[0], workers, now, needs_ticket)
 
 
 def _describe(step: StepProgress) -> StepExplanation:
--- a/packages/pollengate/pollengate/workflow/job_table.py
+++ b/packages/pollengate/pollengate/workflow/job_table.py
@@ -193,8 +193,7 @@
         """Keeps a task without a run from being started, as another shard may run it."""
         task.is_delegated = True
         step = task.step
-        if task in step.waiting:
-            step.waiting.remove(task)
+        step.waiting.discard(task)
         if not step.waiting:
             self.open_steps.pop(step, None)
 
@@ -236,8 +235,7 @@
         view.add(run)
         step = task.step
         self.account_usage.add(step.job.account, step.spec.demand, 1)
-        if task in step.waiting:
-            step.waiting.remove(task)
+        step.waiting.discard(task)
         if not step.waiting:
             self.open_steps.pop(step, None)
         job = step.job
@@ -408,10 +406,8 @@
     def _enqueue(self, task: TaskProgress) -> None:
         """Queues a task, a long-running one that has run before ahead of its siblings."""
         step = task.step
-        if task in step.waiting:
-            pass
-        elif step.spec.is_long_running and task.last_run:
-            step.waiting.appendleft(task)
+        if step.spec.is_long_running and task.last_run:
+            step.waiting.append_first(task)
         else:
             step.waiting.append(task)
         self.open_steps[step] = None
@@ -424,8 +420,7 @@
                 step.done += 1
             for copy in list(member.runs_by_number.values()):
                 self.stop(copy)
-            if member in step.waiting:
-                step.waiting.remove(member)
+            step.waiting.discard(member)
         if not step.waiting:
             self.open_steps.pop(step, None)
         if not step.is_complete:
--- a/packages/pollengate/pollengate/workflow/ordering.py
+++ b/packages/pollengate/pollengate/workflow/ordering.py
@@ -38,7 +38,8 @@
 
 def runs_again(step: StepProgress) -> bool:
     """Returns True if the first waiting task of a long-running step has run before."""
-    return step.spec.is_long_running and bool(step.waiting) and step.waiting[0].last_run > 0
+    first = step.waiting.first
+    return step.spec.is_long_running and first is not None and first.last_run > 0
 
 
 class StepOrder(abc.ABC):
--- a/packages/pollengate/pollengate/workflow/planner.py
+++ b/packages/pollengate/pollengate/workflow/planner.py
@@ -273,7 +273,7 @@
                 self.placer.fillers.refresh(workers, now)
                 candidates = self.placer.filler_workers(step, workers, now)
                 plan.candidates_by_filler[key] = candidates
-        for task in list(step.waiting):
+        for task in step.waiting.walk():
             if plan.is_full or not self.order.may_take(step):
                 break
             if not self.start_filter.startable(step):
--- a/packages/pollengate/pollengate/workflow/progress.py
+++ b/packages/pollengate/pollengate/workflow/progress.py
@@ -7,6 +7,7 @@
 
 from pollengate.charts import load_chart
 from pollengate.workflow.model import Queue, Step, Workflow, task_name
+from pollengate.workflow.task_queue import TaskQueue
 
 __all__ = [
     "ENDED_JOB_STATES",
@@ -190,7 +191,7 @@
     number: int
     spec: Step
     tasks: list[TaskProgress] = dataclasses.field(default_factory=list)
-    waiting: collections.deque[TaskProgress] = dataclasses.field(default_factory=collections.deque)
+    waiting: TaskQueue[TaskProgress] = dataclasses.field(default_factory=TaskQueue)
     done: int = 0
     is_open: bool = False
     opened_at: float = 0.0
--- a/packages/pollengate/pollengate/workflow/waiting.py
+++ b/packages/pollengate/pollengate/workflow/waiting.py
@@ -228,7 +228,7 @@
     def _withheld_by(self, step: StepProgress, view: WorkerView) -> Withheld:
         """Returns why the next task of a step does not get a worker with room."""
         evidence = self._job_table.evidence
-        task = step.waiting[0] if step.waiting else step.tasks[0]
+        task = step.waiting.first or step.tasks[0]
         if not self._job_table.is_recorded(task):
             return Withheld.NOT_RECORDED
         if view.worker_id in task.worker_ids:
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -78,7 +78,7 @@
             self.assertEqual(explained.place, place)
             self.assertEqual(explained.worker is None, explained.cause is not None)
             if explained.worker:
-                starts.append((step.waiting[0].name, explained.worker))
+                starts.append((next(iter(step.waiting)).name, explained.worker))
         self.assertEqual(before, dump(planner))
         runs = plan(planner, now)
         self.assertEqual(starts[:1], [(run.task.name, run.worker_id) for run in runs[:1]])
--- a/tests/test_workflow_restart_room.py
+++ b/tests/test_workflow_restart_room.py
@@ -33,7 +33,7 @@
             step = build_step(is_long_running=True, demand=Demand(3000, 100))
             job_table.add(build_job(f"{number:016x}", step), 0.0, 0)
         for waiting in job_table.open_steps:
-            waiting.waiting[0].last_run = 1
+            waiting.tasks[0].last_run = 1
         room = RestartRoom(job_table)
         room.update(0.0)
         of = mock.patch.object(WorkerRoom, "of", side_effect=WorkerRoom.of)
