Log and export how many jobs of a shard have started no task

The logs had each refused start, but neither what the gate answered nor how many jobs the owner takes for waiting, so that a gate that asks the wrong shards, an old answer and a wrong state in the owner's table looked alike.

'count answered' now has the count; 'load of the shard' has waiting_jobs beside the waiting tasks, exported as pollengate_edge_waiting_jobs.

--- a/packages/pollengated/pollengated/edge/edge_metrics.py
+++ b/packages/pollengated/pollengated/edge/edge_metrics.py
@@ -144,6 +144,12 @@
         self.waiting_tasks = Gauge(
             "pollengate_edge_waiting_tasks", "Tasks that wait for a start.", registry=registry
         )
+        self.waiting_jobs = Gauge(
+            "pollengate_edge_waiting_jobs",
+            "Jobs of an owned shard of which no task is known to have started.",
+            ["shard"],
+            registry=registry,
+        )
         self.shard_capacity = Gauge(
             "pollengate_edge_shard_capacity_millis",
             "Millicores of the workers of an owned shard that may get tasks.",
--- a/packages/pollengated/pollengated/edge/gate_job_service.py
+++ b/packages/pollengated/pollengated/edge/gate_job_service.py
@@ -304,9 +304,11 @@
         outcome = type(response).__name__
         self._metrics.responses.labels(request, outcome).inc()
         self._metrics.response_seconds.labels(request).observe(took_s)
-        fields = (
-            {"reason": response.reason} if isinstance(response, NotAccepted | Undecided) else {}
-        )
+        fields: dict[str, object] = {}
+        if isinstance(response, NotAccepted | Undecided):
+            fields = {"reason": response.reason}
+        elif isinstance(response, WaitingCount):
+            fields = {"waiting": response.count}
         if request != "show" or fields:
             self._log.info(
                 f"{request} answered",
--- a/packages/pollengated/pollengated/edge/shard_load_log.py
+++ b/packages/pollengated/pollengated/edge/shard_load_log.py
@@ -4,7 +4,7 @@
 
 from pollengate.workflow.job_placement import rank_restart_shards
 from pollengate.workflow.job_table import JobTable
-from pollengate.workflow.progress import StepProgress
+from pollengate.workflow.progress import JobState, StepProgress
 from pollengate.workflow.start_filter import StartFilter
 from pollengate.workflow.stragglers import SILENT_AFTER_S
 from pollengate.workflow.waiting import WaitMonitor
@@ -58,6 +58,9 @@
         self._checked_at = now
         waiting = sum(len(step.waiting) for step in self._job_table.open_steps)
         self._metrics.waiting_tasks.set(waiting)
+        jobs = self._job_table.jobs_by_id.values()
+        waiting_jobs = sum(job.state is JobState.QUEUED for job in jobs)
+        self._metrics.waiting_jobs.labels(str(self._shard)).set(waiting_jobs)
         views = self._job_table.fleet.all_schedulable(now)
         capacity = sum(view.info.capacity.cpu_millis for view in views)
         committed = sum(view.committed_millis for view in views)
@@ -88,6 +91,7 @@
                     for view in self._job_table.fleet.workers_by_id.values()
                 ),
                 waiting=waiting,
+                waiting_jobs=waiting_jobs,
                 lag_s=round(lag_s, 2) if lag_s < float("inf") else None,
             )
         self._log_overdue_restarts(now)
