Count a job as begun only once one of its tasks has started

Cause: JobTable.add_run made a job running when a start was planned, and mark_rejected didn't take that back. So did a gang that is planned and taken back for lack of room. The state went into the job's record, too.

Change: a job begins when its worker confirms a start, lists the run or reports its end. The twin on the idle time: a planned start also reset idle_since, so that a job whose starts are refused at least every 2 s was never overdue; it is now set back by a start that happened, and a job with an open start isn't overdue, as before. Read: counts by account (demand of what may exist, meant so), probes and trials (ended with the refused run), crash counts (a start without a reply may have been carried out, so it still counts), lists of what may run (conservative on purpose), delegated tasks (shown as running from the start).

--- a/packages/pollengate/pollengate/workflow/job_table.py
+++ b/packages/pollengate/pollengate/workflow/job_table.py
@@ -238,11 +238,7 @@
         step.waiting.discard(task)
         if not step.waiting:
             self.open_steps.pop(step, None)
-        job = step.job
-        job.run_count += 1
-        job.idle_since = None
-        if job.state is JobState.QUEUED:
-            job.state = job.visible_state = JobState.RUNNING
+        step.job.run_count += 1
         return run
 
     def next_run_number(self, task: TaskProgress) -> int:
@@ -261,6 +257,12 @@
             return
         run.apply_event("confirmed")
         run.replied_at = now
+        self._mark_begun(run.task)
+
+    def mark_seen(self, run: Run) -> None:
+        """Marks a run as started, as its worker lists it."""
+        run.apply_event("seen")
+        self._mark_begun(run.task)
 
     def mark_past_startup(self, run: Run) -> None:
         """Records a success of the run's worker and job if its task is a long-running one."""
@@ -373,6 +375,7 @@
         if checkpoint:
             task.checkpoint = checkpoint
         task.last_run = max(task.last_run, number)
+        self._mark_begun(task)
         self.outbox.changed[job.job_id] = job
         if end_kind is EndKind.DONE:
             self.evidence.record_success(task.name, job.job_id, worker_id)
@@ -384,7 +387,7 @@
     def adopt(self, task: TaskProgress, number: int, view: WorkerView, now: float) -> Run:
         """Adds a run that a worker reports and that an earlier owner started."""
         run = self.add_run(task, view, number, now)
-        run.apply_event("seen")
+        self.mark_seen(run)
         run.replied_at = now
         run.is_speed_known = False
         return run
@@ -403,6 +406,13 @@
         if step.is_open and not (task.is_done or step.job.is_ended or task.runs_by_number):
             self._enqueue(task)
 
+    def _mark_begun(self, task: TaskProgress) -> None:
+        """Records that a run of a task has started for certain; a planned one may be refused."""
+        job = task.step.job
+        job.idle_since = None
+        if job.state is JobState.QUEUED:
+            job.state = job.visible_state = JobState.RUNNING
+
     def _enqueue(self, task: TaskProgress) -> None:
         """Queues a task, a long-running one that has run before ahead of its siblings."""
         step = task.step
--- a/packages/pollengate/pollengate/workflow/progress.py
+++ b/packages/pollengate/pollengate/workflow/progress.py
@@ -245,7 +245,7 @@
         workflow: the workflow as submitted.
         accepted_ms: Unix time of its acceptance.
         accepted_at: clock time of its acceptance, or of the takeover that loaded it.
-        state: its state.
+        state: its state; it is running once a task is known to have started.
         finished_ms: Unix time of its end by the clock of the owner at that time, 0 before that.
         visible_state: the state shown to clients; an end is shown once it is durable.
         is_restored: whether it was loaded at a takeover, so that an earlier owner may have started
@@ -261,8 +261,8 @@
         is_over_rate: whether its account had handed in more jobs than its rate allows when this one
             was accepted; it is not recorded.
         run_count: number of its runs that may exist on a worker.
-        idle_since: clock time since which tasks of it may start and it has no run, None if it has
-            one.
+        idle_since: clock time since which tasks of it may start and none has started, None if one
+            has; a start that is refused does not count.
     """
 
     job_id: str
@@ -298,7 +298,9 @@
 
     def is_overdue(self, now: float) -> bool:
         """Returns True if it has had no run for too long although tasks of it may start."""
-        return self.idle_since is not None and now - self.idle_since >= MAX_IDLE_S
+        if self.idle_since is None or self.run_count:
+            return False
+        return now - self.idle_since >= MAX_IDLE_S
 
     def is_due(self, occurrence: int, now_ms: int) -> bool:
         """Returns True if an occurrence is due at a Unix time; without a schedule it always is.
--- a/packages/pollengate/pollengate/workflow/reports.py
+++ b/packages/pollengate/pollengate/workflow/reports.py
@@ -189,10 +189,10 @@
                 return
             run = self._job_table.adopt(task, row.run, view, now)
         elif run.state is RunState.STARTING:
-            run.apply_event("seen")
+            self._job_table.mark_seen(run)
             run.replied_at = now
         elif run.state is RunState.UNSETTLED:
-            run.apply_event("seen")
+            self._job_table.mark_seen(run)
             self._job_table.outbox.stops.append(run)
         if run.task.crashes:
             self._clear_suspicion(run, now)
