Don't take a refused start for an earlier run of a long-running task

Cause: last_run > 0 stood for 'has run before' in the order of steps and tasks, the workers kept clear, the moves that make room, requests for workers, the delegation to other shards and the log of waiting restarts; planning a start sets last_run.

Change: TaskProgress.has_run is set by a start that happened or has no response (it may have), by a result, and for tasks taken over from another shard. The record names the tasks whose starts were all refused, so that a successor knows it; older records have none. Run numbers stay as they were.

Tests that set last_run to stand for an earlier run set has_run.

--- a/packages/pollengate/pollengate/workflow/cleared_workers.py
+++ b/packages/pollengate/pollengate/workflow/cleared_workers.py
@@ -47,7 +47,7 @@
         limit = math.ceil(MAX_CLEARED_SHARE * len(workers))
         before = len(self._cleared)
         for task in step.waiting:
-            if not task.last_run or task.crashes:
+            if not task.has_run or task.crashes:
                 continue
             view = self._choose(step, workers, limit)
             if view is None:
--- a/packages/pollengate/pollengate/workflow/job_table.py
+++ b/packages/pollengate/pollengate/workflow/job_table.py
@@ -209,6 +209,7 @@
         """
         if last_run >= task.last_run and checkpoint:
             task.checkpoint = checkpoint
+        task.has_run = True
         task.last_run = max(task.last_run, last_run + self._run_number_floor)
 
     def forget(self, job: JobProgress) -> None:
@@ -249,6 +250,7 @@
     def continue_run_numbers(self, task: TaskProgress, last_run: int) -> None:
         """Makes this owner and its successors number a delegated task's runs above `last_run`."""
         task.last_run = last_run
+        task.has_run = True
         task.step.job.run_number_offset = max(0, last_run - self._run_number_floor)
 
     def mark_started(self, run: Run, now: float) -> None:
@@ -278,6 +280,7 @@
     def mark_unknown(self, run: Run) -> None:
         """Applies a start order without a reply; stops the run unless it is known to be running."""
         if run.state is not RunState.ENDED:
+            run.task.has_run = True
             run.apply_event("unanswered")
             if run.state is RunState.UNSETTLED:
                 self.stop(run)
@@ -409,6 +412,7 @@
     def _mark_begun(self, task: TaskProgress) -> None:
         """Records that a run of a task has started for certain; a planned one may be refused."""
         job = task.step.job
+        task.has_run = True
         job.idle_since = None
         if job.state is JobState.QUEUED:
             job.state = job.visible_state = JobState.RUNNING
@@ -416,7 +420,7 @@
     def _enqueue(self, task: TaskProgress) -> None:
         """Queues a task, a long-running one that has run before ahead of its siblings."""
         step = task.step
-        if step.spec.is_long_running and task.last_run:
+        if step.spec.is_long_running and task.has_run:
             step.waiting.append_first(task)
         else:
             step.waiting.append(task)
--- a/packages/pollengate/pollengate/workflow/ordering.py
+++ b/packages/pollengate/pollengate/workflow/ordering.py
@@ -39,7 +39,7 @@
 def runs_again(step: StepProgress) -> bool:
     """Returns True if the first waiting task of a long-running step has run before."""
     first = step.waiting.first
-    return step.spec.is_long_running and first is not None and first.last_run > 0
+    return step.spec.is_long_running and first is not None and first.has_run
 
 
 class StepOrder(abc.ABC):
--- a/packages/pollengate/pollengate/workflow/progress.py
+++ b/packages/pollengate/pollengate/workflow/progress.py
@@ -120,7 +120,9 @@
         name: unique in a deployment.
         is_done: whether one of its runs has completed it.
         failed_runs: numbers of the runs that failed.
-        last_run: the highest run number used so far.
+        last_run: the highest run number used so far; a start with it may have been refused.
+        has_run: whether a run of it may have started, so that its users miss it if it is a
+            long-running task.
         checkpoint: where the next run resumes, empty to start from the beginning.
         crashes: number of workers that crashed under one of its runs; recorded.
         crashed_after_s: longest time from the start of a run to the crash of its worker; not
@@ -135,6 +137,7 @@
     is_done: bool = False
     failed_runs: set[int] = dataclasses.field(default_factory=set)
     last_run: int = 0
+    has_run: bool = False
     checkpoint: str = ""
     crashes: int = 0
     crashed_after_s: float = 0.0
--- a/packages/pollengate/pollengate/workflow/records.py
+++ b/packages/pollengate/pollengate/workflow/records.py
@@ -38,6 +38,7 @@
         runs: highest run number by task, unless it is 0.
         checkpoints: newest checkpoint by task, if there is one.
         crashes: number of workers that crashed under a task, unless it is 0.
+        refused: tasks in `runs` of which no run has started.
     """
 
     done: list[str]
@@ -45,6 +46,7 @@
     runs: dict[str, Amount] = dataclasses.field(default_factory=dict)
     checkpoints: dict[str, str] = dataclasses.field(default_factory=dict)
     crashes: dict[str, Amount] = dataclasses.field(default_factory=dict)
+    refused: list[str] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True)
@@ -153,6 +155,8 @@
         stored.failed_runs[key] = sorted(task.failed_runs)
     if task.last_run:
         stored.runs[key] = task.last_run
+        if not task.has_run and not task.runs_by_number:
+            stored.refused.append(key)
     if task.checkpoint:
         stored.checkpoints[key] = task.checkpoint
     if task.crashes:
@@ -168,6 +172,7 @@
 
 
 def _restore_occurrence(occurrence: Occurrence, saved: StoredOccurrence) -> None:
+    refused = frozenset(saved.refused)
     for step, digits in zip(occurrence.steps, saved.done, strict=True):
         bits = int(digits, 16)
         for task in step.tasks:
@@ -175,6 +180,7 @@
             task.is_done = bool(bits >> task.index & 1)
             task.failed_runs = set(saved.failed_runs.get(key, ()))
             task.last_run = saved.runs.get(key, 0)
+            task.has_run = task.last_run > 0 and key not in refused
             task.checkpoint = saved.checkpoints.get(key, "")
             task.crashes = saved.crashes.get(key, 0)
         step.done = sum(task.is_done for task in step.tasks)
--- a/packages/pollengate/pollengate/workflow/restart_room.py
+++ b/packages/pollengate/pollengate/workflow/restart_room.py
@@ -159,7 +159,7 @@
             for other in self._job_table.open_steps
             if runs_again(other) and other not in self._waiting_by_step
             for task in other.waiting
-            if task.last_run
+            if task.has_run
         ]
         claims += [task.step for task in self._moved_at_by_task if _is_stopping(task)]
         for other in sorted(claims, key=lambda claim: -claim.spec.demand.cpu_millis):
--- a/packages/pollengate/pollengate/workflow/task_delegation.py
+++ b/packages/pollengate/pollengate/workflow/task_delegation.py
@@ -50,7 +50,7 @@
             for step in self._job_table.open_steps
             if self._may_delegate(step)
             for task in step.waiting
-            if task.last_run and not task.crashes and not task.runs_by_number
+            if task.has_run and not task.crashes and not task.runs_by_number
         ]
         # A task is not in the queue while another shard is asked.
         asked = [task for task in self._waiting_since if task.is_delegated]
--- a/packages/pollengate/pollengate/workflow/waiting.py
+++ b/packages/pollengate/pollengate/workflow/waiting.py
@@ -135,7 +135,7 @@
             for step in self._job_table.open_steps
             if step.spec.is_long_running
             for task in step.waiting
-            if task.last_run
+            if task.has_run
         ]
         self._restart_since = {task: self._restart_since.get(task, now) for task in waiting}
         self._restart_reported_at = {
--- a/packages/pollengate/pollengate/workflow/worker_transfer.py
+++ b/packages/pollengate/pollengate/workflow/worker_transfer.py
@@ -210,7 +210,7 @@
     """
     tasks = len(step.waiting)
     if runs_again(step):
-        tasks = sum(task.last_run > 0 for task in step.waiting)
+        tasks = sum(task.has_run for task in step.waiting)
     spec = step.spec
     limit = spec.max_per_worker or spec.count
     fitting = max((_fitting_tasks(spec, v.info.capacity, limit) for v in workers), default=1)
--- a/tests/test_waiting_jobs.py
+++ b/tests/test_waiting_jobs.py
@@ -6,8 +6,15 @@
 from pollengate.workflow.clients import EndKind
 from pollengate.workflow.job_service import WaitingCount
 from pollengate.workflow.job_table import JobTable
+from pollengate.workflow.ordering import runs_again
 from pollengate.workflow.progress import MAX_IDLE_S, JobProgress, JobState, Run
-from pollengate.workflow.records import decode_progress, encode_progress
+from pollengate.workflow.records import (
+    decode_job,
+    decode_progress,
+    encode_job,
+    encode_progress,
+    restore,
+)
 
 from tests.edge_cluster import EdgeCluster
 from tests.utils import run_virtual
@@ -87,6 +94,24 @@
         job_table.mark_started(run, MAX_IDLE_S)
         self.assertFalse(job.is_overdue(10 * MAX_IDLE_S))
 
+    def test_refused_task_is_not_started_ahead_of_those_that_have_run(self) -> None:
+        # Guards against a task that never ran and takes the room of one whose users miss it.
+        job_table, job = self.build(2, is_long_running=True)
+        (step,) = job.occurrences_by_number[0].steps
+        refused, other = step.tasks
+        run, _ = build_planner(job_table).plan(0.0)
+        job_table.mark_rejected(run)
+        self.assertFalse(runs_again(step))
+        (lost,) = other.runs_by_number.values()
+        job_table.mark_started(lost, 0.0)
+        job_table.mark_lost(lost)
+        self.assertEqual(list(step.waiting), [other, refused])
+        self.assertTrue(runs_again(step))
+        stored = decode_job(encode_job(job)).unwrap()
+        restored = restore(stored, decode_progress(encode_progress(job)).unwrap(), 0.0).unwrap()
+        self.assertEqual([task.has_run for task in restored.tasks()], [False, True])
+        self.assertEqual([task.last_run for task in restored.tasks()], [1, 1])
+
 
 class WaitingCountTest(unittest.TestCase):
     """A cluster whose only worker refuses starts."""
--- a/tests/test_workflow_cleared_workers.py
+++ b/tests/test_workflow_cleared_workers.py
@@ -79,7 +79,7 @@
         job_table.add(job, 0.0, 0)
         (step,) = (s for s in job_table.open_steps if s.job is job)
         for task in step.waiting:
-            task.last_run = 1
+            task.has_run = True
         views = list(job_table.fleet.workers_by_id.values())
         for view in views:
             view.committed_millis = 3500
--- a/tests/test_workflow_restart_room.py
+++ b/tests/test_workflow_restart_room.py
@@ -33,7 +33,7 @@
             step = build_step(is_long_running=True, demand=Demand(3000, 100))
             job_table.add(build_job(f"{number:016x}", step), 0.0, 0)
         for waiting in job_table.open_steps:
-            waiting.tasks[0].last_run = 1
+            waiting.tasks[0].has_run = True
         room = RestartRoom(job_table)
         room.update(0.0)
         of = mock.patch.object(WorkerRoom, "of", side_effect=WorkerRoom.of)
@@ -68,7 +68,7 @@
             job = build_job(f"{number:016x}", step)
             job_table.add(job, 0.0, 0)
             for task in job.tasks():
-                task.last_run = 1
+                task.has_run = True
         for view in job_table.fleet.workers_by_id.values():
             view.lease.record_reply(0, NOW)
         room = RestartRoom(job_table)
--- a/tests/test_workflow_task_delegation.py
+++ b/tests/test_workflow_task_delegation.py
@@ -52,6 +52,7 @@
         job = build_job(f"{number:016x}", step)
         for task in job.open_occurrence(0).steps[0].tasks:
             task.last_run = last_run
+            task.has_run = last_run > 0
         job_table.add(job, 0.0, 0)
     return job_table
 
--- a/tests/test_workflow_worker_transfer.py
+++ b/tests/test_workflow_worker_transfer.py
@@ -81,6 +81,7 @@
         (opened,) = (s for s in job_table.open_steps if s.job.job_id.endswith("bb"))
         for task in list(opened.waiting)[:waiting_again]:
             task.last_run = 1
+            task.has_run = True
         found = shortage(job_table)
         assert found is not None
         return found.workers
