Record the progress of large jobs in parts, and open overdue times as they start

Cause: a job's progress was one record of all its occurrences and tasks. Over the store's limit for values the store refuses the whole transaction, and the committer sends it again for ever. Each commit also encoded all tasks of a changed job (25 ms for 50,000), and each plan compared all open steps, one for each time due.

Change: a job of more than 256 tasks has a record for each 256; an end writes the one that it changes. At most 100 times of a scheduled job wait for a start at once; the tasks of a complete occurrence are forgotten. Incomplete steps are counted, where each end searched all occurrences. A restored job with all tasks done is ended by the new owner. Smaller jobs keep their one record.

Read: _open_steps (now looks at its cheap conditions first), the end of a job, restoring (linear), retention and return of tasks (parts are removed with the job; delegated jobs have one task).

--- a/packages/pollengate/pollengate/workflow/job_table.py
+++ b/packages/pollengate/pollengate/workflow/job_table.py
@@ -4,16 +4,16 @@
 runs to stop and the jobs to record.
 """
 
-import dataclasses
+import collections
 from collections.abc import Callable, Collection
 
 from pollengate.accounts.usage import AccountUsage
-from pollengate.bounded import BoundedDict
 from pollengate.failure_evidence import FailureEvidence
 from pollengate.workflow.clients import EndKind
 from pollengate.workflow.crashes import TRIAL_CRASHES, CrashLog, WorkerCrash
 from pollengate.workflow.fleet import Fleet, WorkerView
 from pollengate.workflow.model import Deployment, Queue
+from pollengate.workflow.outbox import Outbox
 from pollengate.workflow.progress import (
     JobProgress,
     JobState,
@@ -23,6 +23,7 @@
     StepProgress,
     TaskProgress,
 )
+from pollengate.workflow.unclaimed_ends import UnclaimedEnds
 
 __all__ = ["Outbox", "JobTable"]
 
@@ -31,32 +32,8 @@
 RUNS_PER_TERM = 64
 # Digits of a number in a task's name; the conversion of thousands of digits raises.
 MAX_DIGITS = 9
-# Unknown jobs of which the tasks that are done are kept.
-MAX_UNKNOWN_JOBS = 1024
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _UnclaimedEnd:
-    """A run that ended done while its job was unknown."""
-
-    task: str
-    run: int
-    worker_id: str
-
-
-@dataclasses.dataclass(slots=True)
-class Outbox:
-    """Actions that follow from the events so far.
-
-    Attributes:
-        stops: runs to stop.
-        orphans: runs that no task wants, as worker id, task name and run number.
-        changed: jobs whose progress is to be recorded, by job id.
-    """
-
-    stops: list[Run] = dataclasses.field(default_factory=list)
-    orphans: list[tuple[str, str, int]] = dataclasses.field(default_factory=list)
-    changed: dict[str, JobProgress] = dataclasses.field(default_factory=dict)
+# Steps of occurrences of one scheduled job that wait at the same time because they are overdue.
+MAX_WAITING_OCCURRENCES = 100
 
 
 class JobTable:
@@ -73,6 +50,7 @@
             `is_recorded`.
         may_run_unseen: returns whether a restored task may have a run of an earlier owner that is
             not known yet; asked before a takeover is settled.
+        unclaimed_ends: runs that ended done while their job was unknown.
         on_run_ended: called with a run that ended on its worker, whether it is done, and the clock
             time; None for no call.
     """
@@ -91,9 +69,7 @@
         self._crash_log = CrashLog()
         self._run_number_floor = term * RUNS_PER_TERM
         self._scheduled_by_id: dict[str, JobProgress] = {}
-        self._unclaimed_ends_by_job_id = BoundedDict[str, tuple[_UnclaimedEnd, ...]](
-            MAX_UNKNOWN_JOBS
-        )
+        self.unclaimed_ends = UnclaimedEnds()
 
     def take_outbox(self) -> Outbox:
         """Returns the actions collected since the last call and clears them."""
@@ -113,35 +89,41 @@
             self._open_steps(occurrence, now)
         self._scheduled_by_id[job.job_id] = job
         self.open_due_occurrences(now, now_ms)
-        for end in self._unclaimed_ends_by_job_id.get(job.job_id) or ():
+        if self._is_complete(job):
+            # Its owner ended after the last task was recorded and before the job was.
+            self._end_job(job, JobState.COMPLETED, now_ms)
+        for end in self.unclaimed_ends.of_job(job.job_id):
             task = self.find_started_task(end.task, now)
             if task is not None and not (task.is_done or job.is_ended):
                 self.apply_result(task, end.run, end.worker_id, EndKind.DONE, "", now, now_ms)
 
-    def keep_unclaimed_end(self, task: str, run: int, worker_id: str) -> None:
-        """Keeps a run that ended done and whose job is unknown, for when the job is added.
-
-        Its client may submit the job again, and the worker forgets the end.
-
-        Args:
-            task: name of the task.
-            run: number of the run.
-            worker_id: the worker.
-        """
-        job_id = task.partition(".")[0]
-        known = self._unclaimed_ends_by_job_id.get(job_id) or ()
-        end = _UnclaimedEnd(task, run, worker_id)
-        self._unclaimed_ends_by_job_id.put(job_id, (*known, end))
-
     def has_ended_job(self, task: str) -> bool:
-        """Returns True if the job of a task is known to have ended."""
-        job = self.jobs_by_id.get(task.partition(".")[0])
-        return job is not None and job.is_ended
+        """Returns True if a task's job, or its occurrence of the job, is known to have ended."""
+        job_id, _, numbers = task.partition(".")
+        job = self.jobs_by_id.get(job_id)
+        if job is None or job.is_ended:
+            return job is not None
+        occurrence = numbers.partition(".")[0]
+        is_number = occurrence.isdecimal() and len(occurrence) <= MAX_DIGITS
+        return is_number and int(occurrence) in job.completed_occurrences
 
     def open_due_occurrences(self, now: float, now_ms: int) -> None:
-        """Opens the occurrences that have become due by Unix time `now_ms`."""
+        """Opens the occurrences that have become due by Unix time `now_ms`.
+
+        Of a job with many that are due at once, only as many are opened as leave
+        `MAX_WAITING_OCCURRENCES` without a start; each takes its part of every plan.
+        """
+        waiting: collections.Counter[str] = collections.Counter()
+        if self._scheduled_by_id:
+            waiting.update(s.job.job_id for s in self.open_steps if s.job.workflow.repeat_count)
         for job in list(self._scheduled_by_id.values()):
-            while job.due_count < job.occurrence_count and job.is_due(job.due_count, now_ms):
+            opened = waiting[job.job_id]
+            while (
+                job.due_count < job.occurrence_count
+                and opened < MAX_WAITING_OCCURRENCES
+                and job.is_due(job.due_count, now_ms)
+            ):
+                opened += 1
                 self._open_steps(job.open_occurrence(job.due_count), now)
             if job.is_ended or job.due_count >= job.occurrence_count:
                 del self._scheduled_by_id[job.job_id]
@@ -320,7 +302,7 @@
             return None
         crash = self._crash_log.record(view, runs, self.fleet.workers_by_id.values(), now)
         for task in crash.suspects:
-            self.outbox.changed[task.step.job.job_id] = task.step.job
+            self._mark_changed(task)
         for task in crash.given_up:
             if not task.step.job.is_ended:
                 self._end_job(task.step.job, JobState.FAILED, now_ms)
@@ -330,7 +312,7 @@
         """Forgets the crashes under a task that was shown not to cause them."""
         task.crashes = 0
         task.crashed_after_s = 0.0
-        self.outbox.changed[task.step.job.job_id] = task.step.job
+        self._mark_changed(task)
 
     def is_recorded(self, task: TaskProgress) -> bool:
         """Returns True unless a task that may be given up has crashes that are not durable yet.
@@ -379,7 +361,7 @@
             task.checkpoint = checkpoint
         task.last_run = max(task.last_run, number)
         self._mark_begun(task)
-        self.outbox.changed[job.job_id] = job
+        self._mark_changed(task)
         if end_kind is EndKind.DONE:
             self.evidence.record_success(task.name, job.job_id, worker_id)
             if not task.step.spec.is_long_running:
@@ -409,6 +391,12 @@
         if step.is_open and not (task.is_done or step.job.is_ended or task.runs_by_number):
             self._enqueue(task)
 
+    def _mark_changed(self, task: TaskProgress) -> None:
+        """Notes that the progress of a task is to be recorded."""
+        job = task.step.job
+        job.mark_changed(task)
+        self.outbox.changed[job.job_id] = job
+
     def _mark_begun(self, task: TaskProgress) -> None:
         """Records that a run of a task has started for certain; a planned one may be refused."""
         job = task.step.job
@@ -427,25 +415,29 @@
         self.open_steps[step] = None
 
     def _complete_task(self, task: TaskProgress, now: float, now_ms: int) -> None:
-        step = task.step
+        step, job = task.step, task.step.job
+        was_complete = step.is_complete
         for member in step.tasks if step.spec.is_gang else (task,):
             if not member.is_done:
                 member.is_done = True
                 step.done += 1
+                job.mark_changed(member)
             for copy in list(member.runs_by_number.values()):
                 self.stop(copy)
             step.waiting.discard(member)
         if not step.waiting:
             self.open_steps.pop(step, None)
-        if not step.is_complete:
+        if was_complete or not step.is_complete:
             return
+        job.incomplete_steps -= 1
         self._open_steps(step.occurrence, now)
-        job = step.job
-        if job.due_count == job.occurrence_count and all(
-            occurrence.is_complete for occurrence in job.occurrences_by_number.values()
-        ):
+        job.forget_complete(step.occurrence)
+        if self._is_complete(job):
             self._end_job(job, JobState.COMPLETED, now_ms)
 
+    def _is_complete(self, job: JobProgress) -> bool:
+        return job.due_count == job.occurrence_count and not job.incomplete_steps
+
     def _fail_task(self, task: TaskProgress, number: int, worker_id: str, now_ms: int) -> None:
         step = task.step
         job = step.job
@@ -479,8 +471,9 @@
 
     def _open_steps(self, occurrence: Occurrence, now: float) -> None:
         for step in occurrence.steps:
-            earlier_steps = [occurrence.steps[number] for number in step.spec.after]
-            if step.is_open or step.is_complete or not all(s.is_complete for s in earlier_steps):
+            if step.is_open or step.is_complete:
+                continue
+            if not all(occurrence.steps[number].is_complete for number in step.spec.after):
                 continue
             step.is_open = True
             step.opened_at = now
--- a/packages/pollengate/pollengate/workflow/keys.py
+++ b/packages/pollengate/pollengate/workflow/keys.py
@@ -22,6 +22,7 @@
     "placement_key",
     "placement_prefix",
     "progress_key",
+    "progress_part_key",
     "progress_prefix",
     "run_lists_key",
     "shard_of_job",
@@ -90,6 +91,11 @@
     return f"{progress_prefix(shard)}{job_id}"
 
 
+def progress_part_key(shard: int, job_id: str, part: int) -> str:
+    """Returns the key of the progress of some tasks of a job with many."""
+    return f"{progress_key(shard, job_id)}/{part}"
+
+
 def placement_prefix(home_shard: int) -> str:
     """Returns the prefix of the placement records of a home shard's jobs."""
     return f"{ROOT}placement/{home_shard}/"
--- a/packages/pollengate/pollengate/workflow/progress.py
+++ b/packages/pollengate/pollengate/workflow/progress.py
@@ -18,11 +18,14 @@
     "Run",
     "RunState",
     "StepProgress",
+    "TASKS_PER_RECORD",
     "TaskProgress",
 ]
 
 # Workers report this percentage for a long-running task that is past its startup.
 PAST_STARTUP_PERCENT = 100
+# A job with more tasks has a record for each so many of them, so that no record grows with the job.
+TASKS_PER_RECORD = 256
 # A job that could run may have nothing running for 3 s. After this time without any run its tasks
 # start where they otherwise would not.
 MAX_IDLE_S = 2.0
@@ -164,6 +167,11 @@
         """Ids of the workers on which a run of the task may exist."""
         return {run.worker_id for run in self.runs_by_number.values()}
 
+    @property
+    def record_part(self) -> int:
+        """Number of the record that has its progress, if its job has several."""
+        return (self.step.first_number + self.index) // TASKS_PER_RECORD
+
     @property
     def is_past_startup(self) -> bool:
         """Whether a run of this long-running task is past its startup."""
@@ -181,6 +189,7 @@
         occurrence: the occurrence that it belongs to.
         number: its index in the workflow.
         spec: the step as submitted.
+        first_number: number of tasks of the job before its own.
         tasks: its tasks by index.
         waiting: tasks that wait for a start, in order.
         done: number of tasks that are done.
@@ -193,6 +202,7 @@
     occurrence: "Occurrence"
     number: int
     spec: Step
+    first_number: int = 0
     tasks: list[TaskProgress] = dataclasses.field(default_factory=list)
     waiting: TaskQueue[TaskProgress] = dataclasses.field(default_factory=TaskQueue)
     done: int = 0
@@ -253,8 +263,14 @@
         visible_state: the state shown to clients; an end is shown once it is durable.
         is_restored: whether it was loaded at a takeover, so that an earlier owner may have started
             tasks of it.
-        occurrences_by_number: the occurrences that are due.
-        due_count: number of occurrences that have become due.
+        occurrences_by_number: the occurrences that have been opened, but for those that are
+            complete, if it is a scheduled job.
+        completed_occurrences: numbers of the others.
+        incomplete_steps: number of the steps in `occurrences_by_number` that are not complete.
+        due_count: number of occurrences that have been opened.
+        changed_parts: numbers of the records of its tasks that are to be written.
+        stored_parts: numbers of those that may be in the store.
+        tasks_per_occurrence: number of tasks of each occurrence.
         account: name of the client account that handed it in, empty for none.
         delegated_by: for a delegated task, which is a job of its own here and has the task's name
             as its id: the shard that has the task's job; None for a job as submitted.
@@ -278,7 +294,11 @@
     visible_state: JobState = JobState.QUEUED
     is_restored: bool = False
     occurrences_by_number: dict[int, Occurrence] = dataclasses.field(default_factory=dict)
+    completed_occurrences: set[int] = dataclasses.field(default_factory=set)
+    incomplete_steps: int = 0
     due_count: int = 0
+    changed_parts: set[int] = dataclasses.field(default_factory=set)
+    stored_parts: set[int] = dataclasses.field(default_factory=set)
     account: str = ""
     delegated_by: int | None = None
     run_number_offset: int = 0
@@ -286,9 +306,13 @@
     is_over_rate: bool = False
     run_count: int = 0
     idle_since: float | None = None
+    tasks_per_occurrence: int = dataclasses.field(init=False)
     _critical_path_ms: float | None = dataclasses.field(default=None, init=False)
     _chain_ms_by_step: list[float] | None = dataclasses.field(default=None, init=False)
 
+    def __post_init__(self) -> None:
+        self.tasks_per_occurrence = sum(step.count for step in self.workflow.steps)
+
     @property
     def is_ended(self) -> bool:
         """Whether the job is completed, failed or cancelled."""
@@ -299,6 +323,11 @@
         """Total number of occurrences."""
         return max(1, self.workflow.repeat_count)
 
+    @property
+    def has_parts(self) -> bool:
+        """Whether the progress of its tasks is in records of their own."""
+        return self.tasks_per_occurrence * self.occurrence_count > TASKS_PER_RECORD
+
     def is_overdue(self, now: float) -> bool:
         """Returns True if it has had no run for too long although tasks of it may start."""
         if self.idle_since is None or self.run_count:
@@ -317,17 +346,31 @@
     def open_occurrence(self, number: int) -> Occurrence:
         """Adds an occurrence with all of its steps and tasks."""
         occurrence = Occurrence(self, number)
+        first_number = number * self.tasks_per_occurrence
         for step_number, spec in enumerate(self.workflow.steps):
-            step = StepProgress(occurrence, step_number, spec)
+            step = StepProgress(occurrence, step_number, spec, first_number)
+            first_number += spec.count
             step.tasks = [
                 TaskProgress(step, index, self._task_name(number, step_number, index))
                 for index in range(spec.count)
             ]
             occurrence.steps.append(step)
         self.occurrences_by_number[number] = occurrence
+        self.incomplete_steps += len(occurrence.steps)
         self.due_count = max(self.due_count, number + 1)
         return occurrence
 
+    def forget_complete(self, occurrence: Occurrence) -> None:
+        """Forgets the tasks of a complete occurrence of a scheduled job."""
+        if self.workflow.repeat_count and occurrence.is_complete:
+            self.occurrences_by_number.pop(occurrence.number, None)
+            self.completed_occurrences.add(occurrence.number)
+
+    def mark_changed(self, task: TaskProgress) -> None:
+        """Notes that the record with a task's progress is to be written."""
+        if self.has_parts:
+            self.changed_parts.add(task.record_part)
+
     def _task_name(self, occurrence: int, step: int, index: int) -> str:
         if self.delegated_by is not None:
             return self.job_id
@@ -341,6 +384,18 @@
         tasks = found.steps[step].tasks
         return tasks[index] if 0 <= index < len(tasks) else None
 
+    def tasks_of_part(self, part: int) -> Iterator[tuple[int, TaskProgress]]:
+        """Yields the tasks of one record that are due, each with its number in the record."""
+        first = part * TASKS_PER_RECORD
+        end = first + TASKS_PER_RECORD
+        size = self.tasks_per_occurrence
+        for number in range(first // size, (end - 1) // size + 1):
+            occurrence = self.occurrences_by_number.get(number)
+            for step in occurrence.steps if occurrence is not None else ():
+                begin = max(0, first - step.first_number)
+                for task in step.tasks[begin : max(begin, end - step.first_number)]:
+                    yield step.first_number + task.index - first, task
+
     def tasks(self) -> Iterator[TaskProgress]:
         """Yields the tasks of all occurrences that are due."""
         for occurrence in self.occurrences_by_number.values():
--- a/packages/pollengate/pollengate/workflow/records.py
+++ b/packages/pollengate/pollengate/workflow/records.py
@@ -2,17 +2,34 @@
 
 import dataclasses
 import re
+from collections.abc import Mapping
 
 import msgspec
 from result import Err, Ok, Result
 
 from pollengate.decoding import Amount, DocumentDecoder
 from pollengate.workflow.model import Workflow
-from pollengate.workflow.progress import JobProgress, JobState, Occurrence, TaskProgress
+from pollengate.workflow.progress import (
+    TASKS_PER_RECORD,
+    JobProgress,
+    JobState,
+    Occurrence,
+    TaskProgress,
+)
 from pollengate.workflow.validation import find_fault
 
-__all__ = ["StoredJob", "StoredProgress", "decode_job", "decode_progress", "encode_job"]
-__all__ += ["encode_progress", "restore"]
+__all__ = [
+    "StoredJob",
+    "StoredPart",
+    "StoredProgress",
+    "decode_job",
+    "decode_part",
+    "decode_progress",
+    "encode_job",
+    "encode_part",
+    "encode_progress",
+    "restore",
+]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -49,9 +66,32 @@
     refused: list[str] = dataclasses.field(default_factory=list)
 
 
+@dataclasses.dataclass(slots=True)
+class StoredPart:
+    """Progress of consecutive tasks of a job with more than `TASKS_PER_RECORD`.
+
+    Attributes:
+        done: a bit set of the completed tasks, in hexadecimal, by their numbers in the record.
+        tasks: progress of the others, as far as they have any, by the same numbers.
+    """
+
+    done: str
+    tasks: dict[int, "StoredTask"] = dataclasses.field(default_factory=dict)
+
+
+class StoredTask(msgspec.Struct, omit_defaults=True):
+    """Progress of a task; the attributes are those of `TaskProgress`."""
+
+    last_run: Amount = 0
+    has_run: bool = False
+    failed_runs: list[Amount] = []
+    checkpoint: str = ""
+    crashes: Amount = 0
+
+
 @dataclasses.dataclass(slots=True)
 class StoredProgress:
-    """Progress record of a job."""
+    """Progress record of a job; one whose tasks have records of their own has no occurrences."""
 
     state: JobState
     finished_ms: Amount
@@ -62,6 +102,7 @@
 _HEXADECIMAL = re.compile("[0-9a-f]+")
 _JOB_DECODER = DocumentDecoder(StoredJob)
 _PROGRESS_DECODER = DocumentDecoder(StoredProgress)
+_PART_DECODER = DocumentDecoder(StoredPart)
 
 
 def encode_job(job: JobProgress) -> bytes:
@@ -89,7 +130,7 @@
     """Encodes a job's progress; the record of an ended job has no tasks."""
     occurrences = (
         {}
-        if job.is_ended
+        if job.is_ended or job.has_parts
         else {
             number: _store_occurrence(occurrence)
             for number, occurrence in job.occurrences_by_number.items()
@@ -99,13 +140,48 @@
     return msgspec.json.encode(stored)
 
 
+def encode_part(job: JobProgress, part: int) -> bytes:
+    """Encodes the progress of the tasks in one record of a job; see `TASKS_PER_RECORD`."""
+    stored = StoredPart("")
+    done = 0
+    first, size = part * TASKS_PER_RECORD, job.tasks_per_occurrence
+    for occurrence in range(first // size, (first + TASKS_PER_RECORD - 1) // size + 1):
+        if occurrence in job.completed_occurrences:
+            begin, end = occurrence * size - first, (occurrence + 1) * size - first
+            done |= _bits(max(0, begin), min(end, TASKS_PER_RECORD))
+    for number, task in job.tasks_of_part(part):
+        if task.is_done:
+            done |= 1 << number
+        elif task.last_run or task.failed_runs or task.checkpoint or task.crashes:
+            stored.tasks[number] = StoredTask(
+                task.last_run,
+                task.has_run or bool(task.runs_by_number),
+                sorted(task.failed_runs),
+                task.checkpoint,
+                task.crashes,
+            )
+    stored.done = f"{done:x}"
+    return msgspec.json.encode(stored)
+
+
+def decode_part(value: bytes) -> Result[StoredPart, str]:
+    """Decodes the progress of some of a job's tasks; the error says what is wrong."""
+    decoded = _PART_DECODER.decode(value)
+    if not isinstance(decoded, Err) and not _HEXADECIMAL.fullmatch(decoded.ok_value.done):
+        return Err("the completed tasks are no hexadecimal number")
+    return decoded
+
+
 def decode_progress(value: bytes) -> Result[StoredProgress, str]:
     """Decodes a progress record; the error is the decoder's message."""
     return _PROGRESS_DECODER.decode(value)
 
 
 def restore(
-    stored: StoredJob, progress: StoredProgress | None, now: float
+    stored: StoredJob,
+    progress: StoredProgress | None,
+    now: float,
+    parts_by_number: Mapping[int, StoredPart] | None = None,
 ) -> Result[JobProgress, str]:
     """Rebuilds a job from its records.
 
@@ -113,6 +189,7 @@
         stored: the job's record.
         progress: its progress record, None if there is none.
         now: clock time.
+        parts_by_number: the records of its tasks, if they have records of their own.
 
     Returns:
         The job, or a message that says why the progress record does not belong to it.
@@ -122,6 +199,8 @@
     job.account = stored.account
     job.delegated_by = stored.delegated_by
     job.run_number_offset = stored.run_number_offset
+    parts_by_number = parts_by_number or {}
+    job.stored_parts.update(parts_by_number)
     if progress is None:
         return Ok(job)
     job.state = job.visible_state = progress.state
@@ -133,9 +212,52 @@
             return Err(f"occurrence {number} does not match the job")
         _restore_occurrence(job.open_occurrence(number), saved)
     job.due_count = min(max(job.due_count, progress.due_count), job.occurrence_count)
+    if job.has_parts:
+        _restore_parts(job, parts_by_number)
+    else:
+        job.completed_occurrences.update(range(job.due_count))
+        job.completed_occurrences.difference_update(job.occurrences_by_number)
     return Ok(job)
 
 
+def _restore_parts(job: JobProgress, parts_by_number: Mapping[int, StoredPart]) -> None:
+    """Opens the occurrences that are due, also those without any progress, and applies records."""
+    done_by_part = {number: int(part.done, 16) for number, part in parts_by_number.items()}
+    for number in range(job.due_count):
+        occurrence = job.open_occurrence(number)
+        for step in occurrence.steps:
+            for task in step.tasks:
+                part = parts_by_number.get(task.record_part)
+                if part is not None:
+                    _restore_task(task, part, done_by_part[task.record_part])
+        _count_complete(occurrence)
+
+
+def _restore_task(task: TaskProgress, part: StoredPart, done: int) -> None:
+    number = (task.step.first_number + task.index) % TASKS_PER_RECORD
+    task.is_done = bool(done >> number & 1)
+    saved = part.tasks.get(number)
+    if saved is not None and not task.is_done:
+        task.failed_runs = set(saved.failed_runs)
+        task.last_run = saved.last_run
+        task.has_run = saved.has_run
+        task.checkpoint = saved.checkpoint
+        task.crashes = saved.crashes
+
+
+def _count_complete(occurrence: Occurrence) -> None:
+    """Counts the tasks and steps of a restored occurrence that are done."""
+    for step in occurrence.steps:
+        step.done = sum(task.is_done for task in step.tasks)
+        occurrence.job.incomplete_steps -= step.is_complete
+    occurrence.job.forget_complete(occurrence)
+
+
+def _bits(begin: int, end: int) -> int:
+    """Returns a bit set of the numbers from `begin` up to, but without, `end`."""
+    return (1 << end) - (1 << begin)
+
+
 def _store_occurrence(occurrence: Occurrence) -> StoredOccurrence:
     stored = StoredOccurrence([])
     for step in occurrence.steps:
@@ -183,7 +305,7 @@
             task.has_run = task.last_run > 0 and key not in refused
             task.checkpoint = saved.checkpoints.get(key, "")
             task.crashes = saved.crashes.get(key, 0)
-        step.done = sum(task.is_done for task in step.tasks)
+    _count_complete(occurrence)
 
 
 def _task_key(task: TaskProgress) -> str:
--- a/packages/pollengate/pollengate/workflow/reports.py
+++ b/packages/pollengate/pollengate/workflow/reports.py
@@ -10,6 +10,7 @@
 from pollengate.workflow.job_table import JobTable
 from pollengate.workflow.model import WorkerCondition
 from pollengate.workflow.progress import PAST_STARTUP_PERCENT, Run, RunState, TaskProgress
+from pollengate.workflow.unclaimed_ends import UnclaimedEnd
 
 __all__ = ["AppliedEnd", "EndEffect", "ReportReconciler"]
 
@@ -160,7 +161,8 @@
             return EndEffect.JOB_ENDED
         if task is None:
             if end_kind is EndKind.DONE:
-                self._job_table.keep_unclaimed_end(ended.task, ended.run, self._view.worker_id)
+                end = UnclaimedEnd(ended.task, ended.run, self._view.worker_id)
+                self._job_table.unclaimed_ends.keep(end)
             return EndEffect.UNKNOWN_TASK
         if task.is_done:
             return EndEffect.TASK_DONE
--- a/packages/pollengated/pollengated/edge/committer.py
+++ b/packages/pollengated/pollengated/edge/committer.py
@@ -22,9 +22,15 @@
     Store,
     Unchanged,
 )
-from pollengate.workflow.keys import commit_key, job_key, owner_key, progress_key
+from pollengate.workflow.keys import (
+    commit_key,
+    job_key,
+    owner_key,
+    progress_key,
+    progress_part_key,
+)
 from pollengate.workflow.progress import JobProgress, JobState
-from pollengate.workflow.records import encode_job, encode_progress
+from pollengate.workflow.records import encode_job, encode_part, encode_progress
 from pollengate.workflow.shard_lease import ShardLease
 from prometheus_client import CollectorRegistry
 from result import Err
@@ -37,10 +43,12 @@
     "CommitNumber",
     "Committer",
     "JobRecord",
+    "ProgressPartRecord",
     "ProgressRecord",
     "Record",
     "RecordRemoval",
     "decode_commit_number",
+    "record_progress",
 ]
 
 # A transaction has up to 32 entries; three are the conditions on the owner and commit keys and the
@@ -69,6 +77,24 @@
 _COMMIT_NUMBER_DECODER = DocumentDecoder(CommitNumber)
 
 
+def record_progress(committer: "Committer", shard: int, job: JobProgress) -> int:
+    """Queues what has changed of a job's progress; returns the number of the last record.
+
+    The job's own record goes first: it has the number of occurrences that were opened.
+    """
+    number = committer.add(ProgressRecord(shard, job))
+    if job.is_ended:
+        for part in sorted(job.stored_parts):
+            number = committer.add(RecordRemoval(progress_part_key(shard, job.job_id, part)))
+        job.stored_parts.clear()
+    else:
+        for part in sorted(job.changed_parts):
+            number = committer.add(ProgressPartRecord(shard, job, part))
+        job.stored_parts |= job.changed_parts
+    job.changed_parts.clear()
+    return number
+
+
 def decode_commit_number(value: bytes) -> CommitNumber | None:
     """Decodes the value of a commit key; returns None if it is malformed."""
     return _COMMIT_NUMBER_DECODER.decode(value).ok()
@@ -122,8 +148,21 @@
         self._job.visible_state = self._state
 
 
+class ProgressPartRecord(Record):
+    """Stores the progress of some tasks of a job with many."""
+
+    def __init__(self, shard: int, job: JobProgress, part: int) -> None:
+        self.key = progress_part_key(shard, job.job_id, part)
+        self._job = job
+        self._part = part
+
+    def operation(self) -> Operation:
+        """Returns the write."""
+        return Put(self.key, encode_part(self._job, self._part))
+
+
 class RecordRemoval(Record):
-    """Deletes one of the two records of a job that ended long ago."""
+    """Deletes a record of a job that has ended."""
 
     def __init__(self, key: str) -> None:
         self.key = key
--- a/packages/pollengated/pollengated/edge/job_retention.py
+++ b/packages/pollengated/pollengated/edge/job_retention.py
@@ -1,7 +1,13 @@
 """Removes jobs that ended long ago."""
 
 from pollengate.workflow.job_table import JobTable
-from pollengate.workflow.keys import job_key, placement_key, progress_key, shard_of_job
+from pollengate.workflow.keys import (
+    job_key,
+    placement_key,
+    progress_key,
+    progress_part_key,
+    shard_of_job,
+)
 
 from pollengated.edge.committer import Committer, RecordRemoval
 
@@ -43,6 +49,8 @@
                 del self._ended_since_by_job_id[job_id]
                 self._committer.add(RecordRemoval(job_key(self._shard, job_id)))
                 self._committer.add(RecordRemoval(progress_key(self._shard, job_id)))
+                for part in sorted(job.stored_parts):
+                    self._committer.add(RecordRemoval(progress_part_key(self._shard, job_id, part)))
                 home_shard = job.delegated_by
                 if home_shard is None:
                     home_shard = shard_of_job(job_id, self._shards)
--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -26,7 +26,7 @@
 from pollengated.edge.account_shares import AccountShares
 from pollengated.edge.advice_requester import AdviceRequester
 from pollengated.edge.clocks import Clocks
-from pollengated.edge.committer import Committer, ProgressRecord
+from pollengated.edge.committer import Committer, record_progress
 from pollengated.edge.decision_failures import DecisionFailures
 from pollengated.edge.edge_metrics import EdgeMetrics
 from pollengated.edge.interference_learning import InterferenceLearning
@@ -434,7 +434,7 @@
     def _record_changes(self) -> None:
         changed = self.job_table.outbox.changed
         for job in changed.values():
-            job.record_number = self._committer.add(ProgressRecord(self.shard, job))
+            job.record_number = record_progress(self._committer, self.shard, job)
             if job.is_ended:
                 self._job_end_log.record(job)
         changed.clear()
