Leave out a record that the store will never accept

A record over the store's limit, which the settings give, is left out of commits, and a commit that is refused for good is split until its record is alone; each is logged once with key, size and limit, and counted. A commit has no more bytes than one value may have. Checkpoints over 512 characters are not used, so that the records of 256 tasks stay within 1 MiB.

--- a/packages/pollengate/pollengate/memory_store.py
+++ b/packages/pollengate/pollengate/memory_store.py
@@ -149,7 +149,7 @@
             if not isinstance(operation, Put):
                 continue
             if len(operation.value) > MAX_VALUE_BYTES:
-                return StoreFailure(FailureKind.REJECTED, f"value of {operation.key} exceeds 1 MB")
+                return StoreFailure(FailureKind.INVALID, f"value of {operation.key} exceeds 1 MB")
             if operation.lease_id and operation.lease_id not in self._leases_by_id:
                 return StoreFailure(FailureKind.REJECTED, f"lease {operation.lease_id} not found")
         return None
--- a/packages/pollengate/pollengate/store.py
+++ b/packages/pollengate/pollengate/store.py
@@ -30,8 +30,9 @@
 class FailureKind(enum.StrEnum):
     """Whether a failed store call may have had an effect, and why it failed.
 
-    `LEASE_GONE` and `HISTORY_GONE` are rejections with a known cause: the lease of a write has
-    expired, or the store no longer has the changes that a watch requests.
+    `LEASE_GONE`, `HISTORY_GONE` and `INVALID` are rejections with a known cause: the lease of a
+    write has expired, the store no longer has the changes that a watch requests, or it will never
+    accept the call, for example because a value is too long.
     """
 
     NOT_SENT = "not_sent"
@@ -39,6 +40,7 @@
     REJECTED = "rejected"
     LEASE_GONE = "lease_gone"
     HISTORY_GONE = "history_gone"
+    INVALID = "invalid"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/pollengate/pollengate/workflow/settings.py
+++ b/packages/pollengate/pollengate/workflow/settings.py
@@ -51,6 +51,7 @@
         rpc_address: `ip:port` for the system's other processes.
         metrics_address: `ip:port` for metrics.
         store_address: `ip:port` of the platform's store.
+        max_value_bytes: limit of the store for a value.
         advice_address: `ip:port` of the advice service, empty if there is none.
         cores: processors that the process may use.
         memory_mb: memory that the process may use.
@@ -66,6 +67,7 @@
     rpc_address: str
     metrics_address: str
     store_address: str
+    max_value_bytes: int
     advice_address: str
     cores: float
     memory_mb: int
--- a/packages/pollengated/pollengated/edge/committer.py
+++ b/packages/pollengated/pollengated/edge/committer.py
@@ -9,6 +9,7 @@
 import abc
 import asyncio
 import dataclasses
+from collections.abc import Sequence
 
 import msgspec
 from pollengate.decoding import Amount, DocumentDecoder
@@ -32,11 +33,11 @@
 from pollengate.workflow.progress import JobProgress, JobState
 from pollengate.workflow.records import encode_job, encode_part, encode_progress
 from pollengate.workflow.shard_lease import ShardLease
-from prometheus_client import CollectorRegistry
 from result import Err
 
 from pollengated.edge.clocks import Clocks
-from pollengated.edge.section_timer import Section, SectionTimer
+from pollengated.edge.edge_metrics import EdgeMetrics
+from pollengated.edge.section_timer import Section
 from pollengated.logs import Log
 
 __all__ = [
@@ -57,6 +58,7 @@
 # Pause after a commit, so that the next one contains more records.
 COMMIT_INTERVAL_S = 0.03
 RETRY_S = 0.1
+DEFAULT_MAX_VALUE_BYTES = 1_048_576
 # If commits fail for longer than this, new jobs are refused instead of kept waiting.
 STALLED_AFTER_S = 0.4
 
@@ -117,6 +119,10 @@
         """Called when the write is durable."""
         return
 
+    def on_refused(self) -> None:
+        """Called if the store will never accept the write."""
+        return
+
 
 class JobRecord(Record):
     """Stores an accepted job."""
@@ -182,7 +188,8 @@
         term_number: number of the ownership term, counted from 0.
         commit_revision: revision of the shard's commit key, 0 if it is absent.
         clocks: the process's clocks.
-        sections: measures the encoding of records.
+        metrics: counts refused records and measures their encoding; None for a term without.
+        max_value_bytes: limit of the store for a value.
 
     Attributes:
         term_number: the same.
@@ -197,7 +204,8 @@
         term_number: int,
         commit_revision: int,
         clocks: Clocks,
-        sections: SectionTimer | None = None,
+        metrics: EdgeMetrics | None = None,
+        max_value_bytes: int = DEFAULT_MAX_VALUE_BYTES,
     ) -> None:
         self._store = store
         self._shard = shard
@@ -206,7 +214,10 @@
         self._commit_revision = commit_revision
         self.previous_commit: CommitNumber | None = None
         self._clocks = clocks
-        self._sections = sections or SectionTimer(CollectorRegistry())
+        self._metrics = metrics or EdgeMetrics()
+        self._max_value_bytes = max_value_bytes
+        # Records of one commit; a commit that the store refuses for good is split to find which.
+        self._max_records = RECORDS_PER_COMMIT
         self._log = Log("commits")
         self._pending: dict[str, tuple[int, Record]] = {}
         self._writing: dict[str, tuple[int, Record]] = {}
@@ -224,13 +235,16 @@
         shard_lease: ShardLease,
         commit: Entry | None,
         clocks: Clocks,
-        sections: SectionTimer,
+        metrics: EdgeMetrics,
+        max_value_bytes: int,
     ) -> "Committer":
         """Returns the committer of a term that follows the one of a shard's commit key."""
         previous = decode_commit_number(commit.value) if commit else None
         term_number = max(shard_lease.term_number, previous.tenure + 1 if previous else 0)
         revision = commit.revision if commit else 0
-        committer = cls(store, shard, shard_lease, term_number, revision, clocks, sections)
+        committer = cls(
+            store, shard, shard_lease, term_number, revision, clocks, metrics, max_value_bytes
+        )
         committer.previous_commit = previous
         return committer
 
@@ -298,31 +312,94 @@
                 await asyncio.sleep(COMMIT_INTERVAL_S)
 
     async def _commit_group(self) -> None:
-        keys = list(self._pending)[:RECORDS_PER_COMMIT]
-        self._writing = {key: self._pending.pop(key) for key in keys}
+        with self._metrics.sections.measure(Section.ENCODE_RECORDS, self._shard):
+            operations = self._take_group()
+        if not operations:
+            return
         number = CommitNumber(self.term_number, self._next_sequence)
         self._next_sequence += 1
-        with self._sections.measure(Section.ENCODE_RECORDS, self._shard):
-            operations = [record.operation() for _, record in self._writing.values()]
         operations.append(Put(commit_key(self._shard), msgspec.json.encode(number)))
         revision = await self._write(number, operations)
         if revision is None:
             return
+        self._max_records = RECORDS_PER_COMMIT
         self._commit_revision = revision
         written, self._writing = self._writing, {}
         for _, record in written.values():
             record.on_committed()
+        self._notify_advanced()
+
+    def _notify_advanced(self) -> None:
         advanced, self._advanced = self._advanced, asyncio.Event()
         advanced.set()
 
+    def _take_group(self) -> list[Operation]:
+        """Moves the next records to `_writing` and returns their writes, within the limits.
+
+        A record that the store would refuse is left out, as it would hold all others back.
+        """
+        self._writing = {}
+        operations: list[Operation] = []
+        total_bytes = 0
+        for key in list(self._pending):
+            operation = self._pending[key][1].operation()
+            size = len(operation.value) if isinstance(operation, Put) else 0
+            if size > self._max_value_bytes:
+                _, record = self._pending.pop(key)
+                self._leave_out(record, size)
+                continue
+            total_bytes += size
+            is_full = len(operations) >= self._max_records or total_bytes > self._max_value_bytes
+            if operations and is_full:
+                break
+            self._writing[key] = self._pending.pop(key)
+            operations.append(operation)
+        if not operations:
+            self._notify_advanced()
+        return operations
+
+    def _handle_invalid(self, operations: Sequence[Operation], detail: str) -> None:
+        """Splits a commit that the store will never accept; leaves out a record that is alone."""
+        refused, self._writing = self._writing, {}
+        if len(refused) == 1:
+            ((_, record),) = refused.values()
+            operation = operations[0]
+            size = len(operation.value) if isinstance(operation, Put) else 0
+            self._leave_out(record, size, detail)
+            self._notify_advanced()
+            return
+        self._max_records = (len(refused) + 1) // 2
+        # Records that were added meanwhile are newer.
+        added, self._pending = self._pending, refused
+        for key, (number, record) in added.items():
+            self._pending[key] = (self._pending.get(key, (number, record))[0], record)
+
+    def _leave_out(self, record: Record, size: int, detail: str = "") -> None:
+        record.on_refused()
+        self._metrics.refused_records.inc()
+        self._log.warning(
+            "record is refused by the store for good; leaving it out",
+            shard=self._shard,
+            key=record.key,
+            bytes=size,
+            limit_bytes=self._max_value_bytes,
+            cause=detail,
+        )
+
     async def _write(self, number: CommitNumber, operations: list[Operation]) -> int | None:
-        """Sends a commit until it succeeds; returns its revision, None if the lease is lost."""
+        """Sends a commit until it succeeds; returns its revision.
+
+        It is None if the lease is lost, or if the store will never accept the commit.
+        """
         conditions = [
             Unchanged(owner_key(self._shard), self._shard_lease.token),
             Unchanged(commit_key(self._shard), self._commit_revision),
         ]
         while not self._shard_lease.is_lost:
             result = await self._store.commit(conditions, operations)
+            if isinstance(result, Err) and result.err_value.kind is FailureKind.INVALID:
+                self._handle_invalid(operations, result.err_value.detail)
+                return None
             if isinstance(result, Err):
                 self._handle_failure(result.err_value.kind, result.err_value.detail)
                 await asyncio.sleep(RETRY_S)
--- a/packages/pollengated/pollengated/edge/compose.py
+++ b/packages/pollengated/pollengated/edge/compose.py
@@ -143,7 +143,9 @@
     readiness.probe = probe
     explain_service.shards = layout.shards
     client_server = _create_server(
-        CloseConnectionsOnShutdown(create_client_app(job_service), stop_flag),
+        CloseConnectionsOnShutdown(
+            create_client_app(job_service, settings.max_value_bytes), stop_flag
+        ),
         settings.client_address,
     )
     log.info("serving", address=settings.client_address, shards=layout.shards)
--- a/packages/pollengated/pollengated/edge/edge_metrics.py
+++ b/packages/pollengated/pollengated/edge/edge_metrics.py
@@ -81,6 +81,11 @@
             "Reports whose results were not durable in time.",
             registry=registry,
         )
+        self.refused_records = Counter(
+            "pollengate_edge_refused_records",
+            "Records that the store will never accept, and that were left out.",
+            registry=registry,
+        )
         self.ineffective_ends = Counter(
             "pollengate_edge_ineffective_ends",
             "Runs that ended done and completed no task, by reason.",
--- a/packages/pollengated/pollengated/edge/job_request_handler.py
+++ b/packages/pollengated/pollengated/edge/job_request_handler.py
@@ -179,6 +179,10 @@
             is_durable = await self._committer.wait_durable(record.record_number, DURABLE_TIMEOUT_S)
         finally:
             record.waiting_count -= 1
+        if record.is_refused:
+            self._submissions_by_id.pop(job_id, None)
+            self._room.release(job_id)
+            return NotAccepted("record_refused", RETRY_AFTER_S)
         if is_durable:
             return Accepted()
         # The record number says nothing of a withdrawn record, so none may be waited for.
@@ -371,6 +375,7 @@
         job: the job.
         record_number: number of the record in the committer.
         waiting_count: number of requests that wait until the record is durable.
+        is_refused: whether the store will never accept the record.
     """
 
     def __init__(
@@ -380,8 +385,13 @@
         self.job = job
         self.record_number = 0
         self.waiting_count = 0
+        self.is_refused = False
         self._on_durable = on_durable
 
     def on_committed(self) -> None:
         """Passes the job to the function."""
         self._on_durable(self.job)
+
+    def on_refused(self) -> None:
+        """Lets the requests that wait tell their clients."""
+        self.is_refused = True
--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -247,9 +247,9 @@
         return True
 
     def _restore(self, records: ShardRecords) -> None:
-        clocks, sections = self._clocks, self._metrics.sections
+        clocks, metrics, limit = self._clocks, self._metrics, self._settings.max_value_bytes
         committer = self._committer = Committer.resume(
-            self._store, self.shard, self.shard_lease, records.commit, clocks, sections
+            self._store, self.shard, self.shard_lease, records.commit, clocks, metrics, limit
         )
         self._interference.restore(records.interference, self._committer)
         evidence = FailureEvidence(self._clocks.monotonic_s, FIRST_PROBE_AFTER_S, MAX_PROBE_AFTER_S)
--- a/packages/pollengated/pollengated/edge/worker_controller.py
+++ b/packages/pollengated/pollengated/edge/worker_controller.py
@@ -281,6 +281,7 @@
         if not self._acknowledgement.record_report(report, sent_at, now):
             return
         self.view.is_replaced = False
+        report = self._run_log.limit_checkpoints(self.view.worker_id, report)
         if report.born_ms != self.view.born_ms:
             self._handle_new_incarnation(report)
         self._end_late_report_backoff()
--- a/packages/pollengated/pollengated/edge/worker_run_log.py
+++ b/packages/pollengated/pollengated/edge/worker_run_log.py
@@ -1,8 +1,10 @@
 """Logs and counts what the reports of a worker say of its runs."""
 
+import dataclasses
 from collections.abc import Iterable
+from typing import TypeVar
 
-from pollengate.workflow.clients import EndKind
+from pollengate.workflow.clients import EndedRun, EndKind, Report, RunningTask
 from pollengate.workflow.crashes import WorkerCrash
 from pollengate.workflow.reports import AppliedEnd, EndEffect
 
@@ -12,6 +14,11 @@
 
 __all__ = ["WorkerRunLog"]
 
+# In characters of up to six bytes; a record has the checkpoints of up to `TASKS_PER_RECORD` tasks.
+MAX_CHECKPOINT_LENGTH = 512
+
+_Row = TypeVar("_Row", RunningTask, EndedRun)
+
 
 class WorkerRunLog:
     """Log and metrics of the ends of runs.
@@ -47,6 +54,27 @@
                 worker=crash.worker_id,
             )
 
+    def limit_checkpoints(self, worker_id: str, report: Report) -> Report:
+        """Returns a report without the checkpoints that are too long to be recorded.
+
+        Their tasks resume from earlier ones.
+        """
+        rows: tuple[RunningTask | EndedRun, ...] = (*report.running, *report.ended)
+        longest = max((len(row.checkpoint) for row in rows), default=0)
+        if longest <= MAX_CHECKPOINT_LENGTH:
+            return report
+        self._log.warning(
+            "checkpoints are too long and are not used",
+            worker=worker_id,
+            longest=longest,
+            limit=MAX_CHECKPOINT_LENGTH,
+        )
+        return dataclasses.replace(
+            report,
+            running=tuple(_without_long_checkpoint(row) for row in report.running),
+            ended=tuple(_without_long_checkpoint(row) for row in report.ended),
+        )
+
     def record_ends(self, worker_id: str, new_ends: Iterable[AppliedEnd]) -> None:
         """Logs ended runs, and counts those that ended done without an effect."""
         for applied in new_ends:
@@ -62,3 +90,9 @@
                 how=ended.how.value,
                 effect=applied.effect.value,
             )
+
+
+def _without_long_checkpoint(row: _Row) -> _Row:
+    if len(row.checkpoint) <= MAX_CHECKPOINT_LENGTH:
+        return row
+    return dataclasses.replace(row, checkpoint="")
--- a/tests/edge_cluster.py
+++ b/tests/edge_cluster.py
@@ -449,6 +449,7 @@
         rpc_address=f"{name}:1",
         metrics_address="",
         store_address="",
+        max_value_bytes=1_048_576,
         advice_address="",
         cores=1.0,
         memory_mb=300,
--- a/tests/faulty_store.py
+++ b/tests/faulty_store.py
@@ -34,6 +34,7 @@
         is_down: whether every call fails without being sent.
         delayed: transactions with a LATE fault, until `release_delayed` applies them.
         commits: number of transactions so far.
+        invalid_key: key that the store never accepts; empty for none.
     """
 
     def __init__(self, shared_store: MemoryStore, timeout_s: float = CALL_TIMEOUT_S) -> None:
@@ -44,6 +45,7 @@
         self.is_down = False
         self.delayed: list[Callable[[], asyncio.Future[Result[CommitResult, StoreFailure]]]] = []
         self.commits = 0
+        self.invalid_key = ""
 
     def fail_once(self, fault: Fault, key_part: str) -> None:
         """Injects a fault into the next transaction that writes a key containing `key_part`."""
@@ -68,6 +70,8 @@
         if self.is_down:
             return _failure(FailureKind.NOT_SENT)
         self.commits += 1
+        if self.invalid_key in [operation.key for operation in operations]:
+            return _failure(FailureKind.INVALID)
         fault = self.choose_fault([operation.key for operation in operations])
         if fault is None:
             return await self.shared_store.commit(conditions, operations)
--- a/tests/test_committer.py
+++ b/tests/test_committer.py
@@ -22,6 +22,7 @@
         self.key = key
         self.value = value
         self.is_committed = False
+        self.is_refused = False
 
     def operation(self) -> Operation:
         """Returns the write."""
@@ -31,9 +32,13 @@
         """Remembers that the write is durable."""
         self.is_committed = True
 
+    def on_refused(self) -> None:
+        """Remembers that the write was left out."""
+        self.is_refused = True
 
-class CommitterTest(unittest.TestCase):
-    """Tests of the commits of one ownership term."""
+
+class OwnedCommitterTestCase(unittest.TestCase):
+    """Runs the committer of an owned shard."""
 
     def run_owned(self, scenario: Any) -> None:
         """Runs a scenario with a shared store and an owner's store access, committer and lease."""
@@ -50,6 +55,10 @@
 
         run_virtual(main())
 
+
+class CommitterTest(OwnedCommitterTestCase):
+    """Tests of the commits of one ownership term."""
+
     def test_records_added_together_share_commits(self) -> None:
         async def scenario(
             shared_store: MemoryStore,
@@ -177,3 +186,56 @@
             self.assertEqual((number.tenure, number.sequence), (0, 1))
 
         self.run_owned(scenario)
+
+
+class RefusedRecordTest(OwnedCommitterTestCase):
+    """Records that the store will never accept, among others."""
+
+    def test_record_over_the_limit_holds_no_other_back(self) -> None:
+        # Guards against commits that are sent again for ever while nothing becomes durable.
+        async def scenario(
+            shared_store: MemoryStore,
+            store: FaultyStore,
+            committer: Committer,
+            shard_lease: ShardLease,
+        ) -> None:
+            long = ValueRecord("long", b"v" * 1_100_000)
+            others = [ValueRecord(f"k{number}") for number in range(40)]
+            for record in (*others[:20], long, *others[20:]):
+                number = committer.add(record)
+            self.assertTrue(await committer.wait_durable(number, 5.0))
+            self.assertEqual([record.is_committed for record in others], [True] * 40)
+            self.assertEqual((long.is_committed, long.is_refused), (False, True))
+
+        self.run_owned(scenario)
+
+    def test_record_that_the_store_refuses_is_found_and_left_out(self) -> None:
+        async def scenario(
+            shared_store: MemoryStore,
+            store: FaultyStore,
+            committer: Committer,
+            shard_lease: ShardLease,
+        ) -> None:
+            store.invalid_key = "k7"
+            records = [ValueRecord(f"k{number}") for number in range(20)]
+            for record in records:
+                number = committer.add(record)
+            self.assertTrue(await committer.wait_durable(number, 5.0))
+            self.assertEqual([r.key for r in records if not r.is_committed], ["k7"])
+            self.assertEqual([r.key for r in records if r.is_refused], ["k7"])
+
+        self.run_owned(scenario)
+
+    def test_commits_stay_within_the_limit_of_a_value(self) -> None:
+        async def scenario(
+            shared_store: MemoryStore,
+            store: FaultyStore,
+            committer: Committer,
+            shard_lease: ShardLease,
+        ) -> None:
+            for number in range(4):
+                last = committer.add(ValueRecord(f"k{number}", b"v" * 600_000))
+            self.assertTrue(await committer.wait_durable(last, 5.0))
+            self.assertEqual(store.commits, 4)
+
+        self.run_owned(scenario)
