Start nothing by the registration of an earlier incarnation of a worker

Cause: a start takes labels, capacity, service, rack, zone and the state draining from the newest registration, also if the report says by its start time that the worker has started again since.

Change: while registration and report name different incarnations, the worker gets no starts. That covers each property of the registration, also the capacity of workers that don't check it; a worker registers when it starts, so that it lasts for moments unless the store is away. explain names the reason other_incarnation. Read: adoption of runs and leases (by report, no registration), tickets (bound to the incarnation already), has_drained (taken from the earlier registration until the next one; the worker gets nothing meanwhile).

Test: test_nothing_starts_by_the_registration_of_an_earlier_incarnation fails on the commit before.

--- a/packages/pollengate/pollengate/explain/reasons.py
+++ b/packages/pollengate/pollengate/explain/reasons.py
@@ -16,6 +16,7 @@
 
     NOT_REGISTERED = "not_registered"
     NOT_REPLYING = "not_replying"
+    OTHER_INCARNATION = "other_incarnation"
     NOT_RECORDED = "not_recorded"
     RELEASED = "released"
     DRAINING = "draining"
@@ -49,6 +50,8 @@
         return Reason.EVACUATED_ZONE
     if not view.is_attached:
         return Reason.NOT_REPLYING
+    if not view.is_registration_current:
+        return Reason.OTHER_INCARNATION
     if not view.is_recorded:
         return Reason.NOT_RECORDED
     return Reason.BACKOFF if now < view.unavailable_until else None
--- a/packages/pollengate/pollengate/workflow/fleet.py
+++ b/packages/pollengate/pollengate/workflow/fleet.py
@@ -81,6 +81,14 @@
         """Runs of long-running tasks."""
         return [run for run in self.runs.values() if run.task.step.spec.is_long_running]
 
+    @property
+    def is_registration_current(self) -> bool:
+        """Whether the registration is of the incarnation that replied, as far as both say.
+
+        Another one may have other labels, and its room is not known before it registers.
+        """
+        return self.info.born_ms == self.born_ms or not (self.info.born_ms and self.born_ms)
+
     @property
     def worker_id(self) -> str:
         """The worker's id."""
@@ -230,6 +238,7 @@
             view.is_registered
             and view.is_attached
             and view.is_recorded
+            and view.is_registration_current
             and view.worker_id not in self.listed_ids
             and not view.is_released
             and view.trial is None
--- a/tests/test_workflow_reports.py
+++ b/tests/test_workflow_reports.py
@@ -46,6 +46,21 @@
         build_reconciler(job_table, "w1").apply(Report(10, 1, (), (ended,)), 0.0, 0.1, 0)
         self.assertEqual(start_all(job_table), [])
 
+    def test_nothing_starts_by_the_registration_of_an_earlier_incarnation(self) -> None:
+        # Guards against a start without its label on a worker that is back as another kind.
+        first = build_lease_worker(labels=("b", "r0"), born_ms=1)
+        job_table = build_job_table(first)
+        reconciler = build_reconciler(job_table)
+        job_table.add(build_job("aa", build_step(required_label="b")), 0.0, 0)
+        (run,) = start_all(job_table)
+        reconciler.apply(Report(0, 2, (), ()), 0.5, 0.6, 0)
+        self.assertIs(run.state, RunState.ENDED)
+        job_table.add(build_job("bb"), 0.6, 0)
+        self.assertEqual(start_all(job_table, 1.0), [])
+        again = build_lease_worker(labels=("a", "r0"), born_ms=2)
+        job_table.fleet.register(again, 1.5)
+        self.assertEqual([run.task.name for run in start_all(job_table, 1.5)], ["bb.0.0.0"])
+
     def test_reported_run_opens_its_occurrence_before_it_is_due_here(self) -> None:
         # The time of day of the owner that started the run was ahead.
         for report in (
