Resume all members of a gang from the same checkpoint

Cause: each task keeps the newest checkpoint of its own runs, and its start carries that one. The lost member has the one of its worker's last report, its siblings those of their ends.

Change: a step keeps the newest checkpoint of any of its tasks, which the members of a gang resume from; it is fixed for a run when it is planned, as a report may arrive between two start orders.

Read: delegation and return of tasks (no gangs), parts of records and older records (one value is taken for all members), copies and moves (no gangs).

Test: test_members_of_a_gang_resume_from_the_same_checkpoint; Run.checkpoint didn't exist before, and WorkerController sent task.checkpoint, which differs between the members of the test.

--- a/packages/pollengate/pollengate/workflow/job_table.py
+++ b/packages/pollengate/pollengate/workflow/job_table.py
@@ -190,7 +190,7 @@
         Each owner numbers its runs above those that an earlier one may not have recorded.
         """
         if last_run >= task.last_run and checkpoint:
-            task.checkpoint = checkpoint
+            task.keep_checkpoint(checkpoint)
         task.has_run = True
         task.last_run = max(task.last_run, last_run + self._run_number_floor)
 
@@ -212,7 +212,7 @@
 
     def add_run(self, task: TaskProgress, view: WorkerView, number: int, now: float) -> Run:
         """Adds a run that is about to be started."""
-        run = Run(task, number, view.worker_id, now, progressed_at=now)
+        run = Run(task, number, view.worker_id, now, task.start_checkpoint, progressed_at=now)
         task.last_run = max(task.last_run, number)
         task.add_run(run)
         view.add(run)
@@ -358,7 +358,7 @@
         """Applies a run's result; the table may lack the run if an earlier owner started it."""
         job = task.step.job
         if checkpoint:
-            task.checkpoint = checkpoint
+            task.keep_checkpoint(checkpoint)
         task.last_run = max(task.last_run, number)
         self._mark_begun(task)
         self._mark_changed(task)
--- a/packages/pollengate/pollengate/workflow/progress.py
+++ b/packages/pollengate/pollengate/workflow/progress.py
@@ -65,6 +65,7 @@
         number: the run's number, higher than that of any earlier run of the task.
         worker_id: the worker on which it was started.
         ordered_at: clock time of the start order.
+        checkpoint: where it resumes, empty if at the beginning.
         state: its state.
         percent: work done as last reported; 100 for a long-running task past its startup.
         progressed_at: clock time at which `percent` last rose.
@@ -86,6 +87,7 @@
     number: int
     worker_id: str
     ordered_at: float
+    checkpoint: str = ""
     state: RunState = RunState.STARTING
     percent: float = 0.0
     progressed_at: float = 0.0
@@ -126,7 +128,7 @@
         last_run: the highest run number used so far; a start with it may have been refused.
         has_run: whether a run of it may have started, so that its users miss it if it is a
             long-running task.
-        checkpoint: where the next run resumes, empty to start from the beginning.
+        checkpoint: the newest one that a run of it has reported, empty if there is none.
         crashes: number of workers that crashed under one of its runs; recorded.
         crashed_after_s: longest time from the start of a run to the crash of its worker; not
             recorded.
@@ -147,6 +149,15 @@
     is_delegated: bool = False
     runs_by_number: dict[int, Run] = dataclasses.field(default_factory=dict)
 
+    def keep_checkpoint(self, checkpoint: str) -> None:
+        """Keeps a checkpoint that a run has reported."""
+        self.checkpoint = self.step.newest_checkpoint = checkpoint
+
+    @property
+    def start_checkpoint(self) -> str:
+        """Where its next run resumes; the members of a gang resume from the same checkpoint."""
+        return self.step.newest_checkpoint if self.step.spec.is_gang else self.checkpoint
+
     def add_run(self, run: Run) -> None:
         """Adds a run that may exist on a worker."""
         self._replace_runs(self.runs_by_number | {run.number: run})
@@ -196,6 +207,7 @@
         is_open: whether the steps before it are complete, so that its tasks may start.
         opened_at: clock time at which it was opened.
         durations_s: run times of its completed tasks, without runs that were disturbed.
+        newest_checkpoint: the newest one that a run of any of its tasks has reported.
         task_counts_by_worker: number of tasks that may have a run on a worker, by worker id.
     """
 
@@ -209,6 +221,7 @@
     is_open: bool = False
     opened_at: float = 0.0
     durations_s: list[float] = dataclasses.field(default_factory=list)
+    newest_checkpoint: str = ""
     task_counts_by_worker: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
--- a/packages/pollengate/pollengate/workflow/records.py
+++ b/packages/pollengate/pollengate/workflow/records.py
@@ -241,7 +241,8 @@
         task.failed_runs = set(saved.failed_runs)
         task.last_run = saved.last_run
         task.has_run = saved.has_run
-        task.checkpoint = saved.checkpoint
+        if saved.checkpoint:
+            task.keep_checkpoint(saved.checkpoint)
         task.crashes = saved.crashes
 
 
@@ -303,7 +304,8 @@
             task.failed_runs = set(saved.failed_runs.get(key, ()))
             task.last_run = saved.runs.get(key, 0)
             task.has_run = task.last_run > 0 and key not in refused
-            task.checkpoint = saved.checkpoints.get(key, "")
+            if checkpoint := saved.checkpoints.get(key):
+                task.keep_checkpoint(checkpoint)
             task.crashes = saved.crashes.get(key, 0)
     _count_complete(occurrence)
 
--- a/packages/pollengate/pollengate/workflow/reports.py
+++ b/packages/pollengate/pollengate/workflow/reports.py
@@ -212,7 +212,7 @@
         run.measurement_change = row.measurement - run.measurement
         run.measurement = row.measurement
         if row.checkpoint:
-            run.task.checkpoint = row.checkpoint
+            run.task.keep_checkpoint(row.checkpoint)
 
     def _clear_suspicion(self, run: Run, now: float) -> None:
         """Ends the trial of a run, and clears its task, once it has run for long enough."""
--- a/packages/pollengated/pollengated/edge/placement_acceptor.py
+++ b/packages/pollengated/pollengated/edge/placement_acceptor.py
@@ -154,7 +154,7 @@
             job.delegated_by = request.home_shard
             job.state = job.visible_state = JobState.RUNNING
             (task,) = job.open_occurrence(0).steps[0].tasks
-            task.checkpoint = request.task.checkpoint
+            task.keep_checkpoint(request.task.checkpoint)
             self._job_table.continue_run_numbers(task, request.task.last_run)
         self._room.reserve(job.job_id, queue.service, first_steps(job.workflow), now)
         pending = self._pending_by_id[job.job_id] = _PendingPlacement(job)
--- a/packages/pollengated/pollengated/edge/worker_controller.py
+++ b/packages/pollengated/pollengated/edge/worker_controller.py
@@ -171,7 +171,7 @@
             payload=step.job.workflow.payload,
             lease_until_ms=lease_until_ms,
             token=self._token,
-            checkpoint=run.task.checkpoint,
+            checkpoint=run.checkpoint,
             ticket=self._tickets.ticket(step, self.view, now),
         )
         sent = self._acknowledgement.begin_order(now, is_start=True)
--- a/tests/test_workflow_job_table.py
+++ b/tests/test_workflow_job_table.py
@@ -133,6 +133,25 @@
         job_table.mark_ended(runs[0], EndKind.DONE, "", 1.0, 0)
         self.assertIs(job.state, JobState.COMPLETED)
 
+    def test_members_of_a_gang_resume_from_the_same_checkpoint(self) -> None:
+        # Guards against members that wait for each other in vain after a crash of one worker.
+        job_table = build_job_table(build_lease_worker())
+        job = build_job("aa", build_step(3, is_gang=True, saves_progress=True))
+        job_table.add(job, 0.0, 0)
+        lost, *others = start_all(job_table)
+        lost.task.keep_checkpoint("old")
+        for number, run in enumerate(others):
+            job_table.mark_ended(run, EndKind.MEMBER_LOST, f"new{number}", 1.0, 0)
+        job_table.mark_lost(lost)
+        again = start_all(job_table, 2.0)
+        self.assertEqual([run.checkpoint for run in again], ["new1"] * 3)
+        again[0].task.keep_checkpoint("newer")
+        self.assertEqual({run.checkpoint for run in again}, {"new1"}, "as it was planned")
+        stored = decode_job(encode_job(job)).unwrap()
+        progress = decode_progress(encode_progress(job)).unwrap()
+        restored = restore(stored, progress, 0.0).unwrap()
+        self.assertEqual(len({task.start_checkpoint for task in restored.tasks()}), 1)
+
     def test_gang_without_room_for_all_starts_nothing(self) -> None:
         job_table = build_job_table(build_lease_worker())
         job_table.add(build_job("aa", build_step(5, is_gang=True)), 0.0, 0)
