Go on with accepted jobs whose route was removed

Cause: the planner looked the queue of a step up in the newest configuration and passed over steps without one; so did retries, moves and requests for workers.

Change: a job keeps the newest configuration of its queue, and its record has what scheduling needs of it.

Read: the readers of queue_of (all by job now), explanations of jobs that weren't submitted, jobs and tasks placed in other shards (take the queue of the request), the log of ended jobs.

--- a/packages/pollengate/pollengate/explain/explainer.py
+++ b/packages/pollengate/pollengate/explain/explainer.py
@@ -159,7 +159,9 @@
         Tickets of the advice service are requested after acceptance, so all workers count as having
         one.
         """
-        job = JobProgress(UNSUBMITTED_ID, queue.name, workflow, now_ms, now, account=account)
+        job = JobProgress(
+            UNSUBMITTED_ID, queue.name, workflow, now_ms, now, queue=queue, account=account
+        )
         opened = [step for step in job.open_occurrence(0).steps if not step.spec.after]
         for step in opened:
             step.is_open = True
--- a/packages/pollengate/pollengate/workflow/job_table.py
+++ b/packages/pollengate/pollengate/workflow/job_table.py
@@ -58,7 +58,7 @@
     def __init__(self, fleet: Fleet, evidence: FailureEvidence, term: int) -> None:
         self.fleet = fleet
         self.evidence = evidence
-        self.deployment = Deployment(0)
+        self._deployment = Deployment(0)
         self.jobs_by_id: dict[str, JobProgress] = {}
         self.open_steps: dict[StepProgress, None] = {}
         self.outbox = Outbox()
@@ -76,13 +76,31 @@
         taken, self.outbox = self.outbox, Outbox()
         return taken
 
+    @property
+    def deployment(self) -> Deployment:
+        """The configuration."""
+        return self._deployment
+
+    @deployment.setter
+    def deployment(self, deployment: Deployment) -> None:
+        self._deployment = deployment
+        for job in self.jobs_by_id.values():
+            self._update_queue(job)
+
+    def _update_queue(self, job: JobProgress) -> None:
+        job.queue = self._deployment.queue(job.queue_name) or job.queue
+
     def queue_of(self, step: StepProgress) -> Queue | None:
-        """Returns the queue of a step's job, None if it is no longer configured."""
-        return self.deployment.queue(step.job.queue_name)
+        """Returns the queue of a step's job; if it was removed, as it was configured last.
+
+        It is None if no configuration of it is known.
+        """
+        return step.job.queue
 
     def add(self, job: JobProgress, now: float, now_ms: int) -> None:
         """Adds a job that was just accepted, or that was loaded at a takeover."""
         self.jobs_by_id[job.job_id] = job
+        self._update_queue(job)
         if job.is_ended:
             return
         for occurrence in job.occurrences_by_number.values():
--- a/packages/pollengate/pollengate/workflow/progress.py
+++ b/packages/pollengate/pollengate/workflow/progress.py
@@ -284,6 +284,8 @@
         changed_parts: numbers of the records of its tasks that are to be written.
         stored_parts: numbers of those that may be in the store.
         tasks_per_occurrence: number of tasks of each occurrence.
+        queue: the newest known configuration of its queue, which may have been removed since; None
+            if none is known.
         account: name of the client account that handed it in, empty for none.
         delegated_by: for a delegated task, which is a job of its own here and has the task's name
             as its id: the shard that has the task's job; None for a job as submitted.
@@ -312,6 +314,7 @@
     due_count: int = 0
     changed_parts: set[int] = dataclasses.field(default_factory=set)
     stored_parts: set[int] = dataclasses.field(default_factory=set)
+    queue: Queue | None = None
     account: str = ""
     delegated_by: int | None = None
     run_number_offset: int = 0
--- a/packages/pollengate/pollengate/workflow/records.py
+++ b/packages/pollengate/pollengate/workflow/records.py
@@ -7,8 +7,8 @@
 import msgspec
 from result import Err, Ok, Result
 
-from pollengate.decoding import Amount, DocumentDecoder
-from pollengate.workflow.model import Workflow
+from pollengate.decoding import Amount, DocumentDecoder, Quantity
+from pollengate.workflow.model import AdviceTiming, Queue, Workflow
 from pollengate.workflow.progress import (
     TASKS_PER_RECORD,
     JobProgress,
@@ -32,6 +32,43 @@
 ]
 
 
+class StoredQueue(msgspec.Struct, frozen=True, omit_defaults=True):
+    """What scheduling needs of a queue that may have been removed; see `Queue`."""
+
+    service: str
+    priority: Amount = 0
+    max_attempts: Amount = 1
+    stretch: Quantity = 1.0
+    target_ms: Amount = 0
+    advice: AdviceTiming | None = None
+
+    @classmethod
+    def of(cls, queue: Queue) -> "StoredQueue":
+        """Returns the record of a queue."""
+        return cls(
+            queue.service,
+            queue.priority,
+            queue.max_attempts,
+            queue.stretch,
+            queue.target_ms,
+            queue.advice,
+        )
+
+    def restore(self, name: str) -> Queue:
+        """Returns the queue, to which no request leads."""
+        return Queue(
+            name,
+            host="",
+            prefix="",
+            service=self.service,
+            priority=self.priority,
+            max_attempts=self.max_attempts,
+            stretch=self.stretch,
+            target_ms=self.target_ms,
+            advice=self.advice,
+        )
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoredJob:
     """Record of a job as accepted; it never changes."""
@@ -43,6 +80,7 @@
     account: str = ""
     delegated_by: Amount | None = None
     run_number_offset: Amount = 0
+    queue_settings: StoredQueue | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -115,6 +153,7 @@
         job.account,
         job.delegated_by,
         job.run_number_offset,
+        None if job.queue is None else StoredQueue.of(job.queue),
     )
     return msgspec.json.encode(stored)
 
@@ -197,6 +236,8 @@
     job = JobProgress(stored.job_id, stored.queue, stored.workflow, stored.accepted_ms, now)
     job.is_restored = True
     job.account = stored.account
+    if stored.queue_settings is not None:
+        job.queue = stored.queue_settings.restore(stored.queue)
     job.delegated_by = stored.delegated_by
     job.run_number_offset = stored.run_number_offset
     parts_by_number = parts_by_number or {}
--- a/packages/pollengated/pollengated/edge/job_end_log.py
+++ b/packages/pollengated/pollengated/edge/job_end_log.py
@@ -1,6 +1,5 @@
 """Logs and counts the ends of jobs."""
 
-from pollengate.workflow.job_table import JobTable
 from pollengate.workflow.progress import JobProgress
 
 from pollengated.edge.clocks import Clocks
@@ -14,13 +13,11 @@
     """Reports the jobs of one shard that end during an ownership term.
 
     Args:
-        job_table: the shard's jobs.
         clocks: the process's clocks.
         metrics: metrics of this process.
     """
 
-    def __init__(self, job_table: JobTable, clocks: Clocks, metrics: EdgeMetrics) -> None:
-        self._job_table = job_table
+    def __init__(self, clocks: Clocks, metrics: EdgeMetrics) -> None:
         self._clocks = clocks
         self._metrics = metrics
         self._log = Log("owner")
@@ -33,7 +30,7 @@
         took_s = self._clocks.monotonic_s() - job.accepted_at
         self._metrics.jobs_ended.labels(job.state.value).inc()
         self._metrics.job_seconds.labels(job.queue_name).observe(took_s)
-        queue = self._job_table.deployment.queue(job.queue_name)
+        queue = job.queue
         self._log.info(
             "job ended",
             job=job.job_id,
--- a/packages/pollengated/pollengated/edge/job_request_handler.py
+++ b/packages/pollengated/pollengated/edge/job_request_handler.py
@@ -196,7 +196,8 @@
         self, queue_name: str, job_id: str, workflow: Workflow, account: str
     ) -> JobProgress:
         now, now_ms = self._clocks.monotonic_s(), self._clocks.unix_ms()
-        return JobProgress(job_id, queue_name, workflow, now_ms, now, account=account)
+        queue = self._job_table.deployment.queue(queue_name)
+        return JobProgress(job_id, queue_name, workflow, now_ms, now, queue=queue, account=account)
 
     def _reserve_room(self, job: JobProgress) -> None:
         queue = self._job_table.deployment.queue(job.queue_name)
--- a/packages/pollengated/pollengated/edge/placement_acceptor.py
+++ b/packages/pollengated/pollengated/edge/placement_acceptor.py
@@ -148,6 +148,7 @@
             request.workflow,
             now_ms,
             now,
+            queue=queue,
             account=request.account,
         )
         if request.task is not None:
--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -255,7 +255,7 @@
         evidence = FailureEvidence(self._clocks.monotonic_s, FIRST_PROBE_AFTER_S, MAX_PROBE_AFTER_S)
         self.job_table = JobTable(self.fleet, evidence, committer.term_number)
         self.job_table.durable_record_number = lambda: committer.durable_record_number
-        self._job_end_log = JobEndLog(self.job_table, self._clocks, self._metrics)
+        self._job_end_log = JobEndLog(self._clocks, self._metrics)
         self._assignments.load(records.transfers)
         addresses_by_id = load_recorded_workers(
             records.recorded_workers, self._assignments.is_assigned_elsewhere
