Count the room for a gang before placing its members

Cause: the members of a gang were placed one by one until one found no room, and then taken back, in each plan. Each also scored all workers anew.

Change: the room is counted over the workers first; members share their scores, as other tasks of a step do. count_places and count_fitting move from the transfer of workers to placement.

--- a/packages/pollengate/pollengate/workflow/placement.py
+++ b/packages/pollengate/pollengate/workflow/placement.py
@@ -6,6 +6,7 @@
 whose serving tasks they take little headroom from.
 """
 
+import dataclasses
 import itertools
 from collections.abc import Callable, Iterable, Sequence
 
@@ -19,6 +20,7 @@
 from pollengate.interference.latency_model import LatencyModel
 from pollengate.workflow.crashes import TRIAL_CRASHES
 from pollengate.workflow.fleet import WorkerView
+from pollengate.workflow.model import Demand
 from pollengate.workflow.progress import Run, StepProgress, TaskProgress
 from pollengate.workflow.tickets import TicketCache
 from pollengate.workflow.worker_room import WorkerRoom
@@ -27,6 +29,8 @@
     "Placer",
     "StepScores",
     "can_place",
+    "count_fitting",
+    "count_places",
     "fits_beside_long_running",
     "has_unused_processors",
     "is_allowed",
@@ -295,6 +299,33 @@
     return view.fits(step.spec.demand, step.spec.is_filler) and is_allowed(step, view)
 
 
+def count_places(step: StepProgress, view: WorkerView) -> int:
+    """Returns how many more tasks of a step fit on a worker at most; see `can_place`."""
+    if not is_allowed(step, view):
+        return 0
+    spec, capacity = step.spec, view.info.capacity
+    free = Demand(
+        capacity.cpu_millis - view.committed_millis,
+        capacity.memory_mb - view.memory_mb,
+        capacity.accelerators - view.accelerators,
+    )
+    limit = spec.count
+    if spec.max_per_worker:
+        limit = spec.max_per_worker - step.runs_on(view.worker_id)
+    demand = dataclasses.replace(spec.demand, cpu_millis=0) if spec.is_filler else spec.demand
+    return max(0, count_fitting(demand, free, limit))
+
+
+def count_fitting(demand: Demand, free: Demand, limit: int) -> int:
+    """Returns how many tasks of a demand find room in free resources, at most the given limit."""
+    pairs = (
+        (free.cpu_millis, demand.cpu_millis),
+        (free.memory_mb, demand.memory_mb),
+        (free.accelerators, demand.accelerators),
+    )
+    return min((limit, *(available // each for available, each in pairs if each)))
+
+
 def fits_beside_long_running(step: StepProgress, view: WorkerView) -> bool:
     """Returns True if one more task of a step would fit beside a worker's long-running tasks only.
 
--- a/packages/pollengate/pollengate/workflow/planner.py
+++ b/packages/pollengate/pollengate/workflow/planner.py
@@ -14,7 +14,12 @@
 from pollengate.workflow.job_table import JobTable
 from pollengate.workflow.model import Queue
 from pollengate.workflow.ordering import DeadlineOrder, StepOrder, runs_again
-from pollengate.workflow.placement import FILLER_MIN_UNUSED_SHARE, Placer, StepScores
+from pollengate.workflow.placement import (
+    FILLER_MIN_UNUSED_SHARE,
+    Placer,
+    StepScores,
+    count_places,
+)
 from pollengate.workflow.progress import Run, StepProgress, TaskProgress
 from pollengate.workflow.start_filter import NoStartFilter, StartFilter
 
@@ -311,6 +316,8 @@
             return []
         if self.start_filter.startable(step) < step.spec.count:
             return []
+        if sum(count_places(step, view) for view in workers) < step.spec.count:
+            return []  # placing its members one by one would take far longer to find out
         if not all(self.job_table.is_recorded(task) for task in step.waiting):
             return []
         if any(self._may_run_unseen(task, plan) for task in step.waiting):
@@ -318,13 +325,15 @@
         now = plan.now
         number = max(self.job_table.next_run_number(task) for task in step.tasks)
         runs: list[Run] = []
+        scores = StepScores()
         is_complete = False
         try:
             for task in list(step.waiting):
-                view = self.placer.choose(task, workers, now, queue.advice is not None)
+                view = self.placer.choose(task, workers, now, queue.advice is not None, scores)
                 if view is None:
                     return []
                 runs.append(self._add_run(task, view, number, now))
+                scores.forget(view)
             is_complete = True
         finally:
             if not is_complete:
--- a/packages/pollengate/pollengate/workflow/worker_transfer.py
+++ b/packages/pollengate/pollengate/workflow/worker_transfer.py
@@ -14,10 +14,10 @@
 
 from pollengate.workflow.fleet import Fleet, WorkerView
 from pollengate.workflow.job_table import JobTable
-from pollengate.workflow.model import Demand, Queue, Step
+from pollengate.workflow.model import Demand, Queue
 from pollengate.workflow.moves import fit_together, may_stop_to_move
 from pollengate.workflow.ordering import rank, runs_again
-from pollengate.workflow.placement import can_place, is_allowed
+from pollengate.workflow.placement import can_place, count_fitting, count_places
 from pollengate.workflow.progress import Run, StepProgress
 from pollengate.workflow.start_filter import StartFilter
 
@@ -200,7 +200,7 @@
     """Returns True if a task of a step fits on a worker; all tasks have to if they are a gang."""
     if not step.spec.is_gang:
         return any(can_place(step, view) for view in workers)
-    return sum(_places(step, view) for view in workers) >= step.spec.count
+    return sum(count_places(step, view) for view in workers) >= step.spec.count
 
 
 def _wanted_workers(step: StepProgress, workers: list[WorkerView]) -> int:
@@ -213,37 +213,10 @@
         tasks = sum(task.has_run for task in step.waiting)
     spec = step.spec
     limit = spec.max_per_worker or spec.count
-    fitting = max((_fitting_tasks(spec, v.info.capacity, limit) for v in workers), default=1)
+    fitting = max((count_fitting(spec.demand, v.info.capacity, limit) for v in workers), default=1)
     return min(math.ceil(tasks / max(1, fitting)), MAX_WORKERS_PER_REQUEST)
 
 
-def _places(step: StepProgress, view: WorkerView) -> int:
-    """Returns how many more tasks of a step fit on a worker."""
-    if not is_allowed(step, view):
-        return 0
-    spec, capacity = step.spec, view.info.capacity
-    free = Demand(
-        capacity.cpu_millis - view.committed_millis,
-        capacity.memory_mb - view.memory_mb,
-        capacity.accelerators - view.accelerators,
-    )
-    limit = spec.count
-    if spec.max_per_worker:
-        limit = spec.max_per_worker - step.runs_on(view.worker_id)
-    return max(0, _fitting_tasks(spec, free, limit))
-
-
-def _fitting_tasks(spec: Step, free: Demand, limit: int) -> int:
-    """Returns how many tasks of a step find room in free resources, at most the given limit."""
-    demand = spec.demand
-    pairs = (
-        (free.cpu_millis, demand.cpu_millis),
-        (free.memory_mb, demand.memory_mb),
-        (free.accelerators, demand.accelerators),
-    )
-    return min((limit, *(available // each for available, each in pairs if each)))
-
-
 def _can_empty(view: WorkerView, request: CapacityRequest, now: float) -> bool:
     if any(run.task.step.spec.is_gang for run in view.runs.values()):
         return False
--- a/tests/test_workflow_planner_cost.py
+++ b/tests/test_workflow_planner_cost.py
@@ -11,8 +11,9 @@
 from pollengate.workflow.fleet import WorkerView
 from pollengate.workflow.job_table import JobTable
 from pollengate.workflow.model import Demand
-from pollengate.workflow.placement import StepScores
+from pollengate.workflow.placement import Placer, StepScores
 from pollengate.workflow.progress import Run
+from pollengate.workflow.validation import MAX_GANG_TASKS, find_fault
 
 from tests.workflow_builders import (
     build_job,
@@ -20,6 +21,7 @@
     build_lease_worker,
     build_planner,
     build_step,
+    build_workflow,
 )
 
 SEEDS = range(12)
@@ -145,6 +147,33 @@
                 self.assertEqual(len(planner.plan(0.1)), 80)
             self.assertLessEqual(counted.call_count, workers + 80)
 
+    def test_gang_without_room_for_all_is_not_placed_one_by_one(self) -> None:
+        # Guards against plans of 6 s for a gang of 50,000 small tasks on 66 workers.
+        job_table = build_fleet(33)
+        gang = build_step(33 * 64 + 1, demand=Demand(1000, 1), is_gang=True)
+        job_table.add(build_job("aa", gang), 0.0, 0)
+        job_table.add(build_job("bb", build_step(3, demand=Demand(1000, 1))), 0.0, 0)
+        with mock.patch.object(
+            Placer, "choose", autospec=True, side_effect=Placer.choose
+        ) as counted:
+            runs = build_planner(job_table).plan(0.0)
+        self.assertEqual([run.task.step.job.job_id for run in runs], ["bb"] * 3)
+        self.assertLessEqual(counted.call_count, 4)
+
+    def test_gang_that_is_too_large_to_assemble_is_invalid(self) -> None:
+        gang = build_step(MAX_GANG_TASKS, is_gang=True)
+        self.assertIsNone(find_fault(build_workflow(gang)))
+        too_large = build_step(MAX_GANG_TASKS + 1, is_gang=True)
+        self.assertIn(f"the limit is {MAX_GANG_TASKS}", find_fault(build_workflow(too_large)) or "")
+
+    def test_gang_that_fits_exactly_is_placed(self) -> None:
+        job_table = build_fleet(33)
+        gang = build_step(33 * 64, demand=Demand(1000, 1), is_gang=True)
+        job_table.add(build_job("aa", gang), 0.0, 0)
+        with mock.patch.object(placement, "can_place", side_effect=placement.can_place) as counted:
+            self.assertEqual(len(build_planner(job_table).plan(0.0)), 33 * 64)
+        self.assertLessEqual(counted.call_count, 33 + 33 * 64)
+
     def test_number_of_a_steps_tasks_on_a_worker_is_kept_up_to_date(self) -> None:
         generator = random.Random(1)
         job_table = build_fleet(4)
