Explain the waits of long-running tasks once a step, and report them in turn

Cause: each long-running task that waits to run again was explained by itself, against all workers, every 5 s: 4.7 s for 20,000 tasks of one step (66 workers), on the loop that renews the owner's lease, and a log line each.

Change: a step is explained once; at most 50 tasks are reported at a time, the others when these are not due again. The longest wait and its metric cover all of them, as before.

Test: test_waits_of_many_tasks_are_explained_once_a_step_and_reported_in_turn; the limit didn't exist before.

--- a/packages/pollengate/pollengate/workflow/waiting.py
+++ b/packages/pollengate/pollengate/workflow/waiting.py
@@ -22,6 +22,8 @@
 # Plans are made within milliseconds of an event, so that a longer wait has another cause.
 OVERDUE_AFTER_S = 2.0
 REPEAT_AFTER_S = 5.0
+# Long-running tasks that are reported at a time.
+MAX_RESTARTS = 50
 
 
 class WaitCause(enum.StrEnum):
@@ -129,7 +131,10 @@
         return max((now - since for since in self._restart_since.values()), default=0.0)
 
     def find_overdue_restarts(self, now: float) -> list[OverdueRestart]:
-        """Returns the long-running tasks that are overdue; each again after `REPEAT_AFTER_S`."""
+        """Returns long-running tasks that are overdue; each again after `REPEAT_AFTER_S`.
+
+        They are at most `MAX_RESTARTS` at a time, each in its turn.
+        """
         waiting = [
             task
             for step in self._job_table.open_steps
@@ -146,14 +151,17 @@
         workers_of = functools.cache(
             lambda service: self._job_table.fleet.schedulable_workers(service, now)
         )
-        overdue = []
+        explain = functools.cache(lambda step: self._explain_restart(step, workers_of))
+        overdue: list[OverdueRestart] = []
         for task, since in self._restart_since.items():
             if now - since < OVERDUE_AFTER_S:
                 continue
             if now - self._restart_reported_at.get(task, float("-inf")) < REPEAT_AFTER_S:
                 continue
+            if len(overdue) == MAX_RESTARTS:
+                break  # the others have their turn while these are not due again
             self._restart_reported_at[task] = now
-            overdue.append(self._explain_restart(task, now - since, workers_of))
+            overdue.append(OverdueRestart(task, now - since, *explain(task.step)))
         return overdue
 
     def find_overdue(self, now: float) -> list[OverdueStep]:
@@ -182,17 +190,14 @@
         return self._explain(step, 0.0, lambda s: fleet.schedulable_workers(s, now)).cause
 
     def _explain_restart(
-        self,
-        task: TaskProgress,
-        waited_s: float,
-        workers_of: Callable[[str], list[WorkerView]],
-    ) -> OverdueRestart:
-        step = task.step
-        explained = self._explain(step, waited_s, workers_of)
+        self, step: StepProgress, workers_of: Callable[[str], list[WorkerView]]
+    ) -> tuple[WaitCause, int, int]:
+        """Returns cause and room, see `OverdueRestart`; they are the same for a step's tasks."""
+        explained = self._explain(step, 0.0, workers_of)
         queue = self._job_table.queue_of(step)
         workers = [] if queue is None else workers_of(queue.service)
         beside = sum(fits_beside_long_running(step, view) for view in workers)
-        return OverdueRestart(task, waited_s, explained.cause, explained.room, beside)
+        return explained.cause, explained.room, beside
 
     def _explain(
         self,
--- a/tests/test_workflow_waiting.py
+++ b/tests/test_workflow_waiting.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import unittest
+from unittest import mock
 
 from pollengate.accounts.limits import AccountLimits
 from pollengate.accounts.start_filter import AccountStartFilter
@@ -9,7 +10,13 @@
 from pollengate.workflow.job_table import JobTable
 from pollengate.workflow.model import ClientAccount, Demand, Step
 from pollengate.workflow.start_filter import StartFilter
-from pollengate.workflow.waiting import OverdueRestart, WaitCause, WaitMonitor, Withheld
+from pollengate.workflow.waiting import (
+    MAX_RESTARTS,
+    OverdueRestart,
+    WaitCause,
+    WaitMonitor,
+    Withheld,
+)
 
 from tests.workflow_builders import (
     build_deployment,
@@ -48,17 +55,10 @@
 
     def test_job_whose_queue_was_never_known_has_no_queue(self) -> None:
         job_table = build_job_table(build_lease_worker())
-        job_table.add(build_job(), 0.0, 0)
         job_table.deployment = build_deployment(name="other")
-        self.assertEqual([WaitCause.NO_QUEUE], causes(job_table))
-
-    def test_nothing_runs_without_a_schedulable_worker(self) -> None:
-        job_table = build_job_table(build_lease_worker())
         job_table.add(build_job(), 0.0, 0)
-        job_table.fleet.workers_by_id["w0"].is_attached = False
-        self.assertEqual([WaitCause.NO_WORKER], causes(job_table))
+        self.assertEqual([WaitCause.NO_QUEUE], causes(job_table))
 
-    def test_start_is_withheld_although_a_worker_has_room(self) -> None:
     def test_job_of_a_removed_queue_keeps_it(self) -> None:
         job_table = build_job_table(build_lease_worker())
         job_table.add(build_job(), 0.0, 0)
@@ -66,6 +66,13 @@
         self.assertEqual([WaitCause.WITHHELD], causes(job_table))
         self.assertEqual(len(start_all(job_table)), 1)
 
+    def test_nothing_runs_without_a_schedulable_worker(self) -> None:
+        job_table = build_job_table(build_lease_worker())
+        job_table.add(build_job(), 0.0, 0)
+        job_table.fleet.workers_by_id["w0"].is_attached = False
+        self.assertEqual([WaitCause.NO_WORKER], causes(job_table))
+
+    def test_start_is_withheld_although_a_worker_has_room(self) -> None:
         job_table = build_job_table(build_lease_worker())
         job_table.add(build_job(), 0.0, 0)
         self.assertEqual([WaitCause.WITHHELD], causes(job_table))
@@ -133,6 +140,24 @@
         self.assertEqual(WaitCause.NO_CAPACITY, overdue.cause)
         self.assertEqual((0, 1), (overdue.room, overdue.room_beside_long_running))
 
+    def test_waits_of_many_tasks_are_explained_once_a_step_and_reported_in_turn(self) -> None:
+        # Guards against 4.7 s for 20,000 tasks that lost their workers.
+        job_table = build_job_table(build_lease_worker())
+        step = build_step(120, is_long_running=True, demand=Demand(5000, 100))
+        job_table.add(build_job("00000000000000aa", step), 0.0, 0)
+        for task in job_table.jobs_by_id["00000000000000aa"].tasks():
+            task.has_run = True
+        monitor = WaitMonitor(job_table, lambda: True)
+        self.assertEqual([], monitor.find_overdue_restarts(0.0))
+        reported: list[str] = []
+        with mock.patch.object(monitor, "_explain", side_effect=monitor._explain) as counted:
+            for number in range(3):
+                overdue = monitor.find_overdue_restarts(3.0 + number)
+                self.assertLessEqual(len(overdue), MAX_RESTARTS)
+                reported += [found.task.name for found in overdue]
+        self.assertEqual(counted.call_count, 3)
+        self.assertEqual((len(reported), len(set(reported))), (120, 120))
+
     def test_shard_full_of_long_running_tasks_has_no_room_beside_them(self) -> None:
         overdue = self.waiting_restart(build_step(is_long_running=True, demand=Demand(2000, 100)))
         self.assertEqual((0, 0), (overdue.room, overdue.room_beside_long_running))
