Count a wait until a start has happened, not until one is planned

Callers would see: a long-running task that has to run again, on a shard whose workers refuse its starts every 2 s (the pause after a 503), is never offered to another shard with room, which happens after 2.5 s of waiting.

Cause: DelegationCandidates and WaitMonitor keep the time since which a task waits while it is queued; a planned start takes it out of the queue, and a refused one puts it back with a new time.

Change: a task whose starts are all without a reply keeps its time. Read: RestartRoom (its steps fit nowhere, so none is planned), the time for which room is spared for an account (begins anew when a start is planned; its limit is a share, and the next plan spares again), probes of workers.

Tests: test_task_whose_starts_are_refused_at_home_is_due and test_refused_starts_do_not_shorten_a_wait fail before.

--- a/packages/pollengate/pollengate/workflow/progress.py
+++ b/packages/pollengate/pollengate/workflow/progress.py
@@ -183,6 +183,12 @@
         """Number of the record that has its progress, if its job has several."""
         return (self.step.first_number + self.index) // TASKS_PER_RECORD
 
+    @property
+    def is_starting(self) -> bool:
+        """Whether starts of it are under way, and it is not known whether one will happen."""
+        runs = self.runs_by_number.values()
+        return bool(runs) and all(run.replied_at is None for run in runs)
+
     @property
     def is_past_startup(self) -> bool:
         """Whether a run of this long-running task is past its startup."""
--- a/packages/pollengate/pollengate/workflow/task_delegation.py
+++ b/packages/pollengate/pollengate/workflow/task_delegation.py
@@ -52,8 +52,8 @@
             for task in step.waiting
             if task.has_run and not task.crashes and not task.runs_by_number
         ]
-        # A task is not in the queue while another shard is asked.
-        asked = [task for task in self._waiting_since if task.is_delegated]
+        # A task is not in the queue while another shard is asked, or a start may yet be refused.
+        asked = [task for task in self._waiting_since if task.is_delegated or task.is_starting]
         self._waiting_since = {
             task: self._waiting_since.get(task, now)
             for task in [*waiting, *asked]
--- a/packages/pollengate/pollengate/workflow/waiting.py
+++ b/packages/pollengate/pollengate/workflow/waiting.py
@@ -142,7 +142,11 @@
             for task in step.waiting
             if task.has_run
         ]
-        self._restart_since = {task: self._restart_since.get(task, now) for task in waiting}
+        # A start that is under way may be refused, and the task has waited all the while.
+        starting = [task for task in self._restart_since if task.is_starting]
+        self._restart_since = {
+            task: self._restart_since.get(task, now) for task in [*waiting, *starting]
+        }
         self._restart_reported_at = {
             task: at
             for task, at in self._restart_reported_at.items()
@@ -154,7 +158,7 @@
         explain = functools.cache(lambda step: self._explain_restart(step, workers_of))
         overdue: list[OverdueRestart] = []
         for task, since in self._restart_since.items():
-            if now - since < OVERDUE_AFTER_S:
+            if now - since < OVERDUE_AFTER_S or task.is_starting:
                 continue
             if now - self._restart_reported_at.get(task, float("-inf")) < REPEAT_AFTER_S:
                 continue
@@ -167,7 +171,14 @@
     def find_overdue(self, now: float) -> list[OverdueStep]:
         """Returns the steps that are overdue; each again after `REPEAT_AFTER_S`."""
         waiting = [step for step in self._job_table.open_steps if step.waiting]
-        self._waiting_since = {step: self._waiting_since.get(step, now) for step in waiting}
+        starting = [
+            step
+            for step in self._waiting_since
+            if not step.waiting and any(task.is_starting for task in step.tasks)
+        ]
+        self._waiting_since = {
+            step: self._waiting_since.get(step, now) for step in [*waiting, *starting]
+        }
         self._reported_at = {
             step: at for step, at in self._reported_at.items() if step in self._waiting_since
         }
@@ -176,7 +187,7 @@
         )
         overdue = []
         for step, since in self._waiting_since.items():
-            if now - since < OVERDUE_AFTER_S:
+            if now - since < OVERDUE_AFTER_S or not step.waiting:
                 continue
             if now - self._reported_at.get(step, float("-inf")) < REPEAT_AFTER_S:
                 continue
--- a/tests/test_workflow_task_delegation.py
+++ b/tests/test_workflow_task_delegation.py
@@ -26,6 +26,7 @@
     build_job,
     build_job_table,
     build_lease_worker,
+    build_planner,
     build_step,
     start_all,
 )
@@ -64,6 +65,19 @@
         self.assertEqual(len(due_of(waiting_table(long_running()))), 1)
         self.assertEqual(due_of(waiting_table(long_running()), 2.0), [])
 
+    def test_task_whose_starts_are_refused_at_home_is_due(self) -> None:
+        # Guards against a task that is never offered, as each planned start begins its wait anew.
+        job_table = waiting_table(long_running(demand=Demand(100, 100)))
+        (view,) = job_table.fleet.workers_by_id.values()
+        candidates = DelegationCandidates(job_table)
+        self.assertEqual(candidates.find_due(0.0), [])
+        for now in (1.0, 2.0):
+            (run,) = build_planner(job_table).plan(now)
+            self.assertEqual(candidates.find_due(now), [])
+            job_table.mark_rejected(run)
+        view.unavailable_until = 4.0
+        self.assertEqual(len(candidates.find_due(WAIT_BEFORE_DELEGATION_S)), 1)
+
     def test_task_with_room_at_home_or_without_an_earlier_run_stays(self) -> None:
         self.assertEqual(due_of(waiting_table(long_running(demand=Demand(100, 100)))), [])
         self.assertEqual(due_of(waiting_table(long_running(), last_run=0)), [])
--- a/tests/test_workflow_waiting.py
+++ b/tests/test_workflow_waiting.py
@@ -23,6 +23,7 @@
     build_job,
     build_job_table,
     build_lease_worker,
+    build_planner,
     build_step,
     start_all,
 )
@@ -140,6 +141,24 @@
         self.assertEqual(WaitCause.NO_CAPACITY, overdue.cause)
         self.assertEqual((0, 1), (overdue.room, overdue.room_beside_long_running))
 
+    def test_refused_starts_do_not_shorten_a_wait(self) -> None:
+        job_table = build_job_table(build_lease_worker())
+        step = build_step(is_long_running=True)
+        job_table.add(build_job("00000000000000aa", step), 0.0, 0)
+        (task,) = job_table.jobs_by_id["00000000000000aa"].tasks()
+        task.has_run = True
+        monitor = WaitMonitor(job_table, lambda: True)
+        self.assertEqual(([], []), (monitor.find_overdue_restarts(0.0), monitor.find_overdue(0.0)))
+        for now in (1.0, 2.0):
+            (run,) = build_planner(job_table).plan(now)
+            self.assertEqual(
+                ([], []), (monitor.find_overdue_restarts(now), monitor.find_overdue(now))
+            )
+            job_table.mark_rejected(run)
+        (restart,) = monitor.find_overdue_restarts(2.5)
+        (overdue,) = monitor.find_overdue(2.5)
+        self.assertEqual((2.5, 2.5), (restart.waited_s, overdue.waited_s))
+
     def test_waits_of_many_tasks_are_explained_once_a_step_and_reported_in_turn(self) -> None:
         # Guards against 4.7 s for 20,000 tasks that lost their workers.
         job_table = build_job_table(build_lease_worker())
