Restore large jobs of earlier versions, and keep accepted gangs of any size

Read back from the diff, not seen by callers. A progress record of a version that knew no parts has all tasks of a large job; restoring it opened them anew, so that done tasks would have run again after an upgrade. And the limit for gangs was also applied to records, so that an accepted job with a larger gang would have been ignored by the next owner.

Change: occurrences in a job's own record are restored whatever its size, and all its parts are written with the next change. The limit for gangs applies to new jobs only (find_excess).

--- a/packages/pollengate/pollengate/workflow/planner.py
+++ b/packages/pollengate/pollengate/workflow/planner.py
@@ -288,13 +288,14 @@
             if not self.job_table.is_recorded(task) or self._may_run_unseen(task, plan):
                 continue
             failed_ids = self.placer.evidence.failed_worker_ids(task.name)
-            if failed_ids in unplaced and not (task.crashes or task.runs_by_number):
+            is_ordinary = not (task.crashes or task.runs_by_number)
+            if is_ordinary and failed_ids in unplaced:
                 continue
             view = self.placer.choose(
                 task, workers, now, queue.advice is not None, scores, candidates
             )
             if view is None and self._has_fewer_workers(task):
-                if not (task.crashes or task.runs_by_number):
+                if is_ordinary:
                     unplaced.add(failed_ids)
                 continue  # its siblings may run where it may not
             if view is None:
--- a/packages/pollengate/pollengate/workflow/records.py
+++ b/packages/pollengate/pollengate/workflow/records.py
@@ -253,9 +253,12 @@
             return Err(f"occurrence {number} does not match the job")
         _restore_occurrence(job.open_occurrence(number), saved)
     job.due_count = min(max(job.due_count, progress.due_count), job.occurrence_count)
-    if job.has_parts:
+    if job.has_parts and not progress.occurrences:
         _restore_parts(job, parts_by_number)
     else:
+        for task in job.tasks():
+            # The record is of a version that knew no parts; the next one has none of its tasks.
+            job.mark_changed(task)
         job.completed_occurrences.update(range(job.due_count))
         job.completed_occurrences.difference_update(job.occurrences_by_number)
     return Ok(job)
--- a/packages/pollengate/pollengate/workflow/validation.py
+++ b/packages/pollengate/pollengate/workflow/validation.py
@@ -3,7 +3,7 @@
 from pollengate.decoding import MAX_NUMBER
 from pollengate.workflow.model import Step, Workflow
 
-__all__ = ["MAX_GANG_TASKS", "MAX_TASKS_PER_JOB", "find_fault"]
+__all__ = ["MAX_GANG_TASKS", "MAX_TASKS_PER_JOB", "find_excess", "find_fault"]
 
 # An owner keeps every task of a job in memory, a few hundred bytes each.
 MAX_TASKS_PER_JOB = 50_000
@@ -25,8 +25,6 @@
     for number, step in enumerate(workflow.steps):
         if step.count < 1:
             return f"step {number} has no tasks"
-        if step.is_gang and step.count > MAX_GANG_TASKS:
-            return f"step {number} is a gang of {step.count} tasks; the limit is {MAX_GANG_TASKS}"
         if any(not 0 <= before < number for before in step.after):
             return f"step {number} comes after a step that is not before it"
         if not _are_amounts(_numbers_of(step)):
@@ -34,6 +32,14 @@
     return None
 
 
+def find_excess(workflow: Workflow) -> str | None:
+    """Returns why a new workflow cannot be served, None if it can; accepted ones are not judged."""
+    for number, step in enumerate(workflow.steps):
+        if step.is_gang and step.count > MAX_GANG_TASKS:
+            return f"step {number} is a gang of {step.count} tasks; the limit is {MAX_GANG_TASKS}"
+    return None
+
+
 def _numbers_of(step: Step) -> tuple[int, ...]:
     demand = step.demand
     return (
--- a/packages/pollengated/pollengated/edge/committer.py
+++ b/packages/pollengated/pollengated/edge/committer.py
@@ -188,7 +188,7 @@
         term_number: number of the ownership term, counted from 0.
         commit_revision: revision of the shard's commit key, 0 if it is absent.
         clocks: the process's clocks.
-        metrics: counts refused records and measures their encoding; None for a term without.
+        metrics: counts refused records and measures their encoding; its own by default.
         max_value_bytes: limit of the store for a value.
 
     Attributes:
--- a/tests/test_job_records.py
+++ b/tests/test_job_records.py
@@ -4,6 +4,7 @@
 import random
 import unittest
 from collections.abc import Sequence
+from unittest import mock
 
 from pollengate.memory_store import MemoryStore
 from pollengate.store import CommitResult, FailureKind, Operation, Put, StoreFailure, Unchanged
@@ -110,6 +111,20 @@
         self.assertEqual(found.incomplete_steps, job.incomplete_steps)
         self.assertEqual(progress_by_task(found), progress_by_task(job))
 
+    def test_record_of_a_version_without_parts_is_restored_and_written_anew(self) -> None:
+        job_table = build_job_table(build_lease_worker(capacity=Demand(64_000, 250_000)))
+        job = build_job("aa", build_step(600))
+        job_table.add(job, 0.0, 0)
+        for run in start_all(job_table)[:10]:
+            job_table.mark_ended(run, EndKind.DONE, "", 1.0, 0)
+        with mock.patch.object(JobProgress, "has_parts", False):
+            encoded = encode_progress(job)
+        stored = decode_job(encode_job(job)).unwrap()
+        found = restore(stored, decode_progress(encoded).unwrap(), 0.0).unwrap()
+        self.assertEqual(sum(task.is_done for task in found.tasks()), 10)
+        self.assertEqual(progress_by_task(found), progress_by_task(job))
+        self.assertEqual(found.changed_parts, {0, 1, 2})
+
     def test_occurrences_that_are_due_at_once_are_opened_as_they_start(self) -> None:
         # Guards against thousands of steps that each plan compares with each other.
         job_table = build_job_table(build_lease_worker(capacity=Demand(64_000, 250_000)))
