--- a/packages/pollengate/pollengate/workflow/job_table.py
+++ b/packages/pollengate/pollengate/workflow/job_table.py
@@ -12,7 +12,7 @@
 from pollengate.workflow.clients import EndKind
 from pollengate.workflow.crashes import TRIAL_CRASHES, CrashLog, WorkerCrash
 from pollengate.workflow.fleet import Fleet, WorkerView
-from pollengate.workflow.model import Deployment, Queue
+from pollengate.workflow.model import MAX_DIGITS, Deployment, Queue, occurrence_of
 from pollengate.workflow.outbox import Outbox
 from pollengate.workflow.progress import (
     JobProgress,
@@ -30,8 +30,6 @@
 # Each owner starts its run numbers this much higher than the owner before, so that they are above
 # numbers that earlier owners may have used without recording them.
 RUNS_PER_TERM = 64
-# Digits of a number in a task's name; the conversion of thousands of digits raises.
-MAX_DIGITS = 9
 # Steps of occurrences of one scheduled job that wait at the same time because they are overdue.
 MAX_WAITING_OCCURRENCES = 100
 
@@ -91,10 +89,7 @@
         job.queue = self._deployment.queue(job.queue_name) or job.queue
 
     def queue_of(self, step: StepProgress) -> Queue | None:
-        """Returns the queue of a step's job; if it was removed, as it was configured last.
-
-        It is None if no configuration of it is known.
-        """
+        """Returns the queue of a step's job as it was configured last, None if it is unknown."""
         return step.job.queue
 
     def add(self, job: JobProgress, now: float, now_ms: int) -> None:
@@ -117,13 +112,10 @@
 
     def has_ended_job(self, task: str) -> bool:
         """Returns True if a task's job, or its occurrence of the job, is known to have ended."""
-        job_id, _, numbers = task.partition(".")
-        job = self.jobs_by_id.get(job_id)
+        job = self.jobs_by_id.get(task.partition(".")[0])
         if job is None or job.is_ended:
             return job is not None
-        occurrence = numbers.partition(".")[0]
-        is_number = occurrence.isdecimal() and len(occurrence) <= MAX_DIGITS
-        return is_number and int(occurrence) in job.completed_occurrences
+        return occurrence_of(task) in job.completed_occurrences
 
     def open_due_occurrences(self, now: float, now_ms: int) -> None:
         """Opens the occurrences that have become due by Unix time `now_ms`.
@@ -176,16 +168,13 @@
         the task would start again once the occurrence is due here.
         """
         task = self.find_task(name)
-        job_id, _, numbers = name.partition(".")
-        job = self._scheduled_by_id.get(job_id)
+        job = self._scheduled_by_id.get(name.partition(".")[0])
         if task is not None or job is None or job.is_ended:
             return task
-        occurrence = numbers.partition(".")[0]
-        if not occurrence.isdecimal() or len(occurrence) > MAX_DIGITS:
-            return None
-        if int(occurrence) >= job.occurrence_count:
+        occurrence = occurrence_of(name)
+        if occurrence is None or occurrence >= job.occurrence_count:
             return None
-        while job.due_count <= int(occurrence):
+        while job.due_count <= occurrence:
             self._open_steps(job.open_occurrence(job.due_count), now)
         return self.find_task(name)
 
--- a/packages/pollengate/pollengate/workflow/model.py
+++ b/packages/pollengate/pollengate/workflow/model.py
@@ -16,9 +16,14 @@
     "Worker",
     "Workflow",
     "WorkerCondition",
+    "MAX_DIGITS",
+    "occurrence_of",
     "task_name",
 ]
 
+# Digits of a number in a task's name; the conversion of thousands of digits raises.
+MAX_DIGITS = 9
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Demand:
@@ -272,3 +277,9 @@
 def task_name(job_id: str, occurrence: int, step: int, index: int) -> str:
     """Returns the name of a task, unique in a deployment."""
     return f"{job_id}.{occurrence}.{step}.{index}"
+
+
+def occurrence_of(task: str) -> int | None:
+    """Returns the number of the occurrence in a task's name, None if it has none."""
+    number = task.partition(".")[2].partition(".")[0]
+    return int(number) if number.isdecimal() and len(number) <= MAX_DIGITS else None
--- a/tests/edge_cluster.py
+++ b/tests/edge_cluster.py
@@ -9,7 +9,7 @@
 from typing import Any, TypeVar
 
 from pollengate.accounts.job_access import Requester
-from pollengate.memory_store import MemoryStore
+from pollengate.memory_store import MAX_VALUE_BYTES, MemoryStore
 from pollengate.store import (
     Changes,
     CommitResult,
@@ -449,7 +449,7 @@
         rpc_address=f"{name}:1",
         metrics_address="",
         store_address="",
-        max_value_bytes=1_048_576,
+        max_value_bytes=MAX_VALUE_BYTES,
         advice_address="",
         cores=1.0,
         memory_mb=300,
@@ -494,8 +494,5 @@
         self.assertEqual(runs_after_completion(cluster.history), [])
 
     def check_no_overlap(self, cluster: EdgeCluster) -> None:
-        """Asserts that no task had two runs at the same time.
-
-        A task may run again after an end that its worker could not report before its lease expired.
-        """
+        """Asserts that no task had two runs at the same time; it may run again after a lost end."""
         self.assertEqual(overlapping_runs(cluster.update_history()), [])
