Replace the assertion that a removed queue leaves a job without one

Traced: JobTable.queue_of returns the queue as it was configured last.

In its place, as strict: the removal leaves the cause as it was, and a job whose queue is not known has no_queue.

--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -175,6 +175,9 @@
         self.assertEqual((step.worker, step.cause), (None, WaitCause.UNSETTLED))
         job_table.deployment = build_deployment(name="other")
         (step,) = explain(planner)
+        self.assertEqual((step.worker, step.cause), (None, WaitCause.UNSETTLED))
+        job.queue = None  # its record is older than the removal of its route
+        (step,) = explain(planner)
         self.assertEqual((step.worker, step.cause), (None, WaitCause.NO_QUEUE))
 
 
