Leave a refused record out only while the store accepts other commits

Read back from the diff, not seen: if the store refused every commit as invalid, the committer would have left out all records of the shard, one after the other, and acknowledged results that aren't durable.

Change: a lone record that is refused is left out once a commit without records succeeds; otherwise it is sent again, and new jobs are refused, as in an outage.

Test: test_no_record_is_left_out_while_the_store_accepts_none; before this commit the records were left out within 0.2 s (wait_durable returns True).

--- a/packages/pollengated/pollengated/edge/committer.py
+++ b/packages/pollengated/pollengated/edge/committer.py
@@ -218,6 +218,8 @@
         self._max_value_bytes = max_value_bytes
         # Records of one commit; a commit that the store refuses for good is split to find which.
         self._max_records = RECORDS_PER_COMMIT
+        # Why the store will never accept the last commit, None unless it said so.
+        self._refusal: str | None = None
         self._log = Log("commits")
         self._pending: dict[str, tuple[int, Record]] = {}
         self._writing: dict[str, tuple[int, Record]] = {}
@@ -321,6 +323,8 @@
         operations.append(Put(commit_key(self._shard), msgspec.json.encode(number)))
         revision = await self._write(number, operations)
         if revision is None:
+            if self._refusal is not None:
+                await self._handle_refusal(operations, self._refusal)
             return
         self._max_records = RECORDS_PER_COMMIT
         self._commit_revision = revision
@@ -358,22 +362,41 @@
             self._notify_advanced()
         return operations
 
-    def _handle_invalid(self, operations: Sequence[Operation], detail: str) -> None:
-        """Splits a commit that the store will never accept; leaves out a record that is alone."""
+    async def _handle_refusal(self, operations: Sequence[Operation], detail: str) -> None:
+        """Splits a commit that the store will never accept; leaves out a record that is alone.
+
+        A store that accepts no commit at all says nothing of the record.
+        """
+        is_alone = len(self._writing) == 1
+        is_at_fault = is_alone and await self._is_accepting()
         refused, self._writing = self._writing, {}
-        if len(refused) == 1:
+        if is_at_fault:
             ((_, record),) = refused.values()
             operation = operations[0]
             size = len(operation.value) if isinstance(operation, Put) else 0
             self._leave_out(record, size, detail)
             self._notify_advanced()
             return
+        if is_alone:
+            self._handle_failure(FailureKind.INVALID, detail)
+            await asyncio.sleep(RETRY_S)
         self._max_records = (len(refused) + 1) // 2
         # Records that were added meanwhile are newer.
         added, self._pending = self._pending, refused
         for key, (number, record) in added.items():
             self._pending[key] = (self._pending.get(key, (number, record))[0], record)
 
+    async def _is_accepting(self) -> bool:
+        """Returns whether the store accepts a commit without records."""
+        number = CommitNumber(self.term_number, self._next_sequence)
+        self._next_sequence += 1
+        value = msgspec.json.encode(number)
+        revision = await self._write(number, [Put(commit_key(self._shard), value)])
+        if revision is None:
+            return False
+        self._commit_revision = revision
+        return True
+
     def _leave_out(self, record: Record, size: int, detail: str = "") -> None:
         record.on_refused()
         self._metrics.refused_records.inc()
@@ -395,10 +418,11 @@
             Unchanged(owner_key(self._shard), self._shard_lease.token),
             Unchanged(commit_key(self._shard), self._commit_revision),
         ]
+        self._refusal = None
         while not self._shard_lease.is_lost:
             result = await self._store.commit(conditions, operations)
             if isinstance(result, Err) and result.err_value.kind is FailureKind.INVALID:
-                self._handle_invalid(operations, result.err_value.detail)
+                self._refusal = result.err_value.detail
                 return None
             if isinstance(result, Err):
                 self._handle_failure(result.err_value.kind, result.err_value.detail)
--- a/tests/test_committer.py
+++ b/tests/test_committer.py
@@ -226,6 +226,25 @@
 
         self.run_owned(scenario)
 
+    def test_no_record_is_left_out_while_the_store_accepts_none(self) -> None:
+        async def scenario(
+            shared_store: MemoryStore,
+            store: FaultyStore,
+            committer: Committer,
+            shard_lease: ShardLease,
+        ) -> None:
+            store.invalid_key = commit_key(0)
+            records = [ValueRecord(f"k{number}") for number in range(3)]
+            for record in records:
+                number = committer.add(record)
+            self.assertFalse(await committer.wait_durable(number, 5.0))
+            self.assertTrue(committer.is_stalled)
+            store.invalid_key = ""
+            self.assertTrue(await committer.wait_durable(number, 5.0))
+            self.assertEqual([record.is_committed for record in records], [True] * 3)
+
+        self.run_owned(scenario)
+
     def test_commits_stay_within_the_limit_of_a_value(self) -> None:
         async def scenario(
             shared_store: MemoryStore,
