--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -315,12 +315,16 @@
 
 
 class Proxy:
-    """Forwards TCP connections; those that are open can go silent, without a reset, for good."""
+    """Forwards TCP connections until it is cut; then all, also new ones, are silent.
+
+    Attributes:
+        is_cut: whether no byte passes.
+    """
 
     def __init__(self, address: str, target: str) -> None:
         self.address = address
         self._target = target
-        self._connections: set[_Connection] = set()
+        self.is_cut = False
         self._pumps: set[asyncio.Future[Any]] = set()
 
     async def start(self) -> None:
@@ -328,48 +332,31 @@
         host, _, port = self.address.rpartition(":")
         self._server = await asyncio.start_server(self._connect, host, int(port))
 
-    def silence(self) -> int:
-        """Drops all later bytes of the connections that are open; returns their number."""
-        for connection in self._connections:
-            connection.is_silent = True
-        return len(self._connections)
-
     async def _connect(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         host, _, port = self._target.rpartition(":")
         target_reader, target_writer = await asyncio.open_connection(host, int(port))
-        connection = _Connection()
-        self._connections.add(connection)
-        pumps = asyncio.gather(
-            connection.pump(reader, target_writer), connection.pump(target_reader, writer)
-        )
+        pumps = asyncio.gather(self._pump(reader, target_writer), self._pump(target_reader, writer))
         self._pumps.add(pumps)
         with contextlib.suppress(asyncio.CancelledError):
             await pumps
         self._pumps.discard(pumps)
-        self._connections.discard(connection)
-
-    def close(self) -> None:
-        """Ends all connections."""
-        self._server.close()
-        for pumps in list(self._pumps):
-            pumps.cancel()
 
-
-class _Connection:
-    def __init__(self) -> None:
-        self.is_silent = False
-
-    async def pump(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """Passes bytes on until the end; a silent connection passes nothing, not even its end."""
+    async def _pump(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with contextlib.suppress(OSError):
             while data := await reader.read(65536):
-                if not self.is_silent:
+                if not self.is_cut:
                     writer.write(data)
                     await writer.drain()
-        if not self.is_silent:
+        if not self.is_cut:
             with contextlib.suppress(OSError):
                 writer.close()
 
+    def close(self) -> None:
+        """Ends all connections."""
+        self._server.close()
+        for pumps in list(self._pumps):
+            pumps.cancel()
+
 
 # A runner.
 
