--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -132,10 +132,14 @@
     return time.clock_gettime(time.CLOCK_MONOTONIC)
 
 
+_given_ports: set[int] = set()
+
+
 def free_port() -> int:
     """Returns a free loopback port, below those that Linux gives to outgoing connections."""
     while True:
-        port = random.randint(20_000, 32_000)
+        port = random.choice([p for p in range(20_000, 32_000) if p not in _given_ports])
+        _given_ports.add(port)
         with contextlib.suppress(OSError), socket.socket() as probe:
             probe.bind(("127.0.0.1", port))
             return port
