--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -434,7 +434,7 @@
             sequence += 1
             entry = {
                 "service": SERVICE,
-                "addr": self._settings["addr"],
+                "addr": self._settings.get("relay", self._settings["addr"]),
                 "zone": self._settings["zone"],
                 "version": "v1",
                 "slots": 8,
@@ -607,7 +607,7 @@
         self.route = ROUTE | (route or {})
         self._version = 7
         self._tasks: list[asyncio.Task[None]] = []
-        self._settings_by_id = {
+        self.settings_by_id: dict[str, dict[str, Any]] = {
             name: {
                 "id": name,
                 "addr": f"127.0.0.1:{free_port()}",
@@ -630,7 +630,7 @@
         self._server = await serve(self.store.app(), self.store_address)
         self._tasks.append(asyncio.create_task(self.store.expire()))
         self.configure(self.route)
-        for name in self._settings_by_id:
+        for name in self.settings_by_id:
             await self.start_runner(name)
         for zone in ZONES:
             await self.proxy_by_zone[zone].start()
@@ -666,7 +666,7 @@
 
     async def start_runner(self, name: str) -> None:
         """Starts a runner, or starts it again under its id."""
-        settings = json.dumps(self._settings_by_id[name])
+        settings = json.dumps(self.settings_by_id[name])
         await self._spawn(name, str(ROOT / "review" / "standins_2.py"), "runner", settings)
 
     async def _spawn(self, name: str, *arguments: str, **environment: str) -> None:
@@ -774,18 +774,24 @@
         self._folder.cleanup()
 
 
-def run_case(play: Any, runners: dict[str, list[str]], route: dict[str, Any] | None = None) -> None:
+def run_case(
+    play: Any,
+    runners: dict[str, list[str]],
+    route: dict[str, Any] | None = None,
+    kind: type[Deployment] = Deployment,
+) -> None:
     """Plays a case and exits with 1 if it returns a broken rule, 0 if not, 2 if it can't run.
 
     Args:
         play: plays the case with a deployment and whether there is trouble; returns what broke.
         runners: see `Deployment`.
         route: see `Deployment`.
+        kind: the kind of deployment.
     """
     record = Path(sys.argv[0]).resolve().parent / "record.txt"
 
     async def run() -> list[str]:
-        deployment = Deployment(runners, route)
+        deployment = kind(runners, route)
         try:
             await deployment.start()
             return await play(deployment, os.environ.get("TROUBLE") != "0")
