--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -798,9 +798,14 @@
         finally:
             await deployment.stop(record)
 
+    async def run_until_terminated() -> list[str]:
+        task = asyncio.create_task(asyncio.wait_for(run(), 115))
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        return await task
+
     try:
-        broken = asyncio.run(asyncio.wait_for(run(), 115))
-    except Exception as error:
+        broken = asyncio.run(run_until_terminated())
+    except (Exception, asyncio.CancelledError) as error:
         with record.open("a") as file:
             file.write(f"could not run: {type(error).__name__}: {error}\n")
         print(f"could not run: {type(error).__name__}: {error}")
