Start a task on no other worker while an unanswered start may be carried out

A start got no response; its stop was confirmed, and 0.83 s after the order the task started on another worker.

Cause: a response of one incarnation was taken for the fate of the order. A stop, a fence and run numbers bind the incarnation that saw them; each later one may still carry the order out, up to 12 s after it was sent. Ruled out by the timeline in docs/incidents/late-starts.md: a late fence (the cut lasts from before the crash until after the start), a lease that was too short.

Change: `UnansweredStarts` keeps each start order without a response for 13 s, longer while its worker is silent. Until then its task starts on the same worker only, where a run ends with its incarnation; the order is sent again there with the same run number. The list is durable for a successor, in a handover with the orders that still wait. Workers with such an order are not released, tasks with one neither delegated nor returned. Long-running tasks do not wait for a worker that is no longer registered. Prices and what is not bounded: docs/design/recovery.md.

Why it works: whichever incarnation carries the order out, no other worker runs the task.

--- a/packages/pollengate/pollengate/explain/explainer.py
+++ b/packages/pollengate/pollengate/explain/explainer.py
@@ -262,13 +262,14 @@
     ) -> dict[WorkerView, Reason | None]:
         """Returns the workers of a queue's service, each with the first reason against it."""
         fleet = self._job_table.fleet
+        unanswered = self._job_table.unanswered_starts
         is_held_back = self._is_held_back(step)
         reason_by_view = {}
         for view in fleet.workers_by_id.values():
             if view.info.service != queue.service:
                 continue
             reason = find_unschedulable_reason(fleet, view, now) or find_reason(
-                step.waiting.first or step.tasks[0], view, placer, needs_ticket, now
+                step.waiting.first or step.tasks[0], view, placer, unanswered, needs_ticket, now
             )
             if is_held_back and reason in (None, Reason.RESERVED):
                 reason = Reason.ACCOUNT_LIMIT
@@ -293,7 +294,9 @@
         self, step: StepProgress, queue: Queue, placer: Placer, needs_ticket: bool, now: float
     ) -> WorkerView | None:
         workers = self._job_table.fleet.schedulable_workers(queue.service, now)
-        return placer.choose(step.waiting.first or step.tasks[0], workers, now, needs_ticket)
+        task = step.waiting.first or step.tasks[0]
+        allowed = self._job_table.unanswered_starts.allowed(task, workers, now)
+        return placer.choose(task, workers, now, needs_ticket, candidates=allowed)
 
 
 def _describe(step: StepProgress) -> StepExplanation:
--- a/packages/pollengate/pollengate/explain/reasons.py
+++ b/packages/pollengate/pollengate/explain/reasons.py
@@ -7,6 +7,7 @@
 from pollengate.workflow.model import WorkerCondition
 from pollengate.workflow.placement import Placer, has_unused_processors
 from pollengate.workflow.progress import StepProgress, TaskProgress
+from pollengate.workflow.unanswered_starts import UnansweredStarts
 
 __all__ = ["Reason", "count_fitting_tasks", "find_reason", "find_unschedulable_reason"]
 
@@ -27,6 +28,7 @@
     NO_CAPACITY = "no_capacity"
     LIMIT_PER_WORKER = "limit_per_worker"
     HAS_RUN = "has_run"
+    UNANSWERED_START = "unanswered_start"
     NO_TICKET = "no_ticket"
     QUARANTINE = "quarantine"
     FAILED_THERE = "failed_there"
@@ -58,7 +60,12 @@
 
 
 def find_reason(
-    task: TaskProgress, view: WorkerView, placer: Placer, needs_ticket: bool, now: float
+    task: TaskProgress,
+    view: WorkerView,
+    placer: Placer,
+    unanswered_starts: UnansweredStarts,
+    needs_ticket: bool,
+    now: float,
 ) -> Reason | None:
     """Returns the first reason against a task on a schedulable worker, None if there is none."""
     step = task.step
@@ -71,6 +78,8 @@
         return Reason.LIMIT_PER_WORKER
     if view.worker_id in task.worker_ids:
         return Reason.HAS_RUN
+    if not unanswered_starts.allowed(task, (view,), now):
+        return Reason.UNANSWERED_START
     if needs_ticket and not placer.has_ticket(step, view, now):
         return Reason.NO_TICKET
     if not placer.evidence.admits(view.worker_id, task.name):
--- a/packages/pollengate/pollengate/workflow/fleet.py
+++ b/packages/pollengate/pollengate/workflow/fleet.py
@@ -187,6 +187,7 @@
         max_lease_s: longest lease that a worker accepts, `lease_s` by default.
 
     Attributes:
+        max_lease_s: longest lease that a worker accepts.
         workers_by_id: the workers.
         evacuated_zones: zones whose workers get no tasks.
         listed_ids: workers whose runs the store may list as complete; they get no tasks.
@@ -199,7 +200,7 @@
         max_lease_s: float | None = None,
     ) -> None:
         self._lease_s = lease_s
-        self._max_lease_s = max_lease_s
+        self.max_lease_s = max_lease_s or lease_s
         self._previous_leases_expire_at = previous_leases_expire_at
         self.workers_by_id: dict[str, WorkerView] = {}
         self._departed_by_id: dict[str, _Departed] = {}
@@ -248,9 +249,7 @@
         """
         view = self._add(_unregistered(worker_id, address), now)
         view.previous_leases = previous_leases
-        view.lease = WorkerLease(
-            self._lease_s, previous_leases.longest_expire_at, self._max_lease_s
-        )
+        view.lease = WorkerLease(self._lease_s, previous_leases.longest_expire_at, self.max_lease_s)
         view.is_registered = False
         view.is_recorded = True
 
@@ -314,7 +313,7 @@
             del self._departed_by_id[next(iter(self._departed_by_id))]
 
     def _add(self, worker: Worker, now: float) -> WorkerView:
-        lease = WorkerLease(self._lease_s, self._previous_leases_expire_at, self._max_lease_s)
+        lease = WorkerLease(self._lease_s, self._previous_leases_expire_at, self.max_lease_s)
         view = WorkerView(worker, lease)
         view.warm_at = now + worker.cold_ms / 1000
         view.has_drained = worker.condition is WorkerCondition.DRAINING
--- a/packages/pollengate/pollengate/workflow/job_table.py
+++ b/packages/pollengate/pollengate/workflow/job_table.py
@@ -23,6 +23,7 @@
     StepProgress,
     TaskProgress,
 )
+from pollengate.workflow.unanswered_starts import UnansweredStarts
 from pollengate.workflow.unclaimed_ends import UnclaimedEnds
 
 __all__ = ["Outbox", "JobTable"]
@@ -48,6 +49,7 @@
             `is_recorded`.
         may_run_unseen: returns whether a restored task may have a run of an earlier owner that is
             not known yet; asked before a takeover is settled.
+        unanswered_starts: start orders that may still be carried out.
         unclaimed_ends: runs that ended done while their job was unknown.
         on_run_ended: called with a run that ended on its worker, whether it is done, and the clock
             time; None for no call.
@@ -67,6 +69,7 @@
         self._crash_log = CrashLog()
         self._run_number_floor = term * RUNS_PER_TERM
         self._scheduled_by_id: dict[str, JobProgress] = {}
+        self.unanswered_starts = UnansweredStarts(fleet)
         self.unclaimed_ends = UnclaimedEnds()
 
     def take_outbox(self) -> Outbox:
@@ -138,15 +141,6 @@
             if job.is_ended or job.due_count >= job.occurrence_count:
                 del self._scheduled_by_id[job.job_id]
 
-    def waiting_filler_millis(self, since: float) -> dict[str, int]:
-        """Returns the millicores by image that fillers wait for in steps opened before `since`."""
-        waiting: dict[str, int] = {}
-        for step in self.open_steps:
-            if step.spec.is_filler and step.waiting and step.opened_at < since:
-                wanted = len(step.waiting) * step.spec.demand.cpu_millis
-                waiting[step.spec.image] = waiting.get(step.spec.image, 0) + wanted
-        return waiting
-
     def find_task(self, name: str) -> TaskProgress | None:
         """Returns the task with a name, None if it is unknown or its occurrence is not due."""
         delegated = self.jobs_by_id.get(name)
@@ -267,7 +261,7 @@
             self._remove_run(run)
 
     def mark_unknown(self, run: Run) -> None:
-        """Applies a start order without a reply; stops the run unless it is known to be running."""
+        """Gives up a run of which no start was answered, unless it is known to be running."""
         if run.state is not RunState.ENDED:
             run.task.has_run = True
             run.apply_event("unanswered")
--- a/packages/pollengate/pollengate/workflow/keys.py
+++ b/packages/pollengate/pollengate/workflow/keys.py
@@ -29,6 +29,7 @@
     "shard_of_job",
     "shard_of_unassigned_rack",
     "term_key",
+    "unanswered_starts_key",
 ]
 
 ROOT = "pollengate/"
@@ -72,6 +73,11 @@
     return f"{ROOT}incarnations/{shard}"
 
 
+def unanswered_starts_key(shard: int) -> str:
+    """Returns the key of a shard's start orders without a response."""
+    return f"{ROOT}unanswered/{shard}"
+
+
 def interference_record_key(shard: int) -> str:
     """Returns the key of a shard's interference record."""
     return f"{INTERFERENCE_RECORD_PREFIX}{shard}"
--- a/packages/pollengate/pollengate/workflow/leases.py
+++ b/packages/pollengate/pollengate/workflow/leases.py
@@ -6,7 +6,13 @@
 
 from pollengate.clock_drift import MAX_CLOCK_DRIFT_RATIO
 
-__all__ = ["ORDER_TRANSIT_S", "WORKER_LEASE_S", "PreviousLeases", "WorkerLease"]
+__all__ = [
+    "ORDER_TRANSIT_S",
+    "WORKER_LEASE_S",
+    "PreviousLeases",
+    "WorkerLease",
+    "longest_lease_expiry",
+]
 
 # Long enough to survive a change of owner if the old owner is cut off during an outage of the
 # store: the rest of the outage, a full owner lease that the store grants after it (2.5 s), the
@@ -17,6 +23,16 @@
 ORDER_TRANSIT_S = 1.0
 
 
+def longest_lease_expiry(sent_at: float, max_length_s: float) -> float:
+    """Returns the clock time by which any lease has expired that an order of `sent_at` gave.
+
+    Args:
+        sent_at: clock time at which it was sent.
+        max_length_s: longest lease that a worker accepts.
+    """
+    return sent_at + (ORDER_TRANSIT_S + max_length_s) / (1 - MAX_CLOCK_DRIFT_RATIO)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PreviousLeases:
     """When the leases have expired that earlier owners of a shard gave.
@@ -186,7 +202,7 @@
 
         That holds also if a later incarnation has carried it out, but not seconds late.
         """
-        return now + (ORDER_TRANSIT_S + self._max_length_s) / (1 - MAX_CLOCK_DRIFT_RATIO)
+        return longest_lease_expiry(now, self._max_length_s)
 
     def _count_misdirected(self, now: float) -> None:
         if self._may_be_misdirected:
--- a/packages/pollengate/pollengate/workflow/placement.py
+++ b/packages/pollengate/pollengate/workflow/placement.py
@@ -127,8 +127,8 @@
             now: clock time.
             needs_ticket: whether only workers with a ticket may run it.
             scores: scores for its step, if several tasks of the step are placed.
-            candidates: the workers among them that may score, None for all; see
-                `filler_workers`.
+            candidates: the workers among them that may get it, None for all; see `filler_workers`
+                and `UnansweredStarts.allowed`.
         """
         scores = scores or StepScores()
         if candidates is None:
--- a/packages/pollengate/pollengate/workflow/planner.py
+++ b/packages/pollengate/pollengate/workflow/planner.py
@@ -278,6 +278,7 @@
                 self.placer.fillers.refresh(workers, now)
                 candidates = self.placer.filler_workers(step, workers, now)
                 plan.candidates_by_filler[key] = candidates
+        unanswered = self.job_table.unanswered_starts
         # Tasks that failed on the same workers may start on the same others.
         unplaced: set[frozenset[str]] = set()
         for task in step.waiting.walk():
@@ -288,13 +289,14 @@
             if not self.job_table.is_recorded(task) or self._may_run_unseen(task, plan):
                 continue
             failed_ids = self.placer.evidence.failed_worker_ids(task.name)
-            is_ordinary = not (task.crashes or task.runs_by_number)
+            is_held = unanswered.holds(task, now)
+            is_ordinary = not (task.crashes or task.runs_by_number or is_held)
             if is_ordinary and failed_ids in unplaced:
                 continue
-            view = self.placer.choose(
-                task, workers, now, queue.advice is not None, scores, candidates
-            )
-            if view is None and self._has_fewer_workers(task):
+            possible = workers if candidates is None else candidates
+            allowed = unanswered.allowed(task, possible, now)
+            view = self.placer.choose(task, workers, now, queue.advice is not None, scores, allowed)
+            if view is None and (is_held or self._has_fewer_workers(task)):
                 if is_ordinary:
                     unplaced.add(failed_ids)
                 continue  # its siblings may run where it may not
@@ -337,7 +339,10 @@
         is_complete = False
         try:
             for task in list(step.waiting):
-                view = self.placer.choose(task, workers, now, queue.advice is not None, scores)
+                allowed = self.job_table.unanswered_starts.allowed(task, workers, now)
+                view = self.placer.choose(
+                    task, workers, now, queue.advice is not None, scores, allowed
+                )
                 if view is None:
                     return []
                 runs.append(self._add_run(task, view, number, now))
--- a/packages/pollengate/pollengate/workflow/progress.py
+++ b/packages/pollengate/pollengate/workflow/progress.py
@@ -67,6 +67,7 @@
         ordered_at: clock time of the start order.
         checkpoint: where it resumes, empty if at the beginning.
         order_token: fencing token of this owner's start order, 0 if it has sent none.
+        order_born_ms: start of the worker's incarnation that the order was meant for.
         state: its state.
         percent: work done as last reported; 100 for a long-running task past its startup.
         progressed_at: clock time at which `percent` last rose.
@@ -92,6 +93,7 @@
     ordered_at: float
     checkpoint: str = ""
     order_token: int = 0
+    order_born_ms: int = 0
     state: RunState = RunState.STARTING
     percent: float = 0.0
     progressed_at: float = 0.0
--- a/packages/pollengate/pollengate/workflow/reports.py
+++ b/packages/pollengate/pollengate/workflow/reports.py
@@ -181,8 +181,11 @@
         # A task that is done has no other run, so it counts also if the lease has expired since. It
         # must not start again: its end may have been listed in a report that came too late.
         end_kind = ended.how
-        run = self._view.runs.get((ended.task, ended.run))
+        view = self._view
+        run = view.runs.get((ended.task, ended.run))
         if run is not None:
+            if run.replied_at is None:
+                self._job_table.unanswered_starts.settle(ended.task, view.worker_id, ended.run)
             self._job_table.mark_ended(run, end_kind, ended.checkpoint, now, now_ms)
             return EndEffect.APPLIED
         task = self._job_table.find_started_task(ended.task, now)
@@ -190,7 +193,7 @@
             return EndEffect.JOB_ENDED
         if task is None:
             if end_kind is EndKind.DONE:
-                end = UnclaimedEnd(ended.task, ended.run, self._view.worker_id)
+                end = UnclaimedEnd(ended.task, ended.run, view.worker_id)
                 self._job_table.unclaimed_ends.keep(end)
             return EndEffect.UNKNOWN_TASK
         if task.is_done:
@@ -205,7 +208,7 @@
         is_copy_done = end_kind is EndKind.DONE and task.step.spec.is_speculative
         if end_kind is EndKind.FAILED or is_newest or is_copy_done:
             self._job_table.apply_result(
-                task, ended.run, self._view.worker_id, end_kind, ended.checkpoint, now, now_ms
+                task, ended.run, view.worker_id, end_kind, ended.checkpoint, now, now_ms
             )
             return EndEffect.APPLIED
         return EndEffect.NEWER_RUN
@@ -219,12 +222,12 @@
                 self._job_table.outbox.orphans.append((view.worker_id, row.task, row.run))
                 return
             run = self._job_table.adopt(task, row.run, view, now)
-        elif run.state is RunState.STARTING:
+        elif run.state in (RunState.STARTING, RunState.UNSETTLED):
+            self._job_table.unanswered_starts.settle(row.task, view.worker_id, row.run)
             self._job_table.mark_seen(run)
             run.replied_at = now
-        elif run.state is RunState.UNSETTLED:
-            self._job_table.mark_seen(run)
-            self._job_table.outbox.stops.append(run)
+            if run.is_stop_wanted:
+                self._job_table.outbox.stops.append(run)
         if run.task.crashes:
             self._clear_suspicion(run, now)
         if row.percent <= run.percent:
@@ -255,7 +258,9 @@
         for key, run in list(self._view.runs.items()):
             if key in present:
                 continue
-            is_rejected = 0 < run.order_token < fenced_token
+            # An order without a response is sent again to the incarnation that it was meant for.
+            is_repeated = run.state is RunState.STARTING and run.order_born_ms == self._view.born_ms
+            is_rejected = 0 < run.order_token < fenced_token and not is_repeated
             if is_rejected or (run.replied_at is not None and run.replied_at < sent_at):
                 self._job_table.mark_lost(run)
 
--- a/packages/pollengate/pollengate/workflow/task_delegation.py
+++ b/packages/pollengate/pollengate/workflow/task_delegation.py
@@ -51,6 +51,8 @@
             if self._may_delegate(step)
             for task in step.waiting
             if task.has_run and not task.crashes and not task.runs_by_number
+            # An order of this owner could start it beside a run that another one has started.
+            and not self._job_table.unanswered_starts.holds(task, now)
         ]
         # A task is not in the queue while another shard is asked, or a start may yet be refused.
         asked = [task for task in self._waiting_since if task.is_delegated or task.is_starting]
--- a/packages/pollengate/pollengate/workflow/waiting.py
+++ b/packages/pollengate/pollengate/workflow/waiting.py
@@ -17,7 +17,14 @@
 from pollengate.workflow.progress import StepProgress, TaskProgress
 from pollengate.workflow.start_filter import NoStartFilter, StartFilter
 
-__all__ = ["OverdueRestart", "OverdueStep", "WaitCause", "WaitMonitor", "Withheld"]
+__all__ = [
+    "OverdueRestart",
+    "OverdueStep",
+    "WaitCause",
+    "WaitMonitor",
+    "Withheld",
+    "waiting_filler_millis",
+]
 
 # Plans are made within milliseconds of an event, so that a longer wait has another cause.
 OVERDUE_AFTER_S = 2.0
@@ -43,6 +50,7 @@
     Attributes:
         RUNS_THERE: a run of the task may exist there.
         NOT_RECORDED: crashes under the task are not durable yet.
+        UNANSWERED_START: another worker may still carry out a start of the task.
         QUARANTINED: tasks of several jobs failed there, and no probe is due.
         FAILED_THERE: the task failed there.
         FILLERS: no headroom or processors for a filler, or fillers are blocked there.
@@ -51,6 +59,7 @@
 
     RUNS_THERE = "runs_there"
     NOT_RECORDED = "not_recorded"
+    UNANSWERED_START = "unanswered_start"
     QUARANTINED = "quarantined"
     FAILED_THERE = "failed_there"
     FILLERS = "fillers"
@@ -100,6 +109,16 @@
     room_beside_long_running: int
 
 
+def waiting_filler_millis(job_table: JobTable, since: float) -> dict[str, int]:
+    """Returns the millicores by image that fillers wait for in steps opened before `since`."""
+    waiting: dict[str, int] = {}
+    for step in job_table.open_steps:
+        if step.spec.is_filler and step.waiting and step.opened_at < since:
+            wanted = len(step.waiting) * step.spec.demand.cpu_millis
+            waiting[step.spec.image] = waiting.get(step.spec.image, 0) + wanted
+    return waiting
+
+
 class WaitMonitor:
     """Finds the steps of a shard whose tasks wait for long.
 
@@ -155,7 +174,7 @@
         workers_of = functools.cache(
             lambda service: self._job_table.fleet.schedulable_workers(service, now)
         )
-        explain = functools.cache(lambda step: self._explain_restart(step, workers_of))
+        explain = functools.cache(lambda step: self._explain_restart(step, now, workers_of))
         overdue: list[OverdueRestart] = []
         for task, since in self._restart_since.items():
             if now - since < OVERDUE_AFTER_S or task.is_starting:
@@ -192,19 +211,19 @@
             if now - self._reported_at.get(step, float("-inf")) < REPEAT_AFTER_S:
                 continue
             self._reported_at[step] = now
-            overdue.append(self._explain(step, now - since, workers_of))
+            overdue.append(self._explain(step, now, now - since, workers_of))
         return overdue
 
     def find_cause(self, step: StepProgress, now: float) -> WaitCause:
         """Returns why the waiting tasks of a step do not start at present."""
         fleet = self._job_table.fleet
-        return self._explain(step, 0.0, lambda s: fleet.schedulable_workers(s, now)).cause
+        return self._explain(step, now, 0.0, lambda s: fleet.schedulable_workers(s, now)).cause
 
     def _explain_restart(
-        self, step: StepProgress, workers_of: Callable[[str], list[WorkerView]]
+        self, step: StepProgress, now: float, workers_of: Callable[[str], list[WorkerView]]
     ) -> tuple[WaitCause, int, int]:
         """Returns cause and room, see `OverdueRestart`; they are the same for a step's tasks."""
-        explained = self._explain(step, 0.0, workers_of)
+        explained = self._explain(step, now, 0.0, workers_of)
         queue = self._job_table.queue_of(step)
         workers = [] if queue is None else workers_of(queue.service)
         beside = sum(fits_beside_long_running(step, view) for view in workers)
@@ -213,6 +232,7 @@
     def _explain(
         self,
         step: StepProgress,
+        now: float,
         waited_s: float,
         workers_of: Callable[[str], list[WorkerView]],
     ) -> OverdueStep:
@@ -236,12 +256,12 @@
             cause = WaitCause.WITHHELD
         withheld: collections.Counter[Withheld] = collections.Counter()
         if cause is WaitCause.WITHHELD:
-            withheld.update(self._withheld_by(step, view) for view in with_room)
+            withheld.update(self._withheld_by(step, view, now) for view in with_room)
         views = self._job_table.fleet.workers_by_id.values()
         on_trial = sum(view.trial is not None for view in views)
         return OverdueStep(step, waited_s, cause, len(workers), room, withheld, on_trial)
 
-    def _withheld_by(self, step: StepProgress, view: WorkerView) -> Withheld:
+    def _withheld_by(self, step: StepProgress, view: WorkerView, now: float) -> Withheld:
         """Returns why the next task of a step does not get a worker with room."""
         evidence = self._job_table.evidence
         task = step.waiting.first or step.tasks[0]
@@ -249,6 +269,8 @@
             return Withheld.NOT_RECORDED
         if view.worker_id in task.worker_ids:
             return Withheld.RUNS_THERE
+        if not self._job_table.unanswered_starts.allowed(task, (view,), now):
+            return Withheld.UNANSWERED_START
         if not evidence.admits(view.worker_id, task.name):
             is_quarantined = evidence.is_quarantined(view.worker_id)
             return Withheld.QUARANTINED if is_quarantined else Withheld.FAILED_THERE
--- a/packages/pollengated/pollengated/edge/edge_metrics.py
+++ b/packages/pollengated/pollengated/edge/edge_metrics.py
@@ -54,6 +54,11 @@
             ["reason"],
             registry=registry,
         )
+        self.late_starts = Counter(
+            "pollengate_edge_late_starts",
+            "Runs that a worker began by a start order without a response.",
+            registry=registry,
+        )
         self.merged_interference_records = Counter(
             "pollengate_edge_merged_interference_records",
             "Interference records of other shards whose evidence was taken over.",
--- a/packages/pollengated/pollengated/edge/run_mover.py
+++ b/packages/pollengated/pollengated/edge/run_mover.py
@@ -14,6 +14,7 @@
 from pollengate.workflow.restart_room import RestartRoom
 from pollengate.workflow.start_filter import StartFilter
 from pollengate.workflow.stragglers import Remedy, Straggler, find_stragglers
+from pollengate.workflow.waiting import waiting_filler_millis
 
 from pollengated.logs import Log
 
@@ -63,6 +64,8 @@
     def _move_off_draining_workers(self, now: float) -> None:
         for view in self._fleet.workers_by_id.values():
             for run in runs_to_move(view):
+                if self._job_table.unanswered_starts.holds(run.task, now):
+                    continue  # until the worker is gone it would start on no other
                 self._log.info("stopping a run on a draining worker", **_fields(run))
                 self._job_table.stop(run)
 
@@ -103,7 +106,7 @@
             self._job_table.stop(run)
 
     def _rebalance(self, now: float) -> None:
-        waiting_millis = self._job_table.waiting_filler_millis(now - FILLER_WAIT_S)
+        waiting_millis = waiting_filler_millis(self._job_table, now - FILLER_WAIT_S)
         run = self._rebalancer.choose(waiting_millis, now)
         if run is not None:
             self._log.info(
--- a/packages/pollengated/pollengated/edge/shard_records.py
+++ b/packages/pollengated/pollengated/edge/shard_records.py
@@ -15,6 +15,7 @@
     progress_prefix,
     run_lists_key,
     settled_incarnations_key,
+    unanswered_starts_key,
 )
 from pollengate.workflow.shard_lease import ShardLease
 from result import Err, Ok, Result
@@ -43,6 +44,7 @@
         recorded_workers: list of the workers that may run tasks.
         run_lists: lists of what may run on workers that get no starts.
         settled_incarnations: incarnations of workers whose leases all end by their own clocks.
+        unanswered_starts: start orders without a response.
         interference: probabilities that images interfere.
         jobs: jobs as accepted.
         progress: progress of the jobs.
@@ -54,6 +56,7 @@
     recorded_workers: Entry | None
     run_lists: Entry | None
     settled_incarnations: Entry | None
+    unanswered_starts: Entry | None
     interference: Entry | None
     jobs: tuple[Entry, ...]
     progress: tuple[Entry, ...]
@@ -109,6 +112,9 @@
         settled_incarnations = await self._get(settled_incarnations_key(self._shard))
         if isinstance(settled_incarnations, Err):
             return settled_incarnations
+        unanswered_starts = await self._get(unanswered_starts_key(self._shard))
+        if isinstance(unanswered_starts, Err):
+            return unanswered_starts
         interference = await self._get(interference_record_key(self._shard))
         if isinstance(interference, Err):
             return interference
@@ -130,6 +136,7 @@
                 recorded_workers.ok_value,
                 run_lists.ok_value,
                 settled_incarnations.ok_value,
+                unanswered_starts.ok_value,
                 interference.ok_value,
                 jobs.ok_value.entries,
                 progress.ok_value.entries,
--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -51,6 +51,7 @@
 from pollengated.edge.start_policy import StartPolicy
 from pollengated.edge.takeover import Takeover
 from pollengated.edge.term_tasks import TermTasks
+from pollengated.edge.unanswered_start_records import UnansweredStartRecords
 from pollengated.edge.worker_assignments import WorkerAssignments
 from pollengated.edge.worker_controller import WorkerController
 from pollengated.edge.worker_registry import WorkerRegistry
@@ -170,12 +171,9 @@
             self._spawn(self._committer.run())
             self._spawn(self._interference.run())
             if self._advice is not None:
+                order = self._start_policy.order
                 requester = AdviceRequester(
-                    self.job_table,
-                    self._tickets,
-                    self._advice,
-                    self._start_policy.order,
-                    self._clocks,
+                    self.job_table, self._tickets, self._advice, order, self._clocks
                 )
                 self._spawn(LoopSupervisor(self._metrics).run("advice", requester.run))
             try:
@@ -201,6 +199,7 @@
             self.request_handler.is_closing = True
         await asyncio.sleep(PLAN_DELAY_S)
         if self.is_serving:
+            self._unanswered_starts.add_in_flight(self.fleet)
             self._record_changes()
             await self._takeover.run_lists.hand_over(timeout_s)
 
@@ -249,6 +248,9 @@
         evidence = FailureEvidence(self._clocks.monotonic_s, FIRST_PROBE_AFTER_S, MAX_PROBE_AFTER_S)
         self.job_table = JobTable(self.fleet, evidence, committer.term_number)
         self.job_table.durable_record_number = lambda: committer.durable_record_number
+        unanswered = self.job_table.unanswered_starts
+        self._unanswered_starts = UnansweredStartRecords(self.shard, committer, unanswered, clocks)
+        self._unanswered_starts.load(records.unanswered_starts, self._acquired_at)
         self._job_end_log = JobEndLog(self._clocks, self._metrics)
         self._assignments.load(records.transfers)
         previous_term = load_previous_term(
@@ -273,13 +275,10 @@
         self._start_policy = StartPolicy(
             self.job_table, self._policy, self._account_shares, self._metrics, is_settled
         )
+        order, start_filter = self._start_policy.order, self._start_policy.start_filter
+        placer = Placer(evidence, self._latency_model, self._tickets)
         self._planner = Planner(
-            self.job_table,
-            Placer(evidence, self._latency_model, self._tickets),
-            is_settled,
-            self._start_policy.order,
-            self._start_policy.start_filter,
-            self._guard,
+            self.job_table, placer, is_settled, order, start_filter, self._guard
         )
         self.explainer = JobExplainer(self._planner)
         self.room = ShardRoom(self.job_table, is_settled)
@@ -294,9 +293,8 @@
             self._clocks,
             is_settled,
             self._detach_worker,
-            self._start_policy.start_filter,
+            start_filter,
         )
-        start_filter = self._start_policy.start_filter
         run_mover = RunMover(self.job_table, self._latency_model, start_filter, self._guard)
         self._load_log = ShardLoadLog(
             self.shard, self.job_table, is_settled, start_filter, self._metrics, self._other_shards
@@ -438,6 +436,7 @@
             if job.is_ended:
                 self._job_end_log.record(job)
         changed.clear()
+        self._unanswered_starts.update()
 
     def _may_start(self, now: float) -> bool:
         # In the grace period a successor may have started the same tasks, or know that they are
--- a/packages/pollengated/pollengated/edge/worker_controller.py
+++ b/packages/pollengated/pollengated/edge/worker_controller.py
@@ -47,6 +47,8 @@
 # Limits the wait for a reply whose parts keep arriving; lease expiry is checked only after a reply
 # or a failure. Two such waits fit into a worker's lease.
 RENEW_TIMEOUT_S = 2.5
+# Times that a start order without a response is sent again until the run is given up.
+MAX_REPEATED_STARTS = 2
 # Pause between a reply and the next renewal, so that one report lists more ended runs.
 RENEW_PAUSE_S = 0.03
 # If results are not durable after this time, the next renewal does not acknowledge them; the worker
@@ -173,16 +175,45 @@
             self._is_requesting_report = False
 
     async def start(self, run: Run) -> None:
-        """Sends a start order and applies its outcome to the job table."""
-        now = self._clocks.monotonic_s()
-        lease_until_ms = self._extend_lease(now)
+        """Sends a start order until it has a response, and applies its outcome to the job table.
+
+        The run keeps its number, so that the worker carries out one of the orders at most.
+        """
         # The worker may have started again, or stopped replying, since the start was planned.
         is_in_touch = self.view.is_attached and not self._is_failing
-        may_start = is_in_touch and self._shard_lease.is_valid(now)
-        if lease_until_ms is None or not may_start:
-            self._job_table.mark_rejected(run)
+        rejection = await self._order_start(run) if is_in_touch else OrderRejection.NOT_SENT
+        is_unanswered = rejection is OrderRejection.NO_ANSWER
+        for _ in range(MAX_REPEATED_STARTS if is_unanswered else 0):
             self._on_event()
-            return
+            if rejection not in _UNANSWERED or not await self._wait_until_missing(run):
+                break
+            rejection = await self._order_start(run)
+        if is_unanswered and rejection is not None:
+            self._job_table.mark_unknown(run)
+        elif rejection is not None:
+            self._job_table.mark_rejected(run)
+        self._on_event()
+
+    async def _wait_until_missing(self, run: Run) -> bool:
+        """Waits for a report after an unanswered start; returns False unless the run is missing."""
+        failed_at = self._clocks.monotonic_s()
+        await self.request_report()
+        while run.state is RunState.STARTING and not self._shard_lease.is_lost:
+            now = self._clocks.monotonic_s()
+            is_same = self.view.is_attached and self.view.born_ms == run.order_born_ms
+            has_reported = is_same and self.view.lease.replied_at > failed_at
+            # In the grace period a successor may have started the task.
+            if has_reported and self._shard_lease.is_confirmed(now):
+                return True
+            await asyncio.sleep(RETRY_S)
+        return False
+
+    async def _order_start(self, run: Run) -> OrderRejection | None:
+        """Sends a start order; returns None if it was confirmed."""
+        now = self._clocks.monotonic_s()
+        lease_until_ms = self._extend_lease(now)
+        if lease_until_ms is None or not self._shard_lease.is_valid(now):
+            return OrderRejection.NOT_SENT
         step = run.task.step
         order = StartOrder(
             task=run.task.name,
@@ -193,12 +224,13 @@
             checkpoint=run.checkpoint,
             ticket=self._tickets.ticket(step, self.view, now),
         )
-        run.order_token = order.token
+        run.ordered_at = run.progressed_at = now
+        run.order_token, run.order_born_ms = order.token, self.view.born_ms
         sent = self._acknowledgement.begin_order(now, is_start=True)
         result = await self._send_start(order)
-        self._apply_start_result(run, order.token, result)
+        rejection = self._apply_start_result(run, order.token, now, result)
         self._record_response(sent, result)
-        self._on_event()
+        return rejection
 
     async def _send_start(self, order: StartOrder) -> Result[int, OrderFailure]:
         is_answered: bool | None = None
@@ -316,6 +348,7 @@
             self._fillers.forget()
         was_fenced = self.view.is_fenced
         self._end_late_report_backoff()
+        self._run_log.record_late_starts(self.view, report, self._job_table.unanswered_starts)
         silent_s = now - self.view.lease.replied_at
         new_ends = self._reconciler.apply(
             report, sent_at, now, self._clocks.unix_ms(), fenced_token
@@ -354,45 +387,31 @@
         if not await self._committer.wait_durable(self._report_record_number, DURABLE_TIMEOUT_S):
             self._metrics.undurable_results.inc()
 
-    def _apply_start_result(self, run: Run, token: int, result: Result[int, OrderFailure]) -> None:
+    def _apply_start_result(
+        self, run: Run, token: int, sent_at: float, result: Result[int, OrderFailure]
+    ) -> OrderRejection | None:
         now = self._clocks.monotonic_s()
         if not isinstance(result, Err):
             self._job_table.mark_started(run, now)
-            self._metrics.starts.inc()
+            self._run_log.record_start(run, token)
             if run.task.step.spec.is_filler:
                 self._fillers.adjust(now)  # it runs at full speed until it is told otherwise
-            self._log.info(
-                "task started",
-                task=run.task.name,
-                run=run.number,
-                worker=self.view.worker_id,
-                token=token,
-            )
-            return
+            return None
         failure = result.err_value
-        self._metrics.failed_starts.labels(failure.kind.value).inc()
-        self._log.info(
-            "task not started",
-            task=run.task.name,
-            run=run.number,
-            worker=self.view.worker_id,
-            reason=failure.kind.value,
-            cause=failure.detail,
-        )
+        self._run_log.record_failed_start(run, failure)
         self._handle_failure(failure, token)
         if failure.kind is OrderRejection.NO_ANSWER:
             if self._may_have_reached_another():
                 run.may_outlast_until = self.view.lease.longest_expire_at(now)
-            self._job_table.mark_unknown(run)
-            return
-        if failure.kind is OrderRejection.NO_ROOM:
+            self._job_table.unanswered_starts.record(run, sent_at)
+        elif failure.kind is OrderRejection.NO_ROOM:
             self._suspend_starts(now + NO_ROOM_BACKOFF_S)
         elif failure.kind is OrderRejection.UNHEALTHY:
             self._suspend_starts(now + UNHEALTHY_BACKOFF_S)
             self._job_table.evidence.record_rejection(run.task.step.job.job_id, self.view.worker_id)
         elif failure.kind is OrderRejection.NO_TICKET:
             self._tickets.revoke(run.task.step, self.view.worker_id)
-        self._job_table.mark_rejected(run)
+        return failure.kind
 
     def _may_have_reached_another(self) -> bool:
         """Whether an order since the newest report may have reached a later incarnation."""
@@ -423,12 +442,7 @@
         now = self._clocks.monotonic_s()
         if not self._acknowledgement.record_response(sent, clock_ms, now):
             return
-        self._log.info(
-            "another incarnation of a worker has responded",
-            worker=self.view.worker_id,
-            clock_ms=clock_ms,
-            lowest_clock_ms=sent.lowest_clock_ms,
-        )
+        self._run_log.record_other_response(self.view, clock_ms, sent.lowest_clock_ms)
         self.view.is_attached = self.view.is_paging = self.view.is_fenced = False
         self.view.lease.begin_incarnation(now)
         asyncio.get_running_loop().create_task(self.request_report())
@@ -447,11 +461,7 @@
             self._metrics.fenced_orders.inc()
             return  # sent before the worker was assigned to another shard or started again
         if failure.kind is OrderRejection.FENCED:
-            self._log.warning(
-                "worker knows a later owner and rejected an order; ending ownership",
-                worker=self.view.worker_id,
-                token=token,
-            )
+            self._run_log.record_later_owner(self.view, token)
             self._shard_lease.mark_lost()
         elif failure.kind is OrderRejection.OTHER_INCARNATION:
             self._reconciler.reset(now, self._clocks.unix_ms())
@@ -462,11 +472,7 @@
             self._suspend_starts(now + NO_REPLY_BACKOFF_S)
             if not self._is_failing:
                 self._is_failing = True
-                self._log.warning(
-                    "worker did not reply; pausing starts",
-                    worker=self.view.worker_id,
-                    cause=failure.detail,
-                )
+                self._run_log.record_silence(self.view, failure.detail)
 
     def _suspend_starts(self, until: float) -> None:
         self.view.unavailable_until = max(self.view.unavailable_until, until)
@@ -489,11 +495,6 @@
         lapsed = self._reconciler.mark_lapsed(now) if has_expired else 0
         if not lapsed:
             return
-        self._log.warning(
-            "lease of an unreachable worker expired; its runs are lost",
-            worker=self.view.worker_id,
-            runs=lapsed,
-            silent_s=round(self._clocks.monotonic_s() - self.view.lease.replied_at, 2),
-        )
+        self._run_log.record_lapse(self.view, lapsed)
         self.view.is_attached = self.view.is_paging = False
         self._on_event()
--- a/packages/pollengated/pollengated/edge/worker_run_log.py
+++ b/packages/pollengated/pollengated/edge/worker_run_log.py
@@ -4,10 +4,12 @@
 from collections.abc import Iterable
 from typing import TypeVar
 
-from pollengate.workflow.clients import EndedRun, EndKind, Report, RunningTask
+from pollengate.workflow.clients import EndedRun, EndKind, OrderFailure, Report, RunningTask
 from pollengate.workflow.crashes import WorkerCrash
 from pollengate.workflow.fleet import WorkerView
+from pollengate.workflow.progress import Run
 from pollengate.workflow.reports import AppliedEnd, EndEffect
+from pollengate.workflow.unanswered_starts import UnansweredStarts
 
 from pollengated.edge.clocks import Clocks
 from pollengated.edge.edge_metrics import EdgeMetrics
@@ -55,6 +57,89 @@
             leases_end_in_s=round(view.lease.expires_at() - now, 2),
         )
 
+    def record_start(self, run: Run, token: int) -> None:
+        """Logs and counts a start that its worker has confirmed."""
+        self._metrics.starts.inc()
+        self._log.info(
+            "task started",
+            task=run.task.name,
+            run=run.number,
+            worker=run.worker_id,
+            token=token,
+        )
+
+    def record_failed_start(self, run: Run, failure: OrderFailure) -> None:
+        """Logs and counts a start order that its worker has not confirmed."""
+        self._metrics.failed_starts.labels(failure.kind.value).inc()
+        self._log.info(
+            "task not started",
+            task=run.task.name,
+            run=run.number,
+            worker=run.worker_id,
+            reason=failure.kind.value,
+            cause=failure.detail,
+        )
+
+    def record_late_starts(
+        self, view: WorkerView, report: Report, unanswered_starts: UnansweredStarts
+    ) -> None:
+        """Logs and counts the runs that are new in a report and began by an unanswered order."""
+        starts = unanswered_starts.sent_to(view.worker_id)
+        if not starts:
+            return
+        rows: tuple[RunningTask | EndedRun, ...] = (*report.running, *report.ended)
+        listed = {(row.task, row.run) for row in rows}
+        for start in starts:
+            key = (start.task, start.run)
+            run = view.runs.get(key)
+            is_unanswered = run is not None and run.replied_at is None
+            is_next = view.born_ms not in (0, report.born_ms)
+            if key not in listed or not (is_unanswered or is_next):
+                continue
+            self._metrics.late_starts.inc()
+            self._log.info(
+                "a start order without a response was carried out",
+                task=start.task,
+                run=start.run,
+                worker=view.worker_id,
+                born_ms=report.born_ms,
+                before_ms=view.born_ms,
+            )
+
+    def record_other_response(
+        self, view: WorkerView, clock_ms: int | None, lowest_clock_ms: int
+    ) -> None:
+        """Logs a response that is not of the incarnation that has reported."""
+        self._log.info(
+            "another incarnation of a worker has responded",
+            worker=view.worker_id,
+            clock_ms=clock_ms,
+            lowest_clock_ms=lowest_clock_ms,
+        )
+
+    def record_silence(self, view: WorkerView, cause: str) -> None:
+        """Logs that a worker has left an order without a response."""
+        self._log.warning(
+            "worker did not reply; pausing starts", worker=view.worker_id, cause=cause
+        )
+
+    def record_lapse(self, view: WorkerView, runs: int) -> None:
+        """Logs that runs were lost with the lease of a worker."""
+        self._log.warning(
+            "lease of an unreachable worker expired; its runs are lost",
+            worker=view.worker_id,
+            runs=runs,
+            silent_s=round(self._clocks.monotonic_s() - view.lease.replied_at, 2),
+        )
+
+    def record_later_owner(self, view: WorkerView, token: int) -> None:
+        """Logs that a worker rejected an order with the token of this owner."""
+        self._log.warning(
+            "worker knows a later owner and rejected an order; ending ownership",
+            worker=view.worker_id,
+            token=token,
+        )
+
     def record_crash(self, crash: WorkerCrash) -> None:
         """Logs and counts a crash of a worker, and the tasks that are given up for it."""
         self._metrics.worker_crashes.labels(crash.cause.value).inc()
--- a/tests/test_workflow_placement.py
+++ b/tests/test_workflow_placement.py
@@ -11,6 +11,7 @@
 from pollengate.workflow.draining import runs_to_move
 from pollengate.workflow.model import Demand, Step, WorkerCondition
 from pollengate.workflow.progress import Run
+from pollengate.workflow.waiting import waiting_filler_millis
 
 from tests.workflow_builders import (
     build_job,
@@ -243,7 +244,7 @@
 
     def waiting(self) -> dict[str, int]:
         """Returns the millicores that fillers wait for, by image."""
-        return self.job_table.waiting_filler_millis(1.0)
+        return waiting_filler_millis(self.job_table, 1.0)
 
     def move(self, run: Run, now: float) -> str:
         """Stops a run and starts its task again; returns the new worker's id."""
