Log and count how a configuration was read and how old it may be

`configuration applied` has `source`, `events`, `bytes`, `transfer_s` and `age_at_most_s`; metrics pollengate_edge_view_age_seconds and pollengate_edge_view_bytes_total. No decision changes.

--- a/packages/pollengate/pollengate/store.py
+++ b/packages/pollengate/pollengate/store.py
@@ -19,6 +19,7 @@
     "Put",
     "Store",
     "StoreFailure",
+    "Transfer",
     "Unchanged",
     "WatchEvent",
 ]
@@ -75,12 +76,29 @@
     lease_id: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Transfer:
+    """What it took to receive a response.
+
+    Attributes:
+        size_bytes: length of the response.
+        seconds: time from its first part to its last.
+    """
+
+    size_bytes: int = 0
+    seconds: float = 0.0
+
+    def __add__(self, other: "Transfer") -> "Transfer":
+        return Transfer(self.size_bytes + other.size_bytes, self.seconds + other.seconds)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Listing:
     """All entries whose keys start with a prefix, as of one store revision."""
 
     entries: tuple[Entry, ...]
     revision: int
+    transfer: Transfer = dataclasses.field(default=Transfer(), compare=False)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -140,6 +158,7 @@
 
     events: tuple[WatchEvent, ...]
     revision: int
+    transfer: Transfer = dataclasses.field(default=Transfer(), compare=False)
 
 
 class Store(abc.ABC):
--- a/packages/pollengated/pollengated/edge/edge_metrics.py
+++ b/packages/pollengated/pollengated/edge/edge_metrics.py
@@ -159,6 +159,19 @@
             ["prefix"],
             registry=registry,
         )
+        self.view_bytes = Counter(
+            "pollengate_edge_view_bytes",
+            "Bytes received for the local copies of the store, by prefix and source.",
+            ["prefix", "source"],
+            registry=registry,
+        )
+        self.view_age_seconds = Histogram(
+            "pollengate_edge_view_age_seconds",
+            "Time since a local copy of the store was known to be current, at each change of it.",
+            ["prefix"],
+            buckets=(0.1, 0.3, 1, 2, 3, 4, 6, 10, 20),
+            registry=registry,
+        )
         self.owned_shards = Gauge(
             "pollengate_edge_owned_shards", "Shards that this process owns.", registry=registry
         )
--- a/packages/pollengated/pollengated/edge/operator_view.py
+++ b/packages/pollengated/pollengated/edge/operator_view.py
@@ -1,5 +1,6 @@
 """Local copy of what operators set: the configuration and the evacuated zones."""
 
+import math
 from collections.abc import Callable, Collection
 
 from pollengate.accounts.keys import KeyRing
@@ -93,5 +94,20 @@
                 version=newest.version,
                 queues=len(newest.queues),
                 revision=entry.revision,
+                **self._describe_read(),
                 **({} if accounts is None else {"accounts": len(accounts)}),
             )
+
+    def _describe_read(self) -> dict[str, object]:
+        """Returns how the configuration was read, as fields of a log line."""
+        read = self.cache.last_read
+        if read is None:
+            return {}
+        is_known = read.age_at_most_s < math.inf
+        return {
+            "source": read.source.value,
+            "events": read.events,
+            "bytes": read.transfer.size_bytes,
+            "transfer_s": round(read.transfer.seconds, 3),
+            "age_at_most_s": round(read.age_at_most_s, 2) if is_known else None,
+        }
--- a/packages/pollengated/pollengated/edge/prefix_cache.py
+++ b/packages/pollengated/pollengated/edge/prefix_cache.py
@@ -1,16 +1,27 @@
 """Local copy of the store keys below a prefix, and its age."""
 
 import asyncio
+import dataclasses
+import enum
+import math
 from collections.abc import Callable, Collection, Iterable
 
-from pollengate.store import POLL_WAIT_S, Entry, FailureKind, PolledStore, StoreFailure, WatchEvent
+from pollengate.store import (
+    POLL_WAIT_S,
+    Entry,
+    FailureKind,
+    PolledStore,
+    StoreFailure,
+    Transfer,
+    WatchEvent,
+)
 from result import Err
 
 from pollengated.edge.clocks import Clocks
 from pollengated.edge.edge_metrics import EdgeMetrics
 from pollengated.logs import Log
 
-__all__ = ["PrefixCache"]
+__all__ = ["PrefixCache", "ViewRead", "ViewSource"]
 
 # Short, so that the copy is updated soon after the store is available again.
 RETRY_S = 0.2
@@ -18,6 +29,32 @@
 RELIST_INTERVAL_S = 10.0
 
 
+class ViewSource(enum.StrEnum):
+    """Where a change of a copy came from."""
+
+    POLL = "poll"
+    LISTING = "listing"
+    PEER = "peer"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ViewRead:
+    """How the newest change of a copy was read.
+
+    Attributes:
+        source: where it came from.
+        events: number of writes in it; of several writes of one key only the last one matters.
+        transfer: the response.
+        age_at_most_s: time since the copy was known to be current before; none of the writes is
+            older than that.
+    """
+
+    source: ViewSource
+    events: int
+    transfer: Transfer
+    age_at_most_s: float
+
+
 class PrefixCache:
     """Local copy of all keys below a prefix, updated by long polls of the store.
 
@@ -39,6 +76,7 @@
     Attributes:
         entries_by_key: the cached entries.
         revision: store revision of the copy, 0 before the first read.
+        last_read: how the newest change was read, None before the first one.
         confirmed_at: clock time at which the copy was last known to be current; None before the
             first read.
         recovered_at: clock time at which the store last replied again after a failure; minus
@@ -71,6 +109,7 @@
         self._unreported_keys: set[str] = set()
         self.entries_by_key: dict[str, Entry] = {}
         self.revision = 0
+        self.last_read: ViewRead | None = None
         self.confirmed_at: float | None = None
         self.recovered_at = float("-inf")
 
@@ -100,7 +139,10 @@
         """Replaces the copy by that of another process if that is newer; returns whether it was."""
         if revision <= self.revision:
             return False
-        self._replace(entries, revision)
+        copied = tuple(entries)
+        size_bytes = sum(len(entry.key) + len(entry.value) for entry in copied)
+        self._record_read(ViewSource.PEER, len(copied), Transfer(size_bytes), self.age_s())
+        self._replace(copied, revision)
         return True
 
     async def _list(self) -> StoreFailure | None:
@@ -108,8 +150,11 @@
         listing = await self._store.list(self._prefix)
         if isinstance(listing, Err):
             return listing.err_value
+        age_s = self.age_s()
         self._mark_confirmed(requested_at)
         if listing.ok_value.revision >= self.revision:
+            found = listing.ok_value
+            self._record_read(ViewSource.LISTING, len(found.entries), found.transfer, age_s)
             self._replace(listing.ok_value.entries, listing.ok_value.revision)
         return None
 
@@ -117,7 +162,10 @@
         polled = await self._store.changes(self._prefix, self.revision, POLL_WAIT_S)
         if isinstance(polled, Err):
             return polled.err_value
+        age_s = self.age_s()
         self._mark_confirmed(self._clocks.monotonic_s())
+        if events := polled.ok_value.events:
+            self._record_read(ViewSource.POLL, len(events), polled.ok_value.transfer, age_s)
         changed_keys = {event.key for event in polled.ok_value.events if self._apply_event(event)}
         self.revision = max(self.revision, polled.ok_value.revision)
         if changed_keys:
@@ -128,6 +176,14 @@
             await asyncio.sleep(self._pause_s)
         return None
 
+    def _record_read(
+        self, source: ViewSource, events: int, transfer: Transfer, age_at_most_s: float
+    ) -> None:
+        self.last_read = ViewRead(source, events, transfer, age_at_most_s)
+        self._metrics.view_bytes.labels(self._prefix, source.value).inc(transfer.size_bytes)
+        if age_at_most_s < math.inf:
+            self._metrics.view_age_seconds.labels(self._prefix).observe(age_at_most_s)
+
     def _replace(self, entries: Iterable[Entry], revision: int) -> None:
         known, self.entries_by_key = self.entries_by_key, {entry.key: entry for entry in entries}
         self.revision = revision
