Bound the lag of a local copy by its own length, not by the versions missed

Cause: kv-watch returns every write of a key since a revision, and PrefixCache goes on from its own. The longer one poll takes, the more versions the next one has.

Change: a poll whose response is longer than one and a half copies and 64 KB is not received, and the copy is listed anew, which has the newest write of each key only. That holds for all copies: registrations, processes, assignments.

--- a/packages/pollengate/pollengate/memory_store.py
+++ b/packages/pollengate/pollengate/memory_store.py
@@ -113,7 +113,7 @@
             await self._wait_for_change(changed)
 
     async def changes(
-        self, prefix: str, after_revision: int, wait_s: float
+        self, prefix: str, after_revision: int, wait_s: float, max_bytes: int | None = None
     ) -> Result[Changes, StoreFailure]:
         """Returns the changes after a revision, waiting up to `wait_s` for the first."""
         deadline = asyncio.get_running_loop().time() + wait_s
--- a/packages/pollengate/pollengate/store.py
+++ b/packages/pollengate/pollengate/store.py
@@ -33,7 +33,8 @@
 
     `LEASE_GONE`, `HISTORY_GONE` and `INVALID` are rejections with a known cause: the lease of a
     write has expired, the store no longer has the changes that a watch requests, or it will never
-    accept the call, for example because a value is too long.
+    accept the call, for example because a value is too long. `TOO_LONG`: the caller does not accept
+    so long a response.
     """
 
     NOT_SENT = "not_sent"
@@ -42,6 +43,7 @@
     LEASE_GONE = "lease_gone"
     HISTORY_GONE = "history_gone"
     INVALID = "invalid"
+    TOO_LONG = "too_long"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -208,14 +210,18 @@
 
     @abc.abstractmethod
     async def changes(
-        self, prefix: str, after_revision: int, wait_s: float
+        self, prefix: str, after_revision: int, wait_s: float, max_bytes: int | None = None
     ) -> Result[Changes, StoreFailure]:
         """Returns the changes of keys that start with a prefix, made after a revision.
 
+        A key that was written several times is returned as often.
+
         Args:
             prefix: prefix of the keys.
             after_revision: the revision of the caller's view.
             wait_s: how long the store may wait for a change before it replies.
+            max_bytes: longest response, None for no limit; a longer one is not received, and the
+                call fails with `TOO_LONG`. A store in this process has no responses to limit.
         """
 
     async def list_stale(self, prefix: str) -> Result[Listing, StoreFailure]:
--- a/packages/pollengated/pollengated/edge/edge_metrics.py
+++ b/packages/pollengated/pollengated/edge/edge_metrics.py
@@ -165,6 +165,12 @@
             ["prefix", "source"],
             registry=registry,
         )
+        self.long_polls = Counter(
+            "pollengate_edge_long_polls",
+            "Polls that were given up for a listing, as they had more than the copy, by prefix.",
+            ["prefix"],
+            registry=registry,
+        )
         self.view_age_seconds = Histogram(
             "pollengate_edge_view_age_seconds",
             "Time since a local copy of the store was known to be current, at each change of it.",
--- a/packages/pollengated/pollengated/edge/prefix_cache.py
+++ b/packages/pollengated/pollengated/edge/prefix_cache.py
@@ -27,6 +27,13 @@
 RETRY_S = 0.2
 # A listing has all keys below the prefix; a key that cannot be applied may change every second.
 RELIST_INTERVAL_S = 10.0
+# A poll returns every write since the copy's revision, a listing only the newest of each key. A
+# poll that is longer than this and this share of the copy is given up for a listing, so that a copy
+# is never further behind than its own length takes.
+MIN_POLL_BYTES = 65_536
+MAX_POLL_SHARE = 1.5
+# Length of an entry in a response beside its key and value.
+ENTRY_BYTES = 80
 
 
 class ViewSource(enum.StrEnum):
@@ -55,6 +62,11 @@
     age_at_most_s: float
 
 
+def _sent_bytes(entry: Entry) -> int:
+    """Returns about how long an entry is in a response, where its value is in Base64."""
+    return ENTRY_BYTES + len(entry.key) + 4 * len(entry.value) // 3
+
+
 class PrefixCache:
     """Local copy of all keys below a prefix, updated by long polls of the store.
 
@@ -108,6 +120,7 @@
         self._failed_revisions_by_key: dict[str, int] = {}
         self._unreported_keys: set[str] = set()
         self.entries_by_key: dict[str, Entry] = {}
+        self._copy_bytes = 0
         self.revision = 0
         self.last_read: ViewRead | None = None
         self.confirmed_at: float | None = None
@@ -128,7 +141,10 @@
                 failure = await self._list()
             else:
                 failure = await self._poll()
-            if failure is not None:
+            if failure is not None and failure.kind is FailureKind.TOO_LONG:
+                self._must_list = True
+                self._metrics.long_polls.labels(self._prefix).inc()
+            elif failure is not None:
                 if self.revision == 0 or failure.kind is FailureKind.HISTORY_GONE:
                     self._must_list = True
                 self._handle_failure(failure)
@@ -159,7 +175,8 @@
         return None
 
     async def _poll(self) -> StoreFailure | None:
-        polled = await self._store.changes(self._prefix, self.revision, POLL_WAIT_S)
+        max_bytes = MIN_POLL_BYTES + int(MAX_POLL_SHARE * self._copy_bytes)
+        polled = await self._store.changes(self._prefix, self.revision, POLL_WAIT_S, max_bytes)
         if isinstance(polled, Err):
             return polled.err_value
         age_s = self.age_s()
@@ -186,6 +203,7 @@
 
     def _replace(self, entries: Iterable[Entry], revision: int) -> None:
         known, self.entries_by_key = self.entries_by_key, {entry.key: entry for entry in entries}
+        self._copy_bytes = sum(map(_sent_bytes, self.entries_by_key.values()))
         self.revision = revision
         keys = known.keys() | self.entries_by_key.keys()
         changed = {key for key in keys if known.get(key) != self.entries_by_key.get(key)}
@@ -224,10 +242,12 @@
         known = self.entries_by_key.get(event.key)
         if known is not None and known.revision >= event.revision:
             return False
+        self._copy_bytes -= 0 if known is None else _sent_bytes(known)
         if event.entry is None:
             self.entries_by_key.pop(event.key, None)
         else:
             self.entries_by_key[event.key] = event.entry
+            self._copy_bytes += _sent_bytes(event.entry)
         return True
 
     def _mark_confirmed(self, at: float) -> None:
--- a/tests/edge_cluster.py
+++ b/tests/edge_cluster.py
@@ -90,13 +90,13 @@
         return await super().list(prefix)
 
     async def changes(
-        self, prefix: str, after_revision: int, wait_s: float
+        self, prefix: str, after_revision: int, wait_s: float, max_bytes: int | None = None
     ) -> Result[Changes, StoreFailure]:
         """Polls the shared store unless it is down or silent."""
         if self.is_down or self.is_silent:
             await asyncio.sleep(LOST_CALL_TIMEOUT_S)
             return Err(StoreFailure(FailureKind.UNKNOWN, "silent"))
-        return await self.shared_store.changes(prefix, after_revision, wait_s)
+        return await self.shared_store.changes(prefix, after_revision, wait_s, max_bytes)
 
     async def commit(
         self, conditions: Sequence[Unchanged], operations: Sequence[Operation]
--- a/tests/freezable_cluster.py
+++ b/tests/freezable_cluster.py
@@ -245,12 +245,14 @@
         return await self._send(carry_out, CALL_TIMEOUT_S)
 
     async def changes(
-        self, prefix: str, after_revision: int, wait_s: float
+        self, prefix: str, after_revision: int, wait_s: float, max_bytes: int | None = None
     ) -> Result[Changes, StoreFailure]:
         """Polls the store."""
         changes = super().changes
         timeout_s = wait_s + WAIT_MARGIN_S
-        return await self._send(lambda: changes(prefix, after_revision, wait_s), timeout_s)
+        return await self._send(
+            lambda: changes(prefix, after_revision, wait_s, max_bytes), timeout_s
+        )
 
     async def _send(
         self, send: Callable[[], Awaitable[Result[T, StoreFailure]]], timeout_s: float
--- a/tests/test_edge_views.py
+++ b/tests/test_edge_views.py
@@ -35,14 +35,14 @@
         self.polls = 0
 
     async def changes(
-        self, prefix: str, after_revision: int, wait_s: float
+        self, prefix: str, after_revision: int, wait_s: float, max_bytes: int | None = None
     ) -> Result[Changes, StoreFailure]:
         """Polls; fails `lost_polls` times."""
         self.polls += 1
         if self.lost_polls:
             self.lost_polls -= 1
             return Err(StoreFailure(FailureKind.HISTORY_GONE, "compacted"))
-        return await super().changes(prefix, after_revision, wait_s)
+        return await super().changes(prefix, after_revision, wait_s, max_bytes)
 
 
 def configuration(version: int) -> Put:
--- a/tests/test_malformed_messages.py
+++ b/tests/test_malformed_messages.py
@@ -372,10 +372,10 @@
     """A store whose watch returns an item that is not Base64, as the adapter decodes it."""
 
     async def changes(
-        self, prefix: str, after_revision: int, wait_s: float
+        self, prefix: str, after_revision: int, wait_s: float, max_bytes: int | None = None
     ) -> Result[Changes, StoreFailure]:
         """Polls through the adapter."""
-        polled = (await super().changes(prefix, after_revision, wait_s)).unwrap()
+        polled = (await super().changes(prefix, after_revision, wait_s, max_bytes)).unwrap()
         items = [
             {
                 "key": event.key,
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -34,6 +34,7 @@
         body: bytes | None = None,
         headers: Mapping[str, str] | None = None,
         is_bulk: bool = False,
+        max_bytes: int | None = None,
     ) -> Result[HttpResponse, HttpFailure]:
         """Records the call and returns the next scripted response."""
         sent = None if body is None else json.loads(body)
