--- a/tests/test_settled_incarnations.py
+++ b/tests/test_settled_incarnations.py
@@ -87,7 +87,7 @@
         self.job_table = build_job_table(build_lease_worker("w0"))
         fleet = self.job_table.fleet
         del fleet.workers_by_id["w0"]
-        fleet._max_lease_s = MAX_LEASE_S
+        fleet.max_lease_s = MAX_LEASE_S
         self.view: WorkerView = fleet.register(build_lease_worker("w0", born_ms=0), 0.0)
         committer = Committer(MemoryStore(), 0, ShardLease(1, 0.0), 0, 0, Clocks.of_loop())
         self.incarnations = SettledIncarnations(0, committer, fleet, leases)
