A worker that is gone holds no task back because of an unanswered start

Cause: the starts of a worker's last 0.8 s have no response, and waited for late copies of them for 13 s and the longest lease, unless the task was a long-running one.

Change: a worker that is neither registered nor replies holds no task once its lease has expired, whatever the task ("an entry that is still missing after that time is to be treated as gone").

--- a/packages/pollengate/pollengate/workflow/unanswered_starts.py
+++ b/packages/pollengate/pollengate/workflow/unanswered_starts.py
@@ -116,17 +116,19 @@
         return [view for view in workers if holding <= {view.worker_id}]
 
     def _holding_ids(self, task: TaskProgress, now: float) -> set[str]:
-        starts = self._by_task[task.name].values()
-        return {start.worker_id for start in starts if self._holds(start, task, now)}
-
-    def _holds(self, start: UnansweredStart, task: TaskProgress, now: float) -> bool:
-        # The users of a long-running task miss it for as long as it is away. A worker that is not
-        # registered is gone, unless it is cut off from the store as well.
-        view = self._fleet.workers_by_id.get(start.worker_id)
-        is_gone = view is None or not view.is_registered
-        if is_gone and task.step.spec.is_long_running:
-            return False
-        return self._may_run(start, now)
+        return {
+            start.worker_id
+            for start in self._by_task[task.name].values()
+            if self._may_run(start, now) and not self._is_gone(start.worker_id, now)
+        }
+
+    def _is_gone(self, worker_id: str, now: float) -> bool:
+        """Whether a worker is neither registered nor replies, so that it carries out no order.
+
+        A worker that is cut off from both the store and this process does not differ from it.
+        """
+        view = self._fleet.workers_by_id.get(worker_id)
+        return view is None or (not view.is_registered and now >= view.lease.expires_at())
 
     def _may_run(self, start: UnansweredStart, now: float) -> bool:
         """Whether an order may still be carried out, or have started a run that is not known."""
--- a/tests/test_unanswered_starts.py
+++ b/tests/test_unanswered_starts.py
@@ -132,7 +132,7 @@
 
         self.play(scenario)
 
-    def test_long_running_task_starts_elsewhere_once_its_worker_is_gone(self) -> None:
+    def test_task_starts_elsewhere_once_its_worker_is_gone(self) -> None:
         async def scenario(cluster: EdgeCluster, worker: LeaseWorker) -> None:
             await asyncio.sleep(1.5)
             worker.is_gone = True
@@ -140,9 +140,11 @@
             await asyncio.sleep(7.5)
             self.assertTrue(any(record.worker_id != "w0" for record in cluster.history))
 
-        self.play(scenario, is_long_running=True)
+        for is_long_running in (False, True):
+            with self.subTest(is_long_running=is_long_running):
+                self.play(scenario, is_long_running)
 
-    def test_other_task_waits_until_the_lease_of_a_late_start_has_expired(self) -> None:
+    def test_task_waits_until_the_lease_of_a_late_start_has_expired(self) -> None:
         async def scenario(cluster: EdgeCluster, worker: LeaseWorker) -> None:
             sent_at = asyncio.get_running_loop().time() - 0.1
             worker.is_unreachable = True
