Let a task that has failed on a worker start elsewhere despite an unanswered start

A worker left all starts without a response for some seconds; the tasks that then failed on it could start neither there, where they had failed, nor elsewhere, since.

Change: a failure ends the wait. The incarnation that listed it rejects the order; a later one may carry it out, as after any end (docs/design/recovery.md, what is not bounded).

--- a/packages/pollengate/pollengate/workflow/reports.py
+++ b/packages/pollengate/pollengate/workflow/reports.py
@@ -182,6 +182,8 @@
         # must not start again: its end may have been listed in a report that came too late.
         end_kind = ended.how
         view = self._view
+        if end_kind is EndKind.FAILED:
+            self._job_table.unanswered_starts.release(ended.task, view.worker_id)
         run = view.runs.get((ended.task, ended.run))
         if run is not None:
             if run.replied_at is None:
--- a/packages/pollengate/pollengate/workflow/unanswered_starts.py
+++ b/packages/pollengate/pollengate/workflow/unanswered_starts.py
@@ -80,6 +80,12 @@
         else:
             self._add(dataclasses.replace(known, orders=known.orders - 1))
 
+    def release(self, task: str, worker_id: str) -> None:
+        """Lets a task that has failed on a worker start on others, though an order may arrive."""
+        known = self._by_task.get(task, {}).get(worker_id)
+        if known is not None:
+            self._remove(known)
+
     def restore(self, start: UnansweredStart) -> None:
         """Adds orders that an earlier owner recorded."""
         self._add(start)
--- a/tests/test_unanswered_starts.py
+++ b/tests/test_unanswered_starts.py
@@ -5,10 +5,12 @@
 from collections.abc import Awaitable, Callable
 
 from pollengate.store import Delete
+from pollengate.workflow.clients import EndedRun, EndKind, Report
 from pollengate.workflow.job_table import JobTable
 from pollengate.workflow.leases import longest_lease_expiry
 from pollengate.workflow.model import Demand, Step
 from pollengate.workflow.progress import Run
+from pollengate.workflow.reports import ReportReconciler
 from pollengate.workflow.task_delegation import DelegationCandidates
 from pollengate.workflow.unanswered_starts import MAX_ORDER_DELAY_S
 from pollengate.workflow.worker_transfer import CapacityRequest, worker_to_release
@@ -200,6 +202,18 @@
         job_table.unanswered_starts.forget_arrived(MAX_ORDER_DELAY_S + 0.2)
         self.assertEqual([], job_table.unanswered_starts.list_all())
 
+    def test_task_that_has_failed_on_the_worker_starts_elsewhere(self) -> None:
+        """Guards against a job that stands still beside free room."""
+        job_table, (run,) = self.build(build_step())
+        view = job_table.fleet.workers_by_id[run.worker_id]
+        (again,) = build_planner(job_table).plan(1.0)
+        self.assertEqual(run.worker_id, again.worker_id)
+        job_table.mark_started(again, 1.0)
+        ended = EndedRun(1, again.task.name, again.number, EndKind.FAILED, "")
+        ReportReconciler(job_table, view).apply(Report(0, 1, (), (ended,)), 1.5, 1.5, 0, 1)
+        (other,) = {"w0", "w1"} - {run.worker_id}
+        self.assertEqual([other], self.plan(job_table, 2.0))
+
     def test_gang_waits_for_the_worker_of_a_member(self) -> None:
         job_table, runs = self.build(build_step(2, is_gang=True))
         view = job_table.fleet.workers_by_id[runs[0].worker_id]
