Accept no job of a queue that its owner does not know

Cause: a gate sends the queue's name only, and the owner, whose configuration lacked the queue, accepted the job without one; plans pass over it for good. The same with a route that the owner does not know yet.

Change: the request names the version of the configuration that routed it. An owner without the queue answers 404 if its own is newer, and otherwise 503 with Retry-After, as it may be behind.

The test of forwarded accounts expects the further argument.

--- a/packages/pollengate/pollengate/workflow/job_service.py
+++ b/packages/pollengate/pollengate/workflow/job_service.py
@@ -15,6 +15,7 @@
     "JobResponse",
     "JobService",
     "NoSuchJob",
+    "NoSuchQueue",
     "NotAccepted",
     "OwnerResponse",
     "PlacedElsewhere",
@@ -75,6 +76,11 @@
     """No job with this id was accepted, or it ended long ago."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoSuchQueue:
+    """The queue was removed by a newer configuration than the one that routed the request."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class WaitingCount:
     """Number of accepted jobs in a queue that have not started any task."""
@@ -93,7 +99,9 @@
     reason: str
 
 
-JobResponse = Accepted | NotAccepted | Undecided | Found | Cancelled | NoSuchJob | WaitingCount
+JobResponse = (
+    Accepted | NotAccepted | Undecided | Found | Cancelled | NoSuchJob | NoSuchQueue | WaitingCount
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/pollengated/pollengated/edge/gate_job_service.py
+++ b/packages/pollengated/pollengated/edge/gate_job_service.py
@@ -139,11 +139,15 @@
         self, queue: Queue, job_id: str, workflow: Workflow, account: str
     ) -> JobResponse:
         shard = shard_of_job(job_id, self._shards)
+        deployment = self._operator_view.deployment
+        version = 0 if deployment is None else deployment.version
         response = await self._forward_to_owner(
             shard,
-            lambda term: term.request_handler.submit(queue.name, job_id, workflow, account),
+            lambda term: term.request_handler.submit(
+                queue.name, job_id, workflow, account, version
+            ),
             lambda address: self._client.submit(
-                address, shard, queue.name, job_id, workflow, account
+                address, shard, queue.name, job_id, workflow, account, version
             ),
         )
         return _without_placement(response)
--- a/packages/pollengated/pollengated/edge/job_request_handler.py
+++ b/packages/pollengated/pollengated/edge/job_request_handler.py
@@ -12,6 +12,7 @@
     Found,
     JobResponse,
     NoSuchJob,
+    NoSuchQueue,
     NotAccepted,
     OwnerResponse,
     PlacedElsewhere,
@@ -120,11 +121,24 @@
         )
 
     async def submit(
-        self, queue_name: str, job_id: str, workflow: Workflow, account: str
+        self,
+        queue_name: str,
+        job_id: str,
+        workflow: Workflow,
+        account: str,
+        configuration_version: int = 0,
     ) -> JobResponse:
         """Accepts a job of a client account; responds when its record is durable.
 
         A job for which the shard has no room is offered to other shards first.
+
+        Args:
+            queue_name: the job's queue.
+            job_id: its id.
+            workflow: its steps.
+            account: the client account, empty for none.
+            configuration_version: version of the configuration that routed the request, 0 if it is
+                not known.
         """
         is_known = job_id in self._job_table.jobs_by_id or job_id in self._submissions_by_id
         if not is_known:
@@ -133,7 +147,9 @@
                 return Accepted() if _is_account(placement.account, account) else _ID_IN_USE
             pending = self.placer.find_pending(job_id)
             if pending is None:
-                refusal = self.current_refusal()
+                refusal = self.current_refusal() or self._find_unknown_queue(
+                    queue_name, configuration_version
+                )
                 if refusal is not None:
                     return refusal
                 pending = self.placer.begin(self._create_job(queue_name, job_id, workflow, account))
@@ -143,6 +159,17 @@
                     return response
         return await self._submit_at_home(queue_name, job_id, workflow, account)
 
+    def _find_unknown_queue(
+        self, queue_name: str, configuration_version: int
+    ) -> NotAccepted | NoSuchQueue | None:
+        """Returns why a job cannot be scheduled as its queue is not known, None if it is."""
+        deployment = self._job_table.deployment
+        if deployment.queue(queue_name) is not None:
+            return None
+        if 0 < configuration_version < deployment.version:
+            return NoSuchQueue()
+        return NotAccepted("queue_not_known_yet", RETRY_AFTER_S)
+
     async def _wait_placed(self, pending: PendingPlacement, account: str) -> JobResponse | None:
         """Waits until other shards have been asked; returns None if the job stays at home."""
         if not _is_same_client(pending.job, account):
--- a/packages/pollengated/pollengated/edge/rpc.py
+++ b/packages/pollengated/pollengated/edge/rpc.py
@@ -18,6 +18,7 @@
     Cancelled,
     Found,
     NoSuchJob,
+    NoSuchQueue,
     NotAccepted,
     OwnerResponse,
     PlacedElsewhere,
@@ -94,7 +95,14 @@
         self._channels_by_address: dict[str, Channel] = {}
 
     async def submit(
-        self, address: str, shard: int, queue: str, job_id: str, workflow: Workflow, account: str
+        self,
+        address: str,
+        shard: int,
+        queue: str,
+        job_id: str,
+        workflow: Workflow,
+        account: str,
+        configuration_version: int = 0,
     ) -> Result[OwnerResponse | NotOwner, CallFailure]:
         """Submits a job of a client account to a shard's owner."""
         request = pb.SubmitRequest(
@@ -103,6 +111,7 @@
             job_id=job_id,
             workflow=msgspec.json.encode(workflow),
             account=account,
+            configuration_version=configuration_version,
         )
         return await self._call_owner(address, "Submit", request)
 
@@ -379,7 +388,11 @@
     if isinstance(workflow, Err):
         return NotAccepted(_MALFORMED, RETRY_AFTER_S)
     return await request_handler.submit(
-        request.queue, request.job_id, workflow.ok_value, request.account
+        request.queue,
+        request.job_id,
+        workflow.ok_value,
+        request.account,
+        request.configuration_version,
     )
 
 
@@ -437,6 +450,8 @@
             return pb.JobReply(kind="cancelled")
         case NoSuchJob():
             return pb.JobReply(kind="no_such_job")
+        case NoSuchQueue():
+            return pb.JobReply(kind="no_such_queue")
         case PlacedElsewhere(shard):
             return pb.JobReply(kind="placed_elsewhere", shard=shard)
 
@@ -473,6 +488,8 @@
             return Cancelled()
         case "no_such_job":
             return NoSuchJob()
+        case "no_such_queue":
+            return NoSuchQueue()
         case "waiting":
             return WaitingCount(reply.count)
         case "placed_elsewhere":
--- a/tests/test_edge_accounts.py
+++ b/tests/test_edge_accounts.py
@@ -81,10 +81,10 @@
             owned_shards = mock.Mock(**{"serving_term.return_value": term})
             async with ChannelFor([EdgeService(owned_shards, mock.Mock())]) as channel:
                 with mock.patch.object(client, "_channel", return_value=channel):
-                    await client.submit("n:1", 0, "queue", JOB_ID, workflow, "a")
+                    await client.submit("n:1", 0, "queue", JOB_ID, workflow, "a", 7)
                     await client.show("n:1", 0, JOB_ID, OWN)
                     await client.cancel("n:1", 0, JOB_ID, OWN)
-            handler.submit.assert_awaited_once_with("queue", JOB_ID, workflow, "a")
+            handler.submit.assert_awaited_once_with("queue", JOB_ID, workflow, "a", 7)
             handler.show.assert_awaited_once_with(JOB_ID, OWN)
             handler.cancel.assert_awaited_once_with(JOB_ID, OWN)
 
--- a/tests/test_removed_routes.py
+++ b/tests/test_removed_routes.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from pollengate.workflow.job_service import Accepted
+from pollengate.workflow.job_service import Accepted, NoSuchQueue, NotAccepted
 from pollengate.workflow.records import decode_job, encode_job, restore
 
 from tests.edge_cluster import EdgeCluster, EdgeTestCase
@@ -43,6 +43,30 @@
         await cluster.wait_for_state(JOB_ID, "completed", timeout_s=30.0)
         self.check_single_execution(cluster)
 
+    def test_job_of_a_queue_that_its_owner_does_not_know_is_not_accepted(self) -> None:
+        """Guards against an accepted job that never runs, as its owner has no such queue."""
+        run_virtual(self._check_unknown_queue())
+
+    async def _check_unknown_queue(self) -> None:
+        cluster = EdgeCluster(workers=2, duration_s=2.0)
+        await cluster.open(nodes=1)
+        term = await cluster.wait_for_term()
+        submit = term.request_handler.submit
+        workflow = build_workflow()
+        known_version = term.job_table.deployment.version
+        # By a route that a newer configuration of the owner has removed.
+        await cluster.configure(known_version + 2, routes=[])
+        await asyncio.sleep(1.0)
+        self.assertEqual(NoSuchQueue(), await submit("queue", JOB_ID, workflow, "", known_version))
+        # By a route that the owner does not know yet, or of a caller that names no version.
+        for version in (known_version + 2, known_version + 3, 0):
+            refusal = await submit("queue", JOB_ID, workflow, "", version)
+            self.assertIsInstance(refusal, NotAccepted)
+        await cluster.configure(known_version + 3)
+        await asyncio.sleep(1.0)
+        self.assertEqual(Accepted(), await submit("queue", JOB_ID, workflow, "", known_version + 3))
+        await cluster.wait_for_state(JOB_ID, "completed", timeout_s=30.0)
+
     def test_newest_configuration_of_a_removed_queue_is_kept(self) -> None:
         job_table = build_job_table(build_lease_worker(), max_attempts=2)
         job = build_job("aa")
