Try a gang as a whole after crashes of its worker

Cause: after two crashes the next run of a task is a trial, beside which its worker gets nothing else. The first member was placed as a trial, the second found no worker, the first was taken back, at each plan.

Change: the members of a gang may start on the worker of the trial of one of them.

--- a/packages/pollengate/pollengate/workflow/placement.py
+++ b/packages/pollengate/pollengate/workflow/placement.py
@@ -137,7 +137,7 @@
             workers = [v for v in workers if self._tickets.ticket(task.step, v, now)]
             candidates = [v for v in candidates if self._tickets.ticket(task.step, v, now)]
         # The planner does not list workers anew while it plans.
-        candidates = [v for v in candidates if v.trial is None]
+        candidates = [v for v in candidates if v.trial is None or _is_same_gang(v.trial, task)]
         admitted = [v for v in candidates if self.evidence.admits(v.worker_id, task.name)]
         best_of = self._best_worker_for_suspect if task.crashes else self._best_worker
         best = best_of(task, admitted, now, scores)
@@ -294,6 +294,11 @@
         return score
 
 
+def _is_same_gang(run: Run, task: TaskProgress) -> bool:
+    """Whether a task is in the gang of a run; the members of a gang are tried together."""
+    return task.step.spec.is_gang and run.task.step is task.step
+
+
 def can_place(step: StepProgress, view: WorkerView) -> bool:
     """Returns True if one more task of a step fits on a worker and is allowed there."""
     return view.fits(step.spec.demand, step.spec.is_filler) and is_allowed(step, view)
