Let the members of a gang probe a quarantined worker together

Cause: a quarantined worker admits one task at a time as a probe. The first member was the probe, the second found no worker, the first was taken back, at each plan; only a success ends the quarantine.

Change: the members of a gang are one probe.

--- a/packages/pollengate/pollengate/explain/reasons.py
+++ b/packages/pollengate/pollengate/explain/reasons.py
@@ -82,7 +82,7 @@
         return Reason.UNANSWERED_START
     if needs_ticket and not placer.has_ticket(step, view, now):
         return Reason.NO_TICKET
-    if not placer.evidence.admits(view.worker_id, task.name):
+    if not placer.evidence.admits(view.worker_id, task.name, task.probe_name):
         is_quarantined = placer.evidence.is_quarantined(view.worker_id)
         return Reason.QUARANTINE if is_quarantined else Reason.FAILED_THERE
     if not spec.is_filler:
--- a/packages/pollengate/pollengate/failure_evidence.py
+++ b/packages/pollengate/pollengate/failure_evidence.py
@@ -46,7 +46,7 @@
     is_quarantined: bool = False
     probe_at: float = 0.0
     probe_after_s: float = FIRST_PROBE_AFTER_S
-    probe_task: str = ""
+    probe: str = ""
 
 
 class FailureEvidence:
@@ -141,21 +141,33 @@
             job.failed_tasks.clear()
             job.failed_workers.clear()
 
-    def record_departure(self, task_id: str, worker_id: str) -> None:
-        """Records that a task left a worker without a result; ends its probe, if it was one."""
+    def record_departure(self, task_id: str, worker_id: str, probe_id: str = "") -> None:
+        """Records that a task left a worker without a result; ends its probe, if it was one.
+
+        Args:
+            task_id: the task.
+            worker_id: the worker.
+            probe_id: see `admits`.
+        """
         worker = self._workers_by_id.get(worker_id)
-        if worker is not None and worker.probe_task == task_id:
-            worker.probe_task = ""
+        if worker is not None and worker.probe == (probe_id or task_id):
+            worker.probe = ""
 
-    def admits(self, worker_id: str, task_id: str) -> bool:
+    def admits(self, worker_id: str, task_id: str, probe_id: str = "") -> bool:
         """Returns True if a task may be placed on a worker.
 
         A quarantined worker admits only a probe that is due; any other worker admits every task
         that has not failed on it.
+
+        Args:
+            worker_id: the worker.
+            task_id: the task.
+            probe_id: name of the tasks that are one probe together, empty if the task is one alone.
         """
         worker = self._workers_by_id.get(worker_id)
         if worker is not None and worker.is_quarantined:
-            return not worker.probe_task and self._clock() >= worker.probe_at
+            is_probed = worker.probe not in ("", probe_id)
+            return not is_probed and self._clock() >= worker.probe_at
         return not self.has_failed_on(worker_id, task_id)
 
     def has_failed_on(self, worker_id: str, task_id: str) -> bool:
@@ -176,26 +188,32 @@
         if worker is None or not worker.is_quarantined:
             return True
         quarantined_at = worker.probe_at - worker.probe_after_s
-        return not worker.probe_task and (
-            self._clock() >= quarantined_at + self._first_probe_after_s
-        )
+        return not worker.probe and (self._clock() >= quarantined_at + self._first_probe_after_s)
 
     def has_failed(self, task_id: str) -> bool:
         """Returns True if a task has failed on some worker."""
         return task_id in self._workers_by_task
 
-    def record_placement(self, task_id: str, job_id: str, worker_id: str) -> None:
+    def record_placement(
+        self, task_id: str, job_id: str, worker_id: str, probe_id: str = ""
+    ) -> None:
         """Records that a task was placed.
 
         The task serves as a probe of the worker if the worker is quarantined, and as a probe of its
         job if the job is failing.
+
+        Args:
+            task_id: the task.
+            job_id: its job.
+            worker_id: the worker.
+            probe_id: see `admits`.
         """
         job = self._jobs_by_id.get(job_id)
         if job is not None:
             self._schedule_job_probe(job)
         worker = self._workers_by_id.get(worker_id)
         if worker is not None and worker.is_quarantined:
-            worker.probe_task = task_id
+            worker.probe = probe_id or task_id
             # The failure of an early probe counts, too.
             worker.probe_at = min(worker.probe_at, self._clock())
 
@@ -243,7 +261,7 @@
 
     def _quarantine(self, worker: _WorkerEvidence) -> None:
         worker.is_quarantined = True
-        worker.probe_task = ""
+        worker.probe = ""
         worker.probe_at = self._clock() + worker.probe_after_s
 
     def _job_evidence(self, job_id: str) -> _JobEvidence:
--- a/packages/pollengate/pollengate/workflow/job_table.py
+++ b/packages/pollengate/pollengate/workflow/job_table.py
@@ -490,5 +490,5 @@
         view = self.fleet.workers_by_id.get(run.worker_id)
         if view is not None:
             view.remove(run)
-        self.evidence.record_departure(task.name, run.worker_id)
+        self.evidence.record_departure(task.name, run.worker_id, task.probe_name)
         self.requeue(task)
--- a/packages/pollengate/pollengate/workflow/placement.py
+++ b/packages/pollengate/pollengate/workflow/placement.py
@@ -138,7 +138,9 @@
             candidates = [v for v in candidates if self._tickets.ticket(task.step, v, now)]
         # The planner does not list workers anew while it plans.
         candidates = [v for v in candidates if v.trial is None or _is_same_gang(v.trial, task)]
-        admitted = [v for v in candidates if self.evidence.admits(v.worker_id, task.name)]
+        admitted = [
+            v for v in candidates if self.evidence.admits(v.worker_id, task.name, task.probe_name)
+        ]
         best_of = self._best_worker_for_suspect if task.crashes else self._best_worker
         best = best_of(task, admitted, now, scores)
         if best is None and (
@@ -193,12 +195,14 @@
             if view.worker_id not in used_worker_ids
             and can_place(task.step, view)
             and has_unused_processors(task.step, view, now)
-            and self.evidence.admits(view.worker_id, task.name)
+            and self.evidence.admits(view.worker_id, task.name, task.probe_name)
         ]
         return self.fillers.ends_sooner_elsewhere(run, others, now)
 
     def _admits_any(self, task: TaskProgress, workers: Sequence[WorkerView]) -> bool:
-        return any(self.evidence.admits(view.worker_id, task.name) for view in workers)
+        return any(
+            self.evidence.admits(view.worker_id, task.name, task.probe_name) for view in workers
+        )
 
     def _are_most_quarantined(self, workers: Sequence[WorkerView]) -> bool:
         """Whether most workers are quarantined, so that tasks are more likely at fault."""
@@ -210,7 +214,9 @@
         With more of the others, one of them soon has room, and another failure may cost the job.
         """
         allowed = [view for view in workers if is_allowed(task.step, view)]
-        admitted = sum(self.evidence.admits(view.worker_id, task.name) for view in allowed)
+        admitted = sum(
+            self.evidence.admits(view.worker_id, task.name, task.probe_name) for view in allowed
+        )
         return 2 * admitted <= len(allowed)
 
     def _best_worker(
--- a/packages/pollengate/pollengate/workflow/planner.py
+++ b/packages/pollengate/pollengate/workflow/planner.py
@@ -368,7 +368,9 @@
     def _add_run(self, task: TaskProgress, view: WorkerView, number: int, now: float) -> Run:
         with changing_job_table():
             job_id = task.step.job.job_id
-            self.job_table.evidence.record_placement(task.name, job_id, view.worker_id)
+            self.job_table.evidence.record_placement(
+                task.name, job_id, view.worker_id, task.probe_name
+            )
             run = self.job_table.add_run(task, view, number, now)
             if may_try_alone(task, self.job_table.fleet.workers_by_id.values()):
                 view.trial = run
--- a/packages/pollengate/pollengate/workflow/progress.py
+++ b/packages/pollengate/pollengate/workflow/progress.py
@@ -185,6 +185,11 @@
         """Ids of the workers on which a run of the task may exist."""
         return {run.worker_id for run in self.runs_by_number.values()}
 
+    @property
+    def probe_name(self) -> str:
+        """Names the tasks that probe a worker together: itself, or all members of its gang."""
+        return self.name.rpartition(".")[0] if self.step.spec.is_gang else self.name
+
     @property
     def record_part(self) -> int:
         """Number of the record that has its progress, if its job has several."""
--- a/packages/pollengate/pollengate/workflow/waiting.py
+++ b/packages/pollengate/pollengate/workflow/waiting.py
@@ -271,7 +271,7 @@
             return Withheld.RUNS_THERE
         if not self._job_table.unanswered_starts.allowed(task, (view,), now):
             return Withheld.UNANSWERED_START
-        if not evidence.admits(view.worker_id, task.name):
+        if not evidence.admits(view.worker_id, task.name, task.probe_name):
             is_quarantined = evidence.is_quarantined(view.worker_id)
             return Withheld.QUARANTINED if is_quarantined else Withheld.FAILED_THERE
         return Withheld.FILLERS if step.spec.is_filler else Withheld.OTHER
--- a/tests/test_gang_waits.py
+++ b/tests/test_gang_waits.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from pollengate.failure_evidence import FailureEvidence
 from pollengate.workflow.crashes import TRIAL_CRASHES
 from pollengate.workflow.progress import JobProgress
 
@@ -14,6 +15,7 @@
 )
 
 LABEL = "special"
+FIRST_PROBE_AFTER_S = 4.0
 GANG = build_step(2, is_gang=True, required_label=LABEL)
 
 
@@ -45,6 +47,22 @@
         self.add_job("00000000000000bb")
         self.assertEqual([], self.plan(1.0))
 
+    def test_gang_probes_its_only_worker_as_a_whole_when_a_probe_is_due(self) -> None:
+        now = 0.0
+        evidence = FailureEvidence(lambda: now, FIRST_PROBE_AFTER_S, 2 * FIRST_PROBE_AFTER_S)
+        self.job_table.evidence = evidence
+        for job_id in ("j1", "j2", "j3"):
+            evidence.record_rejection(job_id, "w0")
+        names = [task.name for task in self.job.tasks()]
+        self.assertEqual([], self.plan())
+        now = FIRST_PROBE_AFTER_S
+        self.assertEqual([(name, "w0") for name in names], self.plan(now))
+        # Nothing else starts beside the probe.
+        self.add_job("00000000000000bb")
+        self.assertEqual([], self.plan(now))
+        evidence.record_success(names[0], self.job.job_id, "w0")
+        self.assertEqual(2, len(self.plan(now)))
+
 
 if __name__ == "__main__":
     unittest.main()
