Memory store: a poll that is cancelled as a key changes ends

Traced: asyncio.wait_for of Python 3.11 returns the result of a wait that ends as its caller is cancelled, and the poll goes on.

Change: asyncio.timeout in its place. Test: a poll that is cancelled two steps of the loop after a write of another key goes on without the change.

--- a/packages/pollengate/pollengate/memory_store.py
+++ b/packages/pollengate/pollengate/memory_store.py
@@ -129,7 +129,8 @@
             if events or remaining_s <= CLOCK_RESOLUTION_S:
                 return Ok(Changes(tuple(events), self._revision))
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._wait_for_change(changed), remaining_s)
+                async with asyncio.timeout(remaining_s):
+                    await self._wait_for_change(changed)
 
     async def _wait_for_change(self, changed: asyncio.Event) -> None:
         now = asyncio.get_running_loop().time()
@@ -137,10 +138,10 @@
         next_expiry_s = min(
             (expires_at - now for expires_at in expiry_times), default=LEASE_CHECK_INTERVAL_S
         )
+        wait_s = max(CLOCK_RESOLUTION_S, min(next_expiry_s, LEASE_CHECK_INTERVAL_S))
         try:
-            await asyncio.wait_for(
-                changed.wait(), max(CLOCK_RESOLUTION_S, min(next_expiry_s, LEASE_CHECK_INTERVAL_S))
-            )
+            async with asyncio.timeout(wait_s):
+                await changed.wait()
         except TimeoutError:
             self._expire_leases()
 
--- a/tests/test_memory_store.py
+++ b/tests/test_memory_store.py
@@ -54,3 +54,20 @@
             self.assertEqual(seen, [("a/1", True), ("a/1", False)])
 
         run_virtual(main())
+
+    def test_poll_that_is_cancelled_as_a_key_changes_ends(self) -> None:
+        """Guards against a poll that loses its cancellation to a change at the same moment."""
+
+        async def main() -> None:
+            for steps in range(6):
+                store = MemoryStore()
+                poll = asyncio.create_task(store.changes("a/", 0, 60.0))
+                await asyncio.sleep(0.01)
+                await store.commit((), (Put("b/1", b""),))
+                for _ in range(steps):
+                    await asyncio.sleep(0)
+                poll.cancel()
+                await asyncio.wait((poll,), timeout=1.0)
+                self.assertTrue(poll.cancelled(), steps)
+
+        run_virtual(main())
