Repeat no start order on a worker that drains, is evacuated or is released

Found by reading: an order without a response is sent again once its worker replies, which may be after the worker has begun to drain or its zone was evacuated, so that the owner would start a task there later than DRAIN and EVAC allow.

Change: the order is repeated only where tasks may start (`Fleet.is_startable`); otherwise the run is stopped. `may_reach` and the indexes of UnansweredStarts get names that say their keys.

Test: test_order_is_not_repeated_on_a_worker_that_drains_or_is_evacuated fails without the check.

--- a/packages/pollengate/pollengate/workflow/fleet.py
+++ b/packages/pollengate/pollengate/workflow/fleet.py
@@ -283,6 +283,10 @@
 
     def is_schedulable(self, view: WorkerView, now: float) -> bool:
         """Returns True if a worker may get new tasks."""
+        return self.is_startable(view) and view.trial is None and now >= view.unavailable_until
+
+    def is_startable(self, view: WorkerView) -> bool:
+        """Returns True if tasks may start on a worker, whatever runs there and however it fares."""
         return (
             view.is_registered
             and view.is_attached
@@ -290,10 +294,8 @@
             and view.is_registration_current
             and view.worker_id not in self.listed_ids
             and not view.is_released
-            and view.trial is None
             and view.info.condition is WorkerCondition.READY
             and view.info.zone not in self.evacuated_zones
-            and now >= view.unavailable_until
         )
 
     def schedulable_workers(self, service: str, now: float) -> list[WorkerView]:
--- a/packages/pollengate/pollengate/workflow/unanswered_starts.py
+++ b/packages/pollengate/pollengate/workflow/unanswered_starts.py
@@ -52,12 +52,12 @@
 
     def __init__(self, fleet: Fleet) -> None:
         self._fleet = fleet
-        self._by_task: dict[str, dict[str, UnansweredStart]] = {}
-        self._by_worker: dict[str, dict[str, UnansweredStart]] = {}
+        self._by_task_name: dict[str, dict[str, UnansweredStart]] = {}
+        self._by_worker_id: dict[str, dict[str, UnansweredStart]] = {}
         self.version = 0
 
     def __bool__(self) -> bool:
-        return bool(self._by_task)
+        return bool(self._by_task_name)
 
     def record(self, run: Run, sent_at: float) -> None:
         """Records that an order, sent at clock time `sent_at`, has had no response."""
@@ -65,14 +65,14 @@
         if run.task.step.spec.is_speculative:
             return  # its runs may work at the same time
         name = run.task.name
-        known = self._by_task.get(name, {}).get(run.worker_id)
+        known = self._by_task_name.get(name, {}).get(run.worker_id)
         orders = known.orders + 1 if known is not None else 1
         arrives_by = sent_at + MAX_ORDER_DELAY_S
         self._add(UnansweredStart(name, run.worker_id, run.number, orders, arrives_by))
 
     def settle(self, task: str, worker_id: str, run: int) -> None:
         """Records that a run of which no order was answered has begun, by one of them."""
-        known = self._by_task.get(task, {}).get(worker_id)
+        known = self._by_task_name.get(task, {}).get(worker_id)
         if known is None or known.run != run:
             return
         if known.orders == 1:
@@ -82,7 +82,7 @@
 
     def release(self, task: str, worker_id: str) -> None:
         """Lets a task that has failed on a worker start on others, though an order may arrive."""
-        known = self._by_task.get(task, {}).get(worker_id)
+        known = self._by_task_name.get(task, {}).get(worker_id)
         if known is not None:
             self._remove(known)
 
@@ -92,11 +92,11 @@
 
     def list_all(self) -> list[UnansweredStart]:
         """Returns the recorded orders."""
-        return [start for by_task in self._by_worker.values() for start in by_task.values()]
+        return [start for starts in self._by_worker_id.values() for start in starts.values()]
 
     def sent_to(self, worker_id: str) -> list[UnansweredStart]:
         """Returns the recorded orders that were sent to a worker."""
-        return list(self._by_worker.get(worker_id, {}).values())
+        return list(self._by_worker_id.get(worker_id, {}).values())
 
     def forget_arrived(self, now: float) -> None:
         """Forgets the orders that no longer matter at clock time `now`."""
@@ -104,19 +104,19 @@
             if not self._may_run(start, now):
                 self._remove(start)
 
-    def concern(self, worker_id: str, now: float) -> bool:
+    def may_reach(self, worker_id: str, now: float) -> bool:
         """Returns True if a worker may still carry out such an order, or run what it started."""
         return any(self._may_run(start, now) for start in self.sent_to(worker_id))
 
     def holds(self, task: TaskProgress, now: float) -> bool:
         """Returns True if a task may not start on all workers."""
-        return task.name in self._by_task and bool(self._holding_ids(task, now))
+        return task.name in self._by_task_name and bool(self._holding_ids(task, now))
 
     def allowed(
         self, task: TaskProgress, workers: Sequence[WorkerView], now: float
     ) -> Sequence[WorkerView]:
         """Returns the workers among `workers` on which a task may start at clock time `now`."""
-        if task.name not in self._by_task:
+        if task.name not in self._by_task_name:
             return workers
         holding = self._holding_ids(task, now)
         return [view for view in workers if holding <= {view.worker_id}]
@@ -124,7 +124,7 @@
     def _holding_ids(self, task: TaskProgress, now: float) -> set[str]:
         return {
             start.worker_id
-            for start in self._by_task[task.name].values()
+            for start in self._by_task_name[task.name].values()
             if self._may_run(start, now) and not self._is_gone(start.worker_id, now)
         }
 
@@ -148,14 +148,14 @@
         return now < longest_lease_expiry(start.arrives_by, self._fleet.max_lease_s)
 
     def _add(self, start: UnansweredStart) -> None:
-        self._by_task.setdefault(start.task, {})[start.worker_id] = start
-        self._by_worker.setdefault(start.worker_id, {})[start.task] = start
+        self._by_task_name.setdefault(start.task, {})[start.worker_id] = start
+        self._by_worker_id.setdefault(start.worker_id, {})[start.task] = start
         self.version += 1
 
     def _remove(self, start: UnansweredStart) -> None:
         for index, key, other_key in (
-            (self._by_task, start.task, start.worker_id),
-            (self._by_worker, start.worker_id, start.task),
+            (self._by_task_name, start.task, start.worker_id),
+            (self._by_worker_id, start.worker_id, start.task),
         ):
             del index[key][other_key]
             if not index[key]:
--- a/packages/pollengate/pollengate/workflow/worker_transfer.py
+++ b/packages/pollengate/pollengate/workflow/worker_transfer.py
@@ -136,7 +136,7 @@
         for view in workers
         if _meets(view, request)
         and view.lease.is_settled(now)  # the next owner would not know of a longer lease
-        and not job_table.unanswered_starts.concern(view.worker_id, now)
+        and not job_table.unanswered_starts.may_reach(view.worker_id, now)
         and _can_empty(view, request, now)
         and kept_labels.isdisjoint(view.info.labels)
     ]
--- a/packages/pollengated/pollengated/edge/worker_controller.py
+++ b/packages/pollengated/pollengated/edge/worker_controller.py
@@ -185,7 +185,7 @@
         is_unanswered = rejection is OrderRejection.NO_ANSWER
         for _ in range(MAX_REPEATED_STARTS if is_unanswered else 0):
             self._on_event()
-            if rejection not in _UNANSWERED or not await self._wait_until_missing(run):
+            if rejection not in _UNANSWERED or not await self._should_repeat(run):
                 break
             rejection = await self._order_start(run)
         if is_unanswered and rejection is not None:
@@ -194,8 +194,8 @@
             self._job_table.mark_rejected(run)
         self._on_event()
 
-    async def _wait_until_missing(self, run: Run) -> bool:
-        """Waits for a report after an unanswered start; returns False unless the run is missing."""
+    async def _should_repeat(self, run: Run) -> bool:
+        """Waits for a report after an unanswered start; returns whether to send it again."""
         failed_at = self._clocks.monotonic_s()
         await self.request_report()
         while run.state is RunState.STARTING and not self._shard_lease.is_lost:
@@ -204,7 +204,7 @@
             has_reported = is_same and self.view.lease.replied_at > failed_at
             # In the grace period a successor may have started the task.
             if has_reported and self._shard_lease.is_confirmed(now):
-                return True
+                return self._job_table.fleet.is_startable(self.view)
             await asyncio.sleep(RETRY_S)
         return False
 
--- a/packages/pollengated/pollengated/edge/worker_transfers.py
+++ b/packages/pollengated/pollengated/edge/worker_transfers.py
@@ -318,7 +318,7 @@
             view.is_attached
             and view.is_registered
             and view.lease.is_settled(now)
-            and not self._job_table.unanswered_starts.concern(view.worker_id, now)
+            and not self._job_table.unanswered_starts.may_reach(view.worker_id, now)
             and now - release.began_at <= RELEASE_TIMEOUT_S
             and now - newest.received_at <= REQUEST_VALID_S
             and not self._assignments.is_met(newest)
--- a/tests/test_unanswered_starts.py
+++ b/tests/test_unanswered_starts.py
@@ -4,7 +4,7 @@
 import unittest
 from collections.abc import Awaitable, Callable
 
-from pollengate.store import Delete
+from pollengate.store import Delete, Put
 from pollengate.workflow.clients import EndedRun, EndKind, Report
 from pollengate.workflow.job_table import JobTable
 from pollengate.workflow.leases import longest_lease_expiry
@@ -88,6 +88,24 @@
             [("w0", False)], [(record.worker_id, record.is_late) for record in history]
         )
 
+    def test_order_is_not_repeated_on_a_worker_that_drains_or_is_evacuated(self) -> None:
+        async def drain(cluster: EdgeCluster, worker: LeaseWorker) -> None:
+            await cluster.register("w0", "draining")
+            await self.check_not_repeated(cluster)
+
+        async def evacuate(cluster: EdgeCluster, worker: LeaseWorker) -> None:
+            await cluster.store.commit((), (Put("op/evacuate/a", b"{}"),))
+            await self.check_not_repeated(cluster)
+
+        for scenario in (drain, evacuate):
+            with self.subTest(scenario=scenario.__name__):
+                self.play(scenario)
+
+    async def check_not_repeated(self, cluster: EdgeCluster) -> None:
+        """Checks that nothing starts before the late order arrives."""
+        await asyncio.sleep(DELAY_S - 0.5)
+        self.assertEqual([], cluster.history)
+
     def test_late_start_on_the_next_incarnation_runs_beside_no_other_run(self) -> None:
         async def scenario(cluster: EdgeCluster, worker: LeaseWorker) -> None:
             await asyncio.sleep(1.5)
