--- a/packages/pollengate/pollengate/memory_store.py
+++ b/packages/pollengate/pollengate/memory_store.py
@@ -129,8 +129,8 @@
             if events or remaining_s <= CLOCK_RESOLUTION_S:
                 return Ok(Changes(tuple(events), self._revision))
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(remaining_s):
-                    await self._wait_for_change(changed)
+                await asyncio.wait_for(self._wait_for_change(changed), remaining_s)
+            _check_cancellation()
 
     async def _wait_for_change(self, changed: asyncio.Event) -> None:
         now = asyncio.get_running_loop().time()
@@ -138,12 +138,13 @@
         next_expiry_s = min(
             (expires_at - now for expires_at in expiry_times), default=LEASE_CHECK_INTERVAL_S
         )
-        wait_s = max(CLOCK_RESOLUTION_S, min(next_expiry_s, LEASE_CHECK_INTERVAL_S))
         try:
-            async with asyncio.timeout(wait_s):
-                await changed.wait()
+            await asyncio.wait_for(
+                changed.wait(), max(CLOCK_RESOLUTION_S, min(next_expiry_s, LEASE_CHECK_INTERVAL_S))
+            )
         except TimeoutError:
             self._expire_leases()
+        _check_cancellation()
 
     def _find_rejection(self, operations: Sequence[Operation]) -> StoreFailure | None:
         for operation in operations:
@@ -193,3 +194,10 @@
         for key in sorted(lease.keys):
             self._entries_by_key.pop(key)
             self._append_event(key, None)
+
+
+def _check_cancellation() -> None:
+    """Raises the cancellation that `asyncio.wait_for` loses if its wait ends at the same time."""
+    task = asyncio.current_task()
+    if task is not None and task.cancelling():
+        raise asyncio.CancelledError
