Accept no job whose queue is removed while other shards are asked for room

Found by reading: the queue was looked up before other shards are asked, and the job was made anew after up to half a second, then without a queue if a configuration had removed it meanwhile.

Change: both places ask the same.

--- a/packages/pollengated/pollengated/edge/job_request_handler.py
+++ b/packages/pollengated/pollengated/edge/job_request_handler.py
@@ -147,9 +147,7 @@
                 return Accepted() if _is_account(placement.account, account) else _ID_IN_USE
             pending = self.placer.find_pending(job_id)
             if pending is None:
-                refusal = self.current_refusal() or self._find_unknown_queue(
-                    queue_name, configuration_version
-                )
+                refusal = self._find_refusal(queue_name, configuration_version)
                 if refusal is not None:
                     return refusal
                 pending = self.placer.begin(self._create_job(queue_name, job_id, workflow, account))
@@ -157,12 +155,17 @@
                 response = await self._wait_placed(pending, account)
                 if response is not None:
                     return response
-        return await self._submit_at_home(queue_name, job_id, workflow, account)
+        return await self._submit_at_home(
+            queue_name, job_id, workflow, account, configuration_version
+        )
 
-    def _find_unknown_queue(
+    def _find_refusal(
         self, queue_name: str, configuration_version: int
     ) -> NotAccepted | NoSuchQueue | None:
-        """Returns why a job cannot be scheduled as its queue is not known, None if it is."""
+        """Returns why no job of a queue can be accepted, None if one can."""
+        refusal = self.current_refusal()
+        if refusal is not None:
+            return refusal
         deployment = self._job_table.deployment
         if deployment.queue(queue_name) is not None:
             return None
@@ -179,7 +182,12 @@
         return None if pending.shard is None else Accepted()
 
     async def _submit_at_home(
-        self, queue_name: str, job_id: str, workflow: Workflow, account: str
+        self,
+        queue_name: str,
+        job_id: str,
+        workflow: Workflow,
+        account: str,
+        configuration_version: int,
     ) -> JobResponse:
         existing_job = self._job_table.jobs_by_id.get(job_id)
         if existing_job is not None:
@@ -190,7 +198,7 @@
         if record is not None and not _is_same_client(record.job, account):
             return _ID_IN_USE
         if record is None:
-            refusal = self.current_refusal()
+            refusal = self._find_refusal(queue_name, configuration_version)
             if refusal is not None:
                 return refusal
             job = self._create_job(queue_name, job_id, workflow, account)
--- a/tests/test_removed_routes.py
+++ b/tests/test_removed_routes.py
@@ -1,9 +1,11 @@
 """Tests that an accepted job goes on after its route was removed from the configuration."""
 
 import asyncio
+from unittest import mock
 
 from pollengate.workflow.job_service import Accepted, NoSuchQueue, NotAccepted
 from pollengate.workflow.records import decode_job, encode_job, restore
+from pollengated.edge.job_placer import PendingPlacement
 
 from tests.edge_cluster import EdgeCluster, EdgeTestCase
 from tests.utils import run_virtual
@@ -67,6 +69,28 @@
         self.assertEqual(Accepted(), await submit("queue", JOB_ID, workflow, "", known_version + 3))
         await cluster.wait_for_state(JOB_ID, "completed", timeout_s=30.0)
 
+    def test_job_is_not_accepted_if_its_queue_is_removed_while_other_shards_are_asked(self) -> None:
+        run_virtual(self._check_removed_meanwhile())
+
+    async def _check_removed_meanwhile(self) -> None:
+        cluster = EdgeCluster(workers=2, duration_s=2.0)
+        await cluster.open(nodes=1)
+        term = await cluster.wait_for_term()
+        handler = term.request_handler
+        version = term.job_table.deployment.version
+        pending = PendingPlacement(build_job(JOB_ID))
+
+        async def remove_queue(*_: object) -> None:
+            await cluster.configure(version + 1, routes=[])
+            await asyncio.sleep(1.0)
+
+        with (
+            mock.patch.object(handler.placer, "begin", return_value=pending),
+            mock.patch.object(handler, "_wait_placed", side_effect=remove_queue),
+        ):
+            response = await handler.submit("queue", JOB_ID, build_workflow(), "", version)
+        self.assertEqual(NoSuchQueue(), response)
+
     def test_newest_configuration_of_a_removed_queue_is_kept(self) -> None:
         job_table = build_job_table(build_lease_worker(), max_attempts=2)
         job = build_job("aa")
