Compare copies of the operators' keys by their newest change, not by the store's revision

Found by reading: the revision of a copy is that of the store, which rises with each write of any key. So a peer that has polled later always seemed to have a newer copy, and a process that is behind fetched a whole one each round, of the same content.

Change: a copy knows the revision of its newest change (of a listing, its own revision, as deletions do not show in it). Peers tell it, and a copy is fetched only for a later one. The messages move to peer_view.py.

--- a/packages/pollengated/pollengated/edge/peer_view_fetcher.py
+++ b/packages/pollengated/pollengated/edge/peer_view_fetcher.py
@@ -2,8 +2,8 @@
 
 A peer may itself be cut off and hold an old copy, for example from before a zone was evacuated. A
 process that has just started knows no newer one, so it asks several peers. They reply with the
-revision of their copies; one copy is then fetched, and only if it is newer. A copy may take a slow
-link for a second, and many processes may be behind at the same time.
+newest change of their copies, and one copy is fetched if it has a newer change than the own one. A
+copy may take a slow link for a second, and many processes may be behind at the same time.
 """
 
 import asyncio
@@ -15,7 +15,8 @@
 
 from pollengated.edge.node_directory import NodeDirectory
 from pollengated.edge.operator_view import OperatorView
-from pollengated.edge.rpc import ANY_REVISION, EdgeClient
+from pollengated.edge.peer_view import ANY_CHANGE
+from pollengated.edge.rpc import EdgeClient
 from pollengated.logs import Log
 
 __all__ = ["PeerViewFetcher"]
@@ -61,29 +62,29 @@
         addresses = [m.address for m in self._directory.members()]
         peer_addresses = [address for address in addresses if address != self._own_address]
         asked = random.sample(peer_addresses, min(PEERS_PER_FETCH, len(peer_addresses)))
-        asking = [asyncio.create_task(self._ask_revision(address)) for address in asked]
+        asking = [asyncio.create_task(self._ask_newest_change(address)) for address in asked]
         if self._operator_view.key_ring is not None:
             for reply in asyncio.as_completed(asking):
                 await self._fetch_newest([await reply])
         else:
             await self._fetch_newest(await asyncio.gather(*asking))
 
-    async def _ask_revision(self, address: str) -> tuple[int, str]:
-        """Returns the revision of a peer's copy, 0 if it does not reply, and its address."""
-        result = await self._client.fetch_view(address, ANY_REVISION)
-        return (0 if isinstance(result, Err) else result.ok_value[1]), address
+    async def _ask_newest_change(self, address: str) -> tuple[int, str]:
+        """Returns the newest change that a peer knows, 0 without a reply, and its address."""
+        result = await self._client.fetch_view(address, ANY_CHANGE)
+        return (0 if isinstance(result, Err) else result.ok_value.newest_change), address
 
     async def _fetch_newest(self, replies: Sequence[tuple[int, str]]) -> None:
-        """Fetches and applies the newest copy that peers have, if it is newer than this one."""
-        revision, address = max(replies, default=(0, ""))
+        """Fetches and applies the copy with the newest change, if this one lacks it."""
+        newest_change, address = max(replies, default=(0, ""))
         cache = self._operator_view.cache
-        if revision <= cache.revision:
+        if newest_change <= cache.newest_change:
             return
-        result = await self._client.fetch_view(address, cache.revision)
-        if isinstance(result, Err):
+        result = await self._client.fetch_view(address, cache.newest_change)
+        if isinstance(result, Err) or not result.ok_value.entries:
             return
-        entries, revision = result.ok_value
-        if entries and cache.replace_if_newer(entries, revision):
+        view = result.ok_value
+        if cache.replace_if_newer(view.entries, view.revision, view.newest_change):
             self._log.info(
-                "operators' keys updated from a peer", neighbour=address, revision=revision
+                "operators' keys updated from a peer", neighbour=address, revision=view.revision
             )
--- a/packages/pollengated/pollengated/edge/prefix_cache.py
+++ b/packages/pollengated/pollengated/edge/prefix_cache.py
@@ -87,7 +87,10 @@
 
     Attributes:
         entries_by_key: the cached entries.
-        revision: store revision of the copy, 0 before the first read.
+        revision: store revision of the copy, 0 before the first read; it rises with each write of
+            any key.
+        newest_change: revision of the newest change of the copy, or of a listing that had it; a
+            copy with a higher one has changes that this one lacks.
         last_read: how the newest change was read, None before the first one.
         confirmed_at: clock time at which the copy was last known to be current; None before the
             first read.
@@ -122,6 +125,7 @@
         self.entries_by_key: dict[str, Entry] = {}
         self._copy_bytes = 0
         self.revision = 0
+        self.newest_change = 0
         self.last_read: ViewRead | None = None
         self.confirmed_at: float | None = None
         self.recovered_at = float("-inf")
@@ -156,14 +160,23 @@
                 if failure.kind is not FailureKind.HISTORY_GONE:
                     await asyncio.sleep(RETRY_S)
 
-    def replace_if_newer(self, entries: Iterable[Entry], revision: int) -> bool:
-        """Replaces the copy by that of another process if that is newer; returns whether it was."""
+    def replace_if_newer(
+        self, entries: Iterable[Entry], revision: int, newest_change: int | None = None
+    ) -> bool:
+        """Replaces the copy by that of another process if that is newer; returns whether it was.
+
+        Args:
+            entries: the other copy.
+            revision: store revision of that copy.
+            newest_change: its newest change, `revision` by default.
+        """
         if revision <= self.revision:
             return False
         copied = tuple(entries)
         size_bytes = sum(len(entry.key) + len(entry.value) for entry in copied)
         self._record_read(ViewSource.PEER, len(copied), Transfer(size_bytes), self.age_s())
         self._replace(copied, revision)
+        self.newest_change = revision if newest_change is None else newest_change
         return True
 
     async def _list(self) -> StoreFailure | None:
@@ -212,6 +225,8 @@
         self.revision = revision
         keys = known.keys() | self.entries_by_key.keys()
         changed = {key for key in keys if known.get(key) != self.entries_by_key.get(key)}
+        if changed:
+            self.newest_change = revision
         self._apply_keys(changed | self._failed_revisions_by_key.keys())
         self._report()
 
@@ -247,6 +262,7 @@
         known = self.entries_by_key.get(event.key)
         if known is not None and known.revision >= event.revision:
             return False
+        self.newest_change = max(self.newest_change, event.revision)
         self._copy_bytes -= 0 if known is None else _sent_bytes(known)
         if event.entry is None:
             self.entries_by_key.pop(event.key, None)
--- a/packages/pollengated/pollengated/edge/rpc.py
+++ b/packages/pollengated/pollengated/edge/rpc.py
@@ -1,7 +1,7 @@
 """gRPC client and service for calls between edge processes."""
 
 import asyncio
-from collections.abc import Awaitable, Callable, Iterable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Any
 
 import msgspec
@@ -11,7 +11,6 @@
 from grpclib.server import Stream
 from pollengate.accounts.job_access import Requester
 from pollengate.decoding import DocumentDecoder
-from pollengate.store import Entry
 from pollengate.workflow.job_service import (
     RETRY_AFTER_S,
     Accepted,
@@ -46,10 +45,10 @@
     Refused,
 )
 from pollengated.edge.owned_shards import OwnedShards
+from pollengated.edge.peer_view import ANY_CHANGE, PeerView, decode_view, encode_view
 from pollengated.logs import Log
 
 __all__ = [
-    "ANY_REVISION",
     "HEARTBEAT_INTERVAL_S",
     "VIEW_TIMEOUT_S",
     "EdgeClient",
@@ -62,8 +61,6 @@
 VIEW_TIMEOUT_S = 0.5
 # A copy of 300 KB takes 1.2 s over a link of 2 Mbit/s.
 VIEW_TRANSFER_TIMEOUT_S = 3.0
-# As a known revision, asks for the revision of a copy only.
-ANY_REVISION = 2**63
 # The home shard's owner settles a placement without a reply after this time, so that its own client
 # gets a response before `CALL_TIMEOUT_S`.
 PLACE_TIMEOUT_S = 0.5
@@ -181,22 +178,20 @@
             self._replace_channel(address, channel)
 
     async def fetch_view(
-        self, address: str, known_revision: int = 0
-    ) -> Result[tuple[tuple[Entry, ...], int], CallFailure]:
-        """Returns another process's copy of the operators' keys and its store revision.
+        self, address: str, known_change: int = 0
+    ) -> Result[PeerView, CallFailure]:
+        """Returns another process's copy of the operators' keys.
 
         Args:
             address: address of the process.
-            known_revision: its keys are returned only if its revision is higher than this.
+            known_change: its keys are returned only if its newest change is later than this.
         """
-        request = pb.ViewRequest(known_revision=known_revision)
-        timeout_s = VIEW_TIMEOUT_S if known_revision == ANY_REVISION else VIEW_TRANSFER_TIMEOUT_S
+        request = pb.ViewRequest(known_change=known_change)
+        timeout_s = VIEW_TIMEOUT_S if known_change == ANY_CHANGE else VIEW_TRANSFER_TIMEOUT_S
         result = await self._call(address, "GetView", request, timeout_s)
         if isinstance(result, Err):
             return result
-        reply = result.ok_value
-        entries = tuple(Entry(e.key, e.value, e.revision, e.revision) for e in reply.entries)
-        return Ok((entries, reply.revision))
+        return Ok(decode_view(result.ok_value))
 
     def _receive_heartbeat(
         self, heartbeat: Any, on_heartbeat: Callable[[Sequence[int]], None]
@@ -343,18 +338,12 @@
     async def GetView(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
         """Returns this process's copy of the operators' keys."""
         request = await receive_request(stream)
-        if request.known_revision >= self._operator_view.cache.revision:
-            await _send_in_time(stream, self._build_view(()))
+        cache = self._operator_view.cache
+        if request.known_change >= cache.newest_change:
+            await _send_in_time(stream, encode_view(cache, with_entries=False))
             return
         async with self._view_replies:
-            entries = self._operator_view.cache.entries_by_key.values()
-            await _send_in_time(stream, self._build_view(entries))
-
-    def _build_view(self, sent: Iterable[Entry]) -> pb.ViewReply:
-        cache = self._operator_view.cache
-        entries = [pb.Entry(key=e.key, value=e.value, revision=e.revision) for e in sent]
-        age_s = min(cache.age_s(), 1e9)
-        return pb.ViewReply(revision=cache.revision, age_s=age_s, entries=entries)
+            await _send_in_time(stream, encode_view(cache, with_entries=True))
 
     async def _handle(
         self,
--- a/tests/test_peer_view_fetcher.py
+++ b/tests/test_peer_view_fetcher.py
@@ -15,12 +15,13 @@
 from pollengated.edge.node_directory import NodeDirectory, NodeRecord
 from pollengated.edge.operator_view import OperatorView
 from pollengated.edge.owned_shards import OwnedShards
+from pollengated.edge.peer_view import ANY_CHANGE, PeerView
 from pollengated.edge.peer_view_fetcher import (
     MAX_RECEIVING_S,
     PEERS_PER_FETCH,
     PeerViewFetcher,
 )
-from pollengated.edge.rpc import ANY_REVISION, VIEW_TIMEOUT_S, EdgeClient, EdgeService
+from pollengated.edge.rpc import VIEW_TIMEOUT_S, EdgeClient, EdgeService
 from result import Err, Ok, Result
 
 from tests.utils import run_virtual
@@ -35,25 +36,28 @@
     def __init__(self) -> None:
         super().__init__()
         self.sent_copies: list[str] = []
+        self.asked = 0
 
     async def fetch_view(
-        self, address: str, known_revision: int = 0
-    ) -> Result[tuple[tuple[Entry, ...], int], CallFailure]:
+        self, address: str, known_change: int = 0
+    ) -> Result[PeerView, CallFailure]:
         """Returns the copy of a peer, without entries if it is not newer than is known."""
         if address == "n1:1":
             await asyncio.sleep(VIEW_TIMEOUT_S)
             return Err(CallFailure(True, "timeout"))
         is_current = address == "n2:1"
         revision = NEW_REVISION if is_current else OLD_REVISION
-        if revision <= known_revision:
-            return Ok(((), revision))
+        # Each write of any key raises the revision of the store.
+        self.asked += 1
+        if revision <= known_change:
+            return Ok(PeerView((), revision + self.asked, revision))
         self.sent_copies.append(address)
         tenants = [{"name": "a", "apiKeys": [f"key-{revision}"]}]
         document = json.dumps({"version": revision, "tenants": tenants}).encode()
         entries = [Entry("op/config", document, revision, 1)]
         if is_current:
             entries.append(Entry("op/evacuate/z", b"{}", revision, revision))
-        return Ok((tuple(entries), revision))
+        return Ok(PeerView(tuple(entries), revision + self.asked, revision))
 
 
 class PeerViewFetcherTest(unittest.TestCase):
@@ -97,7 +101,7 @@
             await asyncio.sleep(20.0)
             fetch_task.cancel()
             self.assertEqual(["n2:1"], self.peers.sent_copies)
-            self.assertEqual(NEW_REVISION, view.cache.revision)
+            self.assertEqual(NEW_REVISION, view.cache.newest_change)
 
         run_virtual(main())
 
@@ -126,7 +130,8 @@
                 old = {"version": 1, "tenants": [{"name": "a", "apiKeys": ["old"]}]}
                 entry = Entry("op/config", json.dumps(old).encode(), 5, 1)
                 await asyncio.sleep(phase_s)
-                view.cache.revision, view.deployment = 0, None
+                view.cache.revision = view.cache.newest_change = 0
+                view.deployment = None
                 view.cache.replace_if_newer([entry], 5)
                 view.cache.confirmed_at = asyncio.get_running_loop().time()
                 assert view.key_ring is not None
@@ -145,16 +150,16 @@
         async def main() -> None:
             clocks = Clocks.of_loop()
             view = OperatorView(MemoryStore(), clocks)
-            view.cache.replace_if_newer([Entry("op/config", b"{}", 7, 1)], 7)
+            view.cache.replace_if_newer([Entry("op/config", b"{}", 7, 1)], 9, 7)
             server = Server([EdgeService(OwnedShards(clocks), view)])
             address = f"127.0.0.1:{free_port()}"
             await server.start("127.0.0.1", int(address.rpartition(":")[2]))
             client = EdgeClient()
             counts = []
-            for known in (0, 6, 7, ANY_REVISION):
-                entries, revision = (await client.fetch_view(address, known)).unwrap()
-                counts.append((len(entries), revision))
-            self.assertEqual([(1, 7), (1, 7), (0, 7), (0, 7)], counts)
+            for known in (0, 6, 7, ANY_CHANGE):
+                found = (await client.fetch_view(address, known)).unwrap()
+                counts.append((len(found.entries), found.revision, found.newest_change))
+            self.assertEqual([(1, 9, 7), (1, 9, 7), (0, 9, 7), (0, 9, 7)], counts)
             client.close()
             server.close()
 
--- a/tests/test_unread_rpc_replies.py
+++ b/tests/test_unread_rpc_replies.py
@@ -23,7 +23,7 @@
     sending = 0
 
     async def recv_message(self) -> object:
-        return mock.Mock(known_revision=0)
+        return mock.Mock(known_change=0)
 
     async def send_message(self, _: Any) -> None:
         UnreadStream.sending += 1
@@ -40,7 +40,9 @@
         """Returns the largest number of replies that waited, and how the calls ended."""
 
         async def main() -> tuple[int, list[Any]]:
-            view = mock.Mock(**{"cache.entries_by_key": {}, "cache.revision": 1})
+            view = mock.Mock(
+                **{"cache.entries_by_key": {}, "cache.revision": 1, "cache.newest_change": 1}
+            )
             view.cache.age_s.return_value = 0.0
             shards = mock.Mock(**{"rooms_by_shard.return_value": {}})
             service = EdgeService(shards, view)
