--- a/review/standins_3/runner.py
+++ b/review/standins_3/runner.py
@@ -26,6 +26,44 @@
     how: str = "done"
     saved: str = ""
     is_stopping: bool = False
+    # Whether it is a member of a gang that waits for the others.
+    is_waiting: bool = False
+
+
+class Gangs:
+    """The members of gangs that are present, over all runners.
+
+    Attributes:
+        sizes: number of members by step (ID.K.STEP), filled in by the case.
+    """
+
+    def __init__(self, wait_s: float = 3.0) -> None:
+        self.sizes: dict[str, int] = {}
+        self.wait_s = wait_s
+        self._present: dict[tuple[str, int], dict[str, tuple["Runner", Run]]] = {}
+
+    def size(self, task: str) -> int:
+        return self.sizes.get(task.rpartition(".")[0], 1)
+
+    def join(self, runner: "Runner", run: Run) -> None:
+        """Adds a member; the work begins when all are present."""
+        members = self._members(run)
+        members[run.task] = runner, run
+        if len(members) == self.size(run.task):
+            now = time.monotonic()
+            for _, member in members.values():
+                member.is_waiting, member.began_at = False, now
+
+    def leave(self, run: Run, how: str) -> None:
+        """Removes a member; unless it is done, the others that are at work end as `broken`."""
+        members = self._members(run)
+        if members.pop(run.task, None) is None or how == "done" or run.is_waiting:
+            return
+        for runner, member in list(members.values()):
+            runner.end(member, "broken")
+
+    def _members(self, run: Run) -> dict[str, tuple["Runner", Run]]:
+        return self._present.setdefault((run.task.rpartition(".")[0], run.number), {})
 
 
 class Runner:
@@ -50,9 +88,11 @@
         log: Callable[..., None],
         hold_max_s: float = 6.0,
         heartbeat_s: float = 1.1,
+        gangs: Gangs | None = None,
     ) -> None:
+        self._gangs = gangs or Gangs()
         self.store, self.id, self.service, self.zone = store, runner_id, service, zone
-        self.labels, self.capacity, self._plan, self._log = labels, capacity, plan, log
+        self.labels, self.capacity, self.plan, self._log = labels, capacity, plan, log
         self._hold_max_s, self._heartbeat_s = hold_max_s, heartbeat_s
         self.server = Server(self._handle)
         self.state = "ready"
@@ -97,9 +137,10 @@
         self.is_up = False
         for task in self._tasks:
             task.cancel()
-        for run in self.runs.values():
+        runs, self.runs = self.runs, {}
+        for run in runs.values():
             self._log("run lost", runner=self.id, task=run.task, run=run.number)
-        self.runs = {}
+            self._gangs.leave(run, "lost")
         self._log("runner down", runner=self.id)
 
     def register(self) -> None:
@@ -134,19 +175,24 @@
             await asyncio.sleep(0.01)
             now = time.monotonic()
             for run in list(self.runs.values()):
-                if now - run.began_at >= run.duration_s:
-                    self._end(run, run.how)
+                if run.is_waiting:
+                    if now - run.began_at >= self._gangs.wait_s:
+                        self.end(run, "alone")
+                elif now - run.began_at >= run.duration_s:
+                    self.end(run, run.how)
             if self.runs and self.clock_ms() > self.until_ms:
                 for run in list(self.runs.values()):
-                    self._end(run, "lapsed")
+                    self.end(run, "lapsed")
 
-    def _end(self, run: Run, how: str) -> None:
+    def end(self, run: Run, how: str) -> None:
+        """Ends a run and lists its end."""
         if self.runs.pop((run.task, run.number), None) is None:
             return
         self._ends += 1
         self.ended.append([self._ends, run.task, run.number, how, run.saved])
         self._block(run.task, run.number)
         self._log("run ended", runner=self.id, task=run.task, run=run.number, how=how)
+        self._gangs.leave(run, how)
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -197,11 +243,14 @@
         self._extend(call["untilMs"])
         if number <= self._blocked.get(task, 0):
             return 409, answer | {"reason": "old"}
-        duration_s, how = self._plan(task, call["spec"])
+        duration_s, how = self.plan(task, call["spec"])
         run = Run(task, number, self.token, call["spec"], time.monotonic(), duration_s, how)
         run.saved = call.get("checkpoint", "")
         self.runs[task, number] = run
         self._log("run began", runner=self.id, task=task, run=number, token=self.token)
+        if self._gangs.size(task) > 1:
+            run.is_waiting = True
+            self._gangs.join(self, run)
         return 200, answer
 
     def _stop_run(self, task: str, number: int) -> None:
@@ -209,7 +258,7 @@
         run = self.runs.get((task, number))
         if run is not None and not run.is_stopping:
             run.is_stopping = True
-            asyncio.get_running_loop().call_later(STOP_S, self._end, run, "stopped")
+            asyncio.get_running_loop().call_later(STOP_S, self.end, run, "stopped")
 
     async def _hold(self, call: dict) -> tuple[int, object]:
         if "untilMs" in call:
@@ -238,6 +287,8 @@
 
     @staticmethod
     def _percent(run: Run, now: float) -> int:
+        if run.is_waiting:
+            return 0
         if run.duration_s == float("inf"):
             return 100 if now - run.began_at > 0.3 else 50
         return min(99, int(100 * (now - run.began_at) / max(run.duration_s, 0.001)))
--- a/review/standins_3/system.py
+++ b/review/standins_3/system.py
@@ -14,7 +14,7 @@
 from pathlib import Path
 
 from .http_io import call
-from .runner import Runner
+from .runner import Gangs, Runner
 from .store import Store
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -34,6 +34,8 @@
         row = {"t": round(time.monotonic() - self._began_at, 3), "event": event} | fields
         self.rows.append(row)
         self._file.write(json.dumps(row) + "\n")
+
+    def flush(self) -> None:
         self._file.flush()
 
     def now(self) -> float:
@@ -113,6 +115,7 @@
         self.store = Store()
         self.edges: list[Edge] = []
         self.runners: list[Runner] = []
+        self.gangs = Gangs()
         self.plan: Callable[[str, str], tuple[float, str]] = lambda task, spec: (1.0, "done")
         self.version = 3
         self.routes: list[dict] = [self.route("queue", SERVICE)]
@@ -146,6 +149,7 @@
                 labels(number) if labels else ("a", f"r{number // 4}"),
                 capacity or {"cpu": 64000, "memMb": 256000, "gpu": 0},
                 lambda task, spec: self.plan(task, spec), self.record,
+                gangs=self.gangs,
             )
             await runner.start()
             self.runners.append(runner)
@@ -188,6 +192,7 @@
         return response
 
     async def stop(self) -> None:
+        self.record.flush()
         for edge in self.edges:
             edge.send(signal.SIGCONT)
             edge.send(signal.SIGKILL)
