--- a/review/13/case.py
+++ b/review/13/case.py
@@ -53,10 +53,19 @@
                 asyncio.get_running_loop().create_task(restart(edge))
 
 
-async def hand_in(system: System, number: int, job: str, count: int) -> bool:
-    step = {"count": count, "cpu": 32000, "memMb": 1000, "estimateMs": 1000}
+def ordinary_steps() -> list[dict]:
+    """Three steps, one after the other."""
+    step = {"count": 2, "cpu": 1000, "memMb": 100, "estimateMs": 3000}
+    return [step, step | {"after": [0]}, step | {"after": [1]}]
+
+
+def large_steps() -> list[dict]:
+    return [{"count": LARGE_TASKS, "cpu": 32000, "memMb": 1000, "estimateMs": 500}]
+
+
+async def hand_in(system: System, number: int, job: str, steps: list[dict], spec: str) -> bool:
     edge = system.edges[number % len(system.edges)]
-    document = {"spec": "work", "steps": [step]}
+    document = {"spec": spec, "steps": steps}
     response = await system.request(edge, "POST", PREFIX + job, document)
     return response is not None and response[0] == 200
 
@@ -71,7 +80,7 @@
 
 async def main() -> int:
     system = System(FOLDER / "record.txt")
-    system.plan = lambda task, spec: (0.5, "done")
+    system.plan = lambda task, spec: (float(spec), "done")
     ends: collections.Counter[str] = collections.Counter()
     limiter = None
     try:
@@ -79,11 +88,14 @@
         limiter = asyncio.create_task(limit_memory(system, ends))
         ordinary = job_id()
         last: str | None = None
-        if not await hand_in(system, 0, ordinary, 4):
+        if not await hand_in(system, 0, ordinary, ordinary_steps(), "3.0"):
             return 2
         large = [job_id() for _ in range(LARGE_JOBS)]
         answers = await asyncio.gather(
-            *(hand_in(system, number, job, LARGE_TASKS) for number, job in enumerate(large))
+            *(
+                hand_in(system, number, job, large_steps(), "0.5")
+                for number, job in enumerate(large)
+            )
         )
         system.record("large jobs handed in", accepted=sum(answers))
         until = system.record.now() + WATCHED_S
@@ -97,8 +109,9 @@
                 break
         # Fault: on two machines at least, processes have ended three times by their use of memory.
         is_fault = sum(count >= 3 for count in ends.values()) >= 2
-        # LOST: an accepted job of four tasks has nothing running beside idle runners.
-        is_lost = last in (None, "queued") and not began(system.record, ordinary)
+        # LOST: an accepted job has had nothing running for long, beside idle runners.
+        newest = max((row["t"] for row in began(system.record, ordinary)), default=0.0)
+        is_lost = last != "completed" and system.record.now() - newest > 20
         system.record("verdict", ends_by_memory=dict(ends), fault=is_fault, lost=is_lost)
         return 1 if is_fault or is_lost else 0
     finally:
