--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,4 +1,4 @@
-"""A job whose tasks last, while the runners of its pool crash one after the other."""
+"""A gang with one member a runner, while one of its runners fails all that it starts."""
 
 import asyncio
 import os
@@ -11,23 +11,17 @@
 from standins_3.system import PREFIX, System, began, job_id  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-RUNNERS = 8
-TASKS = 16
-# One of eight runners is down at a time, each for 2 s; each crashes again 24 s later.
-CRASHES = 26
-CRASH_INTERVAL_S = 3.0
-DOWN_S = 2.0
+RUNNERS = 12
+MEMBERS = 2
+GREY_S = 6.5
+WATCHED_S = 45.0
 
 
-async def crash_in_turn(system: System, number: int) -> None:
-    runner = system.runners[number % RUNNERS]
-    await runner.crash()
-    await asyncio.sleep(DOWN_S)
-    await runner.start()
+def labels(number: int) -> tuple[str, str]:
+    return ("a" if number < MEMBERS else "b", f"r{number // 4}")
 
 
 async def state_of(system: System, job: str) -> str | None:
-    """Returns the state that a client is shown, None without an answer."""
     for edge in system.edges:
         response = await system.request(edge, "GET", PREFIX + job)
         if response is not None and response[0] == 200:
@@ -37,36 +31,41 @@
 
 async def main() -> int:
     system = System(FOLDER / "record.txt")
-    system.plan = lambda task, spec: (float("inf"), "done")
+    grey: set[str] = set()
     job = job_id()
-    step = {"count": TASKS, "cpu": 4000, "memMb": 100, "longRunning": True, "image": "watch"}
+    system.gangs.sizes[f"{job}.0.0"] = MEMBERS
+    step = {
+        "count": MEMBERS, "cpu": 1000, "memMb": 100, "estimateMs": 800, "gang": True,
+        "requiredLabel": "a", "maxPerServer": 1,
+    }
     try:
-        await system.start(edges=3, runners=RUNNERS)
-        document = {"spec": "watch", "steps": [step]}
+        await system.start(edges=3, runners=RUNNERS, labels=labels)
+        failing = system.runners[MEMBERS - 1]
+        for runner in system.runners:
+            runner.plan = lambda task, spec, at=runner: (
+                (0.4, "failed") if at.id in grey else (0.8, "done")
+            )
+        if TROUBLE:
+            grey.add(failing.id)
+            system.record("runner fails all that it starts", runner=failing.id, for_s=GREY_S)
+            asyncio.get_running_loop().call_later(GREY_S, grey.clear)
+        document = {"spec": "gang", "steps": [step]}
         response = await system.request(system.edges[0], "POST", PREFIX + job, document)
         if response is None or response[0] != 200:
             return 2
-        await asyncio.sleep(4)
-        if len(began(system.record, job)) < TASKS:
-            return 2
-        crashes: list[asyncio.Task] = []
-        state = await state_of(system, job)
-        for number in range(CRASHES):
-            if TROUBLE:
-                crashes.append(asyncio.create_task(crash_in_turn(system, number)))
-            await asyncio.sleep(CRASH_INTERVAL_S)
+        until = system.record.now() + WATCHED_S
+        state = None
+        while system.record.now() < until and state not in ("completed", "failed"):
+            await asyncio.sleep(3)
             state = await state_of(system, job)
-            if state not in (None, "running"):
-                break
-        await asyncio.gather(*crashes)
-        await asyncio.sleep(3)
-        state = await state_of(system, job)
-        ends = [row["how"] for row in system.record.rows if row["event"] == "run ended"]
-        system.record("verdict", state=state, ends_failed=ends.count("failed"))
-        if state is None:
+        last = max((row["t"] for row in began(system.record, job)), default=0.0)
+        failed = [row for row in system.record.rows if row.get("how") == "failed"]
+        idle_s = system.record.now() - last
+        system.record("verdict", state=state, failures=len(failed), idle_s=round(idle_s, 1))
+        if state is None or state == "failed":
             return 2
-        # The job was accepted, nobody cancelled it, and none of its runs ended as `failed`.
-        return 1 if state in ("failed", "cancelled") and not ends.count("failed") else 0
+        # Nothing of the job runs, long after the runner works again, and both runners are idle.
+        return 1 if state != "completed" and idle_s > 20 else 0
     finally:
         await system.stop()
         system.remove_folder()
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,6 +1,7 @@
-"""A gang with one member a runner, while one of its runners fails all that it starts."""
+"""Large jobs that come at once, on processes that the platform limits to `memoryMb`."""
 
 import asyncio
+import collections
 import os
 import sys
 from pathlib import Path
@@ -8,22 +9,70 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
-from standins_3.system import PREFIX, System, began, job_id  # noqa: E402
+from standins_3.system import PREFIX, Edge, System, began, job_id  # noqa: E402
+
+import signal  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-RUNNERS = 12
-MEMBERS = 2
-GREY_S = 6.5
-WATCHED_S = 45.0
+MEMORY_MB = 300
+LARGE_JOBS = 10
+# The largest number of tasks of a job that docs/callers.md names.
+LARGE_TASKS = 50_000 if TROUBLE else 50
+RESTART_S = 1.0
+WATCHED_S = 70.0
+
+
+def resident_mb(pid: int) -> float:
+    try:
+        for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+            if line.startswith("VmRSS:"):
+                return int(line.split()[1]) / 1024
+    except OSError:
+        pass
+    return 0.0
+
+
+async def limit_memory(system: System, ends: collections.Counter[str]) -> None:
+    """Does as the platform: kills a process over its limit, and starts it again after a while."""
+
+    async def restart(edge: Edge) -> None:
+        await asyncio.sleep(RESTART_S)
+        edge.start()
+
+    while True:
+        await asyncio.sleep(0.05)
+        for edge in system.edges:
+            if edge.process is None or edge.process.poll() is not None:
+                continue
+            used_mb = resident_mb(edge.process.pid)
+            if used_mb > MEMORY_MB:
+                ends[edge.name] += 1
+                edge.send(signal.SIGKILL)
+                edge.process.wait()
+                system.record("memory over the limit", edge=edge.name, mb=round(used_mb))
+                asyncio.get_running_loop().create_task(restart(edge))
 
 
-def labels(number: int) -> tuple[str, str]:
-    return ("a" if number < MEMBERS else "b", f"r{number // 4}")
+def ordinary_steps() -> list[dict]:
+    """Three steps, one after the other."""
+    step = {"count": 2, "cpu": 1000, "memMb": 100, "estimateMs": 3000}
+    return [step, step | {"after": [0]}, step | {"after": [1]}]
+
+
+def large_steps() -> list[dict]:
+    return [{"count": LARGE_TASKS, "cpu": 32000, "memMb": 1000, "estimateMs": 500}]
+
+
+async def hand_in(system: System, number: int, job: str, steps: list[dict], spec: str) -> bool:
+    edge = system.edges[number % len(system.edges)]
+    document = {"spec": spec, "steps": steps}
+    response = await system.request(edge, "POST", PREFIX + job, document)
+    return response is not None and response[0] == 200
 
 
 async def state_of(system: System, job: str) -> str | None:
     for edge in system.edges:
-        response = await system.request(edge, "GET", PREFIX + job)
+        response = await system.request(edge, "GET", PREFIX + job, timeout_s=2)
         if response is not None and response[0] == 200:
             return response[1]["state"]
     return None
@@ -31,42 +80,43 @@
 
 async def main() -> int:
     system = System(FOLDER / "record.txt")
-    grey: set[str] = set()
-    job = job_id()
-    system.gangs.sizes[f"{job}.0.0"] = MEMBERS
-    step = {
-        "count": MEMBERS, "cpu": 1000, "memMb": 100, "estimateMs": 800, "gang": True,
-        "requiredLabel": "a", "maxPerServer": 1,
-    }
+    system.plan = lambda task, spec: (float(spec), "done")
+    ends: collections.Counter[str] = collections.Counter()
+    limiter = None
     try:
-        await system.start(edges=3, runners=RUNNERS, labels=labels)
-        failing = system.runners[MEMBERS - 1]
-        for runner in system.runners:
-            runner.plan = lambda task, spec, at=runner: (
-                (0.4, "failed") if at.id in grey else (0.8, "done")
-            )
-        if TROUBLE:
-            grey.add(failing.id)
-            system.record("runner fails all that it starts", runner=failing.id, for_s=GREY_S)
-            asyncio.get_running_loop().call_later(GREY_S, grey.clear)
-        document = {"spec": "gang", "steps": [step]}
-        response = await system.request(system.edges[0], "POST", PREFIX + job, document)
-        if response is None or response[0] != 200:
+        await system.start(edges=3, runners=8)
+        limiter = asyncio.create_task(limit_memory(system, ends))
+        ordinary = job_id()
+        last: str | None = None
+        if not await hand_in(system, 0, ordinary, ordinary_steps(), "3.0"):
             return 2
+        large = [job_id() for _ in range(LARGE_JOBS)]
+        answers = await asyncio.gather(
+            *(
+                hand_in(system, number, job, large_steps(), "0.5")
+                for number, job in enumerate(large)
+            )
+        )
+        system.record("large jobs handed in", accepted=sum(answers))
         until = system.record.now() + WATCHED_S
-        state = None
-        while system.record.now() < until and state not in ("completed", "failed"):
-            await asyncio.sleep(3)
-            state = await state_of(system, job)
-        last = max((row["t"] for row in began(system.record, job)), default=0.0)
-        failed = [row for row in system.record.rows if row.get("how") == "failed"]
-        idle_s = system.record.now() - last
-        system.record("verdict", state=state, failures=len(failed), idle_s=round(idle_s, 1))
-        if state is None or state == "failed":
-            return 2
-        # Nothing of the job runs, long after the runner works again, and both runners are idle.
-        return 1 if state != "completed" and idle_s > 20 else 0
+        while system.record.now() < until:
+            await asyncio.sleep(5)
+            last = await state_of(system, ordinary)
+            runs = sum(len(began(system.record, job)) for job in large)
+            system.record("look", ordinary=last, starts_of_large_jobs=runs, ends=dict(ends))
+            done = [await state_of(system, job) for job in large] if not TROUBLE else []
+            if done and all(state == "completed" for state in done):
+                break
+        # Fault: on two machines at least, processes have ended three times by their use of memory.
+        is_fault = sum(count >= 3 for count in ends.values()) >= 2
+        # LOST: an accepted job has had nothing running for long, beside idle runners.
+        newest = max((row["t"] for row in began(system.record, ordinary)), default=0.0)
+        is_lost = last != "completed" and system.record.now() - newest > 20
+        system.record("verdict", ends_by_memory=dict(ends), fault=is_fault, lost=is_lost)
+        return 1 if is_fault or is_lost else 0
     finally:
+        if limiter is not None:
+            limiter.cancel()
         await system.stop()
         system.remove_folder()
 
@@ -74,7 +124,7 @@
 if __name__ == "__main__":
     try:
         async def bounded() -> int:
-            async with asyncio.timeout(110):
+            async with asyncio.timeout(112):
                 return await main()
 
         sys.exit(asyncio.run(bounded()))
--- a/review/15/case.py
+++ b/review/15/case.py
@@ -1,7 +1,6 @@
-"""Large jobs that come at once, on processes that the platform limits to `memoryMb`."""
+"""A start without an answer is carried out by the next life of its runner."""
 
 import asyncio
-import collections
 import os
 import sys
 from pathlib import Path
@@ -9,114 +8,74 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
-from standins_3.system import PREFIX, Edge, System, began, job_id  # noqa: E402
-
-import signal  # noqa: E402
+from standins_3.http_io import Request  # noqa: E402
+from standins_3.runner import Runner  # noqa: E402
+from standins_3.system import PREFIX, System, began, job_id  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-MEMORY_MB = 300
-LARGE_JOBS = 10
-# The largest number of tasks of a job that docs/callers.md names.
-LARGE_TASKS = 50_000 if TROUBLE else 50
-RESTART_S = 1.0
-WATCHED_S = 70.0
-
-
-def resident_mb(pid: int) -> float:
-    try:
-        for line in Path(f"/proc/{pid}/status").read_text().splitlines():
-            if line.startswith("VmRSS:"):
-                return int(line.split()[1]) / 1024
-    except OSError:
-        pass
-    return 0.0
-
-
-async def limit_memory(system: System, ends: collections.Counter[str]) -> None:
-    """Does as the platform: kills a process over its limit, and starts it again after a while."""
-
-    async def restart(edge: Edge) -> None:
-        await asyncio.sleep(RESTART_S)
-        edge.start()
-
-    while True:
-        await asyncio.sleep(0.05)
-        for edge in system.edges:
-            if edge.process is None or edge.process.poll() is not None:
-                continue
-            used_mb = resident_mb(edge.process.pid)
-            if used_mb > MEMORY_MB:
-                ends[edge.name] += 1
-                edge.send(signal.SIGKILL)
-                edge.process.wait()
-                system.record("memory over the limit", edge=edge.name, mb=round(used_mb))
-                asyncio.get_running_loop().create_task(restart(edge))
-
-
-def ordinary_steps() -> list[dict]:
-    """Three steps, one after the other."""
-    step = {"count": 2, "cpu": 1000, "memMb": 100, "estimateMs": 3000}
-    return [step, step | {"after": [0]}, step | {"after": [1]}]
-
-
-def large_steps() -> list[dict]:
-    return [{"count": LARGE_TASKS, "cpu": 32000, "memMb": 1000, "estimateMs": 500}]
-
-
-async def hand_in(system: System, number: int, job: str, steps: list[dict], spec: str) -> bool:
-    edge = system.edges[number % len(system.edges)]
-    document = {"spec": spec, "steps": steps}
-    response = await system.request(edge, "POST", PREFIX + job, document)
-    return response is not None and response[0] == 200
-
-
-async def state_of(system: System, job: str) -> str | None:
-    for edge in system.edges:
-        response = await system.request(edge, "GET", PREFIX + job, timeout_s=2)
-        if response is not None and response[0] == 200:
-            return response[1]["state"]
-    return None
+RUNNERS = 8
+# Times after the first start order: the runner loses power, is up again, and gets the late order.
+DARK_S = 2.0
+UP_S = 2.5
+LATE_S = 2.8
+
+
+class Trouble:
+    """Leaves one start order without an answer, and lets it arrive late."""
+
+    def __init__(self, system: System, job: str) -> None:
+        self._system = system
+        self._job = job
+        self._is_used = False
+
+    def hook(self, runner: Runner, request: Request) -> bool:
+        if self._is_used or request.path != "/v1/run-start":
+            return False
+        if not request.json()["task"].startswith(self._job):
+            return False
+        self._is_used = True
+        self._system.record("start without an answer", runner=runner.id, call=request.json())
+        asyncio.get_running_loop().create_task(self._play(runner, request))
+        return True
+
+    async def _play(self, runner: Runner, request: Request) -> None:
+        await asyncio.sleep(DARK_S)
+        self._system.record("runner loses power", runner=runner.id)
+        runner.lose_power()
+        await asyncio.sleep(UP_S - DARK_S)
+        await runner.start()
+        await asyncio.sleep(LATE_S - UP_S)
+        status, answer = await runner.carry_out(request)
+        self._system.record("late start", runner=runner.id, status=status, answer=answer)
 
 
 async def main() -> int:
     system = System(FOLDER / "record.txt")
-    system.plan = lambda task, spec: (float(spec), "done")
-    ends: collections.Counter[str] = collections.Counter()
-    limiter = None
+    system.plan = lambda task, spec: (0.5, "done")
+    job = job_id()
+    trouble = Trouble(system, job)
     try:
-        await system.start(edges=3, runners=8)
-        limiter = asyncio.create_task(limit_memory(system, ends))
-        ordinary = job_id()
-        last: str | None = None
-        if not await hand_in(system, 0, ordinary, ordinary_steps(), "3.0"):
+        await system.start(edges=3, runners=RUNNERS)
+        if TROUBLE:
+            for runner in system.runners:
+                runner.hook = lambda request, at=runner: trouble.hook(at, request)
+        step = {"count": 1, "cpu": 2000, "memMb": 100, "estimateMs": 500}
+        document = {"spec": "once", "steps": [step]}
+        response = await system.request(system.edges[0], "POST", PREFIX + job, document)
+        if response is None or response[0] != 200:
+            return 2
+        await asyncio.sleep(12)
+        await system.request(system.edges[0], "GET", PREFIX + job)
+        rows = [row for row in system.record.rows if str(row.get("task", "")).startswith(job)]
+        done = [r["t"] for r in rows if r["event"] == "run ended" and r["how"] == "done"]
+        noted = [r["t"] for r in rows if r["event"] == "end noted" and r["how"] == "done"]
+        late = [r for r in began(system.record, job) if done and r["t"] > done[0]]
+        system.record("verdict", done=done, noted=noted, starts_after_it=late)
+        if not done or not noted:
             return 2
-        large = [job_id() for _ in range(LARGE_JOBS)]
-        answers = await asyncio.gather(
-            *(
-                hand_in(system, number, job, large_steps(), "0.5")
-                for number, job in enumerate(large)
-            )
-        )
-        system.record("large jobs handed in", accepted=sum(answers))
-        until = system.record.now() + WATCHED_S
-        while system.record.now() < until:
-            await asyncio.sleep(5)
-            last = await state_of(system, ordinary)
-            runs = sum(len(began(system.record, job)) for job in large)
-            system.record("look", ordinary=last, starts_of_large_jobs=runs, ends=dict(ends))
-            done = [await state_of(system, job) for job in large] if not TROUBLE else []
-            if done and all(state == "completed" for state in done):
-                break
-        # Fault: on two machines at least, processes have ended three times by their use of memory.
-        is_fault = sum(count >= 3 for count in ends.values()) >= 2
-        # LOST: an accepted job has had nothing running for long, beside idle runners.
-        newest = max((row["t"] for row in began(system.record, ordinary)), default=0.0)
-        is_lost = last != "completed" and system.record.now() - newest > 20
-        system.record("verdict", ends_by_memory=dict(ends), fault=is_fault, lost=is_lost)
-        return 1 if is_fault or is_lost else 0
+        # A start after a run has ended `done`, whose end was taken note of.
+        return 1 if late else 0
     finally:
-        if limiter is not None:
-            limiter.cancel()
         await system.stop()
         system.remove_folder()
 
@@ -124,7 +83,7 @@
 if __name__ == "__main__":
     try:
         async def bounded() -> int:
-            async with asyncio.timeout(112):
+            async with asyncio.timeout(60):
                 return await main()
 
         sys.exit(asyncio.run(bounded()))
--- a/review/standins_3/http_io.py
+++ b/review/standins_3/http_io.py
@@ -36,7 +36,12 @@
 
 
 class Server:
-    """Serves one address; `close` ends all of its connections."""
+    """Serves one address; `close` ends all of its connections.
+
+    Attributes:
+        life: connections of an earlier life are silent, and are reset by what arrives on them, as
+            with a machine that has lost power and is up again.
+    """
 
     def __init__(self, handler: Handler) -> None:
         self._handler = handler
@@ -44,6 +49,11 @@
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task] = set()
         self.address = ""
+        self.life = 0
+
+    @property
+    def is_open(self) -> bool:
+        return self._server is not None
 
     async def start(self, host: str, port: int = 0) -> str:
         self._server = await asyncio.start_server(self._serve, host, port, backlog=512)
@@ -68,11 +78,18 @@
         task = asyncio.current_task()
         assert task is not None
         self._tasks.add(task)
+        life = self.life
         try:
             while (request := await read_request(reader)) is not None:
+                if life != self.life:
+                    writer.transport.abort()
+                    return
                 try:
                     status, document = await self._handler(request)
                 except NoReply:
+                    await reader.read(1)
+                    if life != self.life:
+                        writer.transport.abort()
                     await asyncio.sleep(3600)
                     return
                 except Reset:
--- a/review/standins_3/runner.py
+++ b/review/standins_3/runner.py
@@ -98,6 +98,7 @@
         self.state = "ready"
         self.is_registering = True
         self.is_up = False
+        self._has_lived = False
         # A hook for calls: returns True if the call gets no answer; it may act before.
         self.hook: Callable[[Request], bool] = lambda request: False
         self._sequence = 0
@@ -106,9 +107,12 @@
 
     async def start(self) -> None:
         """Begins a life."""
-        await self.server.close()
+        self.server.life += 1
         self.born = int(time.time() * 1000)
-        self._clock_zero = time.monotonic() - random.uniform(100, 900)
+        # The clock starts anew; the first life began before the case.
+        age_s = 0.0 if self._has_lived else random.uniform(100, 900)
+        self._has_lived = True
+        self._clock_zero = time.monotonic() - age_s
         self.token = 0
         self.runs: dict[tuple[str, int], Run] = {}
         self.ended: list[list] = []
@@ -116,8 +120,9 @@
         self._blocked: dict[str, int] = {}
         self.until_ms = 0
         self._changed = asyncio.Event()
-        host, _, port = self.address.rpartition(":")
-        self.address = await self.server.start(host or "127.0.0.1", int(port or 0))
+        if not self.server.is_open:
+            host, _, port = self.address.rpartition(":")
+            self.address = await self.server.start(host or "127.0.0.1", int(port or 0))
         self.is_up = True
         self._sequence = 0
         self._log("runner up", runner=self.id, born=self.born, labels=self.labels)
@@ -263,7 +268,10 @@
     async def _hold(self, call: dict) -> tuple[int, object]:
         if "untilMs" in call:
             self._extend(call["untilMs"])
-        self.ended = [row for row in self.ended if row[0] > call.get("ackedUpto", 0)]
+        noted = [row for row in self.ended if row[0] <= call.get("ackedUpto", 0)]
+        for _, task, number, how, _ in noted:
+            self._log("end noted", runner=self.id, task=task, run=number, how=how)
+        self.ended = self.ended[len(noted):]
         token = call.get("fencingToken", 0)
         if not self.ended and call.get("waitMs"):
             try:
