Order the cases by their gravity, and show a lasting task that is refused by the only shard with room

The case of a gang that is not started again after its members failed makes room. The stand-ins look for free addresses and ports.

--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,4 +1,4 @@
-"""A batch task that failed once, on the only runner that lasting tasks leave free."""
+"""A start without an answer is carried out by the next life of its runner."""
 
 import asyncio
 import os
@@ -8,73 +8,73 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
+from standins_3.http_io import Request  # noqa: E402
+from standins_3.runner import Runner  # noqa: E402
 from standins_3.system import PREFIX, System, began, job_id  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-RUNNERS = 12
-# Of 64 cores a runner. Under half of all cores are in use, and the free runner has room for two
-# such tasks; no other one has room for any.
-SERVING_CPU = 33_000
-BATCH_CPU = 32_000
-GREY_S = 3.0
-WATCHED_S = 45.0
+RUNNERS = 8
+# Times after the first start order: the runner loses power, is up again, and gets the late order.
+DARK_S = 2.0
+UP_S = 2.5
+LATE_S = 2.8
 
 
-async def hand_in(system: System, job: str, step: dict, spec: str) -> bool:
-    document = {"spec": spec, "steps": [step]}
-    response = await system.request(system.edges[0], "POST", PREFIX + job, document)
-    return response is not None and response[0] == 200
+class Trouble:
+    """Leaves one start order without an answer, and lets it arrive late."""
 
+    def __init__(self, system: System, job: str) -> None:
+        self._system = system
+        self._job = job
+        self._is_used = False
 
-async def state_of(system: System, job: str) -> str | None:
-    for edge in system.edges:
-        response = await system.request(edge, "GET", PREFIX + job)
-        if response is not None and response[0] == 200:
-            return response[1]["state"]
-    return None
+    def hook(self, runner: Runner, request: Request) -> bool:
+        if self._is_used or request.path != "/v1/run-start":
+            return False
+        if not request.json()["task"].startswith(self._job):
+            return False
+        self._is_used = True
+        self._system.record("start without an answer", runner=runner.id, call=request.json())
+        asyncio.get_running_loop().create_task(self._play(runner, request))
+        return True
+
+    async def _play(self, runner: Runner, request: Request) -> None:
+        await asyncio.sleep(DARK_S)
+        self._system.record("runner loses power", runner=runner.id)
+        runner.lose_power()
+        await asyncio.sleep(UP_S - DARK_S)
+        await runner.start()
+        await asyncio.sleep(LATE_S - UP_S)
+        status, answer = await runner.carry_out(request)
+        self._system.record("late start", runner=runner.id, status=status, answer=answer)
 
 
 async def main() -> int:
     system = System(FOLDER / "record.txt")
-    grey: set[str] = set()
-    lasting, batch = job_id(), job_id()
+    system.plan = lambda task, spec: (0.5, "done")
+    job = job_id()
+    trouble = Trouble(system, job)
     try:
         await system.start(edges=3, runners=RUNNERS)
-        for runner in system.runners:
-            runner.plan = lambda task, spec, at=runner: (
-                (float("inf"), "done") if spec == "serve"
-                else (0.4, "failed") if at.id in grey else (0.8, "done")
-            )
-        serving = {
-            "count": RUNNERS - 1, "cpu": SERVING_CPU, "memMb": 1000, "longRunning": True,
-            "image": "serve",
-        }
-        if not await hand_in(system, lasting, serving, "serve"):
-            return 2
-        await asyncio.sleep(3)
-        if len(began(system.record, lasting)) < RUNNERS - 1:
-            return 2
-        (free,) = [runner for runner in system.runners if not runner.runs]
         if TROUBLE:
-            grey.add(free.id)
-            system.record("runner fails all that it starts", runner=free.id, for_s=GREY_S)
-            asyncio.get_running_loop().call_later(GREY_S, grey.clear)
-        step = {"count": 1, "cpu": BATCH_CPU, "memMb": 1000, "estimateMs": 800}
-        if not await hand_in(system, batch, step, "batch"):
+            for runner in system.runners:
+                runner.hook = lambda request, at=runner: trouble.hook(at, request)
+        step = {"count": 1, "cpu": 2000, "memMb": 100, "estimateMs": 500}
+        document = {"spec": "once", "steps": [step]}
+        response = await system.request(system.edges[0], "POST", PREFIX + job, document)
+        if response is None or response[0] != 200:
             return 2
-        until = system.record.now() + WATCHED_S
-        state = None
-        while system.record.now() < until and state not in ("completed", "failed"):
-            await asyncio.sleep(3)
-            state = await state_of(system, batch)
-        last = max((row["t"] for row in began(system.record, batch)), default=0.0)
-        failed = [row for row in system.record.rows if row.get("how") == "failed"]
-        idle_s = round(system.record.now() - last, 1)
-        system.record("verdict", state=state, failures=len(failed), idle_s=idle_s, free=free.id)
-        if state is None or state == "failed":
+        await asyncio.sleep(12)
+        await system.request(system.edges[0], "GET", PREFIX + job)
+        rows = [row for row in system.record.rows if str(row.get("task", "")).startswith(job)]
+        done = [r["t"] for r in rows if r["event"] == "run ended" and r["how"] == "done"]
+        noted = [r["t"] for r in rows if r["event"] == "end noted" and r["how"] == "done"]
+        late = [r for r in began(system.record, job) if done and r["t"] > done[0]]
+        system.record("verdict", done=done, noted=noted, starts_after_it=late)
+        if not done or not noted:
             return 2
-        # Nothing of the job runs, long after the runner works again, and the runner is idle.
-        return 1 if state != "completed" and idle_s > 20 else 0
+        # A start after a run has ended `done`, whose end was taken note of.
+        return 1 if late else 0
     finally:
         await system.stop()
         system.remove_folder()
@@ -83,7 +83,7 @@
 if __name__ == "__main__":
     try:
         async def bounded() -> int:
-            async with asyncio.timeout(110):
+            async with asyncio.timeout(60):
                 return await main()
 
         sys.exit(asyncio.run(bounded()))
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,4 +1,4 @@
-"""A gang with one member a runner, while one of its runners fails all that it starts."""
+"""A batch task that failed once, on the only runner that lasting tasks leave free."""
 
 import asyncio
 import os
@@ -12,13 +12,18 @@
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 RUNNERS = 12
-MEMBERS = 2
-GREY_S = 6.5
+# Of 64 cores a runner. Under half of all cores are in use, and the free runner has room for two
+# such tasks; no other one has room for any.
+SERVING_CPU = 33_000
+BATCH_CPU = 32_000
+GREY_S = 3.0
 WATCHED_S = 45.0
 
 
-def labels(number: int) -> tuple[str, str]:
-    return ("a" if number < MEMBERS else "b", f"r{number // 4}")
+async def hand_in(system: System, job: str, step: dict, spec: str) -> bool:
+    document = {"spec": spec, "steps": [step]}
+    response = await system.request(system.edges[0], "POST", PREFIX + job, document)
+    return response is not None and response[0] == 200
 
 
 async def state_of(system: System, job: str) -> str | None:
@@ -32,39 +37,43 @@
 async def main() -> int:
     system = System(FOLDER / "record.txt")
     grey: set[str] = set()
-    job = job_id()
-    system.gangs.sizes[f"{job}.0.0"] = MEMBERS
-    step = {
-        "count": MEMBERS, "cpu": 1000, "memMb": 100, "estimateMs": 800, "gang": True,
-        "requiredLabel": "a", "maxPerServer": 1,
-    }
+    lasting, batch = job_id(), job_id()
     try:
-        await system.start(edges=3, runners=RUNNERS, labels=labels)
-        failing = system.runners[MEMBERS - 1]
+        await system.start(edges=3, runners=RUNNERS)
         for runner in system.runners:
             runner.plan = lambda task, spec, at=runner: (
-                (0.4, "failed") if at.id in grey else (0.8, "done")
+                (float("inf"), "done") if spec == "serve"
+                else (0.4, "failed") if at.id in grey else (0.8, "done")
             )
+        serving = {
+            "count": RUNNERS - 1, "cpu": SERVING_CPU, "memMb": 1000, "longRunning": True,
+            "image": "serve",
+        }
+        if not await hand_in(system, lasting, serving, "serve"):
+            return 2
+        await asyncio.sleep(3)
+        if len(began(system.record, lasting)) < RUNNERS - 1:
+            return 2
+        (free,) = [runner for runner in system.runners if not runner.runs]
         if TROUBLE:
-            grey.add(failing.id)
-            system.record("runner fails all that it starts", runner=failing.id, for_s=GREY_S)
+            grey.add(free.id)
+            system.record("runner fails all that it starts", runner=free.id, for_s=GREY_S)
             asyncio.get_running_loop().call_later(GREY_S, grey.clear)
-        document = {"spec": "gang", "steps": [step]}
-        response = await system.request(system.edges[0], "POST", PREFIX + job, document)
-        if response is None or response[0] != 200:
+        step = {"count": 1, "cpu": BATCH_CPU, "memMb": 1000, "estimateMs": 800}
+        if not await hand_in(system, batch, step, "batch"):
             return 2
         until = system.record.now() + WATCHED_S
         state = None
         while system.record.now() < until and state not in ("completed", "failed"):
             await asyncio.sleep(3)
-            state = await state_of(system, job)
-        last = max((row["t"] for row in began(system.record, job)), default=0.0)
+            state = await state_of(system, batch)
+        last = max((row["t"] for row in began(system.record, batch)), default=0.0)
         failed = [row for row in system.record.rows if row.get("how") == "failed"]
-        idle_s = system.record.now() - last
-        system.record("verdict", state=state, failures=len(failed), idle_s=round(idle_s, 1))
+        idle_s = round(system.record.now() - last, 1)
+        system.record("verdict", state=state, failures=len(failed), idle_s=idle_s, free=free.id)
         if state is None or state == "failed":
             return 2
-        # Nothing of the job runs, long after the runner works again, and both runners are idle.
+        # Nothing of the job runs, long after the runner works again, and the runner is idle.
         return 1 if state != "completed" and idle_s > 20 else 0
     finally:
         await system.stop()
--- a/review/15/case.py
+++ b/review/15/case.py
@@ -1,80 +1,92 @@
-"""A start without an answer is carried out by the next life of its runner."""
+"""Two runners are lost for good, each with a lasting task of a step with `maxPerServer`."""
 
 import asyncio
 import os
+import random
 import sys
+import zlib
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
-from standins_3.http_io import Request  # noqa: E402
-from standins_3.runner import Runner  # noqa: E402
-from standins_3.system import PREFIX, System, began, job_id  # noqa: E402
+from standins_3.system import PREFIX, System, began  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-RUNNERS = 8
-# Times after the first start order: the runner loses power, is up again, and gets the late order.
-DARK_S = 2.0
-UP_S = 2.5
-LATE_S = 2.8
-
-
-class Trouble:
-    """Leaves one start order without an answer, and lets it arrive late."""
-
-    def __init__(self, system: System, job: str) -> None:
-        self._system = system
-        self._job = job
-        self._is_used = False
-
-    def hook(self, runner: Runner, request: Request) -> bool:
-        if self._is_used or request.path != "/v1/run-start":
-            return False
-        if not request.json()["task"].startswith(self._job):
-            return False
-        self._is_used = True
-        self._system.record("start without an answer", runner=runner.id, call=request.json())
-        asyncio.get_running_loop().create_task(self._play(runner, request))
-        return True
-
-    async def _play(self, runner: Runner, request: Request) -> None:
-        await asyncio.sleep(DARK_S)
-        self._system.record("runner loses power", runner=runner.id)
-        runner.lose_power()
-        await asyncio.sleep(UP_S - DARK_S)
-        await runner.start()
-        await asyncio.sleep(LATE_S - UP_S)
-        status, answer = await runner.carry_out(request)
-        self._system.record("late start", runner=runner.id, status=status, answer=answer)
+# Above 70 runners the system uses two shards. Racks have 12 runners, two racks a zone.
+RUNNERS = 72
+RACK = 12
+LOST = 2
+WATCHED_S = 40.0
+
+
+def labels(number: int) -> tuple[str, str]:
+    """Returns the kind and the rack; runner N is in the zone N modulo 3."""
+    zone, place = number % 3, number // 3
+    return ("a", f"rack-{zone}-{place // RACK}")
+
+
+def id_of_shard(ids: random.Random, shard: int) -> str:
+    """Returns a job id that belongs to a shard; each second one that is drawn does."""
+    while True:
+        job = f"{ids.getrandbits(64):016x}"
+        if zlib.crc32(job.encode()) % 2 == shard:
+            return job
+
+
+async def hand_in(system: System, job: str, cpu: int) -> bool:
+    step = {
+        "count": RUNNERS // 2, "cpu": cpu, "memMb": 100, "longRunning": True, "image": "watch",
+        "maxPerServer": 1,
+    }
+    document = {"spec": "watch", "steps": [step]}
+    response = await system.request(system.edges[0], "POST", PREFIX + job, document)
+    return response is not None and response[0] == 200
+
+
+def running(system: System, job: str) -> dict[str, str]:
+    """Returns the runner of each task of a job that runs."""
+    return {
+        run.task: runner.id
+        for runner in system.runners if runner.is_up
+        for run in runner.runs.values() if run.task.startswith(job)
+    }
 
 
 async def main() -> int:
     system = System(FOLDER / "record.txt")
-    system.plan = lambda task, spec: (0.5, "done")
-    job = job_id()
-    trouble = Trouble(system, job)
+    system.plan = lambda task, spec: (float("inf"), "done")
+    ids = random.Random(1)
+    first, second = id_of_shard(ids, 0), id_of_shard(ids, 1)
+    count = RUNNERS // 2
     try:
-        await system.start(edges=3, runners=RUNNERS)
-        if TROUBLE:
-            for runner in system.runners:
-                runner.hook = lambda request, at=runner: trouble.hook(at, request)
-        step = {"count": 1, "cpu": 2000, "memMb": 100, "estimateMs": 500}
-        document = {"spec": "once", "steps": [step]}
-        response = await system.request(system.edges[0], "POST", PREFIX + job, document)
-        if response is None or response[0] != 200:
+        await system.start(edges=3, runners=RUNNERS, labels=labels)
+        system.record("layout", layout=system.store.value("pollengate/layout"))
+        # 20 cores of 64 on each runner of one half, and 40 on each of the other half.
+        if not await hand_in(system, first, 20_000) or not await hand_in(system, second, 40_000):
             return 2
-        await asyncio.sleep(12)
-        await system.request(system.edges[0], "GET", PREFIX + job)
-        rows = [row for row in system.record.rows if str(row.get("task", "")).startswith(job)]
-        done = [r["t"] for r in rows if r["event"] == "run ended" and r["how"] == "done"]
-        noted = [r["t"] for r in rows if r["event"] == "end noted" and r["how"] == "done"]
-        late = [r for r in began(system.record, job) if done and r["t"] > done[0]]
-        system.record("verdict", done=done, noted=noted, starts_after_it=late)
-        if not done or not noted:
+        await asyncio.sleep(8)
+        if len(running(system, first)) < count or len(running(system, second)) < count:
             return 2
-        # A start after a run has ended `done`, whose end was taken note of.
-        return 1 if late else 0
+        if TROUBLE:
+            hosts = sorted(set(running(system, first).values()))
+            lost = [runner for runner in system.runners if runner.id in hosts[:LOST]]
+            for runner in lost:
+                await runner.crash()
+                asyncio.get_running_loop().call_later(
+                    3.3, system.store.remove, f"servers/{runner.id}"
+                )
+        await asyncio.sleep(WATCHED_S)
+        missing = sorted(
+            {f"{first}.0.0.{index}" for index in range(count)} - running(system, first).keys()
+        )
+        starts = {task: [r["t"] for r in began(system.record, task + "")] for task in missing}
+        used = sum(
+            20_000 if run.task.startswith(first) else 40_000
+            for runner in system.runners if runner.is_up for run in runner.runs.values()
+        )
+        system.record("verdict", missing=missing, starts=starts, millicores_in_use=used)
+        return 1 if missing else 0
     finally:
         await system.stop()
         system.remove_folder()
@@ -83,7 +95,7 @@
 if __name__ == "__main__":
     try:
         async def bounded() -> int:
-            async with asyncio.timeout(60):
+            async with asyncio.timeout(110):
                 return await main()
 
         sys.exit(asyncio.run(bounded()))
--- a/review/standins_3/system.py
+++ b/review/standins_3/system.py
@@ -6,6 +6,7 @@
 import random
 import shutil
 import signal
+import socket
 import subprocess
 import tempfile
 import time
@@ -20,6 +21,8 @@
 ROOT = Path(__file__).resolve().parents[2]
 SERVICE, ZONES = "svc", ("zone-a", "zone-b", "zone-c")
 HOST, PREFIX = "jobs.example", "/q/"
+# Of deploy/system.toml.
+METRICS_PORT = 9464
 
 
 class Recorder:
@@ -42,13 +45,33 @@
         return time.monotonic() - self._began_at
 
 
+def free_address() -> str:
+    """Returns a loopback address on which the port for metrics is free."""
+    while True:
+        address = f"127.{random.randint(20, 250)}.{random.randint(1, 250)}.{random.randint(2, 250)}"
+        if are_free(address, [METRICS_PORT]):
+            return address
+
+
+def are_free(address: str, ports: list[int]) -> bool:
+    try:
+        for port in ports:
+            with socket.socket() as probe:
+                probe.bind((address, port))
+    except OSError:
+        return False
+    return True
+
+
 class Edge:
     """One edge process."""
 
     def __init__(self, name: str, ip: str, zone: str, folder: Path) -> None:
         self.name, self.ip, self.zone = name, ip, zone
         self.folder = folder
-        self.port = random.randint(20_000, 28_000)
+        self.port = 0
+        while not self.port or not are_free(ip, [*range(self.port, self.port + 10)]):
+            self.port = random.randint(20_000, 28_000)
         self.front = f"{ip}:{self.port}"
         self.ready = f"{ip}:{self.port + 1}"
         self.process: subprocess.Popen | None = None
@@ -153,10 +176,8 @@
             )
             await runner.start()
             self.runners.append(runner)
-        third = random.randint(1, 250)
         for number in range(edges):
-            edge = Edge(f"edge-{number}", f"127.77.{third}.{number + 10}", ZONES[number % 3],
-                        self.folder)
+            edge = Edge(f"edge-{number}", free_address(), ZONES[number % 3], self.folder)
             address = await self.store.open(edge.name)
             edge.write_settings(address, BOUNDS | (bounds or {}), advice)
             edge.start()
