--- a/review/11/case.py
+++ b/review/11/case.py
@@ -8,9 +8,9 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
-from standins_3.http_io import Request  # noqa: E402
-from standins_3.runner import Runner  # noqa: E402
-from standins_3.system import PREFIX, System, began, job_id  # noqa: E402
+from standins_3.http_io import Request
+from standins_3.runner import Runner
+from standins_3.system import PREFIX, System, began, job_id, run_case
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 RUNNERS = 8
@@ -50,6 +50,7 @@
 
 
 async def main() -> int:
+    """Plays the case; returns the exit code."""
     system = System(FOLDER / "record.txt")
     system.plan = lambda task, spec: (0.5, "done")
     job = job_id()
@@ -81,12 +82,4 @@
 
 
 if __name__ == "__main__":
-    try:
-        async def bounded() -> int:
-            async with asyncio.timeout(60):
-                return await main()
-
-        sys.exit(asyncio.run(bounded()))
-    except (TimeoutError, OSError, RuntimeError) as error:
-        print(f"could not run: {error!r}", file=sys.stderr)
-        sys.exit(2)
+    run_case(main, 60)
--- a/review/12/case.py
+++ b/review/12/case.py
@@ -9,7 +9,7 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
-from standins_3.system import PREFIX, System, began  # noqa: E402
+from standins_3.system import PREFIX, System, began, run_case
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 # Above 70 runners the system uses two shards. Racks have 12 runners of one kind, two racks a zone.
@@ -29,10 +29,12 @@
 
 
 def kind_of(number: int) -> str:
+    """Returns the label that a job needs."""
     return "ab"[number % 2]
 
 
 async def hand_in(system: System, number: int, job: str) -> bool:
+    """Hands a job in; returns whether it was accepted."""
     step = {"count": 2, "cpu": 2000, "memMb": 100, "estimateMs": 800}
     document = {"spec": "work", "steps": [step | {"requiredLabel": kind_of(number)}]}
     edge = system.edges[number % len(system.edges)]
@@ -41,6 +43,7 @@
 
 
 async def state_of(system: System, job: str) -> str | None:
+    """Returns the state that a client is shown, None without an answer."""
     for edge in system.edges:
         response = await system.request(edge, "GET", PREFIX + job)
         if response is not None and response[0] == 200:
@@ -49,6 +52,7 @@
 
 
 async def main() -> int:
+    """Plays the case; returns the exit code."""
     system = System(FOLDER / "record.txt")
     system.plan = lambda task, spec: (0.8, "done")
     # Drawn at random, but the same in each run: a job belongs to a shard by a hash of its id.
@@ -82,12 +86,4 @@
 
 
 if __name__ == "__main__":
-    try:
-        async def bounded() -> int:
-            async with asyncio.timeout(115):
-                return await main()
-
-        sys.exit(asyncio.run(bounded()))
-    except (TimeoutError, OSError, RuntimeError) as error:
-        print(f"could not run: {error!r}", file=sys.stderr)
-        sys.exit(2)
+    run_case(main, 115)
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -8,7 +8,7 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
-from standins_3.system import PREFIX, System, began, job_id  # noqa: E402
+from standins_3.system import PREFIX, System, began, job_id, run_case
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 RUNNERS = 12
@@ -21,12 +21,14 @@
 
 
 async def hand_in(system: System, job: str, step: dict, spec: str) -> bool:
+    """Hands a job in; returns whether it was accepted."""
     document = {"spec": spec, "steps": [step]}
     response = await system.request(system.edges[0], "POST", PREFIX + job, document)
     return response is not None and response[0] == 200
 
 
 async def state_of(system: System, job: str) -> str | None:
+    """Returns the state that a client is shown, None without an answer."""
     for edge in system.edges:
         response = await system.request(edge, "GET", PREFIX + job)
         if response is not None and response[0] == 200:
@@ -35,6 +37,7 @@
 
 
 async def main() -> int:
+    """Plays the case; returns the exit code."""
     system = System(FOLDER / "record.txt")
     grey: set[str] = set()
     lasting, batch = job_id(), job_id()
@@ -42,11 +45,15 @@
         await system.start(edges=3, runners=RUNNERS)
         for runner in system.runners:
             runner.plan = lambda task, spec, at=runner: (
-                (float("inf"), "done") if spec == "serve"
+                (float("inf"), "done")
+                if spec == "serve"
                 else (0.4, "failed") if at.id in grey else (0.8, "done")
             )
         serving = {
-            "count": RUNNERS - 1, "cpu": SERVING_CPU, "memMb": 1000, "longRunning": True,
+            "count": RUNNERS - 1,
+            "cpu": SERVING_CPU,
+            "memMb": 1000,
+            "longRunning": True,
             "image": "serve",
         }
         if not await hand_in(system, lasting, serving, "serve"):
@@ -81,12 +88,4 @@
 
 
 if __name__ == "__main__":
-    try:
-        async def bounded() -> int:
-            async with asyncio.timeout(110):
-                return await main()
-
-        sys.exit(asyncio.run(bounded()))
-    except (TimeoutError, OSError, RuntimeError) as error:
-        print(f"could not run: {error!r}", file=sys.stderr)
-        sys.exit(2)
+    run_case(main, 110)
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -3,15 +3,14 @@
 import asyncio
 import collections
 import os
+import signal
 import sys
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
-from standins_3.system import PREFIX, Edge, System, began, job_id  # noqa: E402
-
-import signal  # noqa: E402
+from standins_3.system import PREFIX, Edge, System, began, job_id, run_case
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 MEMORY_MB = 300
@@ -23,6 +22,7 @@
 
 
 def resident_mb(pid: int) -> float:
+    """Returns the resident memory of a process."""
     try:
         for line in Path(f"/proc/{pid}/status").read_text().splitlines():
             if line.startswith("VmRSS:"):
@@ -60,10 +60,12 @@
 
 
 def large_steps() -> list[dict]:
+    """Returns the one step of a large job."""
     return [{"count": LARGE_TASKS, "cpu": 32000, "memMb": 1000, "estimateMs": 500}]
 
 
 async def hand_in(system: System, number: int, job: str, steps: list[dict], spec: str) -> bool:
+    """Hands a job in; returns whether it was accepted."""
     edge = system.edges[number % len(system.edges)]
     document = {"spec": spec, "steps": steps}
     response = await system.request(edge, "POST", PREFIX + job, document)
@@ -71,6 +73,7 @@
 
 
 async def state_of(system: System, job: str) -> str | None:
+    """Returns the state that a client is shown, None without an answer."""
     for edge in system.edges:
         response = await system.request(edge, "GET", PREFIX + job, timeout_s=2)
         if response is not None and response[0] == 200:
@@ -79,6 +82,7 @@
 
 
 async def main() -> int:
+    """Plays the case; returns the exit code."""
     system = System(FOLDER / "record.txt")
     system.plan = lambda task, spec: (float(spec), "done")
     ends: collections.Counter[str] = collections.Counter()
@@ -122,12 +126,4 @@
 
 
 if __name__ == "__main__":
-    try:
-        async def bounded() -> int:
-            async with asyncio.timeout(112):
-                return await main()
-
-        sys.exit(asyncio.run(bounded()))
-    except (TimeoutError, OSError, RuntimeError) as error:
-        print(f"could not run: {error!r}", file=sys.stderr)
-        sys.exit(2)
+    run_case(main, 112)
--- a/review/15/case.py
+++ b/review/15/case.py
@@ -10,7 +10,7 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
-from standins_3.system import PREFIX, System, began  # noqa: E402
+from standins_3.system import PREFIX, System, began, run_case
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 # Above 70 runners the system uses two shards. Racks have 12 runners, two racks a zone.
@@ -35,8 +35,13 @@
 
 
 async def hand_in(system: System, job: str, cpu: int) -> bool:
+    """Hands a job in; returns whether it was accepted."""
     step = {
-        "count": RUNNERS // 2, "cpu": cpu, "memMb": 100, "longRunning": True, "image": "watch",
+        "count": RUNNERS // 2,
+        "cpu": cpu,
+        "memMb": 100,
+        "longRunning": True,
+        "image": "watch",
         "maxPerServer": 1,
     }
     document = {"spec": "watch", "steps": [step]}
@@ -48,12 +53,15 @@
     """Returns the runner of each task of a job that runs."""
     return {
         run.task: runner.id
-        for runner in system.runners if runner.is_up
-        for run in runner.runs.values() if run.task.startswith(job)
+        for runner in system.runners
+        if runner.is_up
+        for run in runner.runs.values()
+        if run.task.startswith(job)
     }
 
 
 async def main() -> int:
+    """Plays the case; returns the exit code."""
     system = System(FOLDER / "record.txt")
     system.plan = lambda task, spec: (float("inf"), "done")
     ids = random.Random(1)
@@ -83,7 +91,9 @@
         starts = {task: [r["t"] for r in began(system.record, task + "")] for task in missing}
         used = sum(
             20_000 if run.task.startswith(first) else 40_000
-            for runner in system.runners if runner.is_up for run in runner.runs.values()
+            for runner in system.runners
+            if runner.is_up
+            for run in runner.runs.values()
         )
         system.record("verdict", missing=missing, starts=starts, millicores_in_use=used)
         return 1 if missing else 0
@@ -93,12 +103,4 @@
 
 
 if __name__ == "__main__":
-    try:
-        async def bounded() -> int:
-            async with asyncio.timeout(110):
-                return await main()
-
-        sys.exit(asyncio.run(bounded()))
-    except (TimeoutError, OSError, RuntimeError) as error:
-        print(f"could not run: {error!r}", file=sys.stderr)
-        sys.exit(2)
+    run_case(main, 110)
--- a/review/standins_3/http_io.py
+++ b/review/standins_3/http_io.py
@@ -110,6 +110,7 @@
 
 
 async def read_head(reader: asyncio.StreamReader) -> tuple[str, dict[str, str]] | None:
+    """Returns the first line and the headers, None at the end of the connection."""
     try:
         raw = await reader.readuntil(b"\r\n\r\n")
     except asyncio.IncompleteReadError:
@@ -124,6 +125,7 @@
 
 
 async def read_request(reader: asyncio.StreamReader) -> Request | None:
+    """Returns the next request, None at the end of the connection."""
     head = await read_head(reader)
     if head is None:
         return None
--- a/review/standins_3/runner.py
+++ b/review/standins_3/runner.py
@@ -40,7 +40,7 @@
     def __init__(self, wait_s: float = 3.0) -> None:
         self.sizes: dict[str, int] = {}
         self.wait_s = wait_s
-        self._present: dict[tuple[str, int], dict[str, tuple["Runner", Run]]] = {}
+        self._present: dict[tuple[str, int], dict[str, tuple[Runner, Run]]] = {}
 
     def size(self, task: str) -> int:
         return self.sizes.get(task.rpartition(".")[0], 1)
@@ -271,7 +271,7 @@
         noted = [row for row in self.ended if row[0] <= call.get("ackedUpto", 0)]
         for _, task, number, how, _ in noted:
             self._log("end noted", runner=self.id, task=task, run=number, how=how)
-        self.ended = self.ended[len(noted):]
+        self.ended = self.ended[len(noted) :]
         token = call.get("fencingToken", 0)
         if not self.ended and call.get("waitMs"):
             try:
--- a/review/standins_3/system.py
+++ b/review/standins_3/system.py
@@ -8,10 +8,11 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 from .http_io import call
@@ -54,6 +55,7 @@
 
 
 def are_free(address: str, ports: list[int]) -> bool:
+    """Returns whether all ports of an address are free."""
     try:
         for port in ports:
             with socket.socket() as probe:
@@ -78,16 +80,35 @@
 
     def write_settings(self, store_address: str, bounds: dict, advice: str = "") -> None:
         lines = [
-            f'node = "{self.name}"', 'role = "edge"', 'class = "edge"',
-            'serves = ["edge","control"]', f'ip = "{self.ip}"', f'zone = "{self.zone}"',
-            'region = "region"', f"internalPortRange = [{self.port + 2},{self.port + 9}]",
-            "bootstrap = true", 'discovery = "platform"', "heartbeatMs = 1100",
-            'controlMode = "request"', *([f'advice = "{advice}"'] if advice else []),
-            "[zones]", *(f'{zone} = "region"' for zone in ZONES),
-            "[listen]", f'front = "{self.front}"', f'ready = "{self.ready}"',
-            "[limits]", "cpuShare = 0.537", "cores = 2", "memoryMb = 300", "maxFds = 4100",
-            "[platform]", f'addr = "{store_address}"', 'form = "kv"', "valueBytes = 1048576",
-            "[bounds]", *(f"{name} = {json.dumps(value)}" for name, value in bounds.items()),
+            f'node = "{self.name}"',
+            'role = "edge"',
+            'class = "edge"',
+            'serves = ["edge","control"]',
+            f'ip = "{self.ip}"',
+            f'zone = "{self.zone}"',
+            'region = "region"',
+            f"internalPortRange = [{self.port + 2},{self.port + 9}]",
+            "bootstrap = true",
+            'discovery = "platform"',
+            "heartbeatMs = 1100",
+            'controlMode = "request"',
+            *([f'advice = "{advice}"'] if advice else []),
+            "[zones]",
+            *(f'{zone} = "region"' for zone in ZONES),
+            "[listen]",
+            f'front = "{self.front}"',
+            f'ready = "{self.ready}"',
+            "[limits]",
+            "cpuShare = 0.537",
+            "cores = 2",
+            "memoryMb = 300",
+            "maxFds = 4100",
+            "[platform]",
+            f'addr = "{store_address}"',
+            'form = "kv"',
+            "valueBytes = 1048576",
+            "[bounds]",
+            *(f"{name} = {json.dumps(value)}" for name, value in bounds.items()),
         ]
         (self.folder / f"{self.name}.toml").write_text("\n".join(lines) + "\n")
 
@@ -119,13 +140,38 @@
 
 
 BOUNDS = {
-    "seedLagS": 3, "reuseAfterS": 2, "contactMs": 3000, "ackMs": 4000, "catchUpS": 4,
-    "drainMs": 2000, "graceS": 6, "lossSlackMs": 200, "configMs": 2000, "downgradeMs": 250,
-    "maxStretchMs": 5000, "evacuateMs": 5000, "recoveryS": 12, "holdMaxMs": 6000, "stopMs": 400,
-    "gangMs": 3000, "cancel_ms": 3000, "visible_ms": 3000, "early_ms": 250, "finish_s": 14,
-    "status_s": 120, "crossRackFactor": 3, "saveS": 0.5, "restoreMs": 250, "noticeMs": 4500,
-    "moveS": 1.5, "upkeepS": 2, "requireFence": False, "leaseMs": 3000, "thawMs": 300,
-    "paceMs": 100, "harmMs": 4000,
+    "seedLagS": 3,
+    "reuseAfterS": 2,
+    "contactMs": 3000,
+    "ackMs": 4000,
+    "catchUpS": 4,
+    "drainMs": 2000,
+    "graceS": 6,
+    "lossSlackMs": 200,
+    "configMs": 2000,
+    "downgradeMs": 250,
+    "maxStretchMs": 5000,
+    "evacuateMs": 5000,
+    "recoveryS": 12,
+    "holdMaxMs": 6000,
+    "stopMs": 400,
+    "gangMs": 3000,
+    "cancel_ms": 3000,
+    "visible_ms": 3000,
+    "early_ms": 250,
+    "finish_s": 14,
+    "status_s": 120,
+    "crossRackFactor": 3,
+    "saveS": 0.5,
+    "restoreMs": 250,
+    "noticeMs": 4500,
+    "moveS": 1.5,
+    "upkeepS": 2,
+    "requireFence": False,
+    "leaseMs": 3000,
+    "thawMs": 300,
+    "paceMs": 100,
+    "harmMs": 4000,
 }
 
 
@@ -147,31 +193,49 @@
     @staticmethod
     def route(name: str, service: str, prefix: str = PREFIX, **fields: object) -> dict:
         return {
-            "name": name, "host": HOST, "prefix": prefix, "service": service, "timeoutMs": 3000,
-            "targetLatencyMs": 1000, "priority": 0, "maxAttempts": 4, "stretch": 2.0,
+            "name": name,
+            "host": HOST,
+            "prefix": prefix,
+            "service": service,
+            "timeoutMs": 3000,
+            "targetLatencyMs": 1000,
+            "priority": 0,
+            "maxAttempts": 4,
+            "stretch": 2.0,
         } | fields
 
     def configure(self) -> None:
         """Writes a new version of the configuration, as the operator."""
         self.version += 2
         document = {
-            "version": self.version, "routes": self.routes, "services": self.services,
+            "version": self.version,
+            "routes": self.routes,
+            "services": self.services,
             "limits": {"maxHeaderBytes": 65536, "maxBodyBytes": 262144},
         }
         self.store.put("op/config", document)
         self.record("configuration", version=self.version)
 
     async def start(
-        self, edges: int, runners: int, advice: str = "", capacity: dict | None = None,
-        bounds: dict | None = None, labels: Callable[[int], tuple[str, str]] | None = None,
+        self,
+        edges: int,
+        runners: int,
+        advice: str = "",
+        capacity: dict | None = None,
+        bounds: dict | None = None,
+        labels: Callable[[int], tuple[str, str]] | None = None,
     ) -> None:
         self.configure()
         for number in range(runners):
             runner = Runner(
-                self.store, f"i-{number:04d}", SERVICE, ZONES[number % 3],
+                self.store,
+                f"i-{number:04d}",
+                SERVICE,
+                ZONES[number % 3],
                 labels(number) if labels else ("a", f"r{number // 4}"),
                 capacity or {"cpu": 64000, "memMb": 256000, "gpu": 0},
-                lambda task, spec: self.plan(task, spec), self.record,
+                lambda task, spec: self.plan(task, spec),
+                self.record,
                 gangs=self.gangs,
             )
             await runner.start()
@@ -184,7 +248,10 @@
             self.edges.append(edge)
         async with asyncio.timeout(40):
             for edge in self.edges:
-                while (await call(edge.ready, "GET", "/v1/readiness", timeout_s=1) or (0,))[0] != 200:
+                while True:
+                    response = await call(edge.ready, "GET", "/v1/readiness", timeout_s=1)
+                    if response is not None and response[0] == 200:
+                        break
                     if edge.process.poll() is not None:
                         raise RuntimeError(f"{edge.name} has ended")
                     await asyncio.sleep(0.1)
@@ -192,7 +259,7 @@
 
     def owner(self, shard: int = 0) -> Edge | None:
         """Returns the process that owns a shard, as registered in the store."""
-        for key, item in self.store.items.items():
+        for key in self.store.items:
             if "/owner" in key and key.endswith(f"/{shard}"):
                 value = self.store.value(key)
                 for edge in self.edges:
@@ -207,8 +274,13 @@
         headers = {"Host": HOST, "Deadline-Ms": str(int(timeout_s * 1000))}
         response = await call(edge.front, method, path, document, headers, timeout_s)
         self.record(
-            "request", method=method, path=path, to=edge.name, sent_at=round(began_at, 3),
-            status=response and response[0], body=response and response[1],
+            "request",
+            method=method,
+            path=path,
+            to=edge.name,
+            sent_at=round(began_at, 3),
+            status=response and response[0],
+            body=response and response[1],
         )
         return response
 
@@ -231,8 +303,29 @@
 
 
 def job_id() -> str:
+    """Returns an id as a client chooses it."""
     return f"{random.getrandbits(64):016x}"
 
 
 def began(record: Recorder, job: str) -> list[dict]:
+    """Returns the starts of a job, in their order."""
     return [r for r in record.rows if r["event"] == "run began" and r["task"].startswith(job)]
+
+
+def run_case(main: Callable[[], Awaitable[int]], limit_s: float) -> None:
+    """Ends the script with the code that a case returns, or with 2 if it could not run."""
+
+    async def bounded() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+        async with asyncio.timeout(limit_s):
+            return await main()
+
+    code = 2
+    try:
+        code = asyncio.run(bounded())
+    except (Exception, asyncio.CancelledError) as error:
+        print(f"could not run: {error!r}", file=sys.stderr)
+    sys.exit(code)
