--- a/review/13/case.py
+++ b/review/13/case.py
@@ -75,7 +75,11 @@
             await asyncio.sleep(3)
             state = await state_of(system, batch)
         last = max((row["t"] for row in began(system.record, batch)), default=0.0)
-        failed = [row for row in system.record.rows if row.get("how") == "failed"]
+        failed = [
+            row
+            for row in system.record.rows
+            if row["event"] == "run ended" and row["how"] == "failed"
+        ]
         idle_s = round(system.record.now() - last, 1)
         system.record("verdict", state=state, failures=len(failed), idle_s=idle_s, free=free.id)
         if state is None or state == "failed":
