--- a/review/11/case.py
+++ b/review/11/case.py
@@ -8,9 +8,9 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
-from standins_3.http_io import Request
-from standins_3.runner import Runner
-from standins_3.system import PREFIX, System, began, job_id, run_case
+from http_3 import Request
+from runner_3 import Runner
+from system_3 import PREFIX, System, began, job_id, run_case
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 RUNNERS = 8
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -8,7 +8,7 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
-from standins_3.system import PREFIX, System, began, job_id, run_case
+from system_3 import PREFIX, System, began, job_id, run_case
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 RUNNERS = 12
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -10,7 +10,7 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
-from standins_3.system import PREFIX, Edge, System, began, job_id, run_case
+from system_3 import PREFIX, Edge, System, began, job_id, run_case
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 MEMORY_MB = 300
--- a/review/15/case.py
+++ b/review/15/case.py
@@ -10,7 +10,7 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
-from standins_3.system import PREFIX, System, began, run_case
+from system_3 import PREFIX, System, began, run_case
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 # Above 70 runners the system uses two shards. Racks have 12 runners, two racks a zone.
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -2,7 +2,7 @@
 # Builds the stand-ins of the cases 11 to 15: they are Python files without dependencies.
 set -eu
 cd "$(dirname "$0")"
-python3 - standins_3/*.py 1[1-5]/*.py <<'PY'
+python3 - *_3.py 1[1-5]/*.py <<'PY'
 import pathlib
 import sys
 
--- a/review/standins_3/runner.py
+++ b/review/runner_3.py
@@ -6,8 +6,8 @@
 import time
 from collections.abc import Callable
 
-from .http_io import NoReply, Request, Server
-from .store import Store
+from http_3 import NoReply, Request, Server
+from store_3 import Store
 
 MAX_ENDS = 500
 STOP_S = 0.05
--- a/review/standins_3/store.py
+++ b/review/store_3.py
@@ -7,7 +7,7 @@
 import time
 from collections.abc import Awaitable, Callable
 
-from .http_io import NoReply, Request, Server
+from http_3 import NoReply, Request, Server
 
 PAGE_ITEMS = 500
 ANSWER_S = 0.004
--- a/review/standins_3/system.py
+++ b/review/system_3.py
@@ -15,11 +15,11 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
-from .http_io import call
-from .runner import Gangs, Runner
-from .store import Store
+from http_3 import call
+from runner_3 import Gangs, Runner
+from store_3 import Store
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 SERVICE, ZONES = "svc", ("zone-a", "zone-b", "zone-c")
 HOST, PREFIX = "jobs.example", "/q/"
 # Of deploy/system.toml.
