Keep the end of a run unacknowledged while a copy of its start may arrive

Cause: a start without a response may still be carried out for 13 s, by whichever incarnation its worker has then. `UnansweredStarts` kept the task from other workers for that time, but the end of its run was acknowledged as soon as it was durable. An end that was applied also settled an order while another one still waited for its response, and `release` forgot the orders of a failed task.

Change: an end `done` or `failed` is not acknowledged, and with it the later ones of its worker, while an order may start its task, or another member of its gang, again. Nobody has then taken note of it, so that a second run is one that the protocol allows. Released orders are kept with a mark, also in their records. The pauses of starts move into a class of their own.

--- a/packages/pollengate/pollengate/workflow/end_acknowledgement.py
+++ b/packages/pollengate/pollengate/workflow/end_acknowledgement.py
@@ -7,15 +7,19 @@
 the incarnation of that report has responded to every start order, and no renewal has failed.
 An end that is not acknowledged is listed again.
 
+The end of a task that an order may still start is kept, and with it those that follow, as
+acknowledgements name the last of a row of ends.
+
 A worker's steady clock starts anew with an incarnation, at any value, and its responses to orders
 contain it.
 """
 
 import dataclasses
 import math
+from collections.abc import Callable
 
 from pollengate.clock_drift import MAX_CLOCK_DRIFT_RATIO
-from pollengate.workflow.clients import Report
+from pollengate.workflow.clients import EndedRun, EndKind, Report
 
 __all__ = ["EndAcknowledgement", "SentOrder"]
 
@@ -24,6 +28,8 @@
 MIN_RUN_S = 0.1
 # Two clocks are read in whole milliseconds.
 CLOCK_ROUNDING_MS = 2
+# Ends after which a task may not start again, or not as often as it may fail.
+_FINAL_ENDS = (EndKind.DONE, EndKind.FAILED)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, eq=False)
@@ -48,12 +54,18 @@
 class EndAcknowledgement:
     """Tracks the reports and responses of one worker over its incarnations.
 
+    Args:
+        may_start_again: returns whether an order without a response may still start a task or,
+            if it is a member of a gang, another one of the gang.
+
     Attributes:
         listed_upto: highest number of the ends in the newest report, 0 if there is none.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, may_start_again: Callable[[str], bool] = lambda task: False) -> None:
+        self._may_start_again = may_start_again
         self.listed_upto = 0
+        self._ends: tuple[EndedRun, ...] = ()
         self._born_ms: int | None = None
         self._clock_ms = 0
         self._report_sent_at = 0.0
@@ -67,7 +79,15 @@
         is_unanswered = any(now - order.sent_at >= MIN_RUN_S for order in self._starts_in_flight)
         if is_unanswered or self._doubted_at > self._report_sent_at:
             return 0
-        return self.listed_upto
+        kept = self.find_kept()
+        return self.listed_upto if kept is None else kept.number - 1
+
+    def find_kept(self) -> EndedRun | None:
+        """Returns the first end in the newest report whose task an order may still start."""
+        for end in self._ends:
+            if end.how in _FINAL_ENDS and self._may_start_again(end.task):
+                return end
+        return None
 
     def begin_order(self, now: float, is_start: bool = False) -> SentOrder:
         """Records an order that is about to be sent; `record_response` has to follow.
@@ -153,5 +173,6 @@
             return False
         self._born_ms, self._clock_ms = report.born_ms, report.worker_clock_ms
         self._report_sent_at, self._reported_at = sent_at, now
+        self._ends = report.ended
         self.listed_upto = max((ended.number for ended in report.ended), default=0)
         return True
--- a/packages/pollengate/pollengate/workflow/job_table.py
+++ b/packages/pollengate/pollengate/workflow/job_table.py
@@ -172,6 +172,19 @@
             self._open_steps(job.open_occurrence(job.due_count), now)
         return self.find_task(name)
 
+    def may_start_again(self, name: str, now: float) -> bool:
+        """Returns True if an order without a response may still start a task, or one of its gang.
+
+        The end of one member of a gang is the end of all.
+        """
+        if not self.unanswered_starts:
+            return False
+        task = self.find_task(name)
+        names = [name]
+        if task is not None and task.step.spec.is_gang:
+            names = [member.name for member in task.step.tasks]
+        return any(self.unanswered_starts.may_start_again(member, now) for member in names)
+
     def delegate(self, task: TaskProgress) -> None:
         """Keeps a task without a run from being started, as another shard may run it."""
         task.is_delegated = True
--- a/packages/pollengate/pollengate/workflow/progress.py
+++ b/packages/pollengate/pollengate/workflow/progress.py
@@ -85,6 +85,7 @@
             incarnation that was told to start it has expired: a later one may have started it.
         is_stop_wanted: whether a stop of the run was requested.
         is_suspected: whether a crash of its worker was counted against its task.
+        is_being_ordered: whether a start order for it waits for its response.
     """
 
     task: "TaskProgress"
@@ -107,6 +108,7 @@
     may_outlast_until: float = 0.0
     is_stop_wanted: bool = False
     is_suspected: bool = False
+    is_being_ordered: bool = False
 
     @property
     def is_undisturbed(self) -> bool:
--- a/packages/pollengate/pollengate/workflow/reports.py
+++ b/packages/pollengate/pollengate/workflow/reports.py
@@ -187,7 +187,8 @@
         run = view.runs.get((ended.task, ended.run))
         if run is not None:
             if run.replied_at is None:
-                self._job_table.unanswered_starts.settle(ended.task, view.worker_id, ended.run)
+                self._settle_start(run)
+                run.replied_at = now
             self._job_table.mark_ended(run, end_kind, ended.checkpoint, now, now_ms)
             return EndEffect.APPLIED
         task = self._job_table.find_started_task(ended.task, now)
@@ -225,7 +226,7 @@
                 return
             run = self._job_table.adopt(task, row.run, view, now)
         elif run.state in (RunState.STARTING, RunState.UNSETTLED):
-            self._job_table.unanswered_starts.settle(row.task, view.worker_id, row.run)
+            self._settle_start(run)
             self._job_table.mark_seen(run)
             run.replied_at = now
             if run.is_stop_wanted:
@@ -248,6 +249,15 @@
         if row.checkpoint:
             run.task.keep_checkpoint(row.checkpoint)
 
+    def _settle_start(self, run: Run) -> None:
+        """Records that one of the unanswered orders for a run was carried out.
+
+        Not if another order waits for its response, which may be the one that was.
+        """
+        if not run.is_being_ordered:
+            starts = self._job_table.unanswered_starts
+            starts.settle(run.task.name, run.worker_id, run.number)
+
     def _clear_suspicion(self, run: Run, now: float) -> None:
         """Ends the trial of a run, and clears its task, once it has run for long enough."""
         if self._view.trial is run and is_trial_over(run, now):
--- a/packages/pollengate/pollengate/workflow/unanswered_starts.py
+++ b/packages/pollengate/pollengate/workflow/unanswered_starts.py
@@ -4,7 +4,11 @@
 rejects it once it has seen a later run of the task, a stop of the run or a higher token. An
 incarnation that begins after that knows none of these, and may be cut off from the owner. So
 while such an order may arrive, its task starts on no worker but the one that may carry it out: runs
-there end with the incarnation that they began on.
+runs there end with the incarnation that they began on.
+
+The same holds after the run has ended: the incarnation that listed the end rejects the order, one
+that begins later does not. So the end is not acknowledged while such an order may arrive. A second
+run is then one of a task whose end nobody has taken note of.
 """
 
 import dataclasses
@@ -31,6 +35,7 @@
         run: number of the run.
         orders: number of orders that may still be carried out.
         arrives_by: clock time after which none of them is carried out.
+        is_released: whether the task may start on other workers all the same.
     """
 
     task: str
@@ -38,6 +43,7 @@
     run: int
     orders: int
     arrives_by: float
+    is_released: bool = False
 
 
 class UnansweredStarts:
@@ -83,8 +89,8 @@
     def release(self, task: str, worker_id: str) -> None:
         """Lets a task that has failed on a worker start on others, though an order may arrive."""
         known = self._by_task_name.get(task, {}).get(worker_id)
-        if known is not None:
-            self._remove(known)
+        if known is not None and not known.is_released:
+            self._add(dataclasses.replace(known, is_released=True))
 
     def restore(self, start: UnansweredStart) -> None:
         """Adds orders that an earlier owner recorded."""
@@ -104,6 +110,11 @@
             if not self._may_run(start, now):
                 self._remove(start)
 
+    def may_start_again(self, task: str, now: float) -> bool:
+        """Returns True if an order may still be carried out that starts a task."""
+        starts = self._by_task_name.get(task)
+        return starts is not None and any(self._may_run(start, now) for start in starts.values())
+
     def may_reach(self, worker_id: str, now: float) -> bool:
         """Returns True if a worker may still carry out such an order, or run what it started."""
         return any(self._may_run(start, now) for start in self.sent_to(worker_id))
@@ -125,7 +136,9 @@
         return {
             start.worker_id
             for start in self._by_task_name[task.name].values()
-            if self._may_run(start, now) and not self._is_gone(start.worker_id, now)
+            if not start.is_released
+            and self._may_run(start, now)
+            and not self._is_gone(start.worker_id, now)
         }
 
     def _is_gone(self, worker_id: str, now: float) -> bool:
--- a/packages/pollengated/pollengated/edge/edge_metrics.py
+++ b/packages/pollengated/pollengated/edge/edge_metrics.py
@@ -59,6 +59,11 @@
             "Runs that a worker began by a start order without a response.",
             registry=registry,
         )
+        self.kept_ends = Counter(
+            "pollengate_edge_kept_ends",
+            "Ends that were not acknowledged while a start of their task may still arrive.",
+            registry=registry,
+        )
         self.merged_interference_records = Counter(
             "pollengate_edge_merged_interference_records",
             "Interference records of other shards whose evidence was taken over.",
--- a/packages/pollengated/pollengated/edge/unanswered_start_records.py
+++ b/packages/pollengated/pollengated/edge/unanswered_start_records.py
@@ -38,6 +38,7 @@
     run: Amount
     orders: Amount
     left_ms: Amount
+    is_released: bool = False
 
 
 _DECODER = DocumentDecoder(list[_Row])
@@ -80,7 +81,9 @@
         for row in (decoded.ok() if decoded is not None else None) or []:
             arrives_by = acquired_at + min(MAX_ORDER_DELAY_S, row.left_ms / 1000)
             self._starts.restore(
-                UnansweredStart(row.task, row.worker_id, row.run, row.orders, arrives_by)
+                UnansweredStart(
+                    row.task, row.worker_id, row.run, row.orders, arrives_by, row.is_released
+                )
             )
         self._queued_version = self._starts.version
 
@@ -111,7 +114,14 @@
     def operation(self) -> Operation:
         now = self._clocks.monotonic_s()
         rows = [
-            _Row(s.task, s.worker_id, s.run, s.orders, max(0, int((s.arrives_by - now) * 1000)))
+            _Row(
+                s.task,
+                s.worker_id,
+                s.run,
+                s.orders,
+                max(0, int((s.arrives_by - now) * 1000)),
+                s.is_released,
+            )
             for s in self._starts.list_all()
         ]
         return Put(self.key, msgspec.json.encode(rows))
--- a/packages/pollengated/pollengated/edge/worker_controller.py
+++ b/packages/pollengated/pollengated/edge/worker_controller.py
@@ -23,7 +23,7 @@
 from pollengate.workflow.planner import Planner
 from pollengate.workflow.progress import Run, RunState
 from pollengate.workflow.punctuality import Punctuality
-from pollengate.workflow.reports import ReportReconciler
+from pollengate.workflow.reports import MAX_ENDS_PER_REPORT, ReportReconciler
 from pollengate.workflow.shard_lease import ShardLease
 from pollengate.workflow.start_pacer import StartPacer
 from pollengate.workflow.tickets import TicketCache
@@ -33,6 +33,7 @@
 from pollengated.edge.committer import Committer
 from pollengated.edge.edge_metrics import EdgeMetrics
 from pollengated.edge.filler_throttle import FillerThrottle
+from pollengated.edge.start_pauses import StartPauses
 from pollengated.edge.worker_run_log import WorkerRunLog
 from pollengated.logs import Log
 
@@ -55,15 +56,6 @@
 # then lists them again.
 DURABLE_TIMEOUT_S = 0.5
 RETRY_S = 0.15
-# A worker gets no starts for this long after an order without a reply.
-NO_REPLY_BACKOFF_S = 1.0
-# The same after a report that was not complete in time, unless the next one is.
-LATE_REPORT_BACKOFF_S = RENEW_TIMEOUT_S + NO_REPLY_BACKOFF_S
-# A worker that rejects a start for lack of room has runs that are not known here; it gets no starts
-# for this long.
-NO_ROOM_BACKOFF_S = 0.3
-# A worker that fails its health check gets no starts for this long.
-UNHEALTHY_BACKOFF_S = 2.0
 # The runs of a silent worker are lost this long after their lease has expired, even if the owner is
 # late all the while.
 MAX_DEFERRAL_S = 10.0
@@ -128,14 +120,16 @@
         self._run_log = WorkerRunLog(metrics, clocks)
         self._reconciler = ReportReconciler(job_table, view, self._run_log.record_crash)
         self._log = Log("worker")
-        self._acknowledgement = EndAcknowledgement()
+        self._acknowledgement = EndAcknowledgement(
+            lambda task: job_table.may_start_again(task, clocks.monotonic_s())
+        )
         self._report_record_number = 0
-        self._is_failing = False
+        self._is_failing = self._keeps_ends = False
         self._is_requesting_report = False
         self._fence = OrderFence(view, shard_lease)
         # Number of connections that had been opened when the newest report was requested.
         self._reported_connections: int | None = None
-        self._late_report_at: float | None = None
+        self._pauses = StartPauses(view, RENEW_TIMEOUT_S)
 
     async def run(self) -> None:
         """Renews the leases of the worker's runs until cancelled or the shard lease is lost."""
@@ -157,7 +151,8 @@
     async def _pause(self) -> None:
         """Waits before the next renewal, for a commit if the worker has to be fenced first."""
         if self.view.is_fenced:
-            await asyncio.sleep(RENEW_PAUSE_S)
+            # A worker does not wait for an end while it lists one.
+            await asyncio.sleep(RETRY_S if self._keeps_ends else RENEW_PAUSE_S)
         else:
             await self._committer.wait_commit(RETRY_S)
 
@@ -195,15 +190,20 @@
         self._on_event()
 
     async def _should_repeat(self, run: Run) -> bool:
-        """Waits for a report after an unanswered start; returns whether to send it again."""
+        """Waits for a report after an unanswered start; returns whether to send it again.
+
+        The first order has to be durable: a successor would take the second one for the only one.
+        """
         failed_at = self._clocks.monotonic_s()
+        record_number = self._committer.last_record_number
         await self.request_report()
         while run.state is RunState.STARTING and not self._shard_lease.is_lost:
             now = self._clocks.monotonic_s()
             is_same = self.view.is_attached and self.view.born_ms == run.order_born_ms
             has_reported = is_same and self.view.lease.replied_at > failed_at
+            is_durable = self._committer.durable_record_number >= record_number
             # In the grace period a successor may have started the task.
-            if has_reported and self._shard_lease.is_confirmed(now):
+            if has_reported and is_durable and self._shard_lease.is_confirmed(now):
                 return self._job_table.fleet.is_startable(self.view)
             await asyncio.sleep(RETRY_S)
         return False
@@ -227,7 +227,11 @@
         run.ordered_at = run.progressed_at = now
         run.order_token, run.order_born_ms = order.token, self.view.born_ms
         sent = self._acknowledgement.begin_order(now, is_start=True)
-        result = await self._send_start(order)
+        run.is_being_ordered = True
+        try:
+            result = await self._send_start(order)
+        finally:
+            run.is_being_ordered = False
         rejection = self._apply_start_result(run, order.token, now, result)
         self._record_response(sent, result)
         return rejection
@@ -333,8 +337,7 @@
                 return await self._client.renew(address, worker_id, order)
         except TimeoutError:
             # No start may extend the lease until the next renewal has failed or succeeded.
-            self._late_report_at = self._clocks.monotonic_s()
-            self._suspend_starts(self._late_report_at + LATE_REPORT_BACKOFF_S)
+            self._pauses.record_late_report(self._clocks.monotonic_s())
             return Err(OrderFailure(OrderRejection.NO_ANSWER, "reply is not complete in time"))
 
     def _apply_report(self, report: Report, sent_at: float, fenced_token: int) -> None:
@@ -347,7 +350,7 @@
             self._run_log.record_incarnation(self.view, report)
             self._fillers.forget()
         was_fenced = self.view.is_fenced
-        self._end_late_report_backoff()
+        self._pauses.record_report()
         self._run_log.record_late_starts(self.view, report, self._job_table.unanswered_starts)
         silent_s = now - self.view.lease.replied_at
         new_ends = self._reconciler.apply(
@@ -370,12 +373,12 @@
         self._fillers.adjust(now)
         self._on_event()
         self._report_record_number = self._committer.last_record_number
-
-    def _end_late_report_backoff(self) -> None:
-        """Shortens the pause of starts after a late report, unless another reason prolonged it."""
-        late_at, self._late_report_at = self._late_report_at, None
-        if late_at is not None and self.view.unavailable_until == late_at + LATE_REPORT_BACKOFF_S:
-            self.view.unavailable_until = late_at + NO_REPLY_BACKOFF_S
+        kept = self._acknowledgement.find_kept()
+        self._run_log.record_kept_end(self.view.worker_id, kept)
+        self._keeps_ends = kept is not None
+        # Further ends would not be in a report as long as these are kept.
+        if kept is not None and len(report.ended) + len(self.view.runs) >= MAX_ENDS_PER_REPORT:
+            self._pauses.record_kept_ends(now)
 
     async def _wait_for_durable_results(self) -> None:
         """Waits until the results of the last report are durable.
@@ -404,10 +407,10 @@
             if self._may_have_reached_another():
                 run.may_outlast_until = self.view.lease.longest_expire_at(now)
             self._job_table.unanswered_starts.record(run, sent_at)
-        elif failure.kind is OrderRejection.NO_ROOM:
-            self._suspend_starts(now + NO_ROOM_BACKOFF_S)
+            if run.replied_at is not None:  # this order or an earlier one was carried out
+                starts = self._job_table.unanswered_starts
+                starts.settle(run.task.name, run.worker_id, run.number)
         elif failure.kind is OrderRejection.UNHEALTHY:
-            self._suspend_starts(now + UNHEALTHY_BACKOFF_S)
             self._job_table.evidence.record_rejection(run.task.step.job.job_id, self.view.worker_id)
         elif failure.kind is OrderRejection.NO_TICKET:
             self._tickets.revoke(run.task.step, self.view.worker_id)
@@ -455,6 +458,7 @@
             token: fencing token of the order.
         """
         now = self._clocks.monotonic_s()
+        self._pauses.record_failure(failure.kind, now)
         if failure.kind is OrderRejection.FENCED and (
             self.view.is_released or self._fence.is_outdated(token)
         ):
@@ -468,14 +472,9 @@
             self.view.born_ms = 0
             self.view.is_replaced = True
             self._on_event()
-        elif failure.kind in _UNANSWERED:
-            self._suspend_starts(now + NO_REPLY_BACKOFF_S)
-            if not self._is_failing:
-                self._is_failing = True
-                self._run_log.record_silence(self.view, failure.detail)
-
-    def _suspend_starts(self, until: float) -> None:
-        self.view.unavailable_until = max(self.view.unavailable_until, until)
+        elif failure.kind in _UNANSWERED and not self._is_failing:
+            self._is_failing = True
+            self._run_log.record_silence(self.view, failure.detail)
 
     def _check_lease_expiry(self, sent_at: float) -> None:
         """Marks the runs of a worker as lost if its lease has expired.
--- a/packages/pollengated/pollengated/edge/worker_run_log.py
+++ b/packages/pollengated/pollengated/edge/worker_run_log.py
@@ -35,6 +35,7 @@
         self._metrics = metrics
         self._clocks = clocks
         self._log = Log("worker")
+        self._kept: tuple[str, int] | None = None
 
     def record_incarnation(self, view: WorkerView, report: Report) -> None:
         """Logs the first report of a worker's incarnation."""
@@ -106,6 +107,22 @@
                 before_ms=view.born_ms,
             )
 
+    def record_kept_end(self, worker_id: str, end: EndedRun | None) -> None:
+        """Logs the first end that is kept for an order that may still arrive, once each."""
+        key = None if end is None else (end.task, end.run)
+        if end is None or key == self._kept:
+            self._kept = key
+            return
+        self._kept = key
+        self._metrics.kept_ends.inc()
+        self._log.info(
+            "not acknowledging an end while a start of its task may arrive",
+            worker=worker_id,
+            number=end.number,
+            task=end.task,
+            run=end.run,
+        )
+
     def record_other_response(
         self, view: WorkerView, clock_ms: int | None, lowest_clock_ms: int
     ) -> None:
--- a/tests/test_end_acknowledgement.py
+++ b/tests/test_end_acknowledgement.py
@@ -73,3 +73,34 @@
         self.assertTrue(self.acknowledgement.record_report(Report(50, 2, (), (ENDED,)), 5.1, 5.2))
         self.assertFalse(self.acknowledgement.record_report(Report(3200, 1, (), ()), 5.1, 5.3))
         self.assertEqual(self.acknowledgement.upto(5.4), 0)
+
+
+class KeptEndTest(unittest.TestCase):
+    """Guards against a second run of a task whose end was acknowledged while a start was due."""
+
+    def upto(self, ended: tuple[EndedRun, ...], *may_start_again: str) -> int:
+        """Returns the number up to which ends are acknowledged."""
+        acknowledgement = EndAcknowledgement(lambda task: task in may_start_again)
+        acknowledgement.record_report(Report(9000, 1, (), ended), 5.0, 5.01)
+        return acknowledgement.upto(5.02)
+
+    def test_end_of_a_task_that_an_order_may_start_and_later_ends_are_kept(self) -> None:
+        ended = build_report(9000, ends=3).ended
+        self.assertEqual(1, self.upto(ended, "aa.0.0.2"))
+        self.assertEqual(0, self.upto(ended, "aa.0.0.1", "aa.0.0.3"))
+        self.assertEqual(3, self.upto(ended, "bb.0.0.1"))
+
+    def test_failure_is_kept_and_an_end_without_a_result_is_not(self) -> None:
+        for how, upto in ((EndKind.FAILED, 0), (EndKind.STOPPED, 1), (EndKind.EXPIRED, 1)):
+            with self.subTest(how=how):
+                self.assertEqual(
+                    upto, self.upto((EndedRun(1, "aa.0.0.1", 1, how, ""),), "aa.0.0.1")
+                )
+
+    def test_ends_are_acknowledged_once_no_order_may_arrive(self) -> None:
+        may_start_again = {"aa.0.0.1"}
+        acknowledgement = EndAcknowledgement(may_start_again.__contains__)
+        acknowledgement.record_report(build_report(9000, ends=2), 5.0, 5.01)
+        self.assertEqual(0, acknowledgement.upto(5.02))
+        may_start_again.clear()
+        self.assertEqual(2, acknowledgement.upto(5.03))
--- a/tests/test_long_running_restarts.py
+++ b/tests/test_long_running_restarts.py
@@ -9,11 +9,8 @@
 from pollengate.workflow.keys import shard_of_job
 from pollengate.workflow.leases import WORKER_LEASE_S
 from pollengate.workflow.model import Demand, Step
-from pollengated.edge.worker_controller import (
-    NO_REPLY_BACKOFF_S,
-    RENEW_TIMEOUT_S,
-    RENEW_WAIT_S,
-)
+from pollengated.edge.start_pauses import NO_REPLY_PAUSE_S
+from pollengated.edge.worker_controller import RENEW_TIMEOUT_S, RENEW_WAIT_S
 
 from tests.edge_cluster import EdgeCluster, EdgeTestCase
 from tests.utils import run_virtual
@@ -162,7 +159,7 @@
             worker.completes_reports = True
             await asyncio.sleep(RENEW_TIMEOUT_S)
             job_id = await self.submit(cluster, 0, build_step())
-            await cluster.wait_for_state(job_id, "completed", SHORT_S + NO_REPLY_BACKOFF_S)
+            await cluster.wait_for_state(job_id, "completed", SHORT_S + NO_REPLY_PAUSE_S)
 
         run_virtual(main())
 
--- a/tests/test_unanswered_starts.py
+++ b/tests/test_unanswered_starts.py
@@ -5,7 +5,7 @@
 from collections.abc import Awaitable, Callable
 
 from pollengate.store import Delete, Put
-from pollengate.workflow.clients import EndedRun, EndKind, Report
+from pollengate.workflow.clients import EndedRun, EndKind, Report, RunningTask
 from pollengate.workflow.job_table import JobTable
 from pollengate.workflow.leases import longest_lease_expiry
 from pollengate.workflow.model import Demand, Step
@@ -177,6 +177,77 @@
         self.play(scenario)
 
 
+class LateStartAfterEndTest(EdgeTestCase):
+    """Guards against a second run after the end of the first one was taken note of (review/11)."""
+
+    def play(self, scenario: Scenario, delay_s: float = DELAY_S, fails: bool = False) -> list[str]:
+        """Returns the tasks that ran after an end of theirs that is taken note of then or later."""
+
+        async def main() -> list[str]:
+            cluster = EdgeCluster(workers=1, duration_s=0.5)
+            worker = cluster.workers_by_id["w0"]
+            worker.late_starts_outlive_crashes = True
+            worker.fails = lambda task: fails
+            await cluster.open()
+            await asyncio.sleep(8.0)
+            worker.start_delay_s = delay_s
+            await cluster.submit(JOB_ID, build_workflow())
+            await asyncio.sleep(0.1)
+            worker.start_delay_s = 0.0
+            await scenario(cluster, worker)
+            history = cluster.update_history()
+            return [
+                later.task
+                for later in history
+                for end in worker.noted_ends
+                if end.task == later.task and (end.ended_at or 0.0) < later.began_at
+            ]
+
+        return run_virtual(main())
+
+    async def restart_and_start_late(self, cluster: EdgeCluster, worker: LeaseWorker) -> None:
+        """Restarts a worker, which gets the late order before its owner has contacted it."""
+        worker.crash_for(CUT_S)
+        await asyncio.sleep(CUT_S + 5.0)
+        self.assertTrue(any(record.is_late for record in cluster.history))
+
+    def test_order_that_arrives_after_a_restart_follows_no_noted_end(self) -> None:
+        async def scenario(cluster: EdgeCluster, worker: LeaseWorker) -> None:
+            await cluster.wait_for_state(JOB_ID, "completed", 3.0)
+            await asyncio.sleep(1.0)
+            await self.restart_and_start_late(cluster, worker)
+
+        self.assertEqual([], self.play(scenario))
+
+    def test_successor_keeps_the_end_too(self) -> None:
+        async def scenario(cluster: EdgeCluster, worker: LeaseWorker) -> None:
+            await cluster.wait_for_state(JOB_ID, "completed", 3.0)
+            owner = cluster.serving_node()
+            owner.kill()
+            await cluster.wait_for_term(owner.name)
+            await asyncio.sleep(2.0)
+            await self.restart_and_start_late(cluster, worker)
+
+        self.assertEqual([], self.play(scenario, delay_s=9.0))
+
+    def test_failures_are_kept_too(self) -> None:
+        async def scenario(cluster: EdgeCluster, worker: LeaseWorker) -> None:
+            await cluster.wait_for_state(JOB_ID, "failed", 4.5)
+            await self.restart_and_start_late(cluster, worker)
+
+        self.assertEqual([], self.play(scenario, fails=True))
+
+    def test_end_is_acknowledged_once_the_order_has_arrived_too_late(self) -> None:
+        async def scenario(cluster: EdgeCluster, worker: LeaseWorker) -> None:
+            await cluster.wait_for_state(JOB_ID, "completed", 3.0)
+            await asyncio.sleep(5.0)
+            self.assertEqual([], worker.noted_ends)
+            await asyncio.sleep(MAX_ORDER_DELAY_S - 5.0)
+            self.assertEqual(1, len(worker.noted_ends))
+
+        self.assertEqual([], self.play(scenario))
+
+
 class UnansweredStartTest(unittest.TestCase):
     """Guards against decisions that count an order without a response as not carried out."""
 
@@ -263,3 +334,21 @@
         job_table.unanswered_starts.settle(run.task.name, run.worker_id, run.number)
         job_table.fleet.workers_by_id[run.worker_id].is_attached = False
         self.assertEqual(1, len(self.plan(job_table, 1.0)))
+
+    def test_run_that_is_seen_while_an_order_is_under_way_settles_nothing(self) -> None:
+        """Guards against an order that is forgotten as the other one was carried out."""
+        job_table, (run,) = self.build(build_step())
+        view = job_table.fleet.workers_by_id[run.worker_id]
+        (again,) = build_planner(job_table).plan(1.0)
+        again.is_being_ordered = True
+        row = RunningTask(again.task.name, again.number, "", 10.0, 1.0)
+        ReportReconciler(job_table, view).apply(Report(0, 1, (row,), ()), 1.5, 1.5, 0, 1)
+        self.assertTrue(job_table.may_start_again(run.task.name, 2.0))
+
+    def test_end_of_a_member_is_that_of_a_gang_of_which_another_may_start(self) -> None:
+        job_table, runs = self.build(build_step(2, is_gang=True))
+        first, second = runs
+        job_table.unanswered_starts.settle(first.task.name, first.worker_id, first.number)
+        self.assertTrue(job_table.may_start_again(first.task.name, 1.0))
+        job_table.unanswered_starts.settle(second.task.name, second.worker_id, second.number)
+        self.assertFalse(job_table.may_start_again(first.task.name, 1.0))
