Release the workers that a short shard's own tasks can't use

Cause: a shard that had lacked room for anything within 2 s, or had any waiting task, released no worker, so that two short shards waited for each other. Only the first shortage was requested for, so that a need that nobody can meet hid the others. Workers were emptied for long-running tasks only.

`not releasing a worker` now says what was requested and what the shard needs the worker for itself.

Change: a worker is kept only for needs that it meets (service, label, size, limit per worker). All needs are found at each update and take turns in the requests.

--- a/packages/pollengate/pollengate/workflow/worker_transfer.py
+++ b/packages/pollengate/pollengate/workflow/worker_transfer.py
@@ -14,18 +14,19 @@
 
 from pollengate.workflow.fleet import Fleet, WorkerView
 from pollengate.workflow.job_table import JobTable
-from pollengate.workflow.model import Demand, Queue
+from pollengate.workflow.model import Demand
 from pollengate.workflow.moves import fit_together, may_stop_to_move
 from pollengate.workflow.ordering import rank, runs_again
 from pollengate.workflow.placement import can_place, count_fitting, count_places
 from pollengate.workflow.progress import Run, StepProgress
 from pollengate.workflow.start_filter import StartFilter
+from pollengate.workflow.worker_needs import WorkerNeed
 
 __all__ = [
     "MAX_WORKERS_PER_REQUEST",
     "CapacityRequest",
-    "can_ever_run",
-    "find_shortage",
+    "choose_shortage",
+    "find_shortages",
     "fits_elsewhere",
     "is_movable",
     "release_delay_s",
@@ -39,6 +40,8 @@
 MAX_WORKERS_PER_REQUEST = 8
 # A long-running task that has just started is not moved again.
 MIN_STAY_S = 3.0
+# While tasks wait to run again, one of so many requests is for the others.
+TURNS_WITH_RESTARTS = 4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,8 +53,8 @@
         service: the worker's service.
         required_label: a label that the worker must have, empty for none.
         demand: resources of the task.
-        is_long_running: whether the task is a long-running one, for which another shard moves its
-            own long-running tasks together if it has no spare worker.
+        is_long_running: whether another shard moves its own long-running tasks together if it has
+            no spare worker: for a long-running task, or one whose job has had no run for too long.
         workers: number of workers.
         is_restart: whether the task has run before; its users miss it, so that it comes before
             the tasks that wait in other shards.
@@ -65,16 +68,20 @@
     workers: int = 1
     is_restart: bool = False
 
+    @property
+    def need(self) -> WorkerNeed:
+        """What a worker must have for the tasks."""
+        return WorkerNeed(self.service, self.required_label, self.demand)
 
-def find_shortage(
+
+def find_shortages(
     shard: int,
     job_table: JobTable,
     is_settled: Callable[[], bool],
     now: float,
     start_filter: StartFilter | None = None,
-    turn: int = 0,
-) -> CapacityRequest | None:
-    """Returns what the shard lacks for a waiting task that fits nowhere, None if all fit.
+) -> list[CapacityRequest]:
+    """Returns what the shard lacks for waiting tasks that fit nowhere, one request for each need.
 
     Long-running tasks that run again come first, whatever their priority, then other long-running
     ones. Fillers do not count, as they only use processors that other tasks leave unused.
@@ -85,36 +92,55 @@
         is_settled: whether no unreported run of an earlier owner can exist any more.
         now: clock time.
         start_filter: holds back tasks that a worker would not help to start.
-        turn: number of requests so far; the tasks that run again take turns, as no other shard may
-            be able to help the first one.
     """
-    restarts: list[tuple[StepProgress, Queue]] = []
-    others: list[tuple[StepProgress, Queue]] = []
-    for step in job_table.open_steps:
-        queue = job_table.queue_of(step)
-        if step.waiting and queue is not None and not step.spec.is_filler:
-            (restarts if runs_again(step) else others).append((step, queue))
-    restarts.sort(key=lambda i: rank(i[0], i[1], now))
-    others.sort(key=lambda i: (not i[0].spec.is_long_running, rank(i[0], i[1], now)))
-    first = turn % len(restarts) if restarts else 0
+    steps = [
+        (step, queue)
+        for step in job_table.open_steps
+        if step.waiting and not step.spec.is_filler and (queue := job_table.queue_of(step))
+    ]
+    steps.sort(
+        key=lambda i: (not runs_again(i[0]), not i[0].spec.is_long_running, rank(i[0], i[1], now))
+    )
     workers_of = functools.cache(lambda service: _healthy_workers(job_table, service, now))
-    for step, queue in restarts[first:] + restarts[:first] + others:
-        if step.job.is_restored and not is_settled():
+    shortages: dict[tuple[WorkerNeed, bool], CapacityRequest] = {}
+    for step, queue in steps:
+        need = WorkerNeed(queue.service, step.spec.required_label, step.spec.demand)
+        key = need, runs_again(step)
+        if key in shortages or (step.job.is_restored and not is_settled()):
             continue
         if start_filter is not None and not start_filter.count_startable(step):
             continue  # a worker would not help
         if not _has_room(step, workers_of(queue.service)):
-            spec = step.spec
-            return CapacityRequest(
+            shortages[key] = CapacityRequest(
                 shard,
                 queue.service,
-                spec.required_label,
-                spec.demand,
-                spec.is_long_running,
+                need.required_label,
+                need.demand,
+                step.spec.is_long_running or step.job.is_overdue(now),
                 _wanted_workers(step, workers_of(queue.service)),
                 runs_again(step),
             )
-    return None
+    return list(shortages.values())
+
+
+def choose_shortage(shortages: Sequence[CapacityRequest], turn: int) -> CapacityRequest | None:
+    """Returns the shortage for which workers are requested next, None if there is none.
+
+    No other shard may be able to help the first one. So tasks that run again take turns, each
+    fourth request is for the others, and of these each second one is for the next in turn.
+
+    Args:
+        shortages: the shortages, those with precedence first.
+        turn: number of requests so far.
+    """
+    restarts = [shortage for shortage in shortages if shortage.is_restart]
+    others = [shortage for shortage in shortages if not shortage.is_restart]
+    if not restarts:
+        return others[_position(turn, len(others))] if others else None
+    round_number, position = divmod(turn, TURNS_WITH_RESTARTS)
+    if others and position == TURNS_WITH_RESTARTS - 1:
+        return others[_position(round_number, len(others))]
+    return restarts[turn % len(restarts)]
 
 
 def worker_to_release(
@@ -122,19 +148,27 @@
     request: CapacityRequest,
     now: float,
     released: Sequence[WorkerView] = (),
+    is_kept: Callable[[WorkerView], bool] = lambda view: False,
 ) -> WorkerView | None:
     """Returns the worker that meets a request after the fewest moves, None if there is none.
 
-    Its long-running tasks have to fit on other workers of the shard. They are moved only for a
-    long-running task; a member of a gang is never moved. The last worker with a label that jobs of
-    the shard require is kept, unless the other shard requires it, too.
+    Its long-running tasks have to fit on other workers of the shard. They are moved only for
+    requests that allow it; a member of a gang is never moved. The last worker with a label that
+    jobs of the shard require is kept, unless the other shard requires it, too.
+
+    Args:
+        job_table: the shard's jobs, runs and workers.
+        request: the request.
+        now: clock time.
+        released: workers that are already being released.
+        is_kept: returns whether the shard may need a worker itself.
     """
     workers = _healthy_workers(job_table, request.service, now)
     kept_labels = _last_labels(job_table, workers) - {request.required_label}
     candidates = [
         view
         for view in workers
-        if _meets(view, request)
+        if request.need.is_met_by(view)
         and view.lease.is_settled(now)  # the next owner would not know of a longer lease
         and not job_table.unanswered_starts.may_reach(view.worker_id, now)
         and _can_empty(view, request, now)
@@ -142,7 +176,12 @@
     ]
     candidates.sort(key=lambda view: (len(view.long_running), len(view.runs), view.worker_id))
     return next(
-        (view for view in candidates if fits_elsewhere(job_table, view, now, released)), None
+        (
+            view
+            for view in candidates
+            if fits_elsewhere(job_table, view, now, released) and not is_kept(view)
+        ),
+        None,
     )
 
 
@@ -165,14 +204,6 @@
     return fit_together(runs, others, lambda step, other: True)
 
 
-def can_ever_run(
-    job_table: JobTable, service: str, required_label: str, demand: Demand, now: float
-) -> bool:
-    """Returns True if a healthy worker of the shard could run a task once it is empty."""
-    workers = _healthy_workers(job_table, service, now)
-    return any(_has_label_and_size(view, required_label, demand) for view in workers)
-
-
 def release_delay_s(fleet: Fleet, request: CapacityRequest, now: float) -> float:
     """Returns how long an owner waits before it responds to a request, shorter the more it has."""
     workers = fleet.schedulable_workers(request.service, now)
@@ -181,6 +212,10 @@
     return MAX_RELEASE_DELAY_S * committed / max(1, capacity)
 
 
+def _position(turn: int, count: int) -> int:
+    return turn // 2 % count if turn % 2 else 0
+
+
 def _healthy_workers(job_table: JobTable, service: str, now: float) -> list[WorkerView]:
     workers = job_table.fleet.schedulable_workers(service, now)
     return [v for v in workers if not job_table.evidence.is_quarantined(v.worker_id)]
@@ -224,17 +259,3 @@
         return False
     to_move = view.long_running
     return not to_move or (request.is_long_running and all(is_movable(run, now) for run in to_move))
-
-
-def _meets(view: WorkerView, request: CapacityRequest) -> bool:
-    return _has_label_and_size(view, request.required_label, request.demand)
-
-
-def _has_label_and_size(view: WorkerView, required_label: str, demand: Demand) -> bool:
-    capacity = view.info.capacity
-    return (
-        (not required_label or required_label in view.info.labels)
-        and demand.cpu_millis <= capacity.cpu_millis
-        and demand.memory_mb <= capacity.memory_mb
-        and demand.accelerators <= capacity.accelerators
-    )
--- a/packages/pollengated/pollengated/edge/worker_transfers.py
+++ b/packages/pollengated/pollengated/edge/worker_transfers.py
@@ -7,7 +7,7 @@
 
 import collections
 import dataclasses
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import msgspec
 from pollengate.store import Operation, Put
@@ -15,15 +15,15 @@
 from pollengate.workflow.job_table import JobTable
 from pollengate.workflow.keys import assignment_key, capacity_request_key
 from pollengate.workflow.moves import is_in_touch
-from pollengate.workflow.ordering import runs_again
 from pollengate.workflow.progress import Run, RunState
 from pollengate.workflow.shard_lease import ShardLease
 from pollengate.workflow.start_filter import StartFilter
+from pollengate.workflow.worker_needs import RecentNeeds, WorkerNeed, find_waiting_need
 from pollengate.workflow.worker_transfer import (
     MAX_WORKERS_PER_REQUEST,
     CapacityRequest,
-    can_ever_run,
-    find_shortage,
+    choose_shortage,
+    find_shortages,
     fits_elsewhere,
     is_movable,
     release_delay_s,
@@ -44,7 +44,7 @@
 # Tasks of a second or two often free capacity in less time than a transfer takes.
 SHORT_AFTER_S = 0.5
 REQUEST_INTERVAL_S = 1.0
-# A shard that has just received a worker, or was loaded, may still need all of its workers.
+# A shard that has just received a worker, or was loaded, may still need those of that kind.
 KEEP_AFTER_SHORTAGE_S = 2.0
 # A worker whose runs have not ended or moved within this time is kept.
 RELEASE_TIMEOUT_S = 6.0
@@ -96,7 +96,8 @@
         self._detach = detach
         self._start_filter = start_filter
         self._short_since: float | None = None
-        self._short_at = self._short_for_restart_at = clocks.monotonic_s()
+        self._loaded_at = clocks.monotonic_s()
+        self._recent_needs = RecentNeeds(KEEP_AFTER_SHORTAGE_S)
         self._requested_at = float("-inf")
         self._requests_sent = 0
         self._releases: list[_Release] = []
@@ -108,30 +109,22 @@
         if not self._assignments.is_used:
             return
         now = self._clocks.monotonic_s()
-        shortage = find_shortage(
-            self._shard,
-            self._job_table,
-            self._is_settled,
-            now,
-            self._start_filter,
-            self._requests_sent,
+        shortages = find_shortages(
+            self._shard, self._job_table, self._is_settled, now, self._start_filter
         )
-        self._record_shortage(shortage, now)
+        self._record_shortages(shortages, now)
         self._releases = [r for r in self._releases if self._continue_release(r, now)]
+        shortage = choose_shortage(shortages, self._requests_sent)
         if shortage is not None:
             self._request(shortage, now)
         self._begin_releases(now)
 
-    def _record_shortage(self, shortage: CapacityRequest | None, now: float) -> None:
-        if shortage is None:
+    def _record_shortages(self, shortages: Sequence[CapacityRequest], now: float) -> None:
+        for shortage in shortages:
+            self._recent_needs.record(shortage.need, shortage.is_restart, now)
+        if not shortages:
             self._short_since = None
-            return
-        self._short_at = now
-        if shortage.is_restart and can_ever_run(
-            self._job_table, shortage.service, shortage.required_label, shortage.demand, now
-        ):
-            self._short_for_restart_at = now
-        if self._short_since is None:
+        elif self._short_since is None:
             self._short_since = now
 
     def _request(self, shortage: CapacityRequest, now: float) -> None:
@@ -152,36 +145,26 @@
         )
         self._committer.add(_RequestRecord(shortage))
 
-    def _release_blocker(self, request: CapacityRequest, now: float) -> str | None:
-        """Returns why the shard may need all of its workers or can't commit a release, if so.
+    def _release_blocker(self, now: float) -> str | None:
+        """Returns why the shard can't commit a release or may need any worker, if so."""
+        if now - self._loaded_at < KEEP_AFTER_SHORTAGE_S:
+            return "loaded_lately"
+        if not self._shard_lease.is_confirmed(now) or self._committer.is_stalled:
+            return "store_unavailable"
+        return None if self._is_settled() else "unsettled"
+
+    def _find_need(
+        self, view: WorkerView, request: CapacityRequest, now: float
+    ) -> tuple[str, WorkerNeed] | None:
+        """Returns what the shard may need a worker for itself, and since when; None if nothing.
 
         For a long-running task that has run before, only such tasks count as the shard's own need.
         """
-        short_at = self._short_for_restart_at if request.is_restart else self._short_at
-        if now - short_at < KEEP_AFTER_SHORTAGE_S:
-            return "short_lately"
-        if not self._shard_lease.is_confirmed(now) or self._committer.is_stalled:
-            return "store_unavailable"
-        if not self._is_settled():
-            return "unsettled"
-        if request.is_restart:
-            needs_worker = self._needs_worker_for_restart(now)
-        else:
-            needs_worker = any(
-                step.waiting and not step.spec.is_filler for step in self._job_table.open_steps
-            )
-        return "tasks_wait" if needs_worker else None
-
-    def _needs_worker_for_restart(self, now: float) -> bool:
-        """Whether a long-running task waits to run again that a worker of the shard could run."""
-        for step in self._job_table.open_steps:
-            queue = self._job_table.queue_of(step)
-            if queue is None or not runs_again(step):
-                continue
-            label, demand = step.spec.required_label, step.spec.demand
-            if can_ever_run(self._job_table, queue.service, label, demand, now):
-                return True
-        return False
+        waiting = find_waiting_need(self._job_table, view, request.is_restart, self._start_filter)
+        if waiting is not None:
+            return "tasks_wait", waiting
+        recent = self._recent_needs.find(view, request.is_restart, now)
+        return None if recent is None else ("short_lately", recent)
 
     def _begin_releases(self, now: float) -> None:
         """Begins releases for the requests that are due, one worker for each shard in turn.
@@ -219,11 +202,11 @@
             now: clock time.
         """
         earlier: list[OpenRequest] = []
+        blocker = self._release_blocker(now)
         for open_request in self._requests_in_order(releases_by_shard, now):
             request = open_request.request
             delay_s = release_delay_s(self._job_table.fleet, request, now)
             is_due = now - open_request.received_at >= delay_s
-            blocker = self._release_blocker(request, now)
             if blocker is not None:
                 if is_due:
                     self._log_unmet_request(open_request, blocker)
@@ -233,7 +216,7 @@
                 continue
             view = self._worker_for(request, allows_moves, now)
             if view is None:
-                open_request.is_tried = True
+                open_request.is_tried = not self._keeps_worker_for(open_request, allows_moves, now)
                 continue
             for other in earlier:
                 view_for_other = self._worker_for(other.request, allows_moves, now)
@@ -276,25 +259,68 @@
         self, request: CapacityRequest, allows_moves: bool, now: float
     ) -> WorkerView | None:
         """Returns a worker to release for a request, None if there is none."""
+        return self._find_worker(
+            request, allows_moves, now, lambda view: self._find_need(view, request, now) is not None
+        )
+
+    def _keeps_worker_for(self, open_request: OpenRequest, allows_moves: bool, now: float) -> bool:
+        """Returns True if only the shard's own need keeps a worker from meeting a request."""
+        request = open_request.request
+        view = self._find_worker(request, allows_moves, now, lambda view: False)
+        need = None if view is None else self._find_need(view, request, now)
+        if need is None:
+            self._log_unmet_request(open_request, "no_worker")
+            return False
+        self._log_unmet_request(open_request, *need)
+        return True
+
+    def _find_worker(
+        self,
+        request: CapacityRequest,
+        allows_moves: bool,
+        now: float,
+        is_kept: Callable[[WorkerView], bool],
+    ) -> WorkerView | None:
         if not allows_moves:
             request = dataclasses.replace(request, is_long_running=False)
         released = [release.view for release in self._releases]
-        return worker_to_release(self._job_table, request, now, released)
+        return worker_to_release(self._job_table, request, now, released, is_kept)
 
-    def _log_unmet_request(self, open_request: OpenRequest, blocker: str) -> None:
-        to_shard = open_request.request.shard
+    def _log_unmet_request(
+        self, open_request: OpenRequest, cause: str, need: WorkerNeed | None = None
+    ) -> None:
+        """Logs once why a request is not met, and for what the shard needs the worker itself."""
+        request = open_request.request
+        to_shard = request.shard
         if self._logged_revisions_by_shard.get(to_shard) == open_request.revision:
             return
         self._logged_revisions_by_shard[to_shard] = open_request.revision
+        own = (
+            {}
+            if need is None
+            else {"own_label": need.required_label}
+            | {
+                "own_cpu_millis": need.demand.cpu_millis,
+                "own_memory_mb": need.demand.memory_mb,
+                "own_accelerators": need.demand.accelerators,
+            }
+        )
         self._log.info(
-            "not releasing a worker", shard=self._shard, to_shard=to_shard, cause=blocker
+            "not releasing a worker",
+            shard=self._shard,
+            to_shard=to_shard,
+            cause=cause,
+            service=request.service,
+            label=request.required_label,
+            cpu_millis=request.demand.cpu_millis,
+            **own,
         )
 
     def _continue_release(self, release: _Release, now: float) -> bool:
         """Advances the release of a worker; returns False once it has ended."""
         view = release.view
-        short_at = self._short_for_restart_at if release.request.is_restart else self._short_at
-        if short_at == now or not self._is_wanted(release, now):
+        needed = self._recent_needs.find(view, release.request.is_restart, now)
+        if needed is not None or not self._is_wanted(release, now):
             view.is_released = False
             return False
         if view.runs:
--- a/tests/edge_cluster.py
+++ b/tests/edge_cluster.py
@@ -1,6 +1,7 @@
 """A shard with several candidate owners, a store and workers, in one process on virtual time."""
 
 import asyncio
+import collections
 import contextvars
 import dataclasses
 import json
@@ -216,6 +217,7 @@
         store: the store that all processes share.
         zone_by_worker: zone of each worker.
         rack_by_worker: rack of each worker.
+        capacity_by_worker: capacity of each worker.
         workers_by_id: the workers that all processes share.
         history: every run that has started.
         nodes_by_name: all processes, including killed ones.
@@ -237,7 +239,7 @@
         self.store = MemoryStore()
         self.history: list[StartRecord] = []
         names = [f"w{number}" for number in range(workers)]
-        self._capacity = capacity
+        self.capacity_by_worker = collections.defaultdict(lambda: capacity)
         self.zone_by_worker = {name: zones[n % len(zones)] for n, name in enumerate(names)}
         self.rack_by_worker = {name: f"r{n % shards}" for n, name in enumerate(names)}
         self._layout = Layout(shards, {f"r{shard}": shard for shard in range(shards)})
@@ -287,12 +289,17 @@
 
     async def register(self, worker_id: str, state: str = "ready") -> None:
         """Writes a worker's registration."""
+        capacity = self.capacity_by_worker[worker_id]
         document = {
             "service": "service",
             "addr": f"{worker_id}:1",
             "zone": self.zone_by_worker[worker_id],
             "state": state,
-            "capacity": {"cpu": self._capacity.cpu_millis, "memMb": self._capacity.memory_mb},
+            "capacity": {
+                "cpu": capacity.cpu_millis,
+                "memMb": capacity.memory_mb,
+                "gpu": capacity.accelerators,
+            },
             "labels": ["k", self.rack_by_worker[worker_id]],
             "born": self.workers_by_id[worker_id].born_ms,
         }
--- a/tests/test_workflow_worker_transfer.py
+++ b/tests/test_workflow_worker_transfer.py
@@ -7,7 +7,8 @@
 from pollengate.workflow.model import Demand, Step
 from pollengate.workflow.worker_transfer import (
     CapacityRequest,
-    find_shortage,
+    choose_shortage,
+    find_shortages,
     is_movable,
     release_delay_s,
     worker_to_release,
@@ -28,7 +29,7 @@
 
 def shortage(job_table: JobTable, is_settled: bool = True) -> CapacityRequest | None:
     """Returns the shortage of shard 0."""
-    return find_shortage(0, job_table, lambda: is_settled, 1.0)
+    return choose_shortage(find_shortages(0, job_table, lambda: is_settled, 1.0), 0)
 
 
 def add_job(job_table: JobTable, job_id: str, step: Step, is_restored: bool = False) -> None:
