Let a task return to a worker on which it failed after a while

Cause: a task could return to a worker that had failed it only if no other one admitted it, or if it had failed on most of the allowed ones and its job had had no run for 2 s. Neither asks whether the others have room, and long-running tasks may keep them full for ever.

Evidence: both new tests of tests/test_idle_jobs.py fail on the code before, also with another task of the job at work.

Change: a failure holds a task back from its worker for 2 s, 4 s, then 5 s, if no worker that admits it has room.

--- a/packages/pollengate/pollengate/failure_evidence.py
+++ b/packages/pollengate/pollengate/failure_evidence.py
@@ -20,6 +20,9 @@
 MIN_FAILED_WORKERS = 3
 MIN_FAILED_JOBS = 3
 MIN_FAILED_TASKS = 3
+# A task that waits for other workers than those on which it failed may return after this time.
+FIRST_RETURN_AFTER_S = 2.0
+MAX_RETURN_AFTER_S = 5.0
 FIRST_PROBE_AFTER_S = 60.0
 MAX_PROBE_AFTER_S = 3600.0
 
@@ -31,6 +34,13 @@
     GIVE_UP = "give_up"
 
 
+@dataclasses.dataclass(slots=True)
+class _TaskEvidence:
+    failed_workers: set[str] = dataclasses.field(default_factory=set)
+    failures: int = 0
+    failed_at: float = 0.0
+
+
 @dataclasses.dataclass(slots=True)
 class _JobEvidence:
     failed_tasks: set[str] = dataclasses.field(default_factory=set)
@@ -72,7 +82,7 @@
         self._clock = clock
         self._first_probe_after_s = first_probe_after_s
         self._max_probe_after_s = max_probe_after_s
-        self._workers_by_task: BoundedDict[str, set[str]] = BoundedDict(MAX_TASKS)
+        self._tasks_by_id: BoundedDict[str, _TaskEvidence] = BoundedDict(MAX_TASKS)
         self._jobs_by_id: BoundedDict[str, _JobEvidence] = BoundedDict(MAX_JOBS)
         self._workers_by_id: BoundedDict[str, _WorkerEvidence] = BoundedDict(MAX_WORKERS)
 
@@ -90,15 +100,17 @@
         Returns:
             `GIVE_UP` if the task failed on enough workers that are not suspected, else `RETRY`.
         """
-        workers = self._workers_by_task.get(task_id) or set()
-        _add_bounded(workers, worker_id)
-        self._workers_by_task.put(task_id, workers)
+        task = self._tasks_by_id.get(task_id) or _TaskEvidence()
+        task.failures += 1
+        task.failed_at = self._clock()
+        _add_bounded(task.failed_workers, worker_id)
+        self._tasks_by_id.put(task_id, task)
         job = self._job_evidence(job_id)
         _add_bounded(job.failed_tasks, task_id)
         _add_bounded(job.failed_workers, worker_id)
         self._schedule_job_probe(job)
         self.record_rejection(job_id, worker_id)
-        credible = [w for w in workers if not self._is_suspect(w, job_id)]
+        credible = [w for w in task.failed_workers if not self._is_suspect(w, job_id)]
         if len(credible) >= min(MIN_FAILED_WORKERS, max(worker_count, 1)):
             return RetryDecision.GIVE_UP
         return RetryDecision.RETRY
@@ -120,7 +132,7 @@
 
         If it failed on several workers, the fault is its own: the job counts against none of them.
         """
-        worker_ids = self._workers_by_task.get(task_id) or set()
+        worker_ids = self.failed_worker_ids(task_id)
         if len(worker_ids) < 2:
             return
         for worker_id in worker_ids:
@@ -133,7 +145,7 @@
 
     def record_success(self, task_id: str, job_id: str, worker_id: str) -> None:
         """Records a success and drops the failures of the task, its job and the worker."""
-        self._workers_by_task.pop(task_id)
+        self._tasks_by_id.pop(task_id)
         self._workers_by_id.pop(worker_id)
         job = self._jobs_by_id.get(job_id)
         if job is not None:
@@ -172,12 +184,26 @@
 
     def has_failed_on(self, worker_id: str, task_id: str) -> bool:
         """Returns True if a task has failed on a worker."""
-        workers = self._workers_by_task.get(task_id)
-        return workers is not None and worker_id in workers
+        task = self._tasks_by_id.get(task_id)
+        return task is not None and worker_id in task.failed_workers
 
     def failed_worker_ids(self, task_id: str) -> frozenset[str]:
         """Returns the workers on which a task has failed."""
-        return frozenset(self._workers_by_task.get(task_id) or ())
+        task = self._tasks_by_id.get(task_id)
+        return frozenset() if task is None else frozenset(task.failed_workers)
+
+    def may_return(self, task_id: str) -> bool:
+        """Returns True if a task has failed and has waited long enough for other workers.
+
+        It then returns to one on which it failed unless another one has room: one that has none may
+        be full for ever. The wait doubles with each failure, so that a worker that fails tasks for
+        some seconds does not use up a task's attempts.
+        """
+        task = self._tasks_by_id.get(task_id)
+        if task is None:
+            return False
+        wait_s = min(FIRST_RETURN_AFTER_S * 2.0 ** (task.failures - 1), MAX_RETURN_AFTER_S)
+        return self._clock() - task.failed_at >= wait_s
 
     def may_probe_early(self, worker_id: str) -> bool:
         """Returns True unless a worker is probed now, or failed within the first interval.
@@ -192,7 +218,7 @@
 
     def has_failed(self, task_id: str) -> bool:
         """Returns True if a task has failed on some worker."""
-        return task_id in self._workers_by_task
+        return task_id in self._tasks_by_id
 
     def record_placement(
         self, task_id: str, job_id: str, worker_id: str, probe_id: str = ""
--- a/packages/pollengate/pollengate/workflow/placement.py
+++ b/packages/pollengate/pollengate/workflow/placement.py
@@ -115,8 +115,9 @@
         """Returns the best worker for a task, None if it fits nowhere.
 
         Workers on which the task failed come last. A long-running task returns to one of them if
-        no other worker has room, any other task only if there is no other worker at all, or if
-        they are few and its job has had no run for too long. A quarantined worker gets a
+        no other worker has room, any other task only after a while (see `may_return`), or sooner if
+        there is no other worker at all, or if they are few and its job has had no run for too
+        long. A quarantined worker gets a
         long-running task, which may fail any number of times, sooner than others if no other worker
         has room; while most workers are quarantined, also a task whose job has had no run for too
         long.
@@ -145,6 +146,7 @@
         best = best_of(task, admitted, now, scores)
         if best is None and (
             task.step.spec.is_long_running
+            or self.evidence.may_return(task.name)
             or (task.step.job.is_overdue(now) and self._has_failed_on_most(task, workers))
             or not (admitted or self._admits_any(task, workers))
         ):
--- a/tests/test_idle_jobs.py
+++ b/tests/test_idle_jobs.py
@@ -39,10 +39,13 @@
     job_table: JobTable
     planner: Planner
 
-    def build(self, model: LatencyModel | None = None, workers: int = 1) -> None:
+    def build(
+        self, model: LatencyModel | None = None, workers: int = 1, max_attempts: int = 2
+    ) -> None:
         """Creates the shard."""
         self.job_table = build_job_table(
-            *(build_lease_worker(f"w{n}", capacity=CAPACITY) for n in range(workers))
+            *(build_lease_worker(f"w{n}", capacity=CAPACITY) for n in range(workers)),
+            max_attempts=max_attempts,
         )
         self.planner = build_planner(self.job_table, model)
 
@@ -113,6 +116,44 @@
         self.assertEqual(self.plan(1.0), [])
         self.assertEqual(len(self.plan_until(1.0, 1.0 + LOST_AFTER_S)), 1)
 
+    def play_failure_beside_full_workers(self, count: int, failures: int) -> list[float]:
+        """Returns when a task starts again after failures on the only worker with room.
+
+        Args:
+            count: number of tasks of its job.
+            failures: number of failures in a row.
+        """
+        clock = ManualClock()
+        self.build(workers=12, max_attempts=failures + 1)
+        self.job_table.evidence = FailureEvidence(clock)
+        self.planner = build_planner(self.job_table)
+        self.start("aa", build_step(11, is_long_running=True, demand=CAPACITY), 0.0)
+        runs = self.start("bb", build_step(count, demand=Demand(2000, 1000)), 0.0)
+        self.assertEqual(len(runs), count)
+        waits: list[float] = []
+        while len(waits) < failures:
+            failed_at = clock.now
+            self.job_table.mark_ended(runs[0], EndKind.FAILED, "", clock.now, 0)
+            while not (runs := self.plan(clock.now)) and clock.now - failed_at < 60.0:
+                clock.now += PLAN_INTERVAL_S
+            self.assertEqual(len(runs), 1)
+            waits.append(clock.now - failed_at)
+        return waits
+
+    def test_task_returns_to_a_worker_that_failed_it_while_others_that_admit_it_are_full(
+        self,
+    ) -> None:
+        # Guards against a task that waits for workers full of long-running tasks (review/13).
+        for count in (1, 2):  # with and without a run of another task of its job
+            with self.subTest(count=count):
+                (wait_s,) = self.play_failure_beside_full_workers(count, 1)
+                self.assertLess(wait_s, LOST_AFTER_S)
+
+    def test_task_does_not_use_up_its_attempts_on_a_worker_that_fails_for_seconds(self) -> None:
+        first_s, second_s, third_s = self.play_failure_beside_full_workers(2, 3)
+        self.assertGreater(second_s, first_s)
+        self.assertGreater(first_s + second_s + third_s, 10.0)
+
     def test_long_running_task_runs_again_while_all_workers_are_quarantined(self) -> None:
         # Guards against a task that waits for a probe for 8 s; its users accept 6 s and 3 s.
         clock = ManualClock()
