Bound the memory of accepted jobs, and keep only tasks with progress

What callers saw: ten jobs of 50,000 tasks were accepted; their owner exceeded its 300 MB and was killed, and so was each process that acquired the shard.

Cause: each waiting task took 0.67 KB, all of them created when their step was opened, and nothing bounded what was accepted, at hand-in or from other shards.

Change: `StepTasks` creates a task when its turn comes and keeps it until it is done; before it is a flag in the queue of its step, after it a bit. The accepted jobs of a shard take at most an eighth of `memoryMb` divided by the number of shards, so that one process can hold all shards while it reads their records. Jobs beyond that are rejected before they are stored (503, `memory_full`, Retry-After 5 s), and placements by other shards are refused.

A test of explanations created a task by iterating over the queue before it compared the state with that before; it reads the queue's first task instead.

--- a/packages/pollengate/pollengate/explain/explainer.py
+++ b/packages/pollengate/pollengate/explain/explainer.py
@@ -166,8 +166,7 @@
         for step in opened:
             step.is_open = True
             step.opened_at = now
-            for task in step.tasks:
-                step.waiting.append(task)
+            step.waiting.append_unstarted(step.tasks)
         return self._explain(job, opened, now)
 
     def worker_ages(self, now: float) -> list[WorkerAge]:
@@ -269,7 +268,12 @@
             if view.info.service != queue.service:
                 continue
             reason = find_unschedulable_reason(fleet, view, now) or find_reason(
-                step.waiting.first or step.tasks[0], view, placer, unanswered, needs_ticket, now
+                step.waiting.first or step.tasks.peek(0),
+                view,
+                placer,
+                unanswered,
+                needs_ticket,
+                now,
             )
             if is_held_back and reason in (None, Reason.RESERVED):
                 reason = Reason.ACCOUNT_LIMIT
@@ -284,7 +288,7 @@
     def _may_start(self, step: StepProgress) -> bool:
         """Returns True if a task of a step may start on a worker that is suitable."""
         is_unsettled = step.job.is_restored and not self._planner.is_settled()
-        if is_unsettled and all(self._job_table.may_run_unseen(task) for task in step.waiting):
+        if is_unsettled and self._job_table.may_only_run_unseen(step):
             return False
         if step.spec.is_gang and len(step.waiting) < step.spec.count:
             return False
@@ -294,7 +298,7 @@
         self, step: StepProgress, queue: Queue, placer: Placer, needs_ticket: bool, now: float
     ) -> WorkerView | None:
         workers = self._job_table.fleet.schedulable_workers(queue.service, now)
-        task = step.waiting.first or step.tasks[0]
+        task = step.waiting.first or step.tasks.peek(0)
         allowed = self._job_table.unanswered_starts.allowed(task, workers, now)
         return placer.choose(task, workers, now, needs_ticket, candidates=allowed)
 
@@ -307,7 +311,7 @@
         step.spec.count,
         len(step.waiting),
         step.done,
-        delegated=sum(task.is_delegated for task in step.tasks),
+        delegated=sum(task.is_delegated for task in step.tasks.kept()),
     )
 
 
--- a/packages/pollengate/pollengate/workflow/cleared_workers.py
+++ b/packages/pollengate/pollengate/workflow/cleared_workers.py
@@ -46,7 +46,7 @@
         """
         limit = math.ceil(MAX_CLEARED_SHARE * len(workers))
         before = len(self._cleared)
-        for task in step.waiting:
+        for task in step.waiting.kept():
             if not task.has_run or task.crashes:
                 continue
             view = self._choose(step, workers, limit)
--- a/packages/pollengate/pollengate/workflow/job_table.py
+++ b/packages/pollengate/pollengate/workflow/job_table.py
@@ -49,6 +49,7 @@
             `is_recorded`.
         may_run_unseen: returns whether a restored task may have a run of an earlier owner that is
             not known yet; asked before a takeover is settled.
+        may_all_run_unseen: returns whether all restored tasks may have one.
         unanswered_starts: start orders that may still be carried out.
         unclaimed_ends: runs that ended done while their job was unknown.
         on_run_ended: called with a run that ended on its worker, whether it is done, and the clock
@@ -65,6 +66,7 @@
         self.account_usage = AccountUsage()
         self.durable_record_number: Callable[[], float] = lambda: float("inf")
         self.may_run_unseen: Callable[[TaskProgress], bool] = lambda task: True
+        self.may_all_run_unseen: Callable[[], bool] = lambda: False
         self.on_run_ended: Callable[[Run, bool, float], None] | None = None
         self._crash_log = CrashLog()
         self._run_number_floor = term * RUNS_PER_TERM
@@ -185,6 +187,10 @@
             names = [member.name for member in task.step.tasks]
         return any(self.unanswered_starts.may_start_again(member, now) for member in names)
 
+    def may_only_run_unseen(self, step: StepProgress) -> bool:
+        """Returns True if each waiting task of a restored step may have an unknown run."""
+        return self.may_all_run_unseen() or all(map(self.may_run_unseen, step.waiting.peek()))
+
     def delegate(self, task: TaskProgress) -> None:
         """Keeps a task without a run from being started, as another shard may run it."""
         task.is_delegated = True
@@ -432,13 +438,13 @@
         step, job = task.step, task.step.job
         was_complete = step.is_complete
         for member in step.tasks if step.spec.is_gang else (task,):
+            step.waiting.discard(member)
             if not member.is_done:
-                member.is_done = True
+                member.mark_done()
                 step.done += 1
                 job.mark_changed(member)
             for copy in list(member.runs_by_number.values()):
                 self.stop(copy)
-            step.waiting.discard(member)
         if not step.waiting:
             self.open_steps.pop(step, None)
         if was_complete or not step.is_complete:
@@ -479,7 +485,7 @@
             for step in occurrence.steps:
                 step.waiting.clear()
                 self.open_steps.pop(step, None)
-        for task in job.tasks():
+        for task in job.kept_tasks():
             for run in list(task.runs_by_number.values()):
                 self.stop(run)
 
@@ -491,8 +497,12 @@
                 continue
             step.is_open = True
             step.opened_at = now
-            for task in step.tasks:
+            for task in step.tasks.kept():
                 self.requeue(task)
+            if not step.job.is_ended:
+                step.waiting.append_unstarted(step.tasks)
+            if step.waiting:
+                self.open_steps[step] = None
 
     def _remove_run(self, run: Run) -> None:
         """Removes a run that is known to be gone and queues its task again if needed."""
--- a/packages/pollengate/pollengate/workflow/moves.py
+++ b/packages/pollengate/pollengate/workflow/moves.py
@@ -65,7 +65,9 @@
     A task on a silent worker may not serve, so that another one must not stop, too.
     """
     views = (
-        fleet.workers_by_id.get(worker_id) for task in step.tasks for worker_id in task.worker_ids
+        fleet.workers_by_id.get(worker_id)
+        for task in step.tasks.kept()
+        for worker_id in task.worker_ids
     )
     return all(view is not None and now - view.lease.replied_at <= SILENT_AFTER_S for view in views)
 
--- a/packages/pollengate/pollengate/workflow/planner.py
+++ b/packages/pollengate/pollengate/workflow/planner.py
@@ -357,7 +357,7 @@
 
     def _has_known(self, step: StepProgress) -> bool:
         """Whether a waiting task of a restored step certainly has no run."""
-        return not all(self.job_table.may_run_unseen(task) for task in step.waiting)
+        return not self.job_table.may_only_run_unseen(step)
 
     def _may_run_unseen(self, task: TaskProgress, plan: _Round) -> bool:
         """Whether a task may have a run of an earlier owner that is not known yet."""
--- a/packages/pollengate/pollengate/workflow/progress.py
+++ b/packages/pollengate/pollengate/workflow/progress.py
@@ -7,6 +7,7 @@
 
 from pollengate.charts import load_chart
 from pollengate.workflow.model import Queue, Step, Workflow, task_name
+from pollengate.workflow.step_tasks import StepTasks
 from pollengate.workflow.task_queue import TaskQueue
 
 __all__ = [
@@ -169,6 +170,7 @@
 
     def add_run(self, run: Run) -> None:
         """Adds a run that may exist on a worker."""
+        self.step.tasks.keep(self)
         self._replace_runs(self.runs_by_number | {run.number: run})
 
     def remove_run(self, run: Run) -> None:
@@ -176,6 +178,17 @@
         remaining = dict(self.runs_by_number)
         remaining.pop(run.number, None)
         self._replace_runs(remaining)
+        self.forget_if_done()
+
+    def mark_done(self) -> None:
+        """Records that a run has completed the task."""
+        self.is_done = True
+        self.forget_if_done()
+
+    def forget_if_done(self) -> None:
+        """Lets the step keep no more than that the task is done, once it has no run."""
+        if self.is_done and not self.runs_by_number:
+            self.step.tasks.mark_done(self.index)
 
     def _replace_runs(self, runs_by_number: dict[int, Run]) -> None:
         self.step.task_counts_by_worker.subtract(self.worker_ids)
@@ -235,7 +248,7 @@
     number: int
     spec: Step
     first_number: int = 0
-    tasks: list[TaskProgress] = dataclasses.field(default_factory=list)
+    tasks: StepTasks[TaskProgress] = dataclasses.field(init=False)
     waiting: TaskQueue[TaskProgress] = dataclasses.field(default_factory=TaskQueue)
     done: int = 0
     is_open: bool = False
@@ -246,6 +259,14 @@
         default_factory=collections.Counter
     )
 
+    def __post_init__(self) -> None:
+        self.tasks = StepTasks(self.spec.count, self._create_task)
+
+    def _create_task(self, index: int) -> TaskProgress:
+        job = self.occurrence.job
+        name = job.task_name(self.occurrence.number, self.number, index)
+        return TaskProgress(self, index, name)
+
     @property
     def job(self) -> "JobProgress":
         """The job that it belongs to."""
@@ -380,17 +401,12 @@
         return self.workflow.first_due_ms + occurrence * self.workflow.interval_ms <= now_ms
 
     def open_occurrence(self, number: int) -> Occurrence:
-        """Adds an occurrence with all of its steps and tasks."""
+        """Adds an occurrence with all of its steps."""
         occurrence = Occurrence(self, number)
         first_number = number * self.tasks_per_occurrence
         for step_number, spec in enumerate(self.workflow.steps):
-            step = StepProgress(occurrence, step_number, spec, first_number)
+            occurrence.steps.append(StepProgress(occurrence, step_number, spec, first_number))
             first_number += spec.count
-            step.tasks = [
-                TaskProgress(step, index, self._task_name(number, step_number, index))
-                for index in range(spec.count)
-            ]
-            occurrence.steps.append(step)
         self.occurrences_by_number[number] = occurrence
         self.incomplete_steps += len(occurrence.steps)
         self.due_count = max(self.due_count, number + 1)
@@ -407,7 +423,14 @@
         if self.has_parts:
             self.changed_parts.add(task.record_part)
 
-    def _task_name(self, occurrence: int, step: int, index: int) -> str:
+    def mark_all_changed(self) -> None:
+        """Notes that all records of its tasks are to be written."""
+        if self.has_parts:
+            tasks = self.due_count * self.tasks_per_occurrence
+            self.changed_parts.update(range(-(-tasks // TASKS_PER_RECORD)))
+
+    def task_name(self, occurrence: int, step: int, index: int) -> str:
+        """Returns the name of a task by its numbers."""
         if self.delegated_by is not None:
             return self.job_id
         return task_name(self.job_id, occurrence, step, index)
@@ -420,8 +443,12 @@
         tasks = found.steps[step].tasks
         return tasks[index] if 0 <= index < len(tasks) else None
 
-    def tasks_of_part(self, part: int) -> Iterator[tuple[int, TaskProgress]]:
-        """Yields the tasks of one record that are due, each with its number in the record."""
+    def tasks_of_part(self, part: int) -> Iterator[tuple[int, StepProgress, range]]:
+        """Yields the tasks of one record that are due.
+
+        Yields:
+            The number in the record of the first task, its step, and the indexes of the tasks.
+        """
         first = part * TASKS_PER_RECORD
         end = first + TASKS_PER_RECORD
         size = self.tasks_per_occurrence
@@ -429,8 +456,9 @@
             occurrence = self.occurrences_by_number.get(number)
             for step in occurrence.steps if occurrence is not None else ():
                 begin = max(0, first - step.first_number)
-                for task in step.tasks[begin : max(begin, end - step.first_number)]:
-                    yield step.first_number + task.index - first, task
+                indexes = range(begin, min(step.spec.count, end - step.first_number))
+                if indexes:
+                    yield step.first_number + begin - first, step, indexes
 
     def tasks(self) -> Iterator[TaskProgress]:
         """Yields the tasks of all occurrences that are due."""
@@ -438,6 +466,12 @@
             for step in occurrence.steps:
                 yield from step.tasks
 
+    def kept_tasks(self) -> Iterator[TaskProgress]:
+        """Yields those tasks that are kept in memory: all that have a run or other progress."""
+        for occurrence in self.occurrences_by_number.values():
+            for step in occurrence.steps:
+                yield from step.tasks.kept()
+
     def critical_path_ms(self) -> float:
         """Returns the estimated run time of the longest chain of steps.
 
--- a/packages/pollengate/pollengate/workflow/records.py
+++ b/packages/pollengate/pollengate/workflow/records.py
@@ -188,17 +188,20 @@
         if occurrence in job.completed_occurrences:
             begin, end = occurrence * size - first, (occurrence + 1) * size - first
             done |= _bits(max(0, begin), min(end, TASKS_PER_RECORD))
-    for number, task in job.tasks_of_part(part):
-        if task.is_done:
-            done |= 1 << number
-        elif task.last_run or task.failed_runs or task.checkpoint or task.crashes:
-            stored.tasks[number] = StoredTask(
-                task.last_run,
-                task.has_run or bool(task.runs_by_number),
-                sorted(task.failed_runs),
-                task.checkpoint,
-                task.crashes,
-            )
+    for number, step, indexes in job.tasks_of_part(part):
+        wanted = _bits(0, len(indexes))
+        done |= (step.tasks.done_bits() >> indexes.start & wanted) << number
+        for task in step.tasks.kept_between(indexes.start, indexes.stop):
+            if not task.is_done and (
+                task.last_run or task.failed_runs or task.checkpoint or task.crashes
+            ):
+                stored.tasks[number + task.index - indexes.start] = StoredTask(
+                    task.last_run,
+                    task.has_run or bool(task.runs_by_number),
+                    sorted(task.failed_runs),
+                    task.checkpoint,
+                    task.crashes,
+                )
     stored.done = f"{done:x}"
     return msgspec.json.encode(stored)
 
@@ -256,9 +259,8 @@
     if job.has_parts and not progress.occurrences:
         _restore_parts(job, parts_by_number)
     else:
-        for task in job.tasks():
-            # The record is of a version that knew no parts; the next one has none of its tasks.
-            job.mark_changed(task)
+        # The record is of a version that knew no parts; the next one has none of its tasks.
+        job.mark_all_changed()
         job.completed_occurrences.update(range(job.due_count))
         job.completed_occurrences.difference_update(job.occurrences_by_number)
     return Ok(job)
@@ -266,34 +268,34 @@
 
 def _restore_parts(job: JobProgress, parts_by_number: Mapping[int, StoredPart]) -> None:
     """Opens the occurrences that are due, also those without any progress, and applies records."""
-    done_by_part = {number: int(part.done, 16) for number, part in parts_by_number.items()}
     for number in range(job.due_count):
-        occurrence = job.open_occurrence(number)
-        for step in occurrence.steps:
-            for task in step.tasks:
-                part = parts_by_number.get(task.record_part)
-                if part is not None:
-                    _restore_task(task, part, done_by_part[task.record_part])
+        job.open_occurrence(number)
+    for part_number, part in parts_by_number.items():
+        done = int(part.done, 16)
+        for first, step, indexes in job.tasks_of_part(part_number):
+            for index in indexes:
+                number = first + index - indexes.start
+                if done >> number & 1:
+                    step.tasks.mark_done(index)
+                elif number in part.tasks:
+                    _restore_task(step.tasks[index], part.tasks[number])
+    for occurrence in list(job.occurrences_by_number.values()):
         _count_complete(occurrence)
 
 
-def _restore_task(task: TaskProgress, part: StoredPart, done: int) -> None:
-    number = (task.step.first_number + task.index) % TASKS_PER_RECORD
-    task.is_done = bool(done >> number & 1)
-    saved = part.tasks.get(number)
-    if saved is not None and not task.is_done:
-        task.failed_runs = set(saved.failed_runs)
-        task.last_run = saved.last_run
-        task.has_run = saved.has_run
-        if saved.checkpoint:
-            task.keep_checkpoint(saved.checkpoint)
-        task.crashes = saved.crashes
+def _restore_task(task: TaskProgress, saved: StoredTask) -> None:
+    task.failed_runs = set(saved.failed_runs)
+    task.last_run = saved.last_run
+    task.has_run = saved.has_run
+    if saved.checkpoint:
+        task.keep_checkpoint(saved.checkpoint)
+    task.crashes = saved.crashes
 
 
 def _count_complete(occurrence: Occurrence) -> None:
     """Counts the tasks and steps of a restored occurrence that are done."""
     for step in occurrence.steps:
-        step.done = sum(task.is_done for task in step.tasks)
+        step.done = step.tasks.done_bits().bit_count()
         occurrence.job.incomplete_steps -= step.is_complete
     occurrence.job.forget_complete(occurrence)
 
@@ -306,13 +308,10 @@
 def _store_occurrence(occurrence: Occurrence) -> StoredOccurrence:
     stored = StoredOccurrence([])
     for step in occurrence.steps:
-        bits = 0
-        for task in step.tasks:
-            if task.is_done:
-                bits |= 1 << task.index
-            else:
+        for task in step.tasks.kept():
+            if not task.is_done:
                 _store_task(stored, task)
-        stored.done.append(f"{bits:x}")
+        stored.done.append(f"{step.tasks.done_bits():x}")
     return stored
 
 
@@ -342,15 +341,20 @@
     refused = frozenset(saved.refused)
     for step, digits in zip(occurrence.steps, saved.done, strict=True):
         bits = int(digits, 16)
-        for task in step.tasks:
-            key = _task_key(task)
-            task.is_done = bool(bits >> task.index & 1)
-            task.failed_runs = set(saved.failed_runs.get(key, ()))
-            task.last_run = saved.runs.get(key, 0)
-            task.has_run = task.last_run > 0 and key not in refused
-            if checkpoint := saved.checkpoints.get(key):
-                task.keep_checkpoint(checkpoint)
-            task.crashes = saved.crashes.get(key, 0)
+        for index in range(step.spec.count):
+            key = f"{step.number}.{index}"
+            if bits >> index & 1:
+                step.tasks.mark_done(index)
+            elif any(
+                key in f for f in (saved.failed_runs, saved.runs, saved.checkpoints, saved.crashes)
+            ):
+                task = step.tasks[index]
+                task.failed_runs = set(saved.failed_runs.get(key, ()))
+                task.last_run = saved.runs.get(key, 0)
+                task.has_run = task.last_run > 0 and key not in refused
+                if checkpoint := saved.checkpoints.get(key):
+                    task.keep_checkpoint(checkpoint)
+                task.crashes = saved.crashes.get(key, 0)
     _count_complete(occurrence)
 
 
--- a/packages/pollengate/pollengate/workflow/restart_room.py
+++ b/packages/pollengate/pollengate/workflow/restart_room.py
@@ -158,7 +158,7 @@
             task.step
             for other in self._job_table.open_steps
             if runs_again(other) and other not in self._waiting_by_step
-            for task in other.waiting
+            for task in other.waiting.kept()
             if task.has_run
         ]
         claims += [task.step for task in self._moved_at_by_task if _is_stopping(task)]
--- a/packages/pollengate/pollengate/workflow/task_delegation.py
+++ b/packages/pollengate/pollengate/workflow/task_delegation.py
@@ -49,7 +49,7 @@
             task
             for step in self._job_table.open_steps
             if self._may_delegate(step)
-            for task in step.waiting
+            for task in step.waiting.kept()
             if task.has_run and not task.crashes and not task.runs_by_number
             # An order of this owner could start it beside a run that another one has started.
             and not self._job_table.unanswered_starts.holds(task, now)
--- a/packages/pollengate/pollengate/workflow/waiting.py
+++ b/packages/pollengate/pollengate/workflow/waiting.py
@@ -158,7 +158,7 @@
             task
             for step in self._job_table.open_steps
             if step.spec.is_long_running
-            for task in step.waiting
+            for task in step.waiting.kept()
             if task.has_run
         ]
         # A start that is under way may be refused, and the task has waited all the while.
@@ -193,7 +193,7 @@
         starting = [
             step
             for step in self._waiting_since
-            if not step.waiting and any(task.is_starting for task in step.tasks)
+            if not step.waiting and any(task.is_starting for task in step.tasks.kept())
         ]
         self._waiting_since = {
             step: self._waiting_since.get(step, now) for step in [*waiting, *starting]
@@ -242,9 +242,8 @@
         workers = workers_of(queue.service)
         with_room = [view for view in workers if can_place(step, view)]
         room = len(with_room)
-        may_run_unseen = self._job_table.may_run_unseen
         is_restored = step.job.is_restored and not self._is_settled()
-        if is_restored and all(may_run_unseen(task) for task in step.waiting):
+        if is_restored and self._job_table.may_only_run_unseen(step):
             cause = WaitCause.UNSETTLED
         elif not workers:
             cause = WaitCause.NO_WORKER
@@ -264,7 +263,7 @@
     def _withheld_by(self, step: StepProgress, view: WorkerView, now: float) -> Withheld:
         """Returns why the next task of a step does not get a worker with room."""
         evidence = self._job_table.evidence
-        task = step.waiting.first or step.tasks[0]
+        task = step.waiting.first or step.tasks.peek(0)
         if not self._job_table.is_recorded(task):
             return Withheld.NOT_RECORDED
         if view.worker_id in task.worker_ids:
--- a/packages/pollengate/pollengate/workflow/worker_transfer.py
+++ b/packages/pollengate/pollengate/workflow/worker_transfer.py
@@ -247,7 +247,7 @@
     """
     tasks = len(step.waiting)
     if runs_again(step):
-        tasks = sum(task.has_run for task in step.waiting)
+        tasks = sum(task.has_run for task in step.waiting.kept())
     spec = step.spec
     limit = spec.max_per_worker or spec.count
     fitting = max((count_fitting(spec.demand, v.info.capacity, limit) for v in workers), default=1)
--- a/packages/pollengated/pollengated/edge/edge_metrics.py
+++ b/packages/pollengated/pollengated/edge/edge_metrics.py
@@ -64,6 +64,12 @@
             "Ends that were not acknowledged while a start of their task may still arrive.",
             registry=registry,
         )
+        self.accepted_bytes = Gauge(
+            "pollengate_edge_accepted_bytes",
+            "Estimated memory of the accepted jobs of a shard.",
+            ["shard"],
+            registry=registry,
+        )
         self.merged_interference_records = Counter(
             "pollengate_edge_merged_interference_records",
             "Interference records of other shards whose evidence was taken over.",
--- a/packages/pollengated/pollengated/edge/job_request_handler.py
+++ b/packages/pollengated/pollengated/edge/job_request_handler.py
@@ -26,6 +26,7 @@
 from pollengate.workflow.shard_lease import ShardLease
 from pollengate.workflow.shard_room import RoomSummary, ShardRoom
 
+from pollengated.edge.accepted_work import AcceptedWork
 from pollengated.edge.clocks import Clocks
 from pollengated.edge.committer import Committer, JobRecord
 from pollengated.edge.edge_metrics import EdgeMetrics
@@ -60,6 +61,7 @@
         find_overload: returns why a new job is refused for lack of room at a clock time, None if it
             is accepted.
         room: room of the shard.
+        accepted_work: rejects jobs for which there is no memory.
 
     Attributes:
         is_closing: whether the shard is being handed over and accepts no new jobs.
@@ -88,6 +90,7 @@
         on_accepted: Callable[[JobProgress, float], None],
         find_overload: Callable[[JobProgress, float], NotAccepted | None],
         room: ShardRoom,
+        accepted_work: AcceptedWork,
     ) -> None:
         self.is_closing = False
         self._shard = shard
@@ -99,6 +102,7 @@
         self._on_accepted = on_accepted
         self._find_overload = find_overload
         self._room = room
+        self._accepted_work = accepted_work
         self._return_at = clocks.monotonic_s()
         self._submissions_by_id: dict[str, _Submission] = {}
         self._log = Log("owner")
@@ -117,7 +121,11 @@
         self.delegator = TaskDelegator(context, other_shards, metrics, self.current_refusal)
         self.returner = TaskReturner(context, other_shards)
         self.acceptor = PlacementAcceptor(
-            context, self.current_refusal, self.returner.is_returning, self.add_accepted_job
+            context,
+            self.current_refusal,
+            self._accepted_work,
+            self.returner.is_returning,
+            self.add_accepted_job,
         )
 
     async def submit(
@@ -147,7 +155,7 @@
                 return Accepted() if _is_account(placement.account, account) else _ID_IN_USE
             pending = self.placer.find_pending(job_id)
             if pending is None:
-                refusal = self._find_refusal(queue_name, configuration_version)
+                refusal = self._find_refusal(queue_name, configuration_version, workflow)
                 if refusal is not None:
                     return refusal
                 pending = self.placer.begin(self._create_job(queue_name, job_id, workflow, account))
@@ -160,15 +168,16 @@
         )
 
     def _find_refusal(
-        self, queue_name: str, configuration_version: int
+        self, queue_name: str, configuration_version: int, workflow: Workflow
     ) -> NotAccepted | NoSuchQueue | None:
-        """Returns why no job of a queue can be accepted, None if one can."""
+        """Returns why a job of a queue can't be accepted, None if it can."""
         refusal = self.current_refusal()
         if refusal is not None:
             return refusal
         deployment = self._job_table.deployment
         if deployment.queue(queue_name) is not None:
-            return None
+            pending = [submission.job for submission in self._submissions_by_id.values()]
+            return self._accepted_work.find_refusal(workflow, pending)
         if 0 < configuration_version < deployment.version:
             return NoSuchQueue()
         return NotAccepted("queue_not_known_yet", RETRY_AFTER_S)
@@ -198,7 +207,7 @@
         if record is not None and not _is_same_client(record.job, account):
             return _ID_IN_USE
         if record is None:
-            refusal = self._find_refusal(queue_name, configuration_version)
+            refusal = self._find_refusal(queue_name, configuration_version, workflow)
             if refusal is not None:
                 return refusal
             job = self._create_job(queue_name, job_id, workflow, account)
@@ -369,6 +378,7 @@
             self._on_accepted(job, now)
         with self._sections.measure(Section.ADD_JOB, job.job_id):
             self._job_table.add(job, now, self._clocks.unix_ms())
+        self._accepted_work.record_accepted(job)
         if job.delegated_by is not None:
             self._log.info(
                 "delegated task accepted",
--- a/packages/pollengated/pollengated/edge/placement_acceptor.py
+++ b/packages/pollengated/pollengated/edge/placement_acceptor.py
@@ -24,6 +24,7 @@
 from pollengate.workflow.records import encode_job, encode_progress
 from result import Err
 
+from pollengated.edge.accepted_work import AcceptedWork
 from pollengated.edge.other_shards import (
     Placed,
     PlacementOutcome,
@@ -56,6 +57,7 @@
     Args:
         context: the ownership term.
         find_refusal: returns why the shard accepts no new jobs at present, None if it does.
+        accepted_work: rejects jobs for which there is no memory.
         is_returning: whether a task is being returned to the shard that asked for it before.
         add_job: adds a job whose record is durable to the job table.
     """
@@ -64,6 +66,7 @@
         self,
         context: PlacementContext,
         find_refusal: Callable[[], NotAccepted | None],
+        accepted_work: AcceptedWork,
         is_returning: Callable[[str], bool],
         add_job: Callable[[JobProgress], None],
     ) -> None:
@@ -74,6 +77,7 @@
         self._shard_lease = context.shard_lease
         self._clocks = context.clocks
         self._find_refusal = find_refusal
+        self._accepted_work = accepted_work
         self._is_returning = is_returning
         self._add_job = add_job
         self._pending_by_id: dict[str, _PendingPlacement] = {}
@@ -108,6 +112,10 @@
     def _check(self, request: PlacementRequest) -> Queue | Refused:
         """Returns the queue of a job that the shard may take, or why it is refused."""
         refusal = self._find_refusal()
+        if refusal is not None:
+            return Refused(refusal.reason)
+        pending = [placement.job for placement in self._pending_by_id.values()]
+        refusal = self._accepted_work.find_refusal(request.workflow, pending)
         if refusal is not None:
             return Refused(refusal.reason)
         queue = self._job_table.deployment.queue(request.queue_name)
--- a/packages/pollengated/pollengated/edge/shard_term.py
+++ b/packages/pollengated/pollengated/edge/shard_term.py
@@ -23,6 +23,7 @@
 from pollengate.workflow.tickets import TicketCache
 from result import Err
 
+from pollengated.edge.accepted_work import AcceptedWork, max_accepted_bytes
 from pollengated.edge.account_shares import AccountShares
 from pollengated.edge.advice_requester import AdviceRequester
 from pollengated.edge.clocks import Clocks
@@ -272,6 +273,7 @@
         )
         is_settled = self._takeover.is_settled
         self.job_table.may_run_unseen = self._takeover.may_run_unseen
+        self.job_table.may_all_run_unseen = self._takeover.may_all_run_unseen
         self._start_policy = StartPolicy(
             self.job_table, self._policy, self._account_shares, self._metrics, is_settled
         )
@@ -283,6 +285,7 @@
         self.explainer = JobExplainer(self._planner)
         self.room = ShardRoom(self.job_table, is_settled)
         shards, status_s = self._layout.shards, self._settings.bounds.status_s
+        max_bytes = max_accepted_bytes(self._settings.memory_mb, shards)
         self._retention = JobRetention(self.shard, shards, self.job_table, committer, status_s)
         transfers = WorkerTransfers(
             self.shard,
@@ -323,6 +326,7 @@
             self._start_policy.record_accepted,
             self._start_policy.find_refusal,
             self.room,
+            AcceptedWork(self.shard, self.job_table, max_bytes, clocks, metrics),
         )
         self._create_placement()
         self.request_handler.placer.load(records.placements)
--- a/packages/pollengated/pollengated/edge/takeover.py
+++ b/packages/pollengated/pollengated/edge/takeover.py
@@ -100,11 +100,19 @@
 
     def may_run_unseen(self, task: TaskProgress) -> bool:
         """Whether a restored task may have a run of an earlier owner that is not known yet."""
+        held = self._refresh_held()
+        return held.are_all or task.name in held.names
+
+    def may_all_run_unseen(self) -> bool:
+        """Whether all restored tasks may have such a run."""
+        return self._refresh_held().are_all
+
+    def _refresh_held(self) -> "_HeldTasks":
         now = self._clocks.monotonic_s()
         if now - self._held_at >= REFRESH_AFTER_S:
             self._held_at = now
             self._held = self._find_held(now)
-        return self._held.are_all or task.name in self._held.names
+        return self._held
 
     def update(self) -> None:
         """Updates the lists of silent workers, and reports on those that are awaited."""
@@ -202,9 +210,12 @@
 
     def _count_waiting(self) -> int:
         """Returns the number of restored tasks whose turn has come and that have no known run."""
+        held = self._refresh_held()
+        if held.are_all:
+            steps = self._job_table.open_steps
+            return sum(len(step.waiting) for step in steps if step.job.is_restored)
+        tasks = map(self._job_table.find_task, held.names)
         return sum(
-            self.may_run_unseen(task)
-            for step in self._job_table.open_steps
-            if step.job.is_restored
-            for task in step.waiting
+            task is not None and task.step.job.is_restored and task in task.step.waiting
+            for task in tasks
         )
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -78,7 +78,9 @@
             self.assertEqual(explained.place, place)
             self.assertEqual(explained.worker is None, explained.cause is not None)
             if explained.worker:
-                starts.append((next(iter(step.waiting)).name, explained.worker))
+                first = step.waiting.first
+                assert first is not None
+                starts.append((first.name, explained.worker))
         self.assertEqual(before, dump(planner))
         runs = plan(planner, now)
         self.assertEqual(starts[:1], [(run.task.name, run.worker_id) for run in runs[:1]])
--- a/tests/test_large_jobs.py
+++ b/tests/test_large_jobs.py
@@ -1,5 +1,7 @@
 """Tests that the time which an owner needs for a large job grows with its tasks only."""
 
+import random
+import tracemalloc
 import unittest
 from typing import Any
 from unittest import mock
@@ -8,13 +10,24 @@
 from pollengate.workflow.job_table import JobTable
 from pollengate.workflow.model import Demand
 from pollengate.workflow.progress import JobProgress, JobState, TaskProgress
+from pollengate.workflow.records import (
+    decode_job,
+    decode_part,
+    decode_progress,
+    encode_job,
+    encode_part,
+    encode_progress,
+    restore,
+)
 from pollengate.workflow.task_queue import TaskQueue
+from pollengated.edge.accepted_work import memory_bytes
 
 from tests.workflow_builders import (
     build_job,
     build_job_table,
     build_lease_worker,
     build_step,
+    build_workflow,
     start_all,
 )
 
@@ -78,6 +91,90 @@
         self.assertLessEqual(self.comparisons, COMPARISONS_PER_TASK * TASKS)
 
 
+class MemoryTest(unittest.TestCase):
+    """Guards against accepted work that takes more memory than a process has (review/14)."""
+
+    def build(self, tasks: int) -> tuple[JobTable, JobProgress]:
+        """Adds a job of one step to a new job table."""
+        job_table = build_job_table(build_lease_worker(capacity=Demand(64_000, 250_000)))
+        job = build_job("aa", build_step(tasks))
+        job_table.add(job, 0.0, 0)
+        return job_table, job
+
+    def test_tasks_are_kept_from_their_turn_until_they_are_done(self) -> None:
+        job_table, job = self.build(TASKS)
+        (step,) = job.occurrences_by_number[0].steps
+        self.assertEqual(step.tasks.kept(), [])
+        most = 0
+        while not job.is_ended:
+            for run in start_all(job_table, 1.0):
+                job_table.mark_ended(run, EndKind.DONE, "", 1.0, 0)
+                most = max(most, len(step.tasks.kept()))
+        self.assertLess(most, 200)
+        self.assertEqual(step.tasks.kept(), [])
+        self.assertEqual(step.done, TASKS)
+
+    def test_a_waiting_task_takes_a_few_bytes(self) -> None:
+        # Ten jobs of the largest size leave nine tenths of a process of 300 MB to all else.
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        before, _ = tracemalloc.get_traced_memory()
+        job_table, _ = self.build(50_000)
+        start_all(job_table, 1.0)
+        after, _ = tracemalloc.get_traced_memory()
+        self.assertLess(after - before, 3_000_000)
+        self.assertLess(
+            after - before - 64 * 10_000, memory_bytes(build_workflow(build_step(50_000)))
+        )
+
+    def test_tasks_run_in_order_once_each_whatever_happens_to_others(self) -> None:
+        for seed in range(20):
+            with self.subTest(seed=seed):
+                self.play_ends(random.Random(seed))
+
+    def play_ends(self, draw: random.Random) -> None:
+        """Plays ends, losses and late reports of the tasks of one job, and takeovers."""
+        job_table, job = self.build(400)
+        done: list[str] = []
+        for _ in range(3_000):
+            (step,) = job.occurrences_by_number[0].steps
+            if job.is_ended:
+                break
+            for run in start_all(job_table, 1.0):
+                chance = draw.random()
+                if chance < 0.6:
+                    job_table.mark_ended(run, EndKind.DONE, "", 1.0, 0)
+                    done.append(run.task.name)
+                elif chance < 0.8:
+                    job_table.mark_lost(run)
+                else:
+                    job_table.mark_ended(run, EndKind.STOPPED, str(len(done)), 1.0, 0)
+            late = step.tasks[draw.randrange(400)]
+            if not late.is_done:
+                job_table.apply_result(late, late.last_run + 1, "w0", EndKind.DONE, "", 1.0, 0)
+                done.append(late.name)
+            if draw.random() < 0.05 and not job.is_ended:
+                job_table, job = self.take_over(job_table, job)
+        self.assertIs(job.state, JobState.COMPLETED)
+        self.assertEqual(len(done), len(set(done)))
+        self.assertEqual(len(done), 400)
+
+    def take_over(self, job_table: JobTable, job: JobProgress) -> tuple[JobTable, JobProgress]:
+        """Returns what a successor restores of a job."""
+        job.changed_parts.clear()
+        stored = decode_job(encode_job(job)).unwrap()
+        parts = {part: decode_part(encode_part(job, part)).unwrap() for part in range(2)}
+        progress = decode_progress(encode_progress(job)).unwrap()
+        found = restore(stored, progress, 0.0, parts).unwrap()
+        successor = build_job_table(build_lease_worker(capacity=Demand(64_000, 250_000)))
+        successor.add(found, 0.0, 0)
+        done = [task.index for task in job.tasks() if task.is_done]
+        self.assertEqual(done, [task.index for task in found.tasks() if task.is_done])
+        (step,), (before,) = (j.occurrences_by_number[0].steps for j in (found, job))
+        self.assertEqual(len(step.waiting), len(before.waiting))
+        return successor, found
+
+
 class TaskQueueTest(unittest.TestCase):
     """Order of tasks that wait."""
 
