Take several delegated tasks of a step with a limit per worker

Cause: each delegated task is a job of its own in the shard that takes it, which refused a second one of a step with a limit, as nothing there kept the limit.

Change: the steps of delegated siblings share their counts of tasks by worker, also after a takeover, so that the planner keeps the limit. A task is refused (`siblings_here`) only if no worker has a place beside those that run or wait.

--- a/packages/pollengate/pollengate/workflow/job_table.py
+++ b/packages/pollengate/pollengate/workflow/job_table.py
@@ -11,6 +11,7 @@
 from pollengate.failure_evidence import FailureEvidence
 from pollengate.workflow.clients import EndKind
 from pollengate.workflow.crashes import TRIAL_CRASHES, CrashLog, WorkerCrash
+from pollengate.workflow.delegated_siblings import DelegatedSiblings
 from pollengate.workflow.fleet import Fleet, WorkerView
 from pollengate.workflow.model import MAX_DIGITS, Deployment, Queue, occurrence_of
 from pollengate.workflow.outbox import Outbox
@@ -52,6 +53,7 @@
         may_all_run_unseen: returns whether all restored tasks may have one.
         unanswered_starts: start orders that may still be carried out.
         unclaimed_ends: runs that ended done while their job was unknown.
+        delegated_siblings: counts the runs of delegated tasks by the step that they belong to.
         on_run_ended: called with a run that ended on its worker, whether it is done, and the clock
             time; None for no call.
     """
@@ -73,6 +75,7 @@
         self._scheduled_by_id: dict[str, JobProgress] = {}
         self.unanswered_starts = UnansweredStarts(fleet)
         self.unclaimed_ends = UnclaimedEnds()
+        self.delegated_siblings = DelegatedSiblings()
 
     def take_outbox(self) -> Outbox:
         """Returns the actions collected since the last call and clears them."""
@@ -104,6 +107,9 @@
         if job.is_ended:
             return
         for occurrence in job.occurrences_by_number.values():
+            if job.delegated_by is not None:
+                for step in occurrence.steps:
+                    self.delegated_siblings.join(step)
             self._open_steps(occurrence, now)
         self._scheduled_by_id[job.job_id] = job
         self.open_due_occurrences(now, now_ms)
--- a/packages/pollengated/pollengated/edge/placement_acceptor.py
+++ b/packages/pollengated/pollengated/edge/placement_acceptor.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 
 from pollengate.store import CommitResult, FailureKind, Put, Unchanged
+from pollengate.workflow.delegated_siblings import are_siblings
 from pollengate.workflow.job_placement import (
     StoredPlacement,
     decode_placement,
@@ -20,6 +21,7 @@
 from pollengate.workflow.job_service import NotAccepted
 from pollengate.workflow.keys import job_key, owner_key, placement_key, progress_key
 from pollengate.workflow.model import Queue
+from pollengate.workflow.placement import count_places
 from pollengate.workflow.progress import JobProgress, JobState
 from pollengate.workflow.records import encode_job, encode_progress
 from result import Err
@@ -123,8 +125,10 @@
             return Refused("no_queue")
         if not self._context.is_settled():
             return Refused("unsettled")
-        if request.task is not None and self._has_limited_sibling(request):
-            return Refused("sibling_here")
+        if request.task is not None and not self._fits_beside_siblings(
+            self._create_job(request, queue), queue
+        ):
+            return Refused("siblings_here")
         now = self._clocks.monotonic_s()
         steps = first_steps(request.workflow)
         if request.task is None:
@@ -132,43 +136,60 @@
         places = self._room.count_places(queue.service, steps, now)
         return queue if places >= request.min_tasks else Refused("no_room")
 
-    def _has_limited_sibling(self, request: PlacementRequest) -> bool:
-        """Whether the shard has another delegated task of a step with a limit per worker.
+    def _fits_beside_siblings(self, job: JobProgress, queue: Queue) -> bool:
+        """Whether a worker has room for a delegated task within the limit of its step.
 
-        Each delegated task is a job of its own, so that the limit would not be kept.
+        The siblings that have no run yet take the first places.
         """
-        if not request.workflow.steps[0].max_per_worker:
-            return False
-        step_name = request.job_id.rpartition(".")[0]
-        return any(
-            job.delegated_by is not None and job.job_id.rpartition(".")[0] == step_name
-            for job in [
+        (step,) = job.occurrences_by_number[0].steps
+        if not step.spec.max_per_worker:
+            return True
+        self._job_table.delegated_siblings.join(step)
+        waiting = sum(
+            are_siblings(job, other) and not other.run_count and not other.is_ended
+            for other in [
                 *self._job_table.jobs_by_id.values(),
                 *(pending.job for pending in self._pending_by_id.values()),
             ]
         )
+        evidence = self._job_table.evidence
+        workers = self._job_table.fleet.schedulable_workers(
+            queue.service, self._clocks.monotonic_s()
+        )
+        places = sum(
+            count_places(step, view)
+            for view in workers
+            if not evidence.is_quarantined(view.worker_id)
+        )
+        return places > waiting
 
     def _begin(self, request: PlacementRequest, queue: Queue) -> _PendingPlacement:
-        now, now_ms = self._clocks.monotonic_s(), self._clocks.unix_ms()
+        job = self._create_job(request, queue)
+        if request.task is not None:
+            (task,) = job.occurrences_by_number[0].steps[0].tasks
+            task.keep_checkpoint(request.task.checkpoint)
+            self._job_table.continue_run_numbers(task, request.task.last_run)
+        now = self._clocks.monotonic_s()
+        self._room.reserve(job.job_id, queue.service, first_steps(job.workflow), now)
+        pending = self._pending_by_id[job.job_id] = _PendingPlacement(job)
+        self._context.spawn(self._run(pending, request))
+        return pending
+
+    def _create_job(self, request: PlacementRequest, queue: Queue) -> JobProgress:
         job = JobProgress(
             request.job_id,
             request.queue_name,
             request.workflow,
-            now_ms,
-            now,
+            self._clocks.unix_ms(),
+            self._clocks.monotonic_s(),
             queue=queue,
             account=request.account,
         )
         if request.task is not None:
             job.delegated_by = request.home_shard
             job.state = job.visible_state = JobState.RUNNING
-            (task,) = job.open_occurrence(0).steps[0].tasks
-            task.keep_checkpoint(request.task.checkpoint)
-            self._job_table.continue_run_numbers(task, request.task.last_run)
-        self._room.reserve(job.job_id, queue.service, first_steps(job.workflow), now)
-        pending = self._pending_by_id[job.job_id] = _PendingPlacement(job)
-        self._context.spawn(self._run(pending, request))
-        return pending
+            job.open_occurrence(0)
+        return job
 
     async def _run(self, pending: _PendingPlacement, request: PlacementRequest) -> None:
         """Writes the records of a job until the outcome is known or the lease is lost."""
