Delegate long-running tasks that have never run, too

Cause: only tasks that have run before were offered to other shards. For the others workers change shards, which a shard whose workers can't be emptied never does.

Evidence: test_task_that_has_never_run_gets_room_in_pieces_too fails on the code before, the job stays queued.

Change: the first waiting task of a step of which none waits to run again is offered, too, in searches of its own, so that it takes none from those that users miss. The job is shown as running once another shard has the task.

--- a/packages/pollengate/pollengate/workflow/job_table.py
+++ b/packages/pollengate/pollengate/workflow/job_table.py
@@ -267,12 +267,12 @@
             return
         run.apply_event("confirmed")
         run.replied_at = now
-        self._mark_begun(run.task)
+        self.mark_begun(run.task)
 
     def mark_seen(self, run: Run) -> None:
         """Marks a run as started, as its worker lists it."""
         run.apply_event("seen")
-        self._mark_begun(run.task)
+        self.mark_begun(run.task)
 
     def mark_past_startup(self, run: Run) -> None:
         """Records a success of the run's worker and job if its task is a long-running one."""
@@ -386,7 +386,7 @@
         if checkpoint:
             task.keep_checkpoint(checkpoint)
         task.last_run = max(task.last_run, number)
-        self._mark_begun(task)
+        self.mark_begun(task)
         self._mark_changed(task)
         if end_kind is EndKind.DONE:
             self.evidence.record_success(task.name, job.job_id, worker_id)
@@ -423,7 +423,7 @@
         job.mark_changed(task)
         self.outbox.changed[job.job_id] = job
 
-    def _mark_begun(self, task: TaskProgress) -> None:
+    def mark_begun(self, task: TaskProgress) -> None:
         """Records that a run of a task has started for certain; a planned one may be refused."""
         job = task.step.job
         task.has_run = True
--- a/packages/pollengate/pollengate/workflow/task_delegation.py
+++ b/packages/pollengate/pollengate/workflow/task_delegation.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import functools
+import itertools
 from collections.abc import Callable
 
 from pollengate.workflow.job_table import JobTable
@@ -20,10 +21,12 @@
 WAIT_BEFORE_DELEGATION_S = 2.5
 # A search compares a task with all workers and all shards; after the loss of a zone hundreds wait.
 MAX_SEARCHES = 8
+# The same for tasks that have never run, which nobody misses yet.
+MAX_FIRST_START_SEARCHES = 2
 
 
 class DelegationCandidates:
-    """Finds the tasks of one shard that wait in vain to run again.
+    """Finds the long-running tasks of one shard that wait in vain.
 
     Args:
         job_table: the shard's jobs, runs and workers.
@@ -49,8 +52,8 @@
             task
             for step in self._job_table.open_steps
             if self._may_delegate(step)
-            for task in step.waiting.kept()
-            if task.has_run and not task.crashes and not task.runs_by_number
+            for task in _offered_tasks(step)
+            if not task.crashes and not task.runs_by_number
             # An order of this owner could start it beside a run that another one has started.
             and not self._job_table.unanswered_starts.holds(task, now)
         ]
@@ -69,7 +72,9 @@
         ]
         before = float("-inf")
         ready.sort(key=lambda t: (self._searched_at.get(t, before), self._waiting_since[t]))
-        searched = ready[:MAX_SEARCHES]
+        again = [task for task in ready if task.has_run]
+        first = [task for task in ready if not task.has_run]
+        searched = again[:MAX_SEARCHES] + first[:MAX_FIRST_START_SEARCHES]
         self._searched_at |= dict.fromkeys(searched, now)
         has_room = functools.cache(lambda step: self._has_room(step, now))
         return [task for task in searched if not has_room(task.step)]
@@ -92,6 +97,12 @@
         return any(can_place(step, view) for view in workers)
 
 
+def _offered_tasks(step: StepProgress) -> list[TaskProgress]:
+    """Returns the waiting tasks of a step that have run before, or else the first one."""
+    again = [task for task in step.waiting.kept() if task.has_run]
+    return again or list(itertools.islice(step.waiting, 1))
+
+
 def may_be_delegated(step: StepProgress, queue: Queue, deployment: Deployment) -> bool:
     """Returns True if the tasks of a step may run in another shard than their job.
 
--- a/packages/pollengated/pollengated/edge/task_delegator.py
+++ b/packages/pollengated/pollengated/edge/task_delegator.py
@@ -227,6 +227,7 @@
             self._job_table.reclaim(task)
         else:
             self._candidates.forget(task)
+            self._job_table.mark_begun(task)
             self._metrics.delegations.labels("placed").inc()
             self._log.info(
                 "long-running task delegated to another shard",
--- a/tests/test_task_delegation.py
+++ b/tests/test_task_delegation.py
@@ -437,6 +437,29 @@
 
         self.run_scenario(scenario)
 
+    def test_task_that_has_never_run_gets_room_in_pieces_too(self) -> None:
+        # Guards against a lasting task that waits for its first run beside room elsewhere.
+        async def main() -> None:
+            cluster = await open_pieces()
+            await cluster.submit(OTHER_IDS[1], fill_workflow(3, 500))
+            await asyncio.sleep(SETTLE_S)
+            job_id = IDS[2]
+            await cluster.submit(job_id, fill_workflow(1, 3200))
+            await asyncio.sleep(SETTLE_S)
+            job = cluster.find_job(job_id)
+            assert job is not None
+            self.assertIs(JobState.QUEUED, job.visible_state)
+            other = await cluster.wait_for_term(shard=OTHER)
+            response = await other.request_handler.cancel(OTHER_FILL_ID, REQUESTER)
+            self.assertEqual(Cancelled(), response)
+            await cluster.wait_for_state(job_id, "running", MAX_ABSENCE_S)
+            await asyncio.sleep(SETTLE_S)
+            runs = [r for r in cluster.update_history() if r.task.startswith(job_id)]
+            self.assertEqual([None], [run.ended_at for run in runs])
+            self.check_single_execution(cluster)
+
+        run_virtual(main())
+
     async def offer_sibling(
         self, cluster: EdgeCluster, index: int, max_per_worker: int
     ) -> PlacementOutcome:
