Count the failures of a gang's members together

Cause: a member may not return to the worker that failed it while another one admits it, which its sibling takes; the way out for idle jobs asked for a job without runs, and the plan had just added those of the other members.

Change: the wait counts the failures of all members, from the newest of them.

--- a/packages/pollengate/pollengate/failure_evidence.py
+++ b/packages/pollengate/pollengate/failure_evidence.py
@@ -34,11 +34,10 @@
     GIVE_UP = "give_up"
 
 
-@dataclasses.dataclass(slots=True)
-class _TaskEvidence:
-    failed_workers: set[str] = dataclasses.field(default_factory=set)
-    failures: int = 0
-    failed_at: float = 0.0
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Failures:
+    count: int
+    newest_at: float
 
 
 @dataclasses.dataclass(slots=True)
@@ -82,12 +81,13 @@
         self._clock = clock
         self._first_probe_after_s = first_probe_after_s
         self._max_probe_after_s = max_probe_after_s
-        self._tasks_by_id: BoundedDict[str, _TaskEvidence] = BoundedDict(MAX_TASKS)
+        self._workers_by_task: BoundedDict[str, set[str]] = BoundedDict(MAX_TASKS)
+        self._failures_by_probe_id: BoundedDict[str, _Failures] = BoundedDict(MAX_TASKS)
         self._jobs_by_id: BoundedDict[str, _JobEvidence] = BoundedDict(MAX_JOBS)
         self._workers_by_id: BoundedDict[str, _WorkerEvidence] = BoundedDict(MAX_WORKERS)
 
     def record_failure(
-        self, task_id: str, job_id: str, worker_id: str, worker_count: int
+        self, task_id: str, job_id: str, worker_id: str, worker_count: int, probe_id: str = ""
     ) -> RetryDecision:
         """Records that a task failed on a worker.
 
@@ -96,21 +96,23 @@
             job_id: its job.
             worker_id: the worker that it ran on.
             worker_count: number of workers that it could run on.
+            probe_id: see `admits`.
 
         Returns:
             `GIVE_UP` if the task failed on enough workers that are not suspected, else `RETRY`.
         """
-        task = self._tasks_by_id.get(task_id) or _TaskEvidence()
-        task.failures += 1
-        task.failed_at = self._clock()
-        _add_bounded(task.failed_workers, worker_id)
-        self._tasks_by_id.put(task_id, task)
+        workers = self._workers_by_task.get(task_id) or set()
+        _add_bounded(workers, worker_id)
+        self._workers_by_task.put(task_id, workers)
+        earlier = self._failures_by_probe_id.get(probe_id or task_id)
+        count = 1 if earlier is None else earlier.count + 1
+        self._failures_by_probe_id.put(probe_id or task_id, _Failures(count, self._clock()))
         job = self._job_evidence(job_id)
         _add_bounded(job.failed_tasks, task_id)
         _add_bounded(job.failed_workers, worker_id)
         self._schedule_job_probe(job)
         self.record_rejection(job_id, worker_id)
-        credible = [w for w in task.failed_workers if not self._is_suspect(w, job_id)]
+        credible = [w for w in workers if not self._is_suspect(w, job_id)]
         if len(credible) >= min(MIN_FAILED_WORKERS, max(worker_count, 1)):
             return RetryDecision.GIVE_UP
         return RetryDecision.RETRY
@@ -132,7 +134,7 @@
 
         If it failed on several workers, the fault is its own: the job counts against none of them.
         """
-        worker_ids = self.failed_worker_ids(task_id)
+        worker_ids = self._workers_by_task.get(task_id) or set()
         if len(worker_ids) < 2:
             return
         for worker_id in worker_ids:
@@ -145,7 +147,8 @@
 
     def record_success(self, task_id: str, job_id: str, worker_id: str) -> None:
         """Records a success and drops the failures of the task, its job and the worker."""
-        self._tasks_by_id.pop(task_id)
+        self._workers_by_task.pop(task_id)
+        self._failures_by_probe_id.pop(task_id)
         self._workers_by_id.pop(worker_id)
         job = self._jobs_by_id.get(job_id)
         if job is not None:
@@ -184,26 +187,28 @@
 
     def has_failed_on(self, worker_id: str, task_id: str) -> bool:
         """Returns True if a task has failed on a worker."""
-        task = self._tasks_by_id.get(task_id)
-        return task is not None and worker_id in task.failed_workers
+        workers = self._workers_by_task.get(task_id)
+        return workers is not None and worker_id in workers
 
     def failed_worker_ids(self, task_id: str) -> frozenset[str]:
         """Returns the workers on which a task has failed."""
-        task = self._tasks_by_id.get(task_id)
-        return frozenset() if task is None else frozenset(task.failed_workers)
+        return frozenset(self._workers_by_task.get(task_id) or ())
 
-    def may_return(self, task_id: str) -> bool:
+    def may_return(self, probe_id: str) -> bool:
         """Returns True if a task has failed and has waited long enough for other workers.
 
         It then returns to one on which it failed unless another one has room: one that has none may
         be full for ever. The wait doubles with each failure, so that a worker that fails tasks for
         some seconds does not use up a task's attempts.
+
+        Args:
+            probe_id: the task, or the gang that it is a member of.
         """
-        task = self._tasks_by_id.get(task_id)
-        if task is None:
+        failures = self._failures_by_probe_id.get(probe_id)
+        if failures is None:
             return False
-        wait_s = min(FIRST_RETURN_AFTER_S * 2.0 ** (task.failures - 1), MAX_RETURN_AFTER_S)
-        return self._clock() - task.failed_at >= wait_s
+        wait_s = min(FIRST_RETURN_AFTER_S * 2.0 ** (failures.count - 1), MAX_RETURN_AFTER_S)
+        return self._clock() - failures.newest_at >= wait_s
 
     def may_probe_early(self, worker_id: str) -> bool:
         """Returns True unless a worker is probed now, or failed within the first interval.
@@ -218,7 +223,7 @@
 
     def has_failed(self, task_id: str) -> bool:
         """Returns True if a task has failed on some worker."""
-        return task_id in self._tasks_by_id
+        return task_id in self._workers_by_task
 
     def record_placement(
         self, task_id: str, job_id: str, worker_id: str, probe_id: str = ""
--- a/packages/pollengate/pollengate/workflow/job_table.py
+++ b/packages/pollengate/pollengate/workflow/job_table.py
@@ -467,8 +467,9 @@
     def _fail_task(self, task: TaskProgress, number: int, worker_id: str, now_ms: int) -> None:
         step = task.step
         job = step.job
+        worker_count = len(self.fleet.workers_by_id)
         self.evidence.record_failure(
-            task.name, job.job_id, worker_id, len(self.fleet.workers_by_id)
+            task.name, job.job_id, worker_id, worker_count, task.probe_name
         )
         if step.spec.is_long_running or task.is_done:
             return
--- a/packages/pollengate/pollengate/workflow/placement.py
+++ b/packages/pollengate/pollengate/workflow/placement.py
@@ -146,7 +146,7 @@
         best = best_of(task, admitted, now, scores)
         if best is None and (
             task.step.spec.is_long_running
-            or self.evidence.may_return(task.name)
+            or self.evidence.may_return(task.probe_name)
             or (task.step.job.is_overdue(now) and self._has_failed_on_most(task, workers))
             or not (admitted or self._admits_any(task, workers))
         ):
--- a/tests/test_gang_waits.py
+++ b/tests/test_gang_waits.py
@@ -3,6 +3,7 @@
 import unittest
 
 from pollengate.failure_evidence import FailureEvidence
+from pollengate.workflow.clients import EndKind
 from pollengate.workflow.crashes import TRIAL_CRASHES
 from pollengate.workflow.progress import JobProgress
 
@@ -16,6 +17,8 @@
 
 LABEL = "special"
 FIRST_PROBE_AFTER_S = 4.0
+# A gang may return to the workers that failed it this long after its second failure.
+SECOND_RETURN_S = 4.0
 GANG = build_step(2, is_gang=True, required_label=LABEL)
 
 
@@ -63,6 +66,34 @@
         evidence.record_success(names[0], self.job.job_id, "w0")
         self.assertEqual(2, len(self.plan(now)))
 
+    def test_gang_starts_again_after_each_member_has_failed_on_the_same_worker(self) -> None:
+        # Guards against a last member that finds no worker, as the others have just been placed.
+        now = 0.0
+        self.job_table = build_job_table(
+            *(build_lease_worker(f"w{number}", labels=(LABEL,)) for number in range(2)),
+            max_attempts=4,
+        )
+        self.job_table.evidence = FailureEvidence(lambda: now)
+        gang = build_step(2, is_gang=True, required_label=LABEL, max_per_worker=1)
+        job = build_job("00000000000000cc", gang)
+        self.job_table.add(job, 0.0, 0)
+        for failed in job.tasks():
+            runs = build_planner(self.job_table).plan(now)
+            self.assertEqual(2, len(runs))
+            for run in runs:
+                self.job_table.mark_started(run, now)
+            (on_first,) = (run for run in runs if run.worker_id == "w0")
+            self.assertIs(failed, on_first.task)
+            self.job_table.mark_ended(on_first, EndKind.FAILED, "", now, 0)
+            for run in runs:
+                if run is not on_first:
+                    self.job_table.mark_ended(run, EndKind.STOPPED, "", now, 0)
+        self.assertEqual([], self.plan(now))
+        now = SECOND_RETURN_S - 0.1
+        self.assertEqual([], self.plan(now), "the failures of all members count")
+        now = SECOND_RETURN_S
+        self.assertEqual(2, len(self.plan(now)))
+
 
 if __name__ == "__main__":
     unittest.main()
