Let tasks go that a restarted worker of another kind can't run

Cause: a start without a response keeps its task from all workers but the one that may carry the order out, also if that one can't run the task any more.

Evidence: the new case of tests/test_unanswered_starts.py fails on the code before.

Change: the hold ends once another incarnation has reported, rejects the orders of the one before, and lacks the service, label or size. The record of an order names the incarnation that it was meant for. `WorkerNeed` gets a module of its own.

--- a/packages/pollengate/pollengate/workflow/unanswered_starts.py
+++ b/packages/pollengate/pollengate/workflow/unanswered_starts.py
@@ -17,6 +17,7 @@
 from pollengate.workflow.fleet import Fleet, WorkerView
 from pollengate.workflow.leases import longest_lease_expiry
 from pollengate.workflow.progress import Run, TaskProgress
+from pollengate.workflow.worker_need import WorkerNeed
 
 __all__ = ["MAX_ORDER_DELAY_S", "UnansweredStart", "UnansweredStarts"]
 
@@ -36,6 +37,7 @@
         orders: number of orders that may still be carried out.
         arrives_by: clock time after which none of them is carried out.
         is_released: whether the task may start on other workers all the same.
+        born_ms: start of the incarnation that the orders were meant for, 0 if it is not known.
     """
 
     task: str
@@ -44,6 +46,7 @@
     orders: int
     arrives_by: float
     is_released: bool = False
+    born_ms: int = 0
 
 
 class UnansweredStarts:
@@ -74,7 +77,11 @@
         known = self._by_task_name.get(name, {}).get(run.worker_id)
         orders = known.orders + 1 if known is not None else 1
         arrives_by = sent_at + MAX_ORDER_DELAY_S
-        self._add(UnansweredStart(name, run.worker_id, run.number, orders, arrives_by))
+        self._add(
+            UnansweredStart(
+                name, run.worker_id, run.number, orders, arrives_by, born_ms=run.order_born_ms
+            )
+        )
 
     def settle(self, task: str, worker_id: str, run: int) -> None:
         """Records that a run of which no order was answered has begun, by one of them."""
@@ -139,8 +146,23 @@
             if not start.is_released
             and self._may_run(start, now)
             and not self._is_gone(start.worker_id, now)
+            and not self._is_of_no_use(start, task)
         }
 
+    def _is_of_no_use(self, start: UnansweredStart, task: TaskProgress) -> bool:
+        """Whether a worker has come back as a kind that rejects the order and can't run the task.
+
+        Only a further incarnation that starts before the order arrives would carry it out.
+        """
+        view = self._fleet.workers_by_id.get(start.worker_id)
+        queue = task.step.job.queue
+        if view is None or queue is None or not (view.is_attached and view.is_fenced):
+            return False
+        if not view.is_registration_current or start.born_ms in (0, view.born_ms):
+            return False
+        spec = task.step.spec
+        return not WorkerNeed(queue.service, spec.required_label, spec.demand).is_met_by(view)
+
     def _is_gone(self, worker_id: str, now: float) -> bool:
         """Whether a worker is neither registered nor replies, so that it carries out no order.
 
--- a/packages/pollengate/pollengate/workflow/worker_needs.py
+++ b/packages/pollengate/pollengate/workflow/worker_needs.py
@@ -4,42 +4,14 @@
 capacity itself: otherwise two shards that each need what the other one has wait for ever.
 """
 
-import dataclasses
-
 from pollengate.workflow.fleet import WorkerView
 from pollengate.workflow.job_table import JobTable
-from pollengate.workflow.model import Demand
 from pollengate.workflow.ordering import runs_again
 from pollengate.workflow.placement import is_allowed
 from pollengate.workflow.start_filter import StartFilter
+from pollengate.workflow.worker_need import WorkerNeed
 
-__all__ = ["RecentNeeds", "WorkerNeed", "find_waiting_need"]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class WorkerNeed:
-    """What a worker must have to run a task once it is empty.
-
-    Attributes:
-        service: the worker's service.
-        required_label: a label that the worker must have, empty for none.
-        demand: resources of the task.
-    """
-
-    service: str
-    required_label: str
-    demand: Demand
-
-    def is_met_by(self, view: WorkerView) -> bool:
-        """Returns True if a worker has the label, and is large enough."""
-        capacity = view.info.capacity
-        return (
-            view.info.service == self.service
-            and (not self.required_label or self.required_label in view.info.labels)
-            and self.demand.cpu_millis <= capacity.cpu_millis
-            and self.demand.memory_mb <= capacity.memory_mb
-            and self.demand.accelerators <= capacity.accelerators
-        )
+__all__ = ["RecentNeeds", "find_waiting_need"]
 
 
 class RecentNeeds:
--- a/packages/pollengate/pollengate/workflow/worker_transfer.py
+++ b/packages/pollengate/pollengate/workflow/worker_transfer.py
@@ -20,7 +20,7 @@
 from pollengate.workflow.placement import can_place, count_fitting, count_places
 from pollengate.workflow.progress import Run, StepProgress
 from pollengate.workflow.start_filter import StartFilter
-from pollengate.workflow.worker_needs import WorkerNeed
+from pollengate.workflow.worker_need import WorkerNeed
 
 __all__ = [
     "MAX_WORKERS_PER_REQUEST",
--- a/packages/pollengated/pollengated/edge/unanswered_start_records.py
+++ b/packages/pollengated/pollengated/edge/unanswered_start_records.py
@@ -39,6 +39,7 @@
     orders: Amount
     left_ms: Amount
     is_released: bool = False
+    born_ms: Amount = 0
 
 
 _DECODER = DocumentDecoder(list[_Row])
@@ -82,7 +83,13 @@
             arrives_by = acquired_at + min(MAX_ORDER_DELAY_S, row.left_ms / 1000)
             self._starts.restore(
                 UnansweredStart(
-                    row.task, row.worker_id, row.run, row.orders, arrives_by, row.is_released
+                    row.task,
+                    row.worker_id,
+                    row.run,
+                    row.orders,
+                    arrives_by,
+                    row.is_released,
+                    row.born_ms,
                 )
             )
         self._queued_version = self._starts.version
@@ -121,6 +128,7 @@
                 s.orders,
                 max(0, int((s.arrives_by - now) * 1000)),
                 s.is_released,
+                s.born_ms,
             )
             for s in self._starts.list_all()
         ]
--- a/packages/pollengated/pollengated/edge/worker_transfers.py
+++ b/packages/pollengated/pollengated/edge/worker_transfers.py
@@ -18,7 +18,8 @@
 from pollengate.workflow.progress import Run, RunState
 from pollengate.workflow.shard_lease import ShardLease
 from pollengate.workflow.start_filter import StartFilter
-from pollengate.workflow.worker_needs import RecentNeeds, WorkerNeed, find_waiting_need
+from pollengate.workflow.worker_need import WorkerNeed
+from pollengate.workflow.worker_needs import RecentNeeds, find_waiting_need
 from pollengate.workflow.worker_transfer import (
     MAX_WORKERS_PER_REQUEST,
     CapacityRequest,
--- a/tests/test_unanswered_starts.py
+++ b/tests/test_unanswered_starts.py
@@ -1,6 +1,7 @@
 """Tests of start orders without a response that are carried out late, on virtual time."""
 
 import asyncio
+import dataclasses
 import unittest
 from collections.abc import Awaitable, Callable
 
@@ -251,12 +252,13 @@
 class UnansweredStartTest(unittest.TestCase):
     """Guards against decisions that count an order without a response as not carried out."""
 
-    def build(self, step: Step) -> tuple[JobTable, list[Run]]:
+    def build(self, step: Step, born_ms: int = 0) -> tuple[JobTable, list[Run]]:
         """Returns a table of two workers, and the runs of a step whose starts had no response."""
         job_table = build_job_table(build_lease_worker("w0"), build_lease_worker("w1"))
         job_table.add(build_job(JOB_ID, step), 0.0, 0)
         runs = build_planner(job_table).plan(0.0)
         for run in runs:
+            run.order_born_ms = born_ms
             job_table.unanswered_starts.record(run, 0.0)
             job_table.mark_lost(run)
         return job_table, runs
@@ -335,6 +337,25 @@
         job_table.fleet.workers_by_id[run.worker_id].is_attached = False
         self.assertEqual(1, len(self.plan(job_table, 1.0)))
 
+    def test_task_starts_elsewhere_once_the_worker_is_back_as_another_kind(self) -> None:
+        """Guards against 13 s behind a worker that rejects the order and can't run the task."""
+        for born_ms, label, is_fenced, starts in (
+            (0, "other", True, 0),  # not known to be another incarnation
+            (7, "kind", True, 1),  # it returns to the worker
+            (7, "other", False, 0),
+            (7, "other", True, 1),
+        ):
+            with self.subTest(born_ms=born_ms, label=label, is_fenced=is_fenced):
+                job_table, (run,) = self.build(build_step(required_label="kind"), born_ms=5)
+                view = job_table.fleet.workers_by_id[run.worker_id]
+                view.born_ms, view.is_fenced = born_ms or 5, is_fenced
+                view.info = dataclasses.replace(view.info, labels=(label,), born_ms=view.born_ms)
+                (others,) = (
+                    v.worker_id for v in job_table.fleet.workers_by_id.values() if v is not view
+                )
+                expected = [run.worker_id if label == "kind" else others] if starts else []
+                self.assertEqual(expected, self.plan(job_table, 1.0))
+
     def test_run_that_is_seen_while_an_order_is_under_way_settles_nothing(self) -> None:
         """Guards against an order that is forgotten as the other one was carried out."""
         job_table, (run,) = self.build(build_step())
