--- a/tests/test_platform_client_api.py
+++ b/tests/test_platform_client_api.py
@@ -131,6 +131,21 @@
         self.assertEqual((response.status_code, response.json()), (200, {"waiting": 12}))
         self.assertEqual(job_service.calls, [("count", "queue")])
 
+    def test_prefix_of_one_slash_counts_and_accepts_jobs(self) -> None:
+        # Guards against a 404 for the path "/", which the path parameter does not match.
+        queue = dataclasses.replace(build_deployment().queues[0], prefix="/")
+        for method, path, answer in (
+            ("GET", "/", WaitingCount(3)),
+            ("POST", f"/{JOB}", Accepted()),
+            ("GET", f"/{JOB}", Found(JobState.QUEUED)),
+        ):
+            job_service = StubJobService(answer)
+            with mock.patch.object(job_service, "find_queue", return_value=queue):
+                options = {"content": BODY} if method == "POST" else {}
+                response = self.send(job_service, method, path, **options)
+            self.assertEqual(response.status_code, 200, (method, path))
+            self.assertEqual(1, len(job_service.calls))
+
     def test_unknown_queues_and_invalid_job_ids_are_not_found(self) -> None:
         job_service = StubJobService(WaitingCount(0))
         self.assertEqual(self.send(job_service, "GET", "/other/").status_code, 404)
