Look at a shard's own need before it is checked whether a worker can be emptied

Each update compared the long-running tasks of workers that the shard keeps anyway with all other workers. The need is cheap to find and comes first; whether all workers that meet a request are needed is no longer found by a second search.

--- a/packages/pollengate/pollengate/workflow/worker_transfer.py
+++ b/packages/pollengate/pollengate/workflow/worker_transfer.py
@@ -29,6 +29,7 @@
     "find_shortages",
     "fits_elsewhere",
     "is_movable",
+    "list_usable",
     "release_delay_s",
     "worker_to_release",
 ]
@@ -179,7 +180,7 @@
         (
             view
             for view in candidates
-            if fits_elsewhere(job_table, view, now, released) and not is_kept(view)
+            if not is_kept(view) and fits_elsewhere(job_table, view, now, released)
         ),
         None,
     )
@@ -204,6 +205,12 @@
     return fit_together(runs, others, lambda step, other: True)
 
 
+def list_usable(job_table: JobTable, request: CapacityRequest, now: float) -> list[WorkerView]:
+    """Returns the healthy workers that could run the tasks of a request once they are empty."""
+    workers = _healthy_workers(job_table, request.service, now)
+    return [view for view in workers if request.need.is_met_by(view)]
+
+
 def release_delay_s(fleet: Fleet, request: CapacityRequest, now: float) -> float:
     """Returns how long an owner waits before it responds to a request, shorter the more it has."""
     workers = fleet.schedulable_workers(request.service, now)
--- a/packages/pollengated/pollengated/edge/worker_transfers.py
+++ b/packages/pollengated/pollengated/edge/worker_transfers.py
@@ -27,6 +27,7 @@
     find_shortages,
     fits_elsewhere,
     is_movable,
+    list_usable,
     release_delay_s,
     worker_to_release,
 )
@@ -157,9 +158,12 @@
     def _find_need(
         self, view: WorkerView, request: CapacityRequest, now: float
     ) -> tuple[str, WorkerNeed] | None:
-        """Returns what the shard may need a worker for itself, and since when; None if nothing.
+        """Returns what the shard may need a worker for itself, None if for nothing.
 
         For a long-running task that has run before, only such tasks count as the shard's own need.
+
+        Returns:
+            Whether tasks wait for such a worker or have lately, and what they need.
         """
         waiting = find_waiting_need(self._job_table, view, request.is_restart, self._start_filter)
         if waiting is not None:
@@ -217,7 +221,7 @@
                 continue
             view = self._worker_for(request, allows_moves, now)
             if view is None:
-                open_request.is_tried = not self._keeps_worker_for(open_request, allows_moves, now)
+                open_request.is_tried = not self._needs_all_usable(open_request, now)
                 continue
             for other in earlier:
                 view_for_other = self._worker_for(other.request, allows_moves, now)
@@ -260,33 +264,31 @@
         self, request: CapacityRequest, allows_moves: bool, now: float
     ) -> WorkerView | None:
         """Returns a worker to release for a request, None if there is none."""
-        return self._find_worker(
-            request, allows_moves, now, lambda view: self._find_need(view, request, now) is not None
+        if not allows_moves:
+            request = dataclasses.replace(request, is_long_running=False)
+        released = [release.view for release in self._releases]
+        return worker_to_release(
+            self._job_table,
+            request,
+            now,
+            released,
+            lambda view: self._find_need(view, request, now) is not None,
         )
 
-    def _keeps_worker_for(self, open_request: OpenRequest, allows_moves: bool, now: float) -> bool:
-        """Returns True if only the shard's own need keeps a worker from meeting a request."""
+    def _needs_all_usable(self, open_request: OpenRequest, now: float) -> bool:
+        """Logs why a request is not met; returns True if only the shard's own need prevents it."""
         request = open_request.request
-        view = self._find_worker(request, allows_moves, now, lambda view: False)
-        need = None if view is None else self._find_need(view, request, now)
+        need = None
+        for view in list_usable(self._job_table, request, now):
+            need = self._find_need(view, request, now)
+            if need is None:
+                break
         if need is None:
             self._log_unmet_request(open_request, "no_worker")
             return False
         self._log_unmet_request(open_request, *need)
         return True
 
-    def _find_worker(
-        self,
-        request: CapacityRequest,
-        allows_moves: bool,
-        now: float,
-        is_kept: Callable[[WorkerView], bool],
-    ) -> WorkerView | None:
-        if not allows_moves:
-            request = dataclasses.replace(request, is_long_running=False)
-        released = [release.view for release in self._releases]
-        return worker_to_release(self._job_table, request, now, released, is_kept)
-
     def _log_unmet_request(
         self, open_request: OpenRequest, cause: str, need: WorkerNeed | None = None
     ) -> None:
@@ -296,16 +298,12 @@
         if self._logged_revisions_by_shard.get(to_shard) == open_request.revision:
             return
         self._logged_revisions_by_shard[to_shard] = open_request.revision
-        own = (
-            {}
-            if need is None
-            else {"own_label": need.required_label}
-            | {
-                "own_cpu_millis": need.demand.cpu_millis,
-                "own_memory_mb": need.demand.memory_mb,
-                "own_accelerators": need.demand.accelerators,
-            }
-        )
+        own: dict[str, object] = {}
+        if need is not None:
+            own["own_label"] = need.required_label
+            own["own_cpu_millis"] = need.demand.cpu_millis
+            own["own_memory_mb"] = need.demand.memory_mb
+            own["own_accelerators"] = need.demand.accelerators
         self._log.info(
             "not releasing a worker",
             shard=self._shard,
