Shorten trials of tasks for whose worker others wait

Cause: each is tried alone for up to 10 s, and all were suspects of the same crashes.

Evidence: the new test of tests/test_crashes.py fails on the code before.

Change: while tasks wait that no other worker could run, a trial ends with the first report after a second. Suspects that began within a whole trial before the one that is tried don't count as cleared, so that nobody is given up for their crash too early.

--- a/packages/pollengate/pollengate/workflow/crashes.py
+++ b/packages/pollengate/pollengate/workflow/crashes.py
@@ -7,7 +7,7 @@
 - A task under which a worker crashed starts beside no other such task if there is a choice, so that
   the next crash tells them apart.
 - After the second crash it is tried alone: no other task starts on its worker until it has ended or
-  has run for a while.
+  has run for a while, a short one if other tasks wait that only this worker could run.
 - It is given up if its worker crashes in such a trial, and in any case after `MAX_CRASHES`.
 
 A worker that drained before it went away did not crash, nor did one that was cut off, whose
@@ -50,6 +50,8 @@
 SETTLED_S = 1.0
 # A trial takes this long at least, as the worker is heard of once a second.
 MIN_TRIAL_S = 2.0
+# The same while tasks wait that only its worker could run; a report shows then that it is alive.
+MIN_AWAITED_TRIAL_S = 1.0
 # A run that is at work for this long, and for several times as long as the crashes took, shows that
 # its task does not crash workers.
 CLEARED_AFTER_S = 10.0
@@ -161,10 +163,19 @@
     return trials < max(1.0, MAX_TRIAL_SHARE * len(workers))
 
 
-def is_trial_over(run: Run, now: float) -> bool:
-    """Returns True once other tasks may start beside a run that was tried alone."""
-    longest_s = CLEARED_FACTOR * run.task.crashed_after_s
-    return _ran_for(run, min(max(MIN_TRIAL_S, longest_s), CLEARED_AFTER_S), now)
+def is_trial_over(run: Run, now: float, is_worker_needed: bool = False) -> bool:
+    """Returns True once other tasks may start beside a run that was tried alone.
+
+    Args:
+        run: the run.
+        now: clock time.
+        is_worker_needed: whether tasks wait that only its worker could run.
+    """
+    return _ran_for(run, MIN_AWAITED_TRIAL_S if is_worker_needed else _trial_s(run.task), now)
+
+
+def _trial_s(task: TaskProgress) -> float:
+    return min(max(MIN_TRIAL_S, CLEARED_FACTOR * task.crashed_after_s), CLEARED_AFTER_S)
 
 
 def is_cleared(run: Run, now: float) -> bool:
@@ -197,7 +208,15 @@
     return (
         run.task.crashes >= MIN_GIVE_UP_CRASHES
         and view.trial is run
-        and all(
-            other.ordered_at <= run.ordered_at - SETTLED_S for other in runs if other is not run
-        )
+        and all(_is_settled(other, run.ordered_at) for other in runs if other is not run)
     )
+
+
+def _is_settled(run: Run, trial_at: float) -> bool:
+    """Whether a run was at work for long enough before a trial not to have caused its crash.
+
+    A suspect whose own trial was short, as others needed the worker, may have.
+    """
+    is_suspect = run.task.crashes >= TRIAL_CRASHES
+    settled_s = _trial_s(run.task) if is_suspect else SETTLED_S
+    return run.ordered_at <= trial_at - settled_s
--- a/packages/pollengate/pollengate/workflow/reports.py
+++ b/packages/pollengate/pollengate/workflow/reports.py
@@ -10,8 +10,10 @@
 from pollengate.workflow.fleet import WorkerView
 from pollengate.workflow.job_table import JobTable
 from pollengate.workflow.model import WorkerCondition
+from pollengate.workflow.placement import can_place
 from pollengate.workflow.progress import PAST_STARTUP_PERCENT, Run, RunState, TaskProgress
 from pollengate.workflow.unclaimed_ends import UnclaimedEnd
+from pollengate.workflow.worker_need import WorkerNeed
 
 __all__ = ["AppliedEnd", "EndEffect", "ReportReconciler"]
 
@@ -260,11 +262,30 @@
 
     def _clear_suspicion(self, run: Run, now: float) -> None:
         """Ends the trial of a run, and clears its task, once it has run for long enough."""
-        if self._view.trial is run and is_trial_over(run, now):
+        if self._view.trial is run and (
+            is_trial_over(run, now)
+            or (is_trial_over(run, now, is_worker_needed=True) and self._is_only_worker())
+        ):
             self._view.trial = None
         if is_cleared(run, now):
             self._job_table.clear_crashes(run.task)
 
+    def _is_only_worker(self) -> bool:
+        """Whether tasks wait that fit here and could run on no other worker, even an empty one."""
+        others = [
+            other
+            for other in self._job_table.fleet.workers_by_id.values()
+            if other is not self._view and other.is_registered
+        ]
+        for step in self._job_table.open_steps:
+            queue = self._job_table.queue_of(step)
+            if queue is None or not step.waiting or not can_place(step, self._view):
+                continue
+            need = WorkerNeed(queue.service, step.spec.required_label, step.spec.demand)
+            if need.is_met_by(self._view) and not any(map(need.is_met_by, others)):
+                return True
+        return False
+
     def _mark_absent_lost(self, report: Report, sent_at: float, fenced_token: int) -> None:
         present = {(row.task, row.run) for row in report.running}
         for key, run in list(self._view.runs.items()):
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -5,7 +5,7 @@
 import unittest
 from collections.abc import Collection
 
-from pollengate.workflow.clients import EndKind
+from pollengate.workflow.clients import EndKind, Report, RunningTask
 from pollengate.workflow.crashes import MAX_CRASHES, CrashCause
 from pollengate.workflow.model import Demand, Workflow
 from pollengate.workflow.progress import JobState, Run
@@ -29,6 +29,8 @@
 OTHER_DEADLY = f"{0xDEAE:016x}"
 # After three crashes, a third further start breaks the rule.
 MAX_STARTS = 5
+# A lasting task may be without a run for 3 s in calm, which begins 4 s after its worker is back.
+LONGEST_IDLE_S = 7.0
 
 
 def small_tasks(count: int) -> Workflow:
@@ -345,6 +347,36 @@
         self.job_table.add(build_job(OTHER_DEADLY), 4.0, 0)
         self.assertEqual([], build_planner(self.job_table).plan(4.0))
 
+    def test_suspects_with_one_worker_for_all_start_again_in_time(self) -> None:
+        # Guards against lasting tasks that start one after the other, 10 s apart (review/10).
+        only = build_lease_worker("w0", labels=("only",))
+        self.job_table = build_job_table(only, build_lease_worker("w1"))
+        view = self.job_table.fleet.workers_by_id["w0"]
+        step = build_step(is_long_running=True, required_label="only")
+        for number in range(4):
+            self.job_table.add(build_job(f"{number:016x}", step), 0.0, 0)
+        for run in build_planner(self.job_table).plan(0.0):
+            self.job_table.mark_started(run, 0.0)
+            run.task.crashes, run.task.crashed_after_s = 1, 6.0
+        self.crash("w0", 9.0, 8.0)
+        view.is_attached = True
+        self.job_table.take_outbox()
+        started: list[Run] = []
+        now = 10.0
+        while now < 10.0 + LONGEST_IDLE_S:
+            for run in build_planner(self.job_table).plan(now):
+                self.job_table.mark_started(run, now)
+                started.append(run)
+            now += 0.1
+            rows = tuple(RunningTask(run.task.name, run.number, "", 100.0, 1.0) for run in started)
+            report = Report(int(now * 1000), view.born_ms, rows, ())
+            ReportReconciler(self.job_table, view).apply(report, now, now, 0)
+        self.assertEqual(4, len(started))
+        # A crash that any of them may have caused gives none of them up.
+        self.crash("w0", now + 1.0, now)
+        self.assertEqual([3] * 4, [run.task.crashes for run in started])
+        self.assertFalse(any(run.task.step.job.is_ended for run in started))
+
     def test_job_fails_after_the_most_crashes_in_any_case(self) -> None:
         (run,) = self.start()
         run.task.crashes = MAX_CRASHES - 1
