Derive a worker's need from a step in one place

Four callers built `WorkerNeed` from a step and its queue field by field; they call `WorkerNeed.of`. `RecentNeeds` kept each need of a restart in two tables; one, keyed by the need and by whether a restart has it, serves both questions. No change of behaviour: the tests of transfers, unanswered starts and crashes pass as before.

--- a/packages/pollengate/pollengate/workflow/reports.py
+++ b/packages/pollengate/pollengate/workflow/reports.py
@@ -281,7 +281,7 @@
             queue = self._job_table.queue_of(step)
             if queue is None or not step.waiting or not can_place(step, self._view):
                 continue
-            need = WorkerNeed(queue.service, step.spec.required_label, step.spec.demand)
+            need = WorkerNeed.of(step, queue)
             if need.is_met_by(self._view) and not any(map(need.is_met_by, others)):
                 return True
         return False
--- a/packages/pollengate/pollengate/workflow/unanswered_starts.py
+++ b/packages/pollengate/pollengate/workflow/unanswered_starts.py
@@ -160,8 +160,7 @@
             return False
         if not view.is_registration_current or start.born_ms in (0, view.born_ms):
             return False
-        spec = task.step.spec
-        return not WorkerNeed(queue.service, spec.required_label, spec.demand).is_met_by(view)
+        return not WorkerNeed.of(task.step, queue).is_met_by(view)
 
     def _is_gone(self, worker_id: str, now: float) -> bool:
         """Whether a worker is neither registered nor replies, so that it carries out no order.
--- a/packages/pollengate/pollengate/workflow/worker_need.py
+++ b/packages/pollengate/pollengate/workflow/worker_need.py
@@ -3,7 +3,8 @@
 import dataclasses
 
 from pollengate.workflow.fleet import WorkerView
-from pollengate.workflow.model import Demand
+from pollengate.workflow.model import Demand, Queue
+from pollengate.workflow.progress import StepProgress
 
 __all__ = ["WorkerNeed"]
 
@@ -22,6 +23,11 @@
     required_label: str
     demand: Demand
 
+    @classmethod
+    def of(cls, step: StepProgress, queue: Queue) -> "WorkerNeed":
+        """Returns what the tasks of a step in a queue need."""
+        return cls(queue.service, step.spec.required_label, step.spec.demand)
+
     def is_met_by(self, view: WorkerView) -> bool:
         """Returns True if a worker has the label, and is large enough."""
         capacity = view.info.capacity
--- a/packages/pollengate/pollengate/workflow/worker_needs.py
+++ b/packages/pollengate/pollengate/workflow/worker_needs.py
@@ -26,8 +26,8 @@
 
     def __init__(self, keep_s: float) -> None:
         self._keep_s = keep_s
-        self._recorded_at_by_need: dict[WorkerNeed, float] = {}
-        self._recorded_at_by_restart: dict[WorkerNeed, float] = {}
+        # By need, and whether tasks that have run before have it.
+        self._recorded_at_by_key: dict[tuple[WorkerNeed, bool], float] = {}
 
     def record(self, need: WorkerNeed, is_restart: bool, now: float) -> None:
         """Records that the shard lacks room at clock time `now`.
@@ -37,9 +37,7 @@
             is_restart: whether it is a long-running task that has run before.
             now: clock time.
         """
-        self._recorded_at_by_need[need] = now
-        if is_restart:
-            self._recorded_at_by_restart[need] = now
+        self._recorded_at_by_key[need, is_restart] = now
 
     def find(self, view: WorkerView, restarts_only: bool, now: float) -> WorkerNeed | None:
         """Returns a need that a worker meets, None if there is none.
@@ -49,11 +47,11 @@
             restarts_only: whether only long-running tasks that have run before count.
             now: clock time.
         """
-        known = self._recorded_at_by_restart if restarts_only else self._recorded_at_by_need
-        for need, recorded_at in list(known.items()):
+        for key, recorded_at in list(self._recorded_at_by_key.items()):
+            need, is_restart = key
             if now - recorded_at >= self._keep_s:
-                del known[need]
-            elif need.is_met_by(view):
+                del self._recorded_at_by_key[key]
+            elif (is_restart or not restarts_only) and need.is_met_by(view):
                 return need
         return None
 
@@ -80,7 +78,7 @@
         queue = job_table.queue_of(step)
         if queue is None or queue.service != view.info.service:
             continue
-        need = WorkerNeed(queue.service, step.spec.required_label, step.spec.demand)
+        need = WorkerNeed.of(step, queue)
         if not (need.is_met_by(view) and is_allowed(step, view)):
             continue
         if start_filter is None or start_filter.count_startable(step):
--- a/packages/pollengate/pollengate/workflow/worker_transfer.py
+++ b/packages/pollengate/pollengate/workflow/worker_transfer.py
@@ -105,7 +105,7 @@
     workers_of = functools.cache(lambda service: _healthy_workers(job_table, service, now))
     shortages: dict[tuple[WorkerNeed, bool], CapacityRequest] = {}
     for step, queue in steps:
-        need = WorkerNeed(queue.service, step.spec.required_label, step.spec.demand)
+        need = WorkerNeed.of(step, queue)
         key = need, runs_again(step)
         if key in shortages or (step.job.is_restored and not is_settled()):
             continue
