--- a/packages/pollengated/pollengated/edge/accepted_work.py
+++ b/packages/pollengated/pollengated/edge/accepted_work.py
@@ -16,10 +16,10 @@
 from pollengated.edge.clocks import Clocks
 from pollengated.edge.edge_metrics import EdgeMetrics
 from pollengated.logs import Log
+from pollengated.request_limits import BYTES_PER_MB
 
 __all__ = ["AcceptedWork", "max_accepted_bytes", "memory_bytes"]
 
-BYTES_PER_MB = 1_000_000
 # A takeover holds the records of a shard as text, as values and as jobs at the same time.
 ACCEPTED_MEMORY_DIVISOR = 8
 JOB_BYTES = 2_000
--- a/packages/pollengated/pollengated/request_limits.py
+++ b/packages/pollengated/pollengated/request_limits.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 __all__ = [
+    "BYTES_PER_MB",
     "DEFAULT_BUFFERED_BYTES",
     "DEFAULT_CONNECTIONS",
     "RECEIVE_BUFFER_BYTES",
