Build the job of a delegated task for a check only if its step has a limit

Each delegated task was built twice, although only steps with a limit per worker are compared with their siblings. No change of behaviour: tests/test_task_delegation.py passes as before.

--- a/packages/pollengated/pollengated/edge/placement_acceptor.py
+++ b/packages/pollengated/pollengated/edge/placement_acceptor.py
@@ -125,9 +125,7 @@
             return Refused("no_queue")
         if not self._context.is_settled():
             return Refused("unsettled")
-        if request.task is not None and not self._fits_beside_siblings(
-            self._create_job(request, queue), queue
-        ):
+        if request.task is not None and not self._fits_beside_siblings(request, queue):
             return Refused("siblings_here")
         now = self._clocks.monotonic_s()
         steps = first_steps(request.workflow)
@@ -136,14 +134,15 @@
         places = self._room.count_places(queue.service, steps, now)
         return queue if places >= request.min_tasks else Refused("no_room")
 
-    def _fits_beside_siblings(self, job: JobProgress, queue: Queue) -> bool:
+    def _fits_beside_siblings(self, request: PlacementRequest, queue: Queue) -> bool:
         """Whether a worker has room for a delegated task within the limit of its step.
 
         The siblings that have no run yet take the first places.
         """
-        (step,) = job.occurrences_by_number[0].steps
-        if not step.spec.max_per_worker:
+        if not request.workflow.steps[0].max_per_worker:
             return True
+        job = self._create_job(request, queue)
+        (step,) = job.occurrences_by_number[0].steps
         self._job_table.delegated_siblings.join(step)
         waiting = sum(
             are_siblings(job, other) and not other.run_count and not other.is_ended
