Use one function for the keys of tasks in records, and drop a wrapper

`_restore_occurrence` wrote the key of a task again that `_task_key` gives, and `Planner._has_known` only negated a method of the job table. `StepTask` is used in its own module.

--- a/packages/pollengate/pollengate/workflow/planner.py
+++ b/packages/pollengate/pollengate/workflow/planner.py
@@ -166,7 +166,8 @@
         steps = [
             step
             for step in job_table.open_steps
-            if step.waiting and (settled or _is_new(step) or self._has_known(step))
+            if step.waiting
+            and (settled or _is_new(step) or not job_table.may_only_run_unseen(step))
         ]
         for step in steps:
             if step.job.idle_since is None and not step.job.run_count:
@@ -355,10 +356,6 @@
                         self.job_table.mark_rejected(run)
         return runs
 
-    def _has_known(self, step: StepProgress) -> bool:
-        """Whether a waiting task of a restored step certainly has no run."""
-        return not self.job_table.may_only_run_unseen(step)
-
     def _may_run_unseen(self, task: TaskProgress, plan: _Round) -> bool:
         """Whether a task may have a run of an earlier owner that is not known yet."""
         if plan.is_settled or _is_new(task.step):
--- a/packages/pollengate/pollengate/workflow/records.py
+++ b/packages/pollengate/pollengate/workflow/records.py
@@ -14,6 +14,7 @@
     JobProgress,
     JobState,
     Occurrence,
+    StepProgress,
     TaskProgress,
 )
 from pollengate.workflow.validation import find_fault
@@ -316,7 +317,7 @@
 
 
 def _store_task(stored: StoredOccurrence, task: TaskProgress) -> None:
-    key = _task_key(task)
+    key = _task_key(task.step, task.index)
     if task.failed_runs:
         stored.failed_runs[key] = sorted(task.failed_runs)
     if task.last_run:
@@ -342,7 +343,7 @@
     for step, digits in zip(occurrence.steps, saved.done, strict=True):
         bits = int(digits, 16)
         for index in range(step.spec.count):
-            key = f"{step.number}.{index}"
+            key = _task_key(step, index)
             if bits >> index & 1:
                 step.tasks.mark_done(index)
             elif any(
@@ -358,5 +359,5 @@
     _count_complete(occurrence)
 
 
-def _task_key(task: TaskProgress) -> str:
-    return f"{task.step.number}.{task.index}"
+def _task_key(step: StepProgress, index: int) -> str:
+    return f"{step.number}.{index}"
--- a/packages/pollengate/pollengate/workflow/step_tasks.py
+++ b/packages/pollengate/pollengate/workflow/step_tasks.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Iterator, Sequence
 from typing import Generic, Protocol, TypeVar, overload
 
-__all__ = ["StepTask", "StepTasks"]
+__all__ = ["StepTasks"]
 
 
 class StepTask(Protocol):
