Restore large jobs in tests as the tests of records do

The test of takeovers encoded and decoded a job's records itself; `restored` of tests/test_job_records.py does that. The assertions are the same.

--- a/tests/test_large_jobs.py
+++ b/tests/test_large_jobs.py
@@ -10,18 +10,10 @@
 from pollengate.workflow.job_table import JobTable
 from pollengate.workflow.model import Demand
 from pollengate.workflow.progress import JobProgress, JobState, TaskProgress
-from pollengate.workflow.records import (
-    decode_job,
-    decode_part,
-    decode_progress,
-    encode_job,
-    encode_part,
-    encode_progress,
-    restore,
-)
 from pollengate.workflow.task_queue import TaskQueue
 from pollengated.edge.accepted_work import memory_bytes
 
+from tests.test_job_records import restored
 from tests.workflow_builders import (
     build_job,
     build_job_table,
@@ -161,11 +153,8 @@
 
     def take_over(self, job_table: JobTable, job: JobProgress) -> tuple[JobTable, JobProgress]:
         """Returns what a successor restores of a job."""
-        job.changed_parts.clear()
-        stored = decode_job(encode_job(job)).unwrap()
-        parts = {part: decode_part(encode_part(job, part)).unwrap() for part in range(2)}
-        progress = decode_progress(encode_progress(job)).unwrap()
-        found = restore(stored, progress, 0.0, parts).unwrap()
+        job.stored_parts |= job.changed_parts
+        found = restored(job)
         successor = build_job_table(build_lease_worker(capacity=Demand(64_000, 250_000)))
         successor.add(found, 0.0, 0)
         done = [task.index for task in job.tasks() if task.is_done]
