--- a/tests/edge_cluster.py
+++ b/tests/edge_cluster.py
@@ -6,7 +6,7 @@
 import dataclasses
 import json
 import unittest
-from collections.abc import Awaitable, Callable, Coroutine, Sequence
+from collections.abc import Awaitable, Callable, Coroutine, Mapping, Sequence
 from typing import Any, TypeVar
 
 from pollengate.accounts.job_access import Requester
@@ -65,6 +65,7 @@
 
 LOST_CALL_TIMEOUT_S = 0.8
 DEFAULT_CAPACITY = Demand(4000, 4000)
+QUEUES = {"queue": "service"}
 LEASE_RENEW_INTERVAL_S = 0.25
 HEARTBEAT_S = 0.3
 BOUNDS = Bounds(MAX_LEASE_S, 0.4, 3.0, 3.0, 0.25, 120.0, 3.0, 0.25, 0.5, 6.0, 4.0, 4.5)
@@ -218,6 +219,7 @@
         zone_by_worker: zone of each worker.
         rack_by_worker: rack of each worker.
         capacity_by_worker: capacity of each worker.
+        service_by_worker: service of each worker.
         workers_by_id: the workers that all processes share.
         history: every run that has started.
         nodes_by_name: all processes, including killed ones.
@@ -240,6 +242,7 @@
         self.history: list[StartRecord] = []
         names = [f"w{number}" for number in range(workers)]
         self.capacity_by_worker = collections.defaultdict(lambda: capacity)
+        self.service_by_worker = collections.defaultdict(lambda: "service")
         self.zone_by_worker = {name: zones[n % len(zones)] for n, name in enumerate(names)}
         self.rack_by_worker = {name: f"r{n % shards}" for n, name in enumerate(names)}
         self._layout = Layout(shards, {f"r{shard}": shard for shard in range(shards)})
@@ -273,17 +276,23 @@
         for shard in range(self._layout.shards):
             await self.wait_for_term(shard=shard)
 
-    async def configure(self, version: int, **fields: Any) -> None:
-        """Writes a configuration with one queue and further fields."""
-        route = {
-            "name": "queue",
-            "host": "host",
-            "prefix": "/jobs/",
-            "service": "service",
-            "maxAttempts": 2,
-            "stretch": 2.0,
-        }
-        document = {"version": version, "routes": [route], "services": [{"name": "service"}]}
+    async def configure(
+        self, version: int, service_by_queue: Mapping[str, str] = QUEUES, **fields: Any
+    ) -> None:
+        """Writes a configuration with queues, by default one, and further fields."""
+        routes = [
+            {
+                "name": queue,
+                "host": "host",
+                "prefix": "/jobs/" if queue == "queue" else f"/{queue}/",
+                "service": service,
+                "maxAttempts": 2,
+                "stretch": 2.0,
+            }
+            for queue, service in service_by_queue.items()
+        ]
+        services = [{"name": service} for service in service_by_queue.values()]
+        document = {"version": version, "routes": routes, "services": services}
         document |= fields
         await self.store.commit((), (Put("op/config", json.dumps(document).encode()),))
 
@@ -291,7 +300,7 @@
         """Writes a worker's registration."""
         capacity = self.capacity_by_worker[worker_id]
         document = {
-            "service": "service",
+            "service": self.service_by_worker[worker_id],
             "addr": f"{worker_id}:1",
             "zone": self.zone_by_worker[worker_id],
             "state": state,
@@ -434,12 +443,17 @@
             node.store.is_down = False
 
     async def submit(
-        self, job_id: str, workflow: Workflow, other_than: str = "", account: str = ""
+        self,
+        job_id: str,
+        workflow: Workflow,
+        other_than: str = "",
+        account: str = "",
+        queue: str = "queue",
     ) -> JobResponse:
         """Submits a job to the owner of its shard."""
         shard = shard_of_job(job_id, self._layout.shards)
         term = await self.wait_for_term(other_than, shard=shard)
-        return await term.request_handler.submit("queue", job_id, workflow, account)
+        return await term.request_handler.submit(queue, job_id, workflow, account)
 
     async def wait_for_state(self, job_id: str, state: str, timeout_s: float = 60.0) -> float:
         """Waits until the visible state of a job is `state`; returns the seconds waited."""
--- a/tests/test_mutual_shortages.py
+++ b/tests/test_mutual_shortages.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Mapping
 
+from pollengate.workflow.job_service import Accepted
 from pollengate.workflow.keys import ASSIGNMENT_PREFIX
 from pollengate.workflow.model import Demand, Step
 
@@ -112,6 +113,63 @@
                 steps = build_step(demand=first), build_step(demand=second)
                 self.check_started(capacities, steps)
 
+    def test_shard_whose_need_is_met_by_one_that_is_not_short(self) -> None:
+        # Guards against an answer to mutual shortages that serves no others.
+        async def main() -> None:
+            cluster = await self.open((MANY_CORES, MANY_CORES))
+            steps_by_id = {job_id: build_step(required_label="r1") for job_id in job_ids(0, 2)}
+            await self.submit(cluster, steps_by_id)
+            await asyncio.sleep(LOST_AFTER_S)
+            self.assertEqual([], self.waiting(cluster, steps_by_id))
+
+        run_virtual(main())
+
+    def test_shards_that_need_the_workers_of_services_of_each_other(self) -> None:
+        # Guards against the same where the workers of each service are in one shard.
+        async def main() -> None:
+            cluster = EdgeCluster(8, 0.5, 2, places_elsewhere=False)
+            for name in cluster.workers_by_id:
+                cluster.service_by_worker[name] = ("service", "other")[int(name[1:]) % 2]
+            await cluster.open(nodes=3)
+            await cluster.configure(2, {"queue": "service", "others": "other"})
+            await asyncio.sleep(3.0)
+            ids_by_queue = {"others": job_ids(0, 2), "queue": job_ids(1, 2)}
+            for queue, ids in ids_by_queue.items():
+                for job_id in ids:
+                    response = await cluster.submit(job_id, build_workflow(), queue=queue)
+                    self.assertEqual(Accepted(), response)
+            await asyncio.sleep(LOST_AFTER_S)
+            started = {record.task.partition(".")[0] for record in cluster.update_history()}
+            self.assertEqual(set(sum(ids_by_queue.values(), [])), started)
+            self.check_single_execution(cluster)
+
+        run_virtual(main())
+
+    def test_shards_that_need_labels_of_each_other_for_later_steps_and_retries(self) -> None:
+        # Guards against jobs that stop after a step, or after a failure, beside idle workers.
+        async def main() -> None:
+            cluster = await self.open((MANY_CORES, MANY_CORES))
+            failed: set[str] = set()
+
+            def fails(task: str) -> bool:
+                is_first = task.split(".")[2] == "1" and task not in failed
+                failed.add(task)
+                return is_first
+
+            for worker in cluster.workers_by_id.values():
+                worker.fails = fails
+            ids = [(shard, job_id) for shard in range(2) for job_id in job_ids(shard, 2)]
+            for shard, job_id in ids:
+                first = build_step(required_label=f"r{shard}")
+                later = build_step(required_label=f"r{1 - shard}", after=(0,))
+                await cluster.submit(job_id, build_workflow(first, later))
+            # Each of three starts may wait for as long as that, and each run takes 0.5 s.
+            for _, job_id in ids:
+                await cluster.wait_for_state(job_id, "completed", 3 * (LOST_AFTER_S + 0.5))
+            self.check_single_execution(cluster)
+
+        run_virtual(main())
+
     def test_shard_that_needs_what_nobody_has_gets_what_another_one_has(self) -> None:
         # Guards against jobs behind others whose need is met by no worker at all.
         async def main() -> None:
